Schema, base types and the borders of the two roles

Cause: everything else is written against these, so they come first. Ruled out: std::time::Instant in the decisions (a scenario would print other times on every run); a serde schema beside the proto one (two places to say a unit); timers as actions (a machine keeps its own and tells when it is due).

--- /dev/null
+++ b/crates/conf/src/log.rs
@@ -0,0 +1,163 @@
+//! The accepted configuration as an append-only log of changes.
+//!
+//! Revision *n* is the platform object [`revision_key`]`(n)`, created only if
+//! absent: creation is acceptance, so the platform gives one total order and
+//! the loser of a race gets a conflict. A process applies changes in order and
+//! never steps back: an old read, a late frame or a healed partition offers
+//! revisions that are already in force, and those are skipped.
+
+use base::Revision;
+use schema::link::{ConfigChange, ConfigChanges};
+use schema::settings::Fleet;
+use serde_json::Value;
+use snafu::Snafu;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::{Config, merge};
+
+/// Changes kept for peers that are behind; one further back gets a snapshot.
+const KEPT_CHANGES: usize = 256;
+
+/// Start of the keys of all changes.
+pub const REVISION_PREFIX: &str = "config/";
+
+/// Key of the newest snapshot: a whole document with its revision.
+pub const SNAPSHOT_KEY: &str = "config-snapshot";
+
+/// Key of the object that holds one change.
+pub fn revision_key(revision: Revision) -> String {
+    format!("{REVISION_PREFIX}{:012}", revision.0)
+}
+
+/// Why a change can't be applied.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The change is not a JSON document.
+    #[snafu(display("change {revision} is not JSON: {source}"))]
+    Syntax {
+        /// Revision of the change.
+        revision: u64,
+        /// Fault found by the decoder.
+        source: serde_json::Error,
+    },
+    /// The document after the change is not shaped as the schema says.
+    #[snafu(display("document {revision} breaks the schema: {source}"))]
+    Shape {
+        /// Revision of the document.
+        revision: u64,
+        /// Fault found by the decoder.
+        source: serde_json::Error,
+    },
+}
+
+/// The part of the log that a process holds.
+#[derive(Debug, Default)]
+pub struct ConfigLog {
+    document: Value,
+    current: Option<Arc<Config>>,
+    changes: VecDeque<ConfigChange>,
+}
+
+impl ConfigLog {
+    /// An empty log: nothing is in force.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Revision in force; 0 before the first.
+    pub fn revision(&self) -> Revision {
+        self.current
+            .as_ref()
+            .map_or(Revision(0), |config| config.revision())
+    }
+
+    /// Configuration in force.
+    pub const fn current(&self) -> Option<&Arc<Config>> {
+        self.current.as_ref()
+    }
+
+    /// Document in force.
+    pub const fn document(&self) -> &Value {
+        &self.document
+    }
+
+    /// Applies what is newer than the revision in force, in order.
+    ///
+    /// Returns the new configuration if the revision rose. A gap ends the
+    /// application: what lies behind it is asked for again.
+    ///
+    /// # Errors
+    ///
+    /// A change that can't be applied leaves what came before it in force.
+    pub fn offer(
+        &mut self,
+        offered: &ConfigChanges,
+    ) -> Result<Option<Arc<Config>>, LogError> {
+        let before = self.revision();
+        if !offered.snapshot.is_empty() && offered.base_revision > before.0 {
+            self.take_snapshot(offered)?;
+        }
+        for change in &offered.changes {
+            if change.revision == self.revision().0 + 1 {
+                self.apply(change)?;
+            }
+        }
+        if self.revision() == before {
+            return Ok(None);
+        }
+        Ok(self.current.clone())
+    }
+
+    /// What a peer at `after` is missing.
+    pub fn changes_after(&self, after: Revision) -> ConfigChanges {
+        let next = after.0 + 1;
+        let known = self
+            .changes
+            .front()
+            .map_or(u64::MAX, |first| first.revision);
+        if next >= known || after >= self.revision() {
+            let missing = self.changes.iter().filter(|held| held.revision >= next);
+            return ConfigChanges {
+                changes: missing.cloned().collect(),
+                ..ConfigChanges::default()
+            };
+        }
+        ConfigChanges {
+            snapshot: self.document.to_string().into_bytes(),
+            base_revision: self.revision().0,
+            changes: Vec::new(),
+        }
+    }
+
+    fn take_snapshot(&mut self, offered: &ConfigChanges) -> Result<(), LogError> {
+        let revision = offered.base_revision;
+        let document = serde_json::from_slice(&offered.snapshot)
+            .map_err(|source| LogError::Syntax { revision, source })?;
+        self.put_in_force(revision, document)?;
+        self.changes.clear();
+        Ok(())
+    }
+
+    fn apply(&mut self, change: &ConfigChange) -> Result<(), LogError> {
+        let revision = change.revision;
+        let patch: Value = serde_json::from_slice(&change.patch)
+            .map_err(|source| LogError::Syntax { revision, source })?;
+        let mut document = self.document.clone();
+        merge::apply(&mut document, &patch);
+        self.put_in_force(revision, document)?;
+        self.changes.push_back(change.clone());
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+        Ok(())
+    }
+
+    fn put_in_force(&mut self, revision: u64, document: Value) -> Result<(), LogError> {
+        let fleet: Fleet = serde_json::from_value(document.clone())
+            .map_err(|source| LogError::Shape { revision, source })?;
+        self.current = Some(Arc::new(Config::new(Revision(revision), fleet)));
+        self.document = document;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gen/src/main.rs
@@ -0,0 +1,125 @@
+//! Writes the generated half of the `schema` crate from its proto files.
+//!
+//! Run `cargo run -p schema-gen` after changing a file under
+//! `crates/schema/proto`. With `--check` nothing is written and the exit code
+//! is 1 when the committed code is not what the schema gives.
+
+use prost::Message as _;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+const SCHEMAS: [&str; 4] = ["settings", "link", "store", "timeline"];
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|arg| arg == "--check");
+    let schema = Path::new(env!("CARGO_MANIFEST_DIR")).join("../schema");
+    let committed = schema.join("src/generated");
+    let target = if check {
+        std::env::temp_dir().join(format!("sesame-schema-{}", std::process::id()))
+    } else {
+        committed.clone()
+    };
+    if let Err(message) = generate(&schema.join("proto"), &target) {
+        eprintln!("schema-gen: {message}");
+        return ExitCode::FAILURE;
+    }
+    if !check {
+        return ExitCode::SUCCESS;
+    }
+    let same = SCHEMAS.iter().all(|name| {
+        let file = format!("sesame.{name}.rs");
+        std::fs::read(committed.join(&file)).ok()
+            == std::fs::read(target.join(&file)).ok()
+    });
+    // The check's verdict does not depend on whether the clean-up succeeds.
+    let _ = std::fs::remove_dir_all(&target);
+    if same {
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("schema-gen: the committed code is not what the schema gives");
+    ExitCode::FAILURE
+}
+
+fn generate(proto: &Path, target: &PathBuf) -> Result<(), String> {
+    std::fs::create_dir_all(target).map_err(|error| error.to_string())?;
+    let files = SCHEMAS.map(|name| format!("{name}.proto"));
+    let descriptors =
+        protox::compile(files, [proto]).map_err(|error| error.to_string())?;
+    let mut config = prost_build::Config::new();
+    config.btree_map(["."]);
+    config.out_dir(target);
+    let derive = "#[derive(serde::Serialize, serde::Deserialize)]";
+    for package in [".sesame.settings", ".sesame.timeline", ".sesame.link"] {
+        config.type_attribute(package, derive);
+    }
+    for package in [".sesame.settings", ".sesame.timeline"] {
+        config.message_attribute(package, "#[serde(default, deny_unknown_fields)]");
+    }
+    config
+        .compile_fds(descriptors.clone())
+        .map_err(|error| error.to_string())?;
+    let fields = field_table(&descriptors.encode_to_vec())?;
+    let table = target.join("sesame.settings.rs");
+    let mut code =
+        std::fs::read_to_string(&table).map_err(|error| error.to_string())?;
+    code.push_str(&fields);
+    std::fs::write(&table, code).map_err(|error| error.to_string())
+}
+
+/// Renders the table of settings fields by which `conf` checks a document.
+fn field_table(descriptors: &[u8]) -> Result<String, String> {
+    let set = prost_reflect::DescriptorPool::decode(descriptors)
+        .map_err(|error| error.to_string())?;
+    let mut code = String::from(
+        "/// Fields of every settings message, for checking documents.\n\
+         pub static MESSAGES: &[crate::MessageShape] = &[\n",
+    );
+    for message in set.all_messages() {
+        if message.package_name() != "sesame.settings" || message.is_map_entry() {
+            continue;
+        }
+        code.push_str(&format!(
+            "    crate::MessageShape {{\n        name: {:?},\n        fields: &[\n",
+            message.name()
+        ));
+        for field in message.fields() {
+            code.push_str(&format!(
+                "            crate::FieldShape {{ name: {:?}, kind: {}, holds: {} }},\n",
+                field.name(),
+                kind_of(&field),
+                holding_of(&field)
+            ));
+        }
+        code.push_str("        ],\n    },\n");
+    }
+    code.push_str("];\n");
+    Ok(code)
+}
+
+fn kind_of(field: &prost_reflect::FieldDescriptor) -> String {
+    use prost_reflect::Kind;
+    let kind = match field.kind() {
+        Kind::Message(entry) if field.is_map() => entry.map_entry_value_field().kind(),
+        kind => kind,
+    };
+    match kind {
+        Kind::Message(message) => {
+            format!("crate::FieldKind::Message({:?})", message.name())
+        }
+        Kind::String => "crate::FieldKind::Text".into(),
+        Kind::Bool => "crate::FieldKind::Flag".into(),
+        Kind::Double => "crate::FieldKind::Number".into(),
+        Kind::Uint32 => "crate::FieldKind::Whole32".into(),
+        _ => "crate::FieldKind::Whole64".into(),
+    }
+}
+
+fn holding_of(field: &prost_reflect::FieldDescriptor) -> &'static str {
+    if field.is_map() {
+        "crate::Holding::Named"
+    } else if field.is_list() {
+        "crate::Holding::List"
+    } else {
+        "crate::Holding::One"
+    }
+}
