--- /dev/null
+++ b/crates/scenario/src/parse/value.rs
@@ -0,0 +1,108 @@
+//! Reads words as times, numbers and bounds.
+
+use base::{Instant, Ran};
+
+use super::ScriptError;
+use super::line::{Word, Words};
+use crate::script::Bounds;
+
+/// Reads a duration such as `250us`, `10ms`, `2s` or `3min`, in microseconds.
+pub(super) fn duration_us(
+    words: &Words<'_>,
+    word: Word<'_>,
+) -> Result<u64, ScriptError> {
+    const UNITS: [(&str, u64); 4] = [
+        ("us", 1),
+        ("ms", 1_000),
+        ("min", 60_000_000),
+        ("s", 1_000_000),
+    ];
+    for (unit, us) in UNITS {
+        let Some(digits) = word.text.strip_suffix(unit) else {
+            continue;
+        };
+        if let Ok(count) = digits.parse::<u64>() {
+            return Ok(count.saturating_mul(us));
+        }
+    }
+    Err(words.error(word, "not a duration (`10ms`, `2s`, `3min`)"))
+}
+
+pub(super) fn duration_ms(
+    words: &Words<'_>,
+    word: Word<'_>,
+) -> Result<u64, ScriptError> {
+    Ok(duration_us(words, word)? / 1_000)
+}
+
+pub(super) fn instant(
+    words: &Words<'_>,
+    word: Word<'_>,
+) -> Result<Instant, ScriptError> {
+    Ok(Instant::from_us(duration_us(words, word)?))
+}
+
+pub(super) fn number(words: &Words<'_>, word: Word<'_>) -> Result<u64, ScriptError> {
+    word.text
+        .parse()
+        .map_err(|_| words.error(word, "not a whole number"))
+}
+
+pub(super) fn number32(words: &Words<'_>, word: Word<'_>) -> Result<u32, ScriptError> {
+    word.text
+        .parse()
+        .map_err(|_| words.error(word, "not a whole number"))
+}
+
+pub(super) fn fraction(words: &Words<'_>, word: Word<'_>) -> Result<f64, ScriptError> {
+    word.text
+        .parse()
+        .map_err(|_| words.error(word, "not a number"))
+}
+
+pub(super) fn yes_no(words: &Words<'_>, word: Word<'_>) -> Result<bool, ScriptError> {
+    match word.text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(words.error(word, "neither `yes` nor `no`")),
+    }
+}
+
+pub(super) fn ran(words: &Words<'_>, word: Word<'_>) -> Result<Ran, ScriptError> {
+    [Ran::NotRun, Ran::Ran, Ran::Unknown]
+        .into_iter()
+        .find(|ran| ran.as_str() == word.text)
+        .ok_or_else(|| words.error(word, "not `not_run`, `ran` or `unknown`"))
+}
+
+/// Takes `count=`, or `min=` and `max=`.
+pub(super) fn bounds(words: &mut Words<'_>) -> Result<Bounds, ScriptError> {
+    if let Some(word) = words.named("count") {
+        let count = number(words, word)?;
+        return Ok(Bounds {
+            min: count,
+            max: count,
+        });
+    }
+    let mut bounds = Bounds {
+        min: 0,
+        max: u64::MAX,
+    };
+    let min = words.named("min");
+    let max = words.named("max");
+    if min.is_none() && max.is_none() {
+        words.needed("count")?;
+    }
+    if let Some(word) = min {
+        bounds.min = number(words, word)?;
+    }
+    if let Some(word) = max {
+        bounds.max = number(words, word)?;
+    }
+    Ok(bounds)
+}
+
+/// Splits a value at commas.
+pub(super) fn list(word: Word<'_>) -> Vec<String> {
+    word.text.split(',').map(str::to_owned).collect()
+}
