--- /dev/null
+++ b/crates/agent/src/error.rs
@@ -0,0 +1,67 @@
+//! Why an agent can't start.
+
+use base::Code;
+use conf::Fault;
+use snafu::Snafu;
+use std::io;
+use std::path::PathBuf;
+use wire::WireError;
+
+/// Why an agent can't start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum AgentError {
+    /// The settings file can't be read.
+    #[snafu(display("{}: {}: {source}", Code::FileFault, path.display()))]
+    File {
+        /// File.
+        path: PathBuf,
+        /// Fault of the operating system.
+        source: io::Error,
+    },
+    /// The settings have faults.
+    #[snafu(display("{}", lines(faults)))]
+    Settings {
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+    /// An address of the settings is not `ip:port`.
+    #[snafu(display("{}: {key}: {text} is not ip:port", Code::BadAddress))]
+    Address {
+        /// Key in the settings.
+        key: &'static str,
+        /// What stands there.
+        text: String,
+    },
+    /// The operators' listener can't be bound.
+    #[snafu(display("{}: operator_listen: {source}", Code::BadAddress))]
+    OperatorListen {
+        /// Fault of the operating system.
+        source: io::Error,
+    },
+    /// The link listener can't be bound.
+    #[snafu(display("{}: link_listen: {source}", source.code()))]
+    LinkListen {
+        /// Fault of the listener.
+        source: WireError,
+    },
+}
+
+impl AgentError {
+    /// Numbered code of the fault.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::File { .. } => Code::FileFault,
+            Self::Settings { faults } => {
+                faults.first().map_or(Code::BadSyntax, |fault| fault.code)
+            }
+            Self::Address { .. } | Self::OperatorListen { .. } => Code::BadAddress,
+            Self::LinkListen { source } => source.code(),
+        }
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/agent/tests/shell/main.rs
@@ -0,0 +1,7 @@
+//! The agent's shell against an engine, a plain service and an entry on
+//! loopback.
+
+mod engine;
+mod orders;
+mod service;
+mod support;
--- a/crates/conf/src/defaults.rs
+++ b/crates/conf/src/defaults.rs
@@ -1,6 +1,6 @@
 //! Values of settings that an operator left out.
 
-use schema::settings::{Limits, Store, Weights};
+use schema::settings::{AgentSettings, EntrySettings, Limits, Store, Weights};
 
 fn or(value: u32, default: u32) -> u32 {
     if value == 0 { default } else { value }
@@ -41,3 +41,29 @@
         load_time_ms: 2_000,
     })
 }
+
+const REQUEST_SHARDS: u32 = 8;
+const WORKER_THREADS: u32 = 4;
+const TIMELINE_EVENTS: u32 = 20_000;
+const LOG_LEVEL: &str = "info";
+
+/// Settings of an entry.
+pub(crate) fn entry_settings(settings: &mut EntrySettings) {
+    settings.request_shards = or(settings.request_shards, REQUEST_SHARDS);
+    settings.worker_threads = or(settings.worker_threads, WORKER_THREADS);
+    settings.timeline_events = or(settings.timeline_events, TIMELINE_EVENTS);
+    fill_text(&mut settings.log_level, LOG_LEVEL);
+}
+
+/// Settings of an agent.
+pub(crate) fn agent_settings(settings: &mut AgentSettings) {
+    settings.worker_threads = or(settings.worker_threads, WORKER_THREADS);
+    settings.timeline_events = or(settings.timeline_events, TIMELINE_EVENTS);
+    fill_text(&mut settings.log_level, LOG_LEVEL);
+}
+
+fn fill_text(value: &mut String, default: &str) {
+    if value.is_empty() {
+        default.clone_into(value);
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -12,11 +12,17 @@
 //! - A revision, once accepted, is never replaced, and no process goes back to
 //!   an older one.
 
+mod check;
 mod config;
 mod defaults;
 mod log;
 pub mod merge;
+mod rules;
 
+pub use check::{
+    DEPTH_MAX, DOCUMENT_MAX_BYTES, FAULTS_MAX, Fault, NAME_MAX_BYTES, VALUES_MAX,
+    check_agent_settings, check_document, check_entry_settings, check_fleet,
+};
 pub use config::{
     CallerSpec, Config, ModelSpec, PoolSpec, ProfileKind, ProfileSpec, ServiceSpec,
     key_hash,
--- a/crates/conf/src/log.rs
+++ b/crates/conf/src/log.rs
@@ -19,6 +19,11 @@
 /// Changes kept for peers that are behind; one further back gets a snapshot.
 const KEPT_CHANGES: usize = 256;
 
+/// Bytes of changes kept. What is sent to a peer must fit one frame, and a
+/// single change may be as large as a whole document: 256 of those would fill
+/// the memory and never reach the peer.
+const KEPT_BYTES: usize = 256 << 10;
+
 /// Start of the keys of all changes.
 pub const REVISION_PREFIX: &str = "config/";
 
@@ -41,6 +46,15 @@
         /// Fault found by the decoder.
         source: serde_json::Error,
     },
+    /// The patch or the snapshot is JSON, but not an object.
+    ///
+    /// Such a patch would replace the whole document, and the decoder takes an
+    /// empty array for a configuration with nothing in it.
+    #[snafu(display("change {revision} is not an object"))]
+    NotObject {
+        /// Revision of the change.
+        revision: u64,
+    },
     /// The document after the change is not shaped as the schema says.
     #[snafu(display("document {revision} breaks the schema: {source}"))]
     Shape {
@@ -99,7 +113,7 @@
             self.take_snapshot(offered)?;
         }
         for change in &offered.changes {
-            if change.revision == self.revision().0 + 1 {
+            if Some(change.revision) == self.revision().0.checked_add(1) {
                 self.apply(change)?;
             }
         }
@@ -111,7 +125,7 @@
 
     /// What a peer at `after` is missing.
     pub fn changes_after(&self, after: Revision) -> ConfigChanges {
-        let next = after.0 + 1;
+        let next = after.0.saturating_add(1);
         let known = self
             .changes
             .front()
@@ -132,8 +146,7 @@
 
     fn take_snapshot(&mut self, offered: &ConfigChanges) -> Result<(), LogError> {
         let revision = offered.base_revision;
-        let document = serde_json::from_slice(&offered.snapshot)
-            .map_err(|source| LogError::Syntax { revision, source })?;
+        let document = read_object(revision, &offered.snapshot)?;
         self.put_in_force(revision, document)?;
         self.changes.clear();
         Ok(())
@@ -141,18 +154,25 @@
 
     fn apply(&mut self, change: &ConfigChange) -> Result<(), LogError> {
         let revision = change.revision;
-        let patch: Value = serde_json::from_slice(&change.patch)
-            .map_err(|source| LogError::Syntax { revision, source })?;
+        let patch = read_object(revision, &change.patch)?;
         let mut document = self.document.clone();
         merge::apply(&mut document, &patch);
         self.put_in_force(revision, document)?;
         self.changes.push_back(change.clone());
-        if self.changes.len() > KEPT_CHANGES {
-            self.changes.pop_front();
-        }
+        self.forget_oldest();
         Ok(())
     }
 
+    fn forget_oldest(&mut self) {
+        let mut bytes: usize = self.changes.iter().map(|held| held.patch.len()).sum();
+        while self.changes.len() > KEPT_CHANGES || bytes > KEPT_BYTES {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            bytes -= oldest.patch.len();
+        }
+    }
+
     fn put_in_force(&mut self, revision: u64, document: Value) -> Result<(), LogError> {
         let fleet: Fleet = serde_json::from_value(document.clone())
             .map_err(|source| LogError::Shape { revision, source })?;
@@ -161,3 +181,13 @@
         Ok(())
     }
 }
+
+fn read_object(revision: u64, bytes: &[u8]) -> Result<Value, LogError> {
+    let value: Value = serde_json::from_slice(bytes)
+        .map_err(|source| LogError::Syntax { revision, source })?;
+    if value.is_object() {
+        Ok(value)
+    } else {
+        Err(LogError::NotObject { revision })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/options.rs
@@ -0,0 +1,253 @@
+//! The command line.
+
+use bpaf::{Bpaf, OptionParser};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+/// Text under the list of commands.
+///
+/// A line break is kept only before a space, and short help ends at an empty
+/// line.
+const FOOTER: &str = "A first session:
+  sesamectl check fleet.jsonc
+  sesamectl publish fleet.jsonc --platform 10.0.0.9:7900 --wait
+  sesamectl status --platform 10.0.0.9:7900
+ Exit codes: 0 done, 1 faults found, 2 usage, 3 unreachable, 4 conflict,
+ 5 outcome unknown, 6 accepted but not yet in force everywhere.";
+
+/// Check, publish and watch over the configuration of a sesameshore deployment
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version, footer(FOOTER))]
+pub enum Command {
+    /// Check a document and list all its faults
+    #[bpaf(
+        command,
+        header(
+            "Nothing is sent anywhere. Each fault has a line, a column, a number and \
+             the place in the document."
+        )
+    )]
+    Check(#[bpaf(external(check_options))] CheckOptions),
+    /// Publish a fleet configuration
+    #[bpaf(
+        command,
+        header(
+            "The document is checked first. It is accepted once its revision exists on \
+             the platform; then it can't be replaced, only followed by another. Without \
+             --base the file is compared with the newest revision and takes its place."
+        )
+    )]
+    Publish(#[bpaf(external(publish_options))] PublishOptions),
+    /// Show what publishing a file would change
+    #[bpaf(command)]
+    Diff(#[bpaf(external(diff_options))] DiffOptions),
+    /// Print the configuration that is in force, or an older revision
+    #[bpaf(command)]
+    Show(#[bpaf(external(show_options))] ShowOptions),
+    /// List all processes with their revision and readiness
+    #[bpaf(command)]
+    Status(#[bpaf(external(status_options))] StatusOptions),
+    /// Explain where a model is and why, or what became of a request
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
+    /// Ask a process to finish its work, take no more and stop
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain_options))] DrainOptions),
+    /// Print the events of all processes in one line of time
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline_options))] TimelineOptions),
+}
+
+/// Kind of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DocumentKind {
+    /// The fleet configuration.
+    Fleet,
+    /// Settings of an entry.
+    Entry,
+    /// Settings of an agent.
+    Agent,
+}
+
+impl FromStr for DocumentKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "fleet" => Ok(Self::Fleet),
+            "entry" => Ok(Self::Entry),
+            "agent" => Ok(Self::Agent),
+            _ => Err("must be fleet, entry or agent".to_owned()),
+        }
+    }
+}
+
+/// Options of `check`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct CheckOptions {
+    /// What the document is: fleet, entry or agent
+    #[bpaf(long, argument("KIND"), fallback(DocumentKind::Fleet))]
+    pub kind: DocumentKind,
+    /// Print JSON for programs
+    pub json: bool,
+    /// JSON with comments
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
+/// Options of `publish`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct PublishOptions {
+    /// Address of the platform's object API
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: SocketAddr,
+    /// Revision the file was made from; others' later changes are then not
+    /// taken back but told as a conflict
+    #[bpaf(argument("N"))]
+    pub base: Option<u64>,
+    /// Publish on top of others' changes if none of them overlaps
+    pub rebase: bool,
+    /// Wait until the revision is in force in all processes
+    pub wait: bool,
+    /// Longest time to wait
+    #[bpaf(argument("MS"), fallback(10_000), display_fallback)]
+    pub wait_ms: u64,
+    /// Operators' listener of a process to wait for besides those registered
+    #[bpaf(argument("IP:PORT"))]
+    pub entry: Vec<SocketAddr>,
+    /// Print JSON for programs
+    pub json: bool,
+    /// JSON with comments
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
+/// Options of `diff`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct DiffOptions {
+    /// Address of the platform's object API
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: SocketAddr,
+    /// Print JSON for programs
+    pub json: bool,
+    /// JSON with comments
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
+/// Options of `show`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct ShowOptions {
+    /// Address of the platform's object API
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: SocketAddr,
+    /// Revision to print; the newest if not given
+    #[bpaf(argument("N"))]
+    pub revision: Option<u64>,
+}
+
+/// Where to find the processes.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct Reach {
+    /// Address of the platform's object API, where processes register
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: Option<SocketAddr>,
+    /// Operators' listener of a process; may be repeated, and is enough while
+    /// the platform is away
+    #[bpaf(argument("IP:PORT"))]
+    pub entry: Vec<SocketAddr>,
+}
+
+/// Options of `status`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct StatusOptions {
+    /// Where to find the processes.
+    #[bpaf(external)]
+    pub reach: Reach,
+    /// Print JSON for programs
+    pub json: bool,
+}
+
+/// What is explained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    /// A model or adapter.
+    Model,
+    /// A request.
+    Request,
+}
+
+impl FromStr for Subject {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "model" => Ok(Self::Model),
+            "request" => Ok(Self::Request),
+            _ => Err("must be model or request".to_owned()),
+        }
+    }
+}
+
+/// Options of `explain`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct ExplainOptions {
+    /// Where to find the processes.
+    #[bpaf(external)]
+    pub reach: Reach,
+    /// Print JSON for programs
+    pub json: bool,
+    /// model or request
+    #[bpaf(positional("model|request"))]
+    pub subject: Subject,
+    /// Name of the model, or the request's id as its answer's header has it
+    #[bpaf(positional("ID"))]
+    pub id: String,
+}
+
+/// Options of `drain`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct DrainOptions {
+    /// Where to find the processes.
+    #[bpaf(external)]
+    pub reach: Reach,
+    /// Print JSON for programs
+    pub json: bool,
+    /// Name of the process
+    #[bpaf(positional("ID"))]
+    pub id: String,
+}
+
+/// Options of `timeline`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct TimelineOptions {
+    /// Where to find the processes.
+    #[bpaf(external)]
+    pub reach: Reach,
+    /// Only events of this request
+    #[bpaf(argument("ID"))]
+    pub request: Option<String>,
+    /// Only events of this model
+    #[bpaf(argument("M"))]
+    pub model: Option<String>,
+    /// Only events of the last N milliseconds
+    #[bpaf(argument("N"))]
+    pub since_ms: Option<u64>,
+    /// Print JSON for programs
+    pub json: bool,
+}
+
+/// Parser of the whole command line.
+pub fn parser() -> OptionParser<Command> {
+    command()
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the operators' commands.
+
+mod cli;
+mod fake;
+mod members;
+mod platform;
+mod publish;
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,69 @@
+//! Why an entry can't start.
+
+use base::Code;
+use conf::Fault;
+use snafu::Snafu;
+use std::io;
+use std::path::PathBuf;
+use wire::WireError;
+
+/// Why an entry can't start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum EntryError {
+    /// The settings file can't be read.
+    #[snafu(display("{}: {}: {source}", Code::FileFault, path.display()))]
+    File {
+        /// File.
+        path: PathBuf,
+        /// Fault of the operating system.
+        source: io::Error,
+    },
+    /// The settings have faults.
+    #[snafu(display("{}", lines(faults)))]
+    Settings {
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+    /// An address of the settings is not `ip:port`.
+    #[snafu(display("{}: {key}: {text} is not ip:port", Code::BadAddress))]
+    Address {
+        /// Key in the settings.
+        key: &'static str,
+        /// What stands there.
+        text: String,
+    },
+    /// A listener can't be bound.
+    #[snafu(display("{}: {key}: {source}", Code::BadAddress))]
+    Listen {
+        /// Key in the settings.
+        key: &'static str,
+        /// Fault of the operating system.
+        source: io::Error,
+    },
+    /// The link listener can't be bound.
+    #[snafu(display("{}: link_listen: {source}", source.code()))]
+    LinkListen {
+        /// Fault of the listener.
+        source: WireError,
+    },
+}
+
+impl EntryError {
+    /// Numbered code of the fault.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::File { .. } => Code::FileFault,
+            Self::Settings { faults } => {
+                faults.first().map_or(Code::BadSyntax, |fault| fault.code)
+            }
+            Self::Address { .. } | Self::Listen { .. } => Code::BadAddress,
+            Self::LinkListen { source } => source.code(),
+        }
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/entry/src/operated.rs
@@ -0,0 +1,49 @@
+//! What operators see of an entry.
+
+use line::{Event, Filter};
+use oper::Operated;
+use role::entry::EntryEvent;
+use std::sync::Arc;
+
+use crate::metrics;
+use crate::node::Node;
+
+/// An entry behind its operators' listener.
+#[derive(Debug)]
+pub(crate) struct OperatedEntry {
+    node: Arc<Node>,
+}
+
+impl OperatedEntry {
+    /// The view on a node.
+    pub(crate) const fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+}
+
+impl Operated for OperatedEntry {
+    fn ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let status = serde_json::to_value(self.node.role().status());
+        status.unwrap_or(serde_json::Value::Null)
+    }
+
+    fn metrics(&self) -> String {
+        metrics::text(&self.node)
+    }
+
+    fn timeline(&self, filter: &Filter) -> Vec<Event> {
+        self.node.recorder().events(filter)
+    }
+
+    fn explain_model(&self, model: &str) -> Vec<String> {
+        self.node.role().explain_model(model)
+    }
+
+    fn drain(&self) {
+        self.node.tell(EntryEvent::Drain);
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-ins and helpers.
+
+pub(crate) mod agent;
+pub(crate) mod caller;
+pub(crate) mod platform;
+pub(crate) mod rig;
--- /dev/null
+++ b/crates/entry/tests/support/rig.rs
@@ -0,0 +1,222 @@
+//! An entry with its stand-ins.
+
+use entry::EntryHandle;
+use prost::Message;
+use schema::settings::EntrySettings;
+use schema::store::Member;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+use super::agent::{Beside, TestAgent};
+use super::caller::KEY;
+use super::platform::MemoryPlatform;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// One entry, the agent of an engine that holds `alpha`, and the agent of a
+/// plain service.
+pub(crate) struct Rig {
+    pub(crate) entry: EntryHandle,
+    pub(crate) engine: TestAgent,
+    pub(crate) shop: TestAgent,
+    pub(crate) platform: Arc<MemoryPlatform>,
+}
+
+impl Rig {
+    /// Starts all and waits until both agents can be sent work.
+    pub(crate) async fn start() -> Self {
+        Self::with_limits(json!({})).await
+    }
+
+    pub(crate) async fn with_limits(limits: Value) -> Self {
+        let engine = TestAgent::start(Beside {
+            id: "engine-1",
+            pool: "engines",
+            model: Some("alpha"),
+        })
+        .await;
+        let shop = TestAgent::start(Beside {
+            id: "shop-1",
+            pool: "shops",
+            model: None,
+        })
+        .await;
+        let platform = Arc::new(MemoryPlatform::default());
+        put_member(&platform, "engine-1", "engines", &engine);
+        put_member(&platform, "shop-1", "shops", &shop);
+        let document = fleet(&limits).to_string().into_bytes();
+        platform.put("config/000000000001", document);
+        let entry = start_entry(&platform).await;
+        let rig = Self {
+            entry,
+            engine,
+            shop,
+            platform,
+        };
+        rig.until_up().await;
+        rig
+    }
+
+    /// Waits until both agents can be sent work.
+    pub(crate) async fn until_up(&self) {
+        let up = async {
+            while !self.agents_up().await {
+                sleep(LOOK_AGAIN).await;
+            }
+        };
+        timeout(PATIENCE, up).await.expect("the agents come up");
+    }
+
+    /// Waits until the connection to an agent has been noticed to be gone.
+    pub(crate) async fn until_down(&self) {
+        let down = async {
+            while self.agents_up().await {
+                sleep(LOOK_AGAIN).await;
+            }
+        };
+        timeout(PATIENCE, down).await.expect("an agent goes down");
+    }
+
+    async fn agents_up(&self) -> bool {
+        let status = status(&self.entry).await;
+        let agents = status["agents"].as_array().cloned().unwrap_or_default();
+        let up = |agent: &&Value| agent["state"] == "up" && agent["connected"] == true;
+        self.entry.is_ready() && agents.iter().filter(up).count() == 2
+    }
+
+    /// Waits until so many bytes of answers have come.
+    pub(crate) async fn until_delivered(&self, bytes: u32) {
+        let name = "sesame_entry_delivered_bytes_total";
+        let delivered = async {
+            while metric(&self.entry, name).await < f64::from(bytes) {
+                sleep(LOOK_AGAIN).await;
+            }
+        };
+        timeout(PATIENCE, delivered).await.expect("parts come");
+    }
+
+    /// Waits until no request is in progress.
+    pub(crate) async fn until_idle(&self) {
+        let idle = async {
+            while self.entry.in_progress() > 0 {
+                sleep(LOOK_AGAIN).await;
+            }
+        };
+        timeout(PATIENCE, idle).await.expect("requests end");
+    }
+}
+
+/// Starts an entry on the platform.
+pub(crate) async fn start_entry(platform: &Arc<MemoryPlatform>) -> EntryHandle {
+    start_with(settings(), platform).await
+}
+
+/// Starts an entry with settings of its own.
+pub(crate) async fn start_with(
+    settings: EntrySettings,
+    platform: &Arc<MemoryPlatform>,
+) -> EntryHandle {
+    let api = Arc::clone(platform) as Arc<dyn plat::ObjectApi>;
+    let started = entry::start_with(settings, api).await;
+    started.expect("loopback can be bound")
+}
+
+/// What the entry tells operators.
+pub(crate) async fn status(entry: &EntryHandle) -> Value {
+    let answer = plat::http::get(entry.operator_address, "/status").await;
+    serde_json::from_slice(&answer.expect("it answers").body).expect("JSON")
+}
+
+/// One metric's value.
+pub(crate) async fn metric(entry: &EntryHandle, name: &str) -> f64 {
+    let answer = plat::http::get(entry.operator_address, "/metrics").await;
+    let body = answer.expect("it answers").body;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    let value = value.unwrap_or_else(|| panic!("no {name} in:\n{text}"));
+    value.parse().expect("a number")
+}
+
+pub(crate) fn settings() -> EntrySettings {
+    EntrySettings {
+        id: "entry-1".to_owned(),
+        failure_domain: "east".to_owned(),
+        caller_listen: "127.0.0.1:0".to_owned(),
+        link_listen: "127.0.0.1:0".to_owned(),
+        operator_listen: "127.0.0.1:0".to_owned(),
+        platform: "127.0.0.1:1".to_owned(),
+        request_shards: 4,
+        seed: 1,
+        timeline_events: 1_000,
+        ..EntrySettings::default()
+    }
+}
+
+pub(crate) fn put_member(
+    platform: &MemoryPlatform,
+    id: &str,
+    pool: &str,
+    agent: &TestAgent,
+) {
+    let member = Member {
+        kind: "agent".to_owned(),
+        id: id.to_owned(),
+        incarnation: 7,
+        failure_domain: "east".to_owned(),
+        pool: pool.to_owned(),
+        link_address: agent.address.to_string(),
+        operator_address: "127.0.0.1:1".to_owned(),
+        leaving: false,
+    };
+    platform.put(&format!("live/agent/{id}"), member.encode_to_vec());
+}
+
+fn fleet(limits: &Value) -> Value {
+    json!({
+        "deployment": "test",
+        "failure_domains": {"east": {"region": "here"}},
+        "pools": {
+            "engines": {
+                "kind": "engine", "instances": 1, "failure_domains": ["east"],
+                "accelerators_mib": [100], "step_time_us": 10000,
+                "concurrent_max": 64, "order_delay_max_ms": 1000,
+            },
+            "shops": {
+                "kind": "service", "instances": 1, "failure_domains": ["east"],
+                "concurrent_max": 64, "order_delay_max_ms": 1000,
+            },
+        },
+        "models": {
+            "alpha": {"size_mib": 60, "version": 1, "pool": "engines"},
+            "other": {"size_mib": 60, "version": 1, "pool": "engines"},
+        },
+        "adapters": {"alpha-fr": {"base": "alpha", "size_mib": 1, "version": 1}},
+        "profiles": {
+            "chat": {
+                "kind": "interactive", "models": ["alpha", "alpha-fr"],
+                "first_token_ms": 20000, "between_tokens_ms": 20000,
+                "deadline_ms": 60000, "priority": 1, "value": 1.0,
+            },
+            "orders": {
+                "kind": "interactive", "service": "orders", "deadline_ms": 60000,
+                "priority": 1, "value": 1.0,
+            },
+            "lookups": {
+                "kind": "interactive", "service": "lookup", "deadline_ms": 60000,
+                "priority": 1, "value": 1.0,
+            },
+        },
+        "services": {
+            "orders": {"pool": "shops", "idempotent": false, "timeout_ms": 20000},
+            "lookup": {"pool": "shops", "idempotent": true, "timeout_ms": 20000},
+        },
+        "callers": {
+            "press": {"key_sha256": conf::key_hash(KEY), "concurrent_max": 64},
+        },
+        "limits": limits,
+    })
+}
--- /dev/null
+++ b/crates/fake/src/bin/fake-load.rs
@@ -0,0 +1,109 @@
+//! Load driver as a program.
+
+use bpaf::Bpaf;
+use fake::load::{self, LoadOptions, Mix};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Sends work to entries or to an engine and checks every answer
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// Callers' address of an entry; may be given several times
+    #[bpaf(argument("IP:PORT"))]
+    entry: Vec<SocketAddr>,
+    /// Address of an engine, in place of entries
+    #[bpaf(argument("IP:PORT"))]
+    direct: Option<SocketAddr>,
+    /// The caller's key
+    #[bpaf(argument("KEY"), fallback(String::new()))]
+    key: String,
+    /// JSON file with an array of kinds of work
+    #[bpaf(argument("FILE"))]
+    mix: Option<PathBuf>,
+    /// Profile, without a mix file
+    #[bpaf(argument("NAME"), fallback("default".to_owned()))]
+    profile: String,
+    /// Model, without a mix file; may be given several times
+    #[bpaf(argument("NAME"))]
+    model: Vec<String>,
+    /// Tokens of the prompt, without a mix file
+    #[bpaf(argument("N"), fallback(64))]
+    prompt_tokens: u32,
+    /// Tokens of the answer, without a mix file
+    #[bpaf(argument("N"), fallback(16))]
+    max_tokens: u64,
+    /// Take whole answers in one document, without a mix file
+    no_stream: bool,
+    /// Requests in progress at once
+    #[bpaf(argument("N"), fallback(8))]
+    concurrency: usize,
+    /// Requests started per second, in place of a concurrency
+    #[bpaf(argument("N"))]
+    rate: Option<f64>,
+    /// Requests to send
+    #[bpaf(argument("N"), fallback(100))]
+    count: u64,
+    /// Seed of models, prompts and kinds of work
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// Print the report as JSON
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let args = args().run();
+    match drive(args) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(WRONG_EXIT),
+        Err(fault) => {
+            eprintln!("fake-load: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Exit code when an answer was wrong.
+const WRONG_EXIT: u8 = 2;
+
+fn drive(args: Args) -> std::io::Result<bool> {
+    let json = args.json;
+    let options = options(args)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let report = runtime.block_on(load::run(options));
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{}", report.table());
+    }
+    Ok(report.wrong_answers() == 0)
+}
+
+fn options(args: Args) -> std::io::Result<LoadOptions> {
+    let mixes = match &args.mix {
+        Some(path) => read_mixes(path)?,
+        None => vec![Mix {
+            profile: args.profile,
+            models: args.model,
+            prompt_tokens: args.prompt_tokens,
+            max_tokens: args.max_tokens,
+            stream: !args.no_stream,
+            ..Mix::default()
+        }],
+    };
+    Ok(LoadOptions {
+        direct: args.direct.is_some(),
+        targets: args.direct.map_or(args.entry, |engine| vec![engine]),
+        key: args.key,
+        mixes,
+        concurrency: args.concurrency,
+        rate_per_s: args.rate,
+        count: args.count,
+        seed: args.seed,
+    })
+}
+
+fn read_mixes(path: &Path) -> std::io::Result<Vec<Mix>> {
+    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+}
--- /dev/null
+++ b/crates/fake/src/bin/fake-store.rs
@@ -0,0 +1,37 @@
+//! Stand-in for the weight store as a program.
+
+use bpaf::Bpaf;
+use fake::store::{self, StoreOptions};
+use std::net::SocketAddr;
+
+/// Stand-in for the weight store
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// Where weights are served
+    #[bpaf(argument("IP:PORT"), fallback(fake::ANY_PORT))]
+    listen: SocketAddr,
+    /// Where faults are switched and counts are read
+    #[bpaf(argument("IP:PORT"), fallback(fake::ANY_PORT))]
+    control: SocketAddr,
+    /// Loads that may start per second
+    #[bpaf(argument("N"), fallback(2.0))]
+    loads_per_s: f64,
+    /// Loads that run at full speed at the same time
+    #[bpaf(argument("N"), fallback(6))]
+    full_speed_loads: u32,
+    /// Duration of a load at full speed
+    #[bpaf(argument("MS"), fallback(2_000))]
+    load_time_ms: u64,
+}
+
+fn main() -> std::io::Result<()> {
+    let args = args().run();
+    fake::program::run(store::start(StoreOptions {
+        listen: args.listen,
+        control: args.control,
+        loads_per_s: args.loads_per_s,
+        full_speed_loads: args.full_speed_loads,
+        load_time_ms: args.load_time_ms,
+    }))
+}
--- /dev/null
+++ b/crates/fake/src/demo/mod.rs
@@ -0,0 +1,110 @@
+//! The demo: a small deployment on loopback, work in bursts, and a summary.
+//!
+//! A tool for people: it starts the programs as its children and ends each by
+//! its process id. No process of the system itself starts another.
+
+mod children;
+mod deployment;
+mod probe;
+mod summary;
+mod work;
+
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+
+use deployment::Deployment;
+
+/// How the demo is run.
+#[derive(Debug, Clone)]
+pub struct DemoOptions {
+    /// Duration of the work.
+    pub seconds: u64,
+    /// Seed of the work.
+    pub seed: u64,
+    /// Keep the folder with settings and logs.
+    pub keep: bool,
+}
+
+/// Why the demo ended early.
+#[derive(Debug)]
+pub enum DemoError {
+    /// Programs that are not beside the demo's own.
+    Missing(Vec<PathBuf>),
+    /// A file, a port or a child failed.
+    Io(&'static str, io::Error),
+    /// A child said something else than its address.
+    NoAddress(String),
+    /// A command of `sesamectl` failed; what it printed.
+    Command(String),
+    /// Processes that were not ready in time, and the folder with their logs.
+    NotReady(Vec<String>, PathBuf),
+}
+
+impl fmt::Display for DemoError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(programs) => {
+                writeln!(f, "programs are missing:")?;
+                for program in programs {
+                    writeln!(f, "  {}", program.display())?;
+                }
+                f.write_str("run `cargo build --release --workspace --bins` first")
+            }
+            Self::Io(what, error) => write!(f, "{what}: {error}"),
+            Self::NoAddress(name) => write!(f, "{name} did not tell its address"),
+            Self::Command(text) => write!(f, "sesamectl failed: {text}"),
+            Self::NotReady(names, logs) => write!(
+                f,
+                "not ready in time: {}; logs are in {}",
+                names.join(", "),
+                logs.display()
+            ),
+        }
+    }
+}
+
+impl std::error::Error for DemoError {}
+
+/// Runs the demo; true if every promise held.
+///
+/// # Errors
+///
+/// The deployment did not come up.
+pub async fn run(options: DemoOptions) -> Result<bool, DemoError> {
+    println!("starting 1 platform, 1 weight store, 6 engines, 3 services, ...");
+    let mut deployment = Deployment::start(options.keep)?;
+    let done = drive(&deployment, &options).await;
+    if done.is_err() {
+        // The logs are what the error is about.
+        deployment.keep_folder();
+    }
+    deployment.stop();
+    done
+}
+
+async fn drive(
+    deployment: &Deployment,
+    options: &DemoOptions,
+) -> Result<bool, DemoError> {
+    print!("{}", deployment.publish()?);
+    deployment.until_ready().await?;
+    println!(
+        "9 agents and 2 entries are ready; settings, logs and the addresses for\n\
+         faults (controls.json) are in {}\n\
+         work for {} s, a burst in the middle; no model is loaded yet ...",
+        deployment.folder().display(),
+        options.seconds
+    );
+    let report = work::run(&deployment.callers(), options).await;
+    let totals = summary::Totals::read(deployment).await;
+    println!("\n{}", report.table());
+    println!("{}", totals.table());
+    if let Some(line) = deployment.timeline(&report.slowest_request) {
+        println!(
+            "time line of the slowest whole answer, {} ({} ms):\n{line}",
+            report.slowest_request, report.slowest_ms
+        );
+    }
+    Ok(report.wrong_answers() == 0 && totals.promises_held())
+}
--- /dev/null
+++ b/crates/fake/src/demo/summary.rs
@@ -0,0 +1,123 @@
+//! What the processes counted, beside what the driver saw.
+
+use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::deployment::Deployment;
+use super::probe::Probe;
+use crate::{engine, service};
+
+/// Totals over all processes.
+#[derive(Debug, Default)]
+pub(super) struct Totals {
+    /// Loads and unloads that the agents saw done.
+    loads: u64,
+    unloads: u64,
+    /// Runs and tokens at the engines.
+    runs: u64,
+    tokens: u64,
+    cached_tokens: u64,
+    prefilled_tokens: u64,
+    /// What must not be.
+    overcommits: u64,
+    calls: u64,
+    /// Runs by idempotency key: a call sent twice may run at two services.
+    runs_by_key: BTreeMap<String, u64>,
+    /// Processes that did not answer.
+    silent: u64,
+}
+
+impl Totals {
+    /// Reads every process once.
+    pub(super) async fn read(deployment: &Deployment) -> Self {
+        let probe = Probe::new();
+        let mut totals = Self::default();
+        for (name, address) in &deployment.operators {
+            match probe.get(*address, "/metrics").await {
+                Some((200, text)) if !name.starts_with("entry") => {
+                    totals.loads += counter(&text, "sesame_agent_loads_total");
+                    totals.unloads += counter(&text, "sesame_agent_unloads_total");
+                }
+                Some(_) => {}
+                None => totals.silent += 1,
+            }
+        }
+        for address in &deployment.controls.engines {
+            match counts::<engine::Counts>(&probe, *address).await {
+                Some(counts) => totals.add_engine(&counts),
+                None => totals.silent += 1,
+            }
+        }
+        for address in &deployment.controls.services {
+            match counts::<service::Counts>(&probe, *address).await {
+                Some(counts) => totals.add_service(&counts),
+                None => totals.silent += 1,
+            }
+        }
+        totals
+    }
+
+    fn add_engine(&mut self, counts: &engine::Counts) {
+        self.runs += counts.runs;
+        self.tokens += counts.tokens;
+        self.cached_tokens += counts.cached_tokens;
+        self.prefilled_tokens += counts.prefilled_tokens;
+        self.overcommits += counts.overcommits;
+    }
+
+    fn add_service(&mut self, counts: &service::Counts) {
+        self.calls += counts.runs;
+        for (key, runs) in &counts.by_key {
+            *self.runs_by_key.entry(key.clone()).or_default() += runs;
+        }
+    }
+
+    fn doubled_calls(&self) -> usize {
+        let doubled = self.runs_by_key.values().filter(|runs| **runs > 1);
+        doubled.count()
+    }
+
+    /// Whether nothing happened that must not.
+    pub(super) fn promises_held(&self) -> bool {
+        self.overcommits == 0 && self.doubled_calls() == 0 && self.silent == 0
+    }
+
+    /// The totals for people.
+    pub(super) fn table(&self) -> String {
+        let Self {
+            loads,
+            unloads,
+            runs,
+            tokens,
+            ..
+        } = self;
+        let prompt = (self.cached_tokens + self.prefilled_tokens).max(1);
+        let cached = self.cached_tokens * 100 / prompt;
+        format!(
+            "moves: {loads} loads, {unloads} unloads\n\
+             engines: {runs} runs, {tokens} tokens, {cached}% of prompt tokens cached\n\
+             memory overcommitted: {} times (must be 0)\n\
+             service calls: {}, run twice: {} (must be 0)\n\
+             processes without an answer: {} (must be 0)\n",
+            self.overcommits,
+            self.calls,
+            self.doubled_calls(),
+            self.silent
+        )
+    }
+}
+
+async fn counts<T: DeserializeOwned>(probe: &Probe, control: SocketAddr) -> Option<T> {
+    let (_, text) = probe.get(control, "/control/counts").await?;
+    serde_json::from_str(&text).ok()
+}
+
+/// One counter of a metrics page; 0 if it is not there.
+fn counter(metrics: &str, name: &str) -> u64 {
+    let value = metrics.lines().find_map(|line| {
+        let (found, value) = line.split_once(' ')?;
+        (found == name).then(|| value.trim().parse::<f64>().ok())?
+    });
+    value.map_or(0, |value| value as u64)
+}
--- /dev/null
+++ b/crates/fake/src/demo/work.rs
@@ -0,0 +1,102 @@
+//! The demo's work: technicians, billing and parts orders, in three parts of
+//! which the middle one is a burst on other models.
+
+use std::net::SocketAddr;
+
+use super::DemoOptions;
+use crate::load::{self, LoadOptions, Mix, Report};
+
+/// Key of the demo's caller; its hash stands in the configuration.
+const KEY: &str = "demo-key";
+
+/// Requests per second before and after the burst, and in it.
+const CALM_PER_S: f64 = 25.0;
+const BURST_PER_S: f64 = 75.0;
+
+/// Runs the work and adds its parts up.
+pub(super) async fn run(entries: &[SocketAddr], options: &DemoOptions) -> Report {
+    let parts = [
+        (CALM_PER_S, CALM_DESK),
+        (BURST_PER_S, BURST_DESK),
+        (CALM_PER_S, CALM_DESK),
+    ];
+    let seconds = options.seconds as f64 / parts.len() as f64;
+    let mut total: Option<Report> = None;
+    for (place, (rate, desk)) in parts.into_iter().enumerate() {
+        let report = load::run(LoadOptions {
+            targets: entries.to_vec(),
+            direct: false,
+            key: KEY.to_owned(),
+            mixes: mixes(desk),
+            concurrency: 0,
+            rate_per_s: Some(rate),
+            count: (rate * seconds).ceil() as u64,
+            seed: options.seed.wrapping_mul(8).wrapping_add(place as u64),
+        })
+        .await;
+        match &mut total {
+            Some(total) => total.merge(&report),
+            None => total = Some(report),
+        }
+    }
+    total.expect("there are three parts")
+}
+
+/// What technicians ask for in calm times, hottest first.
+const CALM_DESK: &[&str] = &[
+    "diagnosis-01",
+    "diagnosis-02",
+    "diagnosis-01-kingston",
+    "diagnosis-02-montego-bay",
+    "diagnosis-03",
+    "diagnosis-04",
+    "diagnosis-03-mandeville",
+    "diagnosis-05",
+    "diagnosis-06",
+];
+
+/// What they ask for in the burst.
+const BURST_DESK: &[&str] = &[
+    "diagnosis-07",
+    "diagnosis-03-ocho-rios",
+    "diagnosis-03",
+    "diagnosis-01",
+    "diagnosis-04-port-antonio",
+    "diagnosis-08",
+    "diagnosis-02",
+];
+
+fn mixes(desk: &[&str]) -> Vec<Mix> {
+    let named = |models: &[&str]| models.iter().map(|one| (*one).to_owned()).collect();
+    vec![
+        Mix {
+            profile: "desk".to_owned(),
+            models: named(desk),
+            weight: 16,
+            prompt_tokens: 200,
+            shared_tokens: 128,
+            max_tokens: 24,
+            first_token_ms: 1_400,
+            between_tokens_ms: 64,
+            deadline_ms: 20_000,
+            ..Mix::default()
+        },
+        Mix {
+            profile: "billing".to_owned(),
+            models: named(&["billing-01", "billing-02", "billing-03", "billing-04"]),
+            weight: 2,
+            prompt_tokens: 400,
+            max_tokens: 48,
+            stream: false,
+            deadline_ms: 30_000,
+            ..Mix::default()
+        },
+        Mix {
+            profile: "parts".to_owned(),
+            service: "deskapp".to_owned(),
+            weight: 2,
+            deadline_ms: 5_000,
+            ..Mix::default()
+        },
+    ]
+}
--- /dev/null
+++ b/crates/fake/src/engine/mod.rs
@@ -0,0 +1,247 @@
+//! Stand-in for a model engine.
+//!
+//! Each accelerator batches continuously: a step gives one token to every
+//! running request, and takes a little longer the more there are. Prefill is paid
+//! by prompt length, less what the prefix cache holds. Memory is counted, never
+//! enforced: an order that overcommits an accelerator is carried out and shows in
+//! [`Counts::overcommits`], so that a broken ledger is seen.
+
+mod accelerator;
+mod body;
+mod faults;
+mod orders;
+mod prefix;
+mod report;
+mod run;
+mod serve;
+
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+use crate::Handle;
+use crate::handle::{self, ANY_PORT, Tasks, handle_methods};
+use crate::http::Cutter;
+
+pub use accelerator::{Resident, ResidentState};
+pub use faults::{Counts, Faults};
+pub use orders::{Order, OrderKind};
+pub use report::{OrderReport, Report};
+
+use accelerator::Accelerator;
+
+/// How to start the stand-in.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Where the API is served.
+    pub listen: SocketAddr,
+    /// Where faults are switched.
+    pub control: SocketAddr,
+    /// Memory of each accelerator.
+    pub accelerators_mib: Vec<u32>,
+    /// Duration of a step with one request in the batch.
+    pub step_us: u64,
+    /// Requests in one accelerator's batch.
+    pub slots: usize,
+    /// Requests that wait for one accelerator; more are refused.
+    pub waiting_max: usize,
+    /// Prompt tokens that one request prefills in one step.
+    pub prefill_tokens_per_step: u64,
+    /// Blocks of prompt starts that one accelerator caches.
+    pub prefix_blocks: usize,
+    /// Whether an order with an old fencing number is refused.
+    pub check_fencing: bool,
+    /// Where weights are loaded from; without it a load takes `load_ms`.
+    pub store: Option<SocketAddr>,
+    /// Duration of a load without a weight store.
+    pub load_ms: u64,
+    /// Duration of an unload.
+    pub unload_ms: u64,
+    /// A prompt that contains this text crashes the engine when it starts to
+    /// run.
+    pub crash_text: Option<String>,
+    /// Time from a crash to the next incarnation.
+    pub restart_ms: u64,
+    /// First incarnation; each crash adds one.
+    pub incarnation: u64,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            listen: ANY_PORT,
+            control: ANY_PORT,
+            accelerators_mib: vec![81_920],
+            step_us: 10_000,
+            slots: 16,
+            waiting_max: 256,
+            prefill_tokens_per_step: 512,
+            prefix_blocks: 4_096,
+            check_fencing: false,
+            store: None,
+            load_ms: 2_000,
+            unload_ms: 50,
+            crash_text: None,
+            restart_ms: 1_000,
+            incarnation: 1,
+        }
+    }
+}
+
+/// The stand-in's state.
+#[derive(Debug)]
+pub struct Engine {
+    options: EngineOptions,
+    inner: Mutex<Inner>,
+    /// Wakes the steps of one accelerator.
+    wakes: Vec<Notify>,
+    cutter: Cutter,
+    tasks: Tasks,
+}
+
+#[derive(Debug)]
+struct Inner {
+    incarnation: u64,
+    /// Highest fencing number seen in this incarnation.
+    fence: u64,
+    accelerators: Vec<Accelerator>,
+    orders: BTreeMap<u64, OrderReport>,
+    /// The report served while it is younger than the report lag.
+    report: Option<(tokio::time::Instant, Report)>,
+    faults: Faults,
+    counts: Counts,
+    /// Orders that arrive when told to.
+    late_orders: Vec<Order>,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// An address can't be bound.
+pub async fn start(options: EngineOptions) -> io::Result<Handle<Engine>> {
+    let (cutter, tasks) = (Cutter::default(), Tasks::default());
+    let (listen, control) = (options.listen, options.control);
+    let engine = Arc::new(Engine {
+        inner: Mutex::new(Inner::new(&options)),
+        wakes: options
+            .accelerators_mib
+            .iter()
+            .map(|_| Notify::new())
+            .collect(),
+        options,
+        cutter: cutter.clone(),
+        tasks: tasks.clone(),
+    });
+    for index in 0..engine.wakes.len() {
+        tasks.spawn(Arc::clone(&engine).step_forever(index));
+    }
+    handle::start(engine, listen, control, cutter, tasks).await
+}
+
+handle_methods!(Engine, Faults, Counts);
+
+impl Handle<Engine> {
+    /// Crashes the engine now; it is back after `restart_ms`.
+    pub fn crash(&self) {
+        self.stand_in.crash_now();
+    }
+
+    /// Lets the late orders arrive that are held.
+    pub fn deliver_late_orders(&self) {
+        self.stand_in.deliver_late_orders();
+    }
+
+    /// The engine's state without report lag.
+    pub fn report(&self) -> Report {
+        self.stand_in.inner.lock().fresh_report()
+    }
+}
+
+impl Inner {
+    fn new(options: &EngineOptions) -> Self {
+        let accelerators = options
+            .accelerators_mib
+            .iter()
+            .map(|mib| Accelerator::new(*mib, options.prefix_blocks));
+        Self {
+            incarnation: options.incarnation,
+            fence: 0,
+            accelerators: accelerators.collect(),
+            orders: BTreeMap::new(),
+            report: None,
+            faults: Faults::default(),
+            counts: Counts::default(),
+            late_orders: Vec::new(),
+        }
+    }
+}
+
+/// How often a frozen accelerator looks whether it may go on.
+const FROZEN_POLL: Duration = Duration::from_millis(5);
+
+impl Engine {
+    async fn step_forever(self: Arc<Self>, index: usize) {
+        loop {
+            let Some(duration) = self.step_duration(index) else {
+                self.wakes[index].notified().await;
+                continue;
+            };
+            tokio::time::sleep(duration).await;
+            if self.inner.lock().faults.frozen {
+                tokio::time::sleep(FROZEN_POLL).await;
+                continue;
+            }
+            if self.step(index) {
+                self.crash_now();
+            }
+        }
+    }
+
+    /// How long the next step takes; `None` if there is nothing to do.
+    fn step_duration(&self, index: usize) -> Option<Duration> {
+        let inner = self.inner.lock();
+        let accelerator = &inner.accelerators[index];
+        if accelerator.is_idle() {
+            return None;
+        }
+        let batch = accelerator.batch_after_admission(self.options.slots) as u64;
+        let growth_percent = 100 + batch.saturating_sub(1);
+        let slow = u64::from(inner.faults.slow_factor.max(1));
+        let step_us = self.options.step_us * growth_percent * slow / 100;
+        Some(Duration::from_micros(step_us))
+    }
+
+    /// One step; returns whether a request crashed the engine.
+    fn step(&self, index: usize) -> bool {
+        let mut guard = self.inner.lock();
+        let inner = &mut *guard;
+        inner.accelerators[index].step(&self.options, &mut inner.counts)
+    }
+
+    /// Drops every connection and all memory, and comes back later.
+    fn crash_now(self: &Arc<Self>) {
+        {
+            let mut inner = self.inner.lock();
+            inner.incarnation += 1;
+            inner.fence = 0;
+            inner.orders.clear();
+            inner.report = None;
+            inner.counts.crashes += 1;
+            for accelerator in &mut inner.accelerators {
+                accelerator.clear(self.options.prefix_blocks);
+            }
+        }
+        self.cutter.set_away(true);
+        let engine = Arc::clone(self);
+        self.tasks.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(engine.options.restart_ms)).await;
+            let closed = engine.inner.lock().faults.closed;
+            engine.cutter.set_away(closed);
+        });
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/report.rs
@@ -0,0 +1,95 @@
+//! What `GET /admin/state` shows.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::Instant;
+
+use super::accelerator::Resident;
+use super::{Engine, Inner};
+
+/// The engine's own report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Grows with each restart.
+    pub incarnation: u64,
+    /// Highest fencing number seen.
+    pub fence: u64,
+    /// What is in memory.
+    pub residents: Vec<Resident>,
+    /// Orders of this incarnation.
+    pub orders: Vec<OrderReport>,
+    /// Requests in a batch.
+    pub running: usize,
+    /// Requests that wait for a batch.
+    pub waiting: usize,
+    /// Duration of a step of the fullest batch.
+    pub step_time_us: u64,
+    /// Age of this report when it was served.
+    pub report_age_ms: u64,
+}
+
+/// State of one order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderReport {
+    /// The order's number.
+    pub order: u64,
+    /// Fencing number it came with.
+    pub fence: u64,
+    /// How far it is.
+    pub state: OrderState,
+}
+
+/// How far an order is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderState {
+    /// Under way.
+    InProgress,
+    /// Carried out.
+    Done,
+    /// Given up.
+    Failed,
+}
+
+impl Inner {
+    pub(super) fn fresh_report(&self) -> Report {
+        let accelerators = &self.accelerators;
+        let residents = accelerators
+            .iter()
+            .flat_map(|accelerator| accelerator.residents.iter().cloned());
+        Report {
+            incarnation: self.incarnation,
+            fence: self.fence,
+            residents: residents.collect(),
+            orders: self.orders.values().copied().collect(),
+            running: accelerators.iter().map(|one| one.running.len()).sum(),
+            waiting: accelerators.iter().map(|one| one.waiting.len()).sum(),
+            step_time_us: 0,
+            report_age_ms: 0,
+        }
+    }
+}
+
+impl Engine {
+    /// The report to serve: as old as the report lag allows.
+    pub(super) fn report(&self) -> Report {
+        let durations = (0..self.wakes.len()).filter_map(|one| self.step_duration(one));
+        let step = durations
+            .max()
+            .unwrap_or(Duration::from_micros(self.options.step_us));
+        let mut inner = self.inner.lock();
+        let lag = Duration::from_millis(inner.faults.report_lag_ms);
+        let now = Instant::now();
+        let held = inner.report.take().filter(|(made, _)| now - *made < lag);
+        let (made, report) = held.unwrap_or_else(|| {
+            let mut report = inner.fresh_report();
+            report.step_time_us = u64::try_from(step.as_micros()).unwrap_or(u64::MAX);
+            (now, report)
+        });
+        inner.report = Some((made, report.clone()));
+        Report {
+            report_age_ms: u64::try_from((now - made).as_millis()).unwrap_or(u64::MAX),
+            ..report
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/handle.rs
@@ -0,0 +1,161 @@
+//! A running stand-in and its control listener.
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+use crate::http::{self, Answer, Cutter, Server};
+
+/// Largest body the control listener reads.
+const CONTROL_MAX_BYTES: usize = 64 << 10;
+
+/// Loopback with a port chosen by the kernel.
+pub const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Behaviour of one kind of stand-in.
+pub(crate) trait StandIn: Send + Sync + 'static {
+    /// Faults that can be switched on.
+    type Faults: Serialize + DeserializeOwned + Send;
+    /// What it counts.
+    type Counts: Serialize;
+
+    /// Serves one request of the protocol.
+    fn call(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Answer> + Send>>;
+    /// Replaces the faults in force.
+    fn set_faults(&self, faults: Self::Faults);
+    /// The faults in force, with what is left of those that count down.
+    fn faults(&self) -> Self::Faults;
+    /// What was counted since the start.
+    fn counts(&self) -> Self::Counts;
+    /// Does what `POST /control/<name>` asks; false if it knows no such command.
+    fn command(self: Arc<Self>, _name: &str) -> bool {
+        false
+    }
+}
+
+/// A running stand-in; dropping it ends its listeners, connections and tasks.
+#[derive(Debug)]
+pub struct Handle<S> {
+    /// Where the protocol is served.
+    pub address: SocketAddr,
+    /// Where faults are switched and counts are read.
+    pub control: SocketAddr,
+    pub(crate) stand_in: Arc<S>,
+    _servers: [Server; 2],
+    _tasks: TaskGuard,
+}
+
+/// Tasks that end when the handle that owns them is dropped.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tasks(Arc<Mutex<JoinSet<()>>>);
+
+impl Tasks {
+    /// Starts a task.
+    pub(crate) fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let mut tasks = self.0.lock();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+}
+
+/// Ends all tasks when dropped; the stand-in's own copies don't.
+#[derive(Debug)]
+struct TaskGuard(Tasks);
+
+impl Drop for TaskGuard {
+    fn drop(&mut self) {
+        self.0.0.lock().abort_all();
+    }
+}
+
+/// Starts both listeners of a stand-in.
+pub(crate) async fn start<S: StandIn>(
+    stand_in: Arc<S>,
+    listen: SocketAddr,
+    control: SocketAddr,
+    cutter: Cutter,
+    tasks: Tasks,
+) -> io::Result<Handle<S>> {
+    let shared = Arc::clone(&stand_in);
+    let protocol = Server::start(listen, cutter, move |request| {
+        Arc::clone(&shared).call(request)
+    })
+    .await?;
+    let shared = Arc::clone(&stand_in);
+    let controls = Server::start(control, Cutter::default(), move |request| {
+        serve_control(Arc::clone(&shared), request)
+    })
+    .await?;
+    Ok(Handle {
+        address: protocol.address,
+        control: controls.address,
+        stand_in,
+        _servers: [protocol, controls],
+        _tasks: TaskGuard(tasks),
+    })
+}
+
+macro_rules! handle_methods {
+    ($stand_in:ty, $faults:ty, $counts:ty) => {
+        impl crate::Handle<$stand_in> {
+            /// Replaces the faults in force.
+            pub fn set_faults(&self, faults: $faults) {
+                crate::handle::StandIn::set_faults(&*self.stand_in, faults);
+            }
+
+            /// What was counted since the start.
+            pub fn counts(&self) -> $counts {
+                crate::handle::StandIn::counts(&*self.stand_in)
+            }
+        }
+    };
+}
+pub(crate) use handle_methods;
+
+/// `PUT /control/faults` replaces the faults, `GET /control/faults` and
+/// `GET /control/counts` read, `POST /control/<command>` gives a command.
+async fn serve_control<S: StandIn>(
+    stand_in: Arc<S>,
+    request: Request<Incoming>,
+) -> Answer {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/control/counts") => {
+            Ok(http::json(StatusCode::OK, &stand_in.counts()))
+        }
+        (&Method::GET, "/control/faults") => {
+            Ok(http::json(StatusCode::OK, &stand_in.faults()))
+        }
+        (&Method::PUT, "/control/faults") => {
+            match http::read_json(request, CONTROL_MAX_BYTES).await? {
+                Ok(faults) => stand_in.set_faults(faults),
+                Err(answer) => return Ok(answer),
+            }
+            Ok(http::text(StatusCode::OK, ""))
+        }
+        (&Method::POST, path) => {
+            let name = path.strip_prefix("/control/").unwrap_or_default();
+            Ok(if stand_in.command(name) {
+                http::text(StatusCode::OK, "")
+            } else {
+                http::text(StatusCode::NOT_FOUND, "no such control")
+            })
+        }
+        _ => Ok(http::text(StatusCode::NOT_FOUND, "no such control")),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/http.rs
@@ -0,0 +1,246 @@
+//! HTTP/1.1 plumbing that the stand-ins share.
+//!
+//! A [`Server`] owns its listener and every connection: dropping it ends them
+//! all, and [`Cutter::cut`] closes the open connections without an answer, which
+//! is how the stand-ins play a crash.
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, JoinSet};
+
+/// Body of an answer.
+pub(crate) type Body = BoxBody<Bytes, io::Error>;
+
+/// An answer, or the connection is closed without one.
+pub(crate) type Answer = Result<Response<Body>, Cut>;
+
+/// The connection is closed without an answer.
+#[derive(Debug)]
+pub(crate) struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection closed without an answer")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Closes the connections of one server.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Cutter {
+    now: Arc<Notify>,
+    away: Arc<AtomicBool>,
+}
+
+impl Cutter {
+    /// Closes every open connection.
+    pub(crate) fn cut(&self) {
+        self.now.notify_one();
+    }
+
+    /// While away, a new connection is closed at once.
+    pub(crate) fn set_away(&self, away: bool) {
+        self.away.store(away, Ordering::SeqCst);
+        if away {
+            self.cut();
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.away.load(Ordering::SeqCst)
+    }
+}
+
+/// A listener with its connections; dropping it ends them.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Server {
+    /// Binds `listen` and serves each request with `call`.
+    pub(crate) async fn start<C, F>(
+        listen: SocketAddr,
+        cutter: Cutter,
+        call: C,
+    ) -> io::Result<Self>
+    where
+        C: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, cutter, call)).abort_handle();
+        Ok(Self { address, task })
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept<C, F>(listener: TcpListener, cutter: Cutter, call: C)
+where
+    C: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    // Aborting this task drops the set, and with it every connection.
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = cutter.now.notified() => connections.abort_all(),
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if !cutter.is_away() => {
+                    connections.spawn(connection(stream, call.clone()));
+                }
+                Ok(_) => {}
+                // Out of file descriptors: wait for connections to end.
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+}
+
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+async fn connection<C, F>(stream: TcpStream, call: C)
+where
+    C: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    // Tokens are small writes: without this they would wait for one another.
+    let _ = stream.set_nodelay(true);
+    // An error here is a peer that went away or a cut; both end the connection.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service_fn(call))
+        .await;
+}
+
+/// A whole body.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+/// An answer with a status and a short text.
+pub(crate) fn text(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut answer = Response::new(full(text));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer in JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    // The stand-ins' own types have string keys and finite numbers only.
+    let bytes = serde_json::to_vec(value).expect("plain data can be written as JSON");
+    let mut answer = Response::new(full(bytes));
+    *answer.status_mut() = status;
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// Reads a whole body of at most `max` bytes.
+///
+/// # Errors
+///
+/// The answer to give: 413 for a larger body, a cut for a peer that broke off.
+pub(crate) async fn read(
+    request: Request<Incoming>,
+    max: usize,
+) -> Result<Result<Bytes, Response<Body>>, Cut> {
+    match Limited::new(request.into_body(), max).collect().await {
+        Ok(body) => Ok(Ok(body.to_bytes())),
+        Err(fault) if fault.is::<http_body_util::LengthLimitError>() => {
+            Ok(Err(text(StatusCode::PAYLOAD_TOO_LARGE, "body too large")))
+        }
+        Err(_) => Err(Cut),
+    }
+}
+
+/// Reads a body as JSON; the inner error is the 400 to give.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    max: usize,
+) -> Result<Result<T, Response<Body>>, Cut> {
+    let bytes = match read(request, max).await? {
+        Ok(bytes) => bytes,
+        Err(answer) => return Ok(Err(answer)),
+    };
+    Ok(serde_json::from_slice(&bytes).map_err(|fault| {
+        json(
+            StatusCode::BAD_REQUEST,
+            &ErrorText {
+                error: fault.to_string(),
+            },
+        )
+    }))
+}
+
+/// Body of a refusal.
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorText {
+    pub(crate) error: String,
+}
+
+/// One parameter of a query, with `%xx` decoded.
+pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let pairs = request.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| decode(value))
+}
+
+/// Decodes `%xx`.
+pub(crate) fn decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        let escaped = (first == b'%').then(|| hex_pair(tail)).flatten();
+        bytes.push(escaped.unwrap_or(first));
+        rest = if escaped.is_some() { &tail[2..] } else { tail };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn hex_pair(tail: &[u8]) -> Option<u8> {
+    let pair = std::str::from_utf8(tail.get(..2)?).ok()?;
+    u8::from_str_radix(pair, 16).ok()
+}
+
+/// A header as text.
+pub(crate) fn header<'a>(
+    request: &'a Request<Incoming>,
+    name: &str,
+) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+/// A header as a whole number.
+pub(crate) fn number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    header(request, name)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/fake/src/load/mod.rs
@@ -0,0 +1,128 @@
+//! Load driver: sends work to entries or straight to an engine, and checks every
+//! answer.
+//!
+//! The driver can compute each answer itself ([`crate::text`]), so an answer that
+//! ends cleanly without being whole, or that belongs to another request, is
+//! found and counted as wrong.
+
+mod answer;
+mod mix;
+mod report;
+mod request;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub use mix::Mix;
+pub use report::{ProfileReport, Quantiles, Report};
+
+use answer::Outcome;
+use request::Job;
+
+pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// What to send, where and how fast.
+#[derive(Debug, Clone)]
+pub struct LoadOptions {
+    /// Entries, taken in turn, or engines when `direct`.
+    pub targets: Vec<SocketAddr>,
+    /// The targets are engines: no caller key and no profile are sent.
+    pub direct: bool,
+    /// The caller's key.
+    pub key: String,
+    /// Kinds of work.
+    pub mixes: Vec<Mix>,
+    /// Requests in progress at once, when no rate is given.
+    pub concurrency: usize,
+    /// Requests started per second, whether or not earlier ones have ended.
+    pub rate_per_s: Option<f64>,
+    /// Requests to send.
+    pub count: u64,
+    /// Seed of models, prompts and kinds of work.
+    pub seed: u64,
+}
+
+/// Requests in progress beyond which an open loop waits.
+const IN_PROGRESS_MAX: usize = 20_000;
+
+/// Sends the work and waits for every answer.
+pub async fn run(options: LoadOptions) -> Report {
+    let driver = Arc::new(Driver {
+        client: Client::builder(TokioExecutor::new()).build(connector()),
+        report: Mutex::new(Report::new(&options.mixes)),
+        next: AtomicU64::new(0),
+        options,
+    });
+    let begun = Instant::now();
+    match driver.options.rate_per_s {
+        Some(rate) if rate > 0.0 => open_loop(&driver, rate).await,
+        _ => closed_loop(&driver).await,
+    }
+    let mut report = driver.report.lock().clone();
+    report.elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+    report.finished()
+}
+
+fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector
+}
+
+struct Driver {
+    client: HttpClient,
+    report: Mutex<Report>,
+    next: AtomicU64,
+    options: LoadOptions,
+}
+
+async fn closed_loop(driver: &Arc<Driver>) {
+    let mut workers = JoinSet::new();
+    for _ in 0..driver.options.concurrency.max(1) {
+        let driver = Arc::clone(driver);
+        workers.spawn(async move { while driver.send_next().await {} });
+    }
+    while workers.join_next().await.is_some() {}
+}
+
+async fn open_loop(driver: &Arc<Driver>, rate: f64) {
+    let begun = Instant::now();
+    let mut requests = JoinSet::new();
+    for index in 0..driver.options.count {
+        let due = begun + Duration::from_secs_f64(index as f64 / rate);
+        tokio::time::sleep_until(due).await;
+        while requests.try_join_next().is_some() {}
+        if requests.len() >= IN_PROGRESS_MAX {
+            requests.join_next().await;
+        }
+        let driver = Arc::clone(driver);
+        requests.spawn(async move { driver.send_next().await });
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+impl Driver {
+    /// Sends the next request; false when all were sent.
+    async fn send_next(&self) -> bool {
+        let index = self.next.fetch_add(1, Ordering::Relaxed);
+        if index >= self.options.count {
+            return false;
+        }
+        let Some(job) = Job::new(&self.options, index) else {
+            return false;
+        };
+        let outcome: Outcome = answer::exchange(&self.client, &job).await;
+        self.report.lock().add(&job.mix, &outcome);
+        true
+    }
+}
--- /dev/null
+++ b/crates/fake/src/load/request.rs
@@ -0,0 +1,121 @@
+//! One request, made from the seed and its place alone.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::json;
+
+use super::{LoadOptions, Mix};
+use crate::text::BYTES_PER_TOKEN;
+
+/// One request and what its answer must be made from.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) mix: Mix,
+    pub(super) model: String,
+    pub(super) prompt: String,
+    /// Idempotency key, for a plain service.
+    pub(super) key: String,
+    target: std::net::SocketAddr,
+    bearer: Option<String>,
+}
+
+impl Job {
+    /// The request at a place; `None` without targets or work.
+    pub(super) fn new(options: &LoadOptions, index: u64) -> Option<Self> {
+        let mut random = Pcg64::seed_from_u64(options.seed ^ index.rotate_left(32));
+        let mix = pick_mix(&options.mixes, &mut random)?.clone();
+        let model = pick_model(&mix.models, &mut random);
+        let targets = &options.targets;
+        let target =
+            *targets.get(usize::try_from(index).ok()? % targets.len().max(1))?;
+        Some(Self {
+            prompt: prompt(&mix, &model, options.seed, index),
+            key: format!("load-{:x}-{index:x}", options.seed),
+            target,
+            bearer: (!options.direct).then(|| format!("Bearer {}", options.key)),
+            model,
+            mix,
+        })
+    }
+
+    /// Whether it calls a plain service.
+    pub(super) fn is_service(&self) -> bool {
+        !self.mix.service.is_empty()
+    }
+
+    /// The HTTP request; `None` if a name can't stand in a header or path.
+    pub(super) fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let path = if self.is_service() {
+            format!("/svc/{}/orders", self.mix.service)
+        } else {
+            "/v1/chat/completions".to_owned()
+        };
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.target))
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(bearer) = &self.bearer {
+            request = request
+                .header(AUTHORIZATION, bearer)
+                .header("x-profile", &self.mix.profile);
+        }
+        if self.is_service() {
+            request = request.header("idempotency-key", &self.key);
+        }
+        request.body(Full::new(Bytes::from(self.body()))).ok()
+    }
+
+    fn body(&self) -> String {
+        if self.is_service() {
+            return json!({"part": self.prompt}).to_string();
+        }
+        json!({
+            "model": self.model,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.mix.max_tokens,
+            "stream": self.mix.stream,
+        })
+        .to_string()
+    }
+}
+
+fn pick_mix<'a>(mixes: &'a [Mix], random: &mut Pcg64) -> Option<&'a Mix> {
+    let total: u64 = mixes.iter().map(|mix| u64::from(mix.weight)).sum();
+    let mut ticket = random.next_u64() % total.max(1);
+    mixes.iter().find(|mix| {
+        let weight = u64::from(mix.weight);
+        let found = ticket < weight;
+        ticket = ticket.saturating_sub(weight);
+        found
+    })
+}
+
+/// Model *n* is asked for in proportion to 1/(n+1): a few hot ones, a long tail.
+fn pick_model(models: &[String], random: &mut Pcg64) -> String {
+    let weights = (1..=models.len()).map(|rank| 1.0 / rank as f64);
+    let total: f64 = weights.clone().sum();
+    let mut ticket = random.next_u32() as f64 / (f64::from(u32::MAX) + 1.0) * total;
+    for (model, weight) in models.iter().zip(weights) {
+        if ticket < weight {
+            return model.clone();
+        }
+        ticket -= weight;
+    }
+    models.last().cloned().unwrap_or_default()
+}
+
+fn prompt(mix: &Mix, model: &str, seed: u64, index: u64) -> String {
+    let fill = |text: String, tokens: u32| -> String {
+        let bytes = tokens as usize * BYTES_PER_TOKEN;
+        text.chars().cycle().take(bytes).collect()
+    };
+    let shared = fill(format!("manual of {model}; "), mix.shared_tokens);
+    let own = mix.prompt_tokens.saturating_sub(mix.shared_tokens).max(1);
+    // The place is written out whole, so that no two prompts are the same.
+    let own = fill(format!("fault {seed:x}-{index:x} "), own);
+    format!("{shared} #{seed:x}-{index:x} {own}")
+}
--- /dev/null
+++ b/crates/fake/src/service.rs
@@ -0,0 +1,241 @@
+//! Stand-in for a plain service whose calls may not be repeated.
+//!
+//! Every call that is run is counted by its idempotency key and by its request
+//! id, so that a test sees at once whether one ran twice.
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Handle;
+use crate::faults::take;
+use crate::handle::{self, ANY_PORT, StandIn, Tasks, handle_methods};
+use crate::http::{self, Answer, Body, Cut};
+
+/// How to start the stand-in.
+#[derive(Debug, Clone)]
+pub struct ServiceOptions {
+    /// Where calls are served.
+    pub listen: SocketAddr,
+    /// Where faults are switched.
+    pub control: SocketAddr,
+    /// Time one call takes.
+    pub work_ms: u64,
+    /// What `/healthz` shows; a restarted service has another.
+    pub incarnation: u64,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        Self {
+            listen: ANY_PORT,
+            control: ANY_PORT,
+            work_ms: 5,
+            incarnation: 1,
+        }
+    }
+}
+
+/// Faults in force; the default is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Next calls that run and whose connection is closed in place of an answer.
+    pub break_after: u32,
+    /// Next calls whose connection is closed before they run.
+    pub break_before: u32,
+    /// Next calls that run and are answered 500.
+    pub fail: u32,
+    /// Next calls that are answered 503 with `x-not-run: 1`.
+    pub refuse: u32,
+    /// Time added to each call before it runs.
+    pub slow_ms: u64,
+    /// New and open connections are closed.
+    pub closed: bool,
+}
+
+/// Calls that were run since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// All calls.
+    pub runs: u64,
+    /// Calls by idempotency key.
+    pub by_key: BTreeMap<String, u64>,
+    /// Calls by `x-request-id`.
+    pub by_request: BTreeMap<String, u64>,
+    /// Largest body seen.
+    pub body_max_bytes: u64,
+}
+
+/// The stand-in's state.
+#[derive(Debug)]
+pub struct Service {
+    options: ServiceOptions,
+    inner: Mutex<Inner>,
+    cutter: http::Cutter,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    counts: Counts,
+}
+
+/// Answer to a call.
+#[derive(Debug, Serialize)]
+struct Called {
+    /// How often the key, or without one the service, has run.
+    count: u64,
+    key: String,
+}
+
+/// Answer to `/healthz`.
+#[derive(Debug, Serialize)]
+struct Health {
+    incarnation: u64,
+}
+
+/// Largest body that is read.
+const BODY_MAX_BYTES: usize = 8 << 20;
+
+/// Starts the stand-in.
+///
+/// # Errors
+///
+/// An address can't be bound.
+pub async fn start(options: ServiceOptions) -> io::Result<Handle<Service>> {
+    let cutter = http::Cutter::default();
+    let (listen, control) = (options.listen, options.control);
+    let service = Arc::new(Service {
+        options,
+        inner: Mutex::default(),
+        cutter: cutter.clone(),
+    });
+    handle::start(service, listen, control, cutter, Tasks::default()).await
+}
+
+handle_methods!(Service, Faults, Counts);
+
+impl StandIn for Service {
+    type Faults = Faults;
+    type Counts = Counts;
+
+    fn call(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Answer> + Send>> {
+        Box::pin(async move { self.serve(request).await })
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        self.cutter.set_away(faults.closed);
+        self.inner.lock().faults = faults;
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner.lock().faults.clone()
+    }
+
+    fn counts(&self) -> Counts {
+        self.inner.lock().counts.clone()
+    }
+}
+
+/// What a fault does to one call before it runs.
+enum Before {
+    Run,
+    Break,
+    Refuse,
+}
+
+impl Service {
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/healthz") => {
+                let incarnation = self.options.incarnation;
+                Ok(http::json(StatusCode::OK, &Health { incarnation }))
+            }
+            (&Method::POST, _) => self.work(request).await,
+            _ => Ok(http::text(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+
+    async fn work(&self, request: Request<Incoming>) -> Answer {
+        let key = http::header(&request, "idempotency-key").map(str::to_owned);
+        let id = http::header(&request, "x-request-id").map(str::to_owned);
+        let body = match http::read(request, BODY_MAX_BYTES).await? {
+            Ok(body) => body,
+            Err(answer) => return Ok(answer),
+        };
+        let slow_ms = self.inner.lock().faults.slow_ms;
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        match self.before() {
+            Before::Run => {}
+            Before::Break => return Err(Cut),
+            Before::Refuse => return Ok(not_run()),
+        }
+        let called = self.count(key, id, body.len() as u64);
+        tokio::time::sleep(Duration::from_millis(self.options.work_ms)).await;
+        self.answer(&called)
+    }
+
+    fn before(&self) -> Before {
+        let faults = &mut self.inner.lock().faults;
+        if take(&mut faults.break_before) {
+            return Before::Break;
+        }
+        if take(&mut faults.refuse) {
+            return Before::Refuse;
+        }
+        Before::Run
+    }
+
+    fn count(&self, key: Option<String>, id: Option<String>, bytes: u64) -> Called {
+        let counts = &mut self.inner.lock().counts;
+        counts.runs += 1;
+        counts.body_max_bytes = counts.body_max_bytes.max(bytes);
+        if let Some(id) = id {
+            *counts.by_request.entry(id).or_default() += 1;
+        }
+        let Some(key) = key else {
+            return Called {
+                count: counts.runs,
+                key: String::new(),
+            };
+        };
+        let of_key = counts.by_key.entry(key.clone()).or_default();
+        *of_key += 1;
+        Called {
+            count: *of_key,
+            key,
+        }
+    }
+
+    fn answer(&self, called: &Called) -> Answer {
+        let faults = &mut self.inner.lock().faults;
+        if take(&mut faults.break_after) {
+            return Err(Cut);
+        }
+        if take(&mut faults.fail) {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            return Ok(http::text(status, "failed"));
+        }
+        Ok(http::json(StatusCode::OK, called))
+    }
+}
+
+/// 503 with the mark that nothing was run.
+pub(crate) fn not_run() -> Response<Body> {
+    let mut answer = http::text(StatusCode::SERVICE_UNAVAILABLE, "not run");
+    let mark = hyper::header::HeaderValue::from_static("1");
+    answer.headers_mut().insert("x-not-run", mark);
+    answer
+}
--- /dev/null
+++ b/crates/fake/tests/all/client.rs
@@ -0,0 +1,82 @@
+//! One HTTP exchange on a connection of its own.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub not_run: bool,
+    pub version: Option<u64>,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+}
+
+/// Sends a request and returns the answer's head; `None` if the connection was
+/// closed before.
+pub async fn open(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Option<Response<Incoming>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path);
+    request = request.header("host", "test");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(body.into()))
+        .expect("a good request");
+    sender.send_request(request).await.ok()
+}
+
+/// Sends a request and takes the whole answer; `None` if the connection was
+/// closed before its end.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Option<Answer> {
+    let answer = open(address, method, path, headers, body).await?;
+    let version = answer.headers().get("x-version");
+    let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
+    Some(Answer {
+        status: answer.status().as_u16(),
+        not_run: answer.headers().contains_key("x-not-run"),
+        version,
+        body: answer.into_body().collect().await.ok()?.to_bytes(),
+    })
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    call(address, "GET", path, &[], "").await
+}
+
+/// Looks again and again until something holds; a test that waits in vain is
+/// ended by its runner.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
--- /dev/null
+++ b/crates/fake/tests/all/engine.rs
@@ -0,0 +1,333 @@
+//! The engine's requests: tokens, batch, priorities, cancellation, prefixes.
+
+use fake::Handle;
+use fake::engine::{self, Engine, EngineOptions, Faults};
+use fake::text::Answer;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+use crate::client::{call, open, until};
+
+/// An engine that steps and loads quickly.
+pub fn quick() -> EngineOptions {
+    EngineOptions {
+        step_us: 200,
+        load_ms: 1,
+        unload_ms: 1,
+        restart_ms: 20,
+        ..EngineOptions::default()
+    }
+}
+
+pub async fn start(options: EngineOptions) -> Handle<Engine> {
+    let started = engine::start(options).await;
+    started.expect("loopback has a free port")
+}
+
+/// Gives an order and waits until it is done.
+pub async fn load(
+    engine: &Handle<Engine>,
+    order: u64,
+    model: &str,
+    base: Option<&str>,
+) {
+    let body = json!({
+        "order": order, "fence": 1, "kind": "load", "model": model, "version": 1,
+        "base": base, "accelerator": 0, "size_mib": 1_000,
+    });
+    let path = "/admin/orders";
+    let answer = call(engine.address, "POST", path, &[], body.to_string()).await;
+    assert_eq!(answer.expect("an answer comes").status, 202);
+    until(|| is_done(engine, order)).await;
+}
+
+pub fn is_done(engine: &Handle<Engine>, order: u64) -> bool {
+    let orders = engine.report().orders;
+    orders.iter().any(|one| {
+        one.order == order
+            && serde_json::to_value(one.state).ok() == Some(json!("done"))
+    })
+}
+
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    json!({"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": stream})
+        .to_string()
+}
+
+/// Opens a streamed answer.
+pub async fn stream(
+    engine: &Handle<Engine>,
+    prompt: &str,
+    tokens: u64,
+    headers: &[(&str, &str)],
+) -> Incoming {
+    let path = "/v1/completions";
+    let body = completion(prompt, tokens, true);
+    let answer = open(engine.address, "POST", path, headers, body).await;
+    let answer = answer.expect("the answer begins");
+    assert_eq!(answer.status(), 200);
+    answer.into_body()
+}
+
+/// Chunks of a streamed answer, and whether it ended cleanly.
+pub async fn chunks(mut body: Incoming) -> (Vec<Value>, bool) {
+    let mut text = Vec::new();
+    let mut clean = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => {
+                clean = false;
+                break;
+            }
+        }
+    }
+    let text = String::from_utf8(text).expect("SSE is text");
+    let lines = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let values = lines.map(|line| serde_json::from_str(line).unwrap_or(json!(line)));
+    (values.collect(), clean)
+}
+
+pub fn text_of(chunks: &[Value]) -> String {
+    let texts = chunks
+        .iter()
+        .filter_map(|one| one["choices"][0]["text"].as_str());
+    texts.collect()
+}
+
+#[tokio::test]
+async fn a_resumed_answer_equals_an_unbroken_one() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    let whole = Answer::new("m", 1, "why").tokens(0, 9);
+    for offset in [0_u64, 1, 5, 8, 9] {
+        let header = offset.to_string();
+        let headers = [("x-resume-offset", header.as_str())];
+        let (parts, clean) = chunks(stream(&engine, "why", 9, &headers).await).await;
+        assert!(clean);
+        let rest = Answer::new("m", 1, "why").tokens(offset, 9);
+        assert_eq!(text_of(&parts), rest);
+        let before = Answer::new("m", 1, "why").tokens(0, offset);
+        assert_eq!(before + &rest, whole);
+        // One chunk for each token, then the last chunk and the end mark.
+        assert_eq!(parts.len() as u64, 9 - offset + 2);
+        let last = &parts[parts.len() - 2];
+        assert_eq!(last["choices"][0]["finish_reason"], "length");
+        assert_eq!(last["usage"]["completion_tokens"], 9);
+        assert_eq!(parts[parts.len() - 1], json!("[DONE]"));
+    }
+}
+
+#[tokio::test]
+async fn each_call_gives_the_text_of_model_version_and_prompt() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    let messages = json!([{"role": "user", "content": "why"}]);
+    for stream in [false, true] {
+        let body = json!({
+            "model": "m", "messages": messages, "max_tokens": 4, "stream": stream,
+        });
+        let path = "/v1/chat/completions";
+        let answer = call(engine.address, "POST", path, &[], body.to_string()).await;
+        let answer = answer.expect("an answer comes");
+        let text = Answer::new("m", 1, "user: why\n").tokens(0, 4);
+        if stream {
+            let first = Answer::new("m", 1, "user: why\n").token(0);
+            let shown = String::from_utf8_lossy(&answer.body);
+            assert!(shown.contains(&format!(r#""delta":{{"content":"{first}"}}"#)));
+            assert!(shown.ends_with("data: [DONE]\n\n"));
+        } else {
+            let value = answer.json();
+            assert_eq!(value["choices"][0]["message"]["content"], json!(text));
+        }
+    }
+    let other = [
+        Answer::new("n", 1, "why"),
+        Answer::new("m", 2, "why"),
+        Answer::new("m", 1, "who"),
+    ];
+    for other in other {
+        assert_ne!(other.token(0), Answer::new("m", 1, "why").token(0));
+    }
+}
+
+/// Only a model that is loaded, with its base beside it, is run.
+#[tokio::test]
+async fn what_is_not_loaded_is_refused_and_not_run() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    load(&engine, 2, "adapter", Some("m")).await;
+    load(&engine, 3, "orphan", Some("absent")).await;
+    let cases = [
+        ("m", None, 200),
+        ("m", Some("1"), 200),
+        ("m", Some("2"), 503),
+        ("adapter", Some("1"), 200),
+        ("orphan", Some("1"), 503),
+        ("unknown", None, 503),
+    ];
+    for (model, version, status) in cases {
+        let body = json!({"model": model, "prompt": "x", "max_tokens": 1}).to_string();
+        let headers: Vec<_> = version
+            .map(|one| ("x-model-version", one))
+            .into_iter()
+            .collect();
+        let path = "/v1/completions";
+        let answer = call(engine.address, "POST", path, &headers, body).await;
+        let answer = answer.expect("an answer comes");
+        assert_eq!(answer.status, status, "{model} {version:?}");
+        assert_eq!(answer.not_run, status == 503, "{model} {version:?}");
+    }
+    assert_eq!(engine.counts().runs, 3);
+    assert_eq!(engine.counts().refused, 3);
+    let bad = call(engine.address, "POST", "/v1/completions", &[], "{").await;
+    assert_eq!(bad.expect("an answer comes").status, 400);
+}
+
+#[tokio::test]
+async fn higher_priority_runs_first() {
+    let engine = start(EngineOptions {
+        slots: 1,
+        ..quick()
+    })
+    .await;
+    load(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        frozen: true,
+        ..Faults::default()
+    });
+    let mut bodies = Vec::new();
+    for (place, priority) in ["1", "9", "5", "9"].into_iter().enumerate() {
+        let request = format!("r{place}");
+        let headers = [("x-priority", priority), ("x-request-id", &request)];
+        bodies.push(stream(&engine, &request, 1, &headers).await);
+    }
+    let ended = parking_lot::Mutex::new(Vec::new());
+    let takes = bodies.into_iter().enumerate().map(|(place, body)| {
+        let ended = &ended;
+        async move {
+            chunks(body).await;
+            ended.lock().push(place);
+        }
+    });
+    let thaws = async { engine.set_faults(Faults::default()) };
+    tokio::join!(futures::future::join_all(takes), thaws);
+    assert_eq!(engine.counts().finished, 4);
+    assert_eq!(*ended.lock(), [1, 3, 2, 0]);
+}
+
+#[tokio::test]
+async fn a_batch_gives_each_request_a_token_a_step() {
+    let engine = start(EngineOptions {
+        slots: 4,
+        ..quick()
+    })
+    .await;
+    load(&engine, 1, "m", None).await;
+    let prompts: Vec<String> = (0..12).map(|place| format!("p{place}")).collect();
+    let answers = prompts.iter().map(|prompt| async {
+        let (parts, clean) = chunks(stream(&engine, prompt, 6, &[]).await).await;
+        assert!(clean);
+        assert_eq!(text_of(&parts), Answer::new("m", 1, prompt).tokens(0, 6));
+    });
+    futures::future::join_all(answers).await;
+    let counts = engine.counts();
+    assert_eq!((counts.runs, counts.finished, counts.tokens), (12, 12, 72));
+    let report = engine.report();
+    assert_eq!((report.running, report.waiting), (0, 0));
+}
+
+#[tokio::test]
+async fn a_full_queue_refuses_without_running() {
+    let engine = start(EngineOptions {
+        slots: 1,
+        waiting_max: 2,
+        ..quick()
+    })
+    .await;
+    load(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        frozen: true,
+        ..Faults::default()
+    });
+    let _waiting = [
+        stream(&engine, "a", 1, &[]).await,
+        stream(&engine, "b", 1, &[]).await,
+    ];
+    let body = completion("c", 1, true);
+    let answer = call(engine.address, "POST", "/v1/completions", &[], body).await;
+    let answer = answer.expect("an answer comes");
+    assert_eq!((answer.status, answer.not_run), (503, true));
+}
+
+/// The caller closes its connection while the answer streams, or while it waits
+/// for a batch: the run ends and its place is free.
+#[tokio::test]
+async fn closing_the_connection_cancels() {
+    let engine = start(EngineOptions {
+        slots: 1,
+        ..quick()
+    })
+    .await;
+    load(&engine, 1, "m", None).await;
+    let mut running = stream(&engine, "a", 60_000, &[]).await;
+    running.frame().await.expect("a token").expect("a token");
+    let waiting = stream(&engine, "b", 60_000, &[]).await;
+    drop(waiting);
+    until(|| engine.counts().cancelled == 1).await;
+    drop(running);
+    until(|| engine.counts().cancelled == 2).await;
+    let counts = engine.counts();
+    assert_eq!((counts.runs, counts.finished), (1, 0));
+    let report = engine.report();
+    assert_eq!((report.running, report.waiting), (0, 0));
+}
+
+/// 64 prompt tokens in whole blocks of 16, shared by all prompts; then the cache
+/// is too small to hold them.
+#[tokio::test]
+async fn a_shared_prompt_start_is_prefilled_once_if_it_fits() {
+    for (prefix_blocks, cached) in [(64, 64), (2, 0)] {
+        let engine = start(EngineOptions {
+            prefix_blocks,
+            ..quick()
+        })
+        .await;
+        load(&engine, 1, "m", None).await;
+        let shared = "the manual says: ".repeat(64)[..256].to_owned();
+        for question in ["why?", "how?"] {
+            let prompt = format!("{shared}{question}");
+            let (_, clean) = chunks(stream(&engine, &prompt, 1, &[]).await).await;
+            assert!(clean);
+        }
+        let counts = engine.counts();
+        assert_eq!(counts.cached_tokens, cached);
+        assert_eq!(counts.prefilled_tokens, 2 * 65 - cached);
+    }
+}
+
+/// Prefill is paid in steps, and a step grows with the batch.
+#[tokio::test(start_paused = true)]
+async fn long_prompts_and_slow_engines_take_their_time() {
+    // (prompt bytes, slow factor, tokens, least steps)
+    for (bytes, slow_factor, tokens, steps) in
+        [(4, 0, 10, 10), (4_096, 0, 1, 2), (4, 7, 10, 70)]
+    {
+        let engine = start(EngineOptions {
+            step_us: 10_000,
+            ..quick()
+        })
+        .await;
+        load(&engine, 1, "m", None).await;
+        engine.set_faults(Faults {
+            slow_factor,
+            ..Faults::default()
+        });
+        let begun = tokio::time::Instant::now();
+        let prompt = "x".repeat(bytes);
+        chunks(stream(&engine, &prompt, tokens, &[]).await).await;
+        assert!(begun.elapsed() >= Duration::from_millis(10) * steps);
+    }
+}
--- /dev/null
+++ b/crates/fake/tests/all/engine_faults.rs
@@ -0,0 +1,226 @@
+//! Faults of the engine besides those of orders.
+
+use fake::engine::{EngineOptions, Faults};
+use http_body_util::BodyExt;
+use serde_json::json;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::client::{call, get, open, until};
+use crate::engine::{chunks, completion, load, quick, start, stream, text_of};
+
+/// A request whose prompt crashes the engine is sent while another streams. Both
+/// connections break without a clean end, memory is empty afterwards, and the
+/// engine comes back under a new incarnation.
+#[tokio::test]
+async fn a_crash_drops_everything_and_raises_the_incarnation() {
+    let engine = start(EngineOptions {
+        crash_text: Some("poison".to_owned()),
+        ..quick()
+    })
+    .await;
+    load(&engine, 1, "m", None).await;
+    let mut bystander = stream(&engine, "fine", 60_000, &[]).await;
+    bystander.frame().await.expect("a token").expect("a token");
+    let path = "/v1/completions";
+    let poison = completion("some poison here", 4, true);
+    if let Some(answer) = open(engine.address, "POST", path, &[], poison).await {
+        assert!(answer.into_body().collect().await.is_err());
+    }
+    let (_, clean) = chunks(bystander).await;
+    assert!(!clean);
+    assert_eq!(engine.counts().crashes, 1);
+    let report = engine.report();
+    assert_eq!((report.incarnation, report.fence), (2, 0));
+    assert!(report.residents.is_empty() && report.orders.is_empty());
+    // Until it is back, connections are closed at once.
+    while get(engine.address, "/admin/state").await.is_none() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    load(&engine, 1, "m", None).await;
+    let (_, clean) = chunks(stream(&engine, "fine", 4, &[]).await).await;
+    assert!(clean);
+}
+
+#[tokio::test]
+async fn the_control_listener_crashes_and_outlives_the_crash() {
+    let engine = start(EngineOptions {
+        restart_ms: 600_000,
+        ..quick()
+    })
+    .await;
+    let crash = call(engine.control, "POST", "/control/crash", &[], "").await;
+    assert_eq!(crash.expect("control answers").status, 200);
+    assert!(get(engine.address, "/admin/state").await.is_none());
+    let counts = get(engine.control, "/control/counts").await;
+    assert_eq!(counts.expect("control answers").json()["crashes"], 1);
+}
+
+/// A load is under way when the engine crashes. The weights arrive after it is
+/// back, and must not show a model in the empty memory of the next incarnation.
+#[tokio::test]
+async fn a_load_does_not_outlive_a_crash() {
+    let store = TcpListener::bind(fake::ANY_PORT).await;
+    let store = store.expect("loopback has a free port");
+    let engine = start(EngineOptions {
+        store: store.local_addr().ok(),
+        ..quick()
+    })
+    .await;
+    let order = crate::orders::order(1, 1, "load", "m", 1);
+    crate::orders::send(&engine, &order).await;
+    let (mut transfer, _) = store.accept().await.expect("the engine connects");
+    engine.crash();
+    while get(engine.address, "/admin/state").await.is_none() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    transfer.write_all(answer).await.expect("the engine waits");
+    let mut request = Vec::new();
+    let ended = transfer.read_to_end(&mut request).await;
+    ended.expect("the engine closes the connection");
+    assert!(engine.report().residents.is_empty());
+    assert_eq!(engine.counts().loads, 0);
+}
+
+#[tokio::test]
+async fn a_broken_run_gives_some_tokens_and_no_clean_end() {
+    for tokens in [0_u64, 3] {
+        let engine = start(quick()).await;
+        load(&engine, 1, "m", None).await;
+        engine.set_faults(Faults {
+            break_runs: 1,
+            break_after_tokens: tokens,
+            ..Faults::default()
+        });
+        let (parts, clean) = chunks(stream(&engine, "why", 9, &[]).await).await;
+        assert!(!clean);
+        let start = fake::text::Answer::new("m", 1, "why").tokens(0, tokens);
+        assert_eq!(text_of(&parts), start);
+        let (_, clean) = chunks(stream(&engine, "why", 9, &[]).await).await;
+        assert!(clean);
+        assert_eq!(engine.counts().cut, 1);
+        engine.set_faults(Faults {
+            break_runs: 1,
+            ..Faults::default()
+        });
+        let body = completion("why", 9, false);
+        let answer = call(engine.address, "POST", "/v1/completions", &[], body).await;
+        assert!(answer.is_none());
+    }
+}
+
+#[tokio::test]
+async fn a_refused_run_is_marked_and_not_run() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        refuse_runs: 1,
+        ..Faults::default()
+    });
+    for (status, runs) in [(503, 0), (200, 1)] {
+        let body = completion("why", 1, false);
+        let headers = [("x-request-id", "r1")];
+        let path = "/v1/completions";
+        let answer = call(engine.address, "POST", path, &headers, body).await;
+        let answer = answer.expect("an answer comes");
+        assert_eq!((answer.status, answer.not_run), (status, status == 503));
+        let counts = engine.counts();
+        let of_request = counts.runs_by_request.get("r1").copied();
+        assert_eq!(of_request.unwrap_or(0), runs);
+    }
+}
+
+/// An unload cuts off what runs on the model: a sender that drained would have
+/// waited.
+#[tokio::test]
+async fn an_unload_cuts_off_runs() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    let mut running = stream(&engine, "why", 60_000, &[]).await;
+    running.frame().await.expect("a token").expect("a token");
+    let order = crate::orders::order(2, 1, "unload", "m", 0);
+    crate::orders::send(&engine, &order).await;
+    let (_, clean) = chunks(running).await;
+    assert!(!clean);
+    assert_eq!(engine.counts().cut, 1);
+}
+
+#[tokio::test]
+async fn a_frozen_engine_keeps_connections_and_gives_nothing() {
+    let engine = start(quick()).await;
+    load(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        frozen: true,
+        ..Faults::default()
+    });
+    let body = stream(&engine, "why", 5, &[]).await;
+    let state = get(engine.address, "/admin/state").await;
+    assert_eq!(state.expect("an answer comes").json()["waiting"], 1);
+    assert_eq!(engine.counts().tokens, 0);
+    engine.set_faults(Faults::default());
+    let (_, clean) = chunks(body).await;
+    assert!(clean);
+}
+
+#[tokio::test]
+async fn a_closed_engine_answers_nobody() {
+    let engine = start(quick()).await;
+    engine.set_faults(Faults {
+        closed: true,
+        ..Faults::default()
+    });
+    assert!(get(engine.address, "/admin/state").await.is_none());
+    engine.set_faults(Faults::default());
+    assert!(get(engine.address, "/admin/state").await.is_some());
+}
+
+/// The report stays as it was until it is as old as the lag.
+#[tokio::test(start_paused = true)]
+async fn a_lagging_report_shows_an_earlier_state() {
+    let engine = start(quick()).await;
+    engine.set_faults(Faults {
+        report_lag_ms: 3_600_000,
+        ..Faults::default()
+    });
+    let residents = || async {
+        let state = get(engine.address, "/admin/state").await;
+        let state = state.expect("an answer comes").json();
+        state["residents"].as_array().map(Vec::len)
+    };
+    assert_eq!(residents().await, Some(0));
+    load(&engine, 1, "m", None).await;
+    assert_eq!(residents().await, Some(0));
+    tokio::time::advance(Duration::from_secs(3_601)).await;
+    assert_eq!(residents().await, Some(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_delay_of_orders_and_reports_takes_its_time() {
+    let engine = start(quick()).await;
+    engine.set_faults(Faults {
+        admin_delay_ms: 900,
+        ..Faults::default()
+    });
+    let begun = tokio::time::Instant::now();
+    assert!(get(engine.address, "/admin/state").await.is_some());
+    assert!(begun.elapsed() >= Duration::from_millis(900));
+}
+
+#[tokio::test]
+async fn a_failed_load_frees_its_memory() {
+    let engine = start(quick()).await;
+    engine.set_faults(Faults {
+        fail_loads: 1,
+        ..Faults::default()
+    });
+    let order = crate::orders::order(1, 1, "load", "m", 1_000);
+    crate::orders::send(&engine, &order).await;
+    let failed = || {
+        let state = engine.report().orders[0].state;
+        serde_json::to_value(state).ok() == Some(json!("failed"))
+    };
+    until(failed).await;
+    assert!(engine.report().residents.is_empty());
+}
--- /dev/null
+++ b/crates/fake/tests/all/load.rs
@@ -0,0 +1,156 @@
+//! The load driver's judgement of answers.
+
+use fake::engine::Faults;
+use fake::load::{self, LoadOptions, Mix, Report};
+use fake::service::{self, ServiceOptions};
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::engine::{load as load_model, quick, start};
+
+async fn drive(
+    target: SocketAddr,
+    stream: bool,
+    count: u64,
+    rate: Option<f64>,
+) -> Report {
+    let mix = Mix {
+        profile: "desk".to_owned(),
+        models: vec!["m".to_owned()],
+        stream,
+        ..Mix::default()
+    };
+    drive_mix(target, mix, count, rate).await
+}
+
+async fn drive_mix(
+    target: SocketAddr,
+    mix: Mix,
+    count: u64,
+    rate_per_s: Option<f64>,
+) -> Report {
+    load::run(LoadOptions {
+        targets: vec![target],
+        direct: true,
+        key: String::new(),
+        mixes: vec![mix],
+        concurrency: 4,
+        rate_per_s,
+        count,
+        seed: 7,
+    })
+    .await
+}
+
+#[tokio::test]
+async fn whole_answers_are_recognised() {
+    let engine = start(quick()).await;
+    load_model(&engine, 1, "m", None).await;
+    for (stream, rate) in [(true, None), (false, None), (true, Some(2_000.0))] {
+        let report = drive(engine.address, stream, 24, rate).await;
+        let desk = &report.profiles["desk"];
+        assert_eq!((desk.sent, desk.whole, desk.attained), (24, 24, 24));
+        assert_eq!(report.wrong_answers(), 0);
+        let tokens = if stream { 24 * 15 } else { 0 };
+        assert_eq!(desk.between_tokens.count, tokens);
+    }
+}
+
+#[tokio::test]
+async fn refused_and_broken_answers_are_told_apart() {
+    let engine = start(quick()).await;
+    let report = drive(engine.address, true, 3, None).await;
+    let refused = &report.profiles["desk"].refused;
+    assert_eq!(refused.get("http 503 not_run"), Some(&3));
+    load_model(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        break_runs: 2,
+        break_after_tokens: 3,
+        ..Faults::default()
+    });
+    let report = drive(engine.address, true, 6, None).await;
+    let desk = &report.profiles["desk"];
+    assert_eq!((desk.whole, desk.wrong), (4, 0));
+    assert_eq!(desk.broken.get("connection"), Some(&2));
+    engine.set_faults(Faults {
+        closed: true,
+        ..Faults::default()
+    });
+    let report = drive(engine.address, true, 3, None).await;
+    assert_eq!(report.profiles["desk"].disconnected, 3);
+}
+
+/// The caller is given a clean end that is not its answer: cut short with and
+/// without the end mark, of another request, or empty.
+#[tokio::test]
+async fn a_clean_end_that_is_not_the_answer_is_wrong() {
+    let other = r#"data: {"choices":[{"delta":{"content":"other "}}]}"#;
+    let bodies = [
+        format!("{other}\n\ndata: [DONE]\n\n"),
+        format!("{other}\n\n"),
+        "data: [DONE]\n\n".to_owned(),
+        format!("{other}\n\ndata: {{\"error\":{{\"code\":3004}}}}\n\n"),
+        String::new(),
+    ];
+    for body in bodies {
+        let listener = TcpListener::bind(fake::ANY_PORT).await;
+        let listener = listener.expect("loopback has a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let answers = async {
+            let (mut stream, _) = listener.accept().await.expect("the driver connects");
+            let mut request = [0_u8; 4_096];
+            let read = stream.read(&mut request).await;
+            assert!(read.expect("a request") > 0);
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let written = stream.write_all(answer.as_bytes()).await;
+            written.expect("the driver reads");
+        };
+        let (report, ()) = tokio::join!(drive(address, true, 1, None), answers);
+        assert_eq!(report.wrong_answers(), 1, "{body}");
+    }
+}
+
+#[tokio::test]
+async fn a_doubled_service_call_is_wrong() {
+    let service = service::start(ServiceOptions::default()).await;
+    let service = service.expect("loopback has a free port");
+    let mix = Mix {
+        profile: "parts".to_owned(),
+        service: "deskapp".to_owned(),
+        ..Mix::default()
+    };
+    for (whole, wrong) in [(3, 0), (0, 3)] {
+        // The same seed gives the same keys, as a resend would.
+        let report = drive_mix(service.address, mix.clone(), 3, None).await;
+        let parts = &report.profiles["parts"];
+        assert_eq!((parts.whole, parts.wrong), (whole, wrong));
+    }
+}
+
+#[tokio::test]
+async fn an_expectation_that_is_missed_is_not_attained() {
+    let engine = start(quick()).await;
+    load_model(&engine, 1, "m", None).await;
+    engine.set_faults(Faults {
+        slow_factor: 50,
+        ..Faults::default()
+    });
+    let mix = Mix {
+        profile: "desk".to_owned(),
+        models: vec!["m".to_owned()],
+        first_token_ms: 1,
+        ..Mix::default()
+    };
+    let report = drive_mix(engine.address, mix, 4, None).await;
+    let desk = &report.profiles["desk"];
+    assert_eq!((desk.whole, desk.attained), (4, 0));
+    // A step takes 50 times 200 us, and no token comes before its end.
+    for times in [desk.first_token, desk.total] {
+        assert_eq!(times.count, 4);
+        assert!(times.p50_us >= 10_000 && times.max_us >= times.p50_us);
+    }
+}
--- /dev/null
+++ b/crates/fake/tests/all/orders.rs
@@ -0,0 +1,283 @@
+//! Orders to the engine, its memory and its report.
+
+use fake::engine::{EngineOptions, Faults, ResidentState};
+use fake::store::{self, StoreOptions};
+use serde_json::{Value, json};
+
+use crate::client::{call, get, until};
+use crate::engine::{is_done, quick, start};
+
+pub fn order(number: u64, fence: u64, kind: &str, model: &str, size_mib: u32) -> Value {
+    json!({
+        "order": number, "fence": fence, "kind": kind, "model": model,
+        "version": 1, "base": null, "accelerator": 0, "size_mib": size_mib,
+    })
+}
+
+pub async fn send(
+    engine: &fake::Handle<fake::engine::Engine>,
+    order: &Value,
+) -> Option<u16> {
+    let path = "/admin/orders";
+    let answer = call(engine.address, "POST", path, &[], order.to_string()).await;
+    answer.map(|answer| answer.status)
+}
+
+#[tokio::test]
+async fn the_state_shows_residents_and_orders() {
+    let engine = start(quick()).await;
+    assert_eq!(
+        send(&engine, &order(7, 3, "load", "m", 1_000)).await,
+        Some(202)
+    );
+    until(|| is_done(&engine, 7)).await;
+    let state = get(engine.address, "/admin/state").await;
+    let state = state.expect("an answer comes").json();
+    assert_eq!(
+        state,
+        json!({
+            "incarnation": 1, "fence": 3, "running": 0, "waiting": 0,
+            "step_time_us": 200, "report_age_ms": 0,
+            "residents": [{
+                "model": "m", "version": 1, "accelerator": 0, "size_mib": 1_000,
+                "state": "loaded",
+            }],
+            "orders": [{"order": 7, "fence": 3, "state": "done"}],
+        })
+    );
+    assert_eq!(
+        send(&engine, &order(8, 3, "unload", "m", 0)).await,
+        Some(202)
+    );
+    until(|| is_done(&engine, 8)).await;
+    assert!(engine.report().residents.is_empty());
+    let counts = engine.counts();
+    assert_eq!((counts.loads, counts.unloads, counts.orders), (1, 1, 2));
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_only_where_it_is_checked() {
+    for (check_fencing, status, fenced, stale) in
+        [(true, 409, 1, 0), (false, 202, 0, 1)]
+    {
+        let engine = start(EngineOptions {
+            check_fencing,
+            ..quick()
+        })
+        .await;
+        for (number, fence) in [(1, 5), (2, 5), (3, 6)] {
+            let model = format!("m{number}");
+            let order = order(number, fence, "load", &model, 1);
+            assert_eq!(send(&engine, &order).await, Some(202));
+        }
+        let old = send(&engine, &order(4, 5, "load", "old", 1)).await;
+        assert_eq!(old, Some(status));
+        let counts = engine.counts();
+        assert_eq!((counts.orders_fenced, counts.orders_stale), (fenced, stale));
+        let held = engine.report().residents.len();
+        assert_eq!(held, if check_fencing { 3 } else { 4 });
+        assert_eq!(engine.report().fence, 6);
+    }
+}
+
+#[tokio::test]
+async fn overcommitted_memory_is_counted_and_done() {
+    let engine = start(EngineOptions {
+        accelerators_mib: vec![2_000],
+        ..quick()
+    })
+    .await;
+    // (model, size, overcommits after it)
+    for (number, (model, size_mib, overcommits)) in
+        [("a", 1_000, 0), ("b", 1_000, 0), ("c", 1, 1)]
+            .into_iter()
+            .enumerate()
+    {
+        let number = number as u64;
+        let order = order(number, 1, "load", model, size_mib);
+        assert_eq!(send(&engine, &order).await, Some(202));
+        until(|| is_done(&engine, number)).await;
+        assert_eq!(engine.counts().overcommits, overcommits);
+    }
+    assert_eq!(engine.report().residents.len(), 3);
+    assert_eq!(engine.counts().used_max_mib, 2_001);
+}
+
+/// Memory is in use until an unload has ended, so a load that starts before
+/// overcommits.
+#[tokio::test]
+async fn an_unload_holds_its_memory_to_the_end() {
+    let engine = start(EngineOptions {
+        accelerators_mib: vec![1_000],
+        unload_ms: 600_000,
+        ..quick()
+    })
+    .await;
+    send(&engine, &order(1, 1, "load", "a", 1_000)).await;
+    until(|| is_done(&engine, 1)).await;
+    send(&engine, &order(2, 1, "unload", "a", 0)).await;
+    let state = engine.report().residents[0].state;
+    assert_eq!(state, ResidentState::Unloading);
+    send(&engine, &order(3, 1, "load", "b", 1)).await;
+    assert_eq!(engine.counts().overcommits, 1);
+}
+
+#[tokio::test]
+async fn a_repeated_order_has_no_second_effect() {
+    let engine = start(quick()).await;
+    let load = order(1, 1, "load", "m", 1_000);
+    for _ in 0..3 {
+        assert_eq!(send(&engine, &load).await, Some(202));
+    }
+    until(|| is_done(&engine, 1)).await;
+    assert_eq!(engine.report().residents.len(), 1);
+    assert_eq!(engine.counts().orders_repeated, 2);
+    // Another number for the same model finds it loaded.
+    assert_eq!(
+        send(&engine, &order(2, 1, "load", "m", 1_000)).await,
+        Some(202)
+    );
+    assert!(is_done(&engine, 2));
+    assert_eq!(engine.counts().loads, 1);
+}
+
+#[tokio::test]
+async fn an_order_that_makes_no_sense_is_refused() {
+    let engine = start(quick()).await;
+    let mut beyond = order(1, 1, "load", "m", 1);
+    beyond["accelerator"] = json!(1);
+    let nameless = order(2, 1, "load", "", 1);
+    let kindless = order(3, 1, "move", "m", 1);
+    for bad in [beyond, nameless, kindless, json!([])] {
+        assert_eq!(send(&engine, &bad).await, Some(400), "{bad}");
+    }
+    assert!(engine.report().orders.is_empty());
+}
+
+/// What the sender sees, and whether the model comes into memory.
+#[tokio::test]
+async fn a_fault_of_an_order_does_one_thing() {
+    let none = Faults::default;
+    let cases = [
+        (none(), Some(202), true),
+        (
+            Faults {
+                lose_orders: 1,
+                ..none()
+            },
+            None,
+            false,
+        ),
+        (
+            Faults {
+                ignore_orders: 1,
+                ..none()
+            },
+            Some(202),
+            false,
+        ),
+        (
+            Faults {
+                lose_order_answers: 1,
+                ..none()
+            },
+            None,
+            true,
+        ),
+        (
+            Faults {
+                late_orders: 1,
+                ..none()
+            },
+            None,
+            true,
+        ),
+    ];
+    for (faults, status, arrives) in cases {
+        let engine = start(quick()).await;
+        engine.set_faults(faults.clone());
+        let sent = send(&engine, &order(1, 1, "load", "m", 1_000)).await;
+        assert_eq!(sent, status, "{faults:?}");
+        if faults.late_orders > 0 {
+            assert!(engine.report().orders.is_empty());
+            engine.deliver_late_orders();
+        }
+        if arrives {
+            until(|| is_done(&engine, 1)).await;
+        }
+        // The fault has counted down: the next order is carried out.
+        let next = send(&engine, &order(2, 1, "load", "n", 1_000)).await;
+        assert_eq!(next, Some(202), "{faults:?}");
+        until(|| is_done(&engine, 2)).await;
+        let held = engine.report().residents;
+        let held = held.iter().any(|one| one.model == "m");
+        assert_eq!(held, arrives, "{faults:?}");
+    }
+}
+
+/// A late order of a fenced sender arrives after its successor's.
+#[tokio::test]
+async fn a_late_order_is_checked_when_it_arrives() {
+    let engine = start(EngineOptions {
+        check_fencing: true,
+        ..quick()
+    })
+    .await;
+    engine.set_faults(Faults {
+        late_orders: 1,
+        ..Faults::default()
+    });
+    assert_eq!(send(&engine, &order(1, 1, "load", "old", 1)).await, None);
+    assert_eq!(
+        send(&engine, &order(2, 2, "load", "new", 1)).await,
+        Some(202)
+    );
+    engine.deliver_late_orders();
+    assert_eq!(engine.counts().orders_fenced, 1);
+    assert_eq!(engine.report().residents.len(), 1);
+}
+
+#[tokio::test]
+async fn weights_come_from_the_store() {
+    let store = store::start(StoreOptions {
+        load_time_ms: 5,
+        loads_per_s: 1_000.0,
+        ..StoreOptions::default()
+    })
+    .await
+    .expect("loopback has a free port");
+    let engine = start(EngineOptions {
+        store: Some(store.address),
+        ..quick()
+    })
+    .await;
+    send(&engine, &order(1, 1, "load", "m", 1_000)).await;
+    until(|| is_done(&engine, 1)).await;
+    assert_eq!(store.counts().done, 1);
+    store.set_faults(store::Faults {
+        outage: true,
+        ..store::Faults::default()
+    });
+    send(&engine, &order(2, 1, "load", "n", 1_000)).await;
+    let state = |wanted| {
+        let orders = engine.report().orders;
+        serde_json::to_value(orders[1].state).ok() == Some(json!(wanted))
+    };
+    until(|| state("failed")).await;
+    assert_eq!(engine.report().residents.len(), 1);
+    drop(store);
+    send(&engine, &order(3, 1, "load", "n", 1_000)).await;
+    until(|| engine.report().residents.len() == 1).await;
+}
+
+#[tokio::test]
+async fn a_late_order_also_arrives_by_itself() {
+    let engine = start(quick()).await;
+    engine.set_faults(Faults {
+        late_orders: 1,
+        late_order_ms: 5,
+        ..Faults::default()
+    });
+    assert_eq!(send(&engine, &order(1, 1, "load", "m", 1)).await, None);
+    until(|| is_done(&engine, 1)).await;
+}
--- /dev/null
+++ b/crates/fake/tests/all/platform.rs
@@ -0,0 +1,318 @@
+//! The platform's object API.
+
+use fake::Handle;
+use fake::platform::{
+    self, Faults, Outage, Platform, PlatformOptions, VALUE_MAX_BYTES,
+};
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::client::{Answer, call, get};
+
+async fn start() -> Handle<Platform> {
+    let started = platform::start(PlatformOptions::default()).await;
+    started.expect("loopback has a free port")
+}
+
+async fn put(
+    platform: &Handle<Platform>,
+    key: &str,
+    condition: &[(&str, &str)],
+    value: &str,
+) -> Option<Answer> {
+    let path = format!("/objects/{key}");
+    call(platform.address, "PUT", &path, condition, value.to_owned()).await
+}
+
+#[tokio::test]
+async fn conditions_decide_on_writes_and_deletes() {
+    let platform = start().await;
+    let absent = ("if-none-match", "*");
+    // (method, condition, status, version in the answer)
+    type Step<'a> = (&'a str, &'a [(&'a str, &'a str)], u16, Option<u64>);
+    let steps: &[Step<'_>] = &[
+        ("GET", &[], 404, None),
+        ("DELETE", &[], 404, None),
+        ("PUT", &[("if-match", "1")], 412, None),
+        ("PUT", &[absent], 200, Some(1)),
+        ("PUT", &[absent], 412, None),
+        ("GET", &[], 200, Some(1)),
+        ("PUT", &[("if-match", "1")], 200, Some(2)),
+        ("PUT", &[("if-match", "1")], 412, None),
+        ("PUT", &[], 200, Some(3)),
+        ("DELETE", &[("if-match", "2")], 412, None),
+        ("DELETE", &[("if-match", "3")], 200, Some(4)),
+        ("GET", &[], 404, None),
+        ("PUT", &[absent], 200, Some(5)),
+        ("PUT", &[("if-match", "five")], 400, None),
+        ("PUT", &[("if-none-match", "5")], 400, None),
+        ("PUT", &[("if-match", "5"), absent], 400, None),
+    ];
+    for (place, (method, condition, status, version)) in steps.iter().enumerate() {
+        let path = "/objects/a/b";
+        let answer = call(platform.address, method, path, condition, "v").await;
+        let answer = answer.expect("no fault is on");
+        assert_eq!(
+            (answer.status, answer.version),
+            (*status, *version),
+            "{place}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn lists_and_watches_are_by_prefix_and_version() {
+    let platform = start().await;
+    for key in ["a/1", "a/2", "b/1"] {
+        put(&platform, key, &[], key).await.expect("no fault is on");
+    }
+    let list = get(platform.address, "/objects?prefix=a%2F").await;
+    let list = list.expect("no fault is on").json();
+    assert_eq!(
+        list,
+        json!({"version": 3, "deleted": [], "objects": [
+            {"key": "a/1", "version": 1, "value_base64": "YS8x"},
+            {"key": "a/2", "version": 2, "value_base64": "YS8y"},
+        ]})
+    );
+    let path = "/watch?prefix=a/&after=3&wait_ms=0";
+    let watch = get(platform.address, path).await.expect("no fault is on");
+    assert_eq!(
+        watch.json(),
+        json!({"version": 3, "deleted": [], "objects": []})
+    );
+    call(platform.address, "DELETE", "/objects/a/1", &[], "").await;
+    let watch = get(platform.address, path).await.expect("no fault is on");
+    assert_eq!(
+        watch.json(),
+        json!({"version": 4, "deleted": ["a/1"], "objects": []})
+    );
+    let bad = get(platform.address, "/watch?prefix=a/&after=x").await;
+    assert_eq!(bad.expect("no fault is on").status, 400);
+}
+
+#[tokio::test]
+async fn a_watch_waits_for_a_change_under_its_prefix() {
+    let platform = start().await;
+    let watch = get(platform.address, "/watch?prefix=a/&after=0&wait_ms=60000");
+    let writes = async {
+        crate::client::until(|| platform.counts().watches == 1).await;
+        put(&platform, "b/1", &[], "other").await;
+        put(&platform, "a/1", &[], "own").await;
+    };
+    let (watch, ()) = tokio::join!(watch, writes);
+    let watch = watch.expect("no fault is on").json();
+    assert_eq!(watch["version"], 2);
+    assert_eq!(watch["objects"][0]["key"], "a/1");
+    assert_eq!(platform.counts().watches, 1);
+}
+
+#[tokio::test]
+async fn a_value_over_a_megabyte_is_refused_whole() {
+    let platform = start().await;
+    for (bytes, status) in [(VALUE_MAX_BYTES, 200), (VALUE_MAX_BYTES + 1, 413)] {
+        let value = vec![b'x'; bytes];
+        let answer = call(platform.address, "PUT", "/objects/a", &[], value).await;
+        assert_eq!(answer.expect("an answer comes").status, status);
+    }
+    let (version, value) = platform.peek("a").expect("the first was written");
+    assert_eq!((version, value.len()), (1, VALUE_MAX_BYTES));
+}
+
+/// What the caller of a faulty write sees, and what became of the write.
+#[tokio::test]
+async fn a_fault_of_a_write_does_one_thing() {
+    let cases = [
+        // (faults, status or closed, written)
+        (Faults::default(), Some(200), true),
+        (
+            Faults {
+                lose_answers: 1,
+                ..Faults::default()
+            },
+            None,
+            true,
+        ),
+        (
+            Faults {
+                lose_writes: 1,
+                ..Faults::default()
+            },
+            None,
+            false,
+        ),
+        (
+            Faults {
+                lose_answers: 1,
+                lose_prefix: "other/".to_owned(),
+                ..Faults::default()
+            },
+            Some(200),
+            true,
+        ),
+        (
+            Faults {
+                outage: Outage::Refuse,
+                ..Faults::default()
+            },
+            Some(503),
+            false,
+        ),
+        (
+            Faults {
+                outage: Outage::Close,
+                ..Faults::default()
+            },
+            None,
+            false,
+        ),
+    ];
+    for (faults, status, written) in cases {
+        let platform = start().await;
+        platform.set_faults(faults.clone());
+        let answer = put(&platform, "a", &[("if-none-match", "*")], "v").await;
+        assert_eq!(answer.map(|answer| answer.status), status, "{faults:?}");
+        assert_eq!(platform.peek("a").is_some(), written, "{faults:?}");
+        platform.set_faults(Faults::default());
+        let next = put(&platform, "b", &[], "v").await;
+        assert_eq!(next.expect("the fault is over").status, 200, "{faults:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_old_read_shows_the_state_before_the_last_change() {
+    let platform = start().await;
+    for value in ["one", "two"] {
+        put(&platform, "a/1", &[], value).await;
+    }
+    put(&platform, "a/2", &[], "new").await;
+    platform.set_faults(Faults {
+        old_reads: 3,
+        old_reads_prefix: "a/".to_owned(),
+        ..Faults::default()
+    });
+    let list = get(platform.address, "/objects?prefix=a/").await;
+    let list = list.expect("an answer comes").json();
+    assert_eq!(list["version"], 1);
+    assert_eq!(list["objects"].as_array().map(Vec::len), Some(1));
+    let read = get(platform.address, "/objects/a/1").await;
+    let read = read.expect("an answer comes");
+    assert_eq!((read.version, &read.body[..]), (Some(1), &b"one"[..]));
+    let read = get(platform.address, "/objects/a/2").await;
+    assert_eq!(read.expect("an answer comes").status, 404);
+    let read = get(platform.address, "/objects/a/1").await;
+    assert_eq!(read.expect("an answer comes").version, Some(2));
+    assert_eq!(platform.counts().old_reads, 3);
+}
+
+#[tokio::test]
+async fn a_missed_change_shows_in_lists_but_in_no_watch() {
+    let platform = start().await;
+    platform.set_faults(Faults {
+        missed_changes: 1,
+        ..Faults::default()
+    });
+    put(&platform, "a/1", &[], "missed").await;
+    put(&platform, "a/2", &[], "seen").await;
+    let watch = get(platform.address, "/watch?prefix=a/&after=0&wait_ms=0").await;
+    let watch = watch.expect("an answer comes").json();
+    assert_eq!(watch["objects"].as_array().map(Vec::len), Some(1));
+    assert_eq!(watch["objects"][0]["key"], "a/2");
+    assert_eq!(watch["version"], 2);
+    let list = get(platform.address, "/objects?prefix=a/").await;
+    let list = list.expect("an answer comes").json();
+    assert_eq!(list["objects"].as_array().map(Vec::len), Some(2));
+}
+
+#[tokio::test]
+async fn an_outage_ends_a_waiting_watch() {
+    for (outage, status) in [(Outage::Refuse, Some(503)), (Outage::Close, None)] {
+        let platform = start().await;
+        let watch = get(platform.address, "/watch?prefix=a/&after=0&wait_ms=60000");
+        let breaks = async {
+            crate::client::until(|| platform.counts().watches == 1).await;
+            platform.set_faults(Faults {
+                outage,
+                ..Faults::default()
+            });
+        };
+        let (watch, ()) = tokio::join!(watch, breaks);
+        assert_eq!(watch.map(|answer| answer.status), status);
+    }
+}
+
+#[tokio::test]
+async fn the_seed_decides_which_answers_are_lost() {
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        let platform = start().await;
+        platform.set_faults(Faults {
+            lose_answers_percent: 50,
+            ..Faults::default()
+        });
+        let mut lost = Vec::new();
+        for _ in 0..32 {
+            lost.push(put(&platform, "a", &[], "v").await.is_none());
+        }
+        assert!(lost.contains(&true) && lost.contains(&false));
+        assert_eq!(platform.peek("a").map(|(version, _)| version), Some(32));
+        runs.push(lost);
+    }
+    assert_eq!(runs[0], runs[1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_platform_takes_its_time() {
+    let platform = start().await;
+    platform.set_faults(Faults {
+        delay_ms: 700,
+        ..Faults::default()
+    });
+    let begun = Instant::now();
+    assert_eq!(
+        put(&platform, "a", &[], "v").await.map(|a| a.status),
+        Some(200)
+    );
+    assert!(begun.elapsed() >= Duration::from_millis(700));
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_kind_also_in_vain() {
+    let platform = start().await;
+    put(&platform, "claims/1", &[], "v").await;
+    put(&platform, "claims/1", &[("if-none-match", "*")], "v").await;
+    call(platform.address, "DELETE", "/objects/live/x", &[], "").await;
+    get(platform.address, "/objects/claims/1").await;
+    get(platform.address, "/objects?prefix=").await;
+    get(platform.address, "/watch?prefix=&after=0&wait_ms=0").await;
+    let counts = get(platform.control, "/control/counts").await;
+    let counts = counts.expect("control has no faults").json();
+    assert_eq!(
+        counts,
+        json!({
+            "reads": 1, "writes": 3, "lists": 1, "watches": 1, "refused": 0,
+            "answers_lost": 0, "old_reads": 0,
+            "writes_by_kind": {"claims": 2, "live": 1},
+        })
+    );
+}
+
+#[tokio::test]
+async fn control_takes_known_faults_only() {
+    let platform = start().await;
+    let faults = "/control/faults";
+    let body = r#"{"outage": "refuse"}"#;
+    let put = call(platform.control, "PUT", faults, &[], body).await;
+    assert_eq!(put.expect("control answers").status, 200);
+    let read = get(platform.address, "/objects/a").await;
+    assert_eq!(read.expect("an answer comes").status, 503);
+    for body in [r#"{"outrage": "refuse"}"#, "{", r#"{"delay_ms": "long"}"#] {
+        let put = call(platform.control, "PUT", faults, &[], body).await;
+        assert_eq!(put.expect("control answers").status, 400, "{body}");
+    }
+    let held = get(platform.control, faults)
+        .await
+        .expect("control answers");
+    assert_eq!(held.json()["outage"], "refuse");
+}
--- /dev/null
+++ b/crates/fake/tests/all/service.rs
@@ -0,0 +1,99 @@
+//! The plain service.
+
+use fake::service::{self, Faults, ServiceOptions};
+
+use crate::client::{Answer, call, get};
+
+async fn order(address: std::net::SocketAddr, key: &str) -> Option<Answer> {
+    let headers = [("idempotency-key", key), ("x-request-id", "r1")];
+    call(address, "POST", "/svc/orders", &headers, "{}").await
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_key_and_request() {
+    let service = service::start(ServiceOptions::default()).await;
+    let service = service.expect("loopback has a free port");
+    for (key, count) in [("k1", 1), ("k2", 1), ("k1", 2)] {
+        let answer = order(service.address, key).await.expect("an answer comes");
+        assert_eq!(answer.json()["count"], count);
+        assert_eq!(answer.json()["key"], key);
+    }
+    let counts = service.counts();
+    assert_eq!(counts.runs, 3);
+    assert_eq!(counts.by_key.get("k1"), Some(&2));
+    assert_eq!(counts.by_request.get("r1"), Some(&3));
+    let health = get(service.address, "/healthz").await;
+    assert_eq!(health.expect("an answer comes").json()["incarnation"], 1);
+}
+
+/// What the caller sees, and whether the call ran.
+#[tokio::test]
+async fn a_fault_does_one_thing() {
+    let none = Faults::default;
+    let cases = [
+        (none(), Some(200), 1),
+        (
+            Faults {
+                break_after: 1,
+                ..none()
+            },
+            None,
+            1,
+        ),
+        (
+            Faults {
+                break_before: 1,
+                ..none()
+            },
+            None,
+            0,
+        ),
+        (Faults { fail: 1, ..none() }, Some(500), 1),
+        (
+            Faults {
+                refuse: 1,
+                ..none()
+            },
+            Some(503),
+            0,
+        ),
+        (
+            Faults {
+                closed: true,
+                ..none()
+            },
+            None,
+            0,
+        ),
+    ];
+    for (faults, status, runs) in cases {
+        let service = service::start(ServiceOptions::default()).await;
+        let service = service.expect("loopback has a free port");
+        service.set_faults(faults.clone());
+        let answer = order(service.address, "k").await;
+        let not_run = answer.as_ref().is_some_and(|answer| answer.not_run);
+        assert_eq!(not_run, faults.refuse > 0, "{faults:?}");
+        assert_eq!(answer.map(|answer| answer.status), status, "{faults:?}");
+        assert_eq!(service.counts().runs, runs, "{faults:?}");
+        service.set_faults(none());
+        let next = order(service.address, "k").await;
+        assert_eq!(next.expect("the fault is over").status, 200, "{faults:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_and_slowness_take_their_time() {
+    let service = service::start(ServiceOptions {
+        work_ms: 300,
+        ..ServiceOptions::default()
+    })
+    .await
+    .expect("loopback has a free port");
+    service.set_faults(Faults {
+        slow_ms: 400,
+        ..Faults::default()
+    });
+    let begun = tokio::time::Instant::now();
+    assert!(order(service.address, "k").await.is_some());
+    assert!(begun.elapsed() >= std::time::Duration::from_millis(700));
+}
--- /dev/null
+++ b/crates/live/src/directory.rs
@@ -0,0 +1,347 @@
+//! All agents that are known, and which of them hold what.
+
+use base::prelude::*;
+use schema::link::Heartbeat;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{Agent, Life, Residency, Timing};
+
+/// Agents kept at most, whatever peers relay.
+const AGENTS_MAX: usize = 4_096;
+
+/// Something that changed and matters to work in flight or waiting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// It is silent or its link is down.
+    Suspected(AgentId),
+    /// It is given up.
+    Lost(AgentId),
+    /// It is heard again.
+    Back(AgentId),
+    /// It began to leave.
+    Leaving(AgentId),
+    /// A new run of the agent took the place of the old one.
+    Restarted(AgentId),
+    /// Its upstream answers again.
+    UpstreamUp(AgentId),
+    /// Its upstream does not answer.
+    UpstreamDown(AgentId),
+    /// What it can serve changed.
+    Residency(AgentId),
+    /// It was forgotten.
+    Forgotten(AgentId),
+}
+
+/// How a heartbeat came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Over this entry's own link.
+    Direct,
+    /// Through another entry.
+    Relayed,
+}
+
+/// The agents.
+#[derive(Debug)]
+pub struct Directory {
+    timing: Timing,
+    agents: BTreeMap<AgentId, Agent>,
+    holders: BTreeMap<ModelId, BTreeSet<AgentId>>,
+}
+
+impl Directory {
+    /// An empty directory.
+    pub const fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            agents: BTreeMap::new(),
+            holders: BTreeMap::new(),
+        }
+    }
+
+    /// Bounds on silence in use.
+    pub const fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    /// Changes the bounds on silence, as a new configuration may.
+    pub const fn set_timing(&mut self, timing: Timing) {
+        self.timing = timing;
+    }
+
+    /// Finds an agent.
+    pub fn get(&self, id: &AgentId) -> Option<&Agent> {
+        self.agents.get(id)
+    }
+
+    /// Agents in order of name.
+    pub fn agents(&self) -> impl Iterator<Item = &Agent> {
+        self.agents.values()
+    }
+
+    /// Agents that have a model or adapter loaded, in order of name, whether
+    /// they may be sent work or not.
+    pub fn holders<'a>(&'a self, model: &str) -> impl Iterator<Item = &'a Agent> {
+        let held = self.holders.get(model).into_iter().flatten();
+        held.filter_map(|id| self.agents.get(id))
+    }
+
+    /// Whether an agent may be sent work now.
+    pub fn usable(&self, now: Instant, agent: &Agent) -> bool {
+        agent.usable(now, self.timing)
+    }
+
+    /// Takes a heartbeat; an old one changes nothing.
+    ///
+    /// Returns whether it was news.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        beat: Heartbeat,
+        heard: Heard,
+        changes: &mut Vec<Change>,
+    ) -> bool {
+        let Some(agent) = self.slot(now, &beat.agent) else {
+            return false;
+        };
+        let incarnation = Incarnation(beat.incarnation);
+        if incarnation < agent.incarnation {
+            return false;
+        }
+        let before = Shown::of(agent);
+        let restarted = incarnation > agent.incarnation;
+        if restarted {
+            let known = agent.incarnation.0 > 0;
+            agent.restart(incarnation);
+            if known {
+                changes.push(Change::Restarted(agent.id.clone()));
+            }
+        }
+        // The same heartbeat comes both directly and through each peer. The
+        // direct copy still shows that the link works.
+        if heard == Heard::Direct && beat.sequence >= agent.sequence {
+            agent.connected = true;
+            agent.direct_at = Some(now);
+            agent.heard_at = now;
+        }
+        if !restarted && beat.sequence <= agent.sequence {
+            return false;
+        }
+        agent.take(now, beat);
+        before.compare(agent, changes);
+        let id = agent.id.clone();
+        let gone = before.models(&self.agents[&id].residents);
+        self.reindex(&id, &gone);
+        true
+    }
+
+    /// Notes that the far end of a link said hello.
+    pub fn link_up(
+        &mut self,
+        now: Instant,
+        id: &AgentId,
+        incarnation: Incarnation,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(agent) = self.slot(now, id.as_str()) else {
+            return;
+        };
+        if incarnation > agent.incarnation {
+            let known = agent.incarnation.0 > 0;
+            let held: Vec<ModelId> = models_of(&agent.residents).cloned().collect();
+            agent.restart(incarnation);
+            if known {
+                changes.push(Change::Restarted(id.clone()));
+            }
+            self.unindex(id, &held);
+        }
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.connected = agent.incarnation == incarnation;
+        }
+    }
+
+    /// Notes that a link ended.
+    pub fn link_down(&mut self, id: &AgentId) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.connected = false;
+            agent.direct_at = None;
+        }
+    }
+
+    /// An agent said that it stops.
+    pub fn goodbye(
+        &mut self,
+        id: &AgentId,
+        incarnation: Incarnation,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(agent) = self.agents.get_mut(id) else {
+            return;
+        };
+        if agent.incarnation == incarnation && !agent.leaving() {
+            agent.say_leaving();
+            changes.push(Change::Leaving(id.clone()));
+        }
+    }
+
+    /// Takes the platform's word on which instances are leaving.
+    pub fn platform_leaving(
+        &mut self,
+        leaving: &BTreeSet<AgentId>,
+        changes: &mut Vec<Change>,
+    ) {
+        for (id, agent) in &mut self.agents {
+            let before = agent.leaving();
+            agent.platform_leaving = leaving.contains(id);
+            if agent.leaving() && !before {
+                changes.push(Change::Leaving(id.clone()));
+            }
+        }
+    }
+
+    /// Takes all that another entry says about silences, in place of what it
+    /// said before.
+    pub fn silences(
+        &mut self,
+        now: Instant,
+        by: &EntryId,
+        said: &[(AgentId, Incarnation)],
+    ) {
+        for agent in self.agents.values_mut() {
+            agent.forget_silences_of(by);
+        }
+        for (id, incarnation) in said {
+            if let Some(agent) = self.agents.get_mut(id) {
+                agent.note_silence(now, by, *incarnation);
+            }
+        }
+    }
+
+    /// Judges every agent anew. `alone` tells that no other entry is alive, so
+    /// this one's word is enough.
+    pub fn tick(&mut self, now: Instant, alone: bool, changes: &mut Vec<Change>) {
+        let timing = self.timing;
+        let mut forgotten = Vec::new();
+        for (id, agent) in &mut self.agents {
+            let life = agent.judge(now, timing, alone);
+            if life != agent.life {
+                agent.life = life;
+                changes.push(match life {
+                    Life::Up => Change::Back(id.clone()),
+                    Life::Suspected => Change::Suspected(id.clone()),
+                    Life::Lost => Change::Lost(id.clone()),
+                });
+            }
+            if now.ms_since(agent.heard_at) >= timing.forget_ms() {
+                forgotten.push(id.clone());
+            }
+        }
+        for id in forgotten {
+            self.forget(&id);
+            changes.push(Change::Forgotten(id));
+        }
+    }
+
+    /// When a verdict may change if nothing more is heard.
+    pub fn due(&self, now: Instant) -> Option<Instant> {
+        let verdicts = self.agents.values();
+        verdicts
+            .filter_map(|agent| agent.next_verdict(now, self.timing))
+            .min()
+    }
+
+    fn slot(&mut self, now: Instant, id: &str) -> Option<&mut Agent> {
+        if id.is_empty() {
+            return None;
+        }
+        if !self.agents.contains_key(id) && self.agents.len() >= AGENTS_MAX {
+            return None;
+        }
+        let id = AgentId::new(id);
+        let agent = self.agents.entry(id.clone());
+        Some(agent.or_insert_with(|| Agent::new(id, now)))
+    }
+
+    fn forget(&mut self, id: &AgentId) {
+        let Some(agent) = self.agents.remove(id) else {
+            return;
+        };
+        let held: Vec<ModelId> = models_of(&agent.residents).cloned().collect();
+        self.unindex(id, &held);
+    }
+
+    fn reindex(&mut self, id: &AgentId, gone: &[ModelId]) {
+        self.unindex(id, gone);
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let loaded = models_of(&agent.residents);
+        for model in loaded.filter(|model| agent.serves(model.as_str()).is_some()) {
+            let held = self.holders.entry(model.clone()).or_default();
+            held.insert(id.clone());
+        }
+    }
+
+    fn unindex(&mut self, id: &AgentId, gone: &[ModelId]) {
+        for model in gone {
+            if let Some(held) = self.holders.get_mut(model) {
+                held.remove(id);
+                if held.is_empty() {
+                    self.holders.remove(model);
+                }
+            }
+        }
+    }
+}
+
+/// What was shown of an agent before a heartbeat.
+struct Shown {
+    leaving: bool,
+    upstream_up: bool,
+    loaded: BTreeSet<(ModelId, u32)>,
+    all: BTreeSet<ModelId>,
+}
+
+impl Shown {
+    fn of(agent: &Agent) -> Self {
+        Self {
+            leaving: agent.leaving(),
+            upstream_up: agent.upstream_up,
+            loaded: loaded(agent),
+            all: models_of(&agent.residents).cloned().collect(),
+        }
+    }
+
+    fn compare(&self, agent: &Agent, changes: &mut Vec<Change>) {
+        if agent.leaving() && !self.leaving {
+            changes.push(Change::Leaving(agent.id.clone()));
+        }
+        if agent.upstream_up && !self.upstream_up {
+            changes.push(Change::UpstreamUp(agent.id.clone()));
+        }
+        if !agent.upstream_up && self.upstream_up {
+            changes.push(Change::UpstreamDown(agent.id.clone()));
+        }
+        if loaded(agent) != self.loaded {
+            changes.push(Change::Residency(agent.id.clone()));
+        }
+    }
+
+    /// Models whose place in the index has to be looked at.
+    fn models(&self, now: &[Residency]) -> Vec<ModelId> {
+        let both = self.all.iter().chain(models_of(now));
+        both.cloned().collect()
+    }
+}
+
+fn loaded(agent: &Agent) -> BTreeSet<(ModelId, u32)> {
+    let residents = agent.residents.iter();
+    residents
+        .filter(|held| held.state == crate::ResidencyState::Loaded)
+        .map(|held| (held.model.clone(), held.version))
+        .collect()
+}
+
+fn models_of(residents: &[Residency]) -> impl Iterator<Item = &ModelId> {
+    residents.iter().map(|held| &held.model)
+}
--- /dev/null
+++ b/crates/live/tests/entries.rs
@@ -0,0 +1,87 @@
+//! The other entries, their ranking, and members' addresses.
+
+use base::prelude::*;
+use live::{EntryTable, MemberKind, Members, Timing, rendezvous};
+use schema::link::Gossip;
+
+fn gossip(entry: &str, incarnation: u64, sequence: u64) -> Gossip {
+    Gossip {
+        entry: entry.to_owned(),
+        incarnation,
+        sequence,
+        ..Gossip::default()
+    }
+}
+
+/// Each cell has one planner among entries that hear one another; the cells of
+/// one that goes move to others, and all other cells stay.
+#[test]
+fn each_key_has_one_first_entry() {
+    let names = ["e1", "e2", "e3"];
+    let now = Instant::from_ms(100);
+    let first_of = |present: &[&str], key: &str| -> Vec<String> {
+        let ranks = present.iter().filter(|me| {
+            let mut table = EntryTable::new(Timing::new(500));
+            for other in present.iter().filter(|other| other != me) {
+                table.hear(now, &gossip(other, 1, 1));
+            }
+            table.ranks_first(now, &EntryId::new(me), key)
+        });
+        ranks.map(|name| (*name).to_owned()).collect()
+    };
+    let mut moved = 0;
+    for index in 0..60 {
+        let key = format!("cell{index}");
+        let all = first_of(&names, &key);
+        assert_eq!(all.len(), 1);
+        let without = first_of(&names[..2], &key);
+        assert_eq!(without.len(), 1);
+        if all[0] == "e3" {
+            moved += 1;
+        } else {
+            assert_eq!(all, without, "{key}");
+        }
+    }
+    assert!((10..=30).contains(&moved), "{moved} of 60");
+}
+
+/// A stopping or silent entry is passed over; late or doubled gossip does not
+/// bring it back.
+#[test]
+fn stopping_and_silent_entries_are_passed_over() {
+    let me = EntryId::new("e1");
+    let key = (0..)
+        .map(|index| format!("cell{index}"))
+        .find(|key| rendezvous(key, "e2") > rendezvous(key, "e1"))
+        .expect("one of them");
+    let mut table = EntryTable::new(Timing::new(500));
+    let at = Instant::from_ms;
+    assert!(table.hear(at(0), &gossip("e2", 1, 5)));
+    assert!(!table.ranks_first(at(0), &me, &key));
+    assert!(!table.hear(at(1_900), &gossip("e2", 1, 5)), "doubled");
+    assert!(!table.hear(at(1_900), &gossip("e2", 1, 4)), "late");
+    assert!(table.ranks_first(at(2_000), &me, &key), "silent");
+    assert!(table.hear(at(2_100), &gossip("e2", 1, 6)));
+    assert!(!table.ranks_first(at(2_100), &me, &key));
+    table.goodbye(&EntryId::new("e2"), Incarnation(1));
+    assert!(table.ranks_first(at(2_100), &me, &key), "stopping");
+    assert!(table.hear(at(2_200), &gossip("e2", 2, 1)), "a new run");
+    assert!(!table.ranks_first(at(2_200), &me, &key));
+}
+
+/// An old member record must not send the process back to an old address.
+#[test]
+fn addresses_never_go_back_to_an_older_run() {
+    let mut members = Members::new();
+    let mut note = |incarnation, address| {
+        members.note(MemberKind::Agent, "a1", Incarnation(incarnation), address)
+    };
+    assert!(note(2, "10.0.0.1:1"));
+    assert!(!note(2, "10.0.0.1:1"));
+    assert!(!note(1, "10.0.0.9:9"));
+    assert!(!note(3, ""));
+    assert!(note(3, "10.0.0.2:1"));
+    let address = members.address(MemberKind::Agent, "a1");
+    assert_eq!(address, Some("10.0.0.2:1"));
+    assert_eq!(members.address(MemberKind::Entry, "a1"), None);
+}
--- /dev/null
+++ b/crates/oper/src/process_use.rs
@@ -0,0 +1,46 @@
+//! What the operating system says about this process.
+
+use std::fs;
+
+/// Ticks per second in which the kernel states processor time; it is the same
+/// on every Linux that the project runs on.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Place of the user time behind the name in `/proc/self/stat`.
+const USER_TIME_FIELD: usize = 11;
+
+/// Processor time and memory of this process.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ProcessUse {
+    /// Processor time used, user and system, in seconds.
+    pub cpu_s: f64,
+    /// Resident memory.
+    pub resident_bytes: u64,
+}
+
+impl ProcessUse {
+    /// Reads both; what can't be read is 0.
+    pub fn read() -> Self {
+        let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+        let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+        Self {
+            cpu_s: cpu_s(&stat).unwrap_or_default(),
+            resident_bytes: resident_bytes(&status).unwrap_or_default(),
+        }
+    }
+}
+
+fn cpu_s(stat: &str) -> Option<f64> {
+    // The name stands in parentheses and may hold spaces.
+    let (_, behind_name) = stat.rsplit_once(')')?;
+    let mut times = behind_name.split_whitespace().skip(USER_TIME_FIELD);
+    let user: f64 = times.next()?.parse().ok()?;
+    let system: f64 = times.next()?.parse().ok()?;
+    Some((user + system) / TICKS_PER_S)
+}
+
+fn resident_bytes(status: &str) -> Option<u64> {
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1_024)
+}
--- /dev/null
+++ b/crates/place/benches/plan.rs
@@ -0,0 +1,3 @@
+//! Time of one plan against the size of the cell.
+#![allow(missing_docs)]
+fn main() {}
--- /dev/null
+++ b/crates/place/benches/queue/cell.rs
@@ -0,0 +1,468 @@
+//! The cell: queues, accelerators and the weight store.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::setup::Setup;
+use super::traffic::{Request, Workload};
+
+/// Length of one step.
+pub const STEP_MS: u64 = 50;
+
+/// Time an unload takes once nothing runs any more.
+const UNLOAD_MS: u64 = 200;
+
+/// Time constant of the smoothed arrivals.
+const SMOOTH_MS: f64 = 5_000.0;
+
+/// A model whose work was given up on waits on if more comes within this time.
+const ASKED_AGAIN_MS: u64 = 30_000;
+
+/// When the loss happens, and how long it takes to be seen.
+const LOSS_MS: u64 = 100_000;
+const BACK_MS: u64 = 200_000;
+const SEEN_AFTER_MS: u64 = 2_000;
+
+/// Where a resident is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Waits for the store.
+    Queued,
+    Loading,
+    Loaded,
+    /// Finishes what runs before it is unloaded.
+    Draining,
+    Unloading,
+}
+
+#[derive(Debug, Clone)]
+pub struct Resident {
+    pub model: usize,
+    pub stage: Stage,
+    pub since_ms: u64,
+    left_ms: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    request: Request,
+    end_ms: u64,
+}
+
+/// One accelerator.
+#[derive(Debug, Clone, Default)]
+pub struct Server {
+    pub residents: Vec<Resident>,
+    running: Vec<Running>,
+    target: Vec<usize>,
+    pub lost_at_ms: Option<u64>,
+}
+
+/// What one run gave.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    pub offered: u64,
+    pub attained: u64,
+    pub offered_interactive: u64,
+    pub attained_interactive: u64,
+    pub moves: u64,
+    /// Longest time a model with work went without any of it being started.
+    pub longest_wait_ms: u64,
+    pub accelerator_s: f64,
+    /// Attained and moves in each second.
+    pub seconds: Vec<(u64, u64)>,
+}
+
+impl Outcome {
+    pub fn share(&self) -> f64 {
+        self.attained as f64 / self.offered.max(1) as f64
+    }
+
+    pub fn per_accelerator(&self) -> f64 {
+        self.attained as f64 / self.accelerator_s
+    }
+}
+
+/// The cell at one moment.
+#[derive(Debug)]
+pub struct Cell {
+    pub setup: Setup,
+    pub workload: Workload,
+    pub servers: Vec<Server>,
+    /// Interactive requests before batch ones, for each model.
+    queues: Vec<[VecDeque<Request>; 2]>,
+    pub rate_per_s: Vec<f64>,
+    next_request: usize,
+    store_starts: f64,
+    /// When a request of each model last started.
+    pub used_ms: Vec<u64>,
+    /// When work last waited for each model.
+    asked_ms: Vec<u64>,
+    /// First work without a start since, for each model.
+    unserved_since_ms: Vec<Option<u64>>,
+    outcome: Outcome,
+}
+
+impl Cell {
+    pub fn new(setup: &Setup, workload: Workload) -> Self {
+        Self {
+            setup: setup.clone(),
+            workload,
+            servers: vec![Server::default(); setup.servers],
+            queues: vec![Default::default(); setup.models()],
+            rate_per_s: vec![0.0; setup.models()],
+            next_request: 0,
+            store_starts: 1.0,
+            asked_ms: vec![0; setup.models()],
+            used_ms: vec![0; setup.models()],
+            unserved_since_ms: vec![None; setup.models()],
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Fills the accelerators before the run.
+    pub fn preload(&mut self, targets: &[Vec<usize>]) {
+        for (server, models) in self.servers.iter_mut().zip(targets) {
+            server.target = models.clone();
+            server.residents = models
+                .iter()
+                .map(|model| Resident {
+                    model: *model,
+                    stage: Stage::Loaded,
+                    since_ms: 0,
+                    left_ms: 0.0,
+                })
+                .collect();
+        }
+    }
+
+    pub fn follow(&mut self, targets: Vec<Vec<usize>>) {
+        for (server, target) in self.servers.iter_mut().zip(targets) {
+            server.target = target;
+        }
+    }
+
+    pub fn target(&self, server: usize) -> &[usize] {
+        &self.servers[server].target
+    }
+
+    pub fn waiting(&self, model: usize) -> usize {
+        self.queues[model].iter().map(VecDeque::len).sum()
+    }
+
+    pub fn oldest_wait_ms(&self, model: usize, now_ms: u64) -> u64 {
+        let fronts = self.queues[model].iter().filter_map(VecDeque::front);
+        fronts
+            .map(|request| now_ms.saturating_sub(request.arrival_ms))
+            .max()
+            .unwrap_or(0)
+    }
+
+    pub fn batch_share(&self, model: usize) -> f64 {
+        let [desk, batch] = &self.queues[model];
+        batch.len() as f64 / (desk.len() + batch.len()).max(1) as f64
+    }
+
+    pub fn running(&self, server: usize) -> usize {
+        self.servers[server].running.len()
+    }
+
+    /// Whether the cell's directory still lists the server.
+    pub fn listed(&self, server: usize, now_ms: u64) -> bool {
+        let lost = self.servers[server].lost_at_ms;
+        lost.is_none_or(|lost| now_ms < lost + SEEN_AFTER_MS)
+    }
+
+    pub fn outcome(self) -> Outcome {
+        self.outcome
+    }
+
+    pub fn step(&mut self, now_ms: u64, traffic: &[Request]) {
+        if now_ms % 1_000 == 0 {
+            self.outcome.seconds.push((0, 0));
+        }
+        self.lose(now_ms);
+        self.arrive(now_ms, traffic);
+        self.complete(now_ms);
+        self.move_models(now_ms);
+        self.store(now_ms);
+        self.give_up(now_ms);
+        self.dispatch(now_ms);
+        self.measure(now_ms);
+        let alive = self.servers.iter().filter(|s| s.lost_at_ms.is_none());
+        self.outcome.accelerator_s += alive.count() as f64 * STEP_MS as f64 / 1_000.0;
+    }
+
+    /// Takes the longest wait.
+    ///
+    /// It ends with a start, when one is possible, or when nobody has asked for
+    /// a while; not when a request is given up on.
+    fn measure(&mut self, now_ms: u64) {
+        for model in 0..self.setup.models() {
+            let Some(since) = self.unserved_since_ms[model] else {
+                continue;
+            };
+            if self.waiting(model) > 0 {
+                self.asked_ms[model] = now_ms;
+            } else if self.holds(model)
+                || now_ms >= self.asked_ms[model] + ASKED_AGAIN_MS
+            {
+                self.unserved_since_ms[model] = None;
+                continue;
+            }
+            let wait_ms = now_ms.saturating_sub(since);
+            let longest = &mut self.outcome.longest_wait_ms;
+            *longest = (*longest).max(wait_ms);
+        }
+    }
+
+    fn holds(&self, model: usize) -> bool {
+        let base = self.setup.base(model);
+        let loaded = |server: &Server, model: usize| {
+            let mut residents = server.residents.iter();
+            residents.any(|r| r.model == model && r.stage == Stage::Loaded)
+        };
+        let mut servers = self.servers.iter();
+        servers.any(|server| loaded(server, base) && loaded(server, model))
+    }
+
+    /// Loads the store could start at once, none of them in the queue yet.
+    pub fn open_starts(&self) -> usize {
+        let residents = self.servers.iter().flat_map(|server| &server.residents);
+        let coming = residents
+            .filter(|r| matches!(r.stage, Stage::Queued | Stage::Loading))
+            .count();
+        let wanted = self.servers.iter().map(|server| {
+            let missing = server
+                .target
+                .iter()
+                .filter(|model| !server.residents.iter().any(|r| r.model == **model));
+            missing.count()
+        });
+        let coming = coming + wanted.sum::<usize>();
+        let at_once = self.setup.full_speed.saturating_sub(coming);
+        at_once.min(self.store_starts as usize)
+    }
+
+    fn lose(&mut self, now_ms: u64) {
+        let goes: Vec<usize> = match self.workload {
+            Workload::LoseServer => vec![0],
+            Workload::LoseDomain => (0..self.setup.servers)
+                .filter(|server| self.setup.domain(*server) == 0)
+                .collect(),
+            _ => return,
+        };
+        for server in goes {
+            if now_ms == LOSS_MS {
+                let lost = std::mem::take(&mut self.servers[server]);
+                self.servers[server].lost_at_ms = Some(now_ms);
+                for running in lost.running {
+                    let request = running.request;
+                    let class = usize::from(request.batch);
+                    self.queues[request.model][class].push_front(request);
+                }
+            }
+            if now_ms == BACK_MS {
+                self.servers[server] = Server::default();
+            }
+        }
+    }
+
+    fn arrive(&mut self, now_ms: u64, traffic: &[Request]) {
+        let decay = (-(STEP_MS as f64) / SMOOTH_MS).exp();
+        for rate in &mut self.rate_per_s {
+            *rate *= decay;
+        }
+        while let Some(request) = traffic.get(self.next_request) {
+            if request.arrival_ms > now_ms {
+                break;
+            }
+            self.next_request += 1;
+            self.outcome.offered += 1;
+            self.outcome.offered_interactive += u64::from(!request.batch);
+            self.rate_per_s[request.model] += (1.0 - decay) * 1_000.0 / STEP_MS as f64;
+            self.unserved_since_ms[request.model].get_or_insert(now_ms);
+            let class = usize::from(request.batch);
+            self.queues[request.model][class].push_back(request.clone());
+        }
+    }
+
+    fn complete(&mut self, now_ms: u64) {
+        for server in &mut self.servers {
+            server.running.retain(|running| {
+                if running.end_ms > now_ms {
+                    return true;
+                }
+                let attained = u64::from(running.end_ms <= running.request.deadline_ms);
+                self.outcome.attained += attained;
+                if !running.request.batch {
+                    self.outcome.attained_interactive += attained;
+                }
+                if let Some(second) = self.outcome.seconds.last_mut() {
+                    second.0 += attained;
+                }
+                false
+            });
+        }
+    }
+
+    /// What an agent does to get to its target.
+    fn move_models(&mut self, now_ms: u64) {
+        let setup = &self.setup;
+        for server in self.servers.iter_mut().filter(|s| s.lost_at_ms.is_none()) {
+            let Server {
+                residents,
+                running,
+                target,
+                ..
+            } = server;
+            let mut moves = 0;
+            for resident in residents.iter_mut() {
+                let wanted = target.contains(&resident.model);
+                let runs = running.iter().any(|r| {
+                    r.request.model == resident.model
+                        || setup.base(r.request.model) == resident.model
+                });
+                match resident.stage {
+                    Stage::Queued if !wanted => resident.left_ms = -1.0,
+                    Stage::Loaded if !wanted => {
+                        resident.stage = Stage::Draining;
+                        resident.since_ms = now_ms;
+                    }
+                    Stage::Draining if wanted => resident.stage = Stage::Loaded,
+                    Stage::Draining if !runs => {
+                        resident.stage = Stage::Unloading;
+                        resident.left_ms = UNLOAD_MS as f64;
+                        resident.since_ms = now_ms;
+                        moves += 1;
+                    }
+                    Stage::Unloading => resident.left_ms -= STEP_MS as f64,
+                    _ => {}
+                }
+            }
+            residents.retain(|resident| match resident.stage {
+                Stage::Queued => resident.left_ms >= 0.0,
+                Stage::Unloading => resident.left_ms > 0.0,
+                _ => true,
+            });
+            for model in target.iter() {
+                if residents.iter().any(|resident| resident.model == *model) {
+                    continue;
+                }
+                let base = setup.base(*model);
+                let ready = base == *model
+                    || residents
+                        .iter()
+                        .any(|r| r.model == base && r.stage == Stage::Loaded);
+                let used: u32 = residents.iter().map(|r| setup.size_mib[r.model]).sum();
+                if ready && used + setup.size_mib[*model] <= setup.capacity_mib {
+                    residents.push(Resident {
+                        model: *model,
+                        stage: Stage::Queued,
+                        since_ms: now_ms,
+                        left_ms: 0.0,
+                    });
+                }
+            }
+            self.outcome.moves += moves;
+            if let Some(second) = self.outcome.seconds.last_mut() {
+                second.1 += moves;
+            }
+        }
+    }
+
+    fn store(&mut self, now_ms: u64) {
+        let step_s = STEP_MS as f64 / 1_000.0;
+        let most = self.setup.loads_per_s.max(1.0);
+        self.store_starts =
+            (self.store_starts + step_s * self.setup.loads_per_s).min(most);
+        let mut queued: BTreeMap<(u64, usize, usize), ()> = BTreeMap::new();
+        let mut loading = 0;
+        for (index, server) in self.servers.iter().enumerate() {
+            for (place, resident) in server.residents.iter().enumerate() {
+                match resident.stage {
+                    Stage::Queued => {
+                        queued.insert((resident.since_ms, index, place), ());
+                    }
+                    Stage::Loading => loading += 1,
+                    _ => {}
+                }
+            }
+        }
+        for (_, server, place) in queued.into_keys() {
+            if self.store_starts < 1.0 {
+                break;
+            }
+            self.store_starts -= 1.0;
+            loading += 1;
+            let resident = &mut self.servers[server].residents[place];
+            resident.stage = Stage::Loading;
+            resident.since_ms = now_ms;
+            resident.left_ms = self.setup.load_ms as f64;
+            self.outcome.moves += 1;
+            if let Some(second) = self.outcome.seconds.last_mut() {
+                second.1 += 1;
+            }
+        }
+        let speed = (self.setup.full_speed as f64 / loading.max(1) as f64).min(1.0);
+        for server in &mut self.servers {
+            for resident in &mut server.residents {
+                if resident.stage == Stage::Loading {
+                    resident.left_ms -= STEP_MS as f64 * speed;
+                    if resident.left_ms <= 0.0 {
+                        resident.stage = Stage::Loaded;
+                        resident.since_ms = now_ms;
+                    }
+                }
+            }
+        }
+    }
+
+    fn give_up(&mut self, now_ms: u64) {
+        for queue in self.queues.iter_mut().flatten() {
+            queue.retain(|request| now_ms + request.service_ms <= request.deadline_ms);
+        }
+    }
+
+    fn dispatch(&mut self, now_ms: u64) {
+        let models = self.setup.models();
+        let first = (now_ms / STEP_MS) as usize * 7 % models;
+        for class in 0..2 {
+            for nth in 0..models {
+                let model = (first + nth) % models;
+                while !self.queues[model][class].is_empty() {
+                    let Some(server) = self.place_for(model) else {
+                        break;
+                    };
+                    let Some(request) = self.queues[model][class].pop_front() else {
+                        break;
+                    };
+                    self.used_ms[model] = now_ms;
+                    let base = self.setup.base(model);
+                    self.used_ms[base] = now_ms;
+                    self.unserved_since_ms[model] = None;
+                    self.servers[server].running.push(Running {
+                        end_ms: now_ms + request.service_ms,
+                        request,
+                    });
+                }
+            }
+        }
+    }
+
+    /// The holder with the most free places.
+    fn place_for(&self, model: usize) -> Option<usize> {
+        let base = self.setup.base(model);
+        let holds = |server: &Server, model: usize| {
+            let mut residents = server.residents.iter();
+            residents.any(|r| r.model == model && r.stage == Stage::Loaded)
+        };
+        let open = self.servers.iter().enumerate().filter(|(_, server)| {
+            server.lost_at_ms.is_none()
+                && server.running.len() < self.setup.places
+                && holds(server, base)
+                && holds(server, model)
+        });
+        open.min_by_key(|(_, server)| server.running.len())
+            .map(|(index, _)| index)
+    }
+}
--- /dev/null
+++ b/crates/role/src/agent/attempts.rs
@@ -0,0 +1,145 @@
+//! The table of attempts.
+
+use base::{AttemptId, EntryId, Instant, ModelId, Refusal};
+use schema::link::Run;
+use std::collections::BTreeMap;
+
+/// Where an attempt is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It waits for the claim of its key.
+    Claiming,
+    /// It was given to the driver.
+    Starting,
+    /// Its first bytes were sent to the upstream.
+    Running,
+    /// Its connection broke. Whether the upstream died with it is not known
+    /// yet; it then counts among those in flight at the crash.
+    Broken {
+        /// When it ends as if the upstream had not died.
+        until: Instant,
+    },
+    /// It was refused, and waits for its claim's release.
+    Releasing {
+        /// What to tell the entry.
+        refusal: Refusal,
+        /// It had been handed over, so it ends instead of being refused.
+        started: bool,
+    },
+}
+
+/// One attempt.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    /// Entry to answer; `None` once it is gone.
+    pub(super) entry: Option<EntryId>,
+    pub(super) phase: Phase,
+    /// The request; taken when it is given to the driver.
+    pub(super) run: Option<Box<Run>>,
+    pub(super) model: ModelId,
+    pub(super) version: u32,
+    pub(super) idempotent: bool,
+    pub(super) keyed: bool,
+    pub(super) alone: bool,
+    pub(super) fingerprint: u64,
+    /// Units of the answer before the next part.
+    pub(super) offset: u64,
+    pub(super) began: Instant,
+    pub(super) deadline: Instant,
+    /// The entry was told that the deadline has passed.
+    pub(super) overdue: bool,
+    /// Answer of a call with a key; `None` once it is too large to be kept.
+    pub(super) kept: Option<Vec<u8>>,
+}
+
+impl Attempt {
+    /// It was handed to the upstream.
+    pub(super) const fn is_handed_over(&self) -> bool {
+        matches!(self.phase, Phase::Running | Phase::Broken { .. })
+    }
+
+    /// It takes a place at the upstream, or may soon.
+    const fn takes_place(&self) -> bool {
+        !matches!(self.phase, Phase::Releasing { .. })
+    }
+
+    /// Keeps a part for a resend, up to `max` bytes in all.
+    pub(super) fn keep(&mut self, payload: &[u8], max: usize) {
+        let Some(kept) = &mut self.kept else { return };
+        if kept.len() + payload.len() > max {
+            self.kept = None;
+            return;
+        }
+        kept.extend_from_slice(payload);
+    }
+}
+
+/// The attempts in progress.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    table: BTreeMap<AttemptId, Attempt>,
+}
+
+impl Attempts {
+    pub(super) fn insert(&mut self, id: AttemptId, attempt: Attempt) {
+        self.table.insert(id, attempt);
+    }
+
+    pub(super) fn get(&self, id: AttemptId) -> Option<&Attempt> {
+        self.table.get(&id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.table.get_mut(&id)
+    }
+
+    pub(super) fn remove(&mut self, id: AttemptId) -> Option<Attempt> {
+        self.table.remove(&id)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Places taken.
+    pub(super) fn in_flight(&self) -> u32 {
+        let taken = self.table.values().filter(|attempt| attempt.takes_place());
+        u32::try_from(taken.count()).unwrap_or(u32::MAX)
+    }
+
+    /// An attempt that must run alone is in progress.
+    pub(super) fn any_alone(&self) -> bool {
+        self.table
+            .values()
+            .any(|attempt| attempt.alone && attempt.takes_place())
+    }
+
+    /// An attempt on a version of a model is in progress.
+    pub(super) fn any_on(&self, model: &ModelId, version: u32) -> bool {
+        let mut taken = self.table.values().filter(|attempt| attempt.takes_place());
+        taken.any(|attempt| attempt.model == *model && attempt.version == version)
+    }
+
+    /// Attempts for which a condition holds, in order.
+    pub(super) fn ids_where(&self, holds: impl Fn(&Attempt) -> bool) -> Vec<AttemptId> {
+        let found = self.table.iter().filter(|(_, attempt)| holds(attempt));
+        found.map(|(id, _)| *id).collect()
+    }
+
+    /// When an attempt next needs to be looked at.
+    pub(super) fn due(&self) -> Option<Instant> {
+        let times = self
+            .table
+            .values()
+            .filter_map(|attempt| match attempt.phase {
+                Phase::Broken { until } => Some(until),
+                Phase::Starting | Phase::Running => Some(attempt.deadline),
+                Phase::Claiming | Phase::Releasing { .. } => None,
+            });
+        times.min()
+    }
+}
--- a/crates/role/src/agent/event.rs
+++ b/crates/role/src/agent/event.rs
@@ -7,6 +7,10 @@
 
 /// Something that happened to an agent.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "one event exists at a time, on the stack of its driver"
+)]
 pub enum AgentEvent {
     /// The time given by `due` has come.
     Tick,
@@ -63,6 +67,17 @@
         /// Units in the part.
         units: u32,
     },
+    /// A part of the answer to a non-idempotent call with a key, in place of
+    /// `Part`: the answer is kept for a resend. Such a call is known by its
+    /// `Start`, whose run is not idempotent and has a key.
+    KeyedPart {
+        /// Attempt.
+        attempt: AttemptId,
+        /// Units in the part.
+        units: u32,
+        /// Content, which the driver holds as well until the call returns.
+        payload: Vec<u8>,
+    },
     /// The upstream ended an answer in good order.
     Done {
         /// Attempt.
--- /dev/null
+++ b/crates/role/src/agent/record.rs
@@ -0,0 +1,284 @@
+//! The agent's epoch and the intents of its orders, in `agents/<id>`.
+//!
+//! Every write is conditional on the version last seen, so of two agents beside
+//! one upstream only the one that took the later epoch can still record an
+//! intent. No order goes out without its intent in the record; the other agent
+//! therefore gives no order that its successor does not count.
+
+use super::AgentAction;
+use super::retry::{Backoff, Caller};
+use base::{Epoch, Expect, Incarnation, Instant, PlatformOp, PlatformResult, Version};
+use prost::Message as _;
+use schema::store::{AgentRecord, Intent};
+
+#[derive(Debug)]
+enum Call {
+    Read,
+    Write(Box<AgentRecord>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// The epoch is not taken yet.
+    Taking,
+    /// The epoch is ours.
+    Held,
+    /// A successor has taken a higher epoch.
+    Fenced,
+}
+
+/// What an answer of the platform meant.
+#[derive(Debug, PartialEq)]
+pub(super) enum RecordNews {
+    /// Nothing that concerns others.
+    Nothing,
+    /// The epoch is ours; the record of the predecessor, if there was one.
+    Taken(Option<Box<AgentRecord>>),
+    /// The record's content is known again.
+    Recorded,
+    /// A write provably had no effect.
+    NotWritten,
+    /// A successor has taken over.
+    Fenced,
+    /// The record can't be read; nothing is done on a guess.
+    Undecodable,
+}
+
+/// The record of this agent.
+#[derive(Debug)]
+pub(super) struct Record {
+    key: String,
+    incarnation: Incarnation,
+    link_address: String,
+    phase: Phase,
+    epoch: Epoch,
+    version: Option<Version>,
+    predecessor: Option<Box<AgentRecord>>,
+    intents: Vec<Intent>,
+    call: Option<(u64, Call)>,
+    /// The record has to be read before anything is done by it.
+    unsure: bool,
+    backoff: Backoff,
+}
+
+impl Record {
+    pub(super) fn new(id: &str, incarnation: Incarnation, link_address: &str) -> Self {
+        Self {
+            key: format!("agents/{id}"),
+            incarnation,
+            link_address: link_address.to_owned(),
+            phase: Phase::Taking,
+            epoch: Epoch(0),
+            version: None,
+            predecessor: None,
+            intents: Vec::new(),
+            call: None,
+            unsure: true,
+            backoff: Backoff::default(),
+        }
+    }
+
+    /// Epoch held; 0 before it is taken.
+    pub(super) const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    pub(super) fn is_fenced(&self) -> bool {
+        self.phase == Phase::Fenced
+    }
+
+    /// The epoch is ours as far as can be known: orders may go out.
+    pub(super) fn is_sure(&self) -> bool {
+        self.phase == Phase::Held && !self.unsure
+    }
+
+    /// The record can be written, so that a plan can be carried out.
+    pub(super) fn is_writable(&self, now: Instant) -> bool {
+        self.is_sure() && self.backoff.is_over(now)
+    }
+
+    pub(super) const fn is_busy(&self) -> bool {
+        self.call.is_some()
+    }
+
+    /// Whether the record holds the intent of an order.
+    pub(super) fn holds(&self, order: u64) -> bool {
+        self.intents.iter().any(|intent| intent.order == order)
+    }
+
+    /// Intents in the record.
+    pub(super) fn intents(&self) -> &[Intent] {
+        &self.intents
+    }
+
+    /// The process may have been frozen: read before any further order.
+    pub(super) fn doubt(&mut self) {
+        self.unsure = true;
+    }
+
+    /// Reads the record if that is needed.
+    pub(super) fn advance(
+        &mut self,
+        now: Instant,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let waits = self.call.is_some() || !self.backoff.is_over(now);
+        if waits || !self.unsure || self.is_fenced() {
+            return;
+        }
+        let key = self.key.clone();
+        self.call = Some((caller.call(PlatformOp::Read { key }, out), Call::Read));
+    }
+
+    /// Writes the intents, if no write is in flight.
+    pub(super) fn write(
+        &mut self,
+        now: Instant,
+        intents: Vec<Intent>,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if self.is_writable(now) && self.call.is_none() {
+            self.send_write(self.epoch, intents, caller, out);
+        }
+    }
+
+    fn send_write(
+        &mut self,
+        epoch: Epoch,
+        intents: Vec<Intent>,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let record = AgentRecord {
+            epoch: epoch.0,
+            incarnation: self.incarnation.0,
+            link_address: self.link_address.clone(),
+            intents,
+        };
+        let op = PlatformOp::Write {
+            key: self.key.clone(),
+            expect: self.version.map_or(Expect::Absent, Expect::Version),
+            value: record.encode_to_vec(),
+        };
+        self.call = Some((caller.call(op, out), Call::Write(Box::new(record))));
+    }
+
+    pub(super) fn owns(&self, call: u64) -> bool {
+        self.call.as_ref().is_some_and(|(id, _)| *id == call)
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        now: Instant,
+        result: &PlatformResult,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) -> RecordNews {
+        let Some((_, call)) = self.call.take() else {
+            return RecordNews::Nothing;
+        };
+        match (call, result) {
+            (Call::Read, PlatformResult::Object(object)) => {
+                self.backoff.succeeded();
+                self.was_read(now, object.as_ref(), caller, out)
+            }
+            (Call::Write(record), PlatformResult::Written(version)) => {
+                self.backoff.succeeded();
+                self.was_written(*version, *record)
+            }
+            (Call::Write(_), PlatformResult::Away) => {
+                self.backoff.failed(now, caller);
+                RecordNews::NotWritten
+            }
+            (Call::Write(_), PlatformResult::Conflict) => {
+                self.unsure = true;
+                RecordNews::Nothing
+            }
+            // A write without an answer may have taken effect: read it back.
+            (Call::Write(_), _) => {
+                self.unsure = true;
+                RecordNews::Nothing
+            }
+            (Call::Read, _) => {
+                self.backoff.failed(now, caller);
+                RecordNews::Nothing
+            }
+        }
+    }
+
+    fn was_written(&mut self, version: Version, record: AgentRecord) -> RecordNews {
+        self.version = Some(version);
+        self.intents = record.intents;
+        if self.phase == Phase::Taking {
+            return self.taken(Epoch(record.epoch));
+        }
+        RecordNews::Recorded
+    }
+
+    fn taken(&mut self, epoch: Epoch) -> RecordNews {
+        self.phase = Phase::Held;
+        self.epoch = epoch;
+        self.unsure = false;
+        RecordNews::Taken(self.predecessor.take())
+    }
+
+    fn was_read(
+        &mut self,
+        now: Instant,
+        object: Option<&(Version, Vec<u8>)>,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) -> RecordNews {
+        let Some((version, value)) = object else {
+            return self.was_absent(caller, out);
+        };
+        let Ok(record) = AgentRecord::decode(value.as_slice()) else {
+            self.backoff.failed(now, caller);
+            return RecordNews::Undecodable;
+        };
+        self.version = Some(*version);
+        if record.incarnation == self.incarnation.0 {
+            return self.was_ours(record);
+        }
+        let newer = record.incarnation > self.incarnation.0;
+        if self.phase == Phase::Held || newer {
+            self.phase = Phase::Fenced;
+            return RecordNews::Fenced;
+        }
+        let epoch = Epoch(record.epoch + 1);
+        let intents = record.intents.clone();
+        self.predecessor = Some(Box::new(record));
+        self.send_write(epoch, intents, caller, out);
+        RecordNews::Nothing
+    }
+
+    fn was_ours(&mut self, record: AgentRecord) -> RecordNews {
+        self.unsure = false;
+        self.intents = record.intents;
+        if self.phase == Phase::Taking {
+            return self.taken(Epoch(record.epoch));
+        }
+        RecordNews::Recorded
+    }
+
+    /// There is no record: this is the first agent, or the platform lost it.
+    fn was_absent(
+        &mut self,
+        caller: &mut Caller,
+        out: &mut Vec<AgentAction>,
+    ) -> RecordNews {
+        self.version = None;
+        self.unsure = self.phase != Phase::Held;
+        let epoch = Epoch(self.epoch.0.max(1));
+        let intents = std::mem::take(&mut self.intents);
+        self.send_write(epoch, intents, caller, out);
+        RecordNews::Nothing
+    }
+
+    pub(super) fn due(&self) -> Option<Instant> {
+        let waits = self.call.is_none() && !self.is_fenced();
+        self.backoff.until().filter(|_| waits)
+    }
+}
--- /dev/null
+++ b/crates/role/src/agent/status.rs
@@ -0,0 +1,121 @@
+//! What operators see of an agent.
+
+use super::AgentRole;
+use serde::Serialize;
+
+/// What operators see of an agent.
+#[derive(Debug, Clone, Serialize)]
+pub struct AgentStatus {
+    /// Name of the instance.
+    pub id: String,
+    /// This run of the process.
+    pub incarnation: u64,
+    /// Fencing number; 0 before it is taken.
+    pub epoch: u64,
+    /// A successor has taken over.
+    pub fenced: bool,
+    /// Configuration in force.
+    pub revision: u64,
+    /// The process takes work.
+    pub ready: bool,
+    /// The process is stopping.
+    pub leaving: bool,
+    /// The upstream answers.
+    pub upstream_up: bool,
+    /// Incarnation of the upstream.
+    pub upstream_incarnation: u64,
+    /// Memory of each accelerator.
+    pub accelerators: Vec<AcceleratorStatus>,
+    /// Orders that may still take effect.
+    pub orders: Vec<OrderStatus>,
+    /// Planner whose target is followed; empty for none.
+    pub target_planner: String,
+    /// Attempts in the table.
+    pub attempts: usize,
+    /// Claims held by running calls.
+    pub claims_held: usize,
+}
+
+/// Memory of one accelerator.
+#[derive(Debug, Clone, Serialize)]
+pub struct AcceleratorStatus {
+    /// Memory there is.
+    pub capacity_mib: u64,
+    /// Memory that is or may come to be in use.
+    pub in_use_mib: u64,
+    /// Models and adapters that the upstream shows.
+    pub residents: Vec<String>,
+}
+
+/// One order that may still take effect.
+#[derive(Debug, Clone, Serialize)]
+pub struct OrderStatus {
+    /// Number.
+    pub order: u64,
+    /// Epoch of the agent that gave it.
+    pub epoch: u64,
+    /// `load` or `unload`.
+    pub kind: &'static str,
+    /// Model or adapter.
+    pub model: String,
+    /// Version.
+    pub version: u32,
+    /// Index of the accelerator.
+    pub accelerator: u32,
+    /// Times this process gave it; 0 while its intent is being recorded.
+    pub sends: u32,
+}
+
+impl AgentRole {
+    /// What operators see of the agent.
+    pub fn status(&self) -> AgentStatus {
+        AgentStatus {
+            id: self.options.id.as_str().to_owned(),
+            incarnation: self.options.incarnation.0,
+            epoch: self.record.epoch().0,
+            fenced: self.record.is_fenced(),
+            revision: self.revision().0,
+            ready: self.ready,
+            leaving: self.drain.is_some(),
+            upstream_up: self.upstream.is_up(),
+            upstream_incarnation: self.ledger.upstream_incarnation().unwrap_or(0),
+            accelerators: self.accelerator_status(),
+            orders: self.order_status(),
+            target_planner: self.targets.planner().to_owned(),
+            attempts: self.attempts.len(),
+            claims_held: self.claims.held(),
+        }
+    }
+
+    fn accelerator_status(&self) -> Vec<AcceleratorStatus> {
+        let status = |accelerator: u32| {
+            let here = self
+                .ledger
+                .residents()
+                .filter(|resident| resident.placement.accelerator == accelerator);
+            AcceleratorStatus {
+                capacity_mib: self.ledger.capacity_mib(accelerator),
+                in_use_mib: self.ledger.in_use_mib(accelerator),
+                residents: here
+                    .map(|held| {
+                        format!("{}@{}", held.placement.model, held.placement.version)
+                    })
+                    .collect(),
+            }
+        };
+        (0..self.ledger.accelerators()).map(status).collect()
+    }
+
+    fn order_status(&self) -> Vec<OrderStatus> {
+        let orders = self.ledger.orders().map(|order| OrderStatus {
+            order: order.id,
+            epoch: order.epoch.0,
+            kind: if order.load { "load" } else { "unload" },
+            model: order.placement.model.as_str().to_owned(),
+            version: order.placement.version,
+            accelerator: order.placement.accelerator,
+            sends: order.sends,
+        });
+        orders.collect()
+    }
+}
--- /dev/null
+++ b/crates/role/src/entry/control/spread.rs
@@ -0,0 +1,178 @@
+//! Which cells serve which models.
+//!
+//! If each cell planned for the whole demand, each failure domain would load
+//! every model. So a base model with its adapters gets home cells: one, or more
+//! when one accelerator does not serve the demand, each with its share. Every
+//! entry computes the same from the same gossip; where two differ for a moment,
+//! a model is loaded once too often.
+
+use base::prelude::*;
+use conf::Config;
+use live::rendezvous;
+use place::{ModelDemand, ResidentState};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::cells::Cell;
+
+/// Part of an accelerator's places that demand is planned to fill.
+const FILL: f64 = 0.7;
+
+/// What a waiting request counts beside an arriving one's busy time: the queue
+/// shrinks by itself once the model is there.
+const WAITING_SHARE: f64 = 0.25;
+
+/// Service time assumed before one was seen.
+const SERVICE_TIME_DEFAULT_MS: u32 = 1_000;
+
+/// Store weight of a cell that has nothing to load.
+const IDLE_WEIGHT: f64 = 0.25;
+
+/// What one cell is to plan for.
+#[derive(Debug, Default)]
+pub(super) struct CellWork {
+    /// Its part of the demand, in order of name.
+    pub(super) demands: Vec<ModelDemand>,
+    /// Its part of the weight store's budget, 0 to 1.
+    pub(super) store_share: f64,
+}
+
+/// A base model with its adapters.
+#[derive(Debug)]
+struct Group<'a> {
+    base: &'a ModelId,
+    pool: &'a PoolId,
+    size_mib: u64,
+    /// Places kept busy.
+    need: f64,
+    members: Vec<&'a ModelDemand>,
+}
+
+/// Shares demand out over cells; the answer has one item for each cell.
+pub(super) fn spread(
+    config: &Config,
+    cells: &[Cell],
+    demands: &[ModelDemand],
+) -> Vec<CellWork> {
+    let mut work: Vec<CellWork> = cells.iter().map(|_| CellWork::default()).collect();
+    let mut room_mib: Vec<u64> = cells.iter().map(size_mib).collect();
+    let mut weights = vec![IDLE_WEIGHT; cells.len()];
+    for group in groups(config, demands) {
+        let replicas = replicas(config, &group);
+        let counts = home_cells(cells, &group, replicas, &mut room_mib);
+        for (index, count) in counts {
+            let share = f64::from(count) / f64::from(replicas);
+            let members = group.members.iter();
+            work[index]
+                .demands
+                .extend(members.map(|demand| part(demand, share)));
+            if !holds(&cells[index], group.base) {
+                weights[index] += f64::from(count);
+            }
+        }
+    }
+    let sum: f64 = weights.iter().sum();
+    for (work, weight) in work.iter_mut().zip(weights) {
+        work.demands.sort_by(|a, b| a.model.cmp(&b.model));
+        work.store_share = weight / sum;
+    }
+    work
+}
+
+/// Groups with demand, the neediest first.
+fn groups<'a>(config: &'a Config, demands: &'a [ModelDemand]) -> Vec<Group<'a>> {
+    let mut groups: BTreeMap<&ModelId, Group<'a>> = BTreeMap::new();
+    for demand in demands {
+        let Some(spec) = config.model(demand.model.as_str()) else {
+            continue;
+        };
+        let base = spec.base.as_ref().unwrap_or(&spec.id);
+        let base_size = config.model(base.as_str()).map_or(0, |held| held.size_mib);
+        let group = groups.entry(base).or_insert_with(|| Group {
+            base,
+            pool: &spec.pool,
+            size_mib: u64::from(base_size),
+            need: 0.0,
+            members: Vec::new(),
+        });
+        group.need += busy_places(demand);
+        group.members.push(demand);
+    }
+    let mut groups: Vec<Group<'a>> = groups.into_values().collect();
+    groups.sort_by(|a, b| b.need.total_cmp(&a.need).then(a.base.cmp(b.base)));
+    groups
+}
+
+fn busy_places(demand: &ModelDemand) -> f64 {
+    let service_time_ms = match demand.service_time_ms {
+        0 => SERVICE_TIME_DEFAULT_MS,
+        ms => ms,
+    };
+    let arriving = demand.rate_per_s * f64::from(service_time_ms) / 1_000.0;
+    arriving + f64::from(demand.waiting) * WAITING_SHARE
+}
+
+/// Accelerators that the group's demand fills; one at least.
+fn replicas(config: &Config, group: &Group<'_>) -> u32 {
+    let pool = config.pool(group.pool.as_str());
+    let places = pool.map_or(1, |pool| pool.concurrent_max).max(1);
+    let accelerators = pool.map_or(1, |pool| {
+        let each = u32::try_from(pool.accelerators_mib.len()).unwrap_or(1);
+        pool.instances.saturating_mul(each)
+    });
+    let wanted = (group.need / (f64::from(places) * FILL)).ceil();
+    (wanted as u32).clamp(1, accelerators.max(1))
+}
+
+/// Cells for a group's replicas, with how many each takes.
+///
+/// Replicas go to different cells first, so that one failure domain's end
+/// leaves some. Then come cells with room, those that hold the model already
+/// (no move), and last the rendezvous rank, which keeps the choice stable.
+fn home_cells(
+    cells: &[Cell],
+    group: &Group<'_>,
+    replicas: u32,
+    room_mib: &mut [u64],
+) -> BTreeMap<usize, u32> {
+    let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
+    for _ in 0..replicas {
+        let candidates = (0..cells.len()).filter(|i| cells[*i].pool == *group.pool);
+        let best = candidates.max_by_key(|index| {
+            let taken = counts.get(index).copied().unwrap_or(0);
+            let fits = room_mib[*index] >= group.size_mib;
+            let held = holds(&cells[*index], group.base);
+            let rank = rendezvous(group.base.as_str(), &cells[*index].key);
+            (fits, Reverse(taken), held, rank)
+        });
+        let Some(index) = best else {
+            break;
+        };
+        room_mib[index] = room_mib[index].saturating_sub(group.size_mib);
+        *counts.entry(index).or_default() += 1;
+    }
+    counts
+}
+
+fn size_mib(cell: &Cell) -> u64 {
+    let staying = cell.agents.iter().filter(|agent| !agent.leaving);
+    let accelerators = staying.flat_map(|agent| &agent.accelerators_mib);
+    accelerators.map(|mib| u64::from(*mib)).sum()
+}
+
+fn holds(cell: &Cell, model: &ModelId) -> bool {
+    cell.agents.iter().any(|agent| {
+        agent
+            .residents
+            .iter()
+            .any(|held| held.model == *model && held.state != ResidentState::Unloading)
+    })
+}
+
+fn part(demand: &ModelDemand, share: f64) -> ModelDemand {
+    ModelDemand {
+        rate_per_s: demand.rate_per_s * share,
+        waiting: (f64::from(demand.waiting) * share).ceil() as u32,
+        ..demand.clone()
+    }
+}
