--- /dev/null
+++ b/crates/role/src/entry/counters.rs
@@ -0,0 +1,139 @@
+//! What an entry counts.
+
+use base::Code;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts since the start of the process, and gauges of the present.
+#[derive(Debug, Clone, Default)]
+pub struct EntryCounters {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests whose whole answer was given.
+    pub finished: u64,
+    /// Requests refused or failed, by code.
+    pub refused: Vec<CodeCount>,
+    /// Requests whose caller went away.
+    pub cancelled: u64,
+    /// Runs sent to agents.
+    pub sent: u64,
+    /// Refusals by agents' gates.
+    pub refused_by_gate: u64,
+    /// Attempts made again after a failure.
+    pub retried: u64,
+    /// Answers continued on another upstream.
+    pub resumed: u64,
+    /// Attempts revoked because an answer was missing.
+    pub revoked: u64,
+    /// Frames dropped because they were late, doubled or of another attempt.
+    pub stray_frames: u64,
+    /// Retries not made because the budget was used up.
+    pub retries_denied: u64,
+    /// Targets sent to agents.
+    pub targets_sent: u64,
+    /// Plans made.
+    pub plans: u64,
+    /// Configuration changes that could not be applied.
+    pub config_rejected: u64,
+    /// Calls that the platform did not answer.
+    pub platform_away: u64,
+    /// Requests that wait for a model or an upstream.
+    pub waiting: u64,
+    /// Requests with an attempt in flight.
+    pub running: u64,
+    /// Agents that may be sent work.
+    pub agents_up: u64,
+    /// Agents known.
+    pub agents_known: u64,
+}
+
+/// Refusals with one code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CodeCount {
+    /// Code.
+    pub code: Code,
+    /// How many.
+    pub count: u64,
+}
+
+/// The counters as the machine keeps them: any thread adds without a lock.
+#[derive(Debug)]
+pub(crate) struct Counts {
+    pub(crate) arrived: AtomicU64,
+    pub(crate) finished: AtomicU64,
+    pub(crate) cancelled: AtomicU64,
+    pub(crate) sent: AtomicU64,
+    pub(crate) refused_by_gate: AtomicU64,
+    pub(crate) retried: AtomicU64,
+    pub(crate) resumed: AtomicU64,
+    pub(crate) revoked: AtomicU64,
+    pub(crate) stray_frames: AtomicU64,
+    pub(crate) retries_denied: AtomicU64,
+    pub(crate) targets_sent: AtomicU64,
+    pub(crate) plans: AtomicU64,
+    pub(crate) config_rejected: AtomicU64,
+    pub(crate) platform_away: AtomicU64,
+    refused: Vec<AtomicU64>,
+}
+
+impl Counts {
+    pub(crate) fn new() -> Self {
+        Self {
+            arrived: AtomicU64::new(0),
+            finished: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
+            refused_by_gate: AtomicU64::new(0),
+            retried: AtomicU64::new(0),
+            resumed: AtomicU64::new(0),
+            revoked: AtomicU64::new(0),
+            stray_frames: AtomicU64::new(0),
+            retries_denied: AtomicU64::new(0),
+            targets_sent: AtomicU64::new(0),
+            plans: AtomicU64::new(0),
+            config_rejected: AtomicU64::new(0),
+            platform_away: AtomicU64::new(0),
+            refused: Code::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    pub(crate) fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn refused(&self, code: Code) {
+        let index = Code::ALL.iter().position(|held| *held == code);
+        if let Some(counter) = index.and_then(|index| self.refused.get(index)) {
+            Self::add(counter);
+        }
+    }
+
+    /// The counts without the gauges.
+    pub(crate) fn snapshot(&self) -> EntryCounters {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let by_code = Code::ALL.iter().zip(&self.refused);
+        EntryCounters {
+            arrived: get(&self.arrived),
+            finished: get(&self.finished),
+            refused: by_code
+                .map(|(code, counter)| CodeCount {
+                    code: *code,
+                    count: get(counter),
+                })
+                .filter(|held| held.count > 0)
+                .collect(),
+            cancelled: get(&self.cancelled),
+            sent: get(&self.sent),
+            refused_by_gate: get(&self.refused_by_gate),
+            retried: get(&self.retried),
+            resumed: get(&self.resumed),
+            revoked: get(&self.revoked),
+            stray_frames: get(&self.stray_frames),
+            retries_denied: get(&self.retries_denied),
+            targets_sent: get(&self.targets_sent),
+            plans: get(&self.plans),
+            config_rejected: get(&self.config_rejected),
+            platform_away: get(&self.platform_away),
+            ..EntryCounters::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/role/src/entry/report.rs
@@ -0,0 +1,192 @@
+//! What an entry tells operators: counters, status and explanations.
+
+use base::prelude::*;
+use live::{Agent, Life, ResidencyState};
+
+use super::control::{Control, sentence};
+use super::role::EntryRole;
+use super::wanted::Wanted;
+use super::{
+    AgentStatusLine, EntryCounters, EntryStatus, EntryStatusLine, ModelStatusLine,
+};
+
+impl EntryRole {
+    /// Counts and gauges for `/metrics`.
+    pub fn counters(&self) -> EntryCounters {
+        let (known, up) = {
+            let control = self.control.read();
+            let up = control.directory.agents();
+            let up = up.filter(|agent| agent.life == Life::Up).count();
+            (control.directory.agents().count(), up)
+        };
+        EntryCounters {
+            waiting: self.waiting(),
+            running: self.running(),
+            agents_up: up as u64,
+            agents_known: known as u64,
+            ..self.shared.counts.snapshot()
+        }
+    }
+
+    /// State for `/status`.
+    pub fn status(&self) -> EntryStatus {
+        let (waiting, running) = (self.waiting(), self.running());
+        let control = self.control.read();
+        let now = control.seen_at();
+        let options = &self.shared.options;
+        let agents = control.directory.agents();
+        let entries = control.entries.all().map(|held| EntryStatusLine {
+            id: held.id.to_string(),
+            alive: control.entries.alive(now, &held.id),
+            leaving: held.leaving,
+        });
+        EntryStatus {
+            id: options.id.to_string(),
+            incarnation: options.incarnation.0,
+            failure_domain: options.domain.to_string(),
+            ready: control.ready,
+            leaving: control.leaving,
+            platform_up: control.platform_up(),
+            revision: control.log.revision().0,
+            agents: agents.map(|agent| agent_line(now, agent)).collect(),
+            entries: entries.collect(),
+            models: self.model_lines(&control, now),
+            waiting,
+            running,
+            planned_cells: control.planning.cells().map(str::to_owned).collect(),
+        }
+    }
+
+    /// What an operator wants to know about a model, in plain sentences.
+    pub fn explain_model(&self, model: &str) -> Vec<String> {
+        let control = self.control.read();
+        let now = control.seen_at();
+        let Some(config) = control.config() else {
+            return vec!["there is no configuration yet".to_owned()];
+        };
+        let Some(spec) = config.model(model) else {
+            return vec![format!("there is no model or adapter `{model}`")];
+        };
+        let mut lines = vec![format!(
+            "configured version {}, {} MiB, pool {}",
+            spec.version, spec.size_mib, spec.pool
+        )];
+        for agent in control.directory.agents() {
+            lines.extend(residency_lines(agent, model));
+        }
+        if lines.len() == 1 {
+            lines.push("no agent holds it".to_owned());
+        }
+        lines.push(self.demand_line(&control, now, model));
+        for (agent, reason) in control.planning.wishes(model) {
+            lines.push(format!("planned on {agent}: {}", sentence(reason)));
+        }
+        for reason in control.planning.notes(model) {
+            lines.push(format!("the planner says: {}", sentence(reason)));
+        }
+        if control.planning.cells().next().is_none() {
+            lines.push("other entries plan; ask them for reasons".to_owned());
+        }
+        lines
+    }
+
+    fn demand_line(&self, control: &Control, now: Instant, model: &str) -> String {
+        let demands = match control.config() {
+            Some(config) => control.sum_demands(now, &self.shared, config),
+            None => Vec::new(),
+        };
+        let demand = demands.iter().find(|held| held.model.as_str() == model);
+        match demand {
+            None => "no demand".to_owned(),
+            Some(held) => format!(
+                "{:.2} requests a second over all entries, {} waiting, the oldest for \
+                 {} ms, {} ms each",
+                held.rate_per_s,
+                held.waiting,
+                held.oldest_wait_ms,
+                held.service_time_ms
+            ),
+        }
+    }
+
+    fn model_lines(&self, control: &Control, now: Instant) -> Vec<ModelStatusLine> {
+        let Some(config) = control.config() else {
+            return Vec::new();
+        };
+        let demands = control.sum_demands(now, &self.shared, config);
+        let lines = config.models().map(|spec| {
+            let id = spec.id.as_str();
+            let demand = demands.iter().find(|held| held.model == spec.id);
+            let wanted = Wanted::Model(spec.id.clone());
+            let holders = control.directory.holders(id);
+            ModelStatusLine {
+                model: id.to_owned(),
+                holders: holders.map(|agent| agent.id.to_string()).collect(),
+                waiting: self.shared.waiting.lock().queue(&wanted).0,
+                rate_per_s: demand.map_or(0.0, |held| held.rate_per_s),
+            }
+        });
+        let shown = lines.filter(|line| {
+            !line.holders.is_empty() || line.waiting > 0 || line.rate_per_s > 0.0
+        });
+        shown.collect()
+    }
+
+    fn waiting(&self) -> u64 {
+        self.shared.waiting.lock().len() as u64
+    }
+
+    fn running(&self) -> u64 {
+        let shards = self.shards.iter();
+        shards.map(|shard| shard.lock().in_flight() as u64).sum()
+    }
+}
+
+fn agent_line(now: Instant, agent: &Agent) -> AgentStatusLine {
+    let hint = agent.hint.read(now);
+    let loaded = agent.residents.iter();
+    let loaded = loaded.filter(|held| held.state == ResidencyState::Loaded);
+    AgentStatusLine {
+        id: agent.id.to_string(),
+        pool: agent.pool.to_string(),
+        failure_domain: agent.domain.to_string(),
+        state: life(agent.life),
+        leaving: agent.leaving(),
+        upstream_up: agent.upstream_up,
+        connected: agent.connected,
+        running: hint.running,
+        waiting: hint.waiting,
+        running_max: hint.running_max,
+        models: loaded.map(|held| held.model.to_string()).collect(),
+        silent_ms: now.ms_since(agent.heard_at),
+    }
+}
+
+const fn life(life: Life) -> &'static str {
+    match life {
+        Life::Up => "up",
+        Life::Suspected => "suspected",
+        Life::Lost => "lost",
+    }
+}
+
+fn residency_lines(agent: &Agent, model: &str) -> Vec<String> {
+    let held = agent.residents.iter();
+    let held = held.filter(|held| held.model.as_str() == model);
+    held.map(|held| {
+        let state = match held.state {
+            ResidencyState::Loading => "is loading",
+            ResidencyState::Loaded => "holds",
+            ResidencyState::Unloading => "is unloading",
+        };
+        format!(
+            "{} {state} version {} on accelerator {}; the agent is {}{}",
+            agent.id,
+            held.version,
+            held.accelerator,
+            life(agent.life),
+            if agent.leaving() { " and leaving" } else { "" },
+        )
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/role/tests/agent.rs
@@ -0,0 +1,14 @@
+//! The agent's machine against small stand-ins of its upstream and platform.
+
+#[path = "agent/gate.rs"]
+mod gate;
+#[path = "agent/keyed.rs"]
+mod keyed;
+#[path = "agent/life.rs"]
+mod life;
+#[path = "agent/orders.rs"]
+mod orders;
+#[path = "agent/random.rs"]
+mod random;
+#[path = "agent/stand.rs"]
+mod stand;
--- /dev/null
+++ b/crates/role/tests/entry/answers.rs
@@ -0,0 +1,249 @@
+//! Which frames reach a caller, and how an answer ends.
+
+use crate::rig::{Rig, Sent};
+use base::prelude::*;
+use schema::link::{self, frame};
+
+/// Callers see another request's tokens, or the same tokens twice, if a frame
+/// is taken for more than it is. Each row sends a stream of frames about two
+/// attempts of one request (`old` was refused by its agent and replaced by
+/// `new`); only the parts of `new` that go on where the answer ends count.
+#[test]
+fn only_frames_of_the_current_attempt_count() {
+    type Play = fn(&mut Rig, &Sent, &Sent);
+    let rows: &[(&str, Play, &[u32], u64)] = &[
+        (
+            "in order",
+            |r, _, new| {
+                r.part(new, 0, 2);
+                r.part(new, 2, 3);
+            },
+            &[0, 0],
+            5,
+        ),
+        (
+            "doubled part",
+            |r, _, new| {
+                r.part(new, 0, 2);
+                r.part(new, 0, 2);
+                r.part(new, 2, 3);
+            },
+            &[0, 0],
+            5,
+        ),
+        (
+            "overlapping part",
+            |r, _, new| {
+                r.part(new, 0, 2);
+                r.part(new, 1, 4);
+            },
+            &[0, 1],
+            5,
+        ),
+        (
+            "part of the old attempt",
+            |r, old, new| {
+                r.part(old, 0, 4);
+                r.part(new, 0, 5);
+            },
+            &[0],
+            5,
+        ),
+        (
+            "part of the attempt from another agent",
+            |r, old, new| {
+                let agent = old.agent.clone();
+                r.part(
+                    &Sent {
+                        agent,
+                        ..new.clone()
+                    },
+                    0,
+                    4,
+                );
+                r.part(new, 0, 5);
+            },
+            &[0],
+            5,
+        ),
+        (
+            "end of the old attempt",
+            |r, old, new| {
+                r.part(new, 0, 2);
+                r.end(old, 2);
+                r.part(new, 2, 3);
+            },
+            &[0, 0],
+            5,
+        ),
+        (
+            "refusal of the old attempt, again",
+            |r, old, new| {
+                r.refuse(old, Code::GateFull);
+                r.part(new, 0, 5);
+            },
+            &[0],
+            5,
+        ),
+        (
+            "end twice, parts after it",
+            |r, _, new| {
+                r.part(new, 0, 5);
+                r.end(new, 5);
+                r.end(new, 5);
+                r.part(new, 5, 2);
+            },
+            &[0],
+            5,
+        ),
+        (
+            "empty part",
+            |r, _, new| {
+                r.part(new, 0, 0);
+                r.part(new, 0, 5);
+            },
+            &[0],
+            5,
+        ),
+        (
+            "started twice, late",
+            |r, old, new| {
+                r.started(old);
+                r.part(new, 0, 5);
+                r.started(new);
+            },
+            &[0],
+            5,
+        ),
+    ];
+    for (name, play, skips, total) in rows {
+        let mut rig = Rig::new();
+        rig.agent("a1", &["m1"]);
+        rig.agent("a2", &["m1"]);
+        let request = rig.ask("m1");
+        let old = rig.run(request);
+        rig.refuse(&old, Code::GateFull);
+        let new = rig.run(request);
+        assert_ne!(old.agent, new.agent, "{name}");
+        rig.started(&new);
+        play(&mut rig, &old, &new);
+        rig.end(&new, *total);
+        assert_eq!(rig.skips(request), *skips, "{name}");
+        assert_eq!(rig.finished(request), Some(*total), "{name}");
+        assert!(rig.refusals(request).is_empty(), "{name}");
+    }
+}
+
+/// The caller must never take a cut answer for a whole one. An upstream dies or
+/// lies in mid stream; the answer goes on from the delivered offset at another
+/// holder, and ends with an error only if nobody can go on.
+#[test]
+fn a_broken_answer_is_resumed_or_ends_with_an_error() {
+    type Break = fn(&mut Rig, &Sent);
+    let rows: &[(&str, Break)] = &[
+        ("upstream lost", |r, run| {
+            r.fail(run, Code::UpstreamLost, Ran::Ran)
+        }),
+        ("outcome unknown", |r, run| {
+            r.fail(run, Code::UpstreamLost, Ran::Unknown)
+        }),
+        ("clean end, too short", |r, run| r.end(run, 2)),
+        ("clean end, too long", |r, run| r.end(run, 9)),
+        ("gap", |r, run| r.part(run, 5, 1)),
+        ("link down", |r, run| r.link_down(&run.agent.clone())),
+        ("not run, yet it answered", |r, run| {
+            r.fail(run, Code::UpstreamFault, Ran::NotRun);
+        }),
+        ("agent restarted", |r, run| {
+            let agent = r.agents.get_mut(&run.agent).expect("known");
+            agent.incarnation = 2;
+            agent.sequence = 0;
+            r.beat(&run.agent.clone());
+        }),
+        ("silence within the answer", |r, run| {
+            let id = run.agent.clone();
+            r.agents.get_mut(&id).expect("known").silent = false;
+            r.advance(6_000);
+        }),
+    ];
+    for (name, break_off) in rows {
+        let mut rig = Rig::new();
+        rig.agent("a1", &["m1"]);
+        rig.agent("a2", &["m1"]);
+        let request = rig.ask("m1");
+        let first = rig.run(request);
+        rig.started(&first);
+        rig.part(&first, 0, 3);
+        break_off(&mut rig, &first);
+        assert_eq!(rig.finished(request), None, "{name}");
+        let second = rig.run(request);
+        assert_ne!(first.id(), second.id(), "{name}");
+        assert_ne!(first.agent, second.agent, "{name}");
+        assert_eq!(second.run.resume_offset, 3, "{name}");
+        rig.part(&first, 3, 9);
+        rig.part(&second, 3, 2);
+        rig.end(&second, 5);
+        assert_eq!(rig.skips(request), [0, 0], "{name}");
+        assert_eq!(rig.finished(request), Some(5), "{name}");
+
+        // Nobody else holds the model, nor will: the version has changed.
+        let mut rig = Rig::new();
+        rig.agent("a1", &["m1"]);
+        let request = rig.ask("m1");
+        let only = rig.run(request);
+        rig.part(&only, 0, 3);
+        let change = serde_json::json!({"models": {"m1": {"version": 2}}});
+        rig.frame(
+            "a1",
+            frame::Body::ConfigChanges(link::ConfigChanges {
+                changes: vec![link::ConfigChange {
+                    revision: 2,
+                    patch: change.to_string().into_bytes(),
+                }],
+                ..link::ConfigChanges::default()
+            }),
+        );
+        rig.agents.get_mut("a1").expect("known").models = vec![("m1".into(), 2)];
+        rig.beat("a1");
+        break_off(&mut rig, &only);
+        rig.advance(100);
+        let refusal = rig.refusal(request);
+        assert_eq!(refusal.code, Code::AnswerBroken, "{name}");
+        assert_eq!(refusal.ran, Ran::Ran, "{name}");
+        assert_eq!(rig.finished(request), None, "{name}");
+    }
+}
+
+/// A plain service's bytes differ from run to run, so its broken answer is
+/// never patched together from two runs.
+#[test]
+fn a_broken_answer_of_a_service_is_not_continued() {
+    let mut rig = Rig::new();
+    rig.agent_in("s1", "desk", "d1", &[]);
+    rig.agent_in("s2", "desk", "d1", &[]);
+    let arrival = rig.arrival(role::entry::Work::Service(ServiceId::new("parts")));
+    let request = rig.arrive(arrival);
+    let run = rig.run(request);
+    rig.part(&run, 0, 10);
+    rig.fail(&run, Code::UpstreamLost, Ran::Ran);
+    assert_eq!(rig.refusal(request).code, Code::AnswerBroken);
+    assert_eq!(rig.runs(request).len(), 1);
+}
+
+/// The caller went away: the engine's place is freed at once, and what still
+/// comes reaches nobody.
+#[test]
+fn a_caller_who_goes_frees_the_place() {
+    let mut rig = Rig::new();
+    rig.agent("a1", &["m1"]);
+    let request = rig.ask("m1");
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.handle(role::entry::EntryEvent::CallerGone { request });
+    assert_eq!(rig.cancels(&run), 1);
+    rig.part(&run, 0, 1);
+    rig.end(&run, 1);
+    assert!(rig.skips(request).is_empty());
+    assert!(rig.finished(request).is_none() && rig.refusals(request).is_empty());
+    assert_eq!(rig.role.counters().running, 0);
+}
--- /dev/null
+++ b/crates/route/tests/all/admission.rs
@@ -0,0 +1,183 @@
+use base::prelude::*;
+use route::{Admit, AdmitInput, StepLimit, admit};
+
+fn input() -> AdmitInput {
+    AdmitInput {
+        remaining_ms: 8_000,
+        first_token_ms: 1_000,
+        interactive: true,
+        holders: 2,
+        free_places: 0,
+        places: 10,
+        ahead: 9,
+        service_time_ms: 1_000,
+        load_wait_ms: None,
+        whole_ms: 2_000,
+    }
+}
+
+fn refused(code: Code, ms: u64) -> Admit {
+    Admit::Refuse(Refusal::not_run(code).retry_after_ms(ms))
+}
+
+/// What each state of the fleet means for a new request.
+#[test]
+fn admits_what_can_be_in_time() {
+    let wait = |predicted_ms| Admit::Wait { predicted_ms };
+    let cases: [(&str, AdmitInput, Admit); 13] = [
+        (
+            "a place is free",
+            AdmitInput {
+                free_places: 10,
+                ..input()
+            },
+            Admit::Send,
+        ),
+        (
+            "the free places go to those ahead",
+            AdmitInput {
+                free_places: 9,
+                ..input()
+            },
+            wait(100),
+        ),
+        (
+            "half a turn of all places",
+            AdmitInput {
+                ahead: 4,
+                ..input()
+            },
+            wait(500),
+        ),
+        (
+            "the first token would just be late",
+            AdmitInput {
+                ahead: 5,
+                ..input()
+            },
+            refused(Code::Overloaded, 100),
+        ),
+        (
+            "the first token would be late",
+            AdmitInput {
+                ahead: 19,
+                ..input()
+            },
+            refused(Code::Overloaded, 1_500),
+        ),
+        (
+            "no first token is expected",
+            AdmitInput {
+                ahead: 19,
+                first_token_ms: 0,
+                ..input()
+            },
+            wait(2_000),
+        ),
+        (
+            "nobody waits for the first token",
+            AdmitInput {
+                ahead: 19,
+                interactive: false,
+                ..input()
+            },
+            wait(2_000),
+        ),
+        (
+            "the deadline would be missed",
+            AdmitInput {
+                ahead: 79,
+                first_token_ms: 0,
+                ..input()
+            },
+            refused(Code::Overloaded, 2_000),
+        ),
+        (
+            "too late even when idle",
+            AdmitInput {
+                free_places: 10,
+                whole_ms: 9_000,
+                ..input()
+            },
+            refused(Code::Overloaded, 1_000),
+        ),
+        (
+            "no holder, and none to be foreseen",
+            AdmitInput {
+                holders: 0,
+                ..input()
+            },
+            refused(Code::ModelUnavailable, 5_000),
+        ),
+        (
+            "a holder in time",
+            AdmitInput {
+                holders: 0,
+                load_wait_ms: Some(4_000),
+                ..input()
+            },
+            wait(4_000),
+        ),
+        (
+            "a holder too late",
+            AdmitInput {
+                holders: 0,
+                load_wait_ms: Some(6_001),
+                ..input()
+            },
+            refused(Code::ModelUnavailable, 6_001),
+        ),
+        (
+            "numbers out of all bounds",
+            AdmitInput {
+                ahead: u32::MAX,
+                service_time_ms: u32::MAX,
+                places: 0,
+                whole_ms: u64::MAX,
+                ..input()
+            },
+            refused(Code::Overloaded, u64::MAX - 8_000),
+        ),
+    ];
+    for (name, input, expected) in cases {
+        assert_eq!(admit(&input), expected, "{name}");
+    }
+}
+
+/// The limit follows the step time and stays within its bounds.
+#[test]
+fn step_limit_follows_the_step_time() {
+    let cases: [(&str, &[(u32, u32)], std::ops::RangeInclusive<u32>); 6] = [
+        ("at the floor", &[(10_000, 400)], 16..=16),
+        (
+            "three times the floor",
+            &[(10_000, 50), (30_000, 100)],
+            4..=10,
+        ),
+        ("without end", &[(10_000, 50), (60_000, 300)], 1..=2),
+        (
+            "back to the floor",
+            &[(10_000, 50), (30_000, 100), (10_000, 300)],
+            16..=16,
+        ),
+        (
+            "a slower model for good",
+            &[(10_000, 50), (30_000, 40_000)],
+            16..=16,
+        ),
+        ("no reports", &[(0, 400)], 16..=16),
+    ];
+    for (name, phases, expected) in cases {
+        let mut limit = StepLimit::new(16, 0);
+        for (step_time_us, count) in phases {
+            for _ in 0..*count {
+                limit.observe(*step_time_us);
+            }
+        }
+        assert!(
+            expected.contains(&limit.limit()),
+            "{name}: {}",
+            limit.limit()
+        );
+    }
+}
--- /dev/null
+++ b/crates/route/tests/all/budgets.rs
@@ -0,0 +1,85 @@
+use base::prelude::*;
+use route::{CallerLimits, RetryBudget};
+
+/// A pool fails for ten minutes. The caller of each request sees its failure;
+/// the upstreams see hardly more than the first tries, because the retries of
+/// all requests together stay within the budget.
+#[test]
+fn retries_stay_within_the_budget() {
+    let cases = [(10, 100, 60), (10, 1, 2), (0, 100, 2), (50, 100, 260)];
+    for (percent, per_s, within_window_max) in cases {
+        let mut budget = RetryBudget::new(percent);
+        let mut window = std::collections::VecDeque::new();
+        for ms in (0..600_000u64).step_by(1_000 / per_s) {
+            let now = Instant::from_ms(ms);
+            budget.first_try(now);
+            while budget.try_take(now) {
+                window.push_back(ms);
+            }
+            while window.front().is_some_and(|taken| taken + 10_000 <= ms) {
+                window.pop_front();
+            }
+            let bound = 2 + percent as usize * per_s * 10 / 100;
+            assert!(window.len() <= bound + bound / 9, "{percent}% at {ms} ms");
+        }
+        assert!(
+            window.len() >= within_window_max / 2,
+            "{percent}%: {window:?}"
+        );
+    }
+}
+
+/// A model with one request an hour can still be retried, and an old failure
+/// does not count against it.
+#[test]
+fn a_rare_model_can_retry() {
+    let mut budget = RetryBudget::new(10);
+    for hour in 0..10 {
+        let now = Instant::from_ms(hour * 3_600_000);
+        budget.first_try(now);
+        let taken = [(); 3].map(|()| budget.try_take(now));
+        assert_eq!(taken, [true, true, false], "hour {hour}");
+    }
+}
+
+/// One caller sends a burst that is larger than the queue. Another caller that
+/// comes afterwards still gets a place in it, and so does a third.
+#[test]
+fn a_burst_leaves_room_for_other_callers() {
+    let mut limits = CallerLimits::new();
+    let callers = ["a", "b", "c"].map(CallerId::new);
+    let got = callers
+        .each_ref()
+        .map(|caller| (0..1_000).filter(|_| limits.try_wait(caller, 90)).count());
+    assert_eq!(got, [60, 20, 7]);
+    assert_eq!(limits.waiting(), 87);
+
+    for _ in 0..60 {
+        limits.end_wait(&callers[0]);
+    }
+    assert!(
+        limits.try_wait(&callers[2], 90),
+        "freed room is given again"
+    );
+    limits.end_wait(&CallerId::new("unknown"));
+    assert_eq!(limits.waiting(), 28);
+}
+
+/// Requests in progress are bounded by caller, and a release that was not taken
+/// frees nothing.
+#[test]
+fn callers_have_a_limit_of_their_own() {
+    let mut limits = CallerLimits::new();
+    let (a, b) = (CallerId::new("a"), CallerId::new("b"));
+    let entered = (0..5).filter(|_| limits.try_enter(&a, 3)).count();
+    assert_eq!(entered, 3);
+    assert!(limits.try_enter(&b, 3), "another caller has its own");
+    limits.leave(&a);
+    assert!(limits.try_enter(&a, 3));
+    assert!(!limits.try_enter(&a, 3));
+    for _ in 0..9 {
+        limits.leave(&a);
+    }
+    assert_eq!(limits.in_progress(&a), 0);
+    assert!(!limits.try_enter(&a, 0), "a limit of zero lets nothing in");
+}
--- /dev/null
+++ b/crates/route/tests/all/suspects.rs
@@ -0,0 +1,256 @@
+use base::prelude::*;
+use route::{Suspects, Verdict, alone_owner};
+use schema::link::Suspect;
+
+const VERDICT_MS: u64 = 600_000;
+const GUILTY: u64 = 7;
+
+/// One crash: agent, upstream incarnation, fingerprints, alone.
+type Crash = (&'static str, u64, &'static [u64], bool);
+
+fn after(crashes: &[Crash]) -> Suspects {
+    let mut suspects = Suspects::new(VERDICT_MS);
+    report(&mut suspects, crashes);
+    suspects
+}
+
+fn report(suspects: &mut Suspects, crashes: &[Crash]) {
+    for (agent, incarnation, fingerprints, alone) in crashes {
+        let agent = AgentId::new(agent);
+        suspects.on_crash(Instant::ZERO, fingerprints, &agent, *incarnation, *alone);
+    }
+}
+
+fn tell(to: &mut Suspects, from: &Suspects, now: Instant) -> bool {
+    let news = from.export(now);
+    news.iter()
+        .fold(false, |changed, one| to.merge(now, one) || changed)
+}
+
+const CONVICTED: Verdict = Verdict::Convicted {
+    remaining_ms: VERDICT_MS,
+};
+
+/// A request crashes the upstream that runs it. Its caller sees it retried
+/// alone, and refused after the second crash; whoever only ran beside it, even
+/// twice, is never refused.
+#[test]
+fn two_crashes_convict_only_one_that_ran_alone() {
+    let cases: [(&str, &[Crash], Verdict); 10] = [
+        ("nothing", &[], Verdict::Free),
+        ("of others", &[("a", 1, &[8, 9], false)], Verdict::Free),
+        (
+            "one among others",
+            &[("a", 1, &[7, 8], false)],
+            Verdict::Suspect,
+        ),
+        ("one alone", &[("a", 1, &[7], true)], Verdict::Suspect),
+        (
+            "twice among others",
+            &[("a", 1, &[7, 8], false), ("b", 1, &[7, 9], false)],
+            Verdict::Suspect,
+        ),
+        (
+            "among others, then alone",
+            &[("a", 1, &[7, 8], false), ("b", 1, &[7], true)],
+            CONVICTED,
+        ),
+        (
+            "alone, then among others, as one entry may hear it",
+            &[("b", 1, &[7], true), ("a", 1, &[7, 8], false)],
+            CONVICTED,
+        ),
+        (
+            "one crash reported by two entries",
+            &[("a", 1, &[7], true), ("a", 1, &[7], true)],
+            Verdict::Suspect,
+        ),
+        (
+            "the same upstream twice, which may be broken itself",
+            &[("a", 1, &[7, 8], false), ("a", 2, &[7], true)],
+            Verdict::Suspect,
+        ),
+        (
+            "a report that calls two requests alone",
+            &[("a", 1, &[7, 8], true), ("b", 1, &[7, 8], true)],
+            Verdict::Suspect,
+        ),
+    ];
+    for (name, crashes, expected) in cases {
+        let mut suspects = after(crashes);
+        assert_eq!(suspects.verdict(Instant::ZERO, GUILTY), expected, "{name}");
+    }
+}
+
+/// Bystanders of a crash run alone one after another, and each that ends whole
+/// is free again, here and at entries that hear of it late.
+#[test]
+fn a_run_alone_clears_a_bystander() {
+    let now = Instant::ZERO;
+    let mut here = after(&[("a", 1, &[7, 8, 9], false)]);
+    let mut there = Suspects::new(VERDICT_MS);
+    assert!(tell(&mut there, &here, now));
+    here.completed(8);
+    assert_eq!(here.verdict(now, 8), Verdict::Free);
+    assert_eq!(here.verdict(now, 9), Verdict::Suspect);
+    assert!(!tell(&mut here, &there, now), "old news does not undo it");
+    assert_eq!(here.verdict(now, 8), Verdict::Free);
+    assert!(tell(&mut there, &here, now));
+    assert_eq!(there.verdict(now, 8), Verdict::Free);
+
+    report(&mut here, &[("b", 1, &[8], true)]);
+    assert_eq!(here.verdict(now, 8), Verdict::Suspect, "it starts anew");
+    here.on_crash(now, &[7], &AgentId::new("b"), 2, true);
+    here.completed(7);
+    assert_eq!(
+        here.verdict(now, 7),
+        CONVICTED,
+        "no way back from a conviction"
+    );
+}
+
+/// Two entries each saw one of the two crashes before they heard each other.
+/// In whatever order they do, both refuse the request afterwards.
+#[test]
+fn entries_come_to_the_same_verdict() {
+    let now = Instant::ZERO;
+    let halves: [&[Crash]; 2] = [&[("a", 1, &[7, 8], false)], &[("b", 1, &[7], true)]];
+    for (first, second) in [(0, 1), (1, 0)] {
+        let (mut here, mut there) = (after(halves[first]), after(halves[second]));
+        assert!(tell(&mut here, &there, now));
+        assert!(!tell(&mut here, &there, now), "the same again is no news");
+        assert_eq!(here.verdict(now, GUILTY), CONVICTED);
+        assert!(tell(&mut there, &here, now));
+        assert_eq!(there.verdict(now, GUILTY), CONVICTED);
+        let mut third = Suspects::new(VERDICT_MS);
+        assert!(tell(&mut third, &there, now));
+        assert_eq!(third.verdict(now, GUILTY), CONVICTED);
+        assert_eq!(third.verdict(now, 8), there.verdict(now, 8));
+    }
+}
+
+/// A verdict ends, also when entries go on telling it to one another with a
+/// delay of 300 ms each way.
+#[test]
+fn a_verdict_ends() {
+    let crashes: &[Crash] = &[("a", 1, &[7, 8], false), ("b", 1, &[7], true)];
+    let (mut here, mut there) = (after(crashes), Suspects::new(VERDICT_MS));
+    let mut told = here.export(Instant::ZERO);
+    for step in 0..(VERDICT_MS + 10_000) / 300 {
+        let now = Instant::from_ms(step * 300);
+        for suspect in &told {
+            there.merge(now, suspect);
+            here.merge(now, suspect);
+        }
+        told = there.export(now);
+        told.extend(here.export(now));
+    }
+    let now = Instant::from_ms(VERDICT_MS + 10_000);
+    assert_eq!(here.verdict(now, GUILTY), Verdict::Free);
+    assert_eq!(there.verdict(now, GUILTY), Verdict::Free);
+    assert!(here.is_empty() && there.is_empty());
+}
+
+/// The same suspect is sent to three entries at once. Only the owner of the
+/// model runs it, one suspect at a time; the others tell their callers when to
+/// come back.
+#[test]
+fn one_entry_runs_one_suspect_of_a_model() {
+    let entries = ["e1", "e2", "e3"].map(EntryId::new);
+    let model = ModelId::new("m");
+    let owner = alone_owner(&model, &entries).expect("there are entries");
+    let mut started = 0;
+    for entry in &entries {
+        let mut suspects = after(&[("a", 1, &[7, 8], false)]);
+        suspects.set_entries(entries.to_vec());
+        let first = suspects.try_start_alone(&model, 7, entry);
+        assert_eq!(first, entry == owner);
+        assert!(!suspects.try_start_alone(&model, 8, entry), "one at a time");
+        started += usize::from(first);
+        suspects.end_alone(&model, 8);
+        assert!(
+            !suspects.try_start_alone(&model, 8, entry),
+            "not its to end"
+        );
+        suspects.end_alone(&model, 7);
+        assert_eq!(suspects.try_start_alone(&model, 8, entry), entry == owner);
+    }
+    assert_eq!(started, 1);
+}
+
+/// An entry takes a model over while the old owner still runs a suspect of it.
+/// It waits until it hears of the end, or of nothing for five seconds.
+#[test]
+fn a_new_owner_waits_for_the_old() {
+    let (model, old, new) = (ModelId::new("m"), EntryId::new("e1"), EntryId::new("e2"));
+    for heard_end in [true, false] {
+        let mut at_old = after(&[("a", 1, &[7, 8], false)]);
+        let mut at_new = Suspects::new(VERDICT_MS);
+        assert!(at_old.try_start_alone(&model, 7, &old));
+        tell(&mut at_new, &at_old, Instant::ZERO);
+        assert!(!at_new.try_start_alone(&model, 8, &new));
+        let mut now = Instant::from_ms(4_999);
+        if heard_end {
+            at_old.end_alone(&model, 7);
+            tell(&mut at_new, &at_old, now);
+        } else {
+            at_new.verdict(now, 8);
+            assert!(!at_new.try_start_alone(&model, 8, &new));
+            now = Instant::from_ms(5_000);
+            at_new.verdict(now, 8);
+        }
+        assert!(
+            at_new.try_start_alone(&model, 8, &new),
+            "heard end: {heard_end}"
+        );
+    }
+}
+
+/// The run alone must show something new: the agents crashed before are named.
+#[test]
+fn crashed_agents_are_named() {
+    let mut suspects = after(&[("a", 1, &[7, 8], false), ("b", 1, &[7, 9], false)]);
+    let named =
+        |suspects: &Suspects| -> Vec<AgentId> { suspects.crashed_on(7).collect() };
+    assert_eq!(named(&suspects), ["a", "b"].map(AgentId::new));
+    suspects.completed(7);
+    assert!(named(&suspects).is_empty());
+}
+
+/// A flood of crash reports and a peer that sends nonsense cost no more memory
+/// than the bound, and a conviction outlives the suspects of the flood.
+#[test]
+fn memory_is_bounded() {
+    let mut suspects = after(&[("a", 1, &[7, 8], false), ("b", 1, &[7], true)]);
+    for round in 0..6u64 {
+        let flood: Vec<u64> = (0..1_000).map(|n| 1_000 + round * 1_000 + n).collect();
+        suspects.on_crash(Instant::ZERO, &flood, &AgentId::new("c"), round, false);
+    }
+    for incarnation in 0..1_000 {
+        suspects.on_crash(Instant::ZERO, &[7], &AgentId::new("d"), incarnation, false);
+    }
+    for fingerprint in 0..10_000 {
+        let nonsense = Suspect {
+            fingerprint: 1 << 40 | fingerprint,
+            remaining_ms: u64::MAX,
+            ..Suspect::default()
+        };
+        assert!(!suspects.merge(Instant::ZERO, &nonsense));
+    }
+    assert!(suspects.len() <= 4_096, "{}", suspects.len());
+    assert_eq!(suspects.verdict(Instant::ZERO, GUILTY), CONVICTED);
+    let told = suspects.export(Instant::ZERO);
+    assert!(told.iter().all(|suspect| suspect.crashes.len() <= 8));
+}
+
+/// After many crashes among others the crash of the run alone still convicts.
+#[test]
+fn a_long_list_of_crashes_still_convicts() {
+    let mut suspects = Suspects::new(VERDICT_MS);
+    for incarnation in 0..20 {
+        let agent = AgentId::new("a");
+        suspects.on_crash(Instant::ZERO, &[7, 8], &agent, incarnation, false);
+    }
+    report(&mut suspects, &[("b", 1, &[7], true)]);
+    assert_eq!(suspects.verdict(Instant::ZERO, GUILTY), CONVICTED);
+}
--- a/crates/scenario/src/world/upstream.rs
+++ b/crates/scenario/src/world/upstream.rs
@@ -347,7 +347,17 @@
         let answer = service_answer(&running.body);
         let units = answer.len() as u32;
         let (process, start) = (running.process, running.start);
-        self.tell_agent(&process, start, part(attempt, units), answer);
+        let run = &running.run;
+        let event = if run.idempotent || run.idempotency_key.is_empty() {
+            part(attempt, units)
+        } else {
+            UpstreamEvent::KeyedPart {
+                attempt,
+                units,
+                payload: answer.clone().into_bytes(),
+            }
+        };
+        self.tell_agent(&process, start, event, answer);
         self.tell_agent(&process, start, done(attempt), String::new());
     }
 
