--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -209,46 +209,50 @@
         mut held: Option<Incoming>,
     ) {
         for action in actions.drain(..) {
-            match action {
-                EntryAction::Deliver {
-                    request,
-                    skip_units,
-                } => {
-                    if let Some(part) = held.take() {
-                        self.deliver(request, part, skip_units);
-                    }
+            self.carry_out(action, &mut held);
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: EntryAction, held: &mut Option<Incoming>) {
+        match action {
+            EntryAction::Deliver {
+                request,
+                skip_units,
+            } => {
+                if let Some(part) = held.take() {
+                    self.deliver(request, part, skip_units);
                 }
-                EntryAction::Finish {
-                    request,
+            }
+            EntryAction::Finish {
+                request,
+                status,
+                content_type,
+                total_units,
+            } => self.end(
+                request,
+                Ending::Whole {
                     status,
                     content_type,
                     total_units,
-                } => self.end(
-                    request,
-                    Ending::Whole {
-                        status,
-                        content_type,
-                        total_units,
-                    },
-                ),
-                EntryAction::Refuse { request, refusal } => {
-                    self.end(request, Ending::Refused(refusal));
-                }
-                EntryAction::Send { peer, body } => self.send(&peer, body),
-                EntryAction::SendRun {
-                    request,
-                    agent,
-                    run,
-                } => self.send_run(request, agent, *run),
-                EntryAction::Connect { peer, address } => {
-                    self.links.connect(self, peer, address);
-                }
-                EntryAction::Disconnect { peer } => self.links.disconnect(&peer),
-                EntryAction::Platform(call) => self.call_platform(call),
-                EntryAction::Ready(ready) => self.set_ready(ready),
-                EntryAction::Trace(event) => self.recorder.record(event),
-                EntryAction::Exit => self.exit.cancel(),
+                },
+            ),
+            EntryAction::Refuse { request, refusal } => {
+                self.end(request, Ending::Refused(refusal));
+            }
+            EntryAction::Send { peer, body } => self.send(&peer, body),
+            EntryAction::SendRun {
+                request,
+                agent,
+                run,
+            } => self.send_run(request, agent, *run),
+            EntryAction::Connect { peer, address } => {
+                self.links.connect(self, peer, address);
             }
+            EntryAction::Disconnect { peer } => self.links.disconnect(&peer),
+            EntryAction::Platform(call) => self.call_platform(call),
+            EntryAction::Ready(ready) => self.set_ready(ready),
+            EntryAction::Trace(event) => self.recorder.record(event),
+            EntryAction::Exit => self.exit.cancel(),
         }
     }
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,6 +8,7 @@
 use schema::settings::EntrySettings;
 use snafu::ResultExt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
@@ -80,7 +81,15 @@
     settings: EntrySettings,
     shutdown: impl Future<Output = ()> + Send,
 ) -> Result<(), EntryError> {
-    let entry = start(settings).await?;
+    let mut shutdown = pin!(shutdown);
+    // Polled before anything is started: waiting for a signal installs its
+    // handler then. A signal that came between the first line of the log and
+    // the handler would kill the process without a goodbye.
+    let entry = tokio::select! {
+        biased;
+        () = shutdown.as_mut() => return Ok(()),
+        entry = start(settings) => entry?,
+    };
     let node = Arc::clone(&entry.node);
     tokio::select! {
         () = shutdown => node.tell(EntryEvent::Drain),
--- a/crates/entry/tests/cases/answers.rs
+++ b/crates/entry/tests/cases/answers.rs
@@ -193,6 +193,8 @@
         let mut asked = post(path, r#"{"prompt":"x","stream":true}"#);
         let host = "loopback".parse().expect("a header value");
         asked.headers_mut().insert("host", host);
+        // The library's own task has to see the end of the answer before.
+        sender.ready().await.expect("the connection is kept");
         let asking = sender.send_request(asked);
         let serving = async {
             if path != "/v1/nothing" {
--- a/crates/fake/src/demo/deployment.rs
+++ b/crates/fake/src/demo/deployment.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -14,7 +14,6 @@
 use super::DemoError;
 use super::children::{Programs, Running, stop};
 use super::probe::Probe;
-use crate::ANY_PORT;
 
 const FLEET: &str = include_str!("../../../../deploy/demo.jsonc");
 const DOMAINS: [&str; 3] = ["spanish-town", "newport-west", "halfway-tree"];
@@ -289,23 +288,47 @@
     }
 }
 
-/// Ports that were free a moment ago. All are held until the last is chosen, so
-/// that none is given out twice.
+/// Ports that were free a moment ago.
+///
+/// The kernel gives ports from 32768 on to outgoing connections. A port of that
+/// range, once let go here, would now and then be taken by a connection of a
+/// process that was started before the one that is to listen on it, and that
+/// one would not start. Ports below the range are taken only by listeners.
 fn listeners(count: usize) -> Result<Vec<Listeners>, DemoError> {
-    let held: Result<Vec<_>, _> = (0..count * 3)
-        .map(|_| TcpListener::bind(ANY_PORT))
-        .collect();
+    let first = FIRST_PORT + std::process::id() % PORT_STARTS * PORTS_EACH;
+    let mut held = Vec::new();
+    for port in first..LAST_PORT {
+        if held.len() == count * 3 {
+            break;
+        }
+        let port = u16::try_from(port).unwrap_or(u16::MAX);
+        held.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
+    }
     let addresses: Result<Vec<_>, _> =
-        held.and_then(|held| held.iter().map(TcpListener::local_addr).collect());
+        held.iter().map(TcpListener::local_addr).collect();
     let addresses = addresses.map_err(|error| DemoError::Io("no free port", error))?;
-    let listeners = addresses.chunks_exact(3).map(|three| Listeners {
-        caller: three[0],
-        link: three[1],
-        operator: three[2],
-    });
-    Ok(listeners.collect())
+    let listeners: Vec<_> = addresses
+        .chunks_exact(3)
+        .map(|three| Listeners {
+            caller: three[0],
+            link: three[1],
+            operator: three[2],
+        })
+        .collect();
+    if listeners.len() == count {
+        return Ok(listeners);
+    }
+    let none = io::Error::from(io::ErrorKind::AddrInUse);
+    Err(DemoError::Io("no free port", none))
 }
 
+/// Ports are looked for from here on, at a place that depends on the process, so
+/// that two demos don't look at the same ones.
+const FIRST_PORT: u32 = 20_000;
+const PORT_STARTS: u32 = 100;
+const PORTS_EACH: u32 = 100;
+const LAST_PORT: u32 = 32_768;
+
 /// Folder for settings and logs, removed when dropped.
 #[derive(Debug)]
 struct Folder {
--- a/crates/fake/tests/all/load.rs
+++ b/crates/fake/tests/all/load.rs
@@ -79,6 +79,11 @@
     });
     let report = drive(engine.address, true, 3, None).await;
     assert_eq!(report.profiles["desk"].disconnected, 3);
+    let address = engine.address;
+    drop(engine);
+    crate::client::until(|| std::net::TcpStream::connect(address).is_err()).await;
+    let report = drive(address, true, 3, None).await;
+    assert_eq!(report.profiles["desk"].unreached, 3);
 }
 
 /// The caller is given a clean end that is not its answer: cut short with and
--- a/crates/mem/src/ledger.rs
+++ b/crates/mem/src/ledger.rs
@@ -101,12 +101,6 @@
         orders.map(TrackedOrder::intent).collect()
     }
 
-    /// Whether an order's intent has to be in the record.
-    pub fn needs_intent(&self, id: u64) -> bool {
-        let is_copy = self.copies.iter().any(|copy| copy.id == id);
-        is_copy || self.orders.contains_key(&id)
-    }
-
     /// Upstream incarnation of the last report.
     pub const fn upstream_incarnation(&self) -> Option<u64> {
         self.upstream_incarnation
@@ -120,23 +114,21 @@
     pub fn adopt(&mut self, now: Instant, intents: &[Intent]) {
         self.adopted_at = now;
         for intent in intents {
-            let mut order = TrackedOrder::adopted(intent, now);
-            if self
-                .upstream_incarnation
-                .is_some_and(|current| current != order.upstream_incarnation)
-            {
-                order.ends_from = Some(now);
-            }
+            let order = TrackedOrder::adopted(intent, now);
             self.orders.entry(order.id).or_insert(order);
         }
     }
 
     /// The agent of `epoch` is known dead: what it gave can take effect for the
     /// longest order delay at most.
-    pub fn giver_died(&mut self, now: Instant, epoch: Epoch) {
+    ///
+    /// Its intents pass to `heir`, the agent that knows it: should that die too,
+    /// its successor has only to find out about the heir.
+    pub fn giver_died(&mut self, now: Instant, epoch: Epoch, heir: Epoch) {
         let theirs = |order: &&mut TrackedOrder| order.epoch == epoch;
         for order in self.orders.values_mut().filter(theirs) {
             order.ends_from = Some(now);
+            order.heir = Some(heir);
         }
     }
 
@@ -174,6 +166,7 @@
             accepted: false,
             in_progress: false,
             adopted: false,
+            heir: None,
             ends_from: None,
         };
         self.orders.insert(id, order);
@@ -264,14 +257,9 @@
 
     /// The upstream refused the order.
     ///
-    /// If an earlier copy of it went unanswered, that copy may be the one which
-    /// takes effect, and the order counts until the longest delay has passed.
+    /// If an earlier copy of a load went unanswered, that copy may be the one
+    /// which takes effect; it counts until none can be under way.
     pub fn refused(&mut self, now: Instant, id: u64) -> Option<OrderEnd> {
-        let order = self.orders.get_mut(&id)?;
-        if order.sends > 1 {
-            order.ends_from = Some(now);
-            return None;
-        }
         self.end(now, id, false)
     }
 
--- a/crates/mem/src/order.rs
+++ b/crates/mem/src/order.rs
@@ -39,6 +39,8 @@
     pub in_progress: bool,
     /// A predecessor gave it, or may have.
     pub adopted: bool,
+    /// Agent to which the intent passed when its giver was known dead.
+    pub heir: Option<Epoch>,
     /// When the last copy of it can have been given, once that is known; from
     /// then on it can take effect for the longest order delay.
     pub ends_from: Option<Instant>,
@@ -49,7 +51,7 @@
     pub fn intent(&self) -> Intent {
         Intent {
             order: self.id,
-            epoch: self.epoch.0,
+            epoch: self.heir.unwrap_or(self.epoch).0,
             load: self.load,
             model: self.placement.model.as_str().to_owned(),
             version: self.placement.version,
@@ -94,6 +96,7 @@
             accepted: false,
             in_progress: false,
             adopted: true,
+            heir: None,
             ends_from: None,
         }
     }
--- a/crates/mem/src/settle.rs
+++ b/crates/mem/src/settle.rs
@@ -32,8 +32,11 @@
         ends
     }
 
-    /// Orders made for an earlier run of the upstream can reach the present one
-    /// only as long as an order can be under way.
+    /// Orders that this agent made for an earlier run of the upstream can reach
+    /// the present one only as long as an order can be under way.
+    ///
+    /// A predecessor that may live is another matter: it may not have seen the
+    /// restart yet, and go on giving its order to the new run.
     fn note_incarnation(&mut self, now: Instant, incarnation: u64) {
         if self.upstream_incarnation == Some(incarnation) {
             return;
@@ -41,7 +44,8 @@
         self.upstream_incarnation = Some(incarnation);
         self.orders.retain(|_, order| order.sends > 0);
         for order in self.orders.values_mut() {
-            if order.upstream_incarnation != incarnation && order.ends_from.is_none() {
+            let earlier = order.upstream_incarnation != incarnation;
+            if earlier && !order.adopted && order.ends_from.is_none() {
                 order.ends_from = Some(now);
             }
         }
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -3,7 +3,6 @@
 use conf::{Config, ModelSpec};
 
 use crate::types::{ModelDemand, PlanInput};
-use crate::worth::HORIZON_S;
 
 /// Demand for one model, without gaps in its figures.
 #[derive(Debug, Clone, Copy, Default)]
@@ -87,8 +86,7 @@
 impl Group {
     /// Places that the demand would occupy.
     pub(crate) fn needed_places(&self) -> f64 {
-        let rate_per_s = self.work.rate_per_s + self.work.waiting / HORIZON_S;
-        rate_per_s * self.work.service_s
+        self.work.rate_per_s * self.work.service_s
     }
 }
 
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -114,11 +114,10 @@
 
     /// Adds units in the order of their worth while a move pays.
     ///
-    /// Each group looks at every accelerator at most once more than it gets
-    /// units, and the store's budget bounds the units: the cost is that of the
-    /// sort and of groups times accelerators, until the first that fails for
-    /// want of worth. All after that one gain less, so they are not looked at
-    /// unless their move has to be made anyway.
+    /// Only a group whose gain is above the least loss anywhere looks at every
+    /// accelerator, and only while the store's budget is open. So the cost is
+    /// that of the sort, n log n over the groups, and of one pass over the
+    /// accelerators for each load of the plan and each group in between.
     pub(crate) fn by_worth(&mut self) {
         let mut gains: Vec<(f64, usize)> = (0..self.catalog.groups.len())
             .filter(|group| self.catalog.groups[*group].work.any())
@@ -126,8 +125,16 @@
             .filter(|(gain, _)| *gain > 0.0)
             .collect();
         gains.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let largest_mib = self.largest_mib();
+        let mut least_loss = self.least_loss();
         for (_, group) in gains {
-            self.grow(group);
+            if self.base_size(group) > largest_mib {
+                self.note_missing(group, PlaceReason::NoRoom);
+                continue;
+            }
+            while self.grow(group, least_loss) {
+                least_loss = self.least_loss();
+            }
         }
     }
 
@@ -145,32 +152,42 @@
         self.scale.gain(known, self.places[group], more)
     }
 
-    /// Adds units of one group while each is worth it.
-    fn grow(&mut self, group: usize) {
-        loop {
-            let gain = self.next_gain(group);
-            if gain <= 0.0 {
-                return;
-            }
-            let Some(spot) = self.spot(group, Force::Residence) else {
-                return self.note_missing(group, PlaceReason::NoRoom);
-            };
-            let gain = self.gain_at(group, &spot);
-            let worth = if self.has_to_move(group) {
-                self.scale.worth_loss(gain, spot.loss)
-            } else {
-                self.scale.worth_move(gain, spot.loss)
-            };
-            if !worth {
-                return self.note_missing(group, PlaceReason::NotWorthMove);
-            }
-            if !self.allowance.open() {
-                self.delayed[group] = true;
-                return self.note_missing(group, PlaceReason::StoreBudget);
-            }
-            let reason = self.reason(group, &spot);
-            self.add(group, &spot, reason);
+    /// Adds one unit if it is worth it.
+    fn grow(&mut self, group: usize, least_loss: f64) -> bool {
+        let gain = self.next_gain(group);
+        if gain <= 0.0 {
+            return false;
+        }
+        if !self.is_worth(group, gain, least_loss) {
+            return self.omit(group, PlaceReason::NotWorthMove);
         }
+        if !self.allowance.open() {
+            self.delayed[group] = true;
+            return self.omit(group, PlaceReason::StoreBudget);
+        }
+        let Some(spot) = self.spot(group, Force::Residence) else {
+            return self.omit(group, PlaceReason::NoRoom);
+        };
+        if !self.is_worth(group, self.gain_at(group, &spot), spot.loss) {
+            return self.omit(group, PlaceReason::NotWorthMove);
+        }
+        let reason = self.reason(group, &spot);
+        self.add(group, &spot, reason);
+        true
+    }
+
+    fn is_worth(&self, group: usize, gain: f64, loss: f64) -> bool {
+        if self.has_to_move(group) {
+            self.scale.worth_loss(gain, loss)
+        } else {
+            self.scale.worth_move(gain, loss)
+        }
+    }
+
+    /// Notes why a group does not grow.
+    fn omit(&mut self, group: usize, reason: PlaceReason) -> bool {
+        self.note_missing(group, reason);
+        false
     }
 
     /// Whether the group is held, but only where it can't take new work.
--- a/crates/place/src/spot.rs
+++ b/crates/place/src/spot.rs
@@ -55,12 +55,13 @@
 impl Choice<'_, '_> {
     /// The cheapest place for one more unit of a group.
     pub(crate) fn spot(&self, group: usize, force: Force) -> Option<Spot> {
+        let holders = self.holding_agents(group);
         let mut best: Option<(Rank, Spot)> = None;
         for index in 0..self.board.slots.len() {
             let Some(spot) = self.spot_on(group, index, force) else {
                 continue;
             };
-            let rank = self.rank(group, &spot);
+            let rank = self.rank(group, &spot, &holders);
             if best.as_ref().is_none_or(|(held, _)| rank.cmp(held).is_lt()) {
                 best = Some((rank, spot));
             }
@@ -68,6 +69,39 @@
         best.map(|(_, spot)| spot)
     }
 
+    /// Agent of each unit of a group on instances that stay.
+    fn holding_agents(&self, group: usize) -> Vec<usize> {
+        if self.holders[group] == 0 {
+            return Vec::new();
+        }
+        let slots = self.board.slots.iter();
+        slots
+            .filter(|slot| !slot.leaving && slot.unit(group).is_some())
+            .map(|slot| slot.agent)
+            .collect()
+    }
+
+    /// A loss that no place for any group is below.
+    pub(crate) fn least_loss(&self) -> f64 {
+        let groups = 0..self.catalog.groups.len();
+        let smallest = groups.map(|group| self.base_size(group)).min().unwrap_or(0);
+        let slots = self.board.slots.iter().filter(|slot| !slot.leaving);
+        let losses = slots.map(|slot| {
+            if slot.free_mib() >= smallest {
+                return 0.0;
+            }
+            let movable = self.movable(slot, Force::Residence);
+            movable.first().map_or(f64::INFINITY, |(loss, _)| *loss)
+        });
+        losses.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Memory of the largest accelerator on an instance that stays.
+    pub(crate) fn largest_mib(&self) -> u64 {
+        let slots = self.board.slots.iter().filter(|slot| !slot.leaving);
+        slots.map(|slot| slot.capacity_mib).max().unwrap_or(0)
+    }
+
     fn spot_on(&self, group: usize, index: usize, force: Force) -> Option<Spot> {
         let slot = &self.board.slots[index];
         let size = self.base_size(group);
@@ -107,7 +141,7 @@
         let units = slot.units.iter().enumerate();
         let mut movable: Vec<(f64, usize)> = units
             .filter(|(_, unit)| self.may_go(unit, force))
-            .map(|(index, unit)| (self.loss(slot, unit), index))
+            .map(|(index, unit)| (self.loss(unit), index))
             .collect();
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         movable
@@ -121,8 +155,8 @@
         unit.base.is_loaded() && (force == Force::Any || !self.stays(unit))
     }
 
-    /// Worth lost with a unit.
-    fn loss(&self, slot: &Slot, unit: &Unit) -> f64 {
+    /// Worth lost with a unit; the holders of a group count alike.
+    fn loss(&self, unit: &Unit) -> f64 {
         if unit.outdated {
             return 0.0;
         }
@@ -132,17 +166,14 @@
         self.scale.loss(group, held, less)
     }
 
-    fn rank(&self, group: usize, spot: &Spot) -> Rank {
+    fn rank(&self, group: usize, spot: &Spot, holders: &[usize]) -> Rank {
         let slot = &self.board.slots[spot.slot];
         let agent = &self.board.agents[slot.agent];
         let mut shared = [0u32; 2];
-        if self.holders[group] > 0 {
-            let holders = self.board.slots.iter();
-            for other in holders.filter(|s| !s.leaving && s.unit(group).is_some()) {
-                let beside = &self.board.agents[other.agent];
-                shared[0] += u32::from(beside.domain == agent.domain);
-                shared[1] += u32::from(other.agent == slot.agent);
-            }
+        for holder in holders {
+            let beside = &self.board.agents[*holder];
+            shared[0] += u32::from(beside.domain == agent.domain);
+            shared[1] += u32::from(*holder == slot.agent);
         }
         Rank {
             loss: spot.loss,
--- a/crates/place/src/worth.rs
+++ b/crates/place/src/worth.rs
@@ -8,7 +8,7 @@
 pub(crate) const HORIZON_S: f64 = 10.0;
 
 /// Share of a loss that a gain has to exceed it by, against noise in the demand.
-const MARGIN: f64 = 0.1;
+const MARGIN: f64 = 0.25;
 
 /// Time in which an accelerator serves nobody while it changes over, besides
 /// the load: running work ends, the unload and the heartbeats follow.
--- a/crates/role/src/agent/orders.rs
+++ b/crates/role/src/agent/orders.rs
@@ -300,22 +300,21 @@
     }
 
     fn write_record(&mut self, now: Instant, out: &mut Vec<AgentAction>) {
+        let intents = self.ledger.intents();
+        let untidy = self.record.intents().iter().any(|o| !intents.contains(o));
+        let tidy_at = self.orders.tidy_at.unwrap_or(now.plus_ms(TIDY_MS));
+        self.orders.tidy_at = untidy.then_some(tidy_at);
+        let tidy = untidy && tidy_at <= now;
         if !self.record.is_writable(now) || self.record.is_busy() {
+            // Not now; the next look is not to be in the past.
+            if tidy {
+                self.orders.tidy_at = Some(now.plus_ms(RESEND_MS));
+            }
             return;
         }
-        let unrecorded = self.ledger.orders().any(|o| !self.record.holds(o.id));
-        let ended =
-            |intent: &schema::store::Intent| !self.ledger.needs_intent(intent.order);
-        let untidy = self.record.intents().iter().any(ended);
-        let tidy_at = self.orders.tidy_at;
-        let tidy = untidy && tidy_at.is_some_and(|at| at <= now);
-        self.orders.tidy_at = match tidy_at {
-            Some(at) if untidy && !tidy => Some(at),
-            _ if untidy && !tidy => Some(now.plus_ms(TIDY_MS)),
-            _ => None,
-        };
+        let unrecorded = intents.iter().any(|o| !self.record.holds(o.order));
         if unrecorded || tidy {
-            let intents = self.ledger.intents();
+            self.orders.tidy_at = None;
             self.record.write(now, intents, &mut self.caller, out);
         }
     }
--- a/crates/role/src/agent/probe.rs
+++ b/crates/role/src/agent/probe.rs
@@ -47,7 +47,7 @@
             return;
         }
         if record.link_address == self.options.link_address {
-            self.ledger.giver_died(now, epoch);
+            self.ledger.giver_died(now, epoch, self.record.epoch());
             return;
         }
         self.probe.predecessor = Some((epoch, record.link_address.clone()));
@@ -59,7 +59,7 @@
             return;
         }
         if let Some((epoch, _)) = self.probe.predecessor.take() {
-            self.ledger.giver_died(now, epoch);
+            self.ledger.giver_died(now, epoch, self.record.epoch());
         }
     }
 }
--- a/crates/role/src/entry/requests/end.rs
+++ b/crates/role/src/entry/requests/end.rs
@@ -115,10 +115,13 @@
             }
         };
         self.attempts.remove(&attempt.id.sequence);
-        request.trail.add(shown.unwrap_or(match attempt.started {
+        let seen = match attempt.started {
             true => Ran::Ran,
             false => Ran::Unknown,
-        }));
+        };
+        // An attempt that answered did run, whatever is said of it.
+        let shown = shown.filter(|_| !attempt.answered);
+        request.trail.add(shown.unwrap_or(seen));
         if attempt.alone
             && let Wanted::Model(model) = &request.resolved.wanted
         {
--- a/crates/role/src/entry/requests/failures.rs
+++ b/crates/role/src/entry/requests/failures.rs
@@ -215,7 +215,7 @@
         let Some(attempt) = request.attempt() else {
             return;
         };
-        if !attempt.started {
+        if !attempt.started && attempt.revoked_at.is_none() {
             send_revoke(ctx, attempt);
         }
         if request.resolved.idempotent {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -8,14 +8,14 @@
 
 /// Load bound factor: a holder takes requests of its prefixes up to this
 /// multiple of the mean load per place, in percent.
-const LOAD_BOUND_PERCENT: u64 = 150;
+const LOAD_BOUND_PERCENT: u64 = 200;
 
 /// Places below which the load bound does not bite, so that a nearly idle fleet
 /// keeps its prefixes together.
 const LOAD_BOUND_FLOOR: u64 = 2;
 
 /// Age at which a load hint counts half, the mean of all hints the other half.
-const HINT_HALF_LIFE_MS: u64 = 500;
+const HINT_HALF_LIFE_MS: u64 = 100;
 
 /// Requests an agent may hold beyond `running_max`, as a divisor of it; one at
 /// least.
@@ -24,10 +24,9 @@
 /// next request takes to arrive; more would only wait where it can't be moved.
 const QUEUE_DIVISOR: u32 = 8;
 
-/// Ages and step times above these count as these, and places likewise, so that
-/// no report, however broken, overflows a product of them.
+/// Ages and places above these count as these, so that no report, however
+/// broken, overflows a product of them.
 const HINT_AGE_MAX_MS: u64 = 60_000;
-const STEP_TIME_MAX_US: u64 = 10_000_000;
 const PLACES_MAX: u32 = 4_096;
 
 /// Fixed point of loads.
@@ -251,8 +250,9 @@
             }
             let weight = rank(prefix_hash, holder.agent.as_str());
             first = first.max((weight, index));
-            if self.within_bound(holder) {
-                bounded = bounded.max(Some((weight, index)));
+            let candidate = Some((weight, index));
+            if candidate > bounded && self.within_bound(holder) {
+                bounded = candidate;
             }
         }
         // All can be over the bound only by aged hints; the first is as good.
@@ -292,7 +292,7 @@
 fn step_time_us(holder: &Holder<'_>) -> u64 {
     match holder.step_time_us {
         0 => 1_000,
-        us => u64::from(us).min(STEP_TIME_MAX_US),
+        us => u64::from(us),
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 mod callers;
 mod choose;
 mod health;
+mod record;
 mod rendezvous;
 mod step_limit;
 mod suspects;
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -39,8 +39,8 @@
 
 /// Keeps the two uses of rendezvous apart where a model and an agent share a
 /// name.
-const ALONE_SEED: u64 = 0x616c_6f6e_65;
-const PROBE_SEED: u64 = 0x7072_6f62_65;
+const ALONE_SEED: u64 = 0x0061_6c6f_6e65;
+const PROBE_SEED: u64 = 0x0070_726f_6265;
 
 fn winner<'a>(
     key: u64,
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -4,14 +4,12 @@
 use schema::link::{CrashWitness, Suspect};
 use std::collections::BTreeMap;
 
+use crate::record::{CRASHES_MAX, Record, same_crash};
 use crate::rendezvous::alone_owner;
 
 /// Fingerprints kept at most; the verdict that ends first makes room.
 const RECORDS_MAX: usize = 4_096;
 
-/// Crashes kept of one fingerprint.
-const CRASHES_MAX: usize = 8;
-
 /// Fingerprints taken from one crash report.
 ///
 /// More than any gate lets run at once; a longer list is a broken report.
@@ -43,89 +41,6 @@
     },
 }
 
-#[derive(Debug)]
-struct Record {
-    crashes: Vec<CrashWitness>,
-    /// Leading crashes that a whole run alone has excused.
-    excused: usize,
-    convicted: bool,
-    ends_at: Instant,
-    model: String,
-    running_at: String,
-}
-
-impl Record {
-    fn new(ends_at: Instant) -> Self {
-        Self {
-            crashes: Vec::new(),
-            excused: 0,
-            convicted: false,
-            ends_at,
-            model: String::new(),
-            running_at: String::new(),
-        }
-    }
-
-    fn open_crashes(&self) -> &[CrashWitness] {
-        &self.crashes[self.excused..]
-    }
-
-    /// Whether nothing is held against the request any more.
-    fn is_free(&self) -> bool {
-        !self.convicted && self.open_crashes().is_empty()
-    }
-
-    /// Adds a crash unless it is known; several entries report each crash.
-    fn add(&mut self, crash: &CrashWitness) -> bool {
-        let known = self.crashes.iter().any(|known| same_crash(known, crash));
-        if known || !self.make_room(crash) {
-            return false;
-        }
-        self.crashes.push(crash.clone());
-        true
-    }
-
-    /// An excused crash makes room; so does the newest for one alone, which is
-    /// the only kind that still changes the verdict.
-    fn make_room(&mut self, crash: &CrashWitness) -> bool {
-        if self.crashes.len() < CRASHES_MAX {
-            return true;
-        }
-        if self.excused > 0 {
-            self.crashes.remove(0);
-            self.excused -= 1;
-            return true;
-        }
-        if !crash.alone || self.crashes.iter().any(|known| known.alone) {
-            return false;
-        }
-        self.crashes.pop();
-        true
-    }
-
-    /// Two crashes of different upstreams, one of them with nothing else in
-    /// flight, convict.
-    ///
-    /// A busy engine that is crashed by another request makes suspects of all
-    /// that it runs, and the same can befall a request twice; so being among
-    /// others is never enough. The order of the two does not count, and every
-    /// entry comes to the same verdict in whatever order it hears of them.
-    fn judge(&mut self) -> bool {
-        if self.convicted {
-            return false;
-        }
-        let open = self.open_crashes();
-        let alone = open.iter().any(|crash| crash.alone);
-        let upstreams = open.iter().any(|crash| crash.agent != open[0].agent);
-        self.convicted = alone && upstreams;
-        self.convicted
-    }
-}
-
-fn same_crash(a: &CrashWitness, b: &CrashWitness) -> bool {
-    a.agent == b.agent && a.upstream_incarnation == b.upstream_incarnation
-}
-
 /// A suspect that another entry says it runs alone.
 #[derive(Debug)]
 struct Elsewhere {
@@ -170,6 +85,11 @@
         }
     }
 
+    /// Sets how long verdicts made from now on last.
+    pub const fn set_verdict_ms(&mut self, verdict_ms: u64) {
+        self.verdict_ms = verdict_ms;
+    }
+
     /// Says which entries are live, this one included. Without them this entry
     /// owns every model.
     pub fn set_entries(&mut self, entries: Vec<EntryId>) {
