--- a/crates/ctl/src/bin/sesamectl.rs
+++ b/crates/ctl/src/bin/sesamectl.rs
@@ -46,7 +46,7 @@
 fn print(text: &str) {
     let mut out = std::io::stdout().lock();
     let _ = out.write_all(text.as_bytes());
-    if !text.ends_with('\n') {
+    if !text.is_empty() && !text.ends_with('\n') {
         let _ = out.write_all(b"\n");
     }
     let _ = out.flush();
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -30,10 +30,10 @@
     }
 }
 
-/// Asks all processes; agents know nothing of models elsewhere and answer that
-/// there is no such path, so only an answer by nobody is a failure.
+/// Asks all processes; each tells what it knows itself, so only an answer by
+/// nobody is a failure.
 async fn model(targets: &[Target], options: &ExplainOptions) -> Report {
-    let path = format!("/explain/model/{}", percent_encode(&options.id));
+    let path = format!("/explain?model={}", percent_encode(&options.id));
     let answers = ask_all::<Vec<String>>(targets, &path).await;
     let told: Vec<_> = answers
         .into_iter()
--- a/crates/ctl/src/commands/timeline.rs
+++ b/crates/ctl/src/commands/timeline.rs
@@ -54,6 +54,9 @@
         if json {
             return Report::json(&self.events, exit);
         }
+        if self.asked == 0 {
+            return Report::lines(["no process was found to ask".to_owned()], exit);
+        }
         let missing = self.missing.iter();
         let missing = missing.map(|fault| format!("not in this line: {fault}"));
         let events = self.events.iter().map(line::render);
--- a/crates/ctl/tests/ctl/fake.rs
+++ b/crates/ctl/tests/ctl/fake.rs
@@ -21,7 +21,7 @@
     /// No answer; the call takes effect after the next one.
     Late,
     /// Another operator's write takes effect just before.
-    OtherFirst(&'static str, Vec<u8>),
+    OtherFirst(String, Vec<u8>),
 }
 
 /// The platform.
@@ -103,7 +103,7 @@
                 PlatformResult::Unanswered
             }
             Fault::OtherFirst(key, value) => {
-                self.put(key, value);
+                self.put(&key, value);
                 self.apply(op)
             }
         };
--- a/crates/ctl/tests/ctl/members.rs
+++ b/crates/ctl/tests/ctl/members.rs
@@ -36,7 +36,7 @@
                 ("200 OK", status.to_string())
             } else if head.starts_with("GET /timeline?") {
                 ("200 OK", events.to_string())
-            } else if head.starts_with("GET /explain/model/a%2Fb ") {
+            } else if head.starts_with("GET /explain?model=a%2Fb ") {
                 ("200 OK", json!(["it is loaded"]).to_string())
             } else if head.starts_with("POST /drain ") {
                 counted.fetch_add(1, Ordering::SeqCst);
--- a/crates/ctl/tests/ctl/publish.rs
+++ b/crates/ctl/tests/ctl/publish.rs
@@ -157,7 +157,7 @@
 #[tokio::test(start_paused = true)]
 async fn the_loser_of_a_race_gets_a_conflict() {
     let theirs = json!({ "store": { "loads_per_s": 1.0 } });
-    let first = Fault::OtherFirst(SECOND, bytes(&theirs));
+    let first = Fault::OtherFirst(SECOND.to_owned(), bytes(&theirs));
     let races = [vec![first.clone()], vec![Fault::CallLost, first]];
     for writes in races {
         let platform = platform();
@@ -174,7 +174,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_identical_change_of_another_operator_is_acceptance() {
-    let writes = [Fault::OtherFirst(SECOND, bytes(&ours()))];
+    let writes = [Fault::OtherFirst(SECOND.to_owned(), bytes(&ours()))];
     let platform = platform();
     platform.fail_writes(writes);
     let outcome = publish(&platform, request(patched(&ours()))).await;
@@ -220,7 +220,7 @@
     ];
     for (name, ours, theirs, overlap) in cases {
         let platform = platform();
-        platform.fail_writes([Fault::OtherFirst(SECOND, bytes(&theirs))]);
+        platform.fail_writes([Fault::OtherFirst(SECOND.to_owned(), bytes(&theirs))]);
         let mut request = request(patched(&ours));
         request.rebase = true;
         match (publish(&platform, request).await, overlap) {
@@ -240,28 +240,16 @@
 /// command running for ever.
 #[tokio::test(start_paused = true)]
 async fn a_rebase_gives_up_after_some_rounds() {
-    const KEYS: [&str; 12] = [
-        "config/000000000002",
-        "config/000000000003",
-        "config/000000000004",
-        "config/000000000005",
-        "config/000000000006",
-        "config/000000000007",
-        "config/000000000008",
-        "config/000000000009",
-        "config/000000000010",
-        "config/000000000011",
-        "config/000000000012",
-        "config/000000000013",
-    ];
-    let theirs = |n: usize| bytes(&json!({ "store": { "load_time_ms": 3_000 + n } }));
+    const OTHERS: u64 = 12;
     let platform = platform();
-    let others = KEYS.iter().enumerate();
-    platform.fail_writes(others.map(|(n, key)| Fault::OtherFirst(key, theirs(n))));
+    platform.fail_writes((2..2 + OTHERS).map(|revision| {
+        let key = conf::revision_key(Revision(revision));
+        Fault::OtherFirst(key, bytes(&numbered(revision)))
+    }));
     let mut request = request(patched(&ours()));
     request.rebase = true;
     conflict(publish(&platform, request).await);
-    assert!(platform.count("config/") < KEYS.len());
+    assert!((platform.count("config/") as u64) < OTHERS);
 }
 
 #[tokio::test(start_paused = true)]
@@ -345,7 +333,7 @@
     };
     let platform = platform();
     hold(&platform, 2..=63);
-    let newer = Fault::OtherFirst(SNAPSHOT_KEY, newer.encode_to_vec());
+    let newer = Fault::OtherFirst(SNAPSHOT_KEY.to_owned(), newer.encode_to_vec());
     platform.fail_writes([Fault::Pass, newer]);
     publish_numbered(&platform, 64).await;
     assert_eq!(snapshot_revision(&platform), 200);
