--- a/crates/role/src/agent/orders.rs
+++ b/crates/role/src/agent/orders.rs
@@ -312,7 +312,9 @@
             }
             return;
         }
-        let unrecorded = intents.iter().any(|o| !self.record.holds(o.order));
+        // One that passed to this agent is written at once, too.
+        let recorded = self.record.intents();
+        let unrecorded = intents.iter().any(|o| !recorded.contains(o));
         if unrecorded || tidy {
             self.orders.tidy_at = None;
             self.record.write(now, intents, &mut self.caller, out);
--- a/crates/role/tests/agent/orders.rs
+++ b/crates/role/tests/agent/orders.rs
@@ -1,8 +1,8 @@
 //! Orders, intents and epochs under faults.
 
 use crate::stand::*;
-use base::{Instant, PlatformOp, PlatformResult};
-use role::agent::{OrderAnswer, UpstreamEvent};
+use base::{Epoch, Instant, ModelId, PlatformOp, PlatformResult};
+use role::agent::{Order, OrderAnswer, UpstreamEvent};
 use schema::link::frame;
 
 fn begin() -> (Platform, Engine, Node) {
@@ -230,6 +230,33 @@
     }
 }
 
+/// Two agents die one after the other. The third does not know the first one's
+/// address; but the second had found it dead and taken over its intent, so the
+/// third has only to find out about the second.
+#[test]
+fn an_intent_passes_on_through_two_deaths() {
+    let (mut platform, mut engine, mut first) = begin();
+    first.target("p", 1, &[("a", 1)]);
+    first.pump(&mut platform);
+    let now = first.now;
+    drop(first);
+    let mut second = Node::engine(11, "127.0.0.1:8", now, &mut platform, &engine);
+    second.handle(role::agent::AgentEvent::PredecessorProbed { dead: true });
+    second.pump(&mut platform);
+    drop(second);
+    let mut third = Node::engine(12, "127.0.0.1:9", now, &mut platform, &engine);
+    assert_eq!(third.probes, ["127.0.0.1:8"]);
+    third.target("p", 1, &[("b", 1)]);
+    third.work(ORDER_DELAY_MS + 500, &mut platform, &mut engine);
+    assert_eq!(engine.memory_mib(), 0, "the second may still live");
+    third.handle(role::agent::AgentEvent::PredecessorProbed { dead: true });
+    for _ in 0..4 {
+        third.target("p", 1, &[("b", 1)]);
+        third.work(1_000, &mut platform, &mut engine);
+    }
+    assert!(engine.holds("b"));
+}
+
 /// A successor at the predecessor's own address has bound it, so the
 /// predecessor is dead without a probe.
 #[test]
@@ -362,6 +389,27 @@
     }
 }
 
+/// While the intent of a load is being written, somebody else puts a model on
+/// the accelerator. There is no room for both, so the load is not given.
+#[test]
+fn a_load_that_no_longer_fits_is_not_given() {
+    let (mut platform, mut engine, mut node) = begin();
+    node.target("p", 1, &[("a", 1)]);
+    engine.take(&Order {
+        id: 1,
+        fence: Epoch(1),
+        load: true,
+        model: ModelId::new("b"),
+        version: 1,
+        base: None,
+        accelerator: 0,
+        size_mib: 60,
+    });
+    node.report(&engine);
+    node.pump(&mut platform);
+    assert!(node.orders.iter().all(|order| !order.load));
+}
+
 /// Intents that have ended are taken out of the record after a while, so that a
 /// successor does not count them.
 #[test]
