--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -253,7 +253,7 @@
     Line {
         name: "sesame_entry_ready",
         help: "1 if the process takes work.",
-        value: |seen| f64::from(u8::from(seen.node.is_ready()),
+        value: |seen| f64::from(u8::from(seen.node.is_ready())),
     },
     Line {
         name: "process_resident_memory_bytes",
--- a/crates/entry/tests/cases/faults.rs
+++ b/crates/entry/tests/cases/faults.rs
@@ -144,3 +144,18 @@
     assert_ne!(whole.json()["error"]["ran"], "not_run", "{}", whole.body);
     assert!(whole.status >= 500, "{}", whole.body);
 }
+
+/// An agent refuses a stream before its first part. The caller has seen nothing
+/// yet, so it gets the refusal with its own status and not in a stream that
+/// began with 200.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_refused_before_its_first_part_has_a_status() {
+    let rig = Rig::start().await;
+    let asked = post("/v1/completions", STREAM);
+    let asking = tokio::spawn(call(rig.entry.caller_address, asked));
+    let job = rig.engine.job().await;
+    job.refused(Code::BadRequest, 0).await;
+    let whole = asking.await.expect("the task runs");
+    assert_eq!(whole.status, 400, "{}", whole.body);
+    assert_eq!(whole.code(), u64::from(Code::BadRequest.number()));
+}
--- a/crates/entry/tests/cases/links.rs
+++ b/crates/entry/tests/cases/links.rs
@@ -1,6 +1,5 @@
 //! Links to agents and between entries.
 
-use crate::support::agent::{Beside, TestAgent};
 use crate::support::caller::{call, post};
 use crate::support::platform::MemoryPlatform;
 use crate::support::rig::{Rig, metric, settings, start_with};
@@ -62,26 +61,18 @@
 /// other, or it would send work meant for one engine to another.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn another_process_at_an_agents_address_gets_no_work() {
-    let mut rig = Rig::start().await;
-    let address = rig.engine.address;
-    let other = Beside {
-        id: "engine-9",
-        pool: "engines",
-        model: Some("alpha"),
-    };
-    let somewhere = TestAgent::start(other.clone()).await;
-    drop(std::mem::replace(&mut rig.engine, somewhere));
+    let rig = Rig::start().await;
+    rig.engine.rename("engine-9");
     rig.until_down().await;
-    let taken_over = TestAgent::start_at(address, other).await;
     // Twice: by then the entry has made up its mind about the first link.
-    taken_over.until_dialled(2).await;
+    rig.engine.until_dialled(2).await;
 
     let mut asked = post("/v1/completions", PROMPT);
     let deadline = "1000".parse().expect("a header value");
     asked.headers_mut().insert("x-deadline-ms", deadline);
     let whole = call(rig.entry.caller_address, asked).await;
     assert_eq!(whole.json()["error"]["ran"], "not_run", "{}", whole.body);
-    assert!(taken_over.is_idle().await, "it got a frame for a request");
+    assert!(rig.engine.is_idle().await, "it got a frame for a request");
 }
 
 /// What operators see: the listener answers, and the metrics hold the entry's
--- a/crates/entry/tests/cases/reply.rs
+++ b/crates/entry/tests/cases/reply.rs
@@ -205,7 +205,9 @@
             reading.read_exact(&mut bytes).await.expect("bytes come");
         }
     };
-    let (written, ()) = tokio::join!(entry.write_all(&[0; 16]), reads);
+    let both = async { tokio::join!(entry.write_all(&[0; 16]), reads) };
+    let both = tokio::time::timeout(limit * 10, both).await;
+    let (written, ()) = both.expect("the reader gets its bytes");
     written.expect("each write went on in time");
 
     let began = tokio::time::Instant::now();
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -45,6 +45,7 @@
 pub(crate) struct TestAgent {
     pub(crate) address: SocketAddr,
     dialled: watch::Receiver<u32>,
+    id: watch::Sender<&'static str>,
     orders: Mutex<mpsc::UnboundedReceiver<(Order, LinkSender)>>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -58,27 +59,36 @@
 impl TestAgent {
     pub(crate) async fn start(beside: Beside) -> Self {
         let any = "127.0.0.1:0".parse().expect("a literal address");
-        Self::start_at(any, beside).await
-    }
-
-    pub(crate) async fn start_at(address: SocketAddr, beside: Beside) -> Self {
-        let listener = Listener::bind(address, wire::FRAME_MAX_BYTES).await;
+        let listener = Listener::bind(any, wire::FRAME_MAX_BYTES).await;
         let listener = listener.expect("loopback can be bound");
         let address = listener.local_addr().expect("it is bound");
         let (queue, orders) = mpsc::unbounded_channel();
         let sequence = Arc::new(AtomicU64::new(1));
         let (count, dialled) = watch::channel(0);
+        let (id, named) = watch::channel(beside.id);
         let task = tokio::spawn(async move {
             let mut links = tokio::task::JoinSet::new();
             while let Ok(link) = listener.accept().await {
                 count.send_modify(|count| *count += 1);
                 let sequence = Arc::clone(&sequence);
-                links.spawn(serve(link, beside.clone(), sequence, queue.clone()));
+                let mut named = named.clone();
+                let beside = Beside {
+                    id: *named.borrow_and_update(),
+                    ..beside.clone()
+                };
+                let queue = queue.clone();
+                links.spawn(async move {
+                    tokio::select! {
+                        () = serve(link, beside, sequence, queue) => {}
+                        _ = named.changed() => {}
+                    }
+                });
             }
         });
         Self {
             address,
             dialled,
+            id,
             orders: Mutex::new(orders),
             task,
         }
@@ -91,10 +101,16 @@
         order.expect("an order comes").expect("the agent lives")
     }
 
-    /// Waits until it has been dialled so often.
+    /// Cuts all links and says another name on those that come.
+    pub(crate) fn rename(&self, id: &'static str) {
+        self.id.send_replace(id);
+    }
+
+    /// Waits until it has been dialled so often again.
     pub(crate) async fn until_dialled(&self, times: u32) {
         let mut dialled = self.dialled.clone();
-        let enough = dialled.wait_for(|count| *count >= times);
+        let enough = *dialled.borrow() + times;
+        let enough = dialled.wait_for(|count| *count >= enough);
         let enough = timeout(PATIENCE, enough).await.expect("it is dialled");
         enough.expect("the agent lives");
     }
