--- a/crates/agent/tests/shell/engine.rs
+++ b/crates/agent/tests/shell/engine.rs
@@ -1,6 +1,6 @@
 //! Attempts at an engine that keeps its protocol, or breaks it.
 
-use crate::support::{Got, Pair, Says, attempt, upstream};
+use crate::support::{Got, Pair, Says, attempt, patiently, upstream};
 use base::{Code, Ran};
 use schema::link::{Cancel, End, frame};
 
@@ -71,7 +71,7 @@
     let heard = hear(&mut pair, 0).await;
     assert_eq!((heard.text.as_str(), heard.units), ("a bü\n", 3));
     assert_eq!((heard.end.code, heard.end.total_units), (0, 3));
-    let Some(Got::Request(request)) = got.recv().await else {
+    let Some(Got::Request(request)) = patiently(got.recv()).await else {
         panic!("the engine got nothing");
     };
     let request = request.to_lowercase();
@@ -202,27 +202,29 @@
     let heard = hear(&mut pair, 2).await;
     assert_eq!((heard.text.as_str(), heard.units), ("cd", 4));
     assert_eq!((heard.end.code, heard.end.total_units), (0, 4));
-    let Some(Got::Request(request)) = got.recv().await else {
+    let Some(Got::Request(request)) = patiently(got.recv()).await else {
         panic!("the engine got nothing");
     };
     assert!(request.contains("x-resume-offset: 2"), "{request}");
 }
 
-// The caller goes away while its answer is streamed.
+// The caller goes away while its answer is streamed, or before it has begun.
 // The engine must see its connection close: it is the only sign by which it
 // stops, and it would otherwise finish an answer that nobody reads.
 #[tokio::test]
 async fn a_cancel_closes_the_connection() {
-    let says = Says::Holds(stream(&[token("a")]));
-    let (address, mut got) = upstream(says).await;
-    let mut pair = Pair::start("engines", address).await;
-    let run = pair.run(false);
-    pair.send(frame::Body::Run(run)).await;
-    while !matches!(pair.next().await, frame::Body::Answer(_)) {}
-    assert!(matches!(got.recv().await, Some(Got::Request(_))));
-    let attempt = Some(attempt());
-    pair.send(frame::Body::Cancel(Cancel { attempt })).await;
-    assert!(matches!(got.recv().await, Some(Got::Closed)));
+    for says in [stream(&[token("a")]), String::new()] {
+        let (address, mut got) = upstream(Says::Holds(says)).await;
+        let mut pair = Pair::start("engines", address).await;
+        let run = pair.run(false);
+        pair.send(frame::Body::Run(run)).await;
+        assert!(matches!(pair.next().await, frame::Body::Started(_)));
+        assert!(matches!(patiently(got.recv()).await, Some(Got::Request(_))));
+        let attempt = Some(attempt());
+        pair.send(frame::Body::Cancel(Cancel { attempt })).await;
+        assert!(matches!(patiently(got.recv()).await, Some(Got::Closed)));
+        pair.agent.abort();
+    }
 }
 
 // The agent's own process dies while an answer is streamed.
@@ -235,9 +237,9 @@
     let run = pair.run(false);
     pair.send(frame::Body::Run(run)).await;
     while !matches!(pair.next().await, frame::Body::Answer(_)) {}
-    assert!(matches!(got.recv().await, Some(Got::Request(_))));
+    assert!(matches!(patiently(got.recv()).await, Some(Got::Request(_))));
     pair.agent.abort();
-    assert!(matches!(got.recv().await, Some(Got::Closed)));
+    assert!(matches!(patiently(got.recv()).await, Some(Got::Closed)));
 }
 
 // The entry stops reading while a long answer comes, and goes on later.
--- a/crates/agent/tests/shell/service.rs
+++ b/crates/agent/tests/shell/service.rs
@@ -1,7 +1,7 @@
 //! Calls of a plain service, and the agent's other borders.
 
 use crate::support::{
-    ENTRY_INCARNATION, Got, Pair, Says, answer_states, connect, upstream,
+    ENTRY_INCARNATION, Got, Pair, Says, answer_states, connect, patiently, upstream,
 };
 use base::{Code, Ran};
 use schema::link::frame;
@@ -111,9 +111,11 @@
     let mut pair = Pair::start("engines", address).await;
     let newer = connect(&pair.agent, ENTRY_INCARNATION).await;
     let mut earlier = std::mem::replace(&mut pair.link, newer);
-    while earlier.receiver.recv().await.unwrap().is_some() {}
+    patiently(async { while earlier.receiver.recv().await.unwrap().is_some() {} })
+        .await;
     let mut old_run = connect(&pair.agent, ENTRY_INCARNATION - 1).await;
-    while old_run.receiver.recv().await.unwrap().is_some() {}
+    patiently(async { while old_run.receiver.recv().await.unwrap().is_some() {} })
+        .await;
     let run = pair.run(false);
     pair.send(frame::Body::Run(run)).await;
     assert!(matches!(pair.next().await, frame::Body::Started(_)));
--- a/crates/agent/tests/shell/support.rs
+++ b/crates/agent/tests/shell/support.rs
@@ -212,6 +212,15 @@
     }
 }
 
+/// After it a test that waits for what never comes fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What comes, or a failed test if it never does.
+pub async fn patiently<T>(what: impl Future<Output = T>) -> T {
+    let came = tokio::time::timeout(PATIENCE, what).await;
+    came.expect("what the test waits for never came")
+}
+
 /// An agent beside an upstream, and the link of an entry to it.
 #[derive(Debug)]
 pub struct Pair {
@@ -265,15 +274,18 @@
 
     /// Waits until what operators get from a path holds a text.
     pub async fn until(&self, path: &str, text: &str) {
-        while !self.operators(path).await.contains(text) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+        let held = async {
+            while !self.operators(path).await.contains(text) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        patiently(held).await;
     }
 
     /// The next frame about an attempt.
     pub async fn next(&mut self) -> frame::Body {
         loop {
-            let frame = self.link.receiver.recv().await.unwrap();
+            let frame = patiently(self.link.receiver.recv()).await.unwrap();
             let body = frame.expect("the link has ended").body.unwrap();
             let about_attempt = matches!(
                 body,
--- a/crates/plat/tests/platform.rs
+++ b/crates/plat/tests/platform.rs
@@ -110,7 +110,7 @@
 
 fn write() -> PlatformOp {
     PlatformOp::Write {
-        key: "agents/a b".to_owned(),
+        key: "agents/a b?%&".to_owned(),
         expect: Expect::Version(Version(3)),
         value: b"value".to_vec(),
     }
@@ -225,7 +225,11 @@
             "GET /watch?prefix=live/&after=7&wait_ms=25000 HTTP/1.1",
             "",
         ),
-        (write(), "PUT /objects/agents/a%20b HTTP/1.1", "if-match: 3"),
+        (
+            write(),
+            "PUT /objects/agents/a%20b%3F%25%26 HTTP/1.1",
+            "if-match: 3",
+        ),
         (
             absent,
             "PUT /objects/claims/007 HTTP/1.1",
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -11,6 +11,9 @@
 
 const FRAME_MAX_BYTES: u32 = 4_096;
 
+/// After it a test that waits for what never comes fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
 /// Longer than any timeout; passes at once on a paused clock.
 const HOUR: Duration = Duration::from_secs(3_600);
 
@@ -130,7 +133,8 @@
         } else {
             raw.shutdown().await.unwrap();
         }
-        let seen = receiver.recv().await.expect_err(fault.name);
+        let seen = tokio::time::timeout(PATIENCE, receiver.recv()).await;
+        let seen = seen.expect(fault.name).expect_err(fault.name);
         assert_eq!(seen.code(), fault.code, "{}: {seen}", fault.name);
         assert!(sender.is_closed(), "{}", fault.name);
         assert!(sender.send(ask(1)).await.is_err(), "{}", fault.name);
