--- a/crates/role/src/entry/control/frames.rs
+++ b/crates/role/src/entry/control/frames.rs
@@ -10,7 +10,7 @@
 use crate::Peer;
 
 impl Control {
-    /// Takes a frame; returns whether it was one for the control part.
+    /// Takes a frame that concerns the control part; others are dropped.
     pub(crate) fn frame(
         &mut self,
         now: Instant,
@@ -21,16 +21,16 @@
         effects: &mut Effects,
     ) {
         match (body, peer) {
-            (frame::Body::Heartbeat(beat), Peer::Agent(id)) => {
-                // An agent speaks for itself only.
-                if beat.agent == id.as_str() {
-                    self.heartbeat(now, beat, Heard::Direct, out, effects);
-                }
+            // A process speaks for itself only.
+            (frame::Body::Heartbeat(beat), Peer::Agent(id))
+                if beat.agent == id.as_str() =>
+            {
+                self.heartbeat(now, beat, Heard::Direct, out, effects);
             }
-            (frame::Body::Gossip(gossip), Peer::Entry(id)) => {
-                if gossip.entry == id.as_str() {
-                    self.hear_gossip(now, gossip, shared, out, effects);
-                }
+            (frame::Body::Gossip(gossip), Peer::Entry(id))
+                if gossip.entry == id.as_str() =>
+            {
+                self.hear_gossip(now, gossip, shared, out, effects);
             }
             (frame::Body::ConfigAsk(ask), _) => self.tell(peer, ask, out),
             (frame::Body::ConfigChanges(offered), _) => {
--- a/crates/role/src/entry/event.rs
+++ b/crates/role/src/entry/event.rs
@@ -9,6 +9,8 @@
 
 /// Something that happened to an entry.
 #[derive(Debug)]
+// An event is handed over once and never stored, so its size costs nothing.
+#[allow(clippy::large_enum_variant)]
 pub enum EntryEvent {
     /// The time given by `due` has come.
     Tick,
--- a/crates/role/tests/entry/answers.rs
+++ b/crates/role/tests/entry/answers.rs
@@ -142,10 +142,10 @@
     type Break = fn(&mut Rig, &Sent);
     let rows: &[(&str, Break)] = &[
         ("upstream lost", |r, run| {
-            r.fail(run, Code::UpstreamLost, Ran::Ran)
+            r.fail(run, Code::UpstreamLost, Ran::Ran);
         }),
         ("outcome unknown", |r, run| {
-            r.fail(run, Code::UpstreamLost, Ran::Unknown)
+            r.fail(run, Code::UpstreamLost, Ran::Unknown);
         }),
         ("clean end, too short", |r, run| r.end(run, 2)),
         ("clean end, too long", |r, run| r.end(run, 9)),
--- a/crates/role/tests/entry/crashes.rs
+++ b/crates/role/tests/entry/crashes.rs
@@ -185,7 +185,7 @@
         let mut pair = Pair::new();
         pair.advance(600);
         pair.suspect_without_retry();
-        pair.rigs.iter_mut().for_each(|rig| rig.advance(phase_ms));
+        pair.advance(phase_ms);
         let again = [pair.deadly(0), pair.deadly(1)];
         for step in 0..60 {
             for rig in &mut pair.rigs {
