--- a/crates/agent/tests/shell/orders.rs
+++ b/crates/agent/tests/shell/orders.rs
@@ -74,6 +74,7 @@
 async fn a_predecessor_that_listens_is_not_dead() {
     let predecessor = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let intent = Intent {
+        link_address: String::new(),
         order: 9,
         epoch: 3,
         load: true,
--- /dev/null
+++ b/crates/cap/tests/fit.rs
@@ -0,0 +1,91 @@
+//! The arithmetic of fits, and the target worked out from known slopes.
+
+use cap::fit::{Growth, Sample, Series, exponent, line};
+use cap::target::{Budget, Target, core_percent};
+use cap::text::number;
+
+fn series(growth: Growth, cost: fn(f64) -> f64) -> Series {
+    let sample = |size: f64| Sample {
+        size,
+        cost: cost(size),
+    };
+    Series {
+        name: "test",
+        size_of: "things",
+        unit: "ns",
+        growth,
+        samples: [16.0, 64.0, 256.0, 1_024.0].map(sample).to_vec(),
+    }
+}
+
+fn near(found: f64, wanted: f64) {
+    let off = (found - wanted).abs() / wanted.abs().max(1e-9);
+    assert!(off < 1e-6, "found {found}, wanted {wanted}");
+}
+
+#[test]
+fn a_line_is_found_again() {
+    let known = series(Growth::Line, |size| 100.0 + 3.0 * size);
+    let found = line(&known.samples).expect("four sizes make a line");
+    near(found.start, 100.0);
+    near(found.slope, 3.0);
+    near(known.per_item(), 3.0);
+    near(known.at(12_000.0), 36_100.0);
+}
+
+#[test]
+fn a_power_is_found_again_and_carried_on() {
+    let known = series(Growth::Power, |size| 2.0 * size * size);
+    near(known.exponent(), 2.0);
+    near(known.at(2_048.0), 2.0 * 2_048.0 * 2_048.0);
+    near(known.at(100.0), 2.0 * 100.0 * 100.0);
+    near(known.at(1.0), 2.0 * 16.0 * 16.0);
+}
+
+/// A fixed cost flattens the small sizes. Carried on by the exponent over all
+/// sizes, the cost at the target would come out too low.
+#[test]
+fn a_fixed_cost_does_not_hide_the_growth() {
+    let known = series(Growth::Power, |size| 1_000.0 + 10.0 * size);
+    assert!(known.tail_exponent() > known.exponent());
+    let (all, tail) = (known.exponent(), known.tail_exponent());
+    let by_all = 11_240.0 * (12_000.0_f64 / 1_024.0).powf(all);
+    assert!(known.at(12_000.0) > by_all, "{all} {tail}");
+}
+
+#[test]
+fn too_few_samples_give_no_slope() {
+    let one = [Sample {
+        size: 3.0,
+        cost: 4.0,
+    }];
+    assert_eq!(line(&one), None);
+    assert_eq!(line(&[one[0], one[0]]), None);
+    near(exponent(&one) + 1.0, 1.0);
+}
+
+#[test]
+fn the_target_is_shared_out() {
+    let target = Target::USERS;
+    near(target.holders(), 30.0);
+    near(target.beats_per_s(), 2.0);
+    near(target.domain_agents().round(), 857.0);
+    near(target.entry_requests_per_s(), 41_000.0 / 1_300.0);
+    near(target.entry_in_flight(), 14e6 * 0.064 / 1_300.0);
+    near(core_percent(24_000.0, 1_000.0), 2.4);
+    assert!(core_percent(24_000.0, 1_000.0) > Budget::USERS.core_percent);
+}
+
+#[test]
+fn numbers_are_readable() {
+    for (value, text) in [
+        (0.0, "0.00"),
+        (0.012_34, "0.0123"),
+        (1.234, "1.23"),
+        (12.34, "12.3"),
+        (123.4, "123"),
+        (12_345_678.0, "12,345,678"),
+    ] {
+        assert_eq!(number(value), text);
+    }
+}
--- a/crates/fake/src/bin/fake-load.rs
+++ b/crates/fake/src/bin/fake-load.rs
@@ -94,6 +94,7 @@
     };
     Ok(LoadOptions {
         direct: args.direct.is_some(),
+        balanced: false,
         targets: args.direct.map_or(args.entry, |engine| vec![engine]),
         key: args.key,
         mixes,
--- a/crates/fake/src/demo/mod.rs
+++ b/crates/fake/src/demo/mod.rs
@@ -5,6 +5,8 @@
 
 mod children;
 mod deployment;
+mod folder;
+mod ports;
 mod probe;
 mod summary;
 mod work;
@@ -14,7 +16,11 @@
 use std::path::PathBuf;
 use tokio::signal::unix::{SignalKind, signal};
 
-use deployment::Deployment;
+pub use deployment::{Controls, Deployment, DeploymentOptions, Said};
+pub use probe::Probe;
+
+/// The demo's fleet configuration.
+pub const FLEET: &str = include_str!("../../../../deploy/demo.jsonc");
 
 /// How the demo is run.
 #[derive(Debug, Clone)]
@@ -38,6 +44,10 @@
     NoAddress(String),
     /// A command of `sesamectl` failed; what it printed.
     Command(String),
+    /// No process of the system has this name.
+    NoProcess(String),
+    /// A process did not end in time.
+    StillRuns(String),
     /// A signal ended the demo.
     Interrupted,
     /// Processes that were not ready in time, and the folder with their logs.
@@ -57,6 +67,8 @@
             Self::Io(what, error) => write!(f, "{what}: {error}"),
             Self::NoAddress(name) => write!(f, "{name} did not tell its address"),
             Self::Command(text) => write!(f, "sesamectl failed: {text}"),
+            Self::NoProcess(name) => write!(f, "there is no process {name}"),
+            Self::StillRuns(name) => write!(f, "{name} did not end in time"),
             Self::Interrupted => f.write_str("interrupted"),
             Self::NotReady(names, logs) => write!(
                 f,
@@ -76,7 +88,11 @@
 ///
 /// The deployment did not come up.
 pub async fn run(options: DemoOptions) -> Result<bool, DemoError> {
-    let mut deployment = Deployment::start(options.keep)?;
+    println!("starting 1 platform, 1 weight store, 6 engines, 3 services, ...");
+    let mut deployment = Deployment::start(DeploymentOptions {
+        keep: options.keep,
+        ..DeploymentOptions::default()
+    })?;
     // The children would outlive a demo that ended without stopping them.
     let done = tokio::select! {
         done = drive(&deployment, &options) => done,
@@ -108,7 +124,7 @@
     deployment: &Deployment,
     options: &DemoOptions,
 ) -> Result<bool, DemoError> {
-    print!("{}", deployment.publish()?);
+    print!("{}", deployment.publish(FLEET)?);
     deployment.until_ready().await?;
     println!(
         "9 agents and 2 entries are ready; settings, logs and the addresses for\n\
--- a/crates/fake/src/demo/work.rs
+++ b/crates/fake/src/demo/work.rs
@@ -26,6 +26,7 @@
         let report = load::run(LoadOptions {
             targets: entries.to_vec(),
             direct: false,
+            balanced: false,
             key: KEY.to_owned(),
             mixes: mixes(desk),
             concurrency: 0,
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -28,6 +28,7 @@
 mod handle;
 mod http;
 pub mod load;
+pub mod overhead;
 pub mod platform;
 pub mod program;
 pub mod service;
--- a/crates/fake/src/load/answer.rs
+++ b/crates/fake/src/load/answer.rs
@@ -41,6 +41,20 @@
     Disconnected,
 }
 
+/// Code with which an entry refuses that is stopping; `docs/errors.md`.
+const LEAVING: &str = "2004 ";
+
+impl Verdict {
+    /// Whether a balancer would send the target nothing more.
+    pub(super) fn is_away(&self) -> bool {
+        match self {
+            Self::Unreached => true,
+            Self::Refused { code, .. } => code.starts_with(LEAVING),
+            _ => false,
+        }
+    }
+}
+
 /// Sends one request and takes its answer.
 pub(super) async fn exchange(client: &HttpClient, job: &Job) -> Outcome {
     let begun = Instant::now();
--- a/crates/fake/src/load/mod.rs
+++ b/crates/fake/src/load/mod.rs
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -38,6 +39,10 @@
     pub targets: Vec<SocketAddr>,
     /// The targets are engines: no caller key and no profile are sent.
     pub direct: bool,
+    /// Leave a target out once it says that it is leaving or refuses
+    /// connections, as a balancer before the entries does. With all left out,
+    /// they are taken in turn again.
+    pub balanced: bool,
     /// The caller's key.
     pub key: String,
     /// Kinds of work.
@@ -61,6 +66,7 @@
         client: Client::builder(TokioExecutor::new()).build(connector()),
         report: Mutex::new(Report::new(&options.mixes)),
         next: AtomicU64::new(0),
+        out: Mutex::default(),
         options,
     });
     let begun = Instant::now();
@@ -83,6 +89,8 @@
     client: HttpClient,
     report: Mutex<Report>,
     next: AtomicU64,
+    /// Targets that are left out.
+    out: Mutex<BTreeSet<SocketAddr>>,
     options: LoadOptions,
 }
 
@@ -112,16 +120,33 @@
 }
 
 impl Driver {
+    /// The target of the request at a place; `None` without targets.
+    fn target(&self, index: u64) -> Option<SocketAddr> {
+        let all = &self.options.targets;
+        let out = self.out.lock();
+        let ready = all.iter().filter(|target| !out.contains(target));
+        let ready: Vec<SocketAddr> = ready.copied().collect();
+        let from = if ready.is_empty() { all } else { &ready };
+        let place = index % u64::try_from(from.len()).ok()?.max(1);
+        from.get(usize::try_from(place).ok()?).copied()
+    }
+
     /// Sends the next request; false when all were sent.
     async fn send_next(&self) -> bool {
         let index = self.next.fetch_add(1, Ordering::Relaxed);
         if index >= self.options.count {
             return false;
         }
-        let Some(job) = Job::new(&self.options, index) else {
+        let Some(target) = self.target(index) else {
+            return false;
+        };
+        let Some(job) = Job::new(&self.options, index, target) else {
             return false;
         };
         let outcome: Outcome = answer::exchange(&self.client, &job).await;
+        if self.options.balanced && outcome.verdict.is_away() {
+            self.out.lock().insert(target);
+        }
         self.report.lock().add(&job.mix, &outcome);
         true
     }
--- a/crates/fake/src/load/request.rs
+++ b/crates/fake/src/load/request.rs
@@ -7,6 +7,7 @@
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde_json::json;
+use std::net::SocketAddr;
 
 use super::{LoadOptions, Mix};
 use crate::text::BYTES_PER_TOKEN;
@@ -19,19 +20,20 @@
     pub(super) prompt: String,
     /// Idempotency key, for a plain service.
     pub(super) key: String,
-    target: std::net::SocketAddr,
+    target: SocketAddr,
     bearer: Option<String>,
 }
 
 impl Job {
-    /// The request at a place; `None` without targets or work.
-    pub(super) fn new(options: &LoadOptions, index: u64) -> Option<Self> {
+    /// The request at a place; `None` without work.
+    pub(super) fn new(
+        options: &LoadOptions,
+        index: u64,
+        target: SocketAddr,
+    ) -> Option<Self> {
         let mut random = Pcg64::seed_from_u64(options.seed ^ index.rotate_left(32));
         let mix = pick_mix(&options.mixes, &mut random)?.clone();
         let model = pick_model(&mix.models, &mut random);
-        let targets = &options.targets;
-        let target =
-            *targets.get(usize::try_from(index).ok()? % targets.len().max(1))?;
         Some(Self {
             prompt: prompt(&mix, &model, options.seed, index),
             key: format!("load-{:x}-{index:x}", options.seed),
--- /dev/null
+++ b/crates/fake/src/overhead/delay.rs
@@ -0,0 +1,104 @@
+//! First token and whole time, straight to the engine and through.
+
+use super::OverheadOptions;
+use super::fleet::{self, KEY, PROFILE};
+use super::processes::{idle, resident_now};
+use crate::demo::{DemoError, Deployment, DeploymentOptions};
+use crate::load::{self, LoadOptions, ProfileReport, Report};
+
+const STEP_US: u64 = 10_000;
+const TOKENS: u64 = 16;
+
+/// Requests per second of the loads.
+const RATES_PER_S: [u32; 3] = [10, 100, 400];
+
+/// Measures all loads, and the processes idle before them.
+pub(super) async fn run(options: &OverheadOptions) -> Result<(), DemoError> {
+    let deployment = Deployment::start(DeploymentOptions {
+        engines: 1,
+        services: 0,
+        entries: 1,
+        engine_arguments: fleet::engine_arguments(STEP_US),
+        store: false,
+        ..DeploymentOptions::default()
+    })?;
+    fleet::bring_up(&deployment, 1, STEP_US).await?;
+    println!("\none engine, one agent, one entry, idle with a model loaded:");
+    print!("{}", idle(&deployment, options.idle_seconds).await);
+    println!(
+        "\nstep 10 ms, {TOKENS} tokens, {} turns of {} s each way; ms direct -> through",
+        options.turns, options.seconds
+    );
+    println!(
+        "{:>6}  {:<26}{:<26}{:<26}{:<26}{:>6}",
+        "req/s", "first p50", "first p99", "whole p50", "whole p99", "whole"
+    );
+    for rate in RATES_PER_S {
+        let (direct, through) = turns(&deployment, options, rate).await;
+        print_ratios(rate, &direct.profiles[PROFILE], &through.profiles[PROFILE]);
+    }
+    println!("resident after the loads:\n{}", resident_now(&deployment));
+    deployment.stop();
+    Ok(())
+}
+
+async fn turns(
+    deployment: &Deployment,
+    options: &OverheadOptions,
+    rate: u32,
+) -> (Report, Report) {
+    let mut both: [Option<Report>; 2] = [None, None];
+    for turn in 0..options.turns {
+        for (place, total) in both.iter_mut().enumerate() {
+            let direct = place == 0;
+            let mut of_turn = work(deployment, direct, rate, options.seconds);
+            of_turn.seed = u64::from(rate) << 32 | u64::from(turn);
+            let report = load::run(of_turn).await;
+            match total {
+                Some(total) => total.merge(&report),
+                None => *total = Some(report),
+            }
+        }
+    }
+    let [direct, through] = both;
+    let measured = "there is at least one turn";
+    (direct.expect(measured), through.expect(measured))
+}
+
+fn work(deployment: &Deployment, direct: bool, rate: u32, seconds: u64) -> LoadOptions {
+    LoadOptions {
+        targets: if direct {
+            deployment.engines()
+        } else {
+            deployment.callers()
+        },
+        direct,
+        balanced: false,
+        key: KEY.to_owned(),
+        mixes: fleet::mixes(&fleet::models(1), TOKENS),
+        concurrency: 0,
+        rate_per_s: Some(f64::from(rate)),
+        count: u64::from(rate) * seconds,
+        seed: 1,
+    }
+}
+
+fn print_ratios(rate: u32, direct: &ProfileReport, through: &ProfileReport) {
+    let pair = |direct_us: u64, through_us: u64| {
+        let ratio = through_us as f64 / direct_us.max(1) as f64;
+        let ms = |us: u64| us as f64 / 1_000.0;
+        format!("{:.2} -> {:.2} = {ratio:.3}", ms(direct_us), ms(through_us))
+    };
+    let (first, first_through) = (&direct.first_token, &through.first_token);
+    let (total, total_through) = (&direct.total, &through.total);
+    println!(
+        "{rate:>6}  {:<26}{:<26}{:<26}{:<26}{}+{} of {}",
+        pair(first.p50_us, first_through.p50_us),
+        pair(first.p99_us, first_through.p99_us),
+        pair(total.p50_us, total_through.p50_us),
+        pair(total.p99_us, total_through.p99_us),
+        direct.whole,
+        through.whole,
+        direct.sent + through.sent,
+    );
+}
--- /dev/null
+++ b/crates/fake/src/overhead/fleet.rs
@@ -0,0 +1,133 @@
+//! The benchmark's fleet configuration.
+
+use serde_json::{Value, json};
+
+use crate::demo::{DemoError, Deployment};
+use crate::load::{self, LoadOptions, Mix};
+
+/// Key of the benchmark's caller; its hash stands in the configuration.
+pub(super) const KEY: &str = "demo-key";
+
+/// Places of one engine's batch, more than any load here fills.
+pub(super) const SLOTS: usize = 256;
+
+/// The profile that all work names.
+pub(super) const PROFILE: &str = "bench";
+
+/// As many models as engines, one to each.
+pub(super) fn models(engines: usize) -> Vec<String> {
+    (1..=engines)
+        .map(|place| format!("model-{place}"))
+        .collect()
+}
+
+/// The document for a number of engines with a step time.
+pub(super) fn document(engines: usize, step_us: u64) -> String {
+    let names = models(engines);
+    let models: serde_json::Map<String, Value> = names
+        .iter()
+        .map(|name| {
+            let model = json!({"size_mib": 70_000, "version": 1, "pool": "oracle"});
+            (name.clone(), model)
+        })
+        .collect();
+    let domains = ["spanish-town", "newport-west", "halfway-tree"];
+    json!({
+        "deployment": "overhead",
+        "failure_domains": {
+            "spanish-town": {"region": "kingston"},
+            "newport-west": {"region": "kingston"},
+            "halfway-tree": {"region": "kingston"},
+        },
+        "pools": {"oracle": {
+            "kind": "engine",
+            "instances": engines,
+            "failure_domains": &domains[..engines.min(domains.len())],
+            "accelerators_mib": [81_920],
+            "step_time_us": step_us,
+            "concurrent_max": SLOTS,
+            "checks_fencing": true,
+            "order_delay_max_ms": 1_000,
+        }},
+        "models": models,
+        "profiles": {PROFILE: {
+            "kind": "batch",
+            "models": names,
+            "deadline_ms": 60_000,
+            "priority": 100,
+            "value": 10,
+        }},
+        "callers": {"press-desk": {
+            "key_sha256":
+                "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c",
+            "concurrent_max": 10_000,
+        }},
+        "weights": {
+            "attainment": 1.0,
+            "move_cost": 1.0,
+            "min_residence_ms": 60_000,
+            "wait_max_ms": 20_000,
+        },
+        "store": {"loads_per_s": 10.0, "full_speed_loads": 8, "load_time_ms": 200},
+    })
+    .to_string()
+}
+
+/// Arguments of an engine for the benchmark.
+pub(super) fn engine_arguments(step_us: u64) -> Vec<String> {
+    let slots = SLOTS.to_string();
+    let step_us = step_us.to_string();
+    [
+        "--check-fencing",
+        "--load-ms",
+        "200",
+        "--slots",
+        &slots,
+        "--step-us",
+        &step_us,
+    ]
+    .map(str::to_owned)
+    .to_vec()
+}
+
+/// Work on each of some models alike.
+pub(super) fn mixes(models: &[String], max_tokens: u64) -> Vec<Mix> {
+    let mix = |model: &String| Mix {
+        profile: PROFILE.to_owned(),
+        models: vec![model.clone()],
+        max_tokens,
+        ..Mix::default()
+    };
+    models.iter().map(mix).collect()
+}
+
+/// Publishes, waits for readiness and has each model loaded.
+pub(super) async fn bring_up(
+    deployment: &Deployment,
+    engines: usize,
+    step_us: u64,
+) -> Result<(), DemoError> {
+    let said = deployment.publish_with(&document(engines, step_us), &[])?;
+    if said.code != 0 {
+        return Err(DemoError::Command(said.text));
+    }
+    deployment.until_ready().await?;
+    for model in models(engines) {
+        let report = load::run(LoadOptions {
+            targets: deployment.callers(),
+            direct: false,
+            balanced: false,
+            key: KEY.to_owned(),
+            mixes: mixes(&[model], 4),
+            concurrency: 1,
+            rate_per_s: None,
+            count: 1,
+            seed: 1,
+        })
+        .await;
+        if report.profiles[PROFILE].whole != 1 {
+            return Err(DemoError::Command(report.table()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fake/src/overhead/processes.rs
@@ -0,0 +1,124 @@
+//! What each process takes of the machine.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::fs;
+use std::time::{Duration, Instant};
+
+use super::OverheadOptions;
+use crate::demo::{DemoError, Deployment, DeploymentOptions};
+
+/// The fleet of today's size.
+const TODAY: &str = include_str!("../../../../deploy/harbourline.jsonc");
+
+/// How long a deployment settles before it counts as idle.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Processor time and memory of every process of a deployment.
+#[derive(Debug)]
+pub(super) struct Use {
+    at: Instant,
+    by_process: BTreeMap<String, OneUse>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OneUse {
+    cpu_ns: u64,
+    resident_kib: u64,
+}
+
+impl Use {
+    /// Reads all processes, this one too.
+    pub(super) fn of(deployment: &Deployment) -> Self {
+        let mut pids = deployment.pids();
+        pids.insert("(driver)".to_owned(), std::process::id());
+        let by_process = pids.into_iter().map(|(name, pid)| (name, OneUse::of(pid)));
+        Self {
+            at: Instant::now(),
+            by_process: by_process.collect(),
+        }
+    }
+}
+
+impl OneUse {
+    /// Reads one process; what can't be read is 0.
+    fn of(pid: u32) -> Self {
+        let status = fs::read_to_string(format!("/proc/{pid}/status"));
+        let status = status.unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|text| text.split_whitespace().next());
+        Self {
+            cpu_ns: cpu_ns(pid),
+            resident_kib: resident.and_then(|kib| kib.parse().ok()).unwrap_or(0),
+        }
+    }
+}
+
+/// Time on a processor of all threads. `stat` counts in hundredths of a second,
+/// too coarse for a process that is idle.
+fn cpu_ns(pid: u32) -> u64 {
+    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else {
+        return 0;
+    };
+    let one = |path: std::path::PathBuf| {
+        let text = fs::read_to_string(path.join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    threads
+        .flatten()
+        .filter_map(|thread| one(thread.path()))
+        .sum()
+}
+
+/// Looks at idle processes for some seconds.
+pub(super) async fn idle(deployment: &Deployment, seconds: u64) -> String {
+    tokio::time::sleep(SETTLE).await;
+    let before = Use::of(deployment);
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    loaded(deployment, &before)
+}
+
+/// What the processes took since an earlier look.
+pub(super) fn loaded(deployment: &Deployment, before: &Use) -> String {
+    let after = Use::of(deployment);
+    let elapsed_ns = (after.at - before.at).as_nanos().max(1) as f64;
+    let mut text = String::new();
+    for (name, one) in &after.by_process {
+        let earlier = before.by_process.get(name).map_or(0, |one| one.cpu_ns);
+        let cpu_ns = one.cpu_ns.saturating_sub(earlier);
+        let percent = cpu_ns as f64 * 100.0 / elapsed_ns;
+        let mib = one.resident_kib as f64 / 1_024.0;
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "  {name:<20}{percent:>9.3}% of a core {mib:>7.1} MiB");
+    }
+    text
+}
+
+/// Resident memory of the system's processes.
+pub(super) fn resident_now(deployment: &Deployment) -> String {
+    let now = Use::of(deployment);
+    let lines = now.by_process.iter().map(|(name, one)| {
+        let mib = one.resident_kib as f64 / 1_024.0;
+        format!("  {name:<20}{mib:>7.1} MiB")
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// A deployment of today's size without work: what control costs by itself.
+pub(super) async fn control(options: &OverheadOptions) -> Result<(), DemoError> {
+    let deployment = Deployment::start(DeploymentOptions {
+        engines: 18,
+        services: 3,
+        entries: 3,
+        ..DeploymentOptions::default()
+    })?;
+    let said = deployment.publish_with(TODAY, &[])?;
+    if said.code != 0 {
+        return Err(DemoError::Command(said.text));
+    }
+    deployment.until_ready().await?;
+    println!("\nHarbourline's size, 21 agents and 3 entries, idle:");
+    print!("{}", idle(&deployment, options.idle_seconds).await);
+    deployment.stop();
+    Ok(())
+}
--- a/crates/fake/tests/all/load.rs
+++ b/crates/fake/tests/all/load.rs
@@ -33,6 +33,7 @@
     load::run(LoadOptions {
         targets: vec![target],
         direct: true,
+        balanced: false,
         key: String::new(),
         mixes: vec![mix],
         concurrency: 4,
--- a/crates/mem/src/order.rs
+++ b/crates/mem/src/order.rs
@@ -58,6 +58,7 @@
             accelerator: self.placement.accelerator,
             size_mib: self.size_mib,
             upstream_incarnation: self.upstream_incarnation,
+            link_address: String::new(),
         }
     }
 
--- a/crates/mem/tests/ledger.rs
+++ b/crates/mem/tests/ledger.rs
@@ -67,6 +67,7 @@
                 accelerator: 0,
                 size_mib,
                 upstream_incarnation: 7,
+                link_address: String::new(),
             };
             ledger.adopt(Instant::from_ms(ms), &[intent]);
         }
--- a/crates/place/benches/queue/mod.rs
+++ b/crates/place/benches/queue/mod.rs
@@ -11,6 +11,7 @@
 pub mod bound;
 pub mod cell;
 pub mod policies;
+pub mod server;
 pub mod setup;
 pub mod traffic;
 
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -103,6 +103,16 @@
         units.flat_map(|unit| std::iter::once(&unit.base).chain(&unit.adapters))
     }
 
+    /// The unit that a group's adapters belong to: of the present version, or of
+    /// an old one until that is there.
+    pub(crate) fn unit_for(&mut self, group: usize) -> Option<&mut Unit> {
+        let of_group = |unit: &Unit| unit.group == group;
+        let present = |unit: &Unit| of_group(unit) && !unit.outdated;
+        let index = self.units.iter().position(present);
+        let index = index.or_else(|| self.units.iter().position(of_group));
+        index.map(|index| &mut self.units[index])
+    }
+
     /// Takes off a model that an earlier plan took off; its memory stays taken.
     pub(crate) fn going(&mut self, model: usize) {
         let before = self.wanted_mib();
@@ -209,7 +219,7 @@
         }
         let current = catalog.models[model].spec.version == resident.version;
         let group = catalog.models[model].group;
-        let base = slot.units.iter_mut().find(|unit| unit.group == group);
+        let base = slot.unit_for(group);
         match base {
             Some(base) if current => base.adapters.push(held(model, resident)),
             _ => slot.going_mib += u64::from(resident.size_mib),
--- a/crates/place/src/memory.rs
+++ b/crates/place/src/memory.rs
@@ -271,8 +271,7 @@
             });
             return true;
         }
-        let mut units = self.units.iter_mut();
-        let Some(unit) = units.find(|unit| unit.group == group) else {
+        let Some(unit) = self.unit_for(group) else {
             return false;
         };
         unit.adapters.push(held);
--- a/crates/place/src/worth.rs
+++ b/crates/place/src/worth.rs
@@ -5,7 +5,7 @@
 use crate::catalog::{Group, Work};
 
 /// Time over which an expectation is added up.
-pub(crate) const HORIZON_S: f64 = 10.0;
+pub(crate) const HORIZON_S: f64 = 20.0;
 
 /// Share of a loss that a gain has to exceed it by, against noise in the demand.
 const MARGIN: f64 = 0.25;
--- a/crates/role/src/entry/control/gossip.rs
+++ b/crates/role/src/entry/control/gossip.rs
@@ -84,6 +84,7 @@
         self.gossip.sequence += 1;
         let options = &shared.options;
         Gossip {
+            verdicts: Vec::new(),
             entry: options.id.to_string(),
             incarnation: options.incarnation.0,
             sequence: self.gossip.sequence,
