Plan a pool's engines of a region together, not those of one failure domain

Cause: each failure domain's planner saw a third of the room, so bursts waited while accelerators of other domains idled, and models were moved to and fro. Ruled out: a larger share of the store for the busy cell (the room was the limit); planning the whole demand in each cell (every domain loads every model).

--- a/crates/role/src/entry/control/cells.rs
+++ b/crates/role/src/entry/control/cells.rs
@@ -9,7 +9,10 @@
 /// Agents in one cell at most.
 const CELL_AGENTS_MAX: usize = 64;
 
-/// Engines of one pool in one failure domain that are planned together.
+/// Engines of one pool in one region that are planned together.
+///
+/// A cell spans the region's failure domains: one plan then sees all the room
+/// there is for a model, and places its replicas apart.
 #[derive(Debug)]
 pub(super) struct Cell {
     /// Name, the key of its planner's rank.
@@ -30,14 +33,14 @@
         if !pool.engine || !agent.upstream_up {
             continue;
         }
-        let key = (agent.pool.as_str(), agent.domain.as_str());
+        let key = (agent.pool.as_str(), region(config, &agent.domain));
         groups.entry(key).or_default().push(view(agent));
     }
     let mut cells = Vec::new();
-    for ((pool, domain), agents) in groups {
+    for ((pool, region), agents) in groups {
         for (index, agents) in agents.chunks(CELL_AGENTS_MAX).enumerate() {
             cells.push(Cell {
-                key: format!("{pool}/{domain}/{index}"),
+                key: format!("{pool}/{region}/{index}"),
                 pool: PoolId::new(pool),
                 agents: agents.to_vec(),
             });
@@ -46,6 +49,13 @@
     cells
 }
 
+/// Region of a failure domain; a domain without one is a region of its own.
+fn region<'a>(config: &'a Config, domain: &'a DomainId) -> &'a str {
+    let known = config.fleet().failure_domains.get(domain.as_str());
+    let named = known.filter(|known| !known.region.is_empty());
+    named.map_or(domain.as_str(), |known| known.region.as_str())
+}
+
 fn view(agent: &Agent) -> AgentView {
     let residents = agent.residents.iter().map(|held| ResidentView {
         model: held.model.clone(),
