Agent: hold a run alone until the batch is empty

Cause: the gate refused a run that must be alone with gate_full while anything was in flight. On a busy fleet no upstream is idle by chance, so a suspect went from agent to agent until its deadline and was never cleared or convicted.

Ruled out: stopping what runs (it would cost innocent requests their answer); a reservation made by the entry (two entries' views differ; only the agent knows its batch).

A key is claimed only when the run may start.

--- a/crates/role/src/agent/answers.rs
+++ b/crates/role/src/agent/answers.rs
@@ -124,6 +124,7 @@
             status: u32::from(status),
             content_type,
             total_units: attempt.offset,
+            upstream_incarnation: attempt.upstream,
             ..self.end(now, id, 0, Ran::Ran)
         };
         self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
@@ -212,6 +213,7 @@
         let end = End {
             retry_after_ms: retry_after(&refusal),
             total_units: attempt.offset,
+            upstream_incarnation: attempt.upstream,
             ..self.end(now, id, refusal.code.number(), Ran::NotRun)
         };
         self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
@@ -246,6 +248,7 @@
         self.close_claim(now, id, &attempt, ran, out);
         let end = End {
             total_units: attempt.offset,
+            upstream_incarnation: attempt.upstream,
             ..end
         };
         self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
--- a/crates/role/src/agent/attempts.rs
+++ b/crates/role/src/agent/attempts.rs
@@ -7,6 +7,11 @@
 /// Where an attempt is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
+    /// It waits until nothing else is in progress.
+    Held {
+        /// When it is refused instead.
+        until: Instant,
+    },
     /// It waits for the claim of its key.
     Claiming,
     /// It was given to the driver.
@@ -42,6 +47,8 @@
     pub(super) keyed: bool,
     pub(super) alone: bool,
     pub(super) fingerprint: u64,
+    /// Run of the upstream that it was handed to; 0 before that.
+    pub(super) upstream: u64,
     /// Units of the answer before the next part.
     pub(super) offset: u64,
     pub(super) began: Instant,
@@ -60,7 +67,7 @@
 
     /// It takes a place at the upstream, or may soon.
     const fn takes_place(&self) -> bool {
-        !matches!(self.phase, Phase::Releasing { .. })
+        !matches!(self.phase, Phase::Held { .. } | Phase::Releasing { .. })
     }
 
     /// Keeps a part for a resend, up to `max` bytes in all.
@@ -111,11 +118,24 @@
         u32::try_from(taken.count()).unwrap_or(u32::MAX)
     }
 
-    /// An attempt that must run alone is in progress.
+    /// An attempt that must run alone is in progress, or held until it can be.
     pub(super) fn any_alone(&self) -> bool {
-        self.table
-            .values()
-            .any(|attempt| attempt.alone && attempt.takes_place())
+        self.table.values().any(|attempt| {
+            attempt.alone && !matches!(attempt.phase, Phase::Releasing { .. })
+        })
+    }
+
+    /// The attempt that is held; the gate lets in one at a time.
+    pub(super) fn held(&self) -> Option<AttemptId> {
+        let mut table = self.table.iter();
+        let is_held = |attempt: &Attempt| matches!(attempt.phase, Phase::Held { .. });
+        table.find(|(_, a)| is_held(a)).map(|(id, _)| *id)
+    }
+
+    /// When the youngest of those in progress began.
+    pub(super) fn youngest(&self) -> Option<Instant> {
+        let taken = self.table.values().filter(|attempt| attempt.takes_place());
+        taken.map(|attempt| attempt.began).max()
     }
 
     /// An attempt on a version of a model is in progress.
@@ -136,7 +156,7 @@
             .table
             .values()
             .filter_map(|attempt| match attempt.phase {
-                Phase::Broken { until } => Some(until),
+                Phase::Held { until } | Phase::Broken { until } => Some(until),
                 Phase::Starting | Phase::Running => Some(attempt.deadline),
                 Phase::Claiming | Phase::Releasing { .. } => None,
             });
--- a/crates/role/src/agent/gate.rs
+++ b/crates/role/src/agent/gate.rs
@@ -2,6 +2,7 @@
 
 use super::AgentRole;
 use base::prelude::*;
+use conf::ProfileKind;
 use schema::link::{Load, Run};
 
 /// When to come back to a full gate before any service time is known.
@@ -16,7 +17,7 @@
     pub(super) fn check(&self, now: Instant, run: &Run) -> Result<(), Refusal> {
         self.check_self(now, run)?;
         self.check_held(run)?;
-        self.check_place(run)?;
+        self.check_place(now, run)?;
         self.check_time(run)
     }
 
@@ -24,7 +25,8 @@
         if run.agent_incarnation != self.options.incarnation.0 {
             return Err(Refusal::not_run(Code::WrongIncarnation));
         }
-        if self.drain.is_some() {
+        // A fenced agent ends, too, but its instance takes work by another.
+        if self.drain.is_some() && !self.record.is_fenced() {
             return Err(Refusal::not_run(Code::Leaving));
         }
         self.check_able()?;
@@ -47,7 +49,7 @@
         Err(Refusal::not_run(Code::NotReady).retry_after_ms(READY_RETRY_MS))
     }
 
-    fn check_held(&self, run: &Run) -> Result<(), Refusal> {
+    pub(super) fn check_held(&self, run: &Run) -> Result<(), Refusal> {
         if !run.service.is_empty() {
             return self.check_service(&run.service);
         }
@@ -86,30 +88,60 @@
 
     /// Most attempts in progress at once.
     pub(super) fn running_max(&self) -> u32 {
-        let Some(pool) = self.pool() else { return 0 };
-        let accelerators = if pool.engine {
-            u32::try_from(pool.accelerators_mib.len()).unwrap_or(u32::MAX)
-        } else {
-            1
+        match self.pool() {
+            Some(pool) if pool.engine => self.limit.places(),
+            Some(pool) => pool.concurrent_max.max(1),
+            None => 0,
+        }
+    }
+
+    /// Learns from the engine's step time how many places it has.
+    pub(super) fn learn_places(&mut self, step_us: u32) {
+        let full = self.attempts.in_flight() >= self.running_max();
+        let expected_us = self.expected_between_tokens_us();
+        self.limit.observe(step_us, expected_us, full);
+    }
+
+    /// Shortest expected time between tokens of the interactive work on what the
+    /// engine holds; 0 for none.
+    fn expected_between_tokens_us(&self) -> u64 {
+        let Some(config) = self.config() else {
+            return 0;
+        };
+        let holds = |model: &ModelId| {
+            let mut residents = self.ledger.residents();
+            residents.any(|held| held.loaded && held.placement.model == *model)
         };
-        pool.concurrent_max.max(1).saturating_mul(accelerators)
+        let expected = config
+            .profiles()
+            .filter(|profile| profile.kind == ProfileKind::Interactive)
+            .filter(|profile| profile.between_tokens_ms > 0)
+            .filter(|profile| profile.models.iter().any(holds))
+            .map(|profile| u64::from(profile.between_tokens_ms) * 1_000);
+        expected.min().unwrap_or(0)
     }
 
-    fn check_place(&self, run: &Run) -> Result<(), Refusal> {
-        let in_flight = self.attempts.in_flight();
-        // A request that may have crashed an upstream runs alone, so that the
-        // next crash shows whether it was the cause.
-        let crowded = run.alone && in_flight > 0;
-        let full = in_flight >= self.running_max();
-        if !full && !crowded && !self.attempts.any_alone() {
+    fn check_place(&self, now: Instant, run: &Run) -> Result<(), Refusal> {
+        if self.attempts.any_alone() {
+            return Err(self.gate_full());
+        }
+        if run.alone {
+            return self.check_alone(now, run);
+        }
+        if self.attempts.in_flight() < self.running_max() {
             return Ok(());
         }
+        Err(self.gate_full())
+    }
+
+    /// The refusal of what finds no place, with the time until one is free.
+    pub(super) fn gate_full(&self) -> Refusal {
         let places = u64::from(self.running_max().max(1));
         let retry_ms = match self.upstream.service_ms() {
             0 => FULL_RETRY_MS,
             service_ms => (service_ms / places).max(1),
         };
-        Err(Refusal::not_run(Code::GateFull).retry_after_ms(retry_ms))
+        Refusal::not_run(Code::GateFull).retry_after_ms(retry_ms)
     }
 
     fn check_time(&self, run: &Run) -> Result<(), Refusal> {
@@ -120,17 +152,24 @@
     }
 
     /// Time until the upstream has worked off what already waits there.
-    fn predicted_wait_ms(&self) -> u64 {
+    pub(super) fn predicted_wait_ms(&self) -> u64 {
         let places = u64::from(self.running_max().max(1));
         u64::from(self.upstream.waiting()) * self.upstream.service_ms() / places
     }
 
     /// The load hint that goes out with answers and heartbeats.
+    ///
+    /// Beside a run alone there is no place; entries that knew only the usual
+    /// number would go on sending work to be refused.
     pub(super) fn load(&self, now: Instant) -> Load {
+        let running_max = match self.attempts.any_alone() {
+            true => 0,
+            false => self.running_max(),
+        };
         Load {
             running: self.attempts.in_flight(),
             waiting: self.upstream.waiting(),
-            running_max: self.running_max(),
+            running_max,
             step_time_us: self.upstream.step_time_us(),
             report_age_ms: self.upstream.report_age_ms(now),
         }
--- a/crates/role/src/agent/heartbeat.rs
+++ b/crates/role/src/agent/heartbeat.rs
@@ -17,6 +17,8 @@
     up: bool,
     leaving: bool,
     epoch: u64,
+    /// A run has the upstream to itself, or waits for it.
+    alone: bool,
 }
 
 /// When the next heartbeat goes out, and what the last one showed.
@@ -138,6 +140,7 @@
             up: self.upstream.is_up(),
             leaving: self.drain.is_some(),
             epoch: self.record.epoch().0,
+            alone: self.attempts.any_alone(),
         }
     }
 
--- a/crates/role/src/agent/mod.rs
+++ b/crates/role/src/agent/mod.rs
@@ -15,6 +15,7 @@
 //!
 //! Each module has one of these jobs; `role` passes events through them.
 
+mod alone;
 mod answers;
 mod attempts;
 mod counters;
@@ -25,6 +26,7 @@
 mod gate;
 mod heartbeat;
 mod keyed;
+mod limit;
 mod member;
 mod options;
 mod orders;
@@ -45,6 +47,7 @@
     AgentAction, AgentEvent, Order, OrderAnswer, UpstreamEvent, UpstreamOrder,
     UpstreamOrderState, UpstreamReport, UpstreamResident,
 };
+pub use limit::PlaceLimit;
 pub use options::AgentOptions;
 pub use role::AgentRole;
 pub use status::{AcceleratorStatus, AgentStatus, OrderStatus};
--- a/crates/role/src/agent/role.rs
+++ b/crates/role/src/agent/role.rs
@@ -3,7 +3,8 @@
 use super::attempts::Attempts;
 use super::drain::Drain;
 use super::heartbeat::Beat;
-use super::member::Registration;
+use super::limit::PlaceLimit;
+use super::member::{self, Registration};
 use super::orders::Orders;
 use super::past::Past;
 use super::probe::Probe;
@@ -20,7 +21,6 @@
 use mem::Ledger;
 use once::{Claims, ClaimsOptions};
 use schema::link::{ConfigAsk, ConfigChanges, frame};
-use schema::store::Member;
 use schema::timeline::EventKind;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -57,6 +57,7 @@
     /// Attempts that are over.
     pub(super) ended: Past,
     pub(super) upstream: Upstream,
+    pub(super) limit: PlaceLimit,
     pub(super) targets: Targets,
     pub(super) orders: Orders,
     pub(super) beat: Beat,
@@ -87,7 +88,7 @@
                 options.incarnation,
                 &options.link_address,
             ),
-            registration: Registration::new(member(&options)),
+            registration: Registration::new(member::member(&options)),
             probe: Probe::default(),
             ledger: Ledger::new(),
             claims: Claims::new(ClaimsOptions {
@@ -100,6 +101,7 @@
             revoked: Past::default(),
             ended: Past::default(),
             upstream: Upstream::default(),
+            limit: PlaceLimit::default(),
             targets: Targets::default(),
             orders: Orders::default(),
             beat: Beat::new(now.plus_ms(DEFAULT_HEARTBEAT_MS)),
@@ -242,9 +244,10 @@
         self.settings.advance(now, &mut self.caller, out);
         self.record.advance(now, &mut self.caller, out);
         self.registration.advance(now, &mut self.caller, out);
-        self.probe.advance(now, out);
+        self.probe.advance(now, &self.ledger, out);
         self.tick_claims(now, out);
         self.check_attempts(now, out);
+        self.advance_held(now, out);
         self.advance_orders(now, out);
         self.advance_drain(now, out);
         self.update_ready(out);
@@ -332,6 +335,10 @@
         });
         let bases = bases.collect();
         if let Some(pool) = config.pool(self.options.pool.as_str()) {
+            let accelerators = u32::try_from(pool.accelerators_mib.len());
+            let places = pool.concurrent_max.max(1);
+            self.limit
+                .configure(places.saturating_mul(accelerators.unwrap_or(u32::MAX)));
             let delay_ms = pool.order_delay_max_ms;
             self.ledger
                 .configure(&pool.accelerators_mib, bases, delay_ms);
@@ -380,16 +387,3 @@
         )
     )
 }
-
-fn member(options: &AgentOptions) -> Member {
-    Member {
-        kind: "agent".to_owned(),
-        id: options.id.as_str().to_owned(),
-        incarnation: options.incarnation.0,
-        failure_domain: options.domain.as_str().to_owned(),
-        pool: options.pool.as_str().to_owned(),
-        link_address: options.link_address.clone(),
-        operator_address: options.operator_address.clone(),
-        leaving: false,
-    }
-}
--- a/crates/role/src/agent/runs.rs
+++ b/crates/role/src/agent/runs.rs
@@ -50,12 +50,33 @@
             self.refuse(now, Some(entry), id, refusal, out);
             return;
         }
-        let keyed = !run.idempotent && !run.idempotency_key.is_empty();
-        let claim = keyed.then(|| self.claim_request(id, &run));
+        let waits = run.alone && self.attempts.in_flight() > 0;
         self.attempts.insert(id, new_attempt(now, entry, run));
-        match claim {
-            Some(request) => self.begin_claim(now, request, out),
-            None => self.start(now, id, out),
+        if waits {
+            self.hold(now, id, out);
+        } else {
+            self.begin(now, id, out);
+        }
+    }
+
+    /// Hands an attempt to the driver, once its key is claimed if it has one.
+    pub(super) fn begin(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        if !attempt.keyed {
+            self.start(now, id, out);
+            return;
+        }
+        attempt.phase = Phase::Claiming;
+        let run = self.attempts.get(id).and_then(|held| held.run.as_ref());
+        if let Some(request) = run.map(|run| self.claim_request(id, run)) {
+            self.begin_claim(now, request, out);
         }
     }
 
@@ -78,6 +99,7 @@
         id: AttemptId,
         out: &mut Vec<AgentAction>,
     ) {
+        let upstream = self.upstream.incarnation();
         let Some(attempt) = self.attempts.get_mut(id) else {
             return;
         };
@@ -85,6 +107,7 @@
             return;
         };
         attempt.phase = Phase::Starting;
+        attempt.upstream = upstream;
         attempt.began = now;
         self.counters.started += 1;
         out.push(AgentAction::Start { attempt: id, run });
@@ -132,15 +155,15 @@
     ///
     /// What may be repeated is stopped and its place is free at once. A call
     /// that may not be repeated is left to finish, so that a resend of its key
-    /// finds the answer. One that waits for its claim is forgotten; the claim,
-    /// should it be granted, is released.
+    /// finds the answer. One that waits for its claim, or to run alone, is
+    /// forgotten; the claim, should it be granted, is released.
     fn detach(&mut self, now: Instant, id: AttemptId, out: &mut Vec<AgentAction>) {
         let Some(attempt) = self.attempts.get_mut(id) else {
             return;
         };
         attempt.entry = None;
         match attempt.phase {
-            Phase::Claiming => {
+            Phase::Held { .. } | Phase::Claiming => {
                 self.attempts.remove(id);
                 self.counters.cancelled += 1;
                 self.remember(now, id, Ran::NotRun);
@@ -217,7 +240,7 @@
         }
         if let Some(attempt) = self.attempts.get(id) {
             match attempt.phase {
-                Phase::Claiming => self.attempts.remove(id),
+                Phase::Held { .. } | Phase::Claiming => self.attempts.remove(id),
                 Phase::Releasing { .. } => None,
                 Phase::Starting => return Ran::Unknown,
                 Phase::Running | Phase::Broken { .. } => return Ran::Ran,
@@ -247,7 +270,7 @@
     match attempt.phase {
         Phase::Running | Phase::Broken { .. } => Ran::Ran,
         Phase::Starting => Ran::Unknown,
-        Phase::Claiming | Phase::Releasing { .. } => Ran::NotRun,
+        Phase::Held { .. } | Phase::Claiming | Phase::Releasing { .. } => Ran::NotRun,
     }
 }
 
@@ -262,6 +285,7 @@
         keyed,
         alone: run.alone,
         fingerprint: run.fingerprint,
+        upstream: 0,
         offset: run.resume_offset,
         began: now,
         deadline: now.plus_ms(run.remaining_ms),
