--- a/crates/mem/src/ledger.rs
+++ b/crates/mem/src/ledger.rs
@@ -95,10 +95,10 @@
         self.orders.get(&id)
     }
 
-    /// The intents that a record has to hold.
-    pub fn intents(&self) -> Vec<Intent> {
+    /// The intents that the record of the agent at `own_address` has to hold.
+    pub fn intents(&self, own_address: &str) -> Vec<Intent> {
         let orders = self.orders.values().chain(&self.copies);
-        orders.map(TrackedOrder::intent).collect()
+        orders.map(|order| order.intent(own_address)).collect()
     }
 
     /// Upstream incarnation of the last report.
@@ -132,6 +132,17 @@
         }
     }
 
+    /// Predecessors that are not known dead and whose orders count, each with
+    /// its link address as far as that is known.
+    pub fn givers(&self) -> BTreeMap<Epoch, &str> {
+        let open = self
+            .orders
+            .values()
+            .filter(|order| order.adopted && order.ends_from.is_none());
+        open.map(|order| (order.epoch, order.giver_address.as_str()))
+            .collect()
+    }
+
     /// Reserves what an order needs, before it is given.
     ///
     /// # Errors
@@ -166,6 +177,7 @@
             accepted: false,
             in_progress: false,
             adopted: false,
+            giver_address: String::new(),
             heir: None,
             ends_from: None,
         };
--- a/crates/mem/src/order.rs
+++ b/crates/mem/src/order.rs
@@ -39,6 +39,9 @@
     pub in_progress: bool,
     /// A predecessor gave it, or may have.
     pub adopted: bool,
+    /// Link address of the predecessor that gave it; empty if this agent gave it
+    /// or the address is not known.
+    pub giver_address: String,
     /// Agent to which the intent passed when its giver was known dead.
     pub heir: Option<Epoch>,
     /// When the last copy of it can have been given, once that is known; from
@@ -47,8 +50,16 @@
 }
 
 impl TrackedOrder {
-    /// The order as an agent's record holds it.
-    pub fn intent(&self) -> Intent {
+    /// The order as the record of the agent at `own_address` holds it.
+    ///
+    /// The address is that of the agent which has to be found dead before the
+    /// order can end by time: the giver, or the one that it passed to.
+    pub fn intent(&self, own_address: &str) -> Intent {
+        let is_own = !self.adopted || self.heir.is_some();
+        let address = match is_own {
+            true => own_address,
+            false => &self.giver_address,
+        };
         Intent {
             order: self.id,
             epoch: self.heir.unwrap_or(self.epoch).0,
@@ -58,7 +69,7 @@
             accelerator: self.placement.accelerator,
             size_mib: self.size_mib,
             upstream_incarnation: self.upstream_incarnation,
-            link_address: String::new(),
+            link_address: address.to_owned(),
         }
     }
 
@@ -97,6 +108,7 @@
             accepted: false,
             in_progress: false,
             adopted: true,
+            giver_address: intent.link_address.clone(),
             heir: None,
             ends_from: None,
         }
--- a/crates/role/src/agent/epoch.rs
+++ b/crates/role/src/agent/epoch.rs
@@ -1,5 +1,6 @@
 //! What the agent's record means for its orders.
 
+use super::drain::Drain;
 use super::record::RecordNews;
 use super::{AgentAction, AgentRole, trace};
 use base::prelude::*;
@@ -14,11 +15,9 @@
     ) {
         match news {
             RecordNews::Nothing | RecordNews::Recorded => {}
-            RecordNews::Taken(predecessor) => {
+            RecordNews::Taken => {
                 self.ledger.adopt(now, self.record.intents());
-                if let Some(predecessor) = predecessor {
-                    self.begin_probe(now, &predecessor);
-                }
+                self.begin_probe(now);
                 let detail = format!("epoch {}", self.record.epoch().0);
                 trace::note(EventKind::EpochTaken, detail, out);
             }
@@ -28,13 +27,18 @@
         }
     }
 
-    /// A successor has the epoch: this agent gives no orders and takes no work.
+    /// A successor has the epoch: this agent gives no orders, takes no work, and
+    /// ends once what runs has ended.
+    ///
+    /// As long as the process lives the successor counts what it may have
+    /// ordered; its end frees that memory.
     fn fenced(&mut self, out: &mut Vec<AgentAction>) {
         self.withdraw_unrecorded();
         self.orders.clear();
         self.registration.abandon();
         trace::note(EventKind::Fenced, String::new(), out);
         self.say_goodbye(out);
+        self.drain.get_or_insert(Drain::Finishing);
     }
 
     /// Orders whose intent was provably not written are given up; the plan is
--- a/crates/role/src/agent/event.rs
+++ b/crates/role/src/agent/event.rs
@@ -38,7 +38,8 @@
     /// The platform answered a call.
     Platform(PlatformAnswer),
     /// Whether a predecessor's listen address could be bound: if so, the
-    /// predecessor is dead, since a frozen process still holds its socket.
+    /// predecessor is dead, since a frozen process still holds its socket. The
+    /// driver answers each `ProbePredecessor` once; the next comes after that.
     PredecessorProbed {
         /// The address could be bound.
         dead: bool,
--- a/crates/role/src/agent/orders.rs
+++ b/crates/role/src/agent/orders.rs
@@ -300,7 +300,7 @@
     }
 
     fn write_record(&mut self, now: Instant, out: &mut Vec<AgentAction>) {
-        let intents = self.ledger.intents();
+        let intents = self.ledger.intents(&self.options.link_address);
         let untidy = self.record.intents().iter().any(|o| !intents.contains(o));
         let tidy_at = self.orders.tidy_at.unwrap_or(now.plus_ms(TIDY_MS));
         self.orders.tidy_at = untidy.then_some(tidy_at);
--- a/crates/role/src/agent/probe.rs
+++ b/crates/role/src/agent/probe.rs
@@ -1,64 +1,80 @@
-//! Whether the predecessor is dead.
+//! Whether predecessors are dead.
 
 use super::{AgentAction, AgentRole};
 use base::{Epoch, Instant};
-use schema::store::AgentRecord;
+use mem::Ledger;
+use std::ops::Bound;
 
-/// Time between two tries to bind the predecessor's address.
+/// Time between two tries to bind a predecessor's address.
 const PROBE_MS: u64 = 2_000;
 
-/// The question whether the predecessor is dead.
+/// The question which predecessors are dead.
 ///
 /// A predecessor may be frozen with an order half sent. As long as it may live,
 /// its intents count; a process that is dead can give no order any more, and
 /// its address can be bound again.
+///
+/// One question is open at a time, and the answer belongs to it: taken for that
+/// to another, it would free the memory of an order that may still come.
 #[derive(Debug, Default)]
 pub(super) struct Probe {
-    predecessor: Option<(Epoch, String)>,
+    /// Predecessor of the open question.
+    asked: Option<Epoch>,
+    /// Predecessor that was asked about last; the next one has its turn.
+    last: Epoch,
     next: Option<Instant>,
 }
 
 impl Probe {
-    pub(super) fn advance(&mut self, now: Instant, out: &mut Vec<AgentAction>) {
-        let Some((_, address)) = &self.predecessor else {
-            return;
-        };
-        if self.next.is_none_or(|next| next > now) {
+    pub(super) fn advance(
+        &mut self,
+        now: Instant,
+        ledger: &Ledger,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if self.asked.is_some() || self.next.is_none_or(|next| next > now) {
             return;
         }
+        let mut givers = ledger.givers();
+        givers.retain(|_, address| !address.is_empty());
+        let behind = (Bound::Excluded(self.last), Bound::Unbounded);
+        let turn = givers.range(behind).next().or(givers.iter().next());
+        let Some((epoch, address)) = turn else {
+            self.next = None;
+            return;
+        };
+        self.asked = Some(*epoch);
+        self.last = *epoch;
         self.next = Some(now.plus_ms(PROBE_MS));
-        let address = address.clone();
+        let address = (*address).to_owned();
         out.push(AgentAction::ProbePredecessor { address });
     }
 
     pub(super) fn due(&self) -> Option<Instant> {
-        self.next.filter(|_| self.predecessor.is_some())
+        self.next.filter(|_| self.asked.is_none())
     }
 }
 
 impl AgentRole {
-    /// Starts to ask about the predecessor, if it left anything that matters.
+    /// Starts to ask about the predecessors that left anything that matters.
     ///
-    /// If it had the address that this process has bound by now, it is dead.
-    pub(super) fn begin_probe(&mut self, now: Instant, record: &AgentRecord) {
-        let epoch = Epoch(record.epoch);
-        let left = record.intents.iter().any(|held| held.epoch == epoch.0);
-        if !left {
-            return;
-        }
-        if record.link_address == self.options.link_address {
+    /// One that had the address which this process has bound by now is dead.
+    pub(super) fn begin_probe(&mut self, now: Instant) {
+        let own = self.options.link_address.as_str();
+        let givers = self.ledger.givers();
+        let here = givers.iter().filter(|(_, address)| **address == own);
+        let dead: Vec<Epoch> = here.map(|(epoch, _)| *epoch).collect();
+        for epoch in dead {
             self.ledger.giver_died(now, epoch, self.record.epoch());
-            return;
         }
-        self.probe.predecessor = Some((epoch, record.link_address.clone()));
         self.probe.next = Some(now);
     }
 
     pub(super) fn probed(&mut self, now: Instant, dead: bool) {
-        if !dead {
+        let Some(epoch) = self.probe.asked.take() else {
             return;
-        }
-        if let Some((epoch, _)) = self.probe.predecessor.take() {
+        };
+        if dead {
             self.ledger.giver_died(now, epoch, self.record.epoch());
         }
     }
--- a/crates/role/src/agent/record.rs
+++ b/crates/role/src/agent/record.rs
@@ -28,12 +28,12 @@
 }
 
 /// What an answer of the platform meant.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RecordNews {
     /// Nothing that concerns others.
     Nothing,
-    /// The epoch is ours; the record of the predecessor, if there was one.
-    Taken(Option<Box<AgentRecord>>),
+    /// The epoch is ours, with the intents that predecessors left.
+    Taken,
     /// The record's content is known again.
     Recorded,
     /// A write provably had no effect.
@@ -53,7 +53,6 @@
     phase: Phase,
     epoch: Epoch,
     version: Option<Version>,
-    predecessor: Option<Box<AgentRecord>>,
     intents: Vec<Intent>,
     call: Option<(u64, Call)>,
     /// The record has to be read before anything is done by it.
@@ -70,7 +69,6 @@
             phase: Phase::Taking,
             epoch: Epoch(0),
             version: None,
-            predecessor: None,
             intents: Vec::new(),
             call: None,
             unsure: true,
@@ -221,7 +219,7 @@
         self.phase = Phase::Held;
         self.epoch = epoch;
         self.unsure = false;
-        RecordNews::Taken(self.predecessor.take())
+        RecordNews::Taken
     }
 
     fn was_read(
@@ -248,9 +246,7 @@
             return RecordNews::Fenced;
         }
         let epoch = Epoch(record.epoch + 1);
-        let intents = record.intents.clone();
-        self.predecessor = Some(Box::new(record));
-        self.send_write(epoch, intents, caller, out);
+        self.send_write(epoch, with_addresses(record), caller, out);
         RecordNews::Nothing
     }
 
@@ -282,3 +278,17 @@
         self.backoff.until().filter(|_| waits)
     }
 }
+
+/// The intents of a predecessor's record, each with its giver's address.
+///
+/// An agent that does not write the addresses yet is still known by that of its
+/// record.
+fn with_addresses(record: AgentRecord) -> Vec<Intent> {
+    let mut intents = record.intents;
+    for intent in &mut intents {
+        if intent.link_address.is_empty() && intent.epoch == record.epoch {
+            intent.link_address.clone_from(&record.link_address);
+        }
+    }
+    intents
+}
--- a/crates/role/src/agent/upstream.rs
+++ b/crates/role/src/agent/upstream.rs
@@ -28,6 +28,11 @@
         self.up
     }
 
+    /// Run of the upstream that reported last; 0 before the first report.
+    pub(super) fn incarnation(&self) -> u64 {
+        self.incarnation.unwrap_or(0)
+    }
+
     pub(super) fn went_down(&mut self) {
         self.up = false;
     }
--- a/crates/role/tests/agent/orders.rs
+++ b/crates/role/tests/agent/orders.rs
@@ -1,9 +1,12 @@
 //! Orders, intents and epochs under faults.
 
+use crate::gate::go;
 use crate::stand::*;
 use base::{Epoch, Instant, ModelId, PlatformOp, PlatformResult};
-use role::agent::{Order, OrderAnswer, UpstreamEvent};
+use prost::Message as _;
+use role::agent::{AgentEvent, Order, OrderAnswer, UpstreamEvent};
 use schema::link::frame;
+use schema::store::Member;
 
 fn begin() -> (Platform, Engine, Node) {
     let mut platform = Platform::new();
@@ -217,7 +220,7 @@
             assert!(next.orders.is_empty(), "{killed:?}: `b` could overcommit");
         }
         let dead = true;
-        next.handle(role::agent::AgentEvent::PredecessorProbed { dead });
+        next.handle(AgentEvent::PredecessorProbed { dead });
         next.target("p", 1, &[("b", 1)]);
         next.work(ORDER_DELAY_MS - 500, &mut platform, &mut engine);
         if killed == Killed::BeforeOrder {
@@ -241,7 +244,7 @@
     let now = first.now;
     drop(first);
     let mut second = Node::engine(11, "127.0.0.1:8", now, &mut platform, &engine);
-    second.handle(role::agent::AgentEvent::PredecessorProbed { dead: true });
+    second.handle(AgentEvent::PredecessorProbed { dead: true });
     second.pump(&mut platform);
     drop(second);
     let mut third = Node::engine(12, "127.0.0.1:9", now, &mut platform, &engine);
@@ -249,7 +252,7 @@
     third.target("p", 1, &[("b", 1)]);
     third.work(ORDER_DELAY_MS + 500, &mut platform, &mut engine);
     assert_eq!(engine.memory_mib(), 0, "the second may still live");
-    third.handle(role::agent::AgentEvent::PredecessorProbed { dead: true });
+    third.handle(AgentEvent::PredecessorProbed { dead: true });
     for _ in 0..4 {
         third.target("p", 1, &[("b", 1)]);
         third.work(1_000, &mut platform, &mut engine);
@@ -257,6 +260,82 @@
     assert!(engine.holds("b"));
 }
 
+/// Both predecessors leave an intent, and only the second is found dead. Each
+/// answer counts for the one that was asked about: the first is frozen, and its
+/// load of `a` may still come, so `b` must not be loaded beside it.
+#[test]
+fn a_probe_frees_only_what_its_agent_gave() {
+    let (mut platform, mut engine, mut first) = begin();
+    first.target("p", 1, &[("a", 1)]);
+    first.pump(&mut platform);
+    let late = first.orders.pop_front().expect("an order for `a`");
+    let now = first.now;
+    let mut second = Node::engine(11, "127.0.0.1:8", now, &mut platform, &engine);
+    second.target("p", 1, &[("c", 1)]);
+    second.pump(&mut platform);
+    drop(second);
+    let mut third = Node::engine(12, "127.0.0.1:9", now, &mut platform, &engine);
+    assert_eq!(
+        third.probes,
+        ["127.0.0.1:1"],
+        "the giver's, not the last agent's"
+    );
+    third.work(5_000, &mut platform, &mut engine);
+    assert_eq!(third.probes.len(), 1, "asked on before the answer");
+    third.handle(AgentEvent::PredecessorProbed { dead: false });
+    third.work(2_100, &mut platform, &mut engine);
+    assert_eq!(third.probes, ["127.0.0.1:1", "127.0.0.1:8"]);
+    assert_eq!(third.in_use_mib(), 90);
+    third.handle(AgentEvent::PredecessorProbed { dead: true });
+    third.target("p", 1, &[("b", 1)]);
+    third.work(ORDER_DELAY_MS + 500, &mut platform, &mut engine);
+    assert_eq!(
+        third.in_use_mib(),
+        60,
+        "only the second one's intent has ended"
+    );
+    engine.take(&late);
+    third.report(&engine);
+    assert!(engine.peak_mib <= 100);
+}
+
+/// The second agent dies before it has found the first dead. The third finds
+/// the first one's address in the intent itself and asks about it; without that
+/// the memory would count for good.
+#[test]
+fn an_earlier_predecessor_is_found_by_the_intents_address() {
+    let (mut platform, mut engine, mut first) = begin();
+    first.target("p", 1, &[("a", 1)]);
+    first.pump(&mut platform);
+    let now = first.now;
+    drop(first);
+    drop(Node::engine(11, "127.0.0.1:8", now, &mut platform, &engine));
+    let mut third = Node::engine(12, "127.0.0.1:9", now, &mut platform, &engine);
+    assert_eq!(third.probes, ["127.0.0.1:1"]);
+    third.handle(AgentEvent::PredecessorProbed { dead: true });
+    for _ in 0..5 {
+        third.target("p", 1, &[("b", 1)]);
+        third.work(1_000, &mut platform, &mut engine);
+    }
+    assert!(engine.holds("b"));
+    assert_eq!(engine.peak_mib, 60);
+}
+
+/// A predecessor from before intents carried addresses is known by that of its
+/// record.
+#[test]
+fn an_intent_without_an_address_has_that_of_its_record() {
+    let (mut platform, engine, mut first) = begin();
+    first.target("p", 1, &[("a", 1)]);
+    first.pump(&mut platform);
+    let mut record = platform.record();
+    record.intents[0].link_address.clear();
+    let object = platform.objects.get_mut("agents/one").expect("a record");
+    object.1 = record.encode_to_vec();
+    let next = Node::engine(11, "127.0.0.1:8", first.now, &mut platform, &engine);
+    assert_eq!(next.probes, ["127.0.0.1:1"]);
+}
+
 /// A successor at the predecessor's own address has bound it, so the
 /// predecessor is dead without a probe.
 #[test]
@@ -286,7 +365,7 @@
         let late = frozen.orders.pop_front().expect("an order for `a`");
         let now = frozen.now.plus_ms(30_000);
         let mut next = Node::engine(11, "127.0.0.1:9", now, &mut platform, &engine);
-        next.handle(role::agent::AgentEvent::PredecessorProbed { dead: false });
+        next.handle(AgentEvent::PredecessorProbed { dead: false });
         for _ in 0..10 {
             next.target("p", 1, &[("b", 1), ("c", 1)]);
             next.work(1_000, &mut platform, &mut engine);
@@ -351,6 +430,10 @@
         assert_eq!(frozen.refusal(1), Some(base::Code::NotReady), "{wake:?}");
         assert!(frozen.orders.is_empty() && frozen.starts.is_empty());
         assert_eq!(frozen.role.counters().freezes, 1);
+        assert!(
+            frozen.exited,
+            "{wake:?}: its memory counts as long as it lives"
+        );
     }
 }
 
@@ -370,6 +453,32 @@
     assert!(engine.holds("a"));
 }
 
+/// An agent is replaced while a request runs. It finishes that and then ends:
+/// its successor counts what it may have ordered until its process is gone. The
+/// registration is the successor's by then and must stay.
+#[test]
+fn a_replaced_agent_ends_when_its_work_has_ended() {
+    let (mut platform, engine, mut node) = with_a();
+    go(&mut node, 1);
+    let now = node.now;
+    let _next = Node::engine(11, "127.0.0.1:9", now, &mut platform, &engine);
+    node.target("p", 1, &[("a", 1), ("c", 1)]);
+    node.pump(&mut platform);
+    assert!(node.role.status().fenced);
+    assert!(!node.exited, "one still runs");
+    node.serve(1);
+    assert_eq!(node.end(1).map(|end| end.code), Some(0));
+    node.pass(100);
+    assert!(node.exited);
+    assert!(
+        node.calls.is_empty(),
+        "nothing of the registration is its own"
+    );
+    let (_, value) = &platform.objects["live/agent/one"];
+    let member = Member::decode(value.as_slice()).expect("a registration");
+    assert_eq!((member.incarnation, member.leaving), (11, false));
+}
+
 /// The answer to the write of an intent is lost, with or without its effect.
 /// The agent reads the record back and goes on from what it finds.
 #[test]
