Agent: an engine's places follow the expected time between tokens

Cause: `concurrent_max` is one number for all models and prompts. Too high, each step takes longer than tokens are expected to take.

Ruled out by measuring: `route::StepLimit`, which keeps the step within twice its own shortest.

Change: the gate compares the reported step with the shortest `between_tokens_ms` of an interactive profile with a model that the engine holds. Above it a tenth of the places goes, below 90 % with all places taken one comes back; at an eighth the expectation counts as out of reach and all are open for 250 changes.

Tests: `tests/agent/limit.rs`; on a scratch copy the gate without the limit, no growth, batch work counted and no rest each made one fail. A lower bound on a fall made none fail and was taken out as it does nothing.

--- a/crates/role/src/agent/crash.rs
+++ b/crates/role/src/agent/crash.rs
@@ -33,6 +33,7 @@
             let state = memory_state(now, report);
             let ends = self.ledger.report(now, &state);
             self.orders_ended(ends, out);
+            self.learn_places(report.step_time_us);
         }
     }
 
--- a/crates/role/src/agent/member.rs
+++ b/crates/role/src/agent/member.rs
@@ -1,7 +1,7 @@
 //! The agent's place in the platform's list of live processes.
 
-use super::AgentAction;
 use super::retry::{Backoff, Caller};
+use super::{AgentAction, AgentOptions};
 use base::{Expect, Instant, PlatformOp, PlatformResult, Version};
 use prost::Message as _;
 use schema::store::Member;
@@ -155,3 +155,17 @@
         self.backoff.until().filter(|_| waits)
     }
 }
+
+/// How the process is registered.
+pub(super) fn member(options: &AgentOptions) -> Member {
+    Member {
+        kind: "agent".to_owned(),
+        id: options.id.as_str().to_owned(),
+        incarnation: options.incarnation.0,
+        failure_domain: options.domain.as_str().to_owned(),
+        pool: options.pool.as_str().to_owned(),
+        link_address: options.link_address.clone(),
+        operator_address: options.operator_address.clone(),
+        leaving: false,
+    }
+}
--- a/crates/role/tests/agent/stand.rs
+++ b/crates/role/tests/agent/stand.rs
@@ -30,6 +30,8 @@
         "c": {"size_mib": 30, "version": 1, "pool": "engines"}
     },
     "adapters": {"a-adapter": {"base": "a", "size_mib": 10, "version": 1}},
+    "profiles": {"talk": {"kind": "interactive", "models": ["a"],
+        "between_tokens_ms": 50}},
     "services": {"parts": {"pool": "desk", "idempotent": false, "timeout_ms": 2000}},
     "limits": {"heartbeat_ms": 500}
 }"#;
