Agent's shell: drop late orders, bound connections, test what it relies on

Cause: an order could stand still between the machine's decision and the socket for longer than an order is ever under way, and be sent all the same; and each connection, greeted or not, took a task without bound. That a stopped attempt's connection is cut, and that parts of a call with a key are kept by the shell, no test showed.

Change: an order is dropped once connected if it is older than `order_delay_max_ms`; the machine gives it again under its number as long as it holds. 128 connections at once, `sesame_agent_refused_links_total` counts the rest. The link address is bound before the machine is made (looked at, nothing to change).

Tests: `an_order_that_was_held_up_is_not_sent`, `connections_over_the_bound_are_closed`, `a_cancel_sends_no_more_of_the_request` (the abort in `Driver::drop`), `a_resend_gets_the_stored_answer_and_runs_nothing`.

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -6,10 +6,17 @@
 use schema::link::Frame;
 use std::collections::HashMap;
 use std::sync::Arc;
+use tokio::sync::Semaphore;
 use wire::{Greeted, Link, LinkReceiver, LinkSender, Listener};
 
 use crate::node::Node;
 
+/// Connections held at once, greeted or not; a cell has a few entries.
+///
+/// Each holds a task, and its queue once it has greeted. What connects again and
+/// again without a word must not take all memory from the entries' work.
+const CONNECTIONS_MAX: usize = 128;
+
 /// Pause after the operating system could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -111,6 +118,7 @@
 
 /// Takes connections of entries until the process ends.
 pub(crate) async fn accept(node: Arc<Node>, listener: Listener) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
         let accepted = tokio::select! {
             () = node.exit().cancelled() => return,
@@ -118,8 +126,13 @@
         };
         match accepted {
             Ok(link) => {
+                let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                    node.meters().refused_links.inc();
+                    continue;
+                };
                 let node = Arc::clone(&node);
                 tokio::spawn(async move {
+                    let _place = place;
                     let exit = node.exit().clone();
                     tokio::select! {
                         () = exit.cancelled() => {}
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) unsent_frames: IntCounter,
     /// Frames and greetings that could not be read.
     pub(crate) bad_frames: IntCounter,
+    /// Connections closed because too many were open.
+    pub(crate) refused_links: IntCounter,
 }
 
 impl Meters {
@@ -37,6 +39,10 @@
                 "sesame_agent_bad_frames_total",
                 "Frames and greetings that could not be read.",
             ),
+            refused_links: counter(
+                "sesame_agent_refused_links_total",
+                "Connections closed because too many were open.",
+            ),
             registry,
         }
     }
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -164,6 +164,14 @@
         Some(pool.engine)
     }
 
+    /// Longest time for which an order to the upstream can be under way; `None`
+    /// while no configuration names the pool.
+    pub(crate) fn order_delay_max_ms(&self) -> Option<u64> {
+        let config = self.config()?;
+        let pool = config.pool(self.options.pool.as_str())?;
+        Some(u64::from(pool.order_delay_max_ms))
+    }
+
     /// Bound on frames in force.
     pub(crate) fn frame_max_bytes(&self) -> u32 {
         self.config().map_or(wire::FRAME_MAX_BYTES, |config| {
@@ -252,7 +260,9 @@
                 }
                 AgentAction::Stop { attempt } => self.attempts.stop(attempt),
                 AgentAction::Order(order) => {
-                    self.runtime.spawn(upstream::order(Arc::clone(self), order));
+                    let decided = self.clock.now();
+                    let node = Arc::clone(self);
+                    self.runtime.spawn(upstream::order(node, order, decided));
                 }
                 AgentAction::Platform(call) => self.call_platform(call),
                 AgentAction::ProbePredecessor { address } => self.probe(address),
--- a/crates/agent/tests/shell/engine.rs
+++ b/crates/agent/tests/shell/engine.rs
@@ -1,8 +1,10 @@
 //! Attempts at an engine that keeps its protocol, or breaks it.
 
-use crate::support::{Got, Pair, Says, attempt, patiently, upstream};
+use crate::support::{Got, Pair, Says, attempt, deaf_upstream, patiently, upstream};
 use base::{Code, Ran};
 use schema::link::{Cancel, End, frame};
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
 
 const STREAM: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
@@ -227,6 +229,34 @@
     }
 }
 
+// The engine has stopped reading, so half of a long request stands in the way to
+// it when the caller goes away. Once it reads on it must find the connection
+// closed: were the rest still sent, it would run what nobody waits for.
+#[tokio::test]
+async fn a_cancel_sends_no_more_of_the_request() {
+    let (address, mut requests) = deaf_upstream().await;
+    let mut pair = Pair::start("engines", address).await;
+    let mut run = pair.run(false);
+    run.body = vec![b'x'; REQUEST_BYTES];
+    pair.send(frame::Body::Run(run)).await;
+    assert!(matches!(pair.next().await, frame::Body::Started(_)));
+    let mut stream = patiently(requests.recv()).await.expect("the request");
+    let attempt = Some(attempt());
+    pair.send(frame::Body::Cancel(Cancel { attempt })).await;
+    let stopped = async {
+        while pair.agent.attempts_at_upstream() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    patiently(stopped).await;
+    let mut rest = Vec::new();
+    let _ = patiently(stream.read_to_end(&mut rest)).await;
+    assert!(rest.len() < REQUEST_BYTES, "all of it was sent");
+}
+
+/// Larger than what the operating system takes for a far end that reads nothing.
+const REQUEST_BYTES: usize = 16_000_000;
+
 // The agent's own process dies while an answer is streamed.
 // The engine must see the connection close here too.
 #[tokio::test]
--- a/crates/agent/tests/shell/orders.rs
+++ b/crates/agent/tests/shell/orders.rs
@@ -1,9 +1,13 @@
 //! Orders to an engine, and what shows that they have ended.
 
-use crate::support::{Got, Memory, Pair, Says, slow_upstream, upstream};
+use crate::support::{Got, Memory, Pair, Says, patiently, slow_upstream, upstream};
+use base::{PlatformOp, PlatformResult};
+use futures::future::BoxFuture;
+use plat::ObjectApi;
 use prost::Message;
 use schema::link::{Target, TargetModel, frame};
 use schema::store::{AgentRecord, Intent};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -103,6 +107,54 @@
     pair.until("/status", "\"in_use_mib\":50").await;
 }
 
+/// A platform that takes the whole process' time once it has recorded an intent.
+#[derive(Debug)]
+struct Stalls {
+    objects: Memory,
+    stalled: AtomicBool,
+}
+
+impl ObjectApi for Stalls {
+    fn call<'a>(&'a self, op: &'a PlatformOp) -> BoxFuture<'a, PlatformResult> {
+        if let PlatformOp::Write { key, value, .. } = op
+            && key == "agents/a"
+            && !AgentRecord::decode(&value[..]).unwrap().intents.is_empty()
+            && !self.stalled.swap(true, Ordering::SeqCst)
+        {
+            // On the one thread of the test it runs before the task which the
+            // answer will start.
+            tokio::spawn(async { std::thread::sleep(Duration::from_millis(400)) });
+        }
+        self.objects.call(op)
+    }
+}
+
+// The process stands still between the decision on an order and its socket, for
+// longer than an order can be under way. The agent may have been replaced
+// meanwhile and the memory given away, so the order must not be sent. It still
+// holds here, and is given again.
+#[tokio::test]
+async fn an_order_that_was_held_up_is_not_sent() {
+    let accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    let (address, mut got) = upstream(Says::Text(accepted.to_owned())).await;
+    let platform = Stalls {
+        objects: Memory::with_fleet(),
+        stalled: AtomicBool::new(false),
+    };
+    let pair = Pair::start_on(platform, "engines", address).await;
+    pair.send(target(&pair)).await;
+    let Some(Got::Request(first)) = patiently(got.recv()).await else {
+        panic!("not even connected to");
+    };
+    assert_eq!(first, "", "sent 400 ms after the decision");
+    let Some(Got::Request(again)) = patiently(got.recv()).await else {
+        panic!("never given again");
+    };
+    assert!(again.contains("\"kind\":\"load\""), "{again}");
+    let unanswered = "sesame_agent_orders_unanswered_total 1";
+    pair.until("/metrics", unanswered).await;
+}
+
 // The engine makes a report and takes its time to hand it over.
 // What entries and the ledger hear must be at least that old: the state from
 // before an order could otherwise pass for the one after it.
--- a/crates/agent/tests/shell/service.rs
+++ b/crates/agent/tests/shell/service.rs
@@ -1,12 +1,14 @@
 //! Calls of a plain service, and the agent's other borders.
 
 use crate::support::{
-    ENTRY_INCARNATION, Got, Pair, Says, answer_states, connect, patiently, upstream,
+    ENTRY_INCARNATION, Got, Pair, Says, answer_states, attempt, connect, patiently,
+    try_connect, upstream,
 };
 use base::{Code, Ran};
-use schema::link::frame;
+use schema::link::{Attempt, frame};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 
 #[tokio::test]
 async fn a_service_answers_in_bytes_with_its_status() {
@@ -40,6 +42,66 @@
     assert!(request.contains("idempotency-key: k1"), "{request}");
 }
 
+// The caller sends a call again under its key, as after a lost answer.
+// The call must not run a second time: the agent kept the parts of the first
+// answer as they passed, and gives them again.
+#[tokio::test]
+async fn a_resend_gets_the_stored_answer_and_runs_nothing() {
+    let says = "HTTP/1.1 201 Created\r\nContent-Type: text/x\r\n\
+        Content-Length: 5\r\n\r\nhello";
+    let (address, mut got) = upstream(Says::Text(says.to_owned())).await;
+    let mut pair = Pair::start("plain", address).await;
+    for sequence in [1, 2] {
+        let mut run = pair.run(true);
+        run.attempt = Some(Attempt {
+            sequence,
+            ..attempt()
+        });
+        run.idempotency_key = "k1".to_owned();
+        pair.send(frame::Body::Run(run)).await;
+        let mut bytes = Vec::new();
+        let end = loop {
+            match pair.next().await {
+                frame::Body::Answer(part) => bytes.extend(part.payload),
+                frame::Body::End(end) => break end,
+                frame::Body::Started(_) => assert_eq!(sequence, 1, "run again"),
+                body => panic!("unexpected {body:?}"),
+            }
+        };
+        assert_eq!(bytes, b"hello");
+        assert_eq!((end.code, end.status), (0, 201));
+        assert_eq!(end.content_type, "text/x");
+        assert_eq!(end.replayed, sequence == 2);
+    }
+    assert!(matches!(got.recv().await, Some(Got::Request(_))));
+    assert!(got.try_recv().is_err(), "the service was called twice");
+}
+
+// Something on the network connects again and again and says nothing.
+// The agent closes what is over its bound at once; the links of entries stay,
+// and when connections end others are taken.
+#[tokio::test]
+async fn connections_over_the_bound_are_closed() {
+    let (address, _got) = upstream(Says::Text(String::new())).await;
+    let pair = Pair::start("engines", address).await;
+    let mut silent = Vec::new();
+    for _ in 0..200 {
+        silent.push(TcpStream::connect(pair.agent.link_address).await.unwrap());
+    }
+    pair.until("/metrics", "sesame_agent_refused_links_total 73")
+        .await;
+    let mut last = silent.pop().expect("200 of them");
+    assert_eq!(patiently(last.read(&mut [0; 1])).await.unwrap_or(0), 0);
+    pair.until("/metrics", "sesame_agent_links_up 1").await;
+    drop(silent);
+    let other = async {
+        while try_connect(&pair.agent, "other").await.is_none() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    patiently(other).await;
+}
+
 // The service closes the connection in the middle of its answer's body.
 // Whether the call took effect is not known to the caller, but that it ran is:
 // it must not be told as a whole answer, nor as not run.
--- a/crates/agent/tests/shell/support.rs
+++ b/crates/agent/tests/shell/support.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use wire::Greeted;
 
@@ -36,9 +36,13 @@
     },
     "models": {"m": {"size_mib": 50, "version": 1, "pool": "engines"},
         "n": {"size_mib": 40, "version": 2, "pool": "engines"}},
-    "services": {"s": {"pool": "plain", "idempotent": false, "timeout_ms": 5000}}
+    "services": {"s": {"pool": "plain", "idempotent": false, "timeout_ms": 5000}},
+    "limits": {"frame_max_bytes": 33554432}
 }"#;
 
+/// The bound on frames in that configuration.
+const FRAME_MAX_BYTES: u32 = 33_554_432;
+
 const STATE: &str = r#"{"incarnation": 5, "fence": 0, "residents": [
     {"model": "m", "version": 1, "accelerator": 0, "size_mib": 50, "state": "loaded"}],
     "orders": [], "running": 0, "waiting": 0, "step_time_us": 10000,
@@ -155,6 +159,31 @@
     (address, seen)
 }
 
+/// An upstream that answers questions for its state and reads nothing else; the
+/// connections of requests come out of the channel.
+pub async fn deaf_upstream() -> (SocketAddr, mpsc::UnboundedReceiver<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(64).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (taken, requests) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut method = [0; 3];
+            stream.peek(&mut method).await.unwrap();
+            if &method == b"GET" {
+                let (got, _) = mpsc::unbounded_channel();
+                let says = Says::Text(String::new());
+                tokio::spawn(serve(stream, says, Duration::ZERO, got));
+            } else {
+                let _ = taken.send(stream);
+            }
+        }
+    });
+    (address, requests)
+}
+
 async fn serve(
     mut stream: TcpStream,
     says: Says,
@@ -235,7 +264,11 @@
     }
 
     /// The same on a given platform.
-    pub async fn start_on(platform: Memory, pool: &str, upstream: SocketAddr) -> Self {
+    pub async fn start_on(
+        platform: impl ObjectApi + 'static,
+        pool: &str,
+        upstream: SocketAddr,
+    ) -> Self {
         let any = "127.0.0.1:0".to_owned();
         let settings = AgentSettings {
             id: "a".to_owned(),
@@ -343,14 +376,24 @@
 
 /// The link of a run of the entry.
 pub async fn connect(agent: &AgentHandle, incarnation: u64) -> Greeted {
-    let link = wire::connect(agent.link_address, wire::FRAME_MAX_BYTES).await;
+    let link = wire::connect(agent.link_address, FRAME_MAX_BYTES).await;
     link.unwrap().greet(hello(incarnation)).await.unwrap()
 }
 
+/// The link of another entry, if the agent takes it.
+pub async fn try_connect(agent: &AgentHandle, id: &str) -> Option<Greeted> {
+    let link = wire::connect(agent.link_address, wire::FRAME_MAX_BYTES).await;
+    link.ok()?.greet(hello_of(id, 1)).await.ok()
+}
+
 fn hello(incarnation: u64) -> Frame {
+    hello_of("e", incarnation)
+}
+
+fn hello_of(id: &str, incarnation: u64) -> Frame {
     framed(frame::Body::Hello(Hello {
         kind: "entry".to_owned(),
-        id: "e".to_owned(),
+        id: id.to_owned(),
         incarnation,
         failure_domain: "d".to_owned(),
     }))
