Entry: one ProcessUse; links of other entries follow the configured bound

Cause: `ProcessUse` stood twice. And the entry's link listener is bound before there is a configuration, with the default of 2 MiB for a frame, so a fleet with a larger `frame_max_bytes` lost the links of entries whose gossip was larger.

Change: `oper::ProcessUse` is used; an accepted link gets the configured bound before its greeting, as the agent's does.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,7 +23,6 @@
 mod metrics;
 mod node;
 mod operated;
-mod process;
 pub mod reply;
 mod start;
 mod ticker;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -207,6 +207,7 @@
 
 /// Reads what another entry sends on the link that it dialled.
 async fn read_inbound(node: Arc<Node>, link: Link) {
+    let link = link.bounded(node.limits().frame_max_bytes);
     let Ok(link) = link.greet(node.hello()).await else {
         node.meters().bad_frames.inc();
         return;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,12 +1,12 @@
 //! Metrics of the shell, besides those of the machine.
 
+use oper::ProcessUse;
 use prometheus::core::{AtomicU64, Collector, GenericCounter};
 use prometheus::proto::MetricFamily;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use role::entry::{CodeCount, EntryCounters};
 
 use crate::node::Node;
-use crate::process::ProcessUse;
 use crate::reply::Broken;
 
 /// A counter of bytes or events.
