--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -18,6 +18,7 @@
 //!   waits is compared with the shard's content, so that a lost answer and a
 //!   received one end the same way.
 
+mod calls;
 mod claims;
 mod outcome;
 mod shard;
