Entries look for changes that a watch missed

Cause: a watch of the platform that misses a change is never made up for. The entry waited for the watch, and the watch believed that it had told (config-watch-misses: revision 2 published at 3 s, e1 still at 1 at 30 s). The watch of member records has the same fault (reachable-member-watch-misses).

Ruled out: listing `config/` at an interval, which costs the whole log each time; shorter watches, which the platform may end as empty as before.

Change: each entry reads the next revision's key every 5 to 10 s, jittered, and again at once while there is a next one.

The revision asked for is kept, since the answer does not name it: a look that was on its way while the revision came by another way would be taken for the one after it.

The test counts 12 to 24 looks and 2 to 4 lists in 120 s.

--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -7,12 +7,14 @@
 
 mod cells;
 mod config;
+mod forecast;
 mod frames;
 mod gossip;
 mod links;
 mod plan;
 mod platform;
 mod spread;
+mod wishes;
 
 use base::prelude::*;
 use base::{Timers, Version};
@@ -27,10 +29,13 @@
 use super::trace::Note;
 use super::{EntryAction, EntryOptions};
 use crate::Peer;
+use forecast::Forecast;
+pub(crate) use forecast::back_ms;
 use gossip::Gossiping;
+pub(crate) use plan::PlanJob;
 use plan::Planning;
-pub(crate) use plan::sentence;
 use platform::Platform;
+pub(crate) use wishes::sentence;
 
 /// Interval of heartbeats until a configuration says so.
 const HEARTBEAT_DEFAULT_MS: u32 = 500;
@@ -62,6 +67,15 @@
     pub(crate) room: BTreeSet<AgentId>,
     /// All queues have to be looked at.
     pub(crate) wake_all: bool,
+    /// A round of planning to run.
+    pub(crate) plan: Option<PlanJob>,
+}
+
+impl Effects {
+    fn plan_with(&mut self, job: Option<PlanJob>) {
+        // A second job is not made while one is out.
+        self.plan = self.plan.take().or(job);
+    }
 }
 
 /// Timers of the control part.
@@ -70,6 +84,7 @@
     Heartbeat,
     Plan,
     PlanSoon,
+    GossipSoon,
     Call(platform::Call),
     Exit,
 }
@@ -90,6 +105,7 @@
     started_at: Instant,
     members: Members,
     platform: Platform,
+    forecast: Forecast,
     timers: Timers<Timer>,
     rng: Pcg64Mcg,
     asked_at: Option<Instant>,
@@ -119,6 +135,7 @@
             started_at: now,
             members: Members::new(),
             platform: Platform::new(),
+            forecast: Forecast::default(),
             timers: Timers::new(),
             rng: Pcg64Mcg::new(u128::from(options.seed) << 1 | 1),
             asked_at: None,
@@ -132,6 +149,7 @@
         control.dial_peers(options, out);
         control.timers.set(now, Timer::Heartbeat);
         control.timers.set(now, Timer::Plan);
+        control.look_later(now);
         control
     }
 
@@ -165,7 +183,15 @@
         agent.life == Life::Up && self.directory.usable(now, agent)
     }
 
-    /// Whether this entry may start a suspect alone now.
+    /// Whether this entry probes an upstream for the fleet.
+    pub(crate) fn probes(&self, now: Instant, agent: &AgentId) -> bool {
+        let others = self.entries.all().filter(|held| !held.leaving);
+        let alive = others.filter(|held| self.entries.alive(now, &held.id));
+        let names = alive.map(|held| &held.id).chain([&self.me]);
+        route::prober(agent, names) == Some(&self.me)
+    }
+
+    /// Time until this entry may start a suspect alone; 0 if it may now.
     ///
     /// A request that crashes upstreams may come through every entry at once.
     /// If two started it alone at the same time, it would crash three upstreams
@@ -173,19 +199,27 @@
     /// tells the others at once what it started. Nobody starts anything in the
     /// first part of a turn: within it the last word of the turn before has
     /// arrived, even if the two clocks differ a little.
-    pub(crate) fn alone_turn(&self, now: Instant) -> bool {
+    pub(crate) fn alone_turn_in_ms(&self, now: Instant) -> u64 {
         let others = self.entries.all();
         let alive = others.filter(|held| self.entries.alive(now, &held.id));
-        let mut names: Vec<&EntryId> = alive.map(|held| &held.id).collect();
-        if names.is_empty() {
-            return true;
+        let (mut count, mut before) = (1, 0);
+        for held in alive {
+            count += 1;
+            before += u64::from(held.id < self.me);
         }
-        names.push(&self.me);
-        names.sort();
+        if count == 1 {
+            return 0;
+        }
+        let round_ms = count * TURN_MS;
         let unix_ms = self.unix_ms_at_zero.saturating_add(now.as_ms());
-        let turn = (unix_ms / TURN_MS) % names.len() as u64;
-        let owner = names.get(usize::try_from(turn).unwrap_or(0));
-        owner == Some(&&self.me) && unix_ms % TURN_MS >= TURN_GUARD_MS
+        let passed_ms = unix_ms % round_ms;
+        let start_ms = before * TURN_MS + TURN_GUARD_MS;
+        let end_ms = (before + 1) * TURN_MS;
+        match passed_ms {
+            passed if passed < start_ms => start_ms - passed,
+            passed if passed < end_ms => 0,
+            passed => round_ms - passed + start_ms,
+        }
     }
 
     /// Does what is due.
@@ -200,8 +234,12 @@
         while let Some(timer) = self.timers.take(now) {
             match timer {
                 Timer::Heartbeat => self.beat(now, shared, out, effects),
-                Timer::Plan => self.plan_due(now, shared, out),
-                Timer::PlanSoon => self.plan_now(now, shared, out),
+                Timer::Plan => effects.plan_with(self.plan_due(now, shared)),
+                Timer::PlanSoon => effects.plan_with(self.plan_now(now, shared)),
+                Timer::GossipSoon if self.gossip.soon => {
+                    self.send_gossip(now, shared, out);
+                }
+                Timer::GossipSoon => {}
                 Timer::Call(call) => self.call_due(call, shared, out),
                 Timer::Exit => self.exit(out),
             }
@@ -217,6 +255,8 @@
     ) {
         self.judge(now, out, effects);
         self.entries.tick(now);
+        self.foresee(now, shared);
+        shared.health.lock().forget_unknown(&self.directory);
         self.send_gossip(now, shared, out);
         let interval = self.directory.timing().heartbeat_ms();
         self.timers.set(now.plus_ms(interval), Timer::Heartbeat);
--- a/crates/role/src/entry/control/platform.rs
+++ b/crates/role/src/entry/control/platform.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use base::{Expect, PlatformAnswer, PlatformCall, PlatformOp, PlatformResult, Version};
-use conf::{REVISION_PREFIX, SNAPSHOT_KEY};
+use conf::{REVISION_PREFIX, SNAPSHOT_KEY, revision_key};
 use prost::Message;
 use rand_core::Rng;
 use schema::store::Member;
@@ -28,6 +28,18 @@
 const BACKOFF_MIN_MS: u64 = 100;
 const BACKOFF_MAX_MS: u64 = 5_000;
 
+/// Longest time between two reads of the next revision; the least is half of it.
+///
+/// A watch that misses a change is never made up for: the platform believes it
+/// told, and nothing else would ever look. So each entry reads the next
+/// revision's key, a call of one small object, at 0.1 to 0.2 calls a second.
+const LOOK_EVERY_MS: u64 = 10_000;
+
+/// Looks between two reads of the snapshot, from which a process catches up
+/// whose next revision was dropped from the log in the meantime, and of the list
+/// of members, whose watch may miss an address as well.
+const LOOKS_PER_LIST: u32 = 6;
+
 /// Least time between two waits on a prefix, in case the platform ends them at
 /// once: it has a bound on calls a second.
 const WATCH_PAUSE_MS: u64 = 50;
@@ -41,6 +53,7 @@
     Snapshot,
     ConfigList,
     ConfigWatch,
+    ConfigLook,
     LiveList,
     LiveWatch,
     Instances,
@@ -56,6 +69,10 @@
     failures: BTreeMap<Call, u32>,
     away: bool,
     config_version: Version,
+    looks: u32,
+    /// Revision that the look in flight is for. The answer does not name it, and
+    /// by then another one may be the next.
+    look_for: Revision,
 }
 
 impl Platform {
@@ -66,6 +83,8 @@
             failures: BTreeMap::new(),
             away: false,
             config_version: Version(0),
+            looks: 0,
+            look_for: Revision(0),
         }
     }
 
@@ -119,6 +138,9 @@
         let id = self.platform.next;
         self.platform.next += 1;
         self.platform.pending.insert(id, call);
+        if call == Call::ConfigLook {
+            self.platform.look_for = Revision(self.log.revision().0 + 1);
+        }
         let op = self.operation(call, options);
         out.push(EntryAction::Platform(PlatformCall { id, op }));
     }
@@ -135,6 +157,9 @@
                 prefix: REVISION_PREFIX.to_owned(),
                 after: self.platform.config_version,
             },
+            Call::ConfigLook => PlatformOp::Read {
+                key: revision_key(self.platform.look_for),
+            },
             Call::LiveWatch => PlatformOp::Watch {
                 prefix: LIVE_PREFIX.to_owned(),
                 after: self.live_version,
@@ -238,6 +263,9 @@
                 }
                 self.call(Call::ConfigList, &shared.options, out);
             }
+            (Call::ConfigLook, PlatformResult::Object(object)) => {
+                self.looked(now, object, shared, out, effects);
+            }
             (
                 Call::ConfigList | Call::ConfigWatch,
                 PlatformResult::Objects(objects, version),
@@ -270,6 +298,42 @@
         }
     }
 
+    /// The next revision was there, or not yet. One that was there is put in
+    /// force, and the one after it is looked for at once.
+    fn looked(
+        &mut self,
+        now: Instant,
+        object: Option<(Version, Vec<u8>)>,
+        shared: &Shared,
+        out: &mut Vec<EntryAction>,
+        effects: &mut Effects,
+    ) {
+        let before = self.log.revision();
+        if let Some((version, value)) = object {
+            let key = revision_key(self.platform.look_for);
+            self.take_changes(&[(key, version, value)], shared, out, effects);
+        }
+        if self.log.revision() > before {
+            self.call(Call::ConfigLook, &shared.options, out);
+            return;
+        }
+        self.platform.looks += 1;
+        if self.platform.looks.is_multiple_of(LOOKS_PER_LIST) {
+            self.call(Call::Snapshot, &shared.options, out);
+            self.call(Call::LiveList, &shared.options, out);
+        }
+        self.look_later(now);
+    }
+
+    /// Sets the next look, at a time drawn anew so that processes which started
+    /// together don't look together.
+    pub(super) fn look_later(&mut self, now: Instant) {
+        let half_ms = LOOK_EVERY_MS / 2;
+        let jitter_ms = u64::from(self.rng.next_u32()) % half_ms;
+        let at = now.plus_ms(half_ms + jitter_ms);
+        self.timers.set(at, Timer::Call(Call::ConfigLook));
+    }
+
     /// Versions never step back either: a watch behind an old one would give
     /// the same objects again and again.
     fn note_config_version(&mut self, version: Version) {
--- a/crates/role/tests/entry/main.rs
+++ b/crates/role/tests/entry/main.rs
@@ -3,7 +3,12 @@
 mod answers;
 mod control;
 mod crashes;
+mod failing;
+mod forecast;
+mod looks;
 mod random;
 mod retries;
 mod rig;
+mod suspects;
+mod unmet;
 mod waiting;
--- a/crates/role/tests/entry/rig.rs
+++ b/crates/role/tests/entry/rig.rs
@@ -73,6 +73,8 @@
     pub now: Instant,
     pub agents: BTreeMap<String, FakeAgent>,
     pub platform_away: bool,
+    /// Reads are not answered.
+    pub held_reads: bool,
     pub objects: BTreeMap<String, Vec<u8>>,
     /// All actions since the last `clear`.
     pub log: Vec<EntryAction>,
@@ -96,6 +98,7 @@
             now,
             agents: BTreeMap::new(),
             platform_away: false,
+            held_reads: false,
             objects: BTreeMap::new(),
             log,
         }
@@ -126,6 +129,7 @@
                 let id = call.id;
                 let result = match (&call.op, self.platform_away) {
                     (_, true) => PlatformResult::Away,
+                    (PlatformOp::Read { .. }, _) if self.held_reads => continue,
                     (PlatformOp::Read { key }, _) => {
                         let held = self.objects.get(key);
                         PlatformResult::Object(held.map(|v| (Version(1), v.clone())))
