Two crashes on two upstreams end a request's runs

In general a suspect that could not be run waited on.

Ruled out: running such a request alone at the crashed upstream, a third crash; counting crashes of one upstream, which convicts whatever a broken upstream runs.

Change: a fingerprint that was in flight at crashes of two upstreams since it was last cleared is convicted, alone or not. Its answer comes at once, `ran` or `not_run` as its attempts show, with the time left of the verdict. A whole run alone still clears. A suspect is refused at once when it crashed every upstream of its pool, when its model is held only where it crashed and nobody loads it elsewhere, and when the entry's next turn is too late. Another entry's word wakes what waits here. `End.upstream_incarnation` tells two crashes of one upstream apart; a crash within 20 ms of the last gossip is told after that, where it was left to the next heartbeat; verdicts last as the configuration in force says; REQUEST_SUSPECTED, REQUEST_CONVICTED and CONFIG_REJECTED are traced. There is no second event for a conviction without a crash alone: callers get the same answer, and the sentence says it. The list of verdicts is not gone over on each question any more once one verdict had ended.

Tests changed: `two_crashes_convict_only_one_that_ran_alone` stated the old rule. It is `crashes_of_two_upstreams_convict` now: the row "twice among others" is convicted, a row "same upstream twice among others" is added, and the row of the report that calls two requests alone has one crash, since with two upstreams it convicts by the new rule whatever it says. `crashed_agents_are_named` checks one crash that is cleared, and two that are not.

Conclusion on the price: two copies in flight at once, on two upstreams that die at once for another reason, convict an innocent request until the verdict ends. The bound of two goes before its second chance (docs/design-retries.md).

--- a/crates/role/src/entry/control/config.rs
+++ b/crates/role/src/entry/control/config.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use schema::link::{ConfigAsk, ConfigChange, ConfigChanges, frame};
 use schema::timeline::EventKind;
+use std::fmt::Display;
 
 use super::super::EntryAction;
 use super::super::counters::Counts;
@@ -29,7 +30,7 @@
     ) {
         match ConfigChanges::decode(value) {
             Ok(offered) => self.offer(&offered, shared, out, effects),
-            Err(_) => Counts::add(&shared.counts.config_rejected),
+            Err(error) => reject(shared, &error, out),
         }
     }
 
@@ -72,26 +73,29 @@
     ) {
         let before = self.log.revision();
         if let Err(error) = self.log.offer(offered) {
-            Counts::add(&shared.counts.config_rejected);
-            let detail = format!("change not taken: {error}");
-            Note::new(EventKind::ConfigApplied, detail)
-                .code(Code::BadSyntax)
-                .put(out);
+            reject(shared, &error, out);
         }
         if self.log.revision() == before {
             return;
         }
-        self.in_force(before, out);
+        self.in_force(before, shared, out);
         effects.wake_all = true;
     }
 
-    fn in_force(&mut self, before: Revision, out: &mut Vec<EntryAction>) {
+    fn in_force(
+        &mut self,
+        before: Revision,
+        shared: &Shared,
+        out: &mut Vec<EntryAction>,
+    ) {
         let Some(config) = self.log.current() else {
             return;
         };
         let timing = Timing::new(config.limits().heartbeat_ms);
         self.directory.set_timing(timing);
         self.entries.set_timing(timing);
+        let verdict_ms = u64::from(config.limits().verdict_ms);
+        shared.suspects.lock().set_verdict_ms(verdict_ms);
         let detail = format!("revision {} in place of {before}", self.log.revision());
         Note::new(EventKind::ConfigApplied, detail).put(out);
         self.set_ready(out);
@@ -138,6 +142,14 @@
     }
 }
 
+fn reject(shared: &Shared, error: &impl Display, out: &mut Vec<EntryAction>) {
+    Counts::add(&shared.counts.config_rejected);
+    let detail = format!("change not taken: {error}");
+    Note::new(EventKind::ConfigRejected, detail)
+        .code(Code::BadSyntax)
+        .put(out);
+}
+
 fn change(key: &str, value: &[u8]) -> Option<ConfigChange> {
     let revision = key.strip_prefix(REVISION_PREFIX)?.parse().ok()?;
     Some(ConfigChange {
--- a/crates/role/src/entry/control/gossip.rs
+++ b/crates/role/src/entry/control/gossip.rs
@@ -2,13 +2,14 @@
 
 use base::prelude::*;
 use live::{Heard, Life, MemberKind};
-use schema::link::{Demand, Gossip, Silence, frame};
+use schema::link::{Demand, Gossip, Silence, Suspect, UpstreamVerdict, frame};
 use std::collections::BTreeMap;
 
 use super::super::EntryAction;
 use super::super::shared::Shared;
+use super::super::suspicion::charged_by;
 use super::super::wanted::Wanted;
-use super::{Control, Effects};
+use super::{Control, Effects, Timer};
 use crate::Peer;
 
 /// Models whose demand is taken from one entry.
@@ -25,6 +26,8 @@
 pub(crate) struct Gossiping {
     sequence: u64,
     sent_at: Option<Instant>,
+    /// A timer is set for what came too soon after the last.
+    pub(super) soon: bool,
     /// Newest heartbeat told of each agent.
     told: BTreeMap<AgentId, (Incarnation, u64)>,
     /// Demand as the other entries see it.
@@ -36,6 +39,7 @@
         Self {
             sequence: 0,
             sent_at: None,
+            soon: false,
             told: BTreeMap::new(),
             demands: BTreeMap::new(),
         }
@@ -43,18 +47,23 @@
 }
 
 impl Control {
-    /// Tells the other entries now, unless they were told a moment ago.
+    /// Tells the other entries now; if they were told a moment ago, a moment
+    /// later. What must not wait for the next heartbeat is not lost by that.
     pub(crate) fn gossip_now(
         &mut self,
         now: Instant,
         shared: &Shared,
         out: &mut Vec<EntryAction>,
     ) {
-        let lately = self.gossip.sent_at;
-        if lately.is_some_and(|at| now.ms_since(at) < GOSSIP_MIN_MS) {
-            return;
+        let next = self.gossip.sent_at.map(|at| at.plus_ms(GOSSIP_MIN_MS));
+        match next.filter(|next| *next > now) {
+            None => self.send_gossip(now, shared, out),
+            Some(_) if self.gossip.soon => {}
+            Some(next) => {
+                self.gossip.soon = true;
+                self.timers.set(next, Timer::GossipSoon);
+            }
         }
-        self.send_gossip(now, shared, out);
     }
 
     pub(super) fn send_gossip(
@@ -73,6 +82,7 @@
             return;
         }
         self.gossip.sent_at = Some(now);
+        self.gossip.soon = false;
         let gossip = self.compose(now, shared);
         for peer in peers {
             let body = frame::Body::Gossip(gossip.clone());
@@ -84,7 +94,7 @@
         self.gossip.sequence += 1;
         let options = &shared.options;
         Gossip {
-            verdicts: Vec::new(),
+            verdicts: shared.health.lock().export(now),
             entry: options.id.to_string(),
             incarnation: options.incarnation.0,
             sequence: self.gossip.sequence,
@@ -160,7 +170,10 @@
             .collect();
         self.directory.silences(now, &from, &said);
         for suspect in gossip.suspects.iter().take(ITEMS_MAX) {
-            shared.suspects.lock().merge(now, suspect);
+            take_suspect(now, suspect, shared, out, effects);
+        }
+        for verdict in gossip.verdicts.iter().take(ITEMS_MAX) {
+            self.take_verdict(now, &from, verdict, shared, out, effects);
         }
         let mut demands = gossip.demands;
         demands.truncate(DEMANDS_MAX);
@@ -169,11 +182,56 @@
         });
         self.gossip.demands.insert(from, demands);
         if unheld {
-            self.plan_soon(now, shared, out);
+            effects.plan_with(self.plan_soon(now, shared));
         }
     }
 }
 
+impl Control {
+    /// Takes another entry's verdict on an upstream.
+    fn take_verdict(
+        &self,
+        now: Instant,
+        from: &EntryId,
+        verdict: &UpstreamVerdict,
+        shared: &Shared,
+        out: &mut Vec<EntryAction>,
+        effects: &mut Effects,
+    ) {
+        let agent = AgentId::new(&verdict.agent);
+        if self.directory.get(&agent).is_none() {
+            return;
+        }
+        let change = shared.health.lock().merge(now, verdict);
+        if let Some(change) = change {
+            change.trace(&agent, &format!("says {from}"), out);
+            effects.room.insert(agent);
+        }
+    }
+}
+
+/// Takes another entry's word on a request. What waits here may be free by it,
+/// or may not run any more.
+fn take_suspect(
+    now: Instant,
+    suspect: &Suspect,
+    shared: &Shared,
+    out: &mut Vec<EntryAction>,
+    effects: &mut Effects,
+) {
+    let mut news = false;
+    let charged = {
+        let mut suspects = shared.suspects.lock();
+        charged_by(&mut suspects, now, &[suspect.fingerprint], |suspects| {
+            news = suspects.merge(now, suspect);
+        })
+    };
+    for held in charged {
+        held.trace(None, out);
+    }
+    effects.wake_all |= news;
+}
+
 /// Demand by model as this entry sees it.
 pub(super) fn own_demands(now: Instant, shared: &Shared) -> Vec<Demand> {
     let stats = stats_by_model(now, shared);
--- a/crates/role/src/entry/requests/answers.rs
+++ b/crates/role/src/entry/requests/answers.rs
@@ -7,6 +7,7 @@
 use super::super::EntryAction;
 use super::super::counters::Counts;
 use super::super::shared::{Ctx, Shared};
+use super::super::suspicion::charged_by;
 use super::super::trace::Note;
 use super::Requests;
 use super::failures::{Charge, Failure};
@@ -199,7 +200,7 @@
     pub(crate) fn ended(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, frame: End) {
         note_load(ctx, agent, frame.load.as_ref());
         if frame.upstream_crashed {
-            self.crashed(ctx, agent, &frame.crash_fingerprints);
+            self.crashed(ctx, agent, &frame);
         }
         let attempt = attempt_of(frame.attempt.as_ref());
         let Some(sequence) = self.current(agent, attempt) else {
@@ -225,6 +226,7 @@
             return;
         }
         self.note_served(ctx, sequence);
+        self.judge_upstream(ctx, sequence, true);
         self.finish(
             ctx,
             sequence,
@@ -250,12 +252,27 @@
         }
     }
 
-    fn crashed(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, fingerprints: &[u64]) {
-        let held = ctx.control.directory.get(agent);
-        let incarnation = held.map_or(0, |held| held.incarnation.0);
+    /// Takes note of a crash. The run of the upstream tells two crashes of one
+    /// upstream apart: by the agent's run, which goes on, the second would pass
+    /// for another report of the first.
+    fn crashed(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, frame: &End) {
+        let fingerprints = &frame.crash_fingerprints;
         let alone = fingerprints.len() == 1;
-        let mut suspects = ctx.shared.suspects.lock();
-        suspects.on_crash(ctx.now, fingerprints, agent, incarnation, alone);
+        let charged = {
+            let mut suspects = ctx.shared.suspects.lock();
+            charged_by(&mut suspects, ctx.now, fingerprints, |suspects| {
+                let run = frame.upstream_incarnation;
+                suspects.on_crash(ctx.now, fingerprints, agent, run, alone);
+            })
+        };
+        let attempt = attempt_of(frame.attempt.as_ref());
+        let request = self.current(agent, attempt);
+        let request = request.and_then(|sequence| self.live.get(&sequence));
+        for held in charged {
+            let own =
+                request.filter(|own| own.resolved.fingerprint == held.fingerprint);
+            held.trace(own.map(super::Request::id), ctx.out);
+        }
         ctx.later.gossip = true;
     }
 }
--- a/crates/role/src/entry/requests/holders.rs
+++ b/crates/role/src/entry/requests/holders.rs
@@ -1,10 +1,10 @@
 //! Who can serve a request now, and when somebody will.
 
 use base::prelude::*;
-use live::{Agent, Life};
+use live::{Agent, Life, ResidencyState};
 use route::{AdmitInput, Holder};
 
-use super::super::control::Control;
+use super::super::control::{Control, back_ms};
 use super::super::shared::Ctx;
 use super::super::wanted::Wanted;
 use super::state::Request;
@@ -12,15 +12,9 @@
 /// Service time assumed before one was seen.
 const SERVICE_TIME_DEFAULT_MS: u32 = 1_000;
 
-/// Time from a wish to the order for a load.
-const PLAN_DELAY_MS: u64 = 500;
-
 /// Time within which an agent that is there, but can't serve, may be able to.
 const AGENT_BACK_MS: u64 = 1_000;
 
-/// Least time that a load which is under way still takes.
-const LOADING_MIN_MS: u64 = 50;
-
 /// Agents that can serve a request, with the version each would serve.
 #[derive(Debug)]
 pub(super) struct Candidates<'a> {
@@ -51,6 +45,31 @@
         self.agents.retain(|(agent, _)| keep(&agent.id));
     }
 
+    /// Takes out those whose upstreams fail, unless all do: then a verdict that
+    /// is wrong or old would keep the model from everybody. Returns those taken
+    /// out.
+    pub(super) fn take_failing(&mut self, ctx: &Ctx<'a>) -> Self {
+        let mut failing = Self {
+            holders: Vec::new(),
+            agents: Vec::new(),
+        };
+        let health = ctx.shared.health.lock();
+        if !health.any_failing() {
+            return failing;
+        }
+        let fails = |id: &AgentId| health.is_failing(id);
+        if self.holders.iter().all(|held| fails(held.agent)) {
+            return failing;
+        }
+        failing.holders = self
+            .holders
+            .extract_if(.., |held| fails(held.agent))
+            .collect();
+        let agents = self.agents.extract_if(.., |(agent, _)| fails(&agent.id));
+        failing.agents = agents.collect();
+        failing
+    }
+
     /// Keeps only holders without load if there are any: a gate takes a suspect
     /// only when nothing else is in flight.
     pub(super) fn prefer_idle(&mut self) {
@@ -150,17 +169,23 @@
     ctx: &Ctx<'_>,
     request: &Request,
     candidates: &Candidates<'_>,
+    avoided: &[AgentId],
     ahead: u32,
 ) -> AdmitInput {
     let wanted = &request.resolved.wanted;
     let stats = ctx.shared.book.lock().stats(ctx.now, wanted);
     let load_wait_ms = match candidates.holders.is_empty() {
-        true => load_wait_ms(ctx, request),
+        true => load_wait_ms(ctx, request, avoided),
         false => None,
     };
     AdmitInput {
         remaining_ms: request.remaining_ms(ctx.now),
-        first_token_ms: request.resolved.first_token_ms,
+        // One that waits already, or ran, has lost its first token's time to a
+        // load or a failure; refusing it would only add to that.
+        first_token_ms: match request.is_fresh() {
+            true => request.resolved.first_token_ms,
+            false => 0,
+        },
         interactive: request.resolved.interactive,
         holders: u32::try_from(candidates.holders.len()).unwrap_or(u32::MAX),
         free_places: candidates.free_places(),
@@ -190,49 +215,102 @@
     mean_ms.min(left.saturating_mul(u64::from(step_us)) / 1_000)
 }
 
-/// Predicted time until somebody holds what nobody holds now.
-fn load_wait_ms(ctx: &Ctx<'_>, request: &Request) -> Option<u64> {
-    let control = ctx.control;
-    let config = control.config()?;
-    let (pool, model) = match &request.resolved.wanted {
-        Wanted::Model(model) => (&config.model(model.as_str())?.pool, Some(model)),
-        Wanted::Service(service) => (&config.service(service.as_str())?.pool, None),
-    };
-    let agents = control.directory.agents();
-    let mut there = agents
+/// Predicted time until somebody can serve what nobody can serve now.
+fn load_wait_ms(ctx: &Ctx<'_>, request: &Request, avoided: &[AgentId]) -> Option<u64> {
+    let pool = pool_of(ctx.control, request)?;
+    let agents = ctx.control.directory.agents();
+    let there: Vec<&Agent> = agents
         .filter(|agent| agent.pool == *pool && !agent.leaving())
-        .filter(|agent| agent.life != Life::Lost)
-        .peekable();
-    if there.peek().is_none() {
+        .filter(|agent| agent.life != Life::Lost && !avoided.contains(&agent.id))
+        .collect();
+    if there.is_empty() {
         // A process that has just started has not heard of the agents yet.
-        let starting = control.just_started(ctx.now);
+        let starting = ctx.control.just_started(ctx.now);
         return starting.then_some(AGENT_BACK_MS);
     }
-    let Some(model) = model else {
-        return Some(AGENT_BACK_MS);
+    let back = |agent: &&Agent| back_ms(ctx.now, agent);
+    let Some(model) = request.resolved.wanted.model() else {
+        let soonest = there.iter().map(back).min()?;
+        return Some(soonest.max(AGENT_BACK_MS));
+    };
+    let holds = |agent: &&&Agent| match request.version {
+        Some(version) => agent.serves_version(model.as_str(), version),
+        None => agent.serves(model.as_str()).is_some(),
     };
-    let load_time_ms = u64::from(config.store().load_time_ms);
-    let loading = there.filter_map(|agent| agent.loading_since(model.as_str()));
-    if let Some(since) = loading.min() {
-        let left = load_time_ms.saturating_sub(ctx.now.ms_since(since));
-        return Some(left.max(LOADING_MIN_MS));
+    let held = there.iter().filter(holds).map(back).min();
+    let held = held.map(|ms| ms.max(AGENT_BACK_MS));
+    if !avoided.is_empty() && kept_from(ctx, request, model, &there, avoided) {
+        return held;
     }
-    let before = unheld_before(ctx, model) as f64;
-    let starts_ms = before * 1_000.0 / config.store().loads_per_s.max(0.001);
-    Some(load_time_ms + PLAN_DELAY_MS + starts_ms as u64)
+    let load = ctx.control.load_wait_ms(ctx.now, model);
+    let load = load.map(|ms| ms + burst_ms(ctx, model));
+    held.into_iter().chain(load).min()
 }
 
-/// Other models that wait for a load here.
-fn unheld_before(ctx: &Ctx<'_>, model: &ModelId) -> usize {
+/// Whether only upstreams that the suspect crashed hold its model, and nobody
+/// loads it elsewhere: then there is nothing to wait for.
+///
+/// What was held before the crash does not count. It went with the upstream, and
+/// the next heartbeat will say so.
+fn kept_from(
+    ctx: &Ctx<'_>,
+    request: &Request,
+    model: &ModelId,
+    there: &[&Agent],
+    avoided: &[AgentId],
+) -> bool {
+    let mut elsewhere = there.iter();
+    if elsewhere.any(|agent| agent.loading_since(model.as_str()).is_some()) {
+        return false;
+    }
+    let fingerprint = request.resolved.fingerprint;
+    let crashed_at = ctx.shared.suspects.lock().crash_heard_at(fingerprint);
+    let crashed = avoided.iter();
+    let mut crashed = crashed.filter_map(|id| ctx.control.directory.get(id));
+    crashed.any(|agent| {
+        agent.residents.iter().any(|held| {
+            held.model == *model
+                && held.state == ResidencyState::Loaded
+                && Some(held.since) > crashed_at
+        })
+    })
+}
+
+/// Whether agents are there, and the suspect has crashed every one of them.
+pub(super) fn crashed_all(
+    ctx: &Ctx<'_>,
+    request: &Request,
+    crashed: &[AgentId],
+) -> bool {
+    let Some(pool) = pool_of(ctx.control, request) else {
+        return false;
+    };
+    let agents = ctx.control.directory.agents();
+    let there = agents.filter(|agent| agent.pool == *pool && agent.life != Life::Lost);
+    let mut there = there.peekable();
+    there.peek().is_some() && there.all(|agent| crashed.contains(&agent.id))
+}
+
+fn pool_of<'a>(control: &'a Control, request: &Request) -> Option<&'a PoolId> {
+    let config = control.config()?;
+    match &request.resolved.wanted {
+        Wanted::Model(model) => Some(&config.model(model.as_str())?.pool),
+        Wanted::Service(service) => Some(&config.service(service.as_str())?.pool),
+    }
+}
+
+/// Time for the loads of other models that began to wait here after the last
+/// forecast: they start one after another.
+fn burst_ms(ctx: &Ctx<'_>, model: &ModelId) -> u64 {
+    if ctx.control.is_foreseen(model) {
+        return 0;
+    }
     let waiting = ctx.shared.waiting.lock();
-    let unheld = waiting.models().filter(|held| {
-        *held != model
-            && ctx
-                .control
-                .directory
-                .holders(held.as_str())
-                .next()
-                .is_none()
+    let new = waiting.models().filter(|held| {
+        let mut holders = ctx.control.directory.holders(held.as_str());
+        *held != model && !ctx.control.is_foreseen(held) && holders.next().is_none()
     });
-    unheld.count()
+    let config = ctx.control.config();
+    let loads_per_s = config.map_or(1.0, |held| held.store().loads_per_s);
+    (new.count() as f64 * 1_000.0 / loads_per_s.max(0.001)) as u64
 }
--- a/crates/role/src/entry/requests/place.rs
+++ b/crates/role/src/entry/requests/place.rs
@@ -1,14 +1,17 @@
 //! Where a request goes: to an agent, into a queue, or back.
 
 use base::prelude::*;
-use route::{Admit, ChooseInput, Verdict, admit, choose};
+use route::{
+    ALONE_RETRY_MS, Admit, AdmitInput, ChooseInput, RouteReason, Verdict, admit,
+    choose, has_room,
+};
 use schema::timeline::EventKind;
 
 use super::super::shared::Ctx;
 use super::super::trace::Note;
 use super::super::waiting::{Place, Queued};
 use super::Requests;
-use super::holders::{Candidates, admit_input};
+use super::holders::{Candidates, admit_input, crashed_all};
 use super::send::Route;
 use super::state::{Request, State};
 use super::timers::Timer;
@@ -48,6 +51,13 @@
     /// Tries to send a request; it waits if it can't be sent now and will be in
     /// time, and is refused at once if it won't.
     pub(crate) fn place(&mut self, ctx: &mut Ctx<'_>, sequence: u64) -> Placed {
+        let held = self.live.get(&sequence);
+        let ahead = held.map_or(0, |request| ahead_of_new(ctx, request));
+        self.place_behind(ctx, sequence, ahead)
+    }
+
+    /// The same, with the number of requests that go before it.
+    fn place_behind(&mut self, ctx: &mut Ctx<'_>, sequence: u64, ahead: u32) -> Placed {
         let Some(request) = self.live.get(&sequence) else {
             return Placed::Ended;
         };
@@ -60,38 +70,42 @@
         let fingerprint = request.resolved.fingerprint;
         let verdict = ctx.shared.suspects.lock().verdict(ctx.now, fingerprint);
         match verdict {
-            Verdict::Free => self.place_as(ctx, sequence, false),
-            Verdict::Suspect => self.place_as(ctx, sequence, true),
+            Verdict::Free => self.place_as(ctx, sequence, ahead, false),
+            Verdict::Suspect => self.place_as(ctx, sequence, ahead, true),
             Verdict::Convicted { remaining_ms } => {
                 self.refuse(ctx, sequence, Code::Convicted, Some(remaining_ms))
             }
         }
     }
 
-    fn place_as(&mut self, ctx: &mut Ctx<'_>, sequence: u64, alone: bool) -> Placed {
+    fn place_as(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        sequence: u64,
+        ahead: u32,
+        alone: bool,
+    ) -> Placed {
         let Some(request) = self.live.get(&sequence) else {
             return Placed::Ended;
         };
         let mut candidates = Candidates::of(ctx.control, ctx.now, request);
+        let avoided = match alone {
+            true => crashed_on(ctx, request),
+            false => Vec::new(),
+        };
         if alone {
-            let suspects = ctx.shared.suspects.lock();
-            let fingerprint = request.resolved.fingerprint;
-            let crashed: Vec<AgentId> = suspects.crashed_on(fingerprint).collect();
-            drop(suspects);
-            candidates.without(&crashed);
+            candidates.without(&avoided);
             candidates.prefer_idle();
         }
+        let failing = candidates.take_failing(ctx);
         if cut_off(ctx, request, &candidates) {
             return self.refuse(ctx, sequence, Code::AnswerBroken, None);
         }
-        let ahead = match &request.state {
-            State::Waiting(place) => {
-                let waiting = ctx.shared.waiting.lock();
-                waiting.ahead(&request.resolved.wanted, place)
-            }
-            _ => ahead_of_new(ctx, request),
-        };
-        let input = admit_input(ctx, request, &candidates, ahead);
+        let input = admit_input(ctx, request, &candidates, &avoided, ahead);
+        if alone && let Some((code, ms)) = out_of_reach(ctx, request, &input, &avoided)
+        {
+            return self.refuse(ctx, sequence, code, Some(ms));
+        }
         match admit(&input) {
             Admit::Refuse(refusal) => {
                 self.refuse(ctx, sequence, refusal.code, refusal.retry_after_ms)
@@ -103,10 +117,12 @@
             Admit::Send if request.not_before > ctx.now => {
                 self.wait(ctx, sequence, None)
             }
-            Admit::Send => match self.route(ctx, sequence, &candidates, alone) {
-                Some(route) => self.send(ctx, sequence, &route),
-                None => self.wait(ctx, sequence, None),
-            },
+            Admit::Send => {
+                match self.route(ctx, sequence, &candidates, &failing, alone) {
+                    Some(route) => self.send(ctx, sequence, &route),
+                    None => self.wait(ctx, sequence, None),
+                }
+            }
         }
     }
 
@@ -116,9 +132,13 @@
         ctx: &mut Ctx<'_>,
         sequence: u64,
         candidates: &Candidates<'_>,
+        failing: &Candidates<'_>,
         alone: bool,
     ) -> Option<Route> {
         let request = self.live.get(&sequence)?;
+        if !alone && let Some(route) = probe(ctx, request, failing, candidates) {
+            return Some(route);
+        }
         let input = ChooseInput {
             prefix_hash: request.arrival.prefix_hash,
             domain: &ctx.shared.options.domain,
@@ -143,6 +163,7 @@
             incarnation: agent.incarnation,
             version,
             alone,
+            probe: false,
             reason: chosen.reason.number(),
             detail,
         })
@@ -165,16 +186,9 @@
         }
         let place = place_of(request);
         let wanted = request.resolved.wanted.clone();
-        let config = ctx.control.config();
-        let max = config.map_or(0, |held| held.limits().waiting_max as usize);
-        let queued = ctx.shared.waiting.lock().add(&wanted, place, ctx.now, max);
-        match queued {
-            Queued::Full => {
-                let retry_after = predicted_ms.unwrap_or(RETRY_AFTER_MS);
-                return self.refuse(ctx, sequence, Code::QueueFull, Some(retry_after));
-            }
-            Queued::Instead(other) => ctx.later.evicted.push(other),
-            Queued::Yes => {}
+        if let Err(code) = enqueue(ctx, request, place) {
+            let retry_after = predicted_ms.unwrap_or(RETRY_AFTER_MS);
+            return self.refuse(ctx, sequence, code, Some(retry_after));
         }
         request.state = State::Waiting(place);
         let detail = match predicted_ms {
@@ -206,15 +220,47 @@
         &mut self,
         ctx: &mut Ctx<'_>,
         request: RequestId,
+        ahead: u32,
     ) -> Placed {
         let held = self.live.get(&request.sequence);
         if held.is_some_and(|held| matches!(held.state, State::Waiting(_))) {
-            return self.place(ctx, request.sequence);
+            return self.place_behind(ctx, request.sequence, ahead);
         }
         Placed::Ended
     }
 }
 
+/// Adds a request to its queue, within its caller's share.
+///
+/// Without the share one caller's burst would fill the queue, and every other
+/// caller would be refused. More urgent work that takes a place from less urgent
+/// work is exempt: the queue does not grow by it.
+fn enqueue(ctx: &mut Ctx<'_>, request: &Request, place: Place) -> Result<(), Code> {
+    let config = ctx.control.config();
+    let max = config.map_or(0, |held| held.limits().waiting_max);
+    let caller = &request.caller;
+    let within = ctx.shared.callers.lock().try_wait(caller, max);
+    let queued = {
+        let mut waiting = ctx.shared.waiting.lock();
+        if !within && waiting.len() < max as usize {
+            return Err(Code::CallerLimit);
+        }
+        waiting.add(&request.resolved.wanted, place, ctx.now, max as usize)
+    };
+    match queued {
+        Queued::Full if within => ctx.shared.callers.lock().end_wait(caller),
+        Queued::Instead(other) => ctx.later.evicted.push(other),
+        Queued::Full | Queued::Yes => {}
+    }
+    if queued == Queued::Full {
+        return Err(Code::QueueFull);
+    }
+    if !within {
+        ctx.shared.callers.lock().wait_instead(caller);
+    }
+    Ok(())
+}
+
 /// Whether an answer was begun by a version that nobody holds or will hold.
 fn cut_off(ctx: &Ctx<'_>, request: &Request, candidates: &Candidates<'_>) -> bool {
     let (Some(version), Some(model)) =
@@ -240,11 +286,77 @@
     waiting.ahead(&request.resolved.wanted, &place_of(request))
 }
 
+/// The way to a failing upstream, if the request is the one to probe it.
+fn probe(
+    ctx: &Ctx<'_>,
+    request: &Request,
+    failing: &Candidates<'_>,
+    others: &Candidates<'_>,
+) -> Option<Route> {
+    // With all holders failing they are among the others.
+    let all = [failing, others];
+    let held = all
+        .iter()
+        .flat_map(|held| held.holders.iter().zip(&held.agents));
+    let mut health = ctx.shared.health.lock();
+    if !health.any_failing() {
+        return None;
+    }
+    let mut fit = held.filter(|(holder, (agent, _))| {
+        has_room(holder) && !request.excluded.contains(&agent.id)
+    });
+    let (_, (agent, version)) = fit.find(|(_, (agent, _))| {
+        let prober = ctx.control.probes(ctx.now, &agent.id);
+        let idempotent = request.resolved.idempotent;
+        health.is_failing(&agent.id)
+            && health.try_probe(ctx.now, &agent.id, prober, idempotent)
+    })?;
+    agent.hint.note_sent();
+    Some(Route {
+        agent: agent.id.clone(),
+        incarnation: agent.incarnation,
+        version: *version,
+        alone: false,
+        probe: true,
+        reason: RouteReason::OnlyHolder.number(),
+        detail: "to see whether it works again".to_owned(),
+    })
+}
+
+/// Agents whose upstreams crashed with a request in flight.
+fn crashed_on(ctx: &Ctx<'_>, request: &Request) -> Vec<AgentId> {
+    let suspects = ctx.shared.suspects.lock();
+    suspects.crashed_on(request.resolved.fingerprint).collect()
+}
+
+/// Why a suspect can't be run before its deadline, with when to come back.
+///
+/// Only an upstream that it has not crashed may run it, and only in this
+/// entry's turn. One that has neither in time would stand in the queue until
+/// its deadline, and its caller would learn nothing by it.
+fn out_of_reach(
+    ctx: &Ctx<'_>,
+    request: &Request,
+    input: &AdmitInput,
+    crashed: &[AgentId],
+) -> Option<(Code, u64)> {
+    if input.holders == 0 && crashed_all(ctx, request, crashed) {
+        let suspects = ctx.shared.suspects.lock();
+        let fingerprint = request.resolved.fingerprint;
+        let ms = suspects.remaining_ms(ctx.now, fingerprint);
+        return Some((Code::ModelUnavailable, ms));
+    }
+    request.resolved.wanted.model()?;
+    let turn_ms = ctx.control.alone_turn_in_ms(ctx.now);
+    let late = turn_ms.saturating_add(input.whole_ms) > input.remaining_ms;
+    late.then_some((Code::Overloaded, turn_ms.max(ALONE_RETRY_MS)))
+}
+
 fn start_alone(ctx: &mut Ctx<'_>, request: &Request) -> bool {
     let Some(model) = request.resolved.wanted.model() else {
         return true;
     };
-    if !ctx.control.alone_turn(ctx.now) {
+    if ctx.control.alone_turn_in_ms(ctx.now) > 0 {
         return false;
     }
     let me = &ctx.shared.options.id;
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -14,17 +14,20 @@
     pub(crate) excused: usize,
     pub(crate) convicted: bool,
     pub(crate) ends_at: Instant,
+    /// When a crash was last heard of.
+    pub(crate) heard_at: Instant,
     pub(crate) model: String,
     pub(crate) running_at: String,
 }
 
 impl Record {
-    pub(crate) fn new(ends_at: Instant) -> Self {
+    pub(crate) fn new(now: Instant, ends_at: Instant) -> Self {
         Self {
             crashes: Vec::new(),
             excused: 0,
             convicted: false,
             ends_at,
+            heard_at: now,
             model: String::new(),
             running_at: String::new(),
         }
@@ -49,8 +52,8 @@
         true
     }
 
-    /// An excused crash makes room; so does the newest for one alone, which is
-    /// the only kind that still changes the verdict.
+    /// An excused crash makes room; so does the newest for one of another
+    /// upstream, which is the only kind that still changes the verdict.
     fn make_room(&mut self, crash: &CrashWitness) -> bool {
         if self.crashes.len() < CRASHES_MAX {
             return true;
@@ -60,28 +63,28 @@
             self.excused -= 1;
             return true;
         }
-        if !crash.alone || self.crashes.iter().any(|known| known.alone) {
+        if self.crashes.iter().any(|known| known.agent == crash.agent) {
             return false;
         }
         self.crashes.pop();
         true
     }
 
-    /// Two crashes of different upstreams, one of them with nothing else in
-    /// flight, convict.
+    /// Crashes of two different upstreams convict.
     ///
-    /// A busy engine that is crashed by another request makes suspects of all
-    /// that it runs, and the same can befall a request twice; so being among
-    /// others is never enough. The order of the two does not count, and every
-    /// entry comes to the same verdict in whatever order it hears of them.
+    /// A request that runs again after a crash runs alone, so its second crash
+    /// shows its guilt. Copies of it that were in flight at once can be at two
+    /// crashes among others, and may be innocent. They are convicted as well: a
+    /// third run of a guilty one would be a third crash, and the bound of two
+    /// goes before an innocent one's second chance. The order of the two does
+    /// not count, and every entry comes to the same verdict in whatever order
+    /// it hears of them.
     pub(crate) fn judge(&mut self) -> bool {
         if self.convicted {
             return false;
         }
         let open = self.open_crashes();
-        let alone = open.iter().any(|crash| crash.alone);
-        let upstreams = open.iter().any(|crash| crash.agent != open[0].agent);
-        self.convicted = alone && upstreams;
+        self.convicted = open.iter().any(|crash| crash.agent != open[0].agent);
         self.convicted
     }
 }
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -34,7 +34,7 @@
     Free,
     /// It was in flight at a crash: it may run only alone.
     Suspect,
-    /// It crashed two upstreams: it is refused.
+    /// It was in flight when two upstreams crashed: it is not run again.
     Convicted {
         /// Time until the verdict ends.
         remaining_ms: u64,
@@ -53,8 +53,8 @@
 ///
 /// A request that crashes each engine that runs it, retried and sent again by
 /// its caller, takes down a whole pool. After one crash it runs only alone, at
-/// the one entry that owns its model, on an upstream it has not crashed; the
-/// next crash convicts it. `docs/design-retries.md` tells what the bound of two
+/// the one entry that owns its model, on an upstream it has not crashed; a crash
+/// of a second upstream convicts it. `docs/design-retries.md` tells what the bound of two
 /// crashes rests on.
 #[derive(Debug)]
 pub struct Suspects {
@@ -142,6 +142,26 @@
         crashes.iter().map(|crash| AgentId::new(&crash.agent))
     }
 
+    /// Whether one of the crashes held against the request happened while it
+    /// was the only one in flight, which shows that it was the cause.
+    pub fn crashed_alone(&self, fingerprint: u64) -> bool {
+        let record = self.records.get(&fingerprint);
+        let crashes = record.map_or(&[][..], Record::open_crashes);
+        crashes.iter().any(|crash| crash.alone)
+    }
+
+    /// When a crash was last heard of with the request in flight.
+    pub fn crash_heard_at(&self, fingerprint: u64) -> Option<Instant> {
+        self.records.get(&fingerprint).map(|record| record.heard_at)
+    }
+
+    /// Time until nothing is held against the request any more, if nothing new
+    /// happens.
+    pub fn remaining_ms(&self, now: Instant, fingerprint: u64) -> u64 {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| record.ends_at.ms_since(now))
+    }
+
     /// Takes the model's place for a suspect that runs alone; `entry` is this
     /// entry. False when another entry owns the model or another suspect of the
     /// model runs: the caller is to come back after [`ALONE_RETRY_MS`].
@@ -241,10 +261,11 @@
         let record = self
             .records
             .entry(fingerprint)
-            .or_insert_with(|| Record::new(ends_at));
+            .or_insert_with(|| Record::new(now, ends_at));
         if record.add(crash) {
             record.judge();
             record.ends_at = ends_at;
+            record.heard_at = now;
         }
         self.ends(ends_at);
     }
@@ -259,7 +280,7 @@
         let record = self
             .records
             .entry(from.fingerprint)
-            .or_insert_with(|| Record::new(ends_at));
+            .or_insert_with(|| Record::new(now, ends_at));
         let mut changed = false;
         for crash in from.crashes.iter().take(CRASHES_MAX) {
             changed |= record.add(crash);
@@ -273,6 +294,7 @@
         // same verdict prolong it by the delay of each message.
         if changed {
             record.ends_at = record.ends_at.max(ends_at);
+            record.heard_at = now;
         }
         self.ends(ends_at);
         changed
@@ -327,11 +349,11 @@
 
     fn expire(&mut self, now: Instant) {
         self.now = self.now.max(now);
-        let due = self.first_end.is_some_and(|first_end| first_end <= now);
-        if !due && self.elsewhere.is_empty() {
-            return;
+        if self.first_end.is_some_and(|first_end| first_end <= now) {
+            self.records.retain(|_, record| record.ends_at > now);
+            let ends = self.records.values().map(|record| record.ends_at);
+            self.first_end = ends.min();
         }
-        self.records.retain(|_, record| record.ends_at > now);
         self.elsewhere
             .retain(|_, running| now.ms_since(running.heard_at) < RUNNING_ELSEWHERE_MS);
     }
--- a/crates/route/tests/all/suspects.rs
+++ b/crates/route/tests/all/suspects.rs
@@ -34,11 +34,13 @@
 };
 
 /// A request crashes the upstream that runs it. Its caller sees it retried
-/// alone, and refused after the second crash; whoever only ran beside it, even
-/// twice, is never refused.
+/// alone, and refused after a crash of a second upstream; whoever ran beside it
+/// is not refused for one crash, nor for two of one upstream. Whoever was in
+/// flight at crashes of two upstreams, as copies at once may be, is not run
+/// again: a third run might be a third crash.
 #[test]
-fn two_crashes_convict_only_one_that_ran_alone() {
-    let cases: [(&str, &[Crash], Verdict); 10] = [
+fn crashes_of_two_upstreams_convict() {
+    let cases: [(&str, &[Crash], Verdict); 11] = [
         ("nothing", &[], Verdict::Free),
         ("of others", &[("a", 1, &[8, 9], false)], Verdict::Free),
         (
@@ -50,7 +52,7 @@
         (
             "twice among others",
             &[("a", 1, &[7, 8], false), ("b", 1, &[7, 9], false)],
-            Verdict::Suspect,
+            CONVICTED,
         ),
         (
             "among others, then alone",
@@ -74,7 +76,12 @@
         ),
         (
             "a report that calls two requests alone",
-            &[("a", 1, &[7, 8], true), ("b", 1, &[7, 8], true)],
+            &[("a", 1, &[7, 8], true)],
+            Verdict::Suspect,
+        ),
+        (
+            "the same upstream twice among others",
+            &[("a", 1, &[7, 8], false), ("a", 2, &[7, 9], false)],
             Verdict::Suspect,
         ),
     ];
@@ -227,12 +234,38 @@
 /// The run alone must show something new: the agents crashed before are named.
 #[test]
 fn crashed_agents_are_named() {
-    let mut suspects = after(&[("a", 1, &[7, 8], false), ("b", 1, &[7, 9], false)]);
     let named =
         |suspects: &Suspects| -> Vec<AgentId> { suspects.crashed_on(7).collect() };
-    assert_eq!(named(&suspects), ["a", "b"].map(AgentId::new));
-    suspects.completed(7);
-    assert!(named(&suspects).is_empty());
+    let mut cleared = after(&[("a", 1, &[7, 8], false)]);
+    assert_eq!(named(&cleared), [AgentId::new("a")]);
+    cleared.completed(7);
+    assert!(named(&cleared).is_empty());
+    let mut both = after(&[("a", 1, &[7, 8], false), ("b", 1, &[7, 9], false)]);
+    assert!(!both.crashed_alone(7));
+    both.completed(7);
+    assert_eq!(named(&both), ["a", "b"].map(AgentId::new));
+}
+
+/// Two copies of a request are in flight, through two entries, when two
+/// upstreams die at once. Each entry saw one crash, so the caller sees no retry
+/// from the moment on that they hear each other. A copy that had ended whole and
+/// alone before the second crash is not held to the first.
+#[test]
+fn copies_at_once_are_not_run_a_third_time() {
+    let now = Instant::ZERO;
+    let mut here = after(&[("a", 1, &[7, 8], false)]);
+    let mut there = after(&[("b", 1, &[7, 9], false)]);
+    assert!(tell(&mut here, &there, now));
+    assert!(tell(&mut there, &here, now));
+    for suspects in [&mut here, &mut there] {
+        assert_eq!(suspects.verdict(now, GUILTY), CONVICTED);
+        assert_eq!(suspects.verdict(now, 9), Verdict::Suspect);
+    }
+
+    let mut cleared = after(&[("a", 1, &[7, 8], false)]);
+    cleared.completed(7);
+    report(&mut cleared, &[("b", 1, &[7, 9], false)]);
+    assert_eq!(cleared.verdict(now, GUILTY), Verdict::Suspect);
 }
 
 /// A flood of crash reports and a peer that sends nonsense cost no more memory
@@ -263,7 +296,7 @@
     assert!(told.iter().all(|suspect| suspect.crashes.len() <= 8));
 }
 
-/// After many crashes among others the crash of the run alone still convicts.
+/// After many crashes of one upstream the crash of another still convicts.
 #[test]
 fn a_long_list_of_crashes_still_convicts() {
     let mut suspects = Suspects::new(VERDICT_MS);
