Share verdicts on failing upstreams among entries

Cause: an upstream that answers heartbeats and fails its work went on getting its part of the requests; each of them cost a retry, or an error once the budget was used up. `route::UpstreamHealth` was measured and not used.

Change: each entry keeps a verdict for each agent (beside the control part, under a small lock, since requests only read the control part), and tells changes at once. Failures are ends with 3001 or 3002 and stalls after the start; refusals by gates, crashes and broken links are none. The live entry that ranks first sends one probe a second; after 10 s without a probe or a word of one any request of any entry is the probe. Calls that must not run twice are spared as long as others can probe. A probe's failure costs nothing from the retry budget, and a probe whose outcome is never known frees the place for the next. If all holders fail, they are all chosen as if none did. UPSTREAM_FAILING and UPSTREAM_RECOVERED are traced at each entry. The scenario language has `upstream X fail on|off|count=`.

Not done: the planner does not know of these verdicts.

--- a/crates/role/src/entry/requests/end.rs
+++ b/crates/role/src/entry/requests/end.rs
@@ -9,6 +9,7 @@
 use super::super::trace::Note;
 use super::super::wanted::Wanted;
 use super::Requests;
+use super::outcome::note_outcome;
 use super::place::Placed;
 use super::state::{Attempt, Request, State};
 
@@ -90,6 +91,7 @@
         let request = self.live.remove(&sequence)?;
         if let State::Waiting(place) = request.state {
             ctx.shared.waiting.lock().remove(place);
+            ctx.shared.callers.lock().end_wait(&request.caller);
         }
         ctx.shared.callers.lock().leave(&request.caller);
         Some(request)
@@ -115,6 +117,10 @@
             }
         };
         self.attempts.remove(&attempt.id.sequence);
+        if attempt.probe {
+            // It ended without a word of its upstream: the next may try.
+            note_outcome(ctx, &attempt.agent, false, true);
+        }
         let seen = match attempt.started {
             true => Ran::Ran,
             false => Ran::Unknown,
--- a/crates/role/src/entry/requests/failures.rs
+++ b/crates/role/src/entry/requests/failures.rs
@@ -18,6 +18,10 @@
 /// When to come back with a request whose retry the budget denied.
 const BUDGET_RETRY_MS: u64 = 2_000;
 
+/// When to come back after a deadline: the place taken is free at once, and a
+/// call that goes on may have ended by then.
+const DEADLINE_RETRY_MS: u64 = 1_000;
+
 /// Failures after which a request is given up, whatever the budget.
 const FAILURES_MAX: u32 = 4;
 
@@ -27,7 +31,9 @@
     /// The attempt failed at an upstream.
     Yes,
     /// The upstream was crashed, maybe by another request: bystanders don't
-    /// pay. Suspects run one at a time, which bounds these retries.
+    /// pay. Suspects run one at a time, which bounds these retries. Nor does a
+    /// probe, which was sent to a failing upstream for the fleet's sake; there
+    /// is one at a time.
     No,
 }
 
@@ -49,6 +55,12 @@
         frame: &End,
     ) {
         let code = Code::from_number(frame.code).unwrap_or(Code::UpstreamFault);
+        // A crash is no verdict on the upstream: it is down, and is told so.
+        let failing = matches!(code, Code::UpstreamLost | Code::UpstreamFault);
+        let mut probe = false;
+        if failing && !frame.upstream_crashed {
+            probe = self.judge_upstream(ctx, sequence, false);
+        }
         let Some(request) = self.live.get(&sequence) else {
             return;
         };
@@ -63,7 +75,7 @@
             return;
         }
         if !fails_elsewhere_too(code) {
-            let charge = match frame.upstream_crashed {
+            let charge = match frame.upstream_crashed || probe {
                 true => Charge::No,
                 false => Charge::Yes,
             };
@@ -187,6 +199,9 @@
             self.revoke(ctx, sequence);
             return;
         }
+        if attempt.started {
+            self.judge_upstream(ctx, sequence, false);
+        }
         self.give_up_attempt(ctx, sequence);
     }
 
@@ -317,8 +332,13 @@
             State::Running(_) => Code::DeadlineWhileRunning,
             _ => Code::DeadlineBeforeRun,
         };
+        // A call that must not run twice helps its caller to come back only with
+        // a key, by which the stored answer is found.
+        let comes_back =
+            request.resolved.idempotent || request.arrival.idempotency_key.is_some();
+        let retry_after = comes_back.then_some(DEADLINE_RETRY_MS);
         self.cancel_attempt(ctx, sequence);
-        self.refuse(ctx, sequence, code, None);
+        self.refuse(ctx, sequence, code, retry_after);
     }
 }
 
--- a/crates/role/src/entry/requests/mod.rs
+++ b/crates/role/src/entry/requests/mod.rs
@@ -12,6 +12,7 @@
 mod end;
 mod failures;
 mod holders;
+mod outcome;
 mod place;
 mod send;
 mod state;
--- /dev/null
+++ b/crates/role/src/entry/requests/outcome.rs
@@ -0,0 +1,38 @@
+//! What the end of an attempt says about its upstream.
+
+use base::prelude::*;
+
+use super::super::shared::Ctx;
+use super::Requests;
+
+impl Requests {
+    /// Takes the outcome of the attempt in flight into account for its upstream.
+    /// Returns whether it was a probe.
+    pub(super) fn judge_upstream(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        sequence: u64,
+        ok: bool,
+    ) -> bool {
+        let request = self.live.get_mut(&sequence);
+        let Some(attempt) = request.and_then(|held| held.attempt_mut()) else {
+            return false;
+        };
+        let probe = std::mem::take(&mut attempt.probe);
+        note_outcome(ctx, &attempt.agent, ok, probe);
+        probe
+    }
+}
+
+/// Takes the outcome of an attempt into account for its upstream.
+pub(super) fn note_outcome(ctx: &mut Ctx<'_>, agent: &AgentId, ok: bool, probe: bool) {
+    let change = {
+        let mut health = ctx.shared.health.lock();
+        health.observe(ctx.now, agent, ok, probe)
+    };
+    if let Some(change) = change {
+        change.trace(agent, "seen here", ctx.out);
+        ctx.later.room.insert(agent.clone());
+        ctx.later.gossip = true;
+    }
+}
--- a/crates/role/src/entry/requests/send.rs
+++ b/crates/role/src/entry/requests/send.rs
@@ -26,6 +26,7 @@
     pub(super) incarnation: Incarnation,
     pub(super) version: u32,
     pub(super) alone: bool,
+    pub(super) probe: bool,
     pub(super) reason: u32,
     /// Why there, for the time line.
     pub(super) detail: String,
@@ -52,6 +53,7 @@
         };
         if let State::Waiting(place) = request.state {
             ctx.shared.waiting.lock().remove(place);
+            ctx.shared.callers.lock().end_wait(&request.caller);
         }
         let attempt = Attempt {
             id,
@@ -64,6 +66,7 @@
             heard_at: ctx.now,
             revoked_at: None,
             alone: route.alone,
+            probe: route.probe,
         };
         let wait_ms = match route.alone {
             true => START_ALONE_WAIT_MS,
@@ -100,7 +103,8 @@
         0 => String::new(),
         units => format!(", from offset {units}"),
     };
-    let detail = format!("to {}: {}{from}{alone}", route.agent, route.detail);
+    let probe = if route.probe { ", a probe" } else { "" };
+    let detail = format!("to {}: {}{from}{alone}{probe}", route.agent, route.detail);
     Note::new(kind, detail)
         .request(request.id())
         .model(request.resolved.wanted.as_str())
--- a/crates/role/src/entry/requests/state.rs
+++ b/crates/role/src/entry/requests/state.rs
@@ -89,6 +89,8 @@
     pub(crate) revoked_at: Option<Instant>,
     /// It runs alone, as a suspect.
     pub(crate) alone: bool,
+    /// Its outcome decides on a failing upstream, and is not known yet.
+    pub(crate) probe: bool,
 }
 
 impl Request {
@@ -110,6 +112,11 @@
         }
     }
 
+    /// Neither sent nor waiting so far.
+    pub(crate) const fn is_fresh(&self) -> bool {
+        self.sent == 0 && matches!(self.state, State::New)
+    }
+
     pub(crate) fn remaining_ms(&self, now: Instant) -> u64 {
         self.deadline.ms_since(now)
     }
--- a/crates/role/src/entry/shared.rs
+++ b/crates/role/src/entry/shared.rs
@@ -12,6 +12,7 @@
 use super::book::Book;
 use super::control::Control;
 use super::counters::Counts;
+use super::health::Health;
 use super::waiting::Waiting;
 use super::wanted::Wanted;
 use super::{EntryAction, EntryOptions};
@@ -28,6 +29,7 @@
     pub(crate) book: Mutex<Book>,
     pub(crate) callers: Mutex<CallerLimits>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) health: Mutex<Health>,
 }
 
 impl Shared {
@@ -39,6 +41,7 @@
             book: Mutex::new(Book::new()),
             callers: Mutex::new(CallerLimits::new()),
             suspects: Mutex::new(Suspects::new(VERDICT_DEFAULT_MS)),
+            health: Mutex::new(Health::default()),
         }
     }
 }
@@ -48,6 +51,8 @@
 pub(crate) struct Later {
     /// Queues whose head may now be sent.
     pub(crate) wake: BTreeSet<Wanted>,
+    /// They are looked at as a whole.
+    pub(crate) whole: bool,
     /// Agents that have room again.
     pub(crate) room: BTreeSet<AgentId>,
     /// Requests that lost their place in the queue to a more urgent one.
--- a/crates/scenario/src/parse/verb.rs
+++ b/crates/scenario/src/parse/verb.rs
@@ -1,5 +1,7 @@
 //! Steps: what happens and what must have been seen.
 
+use schema::timeline::EventKind;
+
 use super::ScriptError;
 use super::line::Words;
 use super::value::{bounds, duration_ms, number, number32, ran, yes_no};
@@ -94,6 +96,16 @@
     Ok(words.next("a name")?.text.to_owned())
 }
 
+/// A kind of event; a misspelt one would be counted as never seen.
+fn event_kind(words: &mut Words<'_>) -> Result<String, ScriptError> {
+    let word = words.next("a kind of event")?;
+    let full = format!("EVENT_KIND_{}", word.text);
+    if EventKind::from_str_name(&full).is_none() {
+        return Err(words.error(word, "no such kind of event"));
+    }
+    Ok(word.text.to_owned())
+}
+
 fn request(words: &mut Words<'_>) -> Result<Verb, ScriptError> {
     let name = name(words)?;
     let text = |word: Option<super::line::Word<'_>>| word.map(|w| w.text.to_owned());
@@ -159,6 +171,9 @@
         "slow-loads" => UpstreamFault::SlowLoads {
             factor: factor(words)?,
         },
+        "fail" => UpstreamFault::Fail {
+            count: failures(words)?,
+        },
         "lose-orders" => UpstreamFault::LoseOrders {
             count: count(words)?,
         },
@@ -174,6 +189,17 @@
     Ok(Verb::Upstream { instance, fault })
 }
 
+/// `on`, `off` or a number of requests.
+fn failures(words: &mut Words<'_>) -> Result<u32, ScriptError> {
+    if words.flag("on") {
+        return Ok(u32::MAX);
+    }
+    if words.flag("off") {
+        return Ok(0);
+    }
+    count(words)
+}
+
 fn count(words: &mut Words<'_>) -> Result<u32, ScriptError> {
     let word = words.needed("count")?;
     number32(words, word)
@@ -216,7 +242,7 @@
             bounds: bounds(words)?,
         },
         "event" => Expect::Event {
-            kind: name(words)?,
+            kind: event_kind(words)?,
             bounds: bounds(words)?,
         },
         "revision" => {
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -227,6 +227,11 @@
         /// Factor.
         factor: u32,
     },
+    /// It answers the next requests with an error, and all else as before.
+    Fail {
+        /// Requests; `u32::MAX` for all until told otherwise.
+        count: u32,
+    },
 }
 
 /// What must have been seen.
--- a/crates/scenario/src/world/upstream.rs
+++ b/crates/scenario/src/world/upstream.rs
@@ -50,6 +50,7 @@
     stepping: bool,
     slow: u64,
     slow_loads: u64,
+    failures: u32,
     lose_orders: u32,
     delay_orders: u32,
     delay_orders_ms: u64,
@@ -97,6 +98,7 @@
             stepping: false,
             slow: 1,
             slow_loads: 1,
+            failures: 0,
             lose_orders: 0,
             delay_orders: 0,
             delay_orders_ms: 0,
@@ -128,9 +130,8 @@
     /// Whether a model can serve.
     pub(crate) fn holds(&self, model: &str) -> bool {
         let mut residents = self.residents.iter();
-        residents.any(|r| {
-            r.shown.model.as_str() == model && r.shown.loaded && !r.unloading
-        })
+        residents
+            .any(|r| r.shown.model.as_str() == model && r.shown.loaded && !r.unloading)
     }
 
     fn overcommitted(&self) -> Option<u32> {
@@ -255,6 +256,21 @@
             let key = (run.caller.clone(), run.idempotency_key.clone());
             *upstream.keyed.entry(key).or_default() += 1;
         }
+        if upstream.failures > 0 {
+            if upstream.failures < u32::MAX {
+                upstream.failures -= 1;
+            }
+            self.callers.ran(attempt);
+            self.log(&instance, &format!("upstream fails attempt {attempt}"));
+            let event = UpstreamEvent::Failed {
+                attempt,
+                ran: Ran::Ran,
+                status: 500,
+                broken: false,
+            };
+            self.tell_agent(&process, start, event, String::new());
+            return;
+        }
         let engine = upstream.engine;
         let produced = run.resume_offset;
         upstream.attempts.push(Running {
@@ -266,7 +282,10 @@
             produced,
         });
         self.callers.ran(attempt);
-        self.log(&instance, &format!("upstream runs {body} as attempt {attempt}"));
+        self.log(
+            &instance,
+            &format!("upstream runs {body} as attempt {attempt}"),
+        );
         let started = UpstreamEvent::Started { attempt };
         self.tell_agent(&process, start, started, String::new());
         if engine {
@@ -473,7 +492,8 @@
             }),
             payload: String::new(),
         };
-        self.queue.add(self.now.plus_ms(ORDER_TIMEOUT_MS), happening);
+        self.queue
+            .add(self.now.plus_ms(ORDER_TIMEOUT_MS), happening);
     }
 
     /// An order reaches an upstream, whoever sent it and whenever.
@@ -499,9 +519,14 @@
         } else {
             UNLOAD_MS
         };
-        self.log(instance, &format!("upstream gets order {}: {answer:?}", order.id));
+        self.log(
+            instance,
+            &format!("upstream gets order {}: {answer:?}", order.id),
+        );
         if let Some(accelerator) = over {
-            self.fail(&format!("{instance} accelerator {accelerator} is overcommitted"));
+            self.fail(&format!(
+                "{instance} accelerator {accelerator} is overcommitted"
+            ));
         }
         if begun {
             let happening = Happening::OrderDone {
@@ -539,6 +564,7 @@
             UpstreamFault::Crash { restart_ms } => self.crash(instance, restart_ms),
             UpstreamFault::Slow { factor } => upstream.slow = factor.into(),
             UpstreamFault::SlowLoads { factor } => upstream.slow_loads = factor.into(),
+            UpstreamFault::Fail { count } => upstream.failures = count,
             UpstreamFault::LoseOrders { count } => upstream.lose_orders = count,
             UpstreamFault::DelayOrders { count, by_ms } => {
                 upstream.delay_orders = count;
