Refuse at once what waits and can't be in time

Cause: the predicted wait for a load was the time of one load, whatever stood before it: for an adapter 4000 ms was said and 14 s passed. Only the first 16 of a queue that could not be sent were looked at again, so others stood behind them until their deadline. A service that was down was expected back in a second, for ever. A request that had waited for a load, or was retried, was refused when its first token could not be in time any more.

Change: at each heartbeat the loads that are waited for are laid out (`control/forecast.rs`): by wait, over accelerators by free room and minimum residence, at the store's rate and shared speed, adapters after their base. What is later than foreseen is expected to take as long again, up to the planner's bound on the wait; what is away, to stay away as long again. A model that no accelerator can hold is refused. One caller has its share of the waiting queue (`CallerLimits::try_wait`), but for urgent work that takes another's place. The retry budget follows the configuration with the next arrival.

Limits: the layout's order is by wait, while the planner weighs worth; residents with demand are taken to go after their minimum residence. So it is a prediction and no promise.

--- a/crates/live/src/agent.rs
+++ b/crates/live/src/agent.rs
@@ -74,6 +74,8 @@
     pub residents: Vec<Residency>,
     /// Its upstream answers.
     pub upstream_up: bool,
+    /// Since when it does, or does not.
+    pub upstream_since: Instant,
     /// This entry has a connection to it.
     pub connected: bool,
     /// When it was last heard, directly or through another entry.
@@ -104,6 +106,7 @@
             accelerators_mib: Vec::new(),
             residents: Vec::new(),
             upstream_up: false,
+            upstream_since: now,
             connected: false,
             heard_at: now,
             direct_at: None,
@@ -222,7 +225,10 @@
         self.pool = PoolId::new(&beat.pool);
         self.domain = DomainId::new(&beat.failure_domain);
         self.accelerators_mib.clone_from(&beat.accelerators_mib);
-        self.upstream_up = beat.upstream_up;
+        if self.upstream_up != beat.upstream_up {
+            self.upstream_up = beat.upstream_up;
+            self.upstream_since = now;
+        }
         self.said_leaving |= beat.leaving;
         self.target_planner.clone_from(&beat.target_planner);
         self.heard_at = now;
--- a/crates/role/src/entry/book.rs
+++ b/crates/role/src/entry/book.rs
@@ -61,6 +61,8 @@
             record.rate_per_s = record.rate(now) + 1.0 / RATE_WINDOW_S;
             record.rate_at = now;
             record.value = Some(mean(record.value, value));
+            // The budget follows the configuration with the next arrival.
+            record.budget.set_percent(retry_percent);
         }
     }
 
--- /dev/null
+++ b/crates/role/src/entry/control/forecast.rs
@@ -0,0 +1,349 @@
+//! When a model that nobody holds will be held.
+//!
+//! Admission has to foresee it. The time of one load is not enough: loads start
+//! one after another at the weight store's rate, models wait for one another's
+//! accelerators and minimum residence, and an adapter waits for its base. So
+//! each heartbeat the loads that are waited for, here and at other entries, are
+//! laid out in order of their wait. The planner's order differs where one model
+//! is worth more, so this is a prediction and no promise.
+
+use base::prelude::*;
+use conf::{Config, ModelSpec};
+use live::{Agent, Directory, Life, ResidencyState};
+use schema::link::Demand;
+use std::collections::BTreeMap;
+
+use super::super::shared::Shared;
+use super::super::wanted::Wanted;
+use super::Control;
+
+/// Time from a wish to the order for a load.
+const PLAN_DELAY_MS: u64 = 500;
+
+/// Least time that a load which is under way still takes.
+const LOADING_MIN_MS: u64 = 50;
+
+/// Time within which an agent that is there, but can't serve, may be able to.
+const AGENT_BACK_MS: u64 = 1_000;
+
+/// Models laid out at most; those after them count as the last.
+const MODELS_MAX: usize = 256;
+
+/// An accelerator as the layout fills it.
+#[derive(Debug)]
+struct Accelerator {
+    pool: PoolId,
+    capacity_mib: u64,
+    free_mib: u64,
+    /// When its agent may serve.
+    from: Instant,
+    /// Until when each model stays, with its size, the first to go first.
+    stays: Vec<(Instant, u64)>,
+}
+
+/// What is foreseen.
+#[derive(Debug, Default)]
+pub(crate) struct Forecast {
+    ready_at: BTreeMap<ModelId, Instant>,
+    accelerators: Vec<Accelerator>,
+    store_at: Instant,
+    load_ms: u64,
+}
+
+impl Control {
+    /// Lays the loads out that are waited for.
+    pub(super) fn foresee(&mut self, now: Instant, shared: &Shared) {
+        let Some(config) = self.config().cloned() else {
+            return;
+        };
+        let mut waited = self.unheld(now, shared, &config);
+        waited.truncate(MODELS_MAX);
+        let mut forecast = Forecast::new(now, &self.directory, &config, waited.len());
+        for (since, model) in waited {
+            let ready = forecast.lay(now, &config, &self.directory, &model);
+            if let Some(ready) = ready {
+                let ready = grown(now, since, ready, &forecast, &config);
+                forecast.ready_at.insert(model, ready);
+            }
+        }
+        self.forecast = forecast;
+    }
+
+    /// Predicted time until a model that nobody holds can be served, if any
+    /// accelerator may hold it.
+    pub(crate) fn load_wait_ms(&self, now: Instant, model: &ModelId) -> Option<u64> {
+        let config = self.config()?;
+        if let Some(ready) = self.forecast.ready_at.get(model) {
+            return Some(ready.ms_since(now).max(LOADING_MIN_MS));
+        }
+        let spec = config.model(model.as_str())?;
+        if let Some(ready) = loading(now, &self.directory, config, model) {
+            return Some(ready.ms_since(now));
+        }
+        let base = match &spec.base {
+            Some(base) if !is_held(&self.directory, base) => {
+                Some(self.load_wait_ms(now, base)?)
+            }
+            _ => None,
+        };
+        let load_ms = load_time_ms(config).max(self.forecast.load_ms);
+        if let Some(base_ms) = base {
+            return Some(base_ms + load_ms);
+        }
+        if spec.base.is_some() {
+            return Some(load_ms + PLAN_DELAY_MS);
+        }
+        let room = self.forecast.room(spec);
+        let room = room.or_else(|| self.fits(spec).then_some(now))?;
+        let start = room.max(self.forecast.store_at).max(now);
+        Some(start.ms_since(now) + load_ms + PLAN_DELAY_MS)
+    }
+
+    /// Whether an accelerator can hold a model at all; its agent may have been
+    /// heard first after the last forecast.
+    fn fits(&self, spec: &ModelSpec) -> bool {
+        let agents = self.directory.agents().filter(|agent| can_load(agent));
+        let mut of_pool = agents.filter(|agent| agent.pool == spec.pool);
+        of_pool.any(|agent| {
+            let sizes = agent.accelerators_mib.iter();
+            sizes.max().is_some_and(|mib| *mib >= spec.size_mib)
+        })
+    }
+
+    /// Whether a model's load is foreseen, and not only how long one would take.
+    pub(crate) fn is_foreseen(&self, model: &ModelId) -> bool {
+        self.forecast.ready_at.contains_key(model)
+    }
+
+    /// Models waited for that nobody holds, here or at other entries, the one
+    /// that has waited longest first.
+    fn unheld(
+        &self,
+        now: Instant,
+        shared: &Shared,
+        config: &Config,
+    ) -> Vec<(Instant, ModelId)> {
+        let mut since: BTreeMap<ModelId, Instant> = BTreeMap::new();
+        let mut note = |model: &ModelId, at: Instant| {
+            let held = since.entry(model.clone()).or_insert(at);
+            *held = (*held).min(at);
+        };
+        {
+            let waiting = shared.waiting.lock();
+            for model in waiting.models() {
+                let oldest = waiting.queue(&Wanted::Model(model.clone())).1;
+                note(model, oldest.unwrap_or(now));
+            }
+        }
+        let told = self.gossip.demands.iter();
+        let told = told.filter(|(id, _)| self.entries.alive(now, id));
+        let waits = |demand: &&Demand| demand.waiting > 0;
+        for demand in told.flat_map(|(_, demands)| demands).filter(waits) {
+            let wait = Duration::from_millis(demand.oldest_wait_ms);
+            note(&ModelId::new(&demand.model), now - wait);
+        }
+        let mut unheld: Vec<(Instant, ModelId)> = since
+            .into_iter()
+            .filter(|(model, _)| config.model(model.as_str()).is_some())
+            .filter(|(model, _)| !is_held(&self.directory, model))
+            .map(|(model, at)| (at, model))
+            .collect();
+        unheld.sort();
+        unheld
+    }
+}
+
+impl Forecast {
+    fn new(
+        now: Instant,
+        directory: &Directory,
+        config: &Config,
+        waited: usize,
+    ) -> Self {
+        let there = || directory.agents().filter(|agent| can_load(agent));
+        let loading = there().flat_map(|agent| &agent.residents);
+        let loading = loading.filter(|held| held.state == ResidencyState::Loading);
+        let residence_ms = u64::from(config.weights().min_residence_ms);
+        Self {
+            ready_at: BTreeMap::new(),
+            load_ms: shared_load_ms(config, loading.count() + waited),
+            accelerators: there()
+                .flat_map(|agent| accelerators(now, agent, residence_ms))
+                .collect(),
+            store_at: now,
+        }
+    }
+
+    /// Lays out one load, that of its base before it if need be.
+    fn lay(
+        &mut self,
+        now: Instant,
+        config: &Config,
+        directory: &Directory,
+        model: &ModelId,
+    ) -> Option<Instant> {
+        if let Some(ready) = self.ready_at.get(model) {
+            return Some(*ready);
+        }
+        if let Some(ready) = loading(now, directory, config, model) {
+            return Some(ready);
+        }
+        let spec = config.model(model.as_str())?;
+        let from = match &spec.base {
+            Some(base) if is_held(directory, base) => now,
+            Some(base) => {
+                let ready = self.lay(now, config, directory, base)?;
+                self.ready_at.insert(base.clone(), ready);
+                ready
+            }
+            None => self.take_room(config, spec)?,
+        };
+        let start = from.max(self.store_at).max(now);
+        let between_ms = 1_000.0 / config.store().loads_per_s.max(0.001);
+        self.store_at = self.store_at.max(now).plus_ms(between_ms as u64);
+        Some(start.plus_ms(PLAN_DELAY_MS + self.load_ms))
+    }
+
+    /// When room for a model is free first.
+    fn room(&self, spec: &ModelSpec) -> Option<Instant> {
+        let candidates = self.accelerators.iter();
+        let fitting = candidates.filter(|held| held.pool == spec.pool);
+        let times = fitting.filter_map(|held| held.room_at(spec.size_mib.into()));
+        times.map(|(at, _)| at).min()
+    }
+
+    /// Takes the room that is free first.
+    fn take_room(&mut self, config: &Config, spec: &ModelSpec) -> Option<Instant> {
+        let size_mib = u64::from(spec.size_mib);
+        let candidates = self.accelerators.iter_mut();
+        let fitting = candidates.filter(|held| held.pool == spec.pool);
+        let times = fitting.filter_map(|held| Some((held.room_at(size_mib)?, held)));
+        let ((at, leaving), held) = times.min_by_key(|((at, _), _)| *at)?;
+        let left = held.stays.drain(..leaving).map(|(_, mib)| mib).sum::<u64>();
+        held.free_mib = (held.free_mib + left).saturating_sub(size_mib);
+        let residence_ms = u64::from(config.weights().min_residence_ms);
+        let ready = at.max(self.store_at).plus_ms(self.load_ms);
+        held.stays.push((ready.plus_ms(residence_ms), size_mib));
+        held.stays.sort_unstable();
+        Some(at)
+    }
+}
+
+impl Accelerator {
+    /// When it has room, and how many models have to go for it.
+    fn room_at(&self, size_mib: u64) -> Option<(Instant, usize)> {
+        if size_mib > self.capacity_mib {
+            return None;
+        }
+        let (mut free_mib, mut at) = (self.free_mib, self.from);
+        let mut leaving = 0;
+        while free_mib < size_mib {
+            let (until, mib) = self.stays.get(leaving)?;
+            at = at.max(*until);
+            free_mib += mib;
+            leaving += 1;
+        }
+        Some((at, leaving))
+    }
+}
+
+/// Predicted time until an agent can be sent work; 0 if it can.
+///
+/// What has been away for long is not back in a moment, so it is expected to
+/// stay away as long again.
+pub(crate) fn back_ms(now: Instant, agent: &Agent) -> u64 {
+    let silent_ms = match agent.life {
+        Life::Up => None,
+        _ => Some(now.ms_since(agent.heard_at)),
+    };
+    let down_ms = match agent.upstream_up {
+        true => None,
+        false => Some(now.ms_since(agent.upstream_since)),
+    };
+    let away_ms = silent_ms.max(down_ms);
+    away_ms.map_or(0, |ms| ms.max(AGENT_BACK_MS))
+}
+
+/// The prediction for a load that has been waited for longer than was foreseen:
+/// the same time again, but not beyond the turn that the planner gives to work
+/// which has waited for the longest time allowed.
+fn grown(
+    now: Instant,
+    since: Instant,
+    ready: Instant,
+    forecast: &Forecast,
+    config: &Config,
+) -> Instant {
+    let waited_ms = now.ms_since(since);
+    let left_ms = ready.ms_since(now);
+    let again_ms = waited_ms.saturating_sub(left_ms);
+    let wait_max_ms = u64::from(config.weights().wait_max_ms);
+    let turn_ms = wait_max_ms.saturating_sub(waited_ms) + forecast.load_ms;
+    now.plus_ms(left_ms.max(again_ms.min(turn_ms)))
+}
+
+fn can_load(agent: &Agent) -> bool {
+    agent.life != Life::Lost && !agent.leaving()
+}
+
+fn is_held(directory: &Directory, model: &ModelId) -> bool {
+    directory.holders(model.as_str()).next().is_some()
+}
+
+/// When a load that is under way should be done. One that takes longer than a
+/// load should takes as long again.
+fn loading(
+    now: Instant,
+    directory: &Directory,
+    config: &Config,
+    model: &ModelId,
+) -> Option<Instant> {
+    let agents = directory.agents().filter(|agent| can_load(agent));
+    let since = agents.filter_map(|agent| agent.loading_since(model.as_str()));
+    let passed_ms = now.ms_since(since.min()?);
+    let left_ms = passed_ms.abs_diff(load_time_ms(config));
+    Some(now.plus_ms(left_ms.max(LOADING_MIN_MS)))
+}
+
+fn load_time_ms(config: &Config) -> u64 {
+    u64::from(config.store().load_time_ms)
+}
+
+/// Duration of a load beside as many others as the store starts in that time.
+fn shared_load_ms(config: &Config, loads: usize) -> u64 {
+    let store = config.store();
+    let load_ms = f64::from(store.load_time_ms);
+    let started = store.loads_per_s * load_ms / 1_000.0;
+    let at_once = (loads as f64).min(started);
+    let slower = at_once / f64::from(store.full_speed_loads.max(1));
+    (load_ms * slower.max(1.0)) as u64
+}
+
+fn accelerators(
+    now: Instant,
+    agent: &Agent,
+    residence_ms: u64,
+) -> impl Iterator<Item = Accelerator> + '_ {
+    let numbered = agent.accelerators_mib.iter().zip(0u32..);
+    numbered.map(move |(capacity_mib, index)| {
+        let on = agent
+            .residents
+            .iter()
+            .filter(|held| held.accelerator == index);
+        let stays = on.map(|held| {
+            let until = held.since.plus_ms(residence_ms).max(now);
+            (until, u64::from(held.size_mib))
+        });
+        let mut stays: Vec<(Instant, u64)> = stays.collect();
+        stays.sort_unstable();
+        let taken_mib: u64 = stays.iter().map(|(_, mib)| mib).sum();
+        let capacity_mib = u64::from(*capacity_mib);
+        Accelerator {
+            pool: agent.pool.clone(),
+            capacity_mib,
+            free_mib: capacity_mib.saturating_sub(taken_mib),
+            from: now.plus_ms(back_ms(now, agent)),
+            stays,
+        }
+    })
+}
--- a/crates/role/src/entry/role.rs
+++ b/crates/role/src/entry/role.rs
@@ -5,32 +5,20 @@
 use parking_lot::{Mutex, RwLock};
 use schema::link::frame;
 use schema::timeline::EventKind;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use super::control::{Control, Effects};
 use super::counters::Counts;
-use super::requests::{Part, PartOutcome, Placed, Requests, attempt_of};
+use super::requests::{Part, PartOutcome, Requests, attempt_of};
 use super::shared::{Ctx, Later, Shared};
 use super::trace::Note;
-use super::wanted::Wanted;
 use super::{Arrival, EntryAction, EntryEvent, EntryOptions};
 use crate::Peer;
 
 /// Shards at most, so that sequences keep room for counting.
 const SHARDS_MAX: usize = 256;
 
-/// Requests of one queue looked at when something wakes it.
-const WAKE_MAX: usize = 256;
-
-/// Requests of one queue that can't be sent before the rest is left alone.
-const STUCK_MAX: usize = 16;
-
-/// Rounds in which what follows from an event is carried out; the rest waits
-/// for the next heartbeat.
-const ROUNDS_MAX: usize = 8;
-
 /// The entry's machine.
 ///
 /// [`EntryRole::handle`] may be called from any thread. Locks are taken in the
@@ -41,6 +29,19 @@
     pub(super) control: RwLock<Control>,
     pub(super) shards: Vec<Mutex<Requests>>,
     next: AtomicU64,
+    /// When the control part, and then each shard, is due, in microseconds.
+    ///
+    /// The driver asks after each event. Asking the parts themselves would take
+    /// every lock for each frame that comes.
+    dues: Vec<AtomicU64>,
+}
+
+/// A part that is never due.
+const NEVER_US: u64 = u64::MAX;
+
+fn store_due(held: &AtomicU64, due: Option<Instant>) {
+    let us = due.map_or(NEVER_US, Instant::as_us);
+    held.store(us, Ordering::Release);
 }
 
 impl EntryRole {
@@ -57,11 +58,16 @@
         let shards = (0..count as u64)
             .map(|shard| Mutex::new(Requests::new(shard, bits, origin, seed)))
             .collect();
+        let control = Control::new(&options, now, out);
+        let dues: Vec<AtomicU64> =
+            (0..=count).map(|_| AtomicU64::new(NEVER_US)).collect();
+        store_due(&dues[0], control.due());
         Self {
-            control: RwLock::new(Control::new(&options, now, out)),
+            control: RwLock::new(control),
             shared: Shared::new(options),
             shards,
             next: AtomicU64::new(1),
+            dues,
         }
     }
 
@@ -110,7 +116,7 @@
                 });
             }
             EntryEvent::Drain => {
-                self.control.write().drain(now, &self.shared, out);
+                self.with_control(|control| control.drain(now, &self.shared, out));
             }
         }
         self.leave_if_empty(now, out);
@@ -118,9 +124,9 @@
 
     /// When the machine wants its next `Tick`.
     pub fn due(&self) -> Option<Instant> {
-        let control = self.control.read().due();
-        let shards = self.shards.iter().map(|shard| shard.lock().due());
-        shards.chain([control]).flatten().min()
+        let dues = self.dues.iter().map(|held| held.load(Ordering::Acquire));
+        let first = dues.min().filter(|us| *us != NEVER_US);
+        first.map(Instant::from_us)
     }
 
     /// A name for the next request.
@@ -141,10 +147,28 @@
         self.control.read().log.revision()
     }
 
-    fn shard(&self, sequence: u64) -> &Mutex<Requests> {
+    fn index(&self, sequence: u64) -> usize {
         let mask = self.shards.len() as u64 - 1;
         let index = usize::try_from(sequence & mask);
-        &self.shards[index.expect("shards number at most 256")]
+        index.expect("shards number at most 256")
+    }
+
+    /// Locks the shard of a sequence; what it is due for is kept afterwards.
+    fn with_shard<T>(&self, sequence: u64, work: impl FnOnce(&mut Requests) -> T) -> T {
+        let index = self.index(sequence);
+        let mut shard = self.shards[index].lock();
+        let done = work(&mut shard);
+        // Under the lock, so that an older word never replaces a newer.
+        store_due(&self.dues[index + 1], shard.due());
+        done
+    }
+
+    /// Changes the control part; what it is due for is kept afterwards.
+    pub(super) fn with_control<T>(&self, work: impl FnOnce(&mut Control) -> T) -> T {
+        let mut control = self.control.write();
+        let done = work(&mut control);
+        store_due(&self.dues[0], control.due());
+        done
     }
 
     /// Does something in the shard of a sequence, then what follows from it.
@@ -161,7 +185,7 @@
         done
     }
 
-    fn in_shard_only<T>(
+    pub(super) fn in_shard_only<T>(
         &self,
         now: Instant,
         sequence: u64,
@@ -170,7 +194,6 @@
         work: impl FnOnce(&mut Requests, &mut Ctx<'_>) -> T,
     ) -> T {
         let control = self.control.read();
-        let mut shard = self.shard(sequence).lock();
         let mut ctx = Ctx {
             now,
             shared: &self.shared,
@@ -178,7 +201,7 @@
             out,
             later,
         };
-        work(&mut shard, &mut ctx)
+        self.with_shard(sequence, |shard| work(shard, &mut ctx))
     }
 
     /// Does something in the control part, then what follows from it.
@@ -189,123 +212,22 @@
         work: impl FnOnce(&mut Control, &mut Vec<EntryAction>, &mut Effects),
     ) {
         let mut effects = Effects::default();
-        {
-            let mut control = self.control.write();
-            work(&mut control, out, &mut effects);
-        }
+        self.with_control(|control| work(control, out, &mut effects));
         self.carry_out(now, effects, out);
     }
 
-    fn carry_out(&self, now: Instant, effects: Effects, out: &mut Vec<EntryAction>) {
-        let mut later = Later {
-            room: effects.room,
-            ..Later::default()
-        };
-        for (agent, why) in &effects.gone {
-            for index in 0..self.shards.len() as u64 {
-                self.in_shard_only(now, index, out, &mut later, |shard, ctx| {
-                    shard.agent_gone(ctx, agent, *why);
-                });
-            }
-        }
-        if effects.wake_all {
-            later.wake.extend(self.shared.waiting.lock().wanted());
-        }
-        self.follow(now, later, out);
-    }
-
-    /// Carries out what could not be done under a shard's lock.
-    fn follow(&self, now: Instant, mut later: Later, out: &mut Vec<EntryAction>) {
-        for _ in 0..ROUNDS_MAX {
-            let work = std::mem::take(&mut later);
-            self.follow_in_control(now, &work, out);
-            for request in &work.evicted {
-                let sequence = request.sequence;
-                self.in_shard_only(now, sequence, out, &mut later, |shard, ctx| {
-                    shard.evicted(ctx, *request);
-                });
-            }
-            for wanted in self.queues_to_wake(&work) {
-                self.wake(now, &wanted, out, &mut later);
-            }
-            if later.is_empty() {
-                break;
-            }
-        }
-    }
-
-    fn follow_in_control(
-        &self,
-        now: Instant,
-        work: &Later,
-        out: &mut Vec<EntryAction>,
-    ) {
-        if !work.plan && !work.gossip {
-            return;
-        }
-        let mut control = self.control.write();
-        if work.plan {
-            control.plan_soon(now, &self.shared, out);
-        }
-        // The planner of the model's cell may be another entry.
-        control.gossip_now(now, &self.shared, out);
-    }
-
-    /// Queues that may go on: those named, and those of what the agents with
-    /// room can serve.
-    fn queues_to_wake(&self, work: &Later) -> BTreeSet<Wanted> {
-        let mut queues = work.wake.clone();
-        if work.room.is_empty() {
-            return queues;
-        }
-        let waited_for = self.shared.waiting.lock().wanted();
-        if waited_for.is_empty() {
-            return queues;
-        }
-        let control = self.control.read();
-        let served = waited_for.into_iter().filter(|wanted| match wanted {
-            Wanted::Service(_) => true,
-            Wanted::Model(model) => work.room.iter().any(|id| {
-                let agent = control.directory.get(id);
-                agent.is_some_and(|agent| agent.serves(model.as_str()).is_some())
-            }),
-        });
-        queues.extend(served);
-        queues
-    }
-
-    /// Sends what waits in a queue, from its head, as long as it can be sent.
-    fn wake(
-        &self,
-        now: Instant,
-        wanted: &Wanted,
-        out: &mut Vec<EntryAction>,
-        later: &mut Later,
-    ) {
-        let places = self.shared.waiting.lock().first(wanted, WAKE_MAX);
-        let mut stuck = 0;
-        for place in places {
-            let sequence = place.request.sequence;
-            let placed = self.in_shard_only(now, sequence, out, later, |shard, ctx| {
-                shard.try_waiting(ctx, place.request)
-            });
-            stuck += usize::from(placed == Placed::Waits);
-            if stuck >= STUCK_MAX {
-                break;
-            }
-        }
-    }
-
     fn tick(&self, now: Instant, out: &mut Vec<EntryAction>) {
-        let control_due = self.control.read().due();
-        if control_due.is_some_and(|at| at <= now) {
+        if self.dues[0].load(Ordering::Acquire) <= now.as_us() {
             self.in_control(now, out, |control, out, effects| {
                 control.tick(now, &self.shared, out, effects);
             });
         }
         let mut later = Later::default();
-        for index in 0..self.shards.len() as u64 {
-            self.in_shard_only(now, index, out, &mut later, |shard, ctx| {
+        for index in 0..self.shards.len() {
+            if self.dues[index + 1].load(Ordering::Acquire) > now.as_us() {
+                continue;
+            }
+            self.in_shard_only(now, index as u64, out, &mut later, |shard, ctx| {
                 shard.tick(ctx);
             });
         }
@@ -326,7 +248,11 @@
                 later: &mut later,
             };
             match super::accept::accept(&mut ctx, arrival) {
-                Ok(request) => self.shard(id.sequence).lock().start(&mut ctx, request),
+                Ok(request) => {
+                    self.with_shard(id.sequence, |shard| {
+                        shard.start(&mut ctx, request);
+                    });
+                }
                 Err(refusal) => self.turn_away(id, refusal, out),
             }
         }
@@ -351,8 +277,9 @@
 
     fn part(&self, now: Instant, part: &Part<'_>, out: &mut Vec<EntryAction>) {
         let sequence = part.attempt.sequence;
+        // A part sets no timer.
         let outcome = {
-            let mut shard = self.shard(sequence).lock();
+            let mut shard = self.shards[self.index(sequence)].lock();
             shard.part(now, &self.shared, part, out)
         };
         if outcome == PartOutcome::Gap {
@@ -372,8 +299,9 @@
     ) {
         let behind = revision > self.control.read().log.revision();
         if behind {
-            let mut control = self.control.write();
-            control.heard_revision(now, peer, revision, out);
+            self.with_control(|control| {
+                control.heard_revision(now, peer, revision, out);
+            });
         }
         match (peer, body) {
             (Peer::Agent(agent), frame::Body::Started(started)) => {
@@ -412,7 +340,7 @@
             return;
         }
         if self.shards.iter().all(|shard| shard.lock().len() == 0) {
-            self.control.write().leave(now, &self.shared, out);
+            self.with_control(|control| control.leave(now, &self.shared, out));
         }
     }
 }
--- a/crates/role/tests/entry/retries.rs
+++ b/crates/role/tests/entry/retries.rs
@@ -331,3 +331,37 @@
     assert_eq!(rig.finished(first), Some(4));
     assert_eq!(rig.refusal(second).code, Code::KeyInProgress);
 }
+
+/// The operators forbid retries while requests come in. From the next arrival on
+/// only the two that any model may have in ten seconds are made.
+#[test]
+fn the_retry_budget_follows_the_configuration() {
+    let mut rig = Rig::new();
+    for id in ["a1", "a2", "a3"] {
+        rig.agent(id, &["m1"]);
+    }
+    let mut retried = Vec::new();
+    for percent in [100, 1] {
+        let revision = rig.role.revision().0 + 1;
+        let patch = serde_json::json!({"limits": {"retry_percent": percent}});
+        rig.publish(revision, &patch);
+        rig.advance(21_000);
+        assert_eq!(rig.role.revision(), Revision(revision));
+        let mut again = 0;
+        for _ in 0..20 {
+            let request = rig.ask("m1");
+            let run = rig.run(request);
+            rig.started(&run);
+            rig.fail(&run, Code::AnswerBroken, Ran::Ran);
+            rig.advance(100);
+            again += rig.runs(request).len() - 1;
+            if rig.refusals(request).is_empty() {
+                let run = rig.run(request);
+                rig.started(&run);
+                rig.end(&run, 0);
+            }
+        }
+        retried.push(again);
+    }
+    assert_eq!(retried, [20, 2]);
+}
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Sets the retries allowed per 100 first tries; those in the window count
+    /// by it as well.
+    pub const fn set_percent(&mut self, percent: u32) {
+        self.percent = percent;
+    }
+
     /// Counts a first try.
     pub fn first_try(&mut self, now: Instant) {
         self.part(now).first_tries += 1;
--- a/crates/route/src/callers.rs
+++ b/crates/route/src/callers.rs
@@ -77,6 +77,13 @@
         true
     }
 
+    /// Counts a waiting request that takes the place of a less urgent one, which
+    /// has yet to be refused; the caller's share does not count for it.
+    pub fn wait_instead(&mut self, caller: &CallerId) {
+        self.callers.entry(caller.clone()).or_default().waiting += 1;
+        self.waiting += 1;
+    }
+
     /// Ends the wait of a request that [`CallerLimits::try_wait`] counted.
     pub fn end_wait(&mut self, caller: &CallerId) {
         let Some(used) = self.callers.get_mut(caller) else {
