--- a/crates/role/src/entry/control/plan.rs
+++ b/crates/role/src/entry/control/plan.rs
@@ -7,17 +7,16 @@
     AgentTarget, ModelDemand, PlaceReason, Plan, PlanInput, PlanNote, Planner,
 };
 use schema::link::{Demand, Target, TargetModel, frame};
-use schema::timeline::EventKind;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::super::EntryAction;
 use super::super::counters::Counts;
 use super::super::shared::Shared;
-use super::super::trace::Note;
 use super::cells::{Cell, cells};
 use super::gossip::own_demands;
-use super::spread::{CellWork, spread};
+use super::spread::spread;
+use super::wishes::{Wishes, trace_changes, wishes};
 use super::{Control, Timer};
 use crate::Peer;
 
@@ -27,8 +26,9 @@
 /// Least time between plans that work waiting without a holder brings about.
 const PLAN_MIN_MS: u64 = 50;
 
-/// What is wanted where, by agent, accelerator and model.
-type Wishes = BTreeMap<(AgentId, u32, ModelId), PlaceReason>;
+/// Time after which a round counts as lost. One whose thread panicked would
+/// otherwise keep this entry from planning for good, while it ranks first.
+const ROUND_MAX_MS: u64 = 10_000;
 
 /// One cell that this entry plans.
 #[derive(Debug, Default)]
@@ -44,15 +44,72 @@
     cells: BTreeMap<String, CellPlan>,
     planned_at: Option<Instant>,
     soon: bool,
+    /// Since when a round is planned outside of the control part's lock.
+    running_since: Option<Instant>,
     sequence: u64,
 }
 
+/// What a round of planning needs, taken from the control part.
+///
+/// Each request reads the control part, and planning takes long for a large
+/// fleet. So it works on this copy, while nobody waits for its lock.
+#[derive(Debug)]
+pub(crate) struct PlanJob {
+    now: Instant,
+    config: Arc<Config>,
+    cells: Vec<Cell>,
+    demands: Vec<ModelDemand>,
+    /// Planners of the cells for which this entry ranks first.
+    planners: BTreeMap<String, Planner>,
+}
+
+/// One cell, planned.
+#[derive(Debug)]
+struct Planned {
+    cell: Cell,
+    planner: Planner,
+    plan: Plan,
+}
+
+/// A round of planning that is done.
+#[derive(Debug)]
+pub(crate) struct PlanDone {
+    cells: Vec<Planned>,
+}
+
+impl PlanJob {
+    /// Plans.
+    pub(crate) fn run(mut self) -> PlanDone {
+        let work = spread(&self.config, &self.cells, &self.demands);
+        let mut cells = Vec::new();
+        for (cell, work) in self.cells.into_iter().zip(work) {
+            let Some(mut planner) = self.planners.remove(&cell.key) else {
+                continue;
+            };
+            let plan = planner.plan(&PlanInput {
+                now: self.now,
+                config: &self.config,
+                agents: &cell.agents,
+                demands: &work.demands,
+                store_share: work.store_share,
+            });
+            cells.push(Planned {
+                cell,
+                planner,
+                plan,
+            });
+        }
+        PlanDone { cells }
+    }
+}
+
 impl Planning {
     pub(super) const fn new() -> Self {
         Self {
             cells: BTreeMap::new(),
             planned_at: None,
             soon: false,
+            running_since: None,
             sequence: 0,
         }
     }
@@ -94,10 +151,9 @@
         &mut self,
         now: Instant,
         shared: &Shared,
-        out: &mut Vec<EntryAction>,
-    ) {
+    ) -> Option<PlanJob> {
         self.timers.set(now.plus_ms(PLAN_EVERY_MS), Timer::Plan);
-        self.plan_now(now, shared, out);
+        self.plan_now(now, shared)
     }
 
     /// Plans at once, or as soon as the last plan is old enough.
@@ -105,74 +161,86 @@
         &mut self,
         now: Instant,
         shared: &Shared,
-        out: &mut Vec<EntryAction>,
-    ) {
+    ) -> Option<PlanJob> {
         let next = self.planning.planned_at.map(|at| at.plus_ms(PLAN_MIN_MS));
         match next.filter(|next| *next > now) {
-            None => self.plan_now(now, shared, out),
-            Some(_) if self.planning.soon => {}
-            Some(next) => {
-                self.planning.soon = true;
-                self.timers.set(next, Timer::PlanSoon);
-            }
+            None => return self.plan_now(now, shared),
+            Some(next) => self.plan_at(next),
         }
+        None
     }
 
+    fn plan_at(&mut self, at: Instant) {
+        if !self.planning.soon {
+            self.planning.soon = true;
+            self.timers.set(at, Timer::PlanSoon);
+        }
+    }
+
+    /// Takes out what a round of planning needs. One round runs at a time.
     pub(super) fn plan_now(
         &mut self,
         now: Instant,
         shared: &Shared,
-        out: &mut Vec<EntryAction>,
-    ) {
+    ) -> Option<PlanJob> {
         self.planning.soon = false;
-        let Some(config) = self.config().cloned() else {
-            return;
-        };
+        let config = self.config().cloned()?;
         if self.leaving {
-            return;
+            return None;
+        }
+        let running = self.planning.running_since;
+        if running.is_some_and(|since| now.ms_since(since) < ROUND_MAX_MS) {
+            self.plan_at(now.plus_ms(PLAN_MIN_MS));
+            return None;
         }
+        self.planning.running_since = Some(now);
         self.planning.planned_at = Some(now);
         let cells = cells(&self.directory, &config);
-        let demands = self.sum_demands(now, shared, &config);
-        let work = spread(&config, &cells, &demands);
-        let mut mine = std::mem::take(&mut self.planning.cells);
-        for (cell, work) in cells.iter().zip(&work) {
-            if !self.entries.ranks_first(now, &self.me, &cell.key) {
-                continue;
+        let mut before = std::mem::take(&mut self.planning.cells);
+        let mut planners = BTreeMap::new();
+        for cell in &cells {
+            if self.entries.ranks_first(now, &self.me, &cell.key) {
+                let mut held = before.remove(&cell.key).unwrap_or_default();
+                let planner = std::mem::take(&mut held.planner);
+                planners.insert(cell.key.clone(), planner);
+                self.planning.cells.insert(cell.key.clone(), held);
             }
-            let mut held = mine.remove(&cell.key).unwrap_or_default();
-            self.plan_cell(now, shared, &config, cell, work, &mut held, out);
-            self.planning.cells.insert(cell.key.clone(), held);
         }
+        Some(PlanJob {
+            now,
+            demands: self.sum_demands(now, shared, &config),
+            config,
+            cells,
+            planners,
+        })
     }
 
-    #[allow(clippy::too_many_arguments)] // One step of `plan_now`.
-    fn plan_cell(
+    /// Takes a round of planning back, and tells agents their targets.
+    pub(crate) fn planned(
         &mut self,
-        now: Instant,
+        done: PlanDone,
         shared: &Shared,
-        config: &Arc<Config>,
-        cell: &Cell,
-        work: &CellWork,
-        held: &mut CellPlan,
         out: &mut Vec<EntryAction>,
     ) {
-        Counts::add(&shared.counts.plans);
-        let plan = held.planner.plan(&PlanInput {
-            now,
-            config,
-            agents: &cell.agents,
-            demands: &work.demands,
-            store_share: work.store_share,
-        });
-        let wishes = wishes(&plan);
-        trace_changes(&held.wishes, &wishes, out);
-        held.wishes = wishes;
-        self.planning.sequence += 1;
-        for target in &plan.targets {
-            self.send_target(cell, target, shared, out);
+        self.planning.running_since = None;
+        // Others plan from the moment on that this process says it leaves.
+        if self.leaving {
+            return;
+        }
+        for planned in done.cells {
+            Counts::add(&shared.counts.plans);
+            let wishes = wishes(&planned.plan);
+            let key = &planned.cell.key;
+            let held = self.planning.cells.entry(key.clone()).or_default();
+            trace_changes(&held.wishes, &wishes, out);
+            held.wishes = wishes;
+            held.planner = planned.planner;
+            held.notes = planned.plan.notes;
+            self.planning.sequence += 1;
+            for target in &planned.plan.targets {
+                self.send_target(&planned.cell, target, shared, out);
+            }
         }
-        held.notes = plan.notes;
     }
 
     fn send_target(
@@ -266,65 +334,3 @@
         }
     }
 }
-
-fn wishes(plan: &Plan) -> Wishes {
-    let mut wishes = Wishes::new();
-    for target in &plan.targets {
-        for wish in &target.models {
-            let key = (target.agent.clone(), wish.accelerator, wish.model.clone());
-            wishes.insert(key, wish.reason);
-        }
-    }
-    wishes
-}
-
-/// Records what is wanted and was not, and the reverse.
-fn trace_changes(before: &Wishes, after: &Wishes, out: &mut Vec<EntryAction>) {
-    for (key, reason) in after {
-        // What was merely found in place is no decision.
-        if before.contains_key(key) || *reason == PlaceReason::Kept {
-            continue;
-        }
-        let (agent, accelerator, model) = key;
-        let why = sentence(*reason);
-        Note::new(
-            EventKind::ModelPlanned,
-            format!("wanted on {agent}, accelerator {accelerator}: {why}"),
-        )
-        .model(model.as_str())
-        .peer(agent)
-        .reason(*reason as u32)
-        .put(out);
-    }
-    for (agent, accelerator, model) in before.keys() {
-        let key = (agent.clone(), *accelerator, model.clone());
-        if after.contains_key(&key) {
-            continue;
-        }
-        let detail = format!("no longer wanted on {agent}, accelerator {accelerator}");
-        Note::new(EventKind::ModelPlanned, detail)
-            .model(model.as_str())
-            .peer(agent)
-            .reason(PlaceReason::Displaced as u32)
-            .put(out);
-    }
-}
-
-/// A reason in words.
-pub(crate) const fn sentence(reason: PlaceReason) -> &'static str {
-    match reason {
-        PlaceReason::Kept => "it was there and nothing is worth moving it",
-        PlaceReason::Demand => "its demand is worth the move",
-        PlaceReason::WaitBound => "work waited for it and it got its turn",
-        PlaceReason::Replica => "one holder does not serve its demand",
-        PlaceReason::Spread => "a replica in another failure domain",
-        PlaceReason::Leaving => "a holder is leaving",
-        PlaceReason::MinResidence => "it stays for its minimum residence",
-        PlaceReason::BaseOfAdapter => "it is the base of a wanted adapter",
-        PlaceReason::NewVersion => "a newer version is to be held",
-        PlaceReason::Displaced => "it was taken off for a model worth more",
-        PlaceReason::StoreBudget => "the weight store's budget is used up for now",
-        PlaceReason::NotWorthMove => "its demand is not worth a move",
-        PlaceReason::NoRoom => "no accelerator has room",
-    }
-}
