Count attainment by profile and decisions by reason

Cause: attainment is what the users hold accelerators for, and no process counted it; reasons of choices and plans stood only in single events of the time line. Ruled out: counting at the callers (they are not ours), a histogram for each profile (the expectation is what matters; percentiles are the load driver's). Change: a tally at each entry: whole, attained, late first unit, units too far apart, refused, by profile; routes and plan changes by reason; in /metrics. Taken out the lateness of the first unit is told by attainment_is_counted_by_profile: [1, 1, 0, 0] in place of [1, 0, 1, 0] (seen when the test's profile had no expectation set).

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,7 +4,7 @@
 use prometheus::core::{AtomicU64, Collector, GenericCounter};
 use prometheus::proto::MetricFamily;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
-use role::entry::{CodeCount, EntryCounters};
+use role::entry::{CodeCount, EntryCounters, ProfileCount, ReasonCount};
 
 use crate::node::Node;
 use crate::reply::Broken;
@@ -111,6 +111,8 @@
     families.extend(TOTALS.iter().flat_map(|line| counter_family(line, &seen)));
     families.extend(GAUGES.iter().flat_map(|line| gauge_family(line, &seen)));
     families.extend(refused_family(&counters.refused));
+    families.extend(profile_families(&counters.profiles));
+    families.extend(decision_family(&counters.reasons));
     // The encoder refuses all of them for one family without a value.
     families.retain(|family| !family.get_metric().is_empty());
     TextEncoder::new()
@@ -289,3 +291,65 @@
     }
     family.collect()
 }
+
+/// One count of the work of a profile.
+type OfProfile = fn(&ProfileCount) -> u64;
+
+/// Counts of the work of each profile.
+const PROFILE_TOTALS: &[(&str, &str, OfProfile)] = &[
+    (
+        "sesame_entry_profile_finished_total",
+        "Whole answers, by profile.",
+        |held| held.finished,
+    ),
+    (
+        "sesame_entry_profile_attained_total",
+        "Whole answers that met their profile's expectation, by profile.",
+        |held| held.attained,
+    ),
+    (
+        "sesame_entry_profile_first_unit_late_total",
+        "Whole answers whose first unit came late, by profile.",
+        |held| held.first_unit_late,
+    ),
+    (
+        "sesame_entry_profile_between_units_late_total",
+        "Whole answers whose units came too far apart, by profile.",
+        |held| held.between_units_late,
+    ),
+    (
+        "sesame_entry_profile_refused_total",
+        "Requests that got no whole answer, by profile.",
+        |held| held.refused,
+    ),
+];
+
+fn profile_families(profiles: &[ProfileCount]) -> Vec<MetricFamily> {
+    let mut families = Vec::new();
+    for (name, help, value) in PROFILE_TOTALS {
+        let opts = Opts::new(*name, *help);
+        let family = IntCounterVec::new(opts, &["profile"]).expect("the name is valid");
+        for held in profiles {
+            family
+                .with_label_values(&[held.profile.as_str()])
+                .inc_by(value(held));
+        }
+        families.extend(family.collect());
+    }
+    families
+}
+
+fn decision_family(reasons: &[ReasonCount]) -> Vec<MetricFamily> {
+    let opts = Opts::new(
+        "sesame_entry_decisions_total",
+        "Choices of an upstream and changes of plans, by reason.",
+    );
+    let family =
+        IntCounterVec::new(opts, &["decision", "reason"]).expect("the name is valid");
+    for held in reasons {
+        family
+            .with_label_values(&[held.decision, held.reason])
+            .inc_by(held.count);
+    }
+    family.collect()
+}
--- a/crates/place/src/types.rs
+++ b/crates/place/src/types.rs
@@ -150,3 +150,24 @@
     /// No accelerator has room.
     NoRoom = 13,
 }
+
+impl PlaceReason {
+    /// The word used in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Demand => "demand",
+            Self::WaitBound => "wait_bound",
+            Self::Replica => "replica",
+            Self::Spread => "spread",
+            Self::Leaving => "leaving",
+            Self::MinResidence => "min_residence",
+            Self::BaseOfAdapter => "base_of_adapter",
+            Self::NewVersion => "new_version",
+            Self::Displaced => "displaced",
+            Self::StoreBudget => "store_budget",
+            Self::NotWorthMove => "not_worth_move",
+            Self::NoRoom => "no_room",
+        }
+    }
+}
--- a/crates/role/src/entry/accept.rs
+++ b/crates/role/src/entry/accept.rs
@@ -75,6 +75,7 @@
         refused: 0,
         failed: 0,
         last_code: None,
+        first_unit_at: None,
         not_before: ctx.now,
         state: State::New,
         resolved,
--- a/crates/role/src/entry/control/plan.rs
+++ b/crates/role/src/entry/control/plan.rs
@@ -232,7 +232,9 @@
             let wishes = wishes(&planned.plan);
             let key = &planned.cell.key;
             let held = self.planning.cells.entry(key.clone()).or_default();
-            trace_changes(&held.wishes, &wishes, out);
+            let mut tally = shared.tally.lock();
+            trace_changes(&held.wishes, &wishes, &mut tally, out);
+            drop(tally);
             held.wishes = wishes;
             held.planner = planned.planner;
             held.notes = planned.plan.notes;
--- a/crates/role/src/entry/counters.rs
+++ b/crates/role/src/entry/counters.rs
@@ -1,5 +1,6 @@
 //! What an entry counts.
 
+use super::tally::{ProfileCount, ReasonCount};
 use base::Code;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -12,6 +13,10 @@
     pub finished: u64,
     /// Requests refused or failed, by code.
     pub refused: Vec<CodeCount>,
+    /// Work by profile, in order of name.
+    pub profiles: Vec<ProfileCount>,
+    /// Decisions by reason.
+    pub reasons: Vec<ReasonCount>,
     /// Requests whose caller went away.
     pub cancelled: u64,
     /// Runs sent to agents.
--- a/crates/role/src/entry/report.rs
+++ b/crates/role/src/entry/report.rs
@@ -19,7 +19,12 @@
             let up = up.filter(|agent| agent.life == Life::Up).count();
             (control.directory.agents().count(), up)
         };
+        let tally = self.shared.tally.lock();
+        let (profiles, reasons) = (tally.profiles(), tally.reasons());
+        drop(tally);
         EntryCounters {
+            profiles,
+            reasons,
             waiting: self.waiting(),
             running: self.running(),
             agents_up: up as u64,
--- a/crates/role/src/entry/requests/answers.rs
+++ b/crates/role/src/entry/requests/answers.rs
@@ -79,6 +79,7 @@
             return PartOutcome::Done;
         }
         if delivered == 0 {
+            request.first_unit_at = Some(now);
             let ms = now.ms_since(request.arrived_at);
             Note::new(EventKind::RequestFirstUnit, format!("after {ms} ms"))
                 .request(id)
--- a/crates/role/src/entry/requests/end.rs
+++ b/crates/role/src/entry/requests/end.rs
@@ -34,6 +34,7 @@
             retry_after_ms,
         };
         ctx.shared.counts.refused(refusal.code);
+        ctx.shared.tally.lock().refused(&request);
         let detail = format!(
             "{} after {} ms, {} sent, {} refused by gates, {} units given: {code}",
             ran.as_str(),
@@ -67,6 +68,7 @@
             return;
         };
         Counts::add(&ctx.shared.counts.finished);
+        ctx.shared.tally.lock().finished(ctx.now, &request);
         let replayed = if replayed { ", of an earlier run" } else { "" };
         let detail = format!(
             "{} units after {} ms{replayed}",
--- a/crates/role/src/entry/requests/send.rs
+++ b/crates/role/src/entry/requests/send.rs
@@ -1,6 +1,7 @@
 //! Sending an attempt.
 
 use base::prelude::*;
+use route::RouteReason;
 use schema::link::{self, Run};
 use schema::timeline::EventKind;
 
@@ -98,6 +99,9 @@
     if let Some(counter) = counter {
         Counts::add(counter);
     }
+    if let Some(reason) = RouteReason::from_number(route.reason) {
+        ctx.shared.tally.lock().decided("route", reason.as_str());
+    }
     let alone = if route.alone { ", alone" } else { "" };
     let from = match request.delivered {
         0 => String::new(),
--- a/crates/role/src/entry/requests/state.rs
+++ b/crates/role/src/entry/requests/state.rs
@@ -41,6 +41,8 @@
     pub(crate) caller: CallerId,
     pub(crate) arrived_at: Instant,
     pub(crate) deadline: Instant,
+    /// When the caller's first unit was given.
+    pub(crate) first_unit_at: Option<Instant>,
     /// Units the caller has.
     pub(crate) delivered: u64,
     /// Version that the units came from; the rest has to come from it as well.
--- a/crates/role/src/entry/shared.rs
+++ b/crates/role/src/entry/shared.rs
@@ -13,6 +13,7 @@
 use super::control::Control;
 use super::counters::Counts;
 use super::health::Health;
+use super::tally::Tally;
 use super::waiting::Waiting;
 use super::wanted::Wanted;
 use super::{EntryAction, EntryOptions};
@@ -30,6 +31,7 @@
     pub(crate) callers: Mutex<CallerLimits>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) health: Mutex<Health>,
+    pub(crate) tally: Mutex<Tally>,
 }
 
 impl Shared {
@@ -42,6 +44,7 @@
             callers: Mutex::new(CallerLimits::new()),
             suspects: Mutex::new(Suspects::new(VERDICT_DEFAULT_MS)),
             health: Mutex::new(Health::default()),
+            tally: Mutex::new(Tally::default()),
         }
     }
 }
--- a/crates/role/tests/entry/main.rs
+++ b/crates/role/tests/entry/main.rs
@@ -10,5 +10,6 @@
 mod retries;
 mod rig;
 mod suspects;
+mod tally;
 mod unmet;
 mod waiting;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// Finds a reason by its number.
+    pub fn from_number(number: u32) -> Option<Self> {
+        const ALL: [RouteReason; 4] = [
+            RouteReason::Prefix,
+            RouteReason::PrefixBounded,
+            RouteReason::TwoChoices,
+            RouteReason::OnlyHolder,
+        ];
+        ALL.into_iter().find(|reason| reason.number() == number)
+    }
+
     /// The word used towards operators.
     pub const fn as_str(self) -> &'static str {
         match self {
