Measure slopes and work out the cost at the users' target

Cause: the users ask for a page that says what each role costs at 1,300 entries, 12,000 servers and 1,600 models, worked out from measured slopes, and what carries it.

Ruled out: a model of the cluster (no simulator is wanted); criterion (its statistics take minutes for forty series under a machine in use; medians of direct calls do); an exponent over all sizes, which promises too little where a fixed cost flattens the small ones; memory measured within one process, where what an earlier measurement freed hides growth.

Change: crate `cap` with `sesame-capacity`, which measures processor time, bytes and memory at four sizes or more, starts real processes (1 to 256 agents, 1 to 64 entries, silence of 1 to 64 of 96 agents), fits, and prints every table of docs/CAPACITY.md as Markdown. Processes are ended by their own ids.

--- a/crates/cap/src/bin/sesame-capacity.rs
+++ b/crates/cap/src/bin/sesame-capacity.rs
@@ -1,10 +1,10 @@
 //! Measures slopes and prints what they come to at the users' target.
 
 use bpaf::Bpaf;
-use cap::measure::{bytes, clock, links, memory};
+use cap::measure::{bytes, clock, links, memory, outage};
 use cap::measured::Measured;
 use cap::target::{Budget, Target};
-use cap::{now, text, then};
+use cap::{ahead, built, text};
 use std::process::ExitCode;
 
 /// Measures slopes and prints what they come to at the users' target
@@ -13,6 +13,8 @@
 struct Arguments {
     /// Leave out the links between real processes
     no_links: bool,
+    /// Only measure the silence of many agents at once
+    only_outages: bool,
     /// Only measure the memory of one kind of thing, and print its bytes
     #[bpaf(argument("KIND"))]
     memory: Option<memory::Kept>,
@@ -27,26 +29,46 @@
         println!("{}", memory::grown_bytes(kept, arguments.size));
         return ExitCode::SUCCESS;
     }
+    if arguments.only_outages {
+        return only_outages();
+    }
     println!("Machine's load at the start: {}\n", clock::machine_load());
     let mut measured = Measured::run();
     println!(
         "Machine's load before the links: {}\n",
         clock::machine_load()
     );
-    if !arguments.no_links {
-        match links::run() {
-            Ok(rests) => measured.links = rests,
-            Err(error) => {
-                eprintln!("sesame-capacity: links are not measured: {error}");
-                return ExitCode::FAILURE;
-            }
-        }
+    if !arguments.no_links
+        && let Err(error) = links_of(&mut measured)
+    {
+        eprintln!("sesame-capacity: links are not measured: {error}");
+        return ExitCode::FAILURE;
     }
     print(&measured);
     println!("Machine's load at the end: {}", clock::machine_load());
     ExitCode::SUCCESS
 }
 
+fn only_outages() -> ExitCode {
+    match outage::run() {
+        Ok(outages) => {
+            println!("{}", text::outages(&outages));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("sesame-capacity: outages are not measured: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn links_of(measured: &mut Measured) -> std::io::Result<()> {
+    measured.links = links::run()?;
+    measured.mesh = links::mesh()?;
+    measured.outages = outage::run()?;
+    Ok(())
+}
+
 fn print(measured: &Measured) {
     let (target, budget) = (Target::USERS, Budget::USERS);
     let fixed = bytes::fixed();
@@ -55,13 +77,15 @@
     println!("## Slopes\n\n{}", text::slopes(&measured.series()));
     println!("## Messages\n\n{}", text::fixed(&fixed));
     println!("## Processes at rest\n\n{}", text::links(&measured.links));
-    let rows = now::rows(measured, &target, &budget);
+    println!("## A mesh at rest\n\n{}", text::links(&measured.mesh));
+    println!("## Silence at once\n\n{}", text::outages(&measured.outages));
+    let rows = built::rows(measured, &target, &budget);
     println!("## At the target, as built\n\n{}", text::results(&rows));
-    let rows = then::platform(measured, &target, &budget);
+    let rows = built::platform(measured, &target, &budget);
     println!("## The platform's service\n\n{}", text::results(&rows));
-    let rows = then::events(measured, &target, &budget);
+    let rows = built::events(measured, &target, &budget);
     println!("## Loss and cut\n\n{}", text::results(&rows));
-    let rows = then::ahead(measured, &target, &budget, delta_bytes);
+    let rows = ahead::ahead(measured, &target, &budget, delta_bytes);
     println!("## The design ahead\n\n{}", text::results(&rows));
     println!(
         "An agent's start: {} writes, {} reads. A load: {} writes, {} reads. A keyed \
--- a/crates/cap/src/now.rs
+++ b/crates/cap/src/built/entry.rs
@@ -1,96 +1,48 @@
-//! What each role costs at the target as it is built now: every entry connects to
-//! every agent and to every other entry, and tells all it hears.
+//! The entry, and the entry as planner.
 
+use super::{BYTES_S, CORE, MEMORY, Row, link_bytes, row};
 use crate::measure::entry::BEAT_AGENTS;
 use crate::measured::Measured;
 use crate::target::{Budget, Target, core_percent};
 
-/// One line of a table of results.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Row {
-    /// Who pays.
-    pub role: &'static str,
-    /// What for.
-    pub quantity: &'static str,
-    /// How the result comes about.
-    pub from: String,
-    /// At the target.
-    pub result: f64,
-    /// Unit of result and budget.
-    pub unit: &'static str,
-    /// What may be spent, where the users gave it.
-    pub budget: Option<f64>,
-}
-
-impl Row {
-    /// Whether the result is over its budget.
-    pub fn is_missed(&self) -> bool {
-        self.budget.is_some_and(|budget| self.result > budget)
-    }
-}
-
-pub(crate) fn row(
-    role: &'static str,
-    quantity: &'static str,
-    from: String,
-    result: f64,
-    unit: &'static str,
-    budget: Option<f64>,
-) -> Row {
-    Row {
-        role,
-        quantity,
-        from,
-        result,
-        unit,
-        budget,
-    }
-}
-
-pub(crate) const CORE: &str = "% of a core";
-pub(crate) const BYTES_S: &str = "kB/s";
-pub(crate) const MEMORY: &str = "MB";
-
 /// Requests that an entry may hold waiting, by default.
 const WAITING_MAX: f64 = 4_096.0;
 /// Events that a process keeps, by default.
 const EVENTS_KEPT: f64 = 20_000.0;
-/// Time for which an agent remembers an attempt, with a deadline of a minute.
-const ATTEMPT_LIFE_S: f64 = 600.0;
 /// Plans a second of an entry.
 const PLANS_PER_S: f64 = 2.0;
 /// Models of the document with which plans were measured against agents.
 const PLAN_MODELS: f64 = 200.0;
-/// An agent asks for changes at each fourth heartbeat.
-const ASKS_PER_BEAT: f64 = 0.25;
-/// Reports of the upstream a second.
-const REPORTS_PER_S: f64 = 1.0 / 0.15;
-
-/// Every row.
-pub fn rows(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
-    let mut rows = entry_time(m, t, b);
-    rows.extend(entry_rest(m, t, b));
-    rows.extend(planner(m, t, b));
-    rows.extend(agent(m, t, b));
-    rows.extend(operator(m, t));
-    rows
-}
 
-fn entry_time(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
+/// Processor time.
+pub(super) fn time(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
     let beats = t.beats_per_s();
     let others = t.entries - 1.0;
     let cost = |calls, ns| core_percent(calls, ns);
     let heartbeats = t.agents * beats;
     let budget = Some(b.core_percent);
+    let resting = m.by_agents(|rest| rest.entry_percent);
+    let meshed = m.by_entries(|rest| rest.entry_percent);
     vec![
         row(
             "entry",
-            "heartbeats of all agents",
-            format!("{heartbeats:.0}/s × {:.0} ns", m.heartbeat.at(t.agents)),
+            "heartbeats of all agents, in the machine",
+            format!(
+                "{heartbeats:.0}/s × {:.0} µs",
+                m.heartbeat.at(t.agents) / 1e3
+            ),
             cost(heartbeats, m.heartbeat.at(t.agents)),
             CORE,
             budget,
         ),
+        row(
+            "entry",
+            "links to all agents at rest, in the process",
+            format!("{:.0} × {:.4} %", t.agents, resting.slope),
+            resting.start + resting.slope * t.agents,
+            CORE,
+            budget,
+        ),
         row(
             "entry",
             "gossip of all entries, already known",
@@ -115,6 +67,14 @@
             CORE,
             budget,
         ),
+        row(
+            "entry",
+            "links to all entries at rest, 16 agents, in the process",
+            format!("{:.0} × {:.4} %", t.entries, meshed.slope),
+            meshed.start + meshed.slope * t.entries,
+            CORE,
+            budget,
+        ),
         row(
             "entry",
             "own beat, for agents and entries",
@@ -159,7 +119,8 @@
     m.beat_agents.at(t.agents) + m.beat_entries.at(t.entries) * agents
 }
 
-fn entry_rest(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
+/// Bytes a second, and memory.
+pub(super) fn rest(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
     let beats = t.beats_per_s();
     let heartbeat = m.heartbeat_bytes.at(t.residents);
     let others = t.entries - 1.0;
@@ -227,24 +188,8 @@
     ]
 }
 
-/// Memory of one more agent at a real entry, less what the directory keeps of
-/// it: the link with its buffers and tasks.
-pub fn link_bytes(m: &Measured) -> f64 {
-    let samples: Vec<_> = m
-        .links
-        .iter()
-        .map(|rest| crate::fit::Sample {
-            size: rest.agents as f64,
-            cost: rest.entry_bytes as f64,
-        })
-        .collect();
-    let line = crate::fit::line(&samples);
-    line.map_or(0.0, |line| {
-        (line.slope - m.memory_of("agent known")).max(0.0)
-    })
-}
-
-fn planner(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
+/// Planning.
+pub(super) fn planner(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
     let by_models =
         m.entry_plan_models.at(t.models) / m.entry_plan_models.at(PLAN_MODELS).max(1.0);
     let plan_ns = m.entry_plan_agents.at(t.agents) * by_models;
@@ -287,99 +232,3 @@
         ),
     ]
 }
-
-fn agent(m: &Measured, t: &Target, b: &Budget) -> Vec<Row> {
-    let beats = t.beats_per_s();
-    let heartbeat = m.heartbeat_bytes.at(t.residents);
-    let beat_ns = m.agent_beat_entries.at(t.entries);
-    let asks = beats * ASKS_PER_BEAT;
-    let idle = m.links.last().map_or(0.0, |rest| rest.agent_percent);
-    let resident = m.links.last().map_or(0, |rest| rest.agent_bytes) as f64;
-    let kept = m.memory_of("attempt kept") * t.agent_requests_per_s() * ATTEMPT_LIFE_S;
-    let links = link_bytes(m) * t.entries;
-    vec![
-        row(
-            "agent",
-            "heartbeats sent to every entry",
-            format!("{:.0} × {beats:.0}/s × {heartbeat:.0} B", t.entries),
-            t.entries * beats * heartbeat / 1e3,
-            BYTES_S,
-            Some(b.bytes_per_s / 1e3),
-        ),
-        row(
-            "agent",
-            "heartbeats made and copied for every entry",
-            format!("{beats:.0}/s × {:.2} ms", beat_ns / 1e6),
-            core_percent(beats, beat_ns),
-            CORE,
-            Some(b.core_percent),
-        ),
-        row(
-            "agent",
-            "process at rest, one entry",
-            "measured, with the poll of its upstream".to_owned(),
-            idle,
-            CORE,
-            Some(b.core_percent),
-        ),
-        row(
-            "agent",
-            "machine: reports, changes, questions",
-            format!(
-                "{REPORTS_PER_S:.1}/s × {:.0} µs + {:.2}/s × {:.1} ms; {asks} asks/s",
-                m.agent_report.at(t.residents) / 1e3,
-                t.changes_per_s(),
-                m.agent_change.at(t.models) / 1e6
-            ),
-            core_percent(REPORTS_PER_S, m.agent_report.at(t.residents))
-                + core_percent(t.changes_per_s(), m.agent_change.at(t.models)),
-            CORE,
-            Some(b.core_percent),
-        ),
-        row(
-            "agent",
-            "memory: process, attempts kept, a link to every entry",
-            format!(
-                "{:.1} MB + {:.1} MB + {:.0} × {:.1} kB",
-                resident / 1e6,
-                kept / 1e6,
-                t.entries,
-                link_bytes(m) / 1e3
-            ),
-            (resident + kept + links) / 1e6,
-            MEMORY,
-            Some(b.memory_bytes / 1e6),
-        ),
-    ]
-}
-
-fn operator(m: &Measured, t: &Target) -> Vec<Row> {
-    let last = m.links.last();
-    let each_ms = last.map_or(0.0, |rest| rest.change_ms / rest.agents as f64);
-    vec![
-        row(
-            "operator's tool",
-            "check of the document",
-            format!("exponent {:.2}", m.check.tail_exponent()),
-            m.check.at(t.models) / 1e6,
-            "ms",
-            None,
-        ),
-        row(
-            "operator's tool",
-            "size of the document",
-            format!("{:.0} B a model", m.document_bytes.per_item()),
-            m.document_bytes.at(t.models) / 1e3,
-            "kB",
-            Some(900.0),
-        ),
-        row(
-            "operator's tool",
-            "publish and see it in force in every process",
-            format!("{each_ms:.2} ms a process, carried on in proportion"),
-            each_ms * (t.agents + t.entries) / 1e3,
-            "s",
-            Some(t.change_s),
-        ),
-    ]
-}
--- a/crates/cap/src/fit.rs
+++ b/crates/cap/src/fit.rs
@@ -10,11 +10,12 @@
 }
 
 /// How a series is carried on beyond its largest size.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Growth {
     /// A power of the size, by the exponent over the last three samples: fixed
     /// costs flatten the small sizes, and an exponent over all would promise
     /// too little.
+    #[default]
     Power,
     /// A straight line through all samples, for memory and bytes, whose fixed
     /// part is not small.
@@ -31,7 +32,7 @@
 }
 
 /// Samples of one quantity.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Series {
     /// What was measured.
     pub name: &'static str,
--- a/crates/cap/src/lib.rs
+++ b/crates/cap/src/lib.rs
@@ -12,10 +12,10 @@
 //!   exponent by which it was carried there.
 //! - Processes are ended by their own ids, whatever goes wrong.
 
+pub mod ahead;
+pub mod built;
 pub mod fit;
 pub mod measure;
 pub mod measured;
-pub mod now;
 pub mod target;
 pub mod text;
-pub mod then;
--- a/crates/cap/src/measure/agent.rs
+++ b/crates/cap/src/measure/agent.rs
@@ -114,7 +114,7 @@
 }
 
 /// Calls of an agent to the platform.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Calls {
     /// Writes.
     pub writes: u64,
--- a/crates/cap/src/measure/links.rs
+++ b/crates/cap/src/measure/links.rs
@@ -10,6 +10,9 @@
 
 /// Agents, one process each.
 pub const AGENTS: [usize; 4] = [1, 8, 64, 256];
+/// Entries, one process each, before 16 agents.
+pub const ENTRIES: [usize; 4] = [1, 4, 16, 64];
+const MESH_AGENTS: usize = 16;
 /// Models of the document.
 const MODELS: usize = 50;
 /// After the start, until everything has settled.
@@ -22,6 +25,8 @@
 pub struct Rest {
     /// Agents, one process each.
     pub agents: usize,
+    /// Entries, one process each; entry figures are those of the first.
+    pub entries: usize,
     /// Resident memory of the entry.
     pub entry_bytes: u64,
     /// Resident memory of an agent, the mean.
@@ -39,6 +44,8 @@
     /// From the publication of a change to its being in force in every process,
     /// by the word of the operators' tool.
     pub change_ms: f64,
+    /// Duration of the operators' question to every process, by the same tool.
+    pub status_ms: f64,
     /// Load of the machine over the last minute, at the end.
     pub machine_load: f64,
 }
@@ -49,37 +56,107 @@
 ///
 /// When a program can't be started.
 pub fn run() -> io::Result<Vec<Rest>> {
-    AGENTS.iter().map(|agents| one(*agents)).collect()
+    AGENTS.iter().map(|agents| one(*agents, 1)).collect()
 }
 
-/// One entry before so many agents, all beside the same stand-in engine.
+/// The same with a few agents and more and more entries.
 ///
 /// # Errors
 ///
 /// When a program can't be started.
-pub fn one(agents: usize) -> io::Result<Rest> {
-    let folder = Folder::new(&agents.to_string())?;
+pub fn mesh() -> io::Result<Vec<Rest>> {
+    ENTRIES
+        .iter()
+        .map(|count| one(MESH_AGENTS, *count))
+        .collect()
+}
+
+/// Entries before so many agents, all beside the same stand-in engine, with a
+/// look at them at rest.
+fn one(agents: usize, entries: usize) -> io::Result<Rest> {
+    let running = deployment(agents, entries)?;
+    let mut rest = look(&running);
+    rest.status_ms = status_ms(&running.platform)?;
+    let begin = Instant::now();
+    let fleet = Fleet::of(MODELS + 1);
+    publish(&running.folder, &running.platform, &fleet, true)?;
+    rest.change_ms = begin.elapsed().as_secs_f64() * 1_000.0;
+    running.stop();
+    Ok(rest)
+}
+
+/// Processes on loopback that have settled; dropping it ends them.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The entries.
+    pub entries: Vec<Process>,
+    /// The agents.
+    pub agents: Vec<Process>,
+    /// Address of the stand-in platform.
+    pub platform: String,
+    control: String,
+    fakes: Vec<Process>,
+    folder: Folder,
+}
+
+impl Deployment {
+    /// Operators' listeners of the entries.
+    ///
+    /// # Errors
+    ///
+    /// When they can't be found out.
+    pub fn entry_addresses(&self) -> io::Result<Vec<String>> {
+        let done = Command::new(program("sesamectl"))
+            .args(["status", "--json", "--platform", &self.platform])
+            .output()?;
+        let lines: serde_json::Value = serde_json::from_slice(&done.stdout)?;
+        let lines = lines.as_array().into_iter().flatten();
+        let entries = lines.filter(|line| line["status"]["kind"] == "entry");
+        let addresses = entries.filter_map(|line| line["address"].as_str());
+        Ok(addresses.map(str::to_owned).collect())
+    }
+
+    /// Ends the processes in good order.
+    pub fn stop(self) {
+        stop(self.agents);
+        stop(self.entries);
+        stop(self.fakes);
+    }
+}
+
+/// Starts processes and waits until they have settled.
+///
+/// # Errors
+///
+/// When a program can't be started.
+pub fn deployment(agents: usize, entries: usize) -> io::Result<Deployment> {
+    let folder = Folder::new(&format!("{agents}-{entries}"))?;
     let (platform, listen, control) = Process::start_fake("fake-platform")?;
     let (engine, upstream, _) = Process::start_fake("fake-engine")?;
-    let entry = start_entry(&folder, &listen)?;
-    let started: io::Result<Vec<Process>> = (0..agents)
+    let entries: io::Result<Vec<Process>> = (0..entries)
+        .map(|nth| start_entry(nth, &folder, &listen))
+        .collect();
+    let entries = entries?;
+    let agents: io::Result<Vec<Process>> = (0..agents)
         .map(|nth| start_agent(nth, &folder, &listen, &upstream))
         .collect();
-    let started = started?;
+    let agents = agents?;
     // Not all processes may be there yet: whether they have it is not asked.
     publish(&folder, &listen, &Fleet::of(MODELS), false)?;
     sleep(SETTLE);
-    let mut rest = look(&entry, &started, &listen, &control);
-    let begin = Instant::now();
-    publish(&folder, &listen, &Fleet::of(MODELS + 1), true)?;
-    rest.change_ms = begin.elapsed().as_secs_f64() * 1_000.0;
-    stop(started);
-    stop(vec![entry]);
-    stop(vec![engine, platform]);
-    Ok(rest)
+    Ok(Deployment {
+        entries,
+        agents,
+        platform: listen,
+        control,
+        fakes: vec![engine, platform],
+        folder,
+    })
 }
 
-fn look(entry: &Process, agents: &[Process], listen: &str, control: &str) -> Rest {
+fn look(running: &Deployment) -> Rest {
+    let (entry, agents) = (&running.entries[0], &running.agents);
+    let (listen, control) = (&running.platform, &running.control);
     let count = agents.len() as f64;
     let used = || agents.iter().map(Process::processor_us).sum::<u64>();
     let bytes = || link_bytes(&entry.id(), listen).unwrap_or((0, 0));
@@ -94,6 +171,7 @@
     let resident = agents.iter().map(Process::resident_bytes).sum::<u64>();
     Rest {
         agents: agents.len(),
+        entries: running.entries.len(),
         entry_bytes: entry.resident_bytes(),
         agent_bytes: resident / agents.len().max(1) as u64,
         entry_percent: percent(after.0 - before.0),
@@ -102,11 +180,13 @@
         received_per_link: rate(after.2.1, before.2.1) / count,
         platform_calls_per_s: rate(after.3, before.3),
         change_ms: 0.0,
+        status_ms: 0.0,
         machine_load: load(),
     }
 }
 
-fn load() -> f64 {
+/// Load of the machine over the last minute.
+pub(super) fn load() -> f64 {
     let text = super::clock::machine_load();
     let first = text.split_whitespace().next();
     first.and_then(|word| word.parse().ok()).unwrap_or(0.0)
@@ -120,10 +200,20 @@
     kinds.iter().filter_map(|kind| counts[kind].as_u64()).sum()
 }
 
-fn start_entry(folder: &Folder, platform: &str) -> io::Result<Process> {
+/// The operators' question to every process.
+fn status_ms(platform: &str) -> io::Result<f64> {
+    let begin = Instant::now();
+    Command::new(program("sesamectl"))
+        .args(["status", "--platform", platform])
+        .stdin(Stdio::null())
+        .output()?;
+    Ok(begin.elapsed().as_secs_f64() * 1_000.0)
+}
+
+fn start_entry(nth: usize, folder: &Folder, platform: &str) -> io::Result<Process> {
     let settings = EntrySettings {
-        id: messages::entry(0),
-        failure_domain: messages::domain(0),
+        id: messages::entry(nth),
+        failure_domain: messages::domain(nth),
         caller_listen: "127.0.0.1:0".to_owned(),
         link_listen: "127.0.0.1:0".to_owned(),
         operator_listen: "127.0.0.1:0".to_owned(),
@@ -134,7 +224,7 @@
         timeline_events: 20_000,
         ..EntrySettings::default()
     };
-    let file = folder.write("entry.json", &settings)?;
+    let file = folder.write(&format!("entry-{nth}.json"), &settings)?;
     Process::start("sesame-entry", &file, folder)
 }
 
--- a/crates/cap/src/measure/mod.rs
+++ b/crates/cap/src/measure/mod.rs
@@ -12,6 +12,7 @@
 pub mod links;
 pub mod memory;
 pub mod messages;
+pub mod outage;
 pub mod plan;
 pub mod processes;
 pub mod timeline;
--- a/crates/cap/src/measure/processes.rs
+++ b/crates/cap/src/measure/processes.rs
@@ -120,10 +120,24 @@
         processor_us(&self.id())
     }
 
+    /// Stops it where it stands, with all its connections open.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
     fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    fn signal(&self, signal: Signal) {
         if let Ok(id) = i32::try_from(self.0.id()) {
             // A child that has ended by itself is not an error here.
-            let _ = kill(Pid::from_raw(id), Signal::SIGTERM);
+            let _ = kill(Pid::from_raw(id), signal);
         }
     }
 }
--- a/crates/cap/src/measured.rs
+++ b/crates/cap/src/measured.rs
@@ -1,13 +1,13 @@
 //! Everything that is measured, by name.
 
-use crate::fit::Series;
+use crate::fit::{Line, Sample, Series, line};
 use crate::measure::agent::{self, Calls};
 use crate::measure::{
-    bytes, choose, claims, config, entry, links, memory, plan, timeline,
+    bytes, choose, claims, config, entry, links, memory, outage, plan, timeline,
 };
 
 /// Slopes of processor time, bytes and memory.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 #[allow(missing_docs)] // Each field has the name of the series it holds.
 pub struct Measured {
     pub choose: Series,
@@ -49,6 +49,8 @@
     pub writes_per_claim: u64,
     pub notes_per_request: usize,
     pub links: Vec<links::Rest>,
+    pub mesh: Vec<links::Rest>,
+    pub outages: Vec<outage::Outage>,
 }
 
 impl Measured {
@@ -94,6 +96,8 @@
             writes_per_claim: claims::writes_per_call(),
             notes_per_request: entry::notes_per_request(),
             links: Vec::new(),
+            mesh: Vec::new(),
+            outages: Vec::new(),
         }
     }
 
@@ -139,6 +143,16 @@
         times.into_iter().chain(bytes).chain(&self.memory).collect()
     }
 
+    /// A straight line through what real processes showed against agents.
+    pub fn by_agents(&self, of: fn(&links::Rest) -> f64) -> Line {
+        through(&self.links, |rest| rest.agents, of)
+    }
+
+    /// The same against entries before 16 agents.
+    pub fn by_entries(&self, of: fn(&links::Rest) -> f64) -> Line {
+        through(&self.mesh, |rest| rest.entries, of)
+    }
+
     /// Memory of one thing kept, in bytes, by what is counted; 0 if it was not
     /// measured.
     pub fn memory_of(&self, size_of: &str) -> f64 {
@@ -147,3 +161,19 @@
         found.map_or(0.0, Series::per_item)
     }
 }
+
+fn through(
+    rests: &[links::Rest],
+    size: fn(&links::Rest) -> usize,
+    of: fn(&links::Rest) -> f64,
+) -> Line {
+    let sample = |rest: &links::Rest| Sample {
+        size: size(rest) as f64,
+        cost: of(rest),
+    };
+    let samples: Vec<Sample> = rests.iter().map(sample).collect();
+    line(&samples).unwrap_or(Line {
+        start: 0.0,
+        slope: 0.0,
+    })
+}
--- a/crates/cap/src/text.rs
+++ b/crates/cap/src/text.rs
@@ -1,9 +1,10 @@
 //! The results as tables of a page.
 
+use crate::built::Row;
 use crate::fit::{Growth, Series};
 use crate::measure::bytes::Fixed;
 use crate::measure::links::Rest;
-use crate::now::Row;
+use crate::measure::outage::Outage;
 
 /// A number with as many digits as it is known to.
 pub fn number(value: f64) -> String {
@@ -100,15 +101,16 @@
 /// Real processes at rest.
 pub fn links(rests: &[Rest]) -> String {
     let mut text = String::from(
-        "| agents | entry, MB | agent, MB | entry, % of a core | agent, % of a core \
+        "| agents | entries | entry, MB | agent, MB | entry, % of a core | agent, % of a core \
          | link, B/s to the entry | link, B/s from the entry | platform, calls/s \
-         | change in force, ms | machine's load |\n\
-         |---|---|---|---|---|---|---|---|---|---|\n",
+         | change in force, ms | status, ms | machine's load |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for rest in rests {
         text.push_str(&format!(
-            "| {} | {:.1} | {:.1} | {:.2} | {:.3} | {:.0} | {:.0} | {:.1} | {:.0} | {:.1} |\n",
+            "| {} | {} | {:.1} | {:.1} | {:.2} | {:.3} | {:.0} | {:.0} | {:.1} | {:.0} | {:.0} | {:.1} |\n",
             rest.agents,
+            rest.entries,
             rest.entry_bytes as f64 / 1e6,
             rest.agent_bytes as f64 / 1e6,
             rest.entry_percent,
@@ -117,8 +119,31 @@
             rest.sent_per_link,
             rest.platform_calls_per_s,
             rest.change_ms,
+            rest.status_ms,
             rest.machine_load,
         ));
     }
     text
 }
+
+/// Outages between real processes.
+pub fn outages(outages: &[Outage]) -> String {
+    let mut text = String::from(
+        "| agents silent | no new work at any entry, ms | given up by every entry, ms \
+         | up again at every entry, ms | bytes a second of one entry, before \
+         | while silent | machine's load |\n|---|---|---|---|---|---|---|\n",
+    );
+    for one in outages {
+        text.push_str(&format!(
+            "| {} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} |\n",
+            one.silent,
+            one.suspected_ms,
+            one.lost_ms,
+            one.back_ms,
+            one.bytes_before,
+            one.bytes_during,
+            one.machine_load,
+        ));
+    }
+    text
+}
--- a/crates/cap/tests/fit.rs
+++ b/crates/cap/tests/fit.rs
@@ -1,6 +1,8 @@
 //! The arithmetic of fits, and the target worked out from known slopes.
 
+use cap::built::{self, Row};
 use cap::fit::{Growth, Sample, Series, exponent, line};
+use cap::measured::Measured;
 use cap::target::{Budget, Target, core_percent};
 use cap::text::number;
 
@@ -89,3 +91,32 @@
         assert_eq!(number(value), text);
     }
 }
+
+fn result<'a>(rows: &'a [Row], role: &str, quantity: &str) -> &'a Row {
+    let mut rows = rows.iter();
+    let found = rows.find(|row| row.role == role && row.quantity == quantity);
+    found.unwrap_or_else(|| panic!("no row for {role}: {quantity}"))
+}
+
+/// From slopes that are known, the results at the target are known too.
+#[test]
+fn results_follow_from_slopes() {
+    let measured = Measured {
+        heartbeat: series(Growth::Line, |agents| 1_000.0 + 10.0 * agents),
+        heartbeat_bytes: series(Growth::Line, |residents| 100.0 + 50.0 * residents),
+        ..Measured::default()
+    };
+    let (target, budget) = (Target::USERS, Budget::USERS);
+    let rows = built::rows(&measured, &target, &budget);
+    let sent = result(&rows, "agent", "heartbeats sent to every entry");
+    near(sent.result, 1_300.0 * 2.0 * 300.0 / 1e3);
+    assert!(sent.is_missed());
+    let heard = result(&rows, "entry", "heartbeats of all agents, in the machine");
+    near(heard.result, 24_000.0 * 121_000.0 / 1e9 * 100.0);
+    let free = result(&rows, "entry", "configuration changes");
+    assert!(!free.is_missed(), "nothing measured costs nothing");
+    let rows = built::platform(&measured, &target, &budget);
+    let watches = result(&rows, "platform's service", "waiting watches of entries");
+    near(watches.result, 2_600.0);
+    assert!(watches.is_missed());
+}
