Judge only the agent that was heard; share models out by sets; resolve once

Cause: by the slopes of docs/CAPACITY.md each heartbeat, relayed ones too, judged every agent, so a gossip of n heartbeats cost nearly n squared; sharing models out looked through every resident of every cell for each replica; a process that comes back resolved the whole document for each change it had missed. Ruled out: judging on the beat only (an agent that is back would get no work for half a second); an index kept over plans (a set made per plan is enough). Change: Directory::judge for one agent; a set of held models per cell; consecutive changes are applied together and, if one can't be, one by one as before. Bounds raised towards the target: 16,384 agents, 32,768 members, 2,048 entries, 100,000 instances a pool; the directory's test follows the bound and fills it with more names than it holds. sesame-capacity measures lost agents by the tick that now judges them. The mesh of all entries and agents still misses the target.

--- a/crates/cap/src/measure/entry.rs
+++ b/crates/cap/src/measure/entry.rs
@@ -256,8 +256,8 @@
 }
 
 /// What an entry does when many agents of 2,048 are given up at once, with as
-/// many requests in flight as there are agents: the first heartbeat of another
-/// agent after their time is over, by which all are judged.
+/// many requests in flight as there are agents: the first tick after their time
+/// is over, by which all are judged.
 pub fn lost() -> Series {
     series(
         "entry: agents given up at once",
@@ -265,11 +265,8 @@
         &GONE,
         |gone| {
             let mut rigs: Vec<EntryRig> = (0..3).map(|_| lost_rig(gone)).collect();
-            let beats: Vec<_> = (0..3)
-                .map(|_| messages::heartbeat(GONE_OF - 1, 3, 4, LOST_MODELS))
-                .collect();
             let cost = median_ns(3, |nth| {
-                black_box(rigs[nth].heartbeat(beats[nth].clone()));
+                black_box(rigs[nth].handle(EntryEvent::Tick));
             });
             let counters = rigs[0].role.counters();
             let up = usize::try_from(counters.agents_up).unwrap_or(0);
--- a/crates/conf/src/log.rs
+++ b/crates/conf/src/log.rs
@@ -112,8 +112,9 @@
         if !offered.snapshot.is_empty() && offered.base_revision > before.0 {
             self.take_snapshot(offered)?;
         }
-        for change in &offered.changes {
-            if Some(change.revision) == self.revision().0.checked_add(1) {
+        let next = self.consecutive(&offered.changes);
+        if self.apply_together(&next).is_err() {
+            for change in &next {
                 self.apply(change)?;
             }
         }
@@ -152,17 +153,43 @@
         Ok(())
     }
 
-    fn apply(&mut self, change: &ConfigChange) -> Result<(), LogError> {
-        let revision = change.revision;
-        let patch = read_object(revision, &change.patch)?;
+    /// The changes that follow the revision in force without a gap.
+    fn consecutive<'a>(&self, offered: &'a [ConfigChange]) -> Vec<&'a ConfigChange> {
+        let mut last = self.revision().0;
+        let mut next = Vec::new();
+        for change in offered {
+            if Some(change.revision) == last.checked_add(1) {
+                last = change.revision;
+                next.push(change);
+            }
+        }
+        next
+    }
+
+    /// Applies several changes and resolves the document once.
+    ///
+    /// Resolving costs as much as the document is large, and a process that
+    /// comes back may be hundreds of changes behind. If one of them can't be
+    /// applied nothing is done here, and they are taken one by one.
+    fn apply_together(&mut self, changes: &[&ConfigChange]) -> Result<(), LogError> {
+        let Some(last) = changes.last() else {
+            return Ok(());
+        };
         let mut document = self.document.clone();
-        merge::apply(&mut document, &patch);
-        self.put_in_force(revision, document)?;
-        self.changes.push_back(change.clone());
+        for change in changes {
+            let patch = read_object(change.revision, &change.patch)?;
+            merge::apply(&mut document, &patch);
+        }
+        self.put_in_force(last.revision, document)?;
+        self.changes.extend(changes.iter().copied().cloned());
         self.forget_oldest();
         Ok(())
     }
 
+    fn apply(&mut self, change: &ConfigChange) -> Result<(), LogError> {
+        self.apply_together(&[change])
+    }
+
     fn forget_oldest(&mut self) {
         let mut bytes: usize = self.changes.iter().map(|held| held.patch.len()).sum();
         while self.changes.len() > KEPT_CHANGES || bytes > KEPT_BYTES {
--- a/crates/conf/src/rules/fleet.rs
+++ b/crates/conf/src/rules/fleet.rs
@@ -11,7 +11,7 @@
 use crate::defaults;
 
 const DAY_MS: u64 = 24 * 3_600_000;
-const INSTANCES: Range = range(1, 10_000);
+const INSTANCES: Range = range(1, 100_000);
 const ACCELERATORS: Range = range(1, 64);
 pub(super) const SIZE_MIB: Range = range(1, 16 << 20);
 const STEP_TIME_US: Range = range(1, 60_000_000);
--- a/crates/live/src/directory.rs
+++ b/crates/live/src/directory.rs
@@ -7,7 +7,7 @@
 use crate::{Agent, Life, Residency, Timing};
 
 /// Agents kept at most, whatever peers relay.
-const AGENTS_MAX: usize = 4_096;
+const AGENTS_MAX: usize = 16_384;
 
 /// Something that changed and matters to work in flight or waiting.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -223,15 +223,7 @@
         let timing = self.timing;
         let mut forgotten = Vec::new();
         for (id, agent) in &mut self.agents {
-            let life = agent.judge(now, timing, alone);
-            if life != agent.life {
-                agent.life = life;
-                changes.push(match life {
-                    Life::Up => Change::Back(id.clone()),
-                    Life::Suspected => Change::Suspected(id.clone()),
-                    Life::Lost => Change::Lost(id.clone()),
-                });
-            }
+            changes.extend(judged(now, timing, alone, id, agent));
             if now.ms_since(agent.heard_at) >= timing.forget_ms() {
                 forgotten.push(id.clone());
             }
@@ -242,6 +234,24 @@
         }
     }
 
+    /// Judges one agent anew, after something was heard of it.
+    ///
+    /// Judging all of them for each heartbeat would cost an entry the square of
+    /// the number of its agents; those not heard of are judged by
+    /// [`Directory::tick`].
+    pub fn judge(
+        &mut self,
+        now: Instant,
+        id: &AgentId,
+        alone: bool,
+        changes: &mut Vec<Change>,
+    ) {
+        let timing = self.timing;
+        if let Some(agent) = self.agents.get_mut(id) {
+            changes.extend(judged(now, timing, alone, id, agent));
+        }
+    }
+
     /// When a verdict may change if nothing more is heard.
     pub fn due(&self, now: Instant) -> Option<Instant> {
         let verdicts = self.agents.values();
@@ -345,3 +355,23 @@
 fn models_of(residents: &[Residency]) -> impl Iterator<Item = &ModelId> {
     residents.iter().map(|held| &held.model)
 }
+
+/// Judges an agent anew; the change of its life, if there is one.
+fn judged(
+    now: Instant,
+    timing: Timing,
+    alone: bool,
+    id: &AgentId,
+    agent: &mut Agent,
+) -> Option<Change> {
+    let life = agent.judge(now, timing, alone);
+    if life == agent.life {
+        return None;
+    }
+    agent.life = life;
+    Some(match life {
+        Life::Up => Change::Back(id.clone()),
+        Life::Suspected => Change::Suspected(id.clone()),
+        Life::Lost => Change::Lost(id.clone()),
+    })
+}
--- a/crates/live/src/entries.rs
+++ b/crates/live/src/entries.rs
@@ -8,7 +8,7 @@
 use crate::Timing;
 
 /// Entries kept at most, whatever peers send.
-const ENTRIES_MAX: usize = 256;
+const ENTRIES_MAX: usize = 2_048;
 
 /// One other entry.
 #[derive(Debug, Clone)]
@@ -110,10 +110,10 @@
         held.is_some_and(|held| self.is_alive(now, held))
     }
 
-    /// Number of entries heard lately.
-    pub fn alive_count(&self, now: Instant) -> usize {
-        let alive = self.entries.values();
-        alive.filter(|held| self.is_alive(now, held)).count()
+    /// Whether any entry was heard lately.
+    pub fn any_alive(&self, now: Instant) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|held| self.is_alive(now, held))
     }
 
     /// Whether `me` ranks first for a key among the entries that are alive and
--- a/crates/live/src/members.rs
+++ b/crates/live/src/members.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Records kept at most.
-const MEMBERS_MAX: usize = 8_192;
+const MEMBERS_MAX: usize = 32_768;
 
 /// Kind of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/live/tests/directory.rs
+++ b/crates/live/tests/directory.rs
@@ -211,12 +211,12 @@
 #[test]
 fn the_directory_is_bounded() {
     let mut directory = directory();
-    for index in 0..10_000 {
+    for index in 0..20_000 {
         let mut beat = beat(1, 1, "m");
         beat.agent = format!("x{index}");
         hear(&mut directory, 0, beat, Heard::Relayed);
     }
-    assert_eq!(directory.agents().count(), 4_096);
+    assert_eq!(directory.agents().count(), 16_384);
     directory.tick(Instant::from_ms(400_000), true, &mut Vec::new());
     assert_eq!(directory.agents().count(), 0);
     assert!(!holds(&directory, "m"));
--- a/crates/role/src/entry/control/frames.rs
+++ b/crates/role/src/entry/control/frames.rs
@@ -61,8 +61,9 @@
             return;
         }
         self.reach(MemberKind::Agent, id.as_str(), incarnation, &address, out);
+        let alone = !self.entries.any_alive(now);
+        self.directory.judge(now, &id, alone, &mut changes);
         self.apply(&changes, out, effects);
-        self.judge(now, out, effects);
         effects.room.insert(id);
     }
 
--- a/crates/role/src/entry/control/links.rs
+++ b/crates/role/src/entry/control/links.rs
@@ -108,7 +108,7 @@
         out: &mut Vec<EntryAction>,
         effects: &mut Effects,
     ) {
-        let alone = self.entries.alive_count(now) == 0;
+        let alone = !self.entries.any_alive(now);
         let mut changes = Vec::new();
         self.directory.tick(now, alone, &mut changes);
         self.apply(&changes, out, effects);
--- a/crates/role/src/entry/control/spread.rs
+++ b/crates/role/src/entry/control/spread.rs
@@ -11,7 +11,7 @@
 use live::rendezvous;
 use place::{ModelDemand, ResidentState};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::cells::Cell;
 
@@ -37,6 +37,9 @@
     pub(super) store_share: f64,
 }
 
+/// Models held by one cell; its order never shows.
+type Held<'a> = HashSet<&'a ModelId>;
+
 /// A base model with its adapters.
 #[derive(Debug)]
 struct Group<'a> {
@@ -57,16 +60,17 @@
     let mut work: Vec<CellWork> = cells.iter().map(|_| CellWork::default()).collect();
     let mut room_mib: Vec<u64> = cells.iter().map(size_mib).collect();
     let mut weights = vec![IDLE_WEIGHT; cells.len()];
+    let held: Vec<Held<'_>> = cells.iter().map(held_models).collect();
     for group in groups(config, demands) {
         let replicas = replicas(config, &group);
-        let counts = home_cells(cells, &group, replicas, &mut room_mib);
+        let counts = home_cells(cells, &held, &group, replicas, &mut room_mib);
         for (index, count) in counts {
             let share = f64::from(count) / f64::from(replicas);
             let members = group.members.iter();
             work[index]
                 .demands
                 .extend(members.map(|demand| part(demand, share)));
-            if !holds(&cells[index], group.base) {
+            if !held[index].contains(group.base) {
                 weights[index] += f64::from(count);
             }
         }
@@ -131,6 +135,7 @@
 /// (no move), and last the rendezvous rank, which keeps the choice stable.
 fn home_cells(
     cells: &[Cell],
+    held: &[Held<'_>],
     group: &Group<'_>,
     replicas: u32,
     room_mib: &mut [u64],
@@ -141,9 +146,9 @@
         let best = candidates.max_by_key(|index| {
             let taken = counts.get(index).copied().unwrap_or(0);
             let fits = room_mib[*index] >= group.size_mib;
-            let held = holds(&cells[*index], group.base);
+            let here = held[*index].contains(group.base);
             let rank = rendezvous(group.base.as_str(), &cells[*index].key);
-            (fits, Reverse(taken), held, rank)
+            (fits, Reverse(taken), here, rank)
         });
         let Some(index) = best else {
             break;
@@ -160,13 +165,14 @@
     accelerators.map(|mib| u64::from(*mib)).sum()
 }
 
-fn holds(cell: &Cell, model: &ModelId) -> bool {
-    cell.agents.iter().any(|agent| {
-        agent
-            .residents
-            .iter()
-            .any(|held| held.model == *model && held.state != ResidentState::Unloading)
-    })
+/// Models that the agents of a cell hold or load.
+///
+/// Looking through all residents for each model and replica would cost an entry
+/// the product of models and accelerators.
+fn held_models(cell: &Cell) -> Held<'_> {
+    let residents = cell.agents.iter().flat_map(|agent| &agent.residents);
+    let staying = residents.filter(|held| held.state != ResidentState::Unloading);
+    staying.map(|held| &held.model).collect()
 }
 
 fn part(demand: &ModelDemand, share: f64) -> ModelDemand {
