--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -58,6 +58,9 @@
     Lost,
 }
 
+/// Times in a heartbeat interval that all agents are judged.
+const JUDGED_PER_HEARTBEAT: u64 = 5;
+
 /// What a change means for requests.
 #[derive(Debug, Default)]
 pub(crate) struct Effects {
@@ -82,6 +85,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Timer {
     Heartbeat,
+    Judge,
     Plan,
     PlanSoon,
     GossipSoon,
@@ -147,6 +151,7 @@
         Note::new(EventKind::ProcessStarted, detail).put(out);
         control.start_platform(options, out);
         control.dial_peers(options, out);
+        control.timers.set(now, Timer::Judge);
         control.timers.set(now, Timer::Heartbeat);
         control.timers.set(now, Timer::Plan);
         control.look_later(now);
@@ -234,6 +239,7 @@
         while let Some(timer) = self.timers.take(now) {
             match timer {
                 Timer::Heartbeat => self.beat(now, shared, out, effects),
+                Timer::Judge => self.judge_due(now, out, effects),
                 Timer::Plan => effects.plan_with(self.plan_due(now, shared)),
                 Timer::PlanSoon => effects.plan_with(self.plan_now(now, shared)),
                 Timer::GossipSoon if self.gossip.soon => {
@@ -253,7 +259,6 @@
         out: &mut Vec<EntryAction>,
         effects: &mut Effects,
     ) {
-        self.judge(now, out, effects);
         self.entries.tick(now);
         self.foresee(now, shared);
         shared.health.lock().forget_unknown(&self.directory);
@@ -263,6 +268,22 @@
         effects.wake_all = true;
     }
 
+    /// Judges all agents, several times in a heartbeat interval.
+    ///
+    /// Silence has to end work in flight soon after its bound, but nothing says
+    /// so by itself. A fixed interval costs the same whatever is heard; judging
+    /// all of them with each heartbeat costs the square of their number.
+    fn judge_due(
+        &mut self,
+        now: Instant,
+        out: &mut Vec<EntryAction>,
+        effects: &mut Effects,
+    ) {
+        self.judge(now, out, effects);
+        let interval = self.directory.timing().heartbeat_ms() / JUDGED_PER_HEARTBEAT;
+        self.timers.set(now.plus_ms(interval.max(1)), Timer::Judge);
+    }
+
     /// Starts to stop.
     pub(crate) fn drain(
         &mut self,
--- a/crates/role/tests/entry/failing.rs
+++ b/crates/role/tests/entry/failing.rs
@@ -213,3 +213,17 @@
     assert_eq!(rig.traced(EventKind::UpstreamFailing), 1);
     assert_eq!(rig.traced(EventKind::UpstreamRecovered), 1);
 }
+
+/// A service takes calls and never answers, while its agent's heartbeats go on.
+/// Five calls that stall are as good a reason as five errors.
+#[test]
+fn stalls_count_as_failures() {
+    let mut rig = Rig::new();
+    rig.agent_in("s1", "desk", "d1", &[]);
+    for _ in 0..5 {
+        let run = call(&mut rig, "parts");
+        rig.started(&run);
+    }
+    rig.advance(5_300);
+    assert_eq!(rig.traced(EventKind::UpstreamFailing), 1);
+}
