Tests with real processes; the overhead benchmark; one state connection

Cause: nothing yet drove the separate programs together under faults, and no figure stood on what an entry and an agent cost beside an engine.

Tests (tests/all/processes): eight trials, each on a deployment of its own from `fake::demo::Deployment` (now public, with the number of processes, engine arguments and document as options; signals, ends and restarts by process). Port blocks below 32768 are held by file locks, so several runs on a machine don't clash. Nothing is timed. The load driver can leave out targets that are leaving, as a balancer does.

Agent: the upstream's state is asked on one kept connection. A question that is given up closes the connection: its late answer would else pass for the next one's.

Seen to fail with the safeguard out: entry killed in place of drained (9 answers cut), agent the same (22 streams resumed), publish without its wait (revision 1 and then 1), services declared idempotent, so without claims (59 orders run twice), an entry in an outage that no peer can reach (never ready), state connection not kept (second question on a closed one).

--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream's protocol: attempts, orders and state.
 
 mod answer;
+mod asking;
 mod connection;
 mod engine;
 mod orders;
--- a/crates/agent/src/upstream/state.rs
+++ b/crates/agent/src/upstream/state.rs
@@ -2,18 +2,17 @@
 
 use base::ModelId;
 use hyper::StatusCode;
-use plat::http::{HttpError, get};
 use role::agent::{
     AgentEvent, UpstreamEvent, UpstreamOrder, UpstreamOrderState, UpstreamReport,
     UpstreamResident,
 };
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
+use super::asking::{Asking, NoState};
 use crate::node::Node;
 
 /// Pause between two questions.
@@ -107,9 +106,10 @@
 async fn ask_on(node: &Arc<Node>) {
     let mut silent = 0;
     let mut was_up = None;
+    let mut asking = Asking::new(node.upstream().address);
     loop {
         if let Some(engine) = node.is_engine() {
-            let asked = ask(node.upstream().address, engine).await;
+            let asked = ask(&mut asking, engine).await;
             silent = match asked {
                 Asked::Silent => silent + 1,
                 _ => 0,
@@ -137,12 +137,12 @@
     }
 }
 
-async fn ask(address: SocketAddr, engine: bool) -> Asked {
+async fn ask(asking: &mut Asking, engine: bool) -> Asked {
     let began = Instant::now();
     let report = if engine {
-        fetch(address, "/admin/state").await.map(report)
+        fetch(asking, "/admin/state").await.map(report)
     } else {
-        let health = fetch(address, "/healthz").await;
+        let health = fetch(asking, "/healthz").await;
         health.map(|health: HealthJson| UpstreamReport {
             incarnation: health.incarnation,
             ..UpstreamReport::default()
@@ -168,15 +168,14 @@
 }
 
 async fn fetch<T: DeserializeOwned>(
-    address: SocketAddr,
+    asking: &mut Asking,
     path: &str,
 ) -> Result<T, Asked> {
-    let answer = timeout(ANSWER_TIMEOUT, get(address, path)).await;
-    match answer {
-        Ok(Ok(answer)) if answer.status == StatusCode::OK => {
-            serde_json::from_slice(&answer.body).map_err(|_| Asked::Silent)
+    match timeout(ANSWER_TIMEOUT, asking.get(path)).await {
+        Ok(Ok((StatusCode::OK, body))) => {
+            serde_json::from_slice(&body).map_err(|_| Asked::Silent)
         }
-        Ok(Err(HttpError::Unreachable { .. })) => Err(Asked::Gone),
+        Ok(Err(NoState::Gone)) => Err(Asked::Gone),
         _ => Err(Asked::Silent),
     }
 }
--- a/crates/agent/tests/shell/main.rs
+++ b/crates/agent/tests/shell/main.rs
@@ -3,5 +3,6 @@
 
 mod engine;
 mod orders;
+mod questions;
 mod service;
 mod support;
--- a/crates/fake/src/demo/mod.rs
+++ b/crates/fake/src/demo/mod.rs
@@ -107,7 +107,7 @@
 }
 
 /// Waits for SIGINT or SIGTERM; for ever if they can't be listened to.
-async fn interrupted() {
+pub(crate) async fn interrupted() {
     let (Ok(mut interrupt), Ok(mut terminate)) = (
         signal(SignalKind::interrupt()),
         signal(SignalKind::terminate()),
--- a/crates/fake/src/overhead/mod.rs
+++ b/crates/fake/src/overhead/mod.rs
@@ -12,7 +12,7 @@
 
 use std::fmt::Write as _;
 
-use crate::demo::DemoError;
+use crate::demo::{DemoError, interrupted};
 
 /// What to measure.
 #[derive(Debug, Clone, Copy)]
@@ -42,8 +42,16 @@
 ///
 /// # Errors
 ///
-/// A deployment did not come up.
+/// A deployment did not come up, or a signal ended the benchmark.
 pub async fn run(options: OverheadOptions) -> Result<(), DemoError> {
+    // The children would outlive a benchmark that ended without dropping them.
+    tokio::select! {
+        done = measure(options) => done,
+        () = interrupted() => Err(DemoError::Interrupted),
+    }
+}
+
+async fn measure(options: OverheadOptions) -> Result<(), DemoError> {
     println!("{}", machine());
     if options.parts.delay {
         delay::run(&options).await?;
--- a/crates/fake/tests/all/load.rs
+++ b/crates/fake/tests/all/load.rs
@@ -160,3 +160,38 @@
         assert!(times.p50_us >= 10_000 && times.max_us >= times.p50_us);
     }
 }
+
+/// One of two targets refuses connections, as a process that has ended does.
+/// Without the balancer's rule half of the requests would go there; with it
+/// only those that were under way before the first refusal.
+#[tokio::test]
+async fn a_balancer_leaves_out_a_target_that_is_gone() {
+    let engine = start(quick()).await;
+    load_model(&engine, 1, "m", None).await;
+    let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let gone_address = gone.local_addr().unwrap();
+    drop(gone);
+    let concurrency = 4;
+    let report = load::run(LoadOptions {
+        targets: vec![gone_address, engine.address],
+        direct: true,
+        balanced: true,
+        key: String::new(),
+        mixes: vec![Mix {
+            profile: "desk".to_owned(),
+            models: vec!["m".to_owned()],
+            ..Mix::default()
+        }],
+        concurrency,
+        rate_per_s: None,
+        count: 40,
+        seed: 7,
+    })
+    .await;
+    let desk = &report.profiles["desk"];
+    assert!(
+        (1..=concurrency as u64).contains(&desk.unreached),
+        "{desk:?}"
+    );
+    assert_eq!(desk.whole + desk.unreached, 40);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,10 @@
 //! Tests of the whole system: one module a theme.
 
 mod docs;
+mod processes;
+mod random;
+mod red;
+mod scenario_language;
 mod scenarios;
 
 use libtest_mimic::{Arguments, Trial};
@@ -10,5 +14,9 @@
     let mut trials: Vec<Trial> = Vec::new();
     trials.extend(docs::trials());
     trials.extend(scenarios::trials());
+    trials.extend(processes::trials());
+    trials.extend(random::trials());
+    trials.extend(scenario_language::trials());
+    trials.push(red::list_is_true(&trials));
     libtest_mimic::run(&arguments, trials).exit();
 }
