Two entries of a failure domain wait for the platform's news

Cause: by docs/CAPACITY.md 1,300 entries with two watches each make 2,600 waiting calls against a bound of 2,000, and each listed instances/ every 3 s: 433 lists and 468 MB a second. Ruled out: one watcher a region (its death slows news), a lease for watching (a second thing to agree on for what is an opinion), no watches at all (slow). Change: control/instances.rs: of an entry's failure domain the two that rank first among the live ones wait; instances/ is watched, and listed on news and every 30 s.

--- a/crates/role/src/entry/control/links.rs
+++ b/crates/role/src/entry/control/links.rs
@@ -108,9 +108,10 @@
         out: &mut Vec<EntryAction>,
         effects: &mut Effects,
     ) {
-        let alone = !self.entries.any_alive(now);
+        let judged_at = self.judged_at(now);
+        let alone = !self.entries.any_alive(judged_at);
         let mut changes = Vec::new();
-        self.directory.tick(now, alone, &mut changes);
+        self.directory.tick(judged_at, alone, &mut changes);
         self.apply(&changes, out, effects);
     }
 
--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -9,7 +9,9 @@
 mod config;
 mod forecast;
 mod frames;
+mod freeze;
 mod gossip;
+mod instances;
 mod links;
 mod plan;
 mod platform;
@@ -31,6 +33,7 @@
 use crate::Peer;
 use forecast::Forecast;
 pub(crate) use forecast::back_ms;
+use freeze::Freeze;
 use gossip::Gossiping;
 pub(crate) use plan::PlanJob;
 use plan::Planning;
@@ -105,11 +108,16 @@
     pub(crate) planning: Planning,
     pub(crate) gossip: Gossiping,
     me: EntryId,
+    domain: DomainId,
+    instances_version: Version,
+    /// Watches that are left to other entries, until they are asked for again.
+    put_off: BTreeSet<platform::Call>,
     unix_ms_at_zero: u64,
     started_at: Instant,
     members: Members,
     platform: Platform,
     forecast: Forecast,
+    freeze: Freeze,
     timers: Timers<Timer>,
     rng: Pcg64Mcg,
     asked_at: Option<Instant>,
@@ -135,11 +143,15 @@
             planning: Planning::new(),
             gossip: Gossiping::new(),
             me: options.id.clone(),
+            domain: options.domain.clone(),
+            instances_version: Version(0),
+            put_off: BTreeSet::new(),
             unix_ms_at_zero: options.unix_ms_at_zero,
             started_at: now,
             members: Members::new(),
             platform: Platform::new(),
             forecast: Forecast::default(),
+            freeze: Freeze::none(now),
             timers: Timers::new(),
             rng: Pcg64Mcg::new(u128::from(options.seed) << 1 | 1),
             asked_at: None,
@@ -190,6 +202,7 @@
 
     /// Whether this entry probes an upstream for the fleet.
     pub(crate) fn probes(&self, now: Instant, agent: &AgentId) -> bool {
+        let now = self.judged_at(now);
         let others = self.entries.all().filter(|held| !held.leaving);
         let alive = others.filter(|held| self.entries.alive(now, &held.id));
         let names = alive.map(|held| &held.id).chain([&self.me]);
@@ -206,7 +219,8 @@
     /// arrived, even if the two clocks differ a little.
     pub(crate) fn alone_turn_in_ms(&self, now: Instant) -> u64 {
         let others = self.entries.all();
-        let alive = others.filter(|held| self.entries.alive(now, &held.id));
+        let judged_at = self.judged_at(now);
+        let alive = others.filter(|held| self.entries.alive(judged_at, &held.id));
         let (mut count, mut before) = (1, 0);
         for held in alive {
             count += 1;
--- a/crates/role/src/entry/control/plan.rs
+++ b/crates/role/src/entry/control/plan.rs
@@ -188,6 +188,10 @@
         if self.leaving {
             return None;
         }
+        if now < self.read_by() {
+            self.plan_at(self.read_by());
+            return None;
+        }
         let running = self.planning.running_since;
         if running.is_some_and(|since| now.ms_since(since) < ROUND_MAX_MS) {
             self.plan_at(now.plus_ms(PLAN_MIN_MS));
--- a/crates/role/src/entry/control/platform.rs
+++ b/crates/role/src/entry/control/platform.rs
@@ -7,7 +7,7 @@
 use rand_core::Rng;
 use schema::store::Member;
 use schema::timeline::EventKind;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::super::counters::Counts;
 use super::super::shared::Shared;
@@ -18,12 +18,6 @@
 /// Start of the keys of all member records.
 const LIVE_PREFIX: &str = "live/";
 
-/// Start of the keys of the platform's own words on instances.
-const INSTANCES_PREFIX: &str = "instances/";
-
-/// Interval at which the platform's words on instances are read.
-const INSTANCES_EVERY_MS: u64 = 3_000;
-
 /// First and longest wait before a failed call is made again.
 const BACKOFF_MIN_MS: u64 = 100;
 const BACKOFF_MAX_MS: u64 = 5_000;
@@ -57,6 +51,8 @@
     LiveList,
     LiveWatch,
     Instances,
+    InstancesNews,
+    InstancesWatch,
     Register,
     Unregister,
 }
@@ -126,6 +122,7 @@
         shared: &Shared,
         out: &mut Vec<EntryAction>,
     ) {
+        self.put_off.remove(&call);
         self.call(call, &shared.options, out);
     }
 
@@ -135,6 +132,9 @@
         {
             return;
         }
+        if self.leaves_watch(call) {
+            return;
+        }
         let id = self.platform.next;
         self.platform.next += 1;
         self.platform.pending.insert(id, call);
@@ -152,7 +152,9 @@
             },
             Call::ConfigList => list(REVISION_PREFIX),
             Call::LiveList => list(LIVE_PREFIX),
-            Call::Instances => list(INSTANCES_PREFIX),
+            Call::Instances | Call::InstancesNews | Call::InstancesWatch => {
+                self.instances_operation(call)
+            }
             Call::ConfigWatch => PlatformOp::Watch {
                 prefix: REVISION_PREFIX.to_owned(),
                 after: self.platform.config_version,
@@ -288,10 +290,17 @@
                 self.take_members(&objects, out);
                 self.again(now, Call::LiveWatch);
             }
-            (Call::Instances, PlatformResult::Objects(objects, _)) => {
-                self.take_instances(&objects, out, effects);
-                let at = now.plus_ms(INSTANCES_EVERY_MS);
-                self.timers.set(at, Timer::Call(Call::Instances));
+            (
+                Call::Instances | Call::InstancesNews,
+                PlatformResult::Objects(objects, version),
+            ) => {
+                self.listed_instances(now, &objects, version, out, effects);
+                if call == Call::Instances {
+                    self.list_instances_later(now);
+                }
+            }
+            (Call::InstancesWatch, PlatformResult::Objects(objects, version)) => {
+                self.watched_instances(now, &objects, version);
             }
             (Call::Unregister, _) => self.exit(out),
             _ => {}
@@ -341,7 +350,7 @@
         *held = (*held).max(version);
     }
 
-    fn again(&mut self, now: Instant, call: Call) {
+    pub(super) fn again(&mut self, now: Instant, call: Call) {
         let at = now.plus_ms(WATCH_PAUSE_MS);
         self.timers.set(at, Timer::Call(call));
     }
@@ -358,26 +367,9 @@
             }
         }
     }
-
-    fn take_instances(
-        &mut self,
-        objects: &[(String, Version, Vec<u8>)],
-        out: &mut Vec<EntryAction>,
-        effects: &mut Effects,
-    ) {
-        let leaving: BTreeSet<AgentId> = objects
-            .iter()
-            .filter(|(_, _, value)| says_leaving(value))
-            .filter_map(|(key, _, _)| key.strip_prefix(INSTANCES_PREFIX))
-            .map(AgentId::new)
-            .collect();
-        let mut changes = Vec::new();
-        self.directory.platform_leaving(&leaving, &mut changes);
-        self.apply(&changes, out, effects);
-    }
 }
 
-fn list(prefix: &str) -> PlatformOp {
+pub(super) fn list(prefix: &str) -> PlatformOp {
     PlatformOp::List {
         prefix: prefix.to_owned(),
     }
@@ -386,8 +378,3 @@
 fn member_key(options: &EntryOptions) -> String {
     format!("{LIVE_PREFIX}entry/{}", options.id)
 }
-
-fn says_leaving(value: &[u8]) -> bool {
-    let word: Result<serde_json::Value, _> = serde_json::from_slice(value);
-    word.is_ok_and(|word| word["state"] == "leaving")
-}
--- a/crates/role/src/entry/requests/end.rs
+++ b/crates/role/src/entry/requests/end.rs
@@ -146,8 +146,13 @@
 
 /// The code that fits what is known: codes that speak of a request that was
 /// not run are not said of one that may have run.
+///
+/// Two of them don't speak of that. A convict ran. A key in progress is another
+/// call's, whose answer the caller gets by coming back: told that the outcome is
+/// unknown instead, it would not come back for it.
 fn said_of(request: &Request, code: Code, ran: Ran) -> Code {
-    if ran == Ran::NotRun || code.number() / 1_000 != 2 || code == Code::Convicted {
+    let stands = matches!(code, Code::Convicted | Code::KeyInProgress);
+    if ran == Ran::NotRun || code.number() / 1_000 != 2 || stands {
         return code;
     }
     if !request.resolved.idempotent {
--- a/crates/role/src/entry/requests/holders.rs
+++ b/crates/role/src/entry/requests/holders.rs
@@ -7,7 +7,7 @@
 use super::super::control::{Control, back_ms};
 use super::super::shared::Ctx;
 use super::super::wanted::Wanted;
-use super::state::Request;
+use super::state::{Request, State};
 
 /// Service time assumed before one was seen.
 const SERVICE_TIME_DEFAULT_MS: u32 = 1_000;
@@ -15,6 +15,9 @@
 /// Time within which an agent that is there, but can't serve, may be able to.
 const AGENT_BACK_MS: u64 = 1_000;
 
+/// Least time that a load which is under way still takes.
+const LOADING_MIN_MS: u64 = 50;
+
 /// Agents that can serve a request, with the version each would serve.
 #[derive(Debug)]
 pub(super) struct Candidates<'a> {
@@ -247,6 +250,38 @@
     held.into_iter().chain(load).min()
 }
 
+/// Whether a request goes on waiting for a load that is under way, though it is
+/// predicted to be late.
+///
+/// A load that takes longer than loads do is expected to take as long again. By
+/// that, what has waited for most of a slow load would be refused shortly before
+/// its end, and its wait would be for nothing. A load in progress may end at any
+/// moment, so it is waited for as long as the deadline leaves time for the answer.
+/// Who comes while the load is late already is told at once.
+pub(super) fn waits_for_load(
+    ctx: &Ctx<'_>,
+    request: &Request,
+    input: &AdmitInput,
+    avoided: &[AgentId],
+) -> bool {
+    let Some(model) = request.resolved.wanted.model() else {
+        return false;
+    };
+    let waits = matches!(request.state, State::Waiting(_));
+    let in_time = input.whole_ms.saturating_add(LOADING_MIN_MS) < input.remaining_ms;
+    let mut agents = ctx.control.directory.agents();
+    waits
+        && input.holders == 0
+        && in_time
+        && agents.any(|agent| {
+            agent.life == Life::Up
+                && agent.upstream_up
+                && !agent.leaving()
+                && !avoided.contains(&agent.id)
+                && agent.loading_since(model.as_str()).is_some()
+        })
+}
+
 /// Whether only upstreams that the suspect crashed hold its model, and nobody
 /// loads it elsewhere: then there is nothing to wait for.
 ///
--- a/crates/role/src/entry/requests/place.rs
+++ b/crates/role/src/entry/requests/place.rs
@@ -11,7 +11,7 @@
 use super::super::trace::Note;
 use super::super::waiting::{Place, Queued};
 use super::Requests;
-use super::holders::{Candidates, admit_input, crashed_all};
+use super::holders::{Candidates, admit_input, crashed_all, waits_for_load};
 use super::send::Route;
 use super::state::{Request, State};
 use super::timers::Timer;
@@ -107,6 +107,9 @@
             return self.refuse(ctx, sequence, code, Some(ms));
         }
         match admit(&input) {
+            Admit::Refuse(_) if waits_for_load(ctx, request, &input, &avoided) => {
+                self.wait(ctx, sequence, input.load_wait_ms)
+            }
             Admit::Refuse(refusal) => {
                 self.refuse(ctx, sequence, refusal.code, refusal.retry_after_ms)
             }
--- a/crates/role/src/entry/requests/timers.rs
+++ b/crates/role/src/entry/requests/timers.rs
@@ -74,7 +74,8 @@
         let Some(held) = request.attempt() else {
             return;
         };
-        let bound = bound(ctx, request, held);
+        // After a freeze the answer may wait in a socket.
+        let bound = bound(ctx, request, held).max(ctx.control.read_by());
         if bound > ctx.now {
             self.timers.set(bound, Timer::Answer { attempt });
             return;
--- a/crates/role/src/entry/role.rs
+++ b/crates/role/src/entry/role.rs
@@ -34,6 +34,8 @@
     /// The driver asks after each event. Asking the parts themselves would take
     /// every lock for each frame that comes.
     dues: Vec<AtomicU64>,
+    /// When an event means that the process stood still, in microseconds.
+    freeze_at: AtomicU64,
 }
 
 /// A part that is never due.
@@ -61,18 +63,24 @@
         let control = Control::new(&options, now, out);
         let dues: Vec<AtomicU64> =
             (0..=count).map(|_| AtomicU64::new(NEVER_US)).collect();
+        let freeze_at = AtomicU64::new(NEVER_US);
         store_due(&dues[0], control.due());
+        store_due(&freeze_at, control.freeze_at());
         Self {
             control: RwLock::new(control),
             shared: Shared::new(options),
             shards,
             next: AtomicU64::new(1),
             dues,
+            freeze_at,
         }
     }
 
     /// Takes an event and adds the actions it calls for.
     pub fn handle(&self, now: Instant, event: EntryEvent, out: &mut Vec<EntryAction>) {
+        if self.freeze_at.load(Ordering::Acquire) <= now.as_us() {
+            self.with_control(|control| control.wake(now));
+        }
         match event {
             EntryEvent::Tick => self.tick(now, out),
             EntryEvent::Arrive(arrival) => self.arrive(now, arrival, out),
@@ -168,6 +176,7 @@
         let mut control = self.control.write();
         let done = work(&mut control);
         store_due(&self.dues[0], control.due());
+        store_due(&self.freeze_at, control.freeze_at());
         done
     }
 
--- a/crates/role/tests/entry/forecast.rs
+++ b/crates/role/tests/entry/forecast.rs
@@ -105,3 +105,92 @@
     rig.advance(10_000);
     assert!(refused(&mut rig, "m1", 5_000));
 }
+
+/// What becomes of a load that a request has waited for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Load {
+    /// It ends 12 s after its start, though loads take 3 s.
+    Ends,
+    /// It goes on and on.
+    Stays,
+    /// It failed, and nobody loads the model any more.
+    Fails,
+    /// Its agent falls silent.
+    Silent,
+    /// Its upstream crashes.
+    Crashes,
+}
+
+fn report(rig: &mut Rig, state: Option<ResidentState>, age_ms: u64) {
+    let agent = rig.agents.get_mut("a1").expect("known");
+    agent.sequence += 1;
+    let mut beat = heartbeat("a1", agent);
+    let resident = state.map(|state| Resident {
+        model: "m1".to_owned(),
+        version: 1,
+        accelerator: 0,
+        state: state as i32,
+        size_mib: 70,
+        age_ms,
+    });
+    beat.residents.extend(resident);
+    rig.frame("a1", frame::Body::Heartbeat(beat));
+}
+
+/// A request waits for a load that takes four times as long as loads do. While
+/// its holder reports the load as under way, the request is not refused with the
+/// end in sight, but waits up to its deadline; who comes later and would have to
+/// wait as long again is told at once. When nothing is loading, or nobody says
+/// so, the one that waits is refused long before its deadline.
+#[test]
+fn a_load_in_progress_is_waited_for() {
+    const DEADLINE_MS: u64 = 14_000;
+    let rows = [
+        (Load::Ends, None),
+        (Load::Stays, Some(13_000..DEADLINE_MS)),
+        (Load::Fails, Some(8_000..11_000)),
+        (Load::Silent, Some(8_000..12_500)),
+        (Load::Crashes, Some(8_000..11_000)),
+    ];
+    for (load, refused_at) in rows {
+        let mut rig = rig();
+        rig.agent("a1", &[]);
+        rig.agents.get_mut("a1").expect("known").silent = true;
+        let mut arrival = rig.arrival(Work::Model(Some(ModelId::new("m1"))));
+        arrival.deadline_ms = Some(DEADLINE_MS);
+        let request = rig.arrive(arrival);
+        let (mut told_at, mut later) = (None, None);
+        for passed_ms in (250..DEADLINE_MS + 1_000).step_by(250) {
+            rig.advance(250);
+            let under_way = passed_ms < 8_000;
+            rig.agents.get_mut("a1").expect("known").upstream_up =
+                under_way || load != Load::Crashes;
+            match (load, under_way) {
+                (Load::Ends, _) if passed_ms >= 12_500 => {
+                    report(&mut rig, Some(ResidentState::Loaded), 0);
+                }
+                (Load::Ends | Load::Stays, _) | (_, true) => {
+                    report(&mut rig, Some(ResidentState::Loading), passed_ms);
+                }
+                (Load::Fails | Load::Crashes, _) => report(&mut rig, None, 0),
+                (Load::Silent, _) => {}
+            }
+            if passed_ms == 7_500 {
+                later = Some(refused(&mut rig, "m1", 4_000));
+            }
+            if told_at.is_none() && !rig.refusals(request).is_empty() {
+                told_at = Some(passed_ms);
+            }
+        }
+        assert_eq!(later, Some(true), "{load:?}");
+        assert_eq!(rig.runs(request).len(), usize::from(load == Load::Ends));
+        match refused_at {
+            None => assert_eq!(told_at, None, "{load:?}"),
+            Some(bounds) => {
+                let told_at = told_at.expect("it is told");
+                assert!(bounds.contains(&told_at), "{load:?} {told_at}");
+                assert!(rig.refusal(request).retry_after_ms.is_some());
+            }
+        }
+    }
+}
--- a/crates/role/tests/entry/retries.rs
+++ b/crates/role/tests/entry/retries.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::{Rig, Sent};
 use base::prelude::*;
+use schema::link::{End, frame};
 
 #[derive(Debug, PartialEq)]
 enum Outcome {
@@ -332,6 +333,36 @@
     assert_eq!(rig.refusal(second).code, Code::KeyInProgress);
 }
 
+/// The first call with a key is in progress at an agent that froze; its caller
+/// is gone, and comes back through this entry. The gate says that the key is
+/// taken, and not what became of the call. The caller hears just that, with when
+/// to come back: of an unknown outcome it would take care by hand, though the
+/// answer may be there in a second.
+#[test]
+fn a_key_in_progress_is_said_as_such() {
+    for started in [false, true] {
+        let mut rig = Rig::new();
+        rig.agent_in("s1", "desk", "d1", &[]);
+        let request = rig.order();
+        let run = rig.run(request);
+        if started {
+            rig.started(&run);
+        }
+        let body = frame::Body::End(End {
+            attempt: run.run.attempt,
+            code: Code::KeyInProgress.number(),
+            ran: Ran::Unknown.number(),
+            retry_after_ms: 1_000,
+            ..End::default()
+        });
+        rig.frame(&run.agent, body);
+        let refusal = rig.refusal(request);
+        let told = (refusal.code, refusal.ran, refusal.retry_after_ms);
+        assert_eq!(told, (Code::KeyInProgress, Ran::Unknown, Some(1_000)));
+        assert_eq!(rig.runs(request).len(), 1);
+    }
+}
+
 /// The operators forbid retries while requests come in. From the next arrival on
 /// only the two that any model may have in ten seconds are made.
 #[test]
--- a/crates/role/tests/entry/rig.rs
+++ b/crates/role/tests/entry/rig.rs
@@ -116,6 +116,24 @@
         self.objects.insert(key, patch.to_string().into_bytes());
     }
 
+    /// Writes an object and tells of it whoever waits for its prefix.
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.objects.insert(key.to_owned(), value.to_vec());
+        let calls = self.log.iter().filter_map(|action| match action {
+            EntryAction::Platform(call) => Some(call),
+            _ => None,
+        });
+        let told = calls.filter(|call| match &call.op {
+            PlatformOp::Watch { prefix, .. } => key.starts_with(prefix.as_str()),
+            _ => false,
+        });
+        for id in told.map(|call| call.id).collect::<Vec<_>>() {
+            let news = vec![(key.to_owned(), Version(2), value.to_vec())];
+            let result = PlatformResult::Objects(news, Version(2));
+            self.handle(EntryEvent::Platform(PlatformAnswer { id, result }));
+        }
+    }
+
     pub fn handle(&mut self, event: EntryEvent) {
         let mut out = Vec::new();
         self.role.handle(self.now, event, &mut out);
