Agent: an old value of the record is no successor's

Change: epochs only grow, so once the epoch is held a lower one is an old value; the record is read again after the usual wait, and no order goes out before the agent's own record was seen.

--- a/crates/role/src/agent/record.rs
+++ b/crates/role/src/agent/record.rs
@@ -236,6 +236,12 @@
             self.backoff.failed(now, caller);
             return RecordNews::Undecodable;
         };
+        // Epochs only grow, so a lower one is a value from before ours. Taken for
+        // a successor's it would end the only agent of the instance.
+        if self.phase == Phase::Held && record.epoch < self.epoch.0 {
+            self.backoff.failed(now, caller);
+            return RecordNews::Nothing;
+        }
         self.version = Some(*version);
         if record.incarnation == self.incarnation.0 {
             return self.was_ours(record);
--- a/crates/role/tests/agent/orders.rs
+++ b/crates/role/tests/agent/orders.rs
@@ -479,6 +479,32 @@
     assert_eq!((member.incarnation, member.leaving), (11, false));
 }
 
+/// The write of an intent gets no answer, and reading it back gives the value
+/// before the agent's own: its predecessor's. That is no successor; the agent
+/// reads again, and gives its order once it has seen its own record.
+#[test]
+fn an_old_value_of_the_record_is_no_successor() {
+    let (mut platform, engine, first) = begin();
+    let old = platform.objects["agents/one"].clone();
+    let now = first.now;
+    drop(first);
+    let mut node = Node::engine(11, "127.0.0.1:1", now, &mut platform, &engine);
+    node.target("p", 1, &[("a", 1)]);
+    let write = node.calls.pop_front().expect("the intent is written");
+    platform.apply(&write.op);
+    node.answer(write.id, PlatformResult::Unanswered);
+    let read = node.calls.pop_front().expect("read back");
+    let old = (base::Version(old.0), old.1);
+    node.answer(read.id, PlatformResult::Object(Some(old)));
+    assert!(!node.role.status().fenced && node.ready);
+    assert!(node.orders.is_empty(), "its own record was not seen");
+    for _ in 0..20 {
+        node.pass(500);
+        node.pump(&mut platform);
+    }
+    assert!(!node.orders.is_empty());
+}
+
 /// The answer to the write of an intent is lost, with or without its effect.
 /// The agent reads the record back and goes on from what it finds.
 #[test]
--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -8,7 +8,10 @@
 pub(crate) fn trials() -> Vec<Trial> {
     vec![
         Trial::test("docs::every_code_is_listed", every_code_is_listed),
-        Trial::test("docs::every_page_is_in_the_summary", every_page_is_in_the_summary),
+        Trial::test(
+            "docs::every_page_is_in_the_summary",
+            every_page_is_in_the_summary,
+        ),
     ]
 }
 
@@ -19,7 +22,12 @@
 fn every_code_is_listed() -> Result<(), Failed> {
     let table = std::fs::read_to_string(docs().join("errors.md"))?;
     for code in Code::ALL {
-        let row = format!("| {} | `{}` | {} |", code.number(), code.name(), code.http_status());
+        let row = format!(
+            "| {} | `{}` | {} |",
+            code.number(),
+            code.name(),
+            code.http_status()
+        );
         if !table.contains(&row) {
             return Err(format!("docs/errors.md lacks a row `{row}`").into());
         }
--- /dev/null
+++ b/tests/all/random.rs
@@ -0,0 +1,77 @@
+//! Seeded random sequences of faults over a whole deployment.
+//!
+//! Each seed gives the text of a scenario: a minute of faults and requests, then
+//! everything is healed, and after a pause each model and service must answer.
+//! The runner checks the promises that hold in every run. A seed that fails
+//! prints its text, which is then a file for `tests/scenarios`.
+//!
+//! ```text
+//! SESAME_RANDOM_RUNS=5000 cargo test --test all random::   # a longer run
+//! SESAME_RANDOM_SEED=17 cargo test --test all random::     # one seed, its text
+//! ```
+
+mod generate;
+
+use libtest_mimic::{Failed, Trial};
+use std::thread;
+
+/// Seeds run in CI.
+const CI_RUNS: u64 = 32;
+
+/// Trials into which the seeds are divided, so that they run side by side.
+const TRIALS: u64 = 4;
+
+/// Failing seeds that one trial shows.
+const SHOWN_MAX: usize = 3;
+
+pub(crate) fn trials() -> Vec<Trial> {
+    if let Some(seed) = setting("SESAME_RANDOM_SEED") {
+        let run = move || {
+            println!("{}", generate::text(seed));
+            check(seed).map_err(Failed::from)
+        };
+        return vec![Trial::test(format!("random::seed_{seed}"), run)];
+    }
+    let runs = setting("SESAME_RANDOM_RUNS").unwrap_or(CI_RUNS);
+    let trials = (0..TRIALS).map(|part| {
+        let name = format!("random::part_{part}_of_{TRIALS}");
+        Trial::test(name, move || run_part(part, runs))
+    });
+    trials.collect()
+}
+
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+fn run_part(part: u64, runs: u64) -> Result<(), Failed> {
+    let seeds = (0..runs).filter(|seed| seed % TRIALS == part);
+    let failures: Vec<String> = seeds.filter_map(|seed| check(seed).err()).collect();
+    if failures.is_empty() {
+        return Ok(());
+    }
+    let shown = failures.iter().take(SHOWN_MAX).cloned().collect::<Vec<_>>();
+    let count = failures.len();
+    Err(format!("{count} seeds fail\n{}", shown.join("\n")).into())
+}
+
+/// Runs one seed; an error holds what failed and the scenario's text.
+fn check(seed: u64) -> Result<(), String> {
+    let text = generate::text(seed);
+    let script = scenario::parse(&text).map_err(|errors| {
+        let lines = errors.iter().map(ToString::to_string);
+        format!(
+            "seed {seed}: {}\n{text}",
+            lines.collect::<Vec<_>>().join("\n")
+        )
+    })?;
+    // A panic of a machine is a failure of this seed and hides no other.
+    let run = thread::Builder::new().spawn(move || scenario::run(&script));
+    let outcome = run.map_err(|error| error.to_string())?.join();
+    let failures = match outcome {
+        Ok(outcome) if outcome.passed() => return Ok(()),
+        Ok(outcome) => outcome.failures.join("\n"),
+        Err(_) => "a machine panicked".to_owned(),
+    };
+    Err(format!("seed {seed}:\n{failures}\n{text}"))
+}
