Start of entry and agent stands once, in oper

Cause: the two programs' mains and error types were the same but for names (found by the list of doubled places). Ruled out: a macro (hides what a newcomer looks for). Change: oper::StartError, read_settings, run_shell, exit_code, address; the two mains keep their arguments.

--- a/crates/agent/src/bin/sesame-agent.rs
+++ b/crates/agent/src/bin/sesame-agent.rs
@@ -1,8 +1,7 @@
 //! The agent's program: reads its settings and runs until it has drained.
 
-use agent::AgentError;
 use bpaf::Bpaf;
-use schema::settings::AgentSettings;
+use oper::StartError;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -17,30 +16,16 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    match start(&arguments.settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
+    oper::exit_code(start(&arguments.settings))
 }
 
-fn start(file: &Path) -> Result<(), AgentError> {
-    let settings = read(file)?;
-    oper::init_log(&settings.log_level);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.worker_threads.max(1) as usize)
-        .enable_all()
-        .build()
-        .expect("a runtime needs only threads and descriptors");
-    runtime.block_on(agent::run(settings, oper::terminated()))
-}
-
-fn read(file: &Path) -> Result<AgentSettings, AgentError> {
-    let text = std::fs::read_to_string(file).map_err(|source| AgentError::File {
-        path: file.to_owned(),
-        source,
-    })?;
-    conf::check_agent_settings(&text).map_err(|faults| AgentError::Settings { faults })
+fn start(file: &Path) -> Result<(), StartError> {
+    let settings = oper::read_settings(file, conf::check_agent_settings)?;
+    let log_level = settings.log_level.clone();
+    let threads = settings.worker_threads;
+    oper::run_shell(
+        &log_level,
+        threads,
+        agent::run(settings, oper::terminated()),
+    )
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -17,7 +17,6 @@
 //! - Payloads never enter the machine, but for the answers it is to keep.
 
 mod attempts;
-mod error;
 mod links;
 mod metrics;
 mod node;
@@ -27,5 +26,4 @@
 mod ticker;
 mod upstream;
 
-pub use error::AgentError;
 pub use start::{AgentHandle, run, start, start_with};
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use line::Recorder;
 use oper::Clock;
+use oper::{LinkListenSnafu, ListenSnafu, StartError, address};
 use plat::{HttpPlatform, ObjectApi};
 use role::agent::{AgentEvent, AgentOptions};
 use schema::settings::AgentSettings;
@@ -13,8 +14,6 @@
 use tokio::task::JoinHandle;
 use wire::Listener;
 
-use crate::AgentError;
-use crate::error::{LinkListenSnafu, OperatorListenSnafu};
 use crate::links;
 use crate::node::{Node, Outside};
 use crate::operated::OperatedAgent;
@@ -71,7 +70,7 @@
 pub async fn run(
     settings: AgentSettings,
     shutdown: impl Future<Output = ()> + Send,
-) -> Result<(), AgentError> {
+) -> Result<(), StartError> {
     let agent = start(settings).await?;
     let node = Arc::clone(&agent.node);
     tokio::select! {
@@ -87,7 +86,7 @@
 /// # Errors
 ///
 /// As for [`run`].
-pub async fn start(settings: AgentSettings) -> Result<AgentHandle, AgentError> {
+pub async fn start(settings: AgentSettings) -> Result<AgentHandle, StartError> {
     let platform = address("platform", &settings.platform)?;
     start_with(settings, Arc::new(HttpPlatform::new(platform))).await
 }
@@ -100,12 +99,16 @@
 pub async fn start_with(
     settings: AgentSettings,
     platform: Arc<dyn ObjectApi>,
-) -> Result<AgentHandle, AgentError> {
+) -> Result<AgentHandle, StartError> {
     let operator_listen = address("operator_listen", &settings.operator_listen)?;
     let operators = TcpListener::bind(operator_listen)
         .await
-        .context(OperatorListenSnafu)?;
-    let operator_address = operators.local_addr().context(OperatorListenSnafu)?;
+        .context(ListenSnafu {
+            key: "operator_listen",
+        })?;
+    let operator_address = operators.local_addr().context(ListenSnafu {
+        key: "operator_listen",
+    })?;
     let link_listen = address("link_listen", &settings.link_listen)?;
     let links = Listener::bind(link_listen, wire::FRAME_MAX_BYTES)
         .await
@@ -168,10 +171,3 @@
         unix_ms_at_zero: clock.unix_ms_at_zero(),
     }
 }
-
-fn address(key: &'static str, text: &str) -> Result<SocketAddr, AgentError> {
-    text.parse().map_err(|_| AgentError::Address {
-        key,
-        text: text.to_owned(),
-    })
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,7 +17,6 @@
 
 mod backoff;
 mod calls;
-mod error;
 mod http;
 mod links;
 mod metrics;
@@ -27,6 +26,5 @@
 mod start;
 mod ticker;
 
-pub use error::EntryError;
 pub use http::{StallTimeout, error_answer};
 pub use start::{EntryHandle, run, start, start_with};
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use line::Recorder;
 use oper::Clock;
+use oper::{LinkListenSnafu, ListenSnafu, StartError, address};
 use plat::{HttpPlatform, ObjectApi};
 use role::entry::{EntryEvent, EntryOptions};
 use schema::settings::EntrySettings;
@@ -15,8 +16,6 @@
 use wire::Listener;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::EntryError;
-use crate::error::{LinkListenSnafu, ListenSnafu};
 use crate::http::CallerServer;
 use crate::links;
 use crate::node::Node;
@@ -80,7 +79,7 @@
 pub async fn run(
     settings: EntrySettings,
     shutdown: impl Future<Output = ()> + Send,
-) -> Result<(), EntryError> {
+) -> Result<(), StartError> {
     let mut shutdown = pin!(shutdown);
     // Polled before anything is started: waiting for a signal installs its
     // handler then. A signal that came between the first line of the log and
@@ -104,7 +103,7 @@
 /// # Errors
 ///
 /// As for [`run`].
-pub async fn start(settings: EntrySettings) -> Result<EntryHandle, EntryError> {
+pub async fn start(settings: EntrySettings) -> Result<EntryHandle, StartError> {
     let platform = address("platform", &settings.platform)?;
     start_with(settings, Arc::new(HttpPlatform::new(platform))).await
 }
@@ -117,7 +116,7 @@
 pub async fn start_with(
     settings: EntrySettings,
     platform: Arc<dyn ObjectApi>,
-) -> Result<EntryHandle, EntryError> {
+) -> Result<EntryHandle, StartError> {
     let callers = listen("caller_listen", &settings.caller_listen).await?;
     let operators = listen("operator_listen", &settings.operator_listen).await?;
     let links = address("link_listen", &settings.link_listen)?;
@@ -209,20 +208,13 @@
     Incarnation((clock.unix_us_at_zero() << NAME_BITS) | name)
 }
 
-fn address(key: &'static str, text: &str) -> Result<SocketAddr, EntryError> {
-    text.parse().map_err(|_| EntryError::Address {
-        key,
-        text: text.to_owned(),
-    })
-}
-
-async fn listen(key: &'static str, text: &str) -> Result<TcpListener, EntryError> {
+async fn listen(key: &'static str, text: &str) -> Result<TcpListener, StartError> {
     let address = address(key, text)?;
     TcpListener::bind(address)
         .await
         .context(ListenSnafu { key })
 }
 
-fn bound(key: &'static str, listener: &TcpListener) -> Result<SocketAddr, EntryError> {
+fn bound(key: &'static str, listener: &TcpListener) -> Result<SocketAddr, StartError> {
     listener.local_addr().context(ListenSnafu { key })
 }
--- a/crates/entry/src/error.rs
+++ b/crates/oper/src/start.rs
@@ -1,16 +1,17 @@
-//! Why an entry can't start.
+//! Why a process can't start.
 
 use base::Code;
 use conf::Fault;
 use snafu::Snafu;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use wire::WireError;
 
-/// Why an entry can't start.
+/// Why a process can't start.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum EntryError {
+#[snafu(visibility(pub))]
+pub enum StartError {
     /// The settings file can't be read.
     #[snafu(display("{}: {}: {source}", Code::FileFault, path.display()))]
     File {
@@ -49,7 +50,7 @@
     },
 }
 
-impl EntryError {
+impl StartError {
     /// Numbered code of the fault.
     pub fn code(&self) -> Code {
         match self {
@@ -67,3 +68,15 @@
     let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
     lines.join("\n")
 }
+
+/// Reads `ip:port` from the settings.
+///
+/// # Errors
+///
+/// [`StartError::Address`] if the text is something else.
+pub fn address(key: &'static str, text: &str) -> Result<SocketAddr, StartError> {
+    text.parse().map_err(|_| StartError::Address {
+        key,
+        text: text.to_owned(),
+    })
+}
