Scenario language: names must exist, versions show, faults must fit

A misspelt event, request or body made a statement that could not fail, and a fault that hit nothing went by: `replace` of an agent that ran, `thaw` of what was not frozen, `heal` of what was not cut, `start` of what ran. The first are now errors of the script with line and column, the others failures of the run.

Ruled out: warnings only (nobody reads them).

--- a/crates/scenario/src/parse/line.rs
+++ b/crates/scenario/src/parse/line.rs
@@ -62,10 +62,6 @@
         Ok(Some(words))
     }
 
-    pub(super) const fn line(&self) -> usize {
-        self.line
-    }
-
     /// An error at a word.
     pub(super) fn error(&self, word: Word<'_>, message: &str) -> ScriptError {
         let text = format!("{message}: `{}`", word.text);
--- a/crates/scenario/src/parse/mod.rs
+++ b/crates/scenario/src/parse/mod.rs
@@ -2,11 +2,11 @@
 
 mod decl;
 mod line;
+mod names;
 mod value;
 mod verb;
 
 use snafu::Snafu;
-use std::collections::BTreeSet;
 
 use crate::script::{Script, Step};
 use line::Words;
@@ -46,7 +46,7 @@
             errors.push(error);
         }
     }
-    errors.extend(unknown_names(&script));
+    errors.extend(names::check(&script));
     if !errors.is_empty() {
         return Err(errors);
     }
@@ -71,21 +71,3 @@
     decl::declaration(script, &mut words)?;
     words.end()
 }
-
-/// Steps that name a process which is not declared.
-fn unknown_names(script: &Script) -> Vec<ScriptError> {
-    let entries = script.entries.iter().map(|entry| entry.name.as_str());
-    let instances = script.instances.iter().map(|instance| instance.name.as_str());
-    let known: BTreeSet<&str> = entries.chain(instances).collect();
-    let mut errors = Vec::new();
-    for step in &script.steps {
-        for name in verb::processes(&step.verb) {
-            let plain = name.strip_suffix(".old").unwrap_or(name);
-            if plain != "platform" && !known.contains(plain) {
-                let text = format!("no process is called `{name}`");
-                errors.push(ScriptError::new(step.line, 1, &text));
-            }
-        }
-    }
-    errors
-}
--- a/crates/scenario/src/world/action.rs
+++ b/crates/scenario/src/world/action.rs
@@ -42,7 +42,9 @@
             EntryAction::Refuse { request, refusal } => {
                 self.ended(request, End::Refused(refusal));
             }
-            EntryAction::Connect { peer, address } => self.connect(name, peer, address),
+            EntryAction::Connect { peer, address } => {
+                self.connect(name, peer, &address);
+            }
             EntryAction::Disconnect { peer } => {
                 if let Some(node) = self.entries.get_mut(name) {
                     node.wanted.remove(&peer);
@@ -107,7 +109,13 @@
         }
     }
 
-    fn send_run(&mut self, name: &str, request: RequestId, agent: AgentId, run: Box<Run>) {
+    fn send_run(
+        &mut self,
+        name: &str,
+        request: RequestId,
+        agent: AgentId,
+        run: Box<Run>,
+    ) {
         let attempt = run.attempt.unwrap_or_default();
         let attempt = AttemptId {
             origin: attempt.origin,
@@ -124,12 +132,12 @@
         self.send_from_entry(name, &peer, frame::Body::Run(*run));
     }
 
-    fn connect(&mut self, name: &str, peer: Peer, address: String) {
+    fn connect(&mut self, name: &str, peer: Peer, address: &str) {
         let Some(node) = self.entries.get_mut(name) else {
             return;
         };
         let start = node.start;
-        let known = node.wanted.insert(peer.clone(), address.clone());
+        let known = node.wanted.insert(peer.clone(), address.to_owned());
         if known.is_some_and(|known| known != address) {
             self.disconnect(name, &peer);
         }
@@ -164,7 +172,7 @@
         let happening = Happening::Agent {
             process: name.to_owned(),
             start: node.start,
-            event: role::agent::AgentEvent::PredecessorProbed { dead },
+            event: Box::new(role::agent::AgentEvent::PredecessorProbed { dead }),
             payload: String::new(),
         };
         self.queue.add(self.now + LOCAL, happening);
--- a/crates/scenario/src/world/caller.rs
+++ b/crates/scenario/src/world/caller.rs
@@ -7,6 +7,12 @@
 use super::World;
 use crate::script::RequestDecl;
 
+/// Version of a model unless a script says otherwise.
+const FIRST_VERSION: u32 = 1;
+
+/// Highest version of a model that a script may use.
+const LAST_VERSION: u32 = 32;
+
 /// Requests by their name in the script.
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
@@ -71,9 +77,13 @@
     }
 }
 
-/// One unit of the answer of an engine.
-pub(crate) fn token(body: &str, index: u64) -> String {
-    format!("{body}:{index} ")
+/// One unit of the answer of an engine; each version of a model has its own, so
+/// that an answer put together from two of them shows.
+pub(crate) fn token(body: &str, version: u32, index: u64) -> String {
+    if version == FIRST_VERSION {
+        return format!("{body}:{index} ");
+    }
+    format!("{body}@{version}:{index} ")
 }
 
 /// The answer of a plain service.
@@ -81,14 +91,19 @@
     format!("done {body}")
 }
 
-/// The whole answer that a request must get.
-pub(crate) fn whole_answer(decl: &RequestDecl) -> String {
+/// The whole answers, any one of which a request must get: one for each version
+/// of its model.
+pub(crate) fn whole_answers(decl: &RequestDecl) -> Vec<String> {
     if decl.service.is_some() {
-        return service_answer(&decl.body);
+        return vec![service_answer(&decl.body)];
     }
-    (0..u64::from(decl.units))
-        .map(|index| token(&decl.body, index))
-        .collect()
+    let of_version = |version| {
+        let units = 0..u64::from(decl.units);
+        units
+            .map(|index| token(&decl.body, version, index))
+            .collect()
+    };
+    (FIRST_VERSION..=LAST_VERSION).map(of_version).collect()
 }
 
 /// A part of an answer less its first units.
@@ -154,7 +169,9 @@
             return;
         };
         let text = skipped(&sent.decl, payload, skip_units);
-        let late = sent.end.is_some_and(|end| end != End::Gone && end != End::Broken);
+        let late = sent
+            .end
+            .is_some_and(|end| end != End::Gone && end != End::Broken);
         sent.first_unit.get_or_insert(now);
         sent.received.push_str(&text);
         if late {
--- a/crates/scenario/src/world/check.rs
+++ b/crates/scenario/src/world/check.rs
@@ -3,8 +3,8 @@
 //!
 //! The promises checked after each run:
 //!
-//! - what a caller received is the start of its own whole answer, and a clean
-//!   end means all of it;
+//! - what a caller received is the start of its own whole answer, by one version
+//!   of its model, and a clean end means all of it;
 //! - a request refused as not run was run by no upstream, not even later;
 //! - a call that may not be repeated ran at most once, and so did each key;
 //! - every request got its final answer by its deadline and a margin.
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 
 use super::World;
-use super::caller::{End, Sent, whole_answer};
+use super::caller::{End, Sent, whole_answers};
 use crate::script::{Bounds, Expect};
 
 /// Time after its deadline within which a request has its final answer.
@@ -29,7 +29,9 @@
     /// Whether a statement holds now; else what was found.
     pub(crate) fn holds(&mut self, expect: &Expect) -> Result<(), String> {
         match expect {
-            Expect::Whole { request } => self.expect_end(request, |end| end == End::Whole),
+            Expect::Whole { request } => {
+                self.expect_end(request, |end| end == End::Whole)
+            }
             Expect::Failed { request, code, ran } => self.expect_end(request, |end| {
                 let End::Refused(refusal) = end else {
                     return false;
@@ -160,11 +162,14 @@
 }
 
 fn check_answer(name: &str, sent: &Sent, broken: &mut Vec<String>) {
-    let whole = whole_answer(&sent.decl);
-    if !whole.starts_with(&sent.received) {
+    let answers = whole_answers(&sent.decl);
+    if !answers
+        .iter()
+        .any(|whole| whole.starts_with(&sent.received))
+    {
         broken.push(format!("{name} received `{}`, not its own", sent.received));
     }
-    if sent.end == Some(End::Whole) && sent.received != whole {
+    if sent.end == Some(End::Whole) && !answers.contains(&sent.received) {
         broken.push(format!("{name} ended cleanly with `{}`", sent.received));
     }
     if let Some(End::Refused(refusal)) = sent.end
--- a/crates/scenario/src/world/link.rs
+++ b/crates/scenario/src/world/link.rs
@@ -133,8 +133,8 @@
             return Some((name.clone(), node.start));
         }
         let mut agents = self.agents.iter();
-        let found = agents
-            .find(|(_, node)| node.role.is_some() && node.address == address);
+        let found =
+            agents.find(|(_, node)| node.role.is_some() && node.address == address);
         found.map(|(name, node)| (name.clone(), node.start))
     }
 
@@ -160,6 +160,7 @@
         };
         let to = self.links.all[&id].far.clone();
         let revision = self.entries[entry].revision;
+        let body = Box::new(body);
         self.send_passage(id, &to, Passage::Frame { revision, body });
     }
 
@@ -174,6 +175,7 @@
             return;
         };
         let revision = self.agents[agent].revision;
+        let body = Box::new(body);
         self.send_passage(id, entry, Passage::Frame { revision, body });
     }
 
@@ -225,7 +227,7 @@
                 self.redial(&link.entry, link.entry_start, &peer);
             }
             Passage::Frame { revision, body } => {
-                self.frame_to_entry(&link.entry, peer, revision, body);
+                self.frame_to_entry(&link.entry, peer, revision, *body);
             }
         }
     }
@@ -267,7 +269,7 @@
                 let event = EntryEvent::Frame {
                     peer: Peer::Entry(entry),
                     revision,
-                    body,
+                    body: *body,
                 };
                 self.entry_handle(&link.far, event, None);
             }
@@ -279,7 +281,7 @@
             Passage::Frame { revision, body } => AgentEvent::Frame {
                 entry,
                 revision,
-                body,
+                body: *body,
             },
         };
         self.agent_handle(&link.far, event, "");
@@ -292,7 +294,9 @@
 
     pub(crate) fn heal(&mut self, a: &str, b: &str) {
         self.log(a, &format!("is no more cut off from {b}"));
-        self.links.cuts.remove(&pair(a, b));
+        if !self.links.cuts.remove(&pair(a, b)) {
+            self.fail(&format!("{a} and {b} are healed and were not cut"));
+        }
         for (link, to, passage) in std::mem::take(&mut self.links.held) {
             let happening = Happening::Passage { link, to, passage };
             self.queue.add(self.now + LATENCY, happening);
--- a/crates/scenario/src/world/mod.rs
+++ b/crates/scenario/src/world/mod.rs
@@ -122,13 +122,13 @@
                 answer,
             } => self.platform_answer(&process, start, answer),
             Happening::WatchEnd { id } => self.watch_end(id),
-            Happening::Poll { process, start } => self.poll(process, start),
+            Happening::Poll { process, start } => self.poll(&process, start),
             Happening::Agent {
                 process,
                 start,
                 event,
                 payload,
-            } => self.agent_event(&process, start, event, payload),
+            } => self.agent_event(&process, start, *event, payload),
             Happening::HandOver(hand_over) => self.hand_over(hand_over),
             Happening::EngineStep { instance, run } => self.engine_step(&instance, run),
             Happening::ServiceDone { instance, attempt } => {
@@ -139,7 +139,7 @@
                 from,
                 order,
                 answered,
-            } => self.order_arrives(&instance, from, order, answered),
+            } => self.order_arrives(&instance, &from, &order, answered),
             Happening::OrderDone {
                 instance,
                 run,
--- a/crates/scenario/src/world/platform.rs
+++ b/crates/scenario/src/world/platform.rs
@@ -82,7 +82,10 @@
     }
 
     fn holds(&self, key: &str, expect: Expect) -> bool {
-        let present = self.objects.get(key).filter(|object| object.value.is_some());
+        let present = self
+            .objects
+            .get(key)
+            .filter(|object| object.value.is_some());
         match expect {
             Expect::Any => true,
             Expect::Absent => present.is_none(),
@@ -106,9 +109,8 @@
 
     fn list(&mut self, prefix: &str, after: Version) -> PlatformResult {
         let objects = self.objects.iter();
-        let within = objects.filter(|(key, object)| {
-            key.starts_with(prefix) && object.version > after
-        });
+        let within = objects
+            .filter(|(key, object)| key.starts_with(prefix) && object.version > after);
         let watching = after > Version(0);
         let found = within.filter_map(|(key, object)| match &object.value {
             Some(value) => Some((key.clone(), object.version, value.clone())),
@@ -336,7 +338,8 @@
 
     pub(crate) fn list_leaving(&mut self, instance: &str) {
         let value = br#"{"state":"leaving"}"#.to_vec();
-        self.platform.put(&format!("instances/{instance}"), Some(value));
+        self.platform
+            .put(&format!("instances/{instance}"), Some(value));
         self.wake_watches();
     }
 }
--- a/crates/scenario/src/world/process.rs
+++ b/crates/scenario/src/world/process.rs
@@ -18,7 +18,6 @@
 pub(crate) struct EntryNode {
     pub(crate) start: Start,
     pub(crate) role: Option<EntryRole>,
-    pub(crate) domain: String,
     pub(crate) address: String,
     pub(crate) frozen: bool,
     pub(crate) held: Vec<Happening>,
@@ -76,7 +75,6 @@
         let node = EntryNode {
             start,
             role: Some(role),
-            domain: decl.domain.clone(),
             address,
             frozen: false,
             held: Vec::new(),
@@ -142,7 +140,10 @@
         if self.entries.contains_key(name) {
             let callers = self.callers.entry_gone(name, self.now);
             for request in callers {
-                self.log(name, &format!("caller of {request} sees a broken connection"));
+                self.log(
+                    name,
+                    &format!("caller of {request} sees a broken connection"),
+                );
             }
         }
     }
@@ -169,6 +170,9 @@
 
     /// A second agent is started while the first is frozen.
     pub(crate) fn replace(&mut self, name: &str) {
+        if !self.agents.get(name).is_some_and(|node| node.frozen) {
+            self.fail(&format!("{name} is replaced and not frozen"));
+        }
         let Some(node) = self.agents.remove(name) else {
             return;
         };
@@ -190,6 +194,11 @@
     }
 
     pub(crate) fn thaw(&mut self, name: &str) {
+        let entry = self.entries.get(name).map(|node| node.frozen);
+        let agent = self.agents.get(name).map(|node| node.frozen);
+        if entry.or(agent) != Some(true) {
+            self.fail(&format!("{name} thaws and was not frozen"));
+        }
         self.log(name, "process thaws");
         let mut held = Vec::new();
         if let Some(node) = self.entries.get_mut(name) {
@@ -207,11 +216,12 @@
 
     /// Whether a process runs; a frozen one keeps what reaches it for later.
     pub(crate) fn runs(&mut self, name: &str, start: Start) -> Running {
-        let (alive, frozen, current) = match (self.entries.get(name), self.agents.get(name)) {
-            (Some(node), _) => (node.role.is_some(), node.frozen, node.start),
-            (None, Some(node)) => (node.role.is_some(), node.frozen, node.start),
-            (None, None) => return Running::Gone,
-        };
+        let (alive, frozen, current) =
+            match (self.entries.get(name), self.agents.get(name)) {
+                (Some(node), _) => (node.role.is_some(), node.frozen, node.start),
+                (None, Some(node)) => (node.role.is_some(), node.frozen, node.start),
+                (None, None) => return Running::Gone,
+            };
         if !alive || current != start {
             Running::Gone
         } else if frozen {
@@ -232,7 +242,10 @@
     /// Name under which a start of a process now goes: `replace` renames it.
     pub(crate) fn current_name(&self, name: &str, start: Start) -> String {
         let old = format!("{name}.old");
-        let renamed = self.agents.get(&old).is_some_and(|node| node.start == start);
+        let renamed = self
+            .agents
+            .get(&old)
+            .is_some_and(|node| node.start == start);
         if renamed { old } else { name.to_owned() }
     }
 
@@ -310,7 +323,12 @@
         self.set_tick(name);
     }
 
-    pub(crate) fn agent_handle(&mut self, name: &str, event: AgentEvent, payload: &str) {
+    pub(crate) fn agent_handle(
+        &mut self,
+        name: &str,
+        event: AgentEvent,
+        payload: &str,
+    ) {
         let mut out: Vec<AgentAction> = Vec::new();
         let now = self.now;
         let Some(node) = self.agents.get_mut(name) else {
@@ -344,7 +362,7 @@
                 let happening = Happening::Agent {
                     process: process.clone(),
                     start,
-                    event,
+                    event: Box::new(event),
                     payload,
                 };
                 self.hold(&process, happening);
@@ -353,8 +371,8 @@
         }
     }
 
-    pub(crate) fn poll(&mut self, process: String, start: Start) {
-        let process = self.current_name(&process, start);
+    pub(crate) fn poll(&mut self, process: &str, start: Start) {
+        let process = self.current_name(process, start);
         match self.runs(&process, start) {
             Running::Gone => return,
             Running::Frozen => {}
--- a/crates/scenario/src/world/queue.rs
+++ b/crates/scenario/src/world/queue.rs
@@ -52,7 +52,7 @@
     Agent {
         process: String,
         start: Start,
-        event: AgentEvent,
+        event: Box<AgentEvent>,
         payload: String,
     },
     HandOver(HandOver),
@@ -94,7 +94,10 @@
 #[derive(Debug)]
 pub(crate) enum Passage {
     Hello,
-    Frame { revision: Revision, body: frame::Body },
+    Frame {
+        revision: Revision,
+        body: Box<frame::Body>,
+    },
     Down,
 }
 
--- a/crates/scenario/src/world/step.rs
+++ b/crates/scenario/src/world/step.rs
@@ -29,6 +29,11 @@
     }
 
     fn start_again(&mut self, process: &str) {
+        let entry = self.entries.get(process).map(|node| node.role.is_some());
+        let agent = self.agents.get(process).map(|node| node.role.is_some());
+        if entry.or(agent) == Some(true) {
+            self.fail(&format!("{process} starts and was running"));
+        }
         let instances = &self.script.instances;
         if instances.iter().any(|instance| instance.name == process) {
             self.start_agent(process, process);
--- a/crates/scenario/src/world/upstream.rs
+++ b/crates/scenario/src/world/upstream.rs
@@ -221,7 +221,7 @@
         let happening = Happening::Agent {
             process: process.to_owned(),
             start,
-            event: AgentEvent::Upstream(event),
+            event: Box::new(AgentEvent::Upstream(event)),
             payload,
         };
         self.queue.add(self.now + LOCAL, happening);
@@ -337,7 +337,8 @@
             let to = (running.process.clone(), running.start);
             let attempt = running.attempt;
             if running.produced < total {
-                let payload = token(&running.body, running.produced);
+                let version = running.run.version;
+                let payload = token(&running.body, version, running.produced);
                 running.produced += 1;
                 told.push((to.clone(), part(attempt, 1), payload));
             }
@@ -486,10 +487,10 @@
         let happening = Happening::Agent {
             process: process.to_owned(),
             start,
-            event: AgentEvent::Upstream(UpstreamEvent::OrderAnswered {
+            event: Box::new(AgentEvent::Upstream(UpstreamEvent::OrderAnswered {
                 order,
                 answer: OrderAnswer::Unanswered,
-            }),
+            })),
             payload: String::new(),
         };
         self.queue
@@ -500,15 +501,15 @@
     pub(crate) fn order_arrives(
         &mut self,
         instance: &str,
-        from: (String, Start),
-        order: Order,
+        from: &(String, Start),
+        order: &Order,
         answered: bool,
     ) {
         let Some(upstream) = self.upstreams.get_mut(instance) else {
             return;
         };
         let (answer, begun) = if upstream.up {
-            upstream.accept(&order)
+            upstream.accept(order)
         } else {
             (OrderAnswer::Unanswered, false)
         };
