Claims: an old read of a shard is not taken for the present

Cause: the platform may give an old read. Ruled out: reading twice (both may be old); ignoring it and going on (the write settles nothing while the answer is lost). Change: a shard keeps the highest version seen; a read below it counts as the platform being away for this shard, and is made again after the usual pause.

--- a/crates/once/src/calls.rs
+++ b/crates/once/src/calls.rs
@@ -116,6 +116,14 @@
             Some((version, value)) => (Some(version), value),
             None => (None, Vec::new()),
         };
+        // An old read may lack a claim that stands. Taken for the present, it
+        // would end a finish whose write had no answer: the stored answer would
+        // be gone, and a resend be told that the outcome is unknown. Versions
+        // come from one counter, so a lower one is older.
+        if version < self.shards[index].newest {
+            self.was_away(now, index, out);
+            return;
+        }
         // A shard that can't be read must not be written over: it holds claims.
         let Ok(content) = ClaimShard::decode(value.as_slice()) else {
             self.was_away(now, index, out);
@@ -142,6 +150,7 @@
         let shard = &mut self.shards[index];
         shard.quiet_until = None;
         shard.failures = 0;
+        shard.newest = shard.newest.max(version);
         let state_of = |nonce: u64| {
             let mut claims = content.claims.iter();
             claims.find(|claim| claim.nonce == nonce).map(|c| c.state)
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -75,6 +75,8 @@
 pub(crate) struct Shard {
     pub busy: Busy,
     pub known: Option<Known>,
+    /// Highest version seen; a read below it shows the past.
+    pub newest: Option<Version>,
     pub begins: Vec<Begin>,
     pub endings: Vec<Ending>,
     /// Version which a write without an answer expected: as long as the object
@@ -129,6 +131,7 @@
         Self {
             busy: Busy::Idle,
             known: None,
+            newest: None,
             begins: Vec::new(),
             endings: Vec::new(),
             maybe_written_over: None,
--- a/crates/once/tests/claims.rs
+++ b/crates/once/tests/claims.rs
@@ -26,6 +26,8 @@
     CallLost,
     /// The answer is lost, and the call has its effect later.
     Late,
+    /// A read gives what stood before the first write.
+    Old,
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +49,7 @@
                 self.apply(&call.op);
                 PlatformResult::Unanswered
             }
+            Fate::Old => PlatformResult::Object(None),
             Fate::Late => {
                 self.late.push(call.op.clone());
                 PlatformResult::Unanswered
@@ -519,3 +522,28 @@
     assert_eq!(agent.refused(1), Some((Code::PlatformAway, Ran::NotRun)));
     assert_eq!(platform.objects[&key].1, vec![0xff; 5]);
 }
+
+/// The answer of the write that stores an answer is lost, and the platform then
+/// gives an old read of the shard, in which the claim is missing. The agent does
+/// not believe it: a resend gets the stored answer, not that the outcome is
+/// unknown.
+#[test]
+fn an_old_read_does_not_drop_an_answer() {
+    let mut platform = Platform::default();
+    let mut agent = Agent::new("p1");
+    agent.begin(0, 1, "k", BODY);
+    agent.pump(0, &mut platform);
+    assert!(agent.granted(1));
+    platform.fates = VecDeque::from([Fate::CallLost, Fate::Old]);
+    agent.finish(100, 1, b"done");
+    agent.pump(100, &mut platform);
+    for ms in (200..20_000).step_by(100) {
+        agent.tick(ms);
+        agent.pump(ms, &mut platform);
+    }
+    let mut other = Agent::new("p2");
+    other.begin(20_000, 2, "k", BODY);
+    other.pump(20_000, &mut platform);
+    let replayed = matches!(other.outcome(2), Some(Outcome::Replay(_)));
+    assert!(replayed, "{:?}", other.outcome(2));
+}
