--- a/ci/test.sh
+++ b/ci/test.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --workspace --bins --locked
-cargo test --workspace --locked
+cargo test --workspace --locked --no-fail-fast
