--- a/crates/role/src/entry/control/frames.rs
+++ b/crates/role/src/entry/control/frames.rs
@@ -61,7 +61,7 @@
             return;
         }
         self.reach(MemberKind::Agent, id.as_str(), incarnation, &address, out);
-        let alone = !self.entries.any_alive(self.judged_at(now));
+        let alone = !self.entries.any_alive(now);
         self.directory.judge(now, &id, alone, &mut changes);
         self.apply(&changes, out, effects);
         effects.room.insert(id);
--- a/crates/role/src/entry/control/links.rs
+++ b/crates/role/src/entry/control/links.rs
@@ -109,7 +109,7 @@
         effects: &mut Effects,
     ) {
         let judged_at = self.judged_at(now);
-        let alone = !self.entries.any_alive(judged_at);
+        let alone = !self.entries.any_alive(now);
         let mut changes = Vec::new();
         self.directory.tick(judged_at, alone, &mut changes);
         self.apply(&changes, out, effects);
--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -202,7 +202,6 @@
 
     /// Whether this entry probes an upstream for the fleet.
     pub(crate) fn probes(&self, now: Instant, agent: &AgentId) -> bool {
-        let now = self.judged_at(now);
         let others = self.entries.all().filter(|held| !held.leaving);
         let alive = others.filter(|held| self.entries.alive(now, &held.id));
         let names = alive.map(|held| &held.id).chain([&self.me]);
--- a/crates/role/src/entry/requests/holders.rs
+++ b/crates/role/src/entry/requests/holders.rs
@@ -15,9 +15,6 @@
 /// Time within which an agent that is there, but can't serve, may be able to.
 const AGENT_BACK_MS: u64 = 1_000;
 
-/// Least time that a load which is under way still takes.
-const LOADING_MIN_MS: u64 = 50;
-
 /// Agents that can serve a request, with the version each would serve.
 #[derive(Debug)]
 pub(super) struct Candidates<'a> {
@@ -256,7 +253,8 @@
 /// A load that takes longer than loads do is expected to take as long again. By
 /// that, what has waited for most of a slow load would be refused shortly before
 /// its end, and its wait would be for nothing. A load in progress may end at any
-/// moment, so it is waited for as long as the deadline leaves time for the answer.
+/// moment, so it is waited for as long as the deadline leaves time for the answer
+/// and for one more look at the queue, which tells the caller when to come back.
 /// Who comes while the load is late already is told at once.
 pub(super) fn waits_for_load(
     ctx: &Ctx<'_>,
@@ -268,7 +266,8 @@
         return false;
     };
     let waits = matches!(request.state, State::Waiting(_));
-    let in_time = input.whole_ms.saturating_add(LOADING_MIN_MS) < input.remaining_ms;
+    let look_ms = ctx.control.directory.timing().heartbeat_ms();
+    let in_time = input.whole_ms.saturating_add(look_ms) < input.remaining_ms;
     let mut agents = ctx.control.directory.agents();
     waits
         && input.holders == 0
--- a/crates/role/tests/entry/forecast.rs
+++ b/crates/role/tests/entry/forecast.rs
@@ -117,8 +117,10 @@
     Fails,
     /// Its agent falls silent.
     Silent,
-    /// Its upstream crashes.
+    /// Its upstream crashes; what was loaded there is told as before.
     Crashes,
+    /// Its agent leaves.
+    Leaves,
 }
 
 fn report(rig: &mut Rig, state: Option<ResidentState>, age_ms: u64) {
@@ -147,10 +149,11 @@
     const DEADLINE_MS: u64 = 14_000;
     let rows = [
         (Load::Ends, None),
-        (Load::Stays, Some(13_000..DEADLINE_MS)),
-        (Load::Fails, Some(8_000..11_000)),
-        (Load::Silent, Some(8_000..12_500)),
-        (Load::Crashes, Some(8_000..11_000)),
+        (Load::Stays, Some(13_500..=DEADLINE_MS)),
+        (Load::Fails, Some(8_000..=11_000)),
+        (Load::Silent, Some(8_000..=12_500)),
+        (Load::Crashes, Some(8_000..=11_000)),
+        (Load::Leaves, Some(8_000..=11_000)),
     ];
     for (load, refused_at) in rows {
         let mut rig = rig();
@@ -165,19 +168,25 @@
             let under_way = passed_ms < 8_000;
             rig.agents.get_mut("a1").expect("known").upstream_up =
                 under_way || load != Load::Crashes;
+            rig.agents.get_mut("a1").expect("known").leaving =
+                !under_way && load == Load::Leaves;
             match (load, under_way) {
                 (Load::Ends, _) if passed_ms >= 12_500 => {
                     report(&mut rig, Some(ResidentState::Loaded), 0);
                 }
-                (Load::Ends | Load::Stays, _) | (_, true) => {
+                (Load::Fails, false) => report(&mut rig, None, 0),
+                (Load::Silent, false) => {}
+                _ => {
                     report(&mut rig, Some(ResidentState::Loading), passed_ms);
                 }
-                (Load::Fails | Load::Crashes, _) => report(&mut rig, None, 0),
-                (Load::Silent, _) => {}
             }
             if passed_ms == 7_500 {
                 later = Some(refused(&mut rig, "m1", 4_000));
             }
+            if let Some(run) = rig.runs(request).pop() {
+                rig.started(&run);
+                rig.end(&run, 0);
+            }
             if told_at.is_none() && !rig.refusals(request).is_empty() {
                 told_at = Some(passed_ms);
             }
@@ -189,7 +198,9 @@
             Some(bounds) => {
                 let told_at = told_at.expect("it is told");
                 assert!(bounds.contains(&told_at), "{load:?} {told_at}");
-                assert!(rig.refusal(request).retry_after_ms.is_some());
+                let refusal = rig.refusal(request);
+                assert_eq!(refusal.code, Code::ModelUnavailable, "{load:?}");
+                assert!(refusal.retry_after_ms > Some(1_000), "{load:?}");
             }
         }
     }
--- a/crates/role/tests/entry/freeze.rs
+++ b/crates/role/tests/entry/freeze.rs
@@ -27,8 +27,10 @@
     rig.now = rig.now.plus_ms(FREEZE_MS);
 }
 
+type Play = fn(&mut Rig);
+
 /// Events that a woken process may see first.
-const FIRST: &[(&str, fn(&mut Rig))] = &[
+const FIRST: &[(&str, Play)] = &[
     ("tick", |rig| rig.handle(EntryEvent::Tick)),
     ("gossip", hear),
     ("answer of the platform", |rig| {
@@ -36,6 +38,11 @@
         rig.handle(EntryEvent::Platform(PlatformAnswer { id, result }));
         rig.handle(EntryEvent::Tick);
     }),
+    ("tick, and a second freeze", |rig| {
+        rig.handle(EntryEvent::Tick);
+        rig.now = rig.now.plus_ms(3_000);
+        rig.handle(EntryEvent::Tick);
+    }),
 ];
 
 /// An entry stands still for 12 s and is asked in the moment it wakes, before it
@@ -73,13 +80,16 @@
 
 /// The agent died while the entry stood still, so nothing of it waits in any
 /// socket. Its silence counts from the wake: it is suspected after three
-/// heartbeats and lost after ten, as any other.
+/// heartbeats and lost after ten, as any other. Later silence counts as ever.
 #[test]
 fn silence_is_counted_from_the_wake() {
     let mut rig = Rig::new();
     rig.agent("a1", &["m1"]);
     rig.agents.get_mut("a1").expect("known").silent = true;
     freeze(&mut rig);
+    for _ in 0..2 {
+        hear(&mut rig);
+    }
     let verdicts = |rig: &Rig| {
         let kinds = [EventKind::AgentSuspected, EventKind::AgentLost];
         kinds.map(|kind| rig.traced(kind))
@@ -92,6 +102,10 @@
     }
     rig.advance(5_300 - passed_ms);
     assert_eq!(verdicts(&rig), [1, 1]);
+    rig.agent("a2", &["m1"]);
+    rig.agents.get_mut("a2").expect("known").silent = true;
+    rig.advance(1_700);
+    assert_eq!(verdicts(&rig), [2, 1]);
 }
 
 /// An entry that wakes and hears a request for a model that nobody held when it
@@ -129,9 +143,14 @@
     let request = rig.ask("m1");
     let run = rig.run(request);
     rig.started(&run);
+    // Turns of 3 s: e1 has those that begin at even multiples of it.
+    while rig.now < Instant::from_ms(3_500) {
+        rig.advance(100);
+        hear(&mut rig);
+    }
     rig.crash(&run, &[run.run.fingerprint]);
+    assert_eq!(rig.runs(request).len(), 1, "it waits for the turn");
     rig.clear();
-    // Turns of 3 s: e1 has those that begin at even multiples of it.
     rig.now = Instant::from_ms(16_500);
     rig.handle(EntryEvent::Tick);
     rig.beat_all();
