--- a/ci/test.sh
+++ b/ci/test.sh
@@ -1,6 +1,13 @@
 #!/usr/bin/env bash
-# All tests of the workspace.
+# All tests of the workspace. The last line adds up what cargo says of each test
+# binary: the last of them has none, and would read as if nothing had been run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --workspace --bins --locked
-cargo test --workspace --locked --no-fail-fast
+results=$(mktemp)
+trap 'rm -f "$results"' EXIT
+status=0
+cargo test --workspace --locked --no-fail-fast 2>&1 | tee "$results" || status=$?
+awk '/^test result:/ { passed += $4; failed += $6 }
+     END { printf "%d passed, %d failed\n", passed, failed }' "$results"
+exit "$status"
