Split long test files and the demo's deployment by theme

Eight files had 450 to 577 lines, several themes each. A reader who looked for one case had to pass the others.

- `place/tests/all` (`feasible`, `turns`, `moves`, `leaving`, `store`, `versions`, and `world`, which stood beside `all.rs`);
- `role/tests/agent`: `orders` gives `predecessors` and `replaced`; `random` is a folder (`memory`, `keys`), and so is `stand` (`platform`, `engine`, `node`, `runs`);
- `role/tests/entry/rig` (`settings`, `requests`, `agents`, `seen`);
- `fake/src/demo/deployment` (`options`, `start`, `processes`, `commands`).
Its public names are the same.

The test targets keep their names (`ledger`, `claims`, `all`, `agent`, `entry`); a test's path has its module in front. docs/promises.md names the new places.

--- /dev/null
+++ b/crates/place/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the planner.
+
+mod feasible;
+mod leaving;
+mod moves;
+mod store;
+mod turns;
+mod versions;
+mod world;
--- a/crates/role/tests/agent.rs
+++ b/crates/role/tests/agent.rs
@@ -12,7 +12,11 @@
 mod limit;
 #[path = "agent/orders.rs"]
 mod orders;
-#[path = "agent/random.rs"]
+#[path = "agent/predecessors.rs"]
+mod predecessors;
+#[path = "agent/random/mod.rs"]
 mod random;
-#[path = "agent/stand.rs"]
+#[path = "agent/replaced.rs"]
+mod replaced;
+#[path = "agent/stand/mod.rs"]
 mod stand;
--- /dev/null
+++ b/crates/role/tests/entry/rig/mod.rs
@@ -0,0 +1,144 @@
+//! An entry's machine with hand-made agents around it.
+
+mod agents;
+mod requests;
+mod seen;
+mod settings;
+
+pub use agents::{FakeAgent, agent_peer, entry_peer, heartbeat};
+pub use seen::Sent;
+pub use settings::{document, options};
+
+use base::prelude::*;
+use base::{PlatformAnswer, PlatformOp, PlatformResult, Version};
+use role::entry::{EntryAction, EntryEvent, EntryOptions, EntryRole};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+pub const KEY: &str = "key-desk";
+pub const ME: u64 = 7;
+
+pub struct Rig {
+    pub role: EntryRole,
+    pub now: Instant,
+    pub agents: BTreeMap<String, FakeAgent>,
+    pub platform_away: bool,
+    /// Reads are not answered.
+    pub held_reads: bool,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    /// All actions since the last `clear`.
+    pub log: Vec<EntryAction>,
+}
+
+impl Rig {
+    /// A ready entry with a configuration and no agents.
+    pub fn new() -> Self {
+        let mut rig = Self::unready(options("e1", ME));
+        rig.publish(1, &document());
+        rig.start();
+        assert!(rig.role.config().is_some());
+        rig
+    }
+
+    pub fn unready(options: EntryOptions) -> Self {
+        let now = Instant::from_ms(1_000);
+        let mut log = Vec::new();
+        Self {
+            role: EntryRole::new(options, now, &mut log),
+            now,
+            agents: BTreeMap::new(),
+            platform_away: false,
+            held_reads: false,
+            objects: BTreeMap::new(),
+            log,
+        }
+    }
+
+    pub fn start(&mut self) {
+        let first = std::mem::take(&mut self.log);
+        self.answer(&first);
+        self.log.extend(first);
+        self.advance(150);
+    }
+
+    pub fn publish(&mut self, revision: u64, patch: &Value) {
+        let key = conf::revision_key(Revision(revision));
+        self.objects.insert(key, patch.to_string().into_bytes());
+    }
+
+    /// Writes an object and tells of it whoever waits for its prefix.
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.objects.insert(key.to_owned(), value.to_vec());
+        let calls = self.log.iter().filter_map(|action| match action {
+            EntryAction::Platform(call) => Some(call),
+            _ => None,
+        });
+        let told = calls.filter(|call| match &call.op {
+            PlatformOp::Watch { prefix, .. } => key.starts_with(prefix.as_str()),
+            _ => false,
+        });
+        for id in told.map(|call| call.id).collect::<Vec<_>>() {
+            let news = vec![(key.to_owned(), Version(2), value.to_vec())];
+            let result = PlatformResult::Objects(news, Version(2));
+            self.handle(EntryEvent::Platform(PlatformAnswer { id, result }));
+        }
+    }
+
+    pub fn handle(&mut self, event: EntryEvent) {
+        let mut out = Vec::new();
+        self.role.handle(self.now, event, &mut out);
+        self.answer(&out);
+        self.log.extend(out);
+    }
+
+    fn answer(&mut self, actions: &[EntryAction]) {
+        for action in actions {
+            if let EntryAction::Platform(call) = action {
+                let id = call.id;
+                let result = match (&call.op, self.platform_away) {
+                    (_, true) => PlatformResult::Away,
+                    (PlatformOp::Read { .. }, _) if self.held_reads => continue,
+                    (PlatformOp::Read { key }, _) => {
+                        let held = self.objects.get(key);
+                        PlatformResult::Object(held.map(|v| (Version(1), v.clone())))
+                    }
+                    (PlatformOp::List { prefix }, _) => self.list(prefix),
+                    (PlatformOp::Write { .. }, _) => {
+                        PlatformResult::Written(Version(1))
+                    }
+                    (PlatformOp::Delete { .. }, _) => {
+                        PlatformResult::Written(Version(2))
+                    }
+                    (PlatformOp::Watch { .. }, _) => continue,
+                };
+                self.handle(EntryEvent::Platform(PlatformAnswer { id, result }));
+            }
+        }
+    }
+
+    fn list(&self, prefix: &str) -> PlatformResult {
+        let held = self
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let held = held.map(|(key, value)| (key.clone(), Version(1), value.clone()));
+        PlatformResult::Objects(held.collect(), Version(1))
+    }
+
+    /// Lets time pass, with ticks as they are due and heartbeats of all agents
+    /// that are not silent.
+    pub fn advance(&mut self, ms: u64) {
+        let end = self.now.plus_ms(ms);
+        while self.now < end {
+            let due = self.role.due().unwrap_or(end).max(self.now);
+            let next = due.min(end).min(self.now.plus_ms(250));
+            self.now = next.max(Instant::from_us(self.now.as_us() + 1));
+            self.beat_all();
+            self.handle(EntryEvent::Tick);
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.log.clear();
+    }
+}
--- /dev/null
+++ b/crates/role/tests/entry/rig/requests.rs
@@ -0,0 +1,44 @@
+//! Requests of the rig's callers.
+
+use super::{KEY, Rig};
+use base::prelude::*;
+use role::entry::{Arrival, EntryEvent, Work};
+
+impl Rig {
+    pub fn arrival(&self, work: Work) -> Arrival {
+        let request = self.role.next_request();
+        Arrival {
+            request,
+            key: KEY.to_owned(),
+            profile: None,
+            deadline_ms: None,
+            work,
+            idempotency_key: None,
+            method: "POST".to_owned(),
+            path: "/v1/completions".to_owned(),
+            content_type: "application/json".to_owned(),
+            body_hash: request.sequence,
+            prefix_hash: 0,
+            prompt_tokens: 10,
+            tokens_max: 10,
+        }
+    }
+
+    pub fn arrive(&mut self, arrival: Arrival) -> RequestId {
+        let request = arrival.request;
+        self.handle(EntryEvent::Arrive(Box::new(arrival)));
+        request
+    }
+
+    pub fn ask(&mut self, model: &str) -> RequestId {
+        let arrival = self.arrival(Work::Model(Some(ModelId::new(model))));
+        self.arrive(arrival)
+    }
+
+    /// A call that must not run twice.
+    pub fn order(&mut self) -> RequestId {
+        let mut arrival = self.arrival(Work::Service(ServiceId::new("orders")));
+        arrival.idempotency_key = Some("k1".to_owned());
+        self.arrive(arrival)
+    }
+}
