--- /dev/null
+++ b/crates/direct/src/demand.rs
@@ -0,0 +1,113 @@
+//! Demand for models, as entries see it and tell the giver of orders.
+
+use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Time constant of the smoothed demand. Demand moves to other models within
+/// seconds, and a load takes as long again.
+const SMOOTH_MS: f64 = 1_000.0;
+
+/// Demand below which a model is forgotten, in work milliseconds a second.
+const FORGET_BELOW: f64 = 0.05;
+
+/// Prompt tokens and generated tokens that cost an engine one millisecond. A
+/// generated token shares its step with all that run.
+const PROMPT_TOKENS_PER_MS: f64 = 20.0;
+const ANSWER_TOKENS_PER_MS: f64 = 12.0;
+
+/// Demand for one model.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Engine time that the requests of one second take.
+    pub work_ms_per_s: f64,
+    /// Requests that wait because no upstream holds the model.
+    pub waiting: u32,
+    /// Wait of the oldest of them.
+    pub oldest_wait_ms: u64,
+}
+
+impl Load {
+    /// Adds another entry's demand.
+    pub fn add(&mut self, other: &Self) {
+        self.work_ms_per_s += other.work_ms_per_s;
+        self.waiting += other.waiting;
+        self.oldest_wait_ms = self.oldest_wait_ms.max(other.oldest_wait_ms);
+    }
+}
+
+/// Demand that one entry sees.
+#[derive(Debug, Default)]
+pub struct Demand {
+    models: BTreeMap<Arc<str>, Seen>,
+    updated_at: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    new_work_ms: f64,
+    work_ms_per_s: f64,
+    waiting: Vec<Instant>,
+}
+
+impl Demand {
+    /// No demand.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request for a model.
+    pub fn arrived(&mut self, model: &Arc<str>, prompt_tokens: u64, answer_tokens: u64) {
+        let work = prompt_tokens as f64 / PROMPT_TOKENS_PER_MS
+            + answer_tokens as f64 / ANSWER_TOKENS_PER_MS;
+        self.seen(model).new_work_ms += work;
+    }
+
+    /// A request begins to wait for a model.
+    pub fn wait(&mut self, model: &Arc<str>, since: Instant) {
+        self.seen(model).waiting.push(since);
+    }
+
+    /// A request that waited since `since` waits no more.
+    pub fn wait_ended(&mut self, model: &Arc<str>, since: Instant) {
+        let waiting = &mut self.seen(model).waiting;
+        if let Some(index) = waiting.iter().position(|at| *at == since) {
+            waiting.swap_remove(index);
+        }
+    }
+
+    /// Smooths what came since the last call.
+    pub fn update(&mut self, now: Instant) {
+        let ms = now.ms_since(self.updated_at) as f64;
+        self.updated_at = now;
+        if ms <= 0.0 {
+            return;
+        }
+        let keep = (-ms / SMOOTH_MS).exp();
+        for seen in self.models.values_mut() {
+            let rate = seen.new_work_ms * 1_000.0 / ms;
+            seen.work_ms_per_s = seen.work_ms_per_s * keep + rate * (1.0 - keep);
+            seen.new_work_ms = 0.0;
+        }
+        self.models.retain(|_, seen| {
+            seen.work_ms_per_s > FORGET_BELOW || !seen.waiting.is_empty()
+        });
+    }
+
+    /// The demand for each model.
+    pub fn loads(&self, now: Instant) -> impl Iterator<Item = (&Arc<str>, Load)> {
+        self.models.iter().map(move |(model, seen)| {
+            let oldest = seen.waiting.iter().min();
+            let load = Load {
+                work_ms_per_s: seen.work_ms_per_s,
+                waiting: u32::try_from(seen.waiting.len()).unwrap_or(u32::MAX),
+                oldest_wait_ms: oldest.map_or(0, |at| now.ms_since(*at)),
+            };
+            (model, load)
+        })
+    }
+
+    fn seen(&mut self, model: &Arc<str>) -> &mut Seen {
+        self.models.entry(Arc::clone(model)).or_default()
+    }
+}
--- /dev/null
+++ b/crates/direct/src/fleet.rs
@@ -0,0 +1,383 @@
+//! What this entry knows of the upstreams.
+
+use base::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::{Resident, Setup, UpstreamNews};
+
+/// Time for which an upstream whose entry vanished while the platform was away
+/// is still used. Entries that lapsed meanwhile are back within two seconds of
+/// the platform's return if the upstream lives; what is missing then is gone.
+const VANISHED_MS: u64 = 2_500;
+
+/// Time after the platform's return in which a missing entry may only have
+/// lapsed while it was away.
+const RETURN_MS: u64 = 3_000;
+
+/// Age at which what another entry said of its own requests counts no more.
+const PEER_USAGE_MS: u64 = 1_500;
+
+/// Age at which what the giver of orders said counts no more; it tells of each
+/// upstream twice a second.
+const SAID_MS: u64 = 1_500;
+
+/// Silence of an upstream that has work after which it is avoided. Engines give
+/// an event every few tens of milliseconds; the longest prompts take 350 ms.
+const SILENT_MS: u64 = 700;
+
+/// Time for which an upstream that could not be connected to is avoided.
+const UNREACHED_MS: u64 = 1_000;
+
+/// Weight of the newest answer in the share of failed ones.
+const FAILED_WEIGHT: f64 = 0.08;
+
+/// Time for which an upstream that is gone is remembered.
+const FORGET_MS: u64 = 60_000;
+
+/// Prompt parts remembered for each upstream.
+const PARTS_MAX: usize = 2_048;
+
+/// Use of an upstream by one entry's requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens to be read of requests that have no first answer yet.
+    pub waiting_tokens: u64,
+    /// Tokens that the requests may keep at the upstream.
+    pub kept_tokens: u64,
+}
+
+impl Usage {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.waiting_tokens += other.waiting_tokens;
+        self.kept_tokens += other.kept_tokens;
+    }
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What the platform last said.
+    pub news: UpstreamNews,
+    /// Version of the platform's entry.
+    pub version: u64,
+    /// When its entry was found missing.
+    vanished_at: Option<Instant>,
+    /// This entry's own requests there.
+    pub own: Usage,
+    /// Other entries' requests there.
+    peers: HashMap<String, (Instant, Usage)>,
+    /// What the giver of orders says it holds, with the order count it is for.
+    said: Option<Said>,
+    /// Prompt parts that it has read, by the hash of the parts up to them.
+    parts: HashMap<u64, Instant>,
+    heard_at: Instant,
+    /// When it was last usable or in use, as far as it was looked at.
+    idle_since: Instant,
+    unreached_until: Instant,
+    failed_share: f64,
+}
+
+/// What the giver of orders says that an upstream holds.
+#[derive(Debug)]
+struct Said {
+    at: Instant,
+    orders: u64,
+    residents: Vec<Resident>,
+}
+
+impl Upstream {
+    fn new(news: UpstreamNews, version: u64) -> Self {
+        Self {
+            news,
+            version,
+            vanished_at: None,
+            own: Usage::default(),
+            peers: HashMap::new(),
+            said: None,
+            parts: HashMap::new(),
+            heard_at: Instant::ZERO,
+            idle_since: Instant::ZERO,
+            unreached_until: Instant::ZERO,
+            failed_share: 0.0,
+        }
+    }
+
+    /// Whether requests may be sent there at all.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let vanished_ms = self.vanished_at.map(|at| now.ms_since(at));
+        !self.news.leaving && vanished_ms.is_none_or(|ms| ms < VANISHED_MS)
+    }
+
+    /// Whether it is better avoided: silent while it has work, or not reached.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        let silent = self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS;
+        silent || now < self.unreached_until || self.vanished_at.is_some()
+    }
+
+    /// Use by all entries.
+    pub fn usage(&self, now: Instant) -> Usage {
+        let mut usage = self.own;
+        for (at, peer) in self.peers.values() {
+            if now.ms_since(*at) < PEER_USAGE_MS {
+                usage.add(peer);
+            }
+        }
+        usage
+    }
+
+    /// What it holds: as the giver of orders says, unless the platform's entry
+    /// is newer or the giver has fallen silent.
+    pub fn residents(&self, now: Instant) -> &[Resident] {
+        match &self.said {
+            Some(said)
+                if said.orders >= self.news.orders_accepted
+                    && now.ms_since(said.at) < SAID_MS =>
+            {
+                &said.residents
+            }
+            _ => &self.news.residents,
+        }
+    }
+
+    /// Whether it holds a model, and the adapter if one is asked for.
+    pub fn holds(&self, now: Instant, model: &str, adapter: Option<&str>) -> bool {
+        let mut held = self.residents(now).iter();
+        held.any(|resident| {
+            &*resident.model == model
+                && adapter.is_none_or(|adapter| {
+                    resident.adapters.iter().any(|held| &**held == adapter)
+                })
+        })
+    }
+
+    /// Share of its last answers that failed.
+    pub const fn failed_share(&self) -> f64 {
+        self.failed_share
+    }
+
+    /// Prompt tokens that it need not read again.
+    pub fn cached_tokens(&self, parts: &[(u64, u64)]) -> u64 {
+        let known = parts
+            .iter()
+            .take_while(|(chain, _)| self.parts.contains_key(chain));
+        known.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Remembers prompt parts that it reads now.
+    pub fn remember_parts(&mut self, now: Instant, parts: &[(u64, u64)]) {
+        for (chain, _) in parts {
+            self.parts.insert(*chain, now);
+        }
+        if self.parts.len() > PARTS_MAX {
+            let oldest = now - Duration::from_secs(5);
+            self.parts.retain(|_, at| *at > oldest);
+        }
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: Instant, usage: &Usage) {
+        if self.own.running == 0 {
+            self.heard_at = now;
+        }
+        self.own.add(usage);
+    }
+
+    /// Some bytes came from it.
+    pub const fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+    }
+
+    /// A request has its first answer.
+    pub const fn begun(&mut self, waiting_tokens: u64) {
+        self.own.waiting_tokens =
+            self.own.waiting_tokens.saturating_sub(waiting_tokens);
+    }
+
+    /// A request ended.
+    pub const fn ended(&mut self, running: u32, kept_tokens: u64) {
+        self.own.running = self.own.running.saturating_sub(running);
+        self.own.kept_tokens = self.own.kept_tokens.saturating_sub(kept_tokens);
+    }
+
+    /// Counts an answer, whether it was good.
+    pub fn observe(&mut self, ok: bool) {
+        let newest = if ok { 0.0 } else { 1.0 };
+        self.failed_share += (newest - self.failed_share) * FAILED_WEIGHT;
+    }
+
+    /// It could not be connected to.
+    pub fn unreached(&mut self, now: Instant) {
+        self.unreached_until = now.plus_ms(UNREACHED_MS);
+    }
+}
+
+/// All upstreams, by name.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    upstreams: BTreeMap<Arc<str>, Upstream>,
+    /// When the platform answered again after it was away.
+    returned_at: Option<Instant>,
+}
+
+impl Fleet {
+    /// An empty fleet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The platform answers again after it was away.
+    pub const fn platform_returned(&mut self, now: Instant) {
+        self.returned_at = Some(now);
+    }
+
+    /// The whole list as of now; what is missing from it has gone.
+    ///
+    /// Returns whether anything changed.
+    pub fn list(&mut self, now: Instant, listed: Vec<(u64, UpstreamNews)>) {
+        let names: Vec<Arc<str>> =
+            listed.iter().map(|(_, news)| Arc::clone(&news.id)).collect();
+        for (version, news) in listed {
+            self.put(version, news);
+        }
+        let missing: Vec<Arc<str>> = self
+            .upstreams
+            .keys()
+            .filter(|id| !names.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+    }
+
+    /// News of one upstream; older news than is known changes nothing.
+    pub fn put(&mut self, version: u64, news: UpstreamNews) {
+        let Some(known) = self.upstreams.get_mut(&news.id) else {
+            let id = Arc::clone(&news.id);
+            self.upstreams.insert(id, Upstream::new(news, version));
+            return;
+        };
+        if version < known.version {
+            return;
+        }
+        // An upstream that said it is leaving never takes work again; only its
+        // next start does, under another name.
+        let leaving = known.news.leaving || news.leaving;
+        known.news = news;
+        known.news.leaving = leaving;
+        known.version = version;
+        known.vanished_at = None;
+    }
+
+    /// The entry of an upstream has gone from the platform.
+    ///
+    /// It is leaving, unless it may only have lapsed while the platform was
+    /// away: all upstreams would be lost at once to a pause of the platform.
+    pub fn remove(&mut self, now: Instant, id: &str) {
+        let lapsed = self
+            .returned_at
+            .is_some_and(|at| now.ms_since(at) < RETURN_MS);
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if lapsed {
+            upstream.vanished_at.get_or_insert(now);
+        } else {
+            upstream.news.leaving = true;
+        }
+    }
+
+    /// Forgets upstreams that are gone and have no request left.
+    ///
+    /// One that is still listed as leaving is kept: forgotten, it would be taken
+    /// for a new one by the next list that is behind.
+    pub fn sweep(&mut self, now: Instant) {
+        self.upstreams.retain(|_, upstream| {
+            if upstream.is_usable(now) || upstream.own.running > 0 {
+                upstream.idle_since = now;
+            }
+            now.ms_since(upstream.idle_since) < FORGET_MS
+        });
+    }
+
+    /// Another entry says that an upstream is leaving.
+    pub fn heard_leaving(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.news.leaving = true;
+        }
+    }
+
+    /// Another entry's use of upstreams; what it does not name it does not use.
+    pub fn peer_usage<'a>(
+        &mut self,
+        now: Instant,
+        peer: &str,
+        used: impl Iterator<Item = (&'a str, Usage)>,
+    ) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.peers.remove(peer);
+        }
+        for (id, usage) in used {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.peers.insert(peer.to_owned(), (now, usage));
+            }
+        }
+    }
+
+    /// What the giver of orders says that an upstream holds after a number of
+    /// accepted orders.
+    pub fn said(
+        &mut self,
+        now: Instant,
+        id: &str,
+        orders: u64,
+        residents: Vec<Resident>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        upstream.said = Some(Said {
+            at: now,
+            orders,
+            residents,
+        });
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// One upstream.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// The upstreams of a service.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        let all = self.upstreams.values();
+        all.filter(move |upstream| &*upstream.news.service == service)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Services of models among those of the configuration, with their usable
+    /// upstreams.
+    pub fn engines<'a>(
+        &'a self,
+        now: Instant,
+        setup: &'a Setup,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.all().filter(move |upstream| {
+            let spec = setup.services.get(&upstream.news.service);
+            upstream.is_usable(now) && spec.is_some_and(|spec| spec.engine.is_some())
+        })
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lease.rs
@@ -0,0 +1,240 @@
+//! One giver of orders, by a lease in the platform.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Time between two renewals. Each is a call to the platform; three fit into
+/// the time for which a renewal is good, so two lost ones change nothing.
+const RENEW_EVERY_MS: u64 = 1_000;
+
+/// Time between two looks at another's lease while its holder is not heard.
+const LOOK_EVERY_MS: u64 = 1_000;
+
+/// The lease as it is kept in the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Entry that holds it; empty when it was given back.
+    pub holder: String,
+    /// Start of the holder's process, so that a restart is told from its
+    /// predecessor.
+    pub start: u64,
+    /// Number of the holding; orders carry it, and it only grows.
+    pub token: u64,
+    /// Counts renewals, so that each write changes the object.
+    pub renewal: u64,
+}
+
+/// What the shell is to do for the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Nothing before a time.
+    Wait,
+    /// Read the object.
+    Read,
+    /// Write the record if the object still has this version; create it if
+    /// there is none.
+    Write {
+        /// What to write.
+        record: LeaseRecord,
+        /// Version that must hold; `None` to create.
+        version: Option<u64>,
+    },
+}
+
+/// The lease as one entry sees it.
+///
+/// Two givers at once would each order what the upstream can hold alone. A
+/// holder counts its time from *before* it sent the renewal, and stops by its own
+/// clock; all others count theirs from *after* they saw the renewal, and wait
+/// longer. The clock has to go on while the machine is suspended: else a giver
+/// that wakes up believes in a lease that another holds by then.
+#[derive(Debug)]
+pub struct Lease {
+    me: String,
+    start: u64,
+    /// Time for which a renewal lets its holder order.
+    valid_ms: u64,
+    /// Time between the last order of one holder and the first of the next.
+    quiet_ms: u64,
+    seen: Option<Seen>,
+    /// Until when this process may order.
+    until: Option<Instant>,
+    next_at: Instant,
+    busy: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    record: LeaseRecord,
+    version: u64,
+    since: Instant,
+}
+
+impl Lease {
+    /// The lease as seen by the entry `me`; after its last order, no other
+    /// holder orders for at least `quiet_ms`.
+    pub fn new(me: &str, start: u64, valid_ms: u64, quiet_ms: u64) -> Self {
+        Self {
+            me: me.to_owned(),
+            start,
+            valid_ms,
+            quiet_ms,
+            seen: None,
+            until: None,
+            next_at: Instant::ZERO,
+            busy: false,
+        }
+    }
+
+    /// The token to order with, while this entry may order.
+    pub fn token(&self, now: Instant) -> Option<u64> {
+        let until = self.until?;
+        let seen = self.seen.as_ref()?;
+        (now < until && self.is_mine(&seen.record)).then_some(seen.record.token)
+    }
+
+    /// Holder that was last seen.
+    pub fn holder(&self) -> Option<&str> {
+        let seen = self.seen.as_ref()?;
+        Some(seen.record.holder.as_str()).filter(|holder| !holder.is_empty())
+    }
+
+    /// The next step; the shell tells what came of it by [`Self::read`],
+    /// [`Self::written`] or [`Self::failed`].
+    pub fn step(&mut self, now: Instant, holder_heard: bool) -> LeaseStep {
+        if self.busy || now < self.next_at {
+            return LeaseStep::Wait;
+        }
+        let step = match &self.seen {
+            None => LeaseStep::Read,
+            Some(seen) if self.is_mine(&seen.record) => self.renewal(seen),
+            Some(seen) if self.may_take(seen, now) => self.taking(seen),
+            Some(_) if holder_heard => LeaseStep::Wait,
+            Some(_) => LeaseStep::Read,
+        };
+        self.busy = step != LeaseStep::Wait;
+        self.next_at = now.plus_ms(LOOK_EVERY_MS.min(RENEW_EVERY_MS));
+        step
+    }
+
+    /// The object was read: its version and record, or none.
+    pub fn read(&mut self, now: Instant, found: Option<(u64, LeaseRecord)>) {
+        self.busy = false;
+        let Some((version, record)) = found else {
+            // Nobody ever held it.
+            self.see(now, 0, LeaseRecord::default());
+            self.next_at = now;
+            return;
+        };
+        self.see(now, version, record);
+        let seen = self.seen.as_ref();
+        if seen.is_some_and(|seen| self.may_take(seen, now)) {
+            self.next_at = now;
+        }
+    }
+
+    /// A write took effect with this version. It was sent at `sent_at`.
+    pub fn written(&mut self, sent_at: Instant, version: u64, record: LeaseRecord) {
+        self.busy = false;
+        let mine = self.is_mine(&record);
+        self.seen = Some(Seen {
+            record,
+            version,
+            since: sent_at,
+        });
+        self.until = mine.then(|| sent_at.plus_ms(self.valid_ms));
+        self.next_at = sent_at.plus_ms(RENEW_EVERY_MS);
+    }
+
+    /// A call failed; `conflict` when the object had another version.
+    pub fn failed(&mut self, now: Instant, conflict: bool) {
+        self.busy = false;
+        if conflict {
+            // Another holds it, or a write of this process that was given up
+            // took effect; the next read tells which.
+            self.until = None;
+            self.seen = None;
+            self.next_at = now;
+        } else {
+            self.next_at = now.plus_ms(RENEW_EVERY_MS / 4);
+        }
+    }
+
+    /// The record that gives the lease back, if this entry holds it. It does
+    /// not order afterwards.
+    pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
+        self.until = None;
+        let seen = self.seen.as_ref()?;
+        if !self.is_mine(&seen.record) {
+            return None;
+        }
+        let record = LeaseRecord {
+            holder: String::new(),
+            start: 0,
+            renewal: seen.record.renewal + 1,
+            ..seen.record.clone()
+        };
+        Some((record, seen.version))
+    }
+
+    fn see(&mut self, now: Instant, version: u64, record: LeaseRecord) {
+        let unchanged = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.version == version && seen.record == record);
+        if unchanged {
+            return;
+        }
+        self.seen = Some(Seen {
+            record,
+            version,
+            since: now,
+        });
+    }
+
+    fn is_mine(&self, record: &LeaseRecord) -> bool {
+        record.holder == self.me && record.start == self.start
+    }
+
+    /// Whether the lease can be taken. The same entry's earlier process has
+    /// ended, so its successor need not wait for it.
+    fn may_take(&self, seen: &Seen, now: Instant) -> bool {
+        let never_held = seen.record.token == 0;
+        never_held
+            || seen.record.holder == self.me
+            || now.ms_since(seen.since) > self.wait_ms(&seen.record)
+    }
+
+    /// Time after which a lease that is not renewed can be taken. One that was
+    /// given back has ended; one that was not may be good until its renewal
+    /// ends.
+    const fn wait_ms(&self, record: &LeaseRecord) -> u64 {
+        if record.holder.is_empty() {
+            self.quiet_ms
+        } else {
+            self.valid_ms + self.quiet_ms
+        }
+    }
+
+    fn renewal(&self, seen: &Seen) -> LeaseStep {
+        LeaseStep::Write {
+            record: LeaseRecord {
+                renewal: seen.record.renewal + 1,
+                ..seen.record.clone()
+            },
+            version: Some(seen.version),
+        }
+    }
+
+    fn taking(&self, seen: &Seen) -> LeaseStep {
+        LeaseStep::Write {
+            record: LeaseRecord {
+                holder: self.me.clone(),
+                start: self.start,
+                token: seen.record.token + 1,
+                renewal: seen.record.renewal + 1,
+            },
+            version: (seen.version > 0).then_some(seen.version),
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/ledger.rs
@@ -0,0 +1,401 @@
+//! What was ordered from one upstream, and what it may therefore hold.
+
+use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::{Engine, Report, Resident, UpstreamNews};
+
+/// Time after an accepted order for an adapter after which it is taken to be
+/// there. Adapters come in tens of milliseconds, and a request that is early is
+/// refused without being run.
+const ADAPTER_READY_MS: u64 = 40;
+
+/// What an order does.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Action {
+    /// Loads a model.
+    Load(Arc<str>),
+    /// Unloads a model and its adapters.
+    Unload(Arc<str>),
+    /// Loads an adapter of a model that is held.
+    LoadAdapter(Arc<str>, Arc<str>),
+    /// Unloads an adapter.
+    UnloadAdapter(Arc<str>, Arc<str>),
+}
+
+/// An order that may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// What it does.
+    pub action: Action,
+    /// Order count of the upstream on which it was decided; at another one the
+    /// upstream refuses it.
+    pub expect: u64,
+}
+
+/// What an upstream answered to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// It held already.
+    Done,
+    /// Another order is in progress or the order count differs.
+    Conflict,
+    /// It is refused for another reason, or another upstream has the address.
+    Refused,
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent {
+    /// An answer came.
+    Answered(OrderAnswer),
+    /// No answer came: it may be carried out, now or seconds later.
+    Unanswered,
+    /// It provably never left this process.
+    NotSent,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Loading,
+    Loaded,
+    Unloading,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    phase: Phase,
+    version: u64,
+    adapters: BTreeMap<Arc<str>, Adapter>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Adapter {
+    ready_at: Instant,
+    used_at: Instant,
+}
+
+/// What one upstream holds and may come to hold, as the giver of orders knows.
+///
+/// An order without an answer may still be carried out, so the state is then
+/// not known until the upstream is asked. It need not be waited for: the next
+/// order names the same order count, and at most one of the two is carried out.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    orders_accepted: u64,
+    held: BTreeMap<Arc<str>, Held>,
+    copies: crate::Copies,
+    /// Whether a model is being loaded or unloaded.
+    busy: bool,
+    /// Whether an order is on its way.
+    open: bool,
+    /// Whether what is held was read since it was last unknown.
+    known: bool,
+}
+
+impl Ledger {
+    /// A ledger of an upstream that was not asked yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Orders accepted, as far as is known.
+    pub const fn orders_accepted(&self) -> u64 {
+        self.orders_accepted
+    }
+
+    /// Whether what it holds is known.
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Whether the upstream has to be asked before it is ordered anything.
+    pub const fn wants_report(&self) -> bool {
+        !self.open && (!self.known || self.busy)
+    }
+
+    /// Whether a model can be ordered to load or unload now.
+    pub const fn is_idle(&self) -> bool {
+        self.known && !self.busy && !self.open
+    }
+
+    /// Whether an order for an adapter can be sent now.
+    pub const fn takes_adapters(&self) -> bool {
+        self.known && !self.open
+    }
+
+    /// Takes over a report; one from before the last accepted order is dropped.
+    pub fn report(&mut self, now: Instant, report: &Report) {
+        if self.open || report.orders_accepted < self.orders_accepted {
+            return;
+        }
+        let kept = std::mem::take(&mut self.held);
+        for resident in &report.residents {
+            self.hold(now, resident, kept.get(&resident.model));
+        }
+        for (model, adapter) in &report.adapters_coming {
+            if let Some(held) = self.held.get_mut(model) {
+                let known = kept.get(model).and_then(|old| old.adapters.get(adapter));
+                let coming = known.copied().unwrap_or(Adapter {
+                    ready_at: now.plus_ms(ADAPTER_READY_MS),
+                    used_at: now,
+                });
+                held.adapters.insert(Arc::clone(adapter), coming);
+            }
+        }
+        if report.busy {
+            self.keep_in_progress(kept);
+        }
+        self.orders_accepted = report.orders_accepted;
+        self.copies = report.copies.clone();
+        self.busy = report.busy;
+        self.known = true;
+    }
+
+    /// Takes over the platform's entry. It does not say whether an order is in
+    /// progress, so it only ends what it shows to have ended.
+    pub fn news(&mut self, news: &UpstreamNews) {
+        if !self.known || self.open || news.orders_accepted < self.orders_accepted {
+            return;
+        }
+        if news.orders_accepted > self.orders_accepted {
+            // Somebody else's order: ask.
+            self.known = false;
+            return;
+        }
+        self.copies = news.copies.clone();
+        let shown = |model: &Arc<str>| {
+            news.residents.iter().find(|resident| resident.model == *model)
+        };
+        let mut in_progress = false;
+        self.held.retain(|model, held| match (held.phase, shown(model)) {
+            (Phase::Loading, Some(resident)) => {
+                held.phase = Phase::Loaded;
+                held.version = resident.version;
+                true
+            }
+            (Phase::Unloading, None) => false,
+            (phase, _) => {
+                in_progress |= phase != Phase::Loaded;
+                true
+            }
+        });
+        self.busy &= in_progress;
+    }
+
+    /// Models held or on their way, with whether they can serve.
+    pub fn models(&self) -> impl Iterator<Item = (&Arc<str>, bool)> {
+        let held = self.held.iter();
+        held.map(|(model, held)| (model, held.phase == Phase::Loaded))
+    }
+
+    /// Whether a model is being unloaded.
+    pub fn is_unloading(&self, model: &str) -> bool {
+        let held = self.held.get(model);
+        held.is_some_and(|held| held.phase == Phase::Unloading)
+    }
+
+    /// Whether a model can be loaded without the weight store.
+    pub fn has_copy(&self, model: &Arc<str>) -> bool {
+        self.copies.in_memory.contains(model) || self.copies.on_disk.contains(model)
+    }
+
+    /// What can serve now, as entries are told.
+    pub fn serving(&self, now: Instant) -> Vec<Resident> {
+        let loaded = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.phase == Phase::Loaded);
+        loaded
+            .map(|(model, held)| Resident {
+                model: Arc::clone(model),
+                version: held.version,
+                adapters: held
+                    .adapters
+                    .iter()
+                    .filter(|(_, adapter)| adapter.ready_at <= now)
+                    .map(|(name, _)| Arc::clone(name))
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Weights held or on their way.
+    pub fn used_mb(&self, engine: &Engine) -> f64 {
+        let sizes = self.held.iter().map(|(model, held)| {
+            let spec = engine.models.get(model);
+            spec.map_or(0.0, |spec| {
+                spec.weights_mb + spec.adapter_mb * held.adapters.len() as f64
+            })
+        });
+        sizes.sum()
+    }
+
+    /// Adapters held or on their way.
+    pub fn adapters(&self) -> u32 {
+        let count: usize = self.held.values().map(|held| held.adapters.len()).sum();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a model and an adapter are held or on their way.
+    pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
+        let held = self.held.get(model);
+        held.is_some_and(|held| held.adapters.contains_key(adapter))
+    }
+
+    /// Notes that an adapter is in use.
+    pub fn use_adapter(&mut self, now: Instant, model: &str, adapter: &str) {
+        let held = self.held.get_mut(model);
+        if let Some(adapter) = held.and_then(|held| held.adapters.get_mut(adapter)) {
+            adapter.used_at = now;
+        }
+    }
+
+    /// The adapter that was not used for the longest time.
+    pub fn oldest_adapter(&self) -> Option<(Arc<str>, Arc<str>, Instant)> {
+        let all = self.held.iter().flat_map(|(model, held)| {
+            let adapters = held.adapters.iter();
+            adapters.map(move |(name, adapter)| {
+                (Arc::clone(model), Arc::clone(name), adapter.used_at)
+            })
+        });
+        all.min_by_key(|(_, _, used_at)| *used_at)
+    }
+
+    /// Makes an order, or none if it can't be given now or would not fit.
+    pub fn order(&mut self, engine: &Engine, action: Action) -> Option<Order> {
+        if !self.allows(engine, &action) {
+            return None;
+        }
+        self.open = true;
+        Some(Order {
+            action,
+            expect: self.orders_accepted,
+        })
+    }
+
+    /// Takes over what came of an order.
+    pub fn sent(&mut self, now: Instant, order: &Order, sent: Sent) {
+        self.open = false;
+        match sent {
+            Sent::Answered(OrderAnswer::Accepted) => self.accepted(now, order, false),
+            Sent::Answered(OrderAnswer::Done) => self.accepted(now, order, true),
+            Sent::Answered(OrderAnswer::Conflict | OrderAnswer::Refused)
+            | Sent::Unanswered => self.known = false,
+            Sent::NotSent => {}
+        }
+    }
+
+    fn allows(&self, engine: &Engine, action: &Action) -> bool {
+        match action {
+            Action::Load(model) => {
+                let spec = engine.models.get(model);
+                let fits = spec.is_some_and(|spec| {
+                    self.used_mb(engine) + spec.weights_mb <= engine.weights_max_mb
+                });
+                self.is_idle() && !self.held.contains_key(model) && fits
+            }
+            Action::Unload(model) => self.is_idle() && self.held.contains_key(model),
+            Action::LoadAdapter(model, adapter) => {
+                let loaded = self
+                    .held
+                    .get(model)
+                    .is_some_and(|held| held.phase == Phase::Loaded);
+                let spec = engine.models.get(model);
+                let fits = spec.is_some_and(|spec| {
+                    self.used_mb(engine) + spec.adapter_mb <= engine.weights_max_mb
+                        && self.adapters() < engine.adapters_max
+                });
+                self.takes_adapters()
+                    && loaded
+                    && fits
+                    && !self.has_adapter(model, adapter)
+            }
+            Action::UnloadAdapter(model, adapter) => {
+                self.takes_adapters() && self.has_adapter(model, adapter)
+            }
+        }
+    }
+
+    fn accepted(&mut self, now: Instant, order: &Order, done: bool) {
+        if !done {
+            self.orders_accepted = order.expect + 1;
+        }
+        match &order.action {
+            Action::Load(model) => {
+                let held = Held {
+                    phase: if done { Phase::Loaded } else { Phase::Loading },
+                    version: 0,
+                    adapters: BTreeMap::new(),
+                };
+                self.held.insert(Arc::clone(model), held);
+                self.busy = !done;
+            }
+            Action::Unload(model) if done => {
+                self.held.remove(model);
+                // Whether it counted as an order is not said.
+                self.known = false;
+            }
+            Action::Unload(model) => {
+                if let Some(held) = self.held.get_mut(model) {
+                    held.phase = Phase::Unloading;
+                }
+                self.busy = true;
+            }
+            Action::LoadAdapter(model, adapter) => {
+                if let Some(held) = self.held.get_mut(model) {
+                    let coming = Adapter {
+                        ready_at: now.plus_ms(ADAPTER_READY_MS),
+                        used_at: now,
+                    };
+                    held.adapters.insert(Arc::clone(adapter), coming);
+                }
+            }
+            Action::UnloadAdapter(model, adapter) => {
+                if let Some(held) = self.held.get_mut(model) {
+                    held.adapters.remove(adapter);
+                }
+                // Whether it is gone at once or waits for a request, and whether
+                // it counted, the report tells.
+                self.known = false;
+            }
+        }
+    }
+
+    fn hold(&mut self, now: Instant, resident: &Resident, old: Option<&Held>) {
+        let adapters = resident.adapters.iter().map(|name| {
+            let known = old.and_then(|old| old.adapters.get(name));
+            let adapter = Adapter {
+                ready_at: now.min(known.map_or(now, |known| known.ready_at)),
+                used_at: known.map_or(now, |known| known.used_at),
+            };
+            (Arc::clone(name), adapter)
+        });
+        let held = Held {
+            phase: Phase::Loaded,
+            version: resident.version,
+            adapters: adapters.collect(),
+        };
+        self.held.insert(Arc::clone(&resident.model), held);
+    }
+
+    /// Keeps what a busy upstream is loading or unloading.
+    fn keep_in_progress(&mut self, kept: BTreeMap<Arc<str>, Held>) {
+        for (model, old) in kept {
+            match old.phase {
+                Phase::Loading => {
+                    self.held.entry(model).or_insert(old);
+                }
+                Phase::Unloading => {
+                    if let Some(held) = self.held.get_mut(&model) {
+                        held.phase = Phase::Unloading;
+                    }
+                }
+                Phase::Loaded => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,52 @@
+//! Decisions of entries that speak to upstreams themselves, without an agent
+//! beside each upstream.
+//!
+//! Where a platform lists its upstreams and gives no place beside them, entries
+//! take over what the agents decide elsewhere: which upstream runs a request,
+//! whether it may be sent again, what each upstream holds, and who orders that.
+//! Everything here is pure: time is an argument and nothing does I/O.
+//!
+//! - [`Setup`] is the operator's configuration as the decisions need it, with
+//!   routes by host and longest prefix.
+//! - [`Fleet`] is what this entry knows of the upstreams.
+//! - [`pick`] chooses an upstream for one request.
+//! - [`after`] says what may follow a try that did not end well.
+//! - [`Repeats`] keeps repeats of all entries together under one bound.
+//! - [`Lease`] makes one entry the giver of orders; [`Ledger`] keeps what it
+//!   ordered from one upstream; [`Moves`] decides what is to be held where.
+//!
+//! Invariants:
+//!
+//! - News of a version never replaces what a higher version said.
+//! - A request that may have run is sent again only if its kind allows it.
+//! - Every order names the upstream's order count that it was decided on, so of
+//!   two orders decided on the same state at most one is carried out. What that
+//!   one adds was checked against that state, so no upstream is ordered to hold
+//!   more than it can.
+//! - A giver stops ordering before anyone else can start.
+
+mod again;
+mod demand;
+mod fleet;
+mod lease;
+mod ledger;
+mod moves;
+mod news;
+mod pick;
+mod repeats;
+mod setup;
+mod watermark;
+
+pub use again::{Next, Outcome, Tried, after};
+pub use demand::{Demand, Load};
+pub use fleet::{Fleet, Upstream, Usage};
+pub use lease::{Lease, LeaseRecord, LeaseStep};
+pub use ledger::{Action, Ledger, Order, OrderAnswer, Sent};
+pub use moves::{Choice, Group, Moves, Reason, Spot};
+pub use news::{Copies, Report, Resident, UpstreamNews};
+pub use pick::{Pick, Picked, Unpicked, pick};
+pub use repeats::Repeats;
+pub use setup::{
+    Engine, Limits, ModelSpec, Route, RouteKind, ServiceSpec, Setup, Target,
+};
+pub use watermark::Watermark;
--- /dev/null
+++ b/crates/direct/src/moves.rs
@@ -0,0 +1,460 @@
+//! What is to be held where: loads and the unloads that make room for them.
+
+use base::prelude::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::{Engine, Load};
+
+/// Part of the loads that the weight store allows which is used. The rest is
+/// for orders whose answer is lost and that begin late.
+const STORE_USABLE: f64 = 0.95;
+
+/// Time for which an order without an answer may still be carried out.
+const LATE_ORDER_MS: u64 = 12_500;
+
+/// Load of an upstream, as a part of its time, above which the models that it
+/// serves get further copies.
+const BUSY: f64 = 0.30;
+
+/// Least difference that a further copy has to make to the load that its
+/// model's requests meet.
+const GAIN_MIN: f64 = 0.10;
+
+/// Least load of one copy for which another one is made.
+const COPY_LOAD_MIN: f64 = 0.06;
+
+/// Time for which a model stays where it was loaded.
+const STAY_MS: u64 = 3_000;
+
+/// Loss of the last copy of a model without demand, against any other loss.
+const LAST_COPY_LOSS: f64 = 10.0;
+
+/// Advantage of an upstream that can load a model without the weight store.
+const COPY_BONUS: f64 = 0.05;
+
+/// Advantage of a failure domain in which no other copy is.
+const SPREAD_BONUS: f64 = 0.03;
+
+/// Moves decided at once.
+const CHOICES_MAX: usize = 8;
+
+/// One upstream as the plan sees it.
+#[derive(Debug, Clone)]
+pub struct Spot {
+    /// Upstream.
+    pub upstream: Arc<str>,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Whether it can be ordered something now.
+    pub idle: bool,
+    /// Weights that still fit.
+    pub free_mb: f64,
+    /// Models held or on their way.
+    pub groups: Vec<Group>,
+    /// Models that it can load without the weight store.
+    pub copies: Vec<Arc<str>>,
+}
+
+/// A model with its adapters at one upstream.
+#[derive(Debug, Clone)]
+pub struct Group {
+    /// Model.
+    pub model: Arc<str>,
+    /// Memory that it takes with its adapters.
+    pub size_mb: f64,
+    /// Whether it is leaving.
+    pub unloading: bool,
+    /// When it was seen there first.
+    pub since: Instant,
+}
+
+/// Why a model is loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Requests wait for it.
+    Waited,
+    /// Its copies are too busy.
+    Busy,
+    /// Nothing holds it, and there is room.
+    Reachable,
+}
+
+impl Reason {
+    /// The word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waited => "waited",
+            Self::Busy => "busy",
+            Self::Reachable => "reachable",
+        }
+    }
+}
+
+/// A move that was decided.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Upstream that is to load.
+    pub upstream: Arc<str>,
+    /// Model to load.
+    pub load: Arc<str>,
+    /// Model that has to go first.
+    pub unload: Option<Arc<str>>,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+    /// Why.
+    pub reason: Reason,
+    /// Load that the model's requests meet now, and after the move.
+    pub before: f64,
+    /// See `before`.
+    pub after: f64,
+}
+
+/// Decides moves and keeps to the weight store's rate.
+#[derive(Debug)]
+pub struct Moves {
+    window_ms: u64,
+    store_loads: VecDeque<Instant>,
+    /// Ends of the times in which unanswered loads may begin.
+    late: Vec<Instant>,
+}
+
+impl Moves {
+    /// No moves yet; loads from the store are counted over `window_ms`.
+    pub const fn new(window_ms: u64) -> Self {
+        Self {
+            window_ms,
+            store_loads: VecDeque::new(),
+            late: Vec::new(),
+        }
+    }
+
+    /// Counts a load from the weight store that was ordered.
+    pub fn store_load(&mut self, now: Instant) {
+        self.store_loads.push_back(now);
+    }
+
+    /// Counts a load whose order got no answer: it may begin at any time until
+    /// no late order is carried out any more.
+    pub fn unanswered(&mut self, now: Instant) {
+        self.late.push(now.plus_ms(LATE_ORDER_MS));
+    }
+
+    /// Counts what an earlier giver may have ordered.
+    pub fn assume_spent(&mut self, now: Instant, engine: &Engine) {
+        for _ in 0..self.window_loads(engine) {
+            self.store_loads.push_back(now);
+        }
+    }
+
+    /// Loads that may be ordered from the weight store now.
+    pub fn allowance(&mut self, now: Instant, engine: &Engine) -> usize {
+        let oldest = now - Duration::from_millis(self.window_ms);
+        while self.store_loads.front().is_some_and(|at| *at <= oldest) {
+            self.store_loads.pop_front();
+        }
+        self.late.retain(|until| *until > now);
+        let spent = self.store_loads.len() + self.late.len();
+        self.window_loads(engine).saturating_sub(spent)
+    }
+
+    /// Moves worth starting now.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        engine: &Engine,
+        spots: &[Spot],
+        loads: &BTreeMap<Arc<str>, Load>,
+    ) -> Vec<Choice> {
+        let allowance = self.allowance(now, engine);
+        let mut board = Board::new(now, engine, spots, loads, allowance);
+        board.serve_waiting();
+        board.spread_busy();
+        board.keep_reachable();
+        board.choices
+    }
+
+    fn window_loads(&self, engine: &Engine) -> usize {
+        let seconds = self.window_ms as f64 / 1_000.0;
+        (engine.store_loads_per_s * seconds * STORE_USABLE).max(1.0) as usize
+    }
+}
+
+/// The plan while it is made: what each upstream will hold after the moves
+/// chosen so far.
+#[derive(Debug)]
+struct Board<'a> {
+    now: Instant,
+    engine: &'a Engine,
+    spots: Vec<Spot>,
+    loads: &'a BTreeMap<Arc<str>, Load>,
+    /// Upstreams that hold a model or will.
+    holders: BTreeMap<Arc<str>, Vec<usize>>,
+    store_left: usize,
+    choices: Vec<Choice>,
+}
+
+/// A place for one more copy of a model.
+#[derive(Debug)]
+struct Place {
+    spot: usize,
+    victim: Option<usize>,
+    from_store: bool,
+    score: f64,
+    load_after: f64,
+}
+
+impl<'a> Board<'a> {
+    fn new(
+        now: Instant,
+        engine: &'a Engine,
+        spots: &[Spot],
+        loads: &'a BTreeMap<Arc<str>, Load>,
+        store_left: usize,
+    ) -> Self {
+        let mut holders: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
+        for (index, spot) in spots.iter().enumerate() {
+            for group in spot.groups.iter().filter(|group| !group.unloading) {
+                let model = Arc::clone(&group.model);
+                holders.entry(model).or_default().push(index);
+            }
+        }
+        Self {
+            now,
+            engine,
+            spots: spots.to_vec(),
+            loads,
+            holders,
+            store_left,
+            choices: Vec::new(),
+        }
+    }
+
+    /// Models that requests wait for and nothing holds, the longest wait first.
+    fn serve_waiting(&mut self) {
+        let mut waiting: Vec<(u64, Arc<str>)> = self
+            .loads
+            .iter()
+            .filter(|(model, load)| load.waiting > 0 && self.copies(model) == 0)
+            .map(|(model, load)| (load.oldest_wait_ms, Arc::clone(model)))
+            .collect();
+        waiting.sort_by(|a, b| b.cmp(a));
+        for (_, model) in waiting {
+            if let Some(place) = self.place(&model, true) {
+                self.choose(&model, &place, Reason::Waited, 1.0);
+            }
+        }
+    }
+
+    /// Further copies for models whose requests meet busy upstreams.
+    fn spread_busy(&mut self) {
+        while self.choices.len() < CHOICES_MAX {
+            let Some((model, before, place)) = self.best_copy() else {
+                return;
+            };
+            self.choose(&model, &place, Reason::Busy, before);
+        }
+    }
+
+    /// Models that nothing holds, where there is room anyway.
+    fn keep_reachable(&mut self) {
+        let missing: Vec<Arc<str>> = self
+            .engine
+            .models
+            .keys()
+            .filter(|model| self.copies(model) == 0)
+            .cloned()
+            .collect();
+        for model in missing {
+            if self.choices.len() >= CHOICES_MAX {
+                return;
+            }
+            if let Some(place) = self.place(&model, false) {
+                self.choose(&model, &place, Reason::Reachable, 0.0);
+            }
+        }
+    }
+
+    fn best_copy(&self) -> Option<(Arc<str>, f64, Place)> {
+        let mut best: Option<(f64, Arc<str>, f64, Place)> = None;
+        for (model, load) in self.loads {
+            let copies = self.copies(model);
+            if copies == 0 || load.work_ms_per_s / 1_000.0 / (copies as f64) < COPY_LOAD_MIN
+            {
+                continue;
+            }
+            let before = self.met_load(model);
+            if before < BUSY {
+                continue;
+            }
+            let Some(place) = self.place(model, true) else {
+                continue;
+            };
+            let gain = before - place.load_after;
+            let worth = gain * load.work_ms_per_s;
+            let better = best.as_ref().is_none_or(|(most, ..)| worth > *most);
+            if gain > GAIN_MIN && better {
+                best = Some((worth, Arc::clone(model), before, place));
+            }
+        }
+        best.map(|(_, model, before, place)| (model, before, place))
+    }
+
+    /// The best place for one more copy; with `evict`, also where another model
+    /// has to go.
+    fn place(&self, model: &Arc<str>, evict: bool) -> Option<Place> {
+        let size_mb = self.engine.models.get(model)?.weights_mb;
+        let own = self.load_of(model, self.copies(model) + 1);
+        let mut best: Option<Place> = None;
+        for (index, spot) in self.spots.iter().enumerate() {
+            let holds = spot.groups.iter().any(|group| group.model == *model);
+            if !spot.idle || holds {
+                continue;
+            }
+            let from_store = !spot.copies.contains(model);
+            if from_store && self.store_left == 0 {
+                continue;
+            }
+            let Some((victim, loss, freed)) = self.room(spot, size_mb, evict) else {
+                continue;
+            };
+            let load_after = self.spot_load(index) - freed + own;
+            let mut score = load_after + loss;
+            if !from_store {
+                score -= COPY_BONUS;
+            }
+            if !self.in_domain(model, &spot.domain) {
+                score -= SPREAD_BONUS;
+            }
+            if best.as_ref().is_none_or(|place| score < place.score) {
+                best = Some(Place {
+                    spot: index,
+                    victim,
+                    from_store,
+                    score,
+                    load_after,
+                });
+            }
+        }
+        best
+    }
+
+    /// Room on a spot: the model that has to go, what its loss costs, and the
+    /// load that goes with it.
+    fn room(
+        &self,
+        spot: &Spot,
+        size_mb: f64,
+        evict: bool,
+    ) -> Option<(Option<usize>, f64, f64)> {
+        if spot.free_mb >= size_mb {
+            return Some((None, 0.0, 0.0));
+        }
+        if !evict {
+            return None;
+        }
+        let mut best: Option<(usize, f64, f64)> = None;
+        for (index, group) in spot.groups.iter().enumerate() {
+            let stays = self.now.ms_since(group.since) < STAY_MS;
+            if stays || group.unloading || spot.free_mb + group.size_mb < size_mb {
+                continue;
+            }
+            let copies = self.copies(&group.model);
+            let share = self.load_of(&group.model, copies);
+            let loss = if copies > 1 {
+                self.load_of(&group.model, copies - 1) - share
+            } else if self.is_wanted(&group.model) {
+                continue;
+            } else {
+                LAST_COPY_LOSS + share
+            };
+            if best.is_none_or(|(_, least, _)| loss < least) {
+                best = Some((index, loss, share));
+            }
+        }
+        best.map(|(index, loss, share)| (Some(index), loss, share))
+    }
+
+    fn choose(&mut self, model: &Arc<str>, place: &Place, reason: Reason, before: f64) {
+        let size_mb = self
+            .engine
+            .models
+            .get(model)
+            .map_or(0.0, |spec| spec.weights_mb);
+        let spot = &mut self.spots[place.spot];
+        let unload = place.victim.map(|index| spot.groups.remove(index));
+        if let Some(victim) = &unload {
+            spot.free_mb += victim.size_mb;
+            if let Some(holders) = self.holders.get_mut(&victim.model) {
+                holders.retain(|holder| *holder != place.spot);
+            }
+        }
+        spot.free_mb -= size_mb;
+        spot.idle = false;
+        spot.groups.push(Group {
+            model: Arc::clone(model),
+            size_mb,
+            unloading: false,
+            since: self.now,
+        });
+        let holders = self.holders.entry(Arc::clone(model)).or_default();
+        holders.push(place.spot);
+        if place.from_store {
+            self.store_left -= 1;
+        }
+        self.choices.push(Choice {
+            upstream: Arc::clone(&spot.upstream),
+            load: Arc::clone(model),
+            unload: unload.map(|group| group.model),
+            from_store: place.from_store,
+            reason,
+            before,
+            after: place.load_after,
+        });
+    }
+
+    fn copies(&self, model: &Arc<str>) -> usize {
+        self.holders.get(model).map_or(0, Vec::len)
+    }
+
+    /// Load of one of `copies` copies of a model.
+    fn load_of(&self, model: &Arc<str>, copies: usize) -> f64 {
+        let work = self
+            .loads
+            .get(model)
+            .map_or(0.0, |load| load.work_ms_per_s / 1_000.0);
+        work / copies.max(1) as f64
+    }
+
+    fn spot_load(&self, index: usize) -> f64 {
+        let groups = self.spots[index].groups.iter();
+        groups
+            .filter(|group| !group.unloading)
+            .map(|group| self.load_of(&group.model, self.copies(&group.model)))
+            .sum()
+    }
+
+    /// Mean load of the upstreams that hold a model.
+    fn met_load(&self, model: &Arc<str>) -> f64 {
+        let Some(holders) = self.holders.get(model).filter(|held| !held.is_empty())
+        else {
+            return 0.0;
+        };
+        let sum: f64 = holders.iter().map(|index| self.spot_load(*index)).sum();
+        sum / holders.len() as f64
+    }
+
+    fn in_domain(&self, model: &Arc<str>, domain: &Arc<str>) -> bool {
+        let holders = self.holders.get(model).into_iter().flatten();
+        holders
+            .into_iter()
+            .any(|index| self.spots[*index].domain == *domain)
+    }
+
+    /// Whether requests ask for a model now.
+    fn is_wanted(&self, model: &Arc<str>) -> bool {
+        self.loads
+            .get(model)
+            .is_some_and(|load| load.waiting > 0 || load.work_ms_per_s > 1.0)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/news.rs
@@ -0,0 +1,68 @@
+//! What the platform and the upstreams say of upstreams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The platform's entry of one upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamNews {
+    /// Name of this start of the upstream; a restart has another.
+    pub id: Arc<str>,
+    /// Service.
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Requests that run at once.
+    pub batch_slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time until it is gone, where it is taken away at short notice.
+    pub gone_in_ms: Option<u64>,
+    /// Orders accepted since its start.
+    pub orders_accepted: u64,
+    /// Models held.
+    pub residents: Vec<Resident>,
+    /// Copies of weights that it can load without the weight store.
+    pub copies: Copies,
+}
+
+/// A model that an upstream holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resident {
+    /// Model.
+    pub model: Arc<str>,
+    /// Version of the weights.
+    pub version: u64,
+    /// Adapters held with it.
+    pub adapters: Vec<Arc<str>>,
+}
+
+/// Copies of weights that an upstream can load without the weight store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Copies {
+    /// Models in its host's memory.
+    pub in_memory: Vec<Arc<str>>,
+    /// Models on its disk.
+    pub on_disk: Vec<Arc<str>>,
+}
+
+/// An upstream's own report.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Orders accepted since its start.
+    pub orders_accepted: u64,
+    /// Models held.
+    pub residents: Vec<Resident>,
+    /// Adapters on their way, as model and adapter.
+    pub adapters_coming: Vec<(Arc<str>, Arc<str>)>,
+    /// Copies of weights.
+    pub copies: Copies,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run there.
+    pub running: u32,
+}
--- /dev/null
+++ b/crates/direct/src/pick.rs
@@ -0,0 +1,214 @@
+//! Choice of the upstream that runs a request.
+
+use base::prelude::*;
+use std::sync::Arc;
+
+use crate::{Engine, Fleet, Upstream, Usage};
+
+/// Prompt tokens that an engine reads in a millisecond. Engines do not tell;
+/// only the order of upstreams and refusals that would come seconds late rest
+/// on it.
+const PROMPT_TOKENS_PER_MS: f64 = 20.0;
+
+/// Delay of a first answer by each request that already runs.
+const RUNNING_MS: f64 = 1.0;
+
+/// Delay of an answer of a plain service by each request at the upstream over
+/// its slots, and a little below them.
+const QUEUED_MS: f64 = 30.0;
+const SLOT_MS: f64 = 3.0;
+
+/// What an upstream in another failure domain costs in bytes and time.
+const OTHER_DOMAIN_MS: f64 = 4.0;
+
+/// What a failed answer costs: the time until the request is sent again.
+const FAILED_MS: f64 = 1_500.0;
+
+/// Part of the cache that running requests are let fill. Over it, engines
+/// preempt requests in the middle of their answers.
+const CACHE_USABLE: f64 = 0.92;
+
+/// What the choice depends on besides the upstreams.
+#[derive(Debug)]
+pub struct Pick<'a> {
+    /// The present.
+    pub now: Instant,
+    /// Service.
+    pub service: &'a str,
+    /// The service's engine; `None` for a plain service.
+    pub engine: Option<&'a Engine>,
+    /// Model and adapter.
+    pub model: Option<(&'a str, Option<&'a str>)>,
+    /// Prompt parts: hash of all parts up to it, and its tokens.
+    pub parts: &'a [(u64, u64)],
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Tokens that the request may keep at the upstream.
+    pub kept_tokens: u64,
+    /// Upstreams it was sent to already.
+    pub excluded: &'a [Arc<str>],
+    /// Failure domain of this entry.
+    pub domain: &'a str,
+    /// A number drawn at random; breaks ties.
+    pub random: u64,
+}
+
+/// A chosen upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Picked {
+    /// Upstream.
+    pub id: Arc<str>,
+    /// What the request uses there.
+    pub usage: Usage,
+    /// Time to its first answer as far as can be told.
+    pub wait_ms: f64,
+}
+
+/// Why there is no upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unpicked {
+    /// The service has no usable upstream.
+    NoUpstream,
+    /// None holds the model.
+    NoModel,
+    /// None that holds the model holds the adapter.
+    NoAdapter,
+    /// All that could run it are full.
+    Full,
+}
+
+impl Unpicked {
+    /// The word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::NoModel => "no_model",
+            Self::NoAdapter => "no_adapter",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// Picks the upstream whose first answer is expected soonest.
+///
+/// Entries see one another's requests a tenth of a second late, so between two
+/// upstreams that are nearly equal chance decides: else all entries would send
+/// the next requests to the same one.
+///
+/// # Errors
+///
+/// No upstream can run the request now.
+pub fn pick(fleet: &Fleet, input: &Pick<'_>) -> Result<Picked, Unpicked> {
+    let mut best: Option<(bool, f64, Picked)> = None;
+    let mut reason = Unpicked::NoUpstream;
+    for (index, upstream) in fleet.of(input.service).enumerate() {
+        if !upstream.is_usable(input.now) || input.excluded.contains(&upstream.news.id) {
+            continue;
+        }
+        match candidate(upstream, input, index as u64) {
+            Err(why) => reason = reason.max_known(why),
+            Ok((score, picked)) => {
+                let suspected = upstream.is_suspected(input.now);
+                let better = best.as_ref().is_none_or(|(other, least, _)| {
+                    (suspected, score) < (*other, *least)
+                });
+                if better {
+                    best = Some((suspected, score, picked));
+                }
+            }
+        }
+    }
+    best.map(|(_, _, picked)| picked).ok_or(reason)
+}
+
+impl Unpicked {
+    /// The reason closest to an upstream that could run the request.
+    const fn max_known(self, other: Self) -> Self {
+        if other as u8 > self as u8 { other } else { self }
+    }
+}
+
+fn candidate(
+    upstream: &Upstream,
+    input: &Pick<'_>,
+    index: u64,
+) -> Result<(f64, Picked), Unpicked> {
+    let usage = upstream.usage(input.now);
+    let adds = match input.model {
+        Some((model, adapter)) => model_usage(upstream, input, model, adapter, &usage)?,
+        None => Usage {
+            running: 1,
+            ..Usage::default()
+        },
+    };
+    let wait_ms = if input.model.is_some() {
+        engine_wait_ms(&usage, &adds)
+    } else {
+        service_wait_ms(upstream, &usage)
+    };
+    let chance = jitter(input.random, index);
+    let domain_ms = if *upstream.news.domain == *input.domain {
+        0.0
+    } else {
+        OTHER_DOMAIN_MS
+    };
+    let score =
+        wait_ms * (1.0 + 0.1 * chance) + chance + domain_ms + failing_ms(upstream);
+    let picked = Picked {
+        id: Arc::clone(&upstream.news.id),
+        usage: adds,
+        wait_ms,
+    };
+    Ok((score, picked))
+}
+
+fn model_usage(
+    upstream: &Upstream,
+    input: &Pick<'_>,
+    model: &str,
+    adapter: Option<&str>,
+    usage: &Usage,
+) -> Result<Usage, Unpicked> {
+    if !upstream.holds(input.now, model, None) {
+        return Err(Unpicked::NoModel);
+    }
+    if !upstream.holds(input.now, model, adapter) {
+        return Err(Unpicked::NoAdapter);
+    }
+    let cached = upstream.cached_tokens(input.parts);
+    if let Some(engine) = input.engine {
+        let kept = usage.kept_tokens + input.kept_tokens;
+        let room = engine.cache_tokens as f64 * CACHE_USABLE;
+        if usage.running >= engine.batch_slots || kept as f64 > room {
+            return Err(Unpicked::Full);
+        }
+    }
+    Ok(Usage {
+        running: 1,
+        waiting_tokens: input.prompt_tokens.saturating_sub(cached),
+        kept_tokens: input.kept_tokens,
+    })
+}
+
+fn engine_wait_ms(usage: &Usage, adds: &Usage) -> f64 {
+    let tokens = usage.waiting_tokens + adds.waiting_tokens;
+    tokens as f64 / PROMPT_TOKENS_PER_MS + f64::from(usage.running) * RUNNING_MS
+}
+
+fn service_wait_ms(upstream: &Upstream, usage: &Usage) -> f64 {
+    let slots = upstream.news.batch_slots.max(1);
+    let queued = usage.running.saturating_sub(slots - 1);
+    f64::from(usage.running) * SLOT_MS + f64::from(queued) * QUEUED_MS
+}
+
+fn failing_ms(upstream: &Upstream) -> f64 {
+    let share = upstream.failed_share();
+    share * share * FAILED_MS
+}
+
+/// A number from 0 to 1 that differs between upstreams.
+fn jitter(random: u64, index: u64) -> f64 {
+    let mixed = (random ^ index.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        .wrapping_mul(0xd6e8_feb8_6659_fd93);
+    (mixed >> 40) as f64 / (1u64 << 24) as f64
+}
--- /dev/null
+++ b/crates/direct/src/repeats.rs
@@ -0,0 +1,101 @@
+//! One bound on the repeats of all entries.
+
+use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Parts of the window; one part is forgotten at a time.
+const PARTS: u64 = 20;
+
+/// Part of an entry's share that it may use. The bound is judged over any
+/// window, and requests are counted where they were sent, so what two entries
+/// see of one window differs by what is under way.
+const USABLE: f64 = 0.8;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Repeats of requests, bounded for each service over all entries.
+///
+/// When a service fails, each entry repeats what failed, and the repeats of all
+/// together arrive at upstreams that can bear least of it. Each entry may use a
+/// fixed part of the allowance: a percentage of the requests that it received
+/// itself, and its part of the burst. The parts add up to the whole whatever the
+/// entries know of one another, so no message has to arrive for the bound to
+/// hold.
+#[derive(Debug)]
+pub struct Repeats {
+    ratio: f64,
+    burst: f64,
+    window_ms: u64,
+    entries: u32,
+    services: BTreeMap<Arc<str>, [Part; PARTS as usize]>,
+}
+
+impl Repeats {
+    /// A bound of `ratio` repeats for each request and `burst` more in any
+    /// `window_ms`, over all entries.
+    pub const fn new(ratio: f64, burst: f64, window_ms: u64) -> Self {
+        Self {
+            ratio,
+            burst,
+            window_ms,
+            entries: 1,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Sets how many entries share the burst.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Instant, service: &Arc<str>) {
+        self.part(now, service).requests += 1;
+    }
+
+    /// Takes one repeat; false when the share is spent.
+    pub fn try_take(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        let (requests, repeats) = self.in_window(now, service);
+        let share = f64::from(requests) * self.ratio + self.burst / f64::from(self.entries);
+        if f64::from(repeats) + 1.0 > share * USABLE {
+            return false;
+        }
+        self.part(now, service).repeats += 1;
+        true
+    }
+
+    /// Requests and repeats in the window that ends now.
+    pub fn in_window(&self, now: Instant, service: &Arc<str>) -> (u32, u32) {
+        let number = self.number(now);
+        let oldest = (number + 1).saturating_sub(PARTS);
+        let parts = self.services.get(service).into_iter().flatten();
+        parts
+            .filter(|part| (oldest..=number).contains(&part.number))
+            .fold((0, 0), |(requests, repeats), part| {
+                (requests + part.requests, repeats + part.repeats)
+            })
+    }
+
+    const fn number(&self, now: Instant) -> u64 {
+        now.as_ms() * PARTS / self.window_ms
+    }
+
+    fn part(&mut self, now: Instant, service: &Arc<str>) -> &mut Part {
+        let number = self.number(now);
+        let parts = self.services.entry(Arc::clone(service)).or_default();
+        let part = &mut parts[(number % PARTS) as usize];
+        if part.number != number {
+            *part = Part {
+                number,
+                ..Part::default()
+            };
+        }
+        part
+    }
+}
--- /dev/null
+++ b/crates/front/src/follow.rs
@@ -0,0 +1,248 @@
+//! Follows the configuration and the upstreams' entries in the platform.
+
+use base::{PlatformOp, PlatformResult, Version};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::node::Node;
+
+/// Shortest and longest pause after a call that failed. Each call is a load on a
+/// platform in trouble; the configuration has to be in force within seconds of
+/// its return.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+const PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// Objects of one kind that are followed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Followed {
+    /// The configuration.
+    Setup,
+    /// The upstreams' entries.
+    Upstreams,
+}
+
+type Object = (String, Version, Vec<u8>);
+
+/// Follows one kind of object for ever: a list, then what changes.
+///
+/// Whatever goes wrong with watching, also history that is gone, ends in a new
+/// list, which needs no history.
+pub(crate) async fn follow(node: Arc<Node>, followed: Followed) {
+    let mut lost = Lost::new(&node, followed);
+    loop {
+        let Some(mut after) = list(&node, followed, &mut lost).await else {
+            lost.pause().await;
+            continue;
+        };
+        while let Some(at) = watch(&node, followed, after, &mut lost).await {
+            after = at;
+        }
+    }
+}
+
+async fn list(node: &Node, followed: Followed, lost: &mut Lost) -> Option<Version> {
+    let prefix = followed.prefix(node);
+    let result = node.store.call(&PlatformOp::List { prefix }).await;
+    count(node, followed, "list", &result);
+    let PlatformResult::Objects(objects, at) = result else {
+        lost.lost(node, &result);
+        return None;
+    };
+    lost.regained(node);
+    match followed {
+        Followed::Setup => setups(node, &objects),
+        Followed::Upstreams => all_upstreams(node, &objects),
+    }
+    followed.confirm(node, at);
+    Some(at)
+}
+
+async fn watch(
+    node: &Node,
+    followed: Followed,
+    after: Version,
+    lost: &mut Lost,
+) -> Option<Version> {
+    let prefix = followed.prefix(node);
+    let result = node.store.call(&PlatformOp::Watch { prefix, after }).await;
+    count(node, followed, "watch", &result);
+    let PlatformResult::Objects(objects, at) = result else {
+        lost.lost(node, &result);
+        return None;
+    };
+    lost.regained(node);
+    match followed {
+        Followed::Setup => setups(node, &objects),
+        Followed::Upstreams => changed_upstreams(node, &objects),
+    }
+    followed.confirm(node, at);
+    Some(at)
+}
+
+impl Followed {
+    fn prefix(self, node: &Node) -> String {
+        match self {
+            Self::Setup => node.options.keys.setup_prefix.clone(),
+            Self::Upstreams => node.options.keys.upstream_prefix.clone(),
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Setup => "setup",
+            Self::Upstreams => "upstreams",
+        }
+    }
+
+    fn confirm(self, node: &Node, at: Version) {
+        let now = node.now();
+        let mut setup;
+        let mut fleet;
+        let mark = match self {
+            Self::Setup => {
+                setup = node.setup.lock();
+                &mut setup.1
+            }
+            Self::Upstreams => {
+                fleet = node.fleet_mark.lock();
+                &mut *fleet
+            }
+        };
+        mark.version = mark.version.max(at.0);
+        mark.confirmed_at = Some(now);
+    }
+}
+
+/// Whether the platform answers, told once at each change.
+struct Lost {
+    followed: Followed,
+    is_lost: bool,
+    pause: Duration,
+}
+
+impl Lost {
+    fn new(_: &Node, followed: Followed) -> Self {
+        Self {
+            followed,
+            is_lost: false,
+            pause: PAUSE_MIN,
+        }
+    }
+
+    fn lost(&mut self, node: &Node, result: &PlatformResult) {
+        if !std::mem::replace(&mut self.is_lost, true) {
+            let why = word(result);
+            node.log.line(
+                "platform_lost",
+                json!({ "followed": self.followed.as_str(), "why": why }),
+            );
+        }
+    }
+
+    fn regained(&mut self, node: &Node) {
+        self.pause = PAUSE_MIN;
+        if std::mem::replace(&mut self.is_lost, false) {
+            node.fleet.lock().platform_returned(node.now());
+            node.log.line(
+                "platform_regained",
+                json!({ "followed": self.followed.as_str() }),
+            );
+        }
+    }
+
+    async fn pause(&mut self) {
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(PAUSE_MAX);
+    }
+}
+
+const fn word(result: &PlatformResult) -> &'static str {
+    match result {
+        PlatformResult::Away => "away",
+        PlatformResult::Unanswered => "unanswered",
+        PlatformResult::Conflict => "conflict",
+        _ => "answered",
+    }
+}
+
+fn count(node: &Node, followed: Followed, call: &str, result: &PlatformResult) {
+    let object = format!("{} {call}", followed.as_str());
+    let labels = [object.as_str(), word(result)];
+    node.meters.store_calls.with_label_values(&labels).inc();
+}
+
+fn setups(node: &Node, objects: &[Object]) {
+    for (key, _, value) in objects {
+        if *key != node.options.keys.setup || value.is_empty() {
+            continue;
+        }
+        match node.dialect.setup(value) {
+            Ok(setup) => take_setup(node, setup),
+            Err(fault) => {
+                let why = fault.to_string();
+                node.log.line("setup_unread", json!({ "why": why }));
+            }
+        }
+    }
+}
+
+fn take_setup(node: &Node, setup: direct::Setup) {
+    let mut held = node.setup.lock();
+    let before = held.0.as_ref().map_or(0, |setup| setup.version);
+    if held.0.is_some() && setup.version <= before {
+        return;
+    }
+    let (version, routes) = (setup.version, setup.routes().count());
+    held.0 = Some(Arc::new(setup));
+    drop(held);
+    node.log.line(
+        "setup_in_force",
+        json!({ "version": version, "before": before, "routes": routes }),
+    );
+}
+
+fn all_upstreams(node: &Node, objects: &[Object]) {
+    let listed = objects.iter().filter_map(|object| read(node, object));
+    let listed: Vec<_> = listed.collect();
+    node.fleet.lock().list(node.now(), listed);
+    node.holdings.notify_waiters();
+}
+
+fn changed_upstreams(node: &Node, objects: &[Object]) {
+    let now = node.now();
+    for object in objects {
+        if object.2.is_empty() {
+            let prefix = &node.options.keys.upstream_prefix;
+            let id = object.0.strip_prefix(prefix.as_str()).unwrap_or(&object.0);
+            node.fleet.lock().remove(now, id);
+            node.log.line("upstream_gone", json!({ "upstream": id }));
+        } else if let Some((version, news)) = read(node, object) {
+            if news.leaving {
+                node.log.line(
+                    "upstream_leaving",
+                    json!({ "upstream": &*news.id, "version": version,
+                        "gone_in_ms": news.gone_in_ms }),
+                );
+            }
+            node.fleet.lock().put(version, news);
+        }
+    }
+    if !objects.is_empty() {
+        node.holdings.notify_waiters();
+        node.giver.wake.notify_waiters();
+    }
+}
+
+fn read(node: &Node, object: &Object) -> Option<(u64, direct::UpstreamNews)> {
+    let (key, version, value) = object;
+    match node.dialect.upstream(key, value) {
+        Ok(news) => Some((version.0, news)),
+        Err(fault) => {
+            let why = fault.to_string();
+            node.log
+                .line("upstream_unread", json!({ "key": key, "why": why }));
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/giver.rs
@@ -0,0 +1,501 @@
+//! The giver of orders: what upstreams are to hold, while this entry has the
+//! lease.
+
+use base::prelude::*;
+use direct::{
+    Action, Choice, Engine, Group, Ledger, Load, Moves, Resident, Setup, Spot, Upstream,
+};
+use parking_lot::Mutex;
+use serde_json::json;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+use crate::node::Node;
+use crate::orders::{ask_report, send_order};
+use crate::wants::Want;
+
+/// Time between two looks at what is to be ordered.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two plans.
+const PLAN_EVERY_MS: u64 = 150;
+
+/// Time between two questions to an upstream that carries out an order.
+const ASK_EVERY_MS: u64 = 200;
+
+/// Time for which a load waits for the unload before it.
+const INTENT_MS: u64 = 10_000;
+
+/// Time for which a change of what an upstream holds is told with each message.
+const FRESH_MS: u64 = 600;
+
+/// Idle time after which an adapter may make room for another one.
+const ADAPTER_IDLE_MS: u64 = 1_000;
+
+/// State of the giver of orders.
+#[derive(Debug)]
+pub(crate) struct Giver {
+    window_ms: u64,
+    state: Mutex<State>,
+    /// Told when there may be something to order.
+    pub(crate) wake: Notify,
+    /// Told when what upstreams hold has changed.
+    pub(crate) changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Token under which orders were given last.
+    token: Option<u64>,
+    books: BTreeMap<Arc<str>, Book>,
+    moves: BTreeMap<Arc<str>, Moves>,
+    planned_at: Instant,
+    wants: BTreeMap<Want, Instant>,
+}
+
+/// What the giver keeps of one upstream.
+#[derive(Debug)]
+struct Book {
+    service: Arc<str>,
+    domain: Arc<str>,
+    ledger: Ledger,
+    asked_at: Option<Instant>,
+    intent: Option<Intent>,
+    since: HashMap<Arc<str>, Instant>,
+    serving: Vec<Resident>,
+    changed_at: Instant,
+    copies: Vec<Arc<str>>,
+}
+
+/// A load that waits for an unload.
+#[derive(Debug)]
+struct Intent {
+    load: Arc<str>,
+    until: Instant,
+}
+
+impl Giver {
+    pub(crate) fn new(window_ms: u64) -> Self {
+        Self {
+            window_ms,
+            state: Mutex::default(),
+            wake: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// An entry's request waits for an adapter.
+    pub(crate) fn want(&self, now: Instant, want: Want) {
+        self.state.lock().wants.insert(want, now);
+        self.wake.notify_waiters();
+    }
+
+    /// What upstreams hold: those that changed lately, and those whose index is
+    /// in turn.
+    pub(crate) fn told(
+        &self,
+        now: Instant,
+        in_turn: impl Fn(usize) -> bool,
+    ) -> Vec<(Arc<str>, u64, Vec<Resident>)> {
+        let state = self.state.lock();
+        let books = state.books.iter().enumerate();
+        let told = books.filter(|(index, (_, book))| {
+            let fresh = now.ms_since(book.changed_at) < FRESH_MS;
+            book.ledger.is_known() && (fresh || in_turn(*index))
+        });
+        told.map(|(_, (id, book))| {
+            let orders = book.ledger.orders_accepted();
+            (Arc::clone(id), orders, book.serving.clone())
+        })
+        .collect()
+    }
+
+    /// Changes the ledger of an upstream, if it is still kept.
+    pub(crate) fn with_ledger(&self, id: &str, change: impl FnOnce(&mut Ledger)) {
+        if let Some(book) = self.state.lock().books.get_mut(id) {
+            change(&mut book.ledger);
+        }
+        self.wake.notify_waiters();
+    }
+
+    /// A load from the weight store got no answer.
+    pub(crate) fn load_unanswered(&self, now: Instant, service: &str) {
+        if let Some(moves) = self.state.lock().moves.get_mut(service) {
+            moves.unanswered(now);
+        }
+    }
+}
+
+/// Gives orders while this entry holds the lease, for ever.
+pub(crate) async fn give_orders(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            () = node.giver.wake.notified() => {}
+            () = node.wants.new.notified() => {}
+        }
+        for (_, demand) in node.demand.lock().iter_mut() {
+            demand.update(node.now());
+        }
+        let token = node.lease.lock().token(node.now());
+        match (token, node.setup()) {
+            (Some(token), Some(setup)) => tick(&node, &setup, token),
+            _ => node.giver.state.lock().token = None,
+        }
+    }
+}
+
+fn tick(node: &Arc<Node>, setup: &Setup, token: u64) {
+    let now = node.now();
+    let mut state = node.giver.state.lock();
+    if state.token != Some(token) {
+        state.begin(node, setup, token, now);
+    }
+    state.follow_fleet(node, setup, now);
+    let asks = state.asks(now);
+    let mut orders = state.continue_moves(setup, now);
+    orders.extend(state.adapters(node, setup, now));
+    if now.ms_since(state.planned_at) >= PLAN_EVERY_MS {
+        state.planned_at = now;
+        orders.extend(state.plan(node, setup, now));
+    }
+    let changed = state.tell(node, now);
+    drop(state);
+    if changed {
+        node.holdings.notify_waiters();
+        node.giver.changed.notify_waiters();
+    }
+    for id in asks {
+        tokio::spawn(ask_report(Arc::clone(node), id));
+    }
+    for (id, service, order, from_store) in orders {
+        let sending = send_order(Arc::clone(node), id, service, order, token, from_store);
+        tokio::spawn(sending);
+    }
+}
+
+type Ordered = (Arc<str>, Arc<str>, direct::Order, bool);
+
+impl State {
+    /// This entry has become the giver: nothing that it knew from before holds.
+    fn begin(&mut self, node: &Node, setup: &Setup, token: u64, now: Instant) {
+        self.token = Some(token);
+        self.books.clear();
+        self.moves.clear();
+        for (name, spec) in &setup.services {
+            let Some(engine) = &spec.engine else {
+                continue;
+            };
+            let mut moves = Moves::new(node.giver.window_ms);
+            if token > 1 {
+                moves.assume_spent(now, engine);
+            }
+            self.moves.insert(Arc::clone(name), moves);
+        }
+        node.log
+            .line("giver_began", json!({ "token": token, "setup": setup.version }));
+    }
+
+    fn follow_fleet(&mut self, node: &Node, setup: &Setup, now: Instant) {
+        let fleet = node.fleet.lock();
+        self.books.retain(|id, _| {
+            fleet
+                .get(id)
+                .is_some_and(|upstream| upstream.is_usable(now))
+        });
+        for upstream in fleet.engines(now, setup) {
+            let id = Arc::clone(&upstream.news.id);
+            let book = self.books.entry(id).or_insert_with(|| Book::new(upstream));
+            book.follow(now, upstream);
+        }
+    }
+
+    /// Upstreams to be asked for a report.
+    fn asks(&mut self, now: Instant) -> Vec<Arc<str>> {
+        let mut asks = Vec::new();
+        for (id, book) in &mut self.books {
+            let lately = book
+                .asked_at
+                .is_some_and(|at| now.ms_since(at) < ASK_EVERY_MS);
+            if book.ledger.wants_report() && !lately {
+                book.asked_at = Some(now);
+                asks.push(Arc::clone(id));
+            }
+        }
+        asks
+    }
+
+    /// Loads whose unload is done.
+    fn continue_moves(&mut self, setup: &Setup, now: Instant) -> Vec<Ordered> {
+        let mut orders = Vec::new();
+        for (id, book) in &mut self.books {
+            let Some(engine) = engine(setup, &book.service) else {
+                continue;
+            };
+            let Some(intent) = &book.intent else {
+                continue;
+            };
+            if now > intent.until {
+                book.intent = None;
+                continue;
+            }
+            let from_store = !book.ledger.has_copy(&intent.load);
+            let Some(moves) = self.moves.get_mut(&book.service) else {
+                continue;
+            };
+            if from_store && moves.allowance(now, engine) == 0 {
+                continue;
+            }
+            let action = Action::Load(Arc::clone(&intent.load));
+            if let Some(order) = book.ledger.order(engine, action) {
+                book.intent = None;
+                if from_store {
+                    moves.store_load(now);
+                }
+                let service = Arc::clone(&book.service);
+                orders.push((Arc::clone(id), service, order, from_store));
+            }
+        }
+        orders
+    }
+
+    /// Orders for the adapters that requests wait for.
+    fn adapters(&mut self, node: &Node, setup: &Setup, now: Instant) -> Vec<Ordered> {
+        for want in node.wants.standing(now) {
+            self.wants.insert(want, now);
+        }
+        self.wants
+            .retain(|_, at| now.ms_since(*at) < ADAPTER_IDLE_MS / 2);
+        let wants: Vec<Want> = self.wants.keys().cloned().collect();
+        let mut orders = Vec::new();
+        for want in wants {
+            let Some(engine) = engine(setup, &want.service) else {
+                continue;
+            };
+            if self.is_coming(&want) {
+                continue;
+            }
+            let Some(id) = self.adapter_place(node, &want, engine, now) else {
+                continue;
+            };
+            let Some(book) = self.books.get_mut(&id) else {
+                continue;
+            };
+            let order = book.adapter_order(engine, &want, now);
+            if let Some(order) = order {
+                orders.push((id, Arc::clone(&want.service), order, false));
+            }
+        }
+        orders
+    }
+
+    fn is_coming(&self, want: &Want) -> bool {
+        let mut books = self.books.values();
+        books.any(|book| book.ledger.has_adapter(&want.model, &want.adapter))
+    }
+
+    /// The upstream that is to hold an adapter: the least used one that holds
+    /// its model, one with a free place first.
+    fn adapter_place(
+        &self,
+        node: &Node,
+        want: &Want,
+        engine: &Engine,
+        now: Instant,
+    ) -> Option<Arc<str>> {
+        let fleet = node.fleet.lock();
+        let books = self.books.iter().filter(|(_, book)| {
+            let mut models = book.ledger.models();
+            let holds = models.any(|(model, loaded)| *model == want.model && loaded);
+            book.service == want.service && holds && book.ledger.takes_adapters()
+        });
+        let best = books.min_by_key(|(id, book)| {
+            let full = book.ledger.adapters() >= engine.adapters_max;
+            let usage = fleet.get(id).map(|upstream| upstream.usage(now));
+            (full, usage.map_or(0, |usage| usage.running))
+        });
+        best.map(|(id, _)| Arc::clone(id))
+    }
+
+    fn plan(&mut self, node: &Node, setup: &Setup, now: Instant) -> Vec<Ordered> {
+        let services: Vec<Arc<str>> = self.moves.keys().cloned().collect();
+        let mut orders = Vec::new();
+        for service in services {
+            let Some(engine) = engine(setup, &service) else {
+                continue;
+            };
+            let loads = loads(node, &service, now);
+            let spots = self.spots(&service, engine);
+            let Some(moves) = self.moves.get_mut(&service) else {
+                continue;
+            };
+            let choices = moves.plan(now, engine, &spots, &loads);
+            for choice in choices {
+                orders.extend(self.start(node, &service, engine, now, &choice));
+            }
+        }
+        orders
+    }
+
+    fn spots(&self, service: &Arc<str>, engine: &Engine) -> Vec<Spot> {
+        let books = self.books.iter().filter(|(_, book)| book.service == *service);
+        books
+            .map(|(id, book)| Spot {
+                upstream: Arc::clone(id),
+                domain: Arc::clone(&book.domain),
+                idle: book.ledger.is_idle() && book.intent.is_none(),
+                free_mb: engine.weights_max_mb - book.ledger.used_mb(engine),
+                groups: book.groups(engine),
+                copies: book.copies.clone(),
+            })
+            .collect()
+    }
+
+    fn start(
+        &mut self,
+        node: &Node,
+        service: &Arc<str>,
+        engine: &Engine,
+        now: Instant,
+        choice: &Choice,
+    ) -> Option<Ordered> {
+        let book = self.books.get_mut(&choice.upstream)?;
+        let action = match &choice.unload {
+            Some(victim) => Action::Unload(Arc::clone(victim)),
+            None => Action::Load(Arc::clone(&choice.load)),
+        };
+        let order = book.ledger.order(engine, action)?;
+        if choice.unload.is_some() {
+            book.intent = Some(Intent {
+                load: Arc::clone(&choice.load),
+                until: now.plus_ms(INTENT_MS),
+            });
+        } else if choice.from_store {
+            self.moves.get_mut(service)?.store_load(now);
+        }
+        node.log.line(
+            "move",
+            json!({ "upstream": &*choice.upstream, "load": &*choice.load,
+                "unload": choice.unload.as_deref(), "why": choice.reason.as_str(),
+                "load_met": choice.before, "load_after": choice.after,
+                "from_store": choice.from_store }),
+        );
+        let from_store = choice.unload.is_none() && choice.from_store;
+        Some((
+            Arc::clone(&choice.upstream),
+            Arc::clone(service),
+            order,
+            from_store,
+        ))
+    }
+
+    /// Tells this entry's own fleet what upstreams hold; whether it changed.
+    fn tell(&mut self, node: &Node, now: Instant) -> bool {
+        let mut changed = false;
+        let mut fleet = node.fleet.lock();
+        for (id, book) in &mut self.books {
+            if !book.ledger.is_known() {
+                continue;
+            }
+            let serving = book.ledger.serving(now);
+            if serving != book.serving {
+                book.serving = serving;
+                book.changed_at = now;
+                changed = true;
+            }
+            let orders = book.ledger.orders_accepted();
+            fleet.said(now, id, orders, book.serving.clone());
+        }
+        changed
+    }
+}
+
+impl Book {
+    fn new(upstream: &Upstream) -> Self {
+        Self {
+            service: Arc::clone(&upstream.news.service),
+            domain: Arc::clone(&upstream.news.domain),
+            ledger: Ledger::new(),
+            asked_at: None,
+            intent: None,
+            since: HashMap::new(),
+            serving: Vec::new(),
+            changed_at: Instant::ZERO,
+            copies: Vec::new(),
+        }
+    }
+
+    fn follow(&mut self, now: Instant, upstream: &Upstream) {
+        self.ledger.news(&upstream.news);
+        let copies = &upstream.news.copies;
+        self.copies = copies
+            .in_memory
+            .iter()
+            .chain(&copies.on_disk)
+            .cloned()
+            .collect();
+        let held: Vec<Arc<str>> = self
+            .ledger
+            .models()
+            .map(|(model, _)| Arc::clone(model))
+            .collect();
+        // What was there before this entry gave orders may go at once.
+        for model in &held {
+            let first = if self.since.is_empty() { Instant::ZERO } else { now };
+            self.since.entry(Arc::clone(model)).or_insert(first);
+        }
+        self.since.retain(|model, _| held.contains(model));
+    }
+
+    fn groups(&self, engine: &Engine) -> Vec<Group> {
+        let models = self.ledger.models().map(|(model, _)| Group {
+            model: Arc::clone(model),
+            size_mb: engine
+                .models
+                .get(model)
+                .map_or(0.0, |spec| spec.weights_mb),
+            unloading: self.ledger.is_unloading(model),
+            since: self.since.get(model).copied().unwrap_or(Instant::ZERO),
+        });
+        models.collect()
+    }
+
+    /// The order that brings an adapter, or the one that makes room for it.
+    fn adapter_order(
+        &mut self,
+        engine: &Engine,
+        want: &Want,
+        now: Instant,
+    ) -> Option<direct::Order> {
+        let load = Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
+        if let Some(order) = self.ledger.order(engine, load) {
+            return Some(order);
+        }
+        let (model, adapter, used_at) = self.ledger.oldest_adapter()?;
+        if self.ledger.adapters() < engine.adapters_max
+            || now.ms_since(used_at) < ADAPTER_IDLE_MS
+        {
+            return None;
+        }
+        self.ledger
+            .order(engine, Action::UnloadAdapter(model, adapter))
+    }
+}
+
+fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
+    setup.services.get(service)?.engine.as_ref()
+}
+
+/// Demand for a service's models over all entries.
+fn loads(node: &Node, service: &Arc<str>, now: Instant) -> BTreeMap<Arc<str>, Load> {
+    let mut loads: BTreeMap<Arc<str>, Load> = BTreeMap::new();
+    if let Some(demand) = node.demand.lock().get(service) {
+        for (model, load) in demand.loads(now) {
+            loads.insert(Arc::clone(model), load);
+        }
+    }
+    node.peers.add_loads(now, service, &mut loads);
+    loads
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,54 @@
+//! The process of an entry that speaks to upstreams itself.
+//!
+//! Callers' HTTP on one side, upstreams' HTTP on the other, and between entries
+//! small datagrams that state what holds now. What a request's headers are
+//! called, how the platform keeps its objects and what an order looks like is
+//! behind two borders: [`Dialect`] and [`plat::ObjectApi`]. The decisions are
+//! those of the `direct` crate.
+//!
+//! Invariants:
+//!
+//! - An answer looks complete only if the upstream's was, and bears the
+//!   request's own id. Whole answers are held until their end; streams are given
+//!   on event by event, and one that breaks either goes on at the exact next
+//!   event or ends the connection.
+//! - A caller that is gone takes its request with it: everything that a request
+//!   holds hangs on the future that its connection polls.
+//! - An order is sent only while the lease holds by a clock that counts the time
+//!   in which the machine was suspended.
+//! - Nothing waits for standard output, and nothing is held across an await that
+//!   another request needs.
+
+mod answer;
+mod clock;
+mod connection;
+mod dialect;
+mod events;
+mod follow;
+mod giver;
+mod headers;
+mod log;
+mod meters;
+mod node;
+mod operated;
+mod options;
+mod orders;
+mod peers;
+mod pool;
+mod request;
+mod run;
+mod server;
+mod start;
+mod stop;
+mod stream;
+mod tries;
+mod wants;
+
+pub use clock::BootClock;
+pub use connection::connect;
+pub use dialect::{
+    AnswerHead, AskHead, Dialect, DialectError, OrderCall, SendHead,
+};
+pub use log::Log;
+pub use options::{Bounds, Options, StoreKeys};
+pub use start::{Front, StartError, start};
--- /dev/null
+++ b/crates/front/src/meters.rs
@@ -0,0 +1,111 @@
+//! Counters and latency histograms.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds: the aims of the deployments lie
+/// between 0.1 and 8 s.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
+
+/// All metrics of the process.
+#[derive(Debug)]
+pub(crate) struct Meters {
+    registry: Registry,
+    /// Ends of requests, by route and outcome.
+    pub(crate) ended: IntCounterVec,
+    /// Time to the first answer, by route.
+    pub(crate) first_answer_s: HistogramVec,
+    /// Time to the end, by route.
+    pub(crate) whole_answer_s: HistogramVec,
+    /// Tries, by service and outcome.
+    pub(crate) tries: IntCounterVec,
+    /// Orders, by action and outcome.
+    pub(crate) orders: IntCounterVec,
+    /// Calls to the platform, by object and outcome.
+    pub(crate) store_calls: IntCounterVec,
+    /// Requests in progress.
+    pub(crate) in_progress: IntGauge,
+    /// Lines of the log that were dropped.
+    pub(crate) log_dropped: IntGauge,
+}
+
+impl Meters {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("names and labels are literals that fit");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each name stands once");
+            counter
+        };
+        let ended = counter(
+            "sesame_front_requests_total",
+            "Requests ended",
+            &["route", "outcome"],
+        );
+        let tries = counter(
+            "sesame_front_tries_total",
+            "Tries at upstreams",
+            &["service", "outcome"],
+        );
+        let orders = counter(
+            "sesame_front_orders_total",
+            "Orders to upstreams",
+            &["action", "outcome"],
+        );
+        let store_calls = counter(
+            "sesame_front_platform_calls_total",
+            "Calls to the platform",
+            &["object", "outcome"],
+        );
+        let histogram = |name: &str, help: &str| {
+            let options =
+                HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+            let histogram = HistogramVec::new(options, &["route"])
+                .expect("names and labels are literals that fit");
+            registry
+                .register(Box::new(histogram.clone()))
+                .expect("each name stands once");
+            histogram
+        };
+        let first_answer_s = histogram(
+            "sesame_front_first_answer_seconds",
+            "Time to the first part of an answer",
+        );
+        let whole_answer_s = histogram(
+            "sesame_front_whole_answer_seconds",
+            "Time to the end of an answer",
+        );
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("names are literals that fit");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("each name stands once");
+            gauge
+        };
+        let in_progress = gauge("sesame_front_in_progress", "Requests in progress");
+        let log_dropped = gauge("sesame_front_log_dropped", "Log lines dropped");
+        Self {
+            registry,
+            ended,
+            first_answer_s,
+            whole_answer_s,
+            tries,
+            orders,
+            store_calls,
+            in_progress,
+            log_dropped,
+        }
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|fault| format!("# {fault}\n"))
+    }
+}
--- /dev/null
+++ b/crates/front/src/node.rs
@@ -0,0 +1,156 @@
+//! What all tasks of the process share.
+
+use base::prelude::*;
+use direct::{Demand, Fleet, Lease, Repeats, Setup, Watermark};
+use parking_lot::Mutex;
+use plat::ObjectApi;
+use rand_core::Rng;
+use rand_pcg::Pcg64Mcg;
+use route::{Suspects, Verdict};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+use crate::giver::Giver;
+use crate::meters::Meters;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::stop::Stop;
+use crate::wants::Wants;
+use crate::{BootClock, Dialect, Log, Options};
+
+/// Time for which a verdict on a request that crashes upstreams stands.
+const VERDICT_MS: u64 = 60_000;
+
+/// What all tasks of the process share. Each part has its own lock, and none is
+/// held across an await.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) options: Options,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) store: Box<dyn ObjectApi>,
+    pub(crate) clock: BootClock,
+    pub(crate) log: Log,
+    pub(crate) meters: Meters,
+    pub(crate) pool: Pool,
+    /// Start of this process, in milliseconds of the time of day.
+    pub(crate) start: u64,
+    /// Configuration in force, and how far it is known.
+    pub(crate) setup: Mutex<(Option<Arc<Setup>>, Watermark)>,
+    pub(crate) fleet: Mutex<Fleet>,
+    /// How far the upstreams' entries are known.
+    pub(crate) fleet_mark: Mutex<Watermark>,
+    /// Demand by service.
+    pub(crate) demand: Mutex<BTreeMap<Arc<str>, Demand>>,
+    pub(crate) repeats: Mutex<Repeats>,
+    pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) wants: Wants,
+    pub(crate) peers: Peers,
+    pub(crate) lease: Mutex<Lease>,
+    pub(crate) giver: Giver,
+    /// Told when upstreams come, go or hold something else.
+    pub(crate) holdings: Notify,
+    /// Told when a request ends and makes room.
+    pub(crate) room: Notify,
+    pub(crate) stop: Stop,
+    random: Mutex<Pcg64Mcg>,
+}
+
+impl Node {
+    pub(crate) fn new(
+        options: Options,
+        dialect: Box<dyn Dialect>,
+        store: Box<dyn ObjectApi>,
+        log: Log,
+    ) -> Self {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let start = now.map_or(0, |now| now.as_millis() as u64);
+        let bounds = &options.bounds;
+        let repeats = Repeats::new(
+            bounds.repeat_ratio,
+            bounds.repeat_burst,
+            bounds.repeat_window_ms,
+        );
+        let lease = Lease::new(
+            &options.entry,
+            start,
+            bounds.order_quiet_ms / 2,
+            bounds.order_quiet_ms,
+        );
+        let seed = xxhash_rust::xxh3::xxh3_64_with_seed(options.entry.as_bytes(), start);
+        Self {
+            dialect,
+            store,
+            clock: BootClock,
+            log,
+            meters: Meters::new(),
+            pool: Pool::default(),
+            start,
+            setup: Mutex::default(),
+            fleet: Mutex::default(),
+            fleet_mark: Mutex::default(),
+            demand: Mutex::default(),
+            repeats: Mutex::new(repeats),
+            suspects: Mutex::new(Suspects::new(VERDICT_MS)),
+            wants: Wants::default(),
+            peers: Peers::new(&options),
+            lease: Mutex::new(lease),
+            giver: Giver::new(bounds.store_load_window_ms),
+            holdings: Notify::new(),
+            room: Notify::new(),
+            stop: Stop::default(),
+            random: Mutex::new(Pcg64Mcg::new(u128::from(seed) | 1)),
+            options,
+        }
+    }
+
+    /// The present.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn setup(&self) -> Option<Arc<Setup>> {
+        self.setup.lock().0.clone()
+    }
+
+    /// Whether the configuration was confirmed lately, so that what it does not
+    /// name is not there.
+    pub(crate) fn setup_is_fresh(&self) -> bool {
+        let mark = self.setup.lock().1;
+        mark.is_fresh(self.now(), self.options.bounds.contact_ms)
+    }
+
+    /// A number drawn at random.
+    pub(crate) fn random(&self) -> u64 {
+        self.random.lock().next_u64()
+    }
+
+    /// Whether a request has crashed so many upstreams that it is not sent to
+    /// another one.
+    pub(crate) fn is_convicted(&self, fingerprint: u64) -> bool {
+        let verdict = self.suspects.lock().verdict(self.now(), fingerprint);
+        matches!(verdict, Verdict::Convicted { .. })
+    }
+
+    /// An upstream broke a request's connection off: it may have crashed.
+    pub(crate) fn suspect(&self, fingerprint: u64, upstream: &str) {
+        let agent = AgentId::new(upstream);
+        self.suspects
+            .lock()
+            .on_crash(self.now(), &[fingerprint], &agent, 0, false);
+    }
+
+    /// Whether this entry can serve callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows_fleet = self.fleet_mark.lock().confirmed_at.is_some();
+        !self.stop.is_stopping() && knows_fleet && self.setup().is_some()
+    }
+
+    /// Counts demand for a model of a service.
+    pub(crate) fn with_demand(&self, service: &Arc<str>, change: impl FnOnce(&mut Demand)) {
+        let mut demand = self.demand.lock();
+        change(demand.entry(Arc::clone(service)).or_default());
+    }
+}
--- /dev/null
+++ b/crates/front/src/operated.rs
@@ -0,0 +1,64 @@
+//! The listener of the balancer's question and of metrics.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+use crate::connection::watch_far_end;
+use crate::node::Node;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Time for which a connection may idle; the balancer asks once a second.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers for ever.
+pub(crate) async fn answer(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        watch_far_end(&stream);
+        let node = Arc::clone(&node);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = one(&node, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever asked has gone.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn one(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let (status, body) = if path == METRICS_PATH {
+        let dropped = i64::try_from(node.log.dropped()).unwrap_or(i64::MAX);
+        node.meters.log_dropped.set(dropped);
+        (StatusCode::OK, node.meters.text())
+    } else if path != node.dialect.ready_path() {
+        (StatusCode::NOT_FOUND, String::new())
+    } else if node.is_ready() {
+        (StatusCode::OK, String::new())
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, String::new())
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/front/src/orders.rs
@@ -0,0 +1,221 @@
+//! Orders and reports on the wire, and the lease that allows orders.
+
+use base::{Expect, PlatformOp, PlatformResult, Version};
+use bytes::Bytes;
+use direct::{LeaseRecord, LeaseStep, Order, Sent};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use crate::OrderCall;
+use crate::node::Node;
+use crate::pool::SendFault;
+
+/// Longest wait for the answer to an order. Upstreams answer in milliseconds or
+/// not at all.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest wait for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest report taken.
+const REPORT_MAX_BYTES: usize = 1 << 20;
+
+/// Time between two looks at the lease.
+const LEASE_TICK: Duration = Duration::from_millis(100);
+
+/// Silence of the lease's holder after which the platform is asked for it.
+const HOLDER_SILENT_MS: u64 = 1_500;
+
+/// Sends an order, unless the lease has ended meanwhile, and books what came of
+/// it.
+pub(crate) async fn send_order(
+    node: Arc<Node>,
+    id: Arc<str>,
+    service: Arc<str>,
+    order: Order,
+    token: u64,
+    from_store: bool,
+) {
+    let call = node
+        .dialect
+        .order(&id, &order, &node.options.entry, token);
+    let permit = || node.lease.lock().token(node.now()) == Some(token);
+    let answer = send(&node, &id, call, ORDER_TIMEOUT, permit).await;
+    let sent = match &answer {
+        Ok((status, _)) => Sent::Answered(node.dialect.order_answer(*status)),
+        Err(SendFault::NotSent) => Sent::NotSent,
+        Err(SendFault::Broken) => Sent::Unanswered,
+    };
+    if sent == Sent::Unanswered && from_store {
+        node.giver.load_unanswered(node.now(), &service);
+    }
+    let status = answer.map_or(0, |(status, _)| status.as_u16());
+    let action = format!("{:?}", order.action);
+    let name = action.split('(').next().unwrap_or_default().to_owned();
+    let outcome = format!("{sent:?}");
+    let labels = [name.as_str(), outcome.as_str()];
+    node.meters.orders.with_label_values(&labels).inc();
+    node.log.line(
+        "order",
+        json!({ "upstream": &*id, "action": action, "expect": order.expect,
+            "token": token, "status": status, "outcome": outcome }),
+    );
+    let now = node.now();
+    node.giver
+        .with_ledger(&id, |ledger| ledger.sent(now, &order, sent));
+}
+
+/// Asks an upstream for its report and books it.
+pub(crate) async fn ask_report(node: Arc<Node>, id: Arc<str>) {
+    let call = node.dialect.report_call(&id);
+    let answer = send(&node, &id, call, REPORT_TIMEOUT, || true).await;
+    let Ok((StatusCode::OK, body)) = answer else {
+        return;
+    };
+    match node.dialect.report(&body) {
+        Ok(report) => {
+            let now = node.now();
+            node.giver
+                .with_ledger(&id, |ledger| ledger.report(now, &report));
+        }
+        Err(fault) => {
+            let why = fault.to_string();
+            node.log
+                .line("report_unread", json!({ "upstream": &*id, "why": why }));
+        }
+    }
+}
+
+/// Makes a call to an upstream; `permit` is asked when the connection stands,
+/// right before the first byte.
+async fn send(
+    node: &Node,
+    id: &Arc<str>,
+    call: OrderCall,
+    longest: Duration,
+    permit: impl Fn() -> bool,
+) -> Result<(StatusCode, Bytes), SendFault> {
+    let address = node.fleet.lock().get(id).map(|known| known.news.address);
+    let address = address.ok_or(SendFault::NotSent)?;
+    let mut line = node.pool.take(id, address, true).await?;
+    if !permit() {
+        return Err(SendFault::NotSent);
+    }
+    let request = request(address, call);
+    let exchange = async {
+        let response: Response<_> = line.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), REPORT_MAX_BYTES)
+            .collect()
+            .await
+            .map_err(|_| SendFault::Broken)?;
+        Ok((status, body.to_bytes()))
+    };
+    let answer = timeout(longest, exchange)
+        .await
+        .unwrap_or(Err(SendFault::Broken))?;
+    node.pool.keep(id, line, None);
+    Ok(answer)
+}
+
+fn request(address: SocketAddr, call: OrderCall) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse().unwrap_or_default();
+    *request.headers_mut() = call.headers;
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
+/// Takes and renews the lease, for ever.
+pub(crate) async fn keep_lease(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(LEASE_TICK).await;
+        if node.stop.is_stopping() || node.setup().is_none() {
+            continue;
+        }
+        let step = lease_step(&node);
+        match step {
+            LeaseStep::Wait => {}
+            LeaseStep::Read => read_lease(&node).await,
+            LeaseStep::Write { record, version } => {
+                write_lease(&node, record, version).await;
+            }
+        }
+    }
+}
+
+fn lease_step(node: &Node) -> LeaseStep {
+    let now = node.now();
+    let mut lease = node.lease.lock();
+    let heard = lease.holder().is_some_and(|holder| {
+        node.peers.is_heard(now, holder, HOLDER_SILENT_MS)
+            && node.peers.giver_token(now, HOLDER_SILENT_MS) > 0
+    });
+    lease.step(now, heard)
+}
+
+async fn read_lease(node: &Node) {
+    let key = node.options.keys.lease.clone();
+    let result = node.store.call(&PlatformOp::Read { key }).await;
+    let now = node.now();
+    let mut lease = node.lease.lock();
+    match result {
+        PlatformResult::Object(None) => lease.read(now, None),
+        PlatformResult::Object(Some((version, value))) => {
+            let record = serde_json::from_slice(&value).unwrap_or_default();
+            lease.read(now, Some((version.0, record)));
+        }
+        _ => lease.failed(now, false),
+    }
+}
+
+async fn write_lease(node: &Node, record: LeaseRecord, version: Option<u64>) {
+    let sent_at = node.now();
+    // Names and numbers always serialise.
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let expect = version.map_or(Expect::Absent, |version| {
+        Expect::Version(Version(version))
+    });
+    let op = PlatformOp::Write {
+        key: node.options.keys.lease.clone(),
+        expect,
+        value,
+    };
+    let result = node.store.call(&op).await;
+    let now = node.now();
+    let mut lease = node.lease.lock();
+    let before = lease.token(now);
+    match result {
+        PlatformResult::Written(version) => lease.written(sent_at, version.0, record),
+        PlatformResult::Conflict => lease.failed(now, true),
+        // It may have been written; the next read tells.
+        PlatformResult::Unanswered => lease.failed(now, true),
+        _ => lease.failed(now, false),
+    }
+    let token = lease.token(node.now());
+    drop(lease);
+    if token != before {
+        node.log.line(
+            "lease",
+            json!({ "token": token, "before": before, "sent_ms": now.ms_since(sent_at) }),
+        );
+    }
+}
+
+/// Gives the lease back at the end of the process, so that its successor need
+/// not wait for as long as for a giver that fell silent.
+pub(crate) async fn give_back_lease(node: &Node) {
+    let given = node.lease.lock().give_back();
+    if let Some((record, version)) = given {
+        write_lease(node, record, Some(version)).await;
+    }
+}
--- /dev/null
+++ b/crates/front/src/request.rs
@@ -0,0 +1,168 @@
+//! A caller's request, from its bytes to its call.
+
+use base::prelude::*;
+use bytes::Bytes;
+use direct::{Route, ServiceSpec};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Method, Request, Response, Uri};
+use serde_json::json;
+use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::answer::{AnswerBody, refusal};
+use crate::headers::{ask_close, is_ambiguous, strip_connection};
+use crate::node::Node;
+use crate::run::run;
+use crate::{AskHead, BootClock};
+
+/// Time after which a caller is told to come back to an entry that does not
+/// know its configuration yet.
+const NOT_READY_RETRY_MS: u64 = 300;
+
+/// Time that a caller without a deadline is given at most.
+const DEADLINE_DEFAULT_MS: u64 = 60_000;
+
+/// A caller's request with all that decides what becomes of it.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) arrived: Instant,
+    /// When the caller gets its final answer at the latest.
+    pub(crate) give_up_at: Instant,
+    pub(crate) ask: AskHead,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) spec: Arc<ServiceSpec>,
+    pub(crate) setup_version: u64,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Headers without those of the connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Hash of path and body, by which a request that crashes upstreams is known
+    /// when it comes again.
+    pub(crate) fingerprint: u64,
+    /// Prompt parts: hash of all parts up to it, and its tokens.
+    pub(crate) parts: Vec<(u64, u64)>,
+}
+
+impl Call {
+    /// Time until the final answer.
+    pub(crate) fn left_ms(&self, clock: BootClock) -> u64 {
+        self.give_up_at.ms_since(clock.now())
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    node: Arc<Node>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = node.now();
+    let (parts, body) = request.into_parts();
+    let ask = node.dialect.ask(&parts.headers);
+    let id = ask.id.clone();
+    let mut response = match call(&node, arrived, parts, body, ask).await {
+        Ok(call) => run(Arc::clone(&node), call).await,
+        Err(why) => {
+            node.log.line(
+                "refused",
+                json!({ "id": id, "code": why.code.number(), "why": why.code.name(),
+                    "setup": node.setup().map(|setup| setup.version) }),
+            );
+            let route = ["", why.code.name()];
+            node.meters.ended.with_label_values(&route).inc();
+            refusal(&*node.dialect, &id, &why)
+        }
+    };
+    if node.stop.is_stopping() {
+        ask_close(response.headers_mut());
+    }
+    response
+}
+
+async fn call(
+    node: &Node,
+    arrived: Instant,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    ask: AskHead,
+) -> Result<Call, Refusal> {
+    let not_ready =
+        Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
+    let setup = node.setup().ok_or(not_ready)?;
+    if is_ambiguous(&parts.headers) {
+        return Err(Refusal::not_run(Code::BadRequest));
+    }
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = setup.route(host, parts.uri.path()).cloned();
+    let Some(route) = route else {
+        // What a configuration that may be old does not name may be there.
+        let known = node.setup_is_fresh();
+        return Err(if known {
+            Refusal::not_run(Code::UnknownPath)
+        } else {
+            not_ready
+        });
+    };
+    let service = route.service(&ask.id).cloned().ok_or(not_ready)?;
+    let spec = setup.services.get(&service).cloned().unwrap_or_default();
+    let body = read_body(body, setup.limits.body_max_bytes).await?;
+    let mut headers = parts.headers;
+    strip_connection(&mut headers);
+    let deadline_ms = ask.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+    Ok(Call {
+        arrived,
+        give_up_at: arrived.plus_ms(deadline_ms.min(route.timeout_ms)),
+        fingerprint: fingerprint(&parts.uri, &body),
+        parts: chain(&ask),
+        ask,
+        service,
+        spec,
+        setup_version: setup.version,
+        route,
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+    })
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
+    let too_large = Refusal::not_run(Code::BodyTooLarge);
+    // What the caller announces is refused without reading it.
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large);
+    }
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(fault) if fault.is::<LengthLimitError>() => Err(too_large),
+        Err(_) => Err(Refusal::not_run(Code::BadRequest)),
+    }
+}
+
+fn fingerprint(uri: &Uri, body: &[u8]) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(uri.path().as_bytes());
+    hash.update(&[0]);
+    hash.update(body);
+    hash.digest()
+}
+
+/// Names each prompt part by all parts up to it, for the model and adapter: a
+/// part is kept only behind the parts before it.
+fn chain(ask: &AskHead) -> Vec<(u64, u64)> {
+    let mut hash = Xxh3::new();
+    if let Some((model, adapter)) = &ask.model {
+        hash.update(model.as_bytes());
+        hash.update(&[0]);
+        hash.update(adapter.as_deref().unwrap_or_default().as_bytes());
+    }
+    let parts = ask.parts.iter().map(|(name, tokens)| {
+        hash.update(&name.to_le_bytes());
+        (hash.digest(), *tokens)
+    });
+    parts.collect()
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,402 @@
+//! A request's way to its answer, over as many upstreams as it may take.
+
+use base::prelude::*;
+use direct::{Next, Outcome, Pick, Picked, Tried, Unpicked, after, pick};
+use hyper::Response;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use crate::answer::{AnswerBody, Whole, refusal};
+use crate::node::Node;
+use crate::request::Call;
+use crate::stream::{begin, pass_on};
+use crate::tries::{Live, TryEnd, try_once};
+use crate::wants::Want;
+
+/// Part of its time, in percent, that a request waits for an upstream. The rest
+/// is for its run; who is told earlier can still come back.
+const WAIT_PERCENT: u64 = 60;
+
+/// Longest time between two looks for an upstream while a request waits.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// When to come back after a refusal.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// How a request's way ended.
+pub(crate) enum End {
+    /// A stream has begun.
+    Live(Box<Live>),
+    /// An upstream's whole answer.
+    Whole(Whole),
+    /// No answer of an upstream.
+    Refused(Refusal),
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) node: Arc<Node>,
+    pub(crate) call: Call,
+    /// Upstreams that were sent the request.
+    sent_to: Vec<Arc<str>>,
+    /// Upstreams that could not be reached.
+    unreached: Vec<Arc<str>>,
+    may_have_run: bool,
+    /// The last failure of an upstream's own.
+    failure: Option<Whole>,
+    /// Last event given on, where a stream is continued.
+    pub(crate) last_event: Option<u64>,
+    /// What was tried, for the log.
+    tries: Vec<Value>,
+    waited_ms: u64,
+    first_answer_ms: Option<u64>,
+    told: bool,
+}
+
+/// Answers a request by sending it to upstreams.
+pub(crate) async fn run(node: Arc<Node>, call: Call) -> Response<AnswerBody> {
+    let now = node.now();
+    node.meters.in_progress.inc();
+    node.repeats.lock().request(now, &call.service);
+    if let Some((model, _)) = &call.ask.model {
+        let answer = call.ask.answer_tokens_hint;
+        let answer = answer.unwrap_or(call.ask.answer_tokens_max / 2);
+        node.with_demand(&call.service, |demand| {
+            demand.arrived(model, call.ask.prompt_tokens, answer);
+        });
+    }
+    let mut run = Run::new(node, call);
+    match run.until_answer().await {
+        End::Live(live) => match begin(run, *live).await {
+            Ok((first, pump)) => pass_on(first, pump),
+            Err((mut run, end)) => run.finish(end),
+        },
+        end => run.finish(end),
+    }
+}
+
+impl Run {
+    fn new(node: Arc<Node>, call: Call) -> Self {
+        Self {
+            node,
+            call,
+            sent_to: Vec::new(),
+            unreached: Vec::new(),
+            may_have_run: false,
+            failure: None,
+            last_event: None,
+            tries: Vec::new(),
+            waited_ms: 0,
+            first_answer_ms: None,
+            told: false,
+        }
+    }
+
+    /// Tries upstreams until one answers or none may be tried any more.
+    pub(crate) async fn until_answer(&mut self) -> End {
+        loop {
+            if self.node.is_convicted(self.call.fingerprint) {
+                return self.end_without(Code::Convicted);
+            }
+            let picked = match self.picked().await {
+                Ok(picked) => picked,
+                Err(code) => return self.end_without(code),
+            };
+            let last_event = self.last_event.map(|id| id.to_string());
+            let begun_at = self.node.now();
+            let ended =
+                try_once(&self.node, &self.call, &picked, last_event.as_deref()).await;
+            self.note_try(&picked, begun_at, &ended);
+            match ended {
+                TryEnd::Live(live) => return End::Live(live),
+                TryEnd::Whole(whole) => return End::Whole(whole),
+                TryEnd::Fault(outcome, own) => {
+                    if let Some(end) = self.after_fault(&picked, outcome, own) {
+                        return end;
+                    }
+                }
+            }
+        }
+    }
+
+    /// A stream broke at this upstream: the end if it can't be continued.
+    pub(crate) fn after_break(&mut self, upstream: &Arc<str>) -> Option<End> {
+        let picked = Picked {
+            id: Arc::clone(upstream),
+            usage: direct::Usage::default(),
+            wait_ms: 0.0,
+        };
+        self.tries
+            .push(json!({ "upstream": &**upstream, "outcome": "broke_off",
+                "after_event": self.last_event }));
+        self.after_fault(&picked, Outcome::Unknown, None)
+    }
+
+    fn after_fault(
+        &mut self,
+        picked: &Picked,
+        outcome: Outcome,
+        own: Option<Whole>,
+    ) -> Option<End> {
+        if own.is_some() {
+            self.failure = own;
+        }
+        if outcome == Outcome::NotSent {
+            self.unreached.push(Arc::clone(&picked.id));
+        } else if !self.sent_to.contains(&picked.id) {
+            self.sent_to.push(Arc::clone(&picked.id));
+        }
+        let tried = Tried {
+            upstreams: u32::try_from(self.sent_to.len()).unwrap_or(u32::MAX),
+            upstreams_max: self.call.route.upstreams_max,
+            may_have_run: self.may_have_run,
+        };
+        let next = after(self.call.route.kind, tried, outcome);
+        self.may_have_run |= matches!(outcome, Outcome::Unknown | Outcome::Failed);
+        let now = self.node.now();
+        match next {
+            _ if now >= self.call.give_up_at => {
+                Some(self.end_without(Code::DeadlineBeforeRun))
+            }
+            Next::Other => None,
+            Next::Repeat => {
+                let mut repeats = self.node.repeats.lock();
+                let taken = repeats.try_take(now, &self.call.service);
+                drop(repeats);
+                (!taken).then(|| self.end_without(Code::Overloaded))
+            }
+            Next::EndNotRun => Some(self.end_without(Code::Overloaded)),
+            Next::EndMayHaveRun => Some(self.end_without(Code::OutcomeUnknown)),
+        }
+    }
+
+    /// The caller's time is over while a stream runs.
+    pub(crate) fn late(&mut self) -> End {
+        self.may_have_run = true;
+        self.end_without(Code::DeadlineWhileRunning)
+    }
+
+    /// The end of a request for which no upstream's answer stands.
+    fn end_without(&mut self, code: Code) -> End {
+        if let Some(failure) = self.failure.take() {
+            return End::Whole(failure);
+        }
+        if !self.may_have_run {
+            let code = match code {
+                Code::DeadlineBeforeRun | Code::Convicted | Code::OutcomeUnknown => {
+                    Code::Overloaded
+                }
+                code => code,
+            };
+            return End::Refused(Refusal::not_run(code).retry_after_ms(RETRY_AFTER_MS));
+        }
+        let code = if self.node.now() >= self.call.give_up_at {
+            Code::DeadlineWhileRunning
+        } else {
+            Code::OutcomeUnknown
+        };
+        End::Refused(Refusal {
+            code,
+            ran: Ran::Unknown,
+            retry_after_ms: None,
+        })
+    }
+
+    /// An upstream for the next try; waits for one while that can be in time.
+    async fn picked(&mut self) -> Result<Picked, Code> {
+        let mut waiting: Option<Waiting> = None;
+        let wait_until = self.wait_until();
+        loop {
+            let holdings = self.node.holdings.notified();
+            let room = self.node.room.notified();
+            let why = match self.pick() {
+                Ok(picked) => return Ok(picked),
+                Err(why) => why,
+            };
+            let now = self.node.now();
+            if now >= wait_until {
+                self.tries.push(json!({ "unpicked": why.as_str() }));
+                return Err(code_of(why));
+            }
+            if waiting.is_none() {
+                waiting = Some(Waiting::start(&self.node, &self.call, why));
+            }
+            self.ask_for_adapter(why);
+            let look = LOOK_EVERY.min(wait_until.since(now));
+            // What wakes it, or nothing: the next look decides.
+            let _ = if why == Unpicked::Full {
+                timeout(look, room).await
+            } else {
+                timeout(look, holdings).await
+            };
+            self.waited_ms += self.node.now().ms_since(now);
+        }
+    }
+
+    fn wait_until(&self) -> Instant {
+        let whole_ms = self.call.give_up_at.ms_since(self.call.arrived);
+        let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
+        if self.sent_to.is_empty() {
+            part
+        } else {
+            // A request that ran is worth waiting for to the end.
+            self.call.give_up_at
+        }
+    }
+
+    fn pick(&self) -> Result<Picked, Unpicked> {
+        let call = &self.call;
+        let answer_tokens = call.ask.answer_tokens_max;
+        let excluded: Vec<Arc<str>> =
+            self.sent_to.iter().chain(&self.unreached).cloned().collect();
+        let model = call.ask.model.as_ref();
+        let input = Pick {
+            now: self.node.now(),
+            service: &call.service,
+            engine: call.spec.engine.as_ref(),
+            model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
+            parts: &call.parts,
+            prompt_tokens: call.ask.prompt_tokens,
+            kept_tokens: call.ask.prompt_tokens + answer_tokens,
+            excluded: &excluded,
+            domain: &self.node.options.domain,
+            random: self.node.random(),
+        };
+        pick(&self.node.fleet.lock(), &input)
+    }
+
+    fn ask_for_adapter(&self, why: Unpicked) {
+        let model = self.call.ask.model.as_ref();
+        let Some((model, Some(adapter))) = model else {
+            return;
+        };
+        if why == Unpicked::NoAdapter {
+            let want = Want {
+                service: Arc::clone(&self.call.service),
+                model: Arc::clone(model),
+                adapter: Arc::clone(adapter),
+            };
+            self.node.wants.name(self.node.now(), want);
+        }
+    }
+
+    fn note_try(&mut self, picked: &Picked, begun_at: Instant, ended: &TryEnd) {
+        let outcome = match ended {
+            TryEnd::Live(_) => "begun",
+            TryEnd::Whole(_) => "whole",
+            TryEnd::Fault(outcome, _) => outcome.as_str(),
+        };
+        let labels = [&*self.call.service, outcome];
+        self.node.meters.tries.with_label_values(&labels).inc();
+        self.tries.push(json!({ "upstream": &*picked.id, "outcome": outcome,
+            "expected_ms": picked.wait_ms as u64,
+            "ms": self.node.now().ms_since(begun_at) }));
+    }
+
+    /// The first part of the answer goes to the caller now.
+    pub(crate) fn first_answer(&mut self) {
+        let ms = self.node.now().ms_since(self.call.arrived);
+        if self.first_answer_ms.is_none() {
+            self.first_answer_ms = Some(ms);
+            let histogram = &self.node.meters.first_answer_s;
+            let route = [&*self.call.route.name];
+            histogram.with_label_values(&route).observe(ms as f64 / 1_000.0);
+        }
+    }
+
+    /// Turns the end into the caller's answer.
+    pub(crate) fn finish(&mut self, end: End) -> Response<AnswerBody> {
+        match end {
+            End::Whole(whole) => {
+                self.first_answer();
+                self.tell("answered", whole.status.as_u16());
+                whole.into_response()
+            }
+            End::Refused(why) => {
+                self.tell(why.code.name(), why.code.http_status());
+                refusal(&*self.node.dialect, &self.call.ask.id, &why)
+            }
+            End::Live(_) => {
+                let why = Refusal::not_run(Code::Overloaded);
+                refusal(&*self.node.dialect, &self.call.ask.id, &why)
+            }
+        }
+    }
+
+    /// Writes the request's line and counts its end; once.
+    pub(crate) fn tell(&mut self, outcome: &str, status: u16) {
+        if std::mem::replace(&mut self.told, true) {
+            return;
+        }
+        let node = &self.node;
+        let ms = node.now().ms_since(self.call.arrived);
+        let route = &*self.call.route.name;
+        node.meters.ended.with_label_values(&[route, outcome]).inc();
+        let histogram = node.meters.whole_answer_s.with_label_values(&[route]);
+        histogram.observe(ms as f64 / 1_000.0);
+        let fleet_age_ms = node.fleet_mark.lock().age_ms(node.now());
+        let model = self.call.ask.model.as_ref();
+        let model = model.map(|(model, adapter)| match adapter {
+            Some(adapter) => format!("{model}/{adapter}"),
+            None => model.to_string(),
+        });
+        node.log.line(
+            "request",
+            json!({ "id": self.call.ask.id, "route": route,
+                "service": &*self.call.service, "model": model, "outcome": outcome,
+                "status": status, "ms": ms, "first_ms": self.first_answer_ms,
+                "waited_ms": self.waited_ms, "tries": self.tries,
+                "ran": self.may_have_run, "last_event": self.last_event,
+                "setup": self.call.setup_version, "fleet_age_ms": fleet_age_ms }),
+        );
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.node.meters.in_progress.dec();
+        self.tell("caller_gone", 0);
+    }
+}
+
+/// A request that waits for its model, as demand sees it.
+struct Waiting {
+    node: Arc<Node>,
+    model: Option<(Arc<str>, Arc<str>)>,
+    since: Instant,
+}
+
+impl Waiting {
+    fn start(node: &Arc<Node>, call: &Call, why: Unpicked) -> Self {
+        let model = call.ask.model.as_ref().filter(|_| why == Unpicked::NoModel);
+        let waiting = Self {
+            node: Arc::clone(node),
+            model: model.map(|(model, _)| (Arc::clone(&call.service), Arc::clone(model))),
+            since: node.now(),
+        };
+        if let Some((service, model)) = &waiting.model {
+            node.with_demand(service, |demand| demand.wait(model, waiting.since));
+        }
+        waiting
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if let Some((service, model)) = &self.model {
+            let since = self.since;
+            self.node
+                .with_demand(service, |demand| demand.wait_ended(model, since));
+        }
+    }
+}
+
+const fn code_of(why: Unpicked) -> Code {
+    match why {
+        Unpicked::NoModel | Unpicked::NoAdapter => Code::ModelUnavailable,
+        Unpicked::NoUpstream | Unpicked::Full => Code::Overloaded,
+    }
+}
--- /dev/null
+++ b/crates/front/src/start.rs
@@ -0,0 +1,171 @@
+//! The process, from its sockets to its end.
+
+use plat::ObjectApi;
+use serde_json::json;
+use snafu::{ResultExt, Snafu};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::follow::{Followed, follow};
+use crate::giver::give_orders;
+use crate::node::Node;
+use crate::orders::{give_back_lease, keep_lease};
+use crate::peers;
+use crate::{Dialect, Log, Options, operated, server};
+
+/// Time after the signal to stop in which connections still take requests: the
+/// balancer needs two questions, a second apart, to send callers elsewhere.
+const KEEP_TAKING: Duration = Duration::from_millis(2_200);
+
+/// Time before the end by force at which the process ends by itself.
+const SPARE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at whether all requests have ended.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Time between two rounds of forgetting what is not needed any more.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// Why the process can't start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StartError {
+    /// An address can't be bound.
+    #[snafu(display("5011 bad_address: {what} at {address}: {source}"))]
+    Bind {
+        /// What is served there.
+        what: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// Signals can't be heard.
+    #[snafu(display("5010 file_fault: signals: {source}"))]
+    Signals {
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Front {
+    node: Arc<Node>,
+}
+
+/// Binds the sockets and starts the tasks.
+///
+/// # Errors
+///
+/// An address can't be bound.
+pub async fn start(
+    options: Options,
+    dialect: Box<dyn Dialect>,
+    store: Box<dyn ObjectApi>,
+) -> Result<Front, StartError> {
+    let log = Log::start();
+    let callers = listen("callers", options.callers).await?;
+    let readiness = listen("readiness", options.readiness).await?;
+    let address = options.peers;
+    let socket = UdpSocket::bind(address)
+        .await
+        .context(BindSnafu { what: "peers", address })?;
+    let socket = Arc::new(socket);
+    let node = Arc::new(Node::new(options, dialect, store, log));
+    node.log.line(
+        "started",
+        json!({ "entry": node.options.entry, "domain": node.options.domain,
+            "callers": node.options.callers, "peers": address,
+            "start": node.start }),
+    );
+    let shared = || Arc::clone(&node);
+    tokio::spawn(server::accept(shared(), callers));
+    tokio::spawn(operated::answer(shared(), readiness));
+    tokio::spawn(follow(shared(), Followed::Setup));
+    tokio::spawn(follow(shared(), Followed::Upstreams));
+    tokio::spawn(peers::register(shared()));
+    tokio::spawn(peers::hear(shared(), Arc::clone(&socket)));
+    tokio::spawn(peers::tell(shared(), Arc::clone(&socket)));
+    tokio::spawn(peers::tell_when_new(shared(), socket));
+    tokio::spawn(keep_lease(shared()));
+    tokio::spawn(give_orders(shared()));
+    tokio::spawn(sweep(shared()));
+    let handing_over = node.log.clone();
+    tokio::spawn(async move { handing_over.hand_over().await });
+    Ok(Front { node })
+}
+
+async fn listen(
+    what: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { what, address })
+}
+
+async fn sweep(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        let now = node.now();
+        let mut fleet = node.fleet.lock();
+        fleet.sweep(now);
+        node.pool.sweep(|id| fleet.get(id).is_some());
+    }
+}
+
+impl Front {
+    /// Serves until a signal to stop, and then ends in order.
+    ///
+    /// # Errors
+    ///
+    /// Signals can't be heard.
+    pub async fn run(self) -> Result<(), StartError> {
+        let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+        let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+        let mut reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                // Addresses and bounds hold for the life of a process; all that
+                // changes under way comes by the platform.
+                _ = reload.recv() => self.node.log.line("reload", json!({})),
+            }
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    /// Ends in order: callers are sent elsewhere, what runs is finished, and no
+    /// answer is cut while there is time for it.
+    async fn stop(&self) {
+        let node = &self.node;
+        let begun_at = node.now();
+        node.stop.begin();
+        node.log.line(
+            "stopping",
+            json!({ "in_progress": node.meters.in_progress.get() }),
+        );
+        let releasing = Arc::clone(node);
+        tokio::spawn(async move { give_back_lease(&releasing).await });
+        tokio::time::sleep(KEEP_TAKING).await;
+        node.stop.close.cancel();
+        let longest = Duration::from_millis(node.options.bounds.stop_ms);
+        let end_at = begun_at + longest.saturating_sub(SPARE);
+        while node.now() < end_at && node.meters.in_progress.get() > 0 {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        node.log.line(
+            "stopped",
+            json!({ "in_progress": node.meters.in_progress.get() }),
+        );
+        node.log.flush();
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/front/src/tries.rs
@@ -0,0 +1,334 @@
+//! One try of a request at one upstream.
+
+use base::prelude::*;
+use bytes::Bytes;
+use direct::{Outcome, Picked, Usage};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode, Version};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use crate::answer::Whole;
+use crate::headers::strip_connection;
+use crate::node::Node;
+use crate::pool::{Line, SendFault};
+use crate::request::Call;
+use crate::{AnswerHead, SendHead};
+
+/// Largest whole answer that is held; larger ones break off.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+
+/// Time between two looks at whether an upstream has fallen silent.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Time without an answer after which a request that may be repeated is sent to
+/// another upstream, if this one has fallen silent towards all requests.
+const PATIENCE_MS: u64 = 700;
+
+/// A request's use of an upstream. Dropped, it ends.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    node: Arc<Node>,
+    pub(crate) upstream: Arc<str>,
+    usage: Usage,
+    begun: bool,
+}
+
+impl InFlight {
+    fn start(node: &Arc<Node>, call: &Call, picked: &Picked) -> Self {
+        let now = node.now();
+        if let Some(upstream) = node.fleet.lock().get_mut(&picked.id) {
+            upstream.sent(now, &picked.usage);
+            upstream.remember_parts(now, &call.parts);
+        }
+        Self {
+            node: Arc::clone(node),
+            upstream: Arc::clone(&picked.id),
+            usage: picked.usage,
+            begun: false,
+        }
+    }
+
+    /// Bytes of an answer came.
+    pub(crate) fn heard(&mut self) {
+        let now = self.node.now();
+        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+            upstream.heard(now);
+            if !self.begun {
+                upstream.begun(self.usage.waiting_tokens);
+            }
+        }
+        self.begun = true;
+    }
+
+    /// Whether the upstream has fallen silent towards all requests here.
+    pub(crate) fn is_silent(&self) -> bool {
+        let now = self.node.now();
+        let fleet = self.node.fleet.lock();
+        let upstream = fleet.get(&self.upstream);
+        upstream.is_none_or(|upstream| upstream.is_suspected(now))
+    }
+
+    fn observe(&self, ok: bool) {
+        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+            upstream.observe(ok);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+            if !self.begun {
+                upstream.begun(self.usage.waiting_tokens);
+            }
+            upstream.ended(self.usage.running, self.usage.kept_tokens);
+        }
+        self.node.room.notify_waiters();
+    }
+}
+
+/// A stream that an upstream has begun.
+#[derive(Debug)]
+pub(crate) struct Live {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) in_flight: InFlight,
+    line: Line,
+    keep_alive_s: Option<u64>,
+}
+
+impl Live {
+    /// The stream was read to its end: the connection can be used again.
+    pub(crate) fn finished(self) {
+        self.in_flight.observe(true);
+        let node = Arc::clone(&self.in_flight.node);
+        let upstream = Arc::clone(&self.in_flight.upstream);
+        drop(self.in_flight);
+        node.pool.keep(&upstream, self.line, self.keep_alive_s);
+    }
+
+    /// The stream broke: the upstream may have crashed.
+    pub(crate) fn broke(self, fingerprint: u64) {
+        self.in_flight.observe(false);
+        let node = Arc::clone(&self.in_flight.node);
+        node.suspect(fingerprint, &self.in_flight.upstream);
+    }
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub(crate) enum TryEnd {
+    /// A stream has begun.
+    Live(Box<Live>),
+    /// A whole answer that stands.
+    Whole(Whole),
+    /// No answer that stands; with the upstream's own failure if it gave one.
+    Fault(Outcome, Option<Whole>),
+}
+
+/// Sends a request to an upstream and waits for its answer, or for the head of
+/// a stream.
+pub(crate) async fn try_once(
+    node: &Arc<Node>,
+    call: &Call,
+    picked: &Picked,
+    last_event: Option<&str>,
+) -> TryEnd {
+    let Some(address) = address(node, &picked.id) else {
+        return TryEnd::Fault(Outcome::NotSent, None);
+    };
+    let in_flight = InFlight::start(node, call, picked);
+    let fresh = !call.route.kind.may_repeat();
+    let Ok(line) = node.pool.take(&picked.id, address, fresh).await else {
+        unreached(node, &picked.id);
+        return TryEnd::Fault(Outcome::NotSent, None);
+    };
+    let left_ms = call.left_ms(node.clock);
+    if left_ms == 0 {
+        return TryEnd::Fault(Outcome::NotSent, None);
+    }
+    let request = request(node, call, &picked.id, left_ms, last_event);
+    exchange(node, call, in_flight, line, request).await
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    call: &Call,
+    mut in_flight: InFlight,
+    mut line: Line,
+    request: Request<Full<Bytes>>,
+) -> TryEnd {
+    match head(node, call, &in_flight, &mut line, request).await {
+        None => TryEnd::Fault(Outcome::Unknown, None),
+        Some(Err(SendFault::NotSent)) => TryEnd::Fault(Outcome::NotSent, None),
+        Some(Err(SendFault::Broken)) => {
+            in_flight.observe(false);
+            node.suspect(call.fingerprint, &in_flight.upstream);
+            TryEnd::Fault(Outcome::Unknown, None)
+        }
+        Some(Ok(response)) => {
+            in_flight.heard();
+            judge(node, call, in_flight, line, response).await
+        }
+    }
+}
+
+/// Waits for the head of an answer; `None` if it is not worth waiting for any
+/// more.
+async fn head(
+    node: &Node,
+    call: &Call,
+    in_flight: &InFlight,
+    line: &mut Line,
+    request: Request<Full<Bytes>>,
+) -> Option<Result<Response<Incoming>, SendFault>> {
+    let sent_at = node.now();
+    let sending = line.send(request);
+    tokio::pin!(sending);
+    loop {
+        let look = LOOK_EVERY.min(left(node, call));
+        match timeout(look, &mut sending).await {
+            Ok(answered) => return Some(answered),
+            Err(_) if call.left_ms(node.clock) == 0 => return None,
+            Err(_) if gives_up_on(node, call, in_flight, sent_at) => return None,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Whether a request is better sent to another upstream than waited for.
+fn gives_up_on(
+    node: &Node,
+    call: &Call,
+    in_flight: &InFlight,
+    sent_at: Instant,
+) -> bool {
+    call.route.kind.may_repeat()
+        && node.now().ms_since(sent_at) > PATIENCE_MS
+        && in_flight.is_silent()
+}
+
+/// Judges an answer by its head and reads what has to be read of it.
+async fn judge(
+    node: &Arc<Node>,
+    call: &Call,
+    in_flight: InFlight,
+    line: Line,
+    response: Response<Incoming>,
+) -> TryEnd {
+    let (mut parts, body) = response.into_parts();
+    let head = node.dialect.answer(parts.status, &parts.headers);
+    strip_connection(&mut parts.headers);
+    if head.id.as_ref().is_some_and(|id| *id != call.ask.id) {
+        // An answer to another request, late on this connection. Dropping the
+        // line closes it; whether this request ran, nothing says.
+        return TryEnd::Fault(Outcome::Unknown, None);
+    }
+    let good = parts.status.is_success();
+    if good && !(head.signed && head.id.is_some()) {
+        in_flight.observe(false);
+        return TryEnd::Fault(Outcome::Unknown, None);
+    }
+    if good && call.route.kind.is_stream() {
+        return TryEnd::Live(Box::new(Live {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            in_flight,
+            line,
+            keep_alive_s: head.keep_alive_s,
+        }));
+    }
+    let Some(body) = read_whole(node, call, body).await else {
+        in_flight.observe(false);
+        return TryEnd::Fault(
+            if head.not_run { Outcome::Refused } else { Outcome::Unknown },
+            None,
+        );
+    };
+    in_flight.observe(!parts.status.is_server_error());
+    node.pool.keep(&in_flight.upstream, line, head.keep_alive_s);
+    let whole = Whole {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    };
+    sort(whole, &head)
+}
+
+fn sort(whole: Whole, head: &AnswerHead) -> TryEnd {
+    if head.not_run {
+        TryEnd::Fault(Outcome::Refused, None)
+    } else if whole.status.is_server_error() {
+        let own = head.signed.then_some(whole);
+        TryEnd::Fault(Outcome::Failed, own)
+    } else {
+        TryEnd::Whole(whole)
+    }
+}
+
+/// Reads a body to its end; `None` if it broke off or did not come in time.
+async fn read_whole(node: &Node, call: &Call, body: Incoming) -> Option<Bytes> {
+    let read = Limited::new(body, ANSWER_MAX_BYTES).collect();
+    let collected = timeout(left(node, call), read).await.ok()?.ok()?;
+    Some(collected.to_bytes())
+}
+
+fn request(
+    node: &Node,
+    call: &Call,
+    upstream: &str,
+    left_ms: u64,
+    last_event: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut headers = call.headers.clone();
+    let last_event = last_event.or(call.ask.last_event.as_deref());
+    node.dialect.dress(
+        &mut headers,
+        &SendHead {
+            upstream,
+            deadline_ms: left_ms,
+            urgency: urgency(call),
+            last_event,
+        },
+    );
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = origin_form(call);
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Path and query as the caller sent them.
+fn origin_form(call: &Call) -> hyper::Uri {
+    let path = call.uri.path_and_query().cloned();
+    path.map(hyper::Uri::from).unwrap_or_default()
+}
+
+/// The most urgent kind of request is admitted first at engines.
+fn urgency(call: &Call) -> u32 {
+    (call.route.priority * 2 + 1).min(9)
+}
+
+fn left(node: &Node, call: &Call) -> Duration {
+    Duration::from_millis(call.left_ms(node.clock))
+}
+
+fn address(node: &Node, id: &str) -> Option<SocketAddr> {
+    let fleet = node.fleet.lock();
+    fleet.get(id).map(|upstream| upstream.news.address)
+}
+
+fn unreached(node: &Node, id: &str) {
+    let now = node.now();
+    if let Some(upstream) = node.fleet.lock().get_mut(id) {
+        upstream.unreached(now);
+    }
+}
--- a/crates/gen/src/main.rs
+++ b/crates/gen/src/main.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-const SCHEMAS: [&str; 4] = ["settings", "link", "store", "timeline"];
+const SCHEMAS: [&str; 5] = ["settings", "link", "store", "timeline", "peer"];
 
 fn main() -> ExitCode {
     let check = std::env::args().any(|arg| arg == "--check");
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -37,3 +37,9 @@
 pub mod timeline {
     include!("generated/sesame.timeline.rs");
 }
+
+/// What entries tell one another where there are no agents.
+#[allow(missing_docs, clippy::all)]
+pub mod peer {
+    include!("generated/sesame.peer.rs");
+}
