Ask upstreams for their count of orders

Cause: the platform's entry of a server has a field of the same name as the report's count of orders, but it counts signs of life; the ledger took a higher one for somebody else's order and never ordered anything. Ruled out: lease (taken at the first second), reports (answered).

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -70,7 +70,7 @@
     pub own: Usage,
     /// Other entries' requests there.
     peers: HashMap<String, (Instant, Usage)>,
-    /// What the giver of orders says it holds, with the order count it is for.
+    /// What the giver of orders says that it holds.
     said: Option<Said>,
     /// Prompt parts that it has read, by the hash of the parts up to them.
     parts: HashMap<u64, Instant>,
@@ -85,7 +85,6 @@
 #[derive(Debug)]
 struct Said {
     at: Instant,
-    orders: u64,
     residents: Vec<Resident>,
 }
 
@@ -129,16 +128,11 @@
         usage
     }
 
-    /// What it holds: as the giver of orders says, unless the platform's entry
-    /// is newer or the giver has fallen silent.
+    /// What it holds: as the giver of orders says, who knows what it has just
+    /// ordered, and as the platform says when the giver has fallen silent.
     pub fn residents(&self, now: Instant) -> &[Resident] {
         match &self.said {
-            Some(said)
-                if said.orders >= self.news.orders_accepted
-                    && now.ms_since(said.at) < SAID_MS =>
-            {
-                &said.residents
-            }
+            Some(said) if now.ms_since(said.at) < SAID_MS => &said.residents,
             _ => &self.news.residents,
         }
     }
@@ -328,23 +322,11 @@
         }
     }
 
-    /// What the giver of orders says that an upstream holds after a number of
-    /// accepted orders.
-    pub fn said(
-        &mut self,
-        now: Instant,
-        id: &str,
-        orders: u64,
-        residents: Vec<Resident>,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return;
-        };
-        upstream.said = Some(Said {
-            at: now,
-            orders,
-            residents,
-        });
+    /// What the giver of orders says that an upstream holds.
+    pub fn said(&mut self, now: Instant, id: &str, residents: Vec<Resident>) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.said = Some(Said { at: now, residents });
+        }
     }
 
     /// One upstream.
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::{Engine, Report, Resident, UpstreamNews};
+use crate::{Engine, Report, Resident};
 
 /// Time after an accepted order for an adapter after which it is taken to be
 /// there. Adapters come in tens of milliseconds, and a request that is early is
@@ -155,37 +155,6 @@
         self.known = true;
     }
 
-    /// Takes over the platform's entry. It does not say whether an order is in
-    /// progress, so it only ends what it shows to have ended.
-    pub fn news(&mut self, news: &UpstreamNews) {
-        if !self.known || self.open || news.orders_accepted < self.orders_accepted {
-            return;
-        }
-        if news.orders_accepted > self.orders_accepted {
-            // Somebody else's order: ask.
-            self.known = false;
-            return;
-        }
-        self.copies = news.copies.clone();
-        let shown = |model: &Arc<str>| {
-            news.residents.iter().find(|resident| resident.model == *model)
-        };
-        let mut in_progress = false;
-        self.held.retain(|model, held| match (held.phase, shown(model)) {
-            (Phase::Loading, Some(resident)) => {
-                held.phase = Phase::Loaded;
-                held.version = resident.version;
-                true
-            }
-            (Phase::Unloading, None) => false,
-            (phase, _) => {
-                in_progress |= phase != Phase::Loaded;
-                true
-            }
-        });
-        self.busy &= in_progress;
-    }
-
     /// Models held or on their way, with whether they can serve.
     pub fn models(&self) -> impl Iterator<Item = (&Arc<str>, bool)> {
         let held = self.held.iter();
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -20,8 +20,6 @@
     pub leaving: bool,
     /// Time until it is gone, where it is taken away at short notice.
     pub gone_in_ms: Option<u64>,
-    /// Orders accepted since its start.
-    pub orders_accepted: u64,
     /// Models held.
     pub residents: Vec<Resident>,
     /// Copies of weights that it can load without the weight store.
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -60,6 +60,8 @@
 struct Book {
     service: Arc<str>,
     domain: Arc<str>,
+    /// Version of the platform's entry that was seen last.
+    version: u64,
     ledger: Ledger,
     asked_at: Option<Instant>,
     intent: Option<Intent>,
@@ -98,18 +100,15 @@
         &self,
         now: Instant,
         in_turn: impl Fn(usize) -> bool,
-    ) -> Vec<(Arc<str>, u64, Vec<Resident>)> {
+    ) -> Vec<(Arc<str>, Vec<Resident>)> {
         let state = self.state.lock();
         let books = state.books.iter().enumerate();
         let told = books.filter(|(index, (_, book))| {
             let fresh = now.ms_since(book.changed_at) < FRESH_MS;
             book.ledger.is_known() && (fresh || in_turn(*index))
         });
-        told.map(|(_, (id, book))| {
-            let orders = book.ledger.orders_accepted();
-            (Arc::clone(id), orders, book.serving.clone())
-        })
-        .collect()
+        told.map(|(_, (id, book))| (Arc::clone(id), book.serving.clone()))
+            .collect()
     }
 
     /// Changes the ledger of an upstream, if it is still kept.
@@ -405,8 +404,7 @@
                 book.changed_at = now;
                 changed = true;
             }
-            let orders = book.ledger.orders_accepted();
-            fleet.said(now, id, orders, book.serving.clone());
+            fleet.said(now, id, book.serving.clone());
         }
         changed
     }
@@ -417,6 +415,7 @@
         Self {
             service: Arc::clone(&upstream.news.service),
             domain: Arc::clone(&upstream.news.domain),
+            version: upstream.version,
             ledger: Ledger::new(),
             asked_at: None,
             intent: None,
@@ -428,7 +427,11 @@
     }
 
     fn follow(&mut self, now: Instant, upstream: &Upstream) {
-        self.ledger.news(&upstream.news);
+        if self.version != upstream.version {
+            // Something has changed there, as at the end of an order: ask now.
+            self.version = upstream.version;
+            self.asked_at = None;
+        }
         let copies = &upstream.news.copies;
         self.copies = copies
             .in_memory
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -75,8 +75,17 @@
 pub(crate) async fn ask_report(node: Arc<Node>, id: Arc<str>) {
     let call = node.dialect.report_call(&id);
     let answer = send(&node, &id, call, REPORT_TIMEOUT, || true).await;
-    let Ok((StatusCode::OK, body)) = answer else {
-        return;
+    let body = match answer {
+        Ok((StatusCode::OK, body)) => body,
+        other => {
+            let status = other.map(|(status, _)| status.as_u16());
+            let outcome = format!("{status:?}");
+            node.log.line(
+                "report_missing",
+                json!({ "upstream": &*id, "outcome": outcome }),
+            );
+            return;
+        }
     };
     match node.dialect.report(&body) {
         Ok(report) => {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -28,8 +28,9 @@
 /// Time between two looks at the platform's list of entries.
 const LIST_EVERY: Duration = Duration::from_secs(8);
 
-/// Pause before the list is read again after a failed call.
-const LIST_AGAIN: Duration = Duration::from_millis(500);
+/// Pause before the list is read again after a failed call, and after this entry
+/// was added to it: others that start at the same moment add theirs.
+const LIST_AGAIN: Duration = Duration::from_millis(700);
 
 /// Silence after which a peer's demand counts no more.
 const DEMAND_MS: u64 = 1_500;
@@ -237,9 +238,8 @@
     }
     let round = sequence as usize % HOLDINGS_ROUNDS;
     let told = node.giver.told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
-    let told = told.into_iter().map(|(upstream, orders, residents)| Holding {
+    let told = told.into_iter().map(|(upstream, residents)| Holding {
         upstream: upstream.to_string(),
-        orders_accepted: orders,
         models: residents.iter().map(held_model).collect(),
     });
     told.collect()
@@ -292,7 +292,7 @@
     }
     for holding in &news.holdings {
         let residents = holding.models.iter().map(resident).collect();
-        fleet.said(now, &holding.upstream, holding.orders_accepted, residents);
+        fleet.said(now, &holding.upstream, residents);
     }
     drop(fleet);
     if !news.holdings.is_empty() {
@@ -402,7 +402,7 @@
             let result = node.store.call(&op).await;
             written = matches!(result, PlatformResult::Written(_));
         }
-        let pause = if listed.is_some() && (known || written) {
+        let pause = if known {
             LIST_EVERY
         } else {
             LIST_AGAIN
