Place models by the sum of squares of upstreams' loads

Cause: a gain measured on one model's holders let hot models displace one another; demand smoothed over 1 s took single requests for a trend. Change: a move has to lower the sum of squares of all loads; 2 s smoothing; the upstreams' watch is made again after 400 ms, not at once.

--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 /// Time constant of the smoothed demand. Demand moves to other models within
-/// seconds, and a load takes as long again.
-const SMOOTH_MS: f64 = 1_000.0;
+/// seconds, and a load takes as long again; a shorter one would take single
+/// requests for a trend.
+const SMOOTH_MS: f64 = 2_000.0;
 
 /// Demand below which a model is forgotten, in work milliseconds a second.
 const FORGET_BELOW: f64 = 0.05;
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -13,28 +13,22 @@
 /// Time for which an order without an answer may still be carried out.
 const LATE_ORDER_MS: u64 = 12_500;
 
-/// Load of an upstream, as a part of its time, above which the models that it
-/// serves get further copies.
-const BUSY: f64 = 0.30;
-
-/// Least difference that a further copy has to make to the load that its
-/// model's requests meet.
-const GAIN_MIN: f64 = 0.10;
-
-/// Least load of one copy for which another one is made.
-const COPY_LOAD_MIN: f64 = 0.06;
+/// Least relief that a further copy has to bring. Relief is the fall of the sum
+/// of the squares of all upstreams' loads: how long requests wait grows faster
+/// than the load that they meet. A load keeps an upstream's memory and the
+/// weight store busy for seconds, and demand moves on meanwhile.
+const RELIEF_MIN: f64 = 0.05;
 
 /// Time for which a model stays where it was loaded.
 const STAY_MS: u64 = 3_000;
 
-/// Loss of the last copy of a model without demand, against any other loss.
+/// Loss of the last copy of a model without demand, against any relief.
 const LAST_COPY_LOSS: f64 = 10.0;
 
-/// Advantage of an upstream that can load a model without the weight store.
-const COPY_BONUS: f64 = 0.05;
-
-/// Advantage of a failure domain in which no other copy is.
-const SPREAD_BONUS: f64 = 0.03;
+/// Advantage of an upstream that can load a model without the weight store, and
+/// of a failure domain in which no other copy is, as relief.
+const COPY_BONUS: f64 = 0.02;
+const SPREAD_BONUS: f64 = 0.01;
 
 /// Moves decided at once.
 const CHOICES_MAX: usize = 8;
@@ -104,10 +98,8 @@
     pub from_store: bool,
     /// Why.
     pub reason: Reason,
-    /// Load that the model's requests meet now, and after the move.
-    pub before: f64,
-    /// See `before`.
-    pub after: f64,
+    /// Fall of the sum of the squares of all upstreams' loads.
+    pub relief: f64,
 }
 
 /// Decides moves and keeps to the weight store's rate.
@@ -140,10 +132,10 @@
         self.late.push(now.plus_ms(LATE_ORDER_MS));
     }
 
-    /// Counts what an earlier giver may have ordered.
-    pub fn assume_spent(&mut self, now: Instant, engine: &Engine) {
+    /// Counts what an earlier giver may have ordered up to a time.
+    pub fn assume_spent(&mut self, until: Instant, engine: &Engine) {
         for _ in 0..self.window_loads(engine) {
-            self.store_loads.push_back(now);
+            self.store_loads.push_back(until);
         }
     }
 
@@ -187,6 +179,8 @@
     now: Instant,
     engine: &'a Engine,
     spots: Vec<Spot>,
+    /// Load of each spot, as a part of its time.
+    spot_loads: Vec<f64>,
     loads: &'a BTreeMap<Arc<str>, Load>,
     /// Upstreams that hold a model or will.
     holders: BTreeMap<Arc<str>, Vec<usize>>,
@@ -200,8 +194,7 @@
     spot: usize,
     victim: Option<usize>,
     from_store: bool,
-    score: f64,
-    load_after: f64,
+    relief: f64,
 }
 
 impl<'a> Board<'a> {
@@ -219,15 +212,18 @@
                 holders.entry(model).or_default().push(index);
             }
         }
-        Self {
+        let mut board = Self {
             now,
             engine,
             spots: spots.to_vec(),
+            spot_loads: Vec::new(),
             loads,
             holders,
             store_left,
             choices: Vec::new(),
-        }
+        };
+        board.weigh();
+        board
     }
 
     /// Models that requests wait for and nothing holds, the longest wait first.
@@ -241,7 +237,7 @@
         waiting.sort_by(|a, b| b.cmp(a));
         for (_, model) in waiting {
             if let Some(place) = self.place(&model, true) {
-                self.choose(&model, &place, Reason::Waited, 1.0);
+                self.choose(&model, &place, Reason::Waited);
             }
         }
     }
@@ -249,10 +245,10 @@
     /// Further copies for models whose requests meet busy upstreams.
     fn spread_busy(&mut self) {
         while self.choices.len() < CHOICES_MAX {
-            let Some((model, before, place)) = self.best_copy() else {
+            let Some((model, place)) = self.best_copy() else {
                 return;
             };
-            self.choose(&model, &place, Reason::Busy, before);
+            self.choose(&model, &place, Reason::Busy);
         }
     }
 
@@ -270,41 +266,32 @@
                 return;
             }
             if let Some(place) = self.place(&model, false) {
-                self.choose(&model, &place, Reason::Reachable, 0.0);
+                self.choose(&model, &place, Reason::Reachable);
             }
         }
     }
 
-    fn best_copy(&self) -> Option<(Arc<str>, f64, Place)> {
-        let mut best: Option<(f64, Arc<str>, f64, Place)> = None;
+    fn best_copy(&self) -> Option<(Arc<str>, Place)> {
+        let mut best: Option<(Arc<str>, Place)> = None;
         for (model, load) in self.loads {
-            let copies = self.copies(model);
-            if copies == 0 || load.work_ms_per_s / 1_000.0 / (copies as f64) < COPY_LOAD_MIN
-            {
-                continue;
-            }
-            let before = self.met_load(model);
-            if before < BUSY {
+            if self.copies(model) == 0 || load.work_ms_per_s <= 0.0 {
                 continue;
             }
             let Some(place) = self.place(model, true) else {
                 continue;
             };
-            let gain = before - place.load_after;
-            let worth = gain * load.work_ms_per_s;
-            let better = best.as_ref().is_none_or(|(most, ..)| worth > *most);
-            if gain > GAIN_MIN && better {
-                best = Some((worth, Arc::clone(model), before, place));
+            let most = best.as_ref().map_or(RELIEF_MIN, |(_, best)| best.relief);
+            if place.relief > most {
+                best = Some((Arc::clone(model), place));
             }
         }
-        best.map(|(_, model, before, place)| (model, before, place))
+        best
     }
 
     /// The best place for one more copy; with `evict`, also where another model
     /// has to go.
     fn place(&self, model: &Arc<str>, evict: bool) -> Option<Place> {
         let size_mb = self.engine.models.get(model)?.weights_mb;
-        let own = self.load_of(model, self.copies(model) + 1);
         let mut best: Option<Place> = None;
         for (index, spot) in self.spots.iter().enumerate() {
             let holds = spot.groups.iter().any(|group| group.model == *model);
@@ -315,67 +302,103 @@
             if from_store && self.store_left == 0 {
                 continue;
             }
-            let Some((victim, loss, freed)) = self.room(spot, size_mb, evict) else {
+            let bonus = self.bonus(model, spot, from_store);
+            let found = self.room(model, index, size_mb, evict);
+            let Some((victim, relief)) = found else {
                 continue;
             };
-            let load_after = self.spot_load(index) - freed + own;
-            let mut score = load_after + loss;
-            if !from_store {
-                score -= COPY_BONUS;
-            }
-            if !self.in_domain(model, &spot.domain) {
-                score -= SPREAD_BONUS;
-            }
-            if best.as_ref().is_none_or(|place| score < place.score) {
+            let relief = relief + bonus;
+            if best.as_ref().is_none_or(|place| relief > place.relief) {
                 best = Some(Place {
                     spot: index,
                     victim,
                     from_store,
-                    score,
-                    load_after,
+                    relief,
                 });
             }
         }
         best
     }
 
-    /// Room on a spot: the model that has to go, what its loss costs, and the
-    /// load that goes with it.
+    fn bonus(&self, model: &Arc<str>, spot: &Spot, from_store: bool) -> f64 {
+        let mut bonus = 0.0;
+        if !from_store {
+            bonus += COPY_BONUS;
+        }
+        if !self.in_domain(model, &spot.domain) {
+            bonus += SPREAD_BONUS;
+        }
+        bonus
+    }
+
+    /// Room on a spot: the model that has to go, and what the move relieves.
     fn room(
         &self,
-        spot: &Spot,
+        model: &Arc<str>,
+        index: usize,
         size_mb: f64,
         evict: bool,
-    ) -> Option<(Option<usize>, f64, f64)> {
+    ) -> Option<(Option<usize>, f64)> {
+        let spot = &self.spots[index];
         if spot.free_mb >= size_mb {
-            return Some((None, 0.0, 0.0));
+            return Some((None, self.relief(model, index, None)));
         }
         if !evict {
             return None;
         }
-        let mut best: Option<(usize, f64, f64)> = None;
-        for (index, group) in spot.groups.iter().enumerate() {
+        let mut best: Option<(usize, f64)> = None;
+        for (victim, group) in spot.groups.iter().enumerate() {
             let stays = self.now.ms_since(group.since) < STAY_MS;
             if stays || group.unloading || spot.free_mb + group.size_mb < size_mb {
                 continue;
             }
-            let copies = self.copies(&group.model);
-            let share = self.load_of(&group.model, copies);
-            let loss = if copies > 1 {
-                self.load_of(&group.model, copies - 1) - share
-            } else if self.is_wanted(&group.model) {
+            let last = self.copies(&group.model) == 1;
+            if last && self.is_wanted(&group.model) {
                 continue;
-            } else {
-                LAST_COPY_LOSS + share
-            };
-            if best.is_none_or(|(_, least, _)| loss < least) {
-                best = Some((index, loss, share));
+            }
+            let mut relief = self.relief(model, index, Some(&group.model));
+            if last {
+                relief -= LAST_COPY_LOSS;
+            }
+            if best.is_none_or(|(_, most)| relief > most) {
+                best = Some((victim, relief));
+            }
+        }
+        best.map(|(victim, relief)| (Some(victim), relief))
+    }
+
+    /// Fall of the sum of the squares of all loads if a spot gets a copy of a
+    /// model in place of another one's.
+    fn relief(&self, model: &Arc<str>, index: usize, victim: Option<&Arc<str>>) -> f64 {
+        let mut changes: Vec<(usize, f64)> = vec![(index, 0.0)];
+        let mut change = |spot: usize, by: f64| {
+            match changes.iter_mut().find(|(known, _)| *known == spot) {
+                Some((_, sum)) => *sum += by,
+                None => changes.push((spot, by)),
+            }
+        };
+        let copies = self.copies(model);
+        let (one, more) = (self.load_of(model, copies), self.load_of(model, copies + 1));
+        for holder in self.holders.get(model).into_iter().flatten() {
+            change(*holder, more - one);
+        }
+        change(index, more);
+        if let Some(victim) = victim {
+            let copies = self.copies(victim);
+            let share = self.load_of(victim, copies);
+            let rest = self.load_of(victim, copies.saturating_sub(1).max(1));
+            for holder in self.holders.get(victim).into_iter().flatten() {
+                change(*holder, if *holder == index { -share } else { rest - share });
             }
         }
-        best.map(|(index, loss, share)| (Some(index), loss, share))
+        let falls = changes.iter().map(|(spot, by)| {
+            let load = self.spot_loads[*spot];
+            load * load - (load + by) * (load + by)
+        });
+        falls.sum()
     }
 
-    fn choose(&mut self, model: &Arc<str>, place: &Place, reason: Reason, before: f64) {
+    fn choose(&mut self, model: &Arc<str>, place: &Place, reason: Reason) {
         let size_mb = self
             .engine
             .models
@@ -408,9 +431,16 @@
             unload: unload.map(|group| group.model),
             from_store: place.from_store,
             reason,
-            before,
-            after: place.load_after,
+            relief: place.relief,
         });
+        self.weigh();
+    }
+
+    /// Works the loads of all spots out anew.
+    fn weigh(&mut self) {
+        self.spot_loads = (0..self.spots.len())
+            .map(|index| self.spot_load(index))
+            .collect();
     }
 
     fn copies(&self, model: &Arc<str>) -> usize {
@@ -434,16 +464,6 @@
             .sum()
     }
 
-    /// Mean load of the upstreams that hold a model.
-    fn met_load(&self, model: &Arc<str>) -> f64 {
-        let Some(holders) = self.holders.get(model).filter(|held| !held.is_empty())
-        else {
-            return 0.0;
-        };
-        let sum: f64 = holders.iter().map(|index| self.spot_load(*index)).sum();
-        sum / holders.len() as f64
-    }
-
     fn in_domain(&self, model: &Arc<str>, domain: &Arc<str>) -> bool {
         let holders = self.holders.get(model).into_iter().flatten();
         holders
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -13,6 +13,12 @@
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 const PAUSE_MAX: Duration = Duration::from_millis(400);
 
+/// Time between two watches of the upstreams' entries. Each change ends the
+/// watches of all entries, and each new watch is a call; what changes meanwhile
+/// comes with the next one, and an upstream that leaves has to be known as such
+/// within two seconds.
+const WATCH_EVERY: Duration = Duration::from_millis(400);
+
 /// Objects of one kind that are followed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Followed {
@@ -37,6 +43,9 @@
         };
         while let Some(at) = watch(&node, followed, after, &mut lost).await {
             after = at;
+            if matches!(followed, Followed::Upstreams) {
+                tokio::time::sleep(WATCH_EVERY).await;
+            }
         }
     }
 }
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -189,7 +189,8 @@
             };
             let mut moves = Moves::new(node.giver.window_ms);
             if token > 1 {
-                moves.assume_spent(now, engine);
+                let quiet = Duration::from_millis(node.options.bounds.order_quiet_ms);
+                moves.assume_spent(now - quiet, engine);
             }
             self.moves.insert(Arc::clone(name), moves);
         }
@@ -378,8 +379,7 @@
             "move",
             json!({ "upstream": &*choice.upstream, "load": &*choice.load,
                 "unload": choice.unload.as_deref(), "why": choice.reason.as_str(),
-                "load_met": choice.before, "load_after": choice.after,
-                "from_store": choice.from_store }),
+                "relief": choice.relief, "from_store": choice.from_store }),
         );
         let from_store = choice.unload.is_none() && choice.from_store;
         Some((
