Wait only for what is known to come; refuse at once otherwise

Cause: requests without an upstream waited until their caller left, which earns nothing; an entry that was stopping took streams that its end cut (LOST). Change: the giver tells which models are on their way and when; anything else is refused at once with when to come back. No stream is begun later than 2.7 s after SIGTERM.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -29,6 +29,10 @@
 /// Time for which an upstream that could not be connected to is avoided.
 const UNREACHED_MS: u64 = 1_000;
 
+/// Time for which an upstream's own word that it does not hold a model goes
+/// before the news of it, which are as late.
+const DENIED_MS: u64 = 300;
+
 /// Weight of the newest answer in the share of failed ones.
 const FAILED_WEIGHT: f64 = 0.08;
 
@@ -74,6 +78,9 @@
     said: Option<Said>,
     /// Prompt parts that it has read, by the hash of the parts up to them.
     parts: HashMap<u64, Instant>,
+    /// Models and adapters that it said not to hold, with until when that is
+    /// believed before what others say of it.
+    denied: Vec<(Arc<str>, Option<Arc<str>>, Instant)>,
     heard_at: Instant,
     /// When it was last usable or in use, as far as it was looked at.
     idle_since: Instant,
@@ -86,6 +93,8 @@
 struct Said {
     at: Instant,
     residents: Vec<Resident>,
+    /// Models on their way, with when they are expected to serve.
+    coming: Vec<(Arc<str>, Instant)>,
 }
 
 impl Upstream {
@@ -98,6 +107,7 @@
             peers: HashMap::new(),
             said: None,
             parts: HashMap::new(),
+            denied: Vec::new(),
             heard_at: Instant::ZERO,
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
@@ -139,6 +149,12 @@
 
     /// Whether it holds a model, and the adapter if one is asked for.
     pub fn holds(&self, now: Instant, model: &str, adapter: Option<&str>) -> bool {
+        let mut denied = self.denied.iter();
+        if denied.any(|(name, of, until)| {
+            **name == *model && of.as_deref() == adapter && now < *until
+        }) {
+            return false;
+        }
         let mut held = self.residents(now).iter();
         held.any(|resident| {
             &*resident.model == model
@@ -203,6 +219,14 @@
         self.failed_share += (newest - self.failed_share) * FAILED_WEIGHT;
     }
 
+    /// It said that it does not hold a model or adapter.
+    pub fn deny(&mut self, now: Instant, model: &Arc<str>, adapter: Option<&Arc<str>>) {
+        self.denied.retain(|(_, _, until)| now < *until);
+        let until = now.plus_ms(DENIED_MS);
+        self.denied
+            .push((Arc::clone(model), adapter.cloned(), until));
+    }
+
     /// It could not be connected to.
     pub fn unreached(&mut self, now: Instant) {
         self.unreached_until = now.plus_ms(UNREACHED_MS);
@@ -322,13 +346,39 @@
         }
     }
 
-    /// What the giver of orders says that an upstream holds.
-    pub fn said(&mut self, now: Instant, id: &str, residents: Vec<Resident>) {
+    /// What the giver of orders says that an upstream holds, and what is on its
+    /// way there, with when it is expected to serve.
+    pub fn said(
+        &mut self,
+        now: Instant,
+        id: &str,
+        residents: Vec<Resident>,
+        coming: Vec<(Arc<str>, Instant)>,
+    ) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.said = Some(Said { at: now, residents });
+            upstream.said = Some(Said {
+                at: now,
+                residents,
+                coming,
+            });
         }
     }
 
+    /// When the first upstream of a service is expected to serve a model that is
+    /// on its way there.
+    pub fn ready_at(&self, now: Instant, service: &str, model: &str) -> Option<Instant> {
+        let said = self
+            .of(service)
+            .filter(|upstream| upstream.is_usable(now))
+            .filter_map(|upstream| upstream.said.as_ref())
+            .filter(|said| now.ms_since(said.at) < SAID_MS);
+        let coming = said.flat_map(|said| &said.coming);
+        coming
+            .filter(|(name, _)| **name == *model)
+            .map(|(_, ready_at)| *ready_at)
+            .min()
+    }
+
     /// One upstream.
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.upstreams.get(id)
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -32,6 +32,8 @@
     /// Order count of the upstream on which it was decided; at another one the
     /// upstream refuses it.
     pub expect: u64,
+    /// Time that it is expected to take.
+    pub takes_ms: u64,
 }
 
 /// What an upstream answered to an order.
@@ -68,6 +70,8 @@
 #[derive(Debug, Clone)]
 struct Held {
     phase: Phase,
+    /// When it is expected to serve.
+    ready_at: Instant,
     version: u64,
     adapters: BTreeMap<Arc<str>, Adapter>,
 }
@@ -241,6 +245,7 @@
         }
         self.open = true;
         Some(Order {
+            takes_ms: self.takes_ms(engine, &action),
             action,
             expect: self.orders_accepted,
         })
@@ -258,6 +263,36 @@
         }
     }
 
+    fn takes_ms(&self, engine: &Engine, action: &Action) -> u64 {
+        let Action::Load(model) = action else {
+            return 0;
+        };
+        self.load_ms(engine, model)
+    }
+
+    /// Time that a load of a model takes from where its weights are.
+    pub fn load_ms(&self, engine: &Engine, model: &Arc<str>) -> u64 {
+        let Some(spec) = engine.models.get(model) else {
+            return 0;
+        };
+        if self.copies.in_memory.contains(model) {
+            spec.memory_load_ms
+        } else if self.copies.on_disk.contains(model) {
+            spec.disk_load_ms
+        } else {
+            spec.store_load_ms
+        }
+    }
+
+    /// Models on their way, with when they are expected to serve.
+    pub fn coming(&self) -> impl Iterator<Item = (&Arc<str>, Instant)> {
+        let loading = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.phase == Phase::Loading);
+        loading.map(|(model, held)| (model, held.ready_at))
+    }
+
     fn allows(&self, engine: &Engine, action: &Action) -> bool {
         match action {
             Action::Load(model) => {
@@ -297,6 +332,7 @@
             Action::Load(model) => {
                 let held = Held {
                     phase: if done { Phase::Loaded } else { Phase::Loading },
+                    ready_at: now.plus_ms(order.takes_ms),
                     version: 0,
                     adapters: BTreeMap::new(),
                 };
@@ -345,6 +381,7 @@
         });
         let held = Held {
             phase: Phase::Loaded,
+            ready_at: now,
             version: resident.version,
             adapters: adapters.collect(),
         };
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -28,6 +28,9 @@
 /// Time for which a load waits for the unload before it.
 const INTENT_MS: u64 = 10_000;
 
+/// Time that an unload is expected to take: it waits for what runs.
+const UNLOAD_MS: u64 = 500;
+
 /// Time for which a change of what an upstream holds is told with each message.
 const FRESH_MS: u64 = 600;
 
@@ -67,6 +70,7 @@
     intent: Option<Intent>,
     since: HashMap<Arc<str>, Instant>,
     serving: Vec<Resident>,
+    coming: Vec<(Arc<str>, Instant)>,
     changed_at: Instant,
     copies: Vec<Arc<str>>,
 }
@@ -75,7 +79,16 @@
 #[derive(Debug)]
 struct Intent {
     load: Arc<str>,
-    until: Instant,
+    begun_at: Instant,
+}
+
+/// What entries are told of one upstream.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) upstream: Arc<str>,
+    pub(crate) residents: Vec<Resident>,
+    /// Models on their way, with when they are expected to serve.
+    pub(crate) coming: Vec<(Arc<str>, Instant)>,
 }
 
 impl Giver {
@@ -100,15 +113,19 @@
         &self,
         now: Instant,
         in_turn: impl Fn(usize) -> bool,
-    ) -> Vec<(Arc<str>, Vec<Resident>)> {
+    ) -> Vec<Told> {
         let state = self.state.lock();
         let books = state.books.iter().enumerate();
         let told = books.filter(|(index, (_, book))| {
             let fresh = now.ms_since(book.changed_at) < FRESH_MS;
             book.ledger.is_known() && (fresh || in_turn(*index))
         });
-        told.map(|(_, (id, book))| (Arc::clone(id), book.serving.clone()))
-            .collect()
+        told.map(|(_, (id, book))| Told {
+            upstream: Arc::clone(id),
+            residents: book.serving.clone(),
+            coming: book.coming.clone(),
+        })
+        .collect()
     }
 
     /// Changes the ledger of an upstream, if it is still kept.
@@ -160,7 +177,7 @@
         state.planned_at = now;
         orders.extend(state.plan(node, setup, now));
     }
-    let changed = state.tell(node, now);
+    let changed = state.tell(node, setup, now);
     drop(state);
     if changed {
         node.holdings.notify_waiters();
@@ -237,7 +254,7 @@
             let Some(intent) = &book.intent else {
                 continue;
             };
-            if now > intent.until {
+            if now.ms_since(intent.begun_at) > INTENT_MS {
                 book.intent = None;
                 continue;
             }
@@ -370,7 +387,7 @@
         if choice.unload.is_some() {
             book.intent = Some(Intent {
                 load: Arc::clone(&choice.load),
-                until: now.plus_ms(INTENT_MS),
+                begun_at: now,
             });
         } else if choice.from_store {
             self.moves.get_mut(service)?.store_load(now);
@@ -391,7 +408,7 @@
     }
 
     /// Tells this entry's own fleet what upstreams hold; whether it changed.
-    fn tell(&mut self, node: &Node, now: Instant) -> bool {
+    fn tell(&mut self, node: &Node, setup: &Setup, now: Instant) -> bool {
         let mut changed = false;
         let mut fleet = node.fleet.lock();
         for (id, book) in &mut self.books {
@@ -399,12 +416,14 @@
                 continue;
             }
             let serving = book.ledger.serving(now);
-            if serving != book.serving {
+            let coming = book.coming(setup);
+            if serving != book.serving || coming.len() != book.coming.len() {
                 book.serving = serving;
                 book.changed_at = now;
                 changed = true;
             }
-            fleet.said(now, id, book.serving.clone());
+            book.coming = coming;
+            fleet.said(now, id, book.serving.clone(), book.coming.clone());
         }
         changed
     }
@@ -421,6 +440,7 @@
             intent: None,
             since: HashMap::new(),
             serving: Vec::new(),
+            coming: Vec::new(),
             changed_at: Instant::ZERO,
             copies: Vec::new(),
         }
@@ -452,6 +472,19 @@
         self.since.retain(|model, _| held.contains(model));
     }
 
+    /// Models on their way, also those that wait for an unload.
+    fn coming(&self, setup: &Setup) -> Vec<(Arc<str>, Instant)> {
+        let loading = self.ledger.coming();
+        let mut coming: Vec<_> = loading
+            .map(|(model, ready_at)| (Arc::clone(model), ready_at))
+            .collect();
+        if let (Some(intent), Some(engine)) = (&self.intent, engine(setup, &self.service)) {
+            let takes_ms = self.ledger.load_ms(engine, &intent.load) + UNLOAD_MS;
+            coming.push((Arc::clone(&intent.load), intent.begun_at.plus_ms(takes_ms)));
+        }
+        coming
+    }
+
     fn groups(&self, engine: &Engine) -> Vec<Group> {
         let models = self.ledger.models().map(|(model, _)| Group {
             model: Arc::clone(model),
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use prost::Message;
 use schema::peer::{
-    AdapterWant, HeldModel, Holding, ModelDemand, PeerNews, UpstreamUse,
+    AdapterWant, ComingModel, HeldModel, Holding, ModelDemand, PeerNews, UpstreamUse,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -238,13 +238,22 @@
     }
     let round = sequence as usize % HOLDINGS_ROUNDS;
     let told = node.giver.told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
-    let told = told.into_iter().map(|(upstream, residents)| Holding {
-        upstream: upstream.to_string(),
-        models: residents.iter().map(held_model).collect(),
+    let now = node.now();
+    let told = told.into_iter().map(|told| Holding {
+        upstream: told.upstream.to_string(),
+        models: told.residents.iter().map(held_model).collect(),
+        coming: told.coming.iter().map(|coming| coming_model(now, coming)).collect(),
     });
     told.collect()
 }
 
+fn coming_model(now: Instant, coming: &(Arc<str>, Instant)) -> ComingModel {
+    ComingModel {
+        model: coming.0.to_string(),
+        ready_in_ms: coming.1.ms_since(now),
+    }
+}
+
 fn held_model(resident: &Resident) -> HeldModel {
     HeldModel {
         model: resident.model.to_string(),
@@ -292,7 +301,11 @@
     }
     for holding in &news.holdings {
         let residents = holding.models.iter().map(resident).collect();
-        fleet.said(now, &holding.upstream, residents);
+        let coming = holding.coming.iter().map(|coming| {
+            let ready_at = now.plus_ms(coming.ready_in_ms);
+            (Arc::from(coming.model.as_str()), ready_at)
+        });
+        fleet.said(now, &holding.upstream, residents, coming.collect());
     }
     drop(fleet);
     if !news.holdings.is_empty() {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -21,6 +21,10 @@
 /// know its configuration yet.
 const NOT_READY_RETRY_MS: u64 = 300;
 
+/// Least time that callers wait for the first event of a stream; they wait
+/// longer where four times the aim or eight times the longest pause is longer.
+const STREAM_PATIENCE_MS: u64 = 2_000;
+
 /// Time that a caller without a deadline is given at most.
 const DEADLINE_DEFAULT_MS: u64 = 60_000;
 
@@ -30,6 +34,8 @@
     pub(crate) arrived: Instant,
     /// When the caller gets its final answer at the latest.
     pub(crate) give_up_at: Instant,
+    /// When the first part of the answer is of use at the latest.
+    pub(crate) first_by: Instant,
     pub(crate) ask: AskHead,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
@@ -92,6 +98,7 @@
     let not_ready =
         Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
     let setup = node.setup().ok_or(not_ready)?;
+    let leaving = Refusal::not_run(Code::Leaving).retry_after_ms(0);
     if is_ambiguous(&parts.headers) {
         return Err(Refusal::not_run(Code::BadRequest));
     }
@@ -107,15 +114,20 @@
             not_ready
         });
     };
+    if node.stop.is_too_late(node.now(), route.kind.is_stream()) {
+        return Err(leaving);
+    }
     let service = route.service(&ask.id).cloned().ok_or(not_ready)?;
     let spec = setup.services.get(&service).cloned().unwrap_or_default();
     let body = read_body(body, setup.limits.body_max_bytes).await?;
     let mut headers = parts.headers;
     strip_connection(&mut headers);
     let deadline_ms = ask.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+    let give_up_at = arrived.plus_ms(deadline_ms.min(route.timeout_ms));
     Ok(Call {
         arrived,
-        give_up_at: arrived.plus_ms(deadline_ms.min(route.timeout_ms)),
+        give_up_at,
+        first_by: give_up_at.min(arrived.plus_ms(first_within_ms(&route))),
         fingerprint: fingerprint(&parts.uri, &body),
         parts: chain(&ask),
         ask,
@@ -130,6 +142,16 @@
     })
 }
 
+/// Time after which a caller leaves a stream that has not begun, or a plain
+/// request's whole time.
+fn first_within_ms(route: &Route) -> u64 {
+    if !route.kind.is_stream() {
+        return route.timeout_ms;
+    }
+    let aims = (4 * route.aim_ms).max(8 * route.pause_max_ms);
+    aims.max(STREAM_PATIENCE_MS)
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     let too_large = Refusal::not_run(Code::BodyTooLarge);
     // What the caller announces is refused without reading it.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -15,9 +15,21 @@
 use crate::tries::{Live, TryEnd, try_once};
 use crate::wants::Want;
 
-/// Part of its time, in percent, that a request waits for an upstream. The rest
-/// is for its run; who is told earlier can still come back.
-const WAIT_PERCENT: u64 = 60;
+/// Part of the time to its first answer, in percent, that a request waits for
+/// room. The rest is for its run; who is told earlier can still come back.
+const WAIT_PERCENT: u64 = 50;
+
+/// Longest wait for an adapter: one comes in tens of milliseconds.
+const ADAPTER_WAIT_MS: u64 = 600;
+
+/// Longest wait for news of an upstream or a model of which nothing is known.
+const NEWS_WAIT_MS: u64 = 250;
+
+/// Time for a run between a model's arrival and the caller's leaving.
+const RUN_SPARE_MS: u64 = 200;
+
+/// When to come back for a model whose load has not begun.
+const LOAD_RETRY_MS: u64 = 1_500;
 
 /// Longest time between two looks for an upstream while a request waits.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -35,6 +47,13 @@
     Refused(Refusal),
 }
 
+/// Why no upstream is tried, and when to come back.
+#[derive(Debug)]
+struct Turned {
+    code: Code,
+    retry_after_ms: u64,
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub(crate) struct Run {
@@ -103,7 +122,7 @@
             }
             let picked = match self.picked().await {
                 Ok(picked) => picked,
-                Err(code) => return self.end_without(code),
+                Err(turned) => return self.end_turned(&turned),
             };
             let last_event = self.last_event.map(|id| id.to_string());
             let begun_at = self.node.now();
@@ -173,6 +192,15 @@
         }
     }
 
+    fn end_turned(&mut self, turned: &Turned) -> End {
+        match self.end_without(turned.code) {
+            End::Refused(refusal) if refusal.retry_after_ms.is_some() => {
+                End::Refused(refusal.retry_after_ms(turned.retry_after_ms))
+            }
+            end => end,
+        }
+    }
+
     /// The caller's time is over while a stream runs.
     pub(crate) fn late(&mut self) -> End {
         self.may_have_run = true;
@@ -206,20 +234,22 @@
     }
 
     /// An upstream for the next try; waits for one while that can be in time.
-    async fn picked(&mut self) -> Result<Picked, Code> {
+    async fn picked(&mut self) -> Result<Picked, Turned> {
         let mut waiting: Option<Waiting> = None;
-        let wait_until = self.wait_until();
+        let node = Arc::clone(&self.node);
+        let began_at = node.now();
         loop {
-            let holdings = self.node.holdings.notified();
-            let room = self.node.room.notified();
+            let holdings = node.holdings.notified();
+            let room = node.room.notified();
             let why = match self.pick() {
-                Ok(picked) => return Ok(picked),
+                Ok(picked) => return self.in_time(picked),
                 Err(why) => why,
             };
             let now = self.node.now();
+            let wait_until = self.wait_until(began_at, why);
             if now >= wait_until {
                 self.tries.push(json!({ "unpicked": why.as_str() }));
-                return Err(code_of(why));
+                return Err(self.turned(why));
             }
             if waiting.is_none() {
                 waiting = Some(Waiting::start(&self.node, &self.call, why));
@@ -236,22 +266,77 @@
         }
     }
 
-    fn wait_until(&self) -> Instant {
-        let whole_ms = self.call.give_up_at.ms_since(self.call.arrived);
+    /// Refuses a request whose answer would begin when its caller has left: it
+    /// would only keep others waiting.
+    fn in_time(&mut self, picked: Picked) -> Result<Picked, Turned> {
+        let left_ms = self.call.first_by.ms_since(self.node.now());
+        let wait_ms = picked.wait_ms as u64;
+        if wait_ms <= left_ms || !self.sent_to.is_empty() {
+            return Ok(picked);
+        }
+        self.tries.push(json!({ "unpicked": "too_late", "expected_ms": wait_ms,
+            "left_ms": left_ms }));
+        Err(Turned {
+            code: Code::Overloaded,
+            retry_after_ms: (wait_ms - left_ms).max(RETRY_AFTER_MS),
+        })
+    }
+
+    /// Until when an upstream is waited for.
+    ///
+    /// A caller that is told at once can come back when it is of use; one that
+    /// is kept until it leaves has nothing.
+    fn wait_until(&self, began_at: Instant, why: Unpicked) -> Instant {
+        let first_by = self.call.first_by;
+        let whole_ms = first_by.ms_since(self.call.arrived);
         let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
-        if self.sent_to.is_empty() {
-            part
-        } else {
-            // A request that ran is worth waiting for to the end.
-            self.call.give_up_at
+        match why {
+            Unpicked::Full => part,
+            Unpicked::NoAdapter => part.min(began_at.plus_ms(ADAPTER_WAIT_MS)),
+            Unpicked::NoUpstream => part.min(began_at.plus_ms(NEWS_WAIT_MS)),
+            Unpicked::NoModel => match self.ready_at() {
+                Some(ready_at) if ready_at.plus_ms(RUN_SPARE_MS) < first_by => first_by,
+                _ => part.min(began_at.plus_ms(NEWS_WAIT_MS)),
+            },
         }
     }
 
+    fn ready_at(&self) -> Option<Instant> {
+        let (model, _) = self.call.ask.model.as_ref()?;
+        let fleet = self.node.fleet.lock();
+        fleet.ready_at(self.node.now(), &self.call.service, model)
+    }
+
+    /// How a request is turned away for which there is no upstream.
+    fn turned(&self, why: Unpicked) -> Turned {
+        let now = self.node.now();
+        let retry_after_ms = match why {
+            Unpicked::NoModel => self
+                .ready_at()
+                .map_or(LOAD_RETRY_MS, |ready_at| ready_at.ms_since(now)),
+            _ => RETRY_AFTER_MS,
+        };
+        Turned {
+            code: code_of(why),
+            retry_after_ms: retry_after_ms.max(RETRY_AFTER_MS),
+        }
+    }
+
+    /// An upstream that was not tried; if there is none, one that was, where the
+    /// request may run again.
     fn pick(&self) -> Result<Picked, Unpicked> {
+        let tried = self.sent_to.iter().chain(&self.unreached);
+        let tried: Vec<Arc<str>> = tried.cloned().collect();
+        let other = self.pick_but(&tried);
+        if other.is_ok() || tried.is_empty() || !self.call.route.kind.may_repeat() {
+            return other;
+        }
+        self.pick_but(&[])
+    }
+
+    fn pick_but(&self, excluded: &[Arc<str>]) -> Result<Picked, Unpicked> {
         let call = &self.call;
         let answer_tokens = call.ask.answer_tokens_max;
-        let excluded: Vec<Arc<str>> =
-            self.sent_to.iter().chain(&self.unreached).cloned().collect();
         let model = call.ask.model.as_ref();
         let input = Pick {
             now: self.node.now(),
@@ -261,7 +346,7 @@
             parts: &call.parts,
             prompt_tokens: call.ask.prompt_tokens,
             kept_tokens: call.ask.prompt_tokens + answer_tokens,
-            excluded: &excluded,
+            excluded,
             domain: &self.node.options.domain,
             random: self.node.random(),
         };
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -147,7 +147,9 @@
     async fn stop(&self) {
         let node = &self.node;
         let begun_at = node.now();
-        node.stop.begin();
+        let longest = Duration::from_millis(node.options.bounds.stop_ms);
+        let end_at = begun_at + longest.saturating_sub(SPARE);
+        node.stop.begin(begun_at, end_at);
         node.log.line(
             "stopping",
             json!({ "in_progress": node.meters.in_progress.get() }),
@@ -156,8 +158,6 @@
         tokio::spawn(async move { give_back_lease(&releasing).await });
         tokio::time::sleep(KEEP_TAKING).await;
         node.stop.close.cancel();
-        let longest = Duration::from_millis(node.options.bounds.stop_ms);
-        let end_at = begun_at + longest.saturating_sub(SPARE);
         while node.now() < end_at && node.meters.in_progress.get() > 0 {
             tokio::time::sleep(LOOK_EVERY).await;
         }
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -1,12 +1,22 @@
 //! The orderly end of the process.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use base::prelude::*;
+use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 
+/// Time after the signal to stop until which streams are begun. Callers reach
+/// this entry until the balancer has asked twice; a stream that begins later
+/// could be cut by the end of the process.
+const STREAMS_MS: u64 = 2_700;
+
+/// Time before the end of the process until which short requests are taken.
+const SHORT_SPARE_MS: u64 = 2_500;
+
 /// How far the process has gone towards its end.
 #[derive(Debug, Default)]
 pub(crate) struct Stop {
-    stopping: AtomicBool,
+    /// When the signal to stop came, and when the process ends.
+    stopping: Mutex<Option<(Instant, Instant)>>,
     /// Connections are to close after what they are answering.
     pub(crate) close: CancellationToken,
 }
@@ -14,12 +24,20 @@
 impl Stop {
     /// The signal to stop came: this entry is not ready any more, and answers
     /// ask callers to go elsewhere.
-    pub(crate) fn begin(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub(crate) fn begin(&self, now: Instant, end_at: Instant) {
+        *self.stopping.lock() = Some((now, end_at));
     }
 
     /// Whether the signal to stop came.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.lock().is_some()
+    }
+
+    /// Whether a request comes too late to be finished before the process ends.
+    pub(crate) fn is_too_late(&self, now: Instant, stream: bool) -> bool {
+        self.stopping.lock().is_some_and(|(begun_at, end_at)| {
+            let late_stream = stream && now.ms_since(begun_at) > STREAMS_MS;
+            late_stream || now.plus_ms(SHORT_SPARE_MS) > end_at
+        })
     }
 }
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -73,6 +73,17 @@
         upstream.is_none_or(|upstream| upstream.is_suspected(now))
     }
 
+    /// The upstream says that it does not hold what the request asks for.
+    fn deny(&self, call: &Call) {
+        let now = self.node.now();
+        let Some((model, adapter)) = &call.ask.model else {
+            return;
+        };
+        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+            upstream.deny(now, model, adapter.as_ref());
+        }
+    }
+
     fn observe(&self, ok: bool) {
         if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
             upstream.observe(ok);
@@ -235,6 +246,9 @@
         in_flight.observe(false);
         return TryEnd::Fault(Outcome::Unknown, None);
     }
+    if head.other_upstream {
+        in_flight.deny(call);
+    }
     if good && call.route.kind.is_stream() {
         return TryEnd::Live(Box::new(Live {
             status: parts.status,
