--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -121,15 +121,12 @@
         !self.open && (!self.known || self.busy)
     }
 
-    /// Whether a model can be ordered to load or unload now.
+    /// Whether anything can be ordered now. While a model is loaded or unloaded,
+    /// an upstream refuses orders for adapters as well.
     pub const fn is_idle(&self) -> bool {
         self.known && !self.busy && !self.open
     }
 
-    /// Whether an order for an adapter can be sent now.
-    pub const fn takes_adapters(&self) -> bool {
-        self.known && !self.open
-    }
 
     /// Takes over a report; one from before the last accepted order is dropped.
     pub fn report(&mut self, now: Instant, report: &Report) {
@@ -313,13 +310,13 @@
                     self.used_mb(engine) + spec.adapter_mb <= engine.weights_max_mb
                         && self.adapters() < engine.adapters_max
                 });
-                self.takes_adapters()
+                self.is_idle()
                     && loaded
                     && fits
                     && !self.has_adapter(model, adapter)
             }
             Action::UnloadAdapter(model, adapter) => {
-                self.takes_adapters() && self.has_adapter(model, adapter)
+                self.is_idle() && self.has_adapter(model, adapter)
             }
         }
     }
@@ -359,14 +356,16 @@
                     held.adapters.insert(Arc::clone(adapter), coming);
                 }
             }
-            Action::UnloadAdapter(model, adapter) => {
+            Action::UnloadAdapter(model, adapter) if done => {
+                // It is gone at once, and counted as an order.
+                self.orders_accepted = order.expect + 1;
                 if let Some(held) = self.held.get_mut(model) {
                     held.adapters.remove(adapter);
                 }
-                // Whether it is gone at once or waits for a request, and whether
-                // it counted, the report tells.
-                self.known = false;
             }
+            // It waits for a request that uses it; a report tells when it is
+            // gone.
+            Action::UnloadAdapter(..) => self.known = false,
         }
     }
 
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -326,7 +326,7 @@
         let books = self.books.iter().filter(|(_, book)| {
             let mut models = book.ledger.models();
             let holds = models.any(|(model, loaded)| *model == want.model && loaded);
-            book.service == want.service && holds && book.ledger.takes_adapters()
+            book.service == want.service && holds && book.ledger.is_idle()
         });
         let best = books.min_by_key(|(id, book)| {
             let full = book.ledger.adapters() >= engine.adapters_max;
