Moves have to pay for what a load costs; demand over two time spans

Cause: moves were made for a relief that a handful of requests showed; each one takes a copy away, waits for its runs and loads for 2 to 9 s, while demand moves on.

--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -4,10 +4,21 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Time constant of the smoothed demand. Demand moves to other models within
-/// seconds, and a load takes as long again; a shorter one would take single
-/// requests for a trend.
-const SMOOTH_MS: f64 = 2_000.0;
+/// Time constants of the smoothed demand. Demand moves to other models within
+/// seconds, which the shorter one shows; what it leaves may come back, which the
+/// longer one remembers.
+const NEWEST_MS: f64 = 1_200.0;
+const LASTING_MS: f64 = 5_000.0;
+
+/// Engine time of one request, about, and the number of standard deviations by
+/// which a few requests may exceed the demand behind them. What a handful of
+/// requests shows is not worth a load that takes seconds.
+const REQUEST_MS: f64 = 100.0;
+const DEVIATIONS: f64 = 1.0;
+
+/// Part of the rise over the lasting demand by which demand is expected to go on
+/// rising until a load is done.
+const TREND: f64 = 0.5;
 
 /// Demand below which a model is forgotten, in work milliseconds a second.
 const FORGET_BELOW: f64 = 0.05;
@@ -20,8 +31,10 @@
 /// Demand for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
-    /// Engine time that the requests of one second take.
-    pub work_ms_per_s: f64,
+    /// Engine time that the requests of one second take, over the last second.
+    pub newest_ms_per_s: f64,
+    /// The same over some seconds.
+    pub lasting_ms_per_s: f64,
     /// Requests that wait because no upstream holds the model.
     pub waiting: u32,
     /// Wait of the oldest of them.
@@ -31,10 +44,24 @@
 impl Load {
     /// Adds another entry's demand.
     pub fn add(&mut self, other: &Self) {
-        self.work_ms_per_s += other.work_ms_per_s;
+        self.newest_ms_per_s += other.newest_ms_per_s;
+        self.lasting_ms_per_s += other.lasting_ms_per_s;
         self.waiting += other.waiting;
         self.oldest_wait_ms = self.oldest_wait_ms.max(other.oldest_wait_ms);
     }
+
+    /// Demand to be expected when a load is done, as far as it is certain.
+    pub fn expected_ms_per_s(&self) -> f64 {
+        let rise = (self.newest_ms_per_s - self.lasting_ms_per_s).max(0.0);
+        let variance = self.newest_ms_per_s * REQUEST_MS / (2.0 * NEWEST_MS / 1_000.0);
+        let expected = self.newest_ms_per_s + rise * TREND;
+        (expected - variance.sqrt() * DEVIATIONS).max(0.0)
+    }
+
+    /// Demand that a copy may still be kept for.
+    pub const fn kept_ms_per_s(&self) -> f64 {
+        self.newest_ms_per_s.max(self.lasting_ms_per_s)
+    }
 }
 
 /// Demand that one entry sees.
@@ -47,7 +74,8 @@
 #[derive(Debug, Default)]
 struct Seen {
     new_work_ms: f64,
-    work_ms_per_s: f64,
+    newest_ms_per_s: f64,
+    lasting_ms_per_s: f64,
     waiting: Vec<Instant>,
 }
 
@@ -58,7 +86,12 @@
     }
 
     /// Counts a request for a model.
-    pub fn arrived(&mut self, model: &Arc<str>, prompt_tokens: u64, answer_tokens: u64) {
+    pub fn arrived(
+        &mut self,
+        model: &Arc<str>,
+        prompt_tokens: u64,
+        answer_tokens: u64,
+    ) {
         let work = prompt_tokens as f64 / PROMPT_TOKENS_PER_MS
             + answer_tokens as f64 / ANSWER_TOKENS_PER_MS;
         self.seen(model).new_work_ms += work;
@@ -84,14 +117,14 @@
         if ms <= 0.0 {
             return;
         }
-        let keep = (-ms / SMOOTH_MS).exp();
         for seen in self.models.values_mut() {
             let rate = seen.new_work_ms * 1_000.0 / ms;
-            seen.work_ms_per_s = seen.work_ms_per_s * keep + rate * (1.0 - keep);
+            smooth(&mut seen.newest_ms_per_s, rate, ms / NEWEST_MS);
+            smooth(&mut seen.lasting_ms_per_s, rate, ms / LASTING_MS);
             seen.new_work_ms = 0.0;
         }
         self.models.retain(|_, seen| {
-            seen.work_ms_per_s > FORGET_BELOW || !seen.waiting.is_empty()
+            seen.lasting_ms_per_s > FORGET_BELOW || !seen.waiting.is_empty()
         });
     }
 
@@ -100,7 +133,8 @@
         self.models.iter().map(move |(model, seen)| {
             let oldest = seen.waiting.iter().min();
             let load = Load {
-                work_ms_per_s: seen.work_ms_per_s,
+                newest_ms_per_s: seen.newest_ms_per_s,
+                lasting_ms_per_s: seen.lasting_ms_per_s,
                 waiting: u32::try_from(seen.waiting.len()).unwrap_or(u32::MAX),
                 oldest_wait_ms: oldest.map_or(0, |at| now.ms_since(*at)),
             };
@@ -112,3 +146,10 @@
         self.models.entry(Arc::clone(model)).or_default()
     }
 }
+
+/// Moves a smoothed value towards the newest one over `part` of its time
+/// constant.
+fn smooth(value: &mut f64, newest: f64, part: f64) {
+    let keep = (-part).exp();
+    *value = *value * keep + newest * (1.0 - keep);
+}
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -256,8 +256,10 @@
     ///
     /// Returns whether anything changed.
     pub fn list(&mut self, now: Instant, listed: Vec<(u64, UpstreamNews)>) {
-        let names: Vec<Arc<str>> =
-            listed.iter().map(|(_, news)| Arc::clone(&news.id)).collect();
+        let names: Vec<Arc<str>> = listed
+            .iter()
+            .map(|(_, news)| Arc::clone(&news.id))
+            .collect();
         for (version, news) in listed {
             self.put(version, news);
         }
@@ -366,7 +368,12 @@
 
     /// When the first upstream of a service is expected to serve a model that is
     /// on its way there.
-    pub fn ready_at(&self, now: Instant, service: &str, model: &str) -> Option<Instant> {
+    pub fn ready_at(
+        &self,
+        now: Instant,
+        service: &str,
+        model: &str,
+    ) -> Option<Instant> {
         let said = self
             .of(service)
             .filter(|upstream| upstream.is_usable(now))
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -61,6 +61,8 @@
     until: Option<Instant>,
     next_at: Instant,
     busy: bool,
+    /// What was seen may have been overwritten.
+    must_read: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -83,6 +85,7 @@
             until: None,
             next_at: Instant::ZERO,
             busy: false,
+            must_read: false,
         }
     }
 
@@ -107,6 +110,7 @@
         }
         let step = match &self.seen {
             None => LeaseStep::Read,
+            Some(_) if self.must_read => LeaseStep::Read,
             Some(seen) if self.is_mine(&seen.record) => self.renewal(seen),
             Some(seen) if self.may_take(seen, now) => self.taking(seen),
             Some(_) if holder_heard => LeaseStep::Wait,
@@ -120,6 +124,7 @@
     /// The object was read: its version and record, or none.
     pub fn read(&mut self, now: Instant, found: Option<(u64, LeaseRecord)>) {
         self.busy = false;
+        self.must_read = false;
         let Some((version, record)) = found else {
             // Nobody ever held it.
             self.see(now, 0, LeaseRecord::default());
@@ -136,6 +141,7 @@
     /// A write took effect with this version. It was sent at `sent_at`.
     pub fn written(&mut self, sent_at: Instant, version: u64, record: LeaseRecord) {
         self.busy = false;
+        self.must_read = false;
         let mine = self.is_mine(&record);
         self.seen = Some(Seen {
             record,
@@ -146,18 +152,22 @@
         self.next_at = sent_at.plus_ms(RENEW_EVERY_MS);
     }
 
-    /// A call failed; `conflict` when the object had another version.
-    pub fn failed(&mut self, now: Instant, conflict: bool) {
+    /// A call had no effect.
+    pub fn failed(&mut self, now: Instant) {
         self.busy = false;
-        if conflict {
-            // Another holds it, or a write of this process that was given up
-            // took effect; the next read tells which.
-            self.until = None;
-            self.seen = None;
-            self.next_at = now;
-        } else {
-            self.next_at = now.plus_ms(RENEW_EVERY_MS / 4);
-        }
+        self.next_at = now.plus_ms(RENEW_EVERY_MS / 4);
+    }
+
+    /// The object had another version, or a write got no answer: the next read
+    /// tells who holds it.
+    ///
+    /// A lease that was held stays good until its time is over: what may have
+    /// been written meanwhile is this process's own renewal, or was written by
+    /// somebody who waited until that time.
+    pub fn unsure(&mut self, now: Instant) {
+        self.busy = false;
+        self.must_read = true;
+        self.next_at = now;
     }
 
     /// The record that gives the lease back, if this entry holds it. It does
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -127,7 +127,6 @@
         self.known && !self.busy && !self.open
     }
 
-
     /// Takes over a report; one from before the last accepted order is dropped.
     pub fn report(&mut self, now: Instant, report: &Report) {
         if self.open || report.orders_accepted < self.orders_accepted {
@@ -310,10 +309,7 @@
                     self.used_mb(engine) + spec.adapter_mb <= engine.weights_max_mb
                         && self.adapters() < engine.adapters_max
                 });
-                self.is_idle()
-                    && loaded
-                    && fits
-                    && !self.has_adapter(model, adapter)
+                self.is_idle() && loaded && fits && !self.has_adapter(model, adapter)
             }
             Action::UnloadAdapter(model, adapter) => {
                 self.is_idle() && self.has_adapter(model, adapter)
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -13,11 +13,15 @@
 /// Time for which an order without an answer may still be carried out.
 const LATE_ORDER_MS: u64 = 12_500;
 
-/// Least relief that a further copy has to bring. Relief is the fall of the sum
-/// of the squares of all upstreams' loads: how long requests wait grows faster
-/// than the load that they meet. A load keeps an upstream's memory and the
-/// weight store busy for seconds, and demand moves on meanwhile.
-const RELIEF_MIN: f64 = 0.05;
+/// What a move costs, in relief. Relief is the fall of the sum of the squares of
+/// all upstreams' loads: how long requests wait grows faster than the load that
+/// they meet. A load keeps an upstream's memory busy while it lasts, and demand
+/// moves on meanwhile, so a long one has to bring more.
+const MOVE_COST: f64 = 0.5;
+const MOVE_COST_PER_S: f64 = 0.2;
+
+/// What a load from the weight store costs beside its time.
+const STORE_COST: f64 = 0.03;
 
 /// Time for which a model stays where it was loaded.
 const STAY_MS: u64 = 3_000;
@@ -25,9 +29,7 @@
 /// Loss of the last copy of a model without demand, against any relief.
 const LAST_COPY_LOSS: f64 = 10.0;
 
-/// Advantage of an upstream that can load a model without the weight store, and
-/// of a failure domain in which no other copy is, as relief.
-const COPY_BONUS: f64 = 0.02;
+/// Advantage of a failure domain in which no other copy is, as relief.
 const SPREAD_BONUS: f64 = 0.01;
 
 /// Moves decided at once.
@@ -195,6 +197,8 @@
     victim: Option<usize>,
     from_store: bool,
     relief: f64,
+    /// Relief less what the move costs.
+    net: f64,
 }
 
 impl<'a> Board<'a> {
@@ -274,14 +278,14 @@
     fn best_copy(&self) -> Option<(Arc<str>, Place)> {
         let mut best: Option<(Arc<str>, Place)> = None;
         for (model, load) in self.loads {
-            if self.copies(model) == 0 || load.work_ms_per_s <= 0.0 {
+            if self.copies(model) == 0 || load.expected_ms_per_s() <= 0.0 {
                 continue;
             }
             let Some(place) = self.place(model, true) else {
                 continue;
             };
-            let most = best.as_ref().map_or(RELIEF_MIN, |(_, best)| best.relief);
-            if place.relief > most {
+            let most = best.as_ref().map_or(0.0, |(_, best)| best.net);
+            if place.net > most {
                 best = Some((Arc::clone(model), place));
             }
         }
@@ -302,33 +306,42 @@
             if from_store && self.store_left == 0 {
                 continue;
             }
-            let bonus = self.bonus(model, spot, from_store);
             let found = self.room(model, index, size_mb, evict);
             let Some((victim, relief)) = found else {
                 continue;
             };
-            let relief = relief + bonus;
-            if best.as_ref().is_none_or(|place| relief > place.relief) {
+            let net = relief - self.cost(model, spot);
+            if best.as_ref().is_none_or(|place| net > place.net) {
                 best = Some(Place {
                     spot: index,
                     victim,
                     from_store,
                     relief,
+                    net,
                 });
             }
         }
         best
     }
 
-    fn bonus(&self, model: &Arc<str>, spot: &Spot, from_store: bool) -> f64 {
-        let mut bonus = 0.0;
-        if !from_store {
-            bonus += COPY_BONUS;
+    fn cost(&self, model: &Arc<str>, spot: &Spot) -> f64 {
+        let from_store = !spot.copies.contains(model);
+        let spec = self.engine.models.get(model);
+        let load_ms = spec.map_or(0, |spec| {
+            if from_store {
+                spec.store_load_ms
+            } else {
+                spec.disk_load_ms
+            }
+        });
+        let mut cost = MOVE_COST + MOVE_COST_PER_S * load_ms as f64 / 1_000.0;
+        if from_store {
+            cost += STORE_COST;
         }
         if !self.in_domain(model, &spot.domain) {
-            bonus += SPREAD_BONUS;
+            cost -= SPREAD_BONUS;
         }
-        bonus
+        cost
     }
 
     /// Room on a spot: the model that has to go, and what the move relieves.
@@ -371,24 +384,33 @@
     /// model in place of another one's.
     fn relief(&self, model: &Arc<str>, index: usize, victim: Option<&Arc<str>>) -> f64 {
         let mut changes: Vec<(usize, f64)> = vec![(index, 0.0)];
-        let mut change = |spot: usize, by: f64| {
-            match changes.iter_mut().find(|(known, _)| *known == spot) {
-                Some((_, sum)) => *sum += by,
-                None => changes.push((spot, by)),
-            }
+        let mut change = |spot: usize, by: f64| match changes
+            .iter_mut()
+            .find(|(known, _)| *known == spot)
+        {
+            Some((_, sum)) => *sum += by,
+            None => changes.push((spot, by)),
         };
         let copies = self.copies(model);
-        let (one, more) = (self.load_of(model, copies), self.load_of(model, copies + 1));
+        let (one, more) =
+            (self.load_of(model, copies), self.load_of(model, copies + 1));
         for holder in self.holders.get(model).into_iter().flatten() {
             change(*holder, more - one);
         }
         change(index, more);
         if let Some(victim) = victim {
             let copies = self.copies(victim);
-            let share = self.load_of(victim, copies);
-            let rest = self.load_of(victim, copies.saturating_sub(1).max(1));
+            let share = self.kept_of(victim, copies);
+            let rest = self.kept_of(victim, copies.saturating_sub(1));
             for holder in self.holders.get(victim).into_iter().flatten() {
-                change(*holder, if *holder == index { -share } else { rest - share });
+                change(
+                    *holder,
+                    if *holder == index {
+                        -share
+                    } else {
+                        rest - share
+                    },
+                );
             }
         }
         let falls = changes.iter().map(|(spot, by)| {
@@ -447,13 +469,18 @@
         self.holders.get(model).map_or(0, Vec::len)
     }
 
-    /// Load of one of `copies` copies of a model.
+    /// Load of one of `copies` copies of a model that is to be expected.
     fn load_of(&self, model: &Arc<str>, copies: usize) -> f64 {
-        let work = self
-            .loads
-            .get(model)
-            .map_or(0.0, |load| load.work_ms_per_s / 1_000.0);
-        work / copies.max(1) as f64
+        let load = self.loads.get(model);
+        let work = load.map_or(0.0, Load::expected_ms_per_s);
+        work / 1_000.0 / copies.max(1) as f64
+    }
+
+    /// Load of one of `copies` copies of a model that it may be kept for.
+    fn kept_of(&self, model: &Arc<str>, copies: usize) -> f64 {
+        let load = self.loads.get(model);
+        let work = load.map_or(0.0, Load::kept_ms_per_s);
+        work / 1_000.0 / copies.max(1) as f64
     }
 
     fn spot_load(&self, index: usize) -> f64 {
@@ -475,6 +502,6 @@
     fn is_wanted(&self, model: &Arc<str>) -> bool {
         self.loads
             .get(model)
-            .is_some_and(|load| load.waiting > 0 || load.work_ms_per_s > 1.0)
+            .is_some_and(|load| load.waiting > 0 || load.lasting_ms_per_s > 1.0)
     }
 }
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -102,7 +102,8 @@
     let mut best: Option<(bool, f64, Picked)> = None;
     let mut reason = Unpicked::NoUpstream;
     for (index, upstream) in fleet.of(input.service).enumerate() {
-        if !upstream.is_usable(input.now) || input.excluded.contains(&upstream.news.id) {
+        if !upstream.is_usable(input.now) || input.excluded.contains(&upstream.news.id)
+        {
             continue;
         }
         match candidate(upstream, input, index as u64) {
@@ -124,7 +125,11 @@
 impl Unpicked {
     /// The reason closest to an upstream that could run the request.
     const fn max_known(self, other: Self) -> Self {
-        if other as u8 > self as u8 { other } else { self }
+        if other as u8 > self as u8 {
+            other
+        } else {
+            self
+        }
     }
 }
 
--- a/crates/direct/src/repeats.rs
+++ b/crates/direct/src/repeats.rs
@@ -33,18 +33,28 @@
     burst: f64,
     window_ms: u64,
     entries: u32,
+    started_at: Instant,
     services: BTreeMap<Arc<str>, [Part; PARTS as usize]>,
 }
 
 impl Repeats {
     /// A bound of `ratio` repeats for each request and `burst` more in any
     /// `window_ms`, over all entries.
-    pub const fn new(ratio: f64, burst: f64, window_ms: u64) -> Self {
+    ///
+    /// The process started at `started_at`. What its predecessor on the same
+    /// machine repeated is not known, so the burst is given out over one window.
+    pub const fn new(
+        started_at: Instant,
+        ratio: f64,
+        burst: f64,
+        window_ms: u64,
+    ) -> Self {
         Self {
             ratio,
             burst,
             window_ms,
             entries: 1,
+            started_at,
             services: BTreeMap::new(),
         }
     }
@@ -62,7 +72,10 @@
     /// Takes one repeat; false when the share is spent.
     pub fn try_take(&mut self, now: Instant, service: &Arc<str>) -> bool {
         let (requests, repeats) = self.in_window(now, service);
-        let share = f64::from(requests) * self.ratio + self.burst / f64::from(self.entries);
+        let up_ms = now.ms_since(self.started_at).min(self.window_ms);
+        let burst = self.burst / f64::from(self.entries);
+        let burst = burst * up_ms as f64 / self.window_ms as f64;
+        let share = f64::from(requests) * self.ratio + burst;
         if f64::from(repeats) + 1.0 > share * USABLE {
             return false;
         }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -110,8 +110,13 @@
     fn name_answer(&self, headers: &mut HeaderMap, id: &str);
 
     /// The call that gives an order.
-    fn order(&self, upstream: &str, order: &Order, giver: &str, token: u64)
-    -> OrderCall;
+    fn order(
+        &self,
+        upstream: &str,
+        order: &Order,
+        giver: &str,
+        token: u64,
+    ) -> OrderCall;
 
     /// Reads the answer to an order.
     fn order_answer(&self, status: StatusCode) -> OrderAnswer;
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -187,7 +187,8 @@
         tokio::spawn(ask_report(Arc::clone(node), id));
     }
     for (id, service, order, from_store) in orders {
-        let sending = send_order(Arc::clone(node), id, service, order, token, from_store);
+        let sending =
+            send_order(Arc::clone(node), id, service, order, token, from_store);
         tokio::spawn(sending);
     }
 }
@@ -211,8 +212,10 @@
             }
             self.moves.insert(Arc::clone(name), moves);
         }
-        node.log
-            .line("giver_began", json!({ "token": token, "setup": setup.version }));
+        node.log.line(
+            "giver_began",
+            json!({ "token": token, "setup": setup.version }),
+        );
     }
 
     fn follow_fleet(&mut self, node: &Node, setup: &Setup, now: Instant) {
@@ -357,7 +360,10 @@
     }
 
     fn spots(&self, service: &Arc<str>, engine: &Engine) -> Vec<Spot> {
-        let books = self.books.iter().filter(|(_, book)| book.service == *service);
+        let books = self
+            .books
+            .iter()
+            .filter(|(_, book)| book.service == *service);
         books
             .map(|(id, book)| Spot {
                 upstream: Arc::clone(id),
@@ -466,7 +472,11 @@
             .collect();
         // What was there before this entry gave orders may go at once.
         for model in &held {
-            let first = if self.since.is_empty() { Instant::ZERO } else { now };
+            let first = if self.since.is_empty() {
+                Instant::ZERO
+            } else {
+                now
+            };
             self.since.entry(Arc::clone(model)).or_insert(first);
         }
         self.since.retain(|model, _| held.contains(model));
@@ -478,7 +488,9 @@
         let mut coming: Vec<_> = loading
             .map(|(model, ready_at)| (Arc::clone(model), ready_at))
             .collect();
-        if let (Some(intent), Some(engine)) = (&self.intent, engine(setup, &self.service)) {
+        if let (Some(intent), Some(engine)) =
+            (&self.intent, engine(setup, &self.service))
+        {
             let takes_ms = self.ledger.load_ms(engine, &intent.load) + UNLOAD_MS;
             coming.push((Arc::clone(&intent.load), intent.begun_at.plus_ms(takes_ms)));
         }
@@ -488,10 +500,7 @@
     fn groups(&self, engine: &Engine) -> Vec<Group> {
         let models = self.ledger.models().map(|(model, _)| Group {
             model: Arc::clone(model),
-            size_mb: engine
-                .models
-                .get(model)
-                .map_or(0.0, |spec| spec.weights_mb),
+            size_mb: engine.models.get(model).map_or(0.0, |spec| spec.weights_mb),
             unloading: self.ledger.is_unloading(model),
             since: self.since.get(model).copied().unwrap_or(Instant::ZERO),
         });
@@ -505,7 +514,8 @@
         want: &Want,
         now: Instant,
     ) -> Option<direct::Order> {
-        let load = Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
+        let load =
+            Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
         if let Some(order) = self.ledger.order(engine, load) {
             return Some(order);
         }
--- a/crates/front/src/meters.rs
+++ b/crates/front/src/meters.rs
@@ -6,8 +6,9 @@
 
 /// Upper bounds of latency buckets, in seconds: the aims of the deployments lie
 /// between 0.1 and 8 s.
-const LATENCY_BUCKETS_S: [f64; 12] =
-    [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
 
 /// All metrics of the process.
 #[derive(Debug)]
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -23,6 +23,12 @@
 /// Time for which a verdict on a request that crashes upstreams stands.
 const VERDICT_MS: u64 = 60_000;
 
+/// Time for which a renewed lease lets its holder order. Longer than most outages
+/// of the platform, and shorter than what a holder that is gone for good may
+/// leave upstreams without orders; one that only restarts takes the lease again
+/// at once.
+const LEASE_VALID_MS: u64 = 5_000;
+
 /// What all tasks of the process share. Each part has its own lock, and none is
 /// held across an await.
 #[derive(Debug)]
@@ -68,17 +74,15 @@
         let start = now.map_or(0, |now| now.as_millis() as u64);
         let bounds = &options.bounds;
         let repeats = Repeats::new(
+            BootClock.now(),
             bounds.repeat_ratio,
             bounds.repeat_burst,
             bounds.repeat_window_ms,
         );
-        let lease = Lease::new(
-            &options.entry,
-            start,
-            bounds.order_quiet_ms / 2,
-            bounds.order_quiet_ms,
-        );
-        let seed = xxhash_rust::xxh3::xxh3_64_with_seed(options.entry.as_bytes(), start);
+        let lease =
+            Lease::new(&options.entry, start, LEASE_VALID_MS, bounds.order_quiet_ms);
+        let seed =
+            xxhash_rust::xxh3::xxh3_64_with_seed(options.entry.as_bytes(), start);
         Self {
             dialect,
             store,
@@ -149,7 +153,11 @@
     }
 
     /// Counts demand for a model of a service.
-    pub(crate) fn with_demand(&self, service: &Arc<str>, change: impl FnOnce(&mut Demand)) {
+    pub(crate) fn with_demand(
+        &self,
+        service: &Arc<str>,
+        change: impl FnOnce(&mut Demand),
+    ) {
         let mut demand = self.demand.lock();
         change(demand.entry(Arc::clone(service)).or_default());
     }
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -42,9 +42,7 @@
     token: u64,
     from_store: bool,
 ) {
-    let call = node
-        .dialect
-        .order(&id, &order, &node.options.entry, token);
+    let call = node.dialect.order(&id, &order, &node.options.entry, token);
     let permit = || node.lease.lock().token(node.now()) == Some(token);
     let answer = send(&node, &id, call, ORDER_TIMEOUT, permit).await;
     let sent = match &answer {
@@ -183,7 +181,7 @@
             let record = serde_json::from_slice(&value).unwrap_or_default();
             lease.read(now, Some((version.0, record)));
         }
-        _ => lease.failed(now, false),
+        _ => lease.failed(now),
     }
 }
 
@@ -191,9 +189,8 @@
     let sent_at = node.now();
     // Names and numbers always serialise.
     let value = serde_json::to_vec(&record).unwrap_or_default();
-    let expect = version.map_or(Expect::Absent, |version| {
-        Expect::Version(Version(version))
-    });
+    let expect =
+        version.map_or(Expect::Absent, |version| Expect::Version(Version(version)));
     let op = PlatformOp::Write {
         key: node.options.keys.lease.clone(),
         expect,
@@ -205,10 +202,8 @@
     let before = lease.token(now);
     match result {
         PlatformResult::Written(version) => lease.written(sent_at, version.0, record),
-        PlatformResult::Conflict => lease.failed(now, true),
-        // It may have been written; the next read tells.
-        PlatformResult::Unanswered => lease.failed(now, true),
-        _ => lease.failed(now, false),
+        PlatformResult::Conflict | PlatformResult::Unanswered => lease.unsure(now),
+        _ => lease.failed(now),
     }
     let token = lease.token(node.now());
     drop(lease);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -213,7 +213,8 @@
         demand.loads(now).map(move |(model, load)| ModelDemand {
             service: service.to_string(),
             model: model.to_string(),
-            work_us_per_s: (load.work_ms_per_s * 1_000.0) as u64,
+            newest_us_per_s: (load.newest_ms_per_s * 1_000.0) as u64,
+            lasting_us_per_s: (load.lasting_ms_per_s * 1_000.0) as u64,
             waiting: load.waiting,
             oldest_wait_ms: load.oldest_wait_ms,
         })
@@ -237,12 +238,18 @@
         return Vec::new();
     }
     let round = sequence as usize % HOLDINGS_ROUNDS;
-    let told = node.giver.told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
+    let told = node
+        .giver
+        .told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
     let now = node.now();
     let told = told.into_iter().map(|told| Holding {
         upstream: told.upstream.to_string(),
         models: told.residents.iter().map(held_model).collect(),
-        coming: told.coming.iter().map(|coming| coming_model(now, coming)).collect(),
+        coming: told
+            .coming
+            .iter()
+            .map(|coming| coming_model(now, coming))
+            .collect(),
     });
     told.collect()
 }
@@ -329,7 +336,11 @@
     Resident {
         model: held.model.as_str().into(),
         version: held.version,
-        adapters: held.adapters.iter().map(|name| name.as_str().into()).collect(),
+        adapters: held
+            .adapters
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
     }
 }
 
@@ -353,11 +364,16 @@
         }
         let loads = news.demands.iter().map(|demand| {
             let load = Load {
-                work_ms_per_s: demand.work_us_per_s as f64 / 1_000.0,
+                newest_ms_per_s: demand.newest_us_per_s as f64 / 1_000.0,
+                lasting_ms_per_s: demand.lasting_us_per_s as f64 / 1_000.0,
                 waiting: demand.waiting,
                 oldest_wait_ms: demand.oldest_wait_ms,
             };
-            (demand.service.as_str().into(), demand.model.as_str().into(), load)
+            (
+                demand.service.as_str().into(),
+                demand.model.as_str().into(),
+                load,
+            )
         });
         let state = PeerState {
             address: from,
@@ -415,11 +431,7 @@
             let result = node.store.call(&op).await;
             written = matches!(result, PlatformResult::Written(_));
         }
-        let pause = if known {
-            LIST_EVERY
-        } else {
-            LIST_AGAIN
-        };
+        let pause = if known { LIST_EVERY } else { LIST_AGAIN };
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -128,7 +128,9 @@
             return;
         }
         let keep_ms = keep_alive_s.map_or(IDLE_MAX_MS, |s| {
-            (s * 1_000).saturating_sub(KEEP_ALIVE_SPARE_MS).min(IDLE_MAX_MS)
+            (s * 1_000)
+                .saturating_sub(KEEP_ALIVE_SPARE_MS)
+                .min(IDLE_MAX_MS)
         });
         let mut idle = self.idle.lock();
         let lines = idle.entry(Arc::clone(id)).or_default();
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -95,8 +95,7 @@
     body: Incoming,
     ask: AskHead,
 ) -> Result<Call, Refusal> {
-    let not_ready =
-        Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
+    let not_ready = Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
     let setup = node.setup().ok_or(not_ready)?;
     let leaving = Refusal::not_run(Code::Leaving).retry_after_ms(0);
     if is_ambiguous(&parts.headers) {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -47,6 +47,11 @@
     Refused(Refusal),
 }
 
+/// Tries after which a request is not sent to an upstream that it was sent to
+/// before. An upstream that refuses one in two is worth asking again; one that
+/// is full would refuse it at once, time after time, until the budget is spent.
+const TRIES_MAX: usize = 3;
+
 /// Why no upstream is tried, and when to come back.
 #[derive(Debug)]
 struct Turned {
@@ -274,7 +279,8 @@
         if wait_ms <= left_ms || !self.sent_to.is_empty() {
             return Ok(picked);
         }
-        self.tries.push(json!({ "unpicked": "too_late", "expected_ms": wait_ms,
+        self.tries
+            .push(json!({ "unpicked": "too_late", "expected_ms": wait_ms,
             "left_ms": left_ms }));
         Err(Turned {
             code: Code::Overloaded,
@@ -328,7 +334,9 @@
         let tried = self.sent_to.iter().chain(&self.unreached);
         let tried: Vec<Arc<str>> = tried.cloned().collect();
         let other = self.pick_but(&tried);
-        if other.is_ok() || tried.is_empty() || !self.call.route.kind.may_repeat() {
+        let may_repeat =
+            self.call.route.kind.may_repeat() && self.tries.len() < TRIES_MAX;
+        if other.is_ok() || tried.is_empty() || !may_repeat {
             return other;
         }
         self.pick_but(&[])
@@ -376,7 +384,8 @@
         };
         let labels = [&*self.call.service, outcome];
         self.node.meters.tries.with_label_values(&labels).inc();
-        self.tries.push(json!({ "upstream": &*picked.id, "outcome": outcome,
+        self.tries
+            .push(json!({ "upstream": &*picked.id, "outcome": outcome,
             "expected_ms": picked.wait_ms as u64,
             "ms": self.node.now().ms_since(begun_at) }));
     }
@@ -388,7 +397,9 @@
             self.first_answer_ms = Some(ms);
             let histogram = &self.node.meters.first_answer_s;
             let route = [&*self.call.route.name];
-            histogram.with_label_values(&route).observe(ms as f64 / 1_000.0);
+            histogram
+                .with_label_values(&route)
+                .observe(ms as f64 / 1_000.0);
         }
     }
 
@@ -459,7 +470,8 @@
         let model = call.ask.model.as_ref().filter(|_| why == Unpicked::NoModel);
         let waiting = Self {
             node: Arc::clone(node),
-            model: model.map(|(model, _)| (Arc::clone(&call.service), Arc::clone(model))),
+            model: model
+                .map(|(model, _)| (Arc::clone(&call.service), Arc::clone(model))),
             since: node.now(),
         };
         if let Some((service, model)) = &waiting.model {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -53,7 +53,8 @@
     };
     // The library counts the time for a head from the end of the request before,
     // so the bound has to be the one for idle connections.
-    let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
+    let idle =
+        Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -72,9 +72,10 @@
     let callers = listen("callers", options.callers).await?;
     let readiness = listen("readiness", options.readiness).await?;
     let address = options.peers;
-    let socket = UdpSocket::bind(address)
-        .await
-        .context(BindSnafu { what: "peers", address })?;
+    let socket = UdpSocket::bind(address).await.context(BindSnafu {
+        what: "peers",
+        address,
+    })?;
     let socket = Arc::new(socket);
     let node = Arc::new(Node::new(options, dialect, store, log));
     node.log.line(
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -161,10 +161,12 @@
                 Place::Next => bytes.extend_from_slice(&event.bytes),
                 Place::Known => {}
                 Place::Wrong => {
-                    return Some(Step::Broke).filter(|_| bytes.is_empty()).or_else(|| {
-                        self.live = None;
-                        Some(Step::Events(bytes.freeze()))
-                    });
+                    return Some(Step::Broke).filter(|_| bytes.is_empty()).or_else(
+                        || {
+                            self.live = None;
+                            Some(Step::Events(bytes.freeze()))
+                        },
+                    );
                 }
             }
         }
@@ -189,7 +191,10 @@
 
     /// Whether the stream is better continued elsewhere than waited for.
     fn is_given_up(&self) -> bool {
-        let silent = self.live.as_ref().is_some_and(|live| live.in_flight.is_silent());
+        let silent = self
+            .live
+            .as_ref()
+            .is_some_and(|live| live.in_flight.is_silent());
         silent && self.run.call.route.kind.may_repeat()
     }
 
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -262,7 +262,11 @@
     let Some(body) = read_whole(node, call, body).await else {
         in_flight.observe(false);
         return TryEnd::Fault(
-            if head.not_run { Outcome::Refused } else { Outcome::Unknown },
+            if head.not_run {
+                Outcome::Refused
+            } else {
+                Outcome::Unknown
+            },
             None,
         );
     };
