An unload has its price; two deviations of certainty before a move

Cause: a high price on every move kept noise out and slowed clear shifts. Change: unloading costs the share that the model takes there; demand counts less two deviations; the base price falls to 0.12 + 0.08 a second.

--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -14,7 +14,7 @@
 /// which a few requests may exceed the demand behind them. What a handful of
 /// requests shows is not worth a load that takes seconds.
 const REQUEST_MS: f64 = 100.0;
-const DEVIATIONS: f64 = 1.0;
+const DEVIATIONS: f64 = 2.0;
 
 /// Part of the rise over the lasting demand by which demand is expected to go on
 /// rising until a load is done.
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -17,8 +17,12 @@
 /// all upstreams' loads: how long requests wait grows faster than the load that
 /// they meet. A load keeps an upstream's memory busy while it lasts, and demand
 /// moves on meanwhile, so a long one has to bring more.
-const MOVE_COST: f64 = 0.5;
-const MOVE_COST_PER_S: f64 = 0.2;
+const MOVE_COST: f64 = 0.12;
+const MOVE_COST_PER_S: f64 = 0.08;
+
+/// What an unload costs for each part of the upstream's time that the model
+/// took there: it waits for what runs, and what comes meanwhile goes elsewhere.
+const UNLOAD_COST: f64 = 1.0;
 
 /// What a load from the weight store costs beside its time.
 const STORE_COST: f64 = 0.03;
@@ -369,7 +373,9 @@
             if last && self.is_wanted(&group.model) {
                 continue;
             }
+            let share = self.kept_of(&group.model, self.copies(&group.model));
             let mut relief = self.relief(model, index, Some(&group.model));
+            relief -= share * UNLOAD_COST;
             if last {
                 relief -= LAST_COPY_LOSS;
             }
