--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -170,6 +170,18 @@
         self.next_at = now;
     }
 
+    /// The next renewal and the version that the object must have for it, while
+    /// this entry holds the lease.
+    pub fn next_renewal(&self, now: Instant) -> Option<(LeaseRecord, u64)> {
+        let seen = self.seen.as_ref()?;
+        self.token(now)?;
+        let record = LeaseRecord {
+            renewal: seen.record.renewal + 1,
+            ..seen.record.clone()
+        };
+        Some((record, seen.version))
+    }
+
     /// The record that gives the lease back, if this entry holds it. It does
     /// not order afterwards.
     pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -35,6 +35,7 @@
 mod orders;
 mod peers;
 mod pool;
+mod relay;
 mod request;
 mod run;
 mod server;
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -16,6 +16,7 @@
 use crate::meters::Meters;
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::relay::Relay;
 use crate::stop::Stop;
 use crate::wants::Wants;
 use crate::{BootClock, Dialect, Log, Options};
@@ -54,6 +55,7 @@
     pub(crate) wants: Wants,
     pub(crate) peers: Peers,
     pub(crate) lease: Mutex<Lease>,
+    pub(crate) relay: Relay,
     pub(crate) giver: Giver,
     /// Told when upstreams come, go or hold something else.
     pub(crate) holdings: Notify,
@@ -100,6 +102,7 @@
             wants: Wants::default(),
             peers: Peers::new(&options),
             lease: Mutex::new(lease),
+            relay: Relay::default(),
             giver: Giver::new(bounds.store_load_window_ms),
             holdings: Notify::new(),
             room: Notify::new(),
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -181,7 +181,11 @@
             let record = serde_json::from_slice(&value).unwrap_or_default();
             lease.read(now, Some((version.0, record)));
         }
-        _ => lease.failed(now),
+        _ => {
+            lease.failed(now);
+            drop(lease);
+            node.relay.ask(node);
+        }
     }
 }
 
@@ -200,6 +204,7 @@
     let now = node.now();
     let mut lease = node.lease.lock();
     let before = lease.token(now);
+    let renewed = matches!(result, PlatformResult::Written(_));
     match result {
         PlatformResult::Written(version) => lease.written(sent_at, version.0, record),
         PlatformResult::Conflict | PlatformResult::Unanswered => lease.unsure(now),
@@ -207,6 +212,9 @@
     }
     let token = lease.token(node.now());
     drop(lease);
+    if !renewed {
+        node.relay.ask(node);
+    }
     if token != before {
         node.log.line(
             "lease",
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -15,9 +15,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::Options;
 use crate::node::Node;
+use crate::relay::hear_ask;
 use crate::wants::Want;
 
 /// Time between two messages to each peer, for up to [`PEERS_AT_ONCE`] peers;
@@ -59,6 +61,8 @@
     me: String,
     own: SocketAddr,
     table: Mutex<Table>,
+    /// Told when there is something to tell at once.
+    pub(crate) wake: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -91,6 +95,7 @@
             me: options.entry.clone(),
             own: options.peers,
             table: Mutex::new(table),
+            wake: Notify::new(),
         }
     }
 
@@ -101,6 +106,18 @@
         peer.is_some_and(|peer| now.ms_since(peer.heard_at) < ms)
     }
 
+    /// Names of the entries that were heard lately, in order.
+    pub(crate) fn heard(&self, now: Instant) -> Vec<String> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let mut names: Vec<String> = heard.map(|(name, _)| name.clone()).collect();
+        names.sort();
+        names
+    }
+
     /// Adds what other entries demand of a service's models.
     pub(crate) fn add_loads(
         &self,
@@ -137,6 +154,7 @@
         tokio::select! {
             () = node.wants.new.notified() => {}
             () = node.giver.changed.notified() => {}
+            () = node.peers.wake.notified() => {}
         }
         tell_once(&node, &socket).await;
     }
@@ -204,6 +222,8 @@
         giver_token,
         holdings: holdings(node, sequence, giver_token),
         suspects: node.suspects.lock().export(now),
+        lease_ask: node.relay.asking(now),
+        lease_told: node.relay.telling(now),
     }
 }
 
@@ -288,7 +308,7 @@
     }
 }
 
-fn take(node: &Node, from: SocketAddr, news: PeerNews) {
+fn take(node: &Arc<Node>, from: SocketAddr, news: PeerNews) {
     if news.entry == node.peers.me || !node.peers.note(node, from, &news) {
         return;
     }
@@ -326,6 +346,12 @@
         };
         node.giver.want(now, want);
     }
+    if let Some(ask) = &news.lease_ask {
+        hear_ask(node, ask);
+    }
+    if let Some(told) = &news.lease_told {
+        node.relay.hear_told(node, told);
+    }
     let mut suspects = node.suspects.lock();
     for suspect in &news.suspects {
         suspects.merge(now, suspect);
