--- /dev/null
+++ b/crates/direct/tests/all/fleet.rs
@@ -0,0 +1,131 @@
+//! What an entry knows of upstreams.
+
+use crate::support::{at, name, news, resident};
+use direct::{Fleet, Usage};
+
+fn usable(fleet: &Fleet, ms: u64, id: &str) -> bool {
+    fleet
+        .get(id)
+        .is_some_and(|upstream| upstream.is_usable(at(ms)))
+}
+
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new();
+    let listed = ids.iter().map(|id| (5, news(id, &["a"])));
+    fleet.list(at(0), listed.collect());
+    fleet
+}
+
+#[test]
+fn an_upstream_that_leaves_gets_nothing_more_and_never_comes_back() {
+    let mut fleet = fleet(&["1", "2"]);
+    let mut leaving = news("1", &["a"]);
+    leaving.leaving = true;
+    fleet.put(6, leaving);
+    assert!(!usable(&fleet, 1, "1"));
+    // An old list, and one that is newer but says otherwise.
+    fleet.put(4, news("1", &["a"]));
+    fleet.put(9, news("1", &["a"]));
+    assert!(!usable(&fleet, 1, "1"));
+    assert!(usable(&fleet, 1, "2"));
+}
+
+#[test]
+fn an_entry_that_vanishes_means_that_the_upstream_leaves() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.remove(at(10), "1");
+    assert!(!usable(&fleet, 10, "1"));
+    fleet.list(at(20), vec![(7, news("1", &["a"]))]);
+    assert!(!usable(&fleet, 20, "1"));
+    assert!(!usable(&fleet, 20, "2"));
+}
+
+/// The platform was away for longer than entries live, and its first list after
+/// that is empty. Upstreams are there all the same and write their entries anew
+/// within two seconds; without them every request would be refused meanwhile.
+#[test]
+fn entries_that_lapsed_while_the_platform_was_away_stay_in_use_for_a_while() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.platform_returned(at(10_000));
+    fleet.list(at(10_000), Vec::new());
+    assert!(usable(&fleet, 10_000, "1"));
+    fleet.put(8, news("1", &["a"]));
+    assert!(usable(&fleet, 13_000, "1"));
+    assert!(!usable(&fleet, 13_000, "2"), "still missing: gone");
+}
+
+#[test]
+fn the_giver_of_orders_is_believed_until_it_falls_silent() {
+    let mut fleet = fleet(&["1"]);
+    fleet.said(
+        at(0),
+        "1",
+        vec![resident("b", &["x"])],
+        vec![(name("c"), at(900))],
+    );
+    let holds = |fleet: &Fleet, ms, model, adapter| {
+        let upstream = fleet.get("1").expect("it is known");
+        upstream.holds(at(ms), model, adapter)
+    };
+    assert!(holds(&fleet, 100, "b", Some("x")));
+    assert!(!holds(&fleet, 100, "a", None));
+    assert_eq!(fleet.ready_at(at(100), "oracle", "c"), Some(at(900)));
+    assert!(holds(&fleet, 5_000, "a", None));
+    assert!(!holds(&fleet, 5_000, "b", None));
+    assert_eq!(fleet.ready_at(at(5_000), "oracle", "c"), None);
+}
+
+#[test]
+fn an_upstreams_own_word_goes_before_late_news_for_a_moment() {
+    let mut fleet = fleet(&["1"]);
+    let upstream = fleet.get_mut("1").expect("it is known");
+    upstream.deny(at(0), &name("a"), None);
+    assert!(!upstream.holds(at(100), "a", None));
+    assert!(upstream.holds(at(400), "a", None));
+}
+
+#[test]
+fn the_use_of_all_entries_adds_up_and_old_news_of_it_ends() {
+    let mut fleet = fleet(&["1"]);
+    let used = Usage {
+        running: 2,
+        waiting_tokens: 10,
+        kept_tokens: 100,
+    };
+    fleet.peer_usage(at(0), "p", [("1", used)].into_iter());
+    fleet.peer_usage(at(0), "q", [("1", used)].into_iter());
+    fleet.get_mut("1").expect("known").sent(at(0), &used);
+    let running =
+        |fleet: &Fleet, ms| fleet.get("1").expect("known").usage(at(ms)).running;
+    assert_eq!(running(&fleet, 100), 6);
+    fleet.peer_usage(at(200), "p", std::iter::empty());
+    assert_eq!(running(&fleet, 200), 4);
+    assert_eq!(running(&fleet, 10_000), 2);
+}
+
+#[test]
+fn an_upstream_with_work_that_says_nothing_is_suspected() {
+    let mut fleet = fleet(&["1"]);
+    let upstream = fleet.get_mut("1").expect("known");
+    let used = Usage {
+        running: 1,
+        ..Usage::default()
+    };
+    assert!(!upstream.is_suspected(at(5_000)), "it has no work");
+    upstream.sent(at(5_000), &used);
+    assert!(!upstream.is_suspected(at(5_500)));
+    assert!(upstream.is_suspected(at(6_000)));
+    upstream.heard(at(6_000));
+    assert!(!upstream.is_suspected(at(6_500)));
+}
+
+#[test]
+fn gone_upstreams_are_forgotten_only_after_a_while() {
+    let mut fleet = fleet(&["1"]);
+    fleet.sweep(at(0));
+    fleet.remove(at(10), "1");
+    fleet.sweep(at(1_000));
+    assert!(fleet.get("1").is_some());
+    fleet.sweep(at(90_000));
+    assert!(fleet.get("1").is_none());
+}
--- /dev/null
+++ b/crates/direct/tests/all/lease.rs
@@ -0,0 +1,248 @@
+//! One giver of orders at a time, whatever the platform does.
+
+use crate::support::{at, cases};
+use arbtest::arbitrary;
+use base::prelude::*;
+use direct::{Lease, LeaseRecord, LeaseStep};
+
+const VALID_MS: u64 = 5_000;
+const QUIET_MS: u64 = 3_000;
+
+/// The object in the platform: its version and content.
+#[derive(Debug, Default, Clone)]
+struct Store {
+    version: u64,
+    record: Option<LeaseRecord>,
+}
+
+impl Store {
+    fn write(&mut self, record: &LeaseRecord, version: Option<u64>) -> Option<u64> {
+        let matches = match version {
+            None => self.record.is_none(),
+            Some(version) => self.record.is_some() && self.version == version,
+        };
+        if !matches {
+            return None;
+        }
+        self.version += 1;
+        self.record = Some(record.clone());
+        Some(self.version)
+    }
+}
+
+fn lease(entry: &str, start: u64) -> Lease {
+    Lease::new(entry, start, VALID_MS, QUIET_MS)
+}
+
+/// Carries a step out at once, with answers that arrive.
+fn carry_out(lease: &mut Lease, store: &mut Store, now: Instant, heard: bool) {
+    match lease.step(now, heard) {
+        LeaseStep::Wait => {}
+        LeaseStep::Read => {
+            let found = store.record.clone().map(|record| (store.version, record));
+            lease.read(now, found);
+        }
+        LeaseStep::Write { record, version } => match store.write(&record, version) {
+            Some(version) => lease.written(now, version, record),
+            None => lease.unsure(now),
+        },
+    }
+}
+
+fn run(lease: &mut Lease, store: &mut Store, from_ms: u64, to_ms: u64) {
+    for ms in (from_ms..to_ms).step_by(100) {
+        carry_out(lease, store, at(ms), false);
+    }
+}
+
+#[test]
+fn the_first_entry_gets_the_lease_at_once_and_keeps_it() {
+    let mut store = Store::default();
+    let mut first = lease("one", 1);
+    run(&mut first, &mut store, 0, 300);
+    assert_eq!(first.token(at(300)), Some(1));
+    run(&mut first, &mut store, 300, 60_000);
+    assert_eq!(first.token(at(60_000)), Some(1));
+}
+
+/// The giver dies. Its last order may have left just before its lease ended, so
+/// the next giver orders only when that lease has ended and the quiet time after
+/// it is over.
+#[test]
+fn a_successor_waits_out_the_lease_and_the_quiet_time() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (lease("one", 1), lease("two", 2));
+    run(&mut first, &mut store, 0, 1_000);
+    let mut began_at = None;
+    for ms in (1_000..30_000).step_by(100) {
+        carry_out(&mut second, &mut store, at(ms), false);
+        if second.token(at(ms)).is_some() {
+            began_at = Some(ms);
+            break;
+        }
+    }
+    let began_at = began_at.expect("the second entry takes over");
+    assert!(first.token(at(began_at - QUIET_MS)).is_none());
+    assert!(began_at < 12_000, "{began_at}");
+    assert_eq!(second.token(at(began_at)), Some(2));
+}
+
+#[test]
+fn a_lease_that_was_given_back_is_taken_after_the_quiet_time() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (lease("one", 1), lease("two", 2));
+    run(&mut first, &mut store, 0, 1_000);
+    let (record, version) = first.give_back().expect("it holds the lease");
+    assert_eq!(first.token(at(1_000)), None);
+    store
+        .write(&record, Some(version))
+        .expect("nobody else wrote");
+    run(&mut second, &mut store, 1_000, 1_000 + QUIET_MS);
+    assert_eq!(second.token(at(1_000 + QUIET_MS)), None);
+    run(&mut second, &mut store, 1_000 + QUIET_MS, 6_500);
+    assert_eq!(second.token(at(6_500)), Some(2));
+}
+
+#[test]
+fn the_same_entry_started_again_takes_the_lease_at_once() {
+    let mut store = Store::default();
+    let mut first = lease("one", 1);
+    run(&mut first, &mut store, 0, 1_000);
+    let mut again = lease("one", 2);
+    run(&mut again, &mut store, 1_500, 1_900);
+    assert_eq!(again.token(at(1_900)), Some(2));
+}
+
+/// A renewal is written and its answer is lost. The holder goes on ordering: the
+/// object is its own, and nobody takes over before its time.
+#[test]
+fn a_renewal_without_an_answer_does_not_end_the_lease() {
+    let mut store = Store::default();
+    let mut first = lease("one", 1);
+    run(&mut first, &mut store, 0, 1_000);
+    let lost = (1_000..3_000).step_by(100).find(|ms| {
+        let LeaseStep::Write { record, version } = first.step(at(*ms), false) else {
+            return false;
+        };
+        store.write(&record, version);
+        first.unsure(at(*ms));
+        true
+    });
+    let lost = lost.expect("it renews once a second");
+    assert_eq!(first.token(at(lost)), Some(1));
+    run(&mut first, &mut store, lost + 100, 20_000);
+    assert_eq!(first.token(at(20_000)), Some(1));
+}
+
+/// A call under way: what it does and when, and whether its answer is lost.
+#[derive(Debug)]
+struct Call {
+    entry: usize,
+    sent_at: u64,
+    done_at: u64,
+    answered: bool,
+    step: LeaseStep,
+}
+
+/// Three entries, and a platform that is away, slow, loses answers and carries
+/// calls out seconds late, while entries freeze and start again. In every run,
+/// between the last moment at which one entry may order and the first at which
+/// another may lie at least the quiet time, and tokens only grow.
+#[test]
+fn no_two_entries_order_within_the_quiet_time() {
+    cases(300, |random| {
+        let mut store = Store::default();
+        let mut leases: Vec<Lease> = (0..3)
+            .map(|entry| lease(&format!("e{entry}"), entry))
+            .collect();
+        let mut frozen_until = [0u64; 3];
+        let mut calls: Vec<Call> = Vec::new();
+        let mut last: Option<(usize, u64, u64)> = None;
+        for step in 0..400u64 {
+            let ms = step * 150;
+            let mut due = std::mem::take(&mut calls);
+            due.sort_by_key(|call| call.done_at);
+            for call in due {
+                if call.done_at > ms {
+                    calls.push(call);
+                } else {
+                    finish(&mut leases, &mut store, &call, ms);
+                }
+            }
+            for entry in 0..3usize {
+                if frozen_until[entry] > ms {
+                    continue;
+                }
+                if random.ratio(1, 150)? {
+                    frozen_until[entry] = ms + random.int_in_range(500..=9_000)?;
+                    continue;
+                }
+                if random.ratio(1, 300)? {
+                    leases[entry] = lease(&format!("e{entry}"), 1_000 + step);
+                    calls.retain(|call| call.entry != entry || !call.answered);
+                }
+                if let Some(token) = leases[entry].token(at(ms)) {
+                    if let Some((other, at_ms, before)) = last {
+                        assert!(token >= before, "token fell");
+                        if other != entry {
+                            assert!(
+                                ms - at_ms >= QUIET_MS,
+                                "{other} {entry} {ms} {at_ms}"
+                            );
+                            assert!(token > before, "one token, two holders");
+                        }
+                    }
+                    last = Some((entry, ms, token));
+                }
+                let next = leases[entry].step(at(ms), false);
+                if next != LeaseStep::Wait {
+                    calls.push(call(random, entry, ms, next)?);
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
+fn call(
+    random: &mut arbitrary::Unstructured<'_>,
+    entry: usize,
+    ms: u64,
+    step: LeaseStep,
+) -> arbitrary::Result<Call> {
+    let late = random.ratio(1, 6)?;
+    let takes = if late {
+        random.int_in_range(500..=6_000)?
+    } else {
+        random.int_in_range(1..=200)?
+    };
+    Ok(Call {
+        entry,
+        sent_at: ms,
+        done_at: ms + takes,
+        answered: !late,
+        step,
+    })
+}
+
+fn finish(leases: &mut [Lease], store: &mut Store, call: &Call, ms: u64) {
+    let lease = &mut leases[call.entry];
+    match &call.step {
+        LeaseStep::Wait => {}
+        LeaseStep::Read if call.answered => {
+            let found = store.record.clone().map(|record| (store.version, record));
+            lease.read(at(ms), found);
+        }
+        LeaseStep::Read => lease.failed(at(ms)),
+        LeaseStep::Write { record, version } => {
+            let written = store.write(record, *version);
+            match written {
+                _ if !call.answered => lease.unsure(at(ms)),
+                Some(version) => {
+                    lease.written(at(call.sent_at), version, record.clone())
+                }
+                None => lease.unsure(at(ms)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/all/ledger.rs
@@ -0,0 +1,225 @@
+//! What may be ordered from an upstream whose answers get lost.
+
+use crate::support::{at, cases, engine, name, resident};
+use direct::{Action, Copies, Engine, Ledger, Order, OrderAnswer, Report, Sent};
+use std::collections::BTreeMap;
+
+const MODELS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn report(orders: u64, busy: bool, models: &[&str]) -> Report {
+    Report {
+        busy,
+        orders_accepted: orders,
+        residents: models.iter().map(|model| resident(model, &[])).collect(),
+        ..Report::default()
+    }
+}
+
+fn load(model: &str) -> Action {
+    Action::Load(name(model))
+}
+
+const ACCEPTED: Sent = Sent::Answered(OrderAnswer::Accepted);
+
+#[test]
+fn nothing_is_ordered_before_the_upstream_was_asked() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    assert!(ledger.wants_report());
+    assert_eq!(ledger.order(&engine, load("a")), None);
+    ledger.report(at(0), &report(0, false, &[]));
+    assert!(ledger.order(&engine, load("a")).is_some());
+}
+
+#[test]
+fn a_fourth_model_does_not_fit_and_an_unload_frees_nothing_until_it_is_done() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(3, false, &["a", "b", "c"]));
+    assert_eq!(ledger.order(&engine, load("d")), None);
+    let unload = ledger
+        .order(&engine, Action::Unload(name("a")))
+        .expect("idle");
+    ledger.sent(at(1), &unload, ACCEPTED);
+    assert_eq!(ledger.order(&engine, load("d")), None);
+    ledger.report(at(2), &report(4, true, &["a", "b", "c"]));
+    assert_eq!(ledger.order(&engine, load("d")), None);
+    ledger.report(at(3), &report(4, false, &["b", "c"]));
+    assert!(ledger.order(&engine, load("d")).is_some());
+}
+
+/// The report was made before the order that was just accepted. Taken at its
+/// word, the model on its way would be forgotten and its memory given out twice.
+#[test]
+fn a_report_from_before_the_last_order_is_dropped() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(7, false, &["a", "b"]));
+    let order = ledger.order(&engine, load("c")).expect("there is room");
+    ledger.sent(at(1), &order, ACCEPTED);
+    ledger.report(at(2), &report(7, false, &["a", "b"]));
+    assert_eq!(ledger.order(&engine, load("d")), None);
+    assert!(
+        ledger
+            .models()
+            .any(|(model, loaded)| **model == *"c" && !loaded)
+    );
+}
+
+#[test]
+fn an_order_without_an_answer_makes_the_upstream_be_asked_again() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(0, false, &["a", "b"]));
+    let order = ledger.order(&engine, load("c")).expect("there is room");
+    assert_eq!(
+        ledger.order(&engine, load("d")),
+        None,
+        "one order at a time"
+    );
+    ledger.sent(at(800), &order, Sent::Unanswered);
+    assert!(ledger.wants_report());
+    assert_eq!(ledger.order(&engine, load("d")), None);
+}
+
+#[test]
+fn adapters_stay_within_their_places_and_beside_their_model() {
+    let engine = engine(&MODELS);
+    let adapter = |adapter: &str| Action::LoadAdapter(name("a"), name(adapter));
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(0, false, &["a"]));
+    for (index, which) in ["x", "y"].into_iter().enumerate() {
+        let order = ledger.order(&engine, adapter(which)).expect("a free place");
+        assert_eq!(order.expect, index as u64);
+        ledger.sent(at(1), &order, ACCEPTED);
+    }
+    assert_eq!(ledger.order(&engine, adapter("z")), None);
+    let away = Action::LoadAdapter(name("b"), name("x"));
+    assert_eq!(ledger.order(&engine, away), None);
+    let serving = ledger.serving(at(1));
+    assert!(
+        serving[0].adapters.is_empty(),
+        "they are still on their way"
+    );
+    assert_eq!(ledger.serving(at(500))[0].adapters.len(), 2);
+    let first = ledger.oldest_adapter().expect("there are two");
+    let unload = Action::UnloadAdapter(first.0, first.1);
+    let order = ledger.order(&engine, unload).expect("it is held");
+    ledger.sent(at(600), &order, Sent::Answered(OrderAnswer::Done));
+    assert!(ledger.order(&engine, adapter("z")).is_some());
+}
+
+/// An upstream as its protocol gives it: it checks the order count when an order
+/// arrives, whenever that is, and would crash over its memory.
+#[derive(Debug, Default)]
+struct Upstream {
+    orders: u64,
+    held: BTreeMap<String, bool>,
+    busy_until: u64,
+}
+
+impl Upstream {
+    fn settle(&mut self, ms: u64) {
+        if self.busy_until <= ms {
+            self.held.retain(|_, leaving| !*leaving);
+        }
+    }
+
+    fn order(&mut self, ms: u64, order: &Order, engine: &Engine) -> OrderAnswer {
+        self.settle(ms);
+        if self.busy_until > ms || order.expect != self.orders {
+            return OrderAnswer::Conflict;
+        }
+        self.orders += 1;
+        self.busy_until = ms + 700;
+        match &order.action {
+            Action::Load(model) => {
+                self.held.insert(model.to_string(), false);
+            }
+            Action::Unload(model) => {
+                self.held.insert(model.to_string(), true);
+            }
+            Action::LoadAdapter(..) | Action::UnloadAdapter(..) => {}
+        }
+        let used: f64 = self.held.len() as f64 * 70.0;
+        assert!(used <= engine.weights_max_mb, "ordered over its memory");
+        OrderAnswer::Accepted
+    }
+
+    fn report(&mut self, ms: u64) -> Report {
+        self.settle(ms);
+        let models: Vec<&str> = self.held.keys().map(String::as_str).collect();
+        report(self.orders, self.busy_until > ms, &models)
+    }
+}
+
+/// Orders and reports get lost and arrive seconds late, also after newer ones,
+/// and the giver changes: each new one starts with an empty ledger while orders
+/// of the last are still under way. No upstream is ever ordered more than it can
+/// hold, since each order names the count that it was decided on.
+#[test]
+fn no_sequence_of_lost_and_late_orders_overfills_an_upstream() {
+    let engine = engine(&MODELS);
+    cases(300, |random| {
+        let mut upstream = Upstream::default();
+        let mut ledger = Ledger::new();
+        let mut late: Vec<(u64, Order)> = Vec::new();
+        let mut old_report: Option<Report> = None;
+        for step in 0..300u64 {
+            let ms = step * 100;
+            let (due, rest) = late.into_iter().partition(|(at_ms, _)| *at_ms <= ms);
+            late = rest;
+            for (_, order) in due {
+                let order: Order = order;
+                upstream.order(ms, &order, &engine);
+            }
+            if random.ratio(1, 40)? {
+                ledger = Ledger::new();
+            }
+            if random.ratio(1, 10)? {
+                old_report = Some(upstream.report(ms));
+            }
+            if random.ratio(1, 4)? {
+                let stale = random.ratio(1, 3)?;
+                let fresh = upstream.report(ms);
+                let seen = old_report.take().filter(|_| stale).unwrap_or(fresh);
+                ledger.report(at(ms), &seen);
+            }
+            let model = *random.choose(&MODELS)?;
+            let action = if random.arbitrary()? {
+                load(model)
+            } else {
+                Action::Unload(name(model))
+            };
+            let Some(order) = ledger.order(&engine, action) else {
+                continue;
+            };
+            let sent = match random.int_in_range(0..=3)? {
+                0 => Sent::NotSent,
+                1 => {
+                    let takes = random.int_in_range(100..=12_000)?;
+                    late.push((ms + takes, order.clone()));
+                    Sent::Unanswered
+                }
+                _ => Sent::Answered(upstream.order(ms, &order, &engine)),
+            };
+            ledger.sent(at(ms), &order, sent);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_load_takes_as_long_as_from_where_its_weights_are() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    let mut known = report(0, false, &[]);
+    known.copies = Copies {
+        in_memory: vec![name("a")],
+        on_disk: vec![name("a"), name("b")],
+    };
+    ledger.report(at(0), &known);
+    let takes = ["a", "b", "c"].map(|model| ledger.load_ms(&engine, &name(model)));
+    assert_eq!(takes, [500, 1_000, 2_000]);
+    assert!(ledger.has_copy(&name("b")) && !ledger.has_copy(&name("c")));
+}
--- /dev/null
+++ b/crates/direct/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the decisions of entries that speak to upstreams themselves.
+
+mod again;
+mod demand;
+mod fleet;
+mod lease;
+mod ledger;
+mod moves;
+mod pick;
+mod repeats;
+mod setup;
+mod support;
--- /dev/null
+++ b/crates/direct/tests/all/moves.rs
@@ -0,0 +1,152 @@
+//! What is loaded where.
+
+use crate::support::{at, engine, name};
+use base::prelude::*;
+use direct::{Choice, Group, Load, Moves, Reason, Spot};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MODELS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+fn spot(id: &str, models: &[&str]) -> Spot {
+    let groups = models.iter().map(|model| Group {
+        model: name(model),
+        size_mb: 70.0,
+        unloading: false,
+        since: Instant::ZERO,
+    });
+    Spot {
+        upstream: name(id),
+        domain: name("east"),
+        idle: true,
+        free_mb: 215.0 - 70.0 * models.len() as f64,
+        groups: groups.collect(),
+        copies: Vec::new(),
+    }
+}
+
+fn load(ms_per_s: f64) -> Load {
+    Load {
+        newest_ms_per_s: ms_per_s,
+        lasting_ms_per_s: ms_per_s,
+        waiting: 0,
+        oldest_wait_ms: 0,
+    }
+}
+
+fn loads(of: &[(&str, f64)]) -> BTreeMap<Arc<str>, Load> {
+    of.iter()
+        .map(|(model, ms)| (name(model), load(*ms)))
+        .collect()
+}
+
+fn plan(spots: &[Spot], loads: &BTreeMap<Arc<str>, Load>) -> Vec<Choice> {
+    Moves::new(5_000).plan(at(0), &engine(&MODELS), spots, loads)
+}
+
+#[test]
+fn a_model_that_overloads_its_holder_gets_a_copy_where_it_disturbs_least() {
+    let spots = [
+        spot("1", &["a", "b", "c"]),
+        spot("2", &["b", "c", "d"]),
+        spot("3", &["d", "e", "f"]),
+    ];
+    let loads = loads(&[("a", 1_500.0), ("b", 200.0), ("e", 100.0)]);
+    let choices = plan(&spots, &loads);
+    let first = choices.first().expect("a is worth a copy");
+    assert_eq!((&*first.load, first.reason), ("a", Reason::Busy));
+    assert!(first.unload.is_some());
+    // The last copies of wanted models stay.
+    assert!(
+        choices
+            .iter()
+            .all(|choice| choice.unload.as_deref() != Some("e"))
+    );
+}
+
+/// A few requests of a rarely used model come at once. A load would take a copy
+/// from a model that is used all the time, for demand that is over by then.
+#[test]
+fn what_a_handful_of_requests_shows_moves_nothing() {
+    let spots = [spot("1", &["a", "b", "c"]), spot("2", &["a", "b", "d"])];
+    let loads = loads(&[("a", 300.0), ("b", 200.0), ("d", 170.0)]);
+    assert!(plan(&spots, &loads).is_empty());
+}
+
+#[test]
+fn a_model_that_is_waited_for_is_loaded_even_in_place_of_an_unused_last_copy() {
+    let spots = [spot("1", &["a", "b", "c"])];
+    let mut loads = loads(&[("a", 100.0), ("b", 100.0)]);
+    let waiting = Load {
+        waiting: 1,
+        oldest_wait_ms: 100,
+        ..load(10.0)
+    };
+    loads.insert(name("f"), waiting);
+    let choices = plan(&spots, &loads);
+    assert_eq!(choices.len(), 1);
+    assert_eq!(&*choices[0].load, "f");
+    assert_eq!(choices[0].unload.as_deref(), Some("c"));
+    assert_eq!(choices[0].reason, Reason::Waited);
+}
+
+#[test]
+fn models_that_nothing_holds_fill_free_room_and_displace_nothing() {
+    let choices = plan(
+        &[spot("1", &["a"]), spot("2", &["a", "b", "c"])],
+        &loads(&[]),
+    );
+    assert!(choices.iter().all(|choice| choice.unload.is_none()));
+    assert!(choices.iter().all(|choice| &*choice.upstream == "1"));
+    assert_eq!(choices.len(), 1, "one order at a time");
+}
+
+/// The weight store allows two loads a second. Whatever is wanted, no more than
+/// its share of the window is ordered, also right after a change of the giver,
+/// and a load without an answer counts for as long as it may begin.
+#[test]
+fn loads_from_the_weight_store_stay_within_its_rate() {
+    let engine = engine(&MODELS);
+    let mut moves = Moves::new(5_000);
+    let whole = moves.allowance(at(0), &engine);
+    assert!((8..=10).contains(&whole));
+    for _ in 0..whole {
+        moves.store_load(at(0));
+    }
+    assert_eq!(moves.allowance(at(4_900), &engine), 0);
+    assert_eq!(moves.allowance(at(5_001), &engine), whole);
+    moves.unanswered(at(5_001));
+    assert_eq!(moves.allowance(at(16_000), &engine), whole - 1);
+    assert_eq!(moves.allowance(at(18_000), &engine), whole);
+    let mut next = Moves::new(5_000);
+    next.assume_spent(at(20_000), &engine);
+    assert_eq!(next.allowance(at(21_000), &engine), 0);
+    assert_eq!(next.allowance(at(25_001), &engine), whole);
+}
+
+#[test]
+fn without_an_allowance_only_what_an_upstream_has_itself_is_loaded() {
+    let engine = engine(&MODELS);
+    let mut moves = Moves::new(5_000);
+    moves.assume_spent(at(0), &engine);
+    let mut with_copy = spot("1", &["a"]);
+    with_copy.copies = vec![name("c")];
+    let choices = moves.plan(at(10), &engine, &[with_copy], &loads(&[]));
+    assert_eq!(choices.len(), 1);
+    assert_eq!(&*choices[0].load, "c");
+    assert!(!choices[0].from_store);
+}
+
+#[test]
+fn no_choice_overfills_a_spot_and_no_busy_spot_is_chosen() {
+    let mut busy = spot("1", &["a"]);
+    busy.idle = false;
+    let spots = [busy, spot("2", &["a", "b"]), spot("3", &["c", "d", "e"])];
+    let loads = loads(&[("a", 3_000.0), ("f", 500.0)]);
+    for choice in plan(&spots, &loads) {
+        assert_ne!(&*choice.upstream, "1");
+        let spot = spots.iter().find(|spot| spot.upstream == choice.upstream);
+        let freed = if choice.unload.is_some() { 70.0 } else { 0.0 };
+        assert!(spot.expect("it is one of them").free_mb + freed >= 70.0);
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/all/pick.rs
@@ -0,0 +1,118 @@
+//! Choice of an upstream.
+
+use crate::support::{at, engine, name, news, resident};
+use direct::{Fleet, Pick, Unpicked, Usage, pick};
+use std::sync::Arc;
+
+fn fleet(of: &[(&str, &[&str])]) -> Fleet {
+    let mut fleet = Fleet::new();
+    let listed = of.iter().map(|(id, models)| (1, news(id, models)));
+    fleet.list(at(0), listed.collect());
+    fleet
+}
+
+fn picked(
+    fleet: &Fleet,
+    adapter: Option<&str>,
+    excluded: &[Arc<str>],
+) -> Result<String, Unpicked> {
+    let engine = engine(&["a", "b"]);
+    let input = Pick {
+        now: at(10),
+        service: "oracle",
+        engine: Some(&engine),
+        model: Some(("a", adapter)),
+        parts: &[(7, 500), (8, 500)],
+        prompt_tokens: 1_000,
+        kept_tokens: 1_200,
+        excluded,
+        domain: "east",
+        random: 42,
+    };
+    pick(fleet, &input).map(|picked| picked.id.to_string())
+}
+
+fn use_of(fleet: &mut Fleet, id: &str, running: u32, tokens: u64) {
+    let used = Usage {
+        running,
+        waiting_tokens: tokens,
+        kept_tokens: tokens,
+    };
+    fleet.get_mut(id).expect("known").sent(at(5), &used);
+}
+
+#[test]
+fn the_upstream_that_is_free_soonest_is_picked() {
+    let mut fleet = fleet(&[("1", &["a"]), ("2", &["a"]), ("3", &["b"])]);
+    use_of(&mut fleet, "1", 3, 4_000);
+    assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok("2"));
+    assert_eq!(picked(&fleet, None, &[name("2")]).as_deref(), Ok("1"));
+}
+
+#[test]
+fn an_upstream_that_has_read_the_prompt_is_preferred() {
+    for reader in ["1", "2"] {
+        let mut fleet = fleet(&[("1", &["a"]), ("2", &["a"])]);
+        let upstream = fleet.get_mut(reader).expect("known");
+        upstream.remember_parts(at(0), &[(7, 500), (8, 500)]);
+        assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok(reader));
+    }
+}
+
+#[test]
+fn a_part_behind_a_missing_one_is_no_help() {
+    let mut fleet = fleet(&[("1", &["a"])]);
+    let upstream = fleet.get_mut("1").expect("known");
+    upstream.remember_parts(at(0), &[(8, 500)]);
+    assert_eq!(upstream.cached_tokens(&[(7, 500), (8, 500)]), 0);
+}
+
+#[test]
+fn each_reason_for_no_upstream_is_told_apart() {
+    let mut fleet = fleet(&[]);
+    assert_eq!(picked(&fleet, None, &[]), Err(Unpicked::NoUpstream));
+    fleet.list(at(0), vec![(1, news("1", &["b"]))]);
+    assert_eq!(picked(&fleet, None, &[]), Err(Unpicked::NoModel));
+    fleet.said(at(10), "1", vec![resident("a", &["x"])], Vec::new());
+    assert_eq!(picked(&fleet, Some("y"), &[]), Err(Unpicked::NoAdapter));
+    assert_eq!(picked(&fleet, Some("x"), &[]).as_deref(), Ok("1"));
+    use_of(&mut fleet, "1", 8, 0);
+    assert_eq!(picked(&fleet, Some("x"), &[]), Err(Unpicked::Full));
+}
+
+/// An engine whose memory for running requests is full throws requests out in
+/// the middle of their answers, so it gets no more than fits.
+#[test]
+fn no_more_is_sent_than_an_engine_can_keep() {
+    let mut fleet = fleet(&[("1", &["a"])]);
+    use_of(&mut fleet, "1", 2, 8_500);
+    assert_eq!(picked(&fleet, None, &[]), Err(Unpicked::Full));
+}
+
+#[test]
+fn a_silent_upstream_is_picked_only_if_there_is_no_other() {
+    let mut fleet = fleet(&[("1", &["a"]), ("2", &["a"])]);
+    fleet.get_mut("1").expect("known").unreached(at(9));
+    use_of(&mut fleet, "2", 3, 4_000);
+    assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok("2"));
+    assert_eq!(picked(&fleet, None, &[name("2")]).as_deref(), Ok("1"));
+}
+
+#[test]
+fn a_failing_upstream_is_avoided_and_tried_again_when_others_are_busy() {
+    let mut fleet = fleet(&[("1", &["a"]), ("2", &["a"])]);
+    for _ in 0..20 {
+        fleet.get_mut("1").expect("known").observe(false);
+    }
+    assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok("2"));
+    use_of(&mut fleet, "2", 7, 5_000);
+    fleet.get_mut("2").expect("known").heard(at(9));
+    let mut share = fleet.get("1").expect("known").failed_share();
+    assert!(share > 0.7);
+    for _ in 0..40 {
+        fleet.get_mut("1").expect("known").observe(true);
+    }
+    share = fleet.get("1").expect("known").failed_share();
+    assert!(share < 0.1);
+    assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok("1"));
+}
--- /dev/null
+++ b/crates/direct/tests/all/setup.rs
@@ -0,0 +1,75 @@
+//! Choice of a route and of a service.
+
+use direct::{Limits, Route, RouteKind, Setup, Target};
+use std::collections::BTreeMap;
+
+fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u64)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        targets: services
+            .iter()
+            .map(|(service, weight)| Target {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        priority: 1,
+        upstreams_max: 2,
+        pause_max_ms: 0,
+    }
+}
+
+fn setup() -> Setup {
+    let routes = vec![
+        route("a", "x.example", "/a/", &[("one", 1)]),
+        route("ab", "x.example", "/a/b/", &[("two", 1)]),
+        route("other", "y.example", "/a/", &[("three", 1)]),
+        route("all", "x.example", "/", &[("four", 1)]),
+    ];
+    Setup::new(1, routes, BTreeMap::new(), Limits::default())
+}
+
+fn chosen(host: &str, path: &str) -> Option<String> {
+    let setup = setup();
+    setup.route(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_chosen() {
+    assert_eq!(chosen("x.example", "/a/b/c").as_deref(), Some("ab"));
+    assert_eq!(chosen("x.example", "/a/bc").as_deref(), Some("a"));
+    assert_eq!(chosen("x.example", "/ab").as_deref(), Some("all"));
+    assert_eq!(chosen("y.example", "/a/b/c").as_deref(), Some("other"));
+}
+
+#[test]
+fn no_route_of_another_host_or_without_the_slash_is_taken() {
+    assert_eq!(chosen("y.example", "/b/"), None);
+    assert_eq!(chosen("y.example", "/a"), None);
+    assert_eq!(chosen("z.example", "/a/"), None);
+}
+
+#[test]
+fn the_port_of_a_host_does_not_choose() {
+    assert_eq!(chosen("y.example:8080", "/a/x").as_deref(), Some("other"));
+}
+
+#[test]
+fn weights_share_requests_out_and_the_same_request_stays() {
+    let split = route("s", "x", "/", &[("big", 90), ("small", 10), ("none", 0)]);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for request in 0..1_000 {
+        let id = format!("request-{request}");
+        let service = split.service(&id).expect("there are services");
+        assert_eq!(split.service(&id), Some(service));
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert!((850..950).contains(&counts["big"]), "{counts:?}");
+    assert!((50..150).contains(&counts["small"]), "{counts:?}");
+    assert!(!counts.contains_key("none"));
+}
