Whole path against stand-ins of the store and servers; crashes told apart

Cause: each broken connection counted as a crash of the upstream, so two lost answers kept a request, and all with its path and body, away for a minute. Change: the upstream is connected to again before it counts; only one that is not there has crashed.

--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -30,6 +30,15 @@
     assert!(usable(&fleet, 1, "2"));
 }
 
+#[test]
+fn older_news_changes_nothing() {
+    let mut fleet = fleet(&["1"]);
+    fleet.put(9, news("1", &["b"]));
+    fleet.put(8, news("1", &["a"]));
+    let upstream = fleet.get("1").expect("it is known");
+    assert!(upstream.holds(at(0), "b", None) && !upstream.holds(at(0), "a", None));
+}
+
 #[test]
 fn an_entry_that_vanishes_means_that_the_upstream_leaves() {
     let mut fleet = fleet(&["1", "2"]);
--- a/crates/direct/tests/all/ledger.rs
+++ b/crates/direct/tests/all/ledger.rs
@@ -109,6 +109,25 @@
     assert!(ledger.order(&engine, adapter("z")).is_some());
 }
 
+/// A report from the middle of a load does not name the model yet. Its memory is
+/// taken all the same, and another model ordered beside it would crash the
+/// upstream.
+#[test]
+fn a_model_on_its_way_counts_while_a_busy_report_does_not_name_it() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(0, false, &["a", "b"]));
+    let order = ledger.order(&engine, load("c")).expect("there is room");
+    ledger.sent(at(1), &order, ACCEPTED);
+    ledger.report(at(2), &report(1, true, &["a", "b"]));
+    let used = ledger.used_mb(&engine);
+    assert!((209.0..211.0).contains(&used), "{used}");
+    let coming: Vec<_> = ledger.coming().map(|(model, at)| (&**model, at)).collect();
+    assert_eq!(coming, [("c", at(2_001))]);
+    ledger.report(at(3), &report(1, false, &["a", "b", "c"]));
+    assert_eq!(ledger.coming().count(), 0);
+}
+
 /// An upstream as its protocol gives it: it checks the order count when an order
 /// arrives, whenever that is, and would crash over its memory.
 #[derive(Debug, Default)]
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -73,6 +73,21 @@
     assert!(plan(&spots, &loads).is_empty());
 }
 
+/// Two models share one upstream and both are asked for; a third one waits. To
+/// take the last copy of a wanted model for it would only swap who is refused.
+#[test]
+fn the_last_copy_of_a_wanted_model_goes_for_nobody() {
+    let spots = [spot("1", &["a", "b", "c"])];
+    let mut loads = loads(&[("a", 100.0), ("b", 100.0), ("c", 100.0)]);
+    let waiting = Load {
+        waiting: 9,
+        oldest_wait_ms: 100,
+        ..load(5_000.0)
+    };
+    loads.insert(name("f"), waiting);
+    assert!(plan(&spots, &loads).is_empty());
+}
+
 #[test]
 fn a_model_that_is_waited_for_is_loaded_even_in_place_of_an_unused_last_copy() {
     let spots = [spot("1", &["a", "b", "c"])];
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 mod answer;
 mod clock;
 mod connection;
+mod crash;
 mod dialect;
 mod events;
 mod follow;
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -141,14 +141,6 @@
         matches!(verdict, Verdict::Convicted { .. })
     }
 
-    /// An upstream broke a request's connection off: it may have crashed.
-    pub(crate) fn suspect(&self, fingerprint: u64, upstream: &str) {
-        let agent = AgentId::new(upstream);
-        self.suspects
-            .lock()
-            .on_crash(self.now(), &[fingerprint], &agent, 0, false);
-    }
-
     /// Whether this entry can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let knows_fleet = self.fleet_mark.lock().confirmed_at.is_some();
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -68,20 +68,16 @@
     dialect: Box<dyn Dialect>,
     store: Box<dyn ObjectApi>,
 ) -> Result<Front, StartError> {
+    let mut options = options;
+    let callers = listen("callers", &mut options.callers).await?;
+    let readiness = listen("readiness", &mut options.readiness).await?;
+    let socket = hear_peers(&mut options.peers).await?;
     let log = Log::start();
-    let callers = listen("callers", options.callers).await?;
-    let readiness = listen("readiness", options.readiness).await?;
-    let address = options.peers;
-    let socket = UdpSocket::bind(address).await.context(BindSnafu {
-        what: "peers",
-        address,
-    })?;
-    let socket = Arc::new(socket);
     let node = Arc::new(Node::new(options, dialect, store, log));
     node.log.line(
         "started",
         json!({ "entry": node.options.entry, "domain": node.options.domain,
-            "callers": node.options.callers, "peers": address,
+            "callers": node.options.callers, "peers": node.options.peers,
             "start": node.start }),
     );
     let shared = || Arc::clone(&node);
@@ -101,13 +97,28 @@
     Ok(Front { node })
 }
 
+/// Binds a listener; the address then has the port that it got.
 async fn listen(
     what: &'static str,
-    address: SocketAddr,
+    address: &mut SocketAddr,
 ) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { what, address })
+    let fault = BindSnafu {
+        what,
+        address: *address,
+    };
+    let listener = TcpListener::bind(*address).await.context(fault)?;
+    *address = listener.local_addr().context(fault)?;
+    Ok(listener)
+}
+
+async fn hear_peers(address: &mut SocketAddr) -> Result<Arc<UdpSocket>, StartError> {
+    let fault = BindSnafu {
+        what: "peers",
+        address: *address,
+    };
+    let socket = UdpSocket::bind(*address).await.context(fault)?;
+    *address = socket.local_addr().context(fault)?;
+    Ok(Arc::new(socket))
 }
 
 async fn sweep(node: Arc<Node>) {
@@ -121,6 +132,16 @@
 }
 
 impl Front {
+    /// Address at which callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.node.options.callers
+    }
+
+    /// Address of the balancer's question and of metrics.
+    pub fn readiness(&self) -> SocketAddr {
+        self.node.options.readiness
+    }
+
     /// Serves until a signal to stop, and then ends in order.
     ///
     /// # Errors
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::answer::Whole;
+use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
 use crate::node::Node;
 use crate::pool::{Line, SendFault};
@@ -128,7 +129,7 @@
     pub(crate) fn broke(self, fingerprint: u64) {
         self.in_flight.observe(false);
         let node = Arc::clone(&self.in_flight.node);
-        node.suspect(fingerprint, &self.in_flight.upstream);
+        look_for_crash(&node, fingerprint, &self.in_flight.upstream);
     }
 }
 
@@ -180,7 +181,7 @@
         Some(Err(SendFault::NotSent)) => TryEnd::Fault(Outcome::NotSent, None),
         Some(Err(SendFault::Broken)) => {
             in_flight.observe(false);
-            node.suspect(call.fingerprint, &in_flight.upstream);
+            look_for_crash(node, call.fingerprint, &in_flight.upstream);
             TryEnd::Fault(Outcome::Unknown, None)
         }
         Some(Ok(response)) => {
