Learn how fast each model reads prompts

Cause: models of one service differ up to eight times in pace; a fast one's requests were taken for a long queue and refused as too late.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -47,7 +47,8 @@
 pub struct Usage {
     /// Requests sent and not ended.
     pub running: u32,
-    /// Prompt tokens to be read of requests that have no first answer yet.
+    /// Prompt tokens to be read of requests that have no first answer yet, as
+    /// many as take the same time at the common pace.
     pub waiting_tokens: u64,
     /// Tokens that the requests may keep at the upstream.
     pub kept_tokens: u64,
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -43,6 +43,8 @@
     pub parts: &'a [(u64, u64)],
     /// Prompt tokens.
     pub prompt_tokens: u64,
+    /// Factor on the time that reading them takes.
+    pub pace: f64,
     /// Tokens that the request may keep at the upstream.
     pub kept_tokens: u64,
     /// Upstreams it was sent to already.
@@ -60,6 +62,9 @@
     pub id: Arc<str>,
     /// What the request uses there.
     pub usage: Usage,
+    /// Time that reading its prompt takes there at the common pace, if nothing
+    /// waits before it.
+    pub reading_ms: Option<f64>,
     /// Time to its first answer as far as can be told.
     pub wait_ms: f64,
 }
@@ -159,9 +164,11 @@
     };
     let score =
         wait_ms * (1.0 + 0.1 * chance) + chance + domain_ms + failing_ms(upstream);
+    let alone = input.model.is_some() && usage.waiting_tokens == 0;
     let picked = Picked {
         id: Arc::clone(&upstream.news.id),
         usage: adds,
+        reading_ms: alone.then(|| reading_ms(&adds) / input.pace),
         wait_ms,
     };
     Ok((score, picked))
@@ -188,16 +195,21 @@
             return Err(Unpicked::Full);
         }
     }
+    let unread = input.prompt_tokens.saturating_sub(cached) as f64 * input.pace;
     Ok(Usage {
         running: 1,
-        waiting_tokens: input.prompt_tokens.saturating_sub(cached),
+        waiting_tokens: unread as u64,
         kept_tokens: input.kept_tokens,
     })
 }
 
 fn engine_wait_ms(usage: &Usage, adds: &Usage) -> f64 {
-    let tokens = usage.waiting_tokens + adds.waiting_tokens;
-    tokens as f64 / PROMPT_TOKENS_PER_MS + f64::from(usage.running) * RUNNING_MS
+    reading_ms(usage) + reading_ms(adds) + f64::from(usage.running) * RUNNING_MS
+}
+
+/// Time that reading what waits takes.
+fn reading_ms(usage: &Usage) -> f64 {
+    usage.waiting_tokens as f64 / PROMPT_TOKENS_PER_MS
 }
 
 fn service_wait_ms(upstream: &Upstream, usage: &Usage) -> f64 {
--- a/crates/direct/tests/all/pick.rs
+++ b/crates/direct/tests/all/pick.rs
@@ -24,6 +24,7 @@
         model: Some(("a", adapter)),
         parts: &[(7, 500), (8, 500)],
         prompt_tokens: 1_000,
+        pace: 1.0,
         kept_tokens: 1_200,
         excluded,
         domain: "east",
@@ -116,3 +117,22 @@
     assert!(share < 0.1);
     assert_eq!(picked(&fleet, None, &[]).as_deref(), Ok("1"));
 }
+
+/// A model reads eight times as fast as others. Its pace is learned from first
+/// answers that nothing waited before; short prompts and queues teach nothing.
+#[test]
+fn the_pace_of_a_model_is_learned_from_its_first_answers() {
+    let mut paces = direct::Paces::new();
+    let model = name("a");
+    for _ in 0..60 {
+        paces.observe(&model, 100.0, 28.0);
+    }
+    assert!((0.1..0.2).contains(&paces.of("a")), "{}", paces.of("a"));
+    paces.observe(&model, 5.0, 900.0);
+    assert!(paces.of("a") < 0.2);
+    for _ in 0..200 {
+        paces.observe(&model, 100.0, 9_000.0);
+    }
+    assert!(paces.of("a") <= 1.5);
+    assert!((paces.of("b") - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,7 +1,7 @@
 //! What all tasks of the process share.
 
 use base::prelude::*;
-use direct::{Demand, Fleet, Lease, Repeats, Setup, Watermark};
+use direct::{Demand, Fleet, Lease, Paces, Repeats, Setup, Watermark};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -17,6 +17,7 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::relay::Relay;
+use crate::request::Call;
 use crate::stop::Stop;
 use crate::wants::Wants;
 use crate::{BootClock, Dialect, Log, Options};
@@ -51,6 +52,7 @@
     /// Demand by service.
     pub(crate) demand: Mutex<BTreeMap<Arc<str>, Demand>>,
     pub(crate) repeats: Mutex<Repeats>,
+    pub(crate) paces: Mutex<Paces>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) wants: Wants,
     pub(crate) peers: Peers,
@@ -98,6 +100,7 @@
             fleet_mark: Mutex::default(),
             demand: Mutex::default(),
             repeats: Mutex::new(repeats),
+            paces: Mutex::default(),
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
             peers: Peers::new(&options),
@@ -147,6 +150,12 @@
         !self.stop.is_stopping() && knows_fleet && self.setup().is_some()
     }
 
+    /// Factor on the time that reading a request's prompt takes.
+    pub(crate) fn pace_of(&self, call: &Call) -> f64 {
+        let model = call.ask.model.as_ref();
+        model.map_or(1.0, |(model, _)| self.paces.lock().of(model))
+    }
+
     /// Counts demand for a model of a service.
     pub(crate) fn with_demand(
         &self,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -88,8 +88,9 @@
     if let Some((model, _)) = &call.ask.model {
         let answer = call.ask.answer_tokens_hint;
         let answer = answer.unwrap_or(call.ask.answer_tokens_max / 2);
+        let prompt = call.ask.prompt_tokens as f64 * node.pace_of(&call);
         node.with_demand(&call.service, |demand| {
-            demand.arrived(model, call.ask.prompt_tokens, answer);
+            demand.arrived(model, prompt as u64, answer);
         });
     }
     let mut run = Run::new(node, call);
@@ -151,6 +152,7 @@
         let picked = Picked {
             id: Arc::clone(upstream),
             usage: direct::Usage::default(),
+            reading_ms: None,
             wait_ms: 0.0,
         };
         self.tries
@@ -353,6 +355,7 @@
             model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
             parts: &call.parts,
             prompt_tokens: call.ask.prompt_tokens,
+            pace: self.node.pace_of(call),
             kept_tokens: call.ask.prompt_tokens + answer_tokens,
             excluded,
             domain: &self.node.options.domain,
@@ -377,6 +380,7 @@
     }
 
     fn note_try(&mut self, picked: &Picked, begun_at: Instant, ended: &TryEnd) {
+        self.learn_pace(picked, begun_at, ended);
         let outcome = match ended {
             TryEnd::Live(_) => "begun",
             TryEnd::Whole(_) => "whole",
@@ -390,6 +394,17 @@
             "ms": self.node.now().ms_since(begun_at) }));
     }
 
+    fn learn_pace(&self, picked: &Picked, begun_at: Instant, ended: &TryEnd) {
+        let model = self.call.ask.model.as_ref();
+        if let (TryEnd::Live(_), Some(reading_ms), Some((model, _))) =
+            (ended, picked.reading_ms, model)
+        {
+            let took_ms = self.node.now().since(begun_at).as_secs_f64() * 1_000.0;
+            let mut paces = self.node.paces.lock();
+            paces.observe(model, reading_ms, took_ms);
+        }
+    }
+
     /// The first part of the answer goes to the caller now.
     pub(crate) fn first_answer(&mut self) {
         let ms = self.node.now().ms_since(self.call.arrived);
