Watch upstreams again after 0.8 s

Cause: each change of an upstream ends the watches of all entries. What leaves is known within two seconds all the same, and peers tell one another.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -44,8 +44,8 @@
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::{Action, Ledger, Order, OrderAnswer, Sent};
 pub use moves::{Choice, Group, Moves, Reason, Spot};
-pub use pace::Paces;
 pub use news::{Copies, Report, Resident, UpstreamNews};
+pub use pace::Paces;
 pub use pick::{Pick, Picked, Unpicked, pick};
 pub use repeats::Repeats;
 pub use setup::{
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -17,7 +17,7 @@
 /// watches of all entries, and each new watch is a call; what changes meanwhile
 /// comes with the next one, and an upstream that leaves has to be known as such
 /// within two seconds.
-const WATCH_EVERY: Duration = Duration::from_millis(400);
+const WATCH_EVERY: Duration = Duration::from_millis(800);
 
 /// Objects of one kind that are followed.
 #[derive(Debug, Clone, Copy)]
