A load that waits for its unload counts as a copy on its way

Cause: planned without it, a model that requests waited for was started again at each plan, up to four times, each time in place of a busy model's copy.

--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver.rs
@@ -497,14 +497,20 @@
         coming
     }
 
+    /// Models held or on their way, also one that waits for an unload: planned
+    /// without it, its load would be started again elsewhere at each plan.
     fn groups(&self, engine: &Engine) -> Vec<Group> {
-        let models = self.ledger.models().map(|(model, _)| Group {
+        let group = |model: &Arc<str>, unloading| Group {
             model: Arc::clone(model),
             size_mb: engine.models.get(model).map_or(0.0, |spec| spec.weights_mb),
-            unloading: self.ledger.is_unloading(model),
+            unloading,
             since: self.since.get(model).copied().unwrap_or(Instant::ZERO),
-        });
-        models.collect()
+        };
+        let held = self.ledger.models();
+        let held = held.map(|(model, _)| group(model, self.ledger.is_unloading(model)));
+        let intent = self.intent.iter();
+        held.chain(intent.map(|intent| group(&intent.load, false)))
+            .collect()
     }
 
     /// The order that brings an adapter, or the one that makes room for it.
