The last copy of an unused model costs less than a busy one's

Cause: at 10 a last copy without demand was never given up, so copies of busy models went instead for every model that was waited for.

--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -31,7 +31,7 @@
 const STAY_MS: u64 = 3_000;
 
 /// Loss of the last copy of a model without demand, against any relief.
-const LAST_COPY_LOSS: f64 = 10.0;
+const LAST_COPY_LOSS: f64 = 0.5;
 
 /// Advantage of a failure domain in which no other copy is, as relief.
 const SPREAD_BONUS: f64 = 0.01;
