--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -340,11 +340,19 @@
         used: impl Iterator<Item = (&'a str, Usage)>,
     ) {
         for upstream in self.upstreams.values_mut() {
-            upstream.peers.remove(peer);
+            if let Some(known) = upstream.peers.get_mut(peer) {
+                known.1 = Usage::default();
+            }
         }
         for (id, usage) in used {
-            if let Some(upstream) = self.upstreams.get_mut(id) {
-                upstream.peers.insert(peer.to_owned(), (now, usage));
+            let Some(upstream) = self.upstreams.get_mut(id) else {
+                continue;
+            };
+            match upstream.peers.get_mut(peer) {
+                Some(known) => *known = (now, usage),
+                None => {
+                    upstream.peers.insert(peer.to_owned(), (now, usage));
+                }
             }
         }
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -27,6 +27,9 @@
 const TELL_EVERY: Duration = Duration::from_millis(100);
 const PEERS_AT_ONCE: usize = 8;
 
+/// Time between two messages that are sent at once.
+const TELL_AT_ONCE_EVERY: Duration = Duration::from_millis(20);
+
 /// Time between two looks at the platform's list of entries.
 const LIST_EVERY: Duration = Duration::from_secs(8);
 
@@ -148,21 +151,35 @@
     }
 }
 
-/// Tells other entries at once, as when an adapter is wanted or was loaded.
+/// Tells other entries at once when upstreams hold something else or a renewal
+/// is to be written, and the giver of orders alone when an adapter is wanted:
+/// with many entries, each word to all of them is a cost to all of them.
 pub(crate) async fn tell_when_new(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
         tokio::select! {
-            () = node.wants.new.notified() => {}
-            () = node.giver.changed.notified() => {}
-            () = node.peers.wake.notified() => {}
+            () = node.wants.new.notified() => {
+                let giver = node.peers.giver(node.now());
+                tell_to(&node, &socket, giver.into_iter()).await;
+            }
+            () = node.giver.changed.notified() => tell_once(&node, &socket).await,
+            () = node.peers.wake.notified() => tell_once(&node, &socket).await,
         }
-        tell_once(&node, &socket).await;
+        tokio::time::sleep(TELL_AT_ONCE_EVERY).await;
     }
 }
 
 async fn tell_once(node: &Node, socket: &UdpSocket) {
+    let addresses = node.peers.now_told(node.now());
+    tell_to(node, socket, addresses.into_iter()).await;
+}
+
+async fn tell_to(
+    node: &Node,
+    socket: &UdpSocket,
+    addresses: impl Iterator<Item = SocketAddr>,
+) {
     let message = message(node).encode_to_vec();
-    for address in node.peers.now_told(node.now()) {
+    for address in addresses {
         // A peer that is gone costs a datagram; the next message goes all the
         // same.
         let _ = socket.send_to(&message, address).await;
@@ -413,6 +430,19 @@
         true
     }
 
+    /// Address of the giver of orders, if it was heard lately.
+    fn giver(&self, now: Instant) -> Option<SocketAddr> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let giver = heard.filter(|peer| peer.giver_token > 0);
+        giver
+            .max_by_key(|peer| peer.giver_token)
+            .map(|peer| peer.address)
+    }
+
     /// Highest token of a giver that was heard within `ms`.
     pub(crate) fn giver_token(&self, now: Instant, ms: u64) -> u64 {
         let table = self.table.lock();
