--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -159,7 +159,7 @@
         tokio::select! {
             () = node.wants.new.notified() => {
                 let giver = node.peers.giver(node.now());
-                tell_to(&node, &socket, giver.into_iter()).await;
+                tell_to(&node, &socket, giver.into_iter(), To::Giver).await;
             }
             () = node.giver.changed.notified() => tell_once(&node, &socket).await,
             () = node.peers.wake.notified() => tell_once(&node, &socket).await,
@@ -169,16 +169,33 @@
 }
 
 async fn tell_once(node: &Node, socket: &UdpSocket) {
-    let addresses = node.peers.now_told(node.now());
-    tell_to(node, socket, addresses.into_iter()).await;
+    let now = node.now();
+    let giver = node.peers.giver(now);
+    let addresses = node.peers.now_told(now).into_iter();
+    let others = addresses.filter(|address| Some(*address) != giver);
+    tell_to(node, socket, others, To::Entry).await;
+    tell_to(node, socket, giver.into_iter(), To::Giver).await;
+}
+
+/// Whom a message is for. What only the giver of orders needs is most of a
+/// message where there are many models, and would go to every entry in vain.
+#[derive(Debug, Clone, Copy)]
+enum To {
+    Entry,
+    Giver,
 }
 
 async fn tell_to(
     node: &Node,
     socket: &UdpSocket,
     addresses: impl Iterator<Item = SocketAddr>,
+    to: To,
 ) {
-    let message = message(node).encode_to_vec();
+    let mut addresses = addresses.peekable();
+    if addresses.peek().is_none() {
+        return;
+    }
+    let message = message(node, to).encode_to_vec();
     for address in addresses {
         // A peer that is gone costs a datagram; the next message goes all the
         // same.
@@ -205,7 +222,7 @@
     }
 }
 
-fn message(node: &Node) -> PeerNews {
+fn message(node: &Node, to: To) -> PeerNews {
     let now = node.now();
     let sequence = {
         let mut table = node.peers.table.lock();
@@ -227,14 +244,18 @@
         .map(|upstream| upstream.news.id.to_string())
         .collect();
     drop(fleet);
+    let (demands, wants) = match to {
+        To::Giver => (demands(node, now), wants(node, now)),
+        To::Entry => (Vec::new(), Vec::new()),
+    };
     PeerNews {
         entry: node.options.entry.clone(),
         start: node.start,
         sequence,
         setup_version: node.setup().map_or(0, |setup| setup.version),
         uses,
-        demands: demands(node, now),
-        wants: wants(node, now),
+        demands,
+        wants,
         leaving,
         giver_token,
         holdings: holdings(node, sequence, giver_token),
