Plans count that demand moves on, while upstreams have time to spare

Cause: a load takes as long as demand needs to move; copies for the demand of now are ready when it is over.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,6 +32,7 @@
 mod ledger;
 mod moves;
 mod news;
+mod outlook;
 mod pace;
 mod pick;
 mod repeats;
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use crate::outlook::{Outlook, outlooks};
 use crate::{Engine, Load};
 
 /// Part of the loads that the weight store allows which is used. The rest is
@@ -36,6 +37,10 @@
 /// Advantage of a failure domain in which no other copy is, as relief.
 const SPREAD_BONUS: f64 = 0.01;
 
+/// Work, as a part of one upstream's time, below which a model gets no further
+/// copy.
+const WORK_MIN: f64 = 0.02;
+
 /// Moves decided at once.
 const CHOICES_MAX: usize = 8;
 
@@ -185,8 +190,8 @@
     now: Instant,
     engine: &'a Engine,
     spots: Vec<Spot>,
-    /// Load of each spot, as a part of its time.
-    spot_loads: Vec<f64>,
+    /// How demand may go on.
+    outlooks: Vec<Outlook>,
     loads: &'a BTreeMap<Arc<str>, Load>,
     /// Upstreams that hold a model or will.
     holders: BTreeMap<Arc<str>, Vec<usize>>,
@@ -224,7 +229,7 @@
             now,
             engine,
             spots: spots.to_vec(),
-            spot_loads: Vec::new(),
+            outlooks: outlooks(loads, spots.len()),
             loads,
             holders,
             store_left,
@@ -281,8 +286,9 @@
 
     fn best_copy(&self) -> Option<(Arc<str>, Place)> {
         let mut best: Option<(Arc<str>, Place)> = None;
-        for (model, load) in self.loads {
-            if self.copies(model) == 0 || load.expected_ms_per_s() <= 0.0 {
+        for model in self.loads.keys() {
+            let work = self.weighed(|outlook| outlook.load_of(model, 1));
+            if self.copies(model) == 0 || work < WORK_MIN {
                 continue;
             }
             let Some(place) = self.place(model, true) else {
@@ -373,7 +379,8 @@
             if last && self.is_wanted(&group.model) {
                 continue;
             }
-            let share = self.kept_of(&group.model, self.copies(&group.model));
+            let copies = self.copies(&group.model);
+            let share = self.weighed(|outlook| outlook.kept_of(&group.model, copies));
             let mut relief = self.relief(model, index, Some(&group.model));
             relief -= share * UNLOAD_COST;
             if last {
@@ -387,43 +394,47 @@
     }
 
     /// Fall of the sum of the squares of all loads if a spot gets a copy of a
-    /// model in place of another one's.
+    /// model in place of another one's, over all outlooks.
     fn relief(&self, model: &Arc<str>, index: usize, victim: Option<&Arc<str>>) -> f64 {
-        let mut changes: Vec<(usize, f64)> = vec![(index, 0.0)];
-        let mut change = |spot: usize, by: f64| match changes
-            .iter_mut()
-            .find(|(known, _)| *known == spot)
-        {
-            Some((_, sum)) => *sum += by,
-            None => changes.push((spot, by)),
-        };
+        self.weighed(|outlook| self.relief_in(outlook, model, index, victim))
+    }
+
+    fn weighed(&self, value: impl Fn(&Outlook) -> f64) -> f64 {
+        let outlooks = self.outlooks.iter();
+        outlooks
+            .map(|outlook| outlook.weight * value(outlook))
+            .sum()
+    }
+
+    fn relief_in(
+        &self,
+        outlook: &Outlook,
+        model: &Arc<str>,
+        index: usize,
+        victim: Option<&Arc<str>>,
+    ) -> f64 {
+        let mut changes = Changes::default();
         let copies = self.copies(model);
-        let (one, more) =
-            (self.load_of(model, copies), self.load_of(model, copies + 1));
+        let one = outlook.load_of(model, copies);
+        let more = outlook.load_of(model, copies + 1);
         for holder in self.holders.get(model).into_iter().flatten() {
-            change(*holder, more - one);
+            changes.add(*holder, more - one);
         }
-        change(index, more);
+        changes.add(index, more);
         if let Some(victim) = victim {
             let copies = self.copies(victim);
-            let share = self.kept_of(victim, copies);
-            let rest = self.kept_of(victim, copies.saturating_sub(1));
+            let share = outlook.kept_of(victim, copies);
+            let rest = outlook.kept_of(victim, copies.saturating_sub(1));
             for holder in self.holders.get(victim).into_iter().flatten() {
-                change(
-                    *holder,
-                    if *holder == index {
-                        -share
-                    } else {
-                        rest - share
-                    },
-                );
+                let change = if *holder == index {
+                    -share
+                } else {
+                    rest - share
+                };
+                changes.add(*holder, change);
             }
         }
-        let falls = changes.iter().map(|(spot, by)| {
-            let load = self.spot_loads[*spot];
-            load * load - (load + by) * (load + by)
-        });
-        falls.sum()
+        changes.relief(&outlook.spot_loads)
     }
 
     fn choose(&mut self, model: &Arc<str>, place: &Place, reason: Reason) {
@@ -466,37 +477,28 @@
 
     /// Works the loads of all spots out anew.
     fn weigh(&mut self) {
-        self.spot_loads = (0..self.spots.len())
-            .map(|index| self.spot_load(index))
-            .collect();
-    }
-
-    fn copies(&self, model: &Arc<str>) -> usize {
-        self.holders.get(model).map_or(0, Vec::len)
-    }
-
-    /// Load of one of `copies` copies of a model that is to be expected.
-    fn load_of(&self, model: &Arc<str>, copies: usize) -> f64 {
-        let load = self.loads.get(model);
-        let work = load.map_or(0.0, Load::expected_ms_per_s);
-        work / 1_000.0 / copies.max(1) as f64
-    }
-
-    /// Load of one of `copies` copies of a model that it may be kept for.
-    fn kept_of(&self, model: &Arc<str>, copies: usize) -> f64 {
-        let load = self.loads.get(model);
-        let work = load.map_or(0.0, Load::kept_ms_per_s);
-        work / 1_000.0 / copies.max(1) as f64
+        let mut outlooks = std::mem::take(&mut self.outlooks);
+        for outlook in &mut outlooks {
+            outlook.spot_loads = self
+                .spots
+                .iter()
+                .map(|spot| self.spot_load(outlook, spot))
+                .collect();
+        }
+        self.outlooks = outlooks;
     }
 
-    fn spot_load(&self, index: usize) -> f64 {
-        let groups = self.spots[index].groups.iter();
+    fn spot_load(&self, outlook: &Outlook, spot: &Spot) -> f64 {
+        let groups = spot.groups.iter().filter(|group| !group.unloading);
         groups
-            .filter(|group| !group.unloading)
-            .map(|group| self.load_of(&group.model, self.copies(&group.model)))
+            .map(|group| outlook.load_of(&group.model, self.copies(&group.model)))
             .sum()
     }
 
+    fn copies(&self, model: &Arc<str>) -> usize {
+        self.holders.get(model).map_or(0, Vec::len)
+    }
+
     fn in_domain(&self, model: &Arc<str>, domain: &Arc<str>) -> bool {
         let holders = self.holders.get(model).into_iter().flatten();
         holders
@@ -511,3 +513,25 @@
             .is_some_and(|load| load.waiting > 0 || load.lasting_ms_per_s > 1.0)
     }
 }
+
+/// Changes of upstreams' loads by one move.
+#[derive(Debug, Default)]
+struct Changes(Vec<(usize, f64)>);
+
+impl Changes {
+    fn add(&mut self, spot: usize, change: f64) {
+        match self.0.iter_mut().find(|(known, _)| *known == spot) {
+            Some((_, sum)) => *sum += change,
+            None => self.0.push((spot, change)),
+        }
+    }
+
+    /// Fall of the sum of the squares of all loads.
+    fn relief(&self, loads: &[f64]) -> f64 {
+        let falls = self.0.iter().map(|(spot, change)| {
+            let load = loads[*spot];
+            load * load - (load + change) * (load + change)
+        });
+        falls.sum()
+    }
+}
