--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -8,17 +8,17 @@
 
 /// A whole event with the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Event {
+pub struct Event {
     /// Its bytes.
-    pub(crate) bytes: Bytes,
+    pub bytes: Bytes,
     /// Its id, where it has one that is a number.
-    pub(crate) id: Option<u64>,
+    pub id: Option<u64>,
 }
 
 /// Cuts bytes into events. What is not yet a whole event is held back, so that
 /// a stream that breaks in the middle of one can go on at exactly that one.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     held: BytesMut,
     /// Bytes of `held` in which no end of an event was found.
     searched: usize,
@@ -26,7 +26,7 @@
 
 /// A stream whose events can't be told apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct EventTooLarge;
+pub struct EventTooLarge;
 
 impl Splitter {
     /// Takes more bytes.
@@ -34,7 +34,7 @@
     /// # Errors
     ///
     /// An event is larger than any is.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
         if self.held.len() + bytes.len() > EVENT_MAX_BYTES {
             return Err(EventTooLarge);
         }
@@ -43,7 +43,7 @@
     }
 
     /// The next whole event.
-    pub(crate) fn next(&mut self) -> Option<Event> {
+    pub fn next(&mut self) -> Option<Event> {
         let end = self.end()?;
         let bytes = self.held.split_to(end).freeze();
         self.searched = 0;
@@ -52,7 +52,7 @@
     }
 
     /// Whether a part of an event is held.
-    pub(crate) fn is_inside(&self) -> bool {
+    pub fn is_inside(&self) -> bool {
         !self.held.is_empty()
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -49,6 +49,7 @@
 pub use clock::BootClock;
 pub use connection::connect;
 pub use dialect::{AnswerHead, AskHead, Dialect, DialectError, OrderCall, SendHead};
+pub use events::{Event, EventTooLarge, Splitter};
 pub use log::Log;
 pub use options::{Bounds, Options, StoreKeys};
 pub use start::{Front, StartError, start};
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -45,18 +45,26 @@
 }
 
 impl Log {
-    /// Starts the writer.
+    /// Starts the writer on standard output.
     ///
     /// # Panics
     ///
     /// If the operating system gives no thread.
     pub fn start() -> Self {
+        Self::to(std::io::stdout())
+    }
+
+    /// Starts the writer on something else.
+    ///
+    /// # Panics
+    ///
+    /// If the operating system gives no thread.
+    pub fn to(mut out: impl Write + Send + 'static) -> Self {
         let (writer, handed) = sync_channel::<Vec<u8>>(1);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 << 10)
             .spawn(move || {
-                let mut out = std::io::stdout();
                 for bytes in handed {
                     // A closed standard output leaves nowhere to say so.
                     let _ = out.write_all(&bytes).and_then(|()| out.flush());
@@ -102,7 +110,7 @@
     }
 
     /// Hands what is held to the writer unless that is still writing.
-    pub(crate) fn flush(&self) {
+    pub fn flush(&self) {
         let mut held = self.inner.lock();
         if held.bytes.is_empty() {
             return;
--- /dev/null
+++ b/crates/front/tests/all/log.rs
@@ -0,0 +1,67 @@
+//! The log never blocks and takes no unbounded memory.
+
+use front::Log;
+use serde_json::json;
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex};
+
+/// A reader that reads nothing until it is told to.
+#[derive(Debug, Default)]
+struct Gate {
+    open: Mutex<bool>,
+    opened: Condvar,
+    written: Mutex<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct Out(Arc<Gate>);
+
+impl Write for Out {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut open = self.0.open.lock().expect("no test panicked");
+        while !*open {
+            open = self.0.opened.wait(open).expect("no test panicked");
+        }
+        let mut written = self.0.written.lock().expect("no test panicked");
+        written.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whoever reads the log has stopped. Requests go on being served: each line
+/// returns at once, what is held stays bounded, and what is dropped is counted.
+/// When the log is read again, it goes on.
+#[test]
+fn a_blocked_reader_stops_nothing() {
+    let gate = Arc::new(Gate::default());
+    let log = Log::to(Out(Arc::clone(&gate)));
+    for round in 0..30 {
+        for number in 0..100 {
+            log.line(
+                "request",
+                json!({ "id": format!("{round}-{number}"),
+                "filler": "x".repeat(200) }),
+            );
+        }
+        log.flush();
+    }
+    let dropped = log.dropped();
+    assert!(dropped > 1_000, "{dropped}");
+    *gate.open.lock().expect("no test panicked") = true;
+    gate.opened.notify_all();
+    while gate.written.lock().expect("no test panicked").len() < 128 << 10 {
+        log.flush();
+        std::thread::yield_now();
+    }
+    let written = gate.written.lock().expect("no test panicked").clone();
+    assert!(written.len() < 400 << 10, "{}", written.len());
+    for line in String::from_utf8(written).expect("text").lines() {
+        let line: serde_json::Value =
+            serde_json::from_str(line).expect("one object a line");
+        assert_eq!(line["event"], "request");
+    }
+}
