Refuse requests with two framings by their bytes

Cause: the HTTP library reads a request with a length and chunks by its chunks and drops the length, so what stood behind the chunks was read as a second request. Change: heads are looked at while they are read; such a request is answered 400 and its connection closed.

--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -43,7 +43,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn next_event(&mut self) -> Option<Event> {
         let end = self.end()?;
         let bytes = self.held.split_to(end).freeze();
         self.searched = 0;
--- /dev/null
+++ b/crates/front/src/framing.rs
@@ -0,0 +1,132 @@
+//! Requests with two framings, seen in their bytes.
+//!
+//! The HTTP library reads a request with both a length and chunks by its chunks
+//! and drops the length before anybody sees it. What stands behind the chunks
+//! would then be taken for the next request, while whoever counted the length
+//! took it for a body.
+
+use parking_lot::Mutex;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Start of a line that is kept: the longer name and its colon.
+const LINE_START_MAX: usize = 18;
+
+/// What is seen of the head that is being read.
+#[derive(Debug, Default)]
+struct Head {
+    /// Start of the line that is being read, in lower case.
+    line: Vec<u8>,
+    length: bool,
+    coding: bool,
+    /// The empty line has come; what follows is a body.
+    over: bool,
+}
+
+impl Head {
+    fn read(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.over {
+                return;
+            }
+            match byte {
+                b'\n' => self.end_line(),
+                b'\r' => {}
+                byte if self.line.len() < LINE_START_MAX => {
+                    self.line.push(byte.to_ascii_lowercase());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn end_line(&mut self) {
+        self.length |= self.line.starts_with(b"content-length:");
+        self.coding |= self.line.starts_with(b"transfer-encoding:");
+        // An empty line before the request line ends nothing.
+        self.over = self.line.is_empty() && (self.length || self.coding);
+        self.line.clear();
+    }
+}
+
+/// Whether the head that was read last has two framings.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Framing(Arc<Mutex<Head>>);
+
+impl Framing {
+    /// Whether there are both a length and a coding.
+    pub(crate) fn is_double(&self) -> bool {
+        let head = self.0.lock();
+        head.length && head.coding
+    }
+
+    /// The request was answered: what is read next is another head.
+    pub(crate) fn next_head(&self) {
+        *self.0.lock() = Head::default();
+    }
+}
+
+/// A stream whose heads are looked at while they are read.
+#[derive(Debug)]
+pub(crate) struct Watched<S> {
+    stream: S,
+    framing: Framing,
+}
+
+impl<S> Watched<S> {
+    pub(crate) const fn new(stream: S, framing: Framing) -> Self {
+        Self { stream, framing }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.framing.0.lock().read(&buffer.filled()[before..]);
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 mod dialect;
 mod events;
 mod follow;
+mod framing;
 mod giver;
 mod headers;
 mod log;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use serde_json::json;
 use std::sync::Arc;
 use xxhash_rust::xxh3::Xxh3;
@@ -60,16 +60,23 @@
     }
 }
 
-/// Answers one request.
+/// Answers one request; one with two framings is refused, and what follows it on
+/// its connection is not read.
 pub(crate) async fn serve(
     node: Arc<Node>,
     request: Request<Incoming>,
+    double_framing: bool,
 ) -> Response<AnswerBody> {
     let arrived = node.now();
     let (parts, body) = request.into_parts();
     let ask = node.dialect.ask(&parts.headers);
     let id = ask.id.clone();
-    let mut response = match call(&node, arrived, parts, body, ask).await {
+    let called = if double_framing || is_ambiguous(&parts.headers) {
+        Err(Refusal::not_run(Code::BadRequest))
+    } else {
+        call(&node, arrived, parts, body, ask).await
+    };
+    let mut response = match called {
         Ok(call) => run(Arc::clone(&node), call).await,
         Err(why) => {
             node.log.line(
@@ -82,7 +89,7 @@
             refusal(&*node.dialect, &id, &why)
         }
     };
-    if node.stop.is_stopping() {
+    if node.stop.is_stopping() || response.status() == StatusCode::BAD_REQUEST {
         ask_close(response.headers_mut());
     }
     response
@@ -98,9 +105,6 @@
     let not_ready = Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
     let setup = node.setup().ok_or(not_ready)?;
     let leaving = Refusal::not_run(Code::Leaving).retry_after_ms(0);
-    if is_ambiguous(&parts.headers) {
-        return Err(Refusal::not_run(Code::BadRequest));
-    }
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let route = setup.route(host, parts.uri.path()).cloned();
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::connection::watch_far_end;
+use crate::framing::{Framing, Watched};
 use crate::node::Node;
 use crate::request::serve;
 
@@ -44,11 +45,16 @@
     watch_far_end(&stream);
     let limits = node.setup().map(|setup| setup.limits.clone());
     let limits = limits.unwrap_or_default();
+    let framing = Framing::default();
     let service = {
-        let node = Arc::clone(&node);
+        let (node, framing) = (Arc::clone(&node), framing.clone());
         service_fn(move |request| {
-            let node = Arc::clone(&node);
-            async move { Ok::<_, Infallible>(serve(node, request).await) }
+            let (node, framing) = (Arc::clone(&node), framing.clone());
+            async move {
+                let response = serve(node, request, framing.is_double()).await;
+                framing.next_head();
+                Ok::<_, Infallible>(response)
+            }
         })
     };
     // The library counts the time for a head from the end of the request before,
@@ -60,7 +66,7 @@
         .header_read_timeout(idle)
         .max_headers(HEADERS_MAX)
         .max_buf_size(limits.head_max_bytes + HEAD_SPARE_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Watched::new(stream, framing)), service);
     let mut connection = pin!(connection);
     // How a connection ends is its caller's affair; its requests' futures end
     // with it.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -156,7 +156,7 @@
     /// Takes whole events out of what came, as one piece.
     fn whole_events(&mut self) -> Option<Step> {
         let mut bytes = BytesMut::new();
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.next_event() {
             match self.place(&event) {
                 Place::Next => bytes.extend_from_slice(&event.bytes),
                 Place::Known => {}
--- a/crates/front/tests/all/events.rs
+++ b/crates/front/tests/all/events.rs
@@ -3,12 +3,16 @@
 use arbtest::arbtest;
 use front::{EventTooLarge, Splitter};
 
-fn cut(pieces: &[&[u8]]) -> (Vec<(Vec<u8>, Option<u64>)>, bool) {
+/// An event's bytes and its id.
+type Cut = (Vec<u8>, Option<u64>);
+
+/// The events of pieces, and whether a part of one is left.
+fn cut(pieces: &[&[u8]]) -> (Vec<Cut>, bool) {
     let mut splitter = Splitter::default();
     let mut events = Vec::new();
     for piece in pieces {
         splitter.push(piece).expect("small events");
-        while let Some(event) = splitter.next() {
+        while let Some(event) = splitter.next_event() {
             events.push((event.bytes.to_vec(), event.id));
         }
     }
