Split the large files of the entry by job

Plan and board, the giver and its books, telling, hearing and registering, and the search for an upstream stand apart; no behaviour changed.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,6 +26,7 @@
 //! - A giver stops ordering before anyone else can start.
 
 mod again;
+mod board;
 mod demand;
 mod fleet;
 mod lease;
--- /dev/null
+++ b/crates/front/src/giver/book.rs
@@ -0,0 +1,137 @@
+//! What the giver of orders keeps of one upstream.
+
+use base::prelude::*;
+use direct::{Action, Engine, Group, Ledger, Resident, Setup, Upstream};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{ADAPTER_IDLE_MS, engine};
+use crate::wants::Want;
+
+/// Time that an unload is expected to take: it waits for what runs.
+const UNLOAD_MS: u64 = 500;
+
+/// What the giver keeps of one upstream.
+#[derive(Debug)]
+pub(super) struct Book {
+    pub(super) service: Arc<str>,
+    pub(super) domain: Arc<str>,
+    /// Version of the platform's entry that was seen last.
+    pub(super) version: u64,
+    pub(super) ledger: Ledger,
+    pub(super) asked_at: Option<Instant>,
+    pub(super) intent: Option<Intent>,
+    pub(super) since: HashMap<Arc<str>, Instant>,
+    pub(super) serving: Vec<Resident>,
+    pub(super) coming: Vec<(Arc<str>, Instant)>,
+    pub(super) changed_at: Instant,
+    pub(super) copies: Vec<Arc<str>>,
+}
+
+/// A load that waits for an unload.
+#[derive(Debug)]
+pub(super) struct Intent {
+    pub(super) load: Arc<str>,
+    pub(super) begun_at: Instant,
+}
+
+impl Book {
+    pub(super) fn new(upstream: &Upstream) -> Self {
+        Self {
+            service: Arc::clone(&upstream.news.service),
+            domain: Arc::clone(&upstream.news.domain),
+            version: upstream.version,
+            ledger: Ledger::new(),
+            asked_at: None,
+            intent: None,
+            since: HashMap::new(),
+            serving: Vec::new(),
+            coming: Vec::new(),
+            changed_at: Instant::ZERO,
+            copies: Vec::new(),
+        }
+    }
+
+    pub(super) fn follow(&mut self, now: Instant, upstream: &Upstream) {
+        if self.version != upstream.version {
+            // Something has changed there, as at the end of an order: ask now.
+            self.version = upstream.version;
+            self.asked_at = None;
+        }
+        let copies = &upstream.news.copies;
+        self.copies = copies
+            .in_memory
+            .iter()
+            .chain(&copies.on_disk)
+            .cloned()
+            .collect();
+        let held: Vec<Arc<str>> = self
+            .ledger
+            .models()
+            .map(|(model, _)| Arc::clone(model))
+            .collect();
+        // What was there before this entry gave orders may go at once.
+        for model in &held {
+            let first = if self.since.is_empty() {
+                Instant::ZERO
+            } else {
+                now
+            };
+            self.since.entry(Arc::clone(model)).or_insert(first);
+        }
+        self.since.retain(|model, _| held.contains(model));
+    }
+
+    /// Models on their way, also those that wait for an unload.
+    pub(super) fn coming(&self, setup: &Setup) -> Vec<(Arc<str>, Instant)> {
+        let loading = self.ledger.coming();
+        let mut coming: Vec<_> = loading
+            .map(|(model, ready_at)| (Arc::clone(model), ready_at))
+            .collect();
+        if let (Some(intent), Some(engine)) =
+            (&self.intent, engine(setup, &self.service))
+        {
+            let takes_ms = self.ledger.load_ms(engine, &intent.load) + UNLOAD_MS;
+            coming.push((Arc::clone(&intent.load), intent.begun_at.plus_ms(takes_ms)));
+        }
+        coming
+    }
+
+    /// Models held or on their way, also one that waits for an unload: planned
+    /// without it, its load would be started again elsewhere at each plan.
+    pub(super) fn groups(&self, engine: &Engine) -> Vec<Group> {
+        let group = |model: &Arc<str>, unloading| Group {
+            model: Arc::clone(model),
+            size_mb: engine.models.get(model).map_or(0.0, |spec| spec.weights_mb),
+            unloading,
+            since: self.since.get(model).copied().unwrap_or(Instant::ZERO),
+        };
+        let held = self.ledger.models();
+        let held = held.map(|(model, _)| group(model, self.ledger.is_unloading(model)));
+        let intent = self.intent.iter();
+        held.chain(intent.map(|intent| group(&intent.load, false)))
+            .collect()
+    }
+
+    /// The order that brings an adapter, or the one that makes room for it.
+    pub(super) fn adapter_order(
+        &mut self,
+        engine: &Engine,
+        want: &Want,
+        now: Instant,
+    ) -> Option<direct::Order> {
+        let load =
+            Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
+        if let Some(order) = self.ledger.order(engine, load) {
+            return Some(order);
+        }
+        let (model, adapter, used_at) = self.ledger.oldest_adapter()?;
+        if self.ledger.adapters() < engine.adapters_max
+            || now.ms_since(used_at) < ADAPTER_IDLE_MS
+        {
+            return None;
+        }
+        self.ledger
+            .order(engine, Action::UnloadAdapter(model, adapter))
+    }
+}
--- a/crates/front/src/giver.rs
+++ b/crates/front/src/giver/mod.rs
@@ -1,13 +1,13 @@
 //! The giver of orders: what upstreams are to hold, while this entry has the
 //! lease.
 
+mod book;
+
 use base::prelude::*;
-use direct::{
-    Action, Choice, Engine, Group, Ledger, Load, Moves, Resident, Setup, Spot, Upstream,
-};
+use direct::{Action, Choice, Engine, Ledger, Load, Moves, Resident, Setup, Spot};
 use parking_lot::Mutex;
 use serde_json::json;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -15,6 +15,7 @@
 use crate::node::Node;
 use crate::orders::{ask_report, send_order};
 use crate::wants::Want;
+use book::{Book, Intent};
 
 /// Time between two looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(50);
@@ -28,9 +29,6 @@
 /// Time for which a load waits for the unload before it.
 const INTENT_MS: u64 = 10_000;
 
-/// Time that an unload is expected to take: it waits for what runs.
-const UNLOAD_MS: u64 = 500;
-
 /// Time for which a change of what an upstream holds is told with each message.
 const FRESH_MS: u64 = 600;
 
@@ -58,30 +56,6 @@
     wants: BTreeMap<Want, Instant>,
 }
 
-/// What the giver keeps of one upstream.
-#[derive(Debug)]
-struct Book {
-    service: Arc<str>,
-    domain: Arc<str>,
-    /// Version of the platform's entry that was seen last.
-    version: u64,
-    ledger: Ledger,
-    asked_at: Option<Instant>,
-    intent: Option<Intent>,
-    since: HashMap<Arc<str>, Instant>,
-    serving: Vec<Resident>,
-    coming: Vec<(Arc<str>, Instant)>,
-    changed_at: Instant,
-    copies: Vec<Arc<str>>,
-}
-
-/// A load that waits for an unload.
-#[derive(Debug)]
-struct Intent {
-    load: Arc<str>,
-    begun_at: Instant,
-}
-
 /// What entries are told of one upstream.
 #[derive(Debug)]
 pub(crate) struct Told {
@@ -435,107 +409,6 @@
     }
 }
 
-impl Book {
-    fn new(upstream: &Upstream) -> Self {
-        Self {
-            service: Arc::clone(&upstream.news.service),
-            domain: Arc::clone(&upstream.news.domain),
-            version: upstream.version,
-            ledger: Ledger::new(),
-            asked_at: None,
-            intent: None,
-            since: HashMap::new(),
-            serving: Vec::new(),
-            coming: Vec::new(),
-            changed_at: Instant::ZERO,
-            copies: Vec::new(),
-        }
-    }
-
-    fn follow(&mut self, now: Instant, upstream: &Upstream) {
-        if self.version != upstream.version {
-            // Something has changed there, as at the end of an order: ask now.
-            self.version = upstream.version;
-            self.asked_at = None;
-        }
-        let copies = &upstream.news.copies;
-        self.copies = copies
-            .in_memory
-            .iter()
-            .chain(&copies.on_disk)
-            .cloned()
-            .collect();
-        let held: Vec<Arc<str>> = self
-            .ledger
-            .models()
-            .map(|(model, _)| Arc::clone(model))
-            .collect();
-        // What was there before this entry gave orders may go at once.
-        for model in &held {
-            let first = if self.since.is_empty() {
-                Instant::ZERO
-            } else {
-                now
-            };
-            self.since.entry(Arc::clone(model)).or_insert(first);
-        }
-        self.since.retain(|model, _| held.contains(model));
-    }
-
-    /// Models on their way, also those that wait for an unload.
-    fn coming(&self, setup: &Setup) -> Vec<(Arc<str>, Instant)> {
-        let loading = self.ledger.coming();
-        let mut coming: Vec<_> = loading
-            .map(|(model, ready_at)| (Arc::clone(model), ready_at))
-            .collect();
-        if let (Some(intent), Some(engine)) =
-            (&self.intent, engine(setup, &self.service))
-        {
-            let takes_ms = self.ledger.load_ms(engine, &intent.load) + UNLOAD_MS;
-            coming.push((Arc::clone(&intent.load), intent.begun_at.plus_ms(takes_ms)));
-        }
-        coming
-    }
-
-    /// Models held or on their way, also one that waits for an unload: planned
-    /// without it, its load would be started again elsewhere at each plan.
-    fn groups(&self, engine: &Engine) -> Vec<Group> {
-        let group = |model: &Arc<str>, unloading| Group {
-            model: Arc::clone(model),
-            size_mb: engine.models.get(model).map_or(0.0, |spec| spec.weights_mb),
-            unloading,
-            since: self.since.get(model).copied().unwrap_or(Instant::ZERO),
-        };
-        let held = self.ledger.models();
-        let held = held.map(|(model, _)| group(model, self.ledger.is_unloading(model)));
-        let intent = self.intent.iter();
-        held.chain(intent.map(|intent| group(&intent.load, false)))
-            .collect()
-    }
-
-    /// The order that brings an adapter, or the one that makes room for it.
-    fn adapter_order(
-        &mut self,
-        engine: &Engine,
-        want: &Want,
-        now: Instant,
-    ) -> Option<direct::Order> {
-        let load =
-            Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
-        if let Some(order) = self.ledger.order(engine, load) {
-            return Some(order);
-        }
-        let (model, adapter, used_at) = self.ledger.oldest_adapter()?;
-        if self.ledger.adapters() < engine.adapters_max
-            || now.ms_since(used_at) < ADAPTER_IDLE_MS
-        {
-            return None;
-        }
-        self.ledger
-            .order(engine, Action::UnloadAdapter(model, adapter))
-    }
-}
-
 fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
     setup.services.get(service)?.engine.as_ref()
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -40,6 +40,7 @@
 mod relay;
 mod request;
 mod run;
+mod seek;
 mod server;
 mod start;
 mod stop;
--- /dev/null
+++ b/crates/front/src/peers/hear.rs
@@ -0,0 +1,142 @@
+//! Hearing other entries.
+
+use direct::{Load, Resident, Usage};
+use prost::Message;
+use schema::peer::{HeldModel, PeerNews};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+use super::{AWAY_MS, PeerState, Peers};
+use crate::node::Node;
+use crate::relay::hear_ask;
+use crate::wants::Want;
+
+/// Largest datagram taken.
+const DATAGRAM_MAX_BYTES: usize = 60 << 10;
+
+/// Hears other entries, for ever.
+pub(crate) async fn hear(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // An answer that a peer's port is closed; nothing was lost.
+            continue;
+        };
+        match PeerNews::decode(&buffer[..length]) {
+            Ok(news) => take(&node, from, news),
+            Err(fault) => {
+                let why = fault.to_string();
+                node.log
+                    .line("datagram_unread", json!({ "from": from, "why": why }));
+            }
+        }
+    }
+}
+
+fn take(node: &Arc<Node>, from: SocketAddr, news: PeerNews) {
+    if news.entry == node.peers.me || !node.peers.note(node, from, &news) {
+        return;
+    }
+    let now = node.now();
+    let uses = news.uses.iter().map(|used| {
+        let usage = Usage {
+            running: used.running,
+            waiting_tokens: used.waiting_tokens,
+            kept_tokens: used.kept_tokens,
+        };
+        (used.upstream.as_str(), usage)
+    });
+    let mut fleet = node.fleet.lock();
+    fleet.peer_usage(now, &news.entry, uses);
+    for id in &news.leaving {
+        fleet.heard_leaving(id);
+    }
+    for holding in &news.holdings {
+        let residents = holding.models.iter().map(resident).collect();
+        let coming = holding.coming.iter().map(|coming| {
+            let ready_at = now.plus_ms(coming.ready_in_ms);
+            (Arc::from(coming.model.as_str()), ready_at)
+        });
+        fleet.said(now, &holding.upstream, residents, coming.collect());
+    }
+    drop(fleet);
+    if !news.holdings.is_empty() {
+        node.holdings.notify_waiters();
+    }
+    for want in news.wants {
+        let want = Want {
+            service: want.service.into(),
+            model: want.model.into(),
+            adapter: want.adapter.into(),
+        };
+        node.giver.want(now, want);
+    }
+    if let Some(ask) = &news.lease_ask {
+        hear_ask(node, ask);
+    }
+    if let Some(told) = &news.lease_told {
+        node.relay.hear_told(node, told);
+    }
+    let mut suspects = node.suspects.lock();
+    for suspect in &news.suspects {
+        suspects.merge(now, suspect);
+    }
+}
+
+fn resident(held: &HeldModel) -> Resident {
+    Resident {
+        model: held.model.as_str().into(),
+        version: held.version,
+        adapters: held
+            .adapters
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
+    }
+}
+
+impl Peers {
+    /// Takes over who sent a message; false for one that is older than what is
+    /// known.
+    fn note(&self, node: &Node, from: SocketAddr, news: &PeerNews) -> bool {
+        let now = node.now();
+        let mut table = self.table.lock();
+        table.addresses.insert(from);
+        let known = table.peers.get(&news.entry);
+        let newest = known.map(|peer| (peer.start, peer.sequence));
+        if newest.is_some_and(|newest| (news.start, news.sequence) <= newest) {
+            return false;
+        }
+        if known.is_none_or(|peer| now.ms_since(peer.heard_at) > AWAY_MS) {
+            node.log.line(
+                "peer_heard",
+                json!({ "peer": news.entry, "from": from, "setup": news.setup_version }),
+            );
+        }
+        let loads = news.demands.iter().map(|demand| {
+            let load = Load {
+                newest_ms_per_s: demand.newest_us_per_s as f64 / 1_000.0,
+                lasting_ms_per_s: demand.lasting_us_per_s as f64 / 1_000.0,
+                waiting: demand.waiting,
+                oldest_wait_ms: demand.oldest_wait_ms,
+            };
+            (
+                demand.service.as_str().into(),
+                demand.model.as_str().into(),
+                load,
+            )
+        });
+        let state = PeerState {
+            address: from,
+            start: news.start,
+            sequence: news.sequence,
+            heard_at: now,
+            giver_token: news.giver_token,
+            loads: loads.collect(),
+        };
+        table.peers.insert(news.entry.clone(), state);
+        true
+    }
+}
--- /dev/null
+++ b/crates/front/src/peers/mod.rs
@@ -0,0 +1,135 @@
+//! What entries tell one another, by datagrams that state what holds now.
+//!
+//! A lost one is made good by the next, so nothing is acknowledged and no
+//! connection has to be watched. [`tell`] writes them, [`hear`] reads them, and
+//! [`register`] finds the other entries.
+
+mod hear;
+mod register;
+mod tell;
+
+use base::prelude::*;
+use direct::Load;
+use parking_lot::Mutex;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+use crate::Options;
+
+pub(crate) use hear::hear;
+pub(crate) use register::register;
+pub(crate) use tell::{tell, tell_when_new};
+
+/// Silence after which a peer's demand counts no more.
+const DEMAND_MS: u64 = 1_500;
+
+/// Silence after which a peer is told only now and then.
+const AWAY_MS: u64 = 5_000;
+
+/// Other entries.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    me: String,
+    own: SocketAddr,
+    table: Mutex<Table>,
+    /// Told when there is something to tell at once.
+    pub(crate) wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    /// Addresses at which entries may be.
+    addresses: BTreeSet<SocketAddr>,
+    peers: HashMap<String, PeerState>,
+    sequence: u64,
+    /// Entries that the platform lists.
+    registered: usize,
+}
+
+#[derive(Debug)]
+struct PeerState {
+    address: SocketAddr,
+    start: u64,
+    sequence: u64,
+    heard_at: Instant,
+    giver_token: u64,
+    loads: Vec<(Arc<str>, Arc<str>, Load)>,
+}
+
+impl Peers {
+    pub(crate) fn new(options: &Options) -> Self {
+        let table = Table {
+            addresses: options.peer_seeds.iter().copied().collect(),
+            ..Table::default()
+        };
+        Self {
+            me: options.entry.clone(),
+            own: options.peers,
+            table: Mutex::new(table),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Whether an entry was heard within `ms`.
+    pub(crate) fn is_heard(&self, now: Instant, entry: &str, ms: u64) -> bool {
+        let table = self.table.lock();
+        let peer = table.peers.get(entry);
+        peer.is_some_and(|peer| now.ms_since(peer.heard_at) < ms)
+    }
+
+    /// Names of the entries that were heard lately, in order.
+    pub(crate) fn heard(&self, now: Instant) -> Vec<String> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let mut names: Vec<String> = heard.map(|(name, _)| name.clone()).collect();
+        names.sort();
+        names
+    }
+
+    /// Adds what other entries demand of a service's models.
+    pub(crate) fn add_loads(
+        &self,
+        now: Instant,
+        service: &str,
+        loads: &mut BTreeMap<Arc<str>, Load>,
+    ) {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        for (of, model, load) in heard.flat_map(|peer| &peer.loads) {
+            if **of == *service {
+                loads.entry(Arc::clone(model)).or_default().add(load);
+            }
+        }
+    }
+
+    /// Address of the giver of orders, if it was heard lately.
+    fn giver(&self, now: Instant) -> Option<SocketAddr> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let giver = heard.filter(|peer| peer.giver_token > 0);
+        giver
+            .max_by_key(|peer| peer.giver_token)
+            .map(|peer| peer.address)
+    }
+
+    /// Highest token of a giver that was heard within `ms`.
+    pub(crate) fn giver_token(&self, now: Instant, ms: u64) -> u64 {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < ms);
+        heard.map(|peer| peer.giver_token).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/front/src/peers/tell.rs
@@ -0,0 +1,216 @@
+//! Telling other entries what holds here.
+
+use base::prelude::*;
+use direct::Resident;
+use prost::Message;
+use schema::peer::{
+    AdapterWant, ComingModel, HeldModel, Holding, ModelDemand, PeerNews, UpstreamUse,
+};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+use super::{AWAY_MS, Peers};
+use crate::node::Node;
+
+/// Time between two messages to each peer, for up to [`PEERS_AT_ONCE`] peers;
+/// more peers are told less often, so that an entry's cost stays the same.
+const TELL_EVERY: Duration = Duration::from_millis(100);
+const PEERS_AT_ONCE: usize = 8;
+
+/// Time between two messages that are sent at once.
+const TELL_AT_ONCE_EVERY: Duration = Duration::from_millis(20);
+
+/// Messages out of which one goes to a peer that is away.
+const AWAY_ONE_OF: u64 = 10;
+
+/// Messages within which every upstream's holdings are told once.
+const HOLDINGS_ROUNDS: usize = 5;
+
+/// Tells other entries what holds here, for ever.
+pub(crate) async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        let peers = node.peers.table.lock().addresses.len();
+        let times = u32::try_from(peers / PEERS_AT_ONCE).unwrap_or(u32::MAX);
+        tokio::time::sleep(TELL_EVERY * (times + 1)).await;
+        tell_once(&node, &socket).await;
+    }
+}
+
+/// Tells other entries at once when upstreams hold something else or a renewal
+/// is to be written, and the giver of orders alone when an adapter is wanted:
+/// with many entries, each word to all of them is a cost to all of them.
+pub(crate) async fn tell_when_new(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        tokio::select! {
+            () = node.wants.new.notified() => {
+                let giver = node.peers.giver(node.now());
+                tell_to(&node, &socket, giver.into_iter(), To::Giver).await;
+            }
+            () = node.giver.changed.notified() => tell_once(&node, &socket).await,
+            () = node.peers.wake.notified() => tell_once(&node, &socket).await,
+        }
+        tokio::time::sleep(TELL_AT_ONCE_EVERY).await;
+    }
+}
+
+async fn tell_once(node: &Node, socket: &UdpSocket) {
+    let now = node.now();
+    let giver = node.peers.giver(now);
+    let addresses = node.peers.now_told(now).into_iter();
+    let others = addresses.filter(|address| Some(*address) != giver);
+    tell_to(node, socket, others, To::Entry).await;
+    tell_to(node, socket, giver.into_iter(), To::Giver).await;
+}
+
+/// Whom a message is for. What only the giver of orders needs is most of a
+/// message where there are many models, and would go to every entry in vain.
+#[derive(Debug, Clone, Copy)]
+enum To {
+    Entry,
+    Giver,
+}
+
+async fn tell_to(
+    node: &Node,
+    socket: &UdpSocket,
+    addresses: impl Iterator<Item = SocketAddr>,
+    to: To,
+) {
+    let mut addresses = addresses.peekable();
+    if addresses.peek().is_none() {
+        return;
+    }
+    let message = message(node, to).encode_to_vec();
+    for address in addresses {
+        // A peer that is gone costs a datagram; the next message goes all the
+        // same.
+        let _ = socket.send_to(&message, address).await;
+    }
+}
+
+impl Peers {
+    /// Addresses for this message.
+    fn now_told(&self, now: Instant) -> Vec<SocketAddr> {
+        let table = self.table.lock();
+        let all = table.sequence.is_multiple_of(AWAY_ONE_OF);
+        let heard: BTreeSet<SocketAddr> = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < AWAY_MS)
+            .map(|peer| peer.address)
+            .collect();
+        let addresses = table.addresses.iter().copied();
+        addresses
+            .filter(|address| *address != self.own)
+            .filter(|address| all || heard.contains(address))
+            .collect()
+    }
+}
+
+fn message(node: &Node, to: To) -> PeerNews {
+    let now = node.now();
+    let sequence = {
+        let mut table = node.peers.table.lock();
+        table.sequence += 1;
+        table.sequence
+    };
+    let giver_token = node.lease.lock().token(now).unwrap_or(0);
+    let fleet = node.fleet.lock();
+    let uses = fleet.all().filter(|upstream| upstream.own.running > 0);
+    let uses = uses.map(|upstream| UpstreamUse {
+        upstream: upstream.news.id.to_string(),
+        running: upstream.own.running,
+        waiting_tokens: upstream.own.waiting_tokens,
+        kept_tokens: upstream.own.kept_tokens,
+    });
+    let uses = uses.collect();
+    let leaving = fleet.all().filter(|upstream| upstream.news.leaving);
+    let leaving = leaving
+        .map(|upstream| upstream.news.id.to_string())
+        .collect();
+    drop(fleet);
+    let (demands, wants) = match to {
+        To::Giver => (demands(node, now), wants(node, now)),
+        To::Entry => (Vec::new(), Vec::new()),
+    };
+    PeerNews {
+        entry: node.options.entry.clone(),
+        start: node.start,
+        sequence,
+        setup_version: node.setup().map_or(0, |setup| setup.version),
+        uses,
+        demands,
+        wants,
+        leaving,
+        giver_token,
+        holdings: holdings(node, sequence, giver_token),
+        suspects: node.suspects.lock().export(now),
+        lease_ask: node.relay.asking(now),
+        lease_told: node.relay.telling(now),
+    }
+}
+
+fn demands(node: &Node, now: Instant) -> Vec<ModelDemand> {
+    let demand = node.demand.lock();
+    let all = demand.iter().flat_map(|(service, demand)| {
+        demand.loads(now).map(move |(model, load)| ModelDemand {
+            service: service.to_string(),
+            model: model.to_string(),
+            newest_us_per_s: (load.newest_ms_per_s * 1_000.0) as u64,
+            lasting_us_per_s: (load.lasting_ms_per_s * 1_000.0) as u64,
+            waiting: load.waiting,
+            oldest_wait_ms: load.oldest_wait_ms,
+        })
+    });
+    all.collect()
+}
+
+fn wants(node: &Node, now: Instant) -> Vec<AdapterWant> {
+    let wants = node.wants.standing(now).into_iter();
+    let wants = wants.map(|want| AdapterWant {
+        service: want.service.to_string(),
+        model: want.model.to_string(),
+        adapter: want.adapter.to_string(),
+    });
+    wants.collect()
+}
+
+/// What changed lately, and a part of the rest in turn.
+fn holdings(node: &Node, sequence: u64, giver_token: u64) -> Vec<Holding> {
+    if giver_token == 0 {
+        return Vec::new();
+    }
+    let round = sequence as usize % HOLDINGS_ROUNDS;
+    let told = node
+        .giver
+        .told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
+    let now = node.now();
+    let told = told.into_iter().map(|told| Holding {
+        upstream: told.upstream.to_string(),
+        models: told.residents.iter().map(held_model).collect(),
+        coming: told
+            .coming
+            .iter()
+            .map(|coming| coming_model(now, coming))
+            .collect(),
+    });
+    told.collect()
+}
+
+fn coming_model(now: Instant, coming: &(Arc<str>, Instant)) -> ComingModel {
+    ComingModel {
+        model: coming.0.to_string(),
+        ready_in_ms: coming.1.ms_since(now),
+    }
+}
+
+fn held_model(resident: &Resident) -> HeldModel {
+    HeldModel {
+        model: resident.model.to_string(),
+        version: resident.version,
+        adapters: resident.adapters.iter().map(ToString::to_string).collect(),
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,41 +1,20 @@
 //! A request's way to its answer, over as many upstreams as it may take.
 
 use base::prelude::*;
-use direct::{Next, Outcome, Pick, Picked, Tried, Unpicked, after, pick};
+use direct::{Next, Outcome, Picked, Tried, after};
 use hyper::Response;
 use serde_json::{Value, json};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, Whole, refusal};
 use crate::node::Node;
 use crate::request::Call;
+use crate::seek::Turned;
 use crate::stream::{begin, pass_on};
 use crate::tries::{Live, TryEnd, try_once};
-use crate::wants::Want;
-
-/// Part of the time to its first answer, in percent, that a request waits for
-/// room. The rest is for its run; who is told earlier can still come back.
-const WAIT_PERCENT: u64 = 50;
-
-/// Longest wait for an adapter: one comes in tens of milliseconds.
-const ADAPTER_WAIT_MS: u64 = 600;
-
-/// Longest wait for news of an upstream or a model of which nothing is known.
-const NEWS_WAIT_MS: u64 = 250;
-
-/// Time for a run between a model's arrival and the caller's leaving.
-const RUN_SPARE_MS: u64 = 200;
-
-/// When to come back for a model whose load has not begun.
-const LOAD_RETRY_MS: u64 = 1_500;
-
-/// Longest time between two looks for an upstream while a request waits.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// When to come back after a refusal.
-const RETRY_AFTER_MS: u64 = 250;
+pub(crate) const RETRY_AFTER_MS: u64 = 250;
 
 /// How a request's way ended.
 pub(crate) enum End {
@@ -47,35 +26,23 @@
     Refused(Refusal),
 }
 
-/// Tries after which a request is not sent to an upstream that it was sent to
-/// before. An upstream that refuses one in two is worth asking again; one that
-/// is full would refuse it at once, time after time, until the budget is spent.
-const TRIES_MAX: usize = 3;
-
-/// Why no upstream is tried, and when to come back.
-#[derive(Debug)]
-struct Turned {
-    code: Code,
-    retry_after_ms: u64,
-}
-
 /// A request on its way.
 #[derive(Debug)]
 pub(crate) struct Run {
     pub(crate) node: Arc<Node>,
     pub(crate) call: Call,
     /// Upstreams that were sent the request.
-    sent_to: Vec<Arc<str>>,
+    pub(crate) sent_to: Vec<Arc<str>>,
     /// Upstreams that could not be reached.
-    unreached: Vec<Arc<str>>,
+    pub(crate) unreached: Vec<Arc<str>>,
     may_have_run: bool,
     /// The last failure of an upstream's own.
     failure: Option<Whole>,
     /// Last event given on, where a stream is continued.
     pub(crate) last_event: Option<u64>,
     /// What was tried, for the log.
-    tries: Vec<Value>,
-    waited_ms: u64,
+    pub(crate) tries: Vec<Value>,
+    pub(crate) waited_ms: u64,
     first_answer_ms: Option<u64>,
     told: bool,
 }
@@ -240,145 +207,6 @@
         })
     }
 
-    /// An upstream for the next try; waits for one while that can be in time.
-    async fn picked(&mut self) -> Result<Picked, Turned> {
-        let mut waiting: Option<Waiting> = None;
-        let node = Arc::clone(&self.node);
-        let began_at = node.now();
-        loop {
-            let holdings = node.holdings.notified();
-            let room = node.room.notified();
-            let why = match self.pick() {
-                Ok(picked) => return self.in_time(picked),
-                Err(why) => why,
-            };
-            let now = self.node.now();
-            let wait_until = self.wait_until(began_at, why);
-            if now >= wait_until {
-                self.tries.push(json!({ "unpicked": why.as_str() }));
-                return Err(self.turned(why));
-            }
-            if waiting.is_none() {
-                waiting = Some(Waiting::start(&self.node, &self.call, why));
-            }
-            self.ask_for_adapter(why);
-            let look = LOOK_EVERY.min(wait_until.since(now));
-            // What wakes it, or nothing: the next look decides.
-            let _ = if why == Unpicked::Full {
-                timeout(look, room).await
-            } else {
-                timeout(look, holdings).await
-            };
-            self.waited_ms += self.node.now().ms_since(now);
-        }
-    }
-
-    /// Refuses a request whose answer would begin when its caller has left: it
-    /// would only keep others waiting.
-    fn in_time(&mut self, picked: Picked) -> Result<Picked, Turned> {
-        let left_ms = self.call.first_by.ms_since(self.node.now());
-        let wait_ms = picked.wait_ms as u64;
-        if wait_ms <= left_ms || !self.sent_to.is_empty() {
-            return Ok(picked);
-        }
-        self.tries
-            .push(json!({ "unpicked": "too_late", "expected_ms": wait_ms,
-            "left_ms": left_ms }));
-        Err(Turned {
-            code: Code::Overloaded,
-            retry_after_ms: (wait_ms - left_ms).max(RETRY_AFTER_MS),
-        })
-    }
-
-    /// Until when an upstream is waited for.
-    ///
-    /// A caller that is told at once can come back when it is of use; one that
-    /// is kept until it leaves has nothing.
-    fn wait_until(&self, began_at: Instant, why: Unpicked) -> Instant {
-        let first_by = self.call.first_by;
-        let whole_ms = first_by.ms_since(self.call.arrived);
-        let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
-        match why {
-            Unpicked::Full => part,
-            Unpicked::NoAdapter => part.min(began_at.plus_ms(ADAPTER_WAIT_MS)),
-            Unpicked::NoUpstream => part.min(began_at.plus_ms(NEWS_WAIT_MS)),
-            Unpicked::NoModel => match self.ready_at() {
-                Some(ready_at) if ready_at.plus_ms(RUN_SPARE_MS) < first_by => first_by,
-                _ => part.min(began_at.plus_ms(NEWS_WAIT_MS)),
-            },
-        }
-    }
-
-    fn ready_at(&self) -> Option<Instant> {
-        let (model, _) = self.call.ask.model.as_ref()?;
-        let fleet = self.node.fleet.lock();
-        fleet.ready_at(self.node.now(), &self.call.service, model)
-    }
-
-    /// How a request is turned away for which there is no upstream.
-    fn turned(&self, why: Unpicked) -> Turned {
-        let now = self.node.now();
-        let retry_after_ms = match why {
-            Unpicked::NoModel => self
-                .ready_at()
-                .map_or(LOAD_RETRY_MS, |ready_at| ready_at.ms_since(now)),
-            _ => RETRY_AFTER_MS,
-        };
-        Turned {
-            code: code_of(why),
-            retry_after_ms: retry_after_ms.max(RETRY_AFTER_MS),
-        }
-    }
-
-    /// An upstream that was not tried; if there is none, one that was, where the
-    /// request may run again.
-    fn pick(&self) -> Result<Picked, Unpicked> {
-        let tried = self.sent_to.iter().chain(&self.unreached);
-        let tried: Vec<Arc<str>> = tried.cloned().collect();
-        let other = self.pick_but(&tried);
-        let may_repeat =
-            self.call.route.kind.may_repeat() && self.tries.len() < TRIES_MAX;
-        if other.is_ok() || tried.is_empty() || !may_repeat {
-            return other;
-        }
-        self.pick_but(&[])
-    }
-
-    fn pick_but(&self, excluded: &[Arc<str>]) -> Result<Picked, Unpicked> {
-        let call = &self.call;
-        let answer_tokens = call.ask.answer_tokens_max;
-        let model = call.ask.model.as_ref();
-        let input = Pick {
-            now: self.node.now(),
-            service: &call.service,
-            engine: call.spec.engine.as_ref(),
-            model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
-            parts: &call.parts,
-            prompt_tokens: call.ask.prompt_tokens,
-            pace: self.node.pace_of(call),
-            kept_tokens: call.ask.prompt_tokens + answer_tokens,
-            excluded,
-            domain: &self.node.options.domain,
-            random: self.node.random(),
-        };
-        pick(&self.node.fleet.lock(), &input)
-    }
-
-    fn ask_for_adapter(&self, why: Unpicked) {
-        let model = self.call.ask.model.as_ref();
-        let Some((model, Some(adapter))) = model else {
-            return;
-        };
-        if why == Unpicked::NoAdapter {
-            let want = Want {
-                service: Arc::clone(&self.call.service),
-                model: Arc::clone(model),
-                adapter: Arc::clone(adapter),
-            };
-            self.node.wants.name(self.node.now(), want);
-        }
-    }
-
     fn note_try(&mut self, picked: &Picked, begun_at: Instant, ended: &TryEnd) {
         self.learn_pace(picked, begun_at, ended);
         let outcome = match ended {
@@ -472,43 +300,3 @@
         self.tell("caller_gone", 0);
     }
 }
-
-/// A request that waits for its model, as demand sees it.
-struct Waiting {
-    node: Arc<Node>,
-    model: Option<(Arc<str>, Arc<str>)>,
-    since: Instant,
-}
-
-impl Waiting {
-    fn start(node: &Arc<Node>, call: &Call, why: Unpicked) -> Self {
-        let model = call.ask.model.as_ref().filter(|_| why == Unpicked::NoModel);
-        let waiting = Self {
-            node: Arc::clone(node),
-            model: model
-                .map(|(model, _)| (Arc::clone(&call.service), Arc::clone(model))),
-            since: node.now(),
-        };
-        if let Some((service, model)) = &waiting.model {
-            node.with_demand(service, |demand| demand.wait(model, waiting.since));
-        }
-        waiting
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if let Some((service, model)) = &self.model {
-            let since = self.since;
-            self.node
-                .with_demand(service, |demand| demand.wait_ended(model, since));
-        }
-    }
-}
-
-const fn code_of(why: Unpicked) -> Code {
-    match why {
-        Unpicked::NoModel | Unpicked::NoAdapter => Code::ModelUnavailable,
-        Unpicked::NoUpstream | Unpicked::Full => Code::Overloaded,
-    }
-}
