--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -59,8 +59,4 @@
     pub adapters_coming: Vec<(Arc<str>, Arc<str>)>,
     /// Copies of weights.
     pub copies: Copies,
-    /// Requests that wait there.
-    pub waiting: u32,
-    /// Requests that run there.
-    pub running: u32,
 }
--- a/crates/direct/src/setup.rs
+++ b/crates/direct/src/setup.rs
@@ -80,10 +80,6 @@
 /// A service.
 #[derive(Debug, Clone, Default)]
 pub struct ServiceSpec {
-    /// Path that answers whether an upstream is well.
-    pub health_path: String,
-    /// Connections one upstream accepts from all callers together.
-    pub connections_max: u32,
     /// What upstreams of models hold and how; `None` for a plain service.
     pub engine: Option<Engine>,
 }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -35,7 +35,7 @@
 /// Whatever goes wrong with watching, also history that is gone, ends in a new
 /// list, which needs no history.
 pub(crate) async fn follow(node: Arc<Node>, followed: Followed) {
-    let mut lost = Lost::new(&node, followed);
+    let mut lost = Lost::new(followed);
     loop {
         let Some(mut after) = list(&node, followed, &mut lost).await else {
             lost.pause().await;
@@ -131,7 +131,7 @@
 }
 
 impl Lost {
-    fn new(_: &Node, followed: Followed) -> Self {
+    const fn new(followed: Followed) -> Self {
         Self {
             followed,
             is_lost: false,
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -18,8 +18,6 @@
     pub peers: SocketAddr,
     /// Other entries that may be there, in case the platform can't say.
     pub peer_seeds: Vec<SocketAddr>,
-    /// Memory that the process may take.
-    pub memory_max_mb: u64,
     /// Bounds of the deployment.
     pub bounds: Bounds,
     /// Where the platform keeps what this process reads and writes.
