An upstream whose entry is back is used again

Cause: the store loses what upstreams write, their entries lapse, and the next sign of life brings them back under the same name; whoever had seen the loss took them to be leaving for ever. Ruled out: the lease (renewed by other entries), answers of the store (read). Change: a vanished entry is undone by a newer one; only an upstream's own word that it leaves is for ever. Entries tell one another the version at which they saw it.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -69,8 +69,11 @@
     pub news: UpstreamNews,
     /// Version of the platform's entry.
     pub version: u64,
-    /// When its entry was found missing.
+    /// When its entry was found missing while that may have been the platform's
+    /// outage.
     vanished_at: Option<Instant>,
+    /// Version at which its entry was found missing.
+    gone: Option<u64>,
     /// This entry's own requests there.
     pub own: Usage,
     /// Other entries' requests there.
@@ -104,6 +107,7 @@
             news,
             version,
             vanished_at: None,
+            gone: None,
             own: Usage::default(),
             peers: HashMap::new(),
             said: None,
@@ -119,7 +123,17 @@
     /// Whether requests may be sent there at all.
     pub fn is_usable(&self, now: Instant) -> bool {
         let vanished_ms = self.vanished_at.map(|at| now.ms_since(at));
-        !self.news.leaving && vanished_ms.is_none_or(|ms| ms < VANISHED_MS)
+        let lapsed = vanished_ms.is_some_and(|ms| ms < VANISHED_MS);
+        !self.news.leaving && (self.gone.is_none() || lapsed)
+    }
+
+    /// The version at which it was said to leave or its entry vanished, and
+    /// whether the latter.
+    pub fn leaving(&self) -> Option<(u64, bool)> {
+        if self.news.leaving {
+            return Some((self.version, false));
+        }
+        self.gone.map(|version| (version, true))
     }
 
     /// Whether it is better avoided: silent while it has work, or not reached.
@@ -253,10 +267,8 @@
         self.returned_at = Some(now);
     }
 
-    /// The whole list as of now; what is missing from it has gone.
-    ///
-    /// Returns whether anything changed.
-    pub fn list(&mut self, now: Instant, listed: Vec<(u64, UpstreamNews)>) {
+    /// The whole list at a version; what is missing from it has gone.
+    pub fn list(&mut self, now: Instant, at: u64, listed: Vec<(u64, UpstreamNews)>) {
         let names: Vec<Arc<str>> = listed
             .iter()
             .map(|(_, news)| Arc::clone(&news.id))
@@ -271,7 +283,7 @@
             .cloned()
             .collect();
         for id in missing {
-            self.remove(now, &id);
+            self.remove(now, &id, at);
         }
     }
 
@@ -282,33 +294,35 @@
             self.upstreams.insert(id, Upstream::new(news, version));
             return;
         };
-        if version < known.version {
+        if version < known.version || known.gone.is_some_and(|gone| version <= gone) {
             return;
         }
         // An upstream that said it is leaving never takes work again; only its
-        // next start does, under another name.
+        // next start does, under another name. One whose entry had vanished and
+        // is back lives: its signs of life were lost on their way.
         let leaving = known.news.leaving || news.leaving;
         known.news = news;
         known.news.leaving = leaving;
         known.version = version;
         known.vanished_at = None;
+        known.gone = None;
     }
 
     /// The entry of an upstream has gone from the platform.
     ///
-    /// It is leaving, unless it may only have lapsed while the platform was
-    /// away: all upstreams would be lost at once to a pause of the platform.
-    pub fn remove(&mut self, now: Instant, id: &str) {
+    /// It is taken to be leaving until its entry is back, unless it may only have
+    /// lapsed while the platform was away: all upstreams would be lost at once to
+    /// a pause of the platform.
+    pub fn remove(&mut self, now: Instant, id: &str, version: u64) {
         let lapsed = self
             .returned_at
             .is_some_and(|at| now.ms_since(at) < RETURN_MS);
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
+        upstream.gone = Some(version.max(upstream.version));
         if lapsed {
             upstream.vanished_at.get_or_insert(now);
-        } else {
-            upstream.news.leaving = true;
         }
     }
 
@@ -325,10 +339,16 @@
         });
     }
 
-    /// Another entry says that an upstream is leaving.
-    pub fn heard_leaving(&mut self, id: &str) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
+    /// Another entry says that an upstream is leaving, or that its entry had
+    /// vanished at a version.
+    pub fn heard_leaving(&mut self, id: &str, version: u64, vanished: bool) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if !vanished {
             upstream.news.leaving = true;
+        } else if version >= upstream.version && upstream.vanished_at.is_none() {
+            upstream.gone = Some(version);
         }
     }
 
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -61,7 +61,7 @@
     lost.regained(node);
     match followed {
         Followed::Setup => setups(node, &objects),
-        Followed::Upstreams => all_upstreams(node, &objects),
+        Followed::Upstreams => all_upstreams(node, at, &objects),
     }
     followed.confirm(node, at);
     Some(at)
@@ -211,10 +211,10 @@
     );
 }
 
-fn all_upstreams(node: &Node, objects: &[Object]) {
+fn all_upstreams(node: &Node, at: Version, objects: &[Object]) {
     let listed = objects.iter().filter_map(|object| read(node, object));
     let listed: Vec<_> = listed.collect();
-    node.fleet.lock().list(node.now(), listed);
+    node.fleet.lock().list(node.now(), at.0, listed);
     node.holdings.notify_waiters();
 }
 
@@ -224,7 +224,7 @@
         if object.2.is_empty() {
             let prefix = &node.options.keys.upstream_prefix;
             let id = object.0.strip_prefix(prefix.as_str()).unwrap_or(&object.0);
-            node.fleet.lock().remove(now, id);
+            node.fleet.lock().remove(now, id, object.1.0);
             node.log.line("upstream_gone", json!({ "upstream": id }));
         } else if let Some((version, news)) = read(node, object) {
             if news.leaving {
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -50,8 +50,8 @@
     });
     let mut fleet = node.fleet.lock();
     fleet.peer_usage(now, &news.entry, uses);
-    for id in &news.leaving {
-        fleet.heard_leaving(id);
+    for leaving in &news.leaving {
+        fleet.heard_leaving(&leaving.upstream, leaving.version, leaving.vanished);
     }
     for holding in &news.holdings {
         let residents = holding.models.iter().map(resident).collect();
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -4,7 +4,8 @@
 use direct::Resident;
 use prost::Message;
 use schema::peer::{
-    AdapterWant, ComingModel, HeldModel, Holding, ModelDemand, PeerNews, UpstreamUse,
+    AdapterWant, ComingModel, HeldModel, Holding, LeavingUpstream, ModelDemand,
+    PeerNews, UpstreamUse,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -127,10 +128,15 @@
         kept_tokens: upstream.own.kept_tokens,
     });
     let uses = uses.collect();
-    let leaving = fleet.all().filter(|upstream| upstream.news.leaving);
-    let leaving = leaving
-        .map(|upstream| upstream.news.id.to_string())
-        .collect();
+    let leaving = fleet.all().filter_map(|upstream| {
+        let (version, vanished) = upstream.leaving()?;
+        Some(LeavingUpstream {
+            upstream: upstream.news.id.to_string(),
+            version,
+            vanished,
+        })
+    });
+    let leaving = leaving.collect();
     drop(fleet);
     let (demands, wants) = match to {
         To::Giver => (demands(node, now), wants(node, now)),
