--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -6,10 +6,12 @@
 
 use crate::{Resident, Setup, UpstreamNews};
 
-/// Time for which an upstream whose entry vanished while the platform was away
-/// is still used. Entries that lapsed meanwhile are back within two seconds of
-/// the platform's return if the upstream lives; what is missing then is gone.
-const VANISHED_MS: u64 = 2_500;
+/// Time for which an upstream is still used whose entry was found missing just
+/// after the platform was away. Entries that lapsed meanwhile are back within two
+/// seconds of the platform's return if the upstream lives. One that really left
+/// must get nothing two seconds after the platform knew it, and the news of that
+/// may have taken almost one.
+const VANISHED_MS: u64 = 1_000;
 
 /// Time after the platform's return in which a missing entry may only have
 /// lapsed while it was away.
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -78,6 +78,11 @@
     fleet.platform_returned(at(10_000));
     fleet.list(at(10_000), 7, Vec::new());
     assert!(usable(&fleet, 10_000, "1"));
+    assert!(usable(&fleet, 10_900, "2"));
+    assert!(
+        !usable(&fleet, 11_100, "2"),
+        "it may have left at that moment"
+    );
     fleet.put(8, news("1", &["a"]));
     assert!(usable(&fleet, 13_000, "1"));
     assert!(!usable(&fleet, 13_000, "2"), "still missing: gone");
