A stream with a gap counts as broken where it has the gap

Cause: when a gap in the events came together with whole events before it, the broken upstream was forgotten; the request was sent again whatever its kind, and without counting as a repeat. A stream that must not run twice ran twice. Ruled out: gaps that come alone (they ended the stream). Change: the upstream is kept until the break is dealt with; what was given on before it is written before the connection ends. The test failed first: events one to three of a second run after one and two of the first.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -23,6 +23,9 @@
     run: Run,
     live: Option<Box<Live>>,
     splitter: Splitter,
+    /// An event came that belongs to nothing: what was before it is given on, and
+    /// the stream has broken there.
+    misfit: bool,
     status: StatusCode,
     headers: HeaderMap,
     over: bool,
@@ -56,6 +59,7 @@
         run,
         live: Some(Box::new(live)),
         splitter: Splitter::default(),
+        misfit: false,
         over: false,
     };
     match pump.next().await {
@@ -77,6 +81,9 @@
             Ok(None) => None,
             Err(_) => {
                 pump.run.tell("broke_off", status_of(&pump));
+                // The library ends the connection at once and would take with it
+                // what was given on just before and is not yet written.
+                tokio::task::yield_now().await;
                 Some((Err(BrokenOff), (None, None)))
             }
         }
@@ -156,21 +163,20 @@
     /// Takes whole events out of what came, as one piece.
     fn whole_events(&mut self) -> Option<Step> {
         let mut bytes = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
+        while !self.misfit {
+            let Some(event) = self.splitter.next_event() else {
+                break;
+            };
             match self.place(&event) {
                 Place::Next => bytes.extend_from_slice(&event.bytes),
                 Place::Known => {}
-                Place::Wrong => {
-                    return Some(Step::Broke).filter(|_| bytes.is_empty()).or_else(
-                        || {
-                            self.live = None;
-                            Some(Step::Events(bytes.freeze()))
-                        },
-                    );
-                }
+                Place::Wrong => self.misfit = true,
             }
         }
-        (!bytes.is_empty()).then(|| Step::Events(bytes.freeze()))
+        if !bytes.is_empty() {
+            return Some(Step::Events(bytes.freeze()));
+        }
+        self.misfit.then_some(Step::Broke)
     }
 
     /// Where an event belongs. One that the caller has already is left out; one
@@ -201,6 +207,7 @@
     /// Continues the stream at another upstream, behind the last whole event.
     async fn go_on(&mut self) -> Result<(), End> {
         self.splitter = Splitter::default();
+        self.misfit = false;
         let broken = self.live.take();
         let upstream = broken.map(|live| {
             let id = Arc::clone(&live.in_flight.upstream);
