--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -77,7 +77,7 @@
     node.log.line(
         "started",
         json!({ "entry": node.options.entry, "domain": node.options.domain,
-            "callers": node.options.callers, "peers": node.options.peers,
+            "callers": node.options.callers, "readiness": node.options.readiness, "peers": node.options.peers,
             "start": node.start }),
     );
     let shared = || Arc::clone(&node);
