Doubts, lost peers and suspensions are told

Cause: whether an upstream is avoided follows from times that pass, and nothing was written when it began or ended; the same for an entry that fell silent, and for a process that did not run. Change: direct::Doubts compares looks at the fleet, and decisions that rest on a doubt tell it at once: a look each 200 ms alone missed a silence that ends 100 ms after it is noticed, as the test with a silent server showed (it failed until then). A process late by half a second says for how long. Tests: three of direct, a silent server and a process frozen past its lease, both with the real program; they fail without the lines.

--- /dev/null
+++ b/crates/direct/src/doubts.rs
@@ -0,0 +1,83 @@
+//! Doubts about upstreams, and when they arise and end.
+
+use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::{Fleet, Upstream};
+
+/// Why an upstream is better avoided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// It has work and gives no sign of life to any request.
+    Silent,
+    /// It could not be connected to.
+    Unreached,
+    /// Its entry is missing since the platform was away.
+    Vanished,
+}
+
+impl Doubt {
+    /// The word used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Unreached => "unreached",
+            Self::Vanished => "vanished",
+        }
+    }
+}
+
+/// A doubt that arose, changed or ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Turn {
+    /// Upstream.
+    pub upstream: Arc<str>,
+    /// What was held of it before.
+    pub before: Option<Doubt>,
+    /// What is held of it now.
+    pub now: Option<Doubt>,
+}
+
+/// The doubts held at the last look.
+///
+/// Whether an upstream is avoided follows from times that pass, so nothing
+/// happens at the moment at which it turns: only comparing two looks shows it.
+#[derive(Debug, Default)]
+pub struct Doubts {
+    held: BTreeMap<Arc<str>, Doubt>,
+}
+
+impl Doubts {
+    /// No doubts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// What has turned since the last look. An upstream that was forgotten
+    /// meanwhile is no turn.
+    pub fn look(&mut self, now: Instant, fleet: &Fleet) -> Vec<Turn> {
+        self.held.retain(|id, _| fleet.get(id).is_some());
+        fleet
+            .all()
+            .filter_map(|upstream| self.look_at(now, upstream))
+            .collect()
+    }
+
+    /// What has turned for one upstream since the last look. A decision that
+    /// rests on a doubt calls this at once: the doubt may be over before the
+    /// next look at all upstreams.
+    pub fn look_at(&mut self, now: Instant, upstream: &Upstream) -> Option<Turn> {
+        let id = &upstream.news.id;
+        let doubt = upstream.doubt(now);
+        let before = match doubt {
+            Some(doubt) => self.held.insert(Arc::clone(id), doubt),
+            None => self.held.remove(id),
+        };
+        (before != doubt).then(|| Turn {
+            upstream: Arc::clone(id),
+            before,
+            now: doubt,
+        })
+    }
+}
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::{Resident, Setup, UpstreamNews};
+use crate::{Doubt, Resident, Setup, UpstreamNews};
 
 /// Time for which an upstream is still used whose entry was found missing just
 /// after the platform was away. Entries that lapsed meanwhile are back within two
@@ -138,10 +138,26 @@
         self.gone.map(|version| (version, true))
     }
 
-    /// Whether it is better avoided: silent while it has work, or not reached.
+    /// Whether it is better avoided.
     pub fn is_suspected(&self, now: Instant) -> bool {
+        self.doubt(now).is_some()
+    }
+
+    /// Why it is better avoided, if it is.
+    pub fn doubt(&self, now: Instant) -> Option<Doubt> {
+        if now < self.unreached_until {
+            return Some(Doubt::Unreached);
+        }
+        if self.vanished_at.is_some() {
+            return Some(Doubt::Vanished);
+        }
         let silent = self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS;
-        silent || now < self.unreached_until || self.vanished_at.is_some()
+        silent.then_some(Doubt::Silent)
+    }
+
+    /// Time since the last bytes from it.
+    pub fn silent_ms(&self, now: Instant) -> u64 {
+        now.ms_since(self.heard_at)
     }
 
     /// Use by all entries.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`Setup`] is the operator's configuration as the decisions need it, with
 //!   routes by host and longest prefix.
 //! - [`Fleet`] is what this entry knows of the upstreams.
+//! - [`Doubts`] says when an upstream begins or ceases to be avoided.
 //! - [`pick`] chooses an upstream for one request.
 //! - [`after`] says what may follow a try that did not end well.
 //! - [`Repeats`] keeps repeats of all entries together under one bound.
@@ -28,6 +29,7 @@
 mod again;
 mod board;
 mod demand;
+mod doubts;
 mod fleet;
 mod lease;
 mod ledger;
@@ -42,6 +44,7 @@
 
 pub use again::{Next, Outcome, Tried, after};
 pub use demand::{Demand, Load};
+pub use doubts::{Doubt, Doubts, Turn};
 pub use fleet::{Fleet, Upstream, Usage};
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::{Action, Ledger, Order, OrderAnswer, Sent};
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod again;
 mod demand;
+mod doubts;
 mod fleet;
 mod lease;
 mod ledger;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 //!   another request needs.
 
 mod answer;
+mod beliefs;
 mod clock;
 mod connection;
 mod crash;
--- a/crates/front/src/meters.rs
+++ b/crates/front/src/meters.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds: the aims of the deployments lie
@@ -26,6 +27,10 @@
     pub(crate) orders: IntCounterVec,
     /// Calls to the platform, by object and outcome.
     pub(crate) store_calls: IntCounterVec,
+    /// Doubts about upstreams that arose, by why.
+    pub(crate) doubts: IntCounterVec,
+    /// Time for which the process did not run.
+    pub(crate) suspended_s: Counter,
     /// Requests in progress.
     pub(crate) in_progress: IntGauge,
     /// Lines of the log that were dropped.
@@ -63,6 +68,19 @@
             "Calls to the platform",
             &["object", "outcome"],
         );
+        let doubts = counter(
+            "sesame_front_upstream_doubts_total",
+            "Upstreams that began to be avoided",
+            &["why"],
+        );
+        let suspended_s = Counter::new(
+            "sesame_front_suspended_seconds_total",
+            "Time for which the process did not run",
+        )
+        .expect("names are literals that fit");
+        registry
+            .register(Box::new(suspended_s.clone()))
+            .expect("each name stands once");
         let histogram = |name: &str, help: &str| {
             let options =
                 HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
@@ -98,6 +116,8 @@
             tries,
             orders,
             store_calls,
+            doubts,
+            suspended_s,
             in_progress,
             log_dropped,
         }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -1,7 +1,7 @@
 //! What all tasks of the process share.
 
 use base::prelude::*;
-use direct::{Demand, Fleet, Lease, Paces, Repeats, Setup, Watermark};
+use direct::{Demand, Doubts, Fleet, Lease, Paces, Repeats, Setup, Watermark};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -47,6 +47,8 @@
     /// Configuration in force, and how far it is known.
     pub(crate) setup: Mutex<(Option<Arc<Setup>>, Watermark)>,
     pub(crate) fleet: Mutex<Fleet>,
+    /// Doubts about upstreams that were told of; locked before the fleet.
+    pub(crate) doubts: Mutex<Doubts>,
     /// How far the upstreams' entries are known.
     pub(crate) fleet_mark: Mutex<Watermark>,
     /// Demand by service.
@@ -97,6 +99,7 @@
             start,
             setup: Mutex::default(),
             fleet: Mutex::default(),
+            doubts: Mutex::default(),
             fleet_mark: Mutex::default(),
             demand: Mutex::default(),
             repeats: Mutex::new(repeats),
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use super::{AWAY_MS, PeerState, Peers};
+use super::{PeerState, Peers};
 use crate::node::Node;
 use crate::relay::hear_ask;
 use crate::wants::Want;
@@ -109,7 +109,7 @@
         if newest.is_some_and(|newest| (news.start, news.sequence) <= newest) {
             return false;
         }
-        if known.is_none_or(|peer| now.ms_since(peer.heard_at) > AWAY_MS) {
+        if known.is_none_or(|peer| peer.lost) {
             node.log.line(
                 "peer_heard",
                 json!({ "peer": news.entry, "from": from, "setup": news.setup_version }),
@@ -133,6 +133,7 @@
             start: news.start,
             sequence: news.sequence,
             heard_at: now,
+            lost: false,
             giver_token: news.giver_token,
             loads: loads.collect(),
         };
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -54,6 +54,8 @@
     start: u64,
     sequence: u64,
     heard_at: Instant,
+    /// Whether its silence was told of.
+    lost: bool,
     giver_token: u64,
     loads: Vec<(Arc<str>, Arc<str>, Load)>,
 }
@@ -79,6 +81,21 @@
         peer.is_some_and(|peer| now.ms_since(peer.heard_at) < ms)
     }
 
+    /// Entries that have fallen silent since the last call, with for how long.
+    pub(crate) fn newly_lost(&self, now: Instant) -> Vec<(String, u64)> {
+        let mut table = self.table.lock();
+        let silent = table
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| !peer.lost && now.ms_since(peer.heard_at) >= DEMAND_MS);
+        silent
+            .map(|(name, peer)| {
+                peer.lost = true;
+                (name.clone(), now.ms_since(peer.heard_at))
+            })
+            .collect()
+    }
+
     /// Names of the entries that were heard lately, in order.
     pub(crate) fn heard(&self, now: Instant) -> Vec<String> {
         let table = self.table.lock();
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::beliefs::tell_beliefs;
 use crate::follow::{Followed, follow};
 use crate::giver::give_orders;
 use crate::node::Node;
@@ -92,6 +93,7 @@
     tokio::spawn(keep_lease(shared()));
     tokio::spawn(give_orders(shared()));
     tokio::spawn(sweep(shared()));
+    tokio::spawn(tell_beliefs(shared()));
     let handing_over = node.log.clone();
     tokio::spawn(async move { handing_over.hand_over().await });
     Ok(Front { node })
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, BrokenOff};
+use crate::beliefs::tell_doubt;
 use crate::events::{Event, Splitter};
 use crate::run::{End, Run};
 use crate::tries::Live;
@@ -197,11 +198,15 @@
 
     /// Whether the stream is better continued elsewhere than waited for.
     fn is_given_up(&self) -> bool {
-        let silent = self
-            .live
-            .as_ref()
-            .is_some_and(|live| live.in_flight.is_silent());
-        silent && self.run.call.route.kind.may_repeat()
+        if !self.run.call.route.kind.may_repeat() {
+            return false;
+        }
+        let live = self.live.as_ref();
+        let silent = live.filter(|live| live.in_flight.is_silent());
+        if let Some(live) = silent {
+            tell_doubt(&self.run.node, &live.in_flight.upstream);
+        }
+        silent.is_some()
     }
 
     /// Continues the stream at another upstream, behind the last whole event.
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::answer::Whole;
+use crate::beliefs::tell_doubt;
 use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
 use crate::node::Node;
@@ -221,9 +222,13 @@
     in_flight: &InFlight,
     sent_at: Instant,
 ) -> bool {
-    call.route.kind.may_repeat()
+    let gives_up = call.route.kind.may_repeat()
         && node.now().ms_since(sent_at) > PATIENCE_MS
-        && in_flight.is_silent()
+        && in_flight.is_silent();
+    if gives_up {
+        tell_doubt(node, &in_flight.upstream);
+    }
+    gives_up
 }
 
 /// Judges an answer by its head and reads what has to be read of it.
@@ -350,4 +355,5 @@
     if let Some(upstream) = node.fleet.lock().get_mut(id) {
         upstream.unreached(now);
     }
+    tell_doubt(node, id);
 }
