--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -19,6 +19,11 @@
 /// more on telling of them than on serving them.
 const LINES_PER_S: u32 = 2_000;
 
+/// Bytes of one write, if its lines are not longer: what a pipe takes as a whole
+/// (`PIPE_BUF` of Linux). Larger writes may be split by whatever collects them,
+/// and a reader then sees half a line and misses those behind it.
+const WRITE_MAX_BYTES: usize = 4_096;
+
 /// The process's log.
 ///
 /// Lines are put together in memory and handed to a thread that may block on
@@ -61,20 +66,19 @@
     /// If the operating system gives no thread.
     pub fn to(mut out: impl Write + Send + 'static) -> Self {
         let (writer, handed) = sync_channel::<Vec<u8>>(1);
+        let inner: Arc<Mutex<Held>> = Arc::default();
+        let written = Arc::clone(&inner);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 << 10)
             .spawn(move || {
                 for bytes in handed {
-                    // A closed standard output leaves nowhere to say so.
-                    let _ = out.write_all(&bytes).and_then(|()| out.flush());
+                    let lost = write_lines(&mut out, &bytes);
+                    written.lock().dropped += lost;
                 }
             })
             .expect("a process starts with threads to spare");
-        Self {
-            inner: Arc::default(),
-            writer,
-        }
+        Self { inner, writer }
     }
 
     /// Adds a line: an event and its fields.
@@ -125,6 +129,29 @@
     }
 }
 
+/// Writes lines, each whole within one write; how many could not be written.
+/// A closed standard output leaves nowhere else to say so.
+fn write_lines(out: &mut impl Write, bytes: &[u8]) -> u64 {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let (now, later) = rest.split_at(whole_lines(rest));
+        if out.write_all(now).and_then(|()| out.flush()).is_err() {
+            return rest.iter().filter(|byte| **byte == b'\n').count() as u64;
+        }
+        rest = later;
+    }
+    0
+}
+
+/// Length of the first lines that fit into one write; of the first line if that
+/// alone is longer.
+fn whole_lines(bytes: &[u8]) -> usize {
+    let ends = |part: &[u8]| part.iter().rposition(|byte| *byte == b'\n');
+    let first = &bytes[..bytes.len().min(WRITE_MAX_BYTES)];
+    let end = ends(first).or_else(|| bytes.iter().position(|byte| *byte == b'\n'));
+    end.map_or(bytes.len(), |end| end + 1)
+}
+
 impl Held {
     /// Whether one more line is taken.
     fn admit(&mut self, second: u64) -> bool {
--- a/crates/front/tests/all/log.rs
+++ b/crates/front/tests/all/log.rs
@@ -65,3 +65,66 @@
         assert_eq!(line["event"], "request");
     }
 }
+
+/// Keeps each write by itself.
+#[derive(Debug, Clone, Default)]
+struct Writes(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Write for Writes {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut writes = self.0.lock().expect("no test panicked");
+        writes.push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Many requests end at once, and their lines are handed over together. Whatever
+/// collects the log takes only so much of one write as a whole: a larger one
+/// loses the lines behind the cut, which are those that tell why.
+#[test]
+fn no_line_is_split_over_two_writes() {
+    let writes = Writes::default();
+    let log = Log::to(writes.clone());
+    for number in 0..100 {
+        let filler = "x".repeat(if number == 50 { 6_000 } else { 300 });
+        log.line("request", json!({ "number": number, "filler": filler }));
+    }
+    log.flush();
+    let written = || writes.0.lock().expect("no test panicked").concat();
+    while written().iter().filter(|byte| **byte == b'\n').count() < 100 {
+        std::thread::yield_now();
+    }
+    for write in writes.0.lock().expect("no test panicked").iter() {
+        let lines = write.iter().filter(|byte| **byte == b'\n').count();
+        assert_eq!(write.last(), Some(&b'\n'));
+        assert!(write.len() <= 4_096 || lines == 1, "{} bytes", write.len());
+    }
+}
+
+/// Nobody will ever read the log again.
+#[test]
+fn lines_that_can_not_be_written_are_counted() {
+    struct Closed;
+    impl Write for Closed {
+        fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+            Err(std::io::ErrorKind::BrokenPipe.into())
+        }
+
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let log = Log::to(Closed);
+    for _ in 0..3 {
+        log.line("request", json!({}));
+    }
+    log.flush();
+    while log.dropped() < 3 {
+        std::thread::yield_now();
+    }
+    assert_eq!(log.dropped(), 3);
+}
