sesamectl explain reads the entries' logs

Cause: explain asked processes for their own time line, which the entries on the platform don't keep; from a request's id to its cause one had to know which lines to filter for.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -6,7 +6,7 @@
 use super::timeline::{Query, gather, percent_encode};
 use crate::members::{Target, ask_all};
 use crate::options::{ExplainOptions, Subject};
-use crate::{CtlError, Exit, Report};
+use crate::{CtlError, Exit, Report, trail};
 
 /// What one process knows.
 #[derive(Debug, Serialize)]
@@ -17,6 +17,9 @@
 
 /// Explains a model or a request.
 pub(super) async fn run(options: &ExplainOptions) -> Result<Report, CtlError> {
+    if !options.log.is_empty() {
+        return logs(options);
+    }
     let targets = reach(&options.reach).await?;
     match options.subject {
         Subject::Model => Ok(model(&targets, options).await),
@@ -30,6 +33,23 @@
     }
 }
 
+/// Tells what logs have of the subject. A subject that no line names is most
+/// likely in a log that was not given, so that is no success.
+fn logs(options: &ExplainOptions) -> Result<Report, CtlError> {
+    let trail = match options.subject {
+        Subject::Model => trail::model(&options.log, &options.id)?,
+        Subject::Request => trail::request(&options.log, &options.id)?,
+    };
+    if trail.lines.is_empty() && trail.others.is_empty() {
+        let none = format!("no line names `{}`", options.id);
+        return Ok(Report::lines([none], Exit::Faults));
+    }
+    if options.json {
+        return Ok(Report::json(&trail.lines, Exit::Ok));
+    }
+    Ok(Report::lines(trail.told(), Exit::Ok))
+}
+
 /// Asks all processes; each tells what it knows itself, so only an answer by
 /// nobody is a failure.
 async fn model(targets: &[Target], options: &ExplainOptions) -> Report {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod options;
 pub mod publish;
 mod report;
+pub mod trail;
 
 pub use error::CtlError;
 pub use exit::Exit;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -203,6 +203,10 @@
     /// Where to find the processes.
     #[bpaf(external)]
     pub reach: Reach,
+    /// Log of entries that speak to upstreams themselves, one JSON object a line;
+    /// may be repeated. No process is asked then
+    #[bpaf(argument("FILE"))]
+    pub log: Vec<PathBuf>,
     /// Print JSON for programs
     pub json: bool,
     /// model or request
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -5,3 +5,4 @@
 mod members;
 mod platform;
 mod publish;
+mod trail;
