More wanted models than places take turns

Cause: the last copy of a wanted model never made room. Ruled out: requests that don't wait (they are counted as demand), and the store's rate. Change: direct::Unserved keeps since when a model is wanted without a holder; after 6 s it may take the place of one that has had its turn, three times the load from its copy. Who is overdue longest goes first. Test: eight models on six places; two of them were served 0 of 60 s, now each at least 20 s, and places serve three quarters of the time.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::outlook::{Outlook, outlooks};
+use crate::unserved::{Unserved, turn_ms};
 use crate::{Choice, Engine, Group, Load, Reason, Spot};
 
 /// What a move costs, in relief. Relief is the fall of the sum of the squares of
@@ -47,6 +48,7 @@
     /// How demand may go on.
     outlooks: Vec<Outlook>,
     loads: &'a BTreeMap<Arc<str>, Load>,
+    unserved: &'a Unserved,
     /// Upstreams that hold a model or will.
     holders: BTreeMap<Arc<str>, Vec<usize>>,
     store_left: usize,
@@ -70,6 +72,7 @@
         engine: &'a Engine,
         spots: &[Spot],
         loads: &'a BTreeMap<Arc<str>, Load>,
+        unserved: &'a Unserved,
         store_left: usize,
     ) -> Self {
         let mut holders: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
@@ -85,6 +88,7 @@
             spots: spots.to_vec(),
             outlooks: outlooks(loads, spots.len()),
             loads,
+            unserved,
             holders,
             store_left,
             choices: Vec::new(),
@@ -93,16 +97,20 @@
         board
     }
 
-    /// Models that requests wait for and nothing holds, the longest wait first.
+    /// Models that requests wait for and nothing holds: those that are overdue,
+    /// and then the longest wait first.
     pub(crate) fn serve_waiting(&mut self) {
-        let mut waiting: Vec<(u64, Arc<str>)> = self
-            .loads
-            .iter()
-            .filter(|(model, load)| load.waiting > 0 && self.copies(model) == 0)
-            .map(|(model, load)| (load.oldest_wait_ms, Arc::clone(model)))
+        let waiting = self.loads.iter();
+        let waiting =
+            waiting.filter(|(model, load)| load.waiting > 0 && self.copies(model) == 0);
+        let mut waiting: Vec<(u64, u64, Arc<str>)> = waiting
+            .map(|(model, load)| {
+                let overdue_ms = self.unserved.overdue_ms(self.now, model);
+                (overdue_ms, load.oldest_wait_ms, Arc::clone(model))
+            })
             .collect();
         waiting.sort_by(|a, b| b.cmp(a));
-        for (_, model) in waiting {
+        for (_, _, model) in waiting {
             if let Some(place) = self.place(&model, true) {
                 self.choose(&model, &place, Reason::Waited);
             }
@@ -229,15 +237,14 @@
             if stays || group.unloading || spot.free_mb + group.size_mb < size_mb {
                 continue;
             }
-            let last = self.copies(&group.model) == 1;
-            if last && self.is_wanted(&group.model) {
+            if self.must_stay(group, model) {
                 continue;
             }
             let copies = self.copies(&group.model);
             let share = self.weighed(|outlook| outlook.kept_of(&group.model, copies));
             let mut relief = self.relief(model, index, Some(&group.model));
             relief -= share * UNLOAD_COST;
-            if last {
+            if copies == 1 {
                 relief -= LAST_COPY_LOSS;
             }
             if best.is_none_or(|(_, most)| relief > most) {
@@ -362,9 +369,19 @@
 
     /// Whether requests ask for a model now.
     fn is_wanted(&self, model: &Arc<str>) -> bool {
-        self.loads
-            .get(model)
-            .is_some_and(|load| load.waiting > 0 || load.lasting_ms_per_s > 1.0)
+        self.loads.get(model).is_some_and(Load::is_wanted)
+    }
+
+    /// Whether the last copy of a model has to stay where it is, against another
+    /// model's wish for its place.
+    fn must_stay(&self, group: &Group, against: &Arc<str>) -> bool {
+        if self.copies(&group.model) > 1 || !self.is_wanted(&group.model) {
+            return false;
+        }
+        let had_turn =
+            self.now.ms_since(group.since) >= turn_ms(self.engine, &group.model);
+        let overdue = self.unserved.overdue_ms(self.now, against) > 0;
+        !(overdue && had_turn)
     }
 }
 
--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -23,6 +23,10 @@
 /// Demand below which a model is forgotten, in work milliseconds a second.
 const FORGET_BELOW: f64 = 0.05;
 
+/// Lasting demand, in work milliseconds a second, above which a model counts as
+/// wanted: less than one request in half a minute is below.
+const WANTED_MS_PER_S: f64 = 1.0;
+
 /// Prompt tokens and generated tokens that cost an engine one millisecond. A
 /// generated token shares its step with all that run.
 const PROMPT_TOKENS_PER_MS: f64 = 20.0;
@@ -50,6 +54,11 @@
         self.oldest_wait_ms = self.oldest_wait_ms.max(other.oldest_wait_ms);
     }
 
+    /// Whether requests ask for the model now.
+    pub fn is_wanted(&self) -> bool {
+        self.waiting > 0 || self.lasting_ms_per_s > WANTED_MS_PER_S
+    }
+
     /// Demand to be expected when a load is done, as far as it is certain.
     pub fn expected_ms_per_s(&self) -> f64 {
         let rise = (self.newest_ms_per_s - self.lasting_ms_per_s).max(0.0);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -40,6 +40,7 @@
 mod pick;
 mod repeats;
 mod setup;
+mod unserved;
 mod watermark;
 
 pub use again::{Next, Outcome, Tried, after};
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::board::Board;
+use crate::unserved::Unserved;
 use crate::{Engine, Load};
 
 /// Part of the loads that the weight store allows which is used. The rest is
@@ -90,15 +91,17 @@
     store_loads: VecDeque<Instant>,
     /// Ends of the times in which unanswered loads may begin.
     late: Vec<Instant>,
+    unserved: Unserved,
 }
 
 impl Moves {
     /// No moves yet; loads from the store are counted over `window_ms`.
-    pub const fn new(window_ms: u64) -> Self {
+    pub fn new(window_ms: u64) -> Self {
         Self {
             window_ms,
             store_loads: VecDeque::new(),
             late: Vec::new(),
+            unserved: Unserved::default(),
         }
     }
 
@@ -140,7 +143,13 @@
         loads: &BTreeMap<Arc<str>, Load>,
     ) -> Vec<Choice> {
         let allowance = self.allowance(now, engine);
-        let mut board = Board::new(now, engine, spots, loads, allowance);
+        let is_held = |model: &str| {
+            let mut groups = spots.iter().flat_map(|spot| &spot.groups);
+            groups.any(|group| &*group.model == model && !group.unloading)
+        };
+        self.unserved.look(now, loads, is_held);
+        let mut board =
+            Board::new(now, engine, spots, loads, &self.unserved, allowance);
         board.serve_waiting();
         board.spread_busy();
         board.keep_reachable();
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -88,6 +88,64 @@
     assert!(plan(&spots, &loads).is_empty());
 }
 
+/// Eight models are asked for all the while, and there are places for six. Those
+/// that came first must not keep the places for ever: each model is served again
+/// and again, and a place serves for longer than it loads.
+#[test]
+fn more_wanted_models_than_places_take_turns() {
+    const ALL: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    const LOAD_MS: u64 = 1_000;
+    let engine = engine(&ALL);
+    let mut moves = Moves::new(5_000);
+    let mut spots = [spot("1", &ALL[..3]), spot("2", &ALL[3..6])];
+    for spot in &mut spots {
+        spot.copies = ALL.map(name).to_vec();
+    }
+    let mut busy_until = [0; 2];
+    let mut served_ms: BTreeMap<&str, u64> = BTreeMap::new();
+    for ms in (0..60_000).step_by(150) {
+        let holds = |model: &str| {
+            let now = spots.iter().zip(busy_until);
+            let mut groups = now.flat_map(|(spot, until)| {
+                let loading = usize::from(until > ms);
+                spot.groups.iter().rev().skip(loading)
+            });
+            groups.any(|group| &*group.model == model)
+        };
+        let loads = ALL.map(|model| {
+            let waiting = u32::from(!holds(model));
+            *served_ms.entry(model).or_default() += 150 * u64::from(1 - waiting);
+            let load = Load {
+                waiting,
+                oldest_wait_ms: 100,
+                ..load(100.0)
+            };
+            (name(model), load)
+        });
+        for (spot, until) in spots.iter_mut().zip(busy_until) {
+            spot.idle = until <= ms;
+        }
+        for choice in moves.plan(at(ms), &engine, &spots, &loads.into()) {
+            let index = usize::from(&*choice.upstream == "2");
+            let groups = &mut spots[index].groups;
+            groups.retain(|group| Some(&group.model) != choice.unload.as_ref());
+            groups.push(Group {
+                model: Arc::clone(&choice.load),
+                size_mb: 70.0,
+                unloading: false,
+                since: at(ms + LOAD_MS),
+            });
+            assert!(groups.len() <= 3);
+            busy_until[index] = ms + LOAD_MS;
+        }
+    }
+    for (model, ms) in &served_ms {
+        assert!(*ms > 20_000, "{model}: {served_ms:?}");
+    }
+    let all: u64 = served_ms.values().sum();
+    assert!(all > 6 * 60_000 * 3 / 4, "{served_ms:?}");
+}
+
 #[test]
 fn a_model_that_is_waited_for_is_loaded_even_in_place_of_an_unused_last_copy() {
     let spots = [spot("1", &["a", "b", "c"])];
