The circles of entry and agent between node, links, ticker and metrics end

Cause: ticker, links and metrics each used Node, which holds them; none could be read or tried by itself, and two timers did the same in two ways. Change: one Ticker in oper, told when the machine is due and what a tick does; metrics are written from a Seen that operated puts together; the agent's table of connections is apart from what accepts them; the entry's connections know their process as a Host. Nothing outside changes.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,6 +16,7 @@
 //!   upstream's connection, or the upstream itself said so.
 //! - Payloads never enter the machine, but for the answers it is to keep.
 
+mod accept;
 mod attempts;
 mod links;
 mod metrics;
@@ -23,7 +24,6 @@
 mod operated;
 mod probe;
 mod start;
-mod ticker;
 mod upstream;
 
 pub use start::{AgentHandle, run, start, start_with};
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -1,24 +1,9 @@
-//! Connections of entries.
+//! The connections of entries that are up.
 
 use base::prelude::*;
 use parking_lot::Mutex;
-use role::agent::AgentEvent;
-use schema::link::Frame;
 use std::collections::HashMap;
-use std::sync::Arc;
-use tokio::sync::Semaphore;
-use wire::{Greeted, Link, LinkReceiver, LinkSender, Listener};
-
-use crate::node::Node;
-
-/// Connections held at once, greeted or not; a cell has a few entries.
-///
-/// Each holds a task, and its queue once it has greeted. What connects again and
-/// again without a word must not take all memory from the entries' work.
-const CONNECTIONS_MAX: usize = 128;
-
-/// Pause after the operating system could not accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use wire::{Greeted, LinkSender};
 
 /// The connections of entries that are up.
 #[derive(Debug, Default)]
@@ -44,9 +29,9 @@
 /// What came of adding a connection.
 #[derive(Debug)]
 pub(crate) struct Added {
-    number: u64,
+    pub(crate) number: u64,
     /// An earlier connection of the entry was ended by it.
-    replaced: bool,
+    pub(crate) replaced: bool,
 }
 
 impl Links {
@@ -80,7 +65,7 @@
     }
 
     /// Adds a connection; `None` if a later run of the entry is connected.
-    fn add(&self, entry: &EntryId, link: &Greeted) -> Option<Added> {
+    pub(crate) fn add(&self, entry: &EntryId, link: &Greeted) -> Option<Added> {
         let incarnation = Incarnation(link.hello.incarnation);
         let mut table = self.table.lock();
         let earlier = table.by_entry.get(entry);
@@ -105,7 +90,7 @@
     }
 
     /// Takes a connection out; false if another has replaced it.
-    fn remove(&self, entry: &EntryId, number: u64) -> bool {
+    pub(crate) fn remove(&self, entry: &EntryId, number: u64) -> bool {
         let mut table = self.table.lock();
         let held = table.by_entry.get(entry);
         let same = held.is_some_and(|up| up.number == number);
@@ -115,122 +100,3 @@
         same
     }
 }
-
-/// Takes connections of entries until the process ends.
-pub(crate) async fn accept(node: Arc<Node>, listener: Listener) {
-    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    loop {
-        let accepted = tokio::select! {
-            () = node.exit().cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok(link) => {
-                let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-                    node.meters().refused_links.inc();
-                    continue;
-                };
-                let node = Arc::clone(&node);
-                tokio::spawn(async move {
-                    let _place = place;
-                    let exit = node.exit().clone();
-                    tokio::select! {
-                        () = exit.cancelled() => {}
-                        () = serve(&node, link) => {}
-                    }
-                });
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
-}
-
-async fn serve(node: &Arc<Node>, link: Link) {
-    let link = link.bounded(node.frame_max_bytes());
-    let Ok(link) = link.greet(node.hello()).await else {
-        node.meters().bad_frames.inc();
-        return;
-    };
-    node.recorder().observe(link.clock_us);
-    if link.hello.kind != "entry" {
-        node.meters().bad_frames.inc();
-        return;
-    }
-    let entry = EntryId::new(&link.hello.id);
-    if let Some(number) = up(node, &entry, &link) {
-        let Greeted {
-            sender, receiver, ..
-        } = link;
-        read_all(node, &entry, receiver).await;
-        drop(sender);
-        down(node, &entry, number);
-    }
-}
-
-/// Enters a connection and tells the machine, in one step: no other connection
-/// of the entry can come between the two.
-fn up(node: &Arc<Node>, entry: &EntryId, link: &Greeted) -> Option<u64> {
-    let mut number = None;
-    node.tell_all(|| {
-        let Some(added) = node.links().add(entry, link) else {
-            return Vec::new();
-        };
-        number = Some(added.number);
-        let entry = entry.clone();
-        let came = AgentEvent::LinkUp {
-            entry: entry.clone(),
-        };
-        if added.replaced {
-            // Frames may have been lost with the earlier connection.
-            vec![AgentEvent::LinkDown { entry }, came]
-        } else {
-            vec![came]
-        }
-    });
-    if number.is_some() {
-        log::info!("{}: link to {entry} is up", node.id());
-    }
-    number
-}
-
-fn down(node: &Arc<Node>, entry: &EntryId, number: u64) {
-    node.tell_all(|| {
-        if !node.links().remove(entry, number) {
-            return Vec::new();
-        }
-        log::info!("{}: link to {entry} is down", node.id());
-        vec![AgentEvent::LinkDown {
-            entry: entry.clone(),
-        }]
-    });
-}
-
-/// Hands on frames until the link ends.
-async fn read_all(node: &Arc<Node>, entry: &EntryId, mut receiver: LinkReceiver) {
-    loop {
-        match receiver.recv().await {
-            Ok(Some(frame)) => take(node, entry, frame),
-            Ok(None) => return,
-            Err(fault) => {
-                if fault.code() == Code::BadFrame {
-                    node.meters().bad_frames.inc();
-                }
-                return;
-            }
-        }
-    }
-}
-
-fn take(node: &Arc<Node>, entry: &EntryId, frame: Frame) {
-    node.recorder().observe(frame.clock_us);
-    // A frame without a body is of a kind from a later version of the schema.
-    let Some(body) = frame.body else {
-        node.meters().bad_frames.inc();
-        return;
-    };
-    node.tell(AgentEvent::Frame {
-        entry: entry.clone(),
-        revision: Revision(frame.revision),
-        body,
-    });
-}
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,8 +4,7 @@
 use prometheus::core::Collector;
 use prometheus::proto::MetricFamily;
 use prometheus::{Counter, Gauge, IntCounter, Registry, TextEncoder};
-
-use crate::node::Node;
+use role::agent::{AgentCounters, AgentStatus};
 
 /// What the shell counts.
 #[derive(Debug)]
@@ -48,11 +47,26 @@
     }
 }
 
+/// What else the metrics are read from.
+#[derive(Debug)]
+pub(crate) struct Seen {
+    /// The machine's counters.
+    pub(crate) counters: AgentCounters,
+    /// The machine's state.
+    pub(crate) status: AgentStatus,
+    /// Entries that are connected.
+    pub(crate) links_up: usize,
+    /// Attempts that the upstream runs.
+    pub(crate) attempts: usize,
+    /// Whether the process takes work.
+    pub(crate) ready: bool,
+}
+
 /// All metrics in the text format of Prometheus.
-pub(crate) fn text(node: &Node) -> String {
-    let mut families = node.meters().registry.gather();
-    families.extend(machine(node));
-    for (name, help, value) in gauges(node) {
+pub(crate) fn text(meters: &Meters, seen: &Seen) -> String {
+    let mut families = meters.registry.gather();
+    families.extend(machine(&seen.counters));
+    for (name, help, value) in gauges(seen) {
         let gauge = Gauge::new(name, help).expect("the names are valid");
         gauge.set(value);
         families.extend(gauge.collect());
@@ -67,8 +81,7 @@
 }
 
 /// The machine's counters, each under the name of its field.
-fn machine(node: &Node) -> Vec<MetricFamily> {
-    let counters = node.role().counters();
+fn machine(counters: &AgentCounters) -> Vec<MetricFamily> {
     let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(counters) else {
         return Vec::new();
     };
@@ -84,18 +97,18 @@
     families
 }
 
-fn gauges(node: &Node) -> [(&'static str, &'static str, f64); 6] {
-    let status = node.role().status();
+fn gauges(seen: &Seen) -> [(&'static str, &'static str, f64); 6] {
+    let status = &seen.status;
     [
         (
             "sesame_agent_links_up",
             "Entries that are connected.",
-            node.links().up() as f64,
+            seen.links_up as f64,
         ),
         (
             "sesame_agent_attempts_at_upstream",
             "Attempts that the upstream runs.",
-            node.attempts().len() as f64,
+            seen.attempts as f64,
         ),
         (
             "sesame_agent_revision",
@@ -105,7 +118,7 @@
         (
             "sesame_agent_ready",
             "1 if the process takes work.",
-            f64::from(u8::from(node.is_ready())),
+            f64::from(u8::from(seen.ready)),
         ),
         (
             "sesame_agent_upstream_up",
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -4,7 +4,7 @@
 use base::{PlatformAnswer, PlatformCall};
 use conf::Config;
 use line::{Filter, Recorder};
-use oper::Clock;
+use oper::{Clock, Ticker};
 use parking_lot::{Mutex, MutexGuard};
 use plat::ObjectApi;
 use role::agent::{AgentAction, AgentEvent, AgentOptions, AgentRole, UpstreamEvent};
@@ -20,7 +20,6 @@
 use crate::links::Links;
 use crate::metrics::Meters;
 use crate::probe;
-use crate::ticker::Ticker;
 use crate::upstream::{self, Upstream};
 
 /// One agent: the machine, and what carries out its actions.
@@ -96,8 +95,11 @@
         self.perform(&mut role, &mut out, &mut None);
         drop(role);
         let node = Arc::clone(self);
-        self.runtime
-            .spawn(async move { node.ticker.run(&node).await });
+        self.runtime.spawn(async move {
+            let due = || node.role().due();
+            let tick = || node.tell(AgentEvent::Tick);
+            node.ticker.run(&node.clock, &node.exit, due, tick).await;
+        });
         self.runtime.spawn(upstream::poll(Arc::clone(self)));
     }
 
@@ -271,7 +273,7 @@
                 AgentAction::Exit => self.exit.cancel(),
             }
         }
-        self.ticker.set(role.due());
+        self.ticker.rearm(role.due());
     }
 
     fn send(&self, revision: Revision, entry: &EntryId, body: frame::Body) {
--- a/crates/agent/src/operated.rs
+++ b/crates/agent/src/operated.rs
@@ -5,7 +5,7 @@
 use role::agent::{AgentEvent, AgentStatus};
 use std::sync::Arc;
 
-use crate::metrics;
+use crate::metrics::{self, Seen};
 use crate::node::Node;
 
 /// Newest events told in an explanation.
@@ -35,7 +35,18 @@
     }
 
     fn metrics(&self) -> String {
-        metrics::text(&self.node)
+        let (counters, status) = {
+            let role = self.node.role();
+            (role.counters(), role.status())
+        };
+        let seen = Seen {
+            counters,
+            status,
+            links_up: self.node.links().up(),
+            attempts: self.node.attempts().len(),
+            ready: self.node.is_ready(),
+        };
+        metrics::text(self.node.meters(), &seen)
     }
 
     fn timeline(&self, filter: &Filter) -> Vec<Event> {
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 use wire::Listener;
 
-use crate::links;
+use crate::accept::accept;
 use crate::node::{Node, Outside};
 use crate::operated::OperatedAgent;
 
@@ -139,7 +139,7 @@
 /// Serves until the process has drained.
 async fn serve(node: Arc<Node>, links: Listener, operators: TcpListener) {
     let operated = Arc::new(OperatedAgent::new(Arc::clone(&node)));
-    let accepting = tokio::spawn(links::accept(Arc::clone(&node), links));
+    let accepting = tokio::spawn(accept(Arc::clone(&node), links));
     tokio::select! {
         () = node.exit().cancelled() => {}
         () = oper::serve(operators, operated) => {}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,6 @@
 mod operated;
 pub mod reply;
 mod start;
-mod ticker;
 
 pub use http::{StallTimeout, error_answer};
 pub use start::{EntryHandle, run, start, start_with};
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -1,19 +1,22 @@
 //! Connections to agents and other entries.
 
 use base::prelude::*;
+use line::Recorder;
 use parking_lot::RwLock;
 use role::Peer;
 use role::entry::{EntryAction, EntryEvent};
-use schema::link::{Frame, Hello, frame};
+use schema::link::{Answer, Frame, Hello, frame};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 use wire::{Greeted, Link, LinkReceiver, LinkSender, Listener, WireError};
 
 use crate::backoff::Backoff;
-use crate::node::Node;
+use crate::metrics::Meters;
 
 /// A link that lasted this long is taken for a good one: its end does not raise
 /// the time until the next try.
@@ -22,6 +25,36 @@
 /// Pause after the operating system could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The process that connections belong to.
+pub(crate) trait Host: Send + Sync {
+    /// Name of the process.
+    fn id(&self) -> &EntryId;
+    /// Its connections.
+    fn links(&self) -> &Links;
+    /// Largest frame taken.
+    fn frame_max_bytes(&self) -> u32;
+    /// The first frame of a connection.
+    fn hello(&self) -> Frame;
+    /// The time line.
+    fn recorder(&self) -> &Recorder;
+    /// Counters.
+    fn meters(&self) -> &Meters;
+    /// Cancelled once the process ends.
+    fn exit(&self) -> &CancellationToken;
+    /// Where connections' tasks run.
+    fn runtime(&self) -> &Handle;
+    /// Tells the machine an event.
+    fn tell(&self, event: EntryEvent);
+    /// Tells the machine of a part of an answer. `scratch` is empty before and
+    /// after; its memory is used again for each part.
+    fn tell_part(
+        &self,
+        agent: &AgentId,
+        answer: Answer,
+        scratch: &mut Vec<EntryAction>,
+    );
+}
+
 /// The connections this process keeps, by far end.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -57,7 +90,7 @@
     }
 
     /// Keeps a connection to an address; one to another address is ended.
-    pub(crate) fn connect(&self, node: &Arc<Node>, peer: Peer, address: String) {
+    pub(crate) fn connect(&self, host: Arc<dyn Host>, peer: Peer, address: String) {
         let mut by_peer = self.by_peer.write();
         let same = by_peer
             .get(&peer)
@@ -66,14 +99,15 @@
             return;
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let runtime = host.runtime().clone();
         let dialer = Dialer {
-            node: Arc::clone(node),
+            host,
             peer: peer.clone(),
             address: address.clone(),
             number,
         };
         let backoff = Backoff::new(self.seed ^ number);
-        let task = node.runtime().spawn(dialer.keep(backoff)).abort_handle();
+        let task = runtime.spawn(dialer.keep(backoff)).abort_handle();
         let kept = Kept {
             number,
             address,
@@ -133,7 +167,7 @@
 
 /// The task that keeps one connection.
 struct Dialer {
-    node: Arc<Node>,
+    host: Arc<dyn Host>,
     peer: Peer,
     address: String,
     number: u64,
@@ -152,7 +186,7 @@
                 }
             }
             let peer = self.peer.clone();
-            self.node.tell(EntryEvent::LinkDown { peer });
+            self.host.tell(EntryEvent::LinkDown { peer });
             tokio::time::sleep(backoff.next()).await;
         }
     }
@@ -160,9 +194,9 @@
     async fn dial(&self) -> Result<Greeted, WireError> {
         let address: SocketAddr =
             self.address.parse().map_err(|_| WireError::NoGreeting)?;
-        let max_bytes = self.node.limits().frame_max_bytes;
+        let max_bytes = self.host.frame_max_bytes();
         let link = wire::connect(address, max_bytes).await?;
-        let greeted = link.greet(self.node.hello()).await?;
+        let greeted = link.greet(self.host.hello()).await?;
         // An address may have passed to another process since it was told.
         // Frames meant for one agent would reach the upstream of another.
         if peer_of(&greeted.hello).as_ref() != Some(&self.peer) {
@@ -173,32 +207,32 @@
 
     /// Carries frames until the link ends; false if it is no longer wanted.
     async fn carry(&self, link: Greeted) -> bool {
-        self.node.recorder().observe(link.clock_us);
-        let links = self.node.links();
+        self.host.recorder().observe(link.clock_us);
+        let links = self.host.links();
         if !links.set(&self.peer, self.number, Some(link.sender)) {
             return false;
         }
-        log::info!("{}: link to {} is up", self.node.id(), self.peer);
-        self.node.tell(EntryEvent::LinkUp {
+        log::info!("{}: link to {} is up", self.host.id(), self.peer);
+        self.host.tell(EntryEvent::LinkUp {
             peer: self.peer.clone(),
             incarnation: Incarnation(link.hello.incarnation),
         });
-        read_all(&self.node, &self.peer, link.receiver).await;
-        log::info!("{}: link to {} is down", self.node.id(), self.peer);
+        read_all(&*self.host, &self.peer, link.receiver).await;
+        log::info!("{}: link to {} is down", self.host.id(), self.peer);
         links.set(&self.peer, self.number, None)
     }
 }
 
 /// Takes connections of other entries until the process ends.
-pub(crate) async fn accept(node: Arc<Node>, listener: Listener) {
+pub(crate) async fn accept(host: Arc<dyn Host>, listener: Listener) {
     loop {
         let accepted = tokio::select! {
-            () = node.exit().cancelled() => return,
+            () = host.exit().cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok(link) => {
-                node.runtime().spawn(read_inbound(Arc::clone(&node), link));
+                host.runtime().spawn(read_inbound(Arc::clone(&host), link));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -206,20 +240,20 @@
 }
 
 /// Reads what another entry sends on the link that it dialled.
-async fn read_inbound(node: Arc<Node>, link: Link) {
-    let link = link.bounded(node.limits().frame_max_bytes);
-    let Ok(link) = link.greet(node.hello()).await else {
-        node.meters().bad_frames.inc();
+async fn read_inbound(host: Arc<dyn Host>, link: Link) {
+    let link = link.bounded(host.frame_max_bytes());
+    let Ok(link) = link.greet(host.hello()).await else {
+        host.meters().bad_frames.inc();
         return;
     };
-    node.recorder().observe(link.clock_us);
+    host.recorder().observe(link.clock_us);
     let Some(peer @ Peer::Entry(_)) = peer_of(&link.hello) else {
-        node.meters().bad_frames.inc();
+        host.meters().bad_frames.inc();
         return;
     };
     tokio::select! {
-        () = node.exit().cancelled() => {}
-        () = read_all(&node, &peer, link.receiver) => {}
+        () = host.exit().cancelled() => {}
+        () = read_all(&*host, &peer, link.receiver) => {}
     }
 }
 
@@ -232,15 +266,15 @@
 }
 
 /// Hands on frames until the link ends.
-async fn read_all(node: &Arc<Node>, peer: &Peer, mut receiver: LinkReceiver) {
+async fn read_all(host: &dyn Host, peer: &Peer, mut receiver: LinkReceiver) {
     let mut scratch = Vec::new();
     loop {
         match receiver.recv().await {
-            Ok(Some(frame)) => take(node, peer, frame, &mut scratch),
+            Ok(Some(frame)) => take(host, peer, frame, &mut scratch),
             Ok(None) => return,
             Err(fault) => {
                 if fault.code() == Code::BadFrame {
-                    node.meters().bad_frames.inc();
+                    host.meters().bad_frames.inc();
                 }
                 return;
             }
@@ -248,19 +282,19 @@
     }
 }
 
-fn take(node: &Arc<Node>, peer: &Peer, frame: Frame, scratch: &mut Vec<EntryAction>) {
-    node.recorder().observe(frame.clock_us);
+fn take(host: &dyn Host, peer: &Peer, frame: Frame, scratch: &mut Vec<EntryAction>) {
+    host.recorder().observe(frame.clock_us);
     let revision = Revision(frame.revision);
     match (frame.body, peer) {
         (Some(frame::Body::Answer(answer)), Peer::Agent(agent)) => {
-            node.tell_part(agent, answer, scratch);
+            host.tell_part(agent, answer, scratch);
         }
-        (Some(body), _) => node.tell(EntryEvent::Frame {
+        (Some(body), _) => host.tell(EntryEvent::Frame {
             peer: peer.clone(),
             revision,
             body,
         }),
         // A kind of frame from a later version of the schema.
-        (None, _) => node.meters().bad_frames.inc(),
+        (None, _) => host.meters().bad_frames.inc(),
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,12 +1,12 @@
 //! Metrics of the shell, besides those of the machine.
 
+use base::Revision;
 use oper::ProcessUse;
 use prometheus::core::{AtomicU64, Collector, GenericCounter};
 use prometheus::proto::MetricFamily;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use role::entry::{CodeCount, EntryCounters, ProfileCount, ReasonCount};
 
-use crate::node::Node;
 use crate::reply::Broken;
 
 /// A counter of bytes or events.
@@ -100,16 +100,11 @@
 }
 
 /// All metrics in the text format of Prometheus.
-pub(crate) fn text(node: &Node) -> String {
-    let mut families = node.meters().registry.gather();
-    let counters = node.role().counters();
-    let seen = Seen {
-        node,
-        counters: &counters,
-        process: ProcessUse::read(),
-    };
-    families.extend(TOTALS.iter().flat_map(|line| counter_family(line, &seen)));
-    families.extend(GAUGES.iter().flat_map(|line| gauge_family(line, &seen)));
+pub(crate) fn text(meters: &Meters, seen: &Seen) -> String {
+    let mut families = meters.registry.gather();
+    let counters = &seen.counters;
+    families.extend(TOTALS.iter().flat_map(|line| counter_family(line, seen)));
+    families.extend(GAUGES.iter().flat_map(|line| gauge_family(line, seen)));
     families.extend(refused_family(&counters.refused));
     families.extend(profile_families(&counters.profiles));
     families.extend(decision_family(&counters.reasons));
@@ -120,12 +115,21 @@
         .unwrap_or_default()
 }
 
-/// What the metrics are read from.
+/// What else the metrics are read from.
 #[derive(Debug)]
-struct Seen<'a> {
-    node: &'a Node,
-    counters: &'a EntryCounters,
-    process: ProcessUse,
+pub(crate) struct Seen {
+    /// The machine's counters.
+    pub(crate) counters: EntryCounters,
+    /// Links that are up.
+    pub(crate) links_up: usize,
+    /// Requests in progress.
+    pub(crate) in_progress: usize,
+    /// Configuration in force.
+    pub(crate) revision: Revision,
+    /// Whether the process takes work.
+    pub(crate) ready: bool,
+    /// What the process uses.
+    pub(crate) process: ProcessUse,
 }
 
 /// One metric without labels.
@@ -133,7 +137,7 @@
 struct Line {
     name: &'static str,
     help: &'static str,
-    value: fn(&Seen<'_>) -> f64,
+    value: fn(&Seen) -> f64,
 }
 
 /// Counts since the start of the process.
@@ -240,22 +244,22 @@
     Line {
         name: "sesame_entry_links_up",
         help: "Links that are up.",
-        value: |seen| seen.node.links().up() as f64,
+        value: |seen| seen.links_up as f64,
     },
     Line {
         name: "sesame_entry_in_progress",
         help: "Requests in progress.",
-        value: |seen| seen.node.calls().len() as f64,
+        value: |seen| seen.in_progress as f64,
     },
     Line {
         name: "sesame_entry_revision",
         help: "Configuration revision in force.",
-        value: |seen| seen.node.role().revision().0 as f64,
+        value: |seen| seen.revision.0 as f64,
     },
     Line {
         name: "sesame_entry_ready",
         help: "1 if the process takes work.",
-        value: |seen| f64::from(u8::from(seen.node.is_ready())),
+        value: |seen| f64::from(u8::from(seen.ready)),
     },
     Line {
         name: "process_resident_memory_bytes",
@@ -264,14 +268,14 @@
     },
 ];
 
-fn counter_family(line: &Line, seen: &Seen<'_>) -> Vec<MetricFamily> {
+fn counter_family(line: &Line, seen: &Seen) -> Vec<MetricFamily> {
     let counter = prometheus::Counter::new(line.name, line.help);
     let counter = counter.expect("the names are valid");
     counter.inc_by((line.value)(seen));
     counter.collect()
 }
 
-fn gauge_family(line: &Line, seen: &Seen<'_>) -> Vec<MetricFamily> {
+fn gauge_family(line: &Line, seen: &Seen) -> Vec<MetricFamily> {
     let gauge = prometheus::Gauge::new(line.name, line.help);
     let gauge = gauge.expect("the names are valid");
     gauge.set((line.value)(seen));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,7 +4,7 @@
 use base::{PlatformAnswer, PlatformCall};
 use conf::Config;
 use line::Recorder;
-use oper::Clock;
+use oper::{Clock, Ticker};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use role::Peer;
@@ -18,10 +18,9 @@
 use wire::WireError;
 
 use crate::calls::Calls;
-use crate::links::Links;
+use crate::links::{Host, Links};
 use crate::metrics::Meters;
 use crate::reply::{Ending, Incoming};
-use crate::ticker::Ticker;
 
 /// One entry: the machine, and what carries out its actions.
 ///
@@ -78,8 +77,11 @@
         let mut out = std::mem::take(&mut *self.first_actions.lock());
         self.perform(&mut out, None);
         let node = Arc::clone(self);
-        self.runtime
-            .spawn(async move { node.ticker.run(&node).await });
+        self.runtime.spawn(async move {
+            let due = || node.role().due();
+            let tick = || node.tell(EntryEvent::Tick);
+            node.ticker.run(&node.clock, &node.exit, due, tick).await;
+        });
     }
 
     /// The machine.
@@ -92,11 +94,6 @@
         &self.calls
     }
 
-    /// The clock.
-    pub(crate) const fn clock(&self) -> &Clock {
-        &self.clock
-    }
-
     /// Seconds since the Unix epoch.
     pub(crate) fn unix_s(&self) -> u64 {
         (self.clock.unix_ms_at_zero() + self.clock.now().as_ms()) / 1_000
@@ -150,7 +147,7 @@
         let mut out = Vec::new();
         self.role.handle(self.clock.now(), event, &mut out);
         self.perform(&mut out, None);
-        self.ticker.rearm(&self.role);
+        self.ticker.rearm(self.role.due());
     }
 
     /// Tells the machine of a part of an answer. `scratch` is empty before and
@@ -181,7 +178,7 @@
         };
         self.role.handle(self.clock.now(), event, scratch);
         self.perform(scratch, Some(held));
-        self.ticker.rearm(&self.role);
+        self.ticker.rearm(self.role.due());
     }
 
     /// A frame with this process's clock and revision.
@@ -246,7 +243,8 @@
                 run,
             } => self.send_run(request, agent, *run),
             EntryAction::Connect { peer, address } => {
-                self.links.connect(self, peer, address);
+                let host = Arc::new(Arc::clone(self));
+                self.links.connect(host, peer, address);
             }
             EntryAction::Disconnect { peer } => self.links.disconnect(&peer),
             EntryAction::Platform(call) => self.call_platform(call),
@@ -365,3 +363,50 @@
             | frame::Body::ConfigChanges(_)
     )
 }
+
+impl Host for Arc<Node> {
+    fn id(&self) -> &EntryId {
+        Node::id(self)
+    }
+
+    fn links(&self) -> &Links {
+        Node::links(self)
+    }
+
+    fn frame_max_bytes(&self) -> u32 {
+        self.limits().frame_max_bytes
+    }
+
+    fn hello(&self) -> Frame {
+        Node::hello(self)
+    }
+
+    fn recorder(&self) -> &Recorder {
+        Node::recorder(self)
+    }
+
+    fn meters(&self) -> &Meters {
+        Node::meters(self)
+    }
+
+    fn exit(&self) -> &CancellationToken {
+        Node::exit(self)
+    }
+
+    fn runtime(&self) -> &Handle {
+        Node::runtime(self)
+    }
+
+    fn tell(&self, event: EntryEvent) {
+        Node::tell(self, event);
+    }
+
+    fn tell_part(
+        &self,
+        agent: &AgentId,
+        answer: Answer,
+        scratch: &mut Vec<EntryAction>,
+    ) {
+        Node::tell_part(self, agent, answer, scratch);
+    }
+}
--- a/crates/entry/src/operated.rs
+++ b/crates/entry/src/operated.rs
@@ -1,11 +1,11 @@
 //! What operators see of an entry.
 
 use line::{Event, Filter};
-use oper::Operated;
+use oper::{Operated, ProcessUse};
 use role::entry::EntryEvent;
 use std::sync::Arc;
 
-use crate::metrics;
+use crate::metrics::{self, Seen};
 use crate::node::Node;
 
 /// An entry behind its operators' listener.
@@ -32,7 +32,15 @@
     }
 
     fn metrics(&self) -> String {
-        metrics::text(&self.node)
+        let seen = Seen {
+            counters: self.node.role().counters(),
+            links_up: self.node.links().up(),
+            in_progress: self.node.calls().len(),
+            revision: self.node.role().revision(),
+            ready: self.node.is_ready(),
+            process: ProcessUse::read(),
+        };
+        metrics::text(self.node.meters(), &seen)
     }
 
     fn timeline(&self, filter: &Filter) -> Vec<Event> {
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -161,7 +161,7 @@
         // Both end when the set is dropped, also if this future is.
         let mut beside = JoinSet::new();
         beside.spawn(oper::serve(self.operators, operated));
-        beside.spawn(links::accept(Arc::clone(&node), self.links));
+        beside.spawn(links::accept(Arc::new(Arc::clone(&node)), self.links));
         let callers = CallerServer::new(Arc::clone(&node));
         callers.accept(&self.callers).await;
         log::info!("{}: drained", node.id());
--- a/crates/oper/src/lib.rs
+++ b/crates/oper/src/lib.rs
@@ -1,6 +1,6 @@
 //! What the entry's and the agent's process have in common towards operators:
-//! the listener, the log, the clock, the signal to stop, and the start with its
-//! errors.
+//! the listener, the log, the clock and the machine's timer, the signal to stop,
+//! and the start with its errors.
 //!
 //! [`serve`] answers on a listener of its own, so that a flood of callers can't
 //! keep an operator or a liveness probe out. Everything it shows comes from an
@@ -18,6 +18,7 @@
 mod server;
 mod signal;
 mod start;
+mod ticker;
 
 pub use clock::Clock;
 pub use log_lines::init_log;
@@ -28,3 +29,4 @@
 pub use server::serve;
 pub use signal::terminated;
 pub use start::{LinkListenSnafu, ListenSnafu, StartError, address};
+pub use ticker::Ticker;
