Orders go to no upstream that is doubted

Cause: an upstream that has gone without a word runs nothing, so it was the least used holder of each model and was chosen for each adapter. Ruled out: upstreams whose pooled connection broke; those were asked for a report first and left out by that. Change: a failed connection for an order is a doubt, as one for a request is, and the giver leaves doubted upstreams out of places for adapters and models.

--- a/crates/front/src/giver/book.rs
+++ b/crates/front/src/giver/book.rs
@@ -19,6 +19,8 @@
     /// Version of the platform's entry that was seen last.
     pub(super) version: u64,
     pub(super) ledger: Ledger,
+    /// Whether it is better avoided: silent, or not reached.
+    pub(super) doubted: bool,
     pub(super) asked_at: Option<Instant>,
     pub(super) intent: Option<Intent>,
     pub(super) since: HashMap<Arc<str>, Instant>,
@@ -42,6 +44,7 @@
             domain: Arc::clone(&upstream.news.domain),
             version: upstream.version,
             ledger: Ledger::new(),
+            doubted: false,
             asked_at: None,
             intent: None,
             since: HashMap::new(),
@@ -52,7 +55,16 @@
         }
     }
 
+    /// Whether it is worth an order now.
+    ///
+    /// One that can't be reached has nothing to do, and would be chosen first for
+    /// each order: what callers wait for would not come anywhere.
+    pub(super) const fn takes_orders(&self) -> bool {
+        self.ledger.is_idle() && !self.doubted
+    }
+
     pub(super) fn follow(&mut self, now: Instant, upstream: &Upstream) {
+        self.doubted = upstream.is_suspected(now);
         if self.version != upstream.version {
             // Something has changed there, as at the end of an order: ask now.
             self.version = upstream.version;
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -303,7 +303,7 @@
         let books = self.books.iter().filter(|(_, book)| {
             let mut models = book.ledger.models();
             let holds = models.any(|(model, loaded)| *model == want.model && loaded);
-            book.service == want.service && holds && book.ledger.is_idle()
+            book.service == want.service && holds && book.takes_orders()
         });
         let best = books.min_by_key(|(id, book)| {
             let full = book.ledger.adapters() >= engine.adapters_max;
@@ -342,7 +342,7 @@
             .map(|(id, book)| Spot {
                 upstream: Arc::clone(id),
                 domain: Arc::clone(&book.domain),
-                idle: book.ledger.is_idle() && book.intent.is_none(),
+                idle: book.takes_orders() && book.intent.is_none(),
                 free_mb: engine.weights_max_mb - book.ledger.used_mb(engine),
                 groups: book.groups(engine),
                 copies: book.copies.clone(),
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -15,6 +15,7 @@
 use crate::OrderCall;
 use crate::node::Node;
 use crate::pool::SendFault;
+use crate::tries::unreached;
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -110,7 +111,8 @@
 ) -> Result<(StatusCode, Bytes), SendFault> {
     let address = node.fleet.lock().get(id).map(|known| known.news.address);
     let address = address.ok_or(SendFault::NotSent)?;
-    let mut line = node.pool.take(id, address, true).await?;
+    let taken = node.pool.take(id, address, true).await;
+    let mut line = taken.inspect_err(|_| unreached(node, id))?;
     if !permit() {
         return Err(SendFault::NotSent);
     }
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -350,7 +350,8 @@
     fleet.get(id).map(|upstream| upstream.news.address)
 }
 
-fn unreached(node: &Node, id: &str) {
+/// Notes that an upstream could not be connected to.
+pub(crate) fn unreached(node: &Node, id: &str) {
     let now = node.now();
     if let Some(upstream) = node.fleet.lock().get_mut(id) {
         upstream.unreached(now);
