A lease that is given back stays so, and its end is told

Cause: an entry that stops gives the lease back; a renewal that was under way was answered after that and brought it to life again, while the giving back failed on its older version. Ruled out: the store (the renewal took 385 ms, the store was slow just then). Change: once given back, no answer makes the lease valid; it is given back again by the newer version until it is. A lease that ends without an event has a line of its own. Test: the order of events above; the token came back before.

--- a/crates/ctl/src/trail/subject.rs
+++ b/crates/ctl/src/trail/subject.rs
@@ -14,7 +14,13 @@
 
 /// Events at any entry that change what all of them do: who orders, and who is
 /// missing.
-const OF_ALL: [&str; 4] = ["suspended", "peer_lost", "lease", "giver_began"];
+const OF_ALL: [&str; 5] = [
+    "suspended",
+    "peer_lost",
+    "lease",
+    "lease_ended",
+    "giver_began",
+];
 
 /// Events that change what the entry itself does.
 const OF_ITSELF: [&str; 8] = [
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -63,6 +63,8 @@
     busy: bool,
     /// What was seen may have been overwritten.
     must_read: bool,
+    /// It is given back and must not be held again.
+    ending: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -86,6 +88,7 @@
             next_at: Instant::ZERO,
             busy: false,
             must_read: false,
+            ending: false,
         }
     }
 
@@ -148,7 +151,11 @@
             version,
             since: sent_at,
         });
-        self.until = mine.then(|| sent_at.plus_ms(self.valid_ms));
+        // A renewal that was under way when the lease was given back must not
+        // bring it to life: its holder ends, and its successor would wait as long
+        // as for one that fell silent.
+        let held = mine && !self.ending;
+        self.until = held.then(|| sent_at.plus_ms(self.valid_ms));
         self.next_at = sent_at.plus_ms(RENEW_EVERY_MS);
     }
 
@@ -182,10 +189,12 @@
         Some((record, seen.version))
     }
 
-    /// The record that gives the lease back, if this entry holds it. It does
-    /// not order afterwards.
+    /// The record that gives the lease back, while it is this entry's own. It
+    /// does not order afterwards. Where the object has another version by then,
+    /// it is read and given back again.
     pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
         self.until = None;
+        self.ending = true;
         let seen = self.seen.as_ref()?;
         if !self.is_mine(&seen.record) {
             return None;
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -103,6 +103,34 @@
     assert_eq!(second.token(at(6_500)), Some(2));
 }
 
+/// A holder stops while its renewal is under way: it gives the lease back by the
+/// version that it knows, and the renewal's answer comes after that. It must not
+/// order again, and gives back once more by the newer version, so that its
+/// successor need not wait as for one that fell silent.
+#[test]
+fn a_renewal_under_way_does_not_undo_that_the_lease_is_given_back() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (lease("one", 1), lease("two", 2));
+    run(&mut first, &mut store, 0, 1_000);
+    let (renewal, version) = first.next_renewal(at(1_000)).expect("it holds the lease");
+    let renewed = store
+        .write(&renewal, Some(version))
+        .expect("nobody else wrote");
+    let (record, version) = first.give_back().expect("it holds the lease");
+    assert_eq!(store.write(&record, Some(version)), None);
+    first.written(at(1_000), renewed, renewal);
+    first.unsure(at(1_010));
+    assert_eq!(first.token(at(1_020)), None);
+    let (record, version) = first.give_back().expect("it is still its own");
+    let given = store
+        .write(&record, Some(version))
+        .expect("nobody else wrote");
+    first.written(at(1_030), given, record);
+    assert_eq!(first.give_back(), None);
+    run(&mut second, &mut store, 1_100, 1_200 + QUIET_MS + 1_000);
+    assert_eq!(second.token(at(1_200 + QUIET_MS + 1_000)), Some(2));
+}
+
 #[test]
 fn the_same_entry_started_again_takes_the_lease_at_once() {
     let mut store = Store::default();
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -20,11 +20,15 @@
 /// Tells of beliefs that turn, for ever.
 pub(crate) async fn tell_beliefs(node: Arc<Node>) {
     let mut looked_at = node.now();
+    let mut held = None;
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let now = node.now();
         tell_suspension(&node, now.since(looked_at));
         looked_at = now;
+        let token = node.lease.lock().token(now);
+        tell_lapse(&node, held, token);
+        held = token;
         let turns = node.doubts.lock().look(now, &node.fleet.lock());
         for turn in &turns {
             tell_turn(&node, now, turn);
@@ -36,6 +40,17 @@
     }
 }
 
+/// A lease that was not renewed ends without anything happening; from then on
+/// nobody orders until one of the entries takes it.
+fn tell_lapse(node: &Node, before: Option<u64>, now: Option<u64>) {
+    if let (Some(before), None) = (before, now) {
+        node.log.line(
+            "lease_ended",
+            json!({ "token": before, "stopping": node.stop.is_stopping() }),
+        );
+    }
+}
+
 /// Tells of a doubt that a decision rests on, if it is new.
 pub(crate) fn tell_doubt(node: &Node, upstream: &str) {
     let now = node.now();
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -228,8 +228,17 @@
 /// Gives the lease back at the end of the process, so that its successor need
 /// not wait for as long as for a giver that fell silent.
 pub(crate) async fn give_back_lease(node: &Node) {
-    let given = node.lease.lock().give_back();
-    if let Some((record, version)) = given {
+    loop {
+        let given = node.lease.lock().give_back();
+        let Some((record, version)) = given else {
+            return;
+        };
         write_lease(node, record, Some(version)).await;
+        if node.lease.lock().give_back().is_none() {
+            return;
+        }
+        // A renewal under way came first, or the platform is away.
+        tokio::time::sleep(LEASE_TICK).await;
+        read_lease(node).await;
     }
 }
