An adapter that was just ordered is known to be coming

Cause: between an order for an adapter and its answer nothing said that it was coming; each look in that time ordered it from one more upstream. Change: the ledger keeps the order that is on its way, and has_adapter counts it. Test: an order without an answer is known to be coming, and not if it was not sent.

--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -94,8 +94,8 @@
     copies: crate::Copies,
     /// Whether a model is being loaded or unloaded.
     busy: bool,
-    /// Whether an order is on its way.
-    open: bool,
+    /// The order that is on its way.
+    open: Option<Action>,
     /// Whether what is held was read since it was last unknown.
     known: bool,
 }
@@ -118,18 +118,18 @@
 
     /// Whether the upstream has to be asked before it is ordered anything.
     pub const fn wants_report(&self) -> bool {
-        !self.open && (!self.known || self.busy)
+        self.open.is_none() && (!self.known || self.busy)
     }
 
     /// Whether anything can be ordered now. While a model is loaded or unloaded,
     /// an upstream refuses orders for adapters as well.
     pub const fn is_idle(&self) -> bool {
-        self.known && !self.busy && !self.open
+        self.known && !self.busy && self.open.is_none()
     }
 
     /// Takes over a report; one from before the last accepted order is dropped.
     pub fn report(&mut self, now: Instant, report: &Report) {
-        if self.open || report.orders_accepted < self.orders_accepted {
+        if self.open.is_some() || report.orders_accepted < self.orders_accepted {
             return;
         }
         let kept = std::mem::take(&mut self.held);
@@ -209,8 +209,14 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Whether a model and an adapter are held or on their way.
+    /// Whether a model and an adapter are held, on their way or just ordered.
     pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
+        if let Some(Action::LoadAdapter(of, name)) = &self.open
+            && **of == *model
+            && **name == *adapter
+        {
+            return true;
+        }
         let held = self.held.get(model);
         held.is_some_and(|held| held.adapters.contains_key(adapter))
     }
@@ -239,7 +245,7 @@
         if !self.allows(engine, &action) {
             return None;
         }
-        self.open = true;
+        self.open = Some(action.clone());
         Some(Order {
             takes_ms: self.takes_ms(engine, &action),
             action,
@@ -249,7 +255,7 @@
 
     /// Takes over what came of an order.
     pub fn sent(&mut self, now: Instant, order: &Order, sent: Sent) {
-        self.open = false;
+        self.open = None;
         match sent {
             Sent::Answered(OrderAnswer::Accepted) => self.accepted(now, order, false),
             Sent::Answered(OrderAnswer::Done) => self.accepted(now, order, true),
--- a/crates/direct/tests/all/ledger.rs
+++ b/crates/direct/tests/all/ledger.rs
@@ -48,6 +48,20 @@
     assert!(ledger.order(&engine, load("d")).is_some());
 }
 
+/// Two callers wait for an adapter, and the order for it has no answer yet. It is
+/// known to be coming: looked for again, it would take a place at each upstream.
+#[test]
+fn an_adapter_that_was_just_ordered_is_known_to_be_coming() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(0, false, &["a"]));
+    let action = Action::LoadAdapter(name("a"), name("x"));
+    let order = ledger.order(&engine, action).expect("there is room");
+    assert!(ledger.has_adapter("a", "x") && !ledger.has_adapter("a", "y"));
+    ledger.sent(at(1), &order, Sent::NotSent);
+    assert!(!ledger.has_adapter("a", "x"));
+}
+
 /// The report was made before the order that was just accepted. Taken at its
 /// word, the model on its way would be forgotten and its memory given out twice.
 #[test]
