A stopping entry refuses what still waits for an upstream

Cause: an entry ends half a second before its time is over; requests that then waited for a place or a model had their connections closed without an answer, and their callers could not know that nothing had run. Ruled out: requests at an upstream; they are finished or still being run in the last part of the time. Change: waiting ends 400 ms before the process does, with 503 and not run.

--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -58,7 +58,10 @@
                 Err(why) => why,
             };
             let now = self.node.now();
-            let wait_until = self.wait_until(began_at, why);
+            let mut wait_until = self.wait_until(began_at, why);
+            if let Some(stop_at) = node.stop.wait_until() {
+                wait_until = wait_until.min(stop_at);
+            }
             if now >= wait_until {
                 self.tries.push(json!({ "unpicked": why.as_str() }));
                 return Err(self.turned(why));
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -12,6 +12,10 @@
 /// Time before the end of the process until which short requests are taken.
 const SHORT_SPARE_MS: u64 = 2_500;
 
+/// Time before the end of the process at which requests that wait for an upstream
+/// are refused: long enough for the refusal to reach its caller.
+const WAITING_SPARE_MS: u64 = 400;
+
 /// How far the process has gone towards its end.
 #[derive(Debug, Default)]
 pub(crate) struct Stop {
@@ -33,6 +37,15 @@
         self.stopping.lock().is_some()
     }
 
+    /// Until when a request may wait for an upstream, once the signal to stop came.
+    ///
+    /// One that still waited at the end of the process would see its connection
+    /// closed, and not know that it has not run.
+    pub(crate) fn wait_until(&self) -> Option<Instant> {
+        let stopping = self.stopping.lock();
+        stopping.map(|(_, end_at)| end_at - Duration::from_millis(WAITING_SPARE_MS))
+    }
+
     /// Whether a request comes too late to be finished before the process ends.
     pub(crate) fn is_too_late(&self, now: Instant, stream: bool) -> bool {
         self.stopping.lock().is_some_and(|(begun_at, end_at)| {
