Suspects of crashes are told in parts

Cause: a crash makes suspects of all that ran at the upstream, and each message of each entry to each other told all of them for a minute. Change: a message tells at most 16 new suspects and 16 of the others in turn. Rounds of messages are counted apart from messages: the tenth round that goes to silent peers was never reached while the sequence was odd. Test: 300 suspects, no message over 32, the new one in each, all within 19.

--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -44,6 +44,9 @@
     addresses: BTreeSet<SocketAddr>,
     peers: HashMap<String, PeerState>,
     sequence: u64,
+    /// Rounds in which peers were told. The sequence counts two messages a round,
+    /// and others between them.
+    rounds: u64,
     /// Entries that the platform lists.
     registered: usize,
 }
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -24,9 +24,13 @@
 /// Time between two messages that are sent at once.
 const TELL_AT_ONCE_EVERY: Duration = Duration::from_millis(20);
 
-/// Messages out of which one goes to a peer that is away.
+/// Rounds of messages out of which one goes to a peer that is away.
 const AWAY_ONE_OF: u64 = 10;
 
+/// Suspects of crashes told with one message: as many of the new ones, and as many
+/// of the others in turn. A message of 32 takes 1.1 kB for them.
+const SUSPECTS_MAX: usize = 16;
+
 /// Messages within which every upstream's holdings are told once.
 const HOLDINGS_ROUNDS: usize = 5;
 
@@ -95,8 +99,9 @@
 impl Peers {
     /// Addresses for this message.
     fn now_told(&self, now: Instant) -> Vec<SocketAddr> {
-        let table = self.table.lock();
-        let all = table.sequence.is_multiple_of(AWAY_ONE_OF);
+        let mut table = self.table.lock();
+        table.rounds += 1;
+        let all = table.rounds.is_multiple_of(AWAY_ONE_OF);
         let heard: BTreeSet<SocketAddr> = table
             .peers
             .values()
@@ -113,10 +118,10 @@
 
 fn message(node: &Node, to: To) -> PeerNews {
     let now = node.now();
-    let sequence = {
+    let (sequence, round) = {
         let mut table = node.peers.table.lock();
         table.sequence += 1;
-        table.sequence
+        (table.sequence, table.rounds)
     };
     let giver_token = node.lease.lock().token(now).unwrap_or(0);
     let fleet = node.fleet.lock();
@@ -152,8 +157,8 @@
         wants,
         leaving,
         giver_token,
-        holdings: holdings(node, sequence, giver_token),
-        suspects: node.suspects.lock().export(now),
+        holdings: holdings(node, round, giver_token),
+        suspects: node.suspects.lock().export_part(now, round, SUSPECTS_MAX),
         lease_ask: node.relay.asking(now),
         lease_told: node.relay.telling(now),
     }
@@ -185,11 +190,11 @@
 }
 
 /// What changed lately, and a part of the rest in turn.
-fn holdings(node: &Node, sequence: u64, giver_token: u64) -> Vec<Holding> {
+fn holdings(node: &Node, round: u64, giver_token: u64) -> Vec<Holding> {
     if giver_token == 0 {
         return Vec::new();
     }
-    let round = sequence as usize % HOLDINGS_ROUNDS;
+    let round = round as usize % HOLDINGS_ROUNDS;
     let told = node
         .giver
         .told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -24,6 +24,10 @@
 /// could hand an ending verdict to and fro for ever.
 const MERGE_MIN_MS: u64 = 2_000;
 
+/// Age up to which a suspect is told with each message: those that hear it may
+/// have lost one or two.
+const NEW_MS: u64 = 1_500;
+
 /// When to come back with a suspect that can't be run alone now.
 pub const ALONE_RETRY_MS: u64 = 1_000;
 
@@ -226,23 +230,34 @@
     /// A record whose crashes are excused has no time left: whoever knows the
     /// same crashes excuses them too.
     pub fn export(&self, now: Instant) -> Vec<Suspect> {
-        let live = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.ends_at > now);
-        live.map(|(fingerprint, record)| Suspect {
-            fingerprint: *fingerprint,
-            crashes: record.crashes.clone(),
-            convicted: record.convicted,
-            remaining_ms: if record.is_free() {
-                0
-            } else {
-                record.ends_at.ms_since(now)
-            },
-            model: record.model.clone(),
-            running_at: record.running_at.clone(),
-        })
-        .collect()
+        self.live(now)
+            .map(|(fingerprint, record)| suspect(now, *fingerprint, record))
+            .collect()
+    }
+
+    /// What one of many messages tells: `most` of those that are new, and `most`
+    /// of all in turn, so that each is told again while it stands.
+    ///
+    /// A crash makes suspects of all that ran there. Told whole each time by every
+    /// entry to every other, the suspects of a few crashes filled their links, and
+    /// what else the messages say was lost with them.
+    pub fn export_part(&self, now: Instant, turn: u64, most: usize) -> Vec<Suspect> {
+        let is_new =
+            |record: &Record| record.ends_at.ms_since(now) + NEW_MS > self.verdict_ms;
+        let new = self.live(now).filter(|(_, record)| is_new(record));
+        let old = self.live(now).filter(|(_, record)| !is_new(record));
+        let count = old.clone().count().max(1);
+        let first = (turn % count as u64) as usize * most % count;
+        let in_turn = old.clone().cycle().skip(first).take(most.min(old.count()));
+        new.take(most)
+            .chain(in_turn)
+            .map(|(fingerprint, record)| suspect(now, *fingerprint, record))
+            .collect()
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = (&u64, &Record)> + Clone {
+        let records = self.records.iter();
+        records.filter(move |(_, record)| record.ends_at > now)
     }
 
     /// Number of fingerprints known.
@@ -373,3 +388,20 @@
         }
     }
 }
+
+/// What other entries are told of a record.
+fn suspect(now: Instant, fingerprint: u64, record: &Record) -> Suspect {
+    let remaining_ms = if record.is_free() {
+        0
+    } else {
+        record.ends_at.ms_since(now)
+    };
+    Suspect {
+        fingerprint,
+        crashes: record.crashes.clone(),
+        convicted: record.convicted,
+        remaining_ms,
+        model: record.model.clone(),
+        running_at: record.running_at.clone(),
+    }
+}
--- a/crates/route/tests/all/suspects.rs
+++ b/crates/route/tests/all/suspects.rs
@@ -307,3 +307,24 @@
     report(&mut suspects, &[("b", 1, &[7], true)]);
     assert_eq!(suspects.verdict(Instant::ZERO, GUILTY), CONVICTED);
 }
+
+/// Upstreams crash with three hundred requests in flight. No message tells more
+/// than its part, a new suspect is in the first one, and each is told within as
+/// many messages as the parts are.
+#[test]
+fn messages_tell_suspects_in_parts() {
+    const MOST: usize = 16;
+    let mut suspects = Suspects::new(60_000);
+    let many: Vec<u64> = (1_000..1_300).collect();
+    suspects.on_crash(Instant::ZERO, &many, &AgentId::new("a"), 1, false);
+    let now = Instant::ZERO.plus_ms(5_000);
+    suspects.on_crash(now, &[7], &AgentId::new("b"), 1, false);
+    let mut told = std::collections::BTreeSet::new();
+    for turn in 0..=(many.len() / MOST) as u64 {
+        let part = suspects.export_part(now, turn, MOST);
+        assert!(part.len() <= 2 * MOST, "{}", part.len());
+        assert!(part.iter().any(|suspect| suspect.fingerprint == 7));
+        told.extend(part.iter().map(|suspect| suspect.fingerprint));
+    }
+    assert_eq!(told.len(), many.len() + 1);
+}
