The end of a caller's time is one moment

Cause: what is left is counted in whole milliseconds, and a request was given up on when none was left; which end that is was decided by the exact time, which could be up to a millisecond before. Its caller then heard 502, outcome unknown, in place of 504. Seen once as a red test (a_silent_server_costs_no_more_than_ the_callers_time) and traced. Ruled out: load of the machine; sixty requests in a row show it on a quiet one. Change: one question, is_over, in whole milliseconds, decides all three.

--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -54,6 +54,12 @@
 }
 
 impl Call {
+    /// Whether the caller's time is over: what is left is told to upstreams in whole
+    /// milliseconds, and with none left nothing is sent or waited for.
+    pub(crate) fn is_over(&self, clock: BootClock) -> bool {
+        self.left_ms(clock) == 0
+    }
+
     /// Time until the final answer.
     pub(crate) fn left_ms(&self, clock: BootClock) -> u64 {
         self.give_up_at.ms_since(clock.now())
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -151,7 +151,7 @@
         self.may_have_run |= matches!(outcome, Outcome::Unknown | Outcome::Failed);
         let now = self.node.now();
         match next {
-            _ if now >= self.call.give_up_at => {
+            _ if self.call.is_over(self.node.clock) => {
                 Some(self.end_without(Code::DeadlineBeforeRun))
             }
             Next::Other => None,
@@ -195,7 +195,7 @@
             };
             return End::Refused(Refusal::not_run(code).retry_after_ms(RETRY_AFTER_MS));
         }
-        let code = if self.node.now() >= self.call.give_up_at {
+        let code = if self.call.is_over(self.node.clock) {
             Code::DeadlineWhileRunning
         } else {
             Code::OutcomeUnknown
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -163,7 +163,7 @@
         return TryEnd::Fault(Outcome::NotSent, None);
     };
     let left_ms = call.left_ms(node.clock);
-    if left_ms == 0 {
+    if call.is_over(node.clock) {
         return TryEnd::Fault(Outcome::NotSent, None);
     }
     let request = request(node, call, &picked.id, left_ms, last_event);
@@ -208,7 +208,7 @@
         let look = LOOK_EVERY.min(left(node, call));
         match timeout(look, &mut sending).await {
             Ok(answered) => return Some(answered),
-            Err(_) if call.left_ms(node.clock) == 0 => return None,
+            Err(_) if call.is_over(node.clock) => return None,
             Err(_) if gives_up_on(node, call, in_flight, sent_at) => return None,
             Err(_) => {}
         }
