--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -88,55 +88,84 @@
     assert!(plan(&spots, &loads).is_empty());
 }
 
+/// Two upstreams with three places each, where a load takes a second.
+struct Places {
+    spots: [Spot; 2],
+    busy_until_ms: [u64; 2],
+}
+
+impl Places {
+    const LOAD_MS: u64 = 1_000;
+
+    /// Holds the first six models and has copies of all.
+    fn new(all: &[&str]) -> Self {
+        let mut spots = [spot("1", &all[..3]), spot("2", &all[3..6])];
+        for spot in &mut spots {
+            spot.copies = all.iter().map(|model| name(model)).collect();
+        }
+        Self {
+            spots,
+            busy_until_ms: [0; 2],
+        }
+    }
+
+    /// Whether a model is held and not just being loaded.
+    fn serves(&self, ms: u64, model: &str) -> bool {
+        let mut spots = self.spots.iter().zip(self.busy_until_ms);
+        spots.any(|(spot, until_ms)| {
+            let loading = usize::from(until_ms > ms);
+            let mut held = spot.groups.iter().rev().skip(loading);
+            held.any(|group| &*group.model == model)
+        })
+    }
+
+    fn look(&mut self, ms: u64) -> &[Spot] {
+        for (spot, until_ms) in self.spots.iter_mut().zip(self.busy_until_ms) {
+            spot.idle = until_ms <= ms;
+        }
+        &self.spots
+    }
+
+    fn carry_out(&mut self, ms: u64, choice: &Choice) {
+        let index = usize::from(&*choice.upstream == "2");
+        let groups = &mut self.spots[index].groups;
+        groups.retain(|group| Some(&group.model) != choice.unload.as_ref());
+        groups.push(Group {
+            model: Arc::clone(&choice.load),
+            size_mb: 70.0,
+            unloading: false,
+            since: at(ms + Self::LOAD_MS),
+        });
+        assert!(groups.len() <= 3);
+        self.busy_until_ms[index] = ms + Self::LOAD_MS;
+    }
+}
+
 /// Eight models are asked for all the while, and there are places for six. Those
 /// that came first must not keep the places for ever: each model is served again
 /// and again, and a place serves for longer than it loads.
 #[test]
 fn more_wanted_models_than_places_take_turns() {
     const ALL: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
-    const LOAD_MS: u64 = 1_000;
+    const TICK_MS: u64 = 150;
     let engine = engine(&ALL);
     let mut moves = Moves::new(5_000);
-    let mut spots = [spot("1", &ALL[..3]), spot("2", &ALL[3..6])];
-    for spot in &mut spots {
-        spot.copies = ALL.map(name).to_vec();
-    }
-    let mut busy_until = [0; 2];
+    let mut places = Places::new(&ALL);
     let mut served_ms: BTreeMap<&str, u64> = BTreeMap::new();
-    for ms in (0..60_000).step_by(150) {
-        let holds = |model: &str| {
-            let now = spots.iter().zip(busy_until);
-            let mut groups = now.flat_map(|(spot, until)| {
-                let loading = usize::from(until > ms);
-                spot.groups.iter().rev().skip(loading)
-            });
-            groups.any(|group| &*group.model == model)
-        };
+    for ms in (0..60_000).step_by(TICK_MS as usize) {
         let loads = ALL.map(|model| {
-            let waiting = u32::from(!holds(model));
-            *served_ms.entry(model).or_default() += 150 * u64::from(1 - waiting);
+            let serves = places.serves(ms, model);
+            *served_ms.entry(model).or_default() += TICK_MS * u64::from(serves);
             let load = Load {
-                waiting,
+                waiting: u32::from(!serves),
                 oldest_wait_ms: 100,
                 ..load(100.0)
             };
             (name(model), load)
         });
-        for (spot, until) in spots.iter_mut().zip(busy_until) {
-            spot.idle = until <= ms;
-        }
-        for choice in moves.plan(at(ms), &engine, &spots, &loads.into()) {
-            let index = usize::from(&*choice.upstream == "2");
-            let groups = &mut spots[index].groups;
-            groups.retain(|group| Some(&group.model) != choice.unload.as_ref());
-            groups.push(Group {
-                model: Arc::clone(&choice.load),
-                size_mb: 70.0,
-                unloading: false,
-                since: at(ms + LOAD_MS),
-            });
-            assert!(groups.len() <= 3);
-            busy_until[index] = ms + LOAD_MS;
+        let choices = moves.plan(at(ms), &engine, places.look(ms), &loads.into());
+        for choice in &choices {
+            places.carry_out(ms, choice);
         }
     }
     for (model, ms) in &served_ms {
