--- a/crates/front/src/giver/book.rs
+++ b/crates/front/src/giver/book.rs
@@ -5,7 +5,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{ADAPTER_TURN_MS, engine};
+use super::adapters::ADAPTER_TURN_MS;
+use super::engine;
 use crate::wants::Want;
 
 /// Time that an unload is expected to take: it waits for what runs.
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -1,6 +1,7 @@
 //! The giver of orders: what upstreams are to hold, while this entry has the
 //! lease.
 
+mod adapters;
 mod book;
 
 use base::prelude::*;
@@ -32,15 +33,6 @@
 /// Time for which a change of what an upstream holds is told with each message.
 const FRESH_MS: u64 = 600;
 
-/// Time for which an adapter keeps its place before it makes room for one that is
-/// waited for. Where more adapters are asked for than there are places, they take
-/// turns; a turn is some tens of loads long. With turns of 1 s, 13 to 16 of 115
-/// adapters were never served on three of eight plays of a day, with these on none.
-const ADAPTER_TURN_MS: u64 = 300;
-
-/// Time for which an adapter counts as waited for after an entry named it.
-const WANT_MS: u64 = 500;
-
 /// State of the giver of orders.
 #[derive(Debug)]
 pub(crate) struct Giver {
@@ -261,63 +253,6 @@
         orders
     }
 
-    /// Orders for the adapters that requests wait for.
-    fn adapters(&mut self, node: &Node, setup: &Setup, now: Instant) -> Vec<Ordered> {
-        for want in node.wants.standing(now) {
-            self.wants.insert(want, now);
-        }
-        self.wants.retain(|_, at| now.ms_since(*at) < WANT_MS);
-        let wants: Vec<Want> = self.wants.keys().cloned().collect();
-        let mut orders = Vec::new();
-        for want in wants {
-            let Some(engine) = engine(setup, &want.service) else {
-                continue;
-            };
-            if self.is_coming(&want) {
-                continue;
-            }
-            let Some(id) = self.adapter_place(node, &want, engine, now) else {
-                continue;
-            };
-            let Some(book) = self.books.get_mut(&id) else {
-                continue;
-            };
-            let order = book.adapter_order(engine, &want, now);
-            if let Some(order) = order {
-                orders.push((id, Arc::clone(&want.service), order, false));
-            }
-        }
-        orders
-    }
-
-    fn is_coming(&self, want: &Want) -> bool {
-        let mut books = self.books.values();
-        books.any(|book| book.ledger.has_adapter(&want.model, &want.adapter))
-    }
-
-    /// The upstream that is to hold an adapter: the least used one that holds
-    /// its model, one with a free place first.
-    fn adapter_place(
-        &self,
-        node: &Node,
-        want: &Want,
-        engine: &Engine,
-        now: Instant,
-    ) -> Option<Arc<str>> {
-        let fleet = node.fleet.lock();
-        let books = self.books.iter().filter(|(_, book)| {
-            let mut models = book.ledger.models();
-            let holds = models.any(|(model, loaded)| *model == want.model && loaded);
-            book.service == want.service && holds && book.takes_orders()
-        });
-        let best = books.min_by_key(|(id, book)| {
-            let full = book.ledger.adapters() >= engine.adapters_max;
-            let usage = fleet.get(id).map(|upstream| upstream.usage(now));
-            (full, usage.map_or(0, |usage| usage.running))
-        });
-        best.map(|(id, _)| Arc::clone(id))
-    }
-
     fn plan(&mut self, node: &Node, setup: &Setup, now: Instant) -> Vec<Ordered> {
         let services: Vec<Arc<str>> = self.moves.keys().cloned().collect();
         let mut orders = Vec::new();
