--- a/crates/direct/src/unserved.rs
+++ b/crates/direct/src/unserved.rs
@@ -9,7 +9,7 @@
 /// Time for which a wanted model may go without a holder before it takes its turn
 /// in the place of another wanted one. Demand that has moved on leaves places
 /// within seconds; taken after 2 s already, the places of models that were still
-/// asked for cost more than they brought (0.02 of worth on days of high load).
+/// asked for cost more than they brought: two in a hundred of what high load earns.
 const PATIENCE_MS: u64 = 6_000;
 
 /// Length of a turn, in times that the displaced model takes to come back from
--- a/crates/front/src/giver/adapters.rs
+++ b/crates/front/src/giver/adapters.rs
@@ -10,8 +10,8 @@
 
 /// Time for which an adapter keeps its place before it makes room for one that is
 /// waited for. Where more adapters are asked for than there are places, they take
-/// turns; a turn is some tens of loads long. With turns of 1 s, 13 to 16 of 115
-/// adapters were never served on three of eight plays of a day, with these on none.
+/// turns; a turn is some tens of loads long. With turns of 1 s, an eighth of those in
+/// demand was never served while upstreams crashed; with these, all were.
 pub(super) const ADAPTER_TURN_MS: u64 = 300;
 
 /// Time for which an adapter counts as waited for after an entry named it.
