Sight: what a stopping entry still holds, and requests that come after its end

Cause sought: in the incident (planned work alone, all entries stopped in turn) a request reached an upstream 4.3 s after SIGTERM and its connection was closed without an answer 9 ms later.

Change: no logic. Callers' connections are tasks of a tracker and are told with "stopping" and "stopped"; a request that comes after "stopped" has a line; answers after the signal are counted by the phase in which the request came.

--- a/crates/front/src/meters.rs
+++ b/crates/front/src/meters.rs
@@ -31,6 +31,9 @@
     pub(crate) doubts: IntCounterVec,
     /// Time for which the process did not run.
     pub(crate) suspended_s: Counter,
+    /// Answers given after the signal to stop, by the phase in which the request
+    /// came and by status.
+    pub(crate) stop_answers: IntCounterVec,
     /// Requests in progress.
     pub(crate) in_progress: IntGauge,
     /// Lines of the log that were dropped.
@@ -73,6 +76,11 @@
             "Upstreams that began to be avoided",
             &["why"],
         );
+        let stop_answers = counter(
+            "sesame_front_stop_answers_total",
+            "Answers after the signal to stop",
+            &["phase", "status"],
+        );
         let suspended_s = Counter::new(
             "sesame_front_suspended_seconds_total",
             "Time for which the process did not run",
@@ -118,6 +126,7 @@
             store_calls,
             doubts,
             suspended_s,
+            stop_answers,
             in_progress,
             log_dropped,
         }
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
 
 use crate::giver::Giver;
 use crate::meters::Meters;
@@ -66,6 +67,8 @@
     /// Told when a request ends and makes room.
     pub(crate) room: Notify,
     pub(crate) stop: Stop,
+    /// Tasks of callers' connections; each is there until its last bytes are sent.
+    pub(crate) connections: TaskTracker,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -113,6 +116,7 @@
             holdings: Notify::new(),
             room: Notify::new(),
             stop: Stop::default(),
+            connections: TaskTracker::new(),
             random: Mutex::new(Pcg64Mcg::new(u128::from(seed) | 1)),
             options,
         }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -15,6 +15,7 @@
 use crate::headers::{ask_close, is_ambiguous, strip_connection};
 use crate::node::Node;
 use crate::run::run;
+use crate::stop::Phase;
 use crate::{AskHead, BootClock};
 
 /// Time after which a caller is told to come back to an entry that does not
@@ -74,9 +75,14 @@
     double_framing: bool,
 ) -> Response<AnswerBody> {
     let arrived = node.now();
+    let phase = node.stop.phase();
     let (parts, body) = request.into_parts();
     let ask = node.dialect.ask(&parts.headers);
     let id = ask.id.clone();
+    if phase == Phase::Ended {
+        node.log
+            .line("taken_after_end", json!({ "id": id.clone() }));
+    }
     let called = if double_framing || is_ambiguous(&parts.headers) {
         Err(Refusal::not_run(Code::BadRequest))
     } else {
@@ -95,6 +101,11 @@
             refusal(&*node.dialect, &id, &why)
         }
     };
+    if phase > Phase::Serving {
+        let status = response.status();
+        let labels = [phase.as_str(), status.as_str()];
+        node.meters.stop_answers.with_label_values(&labels).inc();
+    }
     if node.stop.is_stopping() || response.status() == StatusCode::BAD_REQUEST {
         ask_close(response.headers_mut());
     }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -28,7 +28,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(connection(Arc::clone(&node), stream));
+                node.connections
+                    .spawn(connection(Arc::clone(&node), stream));
             }
             // Out of descriptors: those open now have to end first.
             Err(fault) => {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -1,7 +1,7 @@
 //! The process, from its sockets to its end.
 
 use plat::ObjectApi;
-use serde_json::json;
+use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -174,10 +174,7 @@
         let longest = Duration::from_millis(node.options.bounds.stop_ms);
         let end_at = begun_at + longest.saturating_sub(SPARE);
         node.stop.begin(begun_at, end_at);
-        node.log.line(
-            "stopping",
-            json!({ "in_progress": node.meters.in_progress.get() }),
-        );
+        node.log.line("stopping", self.left());
         let releasing = Arc::clone(node);
         tokio::spawn(async move { give_back_lease(&releasing).await });
         tokio::time::sleep(KEEP_TAKING).await;
@@ -185,11 +182,16 @@
         while node.now() < end_at && node.meters.in_progress.get() > 0 {
             tokio::time::sleep(LOOK_EVERY).await;
         }
-        node.log.line(
-            "stopped",
-            json!({ "in_progress": node.meters.in_progress.get() }),
-        );
+        node.stop.ended.cancel();
+        node.log.line("stopped", self.left());
         node.log.flush();
         tokio::time::sleep(LOOK_EVERY).await;
     }
+
+    /// What has not ended yet, for the log.
+    fn left(&self) -> Value {
+        let node = &self.node;
+        json!({ "in_progress": node.meters.in_progress.get(),
+            "connections": node.connections.len() })
+    }
 }
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -17,10 +17,37 @@
 const WAITING_SPARE_MS: u64 = 400;
 
 /// How far the process has gone towards its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// The signal to stop has not come.
+    Serving,
+    /// This entry is not ready any more; the balancer may not have asked yet.
+    Announced,
+    /// Connections close after what they are answering.
+    Closing,
+    /// The process is about to end.
+    Ended,
+}
+
+impl Phase {
+    /// Its name in metrics and log lines.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Announced => "announced",
+            Self::Closing => "closing",
+            Self::Ended => "ended",
+        }
+    }
+}
+
+/// What the signal to stop leads to.
 #[derive(Debug, Default)]
 pub(crate) struct Stop {
     /// When the signal to stop came, and when the process ends.
     stopping: Mutex<Option<(Instant, Instant)>>,
+    /// Told when the process is about to end.
+    pub(crate) ended: CancellationToken,
     /// Connections are to close after what they are answering.
     pub(crate) close: CancellationToken,
 }
@@ -32,6 +59,19 @@
         *self.stopping.lock() = Some((now, end_at));
     }
 
+    /// How far the process has gone towards its end.
+    pub(crate) fn phase(&self) -> Phase {
+        if !self.is_stopping() {
+            Phase::Serving
+        } else if !self.close.is_cancelled() {
+            Phase::Announced
+        } else if !self.ended.is_cancelled() {
+            Phase::Closing
+        } else {
+            Phase::Ended
+        }
+    }
+
     /// Whether the signal to stop came.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.lock().is_some()
