The end of a process waits for connections, behind a closed listener

Cause: a process ended after a look that found no request in progress. A request counted from when it was whole until its answer was handed to the HTTP library, so one that was half read, one that came between the look and the end (50 to 100 ms later; the listener still took connections, and the balancer still sent them, as it does while under half of a failure domain is ready) and an answer not yet sent were cut. Class: the end decided by a count of less than the process had taken on, while more could still come.

The end waits for connections (tasks of a tracker, each there from before its first byte until after its last), closes the listener once none is open, takes those that the operating system holds ready, and waits again. A connection on which a head is due is given a second for it instead of being closed unread; what has no answer 0.4 s before the end gets its final one (502, or 503 if it has not run).

--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -1,4 +1,9 @@
-//! Requests with two framings, seen in their bytes.
+//! What is seen of requests in a connection's bytes: where its turn is, and
+//! requests with two framings.
+//!
+//! The HTTP library closes a connection that is to end and has no request in its
+//! hands, also if the first bytes of one have come. Whose turn it is tells when
+//! that cuts nobody off.
 //!
 //! The HTTP library reads a request with both a length and chunks by its chunks
 //! and drops the length before anybody sees it. What stands behind the chunks
@@ -11,6 +16,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::watch;
 
 /// Start of a line that is kept: the longer name and its colon.
 const LINE_START_MAX: usize = 18;
@@ -52,20 +58,69 @@
     }
 }
 
-/// Whether the head that was read last has two framings.
+/// Whose turn it is on a connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Turn {
+    /// The caller has connected and sent nothing yet.
+    #[default]
+    Fresh,
+    /// The caller is sending a head.
+    Sending,
+    /// A request is being answered.
+    Answering,
+    /// All requests so far were answered.
+    Idle,
+}
+
+/// What is seen of a connection's requests.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Framing(Arc<Mutex<Head>>);
+pub(crate) struct Framing(Arc<Seen>);
+
+#[derive(Debug, Default)]
+struct Seen {
+    head: Mutex<Head>,
+    turn: watch::Sender<Turn>,
+}
 
 impl Framing {
-    /// Whether there are both a length and a coding.
+    /// A head was read to its end, and its request is being answered.
+    pub(crate) fn answering(&self) {
+        self.0.turn.send_replace(Turn::Answering);
+    }
+
+    /// Whether the head that was read last has both a length and a coding.
     pub(crate) fn is_double(&self) -> bool {
-        let head = self.0.lock();
+        let head = self.0.head.lock();
         head.length && head.coding
     }
 
     /// The request was answered: what is read next is another head.
     pub(crate) fn next_head(&self) {
-        *self.0.lock() = Head::default();
+        *self.0.head.lock() = Head::default();
+        self.0.turn.send_replace(Turn::Idle);
+    }
+
+    /// Waits until the caller owes nothing: it has sent the head that its connection
+    /// was opened for, or that it began.
+    pub(crate) async fn head_is_whole(&self) {
+        let mut turn = self.0.turn.subscribe();
+        // The sender lives as long as this.
+        let _ = turn
+            .wait_for(|turn| matches!(turn, Turn::Answering | Turn::Idle))
+            .await;
+    }
+
+    fn read(&self, bytes: &[u8]) {
+        self.0.head.lock().read(bytes);
+        if !bytes.is_empty() {
+            self.0.turn.send_if_modified(|turn| {
+                let begins = matches!(turn, Turn::Fresh | Turn::Idle);
+                if begins {
+                    *turn = Turn::Sending;
+                }
+                begins
+            });
+        }
     }
 }
 
@@ -90,7 +145,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        self.framing.0.lock().read(&buffer.filled()[before..]);
+        self.framing.read(&buffer.filled()[before..]);
         polled
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,6 +25,7 @@
 mod connection;
 mod crash;
 mod dialect;
+mod ending;
 mod events;
 mod follow;
 mod framing;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -36,6 +36,8 @@
     /// Upstreams that could not be reached.
     pub(crate) unreached: Vec<Arc<str>>,
     may_have_run: bool,
+    /// A try is under way.
+    trying: bool,
     /// The last failure of an upstream's own.
     failure: Option<Whole>,
     /// Last event given on, where a stream is continued.
@@ -61,7 +63,13 @@
         });
     }
     let mut run = Run::new(node, call);
-    match run.until_answer().await {
+    let answer_now = run.node.stop.answer_now.clone();
+    let end = tokio::select! {
+        biased;
+        end = run.until_answer() => end,
+        () = answer_now.cancelled() => run.end_at_stop(),
+    };
+    match end {
         End::Live(live) => match begin(run, *live).await {
             Ok((first, pump)) => pass_on(first, pump),
             Err((mut run, end)) => run.finish(end),
@@ -78,6 +86,7 @@
             sent_to: Vec::new(),
             unreached: Vec::new(),
             may_have_run: false,
+            trying: false,
             failure: None,
             last_event: None,
             tries: Vec::new(),
@@ -99,8 +108,10 @@
             };
             let last_event = self.last_event.map(|id| id.to_string());
             let begun_at = self.node.now();
+            self.trying = true;
             let ended =
                 try_once(&self.node, &self.call, &picked, last_event.as_deref()).await;
+            self.trying = false;
             self.note_try(&picked, begun_at, &ended);
             match ended {
                 TryEnd::Live(live) => return End::Live(live),
@@ -175,6 +186,19 @@
         }
     }
 
+    /// The process ends before an answer came. Cut with its connection, the request
+    /// would leave its caller without a word; whether it may come again, this end
+    /// says.
+    fn end_at_stop(&mut self) -> End {
+        self.may_have_run |= self.trying;
+        self.end_without(Code::Leaving)
+    }
+
+    /// Whether the process ends and nothing of an answer was given on.
+    pub(crate) fn ends_at_stop(&self) -> bool {
+        self.first_answer_ms.is_none() && self.node.stop.answer_now.is_cancelled()
+    }
+
     /// The caller's time is over while a stream runs.
     pub(crate) fn late(&mut self) -> End {
         self.may_have_run = true;
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -59,7 +59,7 @@
             };
             let now = self.node.now();
             let mut wait_until = self.wait_until(began_at, why);
-            if let Some(stop_at) = node.stop.wait_until() {
+            if let Some(stop_at) = node.stop.answer_by() {
                 wait_until = wait_until.min(stop_at);
             }
             if now >= wait_until {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -23,14 +23,20 @@
 /// Pause after the operating system could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts callers' connections for ever.
+/// Time that a caller is given for the head of its request once connections are to
+/// close. One that connected sends it at once; callers leave an entry that has not
+/// read their request after a second.
+const HEAD_WAIT: Duration = Duration::from_secs(1);
+
+/// Accepts callers' connections until none is to be taken any more.
 pub(crate) async fn accept(node: Arc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                node.connections
-                    .spawn(connection(Arc::clone(&node), stream));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.stop.unlisten.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => take(&node, stream),
             // Out of descriptors: those open now have to end first.
             Err(fault) => {
                 let why = fault.to_string();
@@ -40,6 +46,26 @@
             }
         }
     }
+    take_last(&node, listener);
+}
+
+/// Takes the connections that the operating system holds ready. Closing the
+/// listener would reset them, with requests that their callers have sent.
+fn take_last(node: &Arc<Node>, listener: TcpListener) {
+    // Only a listener that is not registered any more fails here; it holds none.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            take(node, stream);
+        }
+    }
+}
+
+fn take(node: &Arc<Node>, stream: TcpStream) {
+    node.connections.spawn(connection(Arc::clone(node), stream));
 }
 
 async fn connection(node: Arc<Node>, stream: TcpStream) {
@@ -47,11 +73,13 @@
     let limits = node.setup().map(|setup| setup.limits.clone());
     let limits = limits.unwrap_or_default();
     let framing = Framing::default();
+    let turns = framing.clone();
     let service = {
         let (node, framing) = (Arc::clone(&node), framing.clone());
         service_fn(move |request| {
             let (node, framing) = (Arc::clone(&node), framing.clone());
             async move {
+                framing.answering();
                 let response = serve(node, request, framing.is_double()).await;
                 framing.next_head();
                 Ok::<_, Infallible>(response)
@@ -72,8 +100,16 @@
     // How a connection ends is its caller's affair; its requests' futures end
     // with it.
     tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = node.stop.close.cancelled() => {}
+    }
+    tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
-        () = node.stop.close.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = turns.head_is_whole() => {}
+        () = tokio::time::sleep(HEAD_WAIT) => {}
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -1,7 +1,7 @@
 //! The process, from its sockets to its end.
 
 use plat::ObjectApi;
-use serde_json::{Value, json};
+use serde_json::json;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -9,25 +9,17 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
 use crate::beliefs::tell_beliefs;
+use crate::ending::end_in_order;
 use crate::follow::{Followed, follow};
 use crate::giver::give_orders;
 use crate::node::Node;
-use crate::orders::{give_back_lease, keep_lease};
+use crate::orders::keep_lease;
 use crate::peers;
 use crate::{Dialect, Log, Options, operated, server};
 
-/// Time after the signal to stop in which connections still take requests: the
-/// balancer needs two questions, a second apart, to send callers elsewhere.
-const KEEP_TAKING: Duration = Duration::from_millis(2_200);
-
-/// Time before the end by force at which the process ends by itself.
-const SPARE: Duration = Duration::from_millis(500);
-
-/// Time between two looks at whether all requests have ended.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
-
 /// Time between two rounds of forgetting what is not needed any more.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
@@ -57,6 +49,8 @@
 #[derive(Debug)]
 pub struct Front {
     node: Arc<Node>,
+    /// Takes callers' connections.
+    listening: JoinHandle<()>,
 }
 
 /// Binds the sockets and starts the tasks.
@@ -82,7 +76,7 @@
             "start": node.start }),
     );
     let shared = || Arc::clone(&node);
-    tokio::spawn(server::accept(shared(), callers));
+    let listening = tokio::spawn(server::accept(shared(), callers));
     tokio::spawn(operated::answer(shared(), readiness));
     tokio::spawn(follow(shared(), Followed::Setup));
     tokio::spawn(follow(shared(), Followed::Upstreams));
@@ -96,7 +90,7 @@
     tokio::spawn(tell_beliefs(shared()));
     let handing_over = node.log.clone();
     tokio::spawn(async move { handing_over.hand_over().await });
-    Ok(Front { node })
+    Ok(Front { node, listening })
 }
 
 /// Binds a listener; the address then has the port that it got.
@@ -162,36 +156,7 @@
                 _ = reload.recv() => self.node.log.line("reload", json!({})),
             }
         }
-        self.stop().await;
+        end_in_order(&self.node, self.listening).await;
         Ok(())
     }
-
-    /// Ends in order: callers are sent elsewhere, what runs is finished, and no
-    /// answer is cut while there is time for it.
-    async fn stop(&self) {
-        let node = &self.node;
-        let begun_at = node.now();
-        let longest = Duration::from_millis(node.options.bounds.stop_ms);
-        let end_at = begun_at + longest.saturating_sub(SPARE);
-        node.stop.begin(begun_at, end_at);
-        node.log.line("stopping", self.left());
-        let releasing = Arc::clone(node);
-        tokio::spawn(async move { give_back_lease(&releasing).await });
-        tokio::time::sleep(KEEP_TAKING).await;
-        node.stop.close.cancel();
-        while node.now() < end_at && node.meters.in_progress.get() > 0 {
-            tokio::time::sleep(LOOK_EVERY).await;
-        }
-        node.stop.ended.cancel();
-        node.log.line("stopped", self.left());
-        node.log.flush();
-        tokio::time::sleep(LOOK_EVERY).await;
-    }
-
-    /// What has not ended yet, for the log.
-    fn left(&self) -> Value {
-        let node = &self.node;
-        json!({ "in_progress": node.meters.in_progress.get(),
-            "connections": node.connections.len() })
-    }
 }
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -12,9 +12,9 @@
 /// Time before the end of the process until which short requests are taken.
 const SHORT_SPARE_MS: u64 = 2_500;
 
-/// Time before the end of the process at which requests that wait for an upstream
-/// are refused: long enough for the refusal to reach its caller.
-const WAITING_SPARE_MS: u64 = 400;
+/// Time before the end of the process at which requests get their final answer,
+/// whatever they wait for: long enough for it to reach its caller.
+const ANSWER_SPARE_MS: u64 = 400;
 
 /// How far the process has gone towards its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,6 +25,8 @@
     Announced,
     /// Connections close after what they are answering.
     Closing,
+    /// No connection is taken any more.
+    Unlistened,
     /// The process is about to end.
     Ended,
 }
@@ -36,6 +38,7 @@
             Self::Serving => "serving",
             Self::Announced => "announced",
             Self::Closing => "closing",
+            Self::Unlistened => "unlistened",
             Self::Ended => "ended",
         }
     }
@@ -46,10 +49,14 @@
 pub(crate) struct Stop {
     /// When the signal to stop came, and when the process ends.
     stopping: Mutex<Option<(Instant, Instant)>>,
-    /// Told when the process is about to end.
-    pub(crate) ended: CancellationToken,
     /// Connections are to close after what they are answering.
     pub(crate) close: CancellationToken,
+    /// No connection is to be taken any more.
+    pub(crate) unlisten: CancellationToken,
+    /// Requests without an answer are to get one now.
+    pub(crate) answer_now: CancellationToken,
+    /// The process is about to end.
+    pub(crate) ended: CancellationToken,
 }
 
 impl Stop {
@@ -65,8 +72,10 @@
             Phase::Serving
         } else if !self.close.is_cancelled() {
             Phase::Announced
-        } else if !self.ended.is_cancelled() {
+        } else if !self.unlisten.is_cancelled() {
             Phase::Closing
+        } else if !self.ended.is_cancelled() {
+            Phase::Unlistened
         } else {
             Phase::Ended
         }
@@ -77,13 +86,13 @@
         self.stopping.lock().is_some()
     }
 
-    /// Until when a request may wait for an upstream, once the signal to stop came.
+    /// When requests get their final answer, once the signal to stop came.
     ///
-    /// One that still waited at the end of the process would see its connection
-    /// closed, and not know that it has not run.
-    pub(crate) fn wait_until(&self) -> Option<Instant> {
+    /// One without an answer at the end of the process would see its connection
+    /// closed, and not know whether it has run.
+    pub(crate) fn answer_by(&self) -> Option<Instant> {
         let stopping = self.stopping.lock();
-        stopping.map(|(_, end_at)| end_at - Duration::from_millis(WAITING_SPARE_MS))
+        stopping.map(|(_, end_at)| end_at - Duration::from_millis(ANSWER_SPARE_MS))
     }
 
     /// Whether a request comes too late to be finished before the process ends.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -137,7 +137,7 @@
                 return Step::Broke;
             };
             let left_ms = self.run.call.left_ms(self.run.node.clock);
-            if left_ms == 0 {
+            if left_ms == 0 || self.run.ends_at_stop() {
                 return Step::Late;
             }
             let look = LOOK_EVERY.min(Duration::from_millis(left_ms));
