--- a/crates/agent/src/upstream/engine.rs
+++ b/crates/agent/src/upstream/engine.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 
 use super::answer::{Answer, Next};
-use super::run::Ending;
+use super::ending::Ending;
 use super::sse::{Event, Fault, Reader};
 
 /// How far an answer has come.
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod asking;
 mod connection;
+mod ending;
 mod engine;
 mod orders;
 mod request;
--- a/crates/agent/src/upstream/run.rs
+++ b/crates/agent/src/upstream/run.rs
@@ -1,6 +1,6 @@
 //! One attempt at the upstream, from its connection to its end.
 
-use base::{AttemptId, Ran};
+use base::AttemptId;
 use hyper::StatusCode;
 use role::agent::{AgentEvent, UpstreamEvent};
 use schema::link::Run;
@@ -8,6 +8,7 @@
 
 use super::answer::Answer;
 use super::connection::{Answering, Connection, NoAnswer};
+use super::ending::Ending;
 use super::{engine, request, service};
 use crate::attempts::Running;
 use crate::node::Node;
@@ -15,78 +16,6 @@
 /// Header by which an upstream says that a refused request was not run.
 const NOT_RUN_HEADER: &str = "x-not-run";
 
-/// How an attempt ended at the upstream.
-#[derive(Debug)]
-pub(super) enum Ending {
-    /// In good order.
-    Whole {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-    },
-    /// In any other way.
-    Failed {
-        /// Whether it was run.
-        ran: Ran,
-        /// HTTP status, or 0.
-        status: u16,
-        /// The connection broke.
-        broken: bool,
-    },
-}
-
-impl Ending {
-    /// The answer broke off after its head.
-    pub(super) const fn broken(status: u16) -> Self {
-        Self::Failed {
-            ran: Ran::Ran,
-            status,
-            broken: true,
-        }
-    }
-
-    /// The upstream broke its protocol, or refused.
-    pub(super) const fn fault(status: u16) -> Self {
-        Self::Failed {
-            ran: Ran::Ran,
-            status,
-            broken: false,
-        }
-    }
-
-    const fn not_run(status: u16) -> Self {
-        Self::Failed {
-            ran: Ran::NotRun,
-            status,
-            broken: false,
-        }
-    }
-
-    fn event(self, attempt: AttemptId) -> UpstreamEvent {
-        match self {
-            Self::Whole {
-                status,
-                content_type,
-            } => UpstreamEvent::Done {
-                attempt,
-                status,
-                content_type,
-            },
-            Self::Failed {
-                ran,
-                status,
-                broken,
-            } => UpstreamEvent::Failed {
-                attempt,
-                ran,
-                status,
-                broken,
-            },
-        }
-    }
-}
-
 /// Runs an attempt. When it is stopped or the process ends, the connection is
 /// closed, which is the upstream's sign to cancel, and nothing more is told.
 pub(crate) async fn run(node: Arc<Node>, running: Running, run: Box<Run>) {
--- a/crates/conf/src/check/node.rs
+++ b/crates/conf/src/document/node.rs
@@ -17,7 +17,7 @@
 
 /// One value of a document.
 #[derive(Debug)]
-pub(super) struct Node {
+pub(crate) struct Node {
     /// Byte offset in the text; 0 without one.
     pub(super) offset: usize,
     /// The value.
@@ -26,7 +26,7 @@
 
 /// Content of a value.
 #[derive(Debug)]
-pub(super) enum Body {
+pub(crate) enum Body {
     /// Keys in the order of the text; one may stand twice.
     Object(Vec<Member>),
     /// Values in order.
@@ -39,7 +39,7 @@
 
 /// One key of an object and its value.
 #[derive(Debug)]
-pub(super) struct Member {
+pub(crate) struct Member {
     /// The key.
     pub(super) name: String,
     /// Byte offset of the key.
@@ -63,7 +63,7 @@
 };
 
 /// Reads a text; `None` only besides a fault.
-pub(super) fn from_text(text: &str, findings: &mut Findings<'_>) -> Option<Node> {
+pub(crate) fn from_text(text: &str, findings: &mut Findings<'_>) -> Option<Node> {
     let root = Path::default();
     if text.len() > DOCUMENT_MAX_BYTES {
         findings.add(Code::OutOfRange, &root, size_message(text.len()));
@@ -87,7 +87,7 @@
 }
 
 /// Takes a decoded document; `None` only besides a fault.
-pub(super) fn from_value(value: &Value, findings: &mut Findings<'_>) -> Option<Node> {
+pub(crate) fn from_value(value: &Value, findings: &mut Findings<'_>) -> Option<Node> {
     let mut builder = Builder::default();
     let node = builder.build_value(value, 0);
     let node = builder.finish(node, findings)?;
--- a/crates/conf/src/check/shape.rs
+++ b/crates/conf/src/document/shape.rs
@@ -17,7 +17,7 @@
 const QUOTE_MAX: usize = 40;
 
 /// Keeps of a tree what the named message knows.
-pub(super) fn keep_known(
+pub(crate) fn keep_known(
     node: &Node,
     message: &str,
     findings: &mut Findings<'_>,
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -15,16 +15,19 @@
 mod check;
 mod config;
 mod defaults;
+mod document;
 mod log;
 pub mod merge;
 mod rules;
 
 pub use check::{
-    DEPTH_MAX, DOCUMENT_MAX_BYTES, FAULTS_MAX, Fault, NAME_MAX_BYTES, VALUES_MAX,
     check_agent_settings, check_document, check_entry_settings, check_fleet,
 };
 pub use config::{
     CallerSpec, Config, ModelSpec, PoolSpec, ProfileKind, ProfileSpec, ServiceSpec,
     key_hash,
 };
+pub use document::{
+    DEPTH_MAX, DOCUMENT_MAX_BYTES, FAULTS_MAX, Fault, NAME_MAX_BYTES, VALUES_MAX,
+};
 pub use log::{ConfigLog, LogError, REVISION_PREFIX, SNAPSHOT_KEY, revision_key};
--- a/crates/conf/src/rules/bounds.rs
+++ b/crates/conf/src/rules/bounds.rs
@@ -2,7 +2,7 @@
 
 use base::Code;
 
-use crate::check::{Findings, Path};
+use crate::document::{Findings, Path};
 
 /// Range of a whole number, with its ends.
 #[derive(Debug, Clone, Copy)]
@@ -16,6 +16,8 @@
     Range { min, max }
 }
 
+pub(super) const SIZE_MIB: Range = range(1, 16 << 20);
+
 /// Tells a key that is missing; true if it is given.
 pub(super) fn needed(object: &Path, key: &str, findings: &mut Findings<'_>) -> bool {
     let path = object.key(key);
--- a/crates/conf/src/rules/fleet.rs
+++ b/crates/conf/src/rules/fleet.rs
@@ -7,13 +7,12 @@
 
 use super::bounds::{self, Range, range};
 use super::{models, names, profiles};
-use crate::check::{Findings, Path};
 use crate::defaults;
+use crate::document::{Findings, Path};
 
 const DAY_MS: u64 = 24 * 3_600_000;
 const INSTANCES: Range = range(1, 100_000);
 const ACCELERATORS: Range = range(1, 64);
-pub(super) const SIZE_MIB: Range = range(1, 16 << 20);
 const STEP_TIME_US: Range = range(1, 60_000_000);
 const CONCURRENT: Range = range(1, 100_000);
 const ORDER_DELAY_MS: Range = range(1, 3_600_000);
@@ -98,7 +97,7 @@
     let count = pool.accelerators_mib.len() as u64;
     bounds::whole(&list, count, ACCELERATORS, findings);
     for (index, mib) in pool.accelerators_mib.iter().enumerate() {
-        bounds::whole(&list.index(index), *mib, SIZE_MIB, findings);
+        bounds::whole(&list.index(index), *mib, bounds::SIZE_MIB, findings);
     }
 }
 
--- a/crates/conf/src/rules/models.rs
+++ b/crates/conf/src/rules/models.rs
@@ -4,9 +4,8 @@
 use schema::settings::{Adapter, Fleet, Model};
 
 use super::bounds::{self, Range, range};
-use super::fleet::SIZE_MIB;
 use super::names;
-use crate::check::{Findings, Path, quote};
+use crate::document::{Findings, Path, quote};
 
 const VERSION: Range = range(1, u32::MAX as u64);
 
@@ -34,7 +33,7 @@
 }
 
 fn check_model(fleet: &Fleet, model: &Model, path: &Path, findings: &mut Findings<'_>) {
-    bounds::needed_whole(path, "size_mib", model.size_mib, SIZE_MIB, findings);
+    bounds::needed_whole(path, "size_mib", model.size_mib, bounds::SIZE_MIB, findings);
     bounds::needed_whole(path, "version", model.version, VERSION, findings);
     if !bounds::needed(path, "pool", findings) {
         return;
@@ -59,7 +58,13 @@
     path: &Path,
     findings: &mut Findings<'_>,
 ) {
-    bounds::needed_whole(path, "size_mib", adapter.size_mib, SIZE_MIB, findings);
+    bounds::needed_whole(
+        path,
+        "size_mib",
+        adapter.size_mib,
+        bounds::SIZE_MIB,
+        findings,
+    );
     bounds::needed_whole(path, "version", adapter.version, VERSION, findings);
     if !bounds::needed(path, "base", findings) {
         return;
--- a/crates/conf/src/rules/names.rs
+++ b/crates/conf/src/rules/names.rs
@@ -3,7 +3,7 @@
 use base::Code;
 
 use super::bounds;
-use crate::check::{Findings, NAME_MAX_BYTES, Path, quote};
+use crate::document::{Findings, NAME_MAX_BYTES, Path, quote};
 
 /// Checks a name; it ends up in object keys, paths of URLs and metrics.
 pub(super) fn name(path: &Path, name: &str, findings: &mut Findings<'_>) {
--- a/crates/conf/src/rules/process.rs
+++ b/crates/conf/src/rules/process.rs
@@ -6,7 +6,7 @@
 
 use super::bounds::{self, Range, range};
 use super::names;
-use crate::check::{Findings, Path, quote};
+use crate::document::{Findings, Path, quote};
 
 /// Shards of one entry; a power of two, since ids carry the shard in their low
 /// bits.
--- a/crates/conf/src/rules/profiles.rs
+++ b/crates/conf/src/rules/profiles.rs
@@ -5,7 +5,7 @@
 
 use super::bounds::{self, Range, range};
 use super::names;
-use crate::check::{Findings, Path, quote};
+use crate::document::{Findings, Path, quote};
 
 const DEADLINE_MS: Range = range(1, 7 * 24 * 3_600_000);
 const TIMEOUT_MS: Range = range(1, 3_600_000);
--- a/crates/entry/src/http/ask.rs
+++ b/crates/entry/src/http/ask.rs
@@ -6,7 +6,7 @@
 use std::borrow::Cow;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use super::error::Fault;
+use super::fault::Fault;
 use super::head::Engine;
 
 /// Bytes of the prompt by which requests with the same start are known.
--- a/crates/entry/src/http/head.rs
+++ b/crates/entry/src/http/head.rs
@@ -4,7 +4,7 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Uri};
 
-use super::error::Fault;
+use super::fault::Fault;
 
 /// Longest idempotency key; it is kept in the platform with each claim.
 const KEY_MAX_BYTES: usize = 256;
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod body;
 mod error;
+mod fault;
 mod guard;
 mod head;
 mod serve;
--- a/crates/entry/src/http/serve.rs
+++ b/crates/entry/src/http/serve.rs
@@ -14,7 +14,8 @@
 
 use super::ask::{Ask, ask, body_hash};
 use super::body::{ReplyBody, StreamBody};
-use super::error::{Fault, fault_answer, json_answer, name_request, refusal_answer};
+use super::error::{fault_answer, json_answer, name_request, refusal_answer};
+use super::fault::Fault;
 use super::guard::InProgress;
 use super::head::{Engine, Head, Target, head, target};
 use super::sse::{Shape, SseWriter};
--- a/crates/entry/src/http/sse.rs
+++ b/crates/entry/src/http/sse.rs
@@ -4,7 +4,7 @@
 use bytes::{BufMut, BytesMut};
 use serde::Serialize;
 
-use super::error::error_json;
+use super::fault::error_json;
 use super::head::Engine;
 
 /// What all chunks and the whole answer of one request have in common.
