--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -18,9 +18,15 @@
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
 
-/// Time for which sent bytes may be unacknowledged.
+/// Time for which bytes sent to an upstream or the platform may be unacknowledged.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2_500);
 
+/// The same for callers. The kernel also counts the time in which a caller reads
+/// nothing, though it acknowledges: with the bound for upstreams, an answer was cut
+/// under a caller that paused for three seconds. As long as callers may keep a
+/// connection idle.
+const CALLER_PAUSE_MAX: Duration = Duration::from_secs(15);
+
 /// Connects, and makes sure that a far end that vanishes is noticed.
 ///
 /// # Errors
@@ -30,14 +36,19 @@
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-    watch_far_end(&stream);
+    watch_far_end(&stream, UNACKNOWLEDGED_MAX);
     Ok(stream)
 }
 
+/// Makes sure that a caller that vanishes is noticed.
+pub(crate) fn watch_caller(stream: &TcpStream) {
+    watch_far_end(stream, CALLER_PAUSE_MAX);
+}
+
 /// Makes the kernel notice a far end that is gone or cut off: it answers
 /// nothing, and without this reads wait for ever and writes for a quarter of an
 /// hour.
-pub(crate) fn watch_far_end(stream: &TcpStream) {
+fn watch_far_end(stream: &TcpStream, unacknowledged_max: Duration) {
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(PROBE_EVERY)
@@ -45,7 +56,7 @@
     let socket = SockRef::from(stream);
     // Where an option is not to be had, time-outs of requests still end them.
     let _ = socket.set_tcp_keepalive(&probes);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
+    let _ = socket.set_tcp_user_timeout(Some(unacknowledged_max));
     // The kernel would hold an event back until the one before it is
     // acknowledged.
     let _ = stream.set_nodelay(true);
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -66,12 +66,18 @@
     Fresh,
     /// The caller is sending a head.
     Sending,
-    /// A request is being answered.
+    /// A request is being answered, to the last byte of its answer.
     Answering,
     /// All requests so far were answered.
     Idle,
 }
 
+impl Turn {
+    const fn owes_head(self) -> bool {
+        matches!(self, Self::Fresh | Self::Sending)
+    }
+}
+
 /// What is seen of a connection's requests.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Framing(Arc<Seen>);
@@ -97,17 +103,33 @@
     /// The request was answered: what is read next is another head.
     pub(crate) fn next_head(&self) {
         *self.0.head.lock() = Head::default();
+    }
+
+    /// All of the answer was handed over.
+    pub(crate) fn answered(&self) {
         self.0.turn.send_replace(Turn::Idle);
     }
 
-    /// Waits until the caller owes nothing: it has sent the head that its connection
-    /// was opened for, or that it began.
+    /// Waits until the caller has begun to send a head, if its connection is fresh.
+    pub(crate) async fn head_has_begun(&self) {
+        self.wait_for(|turn| turn != Turn::Fresh).await;
+    }
+
+    /// Waits until no head is due.
     pub(crate) async fn head_is_whole(&self) {
+        self.wait_for(|turn| !turn.owes_head()).await;
+    }
+
+    /// Whether a head is due: of the request for which the connection was opened, or
+    /// of one that has begun.
+    pub(crate) fn owes_head(&self) -> bool {
+        self.0.turn.borrow().owes_head()
+    }
+
+    async fn wait_for(&self, holds: impl Fn(Turn) -> bool) {
         let mut turn = self.0.turn.subscribe();
         // The sender lives as long as this.
-        let _ = turn
-            .wait_for(|turn| matches!(turn, Turn::Answering | Turn::Idle))
-            .await;
+        let _ = turn.wait_for(|turn| holds(*turn)).await;
     }
 
     fn read(&self, bytes: &[u8]) {
--- a/crates/front/src/operated.rs
+++ b/crates/front/src/operated.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-use crate::connection::watch_far_end;
+use crate::connection::watch_caller;
 use crate::node::Node;
 
 /// Path of the metrics.
@@ -28,7 +28,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        watch_far_end(&stream);
+        watch_caller(&stream);
         let node = Arc::clone(&node);
         tokio::spawn(async move {
             let service = service_fn(move |request| {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -29,6 +29,9 @@
 /// Time that a caller without a deadline is given at most.
 const DEADLINE_DEFAULT_MS: u64 = 60_000;
 
+/// The process ends before the request could run; another entry may take it at once.
+const LEAVING: Refusal = Refusal::not_run(Code::Leaving).retry_after_ms(0);
+
 /// A caller's request with all that decides what becomes of it.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -86,7 +89,12 @@
     let called = if double_framing || is_ambiguous(&parts.headers) {
         Err(Refusal::not_run(Code::BadRequest))
     } else {
-        call(&node, arrived, parts, body, ask).await
+        let answer_now = node.stop.answer_now.clone();
+        tokio::select! {
+            biased;
+            called = call(&node, arrived, parts, body, ask) => called,
+            () = answer_now.cancelled() => Err(LEAVING),
+        }
     };
     let mut response = match called {
         Ok(call) => run(Arc::clone(&node), call).await,
@@ -119,9 +127,13 @@
     body: Incoming,
     ask: AskHead,
 ) -> Result<Call, Refusal> {
+    // A refusal that leaves a part of the body unread resets the connection under its
+    // caller, who may then never read why. So the body comes first, and what depends
+    // on the time is asked when it is there.
+    let body_max_bytes = node.setup().unwrap_or_default().limits.body_max_bytes;
+    let body = read_body(body, body_max_bytes).await?;
     let not_ready = Refusal::not_run(Code::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
     let setup = node.setup().ok_or(not_ready)?;
-    let leaving = Refusal::not_run(Code::Leaving).retry_after_ms(0);
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let route = setup.route(host, parts.uri.path()).cloned();
@@ -135,11 +147,10 @@
         });
     };
     if node.stop.is_too_late(node.now(), route.kind.is_stream()) {
-        return Err(leaving);
+        return Err(LEAVING);
     }
     let service = route.service(&ask.id).cloned().ok_or(not_ready)?;
     let spec = setup.services.get(&service).cloned().unwrap_or_default();
-    let body = read_body(body, setup.limits.body_max_bytes).await?;
     let mut headers = parts.headers;
     strip_connection(&mut headers);
     let deadline_ms = ask.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -63,13 +63,7 @@
         });
     }
     let mut run = Run::new(node, call);
-    let answer_now = run.node.stop.answer_now.clone();
-    let end = tokio::select! {
-        biased;
-        end = run.until_answer() => end,
-        () = answer_now.cancelled() => run.end_at_stop(),
-    };
-    match end {
+    match run.until_answer().await {
         End::Live(live) => match begin(run, *live).await {
             Ok((first, pump)) => pass_on(first, pump),
             Err((mut run, end)) => run.finish(end),
@@ -96,8 +90,23 @@
         }
     }
 
-    /// Tries upstreams until one answers or none may be tried any more.
+    /// Tries upstreams until one answers, none may be tried any more, or the process
+    /// has to end and the caller has nothing of an answer.
     pub(crate) async fn until_answer(&mut self) -> End {
+        if self.ends_at_stop() {
+            return self.end_at_stop();
+        }
+        let answer_now = self.node.stop.answer_now.clone();
+        let has_begun = self.first_answer_ms.is_some();
+        tokio::select! {
+            biased;
+            end = self.until_tried() => end,
+            () = answer_now.cancelled(), if !has_begun => self.end_at_stop(),
+        }
+    }
+
+    /// Tries upstreams until one answers or none may be tried any more.
+    async fn until_tried(&mut self) -> End {
         loop {
             if self.node.is_convicted(self.call.fingerprint) {
                 return self.end_without(Code::Convicted);
