--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -57,11 +57,13 @@
     /// Accepts connections until the process has drained.
     ///
     /// While it drains, callers are still accepted and told that the process is
-    /// leaving: a closed port would leave them with an error without a code.
-    pub(crate) async fn accept(&self, listener: &TcpListener) {
+    /// leaving: a closed port would leave them with an error without a code. Once
+    /// drained, the listener closes: while the last connections ended, callers
+    /// still connected, and nobody read their requests.
+    pub(crate) async fn accept(&self, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
-                () = self.node.exit().cancelled() => return,
+                () = self.node.exit().cancelled() => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -70,6 +72,22 @@
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
+        self.take_last(listener);
+    }
+
+    /// Takes the connections that the operating system holds ready. Closing the
+    /// listener would reset them, with requests that their callers have sent.
+    fn take_last(&self, listener: TcpListener) {
+        // Only a listener that is not registered any more fails here; it holds none.
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).map(|()| stream);
+            if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+                self.start(stream);
+            }
+        }
     }
 
     /// Lets open connections finish what they are answering, for at most
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -163,7 +163,7 @@
         beside.spawn(oper::serve(self.operators, operated));
         beside.spawn(links::accept(Arc::new(Arc::clone(&node)), self.links));
         let callers = CallerServer::new(Arc::clone(&node));
-        callers.accept(&self.callers).await;
+        callers.accept(self.callers).await;
         log::info!("{}: drained", node.id());
         callers.close(CLOSE_TIMEOUT).await;
         node.links().close(CLOSE_TIMEOUT).await;
