--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -74,8 +74,11 @@
     /// When its entry was found missing while that may have been the platform's
     /// outage.
     vanished_at: Option<Instant>,
-    /// Version at which its entry was found missing.
+    /// Version at which its entry was found missing, or could not be read.
     gone: Option<u64>,
+    /// Whether the entry is known to be gone or not to be the upstream's, so that
+    /// an outage of the platform does not excuse it.
+    is_void: bool,
     /// This entry's own requests there.
     pub own: Usage,
     /// Other entries' requests there.
@@ -110,6 +113,7 @@
             version,
             vanished_at: None,
             gone: None,
+            is_void: false,
             own: Usage::default(),
             peers: HashMap::new(),
             said: None,
@@ -126,7 +130,8 @@
     pub fn is_usable(&self, now: Instant) -> bool {
         let vanished_ms = self.vanished_at.map(|at| now.ms_since(at));
         let lapsed = vanished_ms.is_some_and(|ms| ms < VANISHED_MS);
-        !self.news.leaving && (self.gone.is_none() || lapsed)
+        let listed = self.gone.is_none() || (lapsed && !self.is_void);
+        !self.news.leaving && listed
     }
 
     /// The version at which it was said to leave or its entry vanished, and
@@ -324,6 +329,26 @@
         known.version = version;
         known.vanished_at = None;
         known.gone = None;
+        known.is_void = false;
+    }
+
+    /// The entry of an upstream can't be read at a version: another writer's took
+    /// the place of its own. Whether the upstream was known.
+    ///
+    /// It gets nothing new until a newer entry of its own is there. That the entry
+    /// is not missing but replaced shows that it has not lapsed, so the grace after
+    /// an outage is not given.
+    pub fn unreadable(&mut self, id: &str, version: u64) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        if version < upstream.version {
+            return true;
+        }
+        upstream.gone = upstream.gone.max(Some(version));
+        upstream.vanished_at = None;
+        upstream.is_void = true;
+        true
     }
 
     /// The entry of an upstream has gone from the platform.
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -24,6 +24,31 @@
     pub renewal: u64,
 }
 
+/// Holder of a record that can't be read. No entry has this name.
+const UNREADABLE_HOLDER: &str = "\0";
+
+impl LeaseRecord {
+    /// What an object at a version is taken for, whose record can't be read.
+    ///
+    /// Taken for a lease that nobody ever held, it would be taken at once and with
+    /// the first token: two entries would order, and upstreams would refuse the
+    /// newer one. It counts as held by somebody who is not heard, and as the highest
+    /// holding that can have been: each is a write, and each write a version.
+    pub fn unreadable(version: u64) -> Self {
+        Self {
+            holder: UNREADABLE_HOLDER.to_owned(),
+            start: 0,
+            token: version,
+            renewal: version,
+        }
+    }
+
+    /// Whether a record can be what entries made of the object by this version.
+    pub const fn is_sound(&self, version: u64) -> bool {
+        self.token <= version && self.renewal <= version
+    }
+}
+
 /// What the shell is to do for the lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep {
--- a/crates/direct/src/setup.rs
+++ b/crates/direct/src/setup.rs
@@ -172,6 +172,13 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether a service is declared, or a route leads to it.
+    pub fn names(&self, service: &str) -> bool {
+        let targets = self.routes().flat_map(|route| &route.targets);
+        let mut targets = targets.map(|target| &*target.service);
+        self.services.contains_key(service) || targets.any(|named| named == service)
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.iter()
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -163,3 +163,49 @@
     fleet.sweep(at(90_000));
     assert!(fleet.get("1").is_none());
 }
+
+/// Another writer replaces the entry of an upstream by one that can't be read. The
+/// upstream gets nothing until a newer entry of its own is there, and the others go
+/// on; an older entry, as in a list that is behind, brings nothing back.
+#[test]
+fn an_entry_that_cant_be_read_names_no_upstream_until_a_newer_one_can() {
+    let mut fleet = fleet(&["1", "2"]);
+    assert!(fleet.unreadable("1", 7));
+    assert!(!usable(&fleet, 1, "1") && usable(&fleet, 1, "2"));
+    fleet.put(6, news("1", &["a"]));
+    assert!(!usable(&fleet, 1, "1"), "an older entry");
+    fleet.put(8, news("1", &["a"]));
+    assert!(usable(&fleet, 1, "1"));
+    fleet.unreadable("1", 7);
+    assert!(usable(&fleet, 1, "1"), "older news of it");
+    assert!(!fleet.unreadable("3", 9), "it was never known");
+    assert!(!usable(&fleet, 1, "3"));
+}
+
+/// The platform is back after an outage, and the first list has an upstream's entry
+/// replaced. It is no lapse, so there is no time in which the upstream is still used;
+/// nor when the entry that can't be read is missing from the next list.
+#[test]
+fn an_entry_that_cant_be_read_has_not_lapsed_in_an_outage() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.platform_returned(at(100));
+    fleet.list(at(100), 9, vec![(5, news("2", &["a"]))]);
+    assert!(usable(&fleet, 100, "1"), "it may have lapsed");
+    fleet.unreadable("1", 8);
+    assert!(!usable(&fleet, 100, "1"));
+    fleet.list(at(150), 10, vec![(5, news("2", &["a"]))]);
+    assert!(!usable(&fleet, 150, "1"));
+}
+
+/// An upstream that leaves says so, its entry is replaced, and then says that it is
+/// ready: another writer's, as an upstream that leaves never comes back.
+#[test]
+fn an_upstream_that_leaves_does_not_come_back_by_way_of_an_unreadable_entry() {
+    let mut fleet = fleet(&["1"]);
+    let mut leaving = news("1", &["a"]);
+    leaving.leaving = true;
+    fleet.put(6, leaving);
+    fleet.unreadable("1", 7);
+    fleet.put(8, news("1", &["a"]));
+    assert!(!usable(&fleet, 1, "1"));
+}
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::node::Node;
+use crate::unread::Kind;
 
 /// Shortest and longest pause after a call that failed. Each call is a load on a
 /// platform in trouble; the configuration has to be in force within seconds of
@@ -187,11 +188,12 @@
             continue;
         }
         match node.dialect.setup(value) {
-            Ok(setup) => take_setup(node, setup),
-            Err(fault) => {
-                let why = fault.to_string();
-                node.log.line("setup_unread", json!({ "why": why }));
+            Ok(setup) => {
+                node.unread.forget(Kind::Setup, key);
+                take_setup(node, setup);
             }
+            // The one before stays in force.
+            Err(fault) => node.tell_unread(Kind::Setup, key, value, &fault),
         }
     }
 }
@@ -209,33 +211,39 @@
         "setup_in_force",
         json!({ "version": version, "before": before, "routes": routes }),
     );
+    let prefix = &node.options.keys.upstream_prefix;
+    for upstream in node.fleet.lock().all() {
+        let key = format!("{prefix}{}", upstream.news.id);
+        tell_if_unnamed(node, &key, &upstream.news.service);
+    }
 }
 
 fn all_upstreams(node: &Node, at: Version, objects: &[Object]) {
-    let listed = objects.iter().filter_map(|object| read(node, object));
-    let listed: Vec<_> = listed.collect();
-    node.fleet.lock().list(node.now(), at.0, listed);
+    let mut listed = Vec::new();
+    let mut unread = Vec::new();
+    for object in objects {
+        match read(node, object) {
+            Some(news) => listed.push(news),
+            None => unread.push(object),
+        }
+    }
+    let mut fleet = node.fleet.lock();
+    fleet.list(node.now(), at.0, listed);
+    for (key, version, _) in unread {
+        fleet.unreadable(id_of(node, key), version.0);
+    }
+    node.unread.retain(Kind::Upstream, |known| {
+        objects.iter().any(|(key, ..)| key == known)
+    });
+    node.unread
+        .retain(Kind::Report, |id| fleet.get(id).is_some());
+    drop(fleet);
     node.holdings.notify_waiters();
 }
 
 fn changed_upstreams(node: &Node, objects: &[Object]) {
-    let now = node.now();
     for object in objects {
-        if object.2.is_empty() {
-            let prefix = &node.options.keys.upstream_prefix;
-            let id = object.0.strip_prefix(prefix.as_str()).unwrap_or(&object.0);
-            node.fleet.lock().remove(now, id, object.1.0);
-            node.log.line("upstream_gone", json!({ "upstream": id }));
-        } else if let Some((version, news)) = read(node, object) {
-            if news.leaving {
-                node.log.line(
-                    "upstream_leaving",
-                    json!({ "upstream": &*news.id, "version": version,
-                        "gone_in_ms": news.gone_in_ms }),
-                );
-            }
-            node.fleet.lock().put(version, news);
-        }
+        changed_upstream(node, object);
     }
     if !objects.is_empty() {
         node.holdings.notify_waiters();
@@ -243,15 +251,58 @@
     }
 }
 
+fn changed_upstream(node: &Node, object: &Object) {
+    let (key, version, value) = object;
+    let id = id_of(node, key);
+    if value.is_empty() {
+        node.fleet.lock().remove(node.now(), id, version.0);
+        node.unread.forget(Kind::Upstream, key);
+        node.log.line("upstream_gone", json!({ "upstream": id }));
+        return;
+    }
+    let Some((version, news)) = read(node, object) else {
+        node.fleet.lock().unreadable(id, version.0);
+        return;
+    };
+    if news.leaving {
+        node.log.line(
+            "upstream_leaving",
+            json!({ "upstream": &*news.id, "version": version,
+                "gone_in_ms": news.gone_in_ms }),
+        );
+    }
+    node.fleet.lock().put(version, news);
+}
+
+fn id_of<'a>(node: &Node, key: &'a str) -> &'a str {
+    key.strip_prefix(node.options.keys.upstream_prefix.as_str())
+        .unwrap_or(key)
+}
+
+/// Reads an upstream's entry; what can't be read is told of.
 fn read(node: &Node, object: &Object) -> Option<(u64, direct::UpstreamNews)> {
     let (key, version, value) = object;
-    match node.dialect.upstream(key, value) {
-        Ok(news) => Some((version.0, news)),
+    let news = match node.dialect.upstream(key, value) {
+        Ok(news) => news,
         Err(fault) => {
-            let why = fault.to_string();
-            node.log
-                .line("upstream_unread", json!({ "key": key, "why": why }));
-            None
+            node.tell_unread(Kind::Upstream, key, value, &fault);
+            return None;
         }
+    };
+    tell_if_unnamed(node, key, &news.service);
+    Some((version.0, news))
+}
+
+/// Tells of an upstream whose service the configuration does not name: no request
+/// goes there, unless a configuration that comes later names it.
+fn tell_if_unnamed(node: &Node, key: &str, service: &str) {
+    let Some(setup) = node.setup() else {
+        return;
+    };
+    if setup.names(service) {
+        node.unread.forget(Kind::Upstream, key);
+        return;
     }
+    let why = "the configuration names no such service";
+    node.tell_unread(Kind::Upstream, key, service.as_bytes(), why);
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -47,6 +47,7 @@
 mod stop;
 mod stream;
 mod tries;
+mod unread;
 mod wants;
 
 pub use clock::BootClock;
--- a/crates/front/src/meters.rs
+++ b/crates/front/src/meters.rs
@@ -27,6 +27,8 @@
     pub(crate) orders: IntCounterVec,
     /// Calls to the platform, by object and outcome.
     pub(crate) store_calls: IntCounterVec,
+    /// Objects that could not be read, by kind; once for each change.
+    pub(crate) unread: IntCounterVec,
     /// Doubts about upstreams that arose, by why.
     pub(crate) doubts: IntCounterVec,
     /// Time for which the process did not run.
@@ -68,6 +70,11 @@
             "Calls to the platform",
             &["object", "outcome"],
         );
+        let unread = counter(
+            "sesame_front_unread_total",
+            "Objects that could not be read, once for each change",
+            &["object"],
+        );
         let doubts = counter(
             "sesame_front_upstream_doubts_total",
             "Upstreams that began to be avoided",
@@ -116,6 +123,7 @@
             tries,
             orders,
             store_calls,
+            unread,
             doubts,
             suspended_s,
             in_progress,
--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -19,6 +19,7 @@
 use crate::relay::Relay;
 use crate::request::Call;
 use crate::stop::Stop;
+use crate::unread::Unread;
 use crate::wants::Wants;
 use crate::{BootClock, Dialect, Log, Options};
 
@@ -66,6 +67,8 @@
     /// Told when a request ends and makes room.
     pub(crate) room: Notify,
     pub(crate) stop: Stop,
+    /// What could not be read and was told of.
+    pub(crate) unread: Unread,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -113,6 +116,7 @@
             holdings: Notify::new(),
             room: Notify::new(),
             stop: Stop::default(),
+            unread: Unread::default(),
             random: Mutex::new(Pcg64Mcg::new(u128::from(seed) | 1)),
             options,
         }
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::pool::SendFault;
 use crate::tries::unreached;
+use crate::unread::Kind;
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -88,15 +89,12 @@
     };
     match node.dialect.report(&body) {
         Ok(report) => {
+            node.unread.forget(Kind::Report, &id);
             let now = node.now();
             node.giver
                 .with_ledger(&id, |ledger| ledger.report(now, &report));
         }
-        Err(fault) => {
-            let why = fault.to_string();
-            node.log
-                .line("report_unread", json!({ "upstream": &*id, "why": why }));
-        }
+        Err(fault) => node.tell_unread(Kind::Report, &id, &body, &fault),
     }
 }
 
@@ -180,7 +178,7 @@
     match result {
         PlatformResult::Object(None) => lease.read(now, None),
         PlatformResult::Object(Some((version, value))) => {
-            let record = serde_json::from_slice(&value).unwrap_or_default();
+            let record = lease_record(node, version.0, &value);
             lease.read(now, Some((version.0, record)));
         }
         _ => {
@@ -191,6 +189,21 @@
     }
 }
 
+/// The record of the lease at a version; what stands in for it if it can't be read.
+fn lease_record(node: &Node, version: u64, value: &[u8]) -> LeaseRecord {
+    let key = &node.options.keys.lease;
+    let why = match serde_json::from_slice::<LeaseRecord>(value) {
+        Ok(record) if record.is_sound(version) => {
+            node.unread.forget(Kind::Lease, key);
+            return record;
+        }
+        Ok(_) => "it counts more holdings than the object has versions".to_owned(),
+        Err(fault) => fault.to_string(),
+    };
+    node.tell_unread(Kind::Lease, key, value, why);
+    LeaseRecord::unreadable(version)
+}
+
 async fn write_lease(node: &Node, record: LeaseRecord, version: Option<u64>) {
     let sent_at = node.now();
     // Names and numbers always serialise.
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -8,6 +8,7 @@
 
 use super::Peers;
 use crate::node::Node;
+use crate::unread::Kind;
 
 /// Time between two looks at the platform's list of entries.
 const LIST_EVERY: Duration = Duration::from_secs(8);
@@ -36,8 +37,9 @@
         let listed = list_entries(&node).await;
         let known = listed
             .as_ref()
-            .is_some_and(|listed| listed.contains(&record));
-        if listed.is_some() && !known && !written {
+            .is_some_and(|listed| listed.records.contains(&record));
+        let replaced = listed.as_ref().is_some_and(|listed| listed.unread(&key));
+        if listed.is_some() && !known && (!written || replaced) {
             let op = PlatformOp::Write {
                 key: key.clone(),
                 expect: Expect::Any,
@@ -51,20 +53,53 @@
     }
 }
 
-async fn list_entries(node: &Node) -> Option<Vec<EntryRecord>> {
+/// The platform's list of entries.
+#[derive(Debug, Default)]
+struct Listed {
+    records: Vec<EntryRecord>,
+    /// Keys of those that can't be read.
+    unread: Vec<String>,
+}
+
+impl Listed {
+    /// Whether there is an entry under a key, and can't be read.
+    fn unread(&self, key: &str) -> bool {
+        self.unread.iter().any(|unread| unread == key)
+    }
+}
+
+async fn list_entries(node: &Node) -> Option<Listed> {
     let prefix = node.options.keys.entry_prefix.clone();
     let result = node.store.call(&PlatformOp::List { prefix }).await;
     let PlatformResult::Objects(objects, _) = result else {
         return None;
     };
-    let records: Vec<EntryRecord> = objects
-        .iter()
-        .filter_map(|(_, _, value)| serde_json::from_slice(value).ok())
-        .collect();
-    let entries = node.peers.listed(&records);
+    let mut listed = Listed::default();
+    for (key, _, value) in objects {
+        match read(&value) {
+            Ok(record) => listed.records.push(record),
+            Err(why) => {
+                node.tell_unread(Kind::Entry, &key, &value, why);
+                listed.unread.push(key);
+            }
+        }
+    }
+    node.unread.retain(Kind::Entry, |key| listed.unread(key));
+    let entries = node.peers.listed(&listed.records);
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
     node.repeats.lock().set_entries(entries);
-    Some(records)
+    Some(listed)
+}
+
+/// Reads an entry's record; one that can't be told anything is none.
+fn read(value: &[u8]) -> Result<EntryRecord, String> {
+    let record: EntryRecord =
+        serde_json::from_slice(value).map_err(|fault| fault.to_string())?;
+    let ip = record.peers.ip();
+    if record.peers.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err("the address is none of an entry".to_owned());
+    }
+    Ok(record)
 }
 
 impl Peers {
