--- a/crates/front/src/node.rs
+++ b/crates/front/src/node.rs
@@ -20,6 +20,7 @@
 use crate::relay::Relay;
 use crate::request::Call;
 use crate::stop::Stop;
+use crate::unread::Unread;
 use crate::wants::Wants;
 use crate::{BootClock, Dialect, Log, Options};
 
@@ -69,6 +70,8 @@
     pub(crate) stop: Stop,
     /// Tasks of callers' connections; each is there until its last bytes are sent.
     pub(crate) connections: TaskTracker,
+    /// What could not be read and was told of.
+    pub(crate) unread: Unread,
     random: Mutex<Pcg64Mcg>,
 }
 
@@ -117,6 +120,7 @@
             room: Notify::new(),
             stop: Stop::default(),
             connections: TaskTracker::new(),
+            unread: Unread::default(),
             random: Mutex::new(Pcg64Mcg::new(u128::from(seed) | 1)),
             options,
         }
