--- a/crates/front/src/operated.rs
+++ b/crates/front/src/operated.rs
@@ -21,6 +21,32 @@
 /// Time for which a connection may idle; the balancer asks once a second.
 const IDLE: Duration = Duration::from_secs(10);
 
+/// Answers at the further address of metrics for ever, if there is one.
+///
+/// An entry whose further address is taken serves callers all the same, without
+/// that listener: metrics are for those who look on, and have the address of
+/// readiness left.
+pub(crate) async fn answer_elsewhere(node: Arc<Node>) {
+    let Some(address) = node.options.metrics else {
+        return;
+    };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let bound = listener.local_addr().unwrap_or(address);
+            node.log
+                .line("metrics_bound", serde_json::json!({ "address": bound }));
+            answer(node, listener).await;
+        }
+        Err(fault) => {
+            let why = fault.to_string();
+            node.log.line(
+                "metrics_unbound",
+                serde_json::json!({ "address": address, "why": why }),
+            );
+        }
+    }
+}
+
 /// Answers for ever.
 pub(crate) async fn answer(node: Arc<Node>, listener: TcpListener) {
     loop {
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -14,6 +14,9 @@
     /// Listener of the balancer's question whether this entry takes callers,
     /// and of metrics.
     pub readiness: SocketAddr,
+    /// Further listener of metrics, where they are fetched at a port that stays:
+    /// that of `readiness` may be another one at each start.
+    pub metrics: Option<SocketAddr>,
     /// Listener of other entries' datagrams.
     pub peers: SocketAddr,
     /// Other entries that may be there, in case the platform can't say.
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -84,6 +84,7 @@
     let shared = || Arc::clone(&node);
     tokio::spawn(server::accept(shared(), callers));
     tokio::spawn(operated::answer(shared(), readiness));
+    tokio::spawn(operated::answer_elsewhere(shared()));
     tokio::spawn(follow(shared(), Followed::Setup));
     tokio::spawn(follow(shared(), Followed::Upstreams));
     tokio::spawn(peers::register(shared()));
