--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -12,6 +12,10 @@
             "docs::every_page_is_in_the_summary",
             every_page_is_in_the_summary,
         ),
+        Trial::test(
+            "docs::every_day_fits_any_deployment",
+            every_day_fits_any_deployment,
+        ),
     ]
 }
 
@@ -46,3 +50,30 @@
     }
     Ok(())
 }
+
+/// A day that names a zone, service or class of one deployment is left out on all
+/// others without a word, and one that the table lacks is found by nobody.
+fn every_day_fits_any_deployment() -> Result<(), Failed> {
+    let days = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/days");
+    let listed = std::fs::read_to_string(days.join("README.md"))?;
+    for entry in std::fs::read_dir(days)? {
+        let path = entry?.path();
+        if path.extension().is_none_or(|extension| extension != "toml") {
+            continue;
+        }
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        if !listed.contains(&format!("`{name}`")) {
+            return Err(format!("deploy/days/README.md does not list {name}").into());
+        }
+        let day = std::fs::read_to_string(&path)?;
+        for key in ["zone", "to_zone", "service", "class"] {
+            let before = format!(" {key} = \"");
+            let mut named = day.split(before.as_str()).skip(1);
+            if let Some(own) = named.find(|rest| !rest.starts_with('@')) {
+                let own = own.split('"').next().unwrap_or_default();
+                return Err(format!("{name}: {key} {own} is of one deployment").into());
+            }
+        }
+    }
+    Ok(())
+}
