--- a/crates/direct/src/doubts.rs
+++ b/crates/direct/src/doubts.rs
@@ -45,7 +45,8 @@
 /// happens at the moment at which it turns: only comparing two looks shows it.
 #[derive(Debug, Default)]
 pub struct Doubts {
-    held: BTreeMap<Arc<str>, Doubt>,
+    /// Of each upstream, with the start that it was held of.
+    held: BTreeMap<Arc<str>, (Option<u64>, Doubt)>,
 }
 
 impl Doubts {
@@ -54,8 +55,8 @@
         Self::default()
     }
 
-    /// What has turned since the last look. An upstream that was forgotten
-    /// meanwhile is no turn.
+    /// What has turned since the last look. An upstream that was forgotten or has
+    /// started again meanwhile is no turn.
     pub fn look(&mut self, now: Instant, fleet: &Fleet) -> Vec<Turn> {
         self.held.retain(|id, _| fleet.get(id).is_some());
         fleet
@@ -68,12 +69,15 @@
     /// rests on a doubt calls this at once: the doubt may be over before the
     /// next look at all upstreams.
     pub fn look_at(&mut self, now: Instant, upstream: &Upstream) -> Option<Turn> {
-        let id = &upstream.news.id;
+        let (id, born_ms) = (&upstream.news.id, upstream.news.born_ms);
         let doubt = upstream.doubt(now);
         let before = match doubt {
-            Some(doubt) => self.held.insert(Arc::clone(id), doubt),
+            Some(doubt) => self.held.insert(Arc::clone(id), (born_ms, doubt)),
             None => self.held.remove(id),
         };
+        let before = before
+            .filter(|(of, _)| *of == born_ms)
+            .map(|(_, doubt)| doubt);
         (before != doubt).then(|| Turn {
             upstream: Arc::clone(id),
             before,
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,10 +1,13 @@
 //! What this entry knows of the upstreams.
 
+mod starts;
+
 use base::prelude::*;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::{Doubt, Resident, Setup, UpstreamNews};
+use crate::{Doubt, Resident, Setup, Start, UpstreamNews};
 
 /// Time for which an upstream is still used whose entry was found missing just
 /// after the platform was away. Entries that lapsed meanwhile are back within two
@@ -76,6 +79,8 @@
     vanished_at: Option<Instant>,
     /// Version at which its entry was found missing.
     gone: Option<u64>,
+    /// Whether its entry does not say when it started though most entries do.
+    undated: bool,
     /// This entry's own requests there.
     pub own: Usage,
     /// Other entries' requests there.
@@ -110,6 +115,7 @@
             version,
             vanished_at: None,
             gone: None,
+            undated: false,
             own: Usage::default(),
             peers: HashMap::new(),
             said: None,
@@ -126,7 +132,7 @@
     pub fn is_usable(&self, now: Instant) -> bool {
         let vanished_ms = self.vanished_at.map(|at| now.ms_since(at));
         let lapsed = vanished_ms.is_some_and(|ms| ms < VANISHED_MS);
-        !self.news.leaving && (self.gone.is_none() || lapsed)
+        !self.news.leaving && !self.undated && (self.gone.is_none() || lapsed)
     }
 
     /// The version at which it was said to leave or its entry vanished, and
@@ -292,8 +298,9 @@
             .map(|(_, news)| Arc::clone(&news.id))
             .collect();
         for (version, news) in listed {
-            self.put(version, news);
+            self.take(version, news);
         }
+        self.judge_undated();
         let missing: Vec<Arc<str>> = self
             .upstreams
             .keys()
@@ -305,25 +312,45 @@
         }
     }
 
-    /// News of one upstream; older news than is known changes nothing.
-    pub fn put(&mut self, version: u64, news: UpstreamNews) {
+    /// News of one upstream; older news than is known changes nothing. True if it
+    /// has started again.
+    pub fn put(&mut self, version: u64, news: UpstreamNews) -> bool {
+        let restarted = self.take(version, news);
+        self.judge_undated();
+        restarted
+    }
+
+    /// A start goes before a version: what an earlier start wrote last may be
+    /// carried out after the later one's entry, and would have a higher version.
+    /// That an entry was missing at a version holds for all starts before it.
+    fn take(&mut self, version: u64, news: UpstreamNews) -> bool {
         let Some(known) = self.upstreams.get_mut(&news.id) else {
             let id = Arc::clone(&news.id);
             self.upstreams.insert(id, Upstream::new(news, version));
-            return;
+            return false;
         };
-        if version < known.version || known.gone.is_some_and(|gone| version <= gone) {
-            return;
+        if known.gone.is_some_and(|gone| version <= gone) {
+            return false;
+        }
+        match news.born_ms.cmp(&known.news.born_ms) {
+            Ordering::Less => return false,
+            Ordering::Greater => {
+                *known = Upstream::new(news, version);
+                return true;
+            }
+            Ordering::Equal if version < known.version => return false,
+            Ordering::Equal => {}
         }
         // An upstream that said it is leaving never takes work again; only its
-        // next start does, under another name. One whose entry had vanished and
-        // is back lives: its signs of life were lost on their way.
+        // next start does. One whose entry had vanished and is back lives: its
+        // signs of life were lost on their way.
         let leaving = known.news.leaving || news.leaving;
         known.news = news;
         known.news.leaving = leaving;
         known.version = version;
         known.vanished_at = None;
         known.gone = None;
+        false
     }
 
     /// The entry of an upstream has gone from the platform.
@@ -338,7 +365,10 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
-        upstream.gone = Some(version.max(upstream.version));
+        if version < upstream.version {
+            return;
+        }
+        upstream.gone = Some(version);
         if lapsed {
             upstream.vanished_at.get_or_insert(now);
         }
@@ -359,8 +389,8 @@
 
     /// Another entry says that an upstream is leaving, or that its entry had
     /// vanished at a version.
-    pub fn heard_leaving(&mut self, id: &str, version: u64, vanished: bool) {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
+    pub fn heard_leaving(&mut self, start: Start<'_>, version: u64, vanished: bool) {
+        let Some(upstream) = self.heard_of(start) else {
             return;
         };
         if !vanished {
@@ -375,15 +405,15 @@
         &mut self,
         now: Instant,
         peer: &str,
-        used: impl Iterator<Item = (&'a str, Usage)>,
+        used: impl Iterator<Item = (Start<'a>, Usage)>,
     ) {
         for upstream in self.upstreams.values_mut() {
             if let Some(known) = upstream.peers.get_mut(peer) {
                 known.1 = Usage::default();
             }
         }
-        for (id, usage) in used {
-            let Some(upstream) = self.upstreams.get_mut(id) else {
+        for (start, usage) in used {
+            let Some(upstream) = self.heard_of(start) else {
                 continue;
             };
             match upstream.peers.get_mut(peer) {
@@ -400,11 +430,11 @@
     pub fn said(
         &mut self,
         now: Instant,
-        id: &str,
+        start: Start<'_>,
         residents: Vec<Resident>,
         coming: Vec<(Arc<str>, Instant)>,
     ) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
+        if let Some(upstream) = self.heard_of(start) {
             upstream.said = Some(Said {
                 at: now,
                 residents,
--- /dev/null
+++ b/crates/direct/src/late.rs
@@ -0,0 +1,88 @@
+//! Orders that may still be carried out, also by a later start of their upstream.
+
+use base::prelude::*;
+
+use crate::{Action, Engine, Order};
+
+/// Time for which an order without an answer may still be carried out.
+pub(crate) const LATE_ORDER_MS: u64 = 12_500;
+
+/// Orders of one upstream that got no answer, each until it can't come any more.
+///
+/// An upstream that starts again counts its orders anew, so an order that was
+/// decided at an earlier start meets the count that it names once more. It is then
+/// carried out beside what was ordered from the later start, which without this
+/// would be ordered to hold more than it can and crash.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LateOrders {
+    orders: Vec<(Instant, Order)>,
+}
+
+impl LateOrders {
+    /// An order that has no answer yet.
+    pub(crate) fn add(&mut self, now: Instant, order: Order) {
+        self.remove(&order);
+        self.orders.push((now.plus_ms(LATE_ORDER_MS), order));
+    }
+
+    /// The upstream has refused an order, or it was never sent.
+    pub(crate) fn remove(&mut self, order: &Order) {
+        self.orders.retain(|(_, known)| known != order);
+    }
+
+    /// Forgets orders that can't come any more.
+    pub fn expire(&mut self, now: Instant) {
+        self.orders.retain(|(until, _)| now < *until);
+    }
+
+    /// Whether there are none.
+    pub const fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// Loads of models among them, of any start.
+    pub fn loads(&self) -> usize {
+        let all = self.orders.iter();
+        all.filter(|(_, order)| matches!(order.action, Action::Load(_)))
+            .count()
+    }
+
+    /// Weights that orders to earlier starts may bring to a later one.
+    pub(crate) fn mb(&self, engine: &Engine, born_ms: Option<u64>, count: u64) -> f64 {
+        let sizes = self.possible(born_ms, count).map(|action| match action {
+            Action::Load(model) => {
+                let spec = engine.models.get(model);
+                spec.map_or(0.0, |spec| spec.weights_mb)
+            }
+            Action::LoadAdapter(model, _) => {
+                let spec = engine.models.get(model);
+                spec.map_or(0.0, |spec| spec.adapter_mb)
+            }
+            Action::Unload(_) | Action::UnloadAdapter(..) => 0.0,
+        });
+        sizes.sum()
+    }
+
+    /// Adapters that orders to earlier starts may bring to a later one.
+    pub(crate) fn adapters(&self, born_ms: Option<u64>, count: u64) -> u32 {
+        let loads = self.possible(born_ms, count);
+        let loads = loads.filter(|action| matches!(action, Action::LoadAdapter(..)));
+        u32::try_from(loads.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Orders to earlier starts that a later one with this order count may carry
+    /// out beside the next order that it is given.
+    ///
+    /// One that names a lower count is refused for ever. One that names this count
+    /// excludes the next order, which names it too. The others may come.
+    fn possible(
+        &self,
+        born_ms: Option<u64>,
+        count: u64,
+    ) -> impl Iterator<Item = &Action> {
+        let earlier = self.orders.iter().map(|(_, order)| order);
+        earlier
+            .filter(move |order| order.born_ms < born_ms && order.expect > count)
+            .map(|order| &order.action)
+    }
+}
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -1,10 +1,11 @@
 //! What was ordered from one upstream, and what it may therefore hold.
 
 use base::prelude::*;
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::{Engine, Report, Resident};
+use crate::{Engine, LateOrders, Report, Resident};
 
 /// Time after an accepted order for an adapter after which it is taken to be
 /// there. Adapters come in tens of milliseconds, and a request that is early is
@@ -29,6 +30,8 @@
 pub struct Order {
     /// What it does.
     pub action: Action,
+    /// Start of the upstream on which it was decided.
+    pub born_ms: Option<u64>,
     /// Order count of the upstream on which it was decided; at another one the
     /// upstream refuses it.
     pub expect: u64,
@@ -82,20 +85,24 @@
     since: Instant,
 }
 
-/// What one upstream holds and may come to hold, as the giver of orders knows.
+/// What one start of an upstream holds and may come to hold, as the giver of
+/// orders knows.
 ///
 /// An order without an answer may still be carried out, so the state is then
 /// not known until the upstream is asked. It need not be waited for: the next
 /// order names the same order count, and at most one of the two is carried out.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    born_ms: Option<u64>,
     orders_accepted: u64,
     held: BTreeMap<Arc<str>, Held>,
     copies: crate::Copies,
     /// Whether a model is being loaded or unloaded.
     busy: bool,
     /// The order that is on its way.
-    open: Option<Action>,
+    open: Option<Order>,
+    /// Orders without an answer, also to earlier starts.
+    late: LateOrders,
     /// Whether what is held was read since it was last unknown.
     known: bool,
 }
@@ -106,6 +113,42 @@
         Self::default()
     }
 
+    /// A ledger of a start that was not asked yet, with the orders to earlier ones
+    /// that it may still carry out.
+    pub fn of_start(born_ms: Option<u64>, late: LateOrders) -> Self {
+        Self {
+            born_ms,
+            late,
+            ..Self::default()
+        }
+    }
+
+    /// The start that it is the ledger of.
+    pub const fn born_ms(&self) -> Option<u64> {
+        self.born_ms
+    }
+
+    /// Orders that may still be carried out when the upstream starts again or is
+    /// lost sight of.
+    #[must_use]
+    pub fn into_late(mut self, now: Instant) -> LateOrders {
+        self.late.expire(now);
+        if let Some(order) = self.open {
+            self.late.add(now, order);
+        }
+        self.late
+    }
+
+    /// Loads without an answer, of any start, that may still be carried out.
+    pub fn late_loads(&self) -> usize {
+        self.late.loads()
+    }
+
+    /// Forgets orders that can't come any more.
+    pub fn expire(&mut self, now: Instant) {
+        self.late.expire(now);
+    }
+
     /// Orders accepted, as far as is known.
     pub const fn orders_accepted(&self) -> u64 {
         self.orders_accepted
@@ -127,8 +170,18 @@
         self.known && !self.busy && self.open.is_none()
     }
 
-    /// Takes over a report; one from before the last accepted order is dropped.
+    /// Takes over a report; one of an earlier start or from before the last
+    /// accepted order is dropped. With one of a later start all begins anew: its
+    /// order count is lower than the one known, and it would be dropped for ever.
     pub fn report(&mut self, now: Instant, report: &Report) {
+        match report.born_ms.cmp(&self.born_ms) {
+            Ordering::Less => return,
+            Ordering::Greater => {
+                let late = std::mem::take(self).into_late(now);
+                *self = Self::of_start(report.born_ms, late);
+            }
+            Ordering::Equal => {}
+        }
         if self.open.is_some() || report.orders_accepted < self.orders_accepted {
             return;
         }
@@ -192,8 +245,13 @@
             .collect()
     }
 
-    /// Weights held or on their way.
+    /// Weights held or on their way, also by late orders to an earlier start.
     pub fn used_mb(&self, engine: &Engine) -> f64 {
+        let late = self.late.mb(engine, self.born_ms, self.orders_accepted);
+        late + self.held_mb(engine)
+    }
+
+    fn held_mb(&self, engine: &Engine) -> f64 {
         let sizes = self.held.iter().map(|(model, held)| {
             let spec = engine.models.get(model);
             spec.map_or(0.0, |spec| {
@@ -203,15 +261,19 @@
         sizes.sum()
     }
 
-    /// Adapters held or on their way.
+    /// Adapters held or on their way, also by late orders to an earlier start.
     pub fn adapters(&self) -> u32 {
         let count: usize = self.held.values().map(|held| held.adapters.len()).sum();
-        u32::try_from(count).unwrap_or(u32::MAX)
+        let late = self.late.adapters(self.born_ms, self.orders_accepted);
+        u32::try_from(count)
+            .unwrap_or(u32::MAX)
+            .saturating_add(late)
     }
 
     /// Whether a model and an adapter are held, on their way or just ordered.
     pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
-        if let Some(Action::LoadAdapter(of, name)) = &self.open
+        let open = self.open.as_ref().map(|order| &order.action);
+        if let Some(Action::LoadAdapter(of, name)) = open
             && **of == *model
             && **name == *adapter
         {
@@ -237,16 +299,28 @@
         if !self.allows(engine, &action) {
             return None;
         }
-        self.open = Some(action.clone());
-        Some(Order {
+        let order = Order {
             takes_ms: self.takes_ms(engine, &action),
             action,
+            born_ms: self.born_ms,
             expect: self.orders_accepted,
-        })
+        };
+        self.open = Some(order.clone());
+        Some(order)
     }
 
     /// Takes over what came of an order.
     pub fn sent(&mut self, now: Instant, order: &Order, sent: Sent) {
+        match sent {
+            Sent::Unanswered => self.late.add(now, order.clone()),
+            Sent::Answered(OrderAnswer::Accepted | OrderAnswer::Done) => {}
+            Sent::Answered(_) | Sent::NotSent => self.late.remove(order),
+        }
+        if order.born_ms != self.born_ms {
+            // Which start has answered is not said, so what is held is not known.
+            self.known = false;
+            return;
+        }
         self.open = None;
         match sent {
             Sent::Answered(OrderAnswer::Accepted) => self.accepted(now, order, false),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,11 +20,14 @@
 //! Invariants:
 //!
 //! - News of a version never replaces what a higher version said.
+//! - What is known of an upstream is known of one start of it. News of an earlier
+//!   start never replaces what is known of a later one, whichever way it comes.
 //! - A request that may have run is sent again only if its kind allows it.
 //! - Every order names the upstream's order count that it was decided on, so of
 //!   two orders decided on the same state at most one is carried out. What that
 //!   one adds was checked against that state, so no upstream is ordered to hold
-//!   more than it can.
+//!   more than it can. The count starts anew with the upstream: what orders to an
+//!   earlier start may still add is checked with it.
 //! - A giver stops ordering before anyone else can start.
 
 mod admit;
@@ -33,6 +36,7 @@
 mod demand;
 mod doubts;
 mod fleet;
+mod late;
 mod lease;
 mod ledger;
 mod moves;
@@ -50,10 +54,11 @@
 pub use demand::{Demand, Load};
 pub use doubts::{Doubt, Doubts, Turn};
 pub use fleet::{Fleet, Upstream, Usage};
+pub use late::LateOrders;
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::{Action, Ledger, Order, OrderAnswer, Sent};
 pub use moves::{Choice, Group, Moves, Reason, Spot};
-pub use news::{Copies, Report, Resident, UpstreamNews};
+pub use news::{Copies, Report, Resident, Start, UpstreamNews};
 pub use pace::Paces;
 pub use pick::{Pick, Picked, Unpicked, pick};
 pub use repeats::Repeats;
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::board::Board;
+use crate::late::LATE_ORDER_MS;
 use crate::unserved::Unserved;
 use crate::{Engine, Load};
 
@@ -12,9 +13,6 @@
 /// for orders whose answer is lost and that begin late.
 const STORE_USABLE: f64 = 0.95;
 
-/// Time for which an order without an answer may still be carried out.
-const LATE_ORDER_MS: u64 = 12_500;
-
 /// One upstream as the plan sees it.
 #[derive(Debug, Clone)]
 pub struct Spot {
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -3,11 +3,36 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// One start of an upstream.
+///
+/// What is known of an upstream is known of one start: the next one holds, counts
+/// and knows nothing of before. A start of which the time is not known is older
+/// than any that is; among those, the name alone tells starts apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start<'a> {
+    /// Name of the upstream.
+    pub id: &'a str,
+    /// Unix millisecond of its start.
+    pub born_ms: Option<u64>,
+}
+
+impl UpstreamNews {
+    /// The start that says this.
+    pub fn start(&self) -> Start<'_> {
+        Start {
+            id: &self.id,
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// The platform's entry of one upstream.
 #[derive(Debug, Clone)]
 pub struct UpstreamNews {
-    /// Name of this start of the upstream; a restart has another.
+    /// Name. An upstream may start again under it.
     pub id: Arc<str>,
+    /// Unix millisecond of the start that says this, where upstreams say it.
+    pub born_ms: Option<u64>,
     /// Service.
     pub service: Arc<str>,
     /// Address.
@@ -49,6 +74,8 @@
 /// An upstream's own report.
 #[derive(Debug, Clone, Default)]
 pub struct Report {
+    /// Unix millisecond of the start that says this, where upstreams say it.
+    pub born_ms: Option<u64>,
     /// Whether an order is being carried out.
     pub busy: bool,
     /// Orders accepted since its start.
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of upstreams.
 
-use crate::support::{at, name, news, resident};
+use crate::support::{at, name, news, resident, start};
 use direct::{Fleet, Usage};
 
 fn usable(fleet: &Fleet, ms: u64, id: &str) -> bool {
@@ -59,13 +59,13 @@
     assert!(!usable(&fleet, 10, "1"));
     fleet.put(9, news("1", &["a"]));
     assert!(usable(&fleet, 20, "1"));
-    fleet.heard_leaving("1", 6, true);
+    fleet.heard_leaving(start("1"), 6, true);
     assert!(usable(&fleet, 20, "1"));
-    fleet.heard_leaving("1", 10, true);
+    fleet.heard_leaving(start("1"), 10, true);
     assert!(!usable(&fleet, 20, "1"));
     fleet.put(12, news("1", &["a"]));
     assert!(usable(&fleet, 30, "1"));
-    fleet.heard_leaving("1", 3, false);
+    fleet.heard_leaving(start("1"), 3, false);
     assert!(!usable(&fleet, 30, "1"), "it said itself that it leaves");
 }
 
@@ -93,7 +93,7 @@
     let mut fleet = fleet(&["1"]);
     fleet.said(
         at(0),
-        "1",
+        start("1"),
         vec![resident("b", &["x"])],
         vec![(name("c"), at(900))],
     );
@@ -126,8 +126,8 @@
         waiting_tokens: 10,
         kept_tokens: 100,
     };
-    fleet.peer_usage(at(0), "p", [("1", used)].into_iter());
-    fleet.peer_usage(at(0), "q", [("1", used)].into_iter());
+    fleet.peer_usage(at(0), "p", [(start("1"), used)].into_iter());
+    fleet.peer_usage(at(0), "q", [(start("1"), used)].into_iter());
     fleet.get_mut("1").expect("known").sent(at(0), &used);
     let running =
         |fleet: &Fleet, ms| fleet.get("1").expect("known").usage(at(ms)).running;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod ledger;
 mod moves;
 mod pick;
+mod reborn;
 mod repeats;
 mod setup;
+mod starts;
 mod support;
--- a/crates/direct/tests/all/pick.rs
+++ b/crates/direct/tests/all/pick.rs
@@ -1,6 +1,6 @@
 //! Choice of an upstream.
 
-use crate::support::{at, engine, name, news, resident};
+use crate::support::{at, engine, name, news, resident, start};
 use direct::{Fleet, Pick, Unpicked, Usage, pick};
 use std::sync::Arc;
 
@@ -74,7 +74,7 @@
     assert_eq!(picked(&fleet, None, &[]), Err(Unpicked::NoUpstream));
     fleet.list(at(0), 1, vec![(1, news("1", &["b"]))]);
     assert_eq!(picked(&fleet, None, &[]), Err(Unpicked::NoModel));
-    fleet.said(at(10), "1", vec![resident("a", &["x"])], Vec::new());
+    fleet.said(at(10), start("1"), vec![resident("a", &["x"])], Vec::new());
     assert_eq!(picked(&fleet, Some("y"), &[]), Err(Unpicked::NoAdapter));
     assert_eq!(picked(&fleet, Some("x"), &[]).as_deref(), Ok("1"));
     use_of(&mut fleet, "1", 8, 0);
--- /dev/null
+++ b/crates/direct/tests/all/starts.rs
@@ -0,0 +1,239 @@
+//! Upstreams that start again under their name: what is known of the latest start.
+
+use crate::support::{at, born_news, cases, name, news, resident, start};
+use direct::{Doubt, Doubts, Fleet, Start, Usage};
+
+const fn born(id: &str, born_ms: u64) -> Start<'_> {
+    Start {
+        id,
+        born_ms: Some(born_ms),
+    }
+}
+
+const USED: Usage = Usage {
+    running: 2,
+    waiting_tokens: 10,
+    kept_tokens: 100,
+};
+
+fn fleet(born_ms: u64) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list(at(0), 5, vec![(5, born_news("1", born_ms, &["a"]))]);
+    fleet
+}
+
+fn usable(fleet: &Fleet, id: &str) -> bool {
+    let upstream = fleet.get(id);
+    upstream.is_some_and(|upstream| upstream.is_usable(at(0)))
+}
+
+fn holds(fleet: &Fleet, model: &str) -> bool {
+    let upstream = fleet.get("1").expect("it is known");
+    upstream.holds(at(0), model, None)
+}
+
+/// All that an entry may believe of an upstream is believed, and then it starts
+/// again. A request would be sent for what it does not hold any more, or kept from
+/// it for what its earlier start had done.
+#[test]
+fn nothing_that_was_known_of_an_earlier_start_is_believed_of_a_later_one() {
+    let mut fleet = fleet(100);
+    fleet.said(at(0), born("1", 100), vec![resident("b", &[])], Vec::new());
+    fleet.peer_usage(at(0), "p", [(born("1", 100), USED)].into_iter());
+    let upstream = fleet.start_mut(born("1", 100)).expect("it is the latest");
+    upstream.sent(at(0), &USED);
+    upstream.remember_parts(at(0), &[(7, 50)]);
+    upstream.observe(false);
+    upstream.unreached(at(0));
+    upstream.deny(at(0), &name("c"), None);
+    fleet.heard_leaving(born("1", 100), 6, false);
+    assert!(!usable(&fleet, "1"));
+    assert!(fleet.put(7, born_news("1", 200, &["c"])));
+    let upstream = fleet.get("1").expect("it is known");
+    assert!(upstream.is_usable(at(0)) && !upstream.is_suspected(at(0)));
+    assert!(holds(&fleet, "c") && !holds(&fleet, "a") && !holds(&fleet, "b"));
+    assert_eq!(upstream.usage(at(0)), Usage::default());
+    assert_eq!(upstream.cached_tokens(&[(7, 50)]), 0);
+    assert!(upstream.failed_share() < f64::EPSILON);
+    assert!(fleet.is_over(born("1", 100)) && !fleet.is_over(born("1", 200)));
+    assert!(fleet.start_mut(born("1", 100)).is_none());
+}
+
+/// The last words of an earlier start come late and by every way, some with a
+/// higher version than the later start's entry has: nothing changes.
+#[test]
+fn late_news_of_an_earlier_start_changes_nothing() {
+    let mut fleet = fleet(200);
+    let mut leaving = born_news("1", 100, &["old"]);
+    leaving.leaving = true;
+    assert!(!fleet.put(9, leaving.clone()));
+    fleet.list(at(0), 10, vec![(9, leaving)]);
+    fleet.put(11, news("1", &["old"]));
+    fleet.remove(at(0), "1", 4);
+    fleet.heard_leaving(born("1", 100), 12, false);
+    fleet.heard_leaving(born("1", 100), 12, true);
+    fleet.heard_leaving(start("1"), 12, false);
+    fleet.said(
+        at(0),
+        born("1", 100),
+        vec![resident("old", &[])],
+        Vec::new(),
+    );
+    fleet.peer_usage(at(0), "p", [(born("1", 100), USED)].into_iter());
+    fleet.reported(born("1", 100));
+    assert!(usable(&fleet, "1"));
+    assert!(holds(&fleet, "a") && !holds(&fleet, "old"));
+    let upstream = fleet.get("1").expect("it is known");
+    assert_eq!(upstream.usage(at(0)), Usage::default());
+}
+
+/// The store is away while an upstream starts again. Its report, or an entry that
+/// has read the store, tells of it first; what the later start holds is not known
+/// until it is said of that start.
+#[test]
+fn a_later_start_is_also_heard_of_from_reports_and_other_entries() {
+    let ways: [fn(&mut Fleet); 3] = [
+        |fleet| fleet.reported(born("1", 200)),
+        |fleet| fleet.peer_usage(at(0), "p", [(born("1", 200), USED)].into_iter()),
+        |fleet| {
+            fleet.said(at(0), born("1", 200), vec![resident("b", &[])], Vec::new());
+        },
+    ];
+    for way in ways {
+        let mut fleet = fleet(100);
+        way(&mut fleet);
+        assert!(fleet.is_over(born("1", 100)));
+        assert!(!holds(&fleet, "a") && usable(&fleet, "1"));
+        assert!(!fleet.put(6, born_news("1", 100, &["a"])));
+        assert!(!holds(&fleet, "a"));
+        assert!(!fleet.put(7, born_news("1", 200, &["c"])));
+        let entry_is_behind = holds(&fleet, "b");
+        assert!(entry_is_behind || holds(&fleet, "c"));
+    }
+}
+
+/// Another entry says that a later start leaves, of which nothing was heard here.
+#[test]
+fn a_later_start_that_leaves_is_not_used() {
+    let mut fleet = fleet(100);
+    fleet.heard_leaving(born("1", 200), 7, false);
+    assert!(!usable(&fleet, "1"));
+    fleet.put(6, born_news("1", 200, &["a"]));
+    assert!(!usable(&fleet, "1"));
+    fleet.put(8, born_news("1", 300, &["a"]));
+    assert!(usable(&fleet, "1"));
+}
+
+/// On a site whose upstreams have a new name at each start, no entry says when it
+/// was. Reports that do must not turn the next entries into old news.
+#[test]
+fn entries_that_never_say_their_start_stay_in_force() {
+    let mut fleet = Fleet::new();
+    fleet.list(
+        at(0),
+        5,
+        vec![(5, news("1", &["a"])), (5, news("2", &["a"]))],
+    );
+    fleet.reported(born("1", 200));
+    let mut leaving = news("1", &["a"]);
+    leaving.leaving = true;
+    fleet.put(6, leaving);
+    assert!(!usable(&fleet, "1") && usable(&fleet, "2"));
+}
+
+/// One entry of another writer says a start where no other does, or none where
+/// all others do. The others stay in use either way, and the one without a start
+/// where it has to be there does not, at its first sight and as an update.
+#[test]
+fn an_entry_without_a_start_is_used_only_where_most_have_none() {
+    let plain = |id: &str| (5, news(id, &["a"]));
+    let dated = |id: &str| (5, born_news(id, 100, &["a"]));
+    let mut fleet = Fleet::new();
+    fleet.list(at(0), 5, vec![plain("1"), plain("2"), dated("3")]);
+    assert!(["1", "2", "3"].iter().all(|id| usable(&fleet, id)));
+    let mut fleet = Fleet::new();
+    fleet.list(at(0), 5, vec![plain("1"), dated("2"), dated("3")]);
+    assert!(!usable(&fleet, "1") && usable(&fleet, "2") && usable(&fleet, "3"));
+    fleet.put(6, news("2", &["b"]));
+    assert!(
+        usable(&fleet, "2") && !fleet.get("2").expect("known").holds(at(0), "b", None)
+    );
+    fleet.put(7, born_news("1", 50, &["a"]));
+    assert!(usable(&fleet, "1"));
+}
+
+/// A site's upstreams are started anew, one after the other, with a version of
+/// their software that says the start. Those that are left without it are used
+/// until most others have it.
+#[test]
+fn a_site_may_begin_to_say_its_starts() {
+    let mut fleet = Fleet::new();
+    let ids = ["1", "2", "3", "4", "5"];
+    let listed = ids.map(|id| (5, news(id, &["a"])));
+    fleet.list(at(0), 5, listed.to_vec());
+    for (index, id) in ids.into_iter().enumerate() {
+        let used = ids.into_iter().filter(|id| usable(&fleet, id)).count();
+        assert_eq!(used, if index > 2 { index } else { 5 });
+        fleet.put(6, born_news(id, 100, &["a"]));
+    }
+}
+
+/// An upstream was avoided and starts again: it is no turn of a doubt, since it
+/// was held of another start.
+#[test]
+fn a_doubt_ends_with_its_start() {
+    let (mut fleet, mut doubts) = (fleet(100), Doubts::new());
+    let upstream = fleet.get_mut("1").expect("it is known");
+    upstream.unreached(at(0));
+    let turns = doubts.look(at(1), &fleet);
+    assert_eq!(turns[0].now, Some(Doubt::Unreached));
+    fleet.put(6, born_news("1", 200, &["a"]));
+    assert_eq!(doubts.look(at(2), &fleet), []);
+}
+
+/// News of four starts comes by every way and in any order, most of it late. What
+/// is known is always of the latest start that was heard of, and once that was
+/// heard of from the store, it is usable and holds just what it said.
+#[test]
+fn in_whatever_order_news_comes_the_latest_start_wins() {
+    cases(400, |random| {
+        let mut fleet = fleet(1);
+        let (mut latest, mut version) = (1u64, 5u64);
+        for step in 0..80u64 {
+            let of = random.int_in_range(1..=4u64)?;
+            let model = of.to_string();
+            let now = at(step);
+            version += 1;
+            match random.int_in_range(0..=5)? {
+                0 => {
+                    fleet.put(version, born_news("1", of, &[&model]));
+                }
+                1 => {
+                    let listed = vec![(version, born_news("1", of, &[&model]))];
+                    fleet.list(now, version, listed);
+                }
+                2 => fleet.reported(born("1", of)),
+                3 => {
+                    let held = vec![resident(&model, &[])];
+                    fleet.said(now, born("1", of), held, Vec::new());
+                }
+                4 => fleet.peer_usage(now, "p", [(born("1", of), USED)].into_iter()),
+                _ if of < latest => fleet.heard_leaving(born("1", of), version, false),
+                _ => continue,
+            }
+            latest = latest.max(of);
+            let upstream = fleet.get_mut("1").expect("it is known");
+            assert_eq!(upstream.news.born_ms, Some(latest));
+            assert!(upstream.is_usable(now));
+            let of_earlier =
+                (1..latest).any(|of| upstream.holds(now, &of.to_string(), None));
+            assert!(!of_earlier || latest == 1, "step {step}");
+            let running = upstream.usage(now).running;
+            assert!(running == 0 || running == USED.running);
+        }
+        fleet.put(version + 1, born_news("1", latest, &[&latest.to_string()]));
+        let upstream = fleet.get("1").expect("it is known");
+        assert!(upstream.holds(at(5_000), &latest.to_string(), None));
+        Ok(())
+    });
+}
--- a/crates/direct/tests/all/support.rs
+++ b/crates/direct/tests/all/support.rs
@@ -2,7 +2,7 @@
 
 use arbtest::{arbitrary, arbtest};
 use base::prelude::*;
-use direct::{Copies, Engine, ModelSpec, Resident, UpstreamNews};
+use direct::{Copies, Engine, ModelSpec, Resident, Start, UpstreamNews};
 use std::sync::Arc;
 
 pub fn at(ms: u64) -> Instant {
@@ -38,6 +38,7 @@
 pub fn news(id: &str, models: &[&str]) -> UpstreamNews {
     UpstreamNews {
         id: name(id),
+        born_ms: None,
         service: name("oracle"),
         address: ([127, 0, 0, 1], 1).into(),
         domain: name("east"),
@@ -49,6 +50,19 @@
     }
 }
 
+/// A start of which the time is not known.
+pub fn start(id: &str) -> Start<'_> {
+    Start { id, born_ms: None }
+}
+
+/// As [`news`], of a start that says when it was.
+pub fn born_news(id: &str, born_ms: u64, models: &[&str]) -> UpstreamNews {
+    UpstreamNews {
+        born_ms: Some(born_ms),
+        ..news(id, models)
+    }
+}
+
 pub fn resident(model: &str, adapters: &[&str]) -> Resident {
     Resident {
         model: name(model),
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::node::Node;
+use crate::tries::place;
 
 /// Time after a broken connection at which the upstream is looked at: one that
 /// crashes takes a moment to be gone.
@@ -16,17 +17,17 @@
 /// A lost answer or a cut stream ends its connection just the same. Taken for
 /// crashes, two of them would keep an innocent request, and all that look like
 /// it, from every upstream for a minute.
-pub(crate) fn look_for_crash(node: &Arc<Node>, fingerprint: u64, upstream: &Arc<str>) {
+pub(crate) fn look_for_crash(
+    node: &Arc<Node>,
+    fingerprint: u64,
+    upstream: &Arc<str>,
+    born_ms: Option<u64>,
+) {
     let (node, upstream) = (Arc::clone(node), Arc::clone(upstream));
     tokio::spawn(async move {
         tokio::time::sleep(LOOK_AFTER).await;
-        let address = node
-            .fleet
-            .lock()
-            .get(&upstream)
-            .map(|known| known.news.address);
-        if let Some(address) = address
-            && let Ok(line) = node.pool.take(&upstream, address, true).await
+        if let Some(place) = place(&node, &upstream)
+            && let Ok(line) = node.pool.take(&upstream, place, true).await
         {
             node.pool.keep(&upstream, line, None);
             return;
@@ -36,8 +37,19 @@
             serde_json::json!({ "upstream": &*upstream,
                 "fingerprint": format!("{fingerprint:016x}") }),
         );
-        let agent = AgentId::new(&upstream);
+        let agent = witness(&upstream, born_ms);
         let mut suspects = node.suspects.lock();
-        suspects.on_crash(node.now(), &[fingerprint], &agent, 0, false);
+        let incarnation = born_ms.unwrap_or(0);
+        suspects.on_crash(node.now(), &[fingerprint], &agent, incarnation, false);
     });
 }
+
+/// What a crash is counted by. Crashes of two upstreams convict a request, and two
+/// starts under one name are two: counted as one, the request would go on to crash
+/// each start of the same upstream.
+fn witness(upstream: &str, born_ms: Option<u64>) -> AgentId {
+    match born_ms {
+        Some(born_ms) => AgentId::new(&format!("{upstream}@{born_ms}")),
+        None => AgentId::new(upstream),
+    }
+}
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -234,7 +234,13 @@
                         "gone_in_ms": news.gone_in_ms }),
                 );
             }
-            node.fleet.lock().put(version, news);
+            let (id, born_ms) = (Arc::clone(&news.id), news.born_ms);
+            if node.fleet.lock().put(version, news) {
+                node.log.line(
+                    "upstream_restarted",
+                    json!({ "upstream": &*id, "version": version, "born_ms": born_ms }),
+                );
+            }
         }
     }
     if !objects.is_empty() {
--- a/crates/front/src/giver/book.rs
+++ b/crates/front/src/giver/book.rs
@@ -1,7 +1,9 @@
 //! What the giver of orders keeps of one upstream.
 
 use base::prelude::*;
-use direct::{Action, Engine, Group, Ledger, Resident, Setup, Upstream};
+use direct::{
+    Action, Engine, Group, LateOrders, Ledger, Report, Resident, Setup, Start, Upstream,
+};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -12,13 +14,15 @@
 /// Time that an unload is expected to take: it waits for what runs.
 const UNLOAD_MS: u64 = 500;
 
-/// What the giver keeps of one upstream.
+/// What the giver keeps of one start of an upstream.
 #[derive(Debug)]
 pub(super) struct Book {
     pub(super) service: Arc<str>,
     pub(super) domain: Arc<str>,
     /// Version of the platform's entry that was seen last.
     pub(super) version: u64,
+    /// Start that the platform's entry names.
+    listed_born_ms: Option<u64>,
     pub(super) ledger: Ledger,
     /// Whether it is better avoided: silent, or not reached.
     pub(super) doubted: bool,
@@ -39,12 +43,15 @@
 }
 
 impl Book {
-    pub(super) fn new(upstream: &Upstream) -> Self {
+    /// A book of a start, with the orders to earlier ones that it may still carry
+    /// out.
+    pub(super) fn new(upstream: &Upstream, late: LateOrders) -> Self {
         Self {
             service: Arc::clone(&upstream.news.service),
             domain: Arc::clone(&upstream.news.domain),
             version: upstream.version,
-            ledger: Ledger::new(),
+            listed_born_ms: upstream.news.born_ms,
+            ledger: Ledger::of_start(upstream.news.born_ms, late),
             doubted: false,
             asked_at: None,
             intent: None,
@@ -64,7 +71,41 @@
         self.ledger.is_idle() && !self.doubted
     }
 
+    /// Whether the upstream has started again after the start that this is of.
+    pub(super) fn is_over(&self, upstream: &Upstream) -> bool {
+        self.ledger.born_ms() < upstream.news.born_ms
+    }
+
+    /// Whether what entries know of the upstream is of the start that this is of.
+    /// A report may have told of a later one first.
+    pub(super) fn is_listed(&self) -> bool {
+        self.listed_born_ms.is_none() || self.listed_born_ms == self.ledger.born_ms()
+    }
+
+    /// Start that entries know the upstream by.
+    pub(super) fn start<'a>(&self, id: &'a str) -> Start<'a> {
+        Start {
+            id,
+            born_ms: self.listed_born_ms,
+        }
+    }
+
+    /// Takes over a report; true if the upstream has started again. What waited for
+    /// an order to the earlier start then waits no more.
+    pub(super) fn report(&mut self, now: Instant, report: &Report) -> bool {
+        let born_ms = self.ledger.born_ms();
+        self.ledger.report(now, report);
+        let restarted = self.ledger.born_ms() != born_ms;
+        if restarted {
+            self.intent = None;
+            self.since.clear();
+        }
+        restarted
+    }
+
     pub(super) fn follow(&mut self, now: Instant, upstream: &Upstream) {
+        self.listed_born_ms = upstream.news.born_ms;
+        self.ledger.expire(now);
         self.doubted = upstream.is_suspected(now);
         if self.version != upstream.version {
             // Something has changed there, as at the end of an order: ask now.
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -5,7 +5,10 @@
 mod book;
 
 use base::prelude::*;
-use direct::{Action, Choice, Engine, Ledger, Load, Moves, Resident, Setup, Spot};
+use direct::{
+    Action, Choice, Engine, LateOrders, Load, Moves, Order, Report, Resident, Sent,
+    Setup, Spot, Upstream,
+};
 use parking_lot::Mutex;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -49,6 +52,8 @@
     /// Token under which orders were given last.
     token: Option<u64>,
     books: BTreeMap<Arc<str>, Book>,
+    /// Orders without an answer to upstreams that are not used now.
+    late: BTreeMap<Arc<str>, LateOrders>,
     moves: BTreeMap<Arc<str>, Moves>,
     planned_at: Instant,
     wants: BTreeMap<Want, Instant>,
@@ -58,6 +63,8 @@
 #[derive(Debug)]
 pub(crate) struct Told {
     pub(crate) upstream: Arc<str>,
+    /// Start that holds this.
+    pub(crate) born_ms: Option<u64>,
     pub(crate) residents: Vec<Resident>,
     /// Models on their way, with when they are expected to serve.
     pub(crate) coming: Vec<(Arc<str>, Instant)>,
@@ -90,24 +97,48 @@
         let books = state.books.iter().enumerate();
         let told = books.filter(|(index, (_, book))| {
             let fresh = now.ms_since(book.changed_at) < FRESH_MS;
-            book.ledger.is_known() && (fresh || in_turn(*index))
+            let known = book.ledger.is_known() && book.is_listed();
+            known && (fresh || in_turn(*index))
         });
         told.map(|(_, (id, book))| Told {
             upstream: Arc::clone(id),
+            born_ms: book.start(id).born_ms,
             residents: book.serving.clone(),
             coming: book.coming.clone(),
         })
         .collect()
     }
 
-    /// Changes the ledger of an upstream, if it is still kept.
-    pub(crate) fn with_ledger(&self, id: &str, change: impl FnOnce(&mut Ledger)) {
+    /// Books what came of an order, if the upstream is still kept.
+    pub(crate) fn sent(&self, now: Instant, id: &str, order: &Order, sent: Sent) {
         if let Some(book) = self.state.lock().books.get_mut(id) {
-            change(&mut book.ledger);
+            book.ledger.sent(now, order, sent);
         }
         self.wake.notify_waiters();
     }
 
+    /// Books a report, if the upstream is still kept.
+    pub(crate) fn reported(&self, now: Instant, id: &str, report: &Report) {
+        let mut state = self.state.lock();
+        let State { books, moves, .. } = &mut *state;
+        if let Some(book) = books.get_mut(id)
+            && book.report(now, report)
+            && let Some(moves) = moves.get_mut(&book.service)
+        {
+            count_late(now, moves, book.ledger.late_loads());
+        }
+        drop(state);
+        self.wake.notify_waiters();
+    }
+
+    /// Whether an upstream has not started again since an order was decided. What
+    /// was decided on what the earlier start held may not fit into the later one.
+    pub(crate) fn is_current(&self, id: &str, order: &Order) -> bool {
+        let state = self.state.lock();
+        let book = state.books.get(id);
+        book.is_some_and(|book| book.ledger.born_ms() == order.born_ms)
+    }
+
     /// A load from the weight store got no answer.
     pub(crate) fn load_unanswered(&self, now: Instant, service: &str) {
         if let Some(moves) = self.state.lock().moves.get_mut(service) {
@@ -168,10 +199,13 @@
 type Ordered = (Arc<str>, Arc<str>, direct::Order, bool);
 
 impl State {
-    /// This entry has become the giver: nothing that it knew from before holds.
+    /// This entry has become the giver: nothing that it knew from before holds, but
+    /// that its own orders of before may still be carried out.
     fn begin(&mut self, node: &Node, setup: &Setup, token: u64, now: Instant) {
         self.token = Some(token);
-        self.books.clear();
+        for (id, book) in std::mem::take(&mut self.books) {
+            self.late.insert(id, book.ledger.into_late(now));
+        }
         self.moves.clear();
         for (name, spec) in &setup.services {
             let Some(engine) = &spec.engine else {
@@ -192,16 +226,40 @@
 
     fn follow_fleet(&mut self, node: &Node, setup: &Setup, now: Instant) {
         let fleet = node.fleet.lock();
-        self.books.retain(|id, _| {
-            fleet
-                .get(id)
-                .is_some_and(|upstream| upstream.is_usable(now))
+        let gone = self.books.extract_if(.., |id, book| {
+            let upstream = fleet.get(id);
+            upstream.is_none_or(|upstream| {
+                !upstream.is_usable(now) || book.is_over(upstream)
+            })
         });
+        for (id, book) in gone {
+            self.late.insert(id, book.ledger.into_late(now));
+        }
         for upstream in fleet.engines(now, setup) {
-            let id = Arc::clone(&upstream.news.id);
-            let book = self.books.entry(id).or_insert_with(|| Book::new(upstream));
-            book.follow(now, upstream);
+            let id = &upstream.news.id;
+            if !self.books.contains_key(id) {
+                let late = self.take_late(now, upstream);
+                let book = Book::new(upstream, late);
+                self.books.insert(Arc::clone(id), book);
+            }
+            if let Some(book) = self.books.get_mut(id) {
+                book.follow(now, upstream);
+            }
         }
+        self.late.retain(|_, late| {
+            late.expire(now);
+            !late.is_empty()
+        });
+    }
+
+    /// Orders to an upstream's earlier starts that may still be carried out.
+    fn take_late(&mut self, now: Instant, upstream: &Upstream) -> LateOrders {
+        let mut late = self.late.remove(&upstream.news.id).unwrap_or_default();
+        late.expire(now);
+        if let Some(moves) = self.moves.get_mut(&upstream.news.service) {
+            count_late(now, moves, late.loads());
+        }
+        late
     }
 
     /// Upstreams to be asked for a report.
@@ -332,7 +390,7 @@
         let mut changed = false;
         let mut fleet = node.fleet.lock();
         for (id, book) in &mut self.books {
-            if !book.ledger.is_known() {
+            if !book.ledger.is_known() || !book.is_listed() {
                 continue;
             }
             let serving = book.ledger.serving(now);
@@ -343,12 +401,28 @@
                 changed = true;
             }
             book.coming = coming;
-            fleet.said(now, id, book.serving.clone(), book.coming.clone());
+            fleet.said(
+                now,
+                book.start(id),
+                book.serving.clone(),
+                book.coming.clone(),
+            );
         }
         changed
     }
 }
 
+/// Counts loads that a later start of an upstream may still carry out.
+///
+/// One that was to come from a copy may come from the weight store instead, since
+/// a start keeps no copy in memory of the one before. Not counted, the restart of
+/// many upstreams at once would load more from the store than it allows.
+fn count_late(now: Instant, moves: &mut Moves, loads: usize) {
+    for _ in 0..loads {
+        moves.unanswered(now);
+    }
+}
+
 fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
     setup.services.get(service)?.engine.as_ref()
 }
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -2,7 +2,7 @@
 
 use base::{Expect, PlatformOp, PlatformResult, Version};
 use bytes::Bytes;
-use direct::{LeaseRecord, LeaseStep, Order, Sent};
+use direct::{LeaseRecord, LeaseStep, Order, Sent, Start};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -15,7 +15,7 @@
 use crate::OrderCall;
 use crate::node::Node;
 use crate::pool::SendFault;
-use crate::tries::unreached;
+use crate::tries::{place, unreached};
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -44,7 +44,10 @@
     from_store: bool,
 ) {
     let call = node.dialect.order(&id, &order, &node.options.entry, token);
-    let permit = || node.lease.lock().token(node.now()) == Some(token);
+    let permit = || {
+        let leased = node.lease.lock().token(node.now()) == Some(token);
+        leased && node.giver.is_current(&id, &order)
+    };
     let answer = send(&node, &id, call, ORDER_TIMEOUT, permit).await;
     let sent = match &answer {
         Ok((status, _)) => Sent::Answered(node.dialect.order_answer(*status)),
@@ -66,8 +69,7 @@
             "token": token, "status": status, "outcome": outcome }),
     );
     let now = node.now();
-    node.giver
-        .with_ledger(&id, |ledger| ledger.sent(now, &order, sent));
+    node.giver.sent(now, &id, &order, sent);
 }
 
 /// Asks an upstream for its report and books it.
@@ -88,9 +90,12 @@
     };
     match node.dialect.report(&body) {
         Ok(report) => {
-            let now = node.now();
-            node.giver
-                .with_ledger(&id, |ledger| ledger.report(now, &report));
+            let start = Start {
+                id: &id,
+                born_ms: report.born_ms,
+            };
+            node.fleet.lock().reported(start);
+            node.giver.reported(node.now(), &id, &report);
         }
         Err(fault) => {
             let why = fault.to_string();
@@ -109,14 +114,13 @@
     longest: Duration,
     permit: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFault> {
-    let address = node.fleet.lock().get(id).map(|known| known.news.address);
-    let address = address.ok_or(SendFault::NotSent)?;
-    let taken = node.pool.take(id, address, true).await;
-    let mut line = taken.inspect_err(|_| unreached(node, id))?;
+    let place = place(node, id).ok_or(SendFault::NotSent)?;
+    let taken = node.pool.take(id, place, true).await;
+    let mut line = taken.inspect_err(|_| unreached(node, id, place.born_ms))?;
     if !permit() {
         return Err(SendFault::NotSent);
     }
-    let request = request(address, call);
+    let request = request(place.address, call);
     let exchange = async {
         let response: Response<_> = line.send(request).await?;
         let status = response.status();
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -1,6 +1,6 @@
 //! Hearing other entries.
 
-use direct::{Load, Resident, Usage};
+use direct::{Load, Resident, Start, Usage};
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews};
 use serde_json::json;
@@ -46,12 +46,13 @@
             waiting_tokens: used.waiting_tokens,
             kept_tokens: used.kept_tokens,
         };
-        (used.upstream.as_str(), usage)
+        (start(&used.upstream, used.born_ms), usage)
     });
     let mut fleet = node.fleet.lock();
     fleet.peer_usage(now, &news.entry, uses);
     for leaving in &news.leaving {
-        fleet.heard_leaving(&leaving.upstream, leaving.version, leaving.vanished);
+        let start = start(&leaving.upstream, leaving.born_ms);
+        fleet.heard_leaving(start, leaving.version, leaving.vanished);
     }
     for holding in &news.holdings {
         let residents = holding.models.iter().map(resident).collect();
@@ -59,7 +60,8 @@
             let ready_at = now.plus_ms(coming.ready_in_ms);
             (Arc::from(coming.model.as_str()), ready_at)
         });
-        fleet.said(now, &holding.upstream, residents, coming.collect());
+        let start = start(&holding.upstream, holding.born_ms);
+        fleet.said(now, start, residents, coming.collect());
     }
     drop(fleet);
     if !news.holdings.is_empty() {
@@ -85,6 +87,11 @@
     }
 }
 
+const fn start(id: &str, born_ms: u64) -> Start<'_> {
+    let born_ms = if born_ms == 0 { None } else { Some(born_ms) };
+    Start { id, born_ms }
+}
+
 fn resident(held: &HeldModel) -> Resident {
     Resident {
         model: held.model.as_str().into(),
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -134,6 +134,7 @@
         running: upstream.own.running,
         waiting_tokens: upstream.own.waiting_tokens,
         kept_tokens: upstream.own.kept_tokens,
+        born_ms: upstream.news.born_ms.unwrap_or(0),
     });
     let uses = uses.collect();
     let leaving = fleet.all().filter_map(|upstream| {
@@ -142,6 +143,7 @@
             upstream: upstream.news.id.to_string(),
             version,
             vanished,
+            born_ms: upstream.news.born_ms.unwrap_or(0),
         })
     });
     let leaving = leaving.collect();
@@ -204,6 +206,7 @@
     let now = node.now();
     let told = told.into_iter().map(|told| Holding {
         upstream: told.upstream.to_string(),
+        born_ms: told.born_ms.unwrap_or(0),
         models: told.residents.iter().map(held_model).collect(),
         coming: told
             .coming
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -58,9 +58,18 @@
     keep_ms: u64,
 }
 
+/// Where a start of an upstream is reached.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    pub(crate) born_ms: Option<u64>,
+    pub(crate) address: SocketAddr,
+}
+
 /// One connection. Dropped, it is closed; so is what the upstream runs on it.
 #[derive(Debug)]
 pub(crate) struct Line {
+    /// Start of the upstream that it leads to.
+    born_ms: Option<u64>,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -72,8 +81,8 @@
 }
 
 impl Line {
-    async fn open(address: SocketAddr) -> Option<Self> {
-        let stream = connect(address).await.ok()?;
+    async fn open(place: Place) -> Option<Self> {
+        let stream = connect(place.address).await.ok()?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -81,7 +90,11 @@
             .ok()?;
         // How a connection ends, its requests are told.
         let task = tokio::spawn(connection.map(|_| ())).abort_handle();
-        Some(Self { sender, task })
+        Some(Self {
+            born_ms: place.born_ms,
+            sender,
+            task,
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -104,8 +117,8 @@
 }
 
 impl Pool {
-    /// A connection to an upstream; with `fresh`, one that was not idle for
-    /// long.
+    /// A connection to a start of an upstream; with `fresh`, one that was not idle
+    /// for long.
     ///
     /// # Errors
     ///
@@ -113,13 +126,13 @@
     pub(crate) async fn take(
         &self,
         id: &Arc<str>,
-        address: SocketAddr,
+        place: Place,
         fresh: bool,
     ) -> Result<Line, SendFault> {
-        if let Some(line) = self.idle(id, fresh) {
+        if let Some(line) = self.idle(id, place.born_ms, fresh) {
             return Ok(line);
         }
-        Line::open(address).await.ok_or(SendFault::NotSent)
+        Line::open(place).await.ok_or(SendFault::NotSent)
     }
 
     /// Keeps a connection whose answer was read to its end.
@@ -134,6 +147,9 @@
         });
         let mut idle = self.idle.lock();
         let lines = idle.entry(Arc::clone(id)).or_default();
+        if lines.iter().any(|kept| kept.line.born_ms > line.born_ms) {
+            return;
+        }
         if lines.len() < IDLE_COUNT_MAX {
             lines.push(Idle {
                 line,
@@ -156,10 +172,17 @@
     }
 
     /// The connection used last, if it can take a request.
-    fn idle(&self, id: &str, fresh: bool) -> Option<Line> {
+    ///
+    /// Connections to earlier starts are closed: a request on one is lost, and
+    /// nobody can say whether it ran.
+    fn idle(&self, id: &str, born_ms: Option<u64>, fresh: bool) -> Option<Line> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let lines = idle.get_mut(id)?;
+        lines.retain(|idle| idle.line.born_ms >= born_ms);
+        if lines.last()?.line.born_ms != born_ms {
+            return None;
+        }
         while let Some(mut last) = lines.pop() {
             let ms = now.ms_since(last.since);
             if ms >= last.keep_ms || last.line.sender.is_closed() {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -198,6 +198,13 @@
 
     /// Whether the stream is better continued elsewhere than waited for.
     fn is_given_up(&self) -> bool {
+        if self
+            .live
+            .as_ref()
+            .is_some_and(|live| live.in_flight.is_over())
+        {
+            return true;
+        }
         if !self.run.call.route.kind.may_repeat() {
             return false;
         }
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -2,12 +2,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Outcome, Picked, Usage};
+use direct::{Outcome, Picked, Start, Upstream, Usage};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode, Version};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -17,7 +16,7 @@
 use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
 use crate::node::Node;
-use crate::pool::{Line, SendFault};
+use crate::pool::{Line, Place, SendFault};
 use crate::request::Call;
 use crate::{AnswerHead, SendHead};
 
@@ -36,34 +35,67 @@
 pub(crate) struct InFlight {
     node: Arc<Node>,
     pub(crate) upstream: Arc<str>,
+    /// Start of the upstream that it was sent to.
+    born_ms: Option<u64>,
     usage: Usage,
     begun: bool,
 }
 
 impl InFlight {
-    fn start(node: &Arc<Node>, call: &Call, picked: &Picked) -> Self {
+    fn begin(
+        node: &Arc<Node>,
+        call: &Call,
+        picked: &Picked,
+        born_ms: Option<u64>,
+    ) -> Self {
         let now = node.now();
-        if let Some(upstream) = node.fleet.lock().get_mut(&picked.id) {
-            upstream.sent(now, &picked.usage);
-            upstream.remember_parts(now, &call.parts);
-        }
-        Self {
+        let in_flight = Self {
             node: Arc::clone(node),
             upstream: Arc::clone(&picked.id),
+            born_ms,
             usage: picked.usage,
             begun: false,
+        };
+        in_flight.with_upstream(|upstream| {
+            upstream.sent(now, &picked.usage);
+            upstream.remember_parts(now, &call.parts);
+        });
+        in_flight
+    }
+
+    /// Books something of the upstream, unless it has started again since.
+    fn with_upstream(&self, change: impl FnOnce(&mut Upstream)) {
+        let start = Start {
+            id: &self.upstream,
+            born_ms: self.born_ms,
+        };
+        if let Some(upstream) = self.node.fleet.lock().start_mut(start) {
+            change(upstream);
         }
     }
 
+    /// Whether the upstream has started again, and with its earlier start the
+    /// request has ended.
+    ///
+    /// Its connection need not show that: it may have been lost without a word, or
+    /// lead to a process that hangs. Nobody would answer, up to the deadline.
+    pub(crate) fn is_over(&self) -> bool {
+        let start = Start {
+            id: &self.upstream,
+            born_ms: self.born_ms,
+        };
+        self.node.fleet.lock().is_over(start)
+    }
+
     /// Bytes of an answer came.
     pub(crate) fn heard(&mut self) {
         let now = self.node.now();
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+        self.with_upstream(|upstream| {
             upstream.heard(now);
             if !self.begun {
                 upstream.begun(self.usage.waiting_tokens);
             }
-        }
+        });
         self.begun = true;
     }
 
@@ -81,26 +113,22 @@
         let Some((model, adapter)) = &call.ask.model else {
             return;
         };
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            upstream.deny(now, model, adapter.as_ref());
-        }
+        self.with_upstream(|upstream| upstream.deny(now, model, adapter.as_ref()));
     }
 
     fn observe(&self, ok: bool) {
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            upstream.observe(ok);
-        }
+        self.with_upstream(|upstream| upstream.observe(ok));
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
+        self.with_upstream(|upstream| {
             if !self.begun {
                 upstream.begun(self.usage.waiting_tokens);
             }
             upstream.ended(self.usage.running, self.usage.kept_tokens);
-        }
+        });
         self.node.room.notify_waiters();
     }
 }
@@ -130,7 +158,10 @@
     pub(crate) fn broke(self, fingerprint: u64) {
         self.in_flight.observe(false);
         let node = Arc::clone(&self.in_flight.node);
-        look_for_crash(&node, fingerprint, &self.in_flight.upstream);
+        let InFlight {
+            upstream, born_ms, ..
+        } = &self.in_flight;
+        look_for_crash(&node, fingerprint, upstream, *born_ms);
     }
 }
 
@@ -153,13 +184,13 @@
     picked: &Picked,
     last_event: Option<&str>,
 ) -> TryEnd {
-    let Some(address) = address(node, &picked.id) else {
+    let Some(place) = place(node, &picked.id) else {
         return TryEnd::Fault(Outcome::NotSent, None);
     };
-    let in_flight = InFlight::start(node, call, picked);
+    let in_flight = InFlight::begin(node, call, picked, place.born_ms);
     let fresh = !call.route.kind.may_repeat();
-    let Ok(line) = node.pool.take(&picked.id, address, fresh).await else {
-        unreached(node, &picked.id);
+    let Ok(line) = node.pool.take(&picked.id, place, fresh).await else {
+        unreached(node, &picked.id, place.born_ms);
         return TryEnd::Fault(Outcome::NotSent, None);
     };
     let left_ms = call.left_ms(node.clock);
@@ -182,7 +213,10 @@
         Some(Err(SendFault::NotSent)) => TryEnd::Fault(Outcome::NotSent, None),
         Some(Err(SendFault::Broken)) => {
             in_flight.observe(false);
-            look_for_crash(node, call.fingerprint, &in_flight.upstream);
+            let InFlight {
+                upstream, born_ms, ..
+            } = &in_flight;
+            look_for_crash(node, call.fingerprint, upstream, *born_ms);
             TryEnd::Fault(Outcome::Unknown, None)
         }
         Some(Ok(response)) => {
@@ -209,6 +243,7 @@
         match timeout(look, &mut sending).await {
             Ok(answered) => return Some(answered),
             Err(_) if call.is_over(node.clock) => return None,
+            Err(_) if in_flight.is_over() => return None,
             Err(_) if gives_up_on(node, call, in_flight, sent_at) => return None,
             Err(_) => {}
         }
@@ -265,7 +300,7 @@
             keep_alive_s: head.keep_alive_s,
         }));
     }
-    let Some(body) = read_whole(node, call, body).await else {
+    let Some(body) = read_whole(node, call, &in_flight, body).await else {
         in_flight.observe(false);
         return TryEnd::Fault(
             if head.not_run {
@@ -297,11 +332,24 @@
     }
 }
 
-/// Reads a body to its end; `None` if it broke off or did not come in time.
-async fn read_whole(node: &Node, call: &Call, body: Incoming) -> Option<Bytes> {
+/// Reads a body to its end; `None` if it broke off, did not come in time or is of
+/// a start that has ended.
+async fn read_whole(
+    node: &Node,
+    call: &Call,
+    in_flight: &InFlight,
+    body: Incoming,
+) -> Option<Bytes> {
     let read = Limited::new(body, ANSWER_MAX_BYTES).collect();
-    let collected = timeout(left(node, call), read).await.ok()?.ok()?;
-    Some(collected.to_bytes())
+    tokio::pin!(read);
+    loop {
+        let look = LOOK_EVERY.min(left(node, call));
+        match timeout(look, &mut read).await {
+            Ok(collected) => return Some(collected.ok()?.to_bytes()),
+            Err(_) if call.is_over(node.clock) || in_flight.is_over() => return None,
+            Err(_) => {}
+        }
+    }
 }
 
 fn request(
@@ -345,15 +393,20 @@
     Duration::from_millis(call.left_ms(node.clock))
 }
 
-fn address(node: &Node, id: &str) -> Option<SocketAddr> {
+/// Where the latest start of an upstream is reached.
+pub(crate) fn place(node: &Node, id: &str) -> Option<Place> {
     let fleet = node.fleet.lock();
-    fleet.get(id).map(|upstream| upstream.news.address)
+    fleet.get(id).map(|upstream| Place {
+        born_ms: upstream.news.born_ms,
+        address: upstream.news.address,
+    })
 }
 
-/// Notes that an upstream could not be connected to.
-pub(crate) fn unreached(node: &Node, id: &str) {
+/// Notes that a start of an upstream could not be connected to.
+pub(crate) fn unreached(node: &Node, id: &str, born_ms: Option<u64>) {
     let now = node.now();
-    if let Some(upstream) = node.fleet.lock().get_mut(id) {
+    let start = Start { id, born_ms };
+    if let Some(upstream) = node.fleet.lock().start_mut(start) {
         upstream.unreached(now);
     }
     tell_doubt(node, id);
