Requests in flight and the giver's books of a start in files of their own; tests

Ruled out: witnesses that also count crashes of a start before a later one is known. A request can reach a later start at the same address up to a second before its entry is read; its crash then counts for the earlier start. Counting by sightings would convict an innocent request whose connections are turned away twice.

Change: `in_flight.rs` and `giver/kept.rs` hold what they name, unchanged. `Moves::outlived` counts loads that a later start may carry out.

Conclusion: each border that speaks of an upstream names its start.

--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -114,6 +114,16 @@
         self.late.push(now.plus_ms(LATE_ORDER_MS));
     }
 
+    /// Counts loads of an earlier start that a later one may still carry out.
+    ///
+    /// One that was to come from a copy may come from the weight store instead,
+    /// since a start keeps no copy in memory of the one before. Not counted, the
+    /// restart of many upstreams at once would load more than the store allows.
+    pub fn outlived(&mut self, now: Instant, loads: usize) {
+        let until = now.plus_ms(LATE_ORDER_MS);
+        self.late.extend(std::iter::repeat_n(until, loads));
+    }
+
     /// Counts what an earlier giver may have ordered up to a time.
     pub fn assume_spent(&mut self, until: Instant, engine: &Engine) {
         for _ in 0..self.window_loads(engine) {
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -252,3 +252,16 @@
         assert!(spot.expect("it is one of them").free_mb + freed >= 70.0);
     }
 }
+
+/// Loads that were to come from copies got no answer, and their upstreams started
+/// again. The later starts have no copy in memory: each load may come from the
+/// store, so it counts until it can't come any more.
+#[test]
+fn loads_that_outlive_a_start_count_as_loads_from_the_store() {
+    let engine = engine(&MODELS);
+    let mut moves = Moves::new(5_000);
+    let whole = moves.allowance(at(0), &engine);
+    moves.outlived(at(0), 3);
+    assert_eq!(moves.allowance(at(12_000), &engine), whole - 3);
+    assert_eq!(moves.allowance(at(13_000), &engine), whole);
+}
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -1,6 +1,7 @@
 //! Telling an upstream that crashed from one that lost an answer.
 
 use base::prelude::*;
+use direct::Start;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,13 +18,9 @@
 /// A lost answer or a cut stream ends its connection just the same. Taken for
 /// crashes, two of them would keep an innocent request, and all that look like
 /// it, from every upstream for a minute.
-pub(crate) fn look_for_crash(
-    node: &Arc<Node>,
-    fingerprint: u64,
-    upstream: &Arc<str>,
-    born_ms: Option<u64>,
-) {
-    let (node, upstream) = (Arc::clone(node), Arc::clone(upstream));
+pub(crate) fn look_for_crash(node: &Arc<Node>, fingerprint: u64, start: Start<'_>) {
+    let (node, born_ms) = (Arc::clone(node), start.born_ms);
+    let upstream: Arc<str> = start.id.into();
     tokio::spawn(async move {
         tokio::time::sleep(LOOK_AFTER).await;
         if let Some(place) = place(&node, &upstream)
--- /dev/null
+++ b/crates/front/src/giver/kept.rs
@@ -0,0 +1,51 @@
+//! Which upstreams the giver of orders keeps books of.
+
+use base::prelude::*;
+use direct::{LateOrders, Setup, Upstream};
+use std::sync::Arc;
+
+use super::State;
+use super::book::Book;
+use crate::node::Node;
+
+impl State {
+    /// Ends the books of upstreams that are gone or have started again, and begins
+    /// those of new starts.
+    pub(super) fn follow_fleet(&mut self, node: &Node, setup: &Setup, now: Instant) {
+        let fleet = node.fleet.lock();
+        let gone = self.books.extract_if(.., |id, book| {
+            let upstream = fleet.get(id);
+            upstream.is_none_or(|upstream| {
+                !upstream.is_usable(now) || book.is_over(upstream)
+            })
+        });
+        for (id, book) in gone {
+            self.late.insert(id, book.ledger.into_late(now));
+        }
+        for upstream in fleet.engines(now, setup) {
+            let id = &upstream.news.id;
+            if !self.books.contains_key(id) {
+                let late = self.take_late(now, upstream);
+                let book = Book::new(upstream, late);
+                self.books.insert(Arc::clone(id), book);
+            }
+            if let Some(book) = self.books.get_mut(id) {
+                book.follow(now, upstream);
+            }
+        }
+        self.late.retain(|_, late| {
+            late.expire(now);
+            !late.is_empty()
+        });
+    }
+
+    /// Orders to an upstream's earlier starts that may still be carried out.
+    fn take_late(&mut self, now: Instant, upstream: &Upstream) -> LateOrders {
+        let mut late = self.late.remove(&upstream.news.id).unwrap_or_default();
+        late.expire(now);
+        if let Some(moves) = self.moves.get_mut(&upstream.news.service) {
+            moves.outlived(now, late.loads());
+        }
+        late
+    }
+}
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -3,11 +3,12 @@
 
 mod adapters;
 mod book;
+mod kept;
 
 use base::prelude::*;
 use direct::{
     Action, Choice, Engine, LateOrders, Load, Moves, Order, Report, Resident, Sent,
-    Setup, Spot, Upstream,
+    Setup, Spot,
 };
 use parking_lot::Mutex;
 use serde_json::json;
@@ -125,7 +126,7 @@
             && book.report(now, report)
             && let Some(moves) = moves.get_mut(&book.service)
         {
-            count_late(now, moves, book.ledger.late_loads());
+            moves.outlived(now, book.ledger.late_loads());
         }
         drop(state);
         self.wake.notify_waiters();
@@ -224,44 +225,6 @@
         );
     }
 
-    fn follow_fleet(&mut self, node: &Node, setup: &Setup, now: Instant) {
-        let fleet = node.fleet.lock();
-        let gone = self.books.extract_if(.., |id, book| {
-            let upstream = fleet.get(id);
-            upstream.is_none_or(|upstream| {
-                !upstream.is_usable(now) || book.is_over(upstream)
-            })
-        });
-        for (id, book) in gone {
-            self.late.insert(id, book.ledger.into_late(now));
-        }
-        for upstream in fleet.engines(now, setup) {
-            let id = &upstream.news.id;
-            if !self.books.contains_key(id) {
-                let late = self.take_late(now, upstream);
-                let book = Book::new(upstream, late);
-                self.books.insert(Arc::clone(id), book);
-            }
-            if let Some(book) = self.books.get_mut(id) {
-                book.follow(now, upstream);
-            }
-        }
-        self.late.retain(|_, late| {
-            late.expire(now);
-            !late.is_empty()
-        });
-    }
-
-    /// Orders to an upstream's earlier starts that may still be carried out.
-    fn take_late(&mut self, now: Instant, upstream: &Upstream) -> LateOrders {
-        let mut late = self.late.remove(&upstream.news.id).unwrap_or_default();
-        late.expire(now);
-        if let Some(moves) = self.moves.get_mut(&upstream.news.service) {
-            count_late(now, moves, late.loads());
-        }
-        late
-    }
-
     /// Upstreams to be asked for a report.
     fn asks(&mut self, now: Instant) -> Vec<Arc<str>> {
         let mut asks = Vec::new();
@@ -412,17 +375,6 @@
     }
 }
 
-/// Counts loads that a later start of an upstream may still carry out.
-///
-/// One that was to come from a copy may come from the weight store instead, since
-/// a start keeps no copy in memory of the one before. Not counted, the restart of
-/// many upstreams at once would load more from the store than it allows.
-fn count_late(now: Instant, moves: &mut Moves, loads: usize) {
-    for _ in 0..loads {
-        moves.unanswered(now);
-    }
-}
-
 fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
     setup.services.get(service)?.engine.as_ref()
 }
--- /dev/null
+++ b/crates/front/src/in_flight.rs
@@ -0,0 +1,110 @@
+//! What requests that are running take of their upstreams.
+
+use direct::{Picked, Start, Upstream, Usage};
+use std::sync::Arc;
+
+use crate::node::Node;
+use crate::request::Call;
+
+/// A request's use of an upstream. Dropped, it ends.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    pub(crate) node: Arc<Node>,
+    pub(crate) upstream: Arc<str>,
+    /// Start of the upstream that it was sent to.
+    born_ms: Option<u64>,
+    usage: Usage,
+    begun: bool,
+}
+
+impl InFlight {
+    pub(crate) fn begin(
+        node: &Arc<Node>,
+        call: &Call,
+        picked: &Picked,
+        born_ms: Option<u64>,
+    ) -> Self {
+        let now = node.now();
+        let in_flight = Self {
+            node: Arc::clone(node),
+            upstream: Arc::clone(&picked.id),
+            born_ms,
+            usage: picked.usage,
+            begun: false,
+        };
+        in_flight.with_upstream(|upstream| {
+            upstream.sent(now, &picked.usage);
+            upstream.remember_parts(now, &call.parts);
+        });
+        in_flight
+    }
+
+    /// Start of the upstream that it was sent to.
+    pub(crate) fn start(&self) -> Start<'_> {
+        Start {
+            id: &self.upstream,
+            born_ms: self.born_ms,
+        }
+    }
+
+    /// Books something of the upstream, unless it has started again since.
+    fn with_upstream(&self, change: impl FnOnce(&mut Upstream)) {
+        if let Some(upstream) = self.node.fleet.lock().start_mut(self.start()) {
+            change(upstream);
+        }
+    }
+
+    /// Whether the upstream has started again, and with its earlier start the
+    /// request has ended.
+    ///
+    /// Its connection need not show that: it may have been lost without a word, or
+    /// lead to a process that hangs. Nobody would answer, up to the deadline.
+    pub(crate) fn is_over(&self) -> bool {
+        self.node.fleet.lock().is_over(self.start())
+    }
+
+    /// Bytes of an answer came.
+    pub(crate) fn heard(&mut self) {
+        let now = self.node.now();
+        self.with_upstream(|upstream| {
+            upstream.heard(now);
+            if !self.begun {
+                upstream.begun(self.usage.waiting_tokens);
+            }
+        });
+        self.begun = true;
+    }
+
+    /// Whether the upstream has fallen silent towards all requests here.
+    pub(crate) fn is_silent(&self) -> bool {
+        let now = self.node.now();
+        let fleet = self.node.fleet.lock();
+        let upstream = fleet.get(&self.upstream);
+        upstream.is_none_or(|upstream| upstream.is_suspected(now))
+    }
+
+    /// The upstream says that it does not hold what the request asks for.
+    pub(crate) fn deny(&self, call: &Call) {
+        let now = self.node.now();
+        let Some((model, adapter)) = &call.ask.model else {
+            return;
+        };
+        self.with_upstream(|upstream| upstream.deny(now, model, adapter.as_ref()));
+    }
+
+    pub(crate) fn observe(&self, ok: bool) {
+        self.with_upstream(|upstream| upstream.observe(ok));
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.with_upstream(|upstream| {
+            if !self.begun {
+                upstream.begun(self.usage.waiting_tokens);
+            }
+            upstream.ended(self.usage.running, self.usage.kept_tokens);
+        });
+        self.node.room.notify_waiters();
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 mod framing;
 mod giver;
 mod headers;
+mod in_flight;
 mod log;
 mod meters;
 mod node;
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Outcome, Picked, Start, Upstream, Usage};
+use direct::{Outcome, Picked, Start};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -15,6 +15,7 @@
 use crate::beliefs::tell_doubt;
 use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
+use crate::in_flight::InFlight;
 use crate::node::Node;
 use crate::pool::{Line, Place, SendFault};
 use crate::request::Call;
@@ -30,109 +31,6 @@
 /// another upstream, if this one has fallen silent towards all requests.
 const PATIENCE_MS: u64 = 700;
 
-/// A request's use of an upstream. Dropped, it ends.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    node: Arc<Node>,
-    pub(crate) upstream: Arc<str>,
-    /// Start of the upstream that it was sent to.
-    born_ms: Option<u64>,
-    usage: Usage,
-    begun: bool,
-}
-
-impl InFlight {
-    fn begin(
-        node: &Arc<Node>,
-        call: &Call,
-        picked: &Picked,
-        born_ms: Option<u64>,
-    ) -> Self {
-        let now = node.now();
-        let in_flight = Self {
-            node: Arc::clone(node),
-            upstream: Arc::clone(&picked.id),
-            born_ms,
-            usage: picked.usage,
-            begun: false,
-        };
-        in_flight.with_upstream(|upstream| {
-            upstream.sent(now, &picked.usage);
-            upstream.remember_parts(now, &call.parts);
-        });
-        in_flight
-    }
-
-    /// Books something of the upstream, unless it has started again since.
-    fn with_upstream(&self, change: impl FnOnce(&mut Upstream)) {
-        let start = Start {
-            id: &self.upstream,
-            born_ms: self.born_ms,
-        };
-        if let Some(upstream) = self.node.fleet.lock().start_mut(start) {
-            change(upstream);
-        }
-    }
-
-    /// Whether the upstream has started again, and with its earlier start the
-    /// request has ended.
-    ///
-    /// Its connection need not show that: it may have been lost without a word, or
-    /// lead to a process that hangs. Nobody would answer, up to the deadline.
-    pub(crate) fn is_over(&self) -> bool {
-        let start = Start {
-            id: &self.upstream,
-            born_ms: self.born_ms,
-        };
-        self.node.fleet.lock().is_over(start)
-    }
-
-    /// Bytes of an answer came.
-    pub(crate) fn heard(&mut self) {
-        let now = self.node.now();
-        self.with_upstream(|upstream| {
-            upstream.heard(now);
-            if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
-            }
-        });
-        self.begun = true;
-    }
-
-    /// Whether the upstream has fallen silent towards all requests here.
-    pub(crate) fn is_silent(&self) -> bool {
-        let now = self.node.now();
-        let fleet = self.node.fleet.lock();
-        let upstream = fleet.get(&self.upstream);
-        upstream.is_none_or(|upstream| upstream.is_suspected(now))
-    }
-
-    /// The upstream says that it does not hold what the request asks for.
-    fn deny(&self, call: &Call) {
-        let now = self.node.now();
-        let Some((model, adapter)) = &call.ask.model else {
-            return;
-        };
-        self.with_upstream(|upstream| upstream.deny(now, model, adapter.as_ref()));
-    }
-
-    fn observe(&self, ok: bool) {
-        self.with_upstream(|upstream| upstream.observe(ok));
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.with_upstream(|upstream| {
-            if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
-            }
-            upstream.ended(self.usage.running, self.usage.kept_tokens);
-        });
-        self.node.room.notify_waiters();
-    }
-}
-
 /// A stream that an upstream has begun.
 #[derive(Debug)]
 pub(crate) struct Live {
@@ -158,10 +56,7 @@
     pub(crate) fn broke(self, fingerprint: u64) {
         self.in_flight.observe(false);
         let node = Arc::clone(&self.in_flight.node);
-        let InFlight {
-            upstream, born_ms, ..
-        } = &self.in_flight;
-        look_for_crash(&node, fingerprint, upstream, *born_ms);
+        look_for_crash(&node, fingerprint, self.in_flight.start());
     }
 }
 
@@ -213,10 +108,7 @@
         Some(Err(SendFault::NotSent)) => TryEnd::Fault(Outcome::NotSent, None),
         Some(Err(SendFault::Broken)) => {
             in_flight.observe(false);
-            let InFlight {
-                upstream, born_ms, ..
-            } = &in_flight;
-            look_for_crash(node, call.fingerprint, upstream, *born_ms);
+            look_for_crash(node, call.fingerprint, in_flight.start());
             TryEnd::Fault(Outcome::Unknown, None)
         }
         Some(Ok(response)) => {
