--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -2,12 +2,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Outcome, Picked, Usage};
+use direct::{Outcome, Picked, Start};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode, Version};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,8 +15,9 @@
 use crate::beliefs::tell_doubt;
 use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
+use crate::in_flight::InFlight;
 use crate::node::Node;
-use crate::pool::{Line, SendFault};
+use crate::pool::{Line, Place, SendFault};
 use crate::request::Call;
 use crate::{AnswerHead, SendHead};
 
@@ -31,80 +31,6 @@
 /// another upstream, if this one has fallen silent towards all requests.
 const PATIENCE_MS: u64 = 700;
 
-/// A request's use of an upstream. Dropped, it ends.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    node: Arc<Node>,
-    pub(crate) upstream: Arc<str>,
-    usage: Usage,
-    begun: bool,
-}
-
-impl InFlight {
-    fn start(node: &Arc<Node>, call: &Call, picked: &Picked) -> Self {
-        let now = node.now();
-        if let Some(upstream) = node.fleet.lock().get_mut(&picked.id) {
-            upstream.sent(now, &picked.usage);
-            upstream.remember_parts(now, &call.parts);
-        }
-        Self {
-            node: Arc::clone(node),
-            upstream: Arc::clone(&picked.id),
-            usage: picked.usage,
-            begun: false,
-        }
-    }
-
-    /// Bytes of an answer came.
-    pub(crate) fn heard(&mut self) {
-        let now = self.node.now();
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            upstream.heard(now);
-            if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
-            }
-        }
-        self.begun = true;
-    }
-
-    /// Whether the upstream has fallen silent towards all requests here.
-    pub(crate) fn is_silent(&self) -> bool {
-        let now = self.node.now();
-        let fleet = self.node.fleet.lock();
-        let upstream = fleet.get(&self.upstream);
-        upstream.is_none_or(|upstream| upstream.is_suspected(now))
-    }
-
-    /// The upstream says that it does not hold what the request asks for.
-    fn deny(&self, call: &Call) {
-        let now = self.node.now();
-        let Some((model, adapter)) = &call.ask.model else {
-            return;
-        };
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            upstream.deny(now, model, adapter.as_ref());
-        }
-    }
-
-    fn observe(&self, ok: bool) {
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            upstream.observe(ok);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(upstream) = self.node.fleet.lock().get_mut(&self.upstream) {
-            if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
-            }
-            upstream.ended(self.usage.running, self.usage.kept_tokens);
-        }
-        self.node.room.notify_waiters();
-    }
-}
-
 /// A stream that an upstream has begun.
 #[derive(Debug)]
 pub(crate) struct Live {
@@ -130,7 +56,7 @@
     pub(crate) fn broke(self, fingerprint: u64) {
         self.in_flight.observe(false);
         let node = Arc::clone(&self.in_flight.node);
-        look_for_crash(&node, fingerprint, &self.in_flight.upstream);
+        look_for_crash(&node, fingerprint, self.in_flight.start());
     }
 }
 
@@ -153,13 +79,13 @@
     picked: &Picked,
     last_event: Option<&str>,
 ) -> TryEnd {
-    let Some(address) = address(node, &picked.id) else {
+    let Some(place) = place(node, &picked.id) else {
         return TryEnd::Fault(Outcome::NotSent, None);
     };
-    let in_flight = InFlight::start(node, call, picked);
+    let in_flight = InFlight::begin(node, call, picked, place.born_ms);
     let fresh = !call.route.kind.may_repeat();
-    let Ok(line) = node.pool.take(&picked.id, address, fresh).await else {
-        unreached(node, &picked.id);
+    let Ok(line) = node.pool.take(&picked.id, place, fresh).await else {
+        unreached(node, &picked.id, place.born_ms);
         return TryEnd::Fault(Outcome::NotSent, None);
     };
     let left_ms = call.left_ms(node.clock);
@@ -182,7 +108,7 @@
         Some(Err(SendFault::NotSent)) => TryEnd::Fault(Outcome::NotSent, None),
         Some(Err(SendFault::Broken)) => {
             in_flight.observe(false);
-            look_for_crash(node, call.fingerprint, &in_flight.upstream);
+            look_for_crash(node, call.fingerprint, in_flight.start());
             TryEnd::Fault(Outcome::Unknown, None)
         }
         Some(Ok(response)) => {
@@ -209,6 +135,7 @@
         match timeout(look, &mut sending).await {
             Ok(answered) => return Some(answered),
             Err(_) if call.is_over(node.clock) => return None,
+            Err(_) if in_flight.is_over() => return None,
             Err(_) if gives_up_on(node, call, in_flight, sent_at) => return None,
             Err(_) => {}
         }
@@ -265,7 +192,7 @@
             keep_alive_s: head.keep_alive_s,
         }));
     }
-    let Some(body) = read_whole(node, call, body).await else {
+    let Some(body) = read_whole(node, call, &in_flight, body).await else {
         in_flight.observe(false);
         return TryEnd::Fault(
             if head.not_run {
@@ -297,11 +224,24 @@
     }
 }
 
-/// Reads a body to its end; `None` if it broke off or did not come in time.
-async fn read_whole(node: &Node, call: &Call, body: Incoming) -> Option<Bytes> {
+/// Reads a body to its end; `None` if it broke off, did not come in time or is of
+/// a start that has ended.
+async fn read_whole(
+    node: &Node,
+    call: &Call,
+    in_flight: &InFlight,
+    body: Incoming,
+) -> Option<Bytes> {
     let read = Limited::new(body, ANSWER_MAX_BYTES).collect();
-    let collected = timeout(left(node, call), read).await.ok()?.ok()?;
-    Some(collected.to_bytes())
+    tokio::pin!(read);
+    loop {
+        let look = LOOK_EVERY.min(left(node, call));
+        match timeout(look, &mut read).await {
+            Ok(collected) => return Some(collected.ok()?.to_bytes()),
+            Err(_) if call.is_over(node.clock) || in_flight.is_over() => return None,
+            Err(_) => {}
+        }
+    }
 }
 
 fn request(
@@ -345,15 +285,20 @@
     Duration::from_millis(call.left_ms(node.clock))
 }
 
-fn address(node: &Node, id: &str) -> Option<SocketAddr> {
+/// Where the latest start of an upstream is reached.
+pub(crate) fn place(node: &Node, id: &str) -> Option<Place> {
     let fleet = node.fleet.lock();
-    fleet.get(id).map(|upstream| upstream.news.address)
+    fleet.get(id).map(|upstream| Place {
+        born_ms: upstream.news.born_ms,
+        address: upstream.news.address,
+    })
 }
 
-/// Notes that an upstream could not be connected to.
-pub(crate) fn unreached(node: &Node, id: &str) {
+/// Notes that a start of an upstream could not be connected to.
+pub(crate) fn unreached(node: &Node, id: &str, born_ms: Option<u64>) {
     let now = node.now();
-    if let Some(upstream) = node.fleet.lock().get_mut(id) {
+    let start = Start { id, born_ms };
+    if let Some(upstream) = node.fleet.lock().start_mut(start) {
         upstream.unreached(now);
     }
     tell_doubt(node, id);
