--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::board::Board;
+use crate::late::LATE_ORDER_MS;
 use crate::unserved::Unserved;
 use crate::{Engine, Load};
 
@@ -12,9 +13,6 @@
 /// for orders whose answer is lost and that begin late.
 const STORE_USABLE: f64 = 0.95;
 
-/// Time for which an order without an answer may still be carried out.
-const LATE_ORDER_MS: u64 = 12_500;
-
 /// One upstream as the plan sees it.
 #[derive(Debug, Clone)]
 pub struct Spot {
@@ -116,6 +114,16 @@
         self.late.push(now.plus_ms(LATE_ORDER_MS));
     }
 
+    /// Counts loads of an earlier start that a later one may still carry out.
+    ///
+    /// One that was to come from a copy may come from the weight store instead,
+    /// since a start keeps no copy in memory of the one before. Not counted, the
+    /// restart of many upstreams at once would load more than the store allows.
+    pub fn outlived(&mut self, now: Instant, loads: usize) {
+        let until = now.plus_ms(LATE_ORDER_MS);
+        self.late.extend(std::iter::repeat_n(until, loads));
+    }
+
     /// Counts what an earlier giver may have ordered up to a time.
     pub fn assume_spent(&mut self, until: Instant, engine: &Engine) {
         for _ in 0..self.window_loads(engine) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -31,6 +31,7 @@
 mod framing;
 mod giver;
 mod headers;
+mod in_flight;
 mod log;
 mod meters;
 mod node;
