The fleet looks at all its starts only when their number changes; orders apart

Cause: each sign of life of an upstream made the fleet count all starts again, with its lock held: at 1,300 upstreams as many looks as there are upstreams, for each change of each. And a dated entry of another writer that was forgotten still counted until the next change.

Ruled out: a counter beside the map; it has to follow each way in which an upstream comes, goes and starts again.

What an order is and what comes of it is in `order.rs`, unchanged.

The time of a look was not measured.

Conclusion: what is judged is as before.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -315,8 +315,12 @@
     /// News of one upstream; older news than is known changes nothing. True if it
     /// has started again.
     pub fn put(&mut self, version: u64, news: UpstreamNews) -> bool {
+        let known = self.upstreams.len();
         let restarted = self.take(version, news);
-        self.judge_undated();
+        // Looks at all: most news, signs of life, leave their number as it is.
+        if restarted || self.upstreams.len() != known {
+            self.judge_undated();
+        }
         restarted
     }
 
@@ -385,6 +389,7 @@
             }
             now.ms_since(upstream.idle_since) < FORGET_MS
         });
+        self.judge_undated();
     }
 
     /// Another entry says that an upstream is leaving, or that its entry had
--- a/crates/direct/tests/all/starts.rs
+++ b/crates/direct/tests/all/starts.rs
@@ -237,3 +237,23 @@
         Ok(())
     });
 }
+
+/// Entries of another writer that name a start are in the majority for a while,
+/// and go. Once they are forgotten, an upstream without one, which is still known for
+/// its requests, is used again.
+#[test]
+fn entries_that_are_forgotten_count_no_more() {
+    let mut fleet = Fleet::new();
+    fleet.list(at(0), 5, vec![(5, news("1", &["a"]))]);
+    let upstream = fleet.get_mut("1").expect("it is known");
+    upstream.sent(at(0), &USED);
+    fleet.put(6, born_news("2", 100, &["a"]));
+    fleet.put(6, born_news("3", 100, &["a"]));
+    assert!(!usable(&fleet, "1"));
+    fleet.sweep(at(0));
+    fleet.list(at(0), 7, vec![(5, news("1", &["a"]))]);
+    fleet.sweep(at(50_000));
+    assert!(!usable(&fleet, "1"));
+    fleet.sweep(at(90_000));
+    assert!(usable(&fleet, "1"));
+}
