A stream that comes is given up for silence alone, and where another can go on

One connect of another request took longer than 300 ms, the upstream was avoided for a second as unreached (its last bytes 2 to 55 ms old, 4 to 6 requests running), and each stream there that gave nothing for 100 ms was given up. Its model had no other holder, or the repeat was not to be had, and the answer broke.

Change: only silence towards all requests of this entry for 0.7 s gives up a request; a stream that has begun is given up only if another upstream could take it now.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -162,8 +162,12 @@
         if self.vanished_at.is_some() {
             return Some(Doubt::Vanished);
         }
-        let silent = self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS;
-        silent.then_some(Doubt::Silent)
+        self.is_silent(now).then_some(Doubt::Silent)
+    }
+
+    /// Whether it has work from here and gives no sign of life to any of it.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS
     }
 
     /// Time since the last bytes from it.
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -76,11 +76,16 @@
     }
 
     /// Whether the upstream has fallen silent towards all requests here.
+    ///
+    /// Other doubts don't count: a connection that could not be made, or an entry
+    /// that the platform lost, says nothing of an answer that is coming. Given up
+    /// for it, a caller's answer broke off in the middle though its upstream was
+    /// well.
     pub(crate) fn is_silent(&self) -> bool {
         let now = self.node.now();
         let fleet = self.node.fleet.lock();
         let upstream = fleet.get(&self.upstream);
-        upstream.is_none_or(|upstream| upstream.is_suspected(now))
+        upstream.is_none_or(|upstream| upstream.is_silent(now))
     }
 
     /// The upstream says that it does not hold what the request asks for.
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -159,6 +159,13 @@
         self.pick_but(&[])
     }
 
+    /// Whether an upstream that was not tried could take the request now.
+    pub(crate) fn has_another(&self, upstream: &Arc<str>) -> bool {
+        let tried = self.sent_to.iter().chain(&self.unreached);
+        let tried: Vec<Arc<str>> = tried.chain([upstream]).cloned().collect();
+        self.pick_but(&tried).is_ok()
+    }
+
     fn pick_but(&self, excluded: &[Arc<str>]) -> Result<Picked, Unpicked> {
         let call = &self.call;
         let answer_tokens = call.ask.answer_tokens_max;
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -210,10 +210,14 @@
         }
         let live = self.live.as_ref();
         let silent = live.filter(|live| live.in_flight.is_silent());
-        if let Some(live) = silent {
-            tell_doubt(&self.run.node, &live.in_flight.upstream);
-        }
-        silent.is_some()
+        let Some(live) = silent else {
+            return false;
+        };
+        let upstream = &live.in_flight.upstream;
+        tell_doubt(&self.run.node, upstream);
+        // With nobody to go on, giving up would break the answer off for certain;
+        // an upstream that is only late still ends it.
+        self.run.has_another(upstream)
     }
 
     /// Continues the stream at another upstream, behind the last whole event.
