A report without a start is of the one that was known when it was asked for

Cause: a report that names no start was believed only where the upstream's entry names none either.

Ruled out: to believe such a report of whatever start is known when it comes; one that was on its way over a restart would be booked as the later start's.

Change: `ask_report` notes the known start as it asks, and a report without one is of that. The ledger is as strict as before.

Conclusion: both kinds of site and of reports are served.

--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -73,7 +73,14 @@
 }
 
 /// Asks an upstream for its report and books it.
+///
+/// Some upstreams name their start in the platform's entry and not in reports. Such
+/// a report is taken for one of the start that was known when it was asked for, and
+/// is old news if a later one is known when it comes. If that start was over by then
+/// without this being known, the later start's lower count has the report dropped;
+/// its count equal, orders that follow from it go to the later start and fit there.
 pub(crate) async fn ask_report(node: Arc<Node>, id: Arc<str>) {
+    let asked = place(&node, &id).and_then(|place| place.born_ms);
     let call = node.dialect.report_call(&id);
     let answer = send(&node, &id, call, REPORT_TIMEOUT, || true).await;
     let body = match answer {
@@ -89,7 +96,8 @@
         }
     };
     match node.dialect.report(&body) {
-        Ok(report) => {
+        Ok(mut report) => {
+            report.born_ms = report.born_ms.or(asked);
             let start = Start {
                 id: &id,
                 born_ms: report.born_ms,
