--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -74,9 +74,15 @@
 }
 
 /// Asks an upstream for its report and books it.
+///
+/// Some upstreams name their start in the platform's entry and not in reports. Such
+/// a report is taken for one of the start that was known when it was asked for, and
+/// is old news if a later one is known when it comes. If that start was over by then
+/// without this being known, the later start's lower count has the report dropped;
+/// its count equal, orders that follow from it go to the later start and fit there.
 pub(crate) async fn ask_report(node: Arc<Node>, id: Arc<str>) {
+    let asked = place(&node, &id).and_then(|place| place.born_ms);
     let call = node.dialect.report_call(&id);
-    let asked_of = place(&node, &id).and_then(|place| place.born_ms);
     let answer = send(&node, &id, call, REPORT_TIMEOUT, || true).await;
     let body = match answer {
         Ok((StatusCode::OK, body)) => body,
@@ -93,10 +99,7 @@
     match node.dialect.report(&body) {
         Ok(mut report) => {
             node.unread.forget(Kind::Report, &id);
-            // Where entries name starts and reports do not, a report is of the start
-            // that was asked. Taken for one of an unknown start, it would be older
-            // than any: nothing would be ordered of upstreams that are all right.
-            report.born_ms = report.born_ms.or(asked_of);
+            report.born_ms = report.born_ms.or(asked);
             let start = Start {
                 id: &id,
                 born_ms: report.born_ms,
