--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -364,7 +364,11 @@
             return;
         };
         upstream.gone = Some(version.max(upstream.version));
-        if lapsed {
+        // One whose entry went while the platform answered has left, and is not
+        // excused by an outage that comes later.
+        if !lapsed && upstream.vanished_at.is_none() {
+            upstream.is_void = true;
+        } else if lapsed && !upstream.is_void {
             upstream.vanished_at.get_or_insert(now);
         }
     }
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -209,3 +209,15 @@
     fleet.put(8, news("1", &["a"]));
     assert!(!usable(&fleet, 1, "1"));
 }
+
+/// An upstream's entry is removed while the platform answers, so it leaves. Later the
+/// platform is away for a moment, and the first list behind that does not name the
+/// upstream either: nothing lapsed, and it gets nothing.
+#[test]
+fn an_upstream_that_left_before_an_outage_is_not_used_after_it() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.remove(at(10), "1", 6);
+    fleet.platform_returned(at(5_000));
+    fleet.list(at(5_000), 9, vec![(5, news("2", &["a"]))]);
+    assert!(!usable(&fleet, 5_000, "1"));
+}
