The entry's beliefs in parts of their own: no circle of modules is left in front

Cause: 13 files imported each other in one circle through node.rs, which held the state that every task takes, while the state's types stood beside the tasks that use them. Change: crates/front/src/state has what the process believes (the giver's books, peers, relayed renewals, pool, stop, what was unread, a request's call), and uses no task; giver, peers, relay and orders are tasks. Relayed renewals are decided in state::relay without the node. What starts a request's way stands in request, its rounds in run, where upstreams are reached in reach. Moves alone beside that. Left: tasks still take the whole Node, not only the parts that they use.

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::node::Node;
+use crate::state::Node;
 
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::node::Node;
-use crate::tries::place;
+use crate::reach::place;
+use crate::state::Node;
 
 /// Time after a broken connection at which the upstream is looked at: one that
 /// crashes takes a moment to be gone.
--- a/crates/front/src/ending.rs
+++ b/crates/front/src/ending.rs
@@ -22,8 +22,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::node::Node;
 use crate::orders::give_back_lease;
+use crate::state::Node;
 
 /// Time after the signal to stop in which connections still take requests: the
 /// balancer needs two questions, a second apart, to send callers elsewhere.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::node::Node;
-use crate::unread::Kind;
+use crate::state::Node;
+use crate::state::unread::Kind;
 
 /// Shortest and longest pause after a call that failed. Each call is a load on a
 /// platform in trouble; the configuration has to be in force within seconds of
--- a/crates/front/src/giver/adapters.rs
+++ b/crates/front/src/giver/adapters.rs
@@ -5,14 +5,8 @@
 use std::sync::Arc;
 
 use super::{Ordered, State, engine};
-use crate::node::Node;
-use crate::wants::Want;
-
-/// Time for which an adapter keeps its place before it makes room for one that is
-/// waited for. Where more adapters are asked for than there are places, they take
-/// turns; a turn is some tens of loads long. With turns of 1 s, an eighth of those in
-/// demand was never served while upstreams crashed; with these, all were.
-pub(super) const ADAPTER_TURN_MS: u64 = 300;
+use crate::state::Node;
+use crate::state::wants::Want;
 
 /// Time for which an adapter counts as waited for after an entry named it.
 const WANT_MS: u64 = 500;
--- a/crates/front/src/giver/kept.rs
+++ b/crates/front/src/giver/kept.rs
@@ -4,9 +4,9 @@
 use direct::{LateOrders, Setup, Upstream};
 use std::sync::Arc;
 
-use super::State;
-use super::book::Book;
-use crate::node::Node;
+use crate::state::Node;
+use crate::state::book::Book;
+use crate::state::giver::State;
 
 impl State {
     /// Ends the books of upstreams that are gone or have started again, and begins
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -2,25 +2,19 @@
 //! lease.
 
 mod adapters;
-mod book;
 mod kept;
 
 use base::prelude::*;
-use direct::{
-    Action, Choice, Engine, LateOrders, Load, Moves, Order, Report, Resident, Sent,
-    Setup, Spot,
-};
-use parking_lot::Mutex;
+use direct::{Action, Choice, Engine, Load, Moves, Setup, Spot};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
 
-use crate::node::Node;
 use crate::orders::{ask_report, send_order};
-use crate::wants::Want;
-use book::{Book, Intent};
+use crate::state::Node;
+use crate::state::book::{Intent, engine};
+use crate::state::giver::State;
 
 /// Time between two looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(50);
@@ -34,120 +28,6 @@
 /// Time for which a load waits for the unload before it.
 const INTENT_MS: u64 = 10_000;
 
-/// Time for which a change of what an upstream holds is told with each message.
-const FRESH_MS: u64 = 600;
-
-/// State of the giver of orders.
-#[derive(Debug)]
-pub(crate) struct Giver {
-    window_ms: u64,
-    state: Mutex<State>,
-    /// Told when there may be something to order.
-    pub(crate) wake: Notify,
-    /// Told when what upstreams hold has changed.
-    pub(crate) changed: Notify,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    /// Token under which orders were given last.
-    token: Option<u64>,
-    books: BTreeMap<Arc<str>, Book>,
-    /// Orders without an answer to upstreams that are not used now.
-    late: BTreeMap<Arc<str>, LateOrders>,
-    moves: BTreeMap<Arc<str>, Moves>,
-    planned_at: Instant,
-    wants: BTreeMap<Want, Instant>,
-}
-
-/// What entries are told of one upstream.
-#[derive(Debug)]
-pub(crate) struct Told {
-    pub(crate) upstream: Arc<str>,
-    /// Start that holds this.
-    pub(crate) born_ms: Option<u64>,
-    pub(crate) residents: Vec<Resident>,
-    /// Models on their way, with when they are expected to serve.
-    pub(crate) coming: Vec<(Arc<str>, Instant)>,
-}
-
-impl Giver {
-    pub(crate) fn new(window_ms: u64) -> Self {
-        Self {
-            window_ms,
-            state: Mutex::default(),
-            wake: Notify::new(),
-            changed: Notify::new(),
-        }
-    }
-
-    /// An entry's request waits for an adapter.
-    pub(crate) fn want(&self, now: Instant, want: Want) {
-        self.state.lock().wants.insert(want, now);
-        self.wake.notify_waiters();
-    }
-
-    /// What upstreams hold: those that changed lately, and those whose index is
-    /// in turn.
-    pub(crate) fn told(
-        &self,
-        now: Instant,
-        in_turn: impl Fn(usize) -> bool,
-    ) -> Vec<Told> {
-        let state = self.state.lock();
-        let books = state.books.iter().enumerate();
-        let told = books.filter(|(index, (_, book))| {
-            let fresh = now.ms_since(book.changed_at) < FRESH_MS;
-            let known = book.ledger.is_known() && book.is_listed();
-            known && (fresh || in_turn(*index))
-        });
-        told.map(|(_, (id, book))| Told {
-            upstream: Arc::clone(id),
-            born_ms: book.start(id).born_ms,
-            residents: book.serving.clone(),
-            coming: book.coming.clone(),
-        })
-        .collect()
-    }
-
-    /// Books what came of an order, if the upstream is still kept.
-    pub(crate) fn sent(&self, now: Instant, id: &str, order: &Order, sent: Sent) {
-        if let Some(book) = self.state.lock().books.get_mut(id) {
-            book.ledger.sent(now, order, sent);
-        }
-        self.wake.notify_waiters();
-    }
-
-    /// Books a report, if the upstream is still kept.
-    pub(crate) fn reported(&self, now: Instant, id: &str, report: &Report) {
-        let mut state = self.state.lock();
-        let State { books, moves, .. } = &mut *state;
-        if let Some(book) = books.get_mut(id)
-            && book.report(now, report)
-            && let Some(moves) = moves.get_mut(&book.service)
-        {
-            moves.outlived(now, book.ledger.late_loads());
-        }
-        drop(state);
-        self.wake.notify_waiters();
-    }
-
-    /// Whether an upstream has not started again since an order was decided. What
-    /// was decided on what the earlier start held may not fit into the later one.
-    pub(crate) fn is_current(&self, id: &str, order: &Order) -> bool {
-        let state = self.state.lock();
-        let book = state.books.get(id);
-        book.is_some_and(|book| book.ledger.born_ms() == order.born_ms)
-    }
-
-    /// A load from the weight store got no answer.
-    pub(crate) fn load_unanswered(&self, now: Instant, service: &str) {
-        if let Some(moves) = self.state.lock().moves.get_mut(service) {
-            moves.unanswered(now);
-        }
-    }
-}
-
 /// Gives orders while this entry holds the lease, for ever.
 pub(crate) async fn give_orders(node: Arc<Node>) {
     loop {
@@ -375,10 +255,6 @@
     }
 }
 
-fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
-    setup.services.get(service)?.engine.as_ref()
-}
-
 /// Demand for a service's models over all entries.
 fn loads(node: &Node, service: &Arc<str>, now: Instant) -> BTreeMap<Arc<str>, Load> {
     let mut loads: BTreeMap<Arc<str>, Load> = BTreeMap::new();
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -3,8 +3,8 @@
 use direct::{Picked, Start, Upstream, Usage};
 use std::sync::Arc;
 
-use crate::node::Node;
-use crate::request::Call;
+use crate::state::Node;
+use crate::state::call::Call;
 
 /// A request's use of an upstream. Dropped, it ends.
 #[derive(Debug)]
--- a/crates/front/src/operated.rs
+++ b/crates/front/src/operated.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 
 use crate::connection::watch_caller;
-use crate::node::Node;
+use crate::state::Node;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -13,10 +13,11 @@
 use tokio::time::timeout;
 
 use crate::OrderCall;
-use crate::node::Node;
-use crate::pool::SendFault;
-use crate::tries::{place, unreached};
-use crate::unread::Kind;
+use crate::reach::{place, unreached};
+use crate::relay::ask_renewal;
+use crate::state::Node;
+use crate::state::pool::SendFault;
+use crate::state::unread::Kind;
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -196,7 +197,7 @@
         _ => {
             lease.failed(now);
             drop(lease);
-            node.relay.ask(node);
+            ask_renewal(node);
         }
     }
 }
@@ -240,7 +241,7 @@
     let token = lease.token(node.now());
     drop(lease);
     if !renewed {
-        node.relay.ask(node);
+        ask_renewal(node);
     }
     if token != before {
         node.log.line(
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use super::{PeerState, Peers};
-use crate::node::Node;
-use crate::relay::hear_ask;
-use crate::wants::Want;
+use crate::relay::{hear_ask, hear_told};
+use crate::state::Node;
+use crate::state::peers::{PeerState, Peers};
+use crate::state::wants::Want;
 
 /// Largest datagram taken.
 const DATAGRAM_MAX_BYTES: usize = 60 << 10;
@@ -79,7 +79,7 @@
         hear_ask(node, ask);
     }
     if let Some(told) = &news.lease_told {
-        node.relay.hear_told(node, told);
+        hear_told(node, told);
     }
     let mut suspects = node.suspects.lock();
     for suspect in &news.suspects {
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Peers;
-use crate::node::Node;
-use crate::unread::Kind;
+use crate::state::Node;
+use crate::state::peers::Peers;
+use crate::state::unread::Kind;
 
 /// Time between two looks at the platform's list of entries.
 const LIST_EVERY: Duration = Duration::from_secs(8);
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
-use super::{AWAY_MS, Peers};
-use crate::node::Node;
+use crate::state::Node;
+use crate::state::peers::{AWAY_MS, Peers};
 
 /// Time between two messages to each peer, for up to [`PEERS_AT_ONCE`] peers;
 /// more peers are told less often, so that an entry's cost stays the same.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -2,21 +2,23 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Route, ServiceSpec};
+use direct::Route;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HOST, HeaderMap};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::HOST;
+use hyper::{Request, Response, StatusCode, Uri};
 use serde_json::json;
 use std::sync::Arc;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::AskHead;
 use crate::answer::{AnswerBody, refusal};
 use crate::headers::{ask_close, is_ambiguous, strip_connection};
-use crate::node::Node;
-use crate::run::run;
-use crate::stop::Phase;
-use crate::{AskHead, BootClock};
+use crate::run::{End, Run};
+use crate::state::Node;
+use crate::state::call::Call;
+use crate::state::stop::Phase;
+use crate::stream::{begin, pass_on};
 
 /// Time after which a caller is told to come back to an entry that does not
 /// know its configuration yet.
@@ -32,44 +34,6 @@
 /// The process ends before the request could run; another entry may take it at once.
 const LEAVING: Refusal = Refusal::not_run(Code::Leaving).retry_after_ms(0);
 
-/// A caller's request with all that decides what becomes of it.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) arrived: Instant,
-    /// When the caller gets its final answer at the latest.
-    pub(crate) give_up_at: Instant,
-    /// When the first part of the answer is of use at the latest.
-    pub(crate) first_by: Instant,
-    pub(crate) ask: AskHead,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: Arc<str>,
-    pub(crate) spec: Arc<ServiceSpec>,
-    pub(crate) setup_version: u64,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    /// Headers without those of the connection.
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    /// Hash of path and body, by which a request that crashes upstreams is known
-    /// when it comes again.
-    pub(crate) fingerprint: u64,
-    /// Prompt parts: hash of all parts up to it, and its tokens.
-    pub(crate) parts: Vec<(u64, u64)>,
-}
-
-impl Call {
-    /// Whether the caller's time is over: what is left is told to upstreams in whole
-    /// milliseconds, and with none left nothing is sent or waited for.
-    pub(crate) fn is_over(&self, clock: BootClock) -> bool {
-        self.left_ms(clock) == 0
-    }
-
-    /// Time until the final answer.
-    pub(crate) fn left_ms(&self, clock: BootClock) -> u64 {
-        self.give_up_at.ms_since(clock.now())
-    }
-}
-
 /// Answers one request; one with two framings is refused, and what follows it on
 /// its connection is not read.
 pub(crate) async fn serve(
@@ -120,6 +84,18 @@
     response
 }
 
+/// Answers a call by sending it to upstreams.
+async fn run(node: Arc<Node>, call: Call) -> Response<AnswerBody> {
+    let mut run = Run::begin(node, call);
+    match run.until_answer().await {
+        End::Live(live) => match begin(run, *live).await {
+            Ok((first, pump)) => pass_on(first, pump),
+            Err((mut run, end)) => run.finish(end),
+        },
+        end => run.finish(end),
+    }
+}
+
 async fn call(
     node: &Node,
     arrived: Instant,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,10 +7,8 @@
 use std::sync::Arc;
 
 use crate::answer::{AnswerBody, Whole, refusal};
-use crate::node::Node;
-use crate::request::Call;
-use crate::seek::Turned;
-use crate::stream::{begin, pass_on};
+use crate::state::Node;
+use crate::state::call::Call;
 use crate::tries::{Live, TryEnd, try_once};
 
 /// When to come back after a refusal.
@@ -49,31 +47,27 @@
     told: bool,
 }
 
-/// Answers a request by sending it to upstreams.
-pub(crate) async fn run(node: Arc<Node>, call: Call) -> Response<AnswerBody> {
-    let now = node.now();
-    node.meters.in_progress.inc();
-    node.repeats.lock().request(now, &call.service);
-    if let Some((model, _)) = &call.ask.model {
-        let answer = call.ask.answer_tokens_hint;
-        let answer = answer.unwrap_or(call.ask.answer_tokens_max / 2);
-        let prompt = call.ask.prompt_tokens as f64 * node.pace_of(&call);
-        node.with_demand(&call.service, |demand| {
-            demand.arrived(model, prompt as u64, answer);
-        });
-    }
-    let mut run = Run::new(node, call);
-    match run.until_answer().await {
-        End::Live(live) => match begin(run, *live).await {
-            Ok((first, pump)) => pass_on(first, pump),
-            Err((mut run, end)) => run.finish(end),
-        },
-        end => run.finish(end),
-    }
+/// Why no upstream is tried, and when to come back.
+#[derive(Debug)]
+pub(crate) struct Turned {
+    pub(crate) code: Code,
+    pub(crate) retry_after_ms: u64,
 }
 
 impl Run {
-    fn new(node: Arc<Node>, call: Call) -> Self {
+    /// Takes a request, and counts it among what is asked for.
+    pub(crate) fn begin(node: Arc<Node>, call: Call) -> Self {
+        let now = node.now();
+        node.meters.in_progress.inc();
+        node.repeats.lock().request(now, &call.service);
+        if let Some((model, _)) = &call.ask.model {
+            let answer = call.ask.answer_tokens_hint;
+            let answer = answer.unwrap_or(call.ask.answer_tokens_max / 2);
+            let prompt = call.ask.prompt_tokens as f64 * node.pace_of(&call);
+            node.with_demand(&call.service, |demand| {
+                demand.arrived(model, prompt as u64, answer);
+            });
+        }
         Self {
             node,
             call,
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::node::Node;
-use crate::request::Call;
-use crate::run::{RETRY_AFTER_MS, Run};
-use crate::wants::Want;
+use crate::run::{RETRY_AFTER_MS, Run, Turned};
+use crate::state::Node;
+use crate::state::call::Call;
+use crate::state::wants::Want;
 
 /// Part of the time to its first answer, in percent, that a request waits for
 /// room. The rest is for its run; who is told earlier can still come back.
@@ -37,13 +37,6 @@
 /// is full would refuse it at once, time after time, until the budget is spent.
 const TRIES_MAX: usize = 3;
 
-/// Why no upstream is tried, and when to come back.
-#[derive(Debug)]
-pub(crate) struct Turned {
-    pub(crate) code: Code,
-    pub(crate) retry_after_ms: u64,
-}
-
 impl Run {
     /// An upstream for the next try; waits for one while that can be in time.
     pub(crate) async fn picked(&mut self) -> Result<Picked, Turned> {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -17,8 +17,8 @@
 use crate::answer::{AnswerBody, BrokenOff};
 use crate::connection::watch_caller;
 use crate::framing::{Framing, Watched};
-use crate::node::Node;
 use crate::request::serve;
+use crate::state::Node;
 
 /// Room for a head above its limit, and the least buffer that the library takes.
 const HEAD_SPARE_BYTES: usize = 8 << 10;
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -15,9 +15,9 @@
 use crate::ending::end_in_order;
 use crate::follow::{Followed, follow};
 use crate::giver::give_orders;
-use crate::node::Node;
 use crate::orders::keep_lease;
 use crate::peers;
+use crate::state::Node;
 use crate::{Dialect, Log, Options, operated, server};
 
 /// Time between two rounds of forgetting what is not needed any more.
--- a/crates/front/src/giver/book.rs
+++ b/crates/front/src/state/book.rs
@@ -7,45 +7,49 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::adapters::ADAPTER_TURN_MS;
-use super::engine;
-use crate::wants::Want;
+use super::wants::Want;
+
+/// Time for which an adapter keeps its place before it makes room for one that is
+/// waited for. Where more adapters are asked for than there are places, they take
+/// turns; a turn is some tens of loads long. With turns of 1 s, an eighth of those in
+/// demand was never served while upstreams crashed; with these, all were.
+pub(crate) const ADAPTER_TURN_MS: u64 = 300;
 
 /// Time that an unload is expected to take: it waits for what runs.
 const UNLOAD_MS: u64 = 500;
 
 /// What the giver keeps of one start of an upstream.
 #[derive(Debug)]
-pub(super) struct Book {
-    pub(super) service: Arc<str>,
-    pub(super) domain: Arc<str>,
+pub(crate) struct Book {
+    pub(crate) service: Arc<str>,
+    pub(crate) domain: Arc<str>,
     /// Version of the platform's entry that was seen last.
-    pub(super) version: u64,
+    pub(crate) version: u64,
     /// Start that the platform's entry names.
     listed_born_ms: Option<u64>,
-    pub(super) ledger: Ledger,
+    pub(crate) ledger: Ledger,
     /// Whether it is better avoided: silent, or not reached.
-    pub(super) doubted: bool,
-    pub(super) asked_at: Option<Instant>,
-    pub(super) intent: Option<Intent>,
-    pub(super) since: HashMap<Arc<str>, Instant>,
-    pub(super) serving: Vec<Resident>,
-    pub(super) coming: Vec<(Arc<str>, Instant)>,
-    pub(super) changed_at: Instant,
-    pub(super) copies: Vec<Arc<str>>,
+    pub(crate) doubted: bool,
+    pub(crate) asked_at: Option<Instant>,
+    pub(crate) intent: Option<Intent>,
+    pub(crate) since: HashMap<Arc<str>, Instant>,
+    pub(crate) serving: Vec<Resident>,
+    pub(crate) coming: Vec<(Arc<str>, Instant)>,
+    pub(crate) changed_at: Instant,
+    pub(crate) copies: Vec<Arc<str>>,
 }
 
 /// A load that waits for an unload.
 #[derive(Debug)]
-pub(super) struct Intent {
-    pub(super) load: Arc<str>,
-    pub(super) begun_at: Instant,
+pub(crate) struct Intent {
+    pub(crate) load: Arc<str>,
+    pub(crate) begun_at: Instant,
 }
 
 impl Book {
     /// A book of a start, with the orders to earlier ones that it may still carry
     /// out.
-    pub(super) fn new(upstream: &Upstream, late: LateOrders) -> Self {
+    pub(crate) fn new(upstream: &Upstream, late: LateOrders) -> Self {
         Self {
             service: Arc::clone(&upstream.news.service),
             domain: Arc::clone(&upstream.news.domain),
@@ -67,23 +71,23 @@
     ///
     /// One that can't be reached has nothing to do, and would be chosen first for
     /// each order: what callers wait for would not come anywhere.
-    pub(super) const fn takes_orders(&self) -> bool {
+    pub(crate) const fn takes_orders(&self) -> bool {
         self.ledger.is_idle() && !self.doubted
     }
 
     /// Whether the upstream has started again after the start that this is of.
-    pub(super) fn is_over(&self, upstream: &Upstream) -> bool {
+    pub(crate) fn is_over(&self, upstream: &Upstream) -> bool {
         self.ledger.born_ms() < upstream.news.born_ms
     }
 
     /// Whether what entries know of the upstream is of the start that this is of.
     /// A report may have told of a later one first.
-    pub(super) fn is_listed(&self) -> bool {
+    pub(crate) fn is_listed(&self) -> bool {
         self.listed_born_ms.is_none() || self.listed_born_ms == self.ledger.born_ms()
     }
 
     /// Start that entries know the upstream by.
-    pub(super) fn start<'a>(&self, id: &'a str) -> Start<'a> {
+    pub(crate) fn start<'a>(&self, id: &'a str) -> Start<'a> {
         Start {
             id,
             born_ms: self.listed_born_ms,
@@ -92,7 +96,7 @@
 
     /// Takes over a report; true if the upstream has started again. What waited for
     /// an order to the earlier start then waits no more.
-    pub(super) fn report(&mut self, now: Instant, report: &Report) -> bool {
+    pub(crate) fn report(&mut self, now: Instant, report: &Report) -> bool {
         let born_ms = self.ledger.born_ms();
         self.ledger.report(now, report);
         let restarted = self.ledger.born_ms() != born_ms;
@@ -103,7 +107,7 @@
         restarted
     }
 
-    pub(super) fn follow(&mut self, now: Instant, upstream: &Upstream) {
+    pub(crate) fn follow(&mut self, now: Instant, upstream: &Upstream) {
         self.listed_born_ms = upstream.news.born_ms;
         self.ledger.expire(now);
         self.doubted = upstream.is_suspected(now);
@@ -137,7 +141,7 @@
     }
 
     /// Models on their way, also those that wait for an unload.
-    pub(super) fn coming(&self, setup: &Setup) -> Vec<(Arc<str>, Instant)> {
+    pub(crate) fn coming(&self, setup: &Setup) -> Vec<(Arc<str>, Instant)> {
         let loading = self.ledger.coming();
         let mut coming: Vec<_> = loading
             .map(|(model, ready_at)| (Arc::clone(model), ready_at))
@@ -153,7 +157,7 @@
 
     /// Models held or on their way, also one that waits for an unload: planned
     /// without it, its load would be started again elsewhere at each plan.
-    pub(super) fn groups(&self, engine: &Engine) -> Vec<Group> {
+    pub(crate) fn groups(&self, engine: &Engine) -> Vec<Group> {
         let group = |model: &Arc<str>, unloading| Group {
             model: Arc::clone(model),
             size_mb: engine.models.get(model).map_or(0.0, |spec| spec.weights_mb),
@@ -168,7 +172,7 @@
     }
 
     /// The order that brings an adapter, or the one that makes room for it.
-    pub(super) fn adapter_order(
+    pub(crate) fn adapter_order(
         &mut self,
         engine: &Engine,
         want: &Want,
@@ -189,3 +193,8 @@
             .order(engine, Action::UnloadAdapter(model, adapter))
     }
 }
+
+/// The engine that upstreams of a service run.
+pub(crate) fn engine<'a>(setup: &'a Setup, service: &str) -> Option<&'a Engine> {
+    setup.services.get(service)?.engine.as_ref()
+}
--- /dev/null
+++ b/crates/front/src/state/giver.rs
@@ -0,0 +1,126 @@
+//! What the giver of orders knows.
+
+use base::prelude::*;
+use direct::{LateOrders, Moves, Order, Report, Resident, Sent};
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+use super::book::Book;
+use super::wants::Want;
+
+/// Time for which a change of what an upstream holds is told with each message.
+const FRESH_MS: u64 = 600;
+
+/// State of the giver of orders.
+#[derive(Debug)]
+pub(crate) struct Giver {
+    pub(crate) window_ms: u64,
+    pub(crate) state: Mutex<State>,
+    /// Told when there may be something to order.
+    pub(crate) wake: Notify,
+    /// Told when what upstreams hold has changed.
+    pub(crate) changed: Notify,
+}
+
+/// What the giver knows, under one lock.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Token under which orders were given last.
+    pub(crate) token: Option<u64>,
+    pub(crate) books: BTreeMap<Arc<str>, Book>,
+    /// Orders without an answer to upstreams that are not used now.
+    pub(crate) late: BTreeMap<Arc<str>, LateOrders>,
+    pub(crate) moves: BTreeMap<Arc<str>, Moves>,
+    pub(crate) planned_at: Instant,
+    pub(crate) wants: BTreeMap<Want, Instant>,
+}
+
+/// What entries are told of one upstream.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) upstream: Arc<str>,
+    /// Start that holds this.
+    pub(crate) born_ms: Option<u64>,
+    pub(crate) residents: Vec<Resident>,
+    /// Models on their way, with when they are expected to serve.
+    pub(crate) coming: Vec<(Arc<str>, Instant)>,
+}
+
+impl Giver {
+    pub(crate) fn new(window_ms: u64) -> Self {
+        Self {
+            window_ms,
+            state: Mutex::default(),
+            wake: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// An entry's request waits for an adapter.
+    pub(crate) fn want(&self, now: Instant, want: Want) {
+        self.state.lock().wants.insert(want, now);
+        self.wake.notify_waiters();
+    }
+
+    /// What upstreams hold: those that changed lately, and those whose index is
+    /// in turn.
+    pub(crate) fn told(
+        &self,
+        now: Instant,
+        in_turn: impl Fn(usize) -> bool,
+    ) -> Vec<Told> {
+        let state = self.state.lock();
+        let books = state.books.iter().enumerate();
+        let told = books.filter(|(index, (_, book))| {
+            let fresh = now.ms_since(book.changed_at) < FRESH_MS;
+            let known = book.ledger.is_known() && book.is_listed();
+            known && (fresh || in_turn(*index))
+        });
+        told.map(|(_, (id, book))| Told {
+            upstream: Arc::clone(id),
+            born_ms: book.start(id).born_ms,
+            residents: book.serving.clone(),
+            coming: book.coming.clone(),
+        })
+        .collect()
+    }
+
+    /// Books what came of an order, if the upstream is still kept.
+    pub(crate) fn sent(&self, now: Instant, id: &str, order: &Order, sent: Sent) {
+        if let Some(book) = self.state.lock().books.get_mut(id) {
+            book.ledger.sent(now, order, sent);
+        }
+        self.wake.notify_waiters();
+    }
+
+    /// Books a report, if the upstream is still kept.
+    pub(crate) fn reported(&self, now: Instant, id: &str, report: &Report) {
+        let mut state = self.state.lock();
+        let State { books, moves, .. } = &mut *state;
+        if let Some(book) = books.get_mut(id)
+            && book.report(now, report)
+            && let Some(moves) = moves.get_mut(&book.service)
+        {
+            moves.outlived(now, book.ledger.late_loads());
+        }
+        drop(state);
+        self.wake.notify_waiters();
+    }
+
+    /// Whether an upstream has not started again since an order was decided. What
+    /// was decided on what the earlier start held may not fit into the later one.
+    pub(crate) fn is_current(&self, id: &str, order: &Order) -> bool {
+        let state = self.state.lock();
+        let book = state.books.get(id);
+        book.is_some_and(|book| book.ledger.born_ms() == order.born_ms)
+    }
+
+    /// A load from the weight store got no answer.
+    pub(crate) fn load_unanswered(&self, now: Instant, service: &str) {
+        if let Some(moves) = self.state.lock().moves.get_mut(service) {
+            moves.unanswered(now);
+        }
+    }
+}
--- a/crates/front/src/node.rs
+++ b/crates/front/src/state/node.rs
@@ -7,21 +7,23 @@
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 use route::{Suspects, Verdict};
+use serde_json::json;
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
-use crate::giver::Giver;
-use crate::meters::Meters;
-use crate::peers::Peers;
-use crate::pool::Pool;
-use crate::relay::Relay;
-use crate::request::Call;
-use crate::stop::Stop;
-use crate::unread::Unread;
-use crate::wants::Wants;
+use super::call::Call;
+use super::giver::Giver;
+use super::meters::Meters;
+use super::peers::Peers;
+use super::pool::Pool;
+use super::relay::Relay;
+use super::stop::Stop;
+use super::unread::{Kind, Unread, start_of};
+use super::wants::Wants;
 use crate::{BootClock, Dialect, Log, Options};
 
 /// Time for which a verdict on a request that crashes upstreams stands.
@@ -176,4 +178,24 @@
         let mut demand = self.demand.lock();
         change(demand.entry(Arc::clone(service)).or_default());
     }
+
+    /// Tells of an object that can't be read, unless it was told of as it is.
+    pub(crate) fn tell_unread(
+        &self,
+        kind: Kind,
+        key: &str,
+        value: &[u8],
+        why: impl Display,
+    ) {
+        if !self.unread.is_new(kind, key, value) {
+            return;
+        }
+        let object = kind.as_str();
+        self.meters.unread.with_label_values(&[object]).inc();
+        let why = why.to_string();
+        self.log.line(
+            &format!("{object}_unread"),
+            json!({ "key": start_of(key), "why": start_of(&why), "bytes": value.len() }),
+        );
+    }
 }
--- /dev/null
+++ b/crates/front/src/state/peers.rs
@@ -0,0 +1,145 @@
+//! Other entries.
+
+use base::prelude::*;
+use direct::Load;
+use parking_lot::Mutex;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+use crate::Options;
+
+/// Silence after which a peer's demand counts no more.
+const DEMAND_MS: u64 = 1_500;
+
+/// Silence after which a peer is told only now and then.
+pub(crate) const AWAY_MS: u64 = 5_000;
+
+/// Other entries.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    pub(crate) me: String,
+    pub(crate) own: SocketAddr,
+    pub(crate) table: Mutex<Table>,
+    /// Told when there is something to tell at once.
+    pub(crate) wake: Notify,
+}
+
+/// What is known of other entries.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    /// Addresses at which entries may be.
+    pub(crate) addresses: BTreeSet<SocketAddr>,
+    pub(crate) peers: HashMap<String, PeerState>,
+    pub(crate) sequence: u64,
+    /// Rounds in which peers were told. The sequence counts two messages a round,
+    /// and others between them.
+    pub(crate) rounds: u64,
+    /// Entries that the platform lists.
+    pub(crate) registered: usize,
+}
+
+/// One other entry.
+#[derive(Debug)]
+pub(crate) struct PeerState {
+    pub(crate) address: SocketAddr,
+    pub(crate) start: u64,
+    pub(crate) sequence: u64,
+    pub(crate) heard_at: Instant,
+    /// Whether its silence was told of.
+    pub(crate) lost: bool,
+    pub(crate) giver_token: u64,
+    pub(crate) loads: Vec<(Arc<str>, Arc<str>, Load)>,
+}
+
+impl Peers {
+    pub(crate) fn new(options: &Options) -> Self {
+        let table = Table {
+            addresses: options.peer_seeds.iter().copied().collect(),
+            ..Table::default()
+        };
+        Self {
+            me: options.entry.clone(),
+            own: options.peers,
+            table: Mutex::new(table),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Whether an entry was heard within `ms`.
+    pub(crate) fn is_heard(&self, now: Instant, entry: &str, ms: u64) -> bool {
+        let table = self.table.lock();
+        let peer = table.peers.get(entry);
+        peer.is_some_and(|peer| now.ms_since(peer.heard_at) < ms)
+    }
+
+    /// Entries that have fallen silent since the last call, with for how long.
+    pub(crate) fn newly_lost(&self, now: Instant) -> Vec<(String, u64)> {
+        let mut table = self.table.lock();
+        let silent = table
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| !peer.lost && now.ms_since(peer.heard_at) >= DEMAND_MS);
+        silent
+            .map(|(name, peer)| {
+                peer.lost = true;
+                (name.clone(), now.ms_since(peer.heard_at))
+            })
+            .collect()
+    }
+
+    /// Names of the entries that were heard lately, in order.
+    pub(crate) fn heard(&self, now: Instant) -> Vec<String> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let mut names: Vec<String> = heard.map(|(name, _)| name.clone()).collect();
+        names.sort();
+        names
+    }
+
+    /// Adds what other entries demand of a service's models.
+    pub(crate) fn add_loads(
+        &self,
+        now: Instant,
+        service: &str,
+        loads: &mut BTreeMap<Arc<str>, Load>,
+    ) {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        for (of, model, load) in heard.flat_map(|peer| &peer.loads) {
+            if **of == *service {
+                loads.entry(Arc::clone(model)).or_default().add(load);
+            }
+        }
+    }
+
+    /// Address of the giver of orders, if it was heard lately.
+    pub(crate) fn giver(&self, now: Instant) -> Option<SocketAddr> {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let giver = heard.filter(|peer| peer.giver_token > 0);
+        giver
+            .max_by_key(|peer| peer.giver_token)
+            .map(|peer| peer.address)
+    }
+
+    /// Highest token of a giver that was heard within `ms`.
+    pub(crate) fn giver_token(&self, now: Instant, ms: u64) -> u64 {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < ms);
+        heard.map(|peer| peer.giver_token).max().unwrap_or(0)
+    }
+}
--- a/crates/front/src/unread.rs
+++ b/crates/front/src/state/unread.rs
@@ -5,13 +5,9 @@
 //! fill the log; one for each change tells what happened.
 
 use parking_lot::Mutex;
-use serde_json::json;
 use std::collections::HashMap;
-use std::fmt::Display;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::node::Node;
-
 /// Objects remembered at most. Beyond, new ones are held unreadable without a word.
 const REMEMBERED_MAX: usize = 4_096;
 
@@ -35,7 +31,8 @@
 }
 
 impl Kind {
-    const fn as_str(self) -> &'static str {
+    /// Its name in metrics and log lines.
+    pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::Upstream => "upstream",
             Self::Setup => "setup",
@@ -65,7 +62,7 @@
     }
 
     /// Whether an object has changed since it was told of.
-    fn is_new(&self, kind: Kind, key: &str, value: &[u8]) -> bool {
+    pub(super) fn is_new(&self, kind: Kind, key: &str, value: &[u8]) -> bool {
         let mut told = self.told.lock();
         let hash = xxh3_64(value);
         if let Some(known) = told.get_mut(&(kind, key.to_owned())) {
@@ -79,29 +76,7 @@
     }
 }
 
-impl Node {
-    /// Tells of an object that can't be read, unless it was told of as it is.
-    pub(crate) fn tell_unread(
-        &self,
-        kind: Kind,
-        key: &str,
-        value: &[u8],
-        why: impl Display,
-    ) {
-        if !self.unread.is_new(kind, key, value) {
-            return;
-        }
-        let object = kind.as_str();
-        self.meters.unread.with_label_values(&[object]).inc();
-        let why = why.to_string();
-        self.log.line(
-            &format!("{object}_unread"),
-            json!({ "key": start_of(key), "why": start_of(&why), "bytes": value.len() }),
-        );
-    }
-}
-
 /// The start of a text, as far as it is told.
-fn start_of(text: &str) -> &str {
+pub(super) fn start_of(text: &str) -> &str {
     &text[..text.floor_char_boundary(TOLD_MAX_BYTES)]
 }
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Outcome, Picked, Start};
+use direct::{Outcome, Picked};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -16,9 +16,10 @@
 use crate::crash::look_for_crash;
 use crate::headers::strip_connection;
 use crate::in_flight::InFlight;
-use crate::node::Node;
-use crate::pool::{Line, Place, SendFault};
-use crate::request::Call;
+use crate::reach::{place, unreached};
+use crate::state::Node;
+use crate::state::call::Call;
+use crate::state::pool::{Line, SendFault};
 use crate::{AnswerHead, SendHead};
 
 /// Largest whole answer that is held; larger ones break off.
@@ -284,22 +285,3 @@
 fn left(node: &Node, call: &Call) -> Duration {
     Duration::from_millis(call.left_ms(node.clock))
 }
-
-/// Where the latest start of an upstream is reached.
-pub(crate) fn place(node: &Node, id: &str) -> Option<Place> {
-    let fleet = node.fleet.lock();
-    fleet.get(id).map(|upstream| Place {
-        born_ms: upstream.news.born_ms,
-        address: upstream.news.address,
-    })
-}
-
-/// Notes that a start of an upstream could not be connected to.
-pub(crate) fn unreached(node: &Node, id: &str, born_ms: Option<u64>) {
-    let now = node.now();
-    let start = Start { id, born_ms };
-    if let Some(upstream) = node.fleet.lock().start_mut(start) {
-        upstream.unreached(now);
-    }
-    tell_doubt(node, id);
-}
