--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -14,6 +14,11 @@
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 const PAUSE_MAX: Duration = Duration::from_millis(400);
 
+/// Longest pause between two lists where lists are answered and no watch is, as on
+/// a platform whose history is gone at once. Without one, each entry listed some
+/// hundred times a second; with it, the configuration is still in force in time.
+const RELIST_MAX: Duration = Duration::from_millis(800);
+
 /// Time between two watches of the upstreams' entries. Each change ends the
 /// watches of all entries, and each new watch is a call; what changes meanwhile
 /// comes with the next one, and an upstream that leaves has to be known as such
@@ -37,17 +42,26 @@
 /// list, which needs no history.
 pub(crate) async fn follow(node: Arc<Node>, followed: Followed) {
     let mut lost = Lost::new(followed);
+    let mut relist = PAUSE_MIN;
     loop {
         let Some(mut after) = list(&node, followed, &mut lost).await else {
             lost.pause().await;
             continue;
         };
+        let mut has_watched = false;
         while let Some(at) = watch(&node, followed, after, &mut lost).await {
             after = at;
+            has_watched = true;
             if matches!(followed, Followed::Upstreams) {
                 tokio::time::sleep(WATCH_EVERY).await;
             }
         }
+        relist = if has_watched {
+            PAUSE_MIN
+        } else {
+            (relist * 2).min(RELIST_MAX)
+        };
+        tokio::time::sleep(relist).await;
     }
 }
 
