--- /dev/null
+++ b/crates/direct/src/fleet/upstream.rs
@@ -0,0 +1,272 @@
+//! What is known of one upstream.
+
+use base::prelude::*;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::{Doubt, Resident, UpstreamNews};
+
+/// Time for which an upstream is still used whose entry was found missing just
+/// after the platform was away. Entries that lapsed meanwhile are back within two
+/// seconds of the platform's return if the upstream lives. One that really left
+/// must get nothing two seconds after the platform knew it, and the news of that
+/// may have taken almost one.
+const VANISHED_MS: u64 = 1_000;
+
+/// Age at which what another entry said of its own requests counts no more.
+const PEER_USAGE_MS: u64 = 1_500;
+
+/// Age at which what the giver of orders said counts no more; it tells of each
+/// upstream twice a second.
+pub(super) const SAID_MS: u64 = 1_500;
+
+/// Silence of an upstream that has work after which it is avoided. Engines give
+/// an event every few tens of milliseconds; the longest prompts take 350 ms.
+const SILENT_MS: u64 = 700;
+
+/// Time for which an upstream that could not be connected to is avoided.
+const UNREACHED_MS: u64 = 1_000;
+
+/// Time for which an upstream's own word that it does not hold a model goes
+/// before the news of it, which are as late.
+const DENIED_MS: u64 = 300;
+
+/// Weight of the newest answer in the share of failed ones.
+const FAILED_WEIGHT: f64 = 0.08;
+
+/// Prompt parts remembered for each upstream.
+const PARTS_MAX: usize = 2_048;
+
+/// Use of an upstream by one entry's requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens to be read of requests that have no first answer yet, as
+    /// many as take the same time at the common pace.
+    pub waiting_tokens: u64,
+    /// Tokens that the requests may keep at the upstream.
+    pub kept_tokens: u64,
+}
+
+impl Usage {
+    pub(super) fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.waiting_tokens += other.waiting_tokens;
+        self.kept_tokens += other.kept_tokens;
+    }
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What the platform last said.
+    pub news: UpstreamNews,
+    /// Version of the platform's entry.
+    pub version: u64,
+    /// When its entry was found missing while that may have been the platform's
+    /// outage.
+    pub(super) vanished_at: Option<Instant>,
+    /// Version at which its entry was found missing, or could not be read.
+    pub(super) gone: Option<u64>,
+    /// Whether the entry is known to be gone or not to be the upstream's, so that
+    /// an outage of the platform does not excuse it.
+    pub(super) is_void: bool,
+    /// Whether its entry does not say when it started though most entries do.
+    pub(super) undated: bool,
+    /// This entry's own requests there.
+    pub own: Usage,
+    /// Other entries' requests there.
+    pub(super) peers: HashMap<String, (Instant, Usage)>,
+    /// What the giver of orders says that it holds.
+    pub(super) said: Option<Said>,
+    /// Prompt parts that it has read, by the hash of the parts up to them.
+    pub(super) parts: HashMap<u64, Instant>,
+    /// Models and adapters that it said not to hold, with until when that is
+    /// believed before what others say of it.
+    pub(super) denied: Vec<(Arc<str>, Option<Arc<str>>, Instant)>,
+    pub(super) heard_at: Instant,
+    /// When it was last usable or in use, as far as it was looked at.
+    pub(super) idle_since: Instant,
+    pub(super) unreached_until: Instant,
+    pub(super) failed_share: f64,
+}
+
+/// What the giver of orders says that an upstream holds.
+#[derive(Debug)]
+pub(super) struct Said {
+    pub(super) at: Instant,
+    pub(super) residents: Vec<Resident>,
+    /// Models on their way, with when they are expected to serve.
+    pub(super) coming: Vec<(Arc<str>, Instant)>,
+}
+
+impl Upstream {
+    pub(super) fn new(news: UpstreamNews, version: u64) -> Self {
+        Self {
+            news,
+            version,
+            vanished_at: None,
+            gone: None,
+            is_void: false,
+            undated: false,
+            own: Usage::default(),
+            peers: HashMap::new(),
+            said: None,
+            parts: HashMap::new(),
+            denied: Vec::new(),
+            heard_at: Instant::ZERO,
+            idle_since: Instant::ZERO,
+            unreached_until: Instant::ZERO,
+            failed_share: 0.0,
+        }
+    }
+
+    /// Whether requests may be sent there at all.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let vanished_ms = self.vanished_at.map(|at| now.ms_since(at));
+        let lapsed = vanished_ms.is_some_and(|ms| ms < VANISHED_MS);
+        let listed = self.gone.is_none() || (lapsed && !self.is_void);
+        !self.news.leaving && !self.undated && listed
+    }
+
+    /// The version at which it was said to leave or its entry vanished, and
+    /// whether the latter.
+    pub fn leaving(&self) -> Option<(u64, bool)> {
+        if self.news.leaving {
+            return Some((self.version, false));
+        }
+        self.gone.map(|version| (version, true))
+    }
+
+    /// Whether it is better avoided.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        self.doubt(now).is_some()
+    }
+
+    /// Why it is better avoided, if it is.
+    pub fn doubt(&self, now: Instant) -> Option<Doubt> {
+        if now < self.unreached_until {
+            return Some(Doubt::Unreached);
+        }
+        if self.vanished_at.is_some() {
+            return Some(Doubt::Vanished);
+        }
+        self.is_silent(now).then_some(Doubt::Silent)
+    }
+
+    /// Whether it has work from here and gives no sign of life to any of it.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS
+    }
+
+    /// Time since the last bytes from it.
+    pub fn silent_ms(&self, now: Instant) -> u64 {
+        now.ms_since(self.heard_at)
+    }
+
+    /// Use by all entries.
+    pub fn usage(&self, now: Instant) -> Usage {
+        let mut usage = self.own;
+        for (at, peer) in self.peers.values() {
+            if now.ms_since(*at) < PEER_USAGE_MS {
+                usage.add(peer);
+            }
+        }
+        usage
+    }
+
+    /// What it holds: as the giver of orders says, who knows what it has just
+    /// ordered, and as the platform says when the giver has fallen silent.
+    pub fn residents(&self, now: Instant) -> &[Resident] {
+        match &self.said {
+            Some(said) if now.ms_since(said.at) < SAID_MS => &said.residents,
+            _ => &self.news.residents,
+        }
+    }
+
+    /// Whether it holds a model, and the adapter if one is asked for.
+    pub fn holds(&self, now: Instant, model: &str, adapter: Option<&str>) -> bool {
+        let mut denied = self.denied.iter();
+        if denied.any(|(name, of, until)| {
+            **name == *model && of.as_deref() == adapter && now < *until
+        }) {
+            return false;
+        }
+        let mut held = self.residents(now).iter();
+        held.any(|resident| {
+            &*resident.model == model
+                && adapter.is_none_or(|adapter| {
+                    resident.adapters.iter().any(|held| &**held == adapter)
+                })
+        })
+    }
+
+    /// Share of its last answers that failed.
+    pub const fn failed_share(&self) -> f64 {
+        self.failed_share
+    }
+
+    /// Prompt tokens that it need not read again.
+    pub fn cached_tokens(&self, parts: &[(u64, u64)]) -> u64 {
+        let known = parts
+            .iter()
+            .take_while(|(chain, _)| self.parts.contains_key(chain));
+        known.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Remembers prompt parts that it reads now.
+    pub fn remember_parts(&mut self, now: Instant, parts: &[(u64, u64)]) {
+        for (chain, _) in parts {
+            self.parts.insert(*chain, now);
+        }
+        if self.parts.len() > PARTS_MAX {
+            let oldest = now - Duration::from_secs(5);
+            self.parts.retain(|_, at| *at > oldest);
+        }
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: Instant, usage: &Usage) {
+        if self.own.running == 0 {
+            self.heard_at = now;
+        }
+        self.own.add(usage);
+    }
+
+    /// Some bytes came from it.
+    pub const fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+    }
+
+    /// A request has its first answer.
+    pub const fn begun(&mut self, waiting_tokens: u64) {
+        self.own.waiting_tokens =
+            self.own.waiting_tokens.saturating_sub(waiting_tokens);
+    }
+
+    /// A request ended.
+    pub const fn ended(&mut self, running: u32, kept_tokens: u64) {
+        self.own.running = self.own.running.saturating_sub(running);
+        self.own.kept_tokens = self.own.kept_tokens.saturating_sub(kept_tokens);
+    }
+
+    /// Counts an answer, whether it was good.
+    pub fn observe(&mut self, ok: bool) {
+        let newest = if ok { 0.0 } else { 1.0 };
+        self.failed_share += (newest - self.failed_share) * FAILED_WEIGHT;
+    }
+
+    /// It said that it does not hold a model or adapter.
+    pub fn deny(&mut self, now: Instant, model: &Arc<str>, adapter: Option<&Arc<str>>) {
+        self.denied.retain(|(_, _, until)| now < *until);
+        let until = now.plus_ms(DENIED_MS);
+        self.denied
+            .push((Arc::clone(model), adapter.cloned(), until));
+    }
+
+    /// It could not be connected to.
+    pub fn unreached(&mut self, now: Instant) {
+        self.unreached_until = now.plus_ms(UNREACHED_MS);
+    }
+}
