Live upstreams are not held dead, long prompts get their share

An entry held an upstream silent by its own requests alone. Now an entry goes by what all entries hear (fleet/signs.rs) and by the prompts that wait there; a stream that has begun and is silent still shows a dead upstream after 0.7 s, whoever has it. 2. The giver's word on what an upstream holds came each 5 messages of 0.9 s and counted for 1.5 s, so at 68 entries requests went by the platform's older list: 188 to an upstream that was unloading their model. And use of other entries was up to 0.9 s old. Now 225 messages a second bound the cost of telling (cadence.rs), what upstreams hold is told within a second, and the word counts for 2.5 s. 3. A prompt of 12,000 tokens was refused on an idle engine: 607 ms expected of 600 usable, at a pace that was not yet learned; and behind any queue only shorter ones fitted. Now all requests of a route meet the same bound on the queue (admit.rs), and a model that is not known starts from its service's pace (pace.rs; the test of a model not known now asks another service for it, as this one's own pace holds there). 4. Engines read urgent prompts first, and the wait was expected behind all: at 450 ms expected half of the most urgent began within 260 ms. Now a request waits behind its rank and a quarter of the rest (reading.rs). 5. The giver asks for reports while such an order may begin, and stops saying that the model is served; an entry pauses between refusals (turned_away.rs).

Ruled out: longer times of silence alone (finding: dead ones are found later). Failed try: telling refusals between entries. Each entry sees under one request a second for a model there, so a count of refusals in a row never rises; with the count shared, a full upstream and an unloading one can't be told apart.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -1,12 +1,26 @@
 //! Whether a request joins those that wait at an upstream.
+//!
+//! Answers the load in which more prompts come than engines read, some of them
+//! several times as long as the rest.
 
 use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Part of the aim, in percent, within which the first answer has to be expected.
 /// What is expected leaves out the steps between prompts, so the answer comes
 /// later; with the whole aim or half of it, fewer requests are served in time.
 const AIM_USABLE_PERCENT: u64 = 75;
 
+/// Part of the usable time, in percent, that is left to the queue however long a
+/// route's prompts take. Else a route of long prompts would be refused at engines
+/// that are idle.
+const QUEUE_LEAST_PERCENT: u64 = 50;
+
+/// Weight of the newest prompt in the mean of its route: a few dozen requests, as
+/// many as one entry sees of a route in seconds.
+const NEWEST: f64 = 0.03;
+
 /// A request that has found an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Admission {
@@ -18,8 +32,12 @@
     pub aim_ms: u64,
     /// When the first part of its answer is of use at the latest.
     pub first_by: Instant,
-    /// Time to its first answer at the upstream.
-    pub wait_ms: u64,
+    /// Time at the upstream until its prompt is read.
+    pub queue_ms: u64,
+    /// Time of reading its prompt.
+    pub reading_ms: u64,
+    /// Time of reading a prompt of its route, in the mean.
+    pub mean_reading_ms: u64,
     /// Whether the upstream is an engine, at which prompts wait for one another.
     pub at_engine: bool,
 }
@@ -33,21 +51,58 @@
 /// and can come back when the queue is shorter. One that is late already, because
 /// its model was on its way, can only be served late or not at all.
 ///
+/// All requests of a route join the same queue, whatever their own size. Judged by
+/// its own prompt, the short request joins when the long one may not; under more
+/// load than is read the queue stays where only short ones join, and the long ones
+/// are never served though each of them is worth as much as several.
+///
 /// # Errors
 ///
 /// It would be too late.
 pub fn admit(admission: &Admission) -> Result<(), u64> {
+    let own_ms = admission.queue_ms + admission.reading_ms;
+    let of_use_ms = admission.first_by.ms_since(admission.now);
+    if own_ms > of_use_ms {
+        return Err(own_ms - of_use_ms);
+    }
     let usable_ms = admission.aim_ms * AIM_USABLE_PERCENT / 100;
     let in_time_by = admission.arrived.plus_ms(usable_ms);
-    let by = if admission.at_engine && admission.now < in_time_by {
-        in_time_by.min(admission.first_by)
-    } else {
-        admission.first_by
-    };
-    let left_ms = by.ms_since(admission.now);
-    if admission.wait_ms <= left_ms {
+    if !admission.at_engine || admission.now >= in_time_by {
+        return Ok(());
+    }
+    let reading_max_ms = usable_ms * (100 - QUEUE_LEAST_PERCENT) / 100;
+    let mean_ms = admission.mean_reading_ms.min(reading_max_ms);
+    let expected_ms = admission.queue_ms + mean_ms;
+    let left_ms = in_time_by.ms_since(admission.now);
+    if expected_ms <= left_ms {
         Ok(())
     } else {
-        Err(admission.wait_ms - left_ms)
+        Err(expected_ms - left_ms)
+    }
+}
+
+/// Mean time that reading a prompt takes, by route.
+#[derive(Debug, Default)]
+pub struct Readings {
+    routes: BTreeMap<Arc<str>, f64>,
+}
+
+impl Readings {
+    /// No route's prompts are known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts the prompt of a request, whether it is admitted or not, and gives
+    /// the mean of its route with it.
+    pub fn observe(&mut self, route: &Arc<str>, reading_ms: f64) -> f64 {
+        let mean = self.routes.entry(Arc::clone(route)).or_insert(reading_ms);
+        *mean += (reading_ms - *mean) * NEWEST;
+        *mean
+    }
+
+    /// Forgets routes that the configuration does not name any more.
+    pub fn retain(&mut self, is_named: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _| is_named(route));
     }
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,6 +1,8 @@
 //! What this entry knows of the upstreams.
 
+mod signs;
 mod starts;
+mod turned_away;
 mod upstream;
 
 use base::prelude::*;
@@ -11,6 +13,7 @@
 use crate::{Resident, Setup, Start, UpstreamNews};
 use upstream::{SAID_MS, Said};
 
+pub use signs::Signs;
 pub use upstream::{Upstream, Usage};
 
 /// Time after the platform's return in which a missing entry may only have
@@ -202,6 +205,24 @@
         }
     }
 
+    /// What another entry hears of upstreams; where it names none, it has no
+    /// request.
+    pub fn peer_signs<'a>(
+        &mut self,
+        now: Instant,
+        peer: &str,
+        heard: impl Iterator<Item = (Start<'a>, Signs)>,
+    ) {
+        let heard: Vec<(Start<'a>, Signs)> = heard.collect();
+        for upstream in self.upstreams.values_mut() {
+            let start = upstream.news.start();
+            let signs = heard.iter().find(|(of, _)| *of == start);
+            upstream
+                .life
+                .word(now, peer, signs.map(|(_, signs)| *signs));
+        }
+    }
+
     /// What the giver of orders says that an upstream holds, and what is on its
     /// way there, with when it is expected to serve.
     pub fn said(
--- /dev/null
+++ b/crates/direct/src/fleet/signs.rs
@@ -0,0 +1,122 @@
+//! Whether an upstream that has work gives the signs of life that are due.
+//!
+//! Answers the load at which engines are nearly full and entries many. Each entry
+//! then has a request or two at an engine, and one that waits behind a full batch or
+//! long prompts hears nothing for a second though the engine is well. Held dead for
+//! that, the engine is avoided and the prompt read once more by another one that is
+//! as full, which is then held dead as well. So an entry goes by what all entries
+//! hear, and by the time that the prompts there take to be read.
+
+use base::prelude::*;
+use std::collections::HashMap;
+
+/// Silence after which an upstream is held dead whose signs of life are due: a
+/// stream that has begun gives an event every few tens of milliseconds.
+const SILENT_MS: u64 = 700;
+
+/// Silence towards this entry's waiting requests after which an upstream is held
+/// unreachable from here though others hear it. A caller leaves a stream that has
+/// not begun some three seconds after its request; later, another upstream could
+/// not serve it any more.
+const UNHEARD_HERE_MS: u64 = 2_000;
+
+/// Longest time that prompts are granted to be read beyond the silence. What is
+/// expected of a queue is rough, and a dead upstream must not be waited for as long
+/// as its queue was long.
+const READING_MAX_MS: u64 = 1_000;
+
+/// Age at which another entry's word counts no more.
+const WORD_MS: u64 = 1_500;
+
+/// What one entry hears of an upstream at which it has requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Signs {
+    /// Requests that have their first answer.
+    pub begun: u32,
+    /// Time since the last bytes from the upstream, or since the first of the
+    /// requests was sent.
+    pub silent_ms: u64,
+}
+
+/// Another entry's word, and when it came.
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    at: Instant,
+    signs: Signs,
+}
+
+impl Word {
+    fn heard_at(&self) -> Instant {
+        self.at - Duration::from_millis(self.signs.silent_ms)
+    }
+}
+
+/// What this entry and others hear of one upstream.
+#[derive(Debug, Default)]
+pub(super) struct Life {
+    begun: u32,
+    heard_at: Instant,
+    words: HashMap<String, Word>,
+}
+
+impl Life {
+    /// The first of this entry's requests was sent, or bytes came.
+    pub(super) const fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+    }
+
+    pub(super) const fn begun(&mut self) {
+        self.begun += 1;
+    }
+
+    pub(super) const fn ended(&mut self, requests: u32) {
+        self.begun = self.begun.saturating_sub(requests);
+    }
+
+    pub(super) fn signs(&self, now: Instant) -> Signs {
+        Signs {
+            begun: self.begun,
+            silent_ms: now.ms_since(self.heard_at),
+        }
+    }
+
+    /// Another entry's word; `None` where it has no request there any more.
+    pub(super) fn word(&mut self, now: Instant, entry: &str, signs: Option<Signs>) {
+        match (self.words.get_mut(entry), signs) {
+            (Some(word), Some(signs)) => *word = Word { at: now, signs },
+            (None, Some(signs)) => {
+                let word = Word { at: now, signs };
+                self.words.insert(entry.to_owned(), word);
+            }
+            (Some(_), None) => {
+                self.words.remove(entry);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Whether the upstream is silent towards this entry's requests for longer than
+    /// it may be while `reading_ms` of prompts wait there.
+    pub(super) fn is_silent(&self, now: Instant, reading_ms: u64) -> bool {
+        now.ms_since(self.heard_at) > self.sign_due_ms(now, reading_ms)
+    }
+
+    fn sign_due_ms(&self, now: Instant, reading_ms: u64) -> u64 {
+        let words = self.words.values();
+        let words = words.filter(|word| now.ms_since(word.at) < WORD_MS);
+        let last = words.clone().map(Word::heard_at).max();
+        // A stream pauses for nobody's prompt.
+        let stream_is_silent = words.clone().any(|word| {
+            word.signs.begun > 0
+                && word.signs.silent_ms > SILENT_MS
+                && last.is_none_or(|last| word.at.ms_since(last) > SILENT_MS)
+        });
+        if self.begun > 0 || stream_is_silent {
+            return SILENT_MS;
+        }
+        if last.is_some_and(|last| now.ms_since(last) < WORD_MS) {
+            return UNHEARD_HERE_MS;
+        }
+        SILENT_MS + reading_ms.min(READING_MAX_MS)
+    }
+}
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -4,7 +4,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::{Doubt, Resident, UpstreamNews};
+use super::signs::{Life, Signs};
+use super::turned_away::TurnedAway;
+use crate::{Doubt, ReadingQueue, Resident, UpstreamNews};
 
 /// Time for which an upstream is still used whose entry was found missing just
 /// after the platform was away. Entries that lapsed meanwhile are back within two
@@ -17,12 +19,10 @@
 const PEER_USAGE_MS: u64 = 1_500;
 
 /// Age at which what the giver of orders said counts no more; it tells of each
-/// upstream twice a second.
-pub(super) const SAID_MS: u64 = 1_500;
-
-/// Silence of an upstream that has work after which it is avoided. Engines give
-/// an event every few tens of milliseconds; the longest prompts take 350 ms.
-const SILENT_MS: u64 = 700;
+/// upstream within [`HOLDINGS_TOLD_MS`](crate::HOLDINGS_TOLD_MS), so that one word
+/// may be lost. Once it counts no more, an upstream is asked for models that were
+/// unloaded since, as the platform's news of them come late.
+pub(super) const SAID_MS: u64 = 2 * crate::HOLDINGS_TOLD_MS + 500;
 
 /// Time for which an upstream that could not be connected to is avoided.
 const UNREACHED_MS: u64 = 1_000;
@@ -42,9 +42,8 @@
 pub struct Usage {
     /// Requests sent and not ended.
     pub running: u32,
-    /// Prompt tokens to be read of requests that have no first answer yet, as
-    /// many as take the same time at the common pace.
-    pub waiting_tokens: u64,
+    /// Prompts of requests that have no first answer yet.
+    pub reading: ReadingQueue,
     /// Tokens that the requests may keep at the upstream.
     pub kept_tokens: u64,
 }
@@ -52,7 +51,7 @@
 impl Usage {
     pub(super) fn add(&mut self, other: &Self) {
         self.running += other.running;
-        self.waiting_tokens += other.waiting_tokens;
+        self.reading.add(&other.reading);
         self.kept_tokens += other.kept_tokens;
     }
 }
@@ -85,7 +84,10 @@
     /// Models and adapters that it said not to hold, with until when that is
     /// believed before what others say of it.
     pub(super) denied: Vec<(Arc<str>, Option<Arc<str>>, Instant)>,
-    pub(super) heard_at: Instant,
+    /// Models that it turns requests away from.
+    pub(super) turned_away: TurnedAway,
+    /// What entries hear of it.
+    pub(super) life: Life,
     /// When it was last usable or in use, as far as it was looked at.
     pub(super) idle_since: Instant,
     pub(super) unreached_until: Instant,
@@ -115,7 +117,8 @@
             said: None,
             parts: HashMap::new(),
             denied: Vec::new(),
-            heard_at: Instant::ZERO,
+            turned_away: TurnedAway::default(),
+            life: Life::default(),
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
             failed_share: 0.0,
@@ -155,14 +158,18 @@
         self.is_silent(now).then_some(Doubt::Silent)
     }
 
-    /// Whether it has work from here and gives no sign of life to any of it.
+    /// Whether it has work from here and gives no sign of life that is due.
     pub fn is_silent(&self, now: Instant) -> bool {
-        self.own.running > 0 && now.ms_since(self.heard_at) > SILENT_MS
+        if self.own.running == 0 {
+            return false;
+        }
+        let reading_ms = self.usage(now).reading.reading_ms();
+        self.life.is_silent(now, reading_ms as u64)
     }
 
-    /// Time since the last bytes from it.
-    pub fn silent_ms(&self, now: Instant) -> u64 {
-        now.ms_since(self.heard_at)
+    /// What this entry hears of it.
+    pub fn signs(&self, now: Instant) -> Signs {
+        self.life.signs(now)
     }
 
     /// Use by all entries.
@@ -229,26 +236,27 @@
     /// A request was sent.
     pub fn sent(&mut self, now: Instant, usage: &Usage) {
         if self.own.running == 0 {
-            self.heard_at = now;
+            self.life.heard(now);
         }
         self.own.add(usage);
     }
 
     /// Some bytes came from it.
     pub const fn heard(&mut self, now: Instant) {
-        self.heard_at = now;
+        self.life.heard(now);
     }
 
     /// A request has its first answer.
-    pub const fn begun(&mut self, waiting_tokens: u64) {
-        self.own.waiting_tokens =
-            self.own.waiting_tokens.saturating_sub(waiting_tokens);
+    pub fn begun(&mut self, reading: &ReadingQueue) {
+        self.own.reading.remove(reading);
+        self.life.begun();
     }
 
     /// A request ended.
     pub const fn ended(&mut self, running: u32, kept_tokens: u64) {
         self.own.running = self.own.running.saturating_sub(running);
         self.own.kept_tokens = self.own.kept_tokens.saturating_sub(kept_tokens);
+        self.life.ended(running);
     }
 
     /// Counts an answer, whether it was good.
@@ -265,6 +273,21 @@
             .push((Arc::clone(model), adapter.cloned(), until));
     }
 
+    /// It refused a request for a model, which has not run.
+    pub fn refused(&mut self, now: Instant, model: &Arc<str>) {
+        self.turned_away.refused(now, model);
+    }
+
+    /// It took a request for a model.
+    pub fn took(&mut self, model: &str) {
+        self.turned_away.took(model);
+    }
+
+    /// Whether it refuses requests for a model, as far as is known.
+    pub fn is_refusing(&self, now: Instant, model: &str) -> bool {
+        self.turned_away.is_turned_away(now, model)
+    }
+
     /// It could not be connected to.
     pub fn unreached(&mut self, now: Instant) {
         self.unreached_until = now.plus_ms(UNREACHED_MS);
--- a/crates/direct/src/late.rs
+++ b/crates/direct/src/late.rs
@@ -1,6 +1,7 @@
 //! Orders that may still be carried out, also by a later start of their upstream.
 
 use base::prelude::*;
+use std::sync::Arc;
 
 use crate::{Action, Engine, Order};
 
@@ -47,6 +48,23 @@
             .count()
     }
 
+    /// Models whose unload may be the order that an upstream of this start carries out
+    /// now, having accepted so many.
+    pub(crate) fn unloads(
+        &self,
+        born_ms: Option<u64>,
+        orders_accepted: u64,
+    ) -> impl Iterator<Item = &Arc<str>> {
+        let orders = self.orders.iter().map(|(_, order)| order);
+        let accepted = orders.filter(move |order| {
+            order.born_ms == born_ms && order.expect + 1 == orders_accepted
+        });
+        accepted.filter_map(|order| match &order.action {
+            Action::Unload(model) => Some(model),
+            _ => None,
+        })
+    }
+
     /// Weights that orders to earlier starts may bring to a later one.
     pub(crate) fn mb(&self, engine: &Engine, born_ms: Option<u64>, count: u64) -> f64 {
         let sizes = self.possible(born_ms, count).map(|action| match action {
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -108,9 +108,10 @@
         self.known
     }
 
-    /// Whether the upstream has to be asked before it is ordered anything.
+    /// Whether the upstream has to be asked: before it is ordered anything, and while
+    /// an order without an answer may begin at any moment.
     pub const fn wants_report(&self) -> bool {
-        self.open.is_none() && (!self.known || self.busy)
+        self.open.is_none() && (!self.known || self.busy || !self.late.is_empty())
     }
 
     /// Whether anything can be ordered now. While a model is loaded or unloaded,
@@ -150,6 +151,7 @@
         }
         if report.busy {
             self.keep_in_progress(kept);
+            self.begin_late_unload(report.orders_accepted);
         }
         self.orders_accepted = report.orders_accepted;
         self.copies = report.copies.clone();
@@ -404,6 +406,16 @@
         self.held.insert(Arc::clone(&resident.model), held);
     }
 
+    /// An unload that got no answer is carried out after all. The upstream still lists
+    /// the model and refuses all requests for it until what runs there has ended.
+    fn begin_late_unload(&mut self, orders_accepted: u64) {
+        for model in self.late.unloads(self.born_ms, orders_accepted) {
+            if let Some(held) = self.held.get_mut(model) {
+                held.phase = Phase::Unloading;
+            }
+        }
+    }
+
     /// Keeps what a busy upstream is loading or unloading.
     fn keep_in_progress(&mut self, kept: BTreeMap<Arc<str>, Held>) {
         for (model, old) in kept {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -33,6 +33,7 @@
 mod admit;
 mod again;
 mod board;
+mod cadence;
 mod demand;
 mod doubts;
 mod fleet;
@@ -45,16 +46,18 @@
 mod outlook;
 mod pace;
 mod pick;
+mod reading;
 mod repeats;
 mod setup;
 mod unserved;
 mod watermark;
 
-pub use admit::{Admission, admit};
+pub use admit::{Admission, Readings, admit};
 pub use again::{Next, Outcome, Tried, after};
+pub use cadence::{HOLDINGS_TOLD_MS, holdings_rounds, tell_every_ms};
 pub use demand::{Demand, Load};
 pub use doubts::{Doubt, Doubts, Turn};
-pub use fleet::{Fleet, Upstream, Usage};
+pub use fleet::{Fleet, Signs, Upstream, Usage};
 pub use late::LateOrders;
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::Ledger;
@@ -63,6 +66,7 @@
 pub use order::{Action, Order, OrderAnswer, Sent};
 pub use pace::Paces;
 pub use pick::{Pick, Picked, Unpicked, pick};
+pub use reading::{RANKS, ReadingQueue};
 pub use repeats::Repeats;
 pub use setup::{
     Engine, Limits, ModelSpec, Route, RouteKind, ServiceSpec, Setup, Target,
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -23,9 +23,46 @@
 /// Models of one service differ in it by up to eight times, and nothing says so.
 /// A fast model's requests would be taken for a long queue: others would avoid
 /// its upstreams, and its own be refused as too late.
+///
+/// One of many entries sees few answers of each model, so a model starts from the
+/// pace of its service, which every answer teaches. Started from a fixed figure
+/// on engines twice as fast, each entry refused the longest prompts of a model
+/// until it had learned that model by itself.
 #[derive(Debug, Default)]
 pub struct Paces {
-    models: BTreeMap<Arc<str>, f64>,
+    services: BTreeMap<Arc<str>, Service>,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    common: Pace,
+    models: BTreeMap<Arc<str>, Pace>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    factor: f64,
+    /// Answers that taught it.
+    answers: u32,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self::from(1.0)
+    }
+}
+
+impl Pace {
+    const fn from(factor: f64) -> Self {
+        Self { factor, answers: 0 }
+    }
+
+    /// What it starts from counts as one answer, so the first ones move it far.
+    fn learn(&mut self, factor: f64) {
+        self.answers = self.answers.saturating_add(1);
+        let weight = NEWEST.max(1.0 / f64::from(self.answers.saturating_add(1)));
+        self.factor += (factor - self.factor) * weight;
+    }
 }
 
 impl Paces {
@@ -34,19 +71,32 @@
         Self::default()
     }
 
-    /// The factor of a model.
-    pub fn of(&self, model: &str) -> f64 {
-        self.models.get(model).copied().unwrap_or(1.0)
+    /// The factor of a model; of its service where no answer of the model came.
+    pub fn of(&self, service: &str, model: &str) -> f64 {
+        let Some(service) = self.services.get(service) else {
+            return 1.0;
+        };
+        let own = service.models.get(model);
+        own.unwrap_or(&service.common).factor
     }
 
     /// A first answer came after `took_ms` where reading alone takes
     /// `reading_ms` at the common pace, and nothing was waiting before it.
-    pub fn observe(&mut self, model: &Arc<str>, reading_ms: f64, took_ms: f64) {
+    pub fn observe(
+        &mut self,
+        service: &Arc<str>,
+        model: &Arc<str>,
+        reading_ms: f64,
+        took_ms: f64,
+    ) {
         if reading_ms < TELLING_MS {
             return;
         }
-        let factor = (took_ms - FIXED_MS) / reading_ms;
-        let pace = self.models.entry(Arc::clone(model)).or_insert(1.0);
-        *pace += (factor.clamp(FASTEST, SLOWEST) - *pace) * NEWEST;
+        let factor = ((took_ms - FIXED_MS) / reading_ms).clamp(FASTEST, SLOWEST);
+        let service = self.services.entry(Arc::clone(service)).or_default();
+        let start = Pace::from(service.common.factor);
+        let own = service.models.entry(Arc::clone(model)).or_insert(start);
+        own.learn(factor);
+        service.common.learn(factor);
     }
 }
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -3,12 +3,7 @@
 use base::prelude::*;
 use std::sync::Arc;
 
-use crate::{Engine, Fleet, Upstream, Usage};
-
-/// Prompt tokens that an engine reads in a millisecond. Engines do not tell;
-/// only the order of upstreams and refusals that would come seconds late rest
-/// on it.
-const PROMPT_TOKENS_PER_MS: f64 = 20.0;
+use crate::{Engine, Fleet, ReadingQueue, Upstream, Usage};
 
 /// Delay of a first answer by each request that already runs.
 const RUNNING_MS: f64 = 1.0;
@@ -41,6 +36,8 @@
     pub model: Option<(&'a str, Option<&'a str>)>,
     /// Prompt parts: hash of all parts up to it, and its tokens.
     pub parts: &'a [(u64, u64)],
+    /// Rank of the request, 0 the most urgent.
+    pub rank: u32,
     /// Prompt tokens.
     pub prompt_tokens: u64,
     /// Factor on the time that reading them takes.
@@ -67,6 +64,8 @@
     pub reading_ms: Option<f64>,
     /// Time to its first answer as far as can be told.
     pub wait_ms: f64,
+    /// Part of that which reading its own prompt takes.
+    pub own_ms: f64,
 }
 
 /// Why there is no upstream.
@@ -152,7 +151,7 @@
         },
     };
     let wait_ms = if input.model.is_some() {
-        engine_wait_ms(&usage, &adds)
+        engine_wait_ms(&usage, &adds, input.rank)
     } else {
         service_wait_ms(upstream, &usage)
     };
@@ -164,12 +163,17 @@
     };
     let score =
         wait_ms * (1.0 + 0.1 * chance) + chance + domain_ms + failing_ms(upstream);
-    let alone = input.model.is_some() && usage.waiting_tokens == 0;
+    let alone = input.model.is_some() && usage.reading.is_empty();
     let picked = Picked {
         id: Arc::clone(&upstream.news.id),
         usage: adds,
-        reading_ms: alone.then(|| reading_ms(&adds) / input.pace),
+        reading_ms: alone.then(|| adds.reading.reading_ms() / input.pace),
         wait_ms,
+        own_ms: if input.model.is_some() {
+            adds.reading.reading_ms()
+        } else {
+            0.0
+        },
     };
     Ok((score, picked))
 }
@@ -187,6 +191,9 @@
     if !upstream.holds(input.now, model, adapter) {
         return Err(Unpicked::NoAdapter);
     }
+    if upstream.is_refusing(input.now, model) {
+        return Err(Unpicked::Full);
+    }
     let cached = upstream.cached_tokens(input.parts);
     if let Some(engine) = input.engine {
         let kept = usage.kept_tokens + input.kept_tokens;
@@ -198,18 +205,14 @@
     let unread = input.prompt_tokens.saturating_sub(cached) as f64 * input.pace;
     Ok(Usage {
         running: 1,
-        waiting_tokens: unread as u64,
+        reading: ReadingQueue::of(input.rank, unread as u64),
         kept_tokens: input.kept_tokens,
     })
 }
 
-fn engine_wait_ms(usage: &Usage, adds: &Usage) -> f64 {
-    reading_ms(usage) + reading_ms(adds) + f64::from(usage.running) * RUNNING_MS
-}
-
-/// Time that reading what waits takes.
-fn reading_ms(usage: &Usage) -> f64 {
-    usage.waiting_tokens as f64 / PROMPT_TOKENS_PER_MS
+fn engine_wait_ms(usage: &Usage, adds: &Usage, rank: u32) -> f64 {
+    let ahead_ms = usage.reading.ahead_ms(rank);
+    ahead_ms + adds.reading.reading_ms() + f64::from(usage.running) * RUNNING_MS
 }
 
 fn service_wait_ms(upstream: &Upstream, usage: &Usage) -> f64 {
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of upstreams.
 
 use crate::support::{at, name, news, resident, start};
-use direct::{Fleet, Usage};
+use direct::{Fleet, ReadingQueue, Usage};
 
 fn usable(fleet: &Fleet, ms: u64, id: &str) -> bool {
     fleet
@@ -123,7 +123,7 @@
     let mut fleet = fleet(&["1"]);
     let used = Usage {
         running: 2,
-        waiting_tokens: 10,
+        reading: ReadingQueue::of(0, 10),
         kept_tokens: 100,
     };
     fleet.peer_usage(at(0), "p", [(start("1"), used)].into_iter());
--- a/crates/direct/tests/all/ledger.rs
+++ b/crates/direct/tests/all/ledger.rs
@@ -96,6 +96,33 @@
     assert_eq!(ledger.order(&engine, load("d")), None);
 }
 
+/// An unload got no answer, and seconds later the upstream carries it out. Until its
+/// last run has ended it still lists the model and refuses every request for it, so
+/// entries must not be told that it serves the model.
+#[test]
+fn a_model_whose_unload_begins_late_serves_no_more() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    ledger.report(at(0), &report(0, false, &["a", "b"]));
+    let unload = Action::Unload(name("a"));
+    let order = ledger.order(&engine, unload).expect("it is held");
+    ledger.sent(at(800), &order, Sent::Unanswered);
+    ledger.report(at(1_000), &report(0, false, &["a", "b"]));
+    let serves = |ledger: &Ledger, ms| {
+        let serving = ledger.serving(at(ms));
+        serving.iter().any(|resident| *resident.model == *"a")
+    };
+    assert!(serves(&ledger, 1_000));
+    assert!(ledger.wants_report(), "it may begin at any moment");
+    ledger.report(at(5_000), &report(1, true, &["a", "b"]));
+    assert!(!serves(&ledger, 5_000) && ledger.is_unloading("a"));
+    ledger.report(at(9_000), &report(1, true, &["a", "b"]));
+    assert!(!serves(&ledger, 9_000));
+    ledger.report(at(9_200), &report(1, false, &["b"]));
+    ledger.expire(at(20_000));
+    assert!(ledger.is_idle() && !ledger.wants_report());
+}
+
 #[test]
 fn adapters_stay_within_their_places_and_beside_their_model() {
     let engine = engine(&MODELS);
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod again;
+mod cadence;
 mod demand;
 mod doubts;
 mod fleet;
@@ -9,8 +10,11 @@
 mod ledger;
 mod moves;
 mod pick;
+mod reading;
 mod reborn;
 mod repeats;
 mod setup;
+mod signs;
 mod starts;
 mod support;
+mod turned_away;
--- a/crates/direct/tests/all/pick.rs
+++ b/crates/direct/tests/all/pick.rs
@@ -1,7 +1,7 @@
 //! Choice of an upstream.
 
 use crate::support::{at, engine, name, news, resident, start};
-use direct::{Fleet, Pick, Unpicked, Usage, pick};
+use direct::{Fleet, Pick, ReadingQueue, Unpicked, Usage, pick};
 use std::sync::Arc;
 
 fn fleet(of: &[(&str, &[&str])]) -> Fleet {
@@ -23,6 +23,7 @@
         engine: Some(&engine),
         model: Some(("a", adapter)),
         parts: &[(7, 500), (8, 500)],
+        rank: 0,
         prompt_tokens: 1_000,
         pace: 1.0,
         kept_tokens: 1_200,
@@ -36,7 +37,7 @@
 fn use_of(fleet: &mut Fleet, id: &str, running: u32, tokens: u64) {
     let used = Usage {
         running,
-        waiting_tokens: tokens,
+        reading: ReadingQueue::of(0, tokens),
         kept_tokens: tokens,
     };
     fleet.get_mut(id).expect("known").sent(at(5), &used);
@@ -123,16 +124,20 @@
 #[test]
 fn the_pace_of_a_model_is_learned_from_its_first_answers() {
     let mut paces = direct::Paces::new();
-    let model = name("a");
+    let (service, model) = (name("s"), name("a"));
     for _ in 0..60 {
-        paces.observe(&model, 100.0, 28.0);
+        paces.observe(&service, &model, 100.0, 28.0);
     }
-    assert!((0.1..0.2).contains(&paces.of("a")), "{}", paces.of("a"));
-    paces.observe(&model, 5.0, 900.0);
-    assert!(paces.of("a") < 0.2);
+    assert!(
+        (0.1..0.2).contains(&paces.of("s", "a")),
+        "{}",
+        paces.of("s", "a")
+    );
+    paces.observe(&service, &model, 5.0, 900.0);
+    assert!(paces.of("s", "a") < 0.2);
     for _ in 0..200 {
-        paces.observe(&model, 100.0, 9_000.0);
+        paces.observe(&service, &model, 100.0, 9_000.0);
     }
-    assert!(paces.of("a") <= 1.5);
-    assert!((paces.of("b") - 1.0).abs() < f64::EPSILON);
+    assert!(paces.of("s", "a") <= 1.5);
+    assert!((paces.of("t", "b") - 1.0).abs() < f64::EPSILON);
 }
--- a/crates/direct/tests/all/starts.rs
+++ b/crates/direct/tests/all/starts.rs
@@ -1,7 +1,7 @@
 //! Upstreams that start again under their name: what is known of the latest start.
 
 use crate::support::{at, born_news, cases, name, news, resident, start};
-use direct::{Doubt, Doubts, Fleet, Start, Usage};
+use direct::{Doubt, Doubts, Fleet, ReadingQueue, Start, Usage};
 
 const fn born(id: &str, born_ms: u64) -> Start<'_> {
     Start {
@@ -12,7 +12,7 @@
 
 const USED: Usage = Usage {
     running: 2,
-    waiting_tokens: 10,
+    reading: ReadingQueue::of(0, 10),
     kept_tokens: 100,
 };
 
--- /dev/null
+++ b/crates/direct/tests/all/turned_away.rs
@@ -0,0 +1,73 @@
+//! Models that an upstream refuses requests for.
+
+use crate::support::{at, engine, name, news};
+use direct::{Fleet, Pick, ReadingQueue, Unpicked, Usage, pick};
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    let listed = ["1", "2"].map(|id| (1, news(id, &["a", "b"])));
+    fleet.list(at(0), 1, listed.to_vec());
+    fleet
+}
+
+fn picked(fleet: &Fleet, ms: u64, model: &str) -> Result<String, Unpicked> {
+    let engine = engine(&["a", "b"]);
+    let input = Pick {
+        now: at(ms),
+        service: "oracle",
+        engine: Some(&engine),
+        model: Some((model, None)),
+        parts: &[],
+        rank: 0,
+        prompt_tokens: 1_000,
+        pace: 1.0,
+        kept_tokens: 1_200,
+        excluded: &[],
+        domain: "east",
+        random: 42,
+    };
+    pick(fleet, &input).map(|picked| picked.id.to_string())
+}
+
+/// Upstream 1 refuses every request for the model at once and so looks idle. Without
+/// a pause each of the requests would be sent there, as nothing ever waits there.
+#[test]
+fn an_upstream_that_refuses_a_model_is_tried_now_and_then() {
+    let mut fleet = fleet();
+    let busy = Usage {
+        running: 3,
+        reading: ReadingQueue::of(0, 4_000),
+        ..Usage::default()
+    };
+    fleet.get_mut("2").expect("known").sent(at(0), &busy);
+    let mut refused = 0;
+    for ms in (0..20_000).step_by(50) {
+        fleet.get_mut("2").expect("known").heard(at(ms));
+        if picked(&fleet, ms, "a").as_deref() == Ok("1") {
+            refused += 1;
+            fleet
+                .get_mut("1")
+                .expect("known")
+                .refused(at(ms), &name("a"));
+        }
+    }
+    assert!((8..20).contains(&refused), "{refused} of 400");
+}
+
+/// Only the model that is refused is sent elsewhere, and it is asked for again when
+/// a request for it was taken.
+#[test]
+fn other_models_of_the_upstream_are_asked_for_all_the_same() {
+    let mut fleet = fleet();
+    fleet.remove(at(0), "2", 2);
+    assert_eq!(picked(&fleet, 1, "a").as_deref(), Ok("1"));
+    let upstream = fleet.get_mut("1").expect("known");
+    upstream.refused(at(1), &name("a"));
+    assert_eq!(picked(&fleet, 2, "a"), Err(Unpicked::Full));
+    assert_eq!(picked(&fleet, 2, "b").as_deref(), Ok("1"));
+    assert_eq!(picked(&fleet, 52, "a").as_deref(), Ok("1"));
+    let upstream = fleet.get_mut("1").expect("known");
+    upstream.refused(at(52), &name("a"));
+    upstream.took("a");
+    assert_eq!(picked(&fleet, 53, "a").as_deref(), Ok("1"));
+}
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -86,7 +86,7 @@
 fn tell_turn(node: &Node, now: Instant, turn: &Turn) {
     let known = node.fleet.lock().get(&turn.upstream).map(|upstream| {
         (
-            upstream.silent_ms(now),
+            upstream.signs(now).silent_ms,
             upstream.own.running,
             upstream.version,
         )
@@ -96,6 +96,9 @@
     };
     let event = match turn.now {
         Some(doubt) => {
+            if doubt == direct::Doubt::Silent {
+                node.peers.wake.notify_one();
+            }
             let doubts = node.meters.doubts.with_label_values(&[doubt.as_str()]);
             doubts.inc();
             "upstream_doubted"
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -69,7 +69,7 @@
         self.with_upstream(|upstream| {
             upstream.heard(now);
             if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
+                upstream.begun(&self.usage.reading);
             }
         });
         self.begun = true;
@@ -97,6 +97,22 @@
         self.with_upstream(|upstream| upstream.deny(now, model, adapter.as_ref()));
     }
 
+    /// The upstream refuses what the request asks for; it has not run.
+    pub(crate) fn refused(&self, call: &Call) {
+        let now = self.node.now();
+        let Some((model, _)) = &call.ask.model else {
+            return;
+        };
+        self.with_upstream(|upstream| upstream.refused(now, model));
+    }
+
+    /// The upstream takes what the request asks for.
+    pub(crate) fn took(&self, call: &Call) {
+        if let Some((model, _)) = &call.ask.model {
+            self.with_upstream(|upstream| upstream.took(model));
+        }
+    }
+
     pub(crate) fn observe(&self, ok: bool) {
         self.with_upstream(|upstream| upstream.observe(ok));
     }
@@ -106,7 +122,7 @@
     fn drop(&mut self) {
         self.with_upstream(|upstream| {
             if !self.begun {
-                upstream.begun(self.usage.waiting_tokens);
+                upstream.begun(&self.usage.reading);
             }
             upstream.ended(self.usage.running, self.usage.kept_tokens);
         });
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -1,6 +1,6 @@
 //! Hearing other entries.
 
-use direct::{Load, Resident, Start, Usage};
+use direct::{Load, ReadingQueue, Resident, Signs, Start, Usage};
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews};
 use serde_json::json;
@@ -43,13 +43,21 @@
     let uses = news.uses.iter().map(|used| {
         let usage = Usage {
             running: used.running,
-            waiting_tokens: used.waiting_tokens,
+            reading: ReadingQueue::from_ranks(&used.reading_tokens),
             kept_tokens: used.kept_tokens,
         };
         (start(&used.upstream, used.born_ms), usage)
     });
     let mut fleet = node.fleet.lock();
     fleet.peer_usage(now, &news.entry, uses);
+    let signs = news.uses.iter().map(|used| {
+        let signs = Signs {
+            begun: used.begun,
+            silent_ms: used.silent_ms,
+        };
+        (start(&used.upstream, used.born_ms), signs)
+    });
+    fleet.peer_signs(now, &news.entry, signs);
     for leaving in &news.leaving {
         let start = start(&leaving.upstream, leaving.born_ms);
         fleet.heard_leaving(start, leaving.version, leaving.vanished);
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -1,7 +1,7 @@
 //! Telling other entries what holds here.
 
 use base::prelude::*;
-use direct::Resident;
+use direct::{Fleet, Resident, holdings_rounds, tell_every_ms};
 use prost::Message;
 use schema::peer::{
     AdapterWant, ComingModel, HeldModel, Holding, LeavingUpstream, ModelDemand,
@@ -16,11 +16,6 @@
 use crate::state::Node;
 use crate::state::peers::{AWAY_MS, Peers};
 
-/// Time between two messages to each peer, for up to [`PEERS_AT_ONCE`] peers;
-/// more peers are told less often, so that an entry's cost stays the same.
-const TELL_EVERY: Duration = Duration::from_millis(100);
-const PEERS_AT_ONCE: usize = 8;
-
 /// Time between two messages that are sent at once.
 const TELL_AT_ONCE_EVERY: Duration = Duration::from_millis(20);
 
@@ -31,15 +26,11 @@
 /// of the others in turn. A message of 32 takes 1.1 kB for them.
 const SUSPECTS_MAX: usize = 16;
 
-/// Messages within which every upstream's holdings are told once.
-const HOLDINGS_ROUNDS: usize = 5;
-
 /// Tells other entries what holds here, for ever.
 pub(crate) async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
-        let peers = node.peers.table.lock().addresses.len();
-        let times = u32::try_from(peers / PEERS_AT_ONCE).unwrap_or(u32::MAX);
-        tokio::time::sleep(TELL_EVERY * (times + 1)).await;
+        let every_ms = tell_every_ms(node.peers.count());
+        tokio::time::sleep(Duration::from_millis(every_ms)).await;
         tell_once(&node, &socket).await;
     }
 }
@@ -100,6 +91,11 @@
 }
 
 impl Peers {
+    /// Addresses at which entries may be.
+    fn count(&self) -> usize {
+        self.table.lock().addresses.len()
+    }
+
     /// Addresses for this message.
     fn now_told(&self, now: Instant) -> Vec<SocketAddr> {
         let mut table = self.table.lock();
@@ -128,15 +124,7 @@
     };
     let giver_token = node.lease.lock().token(now).unwrap_or(0);
     let fleet = node.fleet.lock();
-    let uses = fleet.all().filter(|upstream| upstream.own.running > 0);
-    let uses = uses.map(|upstream| UpstreamUse {
-        upstream: upstream.news.id.to_string(),
-        running: upstream.own.running,
-        waiting_tokens: upstream.own.waiting_tokens,
-        kept_tokens: upstream.own.kept_tokens,
-        born_ms: upstream.news.born_ms.unwrap_or(0),
-    });
-    let uses = uses.collect();
+    let uses = uses(&fleet, now);
     let leaving = fleet.all().filter_map(|upstream| {
         let (version, vanished) = upstream.leaving()?;
         Some(LeavingUpstream {
@@ -169,6 +157,23 @@
     }
 }
 
+fn uses(fleet: &Fleet, now: Instant) -> Vec<UpstreamUse> {
+    let used = fleet.all().filter(|upstream| upstream.own.running > 0);
+    let uses = used.map(|upstream| {
+        let signs = upstream.signs(now);
+        UpstreamUse {
+            upstream: upstream.news.id.to_string(),
+            running: upstream.own.running,
+            reading_tokens: upstream.own.reading.ranks().to_vec(),
+            kept_tokens: upstream.own.kept_tokens,
+            born_ms: upstream.news.born_ms.unwrap_or(0),
+            begun: signs.begun,
+            silent_ms: signs.silent_ms,
+        }
+    });
+    uses.collect()
+}
+
 fn demands(node: &Node, now: Instant) -> Vec<ModelDemand> {
     let demand = node.demand.lock();
     let all = demand.iter().flat_map(|(service, demand)| {
@@ -199,10 +204,9 @@
     if giver_token == 0 {
         return Vec::new();
     }
-    let round = round as usize % HOLDINGS_ROUNDS;
-    let told = node
-        .giver
-        .told(node.now(), |index| index % HOLDINGS_ROUNDS == round);
+    let rounds = holdings_rounds(node.peers.count());
+    let round = round as usize % rounds;
+    let told = node.giver.told(node.now(), |index| index % rounds == round);
     let now = node.now();
     let told = told.into_iter().map(|told| Holding {
         upstream: told.upstream.to_string(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -135,6 +135,7 @@
             usage: direct::Usage::default(),
             reading_ms: None,
             wait_ms: 0.0,
+            own_ms: 0.0,
         };
         self.tries
             .push(json!({ "upstream": &**upstream, "outcome": "broke_off",
@@ -256,7 +257,7 @@
         {
             let took_ms = self.node.now().since(begun_at).as_secs_f64() * 1_000.0;
             let mut paces = self.node.paces.lock();
-            paces.observe(model, reading_ms, took_ms);
+            paces.observe(&self.call.service, model, reading_ms, took_ms);
         }
     }
 
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -78,20 +78,30 @@
     /// waiting. One that goes on elsewhere is not refused any more.
     fn in_time(&mut self, picked: Picked) -> Result<Picked, Turned> {
         let call = &self.call;
+        let at_engine = call.ask.model.is_some();
+        let mean_reading_ms = if at_engine {
+            let mut readings = self.node.readings.lock();
+            readings.observe(&call.route.name, picked.own_ms)
+        } else {
+            0.0
+        };
         let admission = Admission {
             now: self.node.now(),
             arrived: call.arrived,
             aim_ms: call.route.aim_ms,
             first_by: call.first_by,
-            wait_ms: picked.wait_ms as u64,
-            at_engine: call.ask.model.is_some(),
+            queue_ms: (picked.wait_ms - picked.own_ms) as u64,
+            reading_ms: picked.own_ms as u64,
+            mean_reading_ms: mean_reading_ms as u64,
+            at_engine,
         };
         let late_ms = match admit(&admission) {
             Err(late_ms) if self.sent_to.is_empty() => late_ms,
             _ => return Ok(picked),
         };
         self.tries.push(json!({ "unpicked": "too_late",
-            "expected_ms": admission.wait_ms, "late_ms": late_ms }));
+            "queue_ms": admission.queue_ms, "reading_ms": admission.reading_ms,
+            "mean_reading_ms": admission.mean_reading_ms, "late_ms": late_ms }));
         Err(Turned {
             code: Code::Overloaded,
             retry_after_ms: late_ms.max(RETRY_AFTER_MS),
@@ -169,6 +179,7 @@
             engine: call.spec.engine.as_ref(),
             model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
             parts: &call.parts,
+            rank: call.route.priority,
             prompt_tokens: call.ask.prompt_tokens,
             pace: self.node.pace_of(call),
             kept_tokens: call.ask.prompt_tokens + answer_tokens,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -125,6 +125,11 @@
         let mut fleet = node.fleet.lock();
         fleet.sweep(now);
         node.pool.sweep(|id| fleet.get(id).is_some());
+        drop(fleet);
+        if let Some(setup) = node.setup() {
+            let named = |name: &str| setup.routes().any(|route| *route.name == *name);
+            node.readings.lock().retain(named);
+        }
     }
 }
 
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -1,7 +1,9 @@
 //! What all tasks of the process share.
 
 use base::prelude::*;
-use direct::{Demand, Doubts, Fleet, Lease, Paces, Repeats, Setup, Watermark};
+use direct::{
+    Demand, Doubts, Fleet, Lease, Paces, Readings, Repeats, Setup, Watermark,
+};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -59,6 +61,7 @@
     pub(crate) demand: Mutex<BTreeMap<Arc<str>, Demand>>,
     pub(crate) repeats: Mutex<Repeats>,
     pub(crate) paces: Mutex<Paces>,
+    pub(crate) readings: Mutex<Readings>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) wants: Wants,
     pub(crate) peers: Peers,
@@ -112,6 +115,7 @@
             demand: Mutex::default(),
             repeats: Mutex::new(repeats),
             paces: Mutex::default(),
+            readings: Mutex::default(),
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
             peers: Peers::new(&options),
@@ -166,7 +170,7 @@
     /// Factor on the time that reading a request's prompt takes.
     pub(crate) fn pace_of(&self, call: &Call) -> f64 {
         let model = call.ask.model.as_ref();
-        model.map_or(1.0, |(model, _)| self.paces.lock().of(model))
+        model.map_or(1.0, |(model, _)| self.paces.lock().of(&call.service, model))
     }
 
     /// Counts demand for a model of a service.
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -182,6 +182,10 @@
     }
     if head.other_upstream {
         in_flight.deny(call);
+    } else if head.not_run {
+        in_flight.refused(call);
+    } else if good {
+        in_flight.took(call);
     }
     if good && call.route.kind.is_stream() {
         return TryEnd::Live(Box::new(Live {
