One watch of the platform for the entries of a failure domain

Of three entries or more that hear one another in a failure domain, the first by name watches, with an answer each 0.8 s at the latest, and passes on what it saw (direct/shared_watch.rs decides, front/shared.rs translates). Nothing rests on that: an entry watches itself 1.3 s after the platform's last word to the teller, whatever the reason; where something between was lost or left out; and each 15 s in any case, from where its own last watch ended, so that a forged word does not last. A configuration that does not fit a datagram is told as left out, and each entry watches for it at once.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -49,6 +49,7 @@
 mod reading;
 mod repeats;
 mod setup;
+mod shared_watch;
 mod unserved;
 mod watermark;
 
@@ -74,4 +75,5 @@
 pub use setup::{
     Engine, Limits, ModelSpec, Route, RouteKind, ServiceSpec, Setup, Target,
 };
+pub use shared_watch::{Changed, Piece, SharedWatch, Told, WatchPart};
 pub use watermark::Watermark;
--- /dev/null
+++ b/crates/direct/src/shared_watch.rs
@@ -0,0 +1,208 @@
+//! One watch of the platform for the entries of a failure domain.
+//!
+//! Answers the load of many entries: upstreams' entries change several times a second
+//! where models come and go, each change ends the watch of every entry, and every
+//! entry's next watch is a call. The calls grow with entries times changes, and with
+//! sixty entries cost callers more than any other thing. Here one entry of a failure
+//! domain watches and passes on what it saw.
+//!
+//! Nothing rests on the passing on. Each entry watches itself again as soon as what it
+//! was told is too old, whatever the reason: the teller has ended, hangs, is cut off
+//! from the platform or from the entry. And each watches itself now and then all the
+//! same, from where its own last watch ended, so that news that were forged, or that
+//! lack something, do not last.
+
+use base::prelude::*;
+use std::collections::VecDeque;
+
+/// Entries of a failure domain from which on they share a watch. With two, the one
+/// that is told saves less than passing on to it costs.
+const SHARE_FROM: usize = 3;
+
+/// Age of the platform's last word to the teller after which an entry watches itself.
+/// A teller's word is at most 0.9 s old; an upstream that leaves has to be known as
+/// such within two seconds.
+const TOLD_MAX_MS: u64 = 1_300;
+
+/// Time between two watches of an entry that is told all the while: for so long a
+/// forged word can keep true news from it. Shorter than the platform's history, in
+/// which the watch begins.
+const OWN_EVERY_MS: u64 = 15_000;
+
+/// Pieces that are passed on again with the newest one, since a message may be lost.
+const AGAIN_MAX: usize = 2;
+
+/// Largest size of what one message passes on. That there is more is told, and what it
+/// is left to each entry's own watch: to a dozen entries, it would fill the smallest
+/// link for a tenth of a second.
+const MESSAGE_MAX_BYTES: usize = 12 << 10;
+
+/// What an entry does for the watch of its failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchPart {
+    /// It watches for itself.
+    Alone,
+    /// It watches and passes on what it sees.
+    Teller,
+    /// It is told, and watches itself where that fails.
+    Told,
+}
+
+/// An object that changed, as the platform gives it: key, version and value, which is
+/// empty where the object is gone.
+pub type Changed = (String, u64, Vec<u8>);
+
+/// What one watch saw: all changes after a version, up to another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Piece {
+    /// Version after which these are all changes.
+    pub after: u64,
+    /// Version up to which they are.
+    pub at: u64,
+    /// The changes in order.
+    pub objects: Vec<Changed>,
+    /// Whether there were changes that are left out here: whoever is told of them has
+    /// to watch for them itself.
+    pub is_short: bool,
+}
+
+impl Piece {
+    fn bytes(&self) -> usize {
+        let objects = self.objects.iter();
+        objects.map(|(key, _, value)| key.len() + value.len()).sum()
+    }
+}
+
+/// What came of a teller's word.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Pieces that are new, in order.
+    pub new: Vec<Piece>,
+    /// Version up to which changes are now known, if the word followed on what was.
+    pub known: Option<u64>,
+    /// Whether an own watch has to bring what was left out.
+    pub is_due: bool,
+}
+
+/// One entry's view of the shared watch.
+#[derive(Debug, Default)]
+pub struct SharedWatch {
+    /// Version up to which all changes are known, by an own watch or another's.
+    known: u64,
+    /// When the platform last confirmed that to a teller.
+    told_at: Option<Instant>,
+    /// When an own call was last answered, and whether the last one was.
+    own_at: Option<Instant>,
+    works: bool,
+    /// Whether something changed that was not told.
+    is_due: bool,
+    seen: VecDeque<Piece>,
+}
+
+impl SharedWatch {
+    /// Nothing is known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// An own list or watch was answered: everything up to a version is known.
+    pub fn confirmed(&mut self, now: Instant, at: u64) {
+        self.known = self.known.max(at);
+        self.own_at = Some(now);
+        self.works = true;
+        self.is_due = false;
+    }
+
+    /// An own call was not answered.
+    pub const fn failed(&mut self) {
+        self.works = false;
+    }
+
+    /// Whether others may rely on this entry's watch.
+    pub const fn works(&self) -> bool {
+        self.works
+    }
+
+    /// When an own call was last answered.
+    pub const fn confirmed_at(&self) -> Option<Instant> {
+        self.own_at
+    }
+
+    /// What this entry does, where it hears these others of its failure domain whose
+    /// own watch works: the first by name is the teller.
+    pub fn part(&self, me: &str, others: &[impl AsRef<str>]) -> WatchPart {
+        if others.len() + 1 < SHARE_FROM {
+            WatchPart::Alone
+        } else if others.iter().any(|other| other.as_ref() < me) {
+            WatchPart::Told
+        } else if self.works {
+            WatchPart::Teller
+        } else {
+            WatchPart::Alone
+        }
+    }
+
+    /// Whether an own watch would bring nothing now.
+    pub fn rests(&self, now: Instant) -> bool {
+        let is_young = |at: Option<Instant>, age_max_ms| {
+            at.is_some_and(|at| now.ms_since(at) < age_max_ms)
+        };
+        let is_told = is_young(self.told_at, TOLD_MAX_MS);
+        is_told && is_young(self.own_at, OWN_EVERY_MS) && !self.is_due
+    }
+
+    /// Keeps what an own watch saw, to be passed on.
+    pub fn saw(&mut self, piece: Piece) {
+        self.seen.push_back(piece);
+        while self.seen.len() > AGAIN_MAX {
+            self.seen.pop_front();
+        }
+    }
+
+    /// What is passed on now: the newest pieces, with what of their changes fits.
+    pub fn passed_on(&self) -> Vec<Piece> {
+        let mut bytes = 0;
+        let newest = self.seen.iter().rev().map(|piece| {
+            bytes += piece.bytes();
+            if bytes <= MESSAGE_MAX_BYTES {
+                return piece.clone();
+            }
+            Piece {
+                objects: Vec::new(),
+                is_short: true,
+                ..*piece
+            }
+        });
+        let mut pieces: Vec<Piece> = newest.collect();
+        pieces.reverse();
+        pieces
+    }
+
+    /// A teller passes on what it saw, confirmed to it at a time; what of it is new
+    /// here.
+    ///
+    /// Pieces that do not follow on what is known are left: something between was
+    /// lost, and the own watch that is due soon brings it.
+    pub fn told(&mut self, confirmed_at: Instant, pieces: Vec<Piece>) -> Told {
+        let mut told = Told::default();
+        let mut follows = false;
+        for piece in pieces {
+            follows = piece.after <= self.known;
+            if !follows || piece.at <= self.known {
+                continue;
+            }
+            if piece.is_short {
+                self.is_due = true;
+                break;
+            }
+            self.known = piece.at;
+            told.new.push(piece);
+        }
+        if follows {
+            self.told_at = self.told_at.max(Some(confirmed_at));
+            told.known = Some(self.known);
+        }
+        told.is_due = self.is_due;
+        told
+    }
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod reborn;
 mod repeats;
 mod setup;
+mod shared_watch;
 mod signs;
 mod starts;
 mod support;
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,10 +1,13 @@
 //! Follows the configuration and the upstreams' entries in the platform.
 
+use base::prelude::*;
 use base::{PlatformOp, PlatformResult, Version};
+use direct::{Changed, Piece, WatchPart};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::shared::{call_watch, part, rest};
 use crate::state::Node;
 use crate::state::unread::Kind;
 
@@ -36,6 +39,18 @@
 
 type Object = (String, Version, Vec<u8>);
 
+/// Takes over changes, from an own watch or another entry's.
+pub(crate) fn apply(node: &Node, followed: Followed, changed: &[Changed]) {
+    let objects = changed.iter();
+    let objects = objects
+        .map(|(key, version, value)| (key.clone(), Version(*version), value.clone()));
+    let objects: Vec<Object> = objects.collect();
+    match followed {
+        Followed::Setup => setups(node, &objects),
+        Followed::Upstreams => changed_upstreams(node, &objects),
+    }
+}
+
 /// Follows one kind of object for ever: a list, then what changes.
 ///
 /// Whatever goes wrong with watching, also history that is gone, ends in a new
@@ -49,12 +64,16 @@
             continue;
         };
         let mut has_watched = false;
+        let mut began_at = node.now();
         while let Some(at) = watch(&node, followed, after, &mut lost).await {
             after = at;
             has_watched = true;
-            if matches!(followed, Followed::Upstreams) {
+            let own = part(&node, followed) != WatchPart::Teller;
+            if own && matches!(followed, Followed::Upstreams) {
                 tokio::time::sleep(WATCH_EVERY).await;
             }
+            rest(&node, followed, began_at).await;
+            began_at = node.now();
         }
         relist = if has_watched {
             PAUSE_MIN
@@ -70,6 +89,7 @@
     let result = node.store.call(&PlatformOp::List { prefix }).await;
     count(node, followed, "list", &result);
     let PlatformResult::Objects(objects, at) = result else {
+        node.shared.failed(followed);
         lost.lost(node, &result);
         return None;
     };
@@ -78,7 +98,8 @@
         Followed::Setup => setups(node, &objects),
         Followed::Upstreams => all_upstreams(node, at, &objects),
     }
-    followed.confirm(node, at);
+    node.shared.listed(node.now(), followed, at.0);
+    followed.confirm(node, at.0, node.now());
     Some(at)
 }
 
@@ -89,18 +110,26 @@
     lost: &mut Lost,
 ) -> Option<Version> {
     let prefix = followed.prefix(node);
-    let result = node.store.call(&PlatformOp::Watch { prefix, after }).await;
+    let watch = PlatformOp::Watch { prefix, after };
+    let result = call_watch(node, followed, &watch).await;
     count(node, followed, "watch", &result);
     let PlatformResult::Objects(objects, at) = result else {
+        node.shared.failed(followed);
         lost.lost(node, &result);
         return None;
     };
     lost.regained(node);
-    match followed {
-        Followed::Setup => setups(node, &objects),
-        Followed::Upstreams => changed_upstreams(node, &objects),
-    }
-    followed.confirm(node, at);
+    let objects = objects.into_iter();
+    let objects = objects.map(|(key, version, value)| (key, version.0, value));
+    let piece = Piece {
+        after: after.0,
+        at: at.0,
+        objects: objects.collect(),
+        is_short: false,
+    };
+    apply(node, followed, &piece.objects);
+    node.shared.watched(node.now(), followed, piece);
+    followed.confirm(node, at.0, node.now());
     Some(at)
 }
 
@@ -119,8 +148,8 @@
         }
     }
 
-    fn confirm(self, node: &Node, at: Version) {
-        let now = node.now();
+    /// The platform confirmed at a time that everything up to a version is known.
+    pub(crate) fn confirm(self, node: &Node, at: u64, confirmed_at: Instant) {
         let mut setup;
         let mut fleet;
         let mark = match self {
@@ -133,8 +162,8 @@
                 &mut *fleet
             }
         };
-        mark.version = mark.version.max(at.0);
-        mark.confirmed_at = Some(now);
+        mark.version = mark.version.max(at);
+        mark.confirmed_at = mark.confirmed_at.max(Some(confirmed_at));
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,6 +43,7 @@
 mod run;
 mod seek;
 mod server;
+mod shared;
 mod start;
 mod state;
 mod stream;
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::relay::{hear_ask, hear_told};
+use crate::shared;
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wants::Want;
@@ -39,6 +40,7 @@
     if news.entry == node.peers.me || !node.peers.note(node, from, &news) {
         return;
     }
+    shared::hear(node, &news);
     let now = node.now();
     let uses = news.uses.iter().map(|used| {
         let usage = Usage {
@@ -153,6 +155,8 @@
             heard_at: now,
             lost: false,
             giver_token: news.giver_token,
+            domain: news.domain.clone(),
+            watches: news.watches,
             loads: loads.collect(),
         };
         table.peers.insert(news.entry.clone(), state);
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -70,7 +70,8 @@
 
 async fn list_entries(node: &Node) -> Option<Listed> {
     let prefix = node.options.keys.entry_prefix.clone();
-    let result = node.store.call(&PlatformOp::List { prefix }).await;
+    // Entries that came a moment ago say so themselves.
+    let result = node.store.list_maybe_old(prefix).await;
     let PlatformResult::Objects(objects, _) = result else {
         return None;
     };
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use direct::{
-    Fleet, Resident, holdings_rounds, suspects_told, tell_at_once_every_ms,
+    Fleet, Resident, WatchPart, holdings_rounds, suspects_told, tell_at_once_every_ms,
     tell_every_ms,
 };
 use prost::Message;
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
+use crate::follow::Followed;
+use crate::shared::{part, to_tell};
 use crate::state::Node;
 use crate::state::peers::{AWAY_MS, Peers};
 
@@ -51,19 +53,41 @@
             () = node.peers.wake.notified() => {
                 tell_once(&node, &socket, Occasion::News).await;
             }
+            () = node.shared.seen.notified() => tell_watched(&node, &socket).await,
         }
         let every_ms = tell_at_once_every_ms(node.peers.count());
         tokio::time::sleep(Duration::from_millis(every_ms)).await;
     }
 }
 
+/// Passes on what this entry's watches saw to its failure domain, if it is the one
+/// that does.
+async fn tell_watched(node: &Node, socket: &UdpSocket) {
+    if part(node, Followed::Setup) == WatchPart::Teller
+        || part(node, Followed::Upstreams) == WatchPart::Teller
+    {
+        let to = node.peers.neighbours(node.now(), &node.options.domain);
+        tell_each(node, socket, to, Occasion::Watched).await;
+    }
+}
+
 async fn tell_once(node: &Node, socket: &UdpSocket, occasion: Occasion) {
-    let now = node.now();
-    let giver = node.peers.giver(now);
-    let addresses = node.peers.now_told(now).into_iter();
-    let others = addresses.filter(|address| Some(*address) != giver);
-    tell_to(node, socket, others, To::Entry, occasion).await;
-    tell_to(node, socket, giver.into_iter(), To::Giver, occasion).await;
+    let to = node.peers.now_told(node.now());
+    tell_each(node, socket, to, occasion).await;
+}
+
+/// Tells peers, and the giver of orders among them what only it needs.
+async fn tell_each(
+    node: &Node,
+    socket: &UdpSocket,
+    to: Vec<SocketAddr>,
+    occasion: Occasion,
+) {
+    let giver = node.peers.giver(node.now());
+    let (givers, others): (Vec<_>, Vec<_>) =
+        to.into_iter().partition(|address| Some(*address) == giver);
+    tell_to(node, socket, others.into_iter(), To::Entry, occasion).await;
+    tell_to(node, socket, givers.into_iter(), To::Giver, occasion).await;
 }
 
 /// Whom a message is for. What only the giver of orders needs is most of a
@@ -80,6 +104,7 @@
 enum Occasion {
     Turn,
     News,
+    Watched,
 }
 
 async fn tell_to(
@@ -139,6 +164,10 @@
     let leaving = leaving(&fleet, now);
     drop(fleet);
     let peers = node.peers.count();
+    let watched = |followed| {
+        let is_due = occasion == Occasion::Watched;
+        is_due.then(|| to_tell(node, followed)).flatten()
+    };
     let (demands, wants) = match to {
         To::Giver => (demands(node, now), wants(node, now)),
         To::Entry => (Vec::new(), Vec::new()),
@@ -160,6 +189,10 @@
             .export_part(now, round, suspects_told(peers)),
         lease_ask: node.relay.asking(now),
         lease_told: node.relay.telling(now),
+        domain: node.options.domain.clone(),
+        watches: node.shared.works() && !node.stop.is_stopping(),
+        setup: watched(Followed::Setup),
+        upstreams: watched(Followed::Upstreams),
     }
 }
 
--- /dev/null
+++ b/crates/front/src/shared.rs
@@ -0,0 +1,190 @@
+//! The watch of the platform that entries of a failure domain share.
+
+use base::prelude::*;
+use base::{PlatformOp, PlatformResult};
+use direct::{Piece, SharedWatch, WatchPart};
+use parking_lot::Mutex;
+use schema::peer::{PeerNews, Watched, WatchedObject, WatchedPiece};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::follow::{Followed, apply};
+use crate::state::Node;
+
+/// Longest time that the platform lets a teller's watch wait. Each answer shows the
+/// entries that are told that the platform was heard, and they watch themselves after
+/// 1.3 s without.
+const TELLER_WAIT: Duration = Duration::from_millis(400);
+
+/// Time between the beginnings of two watches of a teller. Each is a call, and what
+/// changes meanwhile comes with the next one.
+const TELLER_EVERY: Duration = Duration::from_millis(800);
+
+/// Longest time between two looks at whether an own watch is due.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// The shared watch of each kind of objects.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    setup: Mutex<SharedWatch>,
+    upstreams: Mutex<SharedWatch>,
+    /// Told when there is something to pass on.
+    pub(crate) seen: Notify,
+    /// Told when an own watch is due.
+    due: Notify,
+}
+
+impl Shared {
+    fn of(&self, followed: Followed) -> &Mutex<SharedWatch> {
+        match followed {
+            Followed::Setup => &self.setup,
+            Followed::Upstreams => &self.upstreams,
+        }
+    }
+
+    /// An own list was answered.
+    pub(crate) fn listed(&self, now: Instant, followed: Followed, at: u64) {
+        self.of(followed).lock().confirmed(now, at);
+    }
+
+    /// An own call was not answered.
+    pub(crate) fn failed(&self, followed: Followed) {
+        self.of(followed).lock().failed();
+    }
+
+    /// An own watch was answered: others are told of it where they rely on it.
+    pub(crate) fn watched(&self, now: Instant, followed: Followed, piece: Piece) {
+        let mut shared = self.of(followed).lock();
+        shared.confirmed(now, piece.at);
+        shared.saw(piece);
+        drop(shared);
+        self.seen.notify_one();
+    }
+
+    /// Whether others may rely on this entry's watches.
+    pub(crate) fn works(&self) -> bool {
+        self.setup.lock().works() && self.upstreams.lock().works()
+    }
+}
+
+/// What this entry does for the watch of its failure domain.
+pub(crate) fn part(node: &Node, followed: Followed) -> WatchPart {
+    if node.stop.is_stopping() {
+        return WatchPart::Alone;
+    }
+    let others = node.peers.watchers(node.now(), &node.options.domain);
+    let shared = node.shared.of(followed).lock();
+    shared.part(&node.options.entry, &others)
+}
+
+/// Calls for a watch, which a teller has answered soon in any case.
+pub(crate) async fn call_watch(
+    node: &Node,
+    followed: Followed,
+    op: &PlatformOp,
+) -> PlatformResult {
+    match op {
+        PlatformOp::Watch { prefix, after }
+            if part(node, followed) == WatchPart::Teller =>
+        {
+            let watch = node.store.watch_within(prefix.clone(), *after, TELLER_WAIT);
+            watch.await
+        }
+        _ => node.store.call(op).await,
+    }
+}
+
+/// Waits until the next own watch is due, where the last one began at a time.
+pub(crate) async fn rest(node: &Node, followed: Followed, began_at: Instant) {
+    if part(node, followed) == WatchPart::Teller {
+        let since_ms = node.now().ms_since(began_at);
+        let spent = Duration::from_millis(since_ms);
+        sleep(TELLER_EVERY.saturating_sub(spent)).await;
+    }
+    loop {
+        let due = node.shared.due.notified();
+        let told = part(node, followed) == WatchPart::Told;
+        if !told || !node.shared.of(followed).lock().rests(node.now()) {
+            return;
+        }
+        // Told or not: the next look decides.
+        let _ = timeout(LOOK_EVERY, due).await;
+    }
+}
+
+/// Another entry passes on what its watches saw.
+pub(crate) fn hear(node: &Node, news: &PeerNews) {
+    if news.domain != node.options.domain {
+        return;
+    }
+    let kinds = [
+        (Followed::Setup, &news.setup),
+        (Followed::Upstreams, &news.upstreams),
+    ];
+    for (followed, watched) in kinds {
+        if let Some(watched) = watched {
+            hear_watched(node, followed, watched);
+        }
+    }
+}
+
+fn hear_watched(node: &Node, followed: Followed, watched: &Watched) {
+    let now = node.now();
+    let confirmed_at = now - Duration::from_millis(watched.age_ms);
+    let pieces = watched.pieces.iter().map(piece).collect();
+    let mut shared = node.shared.of(followed).lock();
+    let told = shared.told(confirmed_at, pieces);
+    drop(shared);
+    for piece in &told.new {
+        apply(node, followed, &piece.objects);
+    }
+    if let Some(at) = told.known {
+        followed.confirm(node, at, confirmed_at);
+    }
+    if told.is_due {
+        node.shared.due.notify_waiters();
+    }
+}
+
+/// What this entry's watches saw, if it is the one that tells.
+pub(crate) fn to_tell(node: &Node, followed: Followed) -> Option<Watched> {
+    if part(node, followed) != WatchPart::Teller {
+        return None;
+    }
+    let shared = node.shared.of(followed).lock();
+    let pieces: Vec<WatchedPiece> =
+        shared.passed_on().into_iter().map(passed).collect();
+    let confirmed_at = shared.confirmed_at()?;
+    Some(Watched {
+        age_ms: node.now().ms_since(confirmed_at),
+        pieces,
+    })
+}
+
+fn piece(told: &WatchedPiece) -> Piece {
+    let objects = told.objects.iter();
+    let objects = objects
+        .map(|object| (object.key.clone(), object.version, object.value.clone()));
+    Piece {
+        after: told.after,
+        at: told.at,
+        objects: objects.collect(),
+        is_short: told.is_short,
+    }
+}
+
+fn passed(piece: Piece) -> WatchedPiece {
+    let objects = piece.objects.into_iter();
+    let objects = objects.map(|(key, version, value)| WatchedObject {
+        key,
+        version,
+        value,
+    });
+    WatchedPiece {
+        after: piece.after,
+        at: piece.at,
+        objects: objects.collect(),
+        is_short: piece.is_short,
+    }
+}
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -26,6 +26,7 @@
 use super::stop::Stop;
 use super::unread::{Kind, Unread, start_of};
 use super::wants::Wants;
+use crate::shared::Shared;
 use crate::{BootClock, Dialect, Log, Options};
 
 /// Time for which a verdict on a request that crashes upstreams stands.
@@ -65,6 +66,8 @@
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) wants: Wants,
     pub(crate) peers: Peers,
+    /// What entries of this failure domain share of their watches.
+    pub(crate) shared: Shared,
     pub(crate) lease: Mutex<Lease>,
     pub(crate) relay: Relay,
     pub(crate) giver: Giver,
@@ -119,6 +122,7 @@
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
             peers: Peers::new(&options),
+            shared: Shared::default(),
             lease: Mutex::new(lease),
             relay: Relay::default(),
             giver: Giver::new(bounds.store_load_window_ms),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -50,6 +50,9 @@
     /// Whether its silence was told of.
     pub(crate) lost: bool,
     pub(crate) giver_token: u64,
+    pub(crate) domain: String,
+    /// Whether its own watch of the platform works.
+    pub(crate) watches: bool,
     pub(crate) loads: Vec<(Arc<str>, Arc<str>, Load)>,
 }
 
@@ -101,6 +104,27 @@
         names
     }
 
+    /// Names of the entries of a failure domain that were heard lately and whose own
+    /// watch of the platform works.
+    pub(crate) fn watchers(&self, now: Instant, domain: &str) -> Vec<String> {
+        let table = self.table.lock();
+        let heard = table.peers.iter().filter(|(_, peer)| {
+            now.ms_since(peer.heard_at) < DEMAND_MS
+                && peer.watches
+                && peer.domain == domain
+        });
+        heard.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Addresses of the entries of a failure domain that were heard lately.
+    pub(crate) fn neighbours(&self, now: Instant, domain: &str) -> Vec<SocketAddr> {
+        let table = self.table.lock();
+        let heard = table.peers.values().filter(|peer| {
+            now.ms_since(peer.heard_at) < DEMAND_MS && peer.domain == domain
+        });
+        heard.map(|peer| peer.address).collect()
+    }
+
     /// Adds what other entries demand of a service's models.
     pub(crate) fn add_loads(
         &self,
--- a/crates/plat/src/object_api.rs
+++ b/crates/plat/src/object_api.rs
@@ -1,8 +1,10 @@
 //! The border towards the platform.
 
-use base::{PlatformOp, PlatformResult};
+use base::{PlatformOp, PlatformResult, Version};
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use std::fmt::Debug;
+use std::time::Duration;
 
 /// Something that carries out calls to the platform's objects.
 pub trait ObjectApi: Debug + Send + Sync {
@@ -14,4 +16,20 @@
     /// with the version of the answer and an empty value, so no object of the
     /// system may have an empty value.
     fn call<'a>(&'a self, op: &'a PlatformOp) -> BoxFuture<'a, PlatformResult>;
+
+    /// A list that may be seconds old, where the platform gives such ones for less.
+    fn list_maybe_old(&self, prefix: String) -> BoxFuture<'_, PlatformResult> {
+        async move { self.call(&PlatformOp::List { prefix }).await }.boxed()
+    }
+
+    /// A watch that the platform answers after `wait` at the latest, also where nothing
+    /// has changed. Without an own way to bound it, it lasts as long as any watch.
+    fn watch_within(
+        &self,
+        prefix: String,
+        after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'_, PlatformResult> {
+        async move { self.call(&PlatformOp::Watch { prefix, after }).await }.boxed()
+    }
 }
