--- a/crates/direct/tests/all/cadence.rs
+++ b/crates/direct/tests/all/cadence.rs
@@ -54,7 +54,7 @@
     let at_once = 4.0 * HOLDING_BYTES + OTHER_BYTES;
     let at_once = per_s(tell_at_once_every_ms(peers)) * at_once;
     let link = (in_turn + at_once) / LINK_BYTES_PER_S;
-    assert!(link < 0.5, "{link}");
+    assert!(link < 0.4, "{link}");
 }
 
 #[test]
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -133,6 +133,13 @@
         fleet.giver_heard(at(ms), 4);
     }
     assert!(holds(&fleet, 7_500, "a") && !holds(&fleet, 7_500, "b"));
+    // Nor does an earlier giver that goes on talking keep a later one's word alive.
+    fleet.said(at(7_500), start("1"), vec![resident("c", &[])], Vec::new());
+    for ms in (7_600..9_400).step_by(300) {
+        fleet.giver_heard(at(ms), 4);
+    }
+    assert!(holds(&fleet, 9_400, "a") && !holds(&fleet, 9_400, "c"));
+    fleet.giver_heard(at(7_500), 5);
     fleet.said(at(7_500), start("1"), vec![resident("c", &[])], Vec::new());
     fleet.giver_heard(at(9_000), 5);
     assert!(holds(&fleet, 10_400, "c"));
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -266,32 +266,75 @@
     assert_eq!(moves.allowance(at(13_000), &engine), whole);
 }
 
-/// Loads of upstreams by their definition: each copy of a model takes its part.
-fn loads_of(spots: &[Spot], loads: &BTreeMap<Arc<str>, Load>) -> Vec<f64> {
-    let copies = |model: &Arc<str>| {
-        let groups = spots.iter().flat_map(|spot| &spot.groups);
-        groups.filter(|group| group.model == *model).count()
-    };
-    let part = |group: &Group| {
-        let load = loads.get(&group.model);
-        let ms = load.map_or(0.0, Load::expected_ms_per_s);
-        ms / 1_000.0 / copies(&group.model) as f64
+/// What an unload costs for each part of an upstream's time that the model took there,
+/// and the loss of a last copy, as the plan has them.
+const UNLOAD_COST: f64 = 1.0;
+const LAST_COPY_LOSS: f64 = 0.5;
+
+/// Fall of the sum of the squares of all upstreams' loads by a move, by definition:
+/// each copy takes its part of what is expected of its model, and what a displaced copy
+/// is kept for goes to the others.
+fn fall_by_definition(
+    spots: &[Spot],
+    loads: &BTreeMap<Arc<str>, Load>,
+    choice: &Choice,
+) -> f64 {
+    let holders = |model: &Arc<str>| -> Vec<usize> {
+        let holds = |spot: &Spot| spot.groups.iter().any(|group| group.model == *model);
+        (0..spots.len())
+            .filter(|index| holds(&spots[*index]))
+            .collect()
     };
-    let spot = |spot: &Spot| spot.groups.iter().map(part).sum();
-    spots.iter().map(spot).collect()
+    let part = |work_ms: f64, copies: usize| work_ms / 1_000.0 / copies.max(1) as f64;
+    let expected =
+        |model: &Arc<str>| loads.get(model).map_or(0.0, Load::expected_ms_per_s);
+    let kept = |model: &Arc<str>| loads.get(model).map_or(0.0, Load::kept_ms_per_s);
+    let mut before = vec![0.0; spots.len()];
+    for (index, spot) in spots.iter().enumerate() {
+        for group in &spot.groups {
+            let copies = holders(&group.model).len();
+            before[index] += part(expected(&group.model), copies);
+        }
+    }
+    let to = spots
+        .iter()
+        .position(|spot| spot.upstream == choice.upstream);
+    let to = to.expect("it is one of them");
+    let mut after = before.clone();
+    let of = holders(&choice.load);
+    let more = part(expected(&choice.load), of.len() + 1);
+    for holder in &of {
+        after[*holder] += more - part(expected(&choice.load), of.len());
+    }
+    after[to] += more;
+    let mut cost = 0.0;
+    if let Some(victim) = &choice.unload {
+        let of = holders(victim);
+        let share = part(kept(victim), of.len());
+        for holder in &of {
+            after[*holder] += part(kept(victim), of.len() - 1) - share;
+        }
+        after[to] -= part(kept(victim), of.len() - 1);
+        cost = share * UNLOAD_COST;
+        if of.len() == 1 {
+            cost += LAST_COPY_LOSS;
+        }
+    }
+    let squares = |loads: &[f64]| loads.iter().map(|load| load * load).sum::<f64>();
+    squares(&before) - squares(&after) - cost
 }
 
 /// What a move relieves is taken from sums that are kept, and has to be the fall of
 /// the sum of the squares of all loads, whoever else holds the two models.
 #[test]
 fn the_relief_of_a_move_is_the_fall_of_the_squares_of_all_loads() {
-    let moved = std::cell::Cell::new(0);
-    cases(200, |random| {
+    let moved = std::cell::Cell::new([0, 0]);
+    cases(400, |random| {
         let mut spots = Vec::new();
         for index in 0..4 {
             let held = [0, 2, 4].map(|at| at + random.int_in_range(0..=1).unwrap_or(0));
             let held = held.map(|model| MODELS[model]);
-            let free = random.int_in_range(0..=3)? == 0;
+            let free = random.int_in_range(0..=5)? == 0;
             let held = if free { &held[..2] } else { &held[..] };
             spots.push(spot(&index.to_string(), held));
         }
@@ -302,36 +345,17 @@
             loads.insert(name(model), load(random.int_in_range(400..=9_000)? as f64));
         }
         let choices = plan(&spots, &loads);
-        let Some(first) = choices.first().filter(|first| first.reason == Reason::Busy)
-        else {
+        let first = choices.first();
+        let Some(first) = first.filter(|first| first.reason == Reason::Busy) else {
             return Ok(());
         };
-        let squares =
-            |loads: Vec<f64>| loads.iter().map(|load| load * load).sum::<f64>();
-        let before = squares(loads_of(&spots, &loads));
-        let to = spots
-            .iter_mut()
-            .find(|spot| spot.upstream == first.upstream);
-        let groups = &mut to.expect("it is one of them").groups;
-        groups.retain(|group| Some(&group.model) != first.unload.as_ref());
-        groups.push(Group {
-            model: Arc::clone(&first.load),
-            size_mb: 70.0,
-            unloading: false,
-            since: Instant::ZERO,
-        });
-        // What a copy is kept for may be more than what is expected of its model,
-        // so only moves into free room are the same by both.
-        if first.unload.is_none() {
-            let fall = before - squares(loads_of(&spots, &loads));
-            assert!(
-                (fall - first.relief).abs() < 1e-6,
-                "{fall}, {}",
-                first.relief
-            );
-            moved.set(moved.get() + 1);
-        }
+        let fall = fall_by_definition(&spots, &loads, first);
+        assert!((fall - first.relief).abs() < 1e-6, "{fall}, {first:?}");
+        let mut counts = moved.get();
+        counts[usize::from(first.unload.is_some())] += 1;
+        moved.set(counts);
         Ok(())
     });
-    assert!(moved.get() > 50, "{} moves were compared", moved.get());
+    let [into_room, in_place] = moved.get();
+    assert!(into_room > 30 && in_place > 30, "{into_room}, {in_place}");
 }
--- a/crates/direct/tests/all/pick.rs
+++ b/crates/direct/tests/all/pick.rs
@@ -141,3 +141,18 @@
     assert!(paces.of("s", "a") <= 1.5);
     assert!((paces.of("t", "b") - 1.0).abs() < f64::EPSILON);
 }
+
+/// One of many entries has seen no answer of a model yet. Other models of its service
+/// have shown that engines read twice as fast as expected, so its first long prompt is
+/// not expected to take twice its time and refused.
+#[test]
+fn a_model_that_is_not_known_starts_from_the_pace_of_its_service() {
+    let mut paces = direct::Paces::new();
+    let service = name("s");
+    for (model, took_ms) in [("a", 65.0), ("b", 75.0), ("c", 65.0), ("a", 65.0)] {
+        paces.observe(&service, &name(model), 100.0, took_ms);
+    }
+    let pace = paces.of("s", "d");
+    assert!((0.5..0.75).contains(&pace), "{pace}");
+    assert!((paces.of("t", "d") - 1.0).abs() < f64::EPSILON);
+}
