Shared watch and liveness: field's names, two gaps closed

Cause, found by reading: (1) an entry whose requests all wait at an upstream told that it had heard from it when it had only just sent; to a dead upstream, each new request of others would have had an entry wait longer for it. Now a word counts only where a request has begun. (2) What was watched before a new list was passed on as fresh as the list; an upstream that left in between would have counted as there until the next watch. Now a list ends what is passed on.

Change beside that: teller, told, piece, signs become leader, follower, batch, liveness; modules are named as what they hold.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What this entry knows of the upstreams.
 
-mod signs;
+mod liveness;
 mod starts;
 mod turned_away;
 mod upstream;
@@ -13,7 +13,7 @@
 use crate::{Resident, Setup, Start, UpstreamNews};
 use upstream::{SAID_MAX_MS, SAID_MS, Said};
 
-pub use signs::Signs;
+pub use liveness::Activity;
 pub use upstream::{Upstream, Usage};
 
 /// Time after the platform's return in which a missing entry may only have
@@ -233,19 +233,19 @@
 
     /// What another entry hears of upstreams; where it names none, it has no
     /// request.
-    pub fn peer_signs<'a>(
+    pub fn peer_activity<'a>(
         &mut self,
         now: Instant,
         peer: &str,
-        heard: impl Iterator<Item = (Start<'a>, Signs)>,
+        heard: impl Iterator<Item = (Start<'a>, Activity)>,
     ) {
-        let heard: Vec<(Start<'a>, Signs)> = heard.collect();
+        let heard: Vec<(Start<'a>, Activity)> = heard.collect();
         for upstream in self.upstreams.values_mut() {
             let start = upstream.news.start();
-            let signs = heard.iter().find(|(of, _)| *of == start);
+            let activity = heard.iter().find(|(of, _)| *of == start);
             upstream
-                .life
-                .word(now, peer, signs.map(|(_, signs)| *signs));
+                .liveness
+                .word(now, peer, activity.map(|(_, activity)| *activity));
         }
     }
 
--- a/crates/direct/src/fleet/signs.rs
+++ b/crates/direct/src/fleet/liveness.rs
@@ -30,11 +30,11 @@
 
 /// What one entry hears of an upstream at which it has requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Signs {
+pub struct Activity {
     /// Requests that have their first answer.
     pub begun: u32,
-    /// Time since the last bytes from the upstream, or since the first of the
-    /// requests was sent.
+    /// Time since the last bytes from the upstream; where no request has begun, since
+    /// the first of them was sent.
     pub silent_ms: u64,
 }
 
@@ -42,24 +42,24 @@
 #[derive(Debug, Clone, Copy)]
 struct Word {
     at: Instant,
-    signs: Signs,
+    activity: Activity,
 }
 
 impl Word {
     fn heard_at(&self) -> Instant {
-        self.at - Duration::from_millis(self.signs.silent_ms)
+        self.at - Duration::from_millis(self.activity.silent_ms)
     }
 }
 
 /// What this entry and others hear of one upstream.
 #[derive(Debug, Default)]
-pub(super) struct Life {
+pub(super) struct Liveness {
     begun: u32,
     heard_at: Instant,
     words: HashMap<String, Word>,
 }
 
-impl Life {
+impl Liveness {
     /// The first of this entry's requests was sent, or bytes came.
     pub(super) const fn heard(&mut self, now: Instant) {
         self.heard_at = now;
@@ -73,19 +73,24 @@
         self.begun = self.begun.saturating_sub(requests);
     }
 
-    pub(super) fn signs(&self, now: Instant) -> Signs {
-        Signs {
+    pub(super) fn activity(&self, now: Instant) -> Activity {
+        Activity {
             begun: self.begun,
             silent_ms: now.ms_since(self.heard_at),
         }
     }
 
     /// Another entry's word; `None` where it has no request there any more.
-    pub(super) fn word(&mut self, now: Instant, entry: &str, signs: Option<Signs>) {
-        match (self.words.get_mut(entry), signs) {
-            (Some(word), Some(signs)) => *word = Word { at: now, signs },
-            (None, Some(signs)) => {
-                let word = Word { at: now, signs };
+    pub(super) fn word(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        activity: Option<Activity>,
+    ) {
+        match (self.words.get_mut(entry), activity) {
+            (Some(word), Some(activity)) => *word = Word { at: now, activity },
+            (None, Some(activity)) => {
+                let word = Word { at: now, activity };
                 self.words.insert(entry.to_owned(), word);
             }
             (Some(_), None) => {
@@ -102,13 +107,16 @@
     }
 
     fn sign_due_ms(&self, now: Instant, reading_ms: u64) -> u64 {
-        let words = self.words.values();
-        let words = words.filter(|word| now.ms_since(word.at) < WORD_MS);
+        // An entry whose requests all wait has heard nothing. Taken for a sign, each new
+        // request to a dead upstream would have all others wait for it longer.
+        let words = self
+            .words
+            .values()
+            .filter(|word| now.ms_since(word.at) < WORD_MS && word.activity.begun > 0);
         let last = words.clone().map(Word::heard_at).max();
         // A stream pauses for nobody's prompt.
         let stream_is_silent = words.clone().any(|word| {
-            word.signs.begun > 0
-                && word.signs.silent_ms > SILENT_MS
+            word.activity.silent_ms > SILENT_MS
                 && last.is_none_or(|last| word.at.ms_since(last) > SILENT_MS)
         });
         if self.begun > 0 || stream_is_silent {
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::signs::{Life, Signs};
+use super::liveness::{Activity, Liveness};
 use super::turned_away::TurnedAway;
 use crate::{Doubt, ReadingQueue, Resident, UpstreamNews};
 
@@ -91,7 +91,7 @@
     /// Models that it turns requests away from.
     pub(super) turned_away: TurnedAway,
     /// What entries hear of it.
-    pub(super) life: Life,
+    pub(super) liveness: Liveness,
     /// When it was last usable or in use, as far as it was looked at.
     pub(super) idle_since: Instant,
     pub(super) unreached_until: Instant,
@@ -125,7 +125,7 @@
             parts: HashMap::new(),
             denied: Vec::new(),
             turned_away: TurnedAway::default(),
-            life: Life::default(),
+            liveness: Liveness::default(),
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
             failed_share: 0.0,
@@ -171,12 +171,12 @@
             return false;
         }
         let reading_ms = self.usage(now).reading.reading_ms();
-        self.life.is_silent(now, reading_ms as u64)
+        self.liveness.is_silent(now, reading_ms as u64)
     }
 
     /// What this entry hears of it.
-    pub fn signs(&self, now: Instant) -> Signs {
-        self.life.signs(now)
+    pub fn activity(&self, now: Instant) -> Activity {
+        self.liveness.activity(now)
     }
 
     /// Use by all entries.
@@ -243,27 +243,27 @@
     /// A request was sent.
     pub fn sent(&mut self, now: Instant, usage: &Usage) {
         if self.own.running == 0 {
-            self.life.heard(now);
+            self.liveness.heard(now);
         }
         self.own.add(usage);
     }
 
     /// Some bytes came from it.
     pub const fn heard(&mut self, now: Instant) {
-        self.life.heard(now);
+        self.liveness.heard(now);
     }
 
     /// A request has its first answer.
     pub fn begun(&mut self, reading: &ReadingQueue) {
         self.own.reading.remove(reading);
-        self.life.begun();
+        self.liveness.begun();
     }
 
     /// A request ended.
     pub const fn ended(&mut self, running: u32, kept_tokens: u64) {
         self.own.running = self.own.running.saturating_sub(running);
         self.own.kept_tokens = self.own.kept_tokens.saturating_sub(kept_tokens);
-        self.life.ended(running);
+        self.liveness.ended(running);
     }
 
     /// Counts an answer, whether it was good.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -61,7 +61,7 @@
 };
 pub use demand::{Demand, Load};
 pub use doubts::{Doubt, Doubts, Turn};
-pub use fleet::{Fleet, Signs, Upstream, Usage};
+pub use fleet::{Activity, Fleet, Upstream, Usage};
 pub use late::LateOrders;
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::Ledger;
@@ -75,5 +75,5 @@
 pub use setup::{
     Engine, Limits, ModelSpec, Route, RouteKind, ServiceSpec, Setup, Target,
 };
-pub use shared_watch::{Changed, Piece, SharedWatch, Told, WatchPart};
+pub use shared_watch::{Batch, Changed, Received, SharedWatch, WatchRole};
 pub use watermark::Watermark;
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -7,7 +7,7 @@
 //! domain watches and passes on what it saw.
 //!
 //! Nothing rests on the passing on. Each entry watches itself again as soon as what it
-//! was told is too old, whatever the reason: the teller has ended, hangs, is cut off
+//! was told is too old, whatever the reason: the leader has ended, hangs, is cut off
 //! from the platform or from the entry. And each watches itself now and then all the
 //! same, from where its own last watch ended, so that news that were forged, or that
 //! lack something, do not last.
@@ -19,17 +19,17 @@
 /// that is told saves less than passing on to it costs.
 const SHARE_FROM: usize = 3;
 
-/// Age of the platform's last word to the teller after which an entry watches itself.
-/// A teller's word is at most 0.9 s old; an upstream that leaves has to be known as
+/// Age of the platform's last word to the leader after which an entry watches itself.
+/// A leader's word is at most 0.9 s old; an upstream that leaves has to be known as
 /// such within two seconds.
-const TOLD_MAX_MS: u64 = 1_300;
+const RECEIVED_MAX_MS: u64 = 1_300;
 
 /// Time between two watches of an entry that is told all the while: for so long a
 /// forged word can keep true news from it. Shorter than the platform's history, in
 /// which the watch begins.
 const OWN_EVERY_MS: u64 = 15_000;
 
-/// Pieces that are passed on again with the newest one, since a message may be lost.
+/// Batches that are passed on again with the newest one, since a message may be lost.
 const AGAIN_MAX: usize = 2;
 
 /// Largest size of what one message passes on. That there is more is told, and what it
@@ -39,13 +39,13 @@
 
 /// What an entry does for the watch of its failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WatchPart {
+pub enum WatchRole {
     /// It watches for itself.
-    Alone,
+    Independent,
     /// It watches and passes on what it sees.
-    Teller,
+    Leader,
     /// It is told, and watches itself where that fails.
-    Told,
+    Follower,
 }
 
 /// An object that changed, as the platform gives it: key, version and value, which is
@@ -54,7 +54,7 @@
 
 /// What one watch saw: all changes after a version, up to another one.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Piece {
+pub struct Batch {
     /// Version after which these are all changes.
     pub after: u64,
     /// Version up to which they are.
@@ -66,18 +66,18 @@
     pub is_short: bool,
 }
 
-impl Piece {
+impl Batch {
     fn bytes(&self) -> usize {
         let objects = self.objects.iter();
         objects.map(|(key, _, value)| key.len() + value.len()).sum()
     }
 }
 
-/// What came of a teller's word.
+/// What came of a leader's word.
 #[derive(Debug, Default, PartialEq, Eq)]
-pub struct Told {
-    /// Pieces that are new, in order.
-    pub new: Vec<Piece>,
+pub struct Received {
+    /// Batches that are new, in order.
+    pub new: Vec<Batch>,
     /// Version up to which changes are now known, if the word followed on what was.
     pub known: Option<u64>,
     /// Whether an own watch has to bring what was left out.
@@ -89,14 +89,14 @@
 pub struct SharedWatch {
     /// Version up to which all changes are known, by an own watch or another's.
     known: u64,
-    /// When the platform last confirmed that to a teller.
-    told_at: Option<Instant>,
+    /// When the platform last confirmed that to a leader.
+    received_at: Option<Instant>,
     /// When an own call was last answered, and whether the last one was.
     own_at: Option<Instant>,
     works: bool,
     /// Whether something changed that was not told.
     is_due: bool,
-    seen: VecDeque<Piece>,
+    recorded: VecDeque<Batch>,
 }
 
 impl SharedWatch {
@@ -105,8 +105,25 @@
         Self::default()
     }
 
-    /// An own list or watch was answered: everything up to a version is known.
-    pub fn confirmed(&mut self, now: Instant, at: u64) {
+    /// An own list was answered: everything up to a version is known.
+    ///
+    /// What was watched before it is passed on no more: it would be taken for all that
+    /// there is up to now, and what changed before the list be missing.
+    pub fn listed(&mut self, now: Instant, at: u64) {
+        self.recorded.clear();
+        self.confirmed(now, at);
+    }
+
+    /// An own watch was answered: what it saw is known, and kept to be passed on.
+    pub fn watched(&mut self, now: Instant, batch: Batch) {
+        self.confirmed(now, batch.at);
+        self.recorded.push_back(batch);
+        while self.recorded.len() > AGAIN_MAX {
+            self.recorded.pop_front();
+        }
+    }
+
+    fn confirmed(&mut self, now: Instant, at: u64) {
         self.known = self.known.max(at);
         self.own_at = Some(now);
         self.works = true;
@@ -129,80 +146,72 @@
     }
 
     /// What this entry does, where it hears these others of its failure domain whose
-    /// own watch works: the first by name is the teller.
-    pub fn part(&self, me: &str, others: &[impl AsRef<str>]) -> WatchPart {
+    /// own watch works: the first by name is the leader.
+    pub fn role(&self, me: &str, others: &[impl AsRef<str>]) -> WatchRole {
         if others.len() + 1 < SHARE_FROM {
-            WatchPart::Alone
+            WatchRole::Independent
         } else if others.iter().any(|other| other.as_ref() < me) {
-            WatchPart::Told
+            WatchRole::Follower
         } else if self.works {
-            WatchPart::Teller
+            WatchRole::Leader
         } else {
-            WatchPart::Alone
+            WatchRole::Independent
         }
     }
 
     /// Whether an own watch would bring nothing now.
-    pub fn rests(&self, now: Instant) -> bool {
+    pub fn may_skip(&self, now: Instant) -> bool {
         let is_young = |at: Option<Instant>, age_max_ms| {
             at.is_some_and(|at| now.ms_since(at) < age_max_ms)
         };
-        let is_told = is_young(self.told_at, TOLD_MAX_MS);
-        is_told && is_young(self.own_at, OWN_EVERY_MS) && !self.is_due
-    }
-
-    /// Keeps what an own watch saw, to be passed on.
-    pub fn saw(&mut self, piece: Piece) {
-        self.seen.push_back(piece);
-        while self.seen.len() > AGAIN_MAX {
-            self.seen.pop_front();
-        }
+        let is_fresh = is_young(self.received_at, RECEIVED_MAX_MS);
+        is_fresh && is_young(self.own_at, OWN_EVERY_MS) && !self.is_due
     }
 
-    /// What is passed on now: the newest pieces, with what of their changes fits.
-    pub fn passed_on(&self) -> Vec<Piece> {
+    /// What is passed on now: the newest batches, with what of their changes fits.
+    pub fn outgoing(&self) -> Vec<Batch> {
         let mut bytes = 0;
-        let newest = self.seen.iter().rev().map(|piece| {
-            bytes += piece.bytes();
+        let newest = self.recorded.iter().rev().map(|batch| {
+            bytes += batch.bytes();
             if bytes <= MESSAGE_MAX_BYTES {
-                return piece.clone();
+                return batch.clone();
             }
-            Piece {
+            Batch {
                 objects: Vec::new(),
                 is_short: true,
-                ..*piece
+                ..*batch
             }
         });
-        let mut pieces: Vec<Piece> = newest.collect();
-        pieces.reverse();
-        pieces
+        let mut batches: Vec<Batch> = newest.collect();
+        batches.reverse();
+        batches
     }
 
-    /// A teller passes on what it saw, confirmed to it at a time; what of it is new
+    /// A leader passes on what it saw, confirmed to it at a time; what of it is new
     /// here.
     ///
-    /// Pieces that do not follow on what is known are left: something between was
+    /// Batches that do not follow on what is known are left: something between was
     /// lost, and the own watch that is due soon brings it.
-    pub fn told(&mut self, confirmed_at: Instant, pieces: Vec<Piece>) -> Told {
-        let mut told = Told::default();
+    pub fn receive(&mut self, confirmed_at: Instant, batches: Vec<Batch>) -> Received {
+        let mut received = Received::default();
         let mut follows = false;
-        for piece in pieces {
-            follows = piece.after <= self.known;
-            if !follows || piece.at <= self.known {
+        for batch in batches {
+            follows = batch.after <= self.known;
+            if !follows || batch.at <= self.known {
                 continue;
             }
-            if piece.is_short {
+            if batch.is_short {
                 self.is_due = true;
                 break;
             }
-            self.known = piece.at;
-            told.new.push(piece);
+            self.known = batch.at;
+            received.new.push(batch);
         }
         if follows {
-            self.told_at = self.told_at.max(Some(confirmed_at));
-            told.known = Some(self.known);
+            self.received_at = self.received_at.max(Some(confirmed_at));
+            received.known = Some(self.known);
         }
-        told.is_due = self.is_due;
-        told
+        received.is_due = self.is_due;
+        received
     }
 }
--- a/crates/direct/tests/all/signs.rs
+++ b/crates/direct/tests/all/liveness.rs
@@ -1,7 +1,7 @@
 //! Which upstreams are held silent: dead ones soon, full ones not.
 
 use crate::support::{at, name, news, start};
-use direct::{Fleet, ReadingQueue, Signs, Usage};
+use direct::{Activity, Fleet, ReadingQueue, Usage};
 
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new();
@@ -19,8 +19,8 @@
 }
 
 fn tells(fleet: &mut Fleet, ms: u64, peer: &str, begun: u32, silent_ms: u64) {
-    let signs = Signs { begun, silent_ms };
-    fleet.peer_signs(at(ms), peer, [(start("1"), signs)].into_iter());
+    let activity = Activity { begun, silent_ms };
+    fleet.peer_activity(at(ms), peer, [(start("1"), activity)].into_iter());
 }
 
 fn is_silent(fleet: &Fleet, ms: u64) -> bool {
@@ -105,6 +105,20 @@
     assert!(is_silent(&fleet, 1_710));
 }
 
+/// An engine is dead from the start, and other entries go on sending it requests. That
+/// they have just sent one is no sign of life: this entry's request is not kept there
+/// any longer for it.
+#[test]
+fn requests_that_others_have_just_sent_are_no_sign_of_life() {
+    let mut fleet = fleet();
+    sent(&mut fleet, 0, 0);
+    for ms in (100..1_000).step_by(100) {
+        tells(&mut fleet, ms, "p", 0, 10);
+    }
+    assert!(!is_silent(&fleet, 690));
+    assert!(is_silent(&fleet, 910));
+}
+
 /// An entry that has ended says nothing more, and one that has no request left there
 /// names the upstream no more: neither's word counts.
 #[test]
@@ -116,7 +130,7 @@
     assert!(is_silent(&fleet, 1_650), "its word is too old");
     tells(&mut fleet, 1_700, "p", 1, 10);
     assert!(!is_silent(&fleet, 1_750));
-    fleet.peer_signs(at(1_760), "p", std::iter::empty());
+    fleet.peer_activity(at(1_760), "p", std::iter::empty());
     assert!(is_silent(&fleet, 1_770));
 }
 
@@ -125,7 +139,7 @@
 fn a_word_of_another_start_does_not_count() {
     let mut fleet = fleet();
     sent(&mut fleet, 0, 0);
-    let signs = Signs {
+    let activity = Activity {
         begun: 1,
         silent_ms: 10,
     };
@@ -133,6 +147,6 @@
         id: &name("1"),
         born_ms: Some(5),
     };
-    fleet.peer_signs(at(700), "p", [(other, signs)].into_iter());
+    fleet.peer_activity(at(700), "p", [(other, activity)].into_iter());
     assert!(is_silent(&fleet, 710));
 }
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -86,7 +86,7 @@
 fn tell_turn(node: &Node, now: Instant, turn: &Turn) {
     let known = node.fleet.lock().get(&turn.upstream).map(|upstream| {
         (
-            upstream.signs(now).silent_ms,
+            upstream.activity(now).silent_ms,
             upstream.own.running,
             upstream.version,
         )
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -2,12 +2,12 @@
 
 use base::prelude::*;
 use base::{PlatformOp, PlatformResult, Version};
-use direct::{Changed, Piece, WatchPart};
+use direct::{Batch, Changed, WatchRole};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::shared::{call_watch, part, rest};
+use crate::shared_watch::{call_watch, rest, role};
 use crate::state::Node;
 use crate::state::unread::Kind;
 
@@ -68,7 +68,7 @@
         while let Some(at) = watch(&node, followed, after, &mut lost).await {
             after = at;
             has_watched = true;
-            let own = part(&node, followed) != WatchPart::Teller;
+            let own = role(&node, followed) != WatchRole::Leader;
             if own && matches!(followed, Followed::Upstreams) {
                 tokio::time::sleep(WATCH_EVERY).await;
             }
@@ -121,14 +121,14 @@
     lost.regained(node);
     let objects = objects.into_iter();
     let objects = objects.map(|(key, version, value)| (key, version.0, value));
-    let piece = Piece {
+    let batch = Batch {
         after: after.0,
         at: at.0,
         objects: objects.collect(),
         is_short: false,
     };
-    apply(node, followed, &piece.objects);
-    node.shared.watched(node.now(), followed, piece);
+    apply(node, followed, &batch.objects);
+    node.shared.watched(node.now(), followed, batch);
     followed.confirm(node, at.0, node.now());
     Some(at)
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,7 +43,7 @@
 mod run;
 mod seek;
 mod server;
-mod shared;
+mod shared_watch;
 mod start;
 mod state;
 mod stream;
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -1,6 +1,6 @@
 //! Hearing other entries.
 
-use direct::{Load, ReadingQueue, Resident, Signs, Start, Usage};
+use direct::{Activity, Load, ReadingQueue, Resident, Start, Usage};
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews};
 use serde_json::json;
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::relay::{hear_ask, hear_told};
-use crate::shared;
+use crate::shared_watch;
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wants::Want;
@@ -40,7 +40,7 @@
     if news.entry == node.peers.me || !node.peers.note(node, from, &news) {
         return;
     }
-    shared::hear(node, &news);
+    shared_watch::hear(node, &news);
     let now = node.now();
     let uses = news.uses.iter().map(|used| {
         let usage = Usage {
@@ -52,14 +52,14 @@
     });
     let mut fleet = node.fleet.lock();
     fleet.peer_usage(now, &news.entry, uses);
-    let signs = news.uses.iter().map(|used| {
-        let signs = Signs {
+    let activity = news.uses.iter().map(|used| {
+        let activity = Activity {
             begun: used.begun,
             silent_ms: used.silent_ms,
         };
-        (start(&used.upstream, used.born_ms), signs)
+        (start(&used.upstream, used.born_ms), activity)
     });
-    fleet.peer_signs(now, &news.entry, signs);
+    fleet.peer_activity(now, &news.entry, activity);
     for leaving in &news.leaving {
         let start = start(&leaving.upstream, leaving.born_ms);
         fleet.heard_leaving(start, leaving.version, leaving.vanished);
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use direct::{
-    Fleet, Resident, WatchPart, holdings_rounds, suspects_told, tell_at_once_every_ms,
+    Fleet, Resident, WatchRole, holdings_rounds, suspects_told, tell_at_once_every_ms,
     tell_every_ms,
 };
 use prost::Message;
@@ -17,7 +17,7 @@
 use tokio::net::UdpSocket;
 
 use crate::follow::Followed;
-use crate::shared::{part, to_tell};
+use crate::shared_watch::{role, to_send};
 use crate::state::Node;
 use crate::state::peers::{AWAY_MS, Peers};
 
@@ -63,8 +63,8 @@
 /// Passes on what this entry's watches saw to its failure domain, if it is the one
 /// that does.
 async fn tell_watched(node: &Node, socket: &UdpSocket) {
-    if part(node, Followed::Setup) == WatchPart::Teller
-        || part(node, Followed::Upstreams) == WatchPart::Teller
+    if role(node, Followed::Setup) == WatchRole::Leader
+        || role(node, Followed::Upstreams) == WatchRole::Leader
     {
         let to = node.peers.neighbours(node.now(), &node.options.domain);
         tell_each(node, socket, to, Occasion::Watched).await;
@@ -166,7 +166,7 @@
     let peers = node.peers.count();
     let watched = |followed| {
         let is_due = occasion == Occasion::Watched;
-        is_due.then(|| to_tell(node, followed)).flatten()
+        is_due.then(|| to_send(node, followed)).flatten()
     };
     let (demands, wants) = match to {
         To::Giver => (demands(node, now), wants(node, now)),
@@ -210,15 +210,15 @@
 fn uses(fleet: &Fleet, now: Instant) -> Vec<UpstreamUse> {
     let used = fleet.all().filter(|upstream| upstream.own.running > 0);
     let uses = used.map(|upstream| {
-        let signs = upstream.signs(now);
+        let activity = upstream.activity(now);
         UpstreamUse {
             upstream: upstream.news.id.to_string(),
             running: upstream.own.running,
             reading_tokens: upstream.own.reading.ranks().to_vec(),
             kept_tokens: upstream.own.kept_tokens,
             born_ms: upstream.news.born_ms.unwrap_or(0),
-            begun: signs.begun,
-            silent_ms: signs.silent_ms,
+            begun: activity.begun,
+            silent_ms: activity.silent_ms,
         }
     });
     uses.collect()
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared_watch.rs
@@ -2,9 +2,9 @@
 
 use base::prelude::*;
 use base::{PlatformOp, PlatformResult};
-use direct::{Piece, SharedWatch, WatchPart};
+use direct::{Batch, SharedWatch, WatchRole};
 use parking_lot::Mutex;
-use schema::peer::{PeerNews, Watched, WatchedObject, WatchedPiece};
+use schema::peer::{PeerNews, Watched, WatchedBatch, WatchedObject};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -12,21 +12,21 @@
 use crate::follow::{Followed, apply};
 use crate::state::Node;
 
-/// Longest time that the platform lets a teller's watch wait. Each answer shows the
+/// Longest time that the platform lets a leader's watch wait. Each answer shows the
 /// entries that are told that the platform was heard, and they watch themselves after
 /// 1.3 s without.
-const TELLER_WAIT: Duration = Duration::from_millis(400);
+const LEADER_WAIT: Duration = Duration::from_millis(400);
 
-/// Time between the beginnings of two watches of a teller. Each is a call, and what
+/// Time between the beginnings of two watches of a leader. Each is a call, and what
 /// changes meanwhile comes with the next one.
-const TELLER_EVERY: Duration = Duration::from_millis(800);
+const LEADER_EVERY: Duration = Duration::from_millis(800);
 
 /// Longest time between two looks at whether an own watch is due.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// The shared watch of each kind of objects.
 #[derive(Debug, Default)]
-pub(crate) struct Shared {
+pub(crate) struct SharedWatches {
     setup: Mutex<SharedWatch>,
     upstreams: Mutex<SharedWatch>,
     /// Told when there is something to pass on.
@@ -35,7 +35,7 @@
     due: Notify,
 }
 
-impl Shared {
+impl SharedWatches {
     fn of(&self, followed: Followed) -> &Mutex<SharedWatch> {
         match followed {
             Followed::Setup => &self.setup,
@@ -45,7 +45,7 @@
 
     /// An own list was answered.
     pub(crate) fn listed(&self, now: Instant, followed: Followed, at: u64) {
-        self.of(followed).lock().confirmed(now, at);
+        self.of(followed).lock().listed(now, at);
     }
 
     /// An own call was not answered.
@@ -54,11 +54,8 @@
     }
 
     /// An own watch was answered: others are told of it where they rely on it.
-    pub(crate) fn watched(&self, now: Instant, followed: Followed, piece: Piece) {
-        let mut shared = self.of(followed).lock();
-        shared.confirmed(now, piece.at);
-        shared.saw(piece);
-        drop(shared);
+    pub(crate) fn watched(&self, now: Instant, followed: Followed, batch: Batch) {
+        self.of(followed).lock().watched(now, batch);
         self.seen.notify_one();
     }
 
@@ -69,16 +66,16 @@
 }
 
 /// What this entry does for the watch of its failure domain.
-pub(crate) fn part(node: &Node, followed: Followed) -> WatchPart {
+pub(crate) fn role(node: &Node, followed: Followed) -> WatchRole {
     if node.stop.is_stopping() {
-        return WatchPart::Alone;
+        return WatchRole::Independent;
     }
     let others = node.peers.watchers(node.now(), &node.options.domain);
     let shared = node.shared.of(followed).lock();
-    shared.part(&node.options.entry, &others)
+    shared.role(&node.options.entry, &others)
 }
 
-/// Calls for a watch, which a teller has answered soon in any case.
+/// Calls for a watch, which a leader has answered soon in any case.
 pub(crate) async fn call_watch(
     node: &Node,
     followed: Followed,
@@ -86,9 +83,9 @@
 ) -> PlatformResult {
     match op {
         PlatformOp::Watch { prefix, after }
-            if part(node, followed) == WatchPart::Teller =>
+            if role(node, followed) == WatchRole::Leader =>
         {
-            let watch = node.store.watch_within(prefix.clone(), *after, TELLER_WAIT);
+            let watch = node.store.watch_within(prefix.clone(), *after, LEADER_WAIT);
             watch.await
         }
         _ => node.store.call(op).await,
@@ -97,15 +94,15 @@
 
 /// Waits until the next own watch is due, where the last one began at a time.
 pub(crate) async fn rest(node: &Node, followed: Followed, began_at: Instant) {
-    if part(node, followed) == WatchPart::Teller {
+    if role(node, followed) == WatchRole::Leader {
         let since_ms = node.now().ms_since(began_at);
         let spent = Duration::from_millis(since_ms);
-        sleep(TELLER_EVERY.saturating_sub(spent)).await;
+        sleep(LEADER_EVERY.saturating_sub(spent)).await;
     }
     loop {
         let due = node.shared.due.notified();
-        let told = part(node, followed) == WatchPart::Told;
-        if !told || !node.shared.of(followed).lock().rests(node.now()) {
+        let follows = role(node, followed) == WatchRole::Follower;
+        if !follows || !node.shared.of(followed).lock().may_skip(node.now()) {
             return;
         }
         // Told or not: the next look decides.
@@ -132,59 +129,59 @@
 fn hear_watched(node: &Node, followed: Followed, watched: &Watched) {
     let now = node.now();
     let confirmed_at = now - Duration::from_millis(watched.age_ms);
-    let pieces = watched.pieces.iter().map(piece).collect();
+    let batches = watched.batches.iter().map(batch).collect();
     let mut shared = node.shared.of(followed).lock();
-    let told = shared.told(confirmed_at, pieces);
+    let received = shared.receive(confirmed_at, batches);
     drop(shared);
-    for piece in &told.new {
-        apply(node, followed, &piece.objects);
+    for batch in &received.new {
+        apply(node, followed, &batch.objects);
     }
-    if let Some(at) = told.known {
+    if let Some(at) = received.known {
         followed.confirm(node, at, confirmed_at);
     }
-    if told.is_due {
+    if received.is_due {
         node.shared.due.notify_waiters();
     }
 }
 
 /// What this entry's watches saw, if it is the one that tells.
-pub(crate) fn to_tell(node: &Node, followed: Followed) -> Option<Watched> {
-    if part(node, followed) != WatchPart::Teller {
+pub(crate) fn to_send(node: &Node, followed: Followed) -> Option<Watched> {
+    if role(node, followed) != WatchRole::Leader {
         return None;
     }
     let shared = node.shared.of(followed).lock();
-    let pieces: Vec<WatchedPiece> =
-        shared.passed_on().into_iter().map(passed).collect();
+    let batches: Vec<WatchedBatch> =
+        shared.outgoing().into_iter().map(message).collect();
     let confirmed_at = shared.confirmed_at()?;
     Some(Watched {
         age_ms: node.now().ms_since(confirmed_at),
-        pieces,
+        batches,
     })
 }
 
-fn piece(told: &WatchedPiece) -> Piece {
-    let objects = told.objects.iter();
+fn batch(sent: &WatchedBatch) -> Batch {
+    let objects = sent.objects.iter();
     let objects = objects
         .map(|object| (object.key.clone(), object.version, object.value.clone()));
-    Piece {
-        after: told.after,
-        at: told.at,
+    Batch {
+        after: sent.after,
+        at: sent.at,
         objects: objects.collect(),
-        is_short: told.is_short,
+        is_short: sent.is_short,
     }
 }
 
-fn passed(piece: Piece) -> WatchedPiece {
-    let objects = piece.objects.into_iter();
+fn message(batch: Batch) -> WatchedBatch {
+    let objects = batch.objects.into_iter();
     let objects = objects.map(|(key, version, value)| WatchedObject {
         key,
         version,
         value,
     });
-    WatchedPiece {
-        after: piece.after,
-        at: piece.at,
+    WatchedBatch {
+        after: batch.after,
+        at: batch.at,
         objects: objects.collect(),
-        is_short: piece.is_short,
+        is_short: batch.is_short,
     }
 }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -26,7 +26,7 @@
 use super::stop::Stop;
 use super::unread::{Kind, Unread, start_of};
 use super::wants::Wants;
-use crate::shared::Shared;
+use crate::shared_watch::SharedWatches;
 use crate::{BootClock, Dialect, Log, Options};
 
 /// Time for which a verdict on a request that crashes upstreams stands.
@@ -67,7 +67,7 @@
     pub(crate) wants: Wants,
     pub(crate) peers: Peers,
     /// What entries of this failure domain share of their watches.
-    pub(crate) shared: Shared,
+    pub(crate) shared: SharedWatches,
     pub(crate) lease: Mutex<Lease>,
     pub(crate) relay: Relay,
     pub(crate) giver: Giver,
@@ -122,7 +122,7 @@
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
             peers: Peers::new(&options),
-            shared: Shared::default(),
+            shared: SharedWatches::default(),
             lease: Mutex::new(lease),
             relay: Relay::default(),
             giver: Giver::new(bounds.store_load_window_ms),
