--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -48,6 +48,17 @@
     Follower,
 }
 
+impl WatchRole {
+    /// The word used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Independent => "independent",
+            Self::Leader => "leader",
+            Self::Follower => "follower",
+        }
+    }
+}
+
 /// An object that changed, as the platform gives it: key, version and value, which is
 /// empty where the object is gone.
 pub type Changed = (String, u64, Vec<u8>);
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    const fn as_str(self) -> &'static str {
+    pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Setup => "setup",
             Self::Upstreams => "upstreams",
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -5,6 +5,7 @@
 use direct::{Batch, SharedWatch, WatchRole};
 use parking_lot::Mutex;
 use schema::peer::{PeerNews, Watched, WatchedBatch, WatchedObject};
+use serde_json::json;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -33,6 +34,8 @@
     pub(crate) seen: Notify,
     /// Told when an own watch is due.
     due: Notify,
+    /// Roles that were told of.
+    roles: Mutex<[Option<WatchRole>; 2]>,
 }
 
 impl SharedWatches {
@@ -72,7 +75,24 @@
     }
     let others = node.peers.watchers(node.now(), &node.options.domain);
     let shared = node.shared.of(followed).lock();
-    shared.role(&node.options.entry, &others)
+    let role = shared.role(&node.options.entry, &others);
+    drop(shared);
+    tell_role(node, followed, role, others.len());
+    role
+}
+
+/// Tells of a role that this entry has taken.
+fn tell_role(node: &Node, followed: Followed, role: WatchRole, others: usize) {
+    let mut roles = node.shared.roles.lock();
+    let before = roles[followed as usize].replace(role);
+    drop(roles);
+    if before != Some(role) {
+        node.log.line(
+            "watch_role",
+            json!({ "followed": followed.as_str(), "role": role.as_str(),
+                "before": before.map(WatchRole::as_str), "others": others }),
+        );
+    }
 }
 
 /// Calls for a watch, which a leader has answered soon in any case.
