Holdings are told in turns of their own

Cause, found by reading: which part of the holdings is told counted all messages, also news between the usual ones, so with 13 parts one could be left out for long. Change: a count of the usual messages alone; comments that a reader stumbled on. Ruled out: a lapse of what was said meanwhile, which stands for 12 s while the giver is heard.

--- a/crates/direct/src/cadence.rs
+++ b/crates/direct/src/cadence.rs
@@ -20,7 +20,8 @@
 const EVERY_MAX_MS: u64 = 1_350;
 
 /// Least time between two messages that are sent at once, and what it grows by with
-/// each peer: a hundred messages' bytes take as long on the link as callers may wait.
+/// each peer: however many there are, 500 such messages a second at most. Of 1 kB, as
+/// where four upstreams change at a time, that is two fifths of the smallest link.
 const AT_ONCE_MIN_MS: u64 = 20;
 const AT_ONCE_PER_PEER_MS: u64 = 2;
 
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -29,15 +29,17 @@
     loop {
         let every_ms = tell_every_ms(node.peers.count());
         tokio::time::sleep(Duration::from_millis(every_ms)).await;
+        node.peers.table.lock().turns += 1;
         tell_once(&node, &socket, Occasion::Turn).await;
     }
 }
 
-/// Tells other entries at once when upstreams hold something else or a renewal
-/// is to be written, and the giver of orders alone when an adapter is wanted:
-/// with many entries, each word to all of them is a cost to all of them.
+/// Tells other entries at once when upstreams hold something else, one has fallen
+/// silent or a renewal is to be written; the giver of orders alone when an adapter is
+/// wanted, and the own failure domain alone what the platform says: with many entries,
+/// each word to all of them is a cost to all of them.
 ///
-/// Each of the three keeps one notification, so that what is new during the pause
+/// Each of the four keeps one notification, so that what is new during the pause
 /// is told behind it and not with the next usual message.
 pub(crate) async fn tell_when_new(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
@@ -102,8 +104,11 @@
 /// usual messages: it is most of a message, and news go out many times a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Occasion {
+    /// The usual message, with a part of what upstreams hold.
     Turn,
+    /// Something is new, also of what upstreams hold.
     News,
+    /// The platform said something, for those that this entry watches for.
     Watched,
 }
 
@@ -153,10 +158,10 @@
 
 fn message(node: &Node, to: To, occasion: Occasion) -> PeerNews {
     let now = node.now();
-    let (sequence, round) = {
+    let (sequence, round, turn) = {
         let mut table = node.peers.table.lock();
         table.sequence += 1;
-        (table.sequence, table.rounds)
+        (table.sequence, table.rounds, table.turns)
     };
     let giver_token = node.lease.lock().token(now).unwrap_or(0);
     let fleet = node.fleet.lock();
@@ -182,7 +187,7 @@
         wants,
         leaving,
         giver_token,
-        holdings: holdings(node, occasion, round, giver_token),
+        holdings: holdings(node, occasion, turn, giver_token),
         suspects: node
             .suspects
             .lock()
@@ -253,16 +258,16 @@
 fn holdings(
     node: &Node,
     occasion: Occasion,
-    round: u64,
+    turn: u64,
     giver_token: u64,
 ) -> Vec<Holding> {
     if giver_token == 0 {
         return Vec::new();
     }
     let rounds = holdings_rounds(node.peers.count());
-    let round = round as usize % rounds;
+    let part = turn as usize % rounds;
     let told = node.giver.told(node.now(), |index| {
-        occasion == Occasion::Turn && index % rounds == round
+        occasion == Occasion::Turn && index % rounds == part
     });
     let now = node.now();
     let told = told.into_iter().map(|told| Holding {
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -36,6 +36,9 @@
     /// Rounds in which peers were told. The sequence counts two messages a round,
     /// and others between them.
     pub(crate) rounds: u64,
+    /// Those of them in which what upstreams hold was told in turn. News are told
+    /// between them, and counted with them would leave out parts for a long time.
+    pub(crate) turns: u64,
     /// Entries that the platform lists.
     pub(crate) registered: usize,
 }
