Keys and quotas: who a caller is, and what its workspace may use over all entries

Change: crate access (keys by digest, workspaces, a strict header) and crate quota. Each entry makes its part of each workspace's rate; the parts are handed to a keeper found by rendezvous hash, and moved, never copied. A request takes its tokens from its own entry or asks the keeper, 0.5 ms away. A keeper that is gone takes with it what it had; entries feed the next one.

Two causes from logs: (1) a debt that its keeper hands over was told by each feeder as well and doubled with each change of the keeper, so after a restart of all entries every workspace was refused for 18 s (100 refusals a second of callers within their quota); now told only of a keeper that is gone, and bounded by the overdraft. (2) feeding began half a second after the start of a process. Ruled out: shares that follow the list of entries at once (a new entry would make a part that others still make); hence a settled mark in the entry's record and 5 s before an entry takes part. Next: what is refused within a quota.

--- a/ci/check.sh
+++ b/ci/check.sh
@@ -8,7 +8,7 @@
 
 # The decisions must not reach a socket, a task or HTTP: scenarios and
 # benchmarks could otherwise not drive them on a paused clock.
-for crate in base conf live route place mem once role direct; do
+for crate in access base conf live quota route place mem once role direct; do
   tree=$(cargo tree --locked -p "$crate" -e normal --prefix none)
   if grep -E '^(tokio|hyper|mio|socket2|futures-executor) ' <<<"$tree"; then
     echo "pure crate $crate reaches the runtime" >&2
@@ -22,6 +22,7 @@
 names='Target-Instance|target-instance|Token-Usage|token-usage|Prefix-Hash|prefix-hash'
 names+='|Not-Executed|not-executed|Response-Signature|response-signature|Weight-Versions'
 names+='|Queue-Hold|queue-hold|Kv-From|kv-from|Kv-Backup|kv-backup|Model-Id|model-id'
+names+='|Tenant-Id|tenant-id|token_routing|uncached_tokens|api_keys|quota_tolerance'
 names+='|Request-Priority|request-priority|route_table|weighted_backends|fencing_token'
 names+='|path_prefix|target_latency_ms|itl_target_ms|kv_capacity|max_adapters'
 names+='|SESAMESHORE_BOOT|client_facing|model_load|deletion_pending'
--- /dev/null
+++ b/crates/access/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of keys and workspaces.
+
+mod credential;
+mod directory;
--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -135,6 +135,10 @@
     NotHeld = 2012, "not_held", 503;
     /// The process has no configuration yet.
     NotReady = 2013, "not_ready", 503;
+    /// The workspace has used what it may.
+    QuotaSpent = 2014, "quota_spent", 429;
+    /// Nobody could say whether the workspace has something left.
+    QuotaUnknown = 2015, "quota_unknown", 503;
     /// The upstream died with the request in flight.
     UpstreamLost = 3001, "upstream_lost", 502;
     /// The upstream refused or broke its protocol.
--- a/crates/direct/src/setup.rs
+++ b/crates/direct/src/setup.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration as the decisions need it.
 
+use access::Directory;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,6 +16,8 @@
     pub services: BTreeMap<Arc<str>, Arc<ServiceSpec>>,
     /// Bounds on what callers send.
     pub limits: Limits,
+    /// Workspaces and their keys; `None` where callers need no key.
+    pub directory: Option<Directory>,
 }
 
 /// Where requests of one host and path prefix go.
@@ -40,6 +43,8 @@
     pub upstreams_max: u32,
     /// Longest pause between two events of a stream.
     pub pause_max_ms: u64,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 /// A service of a route.
@@ -157,9 +162,16 @@
             routes: routes.into_iter().map(Arc::new).collect(),
             services,
             limits,
+            directory: None,
         }
     }
 
+    /// The same version, with the workspaces whose keys callers need.
+    #[must_use]
+    pub fn with_directory(self, directory: Option<Directory>) -> Self {
+        Self { directory, ..self }
+    }
+
     /// The route of a host and path: the one whose prefix is the longest.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = without_port(host);
--- a/crates/direct/tests/all/setup.rs
+++ b/crates/direct/tests/all/setup.rs
@@ -21,6 +21,7 @@
         priority: 1,
         upstreams_max: 2,
         pause_max_ms: 0,
+        is_public: false,
     }
 }
 
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -1,5 +1,6 @@
 //! The border to the names that a platform uses on the wire.
 
+use access::Credential;
 use bytes::Bytes;
 use direct::{Order, OrderAnswer, Report, Setup, UpstreamNews};
 use hyper::header::HeaderMap;
@@ -13,6 +14,10 @@
 pub struct AskHead {
     /// Id of the caller's attempt.
     pub id: String,
+    /// Who the caller says it is.
+    pub credential: Credential,
+    /// Prompt tokens and the most of the answer together; `None` if not said.
+    pub tokens: Option<u64>,
     /// Time that the caller will wait.
     pub deadline_ms: Option<u64>,
     /// Model, and the adapter if one is asked for.
@@ -40,6 +45,8 @@
     pub urgency: u32,
     /// Last event that was given on, where a stream is continued.
     pub last_event: Option<&'a str>,
+    /// Workspace of the caller, where callers have one.
+    pub workspace: Option<&'a str>,
 }
 
 /// What an upstream's answer says by its status and headers.
@@ -99,6 +106,10 @@
     /// Reads a caller's headers.
     fn ask(&self, headers: &HeaderMap) -> AskHead;
 
+    /// Takes a caller's key out of its headers, and what it says of its workspace;
+    /// no upstream may see the one or be told the other by a caller.
+    fn conceal(&self, headers: &mut HeaderMap);
+
     /// Takes out of a caller's headers what only the system may set, and sets
     /// it.
     fn dress(&self, headers: &mut HeaderMap, send: &SendHead<'_>);
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -256,6 +256,7 @@
         return;
     }
     let (version, routes) = (setup.version, setup.routes().count());
+    node.quota.set_limits(node.now(), &setup);
     held.0 = Some(Arc::new(setup));
     drop(held);
     node.log.line(
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -37,6 +37,7 @@
 mod options;
 mod orders;
 mod peers;
+mod quota;
 mod reach;
 mod relay;
 mod request;
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -42,6 +42,9 @@
     pub order_quiet_ms: u64,
     /// Window in which loads from the weight store are counted.
     pub store_load_window_ms: u64,
+    /// Most that one request may take of its workspace's quota beyond what there is,
+    /// in tokens or requests.
+    pub quota_overdraft: f64,
     /// Time without the platform after which what it said is not trusted to be
     /// the newest.
     pub contact_ms: u64,
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
+use crate::quota;
 use crate::relay::{hear_ask, hear_told};
 use crate::shared_watch;
 use crate::state::Node;
@@ -26,7 +27,12 @@
             continue;
         };
         match PeerNews::decode(&buffer[..length]) {
-            Ok(news) => take(&node, from, news),
+            Ok(news) => match &news.tokens {
+                Some(tokens) if news.entry != node.peers.me => {
+                    quota::hear(&node, &socket, from, &news, tokens).await;
+                }
+                _ => take(&node, from, news),
+            },
             Err(fault) => {
                 let why = fault.to_string();
                 node.log
@@ -157,6 +163,7 @@
             giver_token: news.giver_token,
             domain: news.domain.clone(),
             watches: news.watches,
+            keeps_tokens: news.keeps_tokens,
             loads: loads.collect(),
         };
         table.peers.insert(news.entry.clone(), state);
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::state::Node;
@@ -17,39 +18,63 @@
 /// was added to it: others that start at the same moment add theirs.
 const LIST_AGAIN: Duration = Duration::from_millis(700);
 
+/// Time after which all others count an entry that has been in the list: they hear of
+/// it within two seconds, and those that it does not reach read the list each eight.
+const SETTLED_AFTER_MS: u64 = 5_000;
+
 /// An entry's own entry in the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct EntryRecord {
     peers: SocketAddr,
+    /// Whether it has been here long enough that all others count it.
+    #[serde(default)]
+    settled: bool,
 }
 
 /// Keeps this entry's own entry in the platform and reads the others', for
 /// ever.
 pub(crate) async fn register(node: Arc<Node>) {
     let key = format!("{}{}", node.options.keys.entry_prefix, node.options.entry);
-    let record = EntryRecord {
-        peers: node.options.peers,
-    };
-    // An address serialises into any string.
-    let value = serde_json::to_vec(&record).unwrap_or_default();
-    let mut written = false;
+    let mut written = None;
+    let mut known_since = None;
     loop {
         let listed = list_entries(&node).await;
-        let known = listed
-            .as_ref()
-            .is_some_and(|listed| listed.records.contains(&record));
+        let own = listed.as_ref().and_then(|listed| listed.own(&node));
+        let now = node.now();
+        if let Some(own) = &own {
+            let since = *known_since.get_or_insert(now);
+            if own.settled || now.ms_since(since) >= SETTLED_AFTER_MS {
+                node.quota.is_settled.store(true, Ordering::Relaxed);
+            }
+        }
+        let record = EntryRecord {
+            peers: node.options.peers,
+            settled: node.quota.is_settled.load(Ordering::Relaxed),
+        };
+        let known = own.as_ref() == Some(&record);
         let replaced = listed.as_ref().is_some_and(|listed| listed.unread(&key));
-        if listed.is_some() && !known && (!written || replaced) {
+        if listed.is_some() && !known && (written != Some(record.settled) || replaced) {
+            // An address serialises into any string.
+            let value = serde_json::to_vec(&record).unwrap_or_default();
             let op = PlatformOp::Write {
                 key: key.clone(),
                 expect: Expect::Any,
-                value: value.clone(),
+                value,
             };
             let result = node.store.call(&op).await;
-            written = matches!(result, PlatformResult::Written(_));
+            let is_written = matches!(result, PlatformResult::Written(_));
+            written = is_written.then_some(record.settled);
         }
-        let pause = if known { LIST_EVERY } else { LIST_AGAIN };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(pause(known, record.settled)).await;
+    }
+}
+
+/// Time until the list is read again.
+fn pause(known: bool, settled: bool) -> Duration {
+    match (known, settled) {
+        (true, true) => LIST_EVERY,
+        (true, false) => Duration::from_millis(SETTLED_AFTER_MS),
+        (false, _) => LIST_AGAIN,
     }
 }
 
@@ -62,6 +87,14 @@
 }
 
 impl Listed {
+    /// The record at this entry's address.
+    fn own(&self, node: &Node) -> Option<EntryRecord> {
+        let mut records = self.records.iter();
+        records
+            .find(|record| record.peers == node.options.peers)
+            .cloned()
+    }
+
     /// Whether there is an entry under a key, and can't be read.
     fn unread(&self, key: &str) -> bool {
         self.unread.iter().any(|unread| unread == key)
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 
 use crate::follow::Followed;
+use crate::quota::keeps;
 use crate::shared_watch::{role, to_send};
 use crate::state::Node;
 use crate::state::peers::{AWAY_MS, Peers};
@@ -198,6 +199,8 @@
         watches: node.shared.works() && !node.stop.is_stopping(),
         setup: watched(Followed::Setup),
         upstreams: watched(Followed::Upstreams),
+        tokens: None,
+        keeps_tokens: keeps(node),
     }
 }
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,8 +1,9 @@
 //! A caller's request, from its bytes to its call.
 
+use access::{Credential, Workspace};
 use base::prelude::*;
 use bytes::Bytes;
-use direct::Route;
+use direct::{Route, Setup};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
@@ -14,6 +15,7 @@
 use crate::AskHead;
 use crate::answer::{AnswerBody, refusal};
 use crate::headers::{ask_close, is_ambiguous, strip_connection};
+use crate::quota::charge;
 use crate::run::{End, Run};
 use crate::state::Node;
 use crate::state::call::Call;
@@ -97,7 +99,7 @@
 }
 
 async fn call(
-    node: &Node,
+    node: &Arc<Node>,
     arrived: Instant,
     parts: hyper::http::request::Parts,
     body: Incoming,
@@ -125,10 +127,21 @@
     if node.stop.is_too_late(node.now(), route.kind.is_stream()) {
         return Err(LEAVING);
     }
+    let workspace = workspace(&setup, &route, &ask).map_err(|unknown| {
+        let known = node.setup_is_fresh();
+        if known { unknown } else { not_ready }
+    })?;
     let service = route.service(&ask.id).cloned().ok_or(not_ready)?;
+    let charge = match &workspace {
+        Some(workspace) => charge(node, &ask.id, workspace, ask.tokens).await?,
+        None => None,
+    };
     let spec = setup.services.get(&service).cloned().unwrap_or_default();
     let mut headers = parts.headers;
     strip_connection(&mut headers);
+    if setup.directory.is_some() {
+        node.dialect.conceal(&mut headers);
+    }
     let deadline_ms = ask.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
     let give_up_at = arrived.plus_ms(deadline_ms.min(route.timeout_ms));
     Ok(Call {
@@ -141,6 +154,8 @@
         service,
         spec,
         setup_version: setup.version,
+        workspace,
+        charge,
         route,
         method: parts.method,
         uri: parts.uri,
@@ -149,6 +164,33 @@
     })
 }
 
+/// The workspace of a caller; none where callers need no key.
+///
+/// Whose key it is is judged once, when the request is taken: one that is taken away
+/// later does not end what runs, its further tries or the continuing of its stream,
+/// which would lose work that was owed when it was begun.
+///
+/// # Errors
+///
+/// The request has no key that the configuration knows.
+fn workspace(
+    setup: &Setup,
+    route: &Route,
+    ask: &AskHead,
+) -> Result<Option<Arc<Workspace>>, Refusal> {
+    let Some(directory) = &setup.directory else {
+        return Ok(None);
+    };
+    let known = match &ask.credential {
+        Credential::Key(key) => directory.workspace(key).cloned(),
+        Credential::Absent | Credential::Malformed => None,
+    };
+    if known.is_none() && !route.is_public {
+        return Err(Refusal::not_run(Code::UnknownCaller));
+    }
+    Ok(known)
+}
+
 /// Time after which a caller leaves a stream that has not begun, or a plain
 /// request's whole time.
 fn first_within_ms(route: &Route) -> u64 {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -112,6 +112,7 @@
             let last_event = self.last_event.map(|id| id.to_string());
             let begun_at = self.node.now();
             self.trying = true;
+            self.call.set_used(true);
             let ended =
                 try_once(&self.node, &self.call, &picked, last_event.as_deref()).await;
             self.trying = false;
@@ -164,6 +165,7 @@
         };
         let next = after(self.call.route.kind, tried, outcome);
         self.may_have_run |= matches!(outcome, Outcome::Unknown | Outcome::Failed);
+        self.call.set_used(self.may_have_run);
         let now = self.node.now();
         match next {
             _ if self.call.is_over(self.node.clock) => {
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -179,7 +179,7 @@
             engine: call.spec.engine.as_ref(),
             model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
             parts: &call.parts,
-            rank: call.route.priority,
+            rank: call.priority(),
             prompt_tokens: call.ask.prompt_tokens,
             pace: self.node.pace_of(call),
             kept_tokens: call.ask.prompt_tokens + answer_tokens,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -17,6 +17,7 @@
 use crate::giver::give_orders;
 use crate::orders::keep_lease;
 use crate::peers;
+use crate::quota::feed_keepers;
 use crate::state::Node;
 use crate::{Dialect, Log, Options, operated, server};
 
@@ -75,6 +76,8 @@
             "callers": node.options.callers, "readiness": node.options.readiness, "peers": node.options.peers,
             "start": node.start }),
     );
+    // It is set here alone.
+    let _ = node.peers.socket.set(Arc::clone(&socket));
     let shared = || Arc::clone(&node);
     let listening = tokio::spawn(server::accept(shared(), callers));
     tokio::spawn(operated::answer(shared(), readiness));
@@ -85,6 +88,7 @@
     tokio::spawn(peers::hear(shared(), Arc::clone(&socket)));
     tokio::spawn(peers::tell(shared(), Arc::clone(&socket)));
     tokio::spawn(peers::tell_when_new(shared(), socket));
+    tokio::spawn(feed_keepers(shared()));
     tokio::spawn(keep_lease(shared()));
     tokio::spawn(give_orders(shared()));
     tokio::spawn(sweep(shared()));
@@ -122,6 +126,7 @@
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
         let now = node.now();
+        node.quota.sweep(now);
         let mut fleet = node.fleet.lock();
         fleet.sweep(now);
         node.pool.sweep(|id| fleet.get(id).is_some());
--- a/crates/front/src/state/call.rs
+++ b/crates/front/src/state/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request on its way.
 
+use access::Workspace;
 use base::prelude::*;
 use bytes::Bytes;
 use direct::{Route, ServiceSpec};
@@ -7,6 +8,7 @@
 use hyper::{Method, Uri};
 use std::sync::Arc;
 
+use super::quota::Charge;
 use crate::{AskHead, BootClock};
 
 /// A caller's request with all that decides what becomes of it.
@@ -22,9 +24,13 @@
     pub(crate) service: Arc<str>,
     pub(crate) spec: Arc<ServiceSpec>,
     pub(crate) setup_version: u64,
+    /// Workspace of the caller; `None` where callers need no key.
+    pub(crate) workspace: Option<Arc<Workspace>>,
+    /// What the request took of its workspace's quota.
+    pub(crate) charge: Option<Charge>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
-    /// Headers without those of the connection.
+    /// Headers without those of the connection and without the caller's key.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Hash of path and body, by which a request that crashes upstreams is known
@@ -41,6 +47,21 @@
         self.left_ms(clock) == 0
     }
 
+    /// Whether what the request took of its workspace's quota is used: it runs, or may
+    /// have run.
+    pub(crate) fn set_used(&mut self, is_used: bool) {
+        if let Some(charge) = &mut self.charge {
+            charge.is_used = is_used;
+        }
+    }
+
+    /// Rank, 0 the highest. That of a workspace goes before that of a route.
+    pub(crate) fn priority(&self) -> u32 {
+        let own = self.workspace.as_ref();
+        let own = own.and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Time until the final answer.
     pub(crate) fn left_ms(&self, clock: BootClock) -> u64 {
         self.give_up_at.ms_since(clock.now())
--- a/crates/front/src/state/meters.rs
+++ b/crates/front/src/state/meters.rs
@@ -21,6 +21,8 @@
     pub(crate) first_answer_s: HistogramVec,
     /// Time to the end, by route.
     pub(crate) whole_answer_s: HistogramVec,
+    /// Requests refused for their workspace's quota, by workspace and why.
+    pub(crate) quota_refused: IntCounterVec,
     /// Tries, by service and outcome.
     pub(crate) tries: IntCounterVec,
     /// Orders, by action and outcome.
@@ -58,6 +60,11 @@
             "Requests ended",
             &["route", "outcome"],
         );
+        let quota_refused = counter(
+            "sesame_front_quota_refused_total",
+            "Requests refused for their workspace's quota",
+            &["workspace", "why"],
+        );
         let tries = counter(
             "sesame_front_tries_total",
             "Tries at upstreams",
@@ -126,6 +133,7 @@
         Self {
             registry,
             ended,
+            quota_refused,
             first_answer_s,
             whole_answer_s,
             tries,
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod node;
 pub(crate) mod peers;
 pub(crate) mod pool;
+pub(crate) mod quota;
 pub(crate) mod relay;
 pub(crate) mod stop;
 pub(crate) mod unread;
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -22,6 +22,7 @@
 use super::meters::Meters;
 use super::peers::Peers;
 use super::pool::Pool;
+use super::quota::Quotas;
 use super::relay::Relay;
 use super::stop::Stop;
 use super::unread::{Kind, Unread, start_of};
@@ -65,6 +66,8 @@
     pub(crate) readings: Mutex<Readings>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) wants: Wants,
+    /// Tokens of workspaces.
+    pub(crate) quota: Quotas,
     pub(crate) peers: Peers,
     /// What entries of this failure domain share of their watches.
     pub(crate) shared: SharedWatches,
@@ -121,6 +124,7 @@
             readings: Mutex::default(),
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
+            quota: Quotas::new(bounds.quota_overdraft),
             peers: Peers::new(&options),
             shared: SharedWatches::default(),
             lease: Mutex::new(lease),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::Options;
@@ -24,6 +26,8 @@
     pub(crate) table: Mutex<Table>,
     /// Told when there is something to tell at once.
     pub(crate) wake: Notify,
+    /// What datagrams go out by, once there is one.
+    pub(crate) socket: OnceLock<Arc<UdpSocket>>,
 }
 
 /// What is known of other entries.
@@ -56,9 +60,16 @@
     pub(crate) domain: String,
     /// Whether its own watch of the platform works.
     pub(crate) watches: bool,
+    /// Whether it keeps tokens of workspaces for others.
+    pub(crate) keeps_tokens: bool,
     pub(crate) loads: Vec<(Arc<str>, Arc<str>, Load)>,
 }
 
+/// Name of one start of an entry.
+pub(crate) fn start_name(entry: &str, start: u64) -> String {
+    format!("{entry}#{start}")
+}
+
 impl Peers {
     pub(crate) fn new(options: &Options) -> Self {
         let table = Table {
@@ -70,6 +81,7 @@
             own: options.peers,
             table: Mutex::new(table),
             wake: Notify::new(),
+            socket: OnceLock::new(),
         }
     }
 
@@ -119,6 +131,34 @@
         heard.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Entries that were heard lately and keep tokens, with their addresses.
+    pub(crate) fn keepers(&self, now: Instant) -> Vec<(String, SocketAddr)> {
+        let table = self.table.lock();
+        let keepers = table.peers.iter().filter(|(_, peer)| {
+            peer.keeps_tokens && now.ms_since(peer.heard_at) < DEMAND_MS
+        });
+        keepers
+            .map(|(name, peer)| (name.clone(), peer.address))
+            .collect()
+    }
+
+    /// Whether a start of an entry was heard lately.
+    pub(crate) fn is_running(&self, now: Instant, name: &str) -> bool {
+        let table = self.table.lock();
+        let mut heard = table
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        heard.any(|(entry, peer)| start_name(entry, peer.start) == name)
+    }
+
+    /// Entries that there may be, this one among them: those that the platform lists,
+    /// or if these are more, those that were ever heard.
+    pub(crate) fn entries(&self) -> usize {
+        let table = self.table.lock();
+        table.registered.max(table.peers.len() + 1)
+    }
+
     /// Addresses of the entries of a failure domain that were heard lately.
     pub(crate) fn neighbours(&self, now: Instant, domain: &str) -> Vec<SocketAddr> {
         let table = self.table.lock();
--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -265,6 +265,7 @@
             deadline_ms: left_ms,
             urgency: urgency(call),
             last_event,
+            workspace: call.workspace.as_ref().map(|workspace| &*workspace.name),
         },
     );
     let mut request = Request::new(Full::new(call.body.clone()));
@@ -283,7 +284,7 @@
 
 /// The most urgent kind of request is admitted first at engines.
 fn urgency(call: &Call) -> u32 {
-    (call.route.priority * 2 + 1).min(9)
+    (call.priority() * 2 + 1).min(9)
 }
 
 fn left(node: &Node, call: &Call) -> Duration {
--- /dev/null
+++ b/crates/quota/src/cadence.rs
@@ -0,0 +1,22 @@
+//! How often entries hand tokens to keepers.
+
+/// Least time between two feeds. A request that finds too little waits for none, so a
+/// longer time shows as refusals after the keeper has changed.
+const EVERY_MIN_MS: u64 = 100;
+
+/// Longest time between two feeds. What an entry makes meanwhile is on no keeper's
+/// account: with half a second, half of a second's rate may be used beyond the burst.
+const EVERY_MAX_MS: u64 = 500;
+
+/// Feeds a second that the keepers together take for one workspace: each costs a
+/// keeper some 20 us.
+const FEEDS_PER_S: u64 = 150;
+
+/// Feeds after which an entry that sent none feeds no longer; one may be lost.
+pub const FEED_ROUNDS: u64 = 3;
+
+/// Time between two feeds of each of so many entries.
+pub fn feed_every_ms(entries: usize) -> u64 {
+    let every_ms = entries as u64 * 1_000 / FEEDS_PER_S;
+    every_ms.clamp(EVERY_MIN_MS, EVERY_MAX_MS)
+}
--- /dev/null
+++ b/crates/quota/src/limit.rs
@@ -0,0 +1,42 @@
+//! What a workspace may use.
+
+/// Tokens or requests in any span of time: the rate times its length, and the burst.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Units a second.
+    pub rate_per_s: f64,
+    /// Units at once, after a time without use.
+    pub burst: f64,
+}
+
+/// What one request counts as.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Cost {
+    /// Each counts as one.
+    Requests,
+    /// Each counts as its tokens.
+    Tokens {
+        /// Tokens of a request that does not say how many it has.
+        unknown: f64,
+    },
+}
+
+impl Cost {
+    /// What a request counts as that says its tokens, or does not.
+    pub fn of(&self, tokens: Option<u64>) -> f64 {
+        match (self, tokens) {
+            (Self::Requests, _) => 1.0,
+            (Self::Tokens { .. }, Some(tokens)) => tokens as f64,
+            (Self::Tokens { unknown }, None) => *unknown,
+        }
+    }
+}
+
+/// A bound on what a workspace uses over all entries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// The bound.
+    pub limit: Limit,
+    /// What requests count as.
+    pub cost: Cost,
+}
--- /dev/null
+++ b/crates/quota/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of quotas.
+
+mod asked;
+mod pools;
