--- a/crates/quota/benches/ways/world.rs
+++ b/crates/quota/benches/ways/world.rs
@@ -89,12 +89,12 @@
     let relied_on = way.relied_on();
     for ms in 0..LEAD_MS + DAY_MS {
         let now = Instant::from_ms(ms);
-        for entry in 0..entries {
+        for (entry, known) in states.iter_mut().enumerate() {
             let next = state(fault, entry, entries, relied_on, ms);
-            if states[entry] == State::Down && next != State::Down {
+            if *known == State::Down && next != State::Down {
                 way.restart(now, entry);
             }
-            states[entry] = next;
+            *known = next;
         }
         way.tick(now, &states);
         let arrivals = arrivals(&mut random, if ms < LEAD_MS { 0.0 } else { per_ms });
