--- a/crates/access/src/credential.rs
+++ b/crates/access/src/credential.rs
@@ -19,6 +19,13 @@
     Key(KeyDigest),
 }
 
+impl Credential {
+    /// A key that was not sent in a header.
+    pub fn of(key: &str) -> Self {
+        Self::Key(KeyDigest::of(key))
+    }
+}
+
 /// Reads all values of the header, of which there has to be one: `SCHEME KEY`.
 ///
 /// The scheme is compared without regard to case, as HTTP has it; the key is not.
--- a/crates/access/src/digest.rs
+++ b/crates/access/src/digest.rs
@@ -12,6 +12,21 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
+
+    /// A digest as configurations hold it: 64 hexadecimal digits. `None` for another
+    /// text.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let digits = text.as_bytes();
+        if digits.len() != 64 || !digits.iter().all(u8::is_ascii_hexdigit) {
+            return None;
+        }
+        let mut digest = [0; 32];
+        for (byte, pair) in digest.iter_mut().zip(digits.chunks(2)) {
+            let pair = std::str::from_utf8(pair).ok()?;
+            *byte = u8::from_str_radix(pair, 16).ok()?;
+        }
+        Some(Self(digest))
+    }
 }
 
 impl fmt::Debug for KeyDigest {
--- a/crates/access/tests/all/directory.rs
+++ b/crates/access/tests/all/directory.rs
@@ -85,3 +85,26 @@
     assert_eq!(directory.add(workspace("desk"), ["sEcReT"]), Ok(()));
     assert!(!format!("{directory:?}").contains("sEcReT"));
 }
+
+/// Configurations of the product's own entries hold digests, in hexadecimal.
+#[test]
+fn a_digest_is_read_from_its_digits() {
+    let digits = "c5f92a5cb5f2f5fc9e5e3a0d1b8d4a25a0d3a0f8a6f35f7d0ac1d2b1a4b0c3d9";
+    assert!(KeyDigest::from_hex(digits).is_some());
+    assert_eq!(
+        KeyDigest::from_hex(digits),
+        KeyDigest::from_hex(&digits.to_uppercase())
+    );
+    for text in [
+        "",
+        "c5",
+        &digits[1..],
+        &format!("{digits}0"),
+        &digits.replace('c', "g"),
+    ] {
+        assert_eq!(KeyDigest::from_hex(text), None, "{text}");
+    }
+    // SHA-256 of the empty text, as it is published.
+    let empty = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+    assert_eq!(KeyDigest::from_hex(empty), Some(KeyDigest::of("")));
+}
--- a/crates/cap/src/measure/entry_rig.rs
+++ b/crates/cap/src/measure/entry_rig.rs
@@ -1,6 +1,7 @@
 //! An entry's machine with hand-made agents, entries and platform around it.
 
 use super::messages::{self, Fleet};
+use access::Credential;
 use base::prelude::*;
 use base::{PlatformAnswer, PlatformCall, PlatformOp, PlatformResult, Version};
 use prost::Message;
@@ -130,7 +131,7 @@
         let request = self.role.next_request();
         let arrival = Box::new(Arrival {
             request,
-            key: messages::KEY.to_owned(),
+            credential: Credential::of(messages::KEY),
             profile: Some(ProfileId::new("desk")),
             deadline_ms: None,
             work: Work::Model(Some(ModelId::new(model))),
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, resolved for the decisions that read it.
 
+use access::{Credential, KeyDigest};
 use base::prelude::*;
 use schema::settings::{Fleet, Limits, Store, Weights};
 use sha2::{Digest, Sha256};
@@ -16,7 +17,7 @@
     profiles: BTreeMap<ProfileId, ProfileSpec>,
     services: BTreeMap<ServiceId, ServiceSpec>,
     pools: BTreeMap<PoolId, PoolSpec>,
-    callers: BTreeMap<String, CallerSpec>,
+    callers: BTreeMap<KeyDigest, CallerSpec>,
     limits: Limits,
     weights: Weights,
     store: Store,
@@ -179,9 +180,12 @@
         self.pools.values()
     }
 
-    /// Finds the caller who has a key.
-    pub fn caller_by_key(&self, key: &str) -> Option<&CallerSpec> {
-        self.callers.get(&key_hash(key))
+    /// Finds the caller whose key a request carries.
+    pub fn caller(&self, credential: &Credential) -> Option<&CallerSpec> {
+        match credential {
+            Credential::Key(key) => self.callers.get(key),
+            Credential::Absent | Credential::Malformed => None,
+        }
     }
 
     /// Bounds, with defaults filled in.
@@ -287,13 +291,14 @@
     specs.map(|spec| (spec.id.clone(), spec)).collect()
 }
 
-fn callers(fleet: &Fleet) -> BTreeMap<String, CallerSpec> {
-    let specs = fleet.callers.iter().map(|(name, caller)| {
+fn callers(fleet: &Fleet) -> BTreeMap<KeyDigest, CallerSpec> {
+    let specs = fleet.callers.iter().filter_map(|(name, caller)| {
         let spec = CallerSpec {
             id: CallerId::new(name),
             concurrent_max: caller.concurrent_max,
         };
-        (caller.key_sha256.to_ascii_lowercase(), spec)
+        // `check` has shown that it is one.
+        Some((KeyDigest::from_hex(&caller.key_sha256)?, spec))
     });
     specs.collect()
 }
--- a/crates/entry/src/http/fault.rs
+++ b/crates/entry/src/http/fault.rs
@@ -91,6 +91,10 @@
             "the upstream did not take the request"
         }
         Code::NotReady => "the process has no configuration yet",
+        Code::QuotaSpent => "the workspace has used what it may",
+        Code::QuotaUnknown => {
+            "nobody could say whether the workspace has something left"
+        }
         Code::UpstreamLost => "the upstream died with the request in flight",
         Code::UpstreamFault => "the upstream refused or broke its protocol",
         Code::DeadlineWhileRunning => "the deadline passed while the request ran",
--- a/crates/entry/src/http/head.rs
+++ b/crates/entry/src/http/head.rs
@@ -1,5 +1,6 @@
 //! Paths and headers of a request.
 
+use access::{Credential, credential};
 use base::Code;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Uri};
@@ -68,8 +69,8 @@
 /// The headers that matter.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Head {
-    /// Caller's key; empty if none.
-    pub(crate) key: String,
+    /// Who the caller says it is.
+    pub(crate) credential: Credential,
     /// Profile named.
     pub(crate) profile: Option<String>,
     /// Deadline named.
@@ -100,7 +101,7 @@
         ));
     }
     Ok(Head {
-        key: bearer(text(headers, AUTHORIZATION.as_str())?).to_owned(),
+        credential: bearer(text(headers, AUTHORIZATION.as_str())?),
         profile: text(headers, "x-profile")?.map(str::to_owned),
         deadline_ms: deadline_ms(text(headers, "x-deadline-ms")?)?,
         idempotency_key: idempotency_key.map(str::to_owned),
@@ -126,15 +127,9 @@
     Ok(Some(text.trim()))
 }
 
-fn bearer(authorization: Option<&str>) -> &str {
-    const SCHEME: &str = "bearer ";
-    let Some(text) = authorization else {
-        return "";
-    };
-    match text.split_at_checked(SCHEME.len()) {
-        Some((scheme, key)) if scheme.eq_ignore_ascii_case(SCHEME) => key.trim(),
-        _ => "",
-    }
+/// A header that stands twice or is not text was refused before.
+fn bearer(authorization: Option<&str>) -> Credential {
+    credential(authorization.map(str::as_bytes), "bearer")
 }
 
 fn deadline_ms(text: Option<&str>) -> Result<Option<u64>, Fault> {
--- a/crates/entry/src/http/serve.rs
+++ b/crates/entry/src/http/serve.rs
@@ -155,7 +155,7 @@
 ) -> Arrival {
     Arrival {
         request,
-        key: head.key,
+        credential: head.credential,
         profile: head.profile.as_deref().map(ProfileId::new),
         deadline_ms: head.deadline_ms,
         work,
@@ -230,7 +230,7 @@
 ) -> Result<Response<ReplyBody>, Fault> {
     let config = node.role().config().ok_or(Fault::new(Code::NotReady))?;
     config
-        .caller_by_key(&head.key)
+        .caller(&head.credential)
         .ok_or(Fault::new(Code::UnknownCaller))?;
     let named = config.profiles().flat_map(|profile| &profile.models);
     let names: BTreeSet<&str> = named.map(ModelId::as_str).collect();
--- a/crates/role/benches/gate_limit.rs
+++ b/crates/role/benches/gate_limit.rs
@@ -2,7 +2,7 @@
 //! floor, and one that follows the expected time between tokens, on a seeded engine whose step takes longer the fuller its batch is.
 //!
 //! Time is a number that the steps move on, so the run gives the same table
-//! every time. `docs/design-gate.md` holds the figures and the decision.
+//! every time. `docs/design/gate.md` holds the figures and the decision.
 
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
--- a/crates/role/src/agent/limit.rs
+++ b/crates/role/src/agent/limit.rs
@@ -4,7 +4,7 @@
 //! fuller batch takes longer for a step, and each step is a token of every
 //! answer in it; how much longer depends on model, prompts and accelerator. Past
 //! some point more places mean that no answer has its expected time between
-//! tokens. `docs/design-gate.md` has the measurements.
+//! tokens. `docs/design/gate.md` has the measurements.
 
 /// Part of the expected time between tokens, in percent, up to which places are
 /// added.
--- a/crates/role/src/entry/accept.rs
+++ b/crates/role/src/entry/accept.rs
@@ -41,7 +41,7 @@
     let Some(config) = ctx.control.config().cloned() else {
         return Err(refuse(Code::NotReady).retry_after_ms(ELSEWHERE_MS));
     };
-    let caller = config.caller_by_key(&arrival.key);
+    let caller = config.caller(&arrival.credential);
     let caller = caller.ok_or_else(|| refuse(Code::UnknownCaller))?;
     let resolved = resolve(&config, &arrival).map_err(refuse)?;
     let verdict = {
--- a/crates/role/src/entry/event.rs
+++ b/crates/role/src/entry/event.rs
@@ -1,5 +1,6 @@
 //! What an entry's machine is told and what it asks of its driver.
 
+use access::Credential;
 use base::prelude::*;
 use base::{PlatformAnswer, PlatformCall};
 use schema::link::{Run, frame};
@@ -65,8 +66,8 @@
 pub struct Arrival {
     /// Name the driver gave the request, by `EntryRole::next_request`.
     pub request: RequestId,
-    /// Caller's key as sent, without the scheme; empty if none.
-    pub key: String,
+    /// Who the caller says it is.
+    pub credential: Credential,
     /// Profile named, if any.
     pub profile: Option<ProfileId>,
     /// Deadline named, from now, if any.
--- a/crates/role/tests/entry/retries.rs
+++ b/crates/role/tests/entry/retries.rs
@@ -178,7 +178,7 @@
             "unknown caller",
             |r| {
                 let mut arrival = r.arrival(role::entry::Work::Model(None));
-                arrival.key = "other".to_owned();
+                arrival.credential = access::Credential::of("other");
                 r.arrive(arrival)
             },
             Code::UnknownCaller,
--- a/crates/role/tests/entry/rig/requests.rs
+++ b/crates/role/tests/entry/rig/requests.rs
@@ -1,6 +1,7 @@
 //! Requests of the rig's callers.
 
 use super::{KEY, Rig};
+use access::Credential;
 use base::prelude::*;
 use role::entry::{Arrival, EntryEvent, Work};
 
@@ -9,7 +10,7 @@
         let request = self.role.next_request();
         Arrival {
             request,
-            key: KEY.to_owned(),
+            credential: Credential::of(KEY),
             profile: None,
             deadline_ms: None,
             work,
--- a/crates/role/tests/entry/unmet.rs
+++ b/crates/role/tests/entry/unmet.rs
@@ -251,7 +251,7 @@
     );
     assert!(refusal.retry_after_ms.is_some());
     let mut arrival = rig.arrival(Work::Model(Some(ModelId::new("m1"))));
-    arrival.key = "other".to_owned();
+    arrival.credential = access::Credential::of("other");
     let request = rig.arrive(arrival);
     assert!(rig.refusals(request).is_empty());
     // What was sent has left the queue: the share is free again.
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -58,7 +58,7 @@
 /// A request that crashes each engine that runs it, retried and sent again by
 /// its caller, takes down a whole pool. After one crash it runs only alone, at
 /// the one entry that owns its model, on an upstream it has not crashed; a crash
-/// of a second upstream convicts it. `docs/design-retries.md` tells what the bound of two
+/// of a second upstream convicts it. `docs/design/retries.md` tells what the bound of two
 /// crashes rests on.
 #[derive(Debug)]
 pub struct Suspects {
--- a/crates/scenario/src/world/caller.rs
+++ b/crates/scenario/src/world/caller.rs
@@ -1,5 +1,6 @@
 //! Callers: what they sent and what they got.
 
+use access::Credential;
 use base::prelude::*;
 use role::entry::{Arrival, EntryEvent, Work};
 use std::collections::BTreeMap;
@@ -204,7 +205,7 @@
     let hash = u64::from_str_radix(&hash[..16], 16).unwrap_or_default();
     Arrival {
         request,
-        key: format!("key-{}", decl.caller),
+        credential: Credential::of(&format!("key-{}", decl.caller)),
         profile: decl.profile.as_deref().map(ProfileId::new),
         deadline_ms: decl.deadline_ms,
         work,
--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -41,11 +41,15 @@
 
 fn every_page_is_in_the_summary() -> Result<(), Failed> {
     let summary = std::fs::read_to_string(docs().join("SUMMARY.md"))?;
-    for entry in std::fs::read_dir(docs())? {
-        let name = entry?.file_name().to_string_lossy().into_owned();
-        let page = name.ends_with(".md") && name != "SUMMARY.md";
-        if page && !summary.contains(&format!("({name})")) {
-            return Err(format!("docs/SUMMARY.md does not lead to {name}").into());
+    for (folder, prefix) in [(docs(), ""), (docs().join("design"), "design/")] {
+        for entry in std::fs::read_dir(folder)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            let page = name.ends_with(".md") && name != "SUMMARY.md";
+            if page && !summary.contains(&format!("({prefix}{name})")) {
+                let missing =
+                    format!("docs/SUMMARY.md does not lead to {prefix}{name}");
+                return Err(missing.into());
+            }
         }
     }
     Ok(())
