--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -10,6 +10,10 @@
 /// more is refused than can return in it, they are spread over it again.
 const RETURN_WITHIN_MS: u64 = 5_000;
 
+/// When callers are told to come back to a place where nothing is made and that nobody
+/// feeds: by then it is fed, or another place keeps the tokens.
+const NOTHING_MADE_MS: u64 = 300;
+
 /// Tokens of one workspace at one entry.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -24,8 +28,11 @@
     feeders: BTreeMap<Arc<str>, Instant>,
     /// The keeper that was fed last, and the level that it told.
     pub(crate) told: Option<(String, f64)>,
-    /// When the next one that is refused is told to come back.
-    return_at: Instant,
+    /// Tokens that those are to find who were refused and have yet to come back. In
+    /// tokens and not as a moment: told by a pool that made little, the moment stayed
+    /// far away for all who came when it was fed again.
+    promised: f64,
+    promised_at: Instant,
 }
 
 /// What an entry makes, as a part of the whole.
@@ -59,7 +66,8 @@
             made_at: now,
             feeders: BTreeMap::new(),
             told: None,
-            return_at: Instant::ZERO,
+            promised: 0.0,
+            promised_at: now,
         }
     }
 
@@ -130,13 +138,18 @@
     /// All at the same moment, a workspace's callers would find tokens for the first
     /// of them, and the others be refused again.
     pub(crate) fn return_ms(&mut self, now: Instant, part: f64, cost: f64) -> u64 {
-        let per_ms = (self.limit.rate_per_s * part / 1_000.0).max(f64::MIN_POSITIVE);
-        let ms =
-            |tokens: f64| (tokens / per_ms).ceil().min(RETURN_WITHIN_MS as f64) as u64;
-        let filled_at = now.plus_ms(ms((-self.level).max(0.0)));
-        let at = self.return_at.max(filled_at).plus_ms(ms(cost).max(1));
-        let is_far = at.ms_since(now) > RETURN_WITHIN_MS;
-        self.return_at = if is_far { filled_at } else { at };
-        self.return_at.ms_since(now).max(1)
+        let per_ms = self.limit.rate_per_s * part / 1_000.0;
+        if per_ms <= 0.0 {
+            return NOTHING_MADE_MS;
+        }
+        let made = per_ms * now.since(self.promised_at).as_secs_f64() * 1_000.0;
+        self.promised = (self.promised - made).max(0.0) + cost;
+        self.promised_at = now;
+        let owed = (-self.level).max(0.0);
+        let ms = |tokens: f64| (tokens / per_ms).ceil() as u64;
+        if ms(owed + self.promised) > RETURN_WITHIN_MS {
+            self.promised = cost;
+        }
+        ms(owed + self.promised).clamp(1, RETURN_WITHIN_MS)
     }
 }
--- a/crates/quota/tests/all/pools.rs
+++ b/crates/quota/tests/all/pools.rs
@@ -138,6 +138,22 @@
     }
 }
 
+/// An entry that nobody counts yet makes nothing, and refuses its callers for seconds.
+/// When it makes its part, the next one that is refused is told its own turn, and not a
+/// moment behind all that were told before.
+#[test]
+fn a_pool_that_made_nothing_promises_nothing() {
+    let mut pools = pools(1, false);
+    for ms in 0..1_000 {
+        let take = pools.take(Instant::from_ms(ms), "desk", 200.0);
+        assert_eq!(take, Take::Short { return_ms: 300 });
+    }
+    let now = Instant::from_ms(1_000);
+    pools.set_entries(now, 1, true);
+    let take = pools.take(now, "desk", 200.0);
+    assert_eq!(take, Take::Short { return_ms: 200 });
+}
+
 #[test]
 fn what_did_not_run_is_put_back() {
     let mut pools = pools(1, true);
