--- /dev/null
+++ b/crates/front/src/quota/hear.rs
@@ -0,0 +1,111 @@
+//! Tokens that other entries hand here, ask for, or send as an answer.
+
+use base::prelude::*;
+use prost::Message;
+use quota::{Feed, Take};
+use schema::peer::{
+    PeerNews, TokenAnswer, TokenAsk, TokenFeed, TokenLevel, TokenVerdict, Tokens,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+use super::message;
+use crate::state::Node;
+use crate::state::peers::start_name;
+
+/// Another entry hands tokens here, asks for some, or answers.
+pub(crate) async fn hear(
+    node: &Node,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    news: &PeerNews,
+    tokens: &Tokens,
+) {
+    let now = node.now();
+    let sender: Arc<str> = news.entry.as_str().into();
+    let mut reply = Tokens::default();
+    if tokens.feed > 0 && node.quota.is_new_feed(&sender, news.start, tokens.feed) {
+        reply.fed = tokens.feed;
+        reply.levels = receive(node, now, &sender, &tokens.feeds);
+    }
+    if tokens.fed > 0 {
+        node.quota.heard(&news.entry);
+        let mut pools = node.quota.pools.lock();
+        let keeper = start_name(&news.entry, news.start);
+        for level in &tokens.levels {
+            pools.told(&keeper, &level.workspace, level.tokens);
+        }
+    }
+    if let Some(ask) = &tokens.ask {
+        reply.answer = Some(answer(node, now, &sender, news.start, ask));
+    }
+    if let Some(answer) = &tokens.answer {
+        node.quota.heard(&news.entry);
+        node.quota.answered(answer.id, taken(answer));
+    }
+    if reply != Tokens::default() {
+        let message = message(node, reply).encode_to_vec();
+        // A lost one is asked for again.
+        let _ = socket.send_to(&message, from).await;
+    }
+}
+
+fn receive(
+    node: &Node,
+    now: Instant,
+    from: &Arc<str>,
+    feeds: &[TokenFeed],
+) -> Vec<TokenLevel> {
+    let mut pools = node.quota.pools.lock();
+    let levels = feeds.iter().filter_map(|fed| {
+        let feed = Feed {
+            workspace: fed.workspace.as_str().into(),
+            tokens: fed.tokens,
+            owed: (fed.owed < 0.0).then_some(fed.owed),
+        };
+        let tokens = pools.receive(now, from, &feed)?;
+        Some(TokenLevel {
+            workspace: fed.workspace.clone(),
+            tokens,
+        })
+    });
+    levels.collect()
+}
+
+fn answer(
+    node: &Node,
+    now: Instant,
+    sender: &Arc<str>,
+    start: u64,
+    ask: &TokenAsk,
+) -> TokenAnswer {
+    let question = (Arc::clone(sender), start, ask.id);
+    let mut asked = node.quota.asked.lock();
+    let take = asked.answer(now, question, || {
+        let mut pools = node.quota.pools.lock();
+        pools.take(now, &ask.workspace, ask.cost)
+    });
+    let (verdict, return_ms) = match take {
+        Take::Taken => (TokenVerdict::Taken, 0),
+        Take::Short { return_ms } => (TokenVerdict::Short, return_ms),
+        Take::Never => (TokenVerdict::Never, 0),
+        Take::Unbounded => (TokenVerdict::Unbounded, 0),
+    };
+    TokenAnswer {
+        id: ask.id,
+        verdict: verdict.into(),
+        return_ms,
+    }
+}
+
+fn taken(answer: &TokenAnswer) -> Take {
+    match answer.verdict() {
+        TokenVerdict::Taken => Take::Taken,
+        TokenVerdict::Short => Take::Short {
+            return_ms: answer.return_ms,
+        },
+        TokenVerdict::Never => Take::Never,
+        TokenVerdict::Unbounded => Take::Unbounded,
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -312,9 +312,11 @@
             Some(adapter) => format!("{model}/{adapter}"),
             None => model.to_string(),
         });
+        let workspace = self.call.workspace.as_ref();
+        let workspace = workspace.map(|workspace| &*workspace.name);
         node.log.line(
             "request",
-            json!({ "id": self.call.ask.id, "route": route,
+            json!({ "id": self.call.ask.id, "route": route, "workspace": workspace,
                 "service": &*self.call.service, "model": model, "outcome": outcome,
                 "status": status, "ms": ms, "first_ms": self.first_answer_ms,
                 "waited_ms": self.waited_ms, "tries": self.tries,
