The keeper of a workspace is found without copying all peers

Cause: each question and each feed copied the names and addresses of all peers, at 300 entries some 300 strings for each request and 16 times as many for each feed. Change: the table is walked under its lock, and the one that is found is copied.

--- a/crates/front/src/quota/mod.rs
+++ b/crates/front/src/quota/mod.rs
@@ -10,7 +10,6 @@
 mod hear;
 
 use prost::Message;
-use quota::keeper;
 use schema::peer::{PeerNews, Tokens};
 use std::net::SocketAddr;
 
@@ -30,19 +29,11 @@
 /// Who keeps a workspace's tokens, by whom this entry hears.
 fn keeper_of(node: &Node, workspace: &str) -> Keeper {
     let now = node.now();
-    let candidates = node.peers.keepers(now);
-    let others = candidates
-        .iter()
-        .filter(|(name, _)| !node.quota.is_away(now, name))
-        .map(|(name, _)| name.as_str());
     let own = keeps(node).then_some(node.options.entry.as_str());
-    let kept_by = keeper(workspace, others.chain(own));
-    let other = candidates
-        .iter()
-        .find(|(name, _)| Some(name.as_str()) == kept_by);
-    other.map_or(Keeper::This, |(name, address)| {
-        Keeper::Other(name.clone(), *address)
-    })
+    let away = node.quota.away(now);
+    let is_away = |name: &str| away.iter().any(|away| away == name);
+    let other = node.peers.keeper(now, workspace, own, is_away);
+    other.map_or(Keeper::This, |(name, address)| Keeper::Other(name, address))
 }
 
 /// Whether others may hand this entry their tokens.
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use direct::Load;
 use parking_lot::Mutex;
+use quota::keeper;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -131,15 +132,28 @@
         heard.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Entries that were heard lately and keep tokens, with their addresses.
-    pub(crate) fn keepers(&self, now: Instant) -> Vec<(String, SocketAddr)> {
+    /// The entry that keeps a workspace's tokens, with its address, if it is another
+    /// one than this: of those that were heard lately, keep tokens and are not away.
+    ///
+    /// It is asked for with each request and each feed, so that nothing is copied but
+    /// the one that is found.
+    pub(crate) fn keeper(
+        &self,
+        now: Instant,
+        workspace: &str,
+        own: Option<&str>,
+        is_away: impl Fn(&str) -> bool,
+    ) -> Option<(String, SocketAddr)> {
         let table = self.table.lock();
-        let keepers = table.peers.iter().filter(|(_, peer)| {
-            peer.keeps_tokens && now.ms_since(peer.heard_at) < DEMAND_MS
+        let others = table.peers.iter().filter(|(name, peer)| {
+            peer.keeps_tokens
+                && now.ms_since(peer.heard_at) < DEMAND_MS
+                && !is_away(name)
         });
-        keepers
-            .map(|(name, peer)| (name.clone(), peer.address))
-            .collect()
+        let others = others.map(|(name, _)| name.as_str());
+        let kept_by = keeper(workspace, others.chain(own))?;
+        let other = table.peers.get(kept_by)?;
+        Some((kept_by.to_owned(), other.address))
     }
 
     /// Whether a start of an entry was heard lately.
--- a/crates/front/src/state/quota.rs
+++ b/crates/front/src/state/quota.rs
@@ -132,11 +132,13 @@
         self.unanswered.lock().remove(entry);
     }
 
-    /// Whether an entry has not answered lately.
-    pub(crate) fn is_away(&self, now: Instant, entry: &str) -> bool {
+    /// Entries that have not answered lately.
+    pub(crate) fn away(&self, now: Instant) -> Vec<String> {
         let unanswered = self.unanswered.lock();
-        let since = unanswered.get(entry);
-        since.is_some_and(|since| now.ms_since(*since) >= AWAY_AFTER_MS)
+        let away = unanswered
+            .iter()
+            .filter(|(_, since)| now.ms_since(**since) >= AWAY_AFTER_MS);
+        away.map(|(name, _)| name.clone()).collect()
     }
 
     /// Whether a feed is new: later than all that came from this start of its sender.
