--- a/crates/quota/src/cadence.rs
+++ b/crates/quota/src/cadence.rs
@@ -8,8 +8,8 @@
 /// account: with half a second, half of a second's rate may be used beyond the burst.
 const EVERY_MAX_MS: u64 = 500;
 
-/// Feeds a second that the keepers together take for one workspace: each costs a
-/// keeper some 20 us.
+/// Feeds a second that a keeper takes for one workspace: with many entries each feeds
+/// less often, so that it is not spent on being fed.
 const FEEDS_PER_S: u64 = 150;
 
 /// Feeds after which an entry that sent none feeds no longer; one may be lost.
--- a/crates/quota/tests/all/pools.rs
+++ b/crates/quota/tests/all/pools.rs
@@ -138,6 +138,54 @@
     }
 }
 
+/// Of a thousand callers refused at one moment none is alone in being told the latest:
+/// they are spread evenly over the moments at which there is something for one of them.
+#[test]
+fn a_storm_of_refused_callers_is_spread_evenly() {
+    let mut pools = pools(1, true);
+    let mut told = std::collections::BTreeMap::new();
+    for _ in 0..1_000 {
+        let Take::Short { return_ms } = pools.take(Instant::ZERO, "desk", 200.0) else {
+            panic!("nothing is there");
+        };
+        *told.entry(return_ms).or_insert(0) += 1;
+    }
+    // One each 200 ms of 5 s.
+    assert_eq!(told.len(), 25, "{told:?}");
+    assert!(told.values().all(|callers| *callers == 40), "{told:?}");
+}
+
+/// What was promised is paid as time makes tokens, so those who are refused later do
+/// not stand behind callers whose turn has come.
+#[test]
+fn a_promise_is_paid_by_time() {
+    let mut pools = pools(1, true);
+    for _ in 0..4 {
+        let _ = pools.take(Instant::ZERO, "desk", 200.0);
+    }
+    let now = Instant::from_ms(400);
+    assert_eq!(pools.take(now, "desk", 900.0), Take::Taken);
+    // A debt of 500, 400 of the 800 that were promised, and its own 200.
+    let take = pools.take(now, "desk", 200.0);
+    assert_eq!(take, Take::Short { return_ms: 1_100 });
+}
+
+/// A limit is lowered far below a debt. Its callers are told to look again in five
+/// seconds and not when it will be paid, for the limit may be raised before.
+#[test]
+fn a_debt_under_a_low_limit_keeps_nobody_away_for_long() {
+    let mut pools = pools(1, true);
+    let now = Instant::from_ms(100);
+    assert_eq!(pools.take(now, "desk", 600.0), Take::Taken);
+    let lower = Limit {
+        rate_per_s: 10.0,
+        burst: 10.0,
+    };
+    pools.set_limits(now, [(&desk(), lower)]);
+    let take = pools.take(now, "desk", 1.0);
+    assert_eq!(take, Take::Short { return_ms: 5_000 });
+}
+
 /// An entry that nobody counts yet makes nothing, and refuses its callers for seconds.
 /// When it makes its part, the next one that is refused is told its own turn, and not a
 /// moment behind all that were told before.
