Adapters ahead of need: held before a request waits for them

The leader spreads adapters over the places of upstreams that hold their model: the first copy of each before a second of any, by the demand for their models and a part for models that nobody asks for yet; one changes places with another only where it is worth twice as much, so they come to rest. An upstream that leaves orders unanswered gets none ahead. A request that waits takes the place of what is worth least in the place of the oldest.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -44,6 +44,7 @@
         disk_load_ms: 1_000,
         memory_load_ms: 500,
         adapter_mb: 60.0,
+        adapters: Vec::new(),
     };
     Engine {
         batch_slots: 64,
--- /dev/null
+++ b/crates/direct/src/adapters.rs
@@ -0,0 +1,270 @@
+//! Adapters that upstreams hold before requests ask for them.
+//!
+//! Answers the load in which requests name one of many adapters. Fetched when a
+//! request waits for it, an adapter costs that request its time, and most of them
+//! at once when demand moves to a model or while nobody gives orders. There are
+//! usually more places than adapters, so nearly each can be somewhere beforehand.
+
+use base::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::{Engine, Load};
+
+/// Time for which an adapter keeps its place before it makes room for another.
+/// Where more adapters are asked for than there are places, they take turns; a turn
+/// is some tens of loads long.
+pub const ADAPTER_TURN_MS: u64 = 300;
+
+/// Part of the demand that is taken to be spread over all models alike: demand moves
+/// to models that nobody asks for now, and their adapters are to be there by then.
+const UNSEEN_PART: f64 = 0.3;
+
+/// Times by which an adapter has to be worth more than the one in its place before
+/// the two change places, so that they do not change back.
+const WORTH_CHANGING: f64 = 2.0;
+
+/// One upstream as the spread of adapters sees it.
+#[derive(Debug, Clone)]
+pub struct AdapterSpot {
+    /// Upstream.
+    pub upstream: Arc<str>,
+    /// Whether it can be ordered an adapter now.
+    pub takes_orders: bool,
+    /// Whether it can be given one that nobody waits for.
+    pub takes_ahead: bool,
+    /// Places that are free.
+    pub free_places: u32,
+    /// Memory that is free.
+    pub free_mb: f64,
+    /// Requests that run there.
+    pub running: u32,
+    /// Models that serve there, with their adapters and since when these are there.
+    pub models: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Instant>>,
+}
+
+/// An adapter of a model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct AdapterName {
+    /// Model.
+    pub model: Arc<str>,
+    /// Adapter.
+    pub adapter: Arc<str>,
+}
+
+/// An adapter that is to be loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdapterChoice {
+    /// Upstream that is to hold it.
+    pub upstream: Arc<str>,
+    /// Adapter.
+    pub load: AdapterName,
+    /// Adapter that has to go first.
+    pub unload: Option<AdapterName>,
+}
+
+/// The adapters of a service's upstreams, and what each copy of one is worth.
+#[derive(Debug)]
+pub struct AdapterSpread<'a> {
+    now: Instant,
+    engine: &'a Engine,
+    spots: &'a [AdapterSpot],
+    /// Whether each upstream was chosen already: it takes one order at a time.
+    chosen: Vec<bool>,
+    copies: HashMap<(&'a str, &'a str), u32>,
+    /// Worth of the first copy of each adapter of a model.
+    worth: HashMap<&'a str, f64>,
+    /// Memory that one more model takes at most.
+    model_mb: f64,
+}
+
+impl<'a> AdapterSpread<'a> {
+    /// What is held, against the demand for models.
+    pub fn new(
+        now: Instant,
+        engine: &'a Engine,
+        spots: &'a [AdapterSpot],
+        loads: &BTreeMap<Arc<str>, Load>,
+    ) -> Self {
+        let mut copies = HashMap::new();
+        for (model, adapters) in spots.iter().flat_map(|spot| &spot.models) {
+            for adapter in adapters.keys() {
+                *copies.entry((&**model, &**adapter)).or_default() += 1;
+            }
+        }
+        let sizes = engine.models.values().map(|spec| spec.weights_mb);
+        Self {
+            now,
+            engine,
+            spots,
+            chosen: vec![false; spots.len()],
+            copies,
+            worth: worth(engine, loads),
+            model_mb: sizes.fold(0.0, f64::max),
+        }
+    }
+
+    /// Where an adapter that requests wait for is to be loaded, if that can be now.
+    ///
+    /// A free place goes first, then the place of the adapter that is worth least, and
+    /// of equal ones that at the least used upstream.
+    pub fn wanted(&mut self, wanted: &AdapterName) -> Option<AdapterChoice> {
+        let spots = self.spots.iter().enumerate();
+        let open =
+            spots.filter(|(index, spot)| spot.takes_orders && !self.chosen[*index]);
+        let found = open.filter_map(|(index, spot)| {
+            let held = spot.models.get(&wanted.model)?;
+            if held.contains_key(&wanted.adapter) {
+                return None;
+            }
+            let (loss, unload) = self.room(spot)?;
+            Some((loss, spot.running, index, unload))
+        });
+        let best = found.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let (_, _, index, unload) = best?;
+        let choice = AdapterChoice {
+            upstream: Arc::clone(&self.spots[index].upstream),
+            load: wanted.clone(),
+            unload,
+        };
+        self.choose(index, &choice);
+        Some(choice)
+    }
+
+    /// Adapters worth loading before anybody asks for them, one an upstream at most.
+    pub fn ahead(&mut self) -> Vec<AdapterChoice> {
+        let mut choices = Vec::new();
+        for (index, spot) in self.spots.iter().enumerate() {
+            if !spot.takes_ahead || self.chosen[index] {
+                continue;
+            }
+            if let Some(choice) = self.ahead_at(spot) {
+                self.choose(index, &choice);
+                choices.push(choice);
+            }
+        }
+        choices
+    }
+
+    fn ahead_at(&self, spot: &AdapterSpot) -> Option<AdapterChoice> {
+        let (gain, model, adapter) = self.best_missing(spot)?;
+        let (loss, unload) = self.room(spot)?;
+        let spec = self.engine.models.get(model)?;
+        let takes_model = spot.free_mb >= self.model_mb
+            && spot.free_mb - spec.adapter_mb < self.model_mb;
+        if gain <= loss * WORTH_CHANGING || takes_model {
+            return None;
+        }
+        Some(AdapterChoice {
+            upstream: Arc::clone(&spot.upstream),
+            load: AdapterName {
+                model: Arc::clone(model),
+                adapter: Arc::clone(adapter),
+            },
+            unload,
+        })
+    }
+
+    /// The adapter that is worth most of those that an upstream could hold and does
+    /// not.
+    fn best_missing<'b>(
+        &'b self,
+        spot: &'b AdapterSpot,
+    ) -> Option<(f64, &'b Arc<str>, &'b Arc<str>)> {
+        let models = spot.models.iter();
+        let all = models.flat_map(|(model, held)| {
+            let spec = self.engine.models.get(model);
+            let names = spec.into_iter().flat_map(|spec| &spec.adapters);
+            let missing = names.filter(move |name| !held.contains_key(*name));
+            missing.map(move |name| {
+                let copies = self.copies_of(model, name);
+                (self.worth_of(model, copies), model, name)
+            })
+        });
+        all.max_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// What making room costs, and the adapter that has to go for it if there is no
+    /// free place.
+    fn room(&self, spot: &AdapterSpot) -> Option<(f64, Option<AdapterName>)> {
+        if spot.free_places > 0 {
+            return Some((0.0, None));
+        }
+        let models = spot.models.iter();
+        let all = models.flat_map(|(model, held)| {
+            let had_turn = held
+                .iter()
+                .filter(|(_, since)| self.now.ms_since(**since) >= ADAPTER_TURN_MS);
+            had_turn.map(move |(adapter, since)| {
+                let others = self.copies_of(model, adapter).saturating_sub(1);
+                (self.worth_of(model, others), *since, model, adapter)
+            })
+        });
+        let least = all.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        least.map(|(loss, _, model, adapter)| {
+            let unload = AdapterName {
+                model: Arc::clone(model),
+                adapter: Arc::clone(adapter),
+            };
+            (loss, Some(unload))
+        })
+    }
+
+    /// Counts what was chosen, for the choices after it.
+    fn choose(&mut self, index: usize, choice: &AdapterChoice) {
+        self.chosen[index] = true;
+        let spot = &self.spots[index];
+        let spec = self.engine.models.get_key_value(&choice.load.model);
+        let name = spec.and_then(|(model, spec)| {
+            let mut names = spec.adapters.iter();
+            let name = names.find(|name| **name == choice.load.adapter)?;
+            Some((&**model, &**name))
+        });
+        if let Some(name) = name {
+            *self.copies.entry(name).or_default() += 1;
+        }
+        let gone = choice.unload.as_ref().and_then(|gone| {
+            let (model, held) = spot.models.get_key_value(&gone.model)?;
+            let (adapter, _) = held.get_key_value(&gone.adapter)?;
+            self.copies.get_mut(&(&**model, &**adapter))
+        });
+        if let Some(copies) = gone {
+            *copies = copies.saturating_sub(1);
+        }
+    }
+
+    fn copies_of(&self, model: &str, adapter: &str) -> u32 {
+        self.copies.get(&(model, adapter)).copied().unwrap_or(0)
+    }
+
+    /// What one copy more is worth beside others. The first one makes the adapter
+    /// reachable; each further one lets its requests choose among more upstreams.
+    fn worth_of(&self, model: &str, others: u32) -> f64 {
+        let first = self.worth.get(model).copied().unwrap_or(0.0);
+        first / f64::from(others + 1).powi(2)
+    }
+}
+
+/// Share of the demand that each adapter of a model is expected to have.
+fn worth<'a>(
+    engine: &'a Engine,
+    loads: &BTreeMap<Arc<str>, Load>,
+) -> HashMap<&'a str, f64> {
+    let demand_of = |model: &str| loads.get(model).map_or(0.0, Load::kept_ms_per_s);
+    let with_adapters = || {
+        let models = engine.models.iter();
+        models.filter(|(_, spec)| !spec.adapters.is_empty())
+    };
+    let all: f64 = with_adapters().map(|(model, _)| demand_of(model)).sum();
+    let unseen = UNSEEN_PART / with_adapters().count().max(1) as f64;
+    let models = with_adapters().map(|(model, spec)| {
+        let seen = if all > 0.0 {
+            demand_of(model) / all
+        } else {
+            0.0
+        };
+        let share = unseen + (1.0 - UNSEEN_PART) * seen;
+        (&**model, share / spec.adapters.len() as f64)
+    });
+    models.collect()
+}
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -234,15 +234,25 @@
         held.is_some_and(|held| held.adapters.contains_key(adapter))
     }
 
-    /// The adapter that has been there for the longest time, with since when.
-    pub fn oldest_adapter(&self) -> Option<(Arc<str>, Arc<str>, Instant)> {
-        let all = self.held.iter().flat_map(|(model, held)| {
-            let adapters = held.adapters.iter();
-            adapters.map(move |(name, adapter)| {
-                (Arc::clone(model), Arc::clone(name), adapter.since)
-            })
-        });
-        all.min_by_key(|(_, _, since)| *since)
+    /// Adapters held or on their way of each model that can serve, with since when.
+    pub fn adapters_held(&self) -> BTreeMap<Arc<str>, BTreeMap<Arc<str>, Instant>> {
+        let loaded = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.phase == Phase::Loaded);
+        let adapters = |held: &Held| {
+            let all = held.adapters.iter();
+            all.map(|(name, adapter)| (Arc::clone(name), adapter.since))
+                .collect()
+        };
+        loaded
+            .map(|(model, held)| (Arc::clone(model), adapters(held)))
+            .collect()
+    }
+
+    /// Whether orders without an answer may still be carried out.
+    pub const fn has_late(&self) -> bool {
+        !self.late.is_empty()
     }
 
     /// Makes an order, or none if it can't be given now or would not fit.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,7 +16,8 @@
 //! - [`after`] says what may follow a try that did not end well.
 //! - [`Repeats`] keeps repeats of all entries together under one bound.
 //! - [`Lease`] makes one entry the giver of orders; [`Ledger`] keeps what it
-//!   ordered from one upstream; [`Moves`] decides what is to be held where.
+//!   ordered from one upstream; [`Moves`] decides what is to be held where, and
+//!   [`AdapterSpread`] which adapters beside it.
 //! - [`SharedWatch`] lets one entry watch the platform for its failure domain;
 //!   [`tell_every_ms`] and its like say how often entries tell one another what.
 //!
@@ -33,6 +34,7 @@
 //!   earlier start may still add is checked with it.
 //! - A giver stops ordering before anyone else can start.
 
+mod adapters;
 mod admit;
 mod again;
 mod board;
@@ -56,6 +58,9 @@
 mod unserved;
 mod watermark;
 
+pub use adapters::{
+    ADAPTER_TURN_MS, AdapterChoice, AdapterName, AdapterSpot, AdapterSpread,
+};
 pub use admit::{Admission, Readings, admit};
 pub use again::{Next, Outcome, Tried, after};
 pub use cadence::{
--- a/crates/direct/src/setup.rs
+++ b/crates/direct/src/setup.rs
@@ -119,6 +119,8 @@
     pub memory_load_ms: u64,
     /// Size of each adapter.
     pub adapter_mb: f64,
+    /// Names of its adapters.
+    pub adapters: Vec<Arc<str>>,
 }
 
 /// Bounds on what callers send.
--- a/crates/direct/tests/all/ledger.rs
+++ b/crates/direct/tests/all/ledger.rs
@@ -143,8 +143,10 @@
         "they are still on their way"
     );
     assert_eq!(ledger.serving(at(500))[0].adapters.len(), 2);
-    let first = ledger.oldest_adapter().expect("there are two");
-    let unload = Action::UnloadAdapter(first.0, first.1);
+    let held = ledger.adapters_held();
+    let names: Vec<&str> = held[&name("a")].keys().map(|name| &**name).collect();
+    assert_eq!(names, ["x", "y"]);
+    let unload = Action::UnloadAdapter(name("a"), name("x"));
     let order = ledger.order(&engine, unload).expect("it is held");
     ledger.sent(at(600), &order, Sent::Answered(OrderAnswer::Done));
     assert!(ledger.order(&engine, adapter("z")).is_some());
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions of entries that speak to upstreams themselves.
 
+mod adapters;
 mod admit;
 mod again;
 mod cadence;
--- a/crates/direct/tests/all/support.rs
+++ b/crates/direct/tests/all/support.rs
@@ -21,6 +21,7 @@
         disk_load_ms: 1_000,
         memory_load_ms: 500,
         adapter_mb: 1.0,
+        adapters: Vec::new(),
     };
     Engine {
         batch_slots: 8,
--- a/crates/front/src/giver/adapters.rs
+++ b/crates/front/src/giver/adapters.rs
@@ -1,18 +1,23 @@
-//! Orders for the adapters that requests wait for.
+//! Orders for adapters: those that requests wait for, and those ahead of need.
 
 use base::prelude::*;
-use direct::{Engine, Setup};
+use direct::{AdapterChoice, AdapterName, AdapterSpot, AdapterSpread, Engine, Setup};
 use std::sync::Arc;
 
-use super::{Ordered, State, engine};
+use super::{Ordered, State, engine, loads};
 use crate::state::Node;
 use crate::state::wants::Want;
 
 /// Time for which an adapter counts as waited for after an entry named it.
 const WANT_MS: u64 = 500;
 
+/// Time between two orders to an upstream for adapters that nobody waits for. A few
+/// may be on their way to it at a time, and each takes tens of milliseconds.
+const AHEAD_EVERY_MS: u64 = 100;
+
 impl State {
-    /// Orders for the adapters that requests wait for.
+    /// Orders for the adapters that requests wait for and, now and then, for those
+    /// that they may come to ask for.
     pub(super) fn adapters(
         &mut self,
         node: &Node,
@@ -23,54 +28,87 @@
             self.wants.insert(want, now);
         }
         self.wants.retain(|_, at| now.ms_since(*at) < WANT_MS);
-        let wants: Vec<Want> = self.wants.keys().cloned().collect();
+        let ahead = now.ms_since(self.spread_at) >= AHEAD_EVERY_MS;
+        if ahead {
+            self.spread_at = now;
+        }
+        let services: Vec<Arc<str>> = self.moves.keys().cloned().collect();
         let mut orders = Vec::new();
-        for want in wants {
-            let Some(engine) = engine(setup, &want.service) else {
-                continue;
-            };
-            if self.is_coming(&want) {
+        for service in services {
+            let wanted = self.missing(&service);
+            if wanted.is_empty() && !ahead {
                 continue;
             }
-            let Some(id) = self.adapter_place(node, &want, engine, now) else {
+            let Some(engine) = engine(setup, &service) else {
                 continue;
             };
-            let Some(book) = self.books.get_mut(&id) else {
-                continue;
-            };
-            let order = book.adapter_order(engine, &want, now);
-            if let Some(order) = order {
-                orders.push((id, Arc::clone(&want.service), order, false));
+            let loads = loads(node, &service, now);
+            let spots = self.adapter_spots(node, &service, engine, now);
+            let mut spread = AdapterSpread::new(now, engine, &spots, &loads);
+            let mut choices: Vec<AdapterChoice> = wanted
+                .iter()
+                .filter_map(|name| spread.wanted(name))
+                .collect();
+            if ahead {
+                choices.extend(spread.ahead());
+            }
+            for choice in choices {
+                orders.extend(self.adapter_order(&service, engine, &choice));
             }
         }
         orders
     }
 
+    /// Adapters of a service that requests wait for and that are not on their way.
+    fn missing(&self, service: &str) -> Vec<AdapterName> {
+        let wants = self.wants.keys().filter(|want| &*want.service == service);
+        let missing = wants.filter(|want| !self.is_coming(want));
+        missing
+            .map(|want| AdapterName {
+                model: Arc::clone(&want.model),
+                adapter: Arc::clone(&want.adapter),
+            })
+            .collect()
+    }
+
     fn is_coming(&self, want: &Want) -> bool {
         let mut books = self.books.values();
         books.any(|book| book.ledger.has_adapter(&want.model, &want.adapter))
     }
 
-    /// The upstream that is to hold an adapter: the least used one that holds
-    /// its model, one with a free place first.
-    fn adapter_place(
+    fn adapter_spots(
         &self,
         node: &Node,
-        want: &Want,
+        service: &str,
         engine: &Engine,
         now: Instant,
-    ) -> Option<Arc<str>> {
+    ) -> Vec<AdapterSpot> {
         let fleet = node.fleet.lock();
-        let books = self.books.iter().filter(|(_, book)| {
-            let mut models = book.ledger.models();
-            let holds = models.any(|(model, loaded)| *model == want.model && loaded);
-            book.service == want.service && holds && book.takes_orders()
+        let books = self
+            .books
+            .iter()
+            .filter(|(_, book)| &*book.service == service);
+        let spots = books.map(|(id, book)| {
+            let upstream = fleet.get(id);
+            let running = upstream.map_or(0, |upstream| upstream.usage(now).running);
+            book.adapter_spot(id, engine, running)
         });
-        let best = books.min_by_key(|(id, book)| {
-            let full = book.ledger.adapters() >= engine.adapters_max;
-            let usage = fleet.get(id).map(|upstream| upstream.usage(now));
-            (full, usage.map_or(0, |usage| usage.running))
-        });
-        best.map(|(id, _)| Arc::clone(id))
+        spots.collect()
+    }
+
+    fn adapter_order(
+        &mut self,
+        service: &Arc<str>,
+        engine: &Engine,
+        choice: &AdapterChoice,
+    ) -> Option<Ordered> {
+        let book = self.books.get_mut(&choice.upstream)?;
+        let order = book.adapter_order(engine, choice)?;
+        Some((
+            Arc::clone(&choice.upstream),
+            Arc::clone(service),
+            order,
+            false,
+        ))
     }
 }
--- a/crates/front/src/state/book.rs
+++ b/crates/front/src/state/book.rs
@@ -2,20 +2,12 @@
 
 use base::prelude::*;
 use direct::{
-    Action, Engine, Group, LateOrders, Ledger, OrderAnswer, Report, Resident, Sent,
-    Setup, Start, Upstream,
+    Action, AdapterChoice, AdapterSpot, Engine, Group, LateOrders, Ledger, OrderAnswer,
+    Report, Resident, Sent, Setup, Start, Upstream,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::wants::Want;
-
-/// Time for which an adapter keeps its place before it makes room for one that is
-/// waited for. Where more adapters are asked for than there are places, they take
-/// turns; a turn is some tens of loads long. With turns of 1 s, an eighth of those in
-/// demand was never served while upstreams crashed; with these, all were.
-pub(crate) const ADAPTER_TURN_MS: u64 = 300;
-
 /// Time that an unload is expected to take: it waits for what runs.
 const UNLOAD_MS: u64 = 500;
 
@@ -189,26 +181,46 @@
             .collect()
     }
 
+    /// What the spread of adapters is to know of it.
+    pub(crate) fn adapter_spot(
+        &self,
+        id: &Arc<str>,
+        engine: &Engine,
+        running: u32,
+    ) -> AdapterSpot {
+        let takes_orders = self.takes_orders();
+        AdapterSpot {
+            upstream: Arc::clone(id),
+            takes_orders,
+            // One that leaves orders unanswered would have each of these in the way of
+            // an order that callers wait for.
+            takes_ahead: takes_orders
+                && self.intent.is_none()
+                && !self.ledger.has_late(),
+            free_places: engine.adapters_max.saturating_sub(self.ledger.adapters()),
+            free_mb: engine.weights_max_mb - self.ledger.used_mb(engine),
+            running,
+            models: self.ledger.adapters_held(),
+        }
+    }
+
     /// The order that brings an adapter, or the one that makes room for it.
     pub(crate) fn adapter_order(
         &mut self,
         engine: &Engine,
-        want: &Want,
-        now: Instant,
+        choice: &AdapterChoice,
     ) -> Option<direct::Order> {
-        let load =
-            Action::LoadAdapter(Arc::clone(&want.model), Arc::clone(&want.adapter));
-        if let Some(order) = self.ledger.order(engine, load) {
-            return Some(order);
-        }
-        let (model, adapter, since) = self.ledger.oldest_adapter()?;
-        if self.ledger.adapters() < engine.adapters_max
-            || now.ms_since(since) < ADAPTER_TURN_MS
-        {
-            return None;
-        }
-        self.ledger
-            .order(engine, Action::UnloadAdapter(model, adapter))
+        let action = match &choice.unload {
+            Some(gone) => Action::UnloadAdapter(
+                Arc::clone(&gone.model),
+                Arc::clone(&gone.adapter),
+            ),
+            None => Action::LoadAdapter(
+                Arc::clone(&choice.load.model),
+                Arc::clone(&choice.load.adapter),
+            ),
+        };
+        self.ledger.order(engine, action)
     }
 }
 
--- a/crates/front/src/state/giver.rs
+++ b/crates/front/src/state/giver.rs
@@ -35,6 +35,8 @@
     pub(crate) late: BTreeMap<Arc<str>, LateOrders>,
     pub(crate) moves: BTreeMap<Arc<str>, Moves>,
     pub(crate) planned_at: Instant,
+    /// When adapters that nobody waits for were last looked at.
+    pub(crate) spread_at: Instant,
     pub(crate) wants: BTreeMap<Want, Instant>,
 }
 
