Less time without a leader: renewals heard count, a stopped leader leads on

A holder tells the number of its renewal; who reads that renewal later counts from when it was first heard, which is after it was written and thus never earlier than the holder's own time. A lease given back says for how long it had ended. A leader that is being stopped leads on until another entry can lead; while others are being stopped too, until one is there that has started again; at its own end at the latest.

Not mended: a holder frozen right after its renewal for 6.8 s; 5 s of validity and 3 s of quiet are longer than that.

The property test of the lease now has entries that hear one another's renewals late and give back; two tests tell the two cases.

--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -22,6 +22,14 @@
     pub token: u64,
     /// Counts renewals, so that each write changes the object.
     pub renewal: u64,
+    /// Time for which its last holder had not ordered any more when it gave it back.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub idle_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "as serde asks for it")]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// Holder of a record that can't be read. No entry has this name.
@@ -40,6 +48,7 @@
             start: 0,
             token: version,
             renewal: version,
+            idle_ms: 0,
         }
     }
 
@@ -82,14 +91,34 @@
     /// Time between the last order of one holder and the first of the next.
     quiet_ms: u64,
     seen: Option<Seen>,
+    /// The newest renewal that its holder told of, and when that was first heard.
+    heard: Option<Heard>,
     /// Until when this process may order.
     until: Option<Instant>,
     next_at: Instant,
     busy: bool,
     /// What was seen may have been overwritten.
     must_read: bool,
-    /// It is given back and must not be held again.
-    ending: bool,
+    /// When it ended, once it is given back. It must not be held again.
+    ended_at: Option<Instant>,
+}
+
+/// A renewal as its holder tells of it.
+#[derive(Debug)]
+struct Heard {
+    holder: String,
+    start: u64,
+    token: u64,
+    renewal: u64,
+    at: Instant,
+}
+
+impl Heard {
+    fn is_of(&self, record: &LeaseRecord) -> bool {
+        self.holder == record.holder
+            && (self.start, self.token, self.renewal)
+                == (record.start, record.token, record.renewal)
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -109,11 +138,12 @@
             valid_ms,
             quiet_ms,
             seen: None,
+            heard: None,
             until: None,
             next_at: Instant::ZERO,
             busy: false,
             must_read: false,
-            ending: false,
+            ended_at: None,
         }
     }
 
@@ -130,6 +160,37 @@
         Some(seen.record.holder.as_str()).filter(|holder| !holder.is_empty())
     }
 
+    /// The holder tells the number of its last renewal.
+    ///
+    /// A holder that falls silent is missed before the object is read, and counted
+    /// from the reading its lease would end that much later than it does. It told of
+    /// the renewal when that was written, and its time ran by then: counted from the
+    /// first telling, nobody begins earlier than after the same wait.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        (holder, start): (&str, u64),
+        (token, renewal): (u64, u64),
+    ) {
+        let known = self.heard.as_ref();
+        if known.is_some_and(|known| (known.token, known.renewal) >= (token, renewal)) {
+            return;
+        }
+        self.heard = Some(Heard {
+            holder: holder.to_owned(),
+            start,
+            token,
+            renewal,
+            at: now,
+        });
+    }
+
+    /// Number of the renewal by which this entry may order.
+    pub fn renewal_held(&self, now: Instant) -> Option<u64> {
+        self.token(now)?;
+        self.seen.as_ref().map(|seen| seen.record.renewal)
+    }
+
     /// The next step; the shell tells what came of it by [`Self::read`],
     /// [`Self::written`] or [`Self::failed`].
     pub fn step(&mut self, now: Instant, holder_heard: bool) -> LeaseStep {
@@ -160,9 +221,14 @@
             return;
         };
         self.see(now, version, record);
-        let seen = self.seen.as_ref();
-        if seen.is_some_and(|seen| self.may_take(seen, now)) {
-            self.next_at = now;
+        if let Some(seen) = &self.seen {
+            let free_at = seen.since.plus_ms(self.wait_ms(&seen.record) + 1);
+            let free_at = if self.may_take(seen, now) {
+                now
+            } else {
+                free_at
+            };
+            self.next_at = self.next_at.min(free_at);
         }
     }
 
@@ -179,7 +245,7 @@
         // A renewal that was under way when the lease was given back must not
         // bring it to life: its holder ends, and its successor would wait as long
         // as for one that fell silent.
-        let held = mine && !self.ending;
+        let held = mine && self.ended_at.is_none();
         self.until = held.then(|| sent_at.plus_ms(self.valid_ms));
         self.next_at = sent_at.plus_ms(RENEW_EVERY_MS);
     }
@@ -217,9 +283,13 @@
     /// The record that gives the lease back, while it is this entry's own. It
     /// does not order afterwards. Where the object has another version by then,
     /// it is read and given back again.
-    pub fn give_back(&mut self) -> Option<(LeaseRecord, u64)> {
-        self.until = None;
-        self.ending = true;
+    ///
+    /// It may have been unable to renew for a while. Successors wait from when they see
+    /// that it was given back; told for how long it had ended by then, they need not
+    /// wait for that time once more.
+    pub fn give_back(&mut self, now: Instant) -> Option<(LeaseRecord, u64)> {
+        let until = self.until.take().unwrap_or(now);
+        let ended_at = *self.ended_at.get_or_insert(until.min(now));
         let seen = self.seen.as_ref()?;
         if !self.is_mine(&seen.record) {
             return None;
@@ -228,6 +298,7 @@
             holder: String::new(),
             start: 0,
             renewal: seen.record.renewal + 1,
+            idle_ms: now.ms_since(ended_at),
             ..seen.record.clone()
         };
         Some((record, seen.version))
@@ -241,10 +312,11 @@
         if unchanged {
             return;
         }
+        let heard = self.heard.as_ref().filter(|heard| heard.is_of(&record));
         self.seen = Some(Seen {
+            since: heard.map_or(now, |heard| heard.at.min(now)),
             record,
             version,
-            since: now,
         });
     }
 
@@ -266,7 +338,7 @@
     /// ends.
     const fn wait_ms(&self, record: &LeaseRecord) -> u64 {
         if record.holder.is_empty() {
-            self.quiet_ms
+            self.quiet_ms.saturating_sub(record.idle_ms)
         } else {
             self.valid_ms + self.quiet_ms
         }
@@ -289,6 +361,7 @@
                 start: self.start,
                 token: seen.record.token + 1,
                 renewal: seen.record.renewal + 1,
+                idle_ms: 0,
             },
             version: (seen.version > 0).then_some(seen.version),
         }
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -92,7 +92,7 @@
     let mut store = Store::default();
     let (mut first, mut second) = (lease("one", 1), lease("two", 2));
     run(&mut first, &mut store, 0, 1_000);
-    let (record, version) = first.give_back().expect("it holds the lease");
+    let (record, version) = first.give_back(at(1_000)).expect("it holds the lease");
     assert_eq!(first.token(at(1_000)), None);
     store
         .write(&record, Some(version))
@@ -116,21 +116,58 @@
     let renewed = store
         .write(&renewal, Some(version))
         .expect("nobody else wrote");
-    let (record, version) = first.give_back().expect("it holds the lease");
+    let (record, version) = first.give_back(at(1_000)).expect("it holds the lease");
     assert_eq!(store.write(&record, Some(version)), None);
     first.written(at(1_000), renewed, renewal);
     first.unsure(at(1_010));
     assert_eq!(first.token(at(1_020)), None);
-    let (record, version) = first.give_back().expect("it is still its own");
+    let (record, version) = first.give_back(at(1_000)).expect("it is still its own");
     let given = store
         .write(&record, Some(version))
         .expect("nobody else wrote");
     first.written(at(1_030), given, record);
-    assert_eq!(first.give_back(), None);
+    assert_eq!(first.give_back(at(1_000)), None);
     run(&mut second, &mut store, 1_100, 1_200 + QUIET_MS + 1_000);
     assert_eq!(second.token(at(1_200 + QUIET_MS + 1_000)), Some(2));
 }
 
+/// The giver dies, and others learn of its silence seconds later. They heard the number
+/// of its last renewal when it was written, so they count from then.
+#[test]
+fn a_renewal_that_was_heard_counts_from_its_telling() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (lease("one", 1), lease("two", 2));
+    run(&mut first, &mut store, 0, 1_000);
+    let renewal = first.renewal_held(at(1_000)).expect("it holds the lease");
+    second.hear(at(1_000), ("one", 1), (1, renewal));
+    run(&mut second, &mut store, 3_500, 1_000 + VALID_MS + QUIET_MS);
+    assert_eq!(second.token(at(1_000 + VALID_MS + QUIET_MS)), None);
+    run(&mut second, &mut store, 9_000, 9_400);
+    assert_eq!(second.token(at(9_400)), Some(2));
+}
+
+/// The platform is away, the giver's lease ends meanwhile, and it is stopped. What it
+/// gives back seconds later is long out of use, and nobody waits for it again.
+#[test]
+fn a_lease_that_had_ended_when_it_was_given_back_is_taken_at_once() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (lease("one", 1), lease("two", 2));
+    run(&mut first, &mut store, 0, 1_000);
+    let ends_ms = (1..20_000).find(|ms| first.token(at(*ms)).is_none());
+    let ends_ms = ends_ms.expect("nobody renews it");
+    let late_ms = ends_ms + QUIET_MS - 200;
+    let (record, version) = first.give_back(at(late_ms)).expect("it is its own");
+    assert_eq!(record.idle_ms, QUIET_MS - 200);
+    store
+        .write(&record, Some(version))
+        .expect("nobody else wrote");
+    carry_out(&mut second, &mut store, at(late_ms), false);
+    run(&mut second, &mut store, late_ms + 100, late_ms + 200);
+    assert_eq!(second.token(at(late_ms + 200)), None);
+    run(&mut second, &mut store, late_ms + 200, late_ms + 500);
+    assert_eq!(second.token(at(late_ms + 500)), Some(2));
+}
+
 #[test]
 fn the_same_entry_started_again_takes_the_lease_at_once() {
     let mut store = Store::default();
@@ -172,8 +209,19 @@
     step: LeaseStep,
 }
 
+/// What a holder tells another entry, and when that is heard.
+#[derive(Debug)]
+struct Told {
+    at_ms: u64,
+    from: usize,
+    start: u64,
+    renewal: (u64, u64),
+    to: usize,
+}
+
 /// Three entries, and a platform that is away, slow, loses answers and carries
-/// calls out seconds late, while entries freeze and start again. In every run,
+/// calls out seconds late, while entries freeze, start again, give the lease back and
+/// hear of one another's renewals. In every run,
 /// between the last moment at which one entry may order and the first at which
 /// another may lie at least the quiet time, and tokens only grow.
 #[test]
@@ -186,8 +234,18 @@
         let mut frozen_until = [0u64; 3];
         let mut calls: Vec<Call> = Vec::new();
         let mut last: Option<(usize, u64, u64)> = None;
+        let mut starts = [0, 1, 2];
+        let mut told: Vec<Told> = Vec::new();
         for step in 0..400u64 {
             let ms = step * 150;
+            told.retain(|told| {
+                if told.at_ms > ms || frozen_until[told.to] > ms {
+                    return true;
+                }
+                let holder = format!("e{}", told.from);
+                leases[told.to].hear(at(ms), (&holder, told.start), told.renewal);
+                false
+            });
             let mut due = std::mem::take(&mut calls);
             due.sort_by_key(|call| call.done_at);
             for call in due {
@@ -206,7 +264,8 @@
                     continue;
                 }
                 if random.ratio(1, 300)? {
-                    leases[entry] = lease(&format!("e{entry}"), 1_000 + step);
+                    starts[entry] = 1_000 + step;
+                    leases[entry] = lease(&format!("e{entry}"), starts[entry]);
                     calls.retain(|call| call.entry != entry || !call.answered);
                 }
                 if let Some(token) = leases[entry].token(at(ms)) {
@@ -221,6 +280,26 @@
                         }
                     }
                     last = Some((entry, ms, token));
+                    let renewal = leases[entry].renewal_held(at(ms)).expect("it holds");
+                    for to in (0..3).filter(|to| *to != entry) {
+                        let takes_ms = random.int_in_range(1..=1_500)?;
+                        told.push(Told {
+                            at_ms: ms + takes_ms,
+                            from: entry,
+                            start: starts[entry],
+                            renewal: (token, renewal),
+                            to,
+                        });
+                    }
+                }
+                if random.ratio(1, 400)?
+                    && let Some((record, version)) = leases[entry].give_back(at(ms))
+                {
+                    let step = LeaseStep::Write {
+                        record,
+                        version: Some(version),
+                    };
+                    calls.push(call(random, entry, ms, step)?);
                 }
                 let next = leases[entry].step(at(ms), false);
                 if next != LeaseStep::Wait {
--- a/crates/front/src/ending.rs
+++ b/crates/front/src/ending.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::orders::give_back_lease;
+use crate::orders::hand_over_lease;
 use crate::state::Node;
 
 /// Time after the signal to stop in which connections still take requests: the
@@ -43,8 +43,8 @@
     let end_at = begun_at + longest.saturating_sub(SPARE);
     node.stop.begin(begun_at, end_at);
     tell(node, "stopping");
-    let releasing = Arc::clone(node);
-    tokio::spawn(async move { give_back_lease(&releasing).await });
+    let leading = Arc::clone(node);
+    let handed_over = tokio::spawn(async move { hand_over_lease(&leading).await });
     tokio::time::sleep(KEEP_TAKING).await;
 
     node.stop.close.cancel();
@@ -60,6 +60,8 @@
 
     node.stop.answer_now.cancel();
     none_open(node, end_at).await;
+    // Whether it was handed over in time, its successor sees.
+    let _ = timeout(end_at.since(node.now()), handed_over).await;
     node.stop.ended.cancel();
     tell(node, "stopped");
     node.log.flush();
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -159,7 +159,7 @@
 pub(crate) async fn keep_lease(node: Arc<Node>) {
     loop {
         tokio::time::sleep(LEASE_TICK).await;
-        if node.stop.is_stopping() || node.setup().is_none() {
+        if node.setup().is_none() || !may_hold_lease(&node) {
             continue;
         }
         let step = lease_step(&node);
@@ -173,6 +173,12 @@
     }
 }
 
+/// Whether this entry may take or renew the lease: one that is being stopped only
+/// renews what it holds, until it hands it over.
+fn may_hold_lease(node: &Node) -> bool {
+    !node.stop.is_stopping() || node.lease.lock().token(node.now()).is_some()
+}
+
 fn lease_step(node: &Node) -> LeaseStep {
     let now = node.now();
     let mut lease = node.lease.lock();
@@ -251,16 +257,36 @@
     }
 }
 
-/// Gives the lease back at the end of the process, so that its successor need
-/// not wait for as long as for a giver that fell silent.
-pub(crate) async fn give_back_lease(node: &Node) {
+/// Hands the lease over when the process is being stopped: gives it back as soon as
+/// another entry can lead, and at its own end at the latest.
+///
+/// The process lives on for seconds, and a successor is quiet for as long as the rule
+/// asks, whenever it begins. Given back while nobody could take it, the lease left
+/// the demand that moved meanwhile without anybody who follows it.
+pub(crate) async fn hand_over_lease(node: &Node) {
+    let last_at = node.stop.answer_by();
+    loop {
+        let now = node.now();
+        let leads = node.lease.lock().token(now).is_some();
+        let is_late = last_at.is_none_or(|last_at| now >= last_at);
+        if !leads || is_late || node.peers.has_successor(now, node.start) {
+            break;
+        }
+        tokio::time::sleep(LEASE_TICK).await;
+    }
+    give_back_lease(node).await;
+}
+
+/// Gives the lease back, so that its successor need not wait for as long as for a
+/// giver that fell silent.
+async fn give_back_lease(node: &Node) {
     loop {
-        let given = node.lease.lock().give_back();
+        let given = node.lease.lock().give_back(node.now());
         let Some((record, version)) = given else {
             return;
         };
         write_lease(node, record, Some(version)).await;
-        if node.lease.lock().give_back().is_none() {
+        if node.lease.lock().give_back(node.now()).is_none() {
             return;
         }
         // A renewal under way came first, or the platform is away.
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -83,6 +83,11 @@
         fleet.giver_heard(now, news.giver_token);
     }
     drop(fleet);
+    if news.lease_renewal > 0 {
+        let holder = (news.entry.as_str(), news.start);
+        let renewal = (news.giver_token, news.lease_renewal);
+        node.lease.lock().hear(now, holder, renewal);
+    }
     if !news.holdings.is_empty() {
         node.holdings.notify_waiters();
     }
@@ -164,6 +169,7 @@
             domain: news.domain.clone(),
             watches: news.watches,
             keeps_tokens: news.keeps_tokens,
+            stopping: news.stopping,
             loads: loads.collect(),
         };
         table.peers.insert(news.entry.clone(), state);
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -164,7 +164,11 @@
         table.sequence += 1;
         (table.sequence, table.rounds, table.turns)
     };
-    let giver_token = node.lease.lock().token(now).unwrap_or(0);
+    let (giver_token, lease_renewal) = {
+        let lease = node.lease.lock();
+        let renewal = lease.renewal_held(now).unwrap_or(0);
+        (lease.token(now).unwrap_or(0), renewal)
+    };
     let fleet = node.fleet.lock();
     let uses = uses(&fleet, now);
     let leaving = leaving(&fleet, now);
@@ -201,6 +205,8 @@
         upstreams: watched(Followed::Upstreams),
         tokens: None,
         keeps_tokens: keeps(node),
+        lease_renewal,
+        stopping: node.stop.is_stopping(),
     }
 }
 
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -63,6 +63,8 @@
     pub(crate) watches: bool,
     /// Whether it keeps tokens of workspaces for others.
     pub(crate) keeps_tokens: bool,
+    /// Whether it is being stopped.
+    pub(crate) stopping: bool,
     pub(crate) loads: Vec<(Arc<str>, Arc<str>, Load)>,
 }
 
@@ -173,6 +175,25 @@
         table.registered.max(table.peers.len() + 1)
     }
 
+    /// Whether an entry was heard lately that can lead in the place of this one, which
+    /// is being stopped.
+    ///
+    /// Where others are being stopped as well, it is the turn of all: those that were
+    /// not stopped yet are next, and each in turn would hold the lease for a moment
+    /// and leave nobody for the quiet time after it. One that has started again since
+    /// this one did stays.
+    pub(crate) fn has_successor(&self, now: Instant, start: u64) -> bool {
+        let table = self.table.lock();
+        let heard = table
+            .peers
+            .values()
+            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let others: Vec<&PeerState> = heard.collect();
+        let all_in_turn = others.iter().any(|peer| peer.stopping);
+        let mut able = others.iter().filter(|peer| !peer.stopping);
+        able.any(|peer| !all_in_turn || peer.start > start)
+    }
+
     /// Addresses of the entries of a failure domain that were heard lately.
     pub(crate) fn neighbours(&self, now: Instant, domain: &str) -> Vec<SocketAddr> {
         let table = self.table.lock();
--- a/crates/front/src/state/relay.rs
+++ b/crates/front/src/state/relay.rs
@@ -139,5 +139,6 @@
         start: state.start,
         token: state.token,
         renewal: state.renewal,
+        idle_ms: 0,
     }
 }
