Copies ahead of demand that moves on; loads before a pause of the leader count

The outlook of demand that has moved on was left out under load, and moved by half of the busy models, where demand here moves by one.

How far demand moved on last is seen from the rankings of the last seconds; the next change is expected to go as far, and until one is seen by one place or by half. Where a load takes five seconds or more the outlook counts under load too. It weighs 0.4, and a rise is expected to go on by as much as it rose.

All entries were killed within a second of six loads; the same entry took its lease at once, as its own earlier process is not waited for, and assumed the loads of before to lie three seconds back. A lapse of the lease forgot the holder's own loads as well. Both are mended: loads before a pause count, and an earlier process counts up to this one's start.

--- a/crates/direct/src/board/mod.rs
+++ b/crates/direct/src/board/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::outlook::{Outlook, outlooks};
+use crate::outlook::Outlook;
 use crate::unserved::{Unserved, turn_ms};
 use crate::{Choice, Engine, Load, ModelSpec, Reason, Spot};
 use bits::Bits;
@@ -117,8 +117,11 @@
         now: Instant,
         engine: &'a Engine,
         spots: &'a [Spot],
-        loads: &'a BTreeMap<Arc<str>, Load>,
-        unserved: &Unserved,
+        (loads, unserved, outlooks): (
+            &'a BTreeMap<Arc<str>, Load>,
+            &Unserved,
+            &[Outlook],
+        ),
         store_left: usize,
     ) -> Self {
         let mut models = Models::default();
@@ -141,7 +144,6 @@
             turn_ms: turn_ms(engine, name),
         });
         let facts = facts.collect();
-        let outlooks = outlooks(loads, spots.len());
         let views = outlooks.iter().map(|outlook| view(outlook, &models));
         let mut board = Self {
             now,
--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -18,7 +18,7 @@
 
 /// Part of the rise over the lasting demand by which demand is expected to go on
 /// rising until a load is done.
-const TREND: f64 = 0.5;
+const TREND: f64 = 1.0;
 
 /// Demand below which a model is forgotten, in work milliseconds a second.
 const FORGET_BELOW: f64 = 0.05;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod demand;
 mod doubts;
 mod fleet;
+mod home;
 mod late;
 mod lease;
 mod ledger;
@@ -55,6 +56,7 @@
 mod repeats;
 mod setup;
 mod shared_watch;
+mod shifts;
 mod unserved;
 mod watermark;
 
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -1,11 +1,13 @@
 //! What is to be held where: loads and the unloads that make room for them.
 
 use base::prelude::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::board::Board;
 use crate::late::LATE_ORDER_MS;
+use crate::outlook::outlooks;
+use crate::shifts::Shifts;
 use crate::unserved::Unserved;
 use crate::{Engine, Load};
 
@@ -86,10 +88,11 @@
 #[derive(Debug)]
 pub struct Moves {
     window_ms: u64,
-    store_loads: VecDeque<Instant>,
+    store_loads: Vec<Instant>,
     /// Ends of the times in which unanswered loads may begin.
     late: Vec<Instant>,
     unserved: Unserved,
+    shifts: Shifts,
 }
 
 impl Moves {
@@ -97,15 +100,16 @@
     pub fn new(window_ms: u64) -> Self {
         Self {
             window_ms,
-            store_loads: VecDeque::new(),
+            store_loads: Vec::new(),
             late: Vec::new(),
             unserved: Unserved::default(),
+            shifts: Shifts::default(),
         }
     }
 
     /// Counts a load from the weight store that was ordered.
     pub fn store_load(&mut self, now: Instant) {
-        self.store_loads.push_back(now);
+        self.store_loads.push(now);
     }
 
     /// Counts a load whose order got no answer: it may begin at any time until
@@ -124,19 +128,25 @@
         self.late.extend(std::iter::repeat_n(until, loads));
     }
 
+    /// Orders are given again after a time without them. Who waits has waited for
+    /// nobody meanwhile, but loads that were ordered before count as they did: a lease
+    /// that lapses for a moment would else allow the window's loads a second time.
+    pub fn begin_again(&mut self) {
+        self.unserved = Unserved::default();
+        self.shifts = Shifts::default();
+    }
+
     /// Counts what an earlier giver may have ordered up to a time.
     pub fn assume_spent(&mut self, until: Instant, engine: &Engine) {
         for _ in 0..self.window_loads(engine) {
-            self.store_loads.push_back(until);
+            self.store_loads.push(until);
         }
     }
 
     /// Loads that may be ordered from the weight store now.
     pub fn allowance(&mut self, now: Instant, engine: &Engine) -> usize {
         let oldest = now - Duration::from_millis(self.window_ms);
-        while self.store_loads.front().is_some_and(|at| *at <= oldest) {
-            self.store_loads.pop_front();
-        }
+        self.store_loads.retain(|at| *at > oldest);
         self.late.retain(|until| *until > now);
         let spent = self.store_loads.len() + self.late.len();
         self.window_loads(engine).saturating_sub(spent)
@@ -156,8 +166,10 @@
             groups.any(|group| &*group.model == model && !group.unloading)
         };
         self.unserved.look(now, loads, is_held);
-        let mut board =
-            Board::new(now, engine, spots, loads, &self.unserved, allowance);
+        self.shifts.look(now, loads);
+        let outlooks = outlooks(engine, loads, spots.len(), self.shifts.step());
+        let facts = (loads, &self.unserved, outlooks.as_slice());
+        let mut board = Board::new(now, engine, spots, facts, allowance);
         board.serve_waiting();
         board.spread_busy();
         board.keep_reachable();
--- a/crates/direct/src/outlook.rs
+++ b/crates/direct/src/outlook.rs
@@ -3,14 +3,18 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::Load;
+use crate::{Engine, Load};
 
 /// Weight of the outlook in which demand has moved on.
-const MOVED_ON: f64 = 0.25;
+const MOVED_ON: f64 = 0.4;
 
 /// Mean load of upstreams below which they have time to spare.
 const SPARE_BELOW: f64 = 0.4;
 
+/// Time of a load above which demand has moved on before one ends that began with
+/// the change.
+const LONG_LOAD_MS: u64 = 5_000;
+
 /// Part of the busiest model's demand above which a model counts as one of the
 /// busy ones.
 const BUSY_PART: f64 = 0.12;
@@ -18,7 +22,7 @@
 /// Least and most busy models for which demand is expected to move on among
 /// them. With fewer there is nobody to move on to; more are a demand that is
 /// spread over all.
-const BUSY_MIN: usize = 4;
+const BUSY_MIN: usize = 2;
 const BUSY_MAX: usize = 9;
 
 /// One way in which demand may go on, with its weight.
@@ -50,8 +54,14 @@
 /// of now are ready when it is over; copies that serve the next busiest as well
 /// are there when it comes.
 ///
-/// Where upstreams have no time to spare, what comes later does not count.
-pub(crate) fn outlooks(loads: &BTreeMap<Arc<str>, Load>, spots: usize) -> Vec<Outlook> {
+/// Where upstreams have no time to spare, what comes later does not count, unless
+/// loads take so long that all who ask for it meanwhile would be too late.
+pub(crate) fn outlooks(
+    engine: &Engine,
+    loads: &BTreeMap<Arc<str>, Load>,
+    spots: usize,
+    step: Option<usize>,
+) -> Vec<Outlook> {
     let part = |ms: f64| ms / 1_000.0;
     let expected: HashMap<Arc<str>, f64> = loads
         .iter()
@@ -63,40 +73,61 @@
         .collect();
     let work: f64 = kept.values().sum();
     let spare = work < SPARE_BELOW * spots as f64;
-    let moved = if spare { moved_on(&kept) } else { None };
-    let mut outlooks = vec![Outlook {
-        weight: 1.0,
+    let moved = if spare || loads_are_long(engine) {
+        moved_on(&kept, step)
+    } else {
+        Vec::new()
+    };
+    let now = Outlook {
+        weight: if moved.is_empty() {
+            1.0
+        } else {
+            1.0 - MOVED_ON
+        },
         expected,
         kept,
-    }];
-    if let Some(moved) = moved {
-        outlooks[0].weight -= MOVED_ON;
-        outlooks.push(Outlook {
-            weight: MOVED_ON,
-            kept: moved.clone(),
-            expected: moved,
-        });
-    }
-    outlooks
+    };
+    let weight = MOVED_ON / moved.len().max(1) as f64;
+    let moved = moved.into_iter().map(|moved| Outlook {
+        weight,
+        kept: moved.clone(),
+        expected: moved,
+    });
+    std::iter::once(now).chain(moved).collect()
 }
 
-fn moved_on(demand: &HashMap<Arc<str>, f64>) -> Option<HashMap<Arc<str>, f64>> {
+fn loads_are_long(engine: &Engine) -> bool {
+    let specs = engine.models.values();
+    let longest_ms = specs.map(|spec| spec.store_load_ms).max();
+    longest_ms.is_some_and(|longest_ms| longest_ms >= LONG_LOAD_MS)
+}
+
+/// Demand moved on by as many places as it did last. Where that was not seen yet, by
+/// one place and by half of the busy models.
+fn moved_on(
+    demand: &HashMap<Arc<str>, f64>,
+    step: Option<usize>,
+) -> Vec<HashMap<Arc<str>, f64>> {
     let mut ranked: Vec<(&Arc<str>, f64)> =
         demand.iter().map(|(model, work)| (model, *work)).collect();
     ranked.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(b.0)));
-    let top = ranked.first()?.1;
+    let top = ranked.first().map_or(0.0, |(_, work)| *work);
     let busy = ranked
         .iter()
         .take_while(|(_, work)| *work > top * BUSY_PART)
         .count();
     if !(BUSY_MIN..=BUSY_MAX).contains(&busy) {
-        return None;
-    }
-    let step = busy / 2;
-    let mut moved = demand.clone();
-    for (rank, (model, _)) in ranked.iter().take(busy).enumerate() {
-        let work = rank.checked_sub(step).map_or(0.0, |from| ranked[from].1);
-        moved.insert(Arc::clone(model), work);
+        return Vec::new();
     }
-    Some(moved)
+    let mut steps = step.map_or(vec![1, busy / 2], |step| vec![step.min(busy)]);
+    steps.dedup();
+    let moved = steps.into_iter().map(|step| {
+        let mut moved = demand.clone();
+        for (rank, (model, _)) in ranked.iter().take(busy).enumerate() {
+            let work = rank.checked_sub(step).map_or(0.0, |from| ranked[from].1);
+            moved.insert(Arc::clone(model), work);
+        }
+        moved
+    });
+    moved.collect()
 }
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -226,6 +226,24 @@
     assert_eq!(next.allowance(at(25_001), &engine), whole);
 }
 
+/// The platform is away for so long that the giver's lease lapses; it renews it and
+/// orders again. What it loaded a moment before the pause still counts: callers' models
+/// would else be loaded at twice the rate that the weight store allows.
+#[test]
+fn loads_ordered_before_a_pause_count_behind_it() {
+    let engine = engine(&MODELS);
+    let mut moves = Moves::new(5_000);
+    let whole = moves.allowance(at(0), &engine);
+    for _ in 0..whole {
+        moves.store_load(at(1_000));
+    }
+    moves.begin_again();
+    assert_eq!(moves.allowance(at(2_000), &engine), 0);
+    moves.assume_spent(at(500), &engine);
+    assert_eq!(moves.allowance(at(5_900), &engine), 0);
+    assert_eq!(moves.allowance(at(6_001), &engine), whole);
+}
+
 #[test]
 fn without_an_allowance_only_what_an_upstream_has_itself_is_loaded() {
     let engine = engine(&MODELS);
--- a/crates/front/src/state/giver.rs
+++ b/crates/front/src/state/giver.rs
@@ -28,8 +28,10 @@
 /// What the giver knows, under one lock.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// Token under which orders were given last.
+    /// Token under which orders are given; `None` while this entry may not.
     pub(crate) token: Option<u64>,
+    /// Token under which orders were given before they paused.
+    pub(crate) last_token: Option<u64>,
     pub(crate) books: BTreeMap<Arc<str>, Book>,
     /// Orders without an answer to upstreams that are not used now.
     pub(crate) late: BTreeMap<Arc<str>, LateOrders>,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -52,6 +52,8 @@
     pub(crate) pool: Pool,
     /// Start of this process, in milliseconds of the time of day.
     pub(crate) start: u64,
+    /// The same by the clock that everything here goes by.
+    pub(crate) started_at: Instant,
     /// Configuration in force, and how far it is known.
     pub(crate) setup: Mutex<(Option<Arc<Setup>>, Watermark)>,
     pub(crate) fleet: Mutex<Fleet>,
@@ -114,6 +116,7 @@
             meters: Meters::new(),
             pool: Pool::default(),
             start,
+            started_at: BootClock.now(),
             setup: Mutex::default(),
             fleet: Mutex::default(),
             doubts: Mutex::default(),
