sesamectl losses: where requests are lost, from the logs of entries

The product's own command adds a log up: requests by outcome and last reason, by slices of time the models that lost most with the tries at each upstream against those in use, times without a leader, and the parts of moves (first refusal to decision, decision to order, order to first request) as median, nine in ten and longest. Text and JSON; lines that can't be read are counted and said.

Not measured yet: a log of 100 MB.

--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod diff;
 mod drain;
 mod explain;
+mod losses;
 mod publish;
 mod show;
 mod status;
@@ -37,6 +38,7 @@
         Command::Show(options) => show::run(&options).await,
         Command::Status(options) => status::run(&options).await,
         Command::Explain(options) => explain::run(&options).await,
+        Command::Losses(options) => losses::run(&options),
         Command::Drain(options) => drain::run(&options).await,
         Command::Timeline(options) => timeline::run(&options).await,
     }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -20,6 +20,7 @@
 mod error;
 mod exit;
 pub mod head;
+pub mod losses;
 pub mod members;
 pub mod options;
 pub mod publish;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -51,6 +51,15 @@
     /// Explain where a model is and why, or what became of a request
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
+    /// Tell where requests were lost, from the logs of entries
+    #[bpaf(
+        command,
+        header(
+            "Nothing is asked or changed. Requests are added up by how they ended, by time \
+             and by model, with the times in which no entry led and how long moves took."
+        )
+    )]
+    Losses(#[bpaf(external(losses_options))] LossesOptions),
     /// Ask a process to finish its work, take no more and stop
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_options))] DrainOptions),
@@ -217,6 +226,20 @@
     pub id: String,
 }
 
+/// Options of `losses`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct LossesOptions {
+    /// Length of a slice of time
+    #[bpaf(argument("MS"), fallback(2_000), display_fallback)]
+    pub slice_ms: u64,
+    /// Print JSON for programs
+    pub json: bool,
+    /// Log of entries that speak to upstreams themselves, one JSON object a line
+    #[bpaf(positional("LOG"), some("give a log"))]
+    pub log: Vec<PathBuf>,
+}
+
 /// Options of `drain`.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(ignore_rustdoc)]
--- a/crates/ctl/src/trail/line.rs
+++ b/crates/ctl/src/trail/line.rs
@@ -33,16 +33,16 @@
         })
     }
 
-    pub(super) fn text(&self, field: &str) -> Option<&str> {
+    pub(crate) fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field)?.as_str()
     }
 
-    pub(super) fn number(&self, field: &str) -> Option<u64> {
+    pub(crate) fn number(&self, field: &str) -> Option<u64> {
         self.fields.get(field)?.as_u64()
     }
 
     /// Upstreams that a request was sent to, each with how that ended.
-    pub(super) fn tries(&self) -> impl Iterator<Item = (&str, &str)> {
+    pub(crate) fn tries(&self) -> impl Iterator<Item = (&str, &str)> {
         let tries = self.fields.get("tries").and_then(Value::as_array);
         let tries = tries.into_iter().flatten();
         tries.filter_map(|tried| {
@@ -51,6 +51,12 @@
         })
     }
 
+    /// Why no upstream was found at a request's last look for one, if none was.
+    pub(crate) fn last_unpicked(&self) -> Option<&str> {
+        let tries = self.fields.get("tries").and_then(Value::as_array)?;
+        tries.last()?.get("unpicked")?.as_str()
+    }
+
     /// The line as text, with its time from another one on.
     pub(super) fn told(&self, from_ms: u64) -> String {
         let after_ms = self.t_ms as i128 - from_ms as i128;
--- a/crates/ctl/src/trail/mod.rs
+++ b/crates/ctl/src/trail/mod.rs
@@ -121,7 +121,10 @@
 }
 
 /// Reads all lines of all files; how many are none of a log.
-fn each_line(files: &[PathBuf], mut take: impl FnMut(Line)) -> Result<usize, CtlError> {
+pub(crate) fn each_line(
+    files: &[PathBuf],
+    mut take: impl FnMut(Line),
+) -> Result<usize, CtlError> {
     let mut unread = 0;
     for path in files {
         let file = File::open(path).context(FileSnafu { path })?;
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod fake;
+mod losses;
 mod members;
 mod platform;
 mod publish;
--- /dev/null
+++ b/crates/direct/src/home.rs
@@ -0,0 +1,72 @@
+//! Which upstreams are to read the prompt parts that many requests share.
+//!
+//! Answers the load in which prompts share most of their tokens and engines keep few
+//! of them. An entry knows what it sent where and not what the others did: with
+//! several entries each part is read at each upstream, and pushes out the others.
+
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Fleet, Pick, ReadingQueue};
+
+/// Part of the shared tokens that the second upstream in line is taken to keep; the
+/// third that of the second, and so on. The first alone would be the only one to read
+/// a part that more ask for than it can serve.
+const NEXT_KEEPS: f64 = 0.5;
+
+/// The upstreams that can run a request, in the order in which they are to read what
+/// its prompt shares with others.
+///
+/// By rendezvous hash of the shared parts: all entries find the same order without a
+/// word, and an upstream that goes or comes moves only its own.
+#[derive(Debug, Default)]
+pub(crate) struct Homes {
+    upstreams: Vec<Arc<str>>,
+    shared_tokens: u64,
+}
+
+impl Homes {
+    /// The order for a request. A prompt of one part, or of none, shares nothing: the
+    /// last part is the request's own.
+    pub(crate) fn of(fleet: &Fleet, input: &Pick<'_>) -> Self {
+        let shared = input
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let (Some((part, _)), Some((model, adapter))) = (shared.last(), input.model)
+        else {
+            return Self::default();
+        };
+        let able = fleet.of(input.service).filter(|upstream| {
+            upstream.is_usable(input.now) && upstream.holds(input.now, model, adapter)
+        });
+        let mut ranked: Vec<(u64, &Arc<str>)> = able
+            .map(|upstream| {
+                let id = &upstream.news.id;
+                (xxh3_64_with_seed(id.as_bytes(), *part), id)
+            })
+            .collect();
+        ranked.sort_by(|a, b| b.cmp(a));
+        Self {
+            upstreams: ranked.into_iter().map(|(_, id)| Arc::clone(id)).collect(),
+            shared_tokens: shared.iter().map(|(_, tokens)| tokens).sum(),
+        }
+    }
+
+    /// Reading time, in milliseconds, that an upstream is taken to save by what it
+    /// keeps beyond the tokens that this entry knows of.
+    pub(crate) fn saved_ms(
+        &self,
+        id: &str,
+        known_tokens: u64,
+        input: &Pick<'_>,
+    ) -> f64 {
+        let Some(place) = self.upstreams.iter().position(|home| **home == *id) else {
+            return 0.0;
+        };
+        let place = i32::try_from(place).unwrap_or(i32::MAX);
+        let kept = self.shared_tokens as f64 * NEXT_KEEPS.powi(place);
+        let unknown = (kept - known_tokens as f64).max(0.0) * input.pace;
+        ReadingQueue::of(input.rank, unknown as u64).reading_ms()
+    }
+}
--- a/crates/direct/tests/all/pick.rs
+++ b/crates/direct/tests/all/pick.rs
@@ -156,3 +156,44 @@
     assert!((0.5..0.75).contains(&pace), "{pace}");
     assert!((paces.of("t", "d") - 1.0).abs() < f64::EPSILON);
 }
+
+/// Several entries send prompts that share their first part, and none knows what the
+/// others sent. All prefer the same upstream for the same part, different ones for
+/// different parts, and another one when that is busy for longer than the reading takes.
+#[test]
+fn entries_prefer_the_same_upstream_for_a_shared_part() {
+    let ids = ["1", "2", "3", "4"];
+    let picked = |fleet: &Fleet, part: u64, random: u64, domain: &str| {
+        let engine = engine(&["a"]);
+        let input = Pick {
+            now: at(10),
+            service: "oracle",
+            engine: Some(&engine),
+            model: Some(("a", None)),
+            parts: &[(part, 4_000), (random, 500)],
+            rank: 0,
+            prompt_tokens: 4_500,
+            pace: 1.0,
+            kept_tokens: 4_700,
+            excluded: &[],
+            domain,
+            random,
+        };
+        pick(fleet, &input).expect("all hold the model").id
+    };
+    let mut idle = Fleet::new();
+    let listed = ids.iter().map(|id| (1, news(id, &["a"]))).collect();
+    idle.list(at(0), 1, listed);
+    let mut homes = std::collections::BTreeSet::new();
+    for part in 0..32 {
+        let home = picked(&idle, part, 1, "east");
+        for random in 2..10 {
+            assert_eq!(picked(&idle, part, random, "west"), home);
+        }
+        homes.insert(home);
+    }
+    assert_eq!(homes.len(), ids.len(), "{homes:?}");
+    let home = picked(&idle, 7, 1, "east");
+    use_of(&mut idle, &home, 1, 8_000);
+    assert_ne!(picked(&idle, 7, 1, "east"), home);
+}
