--- a/crates/ctl/src/losses/mod.rs
+++ b/crates/ctl/src/losses/mod.rs
@@ -58,7 +58,7 @@
             slices.take(&line);
         }
     })?;
-    let from_ms = slices.from_ms();
+    let from_ms = slices.first_ms();
     Ok(Losses {
         from_ms,
         outcomes,
--- a/crates/ctl/src/losses/slices.rs
+++ b/crates/ctl/src/losses/slices.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    pub(super) fn from_ms(&self) -> u64 {
+    pub(super) fn first_ms(&self) -> u64 {
         self.first_ms.unwrap_or(0)
     }
 
--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -10,28 +10,66 @@
 const NEWEST_MS: f64 = 1_200.0;
 const LASTING_MS: f64 = 5_000.0;
 
-/// Engine time of one request, about, and the number of standard deviations by
-/// which a few requests may exceed the demand behind them. What a handful of
-/// requests shows is not worth a load that takes seconds.
+/// Engine time of one request while none was seen, and the number of standard
+/// deviations by which a few requests may exceed the demand behind them. What a handful
+/// of requests shows is not worth a load that takes seconds.
 const REQUEST_MS: f64 = 100.0;
 const DEVIATIONS: f64 = 2.0;
 
-/// Part of the rise over the lasting demand by which demand is expected to go on
+/// Weight of the newest request in what is learned of a service's requests.
+const NEWEST_REQUEST: f64 = 0.02;
+
+/// Part of the certain rise over the lasting demand by which demand is expected to go on
 /// rising until a load is done.
 const TREND: f64 = 1.0;
 
 /// Demand below which a model is forgotten, in work milliseconds a second.
-const FORGET_BELOW: f64 = 0.05;
+const FORGET_BELOW: f64 = 0.02;
 
 /// Lasting demand, in work milliseconds a second, above which a model counts as
-/// wanted: less than one request in half a minute is below.
-const WANTED_MS_PER_S: f64 = 1.0;
+/// wanted: its last copy stays for a quarter of a minute after a short request that
+/// can wait, and for half a minute after a long one.
+const WANTED_MS_PER_S: f64 = 0.1;
 
-/// Prompt tokens and generated tokens that cost an engine one millisecond. A
-/// generated token shares its step with all that run.
+/// Prompt tokens and generated tokens that cost an engine one millisecond at the common
+/// pace. A generated token shares its step with all that run.
 const PROMPT_TOKENS_PER_MS: f64 = 20.0;
 const ANSWER_TOKENS_PER_MS: f64 = 12.0;
 
+/// Aim within which a request counts whole as demand, and the least part that any counts.
+/// Callers who can wait are served in time by one copy that is nearly always busy; those
+/// who can't need copies with time to spare.
+const URGENT_AIM_MS: f64 = 1_000.0;
+const URGENCY_LEAST: f64 = 0.2;
+
+/// A request as demand sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Tokens that it is expected to generate.
+    pub answer_tokens: u64,
+    /// Factor on the time that its model's engines take.
+    pub pace: f64,
+    /// Time within which its answer earns its full worth.
+    pub aim_ms: u64,
+}
+
+impl Arrival {
+    /// Engine time, in milliseconds, if a part of the prompt has to be read.
+    fn work_ms(&self, unread_part: f64) -> f64 {
+        let reading_ms = self.prompt_tokens as f64 * unread_part / PROMPT_TOKENS_PER_MS;
+        let answer_ms = self.answer_tokens as f64 / ANSWER_TOKENS_PER_MS;
+        (reading_ms + answer_ms) * self.pace
+    }
+
+    /// Part of its work that counts as demand.
+    fn urgency(&self) -> f64 {
+        let aim_ms = self.aim_ms.max(1) as f64;
+        (URGENT_AIM_MS / aim_ms).clamp(URGENCY_LEAST, 1.0)
+    }
+}
+
 /// Demand for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -43,6 +81,9 @@
     pub waiting: u32,
     /// Wait of the oldest of them.
     pub oldest_wait_ms: u64,
+    /// Engine time of one request of the service, the long ones counted by their length;
+    /// 0 if it is not known.
+    pub request_ms: f64,
 }
 
 impl Load {
@@ -52,6 +93,7 @@
         self.lasting_ms_per_s += other.lasting_ms_per_s;
         self.waiting += other.waiting;
         self.oldest_wait_ms = self.oldest_wait_ms.max(other.oldest_wait_ms);
+        self.request_ms = self.request_ms.max(other.request_ms);
     }
 
     /// Whether requests ask for the model now.
@@ -61,10 +103,11 @@
 
     /// Demand to be expected when a load is done, as far as it is certain.
     pub fn expected_ms_per_s(&self) -> f64 {
-        let rise = (self.newest_ms_per_s - self.lasting_ms_per_s).max(0.0);
-        let variance = self.newest_ms_per_s * REQUEST_MS / (2.0 * NEWEST_MS / 1_000.0);
-        let expected = self.newest_ms_per_s + rise * TREND;
-        (expected - variance.sqrt() * DEVIATIONS).max(0.0)
+        let known = self.request_ms > 0.0;
+        let request_ms = if known { self.request_ms } else { REQUEST_MS };
+        let variance = self.newest_ms_per_s * request_ms / (2.0 * NEWEST_MS / 1_000.0);
+        let certain = (self.newest_ms_per_s - variance.sqrt() * DEVIATIONS).max(0.0);
+        certain + (certain - self.lasting_ms_per_s).max(0.0) * TREND
     }
 
     /// Demand that a copy may still be kept for.
@@ -73,13 +116,51 @@
     }
 }
 
-/// Demand that one entry sees.
+/// Demand that one entry sees for the models of a service.
 #[derive(Debug, Default)]
 pub struct Demand {
     models: BTreeMap<Arc<str>, Seen>,
+    requests: Requests,
     updated_at: Instant,
 }
 
+/// What the requests of a service take of an engine, as far as was seen.
+#[derive(Debug)]
+struct Requests {
+    /// Part of prompts that upstreams have to read.
+    unread_part: f64,
+    /// Mean engine time, and mean of its square.
+    mean_ms: f64,
+    mean_square_ms2: f64,
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Self {
+            unread_part: 1.0,
+            mean_ms: 0.0,
+            mean_square_ms2: 0.0,
+        }
+    }
+}
+
+impl Requests {
+    fn observe(&mut self, work_ms: f64) {
+        self.mean_ms += (work_ms - self.mean_ms) * NEWEST_REQUEST;
+        let square = work_ms * work_ms;
+        self.mean_square_ms2 += (square - self.mean_square_ms2) * NEWEST_REQUEST;
+    }
+
+    /// Engine time of a request, the long ones counted by their length.
+    fn request_ms(&self) -> f64 {
+        if self.mean_ms > 0.0 {
+            self.mean_square_ms2 / self.mean_ms
+        } else {
+            0.0
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Seen {
     new_work_ms: f64,
@@ -95,15 +176,25 @@
     }
 
     /// Counts a request for a model.
-    pub fn arrived(
-        &mut self,
-        model: &Arc<str>,
-        prompt_tokens: u64,
-        answer_tokens: u64,
-    ) {
-        let work = prompt_tokens as f64 / PROMPT_TOKENS_PER_MS
-            + answer_tokens as f64 / ANSWER_TOKENS_PER_MS;
-        self.seen(model).new_work_ms += work;
+    ///
+    /// It counts as what it takes of an engine, and less if its caller can wait. Counted
+    /// by its whole prompt, a few requests for a rare model would look like a load that
+    /// keeps an engine busy, and bring it copies in the place of the models that most
+    /// callers ask for.
+    pub fn arrived(&mut self, model: &Arc<str>, arrival: &Arrival) {
+        let work_ms = arrival.work_ms(self.requests.unread_part) * arrival.urgency();
+        self.requests.observe(work_ms);
+        self.seen(model).new_work_ms += work_ms;
+    }
+
+    /// A request was sent to an upstream that has to read a part of its prompt.
+    pub fn sent(&mut self, prompt_tokens: u64, unread_tokens: u64) {
+        if prompt_tokens == 0 {
+            return;
+        }
+        let part = (unread_tokens as f64 / prompt_tokens as f64).min(1.0);
+        self.requests.unread_part +=
+            (part - self.requests.unread_part) * NEWEST_REQUEST;
     }
 
     /// A request begins to wait for a model.
@@ -146,6 +237,7 @@
                 lasting_ms_per_s: seen.lasting_ms_per_s,
                 waiting: u32::try_from(seen.waiting.len()).unwrap_or(u32::MAX),
                 oldest_wait_ms: oldest.map_or(0, |at| now.ms_since(*at)),
+                request_ms: self.requests.request_ms(),
             };
             (model, load)
         })
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -69,7 +69,7 @@
     HOLDINGS_TOLD_MS, holdings_rounds, suspects_told, tell_at_once_every_ms,
     tell_every_ms,
 };
-pub use demand::{Demand, Load};
+pub use demand::{Arrival, Demand, Load};
 pub use doubts::{Doubt, Doubts, Turn};
 pub use fleet::{Activity, Fleet, Upstream, Usage};
 pub use late::LateOrders;
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use std::sync::Arc;
 
+use crate::home::Homes;
 use crate::{Engine, Fleet, ReadingQueue, Upstream, Usage};
 
 /// Delay of a first answer by each request that already runs.
@@ -66,6 +67,8 @@
     pub wait_ms: f64,
     /// Part of that which reading its own prompt takes.
     pub own_ms: f64,
+    /// Prompt tokens that the upstream has to read, as far as this entry knows.
+    pub unread_tokens: u64,
 }
 
 /// Why there is no upstream.
@@ -97,7 +100,9 @@
 ///
 /// Entries see one another's requests a tenth of a second late, so between two
 /// upstreams that are nearly equal chance decides: else all entries would send
-/// the next requests to the same one.
+/// the next requests to the same one. Of those that read a prompt's shared parts, each
+/// entry prefers the same: what is expected there leaves out what it may keep that
+/// this entry does not know of, and the choice does not.
 ///
 /// # Errors
 ///
@@ -105,12 +110,13 @@
 pub fn pick(fleet: &Fleet, input: &Pick<'_>) -> Result<Picked, Unpicked> {
     let mut best: Option<(bool, f64, Picked)> = None;
     let mut reason = Unpicked::NoUpstream;
+    let homes = Homes::of(fleet, input);
     for (index, upstream) in fleet.of(input.service).enumerate() {
         if !upstream.is_usable(input.now) || input.excluded.contains(&upstream.news.id)
         {
             continue;
         }
-        match candidate(upstream, input, index as u64) {
+        match candidate(upstream, input, &homes, index as u64) {
             Err(why) => reason = reason.max_known(why),
             Ok((score, picked)) => {
                 let suspected = upstream.is_suspected(input.now);
@@ -140,6 +146,7 @@
 fn candidate(
     upstream: &Upstream,
     input: &Pick<'_>,
+    homes: &Homes,
     index: u64,
 ) -> Result<(f64, Picked), Unpicked> {
     let usage = upstream.usage(input.now);
@@ -161,8 +168,12 @@
     } else {
         OTHER_DOMAIN_MS
     };
-    let score =
-        wait_ms * (1.0 + 0.1 * chance) + chance + domain_ms + failing_ms(upstream);
+    let known_tokens = upstream.cached_tokens(input.parts);
+    let saved_ms = homes.saved_ms(&upstream.news.id, known_tokens, input);
+    let score = (wait_ms - saved_ms).max(0.0) * (1.0 + 0.1 * chance)
+        + chance
+        + domain_ms
+        + failing_ms(upstream);
     let alone = input.model.is_some() && usage.reading.is_empty();
     let picked = Picked {
         id: Arc::clone(&upstream.news.id),
@@ -170,6 +181,7 @@
         reading_ms: alone.then(|| adds.reading.reading_ms() / input.pace),
         wait_ms,
         own_ms: adds.reading.reading_ms(),
+        unread_tokens: input.prompt_tokens.saturating_sub(known_tokens),
     };
     Ok((score, picked))
 }
--- a/crates/direct/src/shifts.rs
+++ b/crates/direct/src/shifts.rs
@@ -42,8 +42,8 @@
         }
         let ranking = Ranking::of(now, loads);
         let earlier = self.rankings.iter();
-        let steps = earlier.filter_map(|earlier| earlier.step_to(&ranking));
-        if let Some(step) = steps.last() {
+        let mut steps = earlier.filter_map(|earlier| earlier.step_to(&ranking));
+        if let Some(step) = steps.next_back() {
             self.step = Some(step);
             // Compared with a ranking from before the change once more, the same change
             // would be seen again when demand has moved on from it.
--- a/crates/direct/tests/all/adapters.rs
+++ b/crates/direct/tests/all/adapters.rs
@@ -49,6 +49,7 @@
         lasting_ms_per_s: ms,
         waiting: 0,
         oldest_wait_ms: 0,
+        request_ms: 0.0,
     };
     of.iter()
         .map(|(model, ms)| (name(model), load(*ms)))
--- a/crates/direct/tests/all/demand.rs
+++ b/crates/direct/tests/all/demand.rs
@@ -1,7 +1,7 @@
 //! Demand for models as it is smoothed.
 
 use crate::support::{at, name};
-use direct::{Demand, Load};
+use direct::{Arrival, Demand, Load};
 
 fn load_of(demand: &Demand, ms: u64, model: &str) -> Load {
     let mut loads = demand.loads(at(ms));
@@ -10,10 +10,18 @@
         .map_or(Load::default(), |(_, load)| load)
 }
 
+/// A request of about 100 ms.
+const REQUEST: Arrival = Arrival {
+    prompt_tokens: 1_800,
+    answer_tokens: 120,
+    pace: 1.0,
+    aim_ms: 800,
+};
+
 /// Ten requests a second of about 100 ms each.
 fn steady(demand: &mut Demand, from_ms: u64, to_ms: u64) {
     for ms in (from_ms..to_ms).step_by(100) {
-        demand.arrived(&name("a"), 1_800, 120);
+        demand.arrived(&name("a"), &REQUEST);
         demand.update(at(ms));
     }
 }
@@ -51,7 +59,7 @@
 fn one_request_is_no_certain_demand() {
     let mut demand = Demand::new();
     demand.update(at(0));
-    demand.arrived(&name("a"), 1_800, 120);
+    demand.arrived(&name("a"), &REQUEST);
     demand.update(at(100));
     let load = load_of(&demand, 100, "a");
     assert!(load.newest_ms_per_s > 0.0);
@@ -70,3 +78,58 @@
     let load = load_of(&demand, 1_000, "a");
     assert_eq!((load.waiting, load.oldest_wait_ms), (1, 700));
 }
+
+/// A few long prompts for a rare model come from callers who can wait. Counted like those
+/// of callers who can't, they would bring copies that take the places of busy models.
+#[test]
+fn demand_counts_less_if_its_callers_can_wait() {
+    let demand_of = |aim_ms: u64| {
+        let mut demand = Demand::new();
+        demand.update(at(0));
+        for ms in (100..5_000).step_by(100) {
+            demand.arrived(&name("a"), &Arrival { aim_ms, ..REQUEST });
+            demand.update(at(ms));
+        }
+        load_of(&demand, 4_900, "a")
+    };
+    let (urgent, patient) = (demand_of(800), demand_of(5_000));
+    assert!(patient.newest_ms_per_s < urgent.newest_ms_per_s / 4.0);
+    assert!(patient.is_wanted(), "{patient:?}");
+    assert_eq!(demand_of(100).newest_ms_per_s, urgent.newest_ms_per_s);
+}
+
+/// Most of each prompt is kept by the upstreams that are found, and engines are faster
+/// than the common pace: the same requests are less work.
+#[test]
+fn demand_is_what_engines_take() {
+    let mut demand = Demand::new();
+    for _ in 0..500 {
+        demand.sent(1_800, 600);
+    }
+    demand.update(at(0));
+    for ms in (100..10_000).step_by(100) {
+        let fast = Arrival {
+            pace: 0.5,
+            ..REQUEST
+        };
+        demand.arrived(&name("a"), &fast);
+        demand.update(at(ms));
+    }
+    let load = load_of(&demand, 9_900, "a");
+    assert!((180.0..220.0).contains(&load.newest_ms_per_s), "{load:?}");
+    assert!((15.0..25.0).contains(&load.request_ms), "{load:?}");
+}
+
+/// Two requests in a second are no certain demand, however long they are; many short
+/// ones of the same work are.
+#[test]
+fn long_requests_make_demand_less_certain() {
+    let load = |request_ms: f64| Load {
+        newest_ms_per_s: 400.0,
+        lasting_ms_per_s: 400.0,
+        request_ms,
+        ..Load::default()
+    };
+    assert_eq!(load(400.0).expected_ms_per_s(), 0.0);
+    assert!(load(20.0).expected_ms_per_s() > 250.0);
+}
--- a/crates/direct/tests/all/moves.rs
+++ b/crates/direct/tests/all/moves.rs
@@ -31,6 +31,7 @@
         lasting_ms_per_s: ms_per_s,
         waiting: 0,
         oldest_wait_ms: 0,
+        request_ms: 0.0,
     }
 }
 
@@ -82,6 +83,7 @@
     let waiting = Load {
         waiting: 9,
         oldest_wait_ms: 100,
+        request_ms: 0.0,
         ..load(5_000.0)
     };
     loads.insert(name("f"), waiting);
@@ -159,6 +161,7 @@
             let load = Load {
                 waiting: u32::from(!serves),
                 oldest_wait_ms: 100,
+                request_ms: 0.0,
                 ..load(100.0)
             };
             (name(model), load)
@@ -182,6 +185,7 @@
     let waiting = Load {
         waiting: 1,
         oldest_wait_ms: 100,
+        request_ms: 0.0,
         ..load(10.0)
     };
     loads.insert(name("f"), waiting);
@@ -377,3 +381,37 @@
     let [into_room, in_place] = moved.get();
     assert!(into_room > 30 && in_place > 30, "{into_room}, {in_place}");
 }
+
+/// Demand moves on among the models while a load takes longer than the move. Where it
+/// went three models further the last time, the copy that is made ahead is that of the
+/// model three behind; where it went to the next, that of the next.
+#[test]
+fn copies_are_made_for_the_model_that_demand_moves_on_to() {
+    let mut engine = engine(&MODELS);
+    for spec in engine.models.values_mut() {
+        spec.store_load_ms = 6_000;
+    }
+    let spots: Vec<Spot> = MODELS
+        .iter()
+        .map(|model| spot(model, &[*model, "x", "y"]))
+        .chain(["7", "8", "9"].map(|free| spot(free, &["x", "y"])))
+        .collect();
+    let ahead_after = |risen: &str| {
+        let mut moves = Moves::new(5_000);
+        let shares = [3_600.0, 1_200.0, 1_100.0, 1_000.0, 900.0, 800.0];
+        let before: Vec<(&str, f64)> = MODELS.into_iter().zip(shares).collect();
+        moves.plan(at(0), &engine, &spots, &loads(&before));
+        let moved = before.iter().map(|(model, share)| match *model {
+            "a" => ("a", 0.0),
+            model if model == risen => (model, 3_600.0),
+            model => (model, *share),
+        });
+        let moved: Vec<(&str, f64)> = moved.collect();
+        let choices = moves.plan(at(4_000), &engine, &spots, &loads(&moved));
+        let ahead = choices.iter().filter(|choice| &*choice.load != risen);
+        ahead.map(|choice| choice.load.to_string()).next()
+    };
+    let near = ahead_after("b").expect("there is room");
+    let far = ahead_after("d").expect("there is room");
+    assert_eq!((near.as_str(), far.as_str()), ("c", "e"));
+}
--- a/crates/front/src/giver/adapters.rs
+++ b/crates/front/src/giver/adapters.rs
@@ -15,6 +15,10 @@
 /// may be on their way to it at a time, and each takes tens of milliseconds.
 const AHEAD_EVERY_MS: u64 = 100;
 
+/// The same for each upstream, where that is more: a look at all of them takes time that
+/// grows with them.
+const AHEAD_EVERY_MS_EACH: u64 = 1;
+
 impl State {
     /// Orders for the adapters that requests wait for and, now and then, for those
     /// that they may come to ask for.
@@ -28,7 +32,8 @@
             self.wants.insert(want, now);
         }
         self.wants.retain(|_, at| now.ms_since(*at) < WANT_MS);
-        let ahead = now.ms_since(self.spread_at) >= AHEAD_EVERY_MS;
+        let each_ms = AHEAD_EVERY_MS_EACH * self.books.len() as u64;
+        let ahead = now.ms_since(self.spread_at) >= AHEAD_EVERY_MS.max(each_ms);
         if ahead {
             self.spread_at = now;
         }
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -42,11 +42,19 @@
         let token = node.lease.lock().token(node.now());
         match (token, node.setup()) {
             (Some(token), Some(setup)) => tick(&node, &setup, token),
-            _ => node.giver.state.lock().token = None,
+            _ => pause(&node),
         }
     }
 }
 
+/// This entry may not order any more.
+fn pause(node: &Node) {
+    let token = node.giver.state.lock().token.take();
+    if let Some(token) = token {
+        node.log.line("giver_paused", json!({ "token": token }));
+    }
+}
+
 fn tick(node: &Arc<Node>, setup: &Setup, token: u64) {
     let now = node.now();
     let mut state = node.giver.state.lock();
@@ -276,5 +284,10 @@
         }
     }
     node.peers.add_loads(now, service, &mut loads);
+    let request_ms = loads.values().map(|load| load.request_ms);
+    let request_ms = request_ms.fold(0.0, f64::max);
+    for load in loads.values_mut() {
+        load.request_ms = request_ms;
+    }
     loads
 }
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -152,6 +152,7 @@
                 lasting_ms_per_s: demand.lasting_us_per_s as f64 / 1_000.0,
                 waiting: demand.waiting,
                 oldest_wait_ms: demand.oldest_wait_ms,
+                request_ms: 0.0,
             };
             (
                 demand.service.as_str().into(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,7 +1,7 @@
 //! A request's way to its answer, over as many upstreams as it may take.
 
 use base::prelude::*;
-use direct::{Next, Outcome, Picked, Tried, after};
+use direct::{Arrival, Next, Outcome, Picked, Tried, after};
 use hyper::Response;
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -63,10 +63,13 @@
         if let Some((model, _)) = &call.ask.model {
             let answer = call.ask.answer_tokens_hint;
             let answer = answer.unwrap_or(call.ask.answer_tokens_max / 2);
-            let prompt = call.ask.prompt_tokens as f64 * node.pace_of(&call);
-            node.with_demand(&call.service, |demand| {
-                demand.arrived(model, prompt as u64, answer);
-            });
+            let arrival = Arrival {
+                prompt_tokens: call.ask.prompt_tokens,
+                answer_tokens: answer,
+                pace: node.pace_of(&call),
+                aim_ms: call.route.aim_ms,
+            };
+            node.with_demand(&call.service, |demand| demand.arrived(model, &arrival));
         }
         Self {
             node,
@@ -137,6 +140,7 @@
             reading_ms: None,
             wait_ms: 0.0,
             own_ms: 0.0,
+            unread_tokens: 0,
         };
         self.tries
             .push(json!({ "upstream": &**upstream, "outcome": "broke_off",
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -79,6 +79,11 @@
     fn in_time(&mut self, picked: Picked) -> Result<Picked, Turned> {
         let call = &self.call;
         let at_engine = call.ask.model.is_some();
+        if at_engine {
+            let (prompt, unread) = (call.ask.prompt_tokens, picked.unread_tokens);
+            self.node
+                .with_demand(&call.service, |demand| demand.sent(prompt, unread));
+        }
         let mean_reading_ms = if at_engine {
             let mut readings = self.node.readings.lock();
             readings.observe(&call.route.name, picked.own_ms)
