--- a/crates/front/src/ending.rs
+++ b/crates/front/src/ending.rs
@@ -32,6 +32,10 @@
 /// Time before the end by force at which the process ends by itself.
 const SPARE: Duration = Duration::from_millis(500);
 
+/// Time for handing the lease over when nothing else is left to do: some calls to the
+/// platform.
+const HAND_OVER: Duration = Duration::from_millis(300);
+
 /// Time for the last log lines to be written.
 const LINES: Duration = Duration::from_millis(50);
 
@@ -60,8 +64,9 @@
 
     node.stop.answer_now.cancel();
     none_open(node, end_at).await;
+    node.stop.hand_over.cancel();
     // Whether it was handed over in time, its successor sees.
-    let _ = timeout(end_at.since(node.now()), handed_over).await;
+    let _ = timeout(HAND_OVER.min(end_at.since(node.now())), handed_over).await;
     node.stop.ended.cancel();
     tell(node, "stopped");
     node.log.flush();
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -258,7 +258,8 @@
 }
 
 /// Hands the lease over when the process is being stopped: gives it back as soon as
-/// another entry can lead, and at its own end at the latest.
+/// another entry can lead, when nothing else is left to do here, and at its own end at
+/// the latest.
 ///
 /// The process lives on for seconds, and a successor is quiet for as long as the rule
 /// asks, whenever it begins. Given back while nobody could take it, the lease left
@@ -272,7 +273,10 @@
         if !leads || is_late || node.peers.has_successor(now, node.start) {
             break;
         }
-        tokio::time::sleep(LEASE_TICK).await;
+        tokio::select! {
+            () = tokio::time::sleep(LEASE_TICK) => {}
+            () = node.stop.hand_over.cancelled() => break,
+        }
     }
     give_back_lease(node).await;
 }
--- a/crates/front/src/state/stop.rs
+++ b/crates/front/src/state/stop.rs
@@ -55,6 +55,8 @@
     pub(crate) unlisten: CancellationToken,
     /// Requests without an answer are to get one now.
     pub(crate) answer_now: CancellationToken,
+    /// Nothing is left to do but to hand the lease over.
+    pub(crate) hand_over: CancellationToken,
     /// The process is about to end.
     pub(crate) ended: CancellationToken,
 }
