--- a/crates/direct/src/board/mod.rs
+++ b/crates/direct/src/board/mod.rs
@@ -112,20 +112,27 @@
     net: f64,
 }
 
+/// What is asked for, as a plan goes by it.
+#[derive(Debug)]
+pub(crate) struct Asked<'a> {
+    /// Demand by model.
+    pub(crate) loads: &'a BTreeMap<Arc<str>, Load>,
+    /// Since when models are asked for that nothing holds.
+    pub(crate) unserved: &'a Unserved,
+    /// How demand may go on.
+    pub(crate) outlooks: &'a [Outlook],
+}
+
 impl<'a> Board<'a> {
     pub(crate) fn new(
         now: Instant,
         engine: &'a Engine,
         spots: &'a [Spot],
-        (loads, unserved, outlooks): (
-            &'a BTreeMap<Arc<str>, Load>,
-            &Unserved,
-            &[Outlook],
-        ),
+        asked: &Asked<'a>,
         store_left: usize,
     ) -> Self {
         let mut models = Models::default();
-        for name in engine.models.keys().chain(loads.keys()) {
+        for name in engine.models.keys().chain(asked.loads.keys()) {
             models.number(name);
         }
         let rows: Vec<Row<'a>> = spots
@@ -139,12 +146,13 @@
         }
         let facts = models.names().iter().map(|name| Facts {
             spec: engine.models.get(name),
-            load: loads.get(name),
-            overdue_ms: unserved.overdue_ms(now, name),
+            load: asked.loads.get(name),
+            overdue_ms: asked.unserved.overdue_ms(now, name),
             turn_ms: turn_ms(engine, name),
         });
         let facts = facts.collect();
-        let views = outlooks.iter().map(|outlook| view(outlook, &models));
+        let views = asked.outlooks.iter();
+        let views = views.map(|outlook| view(outlook, &models));
         let mut board = Self {
             now,
             engine,
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -104,6 +104,19 @@
 }
 
 /// A renewal as its holder tells of it.
+#[derive(Debug, Clone, Copy)]
+pub struct ToldRenewal<'a> {
+    /// Entry that holds the lease.
+    pub holder: &'a str,
+    /// Start of its process.
+    pub start: u64,
+    /// Number of the holding.
+    pub token: u64,
+    /// Number of the renewal.
+    pub renewal: u64,
+}
+
+/// A renewal that was told, and when that was first heard.
 #[derive(Debug)]
 struct Heard {
     holder: String,
@@ -166,21 +179,17 @@
     /// from the reading its lease would end that much later than it does. It told of
     /// the renewal when that was written, and its time ran by then: counted from the
     /// first telling, nobody begins earlier than after the same wait.
-    pub fn hear(
-        &mut self,
-        now: Instant,
-        (holder, start): (&str, u64),
-        (token, renewal): (u64, u64),
-    ) {
+    pub fn hear(&mut self, now: Instant, told: &ToldRenewal<'_>) {
+        let newest = (told.token, told.renewal);
         let known = self.heard.as_ref();
-        if known.is_some_and(|known| (known.token, known.renewal) >= (token, renewal)) {
+        if known.is_some_and(|known| (known.token, known.renewal) >= newest) {
             return;
         }
         self.heard = Some(Heard {
-            holder: holder.to_owned(),
-            start,
-            token,
-            renewal,
+            holder: told.holder.to_owned(),
+            start: told.start,
+            token: told.token,
+            renewal: told.renewal,
             at: now,
         });
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -73,7 +73,7 @@
 pub use doubts::{Doubt, Doubts, Turn};
 pub use fleet::{Activity, Fleet, Upstream, Usage};
 pub use late::LateOrders;
-pub use lease::{Lease, LeaseRecord, LeaseStep};
+pub use lease::{Lease, LeaseRecord, LeaseStep, ToldRenewal};
 pub use ledger::Ledger;
 pub use moves::{Choice, Group, Moves, Reason, Spot};
 pub use news::{Copies, Report, Resident, Start, UpstreamNews};
--- a/crates/direct/src/moves.rs
+++ b/crates/direct/src/moves.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::board::Board;
+use crate::board::{Asked, Board};
 use crate::late::LATE_ORDER_MS;
 use crate::outlook::outlooks;
 use crate::shifts::Shifts;
@@ -168,8 +168,12 @@
         self.unserved.look(now, loads, is_held);
         self.shifts.look(now, loads);
         let outlooks = outlooks(engine, loads, spots.len(), self.shifts.step());
-        let facts = (loads, &self.unserved, outlooks.as_slice());
-        let mut board = Board::new(now, engine, spots, facts, allowance);
+        let asked = Asked {
+            loads,
+            unserved: &self.unserved,
+            outlooks: &outlooks,
+        };
+        let mut board = Board::new(now, engine, spots, &asked, allowance);
         board.serve_waiting();
         board.spread_busy();
         board.keep_reachable();
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -3,7 +3,7 @@
 use crate::support::{at, cases};
 use arbtest::arbitrary;
 use base::prelude::*;
-use direct::{Lease, LeaseRecord, LeaseStep};
+use direct::{Lease, LeaseRecord, LeaseStep, ToldRenewal};
 
 const VALID_MS: u64 = 5_000;
 const QUIET_MS: u64 = 3_000;
@@ -139,7 +139,13 @@
     let (mut first, mut second) = (lease("one", 1), lease("two", 2));
     run(&mut first, &mut store, 0, 1_000);
     let renewal = first.renewal_held(at(1_000)).expect("it holds the lease");
-    second.hear(at(1_000), ("one", 1), (1, renewal));
+    let told = ToldRenewal {
+        holder: "one",
+        start: 1,
+        token: 1,
+        renewal,
+    };
+    second.hear(at(1_000), &told);
     run(&mut second, &mut store, 3_500, 1_000 + VALID_MS + QUIET_MS);
     assert_eq!(second.token(at(1_000 + VALID_MS + QUIET_MS)), None);
     run(&mut second, &mut store, 9_000, 9_400);
@@ -243,7 +249,14 @@
                     return true;
                 }
                 let holder = format!("e{}", told.from);
-                leases[told.to].hear(at(ms), (&holder, told.start), told.renewal);
+                let (token, renewal) = told.renewal;
+                let heard = ToldRenewal {
+                    holder: &holder,
+                    start: told.start,
+                    token,
+                    renewal,
+                };
+                leases[told.to].hear(at(ms), &heard);
                 false
             });
             let mut due = std::mem::take(&mut calls);
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -1,6 +1,6 @@
 //! Hearing other entries.
 
-use direct::{Activity, Load, ReadingQueue, Resident, Start, Usage};
+use direct::{Activity, Load, ReadingQueue, Resident, Start, ToldRenewal, Usage};
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews};
 use serde_json::json;
@@ -84,9 +84,13 @@
     }
     drop(fleet);
     if news.lease_renewal > 0 {
-        let holder = (news.entry.as_str(), news.start);
-        let renewal = (news.giver_token, news.lease_renewal);
-        node.lease.lock().hear(now, holder, renewal);
+        let told = ToldRenewal {
+            holder: &news.entry,
+            start: news.start,
+            token: news.giver_token,
+            renewal: news.lease_renewal,
+        };
+        node.lease.lock().hear(now, &told);
     }
     if !news.holdings.is_empty() {
         node.holdings.notify_waiters();
