Further copies of adapters follow demand, not free places

Adapters ahead of need put further copies into every place that was free.

A further copy has to be worth one in two thousand of the demand; first copies are made as before. Test: four times the upstreams hold as many adapters, not four times as many.

--- a/crates/direct/src/adapters.rs
+++ b/crates/direct/src/adapters.rs
@@ -20,6 +20,10 @@
 /// to models that nobody asks for now, and their adapters are to be there by then.
 const UNSEEN_PART: f64 = 0.3;
 
+/// Share of the demand below which a further copy of an adapter is not worth its order.
+/// Where there are many more places than adapters, copies would fill all of them.
+const FURTHER_LEAST: f64 = 0.0005;
+
 /// Times by which an adapter has to be worth more than the one in its place before
 /// the two change places, so that they do not change back.
 const WORTH_CHANGING: f64 = 2.0;
@@ -241,7 +245,12 @@
     /// reachable; each further one lets its requests choose among more upstreams.
     fn worth_of(&self, model: &str, others: u32) -> f64 {
         let first = self.worth.get(model).copied().unwrap_or(0.0);
-        first / f64::from(others + 1).powi(2)
+        let worth = first / f64::from(others + 1).powi(2);
+        if others > 0 && worth < FURTHER_LEAST {
+            0.0
+        } else {
+            worth
+        }
     }
 }
 
--- a/crates/direct/tests/all/adapters.rs
+++ b/crates/direct/tests/all/adapters.rs
@@ -196,6 +196,28 @@
     assert_eq!(chosen.len(), 1);
 }
 
+/// Many more upstreams than adapters hold the models. Copies in all places would be as
+/// many orders as there are places, for adapters that hardly anybody asks for: the first
+/// copies are made, and further ones as the demand is worth.
+#[test]
+fn copies_follow_the_demand_and_not_the_places() {
+    let engine = with_adapters(8);
+    let spots_of = |count: usize| -> Vec<AdapterSpot> {
+        let all = (0..count)
+            .map(|id| spot(&id.to_string(), 8, &[("a", &[]), ("b", &[]), ("c", &[])]));
+        all.collect()
+    };
+    let held = |count: usize| {
+        let mut spots = spots_of(count);
+        settle(&engine, &mut spots, &demand(&[("a", 900.0)]));
+        let held = spots.iter().flat_map(|spot| spot.models.values());
+        held.map(BTreeMap::len).sum::<usize>()
+    };
+    let (few, many) = (held(100), held(400));
+    assert!(few >= 24 && few < 400, "{few}");
+    assert_eq!(few, many);
+}
+
 /// Whatever is held and asked for, adapters come to rest: none changes places with
 /// another and back, and none is loaded beside a model that is not there.
 #[test]
