--- a/crates/direct/src/adapters.rs
+++ b/crates/direct/src/adapters.rs
@@ -56,6 +56,16 @@
     pub adapter: Arc<str>,
 }
 
+impl AdapterName {
+    /// An adapter of a model.
+    pub fn new(model: &Arc<str>, adapter: &Arc<str>) -> Self {
+        Self {
+            model: Arc::clone(model),
+            adapter: Arc::clone(adapter),
+        }
+    }
+}
+
 /// An adapter that is to be loaded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdapterChoice {
@@ -75,7 +85,7 @@
     spots: &'a [AdapterSpot],
     /// Whether each upstream was chosen already: it takes one order at a time.
     chosen: Vec<bool>,
-    copies: HashMap<(&'a str, &'a str), u32>,
+    copies: HashMap<AdapterName, u32>,
     /// Worth of the first copy of each adapter of a model.
     worth: HashMap<&'a str, f64>,
     /// Memory that one more model takes at most.
@@ -93,7 +103,8 @@
         let mut copies = HashMap::new();
         for (model, adapters) in spots.iter().flat_map(|spot| &spot.models) {
             for adapter in adapters.keys() {
-                *copies.entry((&**model, &**adapter)).or_default() += 1;
+                let name = AdapterName::new(model, adapter);
+                *copies.entry(name).or_default() += 1;
             }
         }
         let sizes = engine.models.values().map(|spec| spec.weights_mb);
@@ -151,9 +162,9 @@
     }
 
     fn ahead_at(&self, spot: &AdapterSpot) -> Option<AdapterChoice> {
-        let (gain, model, adapter) = self.best_missing(spot)?;
+        let (gain, load) = self.best_missing(spot)?;
         let (loss, unload) = self.room(spot)?;
-        let spec = self.engine.models.get(model)?;
+        let spec = self.engine.models.get(&load.model)?;
         let takes_model = spot.free_mb >= self.model_mb
             && spot.free_mb - spec.adapter_mb < self.model_mb;
         if gain <= loss * WORTH_CHANGING || takes_model {
@@ -161,28 +172,22 @@
         }
         Some(AdapterChoice {
             upstream: Arc::clone(&spot.upstream),
-            load: AdapterName {
-                model: Arc::clone(model),
-                adapter: Arc::clone(adapter),
-            },
+            load,
             unload,
         })
     }
 
     /// The adapter that is worth most of those that an upstream could hold and does
     /// not.
-    fn best_missing<'b>(
-        &'b self,
-        spot: &'b AdapterSpot,
-    ) -> Option<(f64, &'b Arc<str>, &'b Arc<str>)> {
+    fn best_missing(&self, spot: &AdapterSpot) -> Option<(f64, AdapterName)> {
         let models = spot.models.iter();
         let all = models.flat_map(|(model, held)| {
             let spec = self.engine.models.get(model);
             let names = spec.into_iter().flat_map(|spec| &spec.adapters);
-            let missing = names.filter(move |name| !held.contains_key(*name));
-            missing.map(move |name| {
-                let copies = self.copies_of(model, name);
-                (self.worth_of(model, copies), model, name)
+            let missing = names.filter(move |adapter| !held.contains_key(*adapter));
+            missing.map(move |adapter| {
+                let name = AdapterName::new(model, adapter);
+                (self.worth_of(model, self.copies_of(&name)), name)
             })
         });
         all.max_by(|a, b| a.0.total_cmp(&b.0))
@@ -200,45 +205,27 @@
                 .iter()
                 .filter(|(_, since)| self.now.ms_since(**since) >= ADAPTER_TURN_MS);
             had_turn.map(move |(adapter, since)| {
-                let others = self.copies_of(model, adapter).saturating_sub(1);
-                (self.worth_of(model, others), *since, model, adapter)
+                let name = AdapterName::new(model, adapter);
+                let others = self.copies_of(&name).saturating_sub(1);
+                (self.worth_of(model, others), *since, name)
             })
         });
         let least = all.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        least.map(|(loss, _, model, adapter)| {
-            let unload = AdapterName {
-                model: Arc::clone(model),
-                adapter: Arc::clone(adapter),
-            };
-            (loss, Some(unload))
-        })
+        least.map(|(loss, _, name)| (loss, Some(name)))
     }
 
     /// Counts what was chosen, for the choices after it.
     fn choose(&mut self, index: usize, choice: &AdapterChoice) {
         self.chosen[index] = true;
-        let spot = &self.spots[index];
-        let spec = self.engine.models.get_key_value(&choice.load.model);
-        let name = spec.and_then(|(model, spec)| {
-            let mut names = spec.adapters.iter();
-            let name = names.find(|name| **name == choice.load.adapter)?;
-            Some((&**model, &**name))
-        });
-        if let Some(name) = name {
-            *self.copies.entry(name).or_default() += 1;
-        }
-        let gone = choice.unload.as_ref().and_then(|gone| {
-            let (model, held) = spot.models.get_key_value(&gone.model)?;
-            let (adapter, _) = held.get_key_value(&gone.adapter)?;
-            self.copies.get_mut(&(&**model, &**adapter))
-        });
-        if let Some(copies) = gone {
+        *self.copies.entry(choice.load.clone()).or_default() += 1;
+        let gone = choice.unload.as_ref();
+        if let Some(copies) = gone.and_then(|gone| self.copies.get_mut(gone)) {
             *copies = copies.saturating_sub(1);
         }
     }
 
-    fn copies_of(&self, model: &str, adapter: &str) -> u32 {
-        self.copies.get(&(model, adapter)).copied().unwrap_or(0)
+    fn copies_of(&self, name: &AdapterName) -> u32 {
+        self.copies.get(name).copied().unwrap_or(0)
     }
 
     /// What one copy more is worth beside others. The first one makes the adapter
--- a/crates/direct/src/home.rs
+++ b/crates/direct/src/home.rs
@@ -4,7 +4,7 @@
 //! of them. An entry knows what it sent where and not what the others did: with
 //! several entries each part is read at each upstream, and pushes out the others.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Fleet, Pick, ReadingQueue};
@@ -20,15 +20,16 @@
 /// By rendezvous hash of the shared parts: all entries find the same order without a
 /// word, and an upstream that goes or comes moves only its own.
 #[derive(Debug, Default)]
-pub(crate) struct Homes {
-    upstreams: Vec<Arc<str>>,
+pub(crate) struct Homes<'a> {
+    /// Places in that order by upstream, from 0.
+    places: HashMap<&'a str, i32>,
     shared_tokens: u64,
 }
 
-impl Homes {
+impl<'a> Homes<'a> {
     /// The order for a request. A prompt of one part, or of none, shares nothing: the
     /// last part is the request's own.
-    pub(crate) fn of(fleet: &Fleet, input: &Pick<'_>) -> Self {
+    pub(crate) fn of(fleet: &'a Fleet, input: &Pick<'a>) -> Self {
         let shared = input
             .parts
             .split_last()
@@ -40,15 +41,15 @@
         let able = fleet.of(input.service).filter(|upstream| {
             upstream.is_usable(input.now) && upstream.holds(input.now, model, adapter)
         });
-        let mut ranked: Vec<(u64, &Arc<str>)> = able
+        let mut ranked: Vec<(u64, &str)> = able
             .map(|upstream| {
-                let id = &upstream.news.id;
+                let id = &*upstream.news.id;
                 (xxh3_64_with_seed(id.as_bytes(), *part), id)
             })
             .collect();
-        ranked.sort_by(|a, b| b.cmp(a));
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
         Self {
-            upstreams: ranked.into_iter().map(|(_, id)| Arc::clone(id)).collect(),
+            places: ranked.into_iter().map(|(_, id)| id).zip(0..).collect(),
             shared_tokens: shared.iter().map(|(_, tokens)| tokens).sum(),
         }
     }
@@ -61,11 +62,10 @@
         known_tokens: u64,
         input: &Pick<'_>,
     ) -> f64 {
-        let Some(place) = self.upstreams.iter().position(|home| **home == *id) else {
+        let Some(place) = self.places.get(id) else {
             return 0.0;
         };
-        let place = i32::try_from(place).unwrap_or(i32::MAX);
-        let kept = self.shared_tokens as f64 * NEXT_KEEPS.powi(place);
+        let kept = self.shared_tokens as f64 * NEXT_KEEPS.powi(*place);
         let unknown = (kept - known_tokens as f64).max(0.0) * input.pace;
         ReadingQueue::of(input.rank, unknown as u64).reading_ms()
     }
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -103,37 +103,13 @@
     ended_at: Option<Instant>,
 }
 
-/// A renewal as its holder tells of it.
-#[derive(Debug, Clone, Copy)]
-pub struct ToldRenewal<'a> {
-    /// Entry that holds the lease.
-    pub holder: &'a str,
-    /// Start of its process.
-    pub start: u64,
-    /// Number of the holding.
-    pub token: u64,
-    /// Number of the renewal.
-    pub renewal: u64,
-}
-
-/// A renewal that was told, and when that was first heard.
+/// A renewal that its holder told of, and when that was first heard.
 #[derive(Debug)]
 struct Heard {
-    holder: String,
-    start: u64,
-    token: u64,
-    renewal: u64,
+    record: LeaseRecord,
     at: Instant,
 }
 
-impl Heard {
-    fn is_of(&self, record: &LeaseRecord) -> bool {
-        self.holder == record.holder
-            && (self.start, self.token, self.renewal)
-                == (record.start, record.token, record.renewal)
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Seen {
     record: LeaseRecord,
@@ -179,19 +155,12 @@
     /// from the reading its lease would end that much later than it does. It told of
     /// the renewal when that was written, and its time ran by then: counted from the
     /// first telling, nobody begins earlier than after the same wait.
-    pub fn hear(&mut self, now: Instant, told: &ToldRenewal<'_>) {
-        let newest = (told.token, told.renewal);
+    pub fn hear(&mut self, now: Instant, record: LeaseRecord) {
+        let number = |record: &LeaseRecord| (record.token, record.renewal);
         let known = self.heard.as_ref();
-        if known.is_some_and(|known| (known.token, known.renewal) >= newest) {
-            return;
+        if known.is_none_or(|known| number(&known.record) < number(&record)) {
+            self.heard = Some(Heard { record, at: now });
         }
-        self.heard = Some(Heard {
-            holder: told.holder.to_owned(),
-            start: told.start,
-            token: told.token,
-            renewal: told.renewal,
-            at: now,
-        });
     }
 
     /// Number of the renewal by which this entry may order.
@@ -200,6 +169,17 @@
         self.seen.as_ref().map(|seen| seen.record.renewal)
     }
 
+    /// Until when earlier holders may have ordered, for this entry whose process began
+    /// at `started_at` and that takes the lease now.
+    ///
+    /// Another entry has been quiet for the time that the rule asks. This entry's own
+    /// earlier process is not waited for; it ordered until it ended, which was before
+    /// this one began. Taken for quiet as well, what it had just loaded was loaded once
+    /// more within the weight store's window.
+    pub fn others_ordered_until(&self, now: Instant, started_at: Instant) -> Instant {
+        started_at.max(now - Duration::from_millis(self.quiet_ms))
+    }
+
     /// The next step; the shell tells what came of it by [`Self::read`],
     /// [`Self::written`] or [`Self::failed`].
     pub fn step(&mut self, now: Instant, holder_heard: bool) -> LeaseStep {
@@ -321,7 +301,8 @@
         if unchanged {
             return;
         }
-        let heard = self.heard.as_ref().filter(|heard| heard.is_of(&record));
+        let heard = self.heard.as_ref();
+        let heard = heard.filter(|heard| heard.record == record);
         self.seen = Some(Seen {
             since: heard.map_or(now, |heard| heard.at.min(now)),
             record,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,7 +15,8 @@
 //!   [`ReadingQueue`] how long that is.
 //! - [`after`] says what may follow a try that did not end well.
 //! - [`Repeats`] keeps repeats of all entries together under one bound.
-//! - [`Lease`] makes one entry the giver of orders; [`Ledger`] keeps what it
+//! - [`Lease`] makes one entry the giver of orders, and [`has_successor`] says when
+//!   one that is being stopped hands it over; [`Ledger`] keeps what it
 //!   ordered from one upstream; [`Moves`] decides what is to be held where, and
 //!   [`AdapterSpread`] which adapters beside it.
 //! - [`SharedWatch`] lets one entry watch the platform for its failure domain;
@@ -57,6 +58,7 @@
 mod setup;
 mod shared_watch;
 mod shifts;
+mod successor;
 mod unserved;
 mod watermark;
 
@@ -73,7 +75,7 @@
 pub use doubts::{Doubt, Doubts, Turn};
 pub use fleet::{Activity, Fleet, Upstream, Usage};
 pub use late::LateOrders;
-pub use lease::{Lease, LeaseRecord, LeaseStep, ToldRenewal};
+pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::Ledger;
 pub use moves::{Choice, Group, Moves, Reason, Spot};
 pub use news::{Copies, Report, Resident, Start, UpstreamNews};
@@ -86,4 +88,5 @@
     Engine, Limits, ModelSpec, Route, RouteKind, ServiceSpec, Setup, Target,
 };
 pub use shared_watch::{Batch, Changed, Received, SharedWatch, WatchRole};
+pub use successor::{OtherEntry, has_successor};
 pub use watermark::Watermark;
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -107,7 +107,7 @@
 /// # Errors
 ///
 /// No upstream can run the request now.
-pub fn pick(fleet: &Fleet, input: &Pick<'_>) -> Result<Picked, Unpicked> {
+pub fn pick<'a>(fleet: &'a Fleet, input: &Pick<'a>) -> Result<Picked, Unpicked> {
     let mut best: Option<(bool, f64, Picked)> = None;
     let mut reason = Unpicked::NoUpstream;
     let homes = Homes::of(fleet, input);
@@ -146,16 +146,16 @@
 fn candidate(
     upstream: &Upstream,
     input: &Pick<'_>,
-    homes: &Homes,
+    homes: &Homes<'_>,
     index: u64,
 ) -> Result<(f64, Picked), Unpicked> {
     let usage = upstream.usage(input.now);
-    let adds = match input.model {
-        Some((model, adapter)) => model_usage(upstream, input, model, adapter, &usage)?,
-        None => Usage {
-            running: 1,
-            ..Usage::default()
-        },
+    let Need {
+        usage: adds,
+        known_tokens,
+    } = match input.model {
+        Some((model, adapter)) => model_need(upstream, input, model, adapter, &usage)?,
+        None => Need::default(),
     };
     let wait_ms = if input.model.is_some() {
         engine_wait_ms(&usage, &adds, input.rank)
@@ -168,7 +168,6 @@
     } else {
         OTHER_DOMAIN_MS
     };
-    let known_tokens = upstream.cached_tokens(input.parts);
     let saved_ms = homes.saved_ms(&upstream.news.id, known_tokens, input);
     let score = (wait_ms - saved_ms).max(0.0) * (1.0 + 0.1 * chance)
         + chance
@@ -186,13 +185,34 @@
     Ok((score, picked))
 }
 
-fn model_usage(
+/// What a request needs of an upstream.
+#[derive(Debug)]
+struct Need {
+    usage: Usage,
+    /// Prompt tokens that the upstream need not read, as far as this entry knows.
+    known_tokens: u64,
+}
+
+impl Default for Need {
+    /// That of a request to a plain service.
+    fn default() -> Self {
+        Self {
+            usage: Usage {
+                running: 1,
+                ..Usage::default()
+            },
+            known_tokens: 0,
+        }
+    }
+}
+
+fn model_need(
     upstream: &Upstream,
     input: &Pick<'_>,
     model: &str,
     adapter: Option<&str>,
     usage: &Usage,
-) -> Result<Usage, Unpicked> {
+) -> Result<Need, Unpicked> {
     if !upstream.holds(input.now, model, None) {
         return Err(Unpicked::NoModel);
     }
@@ -202,7 +222,7 @@
     if upstream.is_refusing(input.now, model) {
         return Err(Unpicked::Full);
     }
-    let cached = upstream.cached_tokens(input.parts);
+    let known_tokens = upstream.cached_tokens(input.parts);
     if let Some(engine) = input.engine {
         let kept = usage.kept_tokens + input.kept_tokens;
         let room = engine.cache_tokens as f64 * CACHE_USABLE;
@@ -210,11 +230,14 @@
             return Err(Unpicked::Full);
         }
     }
-    let unread = input.prompt_tokens.saturating_sub(cached) as f64 * input.pace;
-    Ok(Usage {
-        running: 1,
-        reading: ReadingQueue::of(input.rank, unread as u64),
-        kept_tokens: input.kept_tokens,
+    let unread = input.prompt_tokens.saturating_sub(known_tokens) as f64 * input.pace;
+    Ok(Need {
+        usage: Usage {
+            running: 1,
+            reading: ReadingQueue::of(input.rank, unread as u64),
+            kept_tokens: input.kept_tokens,
+        },
+        known_tokens,
     })
 }
 
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -1,9 +1,9 @@
 //! One giver of orders at a time, whatever the platform does.
 
-use crate::support::{at, cases};
+use crate::support::{at, cases, engine};
 use arbtest::arbitrary;
 use base::prelude::*;
-use direct::{Lease, LeaseRecord, LeaseStep, ToldRenewal};
+use direct::{Engine, Lease, LeaseRecord, LeaseStep, Moves};
 
 const VALID_MS: u64 = 5_000;
 const QUIET_MS: u64 = 3_000;
@@ -34,6 +34,17 @@
     Lease::new(entry, start, VALID_MS, QUIET_MS)
 }
 
+/// A renewal as its holder tells of it.
+fn renewed(holder: &str, start: u64, token: u64, renewal: u64) -> LeaseRecord {
+    LeaseRecord {
+        holder: holder.to_owned(),
+        start,
+        token,
+        renewal,
+        idle_ms: 0,
+    }
+}
+
 /// Carries a step out at once, with answers that arrive.
 fn carry_out(lease: &mut Lease, store: &mut Store, now: Instant, heard: bool) {
     match lease.step(now, heard) {
@@ -139,13 +150,7 @@
     let (mut first, mut second) = (lease("one", 1), lease("two", 2));
     run(&mut first, &mut store, 0, 1_000);
     let renewal = first.renewal_held(at(1_000)).expect("it holds the lease");
-    let told = ToldRenewal {
-        holder: "one",
-        start: 1,
-        token: 1,
-        renewal,
-    };
-    second.hear(at(1_000), &told);
+    second.hear(at(1_000), renewed("one", 1, 1, renewal));
     run(&mut second, &mut store, 3_500, 1_000 + VALID_MS + QUIET_MS);
     assert_eq!(second.token(at(1_000 + VALID_MS + QUIET_MS)), None);
     run(&mut second, &mut store, 9_000, 9_400);
@@ -184,6 +189,35 @@
     assert_eq!(again.token(at(1_900)), Some(2));
 }
 
+/// All entries are killed right after the leader has loaded all that the weight store's
+/// window allows. It starts again, takes its own lease without waiting, and callers wait
+/// for other models: none may be loaded before the window of its earlier process is over.
+#[test]
+fn a_leader_that_starts_again_counts_what_its_earlier_process_may_have_loaded() {
+    const WINDOW_MS: u64 = 5_000;
+    let mut store = Store::default();
+    let mut first = lease("one", 1);
+    run(&mut first, &mut store, 0, 1_000);
+    let started_at = at(1_500);
+    let mut again = lease("one", 2);
+    run(&mut again, &mut store, 1_600, 1_900);
+    assert_eq!(again.token(at(1_900)), Some(2));
+    let engine: Engine = engine(&["a"]);
+    let mut moves = Moves::new(WINDOW_MS);
+    moves.assume_spent(again.others_ordered_until(at(1_900), started_at), &engine);
+    assert_eq!(moves.allowance(at(1_500 + WINDOW_MS - 1), &engine), 0);
+    assert!(moves.allowance(at(1_500 + WINDOW_MS), &engine) > 0);
+}
+
+/// Another entry's lease ran out long ago and it was quiet since: nothing more is
+/// assumed of it than the quiet time leaves.
+#[test]
+fn a_leader_that_takes_over_counts_the_quiet_time() {
+    let second = lease("two", 2);
+    let until = second.others_ordered_until(at(50_000), at(0));
+    assert_eq!(until, at(50_000 - QUIET_MS));
+}
+
 /// A renewal is written and its answer is lost. The holder goes on ordering: the
 /// object is its own, and nobody takes over before its time.
 #[test]
@@ -250,13 +284,8 @@
                 }
                 let holder = format!("e{}", told.from);
                 let (token, renewal) = told.renewal;
-                let heard = ToldRenewal {
-                    holder: &holder,
-                    start: told.start,
-                    token,
-                    renewal,
-                };
-                leases[told.to].hear(at(ms), &heard);
+                let record = renewed(&holder, told.start, token, renewal);
+                leases[told.to].hear(at(ms), record);
                 false
             });
             let mut due = std::mem::take(&mut calls);
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -18,5 +18,6 @@
 mod setup;
 mod shared_watch;
 mod starts;
+mod successor;
 mod support;
 mod turned_away;
--- a/crates/front/src/giver/adapters.rs
+++ b/crates/front/src/giver/adapters.rs
@@ -69,10 +69,7 @@
         let wants = self.wants.keys().filter(|want| &*want.service == service);
         let missing = wants.filter(|want| !self.is_coming(want));
         missing
-            .map(|want| AdapterName {
-                model: Arc::clone(&want.model),
-                adapter: Arc::clone(&want.adapter),
-            })
+            .map(|want| AdapterName::new(&want.model, &want.adapter))
             .collect()
     }
 
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -85,16 +85,6 @@
     }
 }
 
-/// Until when an earlier holder of the lease may have ordered.
-///
-/// Another entry has been quiet for the time that the rule asks. This entry's own
-/// earlier process is not waited for; it ordered until it ended, which was before this
-/// one began. Taken for quiet as well, what it had just loaded was ordered once more.
-fn others_ordered_until(node: &Node, now: Instant) -> Instant {
-    let quiet = Duration::from_millis(node.options.bounds.order_quiet_ms);
-    node.started_at.max(now - quiet)
-}
-
 type Ordered = (Arc<str>, Arc<str>, direct::Order, bool);
 
 impl State {
@@ -107,6 +97,9 @@
         }
         let others_held = token > 1 && self.last_token != Some(token);
         self.last_token = Some(token);
+        let lease = node.lease.lock();
+        let others_until = lease.others_ordered_until(now, node.started_at);
+        drop(lease);
         self.moves.retain(|name, _| engine(setup, name).is_some());
         for (name, spec) in &setup.services {
             let Some(engine) = &spec.engine else {
@@ -116,7 +109,7 @@
             let moves = moves.or_insert_with(|| Moves::new(node.giver.window_ms));
             moves.begin_again();
             if others_held {
-                moves.assume_spent(others_ordered_until(node, now), engine);
+                moves.assume_spent(others_until, engine);
             }
         }
         node.log.line(
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -1,6 +1,6 @@
 //! Hearing other entries.
 
-use direct::{Activity, Load, ReadingQueue, Resident, Start, ToldRenewal, Usage};
+use direct::{Activity, LeaseRecord, Load, ReadingQueue, Resident, Start, Usage};
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews};
 use serde_json::json;
@@ -84,13 +84,14 @@
     }
     drop(fleet);
     if news.lease_renewal > 0 {
-        let told = ToldRenewal {
-            holder: &news.entry,
+        let record = LeaseRecord {
+            holder: news.entry.clone(),
             start: news.start,
             token: news.giver_token,
             renewal: news.lease_renewal,
+            idle_ms: 0,
         };
-        node.lease.lock().hear(now, &told);
+        node.lease.lock().hear(now, record);
     }
     if !news.holdings.is_empty() {
         node.holdings.notify_waiters();
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -1,7 +1,7 @@
 //! Other entries.
 
 use base::prelude::*;
-use direct::Load;
+use direct::{Load, OtherEntry, has_successor};
 use parking_lot::Mutex;
 use quota::keeper;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -73,6 +73,14 @@
     format!("{entry}#{start}")
 }
 
+impl Table {
+    /// Entries that were heard lately, by name.
+    fn heard(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerState)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS)
+    }
+}
+
 impl Peers {
     pub(crate) fn new(options: &Options) -> Self {
         let table = Table {
@@ -113,10 +121,7 @@
     /// Names of the entries that were heard lately, in order.
     pub(crate) fn heard(&self, now: Instant) -> Vec<String> {
         let table = self.table.lock();
-        let heard = table
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let heard = table.heard(now);
         let mut names: Vec<String> = heard.map(|(name, _)| name.clone()).collect();
         names.sort();
         names
@@ -126,12 +131,10 @@
     /// watch of the platform works.
     pub(crate) fn watchers(&self, now: Instant, domain: &str) -> Vec<String> {
         let table = self.table.lock();
-        let heard = table.peers.iter().filter(|(_, peer)| {
-            now.ms_since(peer.heard_at) < DEMAND_MS
-                && peer.watches
-                && peer.domain == domain
-        });
-        heard.map(|(name, _)| name.clone()).collect()
+        let watchers = table
+            .heard(now)
+            .filter(|(_, peer)| peer.watches && peer.domain == domain);
+        watchers.map(|(name, _)| name.clone()).collect()
     }
 
     /// The entry that keeps a workspace's tokens, with its address, if it is another
@@ -147,11 +150,9 @@
         is_away: impl Fn(&str) -> bool,
     ) -> Option<(String, SocketAddr)> {
         let table = self.table.lock();
-        let others = table.peers.iter().filter(|(name, peer)| {
-            peer.keeps_tokens
-                && now.ms_since(peer.heard_at) < DEMAND_MS
-                && !is_away(name)
-        });
+        let others = table
+            .heard(now)
+            .filter(|(name, peer)| peer.keeps_tokens && !is_away(name));
         let others = others.map(|(name, _)| name.as_str());
         let kept_by = keeper(workspace, others.chain(own))?;
         let other = table.peers.get(kept_by)?;
@@ -161,10 +162,7 @@
     /// Whether a start of an entry was heard lately.
     pub(crate) fn is_running(&self, now: Instant, name: &str) -> bool {
         let table = self.table.lock();
-        let mut heard = table
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let mut heard = table.heard(now);
         heard.any(|(entry, peer)| start_name(entry, peer.start) == name)
     }
 
@@ -176,31 +174,24 @@
     }
 
     /// Whether an entry was heard lately that can lead in the place of this one, which
-    /// is being stopped.
-    ///
-    /// Where others are being stopped as well, it is the turn of all: those that were
-    /// not stopped yet are next, and each in turn would hold the lease for a moment
-    /// and leave nobody for the quiet time after it. One that has started again since
-    /// this one did stays.
+    /// began at `start` and is being stopped.
     pub(crate) fn has_successor(&self, now: Instant, start: u64) -> bool {
         let table = self.table.lock();
-        let heard = table
-            .peers
-            .values()
-            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
-        let others: Vec<&PeerState> = heard.collect();
-        let all_in_turn = others.iter().any(|peer| peer.stopping);
-        let mut able = others.iter().filter(|peer| !peer.stopping);
-        able.any(|peer| !all_in_turn || peer.start > start)
+        let heard = table.heard(now).map(|(_, peer)| peer);
+        let others: Vec<OtherEntry> = heard
+            .map(|peer| OtherEntry {
+                start_ms: peer.start,
+                stopping: peer.stopping,
+            })
+            .collect();
+        has_successor(start, &others)
     }
 
     /// Addresses of the entries of a failure domain that were heard lately.
     pub(crate) fn neighbours(&self, now: Instant, domain: &str) -> Vec<SocketAddr> {
         let table = self.table.lock();
-        let heard = table.peers.values().filter(|peer| {
-            now.ms_since(peer.heard_at) < DEMAND_MS && peer.domain == domain
-        });
-        heard.map(|peer| peer.address).collect()
+        let neighbours = table.heard(now).filter(|(_, peer)| peer.domain == domain);
+        neighbours.map(|(_, peer)| peer.address).collect()
     }
 
     /// Adds what other entries demand of a service's models.
@@ -211,10 +202,7 @@
         loads: &mut BTreeMap<Arc<str>, Load>,
     ) {
         let table = self.table.lock();
-        let heard = table
-            .peers
-            .values()
-            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let heard = table.heard(now).map(|(_, peer)| peer);
         for (of, model, load) in heard.flat_map(|peer| &peer.loads) {
             if **of == *service {
                 loads.entry(Arc::clone(model)).or_default().add(load);
@@ -225,10 +213,7 @@
     /// Address of the giver of orders, if it was heard lately.
     pub(crate) fn giver(&self, now: Instant) -> Option<SocketAddr> {
         let table = self.table.lock();
-        let heard = table
-            .peers
-            .values()
-            .filter(|peer| now.ms_since(peer.heard_at) < DEMAND_MS);
+        let heard = table.heard(now).map(|(_, peer)| peer);
         let giver = heard.filter(|peer| peer.giver_token > 0);
         giver
             .max_by_key(|peer| peer.giver_token)
