The rate that an upstream asks for holds over all entries together

Callers saw nothing.

Cause: the entry read five facts of an answer's head, and the rate was none of them. Class: a bound of the far end that only the message carries. Ruled out: entries that keep the rate each by itself, or learn of it late; arrivals at one entry did not change either.

Change: the rate is read of every answer and belongs to one start of the upstream. What it takes is tokens by the quota crate, in a pool of its own: made by all entries in parts, gathered by a keeper, taken before a request is sent. By construction entries that don't hear one another share what there is. An answer ends or raises a bound only if it was asked for after the bound was heard; of two that may have crossed, the lower holds. An upstream whose rate is spent is passed over; a request waits for it where that can be in time, and is else refused at once with when to come back (unpicked rate_spent).

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What this entry knows of the upstreams.
 
 mod liveness;
+mod rate;
 mod starts;
 mod turned_away;
 mod upstream;
@@ -14,6 +15,7 @@
 use upstream::{SAID_MAX_MS, SAID_MS, Said};
 
 pub use liveness::Activity;
+pub use rate::{RateLimit, RateWord};
 pub use upstream::{Upstream, Usage};
 
 /// Time after the platform's return in which a missing entry may only have
@@ -203,6 +205,7 @@
     /// for a new one by the next list that is behind.
     pub fn sweep(&mut self, now: Instant) {
         self.upstreams.retain(|_, upstream| {
+            upstream.forget_ended_rate(now);
             if upstream.is_usable(now) || upstream.own.running > 0 {
                 upstream.idle_since = now;
             }
--- /dev/null
+++ b/crates/direct/src/fleet/rate.rs
@@ -0,0 +1,166 @@
+//! The rate of requests that an upstream asks for in its answers.
+//!
+//! Answers the load of an upstream in need, which takes fewer requests than its place
+//! among the others brings it, whichever entries they come from. Entries hear its
+//! answers one by one and tell one another, so what is newer is told by when an answer
+//! can have been made, and not by when it came.
+
+use base::prelude::*;
+use std::sync::Arc;
+
+use super::{Fleet, Upstream};
+use crate::Start;
+
+/// Rate that is kept to where an upstream asks for less: without any request no answer
+/// would say that the bound has ended.
+const LEAST_PER_S: f64 = 0.1;
+
+/// Time for which entries tell one another that a bound has ended.
+const ENDED_TOLD_MS: u64 = 10_000;
+
+/// Longest time that another entry's word may be on its way, as a slow process takes it
+/// up.
+const ON_WAY_MS: u64 = 1_000;
+
+/// What an answer said of the rate that its upstream takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateWord {
+    /// Requests a second from all entries together; `None` for no bound.
+    pub per_s: Option<f64>,
+    /// When the request was sent: the answer was made later.
+    pub asked_at: Instant,
+    /// When the answer came: it was made before.
+    pub heard_at: Instant,
+}
+
+impl RateWord {
+    /// Whether another word holds in place of this one. Of two answers that may have
+    /// overtaken one another the lower bound does, until a later one is heard.
+    fn yields_to(&self, other: &Self) -> bool {
+        if other.asked_at >= self.heard_at {
+            return true;
+        }
+        let is_older = other.heard_at <= self.asked_at;
+        let bound = |word: &Self| word.per_s.unwrap_or(f64::INFINITY);
+        !is_older && bound(other) < bound(self)
+    }
+}
+
+/// A bound on the requests to one start of an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateLimit {
+    /// Names the start.
+    pub key: Arc<str>,
+    /// Requests a second from all entries together.
+    pub per_s: f64,
+}
+
+impl Upstream {
+    /// Requests a second that it asks for.
+    pub fn rate_per_s(&self) -> Option<f64> {
+        self.rate.and_then(|word| word.per_s)
+    }
+
+    /// Its bound, where it asks for one.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        let per_s = self.rate_per_s()?.max(LEAST_PER_S);
+        let born_ms = self.news.born_ms.unwrap_or(0);
+        Some(RateLimit {
+            key: format!("{}@{born_ms}", self.news.id).into(),
+            per_s,
+        })
+    }
+
+    /// Until when it is sent nothing, as all that it takes was sent.
+    pub fn rate_spent_until(&mut self, until: Instant) {
+        self.rate_spent_until = until;
+    }
+
+    /// Whether all that it takes was sent.
+    pub fn is_rate_spent(&self, now: Instant) -> bool {
+        self.rate_per_s().is_some() && now < self.rate_spent_until
+    }
+
+    /// Takes over what an answer said; whether the bound is another one now.
+    fn take_rate(&mut self, word: RateWord) -> bool {
+        let Some(known) = self.rate else {
+            self.rate = word.per_s.is_some().then_some(word);
+            return self.rate.is_some();
+        };
+        let before = known.per_s;
+        // That a bound has ended is told for a time from when it did.
+        let is_news = before.is_some() || word.per_s.is_some();
+        if is_news && known.yields_to(&word) {
+            self.rate = Some(word);
+        }
+        self.rate_per_s() != before
+    }
+
+    pub(super) fn forget_ended_rate(&mut self, now: Instant) {
+        self.rate = self
+            .rate
+            .filter(|word| word.per_s.is_some() || is_told(now, word));
+    }
+}
+
+fn is_told(now: Instant, word: &RateWord) -> bool {
+    word.per_s.is_some() || now.ms_since(word.heard_at) < ENDED_TOLD_MS
+}
+
+impl Fleet {
+    /// An answer of this start said at which rate it takes requests; whether the bound
+    /// is another one now.
+    pub fn said_rate(&mut self, start: Start<'_>, word: RateWord) -> bool {
+        self.start_mut(start)
+            .is_some_and(|upstream| upstream.take_rate(word))
+    }
+
+    /// Another entry tells of an answer, with how long ago it was asked for and heard;
+    /// whether the bound is another one now.
+    pub fn heard_rate(
+        &mut self,
+        now: Instant,
+        start: Start<'_>,
+        per_s: Option<f64>,
+        (asked_ms_ago, heard_ms_ago): (u64, u64),
+    ) -> bool {
+        let ago = |ms: u64| now - Duration::from_millis(ms);
+        let word = RateWord {
+            per_s,
+            asked_at: ago(asked_ms_ago.saturating_add(ON_WAY_MS)),
+            heard_at: ago(heard_ms_ago),
+        };
+        self.heard_of(start)
+            .is_some_and(|upstream| upstream.take_rate(word))
+    }
+
+    /// Upstreams that ask for a rate, or did until a moment ago, with what they said.
+    pub fn rates(&self, now: Instant) -> impl Iterator<Item = (&Upstream, &RateWord)> {
+        let said = self.all().filter_map(|upstream| {
+            let word = upstream.rate.as_ref()?;
+            Some((upstream, word))
+        });
+        said.filter(move |(_, word)| is_told(now, word))
+    }
+
+    /// The bounds of all upstreams.
+    pub fn rate_limits(&self) -> impl Iterator<Item = RateLimit> {
+        self.all().filter_map(Upstream::rate_limit)
+    }
+
+    /// When the first upstream of a service takes requests for a model again whose rate
+    /// is spent.
+    pub fn rate_returns_at(
+        &self,
+        now: Instant,
+        service: &str,
+        model: Option<&str>,
+    ) -> Option<Instant> {
+        let spent = self.of(service).filter(|upstream| {
+            upstream.is_usable(now)
+                && upstream.is_rate_spent(now)
+                && model.is_none_or(|model| upstream.holds(now, model, None))
+        });
+        spent.map(|upstream| upstream.rate_spent_until).min()
+    }
+}
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::liveness::{Activity, Liveness};
+use super::rate::RateWord;
 use super::turned_away::TurnedAway;
 use crate::{Doubt, ReadingQueue, Resident, UpstreamNews};
 
@@ -92,6 +93,9 @@
     pub(super) turned_away: TurnedAway,
     /// What entries hear of it.
     pub(super) liveness: Liveness,
+    /// What its answers say of the rate that it takes.
+    pub(super) rate: Option<RateWord>,
+    pub(super) rate_spent_until: Instant,
     /// When it was last usable or in use, as far as it was looked at.
     pub(super) idle_since: Instant,
     pub(super) unreached_until: Instant,
@@ -126,6 +130,8 @@
             denied: Vec::new(),
             turned_away: TurnedAway::default(),
             liveness: Liveness::default(),
+            rate: None,
+            rate_spent_until: Instant::ZERO,
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
             failed_share: 0.0,
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -80,6 +80,8 @@
     NoModel,
     /// None that holds the model holds the adapter.
     NoAdapter,
+    /// All that hold the model were sent as many requests as they take.
+    RateSpent,
     /// All that could run it are full.
     Full,
 }
@@ -91,6 +93,7 @@
             Self::NoUpstream => "no_upstream",
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
+            Self::RateSpent => "rate_spent",
             Self::Full => "full",
         }
     }
@@ -150,6 +153,9 @@
     index: u64,
 ) -> Result<(f64, Picked), Unpicked> {
     let usage = upstream.usage(input.now);
+    if input.model.is_none() && upstream.is_rate_spent(input.now) {
+        return Err(Unpicked::RateSpent);
+    }
     let Need {
         usage: adds,
         known_tokens,
@@ -219,6 +225,9 @@
     if !upstream.holds(input.now, model, adapter) {
         return Err(Unpicked::NoAdapter);
     }
+    if upstream.is_rate_spent(input.now) {
+        return Err(Unpicked::RateSpent);
+    }
     if upstream.is_refusing(input.now, model) {
         return Err(Unpicked::Full);
     }
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod liveness;
 mod moves;
 mod pick;
+mod rate;
 mod reading;
 mod reborn;
 mod repeats;
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -49,8 +49,20 @@
     pub workspace: Option<&'a str>,
 }
 
+/// What an answer says of the rate of requests that its upstream takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum SaidRate {
+    /// It asks for no bound.
+    #[default]
+    Unbounded,
+    /// Requests a second from all entries together.
+    PerS(f64),
+    /// It asks for what can't be read.
+    Unreadable,
+}
+
 /// What an upstream's answer says by its status and headers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// Id of the request that it answers.
     pub id: Option<String>,
@@ -62,6 +74,8 @@
     pub signed: bool,
     /// Time for which the upstream keeps the connection open.
     pub keep_alive_s: Option<u64>,
+    /// Rate of requests that it takes.
+    pub rate: SaidRate,
 }
 
 /// A call to an upstream that is not a caller's.
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -1,10 +1,12 @@
 //! What requests that are running take of their upstreams.
 
+use base::prelude::*;
 use direct::{Picked, Start, Upstream, Usage};
 use std::sync::Arc;
 
 use crate::state::Node;
 use crate::state::call::Call;
+use crate::{AnswerHead, upstream_rate};
 
 /// A request's use of an upstream. Dropped, it ends.
 #[derive(Debug)]
@@ -13,6 +15,8 @@
     pub(crate) upstream: Arc<str>,
     /// Start of the upstream that it was sent to.
     born_ms: Option<u64>,
+    /// When it began, before the request was sent.
+    begun_at: Instant,
     usage: Usage,
     begun: bool,
 }
@@ -29,6 +33,7 @@
             node: Arc::clone(node),
             upstream: Arc::clone(&picked.id),
             born_ms,
+            begun_at: now,
             usage: picked.usage,
             begun: false,
         };
@@ -47,6 +52,11 @@
         }
     }
 
+    /// The upstream's answer began.
+    pub(crate) fn answered(&self, head: &AnswerHead) {
+        upstream_rate::learn(&self.node, self.start(), head, self.begun_at);
+    }
+
     /// Books something of the upstream, unless it has started again since.
     fn with_upstream(&self, change: impl FnOnce(&mut Upstream)) {
         if let Some(upstream) = self.node.fleet.lock().start_mut(self.start()) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -49,10 +49,13 @@
 mod state;
 mod stream;
 mod tries;
+mod upstream_rate;
 
 pub use clock::BootClock;
 pub use connection::connect;
-pub use dialect::{AnswerHead, AskHead, Dialect, DialectError, OrderCall, SendHead};
+pub use dialect::{
+    AnswerHead, AskHead, Dialect, DialectError, OrderCall, SaidRate, SendHead,
+};
 pub use events::{Event, EventTooLarge, Splitter};
 pub use log::Log;
 pub use options::{Bounds, Options, StoreKeys};
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -12,12 +12,12 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::OrderCall;
 use crate::reach::{place, unreached};
 use crate::relay::ask_renewal;
 use crate::state::Node;
 use crate::state::pool::SendFault;
 use crate::state::unread::Kind;
+use crate::{OrderCall, upstream_rate};
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -128,9 +128,16 @@
         return Err(SendFault::NotSent);
     }
     let request = request(place.address, call);
+    let sent_at = node.now();
     let exchange = async {
         let response: Response<_> = line.send(request).await?;
         let status = response.status();
+        let head = node.dialect.answer(status, response.headers());
+        let start = Start {
+            id,
+            born_ms: place.born_ms,
+        };
+        upstream_rate::learn(node, start, &head, sent_at);
         let body = Limited::new(response.into_body(), REPORT_MAX_BYTES)
             .collect()
             .await
--- a/crates/front/src/peers/hear.rs
+++ b/crates/front/src/peers/hear.rs
@@ -2,18 +2,19 @@
 
 use direct::{Activity, LeaseRecord, Load, ReadingQueue, Resident, Start, Usage};
 use prost::Message;
-use schema::peer::{HeldModel, PeerNews};
+use schema::peer::{HeldModel, PeerNews, Tokens};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use crate::quota;
+use crate::quota::{self, Scope};
 use crate::relay::{hear_ask, hear_told};
 use crate::shared_watch;
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wants::Want;
+use crate::upstream_rate;
 
 /// Largest datagram taken.
 const DATAGRAM_MAX_BYTES: usize = 60 << 10;
@@ -27,7 +28,7 @@
             continue;
         };
         match PeerNews::decode(&buffer[..length]) {
-            Ok(news) => match &news.tokens {
+            Ok(news) => match tokens(&news) {
                 Some(tokens) if news.entry != node.peers.me => {
                     quota::hear(&node, &socket, from, &news, tokens).await;
                 }
@@ -42,6 +43,14 @@
     }
 }
 
+/// The tokens that a message is about, if it is about any.
+fn tokens(news: &PeerNews) -> Option<(Scope, &Tokens)> {
+    let of = |scope| move |tokens| (scope, tokens);
+    let workspaces = news.tokens.as_ref().map(of(Scope::Workspaces));
+    let upstreams = news.upstream_tokens.as_ref();
+    workspaces.or(upstreams.map(of(Scope::Upstreams)))
+}
+
 fn take(node: &Arc<Node>, from: SocketAddr, news: PeerNews) {
     if news.entry == node.peers.me || !node.peers.note(node, from, &news) {
         return;
@@ -83,6 +92,7 @@
         fleet.giver_heard(now, news.giver_token);
     }
     drop(fleet);
+    upstream_rate::hear(node, &news.entry, &news.rates);
     if news.lease_renewal > 0 {
         let record = LeaseRecord {
             holder: news.entry.clone(),
--- a/crates/front/src/peers/tell.rs
+++ b/crates/front/src/peers/tell.rs
@@ -21,6 +21,7 @@
 use crate::shared_watch::{role, to_send};
 use crate::state::Node;
 use crate::state::peers::{AWAY_MS, Peers};
+use crate::upstream_rate;
 
 /// Rounds of messages out of which one goes to a peer that is away.
 const AWAY_ONE_OF: u64 = 10;
@@ -172,6 +173,7 @@
     let fleet = node.fleet.lock();
     let uses = uses(&fleet, now);
     let leaving = leaving(&fleet, now);
+    let rates = upstream_rate::told(&fleet, now);
     drop(fleet);
     let peers = node.peers.count();
     let watched = |followed| {
@@ -207,6 +209,8 @@
         keeps_tokens: keeps(node),
         lease_renewal,
         stopping: node.stop.is_stopping(),
+        rates,
+        upstream_tokens: None,
     }
 }
 
--- a/crates/front/src/quota/charge.rs
+++ b/crates/front/src/quota/charge.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot::Receiver;
 use tokio::time::timeout;
 
-use super::{Keeper, keeper_of, send};
+use super::{Keeper, Scope, keeper_of, send};
 use crate::state::Node;
 use crate::state::quota::Charge;
 
@@ -29,11 +29,11 @@
 const RETURN_SPREAD_MS: u64 = 500;
 
 /// What became of a request's wish for tokens.
-struct Taken {
+pub(crate) struct Taken {
     /// Whether it has them; `None` if no keeper answered.
-    take: Option<Take>,
+    pub(crate) take: Option<Take>,
     /// Entry that was asked, if one was.
-    asked: Option<String>,
+    pub(crate) asked: Option<String>,
 }
 
 /// Takes what a request costs its workspace, before anything waits for it.
@@ -52,11 +52,12 @@
     };
     let name = &workspace.name;
     let cost = allowance.cost.of(tokens);
-    let Taken { take, asked } = take(node, name, cost).await;
+    let scope = Scope::Workspaces;
+    let Taken { take, asked } = take(node, scope, name, cost).await;
     let refusal = match take {
         Some(Take::Unbounded) => return Ok(None),
         Some(Take::Taken) => {
-            let charge = Charge::new(Arc::clone(node), Arc::clone(name), cost);
+            let charge = Charge::new(Arc::clone(node), scope, Arc::clone(name), cost);
             return Ok(Some(charge));
         }
         Some(Take::Short { return_ms }) => {
@@ -79,35 +80,47 @@
 }
 
 /// Takes tokens from what is here, or from their keeper.
-async fn take(node: &Node, workspace: &Arc<str>, cost: f64) -> Taken {
+pub(crate) async fn take(
+    node: &Node,
+    scope: Scope,
+    pool: &Arc<str>,
+    cost: f64,
+) -> Taken {
     let now = node.now();
-    let own = node.quota.pools.lock().take_own(now, workspace, cost);
+    let quotas = node.quotas(scope);
+    let own = quotas.pools.lock().take_own(now, pool, cost);
     if matches!(own, Take::Taken | Take::Unbounded) {
         return Taken {
             take: Some(own),
             asked: None,
         };
     }
-    if let Some(short_ms) = node.quota.short_ms(now, workspace) {
+    if let Some(short_ms) = quotas.short_ms(now, pool) {
         let return_ms = short_ms + node.random() % RETURN_SPREAD_MS;
         return Taken {
             take: Some(Take::Short { return_ms }),
             asked: None,
         };
     }
-    take_from_keeper(node, workspace, cost).await
+    take_from_keeper(node, scope, pool, cost).await
 }
 
 /// Takes tokens from whoever keeps them, which may change while it is asked.
-async fn take_from_keeper(node: &Node, workspace: &Arc<str>, cost: f64) -> Taken {
+async fn take_from_keeper(
+    node: &Node,
+    scope: Scope,
+    pool: &Arc<str>,
+    cost: f64,
+) -> Taken {
+    let quotas = node.quotas(scope);
     let mut question: Option<Question> = None;
     for wait_ms in ASK_WAITS_MS {
         let now = node.now();
-        let (name, address) = match keeper_of(node, workspace) {
+        let (name, address) = match keeper_of(node, scope, pool) {
             Keeper::Other(name, address) => (name, address),
             Keeper::This => {
                 return Taken {
-                    take: Some(node.quota.pools.lock().take(now, workspace, cost)),
+                    take: Some(quotas.pools.lock().take(now, pool, cost)),
                     asked: Some(node.options.entry.clone()),
                 };
             }
@@ -116,8 +129,8 @@
         let mut asking = question
             .take()
             .filter(|question| question.keeper == name)
-            .unwrap_or_else(|| Question::open(node, name, workspace, cost));
-        asking.send(node, address).await;
+            .unwrap_or_else(|| Question::open(node, scope, name, pool, cost));
+        asking.send(node, scope, address).await;
         let wait = Duration::from_millis(wait_ms);
         if let Ok(Ok(take)) = timeout(wait, &mut asking.answer).await {
             return Taken {
@@ -142,11 +155,17 @@
 }
 
 impl Question {
-    fn open(node: &Node, keeper: String, workspace: &Arc<str>, cost: f64) -> Self {
-        let (id, answer) = node.quota.open(node.now(), workspace, cost);
+    fn open(
+        node: &Node,
+        scope: Scope,
+        keeper: String,
+        pool: &Arc<str>,
+        cost: f64,
+    ) -> Self {
+        let (id, answer) = node.quotas(scope).open(node.now(), pool, cost);
         let ask = TokenAsk {
             id,
-            workspace: workspace.to_string(),
+            workspace: pool.to_string(),
             cost,
         };
         Self {
@@ -156,12 +175,12 @@
         }
     }
 
-    async fn send(&self, node: &Node, address: SocketAddr) {
-        node.quota.sent(node.now(), &self.keeper);
+    async fn send(&self, node: &Node, scope: Scope, address: SocketAddr) {
+        node.quotas(scope).sent(node.now(), &self.keeper);
         let tokens = Tokens {
             ask: Some(self.ask.clone()),
             ..Tokens::default()
         };
-        send(node, address, tokens).await;
+        send(node, scope, address, tokens).await;
     }
 }
--- a/crates/front/src/quota/hear.rs
+++ b/crates/front/src/quota/hear.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use super::message;
+use super::{Scope, message};
 use crate::state::Node;
 use crate::state::peers::start_name;
+use crate::state::quota::Quotas;
 
 /// Another entry hands tokens here, asks for some, or answers.
 pub(crate) async fn hear(
@@ -20,44 +21,45 @@
     socket: &UdpSocket,
     from: SocketAddr,
     news: &PeerNews,
-    tokens: &Tokens,
+    (scope, tokens): (Scope, &Tokens),
 ) {
     let now = node.now();
+    let quotas = node.quotas(scope);
     let sender: Arc<str> = news.entry.as_str().into();
     let mut reply = Tokens::default();
-    if tokens.feed > 0 && node.quota.is_new_feed(&sender, news.start, tokens.feed) {
+    if tokens.feed > 0 && quotas.is_new_feed(&sender, news.start, tokens.feed) {
         reply.fed = tokens.feed;
-        reply.levels = receive(node, now, &sender, &tokens.feeds);
+        reply.levels = receive(quotas, now, &sender, &tokens.feeds);
     }
     if tokens.fed > 0 {
-        node.quota.heard(&news.entry);
-        let mut pools = node.quota.pools.lock();
+        quotas.heard(&news.entry);
+        let mut pools = quotas.pools.lock();
         let keeper = start_name(&news.entry, news.start);
         for level in &tokens.levels {
             pools.told(&keeper, &level.workspace, level.tokens);
         }
     }
     if let Some(ask) = &tokens.ask {
-        reply.answer = Some(answer(node, now, &sender, news.start, ask));
+        reply.answer = Some(answer(quotas, now, &sender, news.start, ask));
     }
     if let Some(answer) = &tokens.answer {
-        node.quota.heard(&news.entry);
-        node.quota.answered(answer.id, taken(answer));
+        quotas.heard(&news.entry);
+        quotas.answered(answer.id, taken(answer));
     }
     if reply != Tokens::default() {
-        let message = message(node, reply).encode_to_vec();
+        let message = message(node, scope, reply).encode_to_vec();
         // A lost one is asked for again.
         let _ = socket.send_to(&message, from).await;
     }
 }
 
 fn receive(
-    node: &Node,
+    quotas: &Quotas,
     now: Instant,
     from: &Arc<str>,
     feeds: &[TokenFeed],
 ) -> Vec<TokenLevel> {
-    let mut pools = node.quota.pools.lock();
+    let mut pools = quotas.pools.lock();
     let levels = feeds.iter().filter_map(|fed| {
         let feed = Feed {
             workspace: fed.workspace.as_str().into(),
@@ -74,16 +76,16 @@
 }
 
 fn answer(
-    node: &Node,
+    quotas: &Quotas,
     now: Instant,
     sender: &Arc<str>,
     start: u64,
     ask: &TokenAsk,
 ) -> TokenAnswer {
     let question = (Arc::clone(sender), start, ask.id);
-    let mut asked = node.quota.asked.lock();
+    let mut asked = quotas.asked.lock();
     let take = asked.answer(now, question, || {
-        let mut pools = node.quota.pools.lock();
+        let mut pools = quotas.pools.lock();
         pools.take(now, &ask.workspace, ask.cost)
     });
     let (verdict, return_ms) = match take {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -9,6 +9,7 @@
 use crate::answer::{AnswerBody, Whole, refusal};
 use crate::state::Node;
 use crate::state::call::Call;
+use crate::state::quota::Charge;
 use crate::tries::{Live, TryEnd, try_once};
 
 /// When to come back after a refusal.
@@ -34,6 +35,8 @@
     /// Upstreams that could not be reached.
     pub(crate) unreached: Vec<Arc<str>>,
     may_have_run: bool,
+    /// What the next try takes of the rate that its upstream asks for.
+    pub(crate) rate_charge: Option<Charge>,
     /// A try is under way.
     trying: bool,
     /// The last failure of an upstream's own.
@@ -43,6 +46,8 @@
     /// What was tried, for the log.
     pub(crate) tries: Vec<Value>,
     pub(crate) waited_ms: u64,
+    /// Upstreams passed over as their rate was spent.
+    pub(crate) rate_spent: u32,
     first_answer_ms: Option<u64>,
     told: bool,
 }
@@ -77,11 +82,13 @@
             sent_to: Vec::new(),
             unreached: Vec::new(),
             may_have_run: false,
+            rate_charge: None,
             trying: false,
             failure: None,
             last_event: None,
             tries: Vec::new(),
             waited_ms: 0,
+            rate_spent: 0,
             first_answer_ms: None,
             told: false,
         }
@@ -116,9 +123,12 @@
             let begun_at = self.node.now();
             self.trying = true;
             self.call.set_used(true);
+            self.set_rate_used(true);
             let ended =
                 try_once(&self.node, &self.call, &picked, last_event.as_deref()).await;
             self.trying = false;
+            self.set_rate_used(!matches!(ended, TryEnd::Fault(Outcome::NotSent, _)));
+            self.rate_charge = None;
             self.note_try(&picked, begun_at, &ended);
             match ended {
                 TryEnd::Live(live) => return End::Live(live),
@@ -132,6 +142,14 @@
         }
     }
 
+    /// Whether what the try took of its upstream's rate is used: the request was sent,
+    /// whatever became of it.
+    fn set_rate_used(&mut self, is_used: bool) {
+        if let Some(charge) = &mut self.rate_charge {
+            charge.is_used = is_used;
+        }
+    }
+
     /// A stream broke at this upstream: the end if it can't be continued.
     pub(crate) fn after_break(&mut self, upstream: &Arc<str>) -> Option<End> {
         let picked = Picked {
@@ -323,7 +341,7 @@
             json!({ "id": self.call.ask.id, "route": route, "workspace": workspace,
                 "service": &*self.call.service, "model": model, "outcome": outcome,
                 "status": status, "ms": ms, "first_ms": self.first_answer_ms,
-                "waited_ms": self.waited_ms, "tries": self.tries,
+                "waited_ms": self.waited_ms, "rate_spent": self.rate_spent, "tries": self.tries,
                 "ran": self.may_have_run, "last_event": self.last_event,
                 "setup": self.call.setup_version, "fleet_age_ms": fleet_age_ms }),
         );
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -12,6 +12,7 @@
 use crate::state::Node;
 use crate::state::call::Call;
 use crate::state::wants::Want;
+use crate::upstream_rate::{self, RateSpent};
 
 /// Part of the time to its first answer, in percent, that a request waits for
 /// room. The rest is for its run; who is told earlier can still come back.
@@ -47,7 +48,17 @@
             let holdings = node.holdings.notified();
             let room = node.room.notified();
             let why = match self.pick() {
-                Ok(picked) => return self.in_time(picked),
+                Ok(picked) => match upstream_rate::admit(&node, &picked.id).await {
+                    Ok(charge) => {
+                        let picked = self.in_time(picked)?;
+                        self.rate_charge = charge;
+                        return Ok(picked);
+                    }
+                    Err(RateSpent) => {
+                        self.note_spent();
+                        continue;
+                    }
+                },
                 Err(why) => why,
             };
             let now = self.node.now();
@@ -74,6 +85,14 @@
         }
     }
 
+    /// The rate of the upstream that would be chosen is spent: it is passed over.
+    fn note_spent(&mut self) {
+        let outcome = Unpicked::RateSpent.as_str();
+        let labels = [&*self.call.service, outcome];
+        self.node.meters.tries.with_label_values(&labels).inc();
+        self.rate_spent += 1;
+    }
+
     /// Refuses a request that would come too late: it would only keep others
     /// waiting. One that goes on elsewhere is not refused any more.
     fn in_time(&mut self, picked: Picked) -> Result<Picked, Turned> {
@@ -123,6 +142,10 @@
         let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
         match why {
             Unpicked::Full => part,
+            Unpicked::RateSpent => match self.rate_returns_at() {
+                Some(at) if at < part => part,
+                _ => began_at,
+            },
             Unpicked::NoAdapter => part.min(began_at.plus_ms(ADAPTER_WAIT_MS)),
             Unpicked::NoUpstream => part.min(began_at.plus_ms(NEWS_WAIT_MS)),
             Unpicked::NoModel => match self.ready_at() {
@@ -138,6 +161,13 @@
         fleet.ready_at(self.node.now(), &self.call.service, model)
     }
 
+    fn rate_returns_at(&self) -> Option<Instant> {
+        let model = self.call.ask.model.as_ref();
+        let model = model.map(|(model, _)| &**model);
+        let fleet = self.node.fleet.lock();
+        fleet.rate_returns_at(self.node.now(), &self.call.service, model)
+    }
+
     /// How a request is turned away for which there is no upstream.
     fn turned(&self, why: Unpicked) -> Turned {
         let now = self.node.now();
@@ -145,6 +175,9 @@
             Unpicked::NoModel => self
                 .ready_at()
                 .map_or(LOAD_RETRY_MS, |ready_at| ready_at.ms_since(now)),
+            Unpicked::RateSpent => self
+                .rate_returns_at()
+                .map_or(RETRY_AFTER_MS, |at| at.ms_since(now)),
             _ => RETRY_AFTER_MS,
         };
         Turned {
@@ -247,6 +280,6 @@
 const fn code_of(why: Unpicked) -> Code {
     match why {
         Unpicked::NoModel | Unpicked::NoAdapter => Code::ModelUnavailable,
-        Unpicked::NoUpstream | Unpicked::Full => Code::Overloaded,
+        Unpicked::NoUpstream | Unpicked::RateSpent | Unpicked::Full => Code::Overloaded,
     }
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -17,9 +17,9 @@
 use crate::giver::give_orders;
 use crate::orders::keep_lease;
 use crate::peers;
-use crate::quota::feed_keepers;
+use crate::quota::{Scope, feed_keepers};
 use crate::state::Node;
-use crate::{Dialect, Log, Options, operated, server};
+use crate::{Dialect, Log, Options, operated, server, upstream_rate};
 
 /// Time between two rounds of forgetting what is not needed any more.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
@@ -88,7 +88,8 @@
     tokio::spawn(peers::hear(shared(), Arc::clone(&socket)));
     tokio::spawn(peers::tell(shared(), Arc::clone(&socket)));
     tokio::spawn(peers::tell_when_new(shared(), socket));
-    tokio::spawn(feed_keepers(shared()));
+    tokio::spawn(feed_keepers(shared(), Scope::Workspaces));
+    tokio::spawn(feed_keepers(shared(), Scope::Upstreams));
     tokio::spawn(keep_lease(shared()));
     tokio::spawn(give_orders(shared()));
     tokio::spawn(sweep(shared()));
@@ -127,10 +128,14 @@
         tokio::time::sleep(SWEEP_EVERY).await;
         let now = node.now();
         node.quota.sweep(now);
+        node.quotas(Scope::Upstreams).sweep(now);
         let mut fleet = node.fleet.lock();
         fleet.sweep(now);
         node.pool.sweep(|id| fleet.get(id).is_some());
         drop(fleet);
+        if !node.quotas(Scope::Upstreams).pools.lock().is_empty() {
+            upstream_rate::follow(&node);
+        }
         if let Some(setup) = node.setup() {
             let named = |name: &str| setup.routes().any(|route| *route.name == *name);
             node.readings.lock().retain(named);
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -27,6 +27,7 @@
 use super::stop::Stop;
 use super::unread::{Kind, Unread, start_of};
 use super::wants::Wants;
+use crate::quota::Scope;
 use crate::shared_watch::SharedWatches;
 use crate::{BootClock, Dialect, Log, Options};
 
@@ -70,6 +71,8 @@
     pub(crate) wants: Wants,
     /// Tokens of workspaces.
     pub(crate) quota: Quotas,
+    /// Tokens of upstreams that ask for a rate.
+    upstream_tokens: Quotas,
     pub(crate) peers: Peers,
     /// What entries of this failure domain share of their watches.
     pub(crate) shared: SharedWatches,
@@ -128,6 +131,7 @@
             suspects: Mutex::new(Suspects::new(VERDICT_MS)),
             wants: Wants::default(),
             quota: Quotas::new(bounds.quota_overdraft),
+            upstream_tokens: Quotas::new(0.0),
             peers: Peers::new(&options),
             shared: SharedWatches::default(),
             lease: Mutex::new(lease),
@@ -178,6 +182,14 @@
         !self.stop.is_stopping() && knows_fleet && self.setup().is_some()
     }
 
+    /// Tokens of workspaces or of upstreams.
+    pub(crate) const fn quotas(&self, scope: Scope) -> &Quotas {
+        match scope {
+            Scope::Workspaces => &self.quota,
+            Scope::Upstreams => &self.upstream_tokens,
+        }
+    }
+
     /// Factor on the time that reading a request's prompt takes.
     pub(crate) fn pace_of(&self, call: &Call) -> f64 {
         let model = call.ask.model.as_ref();
--- a/crates/front/src/state/quota.rs
+++ b/crates/front/src/state/quota.rs
@@ -1,4 +1,5 @@
-//! Tokens of workspaces at this entry, and what was asked of others for them.
+//! Tokens of workspaces and of upstreams at this entry, and what was asked of others
+//! for them.
 
 use base::prelude::*;
 use direct::Setup;
@@ -10,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::Node;
+use crate::quota::Scope;
 
 /// Time without an answer after which another entry keeps what this one kept. A
 /// question is answered within a millisecond, and within a tenth of a second where a
@@ -28,7 +30,7 @@
 /// many times its limit, and holds tokens back from others for no longer than this.
 const SHORT_MS: u64 = 50;
 
-/// Tokens of workspaces at this entry.
+/// Tokens of one kind of pools at this entry.
 #[derive(Debug)]
 pub(crate) struct Quotas {
     pub(crate) pools: Mutex<Pools>,
@@ -183,17 +185,24 @@
 #[derive(Debug)]
 pub(crate) struct Charge {
     node: Arc<Node>,
-    pub(crate) workspace: Arc<str>,
+    scope: Scope,
+    pool: Arc<str>,
     pub(crate) cost: f64,
     /// Whether the request runs, or may have run.
     pub(crate) is_used: bool,
 }
 
 impl Charge {
-    pub(crate) const fn new(node: Arc<Node>, workspace: Arc<str>, cost: f64) -> Self {
+    pub(crate) const fn new(
+        node: Arc<Node>,
+        scope: Scope,
+        pool: Arc<str>,
+        cost: f64,
+    ) -> Self {
         Self {
             node,
-            workspace,
+            scope,
+            pool,
             cost,
             is_used: false,
         }
@@ -203,8 +212,8 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if !self.is_used {
-            let mut pools = self.node.quota.pools.lock();
-            pools.give_back(&self.workspace, self.cost);
+            let mut pools = self.node.quotas(self.scope).pools.lock();
+            pools.give_back(&self.pool, self.cost);
         }
     }
 }
--- a/crates/quota/src/cadence.rs
+++ b/crates/quota/src/cadence.rs
@@ -6,7 +6,7 @@
 
 /// Longest time between two feeds. What an entry makes meanwhile is on no keeper's
 /// account: with half a second, half of a second's rate may be used beyond the burst.
-const EVERY_MAX_MS: u64 = 500;
+pub(crate) const EVERY_MAX_MS: u64 = 500;
 
 /// Feeds a second that a keeper takes for one workspace: with many entries each feeds
 /// less often, so that it is not spent on being fed.
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,4 +1,4 @@
-//! Quotas of workspaces, over all entries together.
+//! Quotas of workspaces and rates of upstreams, over all entries together.
 //!
 //! A workspace may use a rate and a burst, whichever entries its requests reach. A
 //! bound that each entry kept by itself would be right in sum only if each had a
--- a/crates/quota/tests/all/main.rs
+++ b/crates/quota/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod asked;
 mod hot;
 mod pools;
+mod upstreams;
