An upstream that says in an answer that it leaves gets nothing more

Callers were served; what runs there at its end is lost.

Cause: leaving was known from the platform alone, which was away, and its news were 10 s old (fleet_age_ms 10,298). The class is that of the rate: a word of the far end that only the message carries. Ruled out: that it was read and undone (no upstream_leaving before the requests), or known and not looked at.

Change: the word is read of every answer, of requests, orders and reports; it holds for one start, against older entries and lists, for as long as the platform lists the upstream as serving; others are told at once and until the platform says it; the leader replaces what the upstream holds.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -126,6 +126,7 @@
         // next start does. One whose entry had vanished and is back lives: its
         // signs of life were lost on their way.
         let leaving = known.news.leaving || news.leaving;
+        known.is_leaving_unlisted &= !news.leaving;
         known.news = news;
         known.news.leaving = leaving;
         known.version = version;
@@ -170,6 +171,7 @@
             return;
         }
         upstream.gone = Some(version);
+        upstream.is_leaving_unlisted = false;
         // One whose entry went while the platform answered has left, and is not
         // excused by an outage that comes later.
         if !lapsed && upstream.vanished_at.is_none() {
@@ -185,13 +187,15 @@
     ///
     /// Others hear of it by the platform as well, and what was told for seconds is
     /// known. Told for as long as they are remembered, the upstreams of a failure
-    /// domain that is lost were most of each message for a minute.
+    /// domain that is lost were most of each message for a minute. What the platform does
+    /// not say yet is told for as long: an entry that starts can't hear it elsewhere.
     pub fn leaving(
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (&Upstream, u64, bool)> {
         let lately = self.all().filter(move |upstream| {
-            now.ms_since(upstream.idle_since) < LEAVING_TOLD_MS
+            upstream.is_leaving_unlisted
+                || now.ms_since(upstream.idle_since) < LEAVING_TOLD_MS
         });
         lately.filter_map(|upstream| {
             let (version, vanished) = upstream.leaving()?;
@@ -209,11 +213,18 @@
             if upstream.is_usable(now) || upstream.own.running > 0 {
                 upstream.idle_since = now;
             }
-            now.ms_since(upstream.idle_since) < FORGET_MS
+            upstream.is_leaving_unlisted
+                || now.ms_since(upstream.idle_since) < FORGET_MS
         });
         self.judge_undated();
     }
 
+    /// An answer of this start says that it leaves, which its entry may come to say
+    /// late or never; whether that is new.
+    pub fn said_leaving(&mut self, start: Start<'_>) -> bool {
+        self.start_mut(start).is_some_and(Upstream::leave)
+    }
+
     /// Another entry says that an upstream is leaving, or that its entry had
     /// vanished at a version.
     pub fn heard_leaving(&mut self, start: Start<'_>, version: u64, vanished: bool) {
@@ -221,7 +232,7 @@
             return;
         };
         if !vanished {
-            upstream.news.leaving = true;
+            upstream.leave();
         } else if version >= upstream.version && upstream.vanished_at.is_none() {
             upstream.gone = Some(version);
         }
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -76,6 +76,8 @@
     /// Whether the entry is known to be gone or not to be the upstream's, so that
     /// an outage of the platform does not excuse it.
     pub(super) is_void: bool,
+    /// Whether its answers say that it leaves and its entry does not yet.
+    pub(super) is_leaving_unlisted: bool,
     /// Whether its entry does not say when it started though most entries do.
     pub(super) undated: bool,
     /// This entry's own requests there.
@@ -122,6 +124,7 @@
             vanished_at: None,
             gone: None,
             is_void: false,
+            is_leaving_unlisted: false,
             undated: false,
             own: Usage::default(),
             peers: HashMap::new(),
@@ -146,6 +149,13 @@
         !self.news.leaving && !self.undated && listed
     }
 
+    /// Another than the platform says that it leaves; whether that is new.
+    pub(super) fn leave(&mut self) -> bool {
+        let is_new = !std::mem::replace(&mut self.news.leaving, true);
+        self.is_leaving_unlisted |= is_new && self.gone.is_none();
+        is_new
+    }
+
     /// The version at which it was said to leave or its entry vanished, and
     /// whether the latter.
     pub fn leaving(&self) -> Option<(u64, bool)> {
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -175,6 +175,45 @@
     assert!(fleet.get("1").is_some(), "it is remembered all the same");
 }
 
+/// An upstream says in its answers that it leaves while the platform is away, whose
+/// entry of it is that of one that serves. Used again for that entry, or forgotten in a
+/// long outage and taken for a new one, it would get requests that end with it.
+#[test]
+fn an_upstream_that_says_that_it_leaves_is_not_used_for_an_older_entry() {
+    let mut fleet = fleet(&["1", "2"]);
+    assert!(fleet.said_leaving(start("1")));
+    assert!(!fleet.said_leaving(start("1")), "told of once");
+    for ms in (0..150_000).step_by(1_000) {
+        fleet.sweep(at(ms));
+        assert!(!usable(&fleet, ms, "1"), "{ms}");
+    }
+    fleet.list(
+        at(150_000),
+        9,
+        ["1", "2"].map(|id| (9, news(id, &["a"]))).to_vec(),
+    );
+    assert!(!usable(&fleet, 150_000, "1"));
+    assert!(usable(&fleet, 150_000, "2"));
+}
+
+/// Others are told of it until the platform says it, or one that starts meanwhile would
+/// not know.
+#[test]
+fn what_the_platform_does_not_say_yet_is_told_for_as_long() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.said_leaving(start("1"));
+    fleet.said_leaving(start("2"));
+    fleet.sweep(at(30_000));
+    assert_eq!(fleet.leaving(at(30_000)).count(), 2);
+    let mut listed = news("1", &["a"]);
+    listed.leaving = true;
+    fleet.put(9, listed);
+    fleet.remove(at(30_000), "2", 10);
+    assert_eq!(fleet.leaving(at(30_000)).count(), 0);
+    fleet.sweep(at(100_000));
+    assert!(fleet.get("1").is_none() && fleet.get("2").is_none());
+}
+
 #[test]
 fn an_upstreams_own_word_goes_before_late_news_for_a_moment() {
     let mut fleet = fleet(&["1"]);
--- /dev/null
+++ b/crates/front/src/answer_news.rs
@@ -0,0 +1,39 @@
+//! What answers say of their upstreams, beyond the request that they answer.
+
+use base::prelude::*;
+use direct::Start;
+use serde_json::json;
+
+use crate::state::Node;
+use crate::{AnswerHead, upstream_rate};
+
+/// Takes over what an answer says of the upstream that gave it. An answer of another
+/// upstream at its address says nothing of it.
+pub(crate) fn learn(
+    node: &Node,
+    start: Start<'_>,
+    head: &AnswerHead,
+    asked_at: Instant,
+) {
+    if head.other_upstream {
+        return;
+    }
+    upstream_rate::learn(node, start, head.rate, asked_at);
+    if head.leaving {
+        learn_leaving(node, start);
+    }
+}
+
+/// The platform may say it much later, or be away: others and the leader, who has to
+/// replace what it holds, hear of it at once.
+fn learn_leaving(node: &Node, start: Start<'_>) {
+    let is_new = node.fleet.lock().said_leaving(start);
+    if is_new {
+        node.log.line(
+            "upstream_leaving",
+            json!({ "upstream": start.id, "told_by": node.options.entry }),
+        );
+        node.peers.wake.notify_one();
+        node.giver.wake.notify_waiters();
+    }
+}
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -76,6 +76,8 @@
     pub keep_alive_s: Option<u64>,
     /// Rate of requests that it takes.
     pub rate: SaidRate,
+    /// Whether it leaves.
+    pub leaving: bool,
 }
 
 /// A call to an upstream that is not a caller's.
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -6,7 +6,7 @@
 
 use crate::state::Node;
 use crate::state::call::Call;
-use crate::{AnswerHead, upstream_rate};
+use crate::{AnswerHead, answer_news};
 
 /// A request's use of an upstream. Dropped, it ends.
 #[derive(Debug)]
@@ -54,7 +54,7 @@
 
     /// The upstream's answer began.
     pub(crate) fn answered(&self, head: &AnswerHead) {
-        upstream_rate::learn(&self.node, self.start(), head, self.begun_at);
+        answer_news::learn(&self.node, self.start(), head, self.begun_at);
     }
 
     /// Books something of the upstream, unless it has started again since.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 //!   another request needs.
 
 mod answer;
+mod answer_news;
 mod beliefs;
 mod clock;
 mod connection;
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -17,7 +17,7 @@
 use crate::state::Node;
 use crate::state::pool::SendFault;
 use crate::state::unread::Kind;
-use crate::{OrderCall, upstream_rate};
+use crate::{OrderCall, answer_news};
 
 /// Longest wait for the answer to an order. Upstreams answer in milliseconds or
 /// not at all.
@@ -137,7 +137,7 @@
             id,
             born_ms: place.born_ms,
         };
-        upstream_rate::learn(node, start, &head, sent_at);
+        answer_news::learn(node, start, &head, sent_at);
         let body = Limited::new(response.into_body(), REPORT_MAX_BYTES)
             .collect()
             .await
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -12,10 +12,10 @@
 use serde_json::json;
 use std::sync::Arc;
 
+use crate::SaidRate;
 use crate::quota::{Scope, take};
 use crate::state::Node;
 use crate::state::quota::Charge;
-use crate::{AnswerHead, SaidRate};
 
 /// When an upstream is asked for again of whose bound its keeper does not know yet.
 const UNKNOWN_RETRY_MS: u64 = 100;
@@ -23,16 +23,9 @@
 /// Shortest time for which an upstream is passed over whose rate is spent.
 const SPENT_MIN_MS: u64 = 20;
 
-/// Takes over what an answer of an upstream says of its rate. An answer of another
-/// upstream at its address says nothing of it.
-pub(crate) fn learn(
-    node: &Node,
-    start: Start<'_>,
-    head: &AnswerHead,
-    asked_at: Instant,
-) {
-    let per_s = match head.rate {
-        _ if head.other_upstream => return,
+/// Takes over what an answer of an upstream says of its rate.
+pub(crate) fn learn(node: &Node, start: Start<'_>, rate: SaidRate, asked_at: Instant) {
+    let per_s = match rate {
         SaidRate::Unreadable => return,
         SaidRate::PerS(per_s) => Some(per_s),
         SaidRate::Unbounded => None,
