An upstream that says for how long it wants nothing gets nothing for that time

What callers saw: with the only upstream turning requests away for 3 s they were told to come back in 0.25 s, and came in vain.

Cause: the time beside a refusal was passed on and not read; the class is that of the rate and of leaving. Ruled out: that it was the pause after refusals, which is by model, counts from 50 ms and knows no plain service.

Change: the time is read of every 503 and holds for this entry and one start of the upstream. It is passed over meanwhile (unpicked unwanted), the leader gives it no order and asks it for no report, and callers that nobody else can serve wait where that can be in time or are told at once when it ends. A shorter time that comes later takes nothing back.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -353,6 +353,22 @@
             .min()
     }
 
+    /// When the first upstream of a service takes requests for a model again, among those
+    /// that said that they don't now.
+    pub fn takes_again_at(
+        &self,
+        now: Instant,
+        service: &str,
+        model: Option<&str>,
+    ) -> Option<Instant> {
+        let able = self.of(service).filter(|upstream| {
+            upstream.is_usable(now)
+                && model.is_none_or(|model| upstream.holds(now, model, None))
+        });
+        able.filter_map(|upstream| upstream.takes_again_at(now))
+            .min()
+    }
+
     /// One upstream.
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.upstreams.get(id)
--- a/crates/direct/src/fleet/rate.rs
+++ b/crates/direct/src/fleet/rate.rs
@@ -147,20 +147,4 @@
     pub fn rate_limits(&self) -> impl Iterator<Item = RateLimit> {
         self.all().filter_map(Upstream::rate_limit)
     }
-
-    /// When the first upstream of a service takes requests for a model again whose rate
-    /// is spent.
-    pub fn rate_returns_at(
-        &self,
-        now: Instant,
-        service: &str,
-        model: Option<&str>,
-    ) -> Option<Instant> {
-        let spent = self.of(service).filter(|upstream| {
-            upstream.is_usable(now)
-                && upstream.is_rate_spent(now)
-                && model.is_none_or(|model| upstream.holds(now, model, None))
-        });
-        spent.map(|upstream| upstream.rate_spent_until).min()
-    }
 }
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -98,6 +98,8 @@
     /// What its answers say of the rate that it takes.
     pub(super) rate: Option<RateWord>,
     pub(super) rate_spent_until: Instant,
+    /// Until when it wants nothing from this entry.
+    pub(super) wants_nothing_until: Instant,
     /// When it was last usable or in use, as far as it was looked at.
     pub(super) idle_since: Instant,
     pub(super) unreached_until: Instant,
@@ -135,6 +137,7 @@
             liveness: Liveness::default(),
             rate: None,
             rate_spent_until: Instant::ZERO,
+            wants_nothing_until: Instant::ZERO,
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
             failed_share: 0.0,
@@ -311,6 +314,24 @@
         self.turned_away.is_turned_away(now, model)
     }
 
+    /// It turned a request of this entry away and wants nothing more from it until then.
+    /// What an answer says that was asked for earlier takes nothing back.
+    pub fn wants_nothing(&mut self, until: Instant) {
+        self.wants_nothing_until = self.wants_nothing_until.max(until);
+    }
+
+    /// Whether it wants something from this entry.
+    pub fn wants_requests(&self, now: Instant) -> bool {
+        now >= self.wants_nothing_until
+    }
+
+    /// When it takes requests of this entry again, where it said that it does not now.
+    pub fn takes_again_at(&self, now: Instant) -> Option<Instant> {
+        let spent = self.is_rate_spent(now).then_some(self.rate_spent_until);
+        let unwanted = (!self.wants_requests(now)).then_some(self.wants_nothing_until);
+        spent.max(unwanted)
+    }
+
     /// It could not be connected to.
     pub fn unreached(&mut self, now: Instant) {
         self.unreached_until = now.plus_ms(UNREACHED_MS);
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -80,6 +80,8 @@
     NoModel,
     /// None that holds the model holds the adapter.
     NoAdapter,
+    /// All that hold the model want nothing from this entry for a while.
+    Unwanted,
     /// All that hold the model were sent as many requests as they take.
     RateSpent,
     /// All that could run it are full.
@@ -93,6 +95,7 @@
             Self::NoUpstream => "no_upstream",
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
+            Self::Unwanted => "unwanted",
             Self::RateSpent => "rate_spent",
             Self::Full => "full",
         }
@@ -153,15 +156,15 @@
     index: u64,
 ) -> Result<(f64, Picked), Unpicked> {
     let usage = upstream.usage(input.now);
-    if input.model.is_none() && upstream.is_rate_spent(input.now) {
-        return Err(Unpicked::RateSpent);
-    }
     let Need {
         usage: adds,
         known_tokens,
     } = match input.model {
         Some((model, adapter)) => model_need(upstream, input, model, adapter, &usage)?,
-        None => Need::default(),
+        None => {
+            check_wanted(upstream, input.now)?;
+            Need::default()
+        }
     };
     let wait_ms = if input.model.is_some() {
         engine_wait_ms(&usage, &adds, input.rank)
@@ -191,6 +194,17 @@
     Ok((score, picked))
 }
 
+/// Whether an upstream takes a request, by what it said itself.
+fn check_wanted(upstream: &Upstream, now: Instant) -> Result<(), Unpicked> {
+    if !upstream.wants_requests(now) {
+        return Err(Unpicked::Unwanted);
+    }
+    if upstream.is_rate_spent(now) {
+        return Err(Unpicked::RateSpent);
+    }
+    Ok(())
+}
+
 /// What a request needs of an upstream.
 #[derive(Debug)]
 struct Need {
@@ -225,9 +239,7 @@
     if !upstream.holds(input.now, model, adapter) {
         return Err(Unpicked::NoAdapter);
     }
-    if upstream.is_rate_spent(input.now) {
-        return Err(Unpicked::RateSpent);
-    }
+    check_wanted(upstream, input.now)?;
     if upstream.is_refusing(input.now, model) {
         return Err(Unpicked::Full);
     }
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -123,7 +123,7 @@
         .expect("known")
         .rate_spent_until(at(1_000));
     assert_eq!(picked(&fleet, 20), Err(Unpicked::RateSpent));
-    let returns = fleet.rate_returns_at(at(20), "oracle", Some("a"));
+    let returns = fleet.takes_again_at(at(20), "oracle", Some("a"));
     assert_eq!(returns, Some(at(1_000)));
     assert_eq!(picked(&fleet, 1_000).as_deref(), Ok("1"));
     fleet.said_rate(start("1"), word(None, 30, 40));
@@ -181,3 +181,31 @@
     assert_eq!(fleet.rates(at(20_000)).count(), 0);
     assert!(!fleet.said_rate(start("1"), word(None, 20_000, 20_050)));
 }
+
+/// An upstream that turned a request away is passed over for as long as it said, also
+/// where an answer that was on its way names a shorter time.
+#[test]
+fn an_upstream_that_wants_nothing_is_passed_over() {
+    let mut fleet = fleet();
+    let upstream = fleet.get_mut("1").expect("known");
+    upstream.wants_nothing(at(3_000));
+    upstream.wants_nothing(at(1_000));
+    assert_eq!(picked(&fleet, 2_999), Err(Unpicked::Unwanted));
+    let again = fleet.takes_again_at(at(20), "oracle", Some("a"));
+    assert_eq!(again, Some(at(3_000)));
+    assert_eq!(picked(&fleet, 3_000).as_deref(), Ok("1"));
+}
+
+/// Where both hold, the later of the two decides when callers are to come back.
+#[test]
+fn a_spent_rate_and_a_time_that_was_named_hold_together() {
+    let mut fleet = fleet();
+    fleet.said_rate(start("1"), word(Some(1.0), 0, 10));
+    let upstream = fleet.get_mut("1").expect("known");
+    upstream.rate_spent_until(at(1_000));
+    upstream.wants_nothing(at(3_000));
+    let again = fleet.takes_again_at(at(20), "oracle", Some("a"));
+    assert_eq!(again, Some(at(3_000)));
+    let other = fleet.takes_again_at(at(20), "oracle", Some("b"));
+    assert_eq!(other, None);
+}
--- a/crates/front/src/answer_news.rs
+++ b/crates/front/src/answer_news.rs
@@ -22,6 +22,9 @@
     if head.leaving {
         learn_leaving(node, start);
     }
+    if let Some(ms) = head.wants_nothing_ms {
+        learn_wants_nothing(node, start, ms);
+    }
 }
 
 /// The platform may say it much later, or be away: others and the leader, who has to
@@ -37,3 +40,15 @@
         node.giver.wake.notify_waiters();
     }
 }
+
+/// It counts for this entry alone, so nobody else is told.
+fn learn_wants_nothing(node: &Node, start: Start<'_>, ms: u64) {
+    let until = node.now().plus_ms(ms);
+    if let Some(upstream) = node.fleet.lock().start_mut(start) {
+        upstream.wants_nothing(until);
+    }
+    node.log.line(
+        "upstream_wants_nothing",
+        json!({ "upstream": start.id, "ms": ms }),
+    );
+}
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -78,6 +78,9 @@
     pub rate: SaidRate,
     /// Whether it leaves.
     pub leaving: bool,
+    /// Time for which it wants nothing more from this entry, whose request it turned
+    /// away.
+    pub wants_nothing_ms: Option<u64>,
 }
 
 /// A call to an upstream that is not a caller's.
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -125,7 +125,7 @@
             let lately = book
                 .asked_at
                 .is_some_and(|at| now.ms_since(at) < ASK_EVERY_MS);
-            if book.ledger.wants_report() && !lately {
+            if book.ledger.wants_report() && !lately && !book.unwanted {
                 book.asked_at = Some(now);
                 asks.push(Arc::clone(id));
             }
@@ -147,6 +147,9 @@
                 book.intent = None;
                 continue;
             }
+            if book.unwanted {
+                continue;
+            }
             let from_store = !book.ledger.has_copy(&intent.load);
             let Some(moves) = self.moves.get_mut(&book.service) else {
                 continue;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -245,7 +245,8 @@
                 }
                 code => code,
             };
-            return End::Refused(Refusal::not_run(code).retry_after_ms(RETRY_AFTER_MS));
+            let retry_after_ms = self.retry_after_ms();
+            return End::Refused(Refusal::not_run(code).retry_after_ms(retry_after_ms));
         }
         let code = if self.call.is_over(self.node.clock) {
             Code::DeadlineWhileRunning
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -142,7 +142,7 @@
         let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
         match why {
             Unpicked::Full => part,
-            Unpicked::RateSpent => match self.rate_returns_at() {
+            Unpicked::Unwanted | Unpicked::RateSpent => match self.takes_again_at() {
                 Some(at) if at < part => part,
                 _ => began_at,
             },
@@ -161,11 +161,23 @@
         fleet.ready_at(self.node.now(), &self.call.service, model)
     }
 
-    fn rate_returns_at(&self) -> Option<Instant> {
+    /// When an upstream takes the request that said that it takes nothing now.
+    fn takes_again_at(&self) -> Option<Instant> {
         let model = self.call.ask.model.as_ref();
         let model = model.map(|(model, _)| &**model);
         let fleet = self.node.fleet.lock();
-        fleet.rate_returns_at(self.node.now(), &self.call.service, model)
+        fleet.takes_again_at(self.node.now(), &self.call.service, model)
+    }
+
+    /// When to come back after tries that did not run: where all upstreams said that they
+    /// take nothing now, when the first of them does.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        match self.pick_but(&[]) {
+            Err(why @ (Unpicked::Unwanted | Unpicked::RateSpent)) => {
+                self.turned(why).retry_after_ms
+            }
+            _ => RETRY_AFTER_MS,
+        }
     }
 
     /// How a request is turned away for which there is no upstream.
@@ -175,8 +187,8 @@
             Unpicked::NoModel => self
                 .ready_at()
                 .map_or(LOAD_RETRY_MS, |ready_at| ready_at.ms_since(now)),
-            Unpicked::RateSpent => self
-                .rate_returns_at()
+            Unpicked::Unwanted | Unpicked::RateSpent => self
+                .takes_again_at()
                 .map_or(RETRY_AFTER_MS, |at| at.ms_since(now)),
             _ => RETRY_AFTER_MS,
         };
@@ -280,6 +292,9 @@
 const fn code_of(why: Unpicked) -> Code {
     match why {
         Unpicked::NoModel | Unpicked::NoAdapter => Code::ModelUnavailable,
-        Unpicked::NoUpstream | Unpicked::RateSpent | Unpicked::Full => Code::Overloaded,
+        Unpicked::NoUpstream
+        | Unpicked::Unwanted
+        | Unpicked::RateSpent
+        | Unpicked::Full => Code::Overloaded,
     }
 }
