An answer to another request says nothing of its upstream's rate

What would be seen: an answer that comes late on a connection, from before the upstream named its rate, ends the bound at this entry, and with it at all others; the upstream gets everything again until its next answer.

Cause: the head was read for the rate before its id was compared, and by the request that was just sent it looked newer than the bound. Now the id comes first. The test fails with the two steps the other way round (upstream_rate with per_s null).

--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -170,12 +170,12 @@
     let (mut parts, body) = response.into_parts();
     let head = node.dialect.answer(parts.status, &parts.headers);
     strip_connection(&mut parts.headers);
-    in_flight.answered(&head);
     if head.id.as_ref().is_some_and(|id| *id != call.ask.id) {
         // An answer to another request, late on this connection. Dropping the
         // line closes it; whether this request ran, nothing says.
         return TryEnd::Fault(Outcome::Unknown, None);
     }
+    in_flight.answered(&head);
     let good = parts.status.is_success();
     if good && !(head.signed && head.id.is_some()) {
         in_flight.observe(false);
