Entries without bounds are not woken to look for one

Cause: the task that hands tokens to keepers looked twenty times a second whether anything has a bound, and with the rates of upstreams there are two of them. They now wait for a word from whoever sets a bound, and an answer's head or a choice of an upstream looks no further where no upstream asks for a rate. What an entry costs was not measured apart. platform quotas::, limits::, leaving::, paused:: pass.

--- a/crates/front/src/quota/feed.rs
+++ b/crates/front/src/quota/feed.rs
@@ -13,17 +13,14 @@
 use super::{Keeper, Scope, keeper_of, send};
 use crate::state::Node;
 
-/// Time between two looks where nothing has a bound. A process that has just
-/// started makes nothing before the first look that finds one.
-const IDLE_EVERY: Duration = Duration::from_millis(50);
-
 /// Hands tokens to those who keep them, for ever.
 pub(crate) async fn feed_keepers(node: Arc<Node>, scope: Scope) {
     let mut told = None;
     let quotas = node.quotas(scope);
     loop {
         if quotas.pools.lock().is_empty() {
-            sleep(IDLE_EVERY).await;
+            // Nothing is made before the first feed.
+            quotas.bounded.notified().await;
             continue;
         }
         let entries = node.peers.entries();
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -128,14 +128,11 @@
         tokio::time::sleep(SWEEP_EVERY).await;
         let now = node.now();
         node.quota.sweep(now);
-        node.quotas(Scope::Upstreams).sweep(now);
         let mut fleet = node.fleet.lock();
         fleet.sweep(now);
         node.pool.sweep(|id| fleet.get(id).is_some());
         drop(fleet);
-        if !node.quotas(Scope::Upstreams).pools.lock().is_empty() {
-            upstream_rate::follow(&node);
-        }
+        upstream_rate::sweep(&node);
         if let Some(setup) = node.setup() {
             let named = |name: &str| setup.routes().any(|route| *route.name == *name);
             node.readings.lock().retain(named);
--- a/crates/front/src/state/quota.rs
+++ b/crates/front/src/state/quota.rs
@@ -4,11 +4,11 @@
 use base::prelude::*;
 use direct::Setup;
 use parking_lot::Mutex;
-use quota::{Asked, Pools, Take};
+use quota::{Asked, Limit, Pools, Take};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::Node;
 use crate::quota::Scope;
@@ -39,6 +39,8 @@
     /// Whether the others have known this entry for long enough that it may make
     /// tokens.
     pub(crate) is_settled: AtomicBool,
+    /// Told when something has a bound.
+    pub(crate) bounded: Notify,
     open: Mutex<HashMap<u64, Open>>,
     /// Number of the last question or feed.
     last: AtomicU64,
@@ -66,6 +68,7 @@
             pools: Mutex::new(Pools::new(overdraft)),
             asked: Mutex::default(),
             is_settled: AtomicBool::new(false),
+            bounded: Notify::new(),
             open: Mutex::default(),
             last: AtomicU64::new(0),
             unanswered: Mutex::default(),
@@ -82,10 +85,23 @@
             let allowance = workspace.allowance.as_ref()?;
             Some((&workspace.name, allowance.limit))
         });
-        self.pools.lock().set_limits(now, limits);
+        self.set_bounds(now, limits);
         self.short.lock().clear();
     }
 
+    /// Takes over all bounds.
+    pub(crate) fn set_bounds<'a>(
+        &self,
+        now: Instant,
+        bounds: impl IntoIterator<Item = (&'a Arc<str>, Limit)>,
+    ) {
+        let mut pools = self.pools.lock();
+        pools.set_limits(now, bounds);
+        if !pools.is_empty() {
+            self.bounded.notify_one();
+        }
+    }
+
     /// A number for a question or a feed. Both grow together.
     pub(crate) fn next_number(&self) -> u64 {
         self.last.fetch_add(1, Ordering::Relaxed) + 1
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -30,6 +30,9 @@
         SaidRate::PerS(per_s) => Some(per_s),
         SaidRate::Unbounded => None,
     };
+    if per_s.is_none() && is_unbounded(node) {
+        return;
+    }
     let heard_at = node.now();
     let word = RateWord {
         per_s,
@@ -96,7 +99,20 @@
         limits.collect()
     };
     let limits = limits.iter().map(|(key, limit)| (key, *limit));
-    quotas.pools.lock().set_limits(node.now(), limits);
+    quotas.set_bounds(node.now(), limits);
+}
+
+/// Forgets the tokens of upstreams that are not known any more.
+pub(crate) fn sweep(node: &Node) {
+    node.quotas(Scope::Upstreams).sweep(node.now());
+    if !is_unbounded(node) {
+        follow(node);
+    }
+}
+
+/// Whether no upstream asks for a rate.
+fn is_unbounded(node: &Node) -> bool {
+    node.quotas(Scope::Upstreams).pools.lock().is_empty()
 }
 
 /// Takes what a request to an upstream costs of its rate; nothing where it asks for
@@ -109,6 +125,9 @@
     node: &Arc<Node>,
     upstream: &Arc<str>,
 ) -> Result<Option<Charge>, RateSpent> {
+    if is_unbounded(node) {
+        return Ok(None);
+    }
     let limit = node
         .fleet
         .lock()
