Use of an upstream that has ended is not added up at each choice

Cause: an entry that names an upstream no more was left in that upstream's table with nothing, so each choice added up all entries that had ever used it. What is decided does not change.

--- /dev/null
+++ b/crates/direct/benches/entry.rs
@@ -0,0 +1,176 @@
+//! Processor time of what an entry does for each message of another one and for each
+//! choice of an upstream, by the number of entries.
+//!
+//! There are four upstreams an entry, each with three models, and an entry has requests
+//! at eight of them that change from message to message.
+
+use base::prelude::*;
+use direct::{
+    Activity, Copies, Engine, Fleet, ModelSpec, Pick, ReadingQueue, Resident, Start,
+    UpstreamNews, Usage, pick, tell_every_ms,
+};
+use std::sync::Arc;
+use std::time::Instant as Wall;
+
+const ENTRIES: [usize; 4] = [4, 24, 68, 300];
+const UPSTREAMS_EACH: usize = 4;
+const MODELS_HELD: usize = 3;
+const USED: usize = 8;
+
+/// Messages of each entry that are taken in before the time is taken, and after.
+const ROUNDS: usize = 40;
+const PICKS: usize = 4_000;
+
+fn main() {
+    println!(
+        "| entries | upstreams | a message, us | messages a second | a choice, us |"
+    );
+    println!("|---|---|---|---|---|");
+    for entries in ENTRIES {
+        let mut plant = Plant::new(entries);
+        for round in 0..ROUNDS {
+            plant.hear_all(round);
+        }
+        let begun = Wall::now();
+        for round in ROUNDS..2 * ROUNDS {
+            plant.hear_all(round);
+        }
+        let messages = ROUNDS * (entries - 1);
+        let message_us = begun.elapsed().as_secs_f64() * 1e6 / messages as f64;
+        let begun = Wall::now();
+        for number in 0..PICKS {
+            plant.pick(number as u64);
+        }
+        let pick_us = begun.elapsed().as_secs_f64() * 1e6 / PICKS as f64;
+        let every_s = tell_every_ms(entries) as f64 / 1_000.0;
+        let per_s = (entries - 1) as f64 / every_s;
+        let upstreams = entries * UPSTREAMS_EACH;
+        println!(
+            "| {entries} | {upstreams} | {message_us:.2} | {per_s:.0} | {pick_us:.2} |"
+        );
+    }
+}
+
+struct Plant {
+    fleet: Fleet,
+    upstreams: Vec<Arc<str>>,
+    peers: Vec<String>,
+    models: Vec<Arc<str>>,
+    engine: Engine,
+    now_ms: u64,
+}
+
+impl Plant {
+    fn new(entries: usize) -> Self {
+        let count = entries * UPSTREAMS_EACH;
+        let models: Vec<Arc<str>> = (0..count.div_ceil(2))
+            .map(|model| format!("model-{model:04}").into())
+            .collect();
+        let upstreams: Vec<Arc<str>> = (0..count)
+            .map(|upstream| format!("upstream-{upstream:06x}").into())
+            .collect();
+        let listed = upstreams.iter().enumerate();
+        let listed = listed.map(|(index, id)| (1, news(id, index, &models)));
+        let mut fleet = Fleet::new();
+        fleet.list(Instant::from_ms(0), 1, listed.collect());
+        Self {
+            fleet,
+            peers: (1..entries)
+                .map(|entry| format!("entry-{entry:04}"))
+                .collect(),
+            engine: engine(&models),
+            upstreams,
+            models,
+            now_ms: 10_000,
+        }
+    }
+
+    /// One message of each other entry.
+    fn hear_all(&mut self, round: usize) {
+        self.now_ms += 100;
+        let now = Instant::from_ms(self.now_ms);
+        for (number, peer) in self.peers.iter().enumerate() {
+            let used = (0..USED).map(|place| {
+                let of =
+                    (number * 37 + place * 101 + round * 13) % self.upstreams.len();
+                &*self.upstreams[of]
+            });
+            let start = |id| Start {
+                id,
+                born_ms: Some(7),
+            };
+            let usage = Usage {
+                running: 2,
+                reading: ReadingQueue::of(1, 900),
+                kept_tokens: 4_000,
+            };
+            let activity = Activity {
+                begun: 1,
+                silent_ms: 20,
+            };
+            let uses = used.clone().map(|id| (start(id), usage));
+            self.fleet.peer_usage(now, peer, uses);
+            let heard = used.map(|id| (start(id), activity));
+            self.fleet.peer_activity(now, peer, heard);
+        }
+    }
+
+    fn pick(&self, number: u64) {
+        let model = &self.models[number as usize * 31 % self.models.len()];
+        let input = Pick {
+            now: Instant::from_ms(self.now_ms),
+            service: "engines",
+            engine: Some(&self.engine),
+            model: Some((model, None)),
+            parts: &[(7, 500), (number, 900)],
+            rank: 1,
+            prompt_tokens: 1_400,
+            pace: 1.0,
+            kept_tokens: 1_800,
+            excluded: &[],
+            domain: "domain-1",
+            random: number,
+        };
+        std::hint::black_box(pick(&self.fleet, &input)).expect("it is held");
+    }
+}
+
+fn news(id: &Arc<str>, index: usize, models: &[Arc<str>]) -> UpstreamNews {
+    let residents = (0..MODELS_HELD).map(|place| Resident {
+        model: Arc::clone(&models[(index * MODELS_HELD + place) % models.len()]),
+        version: 1,
+        adapters: Vec::new(),
+    });
+    UpstreamNews {
+        id: Arc::clone(id),
+        born_ms: Some(7),
+        service: "engines".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: format!("domain-{}", index % 5).into(),
+        batch_slots: 64,
+        leaving: false,
+        gone_in_ms: None,
+        residents: residents.collect(),
+        copies: Copies::default(),
+    }
+}
+
+fn engine(models: &[Arc<str>]) -> Engine {
+    let spec = ModelSpec {
+        weights_mb: 70_000.0,
+        store_load_ms: 2_300,
+        disk_load_ms: 1_000,
+        memory_load_ms: 500,
+        adapter_mb: 60.0,
+        adapters: Vec::new(),
+    };
+    let models = models.iter().map(|model| (Arc::clone(model), spec.clone()));
+    Engine {
+        batch_slots: 6_400,
+        cache_tokens: 100_000_000,
+        weights_max_mb: 230_000.0,
+        adapters_max: 8,
+        store_loads_per_s: 13.0,
+        models: models.collect(),
+    }
+}
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -246,10 +246,10 @@
         used: impl Iterator<Item = (Start<'a>, Usage)>,
     ) {
         for id in self.named.used.remove(peer).unwrap_or_default() {
-            let upstream = self.upstreams.get_mut(&id);
-            let known = upstream.and_then(|upstream| upstream.peers.get_mut(peer));
-            if let Some(known) = known {
-                known.1 = Usage::default();
+            // Left in with nothing, each entry that ever used it would be added up at
+            // each choice.
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.peers.remove(peer);
             }
         }
         let mut named = Vec::new();
