A choice adds up the use of upstreams that can run the request alone

Cause: each upstream's use over all entries was added up before it was known whether it holds the model at all. Holders and what they said themselves come first now. The reason given for no upstream is the same: its order is that of the checks.

--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -155,16 +155,18 @@
     homes: &Homes<'_>,
     index: u64,
 ) -> Result<(f64, Picked), Unpicked> {
+    if let Some((model, adapter)) = input.model {
+        check_holds(upstream, input.now, model, adapter)?;
+    }
+    check_wanted(upstream, input.now)?;
+    // Added up over all entries: only where it can matter.
     let usage = upstream.usage(input.now);
     let Need {
         usage: adds,
         known_tokens,
     } = match input.model {
-        Some((model, adapter)) => model_need(upstream, input, model, adapter, &usage)?,
-        None => {
-            check_wanted(upstream, input.now)?;
-            Need::default()
-        }
+        Some((model, _)) => model_need(upstream, input, model, &usage)?,
+        None => Need::default(),
     };
     let wait_ms = if input.model.is_some() {
         engine_wait_ms(&usage, &adds, input.rank)
@@ -194,6 +196,21 @@
     Ok((score, picked))
 }
 
+fn check_holds(
+    upstream: &Upstream,
+    now: Instant,
+    model: &str,
+    adapter: Option<&str>,
+) -> Result<(), Unpicked> {
+    if !upstream.holds(now, model, None) {
+        return Err(Unpicked::NoModel);
+    }
+    if !upstream.holds(now, model, adapter) {
+        return Err(Unpicked::NoAdapter);
+    }
+    Ok(())
+}
+
 /// Whether an upstream takes a request, by what it said itself.
 fn check_wanted(upstream: &Upstream, now: Instant) -> Result<(), Unpicked> {
     if !upstream.wants_requests(now) {
@@ -230,16 +247,8 @@
     upstream: &Upstream,
     input: &Pick<'_>,
     model: &str,
-    adapter: Option<&str>,
     usage: &Usage,
 ) -> Result<Need, Unpicked> {
-    if !upstream.holds(input.now, model, None) {
-        return Err(Unpicked::NoModel);
-    }
-    if !upstream.holds(input.now, model, adapter) {
-        return Err(Unpicked::NoAdapter);
-    }
-    check_wanted(upstream, input.now)?;
     if upstream.is_refusing(input.now, model) {
         return Err(Unpicked::Full);
     }
