--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -15,7 +15,7 @@
 use upstream::{SAID_MAX_MS, SAID_MS, Said};
 
 pub use liveness::Activity;
-pub use rate::{RateLimit, RateWord};
+pub use rate::{RateLimit, RateNotice};
 pub use upstream::{Upstream, Usage};
 
 /// Time after the platform's return in which a missing entry may only have
@@ -221,7 +221,7 @@
 
     /// An answer of this start says that it leaves, which its entry may come to say
     /// late or never; whether that is new.
-    pub fn said_leaving(&mut self, start: Start<'_>) -> bool {
+    pub fn note_leaving(&mut self, start: Start<'_>) -> bool {
         self.start_mut(start).is_some_and(Upstream::leave)
     }
 
--- a/crates/direct/src/fleet/rate.rs
+++ b/crates/direct/src/fleet/rate.rs
@@ -18,13 +18,13 @@
 /// Time for which entries tell one another that a bound has ended.
 const ENDED_TOLD_MS: u64 = 10_000;
 
-/// Longest time that another entry's word may be on its way, as a slow process takes it
+/// Longest time that another entry's message may be on its way, as a slow process takes it
 /// up.
 const ON_WAY_MS: u64 = 1_000;
 
 /// What an answer said of the rate that its upstream takes.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RateWord {
+pub struct RateNotice {
     /// Requests a second from all entries together; `None` for no bound.
     pub per_s: Option<f64>,
     /// When the request was sent: the answer was made later.
@@ -33,15 +33,15 @@
     pub heard_at: Instant,
 }
 
-impl RateWord {
-    /// Whether another word holds in place of this one. Of two answers that may have
+impl RateNotice {
+    /// Whether another notice holds in place of this one. Of two answers that may have
     /// overtaken one another the lower bound does, until a later one is heard.
-    fn yields_to(&self, other: &Self) -> bool {
+    fn is_replaced_by(&self, other: &Self) -> bool {
         if other.asked_at >= self.heard_at {
             return true;
         }
         let is_older = other.heard_at <= self.asked_at;
-        let bound = |word: &Self| word.per_s.unwrap_or(f64::INFINITY);
+        let bound = |notice: &Self| notice.per_s.unwrap_or(f64::INFINITY);
         !is_older && bound(other) < bound(self)
     }
 }
@@ -58,7 +58,7 @@
 impl Upstream {
     /// Requests a second that it asks for.
     pub fn rate_per_s(&self) -> Option<f64> {
-        self.rate.and_then(|word| word.per_s)
+        self.rate.and_then(|notice| notice.per_s)
     }
 
     /// Its bound, where it asks for one.
@@ -82,16 +82,16 @@
     }
 
     /// Takes over what an answer said; whether the bound is another one now.
-    fn take_rate(&mut self, word: RateWord) -> bool {
+    fn take_rate(&mut self, notice: RateNotice) -> bool {
         let Some(known) = self.rate else {
-            self.rate = word.per_s.is_some().then_some(word);
+            self.rate = notice.per_s.is_some().then_some(notice);
             return self.rate.is_some();
         };
         let before = known.per_s;
         // That a bound has ended is told for a time from when it did.
-        let is_news = before.is_some() || word.per_s.is_some();
-        if is_news && known.yields_to(&word) {
-            self.rate = Some(word);
+        let is_news = before.is_some() || notice.per_s.is_some();
+        if is_news && known.is_replaced_by(&notice) {
+            self.rate = Some(notice);
         }
         self.rate_per_s() != before
     }
@@ -99,20 +99,20 @@
     pub(super) fn forget_ended_rate(&mut self, now: Instant) {
         self.rate = self
             .rate
-            .filter(|word| word.per_s.is_some() || is_told(now, word));
+            .filter(|notice| notice.per_s.is_some() || is_told(now, notice));
     }
 }
 
-fn is_told(now: Instant, word: &RateWord) -> bool {
-    word.per_s.is_some() || now.ms_since(word.heard_at) < ENDED_TOLD_MS
+fn is_told(now: Instant, notice: &RateNotice) -> bool {
+    notice.per_s.is_some() || now.ms_since(notice.heard_at) < ENDED_TOLD_MS
 }
 
 impl Fleet {
     /// An answer of this start said at which rate it takes requests; whether the bound
     /// is another one now.
-    pub fn said_rate(&mut self, start: Start<'_>, word: RateWord) -> bool {
+    pub fn note_rate(&mut self, start: Start<'_>, notice: RateNotice) -> bool {
         self.start_mut(start)
-            .is_some_and(|upstream| upstream.take_rate(word))
+            .is_some_and(|upstream| upstream.take_rate(notice))
     }
 
     /// Another entry tells of an answer, with how long ago it was asked for and heard;
@@ -125,22 +125,25 @@
         (asked_ms_ago, heard_ms_ago): (u64, u64),
     ) -> bool {
         let ago = |ms: u64| now - Duration::from_millis(ms);
-        let word = RateWord {
+        let notice = RateNotice {
             per_s,
             asked_at: ago(asked_ms_ago.saturating_add(ON_WAY_MS)),
             heard_at: ago(heard_ms_ago),
         };
         self.heard_of(start)
-            .is_some_and(|upstream| upstream.take_rate(word))
+            .is_some_and(|upstream| upstream.take_rate(notice))
     }
 
     /// Upstreams that ask for a rate, or did until a moment ago, with what they said.
-    pub fn rates(&self, now: Instant) -> impl Iterator<Item = (&Upstream, &RateWord)> {
+    pub fn rates(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Upstream, &RateNotice)> {
         let said = self.all().filter_map(|upstream| {
-            let word = upstream.rate.as_ref()?;
-            Some((upstream, word))
+            let notice = upstream.rate.as_ref()?;
+            Some((upstream, notice))
         });
-        said.filter(move |(_, word)| is_told(now, word))
+        said.filter(move |(_, notice)| is_told(now, notice))
     }
 
     /// The bounds of all upstreams.
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::liveness::{Activity, Liveness};
-use super::rate::RateWord;
+use super::rate::RateNotice;
 use super::turned_away::TurnedAway;
 use crate::{Doubt, ReadingQueue, Resident, UpstreamNews};
 
@@ -96,10 +96,10 @@
     /// What entries hear of it.
     pub(super) liveness: Liveness,
     /// What its answers say of the rate that it takes.
-    pub(super) rate: Option<RateWord>,
+    pub(super) rate: Option<RateNotice>,
     pub(super) rate_spent_until: Instant,
-    /// Until when it wants nothing from this entry.
-    pub(super) wants_nothing_until: Instant,
+    /// Until when it asks for no request of this entry.
+    pub(super) backed_off_until: Instant,
     /// When it was last usable or in use, as far as it was looked at.
     pub(super) idle_since: Instant,
     pub(super) unreached_until: Instant,
@@ -137,7 +137,7 @@
             liveness: Liveness::default(),
             rate: None,
             rate_spent_until: Instant::ZERO,
-            wants_nothing_until: Instant::ZERO,
+            backed_off_until: Instant::ZERO,
             idle_since: Instant::ZERO,
             unreached_until: Instant::ZERO,
             failed_share: 0.0,
@@ -314,22 +314,22 @@
         self.turned_away.is_turned_away(now, model)
     }
 
-    /// It turned a request of this entry away and wants nothing more from it until then.
-    /// What an answer says that was asked for earlier takes nothing back.
-    pub fn wants_nothing(&mut self, until: Instant) {
-        self.wants_nothing_until = self.wants_nothing_until.max(until);
+    /// It turned a request of this entry away and asks for none until then. A shorter
+    /// time, as in an answer that was overtaken, takes nothing back.
+    pub fn back_off(&mut self, until: Instant) {
+        self.backed_off_until = self.backed_off_until.max(until);
     }
 
-    /// Whether it wants something from this entry.
-    pub fn wants_requests(&self, now: Instant) -> bool {
-        now >= self.wants_nothing_until
+    /// Whether it asked this entry for no request for now.
+    pub fn is_backed_off(&self, now: Instant) -> bool {
+        now < self.backed_off_until
     }
 
     /// When it takes requests of this entry again, where it said that it does not now.
     pub fn takes_again_at(&self, now: Instant) -> Option<Instant> {
         let spent = self.is_rate_spent(now).then_some(self.rate_spent_until);
-        let unwanted = (!self.wants_requests(now)).then_some(self.wants_nothing_until);
-        spent.max(unwanted)
+        let backed_off = self.is_backed_off(now).then_some(self.backed_off_until);
+        spent.max(backed_off)
     }
 
     /// It could not be connected to.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -73,7 +73,7 @@
 };
 pub use demand::{Arrival, Demand, Load};
 pub use doubts::{Doubt, Doubts, Turn};
-pub use fleet::{Activity, Fleet, RateLimit, RateWord, Upstream, Usage};
+pub use fleet::{Activity, Fleet, RateLimit, RateNotice, Upstream, Usage};
 pub use late::LateOrders;
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use ledger::Ledger;
--- a/crates/direct/src/pick.rs
+++ b/crates/direct/src/pick.rs
@@ -80,8 +80,8 @@
     NoModel,
     /// None that holds the model holds the adapter.
     NoAdapter,
-    /// All that hold the model want nothing from this entry for a while.
-    Unwanted,
+    /// All that hold the model asked this entry for no request for a while.
+    BackedOff,
     /// All that hold the model were sent as many requests as they take.
     RateSpent,
     /// All that could run it are full.
@@ -95,7 +95,7 @@
             Self::NoUpstream => "no_upstream",
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
-            Self::Unwanted => "unwanted",
+            Self::BackedOff => "backed_off",
             Self::RateSpent => "rate_spent",
             Self::Full => "full",
         }
@@ -213,8 +213,8 @@
 
 /// Whether an upstream takes a request, by what it said itself.
 fn check_wanted(upstream: &Upstream, now: Instant) -> Result<(), Unpicked> {
-    if !upstream.wants_requests(now) {
-        return Err(Unpicked::Unwanted);
+    if upstream.is_backed_off(now) {
+        return Err(Unpicked::BackedOff);
     }
     if upstream.is_rate_spent(now) {
         return Err(Unpicked::RateSpent);
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -181,8 +181,8 @@
 #[test]
 fn an_upstream_that_says_that_it_leaves_is_not_used_for_an_older_entry() {
     let mut fleet = fleet(&["1", "2"]);
-    assert!(fleet.said_leaving(start("1")));
-    assert!(!fleet.said_leaving(start("1")), "told of once");
+    assert!(fleet.note_leaving(start("1")));
+    assert!(!fleet.note_leaving(start("1")), "told of once");
     for ms in (0..150_000).step_by(1_000) {
         fleet.sweep(at(ms));
         assert!(!usable(&fleet, ms, "1"), "{ms}");
@@ -201,8 +201,8 @@
 #[test]
 fn what_the_platform_does_not_say_yet_is_told_for_as_long() {
     let mut fleet = fleet(&["1", "2"]);
-    fleet.said_leaving(start("1"));
-    fleet.said_leaving(start("2"));
+    fleet.note_leaving(start("1"));
+    fleet.note_leaving(start("2"));
     fleet.sweep(at(30_000));
     assert_eq!(fleet.leaving(at(30_000)).count(), 2);
     let mut listed = news("1", &["a"]);
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -1,7 +1,7 @@
 //! Rates that upstreams ask for.
 
 use crate::support::{at, born_news, cases, engine, name, news, start};
-use direct::{Fleet, Pick, RateWord, Start, Unpicked, pick};
+use direct::{Fleet, Pick, RateNotice, Start, Unpicked, pick};
 
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new();
@@ -10,8 +10,8 @@
     fleet
 }
 
-fn word(per_s: Option<f64>, asked_ms: u64, heard_ms: u64) -> RateWord {
-    RateWord {
+fn notice(per_s: Option<f64>, asked_ms: u64, heard_ms: u64) -> RateNotice {
+    RateNotice {
         per_s,
         asked_at: at(asked_ms),
         heard_at: at(heard_ms),
@@ -46,10 +46,10 @@
 #[test]
 fn an_answer_that_was_overtaken_does_not_end_a_bound() {
     let mut fleet = fleet();
-    assert!(fleet.said_rate(start("1"), word(Some(2.0), 100, 200)));
-    assert!(!fleet.said_rate(start("1"), word(None, 150, 210)));
+    assert!(fleet.note_rate(start("1"), notice(Some(2.0), 100, 200)));
+    assert!(!fleet.note_rate(start("1"), notice(None, 150, 210)));
     assert_eq!(rate(&fleet), Some(2.0));
-    assert!(fleet.said_rate(start("1"), word(None, 200, 300)));
+    assert!(fleet.note_rate(start("1"), notice(None, 200, 300)));
     assert_eq!(rate(&fleet), None);
 }
 
@@ -60,10 +60,10 @@
     for order in [[1.0, 3.0], [3.0, 1.0]] {
         let mut fleet = fleet();
         for per_s in order {
-            fleet.said_rate(start("1"), word(Some(per_s), 100, 200));
+            fleet.note_rate(start("1"), notice(Some(per_s), 100, 200));
         }
         assert_eq!(rate(&fleet), Some(1.0));
-        fleet.said_rate(start("1"), word(Some(3.0), 250, 300));
+        fleet.note_rate(start("1"), notice(Some(3.0), 250, 300));
         assert_eq!(rate(&fleet), Some(3.0));
     }
 }
@@ -72,8 +72,8 @@
 #[test]
 fn an_old_word_of_another_entry_does_not_bring_a_bound_back() {
     let mut fleet = fleet();
-    fleet.said_rate(start("1"), word(Some(2.0), 0, 100));
-    fleet.said_rate(start("1"), word(None, 2_000, 2_100));
+    fleet.note_rate(start("1"), notice(Some(2.0), 0, 100));
+    fleet.note_rate(start("1"), notice(None, 2_000, 2_100));
     for now in (2_200..9_000).step_by(100) {
         let heard_ms_ago = now - 100;
         let ago = (now, heard_ms_ago);
@@ -103,10 +103,10 @@
         id: "1",
         born_ms: Some(10),
     };
-    fleet.said_rate(earlier, word(Some(1.0), 100, 200));
+    fleet.note_rate(earlier, notice(Some(1.0), 100, 200));
     fleet.put(2, born_news("1", 20, &["a"]));
     assert_eq!(rate(&fleet), None);
-    assert!(!fleet.said_rate(earlier, word(Some(1.0), 300, 400)));
+    assert!(!fleet.note_rate(earlier, notice(Some(1.0), 300, 400)));
     assert!(!fleet.heard_rate(at(500), earlier, Some(1.0), (200, 100)));
     assert_eq!(rate(&fleet), None);
 }
@@ -116,7 +116,7 @@
 #[test]
 fn an_upstream_whose_rate_is_spent_is_passed_over() {
     let mut fleet = fleet();
-    fleet.said_rate(start("1"), word(Some(1.0), 0, 10));
+    fleet.note_rate(start("1"), notice(Some(1.0), 0, 10));
     assert_eq!(picked(&fleet, 20).as_deref(), Ok("1"));
     fleet
         .get_mut("1")
@@ -126,7 +126,7 @@
     let returns = fleet.takes_again_at(at(20), "oracle", Some("a"));
     assert_eq!(returns, Some(at(1_000)));
     assert_eq!(picked(&fleet, 1_000).as_deref(), Ok("1"));
-    fleet.said_rate(start("1"), word(None, 30, 40));
+    fleet.note_rate(start("1"), notice(None, 30, 40));
     assert_eq!(picked(&fleet, 50).as_deref(), Ok("1"));
 }
 
@@ -135,7 +135,7 @@
 #[test]
 fn a_bound_of_nothing_leaves_a_request_now_and_then() {
     let mut fleet = fleet();
-    fleet.said_rate(start("1"), word(Some(0.0), 0, 10));
+    fleet.note_rate(start("1"), notice(Some(0.0), 0, 10));
     let limit = fleet.get("1").expect("known").rate_limit();
     let per_s = limit.expect("a bound").per_s;
     assert!(0.0 < per_s && per_s * 4.0 < 1.0, "{per_s}");
@@ -154,15 +154,15 @@
             let named = heard >= 5_000 && (asked >= 5_000 || random.arbitrary()?);
             let per_s = named.then_some(2.0);
             if random.arbitrary()? {
-                fleet.said_rate(start("1"), word(per_s, asked, heard));
+                fleet.note_rate(start("1"), notice(per_s, asked, heard));
             } else {
                 let ago = (12_000 - asked, 12_000 - heard);
                 fleet.heard_rate(at(12_000), start("1"), per_s, ago);
             }
         }
-        fleet.said_rate(start("1"), word(Some(2.0), 11_000, 11_100));
+        fleet.note_rate(start("1"), notice(Some(2.0), 11_000, 11_100));
         let late: u64 = random.int_in_range(0..=4_999)?;
-        fleet.said_rate(start("1"), word(None, late, late + 2_000));
+        fleet.note_rate(start("1"), notice(None, late, late + 2_000));
         assert_eq!(rate(&fleet), Some(2.0));
         Ok(())
     });
@@ -173,13 +173,13 @@
 #[test]
 fn the_end_of_a_bound_is_told_for_a_while() {
     let mut fleet = fleet();
-    fleet.said_rate(start("1"), word(Some(2.0), 0, 100));
+    fleet.note_rate(start("1"), notice(Some(2.0), 0, 100));
     for now in (200..20_000).step_by(100) {
-        fleet.said_rate(start("1"), word(None, now, now + 50));
+        fleet.note_rate(start("1"), notice(None, now, now + 50));
         fleet.sweep(at(now + 50));
     }
     assert_eq!(fleet.rates(at(20_000)).count(), 0);
-    assert!(!fleet.said_rate(start("1"), word(None, 20_000, 20_050)));
+    assert!(!fleet.note_rate(start("1"), notice(None, 20_000, 20_050)));
 }
 
 /// An upstream that turned a request away is passed over for as long as it said, also
@@ -188,9 +188,9 @@
 fn an_upstream_that_wants_nothing_is_passed_over() {
     let mut fleet = fleet();
     let upstream = fleet.get_mut("1").expect("known");
-    upstream.wants_nothing(at(3_000));
-    upstream.wants_nothing(at(1_000));
-    assert_eq!(picked(&fleet, 2_999), Err(Unpicked::Unwanted));
+    upstream.back_off(at(3_000));
+    upstream.back_off(at(1_000));
+    assert_eq!(picked(&fleet, 2_999), Err(Unpicked::BackedOff));
     let again = fleet.takes_again_at(at(20), "oracle", Some("a"));
     assert_eq!(again, Some(at(3_000)));
     assert_eq!(picked(&fleet, 3_000).as_deref(), Ok("1"));
@@ -200,10 +200,10 @@
 #[test]
 fn a_spent_rate_and_a_time_that_was_named_hold_together() {
     let mut fleet = fleet();
-    fleet.said_rate(start("1"), word(Some(1.0), 0, 10));
+    fleet.note_rate(start("1"), notice(Some(1.0), 0, 10));
     let upstream = fleet.get_mut("1").expect("known");
     upstream.rate_spent_until(at(1_000));
-    upstream.wants_nothing(at(3_000));
+    upstream.back_off(at(3_000));
     let again = fleet.takes_again_at(at(20), "oracle", Some("a"));
     assert_eq!(again, Some(at(3_000)));
     let other = fleet.takes_again_at(at(20), "oracle", Some("b"));
--- a/crates/direct/tests/all/starts.rs
+++ b/crates/direct/tests/all/starts.rs
@@ -264,9 +264,9 @@
 fn the_next_start_of_an_upstream_that_left_serves() {
     let mut fleet = Fleet::new();
     fleet.list(at(0), 1, vec![(1, born_news("1", 100, &[]))]);
-    assert!(fleet.said_leaving(born("1", 100)));
+    assert!(fleet.note_leaving(born("1", 100)));
     fleet.put(2, born_news("1", 200, &[]));
-    assert!(!fleet.said_leaving(born("1", 100)));
+    assert!(!fleet.note_leaving(born("1", 100)));
     fleet.heard_leaving(born("1", 100), 2, false);
     let upstream = fleet.get("1").expect("known");
     assert!(upstream.is_usable(at(1)));
--- a/crates/front/src/answer_news.rs
+++ b/crates/front/src/answer_news.rs
@@ -22,15 +22,15 @@
     if head.leaving {
         learn_leaving(node, start);
     }
-    if let Some(ms) = head.wants_nothing_ms {
-        learn_wants_nothing(node, start, ms);
+    if let Some(ms) = head.retry_after_ms {
+        learn_retry_after(node, start, ms);
     }
 }
 
 /// The platform may say it much later, or be away: others and the leader, who has to
 /// replace what it holds, hear of it at once.
 fn learn_leaving(node: &Node, start: Start<'_>) {
-    let is_new = node.fleet.lock().said_leaving(start);
+    let is_new = node.fleet.lock().note_leaving(start);
     if is_new {
         node.log.line(
             "upstream_leaving",
@@ -42,13 +42,13 @@
 }
 
 /// It counts for this entry alone, so nobody else is told.
-fn learn_wants_nothing(node: &Node, start: Start<'_>, ms: u64) {
+fn learn_retry_after(node: &Node, start: Start<'_>, ms: u64) {
     let until = node.now().plus_ms(ms);
     if let Some(upstream) = node.fleet.lock().start_mut(start) {
-        upstream.wants_nothing(until);
+        upstream.back_off(until);
     }
     node.log.line(
-        "upstream_wants_nothing",
+        "upstream_backoff",
         json!({ "upstream": start.id, "ms": ms }),
     );
 }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -51,7 +51,7 @@
 
 /// What an answer says of the rate of requests that its upstream takes.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub enum SaidRate {
+pub enum AskedRate {
     /// It asks for no bound.
     #[default]
     Unbounded,
@@ -75,12 +75,11 @@
     /// Time for which the upstream keeps the connection open.
     pub keep_alive_s: Option<u64>,
     /// Rate of requests that it takes.
-    pub rate: SaidRate,
+    pub rate: AskedRate,
     /// Whether it leaves.
     pub leaving: bool,
-    /// Time for which it wants nothing more from this entry, whose request it turned
-    /// away.
-    pub wants_nothing_ms: Option<u64>,
+    /// Time for which it asks for no request of this entry, after it turned one away.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// A call to an upstream that is not a caller's.
--- a/crates/front/src/giver/mod.rs
+++ b/crates/front/src/giver/mod.rs
@@ -125,7 +125,7 @@
             let lately = book
                 .asked_at
                 .is_some_and(|at| now.ms_since(at) < ASK_EVERY_MS);
-            if book.ledger.wants_report() && !lately && !book.unwanted {
+            if book.ledger.wants_report() && !lately && !book.backed_off {
                 book.asked_at = Some(now);
                 asks.push(Arc::clone(id));
             }
@@ -147,7 +147,7 @@
                 book.intent = None;
                 continue;
             }
-            if book.unwanted {
+            if book.backed_off {
                 continue;
             }
             let from_store = !book.ledger.has_copy(&intent.load);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -55,7 +55,7 @@
 pub use clock::BootClock;
 pub use connection::connect;
 pub use dialect::{
-    AnswerHead, AskHead, Dialect, DialectError, OrderCall, SaidRate, SendHead,
+    AnswerHead, AskHead, AskedRate, Dialect, DialectError, OrderCall, SendHead,
 };
 pub use events::{Event, EventTooLarge, Splitter};
 pub use log::Log;
--- a/crates/front/src/seek.rs
+++ b/crates/front/src/seek.rs
@@ -142,7 +142,7 @@
         let part = self.call.arrived.plus_ms(whole_ms * WAIT_PERCENT / 100);
         match why {
             Unpicked::Full => part,
-            Unpicked::Unwanted | Unpicked::RateSpent => match self.takes_again_at() {
+            Unpicked::BackedOff | Unpicked::RateSpent => match self.takes_again_at() {
                 Some(at) if at < part => part,
                 _ => began_at,
             },
@@ -173,7 +173,7 @@
     /// take nothing now, when the first of them does.
     pub(crate) fn retry_after_ms(&self) -> u64 {
         match self.pick_but(&[]) {
-            Err(why @ (Unpicked::Unwanted | Unpicked::RateSpent)) => {
+            Err(why @ (Unpicked::BackedOff | Unpicked::RateSpent)) => {
                 self.turned(why).retry_after_ms
             }
             _ => RETRY_AFTER_MS,
@@ -187,7 +187,7 @@
             Unpicked::NoModel => self
                 .ready_at()
                 .map_or(LOAD_RETRY_MS, |ready_at| ready_at.ms_since(now)),
-            Unpicked::Unwanted | Unpicked::RateSpent => self
+            Unpicked::BackedOff | Unpicked::RateSpent => self
                 .takes_again_at()
                 .map_or(RETRY_AFTER_MS, |at| at.ms_since(now)),
             _ => RETRY_AFTER_MS,
@@ -293,7 +293,7 @@
     match why {
         Unpicked::NoModel | Unpicked::NoAdapter => Code::ModelUnavailable,
         Unpicked::NoUpstream
-        | Unpicked::Unwanted
+        | Unpicked::BackedOff
         | Unpicked::RateSpent
         | Unpicked::Full => Code::Overloaded,
     }
--- a/crates/front/src/state/book.rs
+++ b/crates/front/src/state/book.rs
@@ -23,8 +23,8 @@
     pub(crate) ledger: Ledger,
     /// Whether it is better avoided: silent, or not reached.
     pub(crate) doubted: bool,
-    /// Whether it wants nothing from this entry for a while, orders and questions too.
-    pub(crate) unwanted: bool,
+    /// Whether it asked this entry for no request for a while: no order either.
+    pub(crate) backed_off: bool,
     pub(crate) asked_at: Option<Instant>,
     pub(crate) intent: Option<Intent>,
     pub(crate) since: HashMap<Arc<str>, Instant>,
@@ -52,7 +52,7 @@
             listed_born_ms: upstream.news.born_ms,
             ledger: Ledger::of_start(upstream.news.born_ms, late),
             doubted: false,
-            unwanted: false,
+            backed_off: false,
             asked_at: None,
             intent: None,
             since: HashMap::new(),
@@ -68,7 +68,7 @@
     /// One that can't be reached has nothing to do, and would be chosen first for
     /// each order: what callers wait for would not come anywhere.
     pub(crate) const fn takes_orders(&self) -> bool {
-        self.ledger.is_idle() && !self.doubted && !self.unwanted
+        self.ledger.is_idle() && !self.doubted && !self.backed_off
     }
 
     /// Whether the upstream has started again after the start that this is of.
@@ -107,7 +107,7 @@
         self.listed_born_ms = upstream.news.born_ms;
         self.ledger.expire(now);
         self.doubted = upstream.is_suspected(now);
-        self.unwanted = !upstream.wants_requests(now);
+        self.backed_off = upstream.is_backed_off(now);
         if self.version != upstream.version {
             // Something has changed there, as at the end of an order: ask now.
             self.version = upstream.version;
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -6,13 +6,13 @@
 //! crate, and an entry that is cut off sends less and not more.
 
 use base::prelude::*;
-use direct::{Fleet, RateWord, Start, Upstream};
+use direct::{Fleet, RateNotice, Start, Upstream};
 use quota::{Limit, Take};
 use schema::peer::UpstreamRate;
 use serde_json::json;
 use std::sync::Arc;
 
-use crate::SaidRate;
+use crate::AskedRate;
 use crate::quota::{Scope, take};
 use crate::state::Node;
 use crate::state::quota::Charge;
@@ -24,22 +24,22 @@
 const SPENT_MIN_MS: u64 = 20;
 
 /// Takes over what an answer of an upstream says of its rate.
-pub(crate) fn learn(node: &Node, start: Start<'_>, rate: SaidRate, asked_at: Instant) {
+pub(crate) fn learn(node: &Node, start: Start<'_>, rate: AskedRate, asked_at: Instant) {
     let per_s = match rate {
-        SaidRate::Unreadable => return,
-        SaidRate::PerS(per_s) => Some(per_s),
-        SaidRate::Unbounded => None,
+        AskedRate::Unreadable => return,
+        AskedRate::PerS(per_s) => Some(per_s),
+        AskedRate::Unbounded => None,
     };
     if per_s.is_none() && is_unbounded(node) {
         return;
     }
     let heard_at = node.now();
-    let word = RateWord {
+    let notice = RateNotice {
         per_s,
         asked_at,
         heard_at,
     };
-    let changed = node.fleet.lock().said_rate(start, word);
+    let changed = node.fleet.lock().note_rate(start, notice);
     if changed {
         changed_by(node, start.id, per_s, &node.options.entry);
         node.peers.wake.notify_one();
@@ -71,12 +71,12 @@
 
 /// What is told to other entries.
 pub(crate) fn told(fleet: &Fleet, now: Instant) -> Vec<UpstreamRate> {
-    let rates = fleet.rates(now).map(|(upstream, word)| UpstreamRate {
+    let rates = fleet.rates(now).map(|(upstream, notice)| UpstreamRate {
         upstream: upstream.news.id.to_string(),
         born_ms: upstream.news.born_ms.unwrap_or(0),
-        per_s: word.per_s,
-        asked_ms_ago: now.ms_since(word.asked_at),
-        heard_ms_ago: now.ms_since(word.heard_at),
+        per_s: notice.per_s,
+        asked_ms_ago: now.ms_since(notice.asked_at),
+        heard_ms_ago: now.ms_since(notice.heard_at),
     });
     rates.collect()
 }
