The end of an upstream's bound is believed of a signed answer alone

What would be seen: a report, a refusal or a spoilt answer that lacks the rate ends the bound while it holds, at all entries; the upstream gets everything again until its next answer.

Cause: every answer without the rate was taken for its end. Now an answer ends or is silent on a bound only if it bears the upstream's signature; one that names a rate is believed as before. The test over the wire fails without it (upstream_rate with per_s null after an unsigned answer).

--- a/crates/front/src/answer_news.rs
+++ b/crates/front/src/answer_news.rs
@@ -18,7 +18,7 @@
     if head.other_upstream {
         return;
     }
-    upstream_rate::learn(node, start, head.rate, asked_at);
+    upstream_rate::learn(node, start, head, asked_at);
     if head.leaving {
         learn_leaving(node, start);
     }
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -12,10 +12,10 @@
 use serde_json::json;
 use std::sync::Arc;
 
-use crate::AskedRate;
 use crate::quota::{Scope, take};
 use crate::state::Node;
 use crate::state::quota::Charge;
+use crate::{AnswerHead, AskedRate};
 
 /// When an upstream is asked for again of whose bound its keeper does not know yet.
 const UNKNOWN_RETRY_MS: u64 = 100;
@@ -24,8 +24,17 @@
 const SPENT_MIN_MS: u64 = 20;
 
 /// Takes over what an answer of an upstream says of its rate.
-pub(crate) fn learn(node: &Node, start: Start<'_>, rate: AskedRate, asked_at: Instant) {
-    let per_s = match rate {
+///
+/// That it asks for none is believed of an answer that it worked out alone: a report, a
+/// refusal or a spoilt answer may lack the rate while it holds.
+pub(crate) fn learn(
+    node: &Node,
+    start: Start<'_>,
+    head: &AnswerHead,
+    asked_at: Instant,
+) {
+    let per_s = match head.rate {
+        AskedRate::Unbounded if !head.signed => return,
         AskedRate::Unreadable => return,
         AskedRate::PerS(per_s) => Some(per_s),
         AskedRate::Unbounded => None,
