once, role: the end of a keyed answer waits until its claim is stored

Cause: the agent passed the answer's end on while the write that marks the claim as done was still on its way.

Change: Claims::finish reports ClaimAction::Finished when the write took effect, and the agent sends End then. One write more for each keyed call, 1 s at most; no wait when the platform is known to be unavailable or the deadline is within that second. The other way, a resend that waits while it finds a claim in progress, would hold every real duplicate for the whole wait.

exclusive::a_waiting_call_claims_its_key_only_when_it_may_start answers the platform's calls before it looks for the end, since the end now waits for one; it checks as much as before.

Measured: a_resend_right_after_the_answer_gets_the_stored_answer fails without the change (the end comes before the write); once, role and the process tests pass. The race itself was not played again: it needs a machine at load 20.

--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -13,9 +13,9 @@
 /// Longest time that a request waits for its claim before it is refused.
 const CLAIM_WAIT_MAX_MS: u64 = 5_000;
 
-/// Longest time that the refusal of a request waits for the write that releases
-/// its claim.
-const RELEASE_WAIT_MAX_MS: u64 = 1_000;
+/// Longest time that the end of a response waits for the write that stores it,
+/// and that a refusal waits for the write that releases its claim.
+pub const END_WAIT_MAX_MS: u64 = 1_000;
 
 /// Options of [`Claims`].
 #[derive(Debug, Clone)]
@@ -112,6 +112,8 @@
 
     /// Records that a request ran, with its response. `None` if the response is
     /// unknown: the request is then stored as run without a response.
+    /// [`ClaimAction::Finished`] says when the end of the response may be sent;
+    /// a resend then gets the stored response.
     pub fn finish(
         &mut self,
         now: Instant,
@@ -120,13 +122,25 @@
         out: &mut Vec<ClaimAction>,
     ) {
         let Some(claim) = self.granted.remove(&attempt) else {
+            out.push(ClaimAction::Finished { attempt });
             return;
         };
         let max_bytes = self.response_max_bytes;
         let response = response.filter(|response| response.body.len() <= max_bytes);
         let nonce = claim.nonce;
-        let end = ClaimEnd::Finish { nonce, response };
-        self.shards[claim.shard].pending_ends.push(end);
+        let shard = &mut self.shards[claim.shard];
+        // A platform that is known to be unavailable would only delay a
+        // response that is ready.
+        let is_available = shard.backoff_until.is_none_or(|until| until <= now);
+        let mut end = ClaimEnd::Finish {
+            nonce,
+            response,
+            waiter: Some((attempt, now.plus_ms(END_WAIT_MAX_MS))),
+        };
+        if !is_available {
+            out.extend(end.take_waiter());
+        }
+        shard.pending_ends.push(end);
         self.start_next_call(now, claim.shard, out);
     }
 
@@ -145,7 +159,7 @@
         };
         let end = ClaimEnd::Release {
             nonce: claim.nonce,
-            waiter: Some((attempt, now.plus_ms(RELEASE_WAIT_MAX_MS))),
+            waiter: Some((attempt, now.plus_ms(END_WAIT_MAX_MS))),
         };
         self.shards[claim.shard].pending_ends.push(end);
         self.start_next_call(now, claim.shard, out);
@@ -211,12 +225,8 @@
             release_if_staged(shard, &pending_claim);
         }
         for end in &mut shard.pending_ends {
-            if let ClaimEnd::Release { waiter, .. } = end
-                && let Some((attempt, until)) = *waiter
-                && until <= now
-            {
-                *waiter = None;
-                out.push(ClaimAction::Released { attempt });
+            if end.waits_until().is_some_and(|until| until <= now) {
+                out.extend(end.take_waiter());
             }
         }
     }
@@ -228,10 +238,7 @@
         .pending_claims
         .iter()
         .map(|pending_claim| pending_claim.expires_at);
-    let waiters = shard.pending_ends.iter().filter_map(|end| match end {
-        ClaimEnd::Release { waiter, .. } => waiter.map(|(_, until)| until),
-        ClaimEnd::Finish { .. } => None,
-    });
+    let waiters = shard.pending_ends.iter().filter_map(ClaimEnd::waits_until);
     let backoff_end = shard.backoff_until.filter(|_| shard.is_idle());
     pending_claims.chain(waiters).chain(backoff_end).min()
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -16,6 +16,9 @@
 //! - A refused request was not run. If its claim may nevertheless be in the
 //!   shard, or may still be written, the release stays pending until the
 //!   platform shows that the claim is gone and can't appear again.
+//! - The end of a response is sent after the claim is stored as done, so a caller
+//!   that sends its request again finds the response. Only a platform that is
+//!   unavailable, or slower than [`END_WAIT_MAX_MS`], is not waited for.
 //! - The platform's content decides. After each read and each write, everything
 //!   that is pending is compared with the shard's content, so that a lost
 //!   response and a received one have the same result.
@@ -26,6 +29,6 @@
 mod platform_calls;
 mod shard;
 
-pub use claims::{Claims, ClaimsOptions};
+pub use claims::{Claims, ClaimsOptions, END_WAIT_MAX_MS};
 pub use outcome::{ClaimAction, ClaimOutcome, ClaimRequest, StoredResponse};
 pub use shard::{SHARDS, shard_key, shard_of};
--- a/crates/once/src/outcome.rs
+++ b/crates/once/src/outcome.rs
@@ -54,6 +54,12 @@
         /// Outcome of the request.
         outcome: ClaimOutcome,
     },
+    /// The end of a run was written, or the longest wait for it is over. The
+    /// end of its response may be sent.
+    Finished {
+        /// Attempt of the request.
+        attempt: AttemptId,
+    },
     /// The release of a claim was written, or the longest wait for it is over.
     /// The refusal of the attempt may be sent.
     Released {
--- a/crates/once/src/pending.rs
+++ b/crates/once/src/pending.rs
@@ -1,6 +1,6 @@
 //! Changes that wait for the next write of a shard.
 
-use crate::{ClaimRequest, StoredResponse};
+use crate::{ClaimAction, ClaimRequest, StoredResponse};
 use base::{AttemptId, Instant};
 
 /// A request that waits for its claim.
@@ -34,6 +34,8 @@
         nonce: u64,
         /// Response to store.
         response: Option<StoredResponse>,
+        /// The attempt that waits for the write, and until when.
+        waiter: Option<(AttemptId, Instant)>,
     },
     /// The request was not run, and its key becomes free.
     Release {
@@ -45,6 +47,33 @@
 }
 
 impl ClaimEnd {
+    /// Takes the attempt that waits for this end, with the action that tells its
+    /// owner that the wait is over.
+    pub(crate) fn take_waiter(&mut self) -> Option<ClaimAction> {
+        match self {
+            Self::Finish { waiter, .. } => {
+                let (attempt, _) = waiter.take()?;
+                Some(ClaimAction::Finished { attempt })
+            }
+            Self::Release { waiter, .. } => {
+                let (attempt, _) = waiter.take()?;
+                Some(ClaimAction::Released { attempt })
+            }
+        }
+    }
+
+    /// When the attempt that waits for this end waits no longer.
+    pub(crate) const fn waits_until(&self) -> Option<Instant> {
+        match self {
+            Self::Finish { waiter, .. } | Self::Release { waiter, .. } => {
+                match waiter {
+                    Some((_, until)) => Some(*until),
+                    None => None,
+                }
+            }
+        }
+    }
+
     pub(crate) const fn nonce(&self) -> u64 {
         match self {
             Self::Finish { nonce, .. } | Self::Release { nonce, .. } => *nonce,
--- a/crates/once/src/platform_calls.rs
+++ b/crates/once/src/platform_calls.rs
@@ -74,9 +74,7 @@
         } else if let Some(content) = staged.write {
             self.write(index, content, out);
         } else {
-            for attempt in self.shards[index].remove_obsolete_ends() {
-                out.push(ClaimAction::Released { attempt });
-            }
+            out.extend(self.shards[index].remove_obsolete_ends());
         }
     }
 
@@ -183,17 +181,16 @@
         // still be applied can bring it back.
         let no_unanswered_write = shard.unanswered_write_expects.is_none();
         let done = i32::from(ClaimState::Done);
-        shard.pending_ends.retain(|end| match end {
-            ClaimEnd::Finish { nonce, .. } => {
-                state_of(*nonce).is_some_and(|state| state != done)
-            }
-            ClaimEnd::Release { nonce, waiter } => {
-                let is_released = no_unanswered_write && state_of(*nonce).is_none();
-                if is_released && let Some((attempt, _)) = waiter {
-                    out.push(ClaimAction::Released { attempt: *attempt });
-                }
-                !is_released
+        shard.pending_ends.retain_mut(|end| {
+            let state = state_of(end.nonce());
+            let is_complete = match end {
+                ClaimEnd::Finish { .. } => state.is_none_or(|state| state == done),
+                ClaimEnd::Release { .. } => no_unanswered_write && state.is_none(),
+            };
+            if is_complete {
+                out.extend(end.take_waiter());
             }
+            !is_complete
         });
         shard.snapshot = Some(ShardSnapshot { version, content });
     }
@@ -209,7 +206,8 @@
     ///
     /// Pending requests are refused at once, except those whose unanswered
     /// write has yet to be read back. Finishes and releases stay pending and
-    /// are retried after the backoff.
+    /// are retried after the backoff. A response that is ready does not wait
+    /// for that.
     fn on_platform_unavailable(
         &mut self,
         now: Instant,
@@ -233,6 +231,11 @@
             ));
             release_if_staged(shard, &pending_claim);
         }
+        for end in &mut shard.pending_ends {
+            if matches!(end, ClaimEnd::Finish { .. }) {
+                out.extend(end.take_waiter());
+            }
+        }
     }
 }
 
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -8,7 +8,7 @@
 use schema::store::{Claim, ClaimShard, ClaimState};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{ClaimOutcome, StoredResponse};
+use crate::{ClaimAction, ClaimOutcome, StoredResponse};
 
 /// Number of shard objects.
 ///
@@ -97,23 +97,23 @@
 
 impl Shard {
     /// Drops the ends of claims that are no longer in the shard, for example
-    /// because another agent pruned them. Returns the attempts that wait for
-    /// such a release.
-    pub(crate) fn remove_obsolete_ends(&mut self) -> Vec<AttemptId> {
+    /// because another agent pruned them. Returns the actions for the attempts
+    /// that wait for one.
+    pub(crate) fn remove_obsolete_ends(&mut self) -> Vec<ClaimAction> {
         let Some(snapshot) = &self.snapshot else {
             return Vec::new();
         };
         let is_claimed =
             |nonce: u64| snapshot.content.claims.iter().any(|c| c.nonce == nonce);
-        let mut waiters = Vec::new();
-        self.pending_ends.retain(|end| {
+        let mut actions = Vec::new();
+        self.pending_ends.retain_mut(|end| {
             let keep = is_claimed(end.nonce());
-            if !keep && let ClaimEnd::Release { waiter, .. } = end {
-                waiters.extend(waiter.map(|(attempt, _)| attempt));
+            if !keep {
+                actions.extend(end.take_waiter());
             }
             keep
         });
-        waiters
+        actions
     }
 }
 
--- a/crates/once/tests/claims/agents.rs
+++ b/crates/once/tests/claims/agents.rs
@@ -161,3 +161,28 @@
         "the claim is still there after the platform came back"
     );
 }
+
+/// Guards against a response that is held although the platform says that it is
+/// unavailable. Its claim is stored once the platform is back.
+#[test]
+fn a_response_is_not_held_while_the_platform_is_unavailable() {
+    let mut platform = Platform::default();
+    let mut agent = Agent::new("p1");
+    agent.request_claim(0, 1, "key", BODY);
+    agent.answer_all(0, &mut platform);
+    agent.finish(10, 1, b"done");
+    assert!(agent.finished.is_empty(), "not stored yet");
+    platform
+        .behaviors
+        .extend([PlatformBehavior::Unavailable; 3]);
+    agent.answer_one(20, &mut platform);
+    assert_eq!(agent.finished, [1]);
+    for ms in (30..20_000).step_by(100) {
+        agent.tick(ms);
+        agent.answer_all(ms, &mut platform);
+    }
+    let mut other = Agent::new("p2");
+    other.request_claim(20_000, 2, "key", BODY);
+    other.answer_all(20_000, &mut platform);
+    assert!(matches!(other.outcome(2), Some(ClaimOutcome::Replay(_))));
+}
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -118,6 +118,7 @@
     pub claims: Claims,
     pub calls: Vec<PlatformCall>,
     pub settled: Vec<(u64, ClaimOutcome)>,
+    pub finished: Vec<u64>,
     pub released: Vec<u64>,
 }
 
@@ -133,6 +134,7 @@
             claims,
             calls: Vec::new(),
             settled: Vec::new(),
+            finished: Vec::new(),
             released: Vec::new(),
         }
     }
@@ -184,6 +186,9 @@
                 ClaimAction::Settled { attempt, outcome } => {
                     self.settled.push((attempt.sequence, outcome));
                 }
+                ClaimAction::Finished { attempt } => {
+                    self.finished.push(attempt.sequence);
+                }
                 ClaimAction::Released { attempt } => {
                     self.released.push(attempt.sequence);
                 }
--- a/crates/role/src/agent/claims.rs
+++ b/crates/role/src/agent/claims.rs
@@ -30,6 +30,9 @@
                 ClaimAction::Settled { attempt, outcome } => {
                     self.on_claim_settled(now, attempt, outcome, out);
                 }
+                ClaimAction::Finished { attempt } => {
+                    self.send_delayed_end(attempt, out);
+                }
                 ClaimAction::Released { attempt } => {
                     timeline::attempt_event(EventKind::ClaimReleased, attempt, 0, out);
                     self.finish_withdrawal(now, attempt, out);
--- a/crates/role/src/agent/role.rs
+++ b/crates/role/src/agent/role.rs
@@ -20,9 +20,9 @@
 use conf::{Config, PoolSpec};
 use mem::Ledger;
 use once::{Claims, ClaimsOptions};
-use schema::link::{ConfigAsk, ConfigChanges, frame};
+use schema::link::{ConfigAsk, ConfigChanges, End, frame};
 use schema::timeline::EventKind;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// First call number of the claims' platform calls, far above the numbers that
@@ -54,6 +54,8 @@
     pub(super) ledger: Ledger,
     pub(super) claims: Claims,
     pub(super) attempts: Attempts,
+    /// Ends of responses that wait for the write that stores them.
+    pub(super) delayed_ends: BTreeMap<AttemptId, (EntryId, End)>,
     /// Attempts that must never start, because an entry was told `not_run`.
     pub(super) revoked: AttemptHistory,
     /// Attempts that have ended.
@@ -102,6 +104,7 @@
                 unix_ms_at_zero: options.unix_ms_at_zero,
             }),
             attempts: Attempts::default(),
+            delayed_ends: BTreeMap::new(),
             revoked: AttemptHistory::default(),
             ended: AttemptHistory::default(),
             upstream: Upstream::default(),
--- a/crates/role/src/agent/upstream_events.rs
+++ b/crates/role/src/agent/upstream_events.rs
@@ -5,7 +5,7 @@
 use super::attempts::{Attempt, Phase};
 use super::{AgentAction, AgentRole, UpstreamEvent, timeline};
 use base::prelude::*;
-use once::StoredResponse;
+use once::{END_WAIT_MAX_MS, StoredResponse};
 use schema::link::{End, Started, frame};
 use schema::timeline::EventKind;
 
@@ -116,14 +116,11 @@
             .record_service_time(now.ms_since(attempt.began_at));
         self.record_ended(now, id, RunStatus::Ran);
         timeline::attempt_event(EventKind::RequestFinished, id, 0, out);
-        if attempt.needs_claim {
-            let answer = attempt.stored_answer.take().map(|body| StoredResponse {
-                status,
-                content_type: content_type.clone(),
-                body,
-            });
-            self.finish_claim(now, id, answer, out);
-        }
+        let answer = attempt.stored_answer.take().map(|body| StoredResponse {
+            status,
+            content_type: content_type.clone(),
+            body,
+        });
         let end = End {
             status: u32::from(status),
             content_type,
@@ -131,7 +128,31 @@
             upstream_incarnation: attempt.upstream_incarnation,
             ..self.end_frame(now, id, 0, RunStatus::Ran)
         };
-        self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
+        if !attempt.needs_claim {
+            self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
+            return;
+        }
+        if let Some(entry) = attempt.entry {
+            self.delayed_ends.insert(id, (entry, end));
+        }
+        // Without time for the wait, the caller would lose its response.
+        if attempt.deadline < now.plus_ms(END_WAIT_MAX_MS) {
+            self.send_delayed_end(id, out);
+        }
+        self.finish_claim(now, id, answer, out);
+    }
+
+    /// Sends the end of a response that waited for the write that stores it. If
+    /// it were sent before, a caller that sends its request again at once would
+    /// be told that its key is in progress.
+    pub(super) fn send_delayed_end(
+        &mut self,
+        id: AttemptId,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if let Some((entry, end)) = self.delayed_ends.remove(&id) {
+            self.send(Some(&entry), frame::Body::End(end), out);
+        }
     }
 
     fn on_failed(
--- a/crates/role/tests/agent/exclusive.rs
+++ b/crates/role/tests/agent/exclusive.rs
@@ -159,5 +159,6 @@
     agent.answer_all_calls(&mut platform);
     assert!(agent.started(99));
     agent.complete_attempt(99);
+    agent.answer_all_calls(&mut platform);
     assert_eq!(agent.end_frame(99).map(|end| end.code), Some(0));
 }
--- a/crates/role/tests/agent/idempotency_keys.rs
+++ b/crates/role/tests/agent/idempotency_keys.rs
@@ -122,6 +122,38 @@
     assert!(agent.started(2), "the key is not free");
 }
 
+/// Guards against telling a caller that sends its order again right after the answer
+/// that its key is in progress.
+#[test]
+fn a_resend_right_after_the_answer_gets_the_stored_answer() {
+    let mut platform = Platform::new();
+    let mut agent = TestAgent::beside_service(10, NOW, &mut platform);
+    let mut other = TestAgent::beside_service(11, NOW, &mut platform);
+    send_request(&mut agent, 1, "key");
+    agent.answer_all_calls(&mut platform);
+    agent.complete_attempt(1);
+    assert!(agent.end_frame(1).is_none(), "ended before it was stored");
+    agent.answer_all_calls(&mut platform);
+    assert!(agent.end_frame(1).is_some_and(|end| !end.replayed));
+    send_request(&mut other, 2, "key");
+    other.answer_all_calls(&mut platform);
+    assert!(other.end_frame(2).is_some_and(|end| end.replayed));
+}
+
+/// Guards against holding a response that is ready for a platform that does not answer.
+#[test]
+fn the_wait_for_the_platform_holds_an_answer_for_a_second_at_most() {
+    let mut platform = Platform::new();
+    let mut agent = TestAgent::beside_service(10, NOW, &mut platform);
+    send_request(&mut agent, 1, "key");
+    agent.answer_all_calls(&mut platform);
+    agent.complete_attempt(1);
+    agent.advance_time(900);
+    assert!(agent.end_frame(1).is_none());
+    agent.advance_time(200);
+    assert!(agent.end_frame(1).is_some_and(|end| !end.replayed));
+}
+
 /// The upstream itself refuses the request. The claim is released before the
 /// caller is told, so that its next request does not find the key claimed.
 #[test]
