direct, front: a silent upstream's request ends only if another can run it

The retry budget was used up, or the other upstream refused, so nothing took them over: callers lost answers whose upstream went on 154 ms later. Requests without a response were given up the same way without asking whether anything else could run them.

Change: one rule for all, direct::decide_in_flight. Silence steers new requests away; a request in flight leaves only if its kind may run twice, an upstream is left and free, and the retry is granted, which is taken at that moment. A stream that has begun stays connected to the silent upstream until the other one has accepted, 250 ms at most, and goes on there if that one refuses or the silent one sends something. Requests that must not run twice, plain responses half received and orders are not ended by silence, as before.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`select_upstream`] chooses an upstream for one request.
 //! - [`admit`] decides whether the request joins the queue of that upstream.
 //!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
-//! - [`decide_retry`] decides what follows an attempt that failed.
+//! - [`decide_retry`] decides what follows an attempt that failed, and
+//!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
 //! - [`RetryBudget`] bounds the retries of all entries together.
 //! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders,
 //!   and [`has_successor`] tells whether a coordinator that shuts down should hand the
@@ -33,6 +34,8 @@
 //!   arrives.
 //! - A request that may have run is sent again only if its route allows a request to
 //!   run twice.
+//! - A request in flight is not ended because its upstream is silent, unless another
+//!   upstream can run it.
 //! - Every order names the upstream's order count on which it was decided, so of two
 //!   orders decided on the same state at most one is carried out. What that order adds
 //!   was checked against the same state, so no upstream is ordered to hold more than
@@ -62,6 +65,7 @@
 mod select;
 mod shared_watch;
 mod successor;
+mod takeover;
 mod time_factors;
 mod unanswered;
 mod unserved;
@@ -100,6 +104,9 @@
     ChangedObject, ReceivedBatches, SharedWatch, WatchBatch, WatchRole,
 };
 pub use successor::{PeerEntry, has_successor};
+pub use takeover::{
+    InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
+};
 pub use time_factors::ModelTimeFactors;
 pub use unanswered::UnansweredOrders;
 pub use watermark::Watermark;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -22,3 +22,4 @@
 mod shared_watch;
 mod successor;
 mod support;
+mod takeover;
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,8 +1,7 @@
 //! One attempt of a request at one upstream.
 
-use base::prelude::*;
 use bytes::Bytes;
-use direct::{AttemptOutcome, SelectedUpstream};
+use direct::{AttemptOutcome, InFlightDecision, SelectedUpstream};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -12,13 +11,13 @@
 use tokio::time::timeout;
 
 use crate::crash::check_for_crash;
+use crate::dispatch::Dispatch;
 use crate::headers::strip_hop_by_hop;
 use crate::in_flight::InFlight;
 use crate::response::BufferedResponse;
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::connection_pool::{SendError, UpstreamConnection};
-use crate::state_monitor::log_avoidance_if_changed;
 use crate::upstream_address::{address_of, record_unreachable};
 use crate::{ResponseHead, UpstreamRequestHead};
 
@@ -74,16 +73,32 @@
     /// No response that can be forwarded, with the error response if the
     /// upstream itself sent one.
     Failed(AttemptOutcome, Option<BufferedResponse>),
+    /// The upstream fell silent, and another one runs the request. The retry
+    /// for that was taken from the budget.
+    TakenOver,
+}
+
+impl AttemptResult {
+    /// Returns what an attempt that didn't start a stream means for a stream
+    /// that runs elsewhere. A complete response to a request for a stream is
+    /// an error response.
+    pub(crate) const fn failure(&self) -> AttemptOutcome {
+        match self {
+            Self::Failed(outcome, _) => *outcome,
+            Self::Stream(_) | Self::Response(_) | Self::TakenOver => {
+                AttemptOutcome::Unknown
+            }
+        }
+    }
 }
 
 /// Sends a request to an upstream and waits for its response, or for the head
 /// of a stream.
 pub(crate) async fn attempt(
-    node: &Arc<Node>,
-    request: &CallerRequest,
+    dispatch: &Dispatch,
     selected: &SelectedUpstream,
-    last_event_id: Option<&str>,
 ) -> AttemptResult {
+    let (node, request) = (&dispatch.node, &dispatch.request);
     let Some(address) = address_of(node, &selected.id) else {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     };
@@ -101,79 +116,82 @@
     if request.is_expired(node.clock) {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     }
-    let upstream_request =
-        build_request(node, request, &selected.id, remaining_ms, last_event_id);
-    exchange(node, request, in_flight, connection, upstream_request).await
+    let last_event_id = dispatch.last_event_id.map(|id| id.to_string());
+    let upstream_request = build_request(
+        node,
+        request,
+        &selected.id,
+        remaining_ms,
+        last_event_id.as_deref(),
+    );
+    exchange(dispatch, in_flight, connection, upstream_request).await
 }
 
 /// Sends the request on an open connection and evaluates the response.
 async fn exchange(
-    node: &Arc<Node>,
-    request: &CallerRequest,
+    dispatch: &Dispatch,
     mut in_flight: InFlight,
     mut connection: UpstreamConnection,
     upstream_request: Request<Full<Bytes>>,
 ) -> AttemptResult {
-    match response_head(node, request, &in_flight, &mut connection, upstream_request)
-        .await
-    {
-        None => AttemptResult::Failed(AttemptOutcome::Unknown, None),
-        Some(Err(SendError::NotSent)) => {
+    let (node, request) = (&dispatch.node, &dispatch.request);
+    match response_head(dispatch, &in_flight, &mut connection, upstream_request).await {
+        HeadResult::Ended => AttemptResult::Failed(AttemptOutcome::Unknown, None),
+        HeadResult::TakenOver => AttemptResult::TakenOver,
+        HeadResult::Failed(SendError::NotSent) => {
             AttemptResult::Failed(AttemptOutcome::NotSent, None)
         }
-        Some(Err(SendError::Broken)) => {
+        HeadResult::Failed(SendError::Broken) => {
             in_flight.record_result(false);
             check_for_crash(node, request.fingerprint, in_flight.incarnation());
             AttemptResult::Failed(AttemptOutcome::Unknown, None)
         }
-        Some(Ok(response)) => {
+        HeadResult::Received(response) => {
             in_flight.record_bytes();
             evaluate_response(node, request, in_flight, connection, response).await
         }
     }
 }
 
-/// Waits for the head of the response. Returns `None` when waiting any longer
-/// is pointless.
+/// How waiting for the head of a response ended.
+enum HeadResult {
+    Received(Response<Incoming>),
+    Failed(SendError),
+    /// The request's deadline has passed, or its upstream can't respond any
+    /// more.
+    Ended,
+    /// Another upstream runs the request.
+    TakenOver,
+}
+
+/// Waits for the head of the response.
 async fn response_head(
-    node: &Node,
-    request: &CallerRequest,
+    dispatch: &Dispatch,
     in_flight: &InFlight,
     connection: &mut UpstreamConnection,
     upstream_request: Request<Full<Bytes>>,
-) -> Option<Result<Response<Incoming>, SendError>> {
+) -> HeadResult {
+    let (node, request) = (&dispatch.node, &dispatch.request);
     let sent_at = node.now();
     let sending = connection.send(upstream_request);
     tokio::pin!(sending);
     loop {
         let check_after = CHECK_INTERVAL.min(remaining(node, request));
         match timeout(check_after, &mut sending).await {
-            Ok(result) => return Some(result),
-            Err(_) if request.is_expired(node.clock) => return None,
-            Err(_) if in_flight.is_superseded() => return None,
-            Err(_) if should_give_up(node, request, in_flight, sent_at) => return None,
+            Ok(Ok(response)) => return HeadResult::Received(response),
+            Ok(Err(error)) => return HeadResult::Failed(error),
+            Err(_) if request.is_expired(node.clock) => return HeadResult::Ended,
             Err(_) => {}
         }
+        let is_overdue = node.now().ms_since(sent_at) > SILENCE_TOLERANCE_MS;
+        match dispatch.decide_in_flight(in_flight, is_overdue) {
+            InFlightDecision::Wait => {}
+            InFlightDecision::Ended => return HeadResult::Ended,
+            InFlightDecision::TakeOver => return HeadResult::TakenOver,
+        }
     }
 }
 
-/// Returns whether the request should be sent to another upstream rather than
-/// wait for this one.
-fn should_give_up(
-    node: &Node,
-    request: &CallerRequest,
-    in_flight: &InFlight,
-    sent_at: Instant,
-) -> bool {
-    let give_up = request.route.kind.may_rerun()
-        && node.now().ms_since(sent_at) > SILENCE_TOLERANCE_MS
-        && in_flight.is_silent();
-    if give_up {
-        log_avoidance_if_changed(node, &in_flight.upstream);
-    }
-    give_up
-}
-
 /// Evaluates a response by its head, and reads the body unless it is a stream.
 async fn evaluate_response(
     node: &Arc<Node>,
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::quota::Charge;
+use crate::upstream_rate;
 
 /// Time after which a refused caller should come back, if nothing better is
 /// known.
@@ -46,6 +47,8 @@
     pub(crate) rate_charge: Option<Charge>,
     /// Whether an attempt is in progress.
     attempt_in_progress: bool,
+    /// Whether the next retry was already taken from the budget.
+    retry_taken: bool,
     /// The last error response that an upstream itself sent.
     upstream_failure: Option<BufferedResponse>,
     /// Id of the last stream event that was forwarded.
@@ -97,6 +100,7 @@
             may_have_run: false,
             rate_charge: None,
             attempt_in_progress: false,
+            retry_taken: false,
             upstream_failure: None,
             last_event_id: None,
             attempts: Vec::new(),
@@ -132,34 +136,13 @@
                 Ok(selected) => selected,
                 Err(rejection) => return self.end_rejected(&rejection),
             };
-            let last_event_id = self.last_event_id.map(|id| id.to_string());
-            let started_at = self.node.now();
-            self.attempt_in_progress = true;
-            self.request.set_charge_used(true);
-            self.set_rate_used(true);
-            let result = attempt(
-                &self.node,
-                &self.request,
-                &selected,
-                last_event_id.as_deref(),
-            )
-            .await;
-            self.attempt_in_progress = false;
-            self.set_rate_used(!matches!(
-                result,
-                AttemptResult::Failed(AttemptOutcome::NotSent, _)
-            ));
-            self.rate_charge = None;
-            self.record_attempt(&selected, started_at, &result);
-            match result {
+            match self.attempt_at(&selected).await {
                 AttemptResult::Stream(stream) => return DispatchResult::Stream(stream),
                 AttemptResult::Response(response) => {
                     return DispatchResult::Response(response);
                 }
-                AttemptResult::Failed(outcome, upstream_response) => {
-                    if let Some(end) =
-                        self.after_failed_attempt(&selected, outcome, upstream_response)
-                    {
+                failed => {
+                    if let Some(end) = self.after_attempt(&selected, failed) {
                         return end;
                     }
                 }
@@ -167,6 +150,81 @@
         }
     }
 
+    /// Handles an attempt that brought nothing that can be forwarded. Returns
+    /// the result of the dispatch if no further attempt is allowed.
+    pub(crate) fn after_attempt(
+        &mut self,
+        selected: &SelectedUpstream,
+        failed: AttemptResult,
+    ) -> Option<DispatchResult> {
+        self.retry_taken = matches!(failed, AttemptResult::TakenOver);
+        let outcome = failed.failure();
+        let upstream_response = match failed {
+            AttemptResult::Failed(_, upstream_response) => upstream_response,
+            _ => None,
+        };
+        self.after_failed_attempt(selected, outcome, upstream_response)
+    }
+
+    /// Attempts the request at one upstream.
+    async fn attempt_at(&mut self, selected: &SelectedUpstream) -> AttemptResult {
+        let started_at = self.node.now();
+        self.attempt_in_progress = true;
+        self.request.set_charge_used(true);
+        self.set_rate_used(true);
+        let result = attempt(self, selected).await;
+        self.attempt_in_progress = false;
+        self.set_rate_used(!matches!(
+            result,
+            AttemptResult::Failed(AttemptOutcome::NotSent, _)
+        ));
+        self.rate_charge = None;
+        self.record_attempt(selected, started_at, &result);
+        result
+    }
+
+    /// Attempts the rest of a stream at an upstream other than the one that
+    /// runs it, which is kept meanwhile. Returns the upstream, or `None` if
+    /// there is none that may be used now.
+    ///
+    /// The future may be dropped if the stream goes on; call
+    /// [`Self::withdraw_attempt`] then.
+    pub(crate) async fn attempt_elsewhere(
+        &mut self,
+        running_at: &Arc<str>,
+    ) -> Option<(SelectedUpstream, AttemptResult)> {
+        let selected = self.alternative_to(running_at).ok()?;
+        let node = Arc::clone(&self.node);
+        self.rate_charge = upstream_rate::acquire(&node, &selected.id).await.ok()?;
+        let result = self.attempt_at(&selected).await;
+        Some((selected, result))
+    }
+
+    /// Records that an attempt was dropped before it ended.
+    pub(crate) fn withdraw_attempt(&mut self) {
+        self.attempt_in_progress = false;
+        self.rate_charge = None;
+        self.attempts.push(json!({ "outcome": "withdrawn" }));
+    }
+
+    /// Records that an upstream other than the one that runs the stream failed
+    /// to take it over. The stream stays where it is.
+    pub(crate) fn record_failed_takeover(
+        &mut self,
+        selected: &SelectedUpstream,
+        outcome: AttemptOutcome,
+    ) {
+        self.record_sent_to(&selected.id, outcome);
+    }
+
+    /// Records that another upstream has taken over the stream that ran at
+    /// `upstream`.
+    pub(crate) fn record_takeover(&mut self, upstream: &Arc<str>) {
+        self.record_sent_to(upstream, AttemptOutcome::Unknown);
+        self.record_stream_break(upstream);
+        self.may_have_run = true;
+    }
+
     /// Sets whether the attempt has used what it took from its upstream's rate.
     /// It has once the request was sent, whatever came of it.
     fn set_rate_used(&mut self, is_used: bool) {
@@ -189,10 +247,24 @@
             own_prefill_ms: 0.0,
             prefill_tokens: 0,
         };
+        self.record_stream_break(upstream);
+        self.after_failed_attempt(&selected, AttemptOutcome::Unknown, None)
+    }
+
+    fn record_stream_break(&mut self, upstream: &Arc<str>) {
         self.attempts
             .push(json!({ "upstream": &**upstream, "outcome": "broke_off",
                 "after_event": self.last_event_id }));
-        self.after_failed_attempt(&selected, AttemptOutcome::Unknown, None)
+    }
+
+    /// Records that an attempt at an upstream ended, so that it is not
+    /// attempted again.
+    fn record_sent_to(&mut self, upstream: &Arc<str>, outcome: AttemptOutcome) {
+        if outcome == AttemptOutcome::NotSent {
+            self.unreachable.push(Arc::clone(upstream));
+        } else if !self.sent_to.contains(upstream) {
+            self.sent_to.push(Arc::clone(upstream));
+        }
     }
 
     /// Handles an attempt without a response that can be forwarded. Returns the
@@ -206,11 +278,7 @@
         if upstream_response.is_some() {
             self.upstream_failure = upstream_response;
         }
-        if outcome == AttemptOutcome::NotSent {
-            self.unreachable.push(Arc::clone(&selected.id));
-        } else if !self.sent_to.contains(&selected.id) {
-            self.sent_to.push(Arc::clone(&selected.id));
-        }
+        self.record_sent_to(&selected.id, outcome);
         let attempted = AttemptHistory {
             upstreams: u32::try_from(self.sent_to.len()).unwrap_or(u32::MAX),
             upstreams_max: self.request.route.upstreams_max,
@@ -227,9 +295,8 @@
             }
             RetryDecision::Resend => None,
             RetryDecision::Retry => {
-                let mut retry_budget = self.node.retry_budget.lock();
-                let granted = retry_budget.try_take(now, &self.request.service);
-                drop(retry_budget);
+                let granted =
+                    std::mem::take(&mut self.retry_taken) || self.take_retry(now);
                 (!granted).then(|| self.end_without_response(ErrorCode::Overloaded))
             }
             RetryDecision::FailNotRun => {
@@ -241,6 +308,12 @@
         }
     }
 
+    /// Takes one retry from the budget; returns false if it is used up.
+    pub(crate) fn take_retry(&self, now: Instant) -> bool {
+        let mut retry_budget = self.node.retry_budget.lock();
+        retry_budget.try_take(now, &self.request.service)
+    }
+
     /// Ends a request for which no upstream is attempted, with the rejection's
     /// time to come back.
     fn end_rejected(&mut self, rejection: &Rejection) -> DispatchResult {
@@ -315,6 +388,7 @@
             AttemptResult::Stream(_) => "begun",
             AttemptResult::Response(_) => "whole",
             AttemptResult::Failed(outcome, _) => outcome.as_str(),
+            AttemptResult::TakenOver => AttemptOutcome::Unknown.as_str(),
         };
         let labels = [&*self.request.service, outcome];
         self.node.metrics.attempts.with_label_values(&labels).inc();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -50,6 +50,7 @@
 mod state;
 mod state_monitor;
 mod stream;
+mod takeover;
 mod upstream_address;
 mod upstream_rate;
 mod upstream_selection;
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards streams event by event.
 
 use bytes::{Bytes, BytesMut};
+use direct::{InFlightDecision, SelectedUpstream};
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -8,18 +9,22 @@
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::attempt::UpstreamStream;
+use crate::attempt::{AttemptResult, UpstreamStream};
 use crate::dispatch::{Dispatch, DispatchResult};
 use crate::events::{Event, EventSplitter};
 use crate::response::{ResponseAborted, ResponseBody};
-use crate::state_monitor::log_avoidance_if_changed;
 
 /// Interval at which a waiting stream checks whether its upstream has fallen
 /// silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for which a stream is requested from a second upstream while the
+/// first one may still run it. An upstream that refuses a request does so
+/// within milliseconds; after this time, running it twice is a waste.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
 /// Forwards one stream to its caller, from one upstream or several.
 pub(crate) struct StreamForwarder {
     dispatch: Dispatch,
@@ -44,6 +49,19 @@
     /// The request's deadline has passed, or the process is about to exit and
     /// no part of the response was forwarded.
     OutOfTime,
+    /// The stream broke, and no other upstream may take it over.
+    Failed(DispatchResult),
+}
+
+/// A part of an upstream's response body; `None` at its end.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// What happened first while a second upstream was requested to take over.
+enum TakeoverResult {
+    /// The first upstream sent something.
+    Resumed(BodyFrame),
+    /// The attempt at the second upstream ended.
+    Attempted(Option<(SelectedUpstream, AttemptResult)>),
 }
 
 /// Waits for the first event, so that a stream that breaks before it can be
@@ -129,6 +147,7 @@
                     return Ok(None);
                 }
                 StreamStep::Broken => self.resume().await?,
+                StreamStep::Failed(end) => return Err(end),
                 StreamStep::OutOfTime => {
                     self.source = None;
                     return Err(self.dispatch.end_running_stream());
@@ -153,24 +172,90 @@
                 return StreamStep::OutOfTime;
             }
             let check_after = CHECK_INTERVAL.min(Duration::from_millis(remaining_ms));
-            match timeout(check_after, source.body.frame()).await {
-                Err(_) => {
-                    if self.should_give_up() {
-                        return StreamStep::Broken;
-                    }
-                }
-                Ok(None) if self.splitter.has_partial_event() => {
-                    return StreamStep::Broken;
+            let step = match timeout(check_after, source.body.frame()).await {
+                Ok(frame) => self.handle_frame(frame),
+                Err(_) => self.check_upstream().await,
+            };
+            if let Some(step) = step {
+                return step;
+            }
+        }
+    }
+
+    /// Adds a part of the response to the buffer. Returns how the response
+    /// ended, if it did.
+    fn handle_frame(&mut self, frame: BodyFrame) -> Option<StreamStep> {
+        let frame = match frame {
+            None if self.splitter.has_partial_event() => {
+                return Some(StreamStep::Broken);
+            }
+            None => return Some(StreamStep::Complete),
+            Some(Err(_)) => return Some(StreamStep::Broken),
+            Some(Ok(frame)) => frame,
+        };
+        if let Some(source) = &mut self.source {
+            source.in_flight.record_bytes();
+        }
+        let data = frame.into_data().unwrap_or_default();
+        let is_valid = self.splitter.push(&data).is_ok();
+        (!is_valid).then_some(StreamStep::Broken)
+    }
+
+    /// Checks whether the stream should leave its upstream, which has sent
+    /// nothing for a while.
+    async fn check_upstream(&mut self) -> Option<StreamStep> {
+        let source = self.source.as_ref()?;
+        match self.dispatch.decide_in_flight(&source.in_flight, true) {
+            InFlightDecision::Wait => None,
+            InFlightDecision::Ended => Some(StreamStep::Broken),
+            InFlightDecision::TakeOver => self.take_over().await,
+        }
+    }
+
+    /// Requests the rest of the stream from another upstream. The silent one is
+    /// kept until the other has accepted, so that a refusal does not end a
+    /// stream that may still go on.
+    async fn take_over(&mut self) -> Option<StreamStep> {
+        let source = self.source.take()?;
+        let silent = Arc::clone(&source.in_flight.upstream);
+        let fingerprint = self.dispatch.request.fingerprint;
+        let mut kept = Some(source);
+        let result =
+            race_takeover(&mut self.dispatch, &mut kept, &silent, fingerprint).await;
+        let attempted = match result {
+            TakeoverResult::Resumed(frame) => {
+                self.dispatch.withdraw_attempt();
+                self.source = kept;
+                return self.handle_frame(frame);
+            }
+            TakeoverResult::Attempted(attempted) => attempted,
+        };
+        match (attempted, kept) {
+            (Some((_, AttemptResult::Stream(taken_over))), kept) => {
+                if let Some(kept) = kept {
+                    kept.broken(fingerprint);
                 }
-                Ok(None) => return StreamStep::Complete,
-                Ok(Some(Err(_))) => return StreamStep::Broken,
-                Ok(Some(Ok(frame))) => {
-                    source.in_flight.record_bytes();
-                    let data = frame.into_data().unwrap_or_default();
-                    if self.splitter.push(&data).is_err() {
-                        return StreamStep::Broken;
-                    }
+                self.dispatch.record_takeover(&silent);
+                self.splitter = EventSplitter::default();
+                self.source = Some(taken_over);
+                None
+            }
+            (attempted, Some(kept)) => {
+                if let Some((selected, result)) = attempted {
+                    let outcome = result.failure();
+                    self.dispatch.record_failed_takeover(&selected, outcome);
                 }
+                self.source = Some(kept);
+                None
+            }
+            (Some((selected, result)), None) => {
+                self.dispatch.record_takeover(&silent);
+                let end = self.dispatch.after_attempt(&selected, result);
+                Some(end.map_or(StreamStep::Broken, StreamStep::Failed))
+            }
+            (None, None) => {
+                let end = self.dispatch.after_stream_break(&silent);
+                Some(end.map_or(StreamStep::Broken, StreamStep::Failed))
             }
         }
     }
@@ -210,31 +295,6 @@
         }
     }
 
-    /// Returns whether the stream should be resumed elsewhere rather than wait
-    /// for this upstream.
-    fn should_give_up(&self) -> bool {
-        if self
-            .source
-            .as_ref()
-            .is_some_and(|source| source.in_flight.is_superseded())
-        {
-            return true;
-        }
-        if !self.dispatch.request.route.kind.may_rerun() {
-            return false;
-        }
-        let source = self.source.as_ref();
-        let silent = source.filter(|source| source.in_flight.is_silent());
-        let Some(source) = silent else {
-            return false;
-        };
-        let upstream = &source.in_flight.upstream;
-        log_avoidance_if_changed(&self.dispatch.node, upstream);
-        // Without an alternative, giving up would certainly cut the response
-        // off, while an upstream that is only slow still completes it.
-        self.dispatch.has_alternative(upstream)
-    }
-
     /// Resumes the stream at another upstream, after the last complete event.
     async fn resume(&mut self) -> Result<(), DispatchResult> {
         self.splitter = EventSplitter::default();
@@ -259,6 +319,35 @@
     }
 }
 
+/// Attempts the rest of a stream at another upstream until the attempt ends or
+/// the silent upstream sends something. The silent one is closed, and `kept`
+/// becomes `None`, after [`MAX_OVERLAP`] or when its connection breaks.
+async fn race_takeover(
+    dispatch: &mut Dispatch,
+    kept: &mut Option<Box<UpstreamStream>>,
+    silent: &Arc<str>,
+    fingerprint: u64,
+) -> TakeoverResult {
+    let attempt = dispatch.attempt_elsewhere(silent);
+    tokio::pin!(attempt);
+    if let Some(source) = kept.as_mut() {
+        tokio::select! {
+            biased;
+            frame = source.body.frame() => {
+                if !matches!(frame, Some(Err(_))) {
+                    return TakeoverResult::Resumed(frame);
+                }
+            }
+            attempted = &mut attempt => return TakeoverResult::Attempted(attempted),
+            () = sleep(MAX_OVERLAP) => {}
+        }
+    }
+    if let Some(source) = kept.take() {
+        source.broken(fingerprint);
+    }
+    TakeoverResult::Attempted(attempt.await)
+}
+
 enum EventPosition {
     Next,
     Duplicate,
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -246,12 +246,15 @@
         self.select_excluding(&[])
     }
 
-    /// Returns whether an upstream that was not attempted could take the
-    /// request now.
-    pub(crate) fn has_alternative(&self, upstream: &Arc<str>) -> bool {
+    /// Selects an upstream that was not attempted yet and is not the one that
+    /// runs the request.
+    pub(crate) fn alternative_to(
+        &self,
+        upstream: &Arc<str>,
+    ) -> Result<SelectedUpstream, SelectionError> {
         let attempted = self.sent_to.iter().chain(&self.unreachable);
         let attempted: Vec<Arc<str>> = attempted.chain([upstream]).cloned().collect();
-        self.select_excluding(&attempted).is_ok()
+        self.select_excluding(&attempted)
     }
 
     /// Selects an upstream other than the excluded ones.
