--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -207,15 +207,17 @@
             return LeaseStep::Wait;
         }
         let step = match &self.observed {
+            None if holder_heard => LeaseStep::Wait,
             None => LeaseStep::Read,
             Some(_) if self.must_read => LeaseStep::Read,
             Some(observed) if self.is_own(&observed.record) => {
                 self.renewal_step(observed)
             }
+            // The record that was read is old by now; a write would conflict.
+            Some(_) if holder_heard => LeaseStep::Wait,
             Some(observed) if self.can_acquire(observed, now) => {
                 self.acquisition_step(observed)
             }
-            Some(_) if holder_heard => LeaseStep::Wait,
             Some(_) => LeaseStep::Read,
         };
         self.call_in_flight = step != LeaseStep::Wait;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,12 +17,13 @@
 //! - [`decide_retry`] decides what follows an attempt that failed, and
 //!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
 //! - [`RetryBudget`] bounds the retries of all entries together.
-//! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders,
-//!   and [`has_successor`] tells whether a coordinator that shuts down should hand the
+//! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders.
+//!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
 //!   lease over. [`Ledger`] tracks the orders to one upstream and what it therefore
 //!   holds. [`LoadPlanner`] decides which models are loaded where, and
 //!   [`AdapterPlanner`] which adapters.
-//! - [`SharedWatch`] lets one entry watch the platform for its whole failure domain.
+//! - [`SharedWatch`] lets one entry watch the platform for its whole failure domain, and
+//!   compares the result with that of the others.
 //!   [`peer_message_interval_ms`] and its neighbours set how often entries message one
 //!   another and how much a message holds.
 //!
@@ -52,6 +53,7 @@
 mod fleet;
 mod forecast;
 mod lease;
+mod lease_candidates;
 mod ledger;
 mod load_planner;
 mod order;
@@ -64,6 +66,7 @@
 mod retry_budget;
 mod select;
 mod shared_watch;
+mod state_digest;
 mod successor;
 mod takeover;
 mod time_factors;
@@ -84,6 +87,7 @@
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
 pub use fleet::{Activity, Fleet, RateLimit, RateNotice, Upstream, Usage};
 pub use lease::{Lease, LeaseRecord, LeaseStep};
+pub use lease_candidates::LeaseCandidate;
 pub use ledger::Ledger;
 pub use load_planner::{
     LoadPlanner, LoadReason, PlacedModel, PlannedLoad, UpstreamState,
@@ -101,7 +105,7 @@
 pub use retry_budget::RetryBudget;
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
-    ChangedObject, ReceivedBatches, SharedWatch, WatchBatch, WatchRole,
+    ChangedObject, ReceivedBatches, SharedWatch, WatchBatch, WatchClaim, WatchRole,
 };
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -8,13 +8,18 @@
 //!
 //! Correctness doesn't depend on the forwarding. An entry watches by itself as soon as
 //! what it received is too old, whether the leader has ended, hangs, or is cut off from
-//! the platform or from the entry. In addition, each entry watches by itself from time
-//! to time, starting where its own last watch ended, so forged or incomplete messages
-//! have no lasting effect.
+//! the platform or from the entry.
+//!
+//! A forged or incomplete message has no lasting effect either. Entries that watch by
+//! themselves claim a digest of the state that they saw. As long as two of them agree
+//! with what an entry knows, its own watch would return nothing that it doesn't know. If
+//! they don't, it watches by itself, starting at the last version that was verified.
 
 use base::prelude::*;
 use std::collections::VecDeque;
 
+use crate::state_digest::StateDigest;
+
 /// Number of entries in a failure domain from which on they share a watch. With two,
 /// forwarding costs more than the follower saves.
 const MIN_SHARING_ENTRIES: usize = 3;
@@ -24,20 +29,19 @@
 /// to be known as such within two seconds.
 const RECEIVED_MAX_AGE_MS: u64 = 1_300;
 
-/// Interval between an entry's own watches while it receives messages from the leader.
-/// A forged message can hide true changes for this long. It is shorter than the
-/// platform's history, from which the watch resumes.
-const OWN_WATCH_INTERVAL_MS: u64 = 15_000;
+/// Time after which the known state has to be verified again, by an own watch or by the
+/// claims of others. A forged message can hide true changes for this long. It is
+/// shorter than the platform's history, from which the watch resumes.
+const VERIFY_INTERVAL_MS: u64 = 15_000;
+
+/// Number of entries whose claims verify the known state. With one, whoever forged a
+/// message of the leader could forge its claim as well.
+const VERIFYING_ENTRIES: usize = 2;
 
 /// Number of batches in one message: the newest, and the one before it again in case a
 /// message was lost.
 const MAX_BATCHES: usize = 2;
 
-/// Maximum size of the forwarded changes in one message. Larger batches are announced
-/// without their changes, and each entry watches for these by itself: sent to a dozen
-/// entries, they would fill the smallest link for a tenth of a second.
-const MAX_MESSAGE_BYTES: usize = 12 << 10;
-
 /// Role of an entry in the watch of its failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WatchRole {
@@ -69,6 +73,34 @@
     pub version: u64,
     /// Value; empty if the object was deleted.
     pub value: Vec<u8>,
+    /// Hash of the value. Texts that differ only in form have the same hash.
+    pub content_hash: u64,
+}
+
+impl ChangedObject {
+    /// The deletion of an object.
+    pub const fn deleted(key: String, version: u64) -> Self {
+        Self {
+            key,
+            version,
+            value: Vec::new(),
+            content_hash: 0,
+        }
+    }
+
+    /// Whether the object was deleted.
+    pub const fn is_deleted(&self) -> bool {
+        self.value.is_empty()
+    }
+}
+
+/// What an entry that watches by itself says about the state that it saw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchClaim {
+    /// Version up to which the entry knows all changes.
+    pub version: u64,
+    /// Digest of the state at that version.
+    pub digest: u64,
 }
 
 /// Result of one watch: all changes after one version up to another.
@@ -85,15 +117,25 @@
 }
 
 impl WatchBatch {
-    /// Size of the keys and values.
-    fn bytes(&self) -> usize {
-        let objects = self.objects.iter();
-        objects
-            .map(|object| object.key.len() + object.value.len())
-            .sum()
+    /// The batch without its changes. Its receiver has to watch for them by itself.
+    pub const fn without_objects(&self) -> Self {
+        Self {
+            after_version: self.after_version,
+            to_version: self.to_version,
+            objects: Vec::new(),
+            is_partial: true,
+        }
     }
 }
 
+/// A version at which another entry's claim agreed with the known state.
+#[derive(Debug, Clone)]
+struct Verification {
+    entry: String,
+    at: Instant,
+    version: u64,
+}
+
 /// Result of handling a leader's message.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ReceivedBatches {
@@ -112,9 +154,15 @@
     known_version: u64,
     /// When the platform last confirmed the known state to a leader.
     received_at: Option<Instant>,
-    /// When an own call last succeeded, and whether the latest one did.
+    /// When an own call last succeeded, the version up to which it returned the
+    /// changes, and whether the latest one succeeded.
     own_call_at: Option<Instant>,
+    own_version: u64,
     is_working: bool,
+    digest: StateDigest,
+    /// The latest claims that agreed with the known state, one of each entry, oldest
+    /// first.
+    verifications: VecDeque<Verification>,
     /// Whether changes were announced without their content.
     needs_own_watch: bool,
     recent_batches: VecDeque<WatchBatch>,
@@ -128,16 +176,27 @@
 
     /// Handles the answer to an own list call: everything up to `version` is known.
     ///
-    /// Batches watched before the list are no longer forwarded. A receiver would take
-    /// them for all changes up to now and miss those between the last watch and the
-    /// list.
-    pub fn on_listed(&mut self, now: Instant, version: u64) {
+    /// What the list changed is forwarded like the result of a watch. Otherwise each
+    /// receiver would have to list as well when the platform has dropped its history.
+    pub fn on_listed(&mut self, now: Instant, version: u64, objects: &[ChangedObject]) {
+        let (after_version, is_first) =
+            (self.known_version, self.own_call_at.is_none());
+        let changed = self.digest.replace(version, objects);
         self.recent_batches.clear();
         self.on_confirmed(now, version);
+        if !is_first && version >= after_version {
+            self.recent_batches.push_back(WatchBatch {
+                after_version,
+                to_version: version,
+                objects: changed,
+                is_partial: false,
+            });
+        }
     }
 
     /// Handles the answer to an own watch. Its batch is kept for forwarding.
     pub fn on_watched(&mut self, now: Instant, batch: WatchBatch) {
+        self.apply_to_digest(&batch);
         self.on_confirmed(now, batch.to_version);
         self.recent_batches.push_back(batch);
         while self.recent_batches.len() > MAX_BATCHES {
@@ -149,10 +208,18 @@
     fn on_confirmed(&mut self, now: Instant, version: u64) {
         self.known_version = self.known_version.max(version);
         self.own_call_at = Some(now);
+        self.own_version = version;
         self.is_working = true;
         self.needs_own_watch = false;
     }
 
+    /// Applies those changes of a batch that are not known yet.
+    fn apply_to_digest(&mut self, batch: &WatchBatch) {
+        for object in &batch.objects {
+            self.digest.apply(self.known_version, object);
+        }
+    }
+
     /// Handles an own call that failed.
     pub const fn on_failed(&mut self) {
         self.is_working = false;
@@ -187,29 +254,85 @@
         let is_recent = |at: Option<Instant>, age_max_ms| {
             at.is_some_and(|at| now.ms_since(at) < age_max_ms)
         };
-        let is_fresh = is_recent(self.received_at, RECEIVED_MAX_AGE_MS);
-        is_fresh
-            && is_recent(self.own_call_at, OWN_WATCH_INTERVAL_MS)
+        let verified_at = self.verified().map(|(at, _)| at);
+        is_recent(self.received_at, RECEIVED_MAX_AGE_MS)
+            && is_recent(self.own_call_at.max(verified_at), VERIFY_INTERVAL_MS)
             && !self.needs_own_watch
     }
 
-    /// The batches to forward now: the newest ones, with the changes that fit.
-    pub fn outgoing(&self) -> Vec<WatchBatch> {
-        let mut bytes = 0;
-        let newest = self.recent_batches.iter().rev().map(|batch| {
-            bytes += batch.bytes();
-            if bytes <= MAX_MESSAGE_BYTES {
-                return batch.clone();
+    /// Version after which the next own watch has to start: up to it, all changes were
+    /// returned by an own call or verified by the claims of others.
+    pub fn resume_version(&self) -> u64 {
+        let verified = self.verified().map_or(0, |(_, version)| version);
+        self.own_version.max(verified)
+    }
+
+    /// What this entry says about the state that it knows; `None` before its first own
+    /// call.
+    pub fn claim(&self) -> Option<WatchClaim> {
+        self.own_call_at.map(|_| WatchClaim {
+            version: self.known_version,
+            digest: self.digest.current(),
+        })
+    }
+
+    /// Handles the claim of another entry that watches by itself, which the platform
+    /// confirmed to it at `confirmed_at`.
+    ///
+    /// A digest that belongs to a later version than the known one and is the same
+    /// tells that nothing has changed up to that version.
+    pub fn on_claim(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        confirmed_at: Instant,
+        claim: WatchClaim,
+    ) {
+        if self.own_call_at.is_none() {
+            return;
+        }
+        let agrees = if claim.version >= self.known_version {
+            if claim.digest != self.digest.current() {
+                return;
             }
-            WatchBatch {
-                objects: Vec::new(),
-                is_partial: true,
-                ..*batch
+            self.known_version = claim.version;
+            self.received_at = self.received_at.max(Some(confirmed_at));
+            true
+        } else {
+            match self.digest.at(claim.version) {
+                Some(digest) => digest == claim.digest,
+                None => return,
             }
+        };
+        if !agrees {
+            self.verifications.clear();
+            return;
+        }
+        self.verifications.retain(|known| known.entry != entry);
+        self.verifications.push_back(Verification {
+            entry: entry.to_owned(),
+            at: now,
+            version: claim.version,
         });
-        let mut batches: Vec<WatchBatch> = newest.collect();
-        batches.reverse();
-        batches
+        if self.verifications.len() > VERIFYING_ENTRIES {
+            self.verifications.pop_front();
+        }
+    }
+
+    /// When enough other entries had last agreed with the known state, and the version
+    /// up to which they did.
+    fn verified(&self) -> Option<(Instant, u64)> {
+        if self.verifications.len() < VERIFYING_ENTRIES {
+            return None;
+        }
+        let at = self.verifications.iter().map(|known| known.at).min()?;
+        let version = self.verifications.iter().map(|known| known.version).min()?;
+        Some((at, version))
+    }
+
+    /// The batches to forward now, oldest first.
+    pub fn outgoing(&self) -> Vec<WatchBatch> {
+        self.recent_batches.iter().cloned().collect()
     }
 
     /// Handles a leader's message, whose content the platform confirmed to the leader
@@ -233,6 +356,7 @@
                 self.needs_own_watch = true;
                 break;
             }
+            self.apply_to_digest(&batch);
             self.known_version = batch.to_version;
             received.new_batches.push(batch);
         }
--- /dev/null
+++ b/crates/direct/src/state_digest.rs
@@ -0,0 +1,104 @@
+//! Digest of a collection of platform objects, by which entries find out whether they
+//! know the same state.
+
+use std::collections::{HashMap, VecDeque};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ChangedObject;
+
+/// Number of earlier digests that are kept. With fifty changes a second, they cover
+/// more than the time for which another entry's digest is on its way.
+const MAX_HISTORY: usize = 256;
+
+/// Digest of the current objects and of recent earlier states.
+///
+/// It doesn't depend on the order of changes: an entry that listed a state and one that
+/// watched every change up to it have the same digest.
+#[derive(Debug, Default)]
+pub(crate) struct StateDigest {
+    /// Version and hash of each object.
+    objects: HashMap<String, (u64, u64)>,
+    /// All hashes combined by exclusive or.
+    current: u64,
+    /// Version from which on the state had a digest, oldest first.
+    history: VecDeque<(u64, u64)>,
+}
+
+impl StateDigest {
+    /// Replaces the state by a list of all objects at a version. Returns what is
+    /// different from before.
+    pub(crate) fn replace(
+        &mut self,
+        version: u64,
+        listed: &[ChangedObject],
+    ) -> Vec<ChangedObject> {
+        let before = std::mem::take(&mut self.objects);
+        self.current = 0;
+        let mut changed = Vec::new();
+        for object in listed {
+            let hash = object_hash(object);
+            self.current ^= hash;
+            let versioned = (object.version, hash);
+            if before.get(&object.key) != Some(&versioned) {
+                changed.push(object.clone());
+            }
+            self.objects.insert(object.key.clone(), versioned);
+        }
+        let deleted = before
+            .into_keys()
+            .filter(|key| !self.objects.contains_key(key));
+        changed.extend(deleted.map(|key| ChangedObject::deleted(key, version)));
+        self.history.clear();
+        self.history.push_back((version, self.current));
+        changed
+    }
+
+    /// Applies one change. The state is known up to `known_version`; a change that it
+    /// includes already has no effect. Some platforms report a deletion with the
+    /// version of the object's last change.
+    pub(crate) fn apply(&mut self, known_version: u64, object: &ChangedObject) {
+        let before = self.objects.get(&object.key).copied();
+        if object.is_deleted() {
+            if before.is_none_or(|(version, _)| object.version < version) {
+                return;
+            }
+            self.objects.remove(&object.key);
+        } else {
+            if object.version <= known_version {
+                return;
+            }
+            let hash = object_hash(object);
+            self.current ^= hash;
+            self.objects
+                .insert(object.key.clone(), (object.version, hash));
+        }
+        self.current ^= before.map_or(0, |(_, hash)| hash);
+        let latest = self.history.back().map_or(0, |(from, _)| *from);
+        self.history
+            .push_back((object.version.max(latest), self.current));
+        if self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    /// Digest of the current state.
+    pub(crate) const fn current(&self) -> u64 {
+        self.current
+    }
+
+    /// Digest of the state at a version up to which all changes are known; `None` if
+    /// it is no longer known.
+    pub(crate) fn at(&self, version: u64) -> Option<u64> {
+        let mut newest_first = self.history.iter().rev();
+        let state = newest_first.find(|(from, _)| *from <= version);
+        state.map(|(_, digest)| *digest)
+    }
+}
+
+fn object_hash(object: &ChangedObject) -> u64 {
+    let mut bytes = Vec::with_capacity(object.key.len() + 16);
+    bytes.extend_from_slice(object.key.as_bytes());
+    bytes.extend_from_slice(&object.version.to_le_bytes());
+    bytes.extend_from_slice(&object.content_hash.to_le_bytes());
+    xxh3_64(&bytes)
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod avoidance;
 mod config;
+mod control_calls;
 mod demand;
 mod fleet;
 mod incarnations;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -35,6 +35,7 @@
 mod log;
 mod options;
 mod orders;
+mod packed_batches;
 mod peers;
 mod platform_watch;
 mod protocol;
@@ -54,12 +55,14 @@
 mod upstream_address;
 mod upstream_rate;
 mod upstream_selection;
+mod usage_report;
 
 pub use clock::BootClock;
 pub use connection::connect;
 pub use events::{Event, EventSplitter, EventTooLarge};
 pub use log::Log;
 pub use options::{DeploymentSettings, Options, StoreKeys};
+pub use packed_batches::{pack_batches, unpack_batches};
 pub use protocol::{
     AdvertisedRate, ControlRequest, DecodeError, PlatformProtocol, RequestHead,
     ResponseHead, UpstreamRequestHead,
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -19,6 +19,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address of the UDP socket for messages between entries.
     pub peer_address: SocketAddr,
+    /// Bandwidth of this machine's link, in megabits per second.
+    pub link_mbps: f64,
     /// Addresses at which other entries may run, for when the platform's list
     /// of entries is not available.
     pub peer_seeds: Vec<SocketAddr>,
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -32,8 +32,8 @@
 /// Interval at which the lease is checked.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Silence of the lease's holder after which this entry reads the lease from
-/// the platform.
+/// Silence of the lease's holder after which an entry that may acquire the
+/// lease reads it from the platform.
 const HOLDER_SILENCE_MS: u64 = 1_500;
 
 /// Sends an order unless the lease has expired in the meantime, and records the
@@ -195,18 +195,21 @@
 /// Returns whether this entry may acquire or renew the lease. During shutdown
 /// it only renews a lease that it holds, until it hands it over.
 fn may_maintain_lease(node: &Node) -> bool {
-    !node.shutdown.is_stopping() || node.lease.lock().token(node.now()).is_some()
+    let now = node.now();
+    if node.lease.lock().token(now).is_some() {
+        return true;
+    }
+    let up_ms = now.ms_since(node.started_at);
+    !node.shutdown.is_stopping() && node.peers.lease_candidate(now, up_ms).may_act()
 }
 
 /// Returns the next step to maintain the lease.
 fn lease_step(node: &Node) -> LeaseStep {
     let now = node.now();
-    let mut lease = node.lease.lock();
-    let holder_alive = lease.holder().is_some_and(|holder| {
-        node.peers.is_heard_within(now, holder, HOLDER_SILENCE_MS)
-            && node.peers.latest_coordinator_token(now, HOLDER_SILENCE_MS) > 0
-    });
-    lease.next_step(now, holder_alive)
+    let holder_alive = node
+        .peers
+        .is_coordinator_heard_within(now, HOLDER_SILENCE_MS);
+    node.lease.lock().next_step(now, holder_alive)
 }
 
 /// Reads the lease from the platform and applies it.
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -18,7 +18,7 @@
 
 use crate::platform_watch::Collection;
 use crate::quota::can_keep_tokens;
-use crate::shared_watch::{outgoing_batches, role};
+use crate::shared_watch::{outgoing_batches, outgoing_claim, role};
 use crate::state::Node;
 use crate::state::peers::{Peers, UNREACHABLE_AFTER_MS};
 use crate::upstream_rate;
@@ -38,11 +38,10 @@
 
 /// Sends messages right away when something changed: to all entries when
 /// upstreams hold something else, an upstream fell silent or a lease renewal is
-/// to be written; only to the coordinator when an adapter is wanted; and only
-/// to this failure domain when the platform reported changes. With many
-/// entries, a message to all of them is a cost for all of them.
+/// to be written, and only to the coordinator when an adapter is wanted. With
+/// many entries, a message to all of them is a cost for all of them.
 ///
-/// Each of the four notifications is retained during the pause, so that a
+/// Each of the three notifications is retained during the pause, so that a
 /// change in that time is sent after it rather than with the next periodic
 /// message.
 pub(crate) async fn announce_changes(node: Arc<Node>, socket: Arc<UdpSocket>) {
@@ -66,25 +65,28 @@
             () = node.peers.announce_now.notified() => {
                 announce_to_all(&node, &socket, Trigger::Change).await;
             }
-            () = node.shared_watches.observed.notified() => {
-                announce_watched(&node, &socket).await;
-            }
         }
         let interval_ms = urgent_message_interval_ms(node.peers.address_count());
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
     }
 }
 
-/// Passes on what this entry's watches observed to its failure domain, if this
-/// entry is a leader.
-async fn announce_watched(node: &Node, socket: &UdpSocket) {
-    if role(node, Collection::Config) == WatchRole::Leader
-        || role(node, Collection::Upstreams) == WatchRole::Leader
-    {
-        let addresses = node
-            .peers
-            .addresses_in_domain(node.now(), &node.options.failure_domain);
-        announce_to(node, socket, addresses, Trigger::PlatformWatch).await;
+/// Passes on what this entry's watches observed to its failure domain whenever
+/// this entry is a leader, forever.
+///
+/// These messages don't wait for other urgent ones, whose pause grows with the
+/// number of all entries: followers watch by themselves when they hear nothing
+/// new for a little longer than the interval of the leader's watches.
+pub(crate) async fn announce_watches(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        let collection = node.shared_watches.observed().await;
+        if role(&node, collection) == WatchRole::Leader {
+            let addresses = node
+                .peers
+                .addresses_in_domain(node.now(), &node.options.failure_domain);
+            let trigger = Trigger::PlatformWatch(collection);
+            announce_to(&node, &socket, addresses, trigger).await;
+        }
     }
 }
 
@@ -135,9 +137,20 @@
     Periodic,
     /// Something changed, possibly the upstreams' holdings.
     Change,
-    /// The platform reported changes, for the followers of this entry's
-    /// watches.
-    PlatformWatch,
+    /// The platform reported changes of a collection, for the followers of this
+    /// entry's watches.
+    PlatformWatch(Collection),
+}
+
+impl Trigger {
+    /// Value of the trigger in metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Periodic => "periodic",
+            Self::Change => "change",
+            Self::PlatformWatch(_) => "platform_watch",
+        }
+    }
 }
 
 /// Builds one message and sends it to all addresses.
@@ -153,11 +166,16 @@
         return;
     }
     let message = build_message(node, audience, trigger).encode_to_vec();
+    let mut sent = 0;
     for address in addresses {
         // A datagram to a peer that is gone is lost; the next message is sent
         // anyway.
         let _ = socket.send_to(&message, address).await;
+        sent += 1;
     }
+    let reason = trigger.as_str();
+    node.metrics
+        .count_peer_messages("sent", reason, sent, message.len());
 }
 
 impl Peers {
@@ -206,7 +224,7 @@
     drop(fleet);
     let peers = node.peers.address_count();
     let watched = |collection| {
-        let is_due = trigger == Trigger::PlatformWatch;
+        let is_due = trigger == Trigger::PlatformWatch(collection);
         is_due.then(|| outgoing_batches(node, collection)).flatten()
     };
     let (demands, wants) = match audience {
@@ -241,6 +259,8 @@
         stopping: node.shutdown.is_stopping(),
         rates,
         upstream_tokens: None,
+        setup_claim: outgoing_claim(node, Collection::Config),
+        upstreams_claim: outgoing_claim(node, Collection::Upstreams),
     }
 }
 
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -10,6 +10,6 @@
 mod receive;
 mod register;
 
-pub(crate) use announce::{announce_changes, announce_periodically};
+pub(crate) use announce::{announce_changes, announce_periodically, announce_watches};
 pub(crate) use receive::receive;
 pub(crate) use register::register;
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -31,6 +31,8 @@
             // lost.
             continue;
         };
+        node.metrics
+            .count_peer_messages("received", "any", 1, length);
         match PeerNews::decode(&buffer[..length]) {
             Ok(message) => match token_message(&message) {
                 Some(tokens) if message.entry != node.peers.own_name => {
@@ -171,6 +173,9 @@
         let now = node.now();
         let mut table = self.table.lock();
         table.addresses.insert(from);
+        if message.giver_token > 0 {
+            table.coordinator_heard_at = Some(now);
+        }
         let known = table.peers.get(&message.entry);
         let newest = known.map(|peer| (peer.started_unix_ms, peer.sequence));
         if newest.is_some_and(|newest| (message.start, message.sequence) <= newest) {
@@ -209,7 +214,11 @@
             shutting_down: message.stopping,
             demand: estimates.collect(),
         };
-        table.peers.insert(message.entry.clone(), state);
+        let is_new = table.peers.insert(message.entry.clone(), state).is_none();
+        drop(table);
+        if is_new {
+            node.update_entry_count();
+        }
         true
     }
 }
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -1,19 +1,28 @@
 //! Finds other entries through the platform's list of entries.
 
 use base::{PlatformOp, PlatformResult, Precondition};
+use direct::WatchRole;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::platform_watch::Collection;
+use crate::shared_watch::role;
 use crate::state::Node;
 use crate::state::peers::Peers;
 use crate::state::unreadable::ObjectKind;
+use crate::upstream_rate;
 
-/// Interval at which the list is read.
+/// Interval at which the list is read by an entry that watches the platform for
+/// itself or for others.
 const LIST_INTERVAL: Duration = Duration::from_secs(8);
 
+/// Interval at which other entries read the list. An entry that starts finds
+/// them in the list and sends them messages, by which they learn of it.
+const FOLLOWER_LIST_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Delay before the list is read again after a failed call, or after this entry
 /// added itself: other entries that start at the same time add themselves as
 /// well.
@@ -45,6 +54,9 @@
     loop {
         let listed = list_entries(&node).await;
         let own = listed.as_ref().and_then(|listed| listed.own_record(&node));
+        if let Some(listed) = listed.as_ref().filter(|_| own.is_some()) {
+            node.peers.table.lock().listed_before = Some(listed.before(&key));
+        }
         let now = node.now();
         if let Some(own) = &own {
             let since = *listed_since.get_or_insert(now);
@@ -56,36 +68,77 @@
         }
         let record = EntryRecord {
             peers: node.options.peer_address,
-            settled: node.workspace_quotas.is_settled.load(Ordering::Relaxed),
+            settled: is_settled(&node) && uses_tokens(&node),
         };
         let is_listed = own.as_ref() == Some(&record);
         let replaced = listed
             .as_ref()
             .is_some_and(|listed| listed.is_unreadable(&key));
+        let exists = listed.as_ref().is_some_and(|listed| listed.contains(&key));
         if listed.is_some()
             && !is_listed
             && (written_settled != Some(record.settled) || replaced)
         {
             // An address and a flag always serialize.
             let value = serde_json::to_vec(&record).unwrap_or_default();
-            let op = PlatformOp::Write {
-                key: key.clone(),
-                precondition: Precondition::Any,
-                value,
-            };
-            let result = node.platform.call(&op).await;
-            let is_written = matches!(result, PlatformResult::Written(_));
+            let is_written = write_record(&node, &key, exists, value).await;
             written_settled = is_written.then_some(record.settled);
         }
-        tokio::time::sleep(list_delay(is_listed, record.settled)).await;
+        let interval = list_interval(&node);
+        tokio::time::sleep(list_delay(is_listed, is_settled(&node), interval)).await;
+    }
+}
+
+/// Returns whether all other entries count this one.
+fn is_settled(node: &Node) -> bool {
+    node.workspace_quotas.is_settled.load(Ordering::Relaxed)
+}
+
+/// Returns whether anything is bounded by tokens that entries share. Otherwise
+/// no later process needs to know whether this one was settled.
+fn uses_tokens(node: &Node) -> bool {
+    let has_workspaces = node
+        .config()
+        .is_some_and(|config| config.directory.is_some());
+    has_workspaces || !upstream_rate::has_no_limits(node)
+}
+
+/// Writes this entry's record; `exists` tells whether the list has one.
+async fn write_record(node: &Node, key: &str, exists: bool, value: Vec<u8>) -> bool {
+    let mut op = PlatformOp::Write {
+        key: key.to_owned(),
+        precondition: if exists {
+            Precondition::Any
+        } else {
+            Precondition::Absent
+        },
+        value,
+    };
+    let mut result = node.platform.call(&op).await;
+    // The list may be old and lack a record that an earlier process wrote.
+    if result == PlatformResult::Conflict
+        && let PlatformOp::Write { precondition, .. } = &mut op
+    {
+        *precondition = Precondition::Any;
+        result = node.platform.call(&op).await;
+    }
+    matches!(result, PlatformResult::Written(_))
+}
+
+/// Returns the interval between two reads of the list by this entry.
+fn list_interval(node: &Node) -> Duration {
+    if role(node, Collection::Upstreams) == WatchRole::Follower {
+        FOLLOWER_LIST_INTERVAL
+    } else {
+        LIST_INTERVAL
     }
 }
 
 /// Returns the time until the list is read again, given whether it has this
 /// entry's current record and whether all other entries count this one.
-fn list_delay(is_listed: bool, settled: bool) -> Duration {
+fn list_delay(is_listed: bool, settled: bool, interval: Duration) -> Duration {
     match (is_listed, settled) {
-        (true, true) => LIST_INTERVAL,
+        (true, true) => interval,
         (true, false) => Duration::from_millis(SETTLED_AFTER_MS),
         (false, _) => LIST_RETRY_DELAY,
     }
@@ -95,11 +148,26 @@
 #[derive(Debug, Default)]
 struct EntryList {
     records: Vec<EntryRecord>,
+    /// Keys of all records.
+    keys: Vec<String>,
     /// Keys of the records that can't be decoded.
     unreadable: Vec<String>,
 }
 
 impl EntryList {
+    /// Returns whether there is a record at a key.
+    fn contains(&self, key: &str) -> bool {
+        self.keys.iter().any(|listed| listed == key)
+    }
+
+    /// Returns the number of records whose keys precede `key`.
+    fn before(&self, key: &str) -> usize {
+        self.keys
+            .iter()
+            .filter(|listed| listed.as_str() < key)
+            .count()
+    }
+
     /// Returns the record with this entry's address.
     fn own_record(&self, node: &Node) -> Option<EntryRecord> {
         let mut records = self.records.iter();
@@ -129,15 +197,15 @@
             Ok(record) => listed.records.push(record),
             Err(reason) => {
                 node.report_unreadable(ObjectKind::Entry, &key, &value, reason);
-                listed.unreadable.push(key);
+                listed.unreadable.push(key.clone());
             }
         }
+        listed.keys.push(key);
     }
     node.unreadable
         .retain(ObjectKind::Entry, |key| listed.is_unreadable(key));
-    let entries = node.peers.set_listed(&listed.records);
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    node.retry_budget.lock().set_entries(entries);
+    node.peers.set_listed(&listed.records);
+    node.update_entry_count();
     Some(listed)
 }
 
@@ -153,14 +221,13 @@
 }
 
 impl Peers {
-    /// Adds the addresses of the listed entries, and returns their number,
-    /// which is at least 1 for this entry.
-    fn set_listed(&self, records: &[EntryRecord]) -> usize {
+    /// Adds the addresses of the listed entries, and sets their number, which
+    /// is at least 1 for this entry.
+    fn set_listed(&self, records: &[EntryRecord]) {
         let mut table = self.table.lock();
         for record in records {
             table.addresses.insert(record.peers);
         }
         table.listed_entries = records.len().max(1);
-        table.listed_entries
     }
 }
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -7,8 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::shared_watch::{wait_for_next_watch, watch_platform};
+use crate::packed_batches::changed_object;
+use crate::shared_watch::{
+    is_covered, wait_for_next_watch, wait_while_covered, watch_platform,
+};
 use crate::state::Node;
+use crate::state::metered_platform::outcome_label;
 use crate::state::unreadable::ObjectKind;
 
 /// Shortest and longest delay after a failed call. Each call adds load to a
@@ -30,7 +34,7 @@
 const UPSTREAM_WATCH_INTERVAL: Duration = Duration::from_millis(800);
 
 /// A collection of platform objects that this entry keeps up to date.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Collection {
     /// The configuration.
     Config,
@@ -70,19 +74,25 @@
     let mut contact = PlatformContact::new(collection);
     let mut relist_delay = RETRY_DELAY_MIN;
     loop {
-        let Some(mut after) = list_once(&node, collection, &mut contact).await else {
+        if !list_once(&node, collection, &mut contact).await {
             contact.back_off().await;
+            wait_while_covered(&node, collection).await;
             continue;
-        };
+        }
         let mut has_watched = false;
-        let mut started_at = node.now();
-        while let Some(to_version) =
-            watch_once(&node, collection, after, &mut contact).await
-        {
-            after = to_version;
-            has_watched = true;
-            wait_for_next_watch(&node, collection, started_at).await;
-            started_at = node.now();
+        loop {
+            let started_at = node.now();
+            let after = node.shared_watches.resume_version(collection);
+            if watch_once(&node, collection, after, &mut contact).await {
+                has_watched = true;
+                wait_for_next_watch(&node, collection, started_at).await;
+            } else if is_covered(&node, collection) {
+                // The platform refuses only this entry. What it misses meanwhile
+                // comes from the leader.
+                wait_while_covered(&node, collection).await;
+            } else {
+                break;
+            }
         }
         relist_delay = if has_watched {
             RETRY_DELAY_MIN
@@ -93,20 +103,18 @@
     }
 }
 
-/// Lists a collection and applies it. Returns the version of the list, or
-/// `None` if the call failed.
+/// Lists a collection and applies it. Returns whether the call succeeded.
 async fn list_once(
     node: &Node,
     collection: Collection,
     contact: &mut PlatformContact,
-) -> Option<ObjectVersion> {
+) -> bool {
     let prefix = collection.prefix(node);
     let result = node.platform.call(&PlatformOp::List { prefix }).await;
-    count_call(node, collection, "list", &result);
     let PlatformResult::Objects(objects, list_version) = result else {
         node.shared_watches.record_failure(collection);
         contact.note_failure(node, &result);
-        return None;
+        return false;
     };
     contact.note_success(node);
     match collection {
@@ -114,35 +122,34 @@
         Collection::Upstreams => replace_upstreams(node, list_version, &objects),
     }
     node.shared_watches
-        .record_list(node.now(), collection, list_version.0);
+        .record_list(node.now(), collection, list_version.0, &objects);
     collection.confirm(node, list_version.0, node.now());
-    Some(list_version)
+    true
 }
 
-/// Waits for changes after a version and applies them. Returns the version up
-/// to which they are known, or `None` if the call failed.
+fn as_changed((key, version, value): Object) -> ChangedObject {
+    changed_object(key, version.0, value)
+}
+
+/// Waits for changes after a version and applies them. Returns whether the call
+/// succeeded.
 async fn watch_once(
+    let objects: Vec<ChangedObject> = objects.into_iter().map(as_changed).collect();
     node: &Node,
     collection: Collection,
     after: ObjectVersion,
     contact: &mut PlatformContact,
-) -> Option<ObjectVersion> {
+) -> bool {
     let prefix = collection.prefix(node);
     let watch = PlatformOp::Watch { prefix, after };
     let result = watch_platform(node, collection, &watch).await;
-    count_call(node, collection, "watch", &result);
     let PlatformResult::Objects(objects, to_version) = result else {
         node.shared_watches.record_failure(collection);
         contact.note_failure(node, &result);
-        return None;
+        return false;
     };
     contact.note_success(node);
-    let objects = objects.into_iter();
-    let objects = objects.map(|(key, version, value)| ChangedObject {
-        key,
-        version: version.0,
-        value,
-    });
+    let objects = objects.into_iter().map(as_changed);
     let batch = WatchBatch {
         after_version: after.0,
         to_version: to_version.0,
@@ -153,7 +160,7 @@
     node.shared_watches
         .record_watch(node.now(), collection, batch);
     collection.confirm(node, to_version.0, node.now());
-    Some(to_version)
+    true
 }
 
 impl Collection {
@@ -243,27 +250,6 @@
     }
 }
 
-const fn outcome_label(result: &PlatformResult) -> &'static str {
-    match result {
-        PlatformResult::Unavailable => "away",
-        PlatformResult::Unanswered => "unanswered",
-        PlatformResult::Conflict => "conflict",
-        _ => "answered",
-    }
-}
-
-/// Counts a call to the platform by its outcome.
-fn count_call(
-    node: &Node,
-    collection: Collection,
-    call: &str,
-    result: &PlatformResult,
-) {
-    let object = format!("{} {call}", collection.as_str());
-    let labels = [object.as_str(), outcome_label(result)];
-    node.metrics.platform_calls.with_label_values(&labels).inc();
-}
-
 /// Puts the newest configuration among the objects into force.
 fn apply_configs(node: &Node, objects: &[Object]) {
     for (key, _, value) in objects {
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -2,15 +2,16 @@
 //! leader watches and passes changes on to the others.
 
 use base::prelude::*;
-use base::{PlatformOp, PlatformResult};
-use direct::{ChangedObject, SharedWatch, WatchBatch, WatchRole};
+use base::{ObjectVersion, PlatformOp, PlatformResult};
+use direct::{ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole};
 use parking_lot::Mutex;
-use schema::peer::{PeerNews, Watched, WatchedBatch, WatchedObject};
+use schema::peer::{PeerNews, Watched};
 use serde_json::json;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::packed_batches::{decode_batch, pack_batches, unpack_batches};
 use crate::platform_watch::{Collection, apply_changes};
 use crate::state::Node;
 
@@ -23,6 +24,16 @@
 /// call; changes in between arrive with the next one.
 const LEADER_WATCH_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Share of its link that a leader may use to pass on changes, between two of its
+/// watches. More than that is left out, and followers watch for it by
+/// themselves.
+const FORWARDING_LINK_SHARE: f64 = 0.5;
+
+/// Largest and smallest limit of the changes in one message. A datagram holds
+/// 64 kB.
+const MAX_PACKED_BYTES: usize = 48 << 10;
+const MIN_PACKED_BYTES: usize = 2 << 10;
+
 /// Longest interval between two checks whether a watch of this entry's own is
 /// due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,8 +43,8 @@
 pub(crate) struct SharedWatches {
     config: Mutex<SharedWatch>,
     upstreams: Mutex<SharedWatch>,
-    /// Notified when there are observations to pass on.
-    pub(crate) observed: Notify,
+    /// Notified when there are observations of each collection to pass on.
+    observed: [Notify; 2],
     /// Notified when a watch of this entry's own is due.
     due: Notify,
     /// The role last logged for each collection.
@@ -55,8 +66,11 @@
         now: Instant,
         collection: Collection,
         version: u64,
+        objects: &[ChangedObject],
     ) {
-        self.watch(collection).lock().on_listed(now, version);
+        let watch = self.watch(collection);
+        watch.lock().on_listed(now, version, objects);
+        self.observed[collection as usize].notify_one();
     }
 
     /// Records that a call of this entry's own failed.
@@ -73,7 +87,26 @@
         batch: WatchBatch,
     ) {
         self.watch(collection).lock().on_watched(now, batch);
-        self.observed.notify_one();
+        self.observed[collection as usize].notify_one();
+    }
+
+    /// Waits until a watch of this entry's own returned something to pass on.
+    pub(crate) async fn observed(&self) -> Collection {
+        let [config, upstreams] = &self.observed;
+        tokio::select! {
+            () = config.notified() => Collection::Config,
+            () = upstreams.notified() => Collection::Upstreams,
+        }
+    }
+
+    /// Returns the version after which this entry's next watch starts.
+    pub(crate) fn resume_version(&self, collection: Collection) -> ObjectVersion {
+        ObjectVersion(self.watch(collection).lock().resume_version())
+    }
+
+    /// Returns whether this entry's own watch would return nothing new now.
+    fn can_skip(&self, now: Instant, collection: Collection) -> bool {
+        self.watch(collection).lock().can_skip_own_watch(now)
     }
 
     /// Returns whether other entries may rely on this entry's watches.
@@ -152,14 +185,26 @@
     }
     loop {
         let due = node.shared_watches.due.notified();
-        let follows = role(node, collection) == WatchRole::Follower;
-        if !follows
-            || !node
-                .shared_watches
-                .watch(collection)
-                .lock()
-                .can_skip_own_watch(node.now())
-        {
+        if !is_covered(node, collection) {
+            return;
+        }
+        // The next iteration checks, whether it was notified or timed out.
+        let _ = timeout(CHECK_INTERVAL, due).await;
+    }
+}
+
+/// Returns whether another entry watches for this one, so that a watch of its
+/// own would return nothing new.
+pub(crate) fn is_covered(node: &Node, collection: Collection) -> bool {
+    role(node, collection) == WatchRole::Follower
+        && node.shared_watches.can_skip(node.now(), collection)
+}
+
+/// Waits as long as another entry watches for this one.
+pub(crate) async fn wait_while_covered(node: &Node, collection: Collection) {
+    loop {
+        let due = node.shared_watches.due.notified();
+        if !is_covered(node, collection) {
             return;
         }
         // The next iteration checks, whether it was notified or timed out.
@@ -169,6 +214,15 @@
 
 /// Handles what another entry's watches observed.
 pub(crate) fn receive(node: &Node, message: &PeerNews) {
+    let claims = [
+        (Collection::Config, &message.setup_claim),
+        (Collection::Upstreams, &message.upstreams_claim),
+    ];
+    for (collection, claim) in claims {
+        if let Some(claim) = claim {
+            receive_claim(node, collection, &message.entry, claim);
+        }
+    }
     if message.domain != node.options.failure_domain {
         return;
     }
@@ -187,7 +241,9 @@
 fn receive_watched(node: &Node, collection: Collection, watched: &Watched) {
     let now = node.now();
     let confirmed_at = now - Duration::from_millis(watched.age_ms);
-    let batches = watched.batches.iter().map(decode_batch).collect();
+    let mut batches: Vec<WatchBatch> =
+        watched.batches.iter().map(decode_batch).collect();
+    batches.extend(unpack_batches(&watched.packed));
     let mut shared = node.shared_watches.watch(collection).lock();
     let received = shared.receive(confirmed_at, batches);
     drop(shared);
@@ -208,41 +264,58 @@
         return None;
     }
     let shared = node.shared_watches.watch(collection).lock();
-    let batches: Vec<WatchedBatch> =
-        shared.outgoing().into_iter().map(encode_batch).collect();
-    let confirmed_at = shared.confirmed_at()?;
+    let (batches, confirmed_at) = (shared.outgoing(), shared.confirmed_at()?);
+    drop(shared);
     Some(Watched {
         age_ms: node.now().ms_since(confirmed_at),
-        batches,
+        batches: Vec::new(),
+        packed: pack_batches(&batches, max_packed_bytes(node)),
     })
 }
 
-fn decode_batch(sent: &WatchedBatch) -> WatchBatch {
-    let objects = sent.objects.iter();
-    let objects = objects.map(|object| ChangedObject {
-        key: object.key.clone(),
-        version: object.version,
-        value: object.value.clone(),
-    });
-    WatchBatch {
-        after_version: sent.after,
-        to_version: sent.at,
-        objects: objects.collect(),
-        is_partial: sent.is_partial,
-    }
+/// Returns the largest size of the changes in one message, which is sent to each
+/// entry of this failure domain.
+fn max_packed_bytes(node: &Node) -> usize {
+    let domain = &node.options.failure_domain;
+    let followers = node.peers.addresses_in_domain(node.now(), domain).len();
+    let link_bytes_per_s = node.options.link_mbps * 1e6 / 8.0;
+    let interval_s = LEADER_WATCH_INTERVAL.as_secs_f64();
+    let bytes = link_bytes_per_s * FORWARDING_LINK_SHARE * interval_s;
+    let bytes = bytes / followers.max(1) as f64;
+    (bytes as usize).clamp(MIN_PACKED_BYTES, MAX_PACKED_BYTES)
 }
 
-fn encode_batch(batch: WatchBatch) -> WatchedBatch {
-    let objects = batch.objects.into_iter();
-    let objects = objects.map(|object| WatchedObject {
-        key: object.key,
-        version: object.version,
-        value: object.value,
-    });
-    WatchedBatch {
-        after: batch.after_version,
-        at: batch.to_version,
-        objects: objects.collect(),
-        is_partial: batch.is_partial,
+/// Returns what this entry says about the state that its own watches returned;
+/// `None` if it relies on another entry's.
+pub(crate) fn outgoing_claim(
+    node: &Node,
+    collection: Collection,
+) -> Option<schema::peer::WatchClaim> {
+    if role(node, collection) == WatchRole::Follower {
+        return None;
     }
+    let shared = node.shared_watches.watch(collection).lock();
+    let (claim, confirmed_at) = (shared.claim()?, shared.confirmed_at()?);
+    Some(schema::peer::WatchClaim {
+        version: claim.version,
+        digest: claim.digest,
+        age_ms: node.now().ms_since(confirmed_at),
+    })
+}
+
+/// Compares another entry's claim with what this one knows.
+fn receive_claim(
+    node: &Node,
+    collection: Collection,
+    entry: &str,
+    claim: &schema::peer::WatchClaim,
+) {
+    let now = node.now();
+    let confirmed_at = now - Duration::from_millis(claim.age_ms);
+    let claim = WatchClaim {
+        version: claim.version,
+        digest: claim.digest,
+    };
+    let mut shared = node.shared_watches.watch(collection).lock();
+    shared.on_claim(now, entry, confirmed_at, claim);
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -19,6 +19,7 @@
 use crate::shutdown::shut_down;
 use crate::state::Node;
 use crate::state_monitor::monitor_state;
+use crate::usage_report::report_usage;
 use crate::{Log, Options, PlatformProtocol, readiness, server, upstream_rate};
 
 /// Interval at which expired state is removed.
@@ -87,13 +88,15 @@
     tokio::spawn(peers::register(shared()));
     tokio::spawn(peers::receive(shared(), Arc::clone(&socket)));
     tokio::spawn(peers::announce_periodically(shared(), Arc::clone(&socket)));
-    tokio::spawn(peers::announce_changes(shared(), socket));
+    tokio::spawn(peers::announce_changes(shared(), Arc::clone(&socket)));
+    tokio::spawn(peers::announce_watches(shared(), socket));
     tokio::spawn(feed_keepers(shared(), Scope::Workspaces));
     tokio::spawn(feed_keepers(shared(), Scope::Upstreams));
     tokio::spawn(maintain_lease(shared()));
     tokio::spawn(coordinate(shared()));
     tokio::spawn(sweep(shared()));
     tokio::spawn(monitor_state(shared()));
+    tokio::spawn(report_usage(shared()));
     let flushed_log = node.log.clone();
     tokio::spawn(async move { flushed_log.flush_periodically().await });
     Ok(EntryServer { node, accept_task })
--- /dev/null
+++ b/crates/front/src/state/metered_platform.rs
@@ -0,0 +1,112 @@
+//! The platform's object API, with all calls counted.
+
+use base::{ObjectVersion, PlatformOp, PlatformResult};
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use plat::ObjectApi;
+use prometheus::IntCounterVec;
+use std::time::Duration;
+
+use crate::StoreKeys;
+
+/// The platform's object API, with all calls counted by object, operation and
+/// outcome.
+#[derive(Debug)]
+pub(crate) struct MeteredPlatform {
+    platform: Box<dyn ObjectApi>,
+    keys: StoreKeys,
+    calls: IntCounterVec,
+}
+
+impl MeteredPlatform {
+    pub(crate) fn new(
+        platform: Box<dyn ObjectApi>,
+        keys: StoreKeys,
+        calls: IntCounterVec,
+    ) -> Self {
+        Self {
+            platform,
+            keys,
+            calls,
+        }
+    }
+
+    fn count(&self, key: &str, operation: &str, result: &PlatformResult) {
+        let call = format!("{} {operation}", self.object_name(key));
+        let labels = [call.as_str(), outcome_label(result)];
+        self.calls.with_label_values(&labels).inc();
+    }
+
+    /// Returns the name of an object or a collection in metrics, by its key or
+    /// prefix.
+    fn object_name(&self, key: &str) -> &'static str {
+        let keys = &self.keys;
+        if key == keys.lease {
+            "lease"
+        } else if key.starts_with(&keys.entry_prefix) {
+            "entries"
+        } else if key.starts_with(&keys.upstream_prefix) {
+            "upstreams"
+        } else {
+            "setup"
+        }
+    }
+}
+
+impl ObjectApi for MeteredPlatform {
+    fn call<'a>(&'a self, op: &'a PlatformOp) -> BoxFuture<'a, PlatformResult> {
+        async move {
+            let result = self.platform.call(op).await;
+            let (key, operation) = match op {
+                PlatformOp::Read { key } => (key, "read"),
+                PlatformOp::List { prefix } => (prefix, "list"),
+                PlatformOp::Write { key, .. } => (key, "write"),
+                PlatformOp::Delete { key, .. } => (key, "delete"),
+                PlatformOp::Watch { prefix, .. } => (prefix, "watch"),
+            };
+            self.count(key, operation, &result);
+            result
+        }
+        .boxed()
+    }
+
+    fn list_allow_stale(&self, prefix: String) -> BoxFuture<'_, PlatformResult> {
+        async move {
+            let result = self.platform.list_allow_stale(prefix.clone()).await;
+            self.count(&prefix, "stale list", &result);
+            result
+        }
+        .boxed()
+    }
+
+    fn watch_with_timeout(
+        &self,
+        prefix: String,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> BoxFuture<'_, PlatformResult> {
+        async move {
+            let watch = self
+                .platform
+                .watch_with_timeout(prefix.clone(), after, wait);
+            let result = watch.await;
+            self.count(&prefix, "leader watch", &result);
+            result
+        }
+        .boxed()
+    }
+
+    fn requests_sent(&self) -> u64 {
+        self.platform.requests_sent()
+    }
+}
+
+/// Returns the name of an outcome in logs and metrics.
+pub(crate) const fn outcome_label(result: &PlatformResult) -> &'static str {
+    match result {
+        PlatformResult::Unavailable => "away",
+        PlatformResult::Unanswered => "unanswered",
+        PlatformResult::Conflict => "conflict",
+        _ => "answered",
+    }
+}
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -30,6 +30,10 @@
     pub(crate) orders: IntCounterVec,
     /// Calls to the platform, by object and outcome.
     pub(crate) platform_calls: IntCounterVec,
+    /// Messages between entries, by direction and reason.
+    pub(crate) peer_messages: IntCounterVec,
+    /// Bytes of these messages.
+    pub(crate) peer_bytes: IntCounterVec,
     /// Objects that can't be decoded, by kind, counted once per change.
     pub(crate) unreadable: IntCounterVec,
     /// Upstreams that began to be avoided, by reason.
@@ -81,6 +85,16 @@
             "Calls to the platform",
             &["object", "outcome"],
         );
+        let peer_messages = counter(
+            "sesame_front_peer_messages_total",
+            "Messages between entries",
+            &["direction", "reason"],
+        );
+        let peer_bytes = counter(
+            "sesame_front_peer_bytes_total",
+            "Bytes of messages between entries",
+            &["direction", "reason"],
+        );
         let unreadable = counter(
             "sesame_front_unread_total",
             "Objects that could not be read, once for each change",
@@ -141,6 +155,8 @@
             attempts,
             orders,
             platform_calls,
+            peer_messages,
+            peer_bytes,
             unreadable,
             avoided,
             suspended_s,
@@ -150,6 +166,22 @@
         }
     }
 
+    /// Counts messages between entries of `bytes` bytes each.
+    pub(crate) fn count_peer_messages(
+        &self,
+        direction: &str,
+        reason: &str,
+        messages: u64,
+        bytes: usize,
+    ) {
+        let labels = [direction, reason];
+        self.peer_messages
+            .with_label_values(&labels)
+            .inc_by(messages);
+        let bytes = messages * bytes as u64;
+        self.peer_bytes.with_label_values(&labels).inc_by(bytes);
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new()
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod coordinator;
 pub(crate) mod lease_relay;
 pub(crate) mod managed_upstream;
+pub(crate) mod metered_platform;
 mod metrics;
 mod node;
 pub(crate) mod peers;
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -24,6 +24,7 @@
 use super::lease_relay::LeaseRelay;
 use super::metrics::Metrics;
 use super::peers::Peers;
+use super::metered_platform::MeteredPlatform;
 use super::quota::Quotas;
 use super::shutdown::Shutdown;
 use super::unreadable::{ObjectKind, UnreadableObjects, truncated};
@@ -122,14 +123,20 @@
         );
         Self {
             protocol,
-            platform,
+            platform: Box::new(MeteredPlatform::new(
+                platform,
+                options.keys.clone(),
+                calls,
+            )),
             clock: BootClock,
             log,
-            metrics: Metrics::new(),
+            metrics,
             connections: ConnectionPool::default(),
             started_unix_ms,
             started_at: BootClock.now(),
             config: Mutex::default(),
+        let metrics = Metrics::new();
+        let calls = metrics.platform_calls.clone();
             fleet: Mutex::default(),
             avoidance: Mutex::default(),
             fleet_watermark: Mutex::default(),
@@ -222,6 +229,13 @@
     pub(crate) fn report_unreadable(
         &self,
         kind: ObjectKind,
+    /// Applies the number of entries that share the retry budget. An entry that
+    /// counts fewer than there are would use more than its part.
+    pub(crate) fn update_entry_count(&self) {
+        let entries = u32::try_from(self.peers.entry_count()).unwrap_or(u32::MAX);
+        self.retry_budget.lock().set_entries(entries);
+    }
+
         key: &str,
         value: &[u8],
         why: impl Display,
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -1,7 +1,7 @@
 //! State about the other entries.
 
 use base::prelude::*;
-use direct::{DemandEstimate, PeerEntry, has_successor};
+use direct::{DemandEstimate, LeaseCandidate, PeerEntry, has_successor};
 use parking_lot::Mutex;
 use quota::select_keeper;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -48,6 +48,11 @@
     pub(crate) periodic_rounds: u64,
     /// Number of entries in the platform's list.
     pub(crate) listed_entries: usize,
+    /// Number of entries in the platform's list that precede this one by name;
+    /// `None` as long as the list does not contain this entry.
+    pub(crate) listed_before: Option<usize>,
+    /// When a message of a coordinator was last received.
+    pub(crate) coordinator_heard_at: Option<Instant>,
 }
 
 /// One other entry.
@@ -101,11 +106,27 @@
         }
     }
 
-    /// Returns whether an entry was heard from within `ms`.
-    pub(crate) fn is_heard_within(&self, now: Instant, entry: &str, ms: u64) -> bool {
+    /// Returns whether a coordinator was heard from within `ms`.
+    pub(crate) fn is_coordinator_heard_within(&self, now: Instant, ms: u64) -> bool {
+        let heard_at = self.table.lock().coordinator_heard_at;
+        heard_at.is_some_and(|heard_at| now.ms_since(heard_at) < ms)
+    }
+
+    /// Returns what this entry, whose process has run for `up_ms`, knows about
+    /// the others that could hold the lease.
+    pub(crate) fn lease_candidate(&self, now: Instant, up_ms: u64) -> LeaseCandidate {
         let table = self.table.lock();
-        let peer = table.peers.get(entry);
-        peer.is_some_and(|peer| now.ms_since(peer.heard_at) < ms)
+        let before = table.live_peers(now).filter(|(name, peer)| {
+            peer.watch_works && !peer.shutting_down && **name < self.own_name
+        });
+        LeaseCandidate {
+            live_before: before.count(),
+            listed_before: table.listed_before,
+            up_ms,
+            holder_silent_ms: table
+                .coordinator_heard_at
+                .map(|heard_at| now.ms_since(heard_at)),
+        }
     }
 
     /// Returns the entries that have fallen silent since the last call, with
@@ -233,15 +254,4 @@
             .max_by_key(|peer| peer.coordinator_token)
             .map(|peer| peer.address)
     }
-
-    /// Returns the highest fencing token of a coordinator that was heard from
-    /// within `ms`.
-    pub(crate) fn latest_coordinator_token(&self, now: Instant, ms: u64) -> u64 {
-        let table = self.table.lock();
-        let live = table
-            .peers
-            .values()
-            .filter(|peer| now.ms_since(peer.heard_at) < ms);
-        live.map(|peer| peer.coordinator_token).max().unwrap_or(0)
-    }
 }
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -132,7 +132,7 @@
 }
 
 /// Returns whether no upstream advertises a rate.
-fn has_no_limits(node: &Node) -> bool {
+pub(crate) fn has_no_limits(node: &Node) -> bool {
     node.quotas(Scope::Upstreams).pools.lock().is_empty()
 }
 
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod events;
 mod log;
+mod packed_batches;
--- a/crates/plat/src/object_api.rs
+++ b/crates/plat/src/object_api.rs
@@ -34,3 +34,10 @@
         async move { self.call(&PlatformOp::Watch { prefix, after }).await }.boxed()
     }
 }
+
+    /// Number of requests sent to the platform so far. An operation may take
+    /// several, such as the pages of a list. Implementations that don't count them
+    /// return 0.
+    fn requests_sent(&self) -> u64 {
+        0
+    }
