front: a start costs the platform a list for each group, and holds its callers

The platform's link is busy with it for 1.7 s: a configuration came after 0.8 s in the median and 2.0 s at most, the first answer after 2.4 s, and 1,254 requests were refused for good by processes that were back. Then entries did not know one another for up to 13 s: addresses that were never heard got a message in one of ten rounds of 1.35 s, so each watched the platform for itself (10.8 watches in 10 s).

Change: - start_sources: groups of nine by the list of entries; one lists, the others ask it, then another group's, and list after 1.2 s without an answer. Such a state is verified by two claims within 15 s or listed, and not passed on before. - Pages of a first list are applied as they arrive; an entry is ready with the first one. - A request before the first configuration waits for it, a quarter of its deadline and 1 s at most, in the first 3 s of a process. - New addresses get the next two rounds of messages. - A peer is silent after two lost messages, not one: at 384 entries each wrote some ten peer_lost and peer_heard lines a second. The leader of the watches is given up as before. - Fleet::apply_list compared each known upstream with all listed ones. - An entry that the platform refuses, and for which another watches, tries again each 5 s: it never did at first, and two of three entries then shared no watch (found by all_entries_learn_of_changes_after_an_outage).

Tests: start_source, starts, and a_state_from_another_entry_is_listed_unless_others_confirm_it.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::{Config, ResidentModel, UpstreamIncarnation, UpstreamRecord};
@@ -70,6 +70,15 @@
         self.platform_returned_at = Some(now);
     }
 
+    /// Applies a page of the first list. Requests can be sent to these upstreams while
+    /// the other pages are on their way.
+    pub fn apply_page(&mut self, listed: Vec<(u64, UpstreamRecord)>) {
+        for (version, record) in listed {
+            self.apply_record(version, record);
+        }
+        self.update_missing_start_times();
+    }
+
     /// Applies the complete list at `list_version`. Upstreams missing from it are gone.
     pub fn apply_list(
         &mut self,
@@ -77,7 +86,7 @@
         list_version: u64,
         listed: Vec<(u64, UpstreamRecord)>,
     ) {
-        let listed_ids: Vec<Arc<str>> = listed
+        let listed_ids: HashSet<Arc<str>> = listed
             .iter()
             .map(|(_, record)| Arc::clone(&record.id))
             .collect();
@@ -88,7 +97,7 @@
         let missing: Vec<Arc<str>> = self
             .upstreams
             .keys()
-            .filter(|id| !listed_ids.contains(id))
+            .filter(|id| !listed_ids.contains(*id))
             .cloned()
             .collect();
         for id in missing {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,7 +23,8 @@
 //!   holds. [`LoadPlanner`] decides which models are loaded where, and
 //!   [`AdapterPlanner`] which adapters.
 //! - [`SharedWatch`] lets one entry watch the platform for its whole failure domain, and
-//!   compares the result with that of the others.
+//!   compares the result with that of the others. [`start_sources`] tells from where an
+//!   entry that starts gets its first state.
 //!   [`peer_message_interval_ms`] and its neighbours set how often entries message one
 //!   another and how much a message holds.
 //!
@@ -66,6 +67,7 @@
 mod retry_budget;
 mod select;
 mod shared_watch;
+mod start_source;
 mod state_digest;
 mod successor;
 mod takeover;
@@ -95,7 +97,7 @@
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use peer_messages::{
     HOLDINGS_RESEND_MS, holdings_message_count, peer_message_interval_ms,
-    suspects_per_message, urgent_message_interval_ms,
+    peer_timeout_ms, suspects_per_message, urgent_message_interval_ms,
 };
 pub use prefill::{PRIORITY_LEVELS, PrefillQueue};
 pub use records::{
@@ -106,7 +108,9 @@
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
     ChangedObject, ReceivedBatches, SharedWatch, WatchBatch, WatchClaim, WatchRole,
+    WatchSnapshot,
 };
+pub use start_source::start_sources;
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
--- a/crates/direct/src/peer_messages.rs
+++ b/crates/direct/src/peer_messages.rs
@@ -19,6 +19,12 @@
 /// s. With more than about 300 peers this interval costs more than [`MESSAGES_PER_S`].
 const MAX_INTERVAL_MS: u64 = 1_350;
 
+/// Minimum silence after which a peer no longer counts as alive.
+const MIN_PEER_TIMEOUT_MS: u64 = 1_500;
+
+/// Time that a message may be late, because of the sender's or the receiver's processor.
+const MESSAGE_DELAY_MS: u64 = 300;
+
 /// Minimum interval between two urgent messages, and its growth per peer. However many
 /// peers there are, this is at most 500 such messages per second. At 1 kB each, the
 /// size when four upstreams change at a time, they take two fifths of the smallest
@@ -47,6 +53,13 @@
     interval_ms.clamp(MIN_INTERVAL_MS, MAX_INTERVAL_MS)
 }
 
+/// Silence after which one of `peers` peers no longer counts as alive. One of its
+/// messages may be lost.
+pub fn peer_timeout_ms(peers: usize) -> u64 {
+    let two_intervals_ms = 2 * peer_message_interval_ms(peers);
+    (two_intervals_ms + MESSAGE_DELAY_MS).max(MIN_PEER_TIMEOUT_MS)
+}
+
 /// Interval between two urgent messages to each of `peers` peers.
 pub fn urgent_message_interval_ms(peers: usize) -> u64 {
     let interval_ms = peers as u64 * URGENT_INTERVAL_PER_PEER_MS;
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -94,6 +94,17 @@
     }
 }
 
+/// The state that an entry passes on to one that starts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchSnapshot {
+    /// Version up to which all changes are known.
+    pub version: u64,
+    /// When the platform confirmed the state, to this entry or to its leader.
+    pub confirmed_at: Instant,
+    /// All objects.
+    pub objects: Vec<ChangedObject>,
+}
+
 /// What an entry that watches by itself says about the state that it saw.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchClaim {
@@ -159,6 +170,9 @@
     own_call_at: Option<Instant>,
     own_version: u64,
     is_working: bool,
+    /// When the state was received from another entry, if neither a list nor the
+    /// claims of others have verified it since.
+    unverified_since: Option<Instant>,
     digest: StateDigest,
     /// The latest claims that agreed with the known state, one of each entry, oldest
     /// first.
@@ -179,8 +193,8 @@
     /// What the list changed is forwarded like the result of a watch. Otherwise each
     /// receiver would have to list as well when the platform has dropped its history.
     pub fn on_listed(&mut self, now: Instant, version: u64, objects: &[ChangedObject]) {
-        let (after_version, is_first) =
-            (self.known_version, self.own_call_at.is_none());
+        let (after_version, is_first) = (self.known_version, !self.has_state());
+        self.unverified_since = None;
         let changed = self.digest.replace(version, objects);
         self.recent_batches.clear();
         self.on_confirmed(now, version);
@@ -194,6 +208,46 @@
         }
     }
 
+    /// Handles the state that another entry passed on when this one started. It has to
+    /// be verified within the same time as any other message.
+    pub fn on_snapshot(
+        &mut self,
+        now: Instant,
+        confirmed_at: Instant,
+        version: u64,
+        objects: &[ChangedObject],
+    ) {
+        self.digest.replace(version, objects);
+        self.known_version = version;
+        self.own_version = version;
+        self.received_at = Some(confirmed_at);
+        self.unverified_since = Some(now);
+    }
+
+    /// The state to pass on to an entry that starts; `None` if it isn't known.
+    pub fn snapshot(&self) -> Option<WatchSnapshot> {
+        if !self.has_state() || self.unverified_since.is_some() {
+            return None;
+        }
+        Some(WatchSnapshot {
+            version: self.known_version,
+            confirmed_at: self.received_at.max(self.own_call_at)?,
+            objects: self.digest.objects().cloned().collect(),
+        })
+    }
+
+    /// Whether the state has to be listed, because it came from another entry and
+    /// nothing has verified it in time.
+    pub fn needs_list(&self, now: Instant) -> bool {
+        self.unverified_since
+            .is_some_and(|since| now.ms_since(since) >= VERIFY_INTERVAL_MS)
+    }
+
+    /// Whether any state is known.
+    const fn has_state(&self) -> bool {
+        self.own_call_at.is_some() || self.unverified_since.is_some()
+    }
+
     /// Handles the answer to an own watch. Its batch is kept for forwarding.
     pub fn on_watched(&mut self, now: Instant, batch: WatchBatch) {
         self.apply_to_digest(&batch);
@@ -255,8 +309,13 @@
             at.is_some_and(|at| now.ms_since(at) < age_max_ms)
         };
         let verified_at = self.verified().map(|(at, _)| at);
+        // An own watch verifies changes, but not the state from which it starts.
+        let verified_at = match self.unverified_since {
+            Some(since) => Some(since),
+            None => self.own_call_at.max(verified_at),
+        };
         is_recent(self.received_at, RECEIVED_MAX_AGE_MS)
-            && is_recent(self.own_call_at.max(verified_at), VERIFY_INTERVAL_MS)
+            && is_recent(verified_at, VERIFY_INTERVAL_MS)
             && !self.needs_own_watch
     }
 
@@ -270,7 +329,8 @@
     /// What this entry says about the state that it knows; `None` before its first own
     /// call.
     pub fn claim(&self) -> Option<WatchClaim> {
-        self.own_call_at.map(|_| WatchClaim {
+        let is_verified = self.own_call_at.is_some() && self.unverified_since.is_none();
+        is_verified.then(|| WatchClaim {
             version: self.known_version,
             digest: self.digest.current(),
         })
@@ -288,7 +348,7 @@
         confirmed_at: Instant,
         claim: WatchClaim,
     ) {
-        if self.own_call_at.is_none() {
+        if !self.has_state() {
             return;
         }
         let agrees = if claim.version >= self.known_version {
@@ -317,6 +377,9 @@
         if self.verifications.len() > VERIFYING_ENTRIES {
             self.verifications.pop_front();
         }
+        if self.verified().is_some() {
+            self.unverified_since = None;
+        }
     }
 
     /// When enough other entries had last agreed with the known state, and the version
--- a/crates/direct/src/state_digest.rs
+++ b/crates/direct/src/state_digest.rs
@@ -16,8 +16,8 @@
 /// watched every change up to it have the same digest.
 #[derive(Debug, Default)]
 pub(crate) struct StateDigest {
-    /// Version and hash of each object.
-    objects: HashMap<String, (u64, u64)>,
+    /// Each object with its hash.
+    objects: HashMap<String, (u64, ChangedObject)>,
     /// All hashes combined by exclusive or.
     current: u64,
     /// Version from which on the state had a digest, oldest first.
@@ -38,11 +38,11 @@
         for object in listed {
             let hash = object_hash(object);
             self.current ^= hash;
-            let versioned = (object.version, hash);
-            if before.get(&object.key) != Some(&versioned) {
+            if before.get(&object.key).map(|(hash, _)| *hash) != Some(hash) {
                 changed.push(object.clone());
             }
-            self.objects.insert(object.key.clone(), versioned);
+            self.objects
+                .insert(object.key.clone(), (hash, object.clone()));
         }
         let deleted = before
             .into_keys()
@@ -57,9 +57,10 @@
     /// includes already has no effect. Some platforms report a deletion with the
     /// version of the object's last change.
     pub(crate) fn apply(&mut self, known_version: u64, object: &ChangedObject) {
-        let before = self.objects.get(&object.key).copied();
+        let before = self.objects.get(&object.key);
+        let before_hash = before.map_or(0, |(hash, _)| *hash);
         if object.is_deleted() {
-            if before.is_none_or(|(version, _)| object.version < version) {
+            if before.is_none_or(|(_, before)| object.version < before.version) {
                 return;
             }
             self.objects.remove(&object.key);
@@ -70,9 +71,9 @@
             let hash = object_hash(object);
             self.current ^= hash;
             self.objects
-                .insert(object.key.clone(), (object.version, hash));
+                .insert(object.key.clone(), (hash, object.clone()));
         }
-        self.current ^= before.map_or(0, |(_, hash)| hash);
+        self.current ^= before_hash;
         let latest = self.history.back().map_or(0, |(from, _)| *from);
         self.history
             .push_back((object.version.max(latest), self.current));
@@ -81,6 +82,11 @@
         }
     }
 
+    /// All objects, in no particular order.
+    pub(crate) fn objects(&self) -> impl Iterator<Item = &ChangedObject> {
+        self.objects.values().map(|(_, object)| object)
+    }
+
     /// Digest of the current state.
     pub(crate) const fn current(&self) -> u64 {
         self.current
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod retry_budget;
 mod select;
 mod shared_watch;
+mod start_source;
 mod successor;
 mod support;
 mod takeover;
--- a/crates/direct/tests/all/peer_messages.rs
+++ b/crates/direct/tests/all/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use direct::{
     HOLDINGS_RESEND_MS, holdings_message_count, peer_message_interval_ms,
-    suspects_per_message, urgent_message_interval_ms,
+    peer_timeout_ms, suspects_per_message, urgent_message_interval_ms,
 };
 
 /// A peer counts as silent after 1.5 s. With longer intervals, entries would ignore one
@@ -14,6 +14,22 @@
     }
 }
 
+/// Guards against peers that are counted as lost and found again whenever one message
+/// is lost: with hundreds of entries, each entry wrote dozens of such lines a second, and
+/// demand and keepers changed with them.
+#[test]
+fn one_lost_message_does_not_make_a_peer_silent() {
+    for peers in 0..3_000 {
+        let timeout_ms = peer_timeout_ms(peers);
+        assert!(timeout_ms > 2 * peer_message_interval_ms(peers), "{peers}");
+        assert!(
+            (1_500..=3_000).contains(&timeout_ms),
+            "{peers}: {timeout_ms}"
+        );
+    }
+    assert_eq!(peer_timeout_ms(67), 1_500);
+}
+
 /// A change of which both messages were lost is repaired within seconds.
 #[test]
 fn holdings_are_resent_within_their_interval() {
--- a/crates/direct/tests/all/shared_watch.rs
+++ b/crates/direct/tests/all/shared_watch.rs
@@ -361,3 +361,28 @@
         Ok(())
     });
 }
+
+/// Guards against a forged or incomplete state at a start, of which no later watch
+/// would show what is missing: it has to be listed unless two others confirm it.
+#[test]
+fn a_state_from_another_entry_is_listed_unless_others_confirm_it() {
+    let objects = [changed("servers/1", 5, 1), changed("servers/2", 9, 1)];
+    let mut true_state = SharedWatch::new();
+    true_state.on_listed(at(0), 10, &objects);
+    let mut confirmed = SharedWatch::new();
+    confirmed.on_snapshot(at(0), at(0), 10, &objects);
+    let mut incomplete = SharedWatch::new();
+    incomplete.on_snapshot(at(0), at(0), 10, &objects[..1]);
+    for started in [&mut confirmed, &mut incomplete] {
+        assert_eq!(started.claim(), None, "it vouches for nothing yet");
+        assert_eq!(started.snapshot(), None);
+        started.on_watched(at(500), batch(10, 10));
+        assert!(!started.needs_list(at(500)));
+        started.on_claim(at(600), "one", at(600), claim(&true_state));
+        started.on_claim(at(700), "two", at(700), claim(&true_state));
+    }
+    assert!(!confirmed.needs_list(at(16_000)));
+    assert_eq!(confirmed.claim(), true_state.claim());
+    assert!(incomplete.needs_list(at(16_000)));
+    assert!(!incomplete.can_skip_own_watch(at(16_000)));
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -48,6 +48,7 @@
 mod shared_watch;
 mod shutdown;
 mod start;
+mod start_state;
 mod state;
 mod state_monitor;
 mod stream;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -188,9 +188,11 @@
     fn addresses_due(&self, now: Instant) -> Vec<SocketAddr> {
         let mut table = self.table.lock();
         table.message_rounds += 1;
-        let include_unreachable = table
-            .message_rounds
-            .is_multiple_of(UNREACHABLE_ROUND_INTERVAL);
+        let include_unreachable = table.rounds_to_all > 0
+            || table
+                .message_rounds
+                .is_multiple_of(UNREACHABLE_ROUND_INTERVAL);
+        table.rounds_to_all = table.rounds_to_all.saturating_sub(1);
         let live: BTreeSet<SocketAddr> = table
             .peers
             .values()
@@ -261,6 +263,8 @@
         upstream_tokens: None,
         setup_claim: outgoing_claim(node, Collection::Config),
         upstreams_claim: outgoing_claim(node, Collection::Upstreams),
+        state_ask: None,
+        state_part: None,
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -14,6 +14,7 @@
 use crate::lease_relay::{receive_confirmation, receive_request};
 use crate::quota::{self, Scope};
 use crate::shared_watch;
+use crate::start_state;
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wanted_adapters::WantedAdapter;
@@ -34,6 +35,7 @@
         node.metrics
             .count_peer_messages("received", "any", 1, length);
         match PeerNews::decode(&buffer[..length]) {
+            Ok(message) if start_state::receive(&node, from, &message).await => {}
             Ok(message) => match token_message(&message) {
                 Some(tokens) if message.entry != node.peers.own_name => {
                     quota::receive(&node, &socket, from, &message, tokens).await;
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -3,6 +3,7 @@
 use base::{PlatformOp, PlatformResult, Precondition};
 use direct::WatchRole;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,10 @@
 /// well.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Number of message rounds that include addresses that are new in the list. The
+/// first message may be lost.
+const NEW_ADDRESS_ROUNDS: u64 = 2;
+
 /// Time after which all other entries count an entry that is in the list. Most
 /// learn of it within two seconds; those that its messages don't reach read the
 /// list every eight seconds.
@@ -42,6 +47,9 @@
     /// it.
     #[serde(default)]
     settled: bool,
+    /// Failure domain of the entry.
+    #[serde(default)]
+    domain: String,
 }
 
 /// Keeps this entry's record in the platform up to date and reads those of the
@@ -54,8 +62,17 @@
     loop {
         let listed = list_entries(&node).await;
         let own = listed.as_ref().and_then(|listed| listed.own_record(&node));
-        if let Some(listed) = listed.as_ref().filter(|_| own.is_some()) {
-            node.peers.table.lock().listed_before = Some(listed.before(&key));
+        if let Some(listed) = &listed {
+            if listed.contains(&key) {
+                node.peers.table.lock().listed_before = Some(listed.before(&key));
+            }
+            let mut domain_entries = listed.domain_entries(&node);
+            // A list without any entry may be of a time before all of them started.
+            if !domain_entries.is_empty() {
+                let own_address = node.options.peer_address;
+                domain_entries.insert(node.options.entry.clone(), own_address);
+                node.start_state.set_domain_entries(domain_entries);
+            }
         }
         let now = node.now();
         if let Some(own) = &own {
@@ -69,6 +86,7 @@
         let record = EntryRecord {
             peers: node.options.peer_address,
             settled: is_settled(&node) && uses_tokens(&node),
+            domain: node.options.failure_domain.clone(),
         };
         let is_listed = own.as_ref() == Some(&record);
         let replaced = listed
@@ -147,7 +165,8 @@
 /// The platform's list of entries.
 #[derive(Debug, Default)]
 struct EntryList {
-    records: Vec<EntryRecord>,
+    /// Records with their keys.
+    records: Vec<(String, EntryRecord)>,
     /// Keys of all records.
     keys: Vec<String>,
     /// Keys of the records that can't be decoded.
@@ -155,6 +174,20 @@
 }
 
 impl EntryList {
+    /// Returns the names and addresses of the entries of this failure domain.
+    fn domain_entries(&self, node: &Node) -> BTreeMap<String, SocketAddr> {
+        let prefix = &node.options.keys.entry_prefix;
+        let same_domain = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.domain == node.options.failure_domain);
+        let entries = same_domain.filter_map(|(key, record)| {
+            let name = key.strip_prefix(prefix.as_str())?;
+            Some((name.to_owned(), record.peers))
+        });
+        entries.collect()
+    }
+
     /// Returns whether there is a record at a key.
     fn contains(&self, key: &str) -> bool {
         self.keys.iter().any(|listed| listed == key)
@@ -170,7 +203,7 @@
 
     /// Returns the record with this entry's address.
     fn own_record(&self, node: &Node) -> Option<EntryRecord> {
-        let mut records = self.records.iter();
+        let mut records = self.records.iter().map(|(_, record)| record);
         records
             .find(|record| record.peers == node.options.peer_address)
             .cloned()
@@ -194,7 +227,7 @@
     let mut listed = EntryList::default();
     for (key, _, value) in objects {
         match parse_record(&value) {
-            Ok(record) => listed.records.push(record),
+            Ok(record) => listed.records.push((key.clone(), record)),
             Err(reason) => {
                 node.report_unreadable(ObjectKind::Entry, &key, &value, reason);
                 listed.unreadable.push(key.clone());
@@ -223,10 +256,12 @@
 impl Peers {
     /// Adds the addresses of the listed entries, and sets their number, which
     /// is at least 1 for this entry.
-    fn set_listed(&self, records: &[EntryRecord]) {
+    fn set_listed(&self, records: &[(String, EntryRecord)]) {
         let mut table = self.table.lock();
-        for record in records {
-            table.addresses.insert(record.peers);
+        for (_, record) in records {
+            if table.addresses.insert(record.peers) {
+                table.rounds_to_all = NEW_ADDRESS_ROUNDS;
+            }
         }
         table.listed_entries = records.len().max(1);
     }
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -5,12 +5,14 @@
 use direct::{ChangedObject, WatchBatch};
 use serde_json::json;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::packed_batches::changed_object;
 use crate::shared_watch::{
     is_covered, wait_for_next_watch, wait_while_covered, watch_platform,
 };
+use crate::start_state;
 use crate::state::Node;
 use crate::state::metered_platform::outcome_label;
 use crate::state::unreadable::ObjectKind;
@@ -51,15 +53,7 @@
     collection: Collection,
     changed: &[ChangedObject],
 ) {
-    let objects = changed.iter();
-    let objects = objects.map(|object| {
-        (
-            object.key.clone(),
-            ObjectVersion(object.version),
-            object.value.clone(),
-        )
-    });
-    let objects: Vec<Object> = objects.collect();
+    let objects: Vec<Object> = changed.iter().map(as_object).collect();
     match collection {
         Collection::Config => apply_configs(node, &objects),
         Collection::Upstreams => apply_upstream_changes(node, &objects),
@@ -73,14 +67,17 @@
 pub(crate) async fn watch_collection(node: Arc<Node>, collection: Collection) {
     let mut contact = PlatformContact::new(collection);
     let mut relist_delay = RETRY_DELAY_MIN;
+    let mut has_state = start_state::fetch(&node, collection).await;
     loop {
-        if !list_once(&node, collection, &mut contact).await {
+        if !has_state && !list_once(&node, collection, &mut contact).await {
             contact.back_off().await;
             wait_while_covered(&node, collection).await;
             continue;
         }
+        start_state::answer_waiting(&node, collection).await;
+        has_state = false;
         let mut has_watched = false;
-        loop {
+        while !node.shared_watches.needs_list(node.now(), collection) {
             let started_at = node.now();
             let after = node.shared_watches.resume_version(collection);
             if watch_once(&node, collection, after, &mut contact).await {
@@ -110,7 +107,17 @@
     contact: &mut PlatformContact,
 ) -> bool {
     let prefix = collection.prefix(node);
-    let result = node.platform.call(&PlatformOp::List { prefix }).await;
+    let is_first = collection == Collection::Upstreams && !node.knows_upstreams();
+    let mut upstreams = ListedUpstreams::default();
+    let mut on_page = |page: &[Object]| {
+        if collection == Collection::Upstreams {
+            let records = upstreams.add_page(node, page);
+            if is_first {
+                apply_first_page(node, records);
+            }
+        }
+    };
+    let result = node.platform.list_in_pages(prefix, &mut on_page).await;
     let PlatformResult::Objects(objects, list_version) = result else {
         node.shared_watches.record_failure(collection);
         contact.note_failure(node, &result);
@@ -119,8 +126,11 @@
     contact.note_success(node);
     match collection {
         Collection::Config => apply_configs(node, &objects),
-        Collection::Upstreams => replace_upstreams(node, list_version, &objects),
+        Collection::Upstreams => {
+            replace_upstreams(node, list_version, &objects, upstreams);
+        }
     }
+    let objects: Vec<ChangedObject> = objects.into_iter().map(as_changed).collect();
     node.shared_watches
         .record_list(node.now(), collection, list_version.0, &objects);
     collection.confirm(node, list_version.0, node.now());
@@ -134,7 +144,6 @@
 /// Waits for changes after a version and applies them. Returns whether the call
 /// succeeded.
 async fn watch_once(
-    let objects: Vec<ChangedObject> = objects.into_iter().map(as_changed).collect();
     node: &Node,
     collection: Collection,
     after: ObjectVersion,
@@ -281,6 +290,7 @@
         .set_workspace_limits(node.now(), &config);
     current.0 = Some(Arc::new(config));
     drop(current);
+    node.config_adopted.notify_waiters();
     node.log.line(
         "setup_in_force",
         json!({ "version": version, "before": before, "routes": routes }),
@@ -292,20 +302,84 @@
     }
 }
 
-/// Applies the complete list of the upstreams' records.
-fn replace_upstreams(node: &Node, list_version: ObjectVersion, objects: &[Object]) {
-    let mut listed = Vec::new();
-    let mut unreadable = Vec::new();
-    for object in objects {
-        match parse_record(node, object) {
-            Some(record) => listed.push(record),
-            None => unreadable.push(object),
+/// Applies the state that another entry passed on when this one started.
+pub(crate) fn apply_start_state(
+    node: &Node,
+    collection: Collection,
+    version: u64,
+    confirmed_at: Instant,
+    objects: &[ChangedObject],
+) {
+    let listed: Vec<Object> = objects.iter().map(as_object).collect();
+    match collection {
+        Collection::Config => apply_configs(node, &listed),
+        Collection::Upstreams => {
+            let mut upstreams = ListedUpstreams::default();
+            upstreams.add_page(node, &listed);
+            node.has_first_upstreams.store(true, Ordering::Relaxed);
+            replace_upstreams(node, ObjectVersion(version), &listed, upstreams);
         }
     }
+    node.shared_watches.record_snapshot(
+        node.now(),
+        collection,
+        confirmed_at,
+        version,
+        objects,
+    );
+    collection.confirm(node, version, confirmed_at);
+}
+
+fn as_object(object: &ChangedObject) -> Object {
+    let version = ObjectVersion(object.version);
+    (object.key.clone(), version, object.value.clone())
+}
+
+/// The upstreams' records of a list, decoded as its pages arrive.
+#[derive(Debug, Default)]
+struct ListedUpstreams {
+    records: Vec<(u64, direct::UpstreamRecord)>,
+    /// Keys and versions of the records that can't be decoded.
+    unreadable: Vec<(String, u64)>,
+}
+
+impl ListedUpstreams {
+    /// Decodes a page and returns its records.
+    fn add_page(
+        &mut self,
+        node: &Node,
+        page: &[Object],
+    ) -> &[(u64, direct::UpstreamRecord)] {
+        let page_start = self.records.len();
+        for object in page {
+            match parse_record(node, object) {
+                Some(record) => self.records.push(record),
+                None => self.unreadable.push((object.0.clone(), object.1.0)),
+            }
+        }
+        &self.records[page_start..]
+    }
+}
+
+/// Applies a page of the first list of upstreams. With hundreds of entries that
+/// start at once, the other pages take a second to arrive.
+fn apply_first_page(node: &Node, records: &[(u64, direct::UpstreamRecord)]) {
+    node.fleet.lock().apply_page(records.to_vec());
+    node.has_first_upstreams.store(true, Ordering::Relaxed);
+    node.holdings_changed.notify_waiters();
+}
+
+/// Applies the complete list of the upstreams' records.
+fn replace_upstreams(
+    node: &Node,
+    list_version: ObjectVersion,
+    objects: &[Object],
+    listed: ListedUpstreams,
+) {
     let mut fleet = node.fleet.lock();
-    fleet.apply_list(node.now(), list_version.0, listed);
-    for (key, version, _) in unreadable {
-        fleet.mark_unreadable(upstream_id(node, key), version.0);
+    fleet.apply_list(node.now(), list_version.0, listed.records);
+    for (key, version) in listed.unreadable {
+        fleet.mark_unreadable(upstream_id(node, &key), version);
     }
     node.unreadable.retain(ObjectKind::Upstream, |known| {
         objects.iter().any(|(key, ..)| key == known)
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use serde_json::json;
 use std::sync::Arc;
+use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::RequestHead;
@@ -25,6 +26,10 @@
 /// When a caller should come back to an entry that has no configuration yet.
 const NOT_READY_RETRY_MS: u64 = 300;
 
+/// Longest time for which a request waits for the first configuration of an
+/// entry that has just started. It waits for a quarter of its deadline at most.
+const CONFIG_WAIT_MAX_MS: u64 = 1_000;
+
 /// Minimum time to wait for the first event of a stream. It is longer if four
 /// times the target latency or eight times the longest pause between events is
 /// more.
@@ -122,7 +127,12 @@
     let body = read_body(body, body_max_bytes).await?;
     let not_ready =
         RequestError::not_run(ErrorCode::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
-    let config = node.config().ok_or(not_ready)?;
+    let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let config_wait_ms = (deadline_ms / 4).min(CONFIG_WAIT_MAX_MS);
+    let config = node
+        .first_config(Duration::from_millis(config_wait_ms))
+        .await
+        .ok_or(not_ready)?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let route = config.route(host, parts.uri.path()).cloned();
@@ -157,7 +167,6 @@
     if config.directory.is_some() {
         node.protocol.strip_credentials(&mut headers);
     }
-    let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = arrived_at.plus_ms(deadline_ms.min(route.timeout_ms));
     Ok(CallerRequest {
         arrived_at,
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -3,7 +3,9 @@
 
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResult};
-use direct::{ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole};
+use direct::{
+    ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole, WatchSnapshot,
+};
 use parking_lot::Mutex;
 use schema::peer::{PeerNews, Watched};
 use serde_json::json;
@@ -24,6 +26,10 @@
 /// call; changes in between arrive with the next one.
 const LEADER_WATCH_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Interval at which an entry that the platform refuses, and that another one
+/// watches for, tries again.
+const REFUSED_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Share of its link that a leader may use to pass on changes, between two of its
 /// watches. More than that is left out, and followers watch for it by
 /// themselves.
@@ -90,6 +96,29 @@
         self.observed[collection as usize].notify_one();
     }
 
+    /// Records the state that another entry passed on when this one started.
+    pub(crate) fn record_snapshot(
+        &self,
+        now: Instant,
+        collection: Collection,
+        confirmed_at: Instant,
+        version: u64,
+        objects: &[ChangedObject],
+    ) {
+        let mut watch = self.watch(collection).lock();
+        watch.on_snapshot(now, confirmed_at, version, objects);
+    }
+
+    /// Returns the state to pass on to an entry that starts.
+    pub(crate) fn snapshot(&self, collection: Collection) -> Option<WatchSnapshot> {
+        self.watch(collection).lock().snapshot()
+    }
+
+    /// Returns whether the state has to be listed from the platform.
+    pub(crate) fn needs_list(&self, now: Instant, collection: Collection) -> bool {
+        self.watch(collection).lock().needs_list(now)
+    }
+
     /// Waits until a watch of this entry's own returned something to pass on.
     pub(crate) async fn observed(&self) -> Collection {
         let [config, upstreams] = &self.observed;
@@ -200,11 +229,14 @@
         && node.shared_watches.can_skip(node.now(), collection)
 }
 
-/// Waits as long as another entry watches for this one.
+/// Waits as long as another entry watches for this one, whose own call has failed.
+/// From time to time it has to try again: an entry whose watch doesn't work is not
+/// counted among those that share one.
 pub(crate) async fn wait_while_covered(node: &Node, collection: Collection) {
+    let wait_end = node.now() + REFUSED_RETRY_INTERVAL;
     loop {
         let due = node.shared_watches.due.notified();
-        if !is_covered(node, collection) {
+        if !is_covered(node, collection) || node.now() >= wait_end {
             return;
         }
         // The next iteration checks, whether it was notified or timed out.
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -3,7 +3,7 @@
 use base::{ObjectVersion, PlatformOp, PlatformResult};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use plat::ObjectApi;
+use plat::{ListedObject, ObjectApi};
 use prometheus::IntCounterVec;
 use std::time::Duration;
 
@@ -79,6 +79,19 @@
         .boxed()
     }
 
+    fn list_in_pages<'a>(
+        &'a self,
+        prefix: String,
+        on_page: &'a mut (dyn FnMut(&[ListedObject]) + Send),
+    ) -> BoxFuture<'a, PlatformResult> {
+        async move {
+            let result = self.platform.list_in_pages(prefix.clone(), on_page).await;
+            self.count(&prefix, "list", &result);
+            result
+        }
+        .boxed()
+    }
+
     fn watch_with_timeout(
         &self,
         prefix: String,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -14,23 +14,26 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 use super::caller_request::CallerRequest;
 use super::connection_pool::ConnectionPool;
 use super::coordinator::Coordinator;
 use super::lease_relay::LeaseRelay;
+use super::metered_platform::MeteredPlatform;
 use super::metrics::Metrics;
 use super::peers::Peers;
-use super::metered_platform::MeteredPlatform;
 use super::quota::Quotas;
 use super::shutdown::Shutdown;
 use super::unreadable::{ObjectKind, UnreadableObjects, truncated};
 use super::wanted_adapters::WantedAdapters;
 use crate::quota::Scope;
 use crate::shared_watch::SharedWatches;
+use crate::start_state::StartState;
 use crate::{BootClock, Log, Options, PlatformProtocol};
 
 /// Time for which a request stays convicted of crashing upstreams.
@@ -42,6 +45,10 @@
 /// holder that merely restarts acquires the lease again at once.
 const LEASE_VALID_MS: u64 = 5_000;
 
+/// Time after the start within which the first configuration is waited for. If
+/// it takes longer, the platform is in trouble, and callers are refused at once.
+const FIRST_CONFIG_MS: u64 = 3_000;
+
 /// This entry: the state shared by all tasks of the process. Each part has its
 /// own lock, and none is held across an await.
 #[derive(Debug)]
@@ -77,11 +84,17 @@
     /// Rate tokens of upstreams that advertise a rate.
     upstream_quotas: Quotas,
     pub(crate) peers: Peers,
+    /// Transfers of state to entries that start.
+    pub(crate) start_state: StartState,
     /// The platform watches shared within this failure domain.
     pub(crate) shared_watches: SharedWatches,
     pub(crate) lease: Mutex<Lease>,
     pub(crate) lease_relay: LeaseRelay,
     pub(crate) coordinator: Coordinator,
+    /// Notified when a configuration comes into force.
+    pub(crate) config_adopted: Notify,
+    /// Whether a part of the first list of upstreams was applied.
+    pub(crate) has_first_upstreams: AtomicBool,
     /// Notified when upstreams appear, disappear or change their holdings.
     pub(crate) holdings_changed: Notify,
     /// Notified when a request ends and frees capacity.
@@ -121,6 +134,8 @@
             options.entry.as_bytes(),
             started_unix_ms,
         );
+        let metrics = Metrics::new();
+        let calls = metrics.platform_calls.clone();
         Self {
             protocol,
             platform: Box::new(MeteredPlatform::new(
@@ -135,8 +150,6 @@
             started_unix_ms,
             started_at: BootClock.now(),
             config: Mutex::default(),
-        let metrics = Metrics::new();
-        let calls = metrics.platform_calls.clone();
             fleet: Mutex::default(),
             avoidance: Mutex::default(),
             fleet_watermark: Mutex::default(),
@@ -149,10 +162,13 @@
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
             peers: Peers::new(&options),
+            start_state: StartState::default(),
             shared_watches: SharedWatches::default(),
             lease: Mutex::new(lease),
             lease_relay: LeaseRelay::default(),
             coordinator: Coordinator::new(deployment.store_load_window_ms),
+            config_adopted: Notify::new(),
+            has_first_upstreams: AtomicBool::new(false),
             holdings_changed: Notify::new(),
             capacity_freed: Notify::new(),
             shutdown: Shutdown::default(),
@@ -173,6 +189,31 @@
         self.config.lock().0.clone()
     }
 
+    /// Returns the configuration in force. A process that has just started waits
+    /// for its first one, `max_wait` at most: it arrives within a second, and a
+    /// caller that is refused may have no retry left.
+    pub(crate) async fn first_config(&self, max_wait: Duration) -> Option<Arc<Config>> {
+        let wait_end = self
+            .now()
+            .plus_ms(max_wait.as_millis() as u64)
+            .min(self.started_at.plus_ms(FIRST_CONFIG_MS));
+        loop {
+            let adopted = self.config_adopted.notified();
+            let config = self.config();
+            let remaining = wait_end.since(self.now());
+            if config.is_some() || remaining.is_zero() {
+                return config;
+            }
+            // The next iteration checks, whether it was notified or timed out.
+            let _ = timeout(remaining, adopted).await;
+        }
+    }
+
+    /// Returns whether all upstreams in the platform's records are known.
+    pub(crate) fn knows_upstreams(&self) -> bool {
+        self.fleet_watermark.lock().confirmed_at.is_some()
+    }
+
     /// Returns whether the configuration was confirmed recently, so that what
     /// it doesn't contain doesn't exist.
     pub(crate) fn config_is_fresh(&self) -> bool {
@@ -192,10 +233,17 @@
         matches!(verdict, CrashVerdict::Convicted { .. })
     }
 
+    /// Applies the number of entries that share the retry budget. An entry that
+    /// counts fewer than there are would use more than its part.
+    pub(crate) fn update_entry_count(&self) {
+        let entries = u32::try_from(self.peers.entry_count()).unwrap_or(u32::MAX);
+        self.retry_budget.lock().set_entries(entries);
+    }
+
     /// Returns whether this entry can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows_fleet = self.fleet_watermark.lock().confirmed_at.is_some();
-        !self.shutdown.is_stopping() && knows_fleet && self.config().is_some()
+        let knows_some = self.has_first_upstreams.load(Ordering::Relaxed);
+        !self.shutdown.is_stopping() && knows_some && self.config().is_some()
     }
 
     /// Returns the tokens of workspaces or of upstreams.
@@ -229,13 +277,6 @@
     pub(crate) fn report_unreadable(
         &self,
         kind: ObjectKind,
-    /// Applies the number of entries that share the retry budget. An entry that
-    /// counts fewer than there are would use more than its part.
-    pub(crate) fn update_entry_count(&self) {
-        let entries = u32::try_from(self.peers.entry_count()).unwrap_or(u32::MAX);
-        self.retry_budget.lock().set_entries(entries);
-    }
-
         key: &str,
         value: &[u8],
         why: impl Display,
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -1,7 +1,9 @@
 //! State about the other entries.
 
 use base::prelude::*;
-use direct::{DemandEstimate, LeaseCandidate, PeerEntry, has_successor};
+use direct::{
+    DemandEstimate, LeaseCandidate, PeerEntry, has_successor, peer_timeout_ms,
+};
 use parking_lot::Mutex;
 use quota::select_keeper;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -13,8 +15,9 @@
 
 use crate::Options;
 
-/// Silence after which a peer no longer counts as alive.
-const PEER_TIMEOUT_MS: u64 = 1_500;
+/// Silence after which another entry takes over the watches of a failure domain.
+/// Their leader sends a message each 0.8 s.
+const LEADER_TIMEOUT_MS: u64 = 1_500;
 
 /// Silence after which a peer gets messages only occasionally.
 pub(crate) const UNREACHABLE_AFTER_MS: u64 = 5_000;
@@ -42,6 +45,11 @@
     /// Number of rounds in which peers were sent messages. `sequence` can't be
     /// used for this: it counts two messages per round and others in between.
     pub(crate) message_rounds: u64,
+    /// Number of coming rounds in which all addresses get a message, because some
+    /// of them are new. Peers that have just started at the same time would
+    /// otherwise hear of one another only in the next round for unreachable
+    /// ones.
+    pub(crate) rounds_to_all: u64,
     /// Number of periodic rounds, which determine the part of the holdings to
     /// send. Counting the messages about changes in between would leave out
     /// parts for a long time.
@@ -86,8 +94,13 @@
 impl PeerTable {
     /// Returns the entries that were heard from recently, by name.
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerState)> {
+        let timeout_ms = self.peer_timeout_ms();
         let peers = self.peers.iter();
-        peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < PEER_TIMEOUT_MS)
+        peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < timeout_ms)
+    }
+
+    fn peer_timeout_ms(&self) -> u64 {
+        peer_timeout_ms(self.addresses.len())
     }
 }
 
@@ -133,8 +146,9 @@
     /// the duration of their silence.
     pub(crate) fn newly_lost(&self, now: Instant) -> Vec<(String, u64)> {
         let mut table = self.table.lock();
+        let timeout_ms = table.peer_timeout_ms();
         let silent = table.peers.iter_mut().filter(|(_, peer)| {
-            !peer.reported_lost && now.ms_since(peer.heard_at) >= PEER_TIMEOUT_MS
+            !peer.reported_lost && now.ms_since(peer.heard_at) >= timeout_ms
         });
         silent
             .map(|(name, peer)| {
@@ -159,6 +173,7 @@
         let table = self.table.lock();
         let watchers = table
             .live_peers(now)
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) < LEADER_TIMEOUT_MS)
             .filter(|(_, peer)| peer.watch_works && peer.domain == domain);
         watchers.map(|(name, _)| name.clone()).collect()
     }
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -170,6 +170,14 @@
                     _ => started_at,
                 }
             }
+            // The upstream may be in a page of the list that is on its way.
+            SelectionError::NoAdapter
+            | SelectionError::NoUpstream
+            | SelectionError::NoModel
+                if !self.node.knows_upstreams() =>
+            {
+                wait_limit
+            }
             SelectionError::NoAdapter => {
                 wait_limit.min(started_at.plus_ms(ADAPTER_WAIT_MS))
             }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -22,4 +22,4 @@
 mod response;
 
 pub use client::HttpPlatform;
-pub use object_api::ObjectApi;
+pub use object_api::{ListedObject, ObjectApi};
--- a/crates/plat/src/object_api.rs
+++ b/crates/plat/src/object_api.rs
@@ -6,6 +6,9 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+/// Key, version and value of an object.
+pub type ListedObject = (String, ObjectVersion, Vec<u8>);
+
 /// Executes operations on the platform's objects.
 pub trait ObjectApi: Debug + Send + Sync {
     /// Executes one operation and waits for its result.
@@ -23,6 +26,23 @@
         async move { self.call(&PlatformOp::List { prefix }).await }.boxed()
     }
 
+    /// Lists objects like [`Self::call`], and passes them on as they arrive. The
+    /// default passes on the whole list at its end.
+    fn list_in_pages<'a>(
+        &'a self,
+        prefix: String,
+        on_page: &'a mut (dyn FnMut(&[ListedObject]) + Send),
+    ) -> BoxFuture<'a, PlatformResult> {
+        async move {
+            let result = self.call(&PlatformOp::List { prefix }).await;
+            if let PlatformResult::Objects(objects, _) = &result {
+                on_page(objects);
+            }
+            result
+        }
+        .boxed()
+    }
+
     /// Watches a prefix for at most `wait`, after which the platform responds even
     /// if nothing has changed. The default ignores `wait` and is an ordinary watch.
     fn watch_with_timeout(
@@ -33,7 +53,6 @@
     ) -> BoxFuture<'_, PlatformResult> {
         async move { self.call(&PlatformOp::Watch { prefix, after }).await }.boxed()
     }
-}
 
     /// Number of requests sent to the platform so far. An operation may take
     /// several, such as the pages of a list. Implementations that don't count them
@@ -41,3 +60,4 @@
     fn requests_sent(&self) -> u64 {
         0
     }
+}
