front: entries whose watch was cut off ask a neighbour before they list

The leaders had heard nothing for a second, so every follower was watching for itself, and all 384 entries listed everything at once: the platform's link was full, entries knew nothing newer than 2.8 s and lost one another's messages (19,200 peer_lost lines in 71 entries, all in one second).

Change: after a watch that ended badly, an entry asks the first of its group for the state, as at a start, for 0.5 s at most; a state older than its own is not taken. An attempt to list that fails is repeated without asking, so an outage delays nothing after its first half second.

--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -208,8 +208,13 @@
         }
     }
 
-    /// Handles the state that another entry passed on when this one started. It has to
-    /// be verified within the same time as any other message.
+    /// Version up to which all changes are known.
+    pub const fn known_version(&self) -> u64 {
+        self.known_version
+    }
+
+    /// Handles the state that another entry passed on. It has to be verified within the
+    /// same time as any other message.
     pub fn on_snapshot(
         &mut self,
         now: Instant,
@@ -222,6 +227,8 @@
         self.own_version = version;
         self.received_at = Some(confirmed_at);
         self.unverified_since = Some(now);
+        self.needs_own_watch = false;
+        self.recent_batches.clear();
     }
 
     /// The state to pass on to an entry that starts; `None` if it isn't known.
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -67,7 +67,8 @@
 pub(crate) async fn watch_collection(node: Arc<Node>, collection: Collection) {
     let mut contact = PlatformContact::new(collection);
     let mut relist_delay = RETRY_DELAY_MIN;
-    let mut has_state = start_state::fetch(&node, collection).await;
+    let mut has_state =
+        start_state::fetch(&node, collection, start_state::START_WAIT).await;
     loop {
         if !has_state && !list_once(&node, collection, &mut contact).await {
             contact.back_off().await;
@@ -97,6 +98,12 @@
             (relist_delay * 2).min(RELIST_DELAY_MAX)
         };
         tokio::time::sleep(relist_delay).await;
+        // A platform that drops its history cuts off all watches at once, and all
+        // entries would list.
+        if !node.shared_watches.needs_list(node.now(), collection) {
+            let wait = start_state::RESUME_WAIT;
+            has_state = start_state::fetch(&node, collection, wait).await;
+        }
     }
 }
 
@@ -302,14 +309,18 @@
     }
 }
 
-/// Applies the state that another entry passed on when this one started.
+/// Applies the state that another entry passed on. Returns false if this entry knows
+/// a later one.
 pub(crate) fn apply_start_state(
     node: &Node,
     collection: Collection,
     version: u64,
     confirmed_at: Instant,
     objects: &[ChangedObject],
-) {
+) -> bool {
+    if !node.shared_watches.is_news(collection, version) {
+        return false;
+    }
     let listed: Vec<Object> = objects.iter().map(as_object).collect();
     match collection {
         Collection::Config => apply_configs(node, &listed),
@@ -328,6 +339,7 @@
         objects,
     );
     collection.confirm(node, version, confirmed_at);
+    true
 }
 
 fn as_object(object: &ChangedObject) -> Object {
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -96,7 +96,12 @@
         self.observed[collection as usize].notify_one();
     }
 
-    /// Records the state that another entry passed on when this one started.
+    /// Returns whether the state at a version is at least as new as the known one.
+    pub(crate) fn is_news(&self, collection: Collection, version: u64) -> bool {
+        version >= self.watch(collection).lock().known_version()
+    }
+
+    /// Records the state that another entry passed on.
     pub(crate) fn record_snapshot(
         &self,
         now: Instant,
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -1,4 +1,5 @@
-//! Transfer of the state of platform objects to entries that start.
+//! Transfer of the state of platform objects to entries that start, or whose watch was
+//! cut off.
 //!
 //! An entry asks others of its failure domain before it lists from the platform; see
 //! [`direct::start_sources`]. The answer comes in parts, each a datagram. An entry that
@@ -24,8 +25,12 @@
 /// when all entries start for the first time.
 const LISTED_WAIT: Duration = Duration::from_millis(2_000);
 
-/// Longest wait for the state, and the interval after which the next entry is asked.
-const STATE_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait for the state of an entry that starts, and of one whose watch was cut
+/// off, which serves meanwhile by what it knows.
+pub(crate) const START_WAIT: Duration = Duration::from_millis(1_200);
+pub(crate) const RESUME_WAIT: Duration = Duration::from_millis(500);
+
+/// Interval after which the next entry is asked.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time for which the question of an entry is kept until this one has the state.
@@ -83,7 +88,11 @@
 
 /// Gets the state of a collection from another entry and applies it. Returns false if
 /// this entry has to list it from the platform.
-pub(crate) async fn fetch(node: &Node, collection: Collection) -> bool {
+pub(crate) async fn fetch(
+    node: &Node,
+    collection: Collection,
+    max_wait: Duration,
+) -> bool {
     let Some(entries) = domain_entries(node).await else {
         return false;
     };
@@ -92,21 +101,28 @@
     if sources.is_empty() {
         return false;
     }
+    node.start_state.received[collection as usize].lock().count = 0;
     let asked_at = node.now();
     for source in sources.iter().cycle() {
         let waited = node.now().since(asked_at);
-        if waited >= STATE_WAIT {
+        if waited >= max_wait {
             break;
         }
         ask(node, collection, entries[*source]).await;
-        let ask_end = node.now().plus_ms(ASK_INTERVAL.as_millis() as u64);
+        let ask_end = node.now() + ASK_INTERVAL.min(max_wait.saturating_sub(waited));
         while node.now() < ask_end {
             let changed = node.start_state.changed.notified();
             if let Some(state) = node.start_state.take_complete(collection) {
                 let (version, confirmed_at, objects) = state;
-                apply_start_state(node, collection, version, confirmed_at, &objects);
-                log_result(node, collection, source, asked_at, true);
-                return true;
+                let is_applied = apply_start_state(
+                    node,
+                    collection,
+                    version,
+                    confirmed_at,
+                    &objects,
+                );
+                log_result(node, collection, source, asked_at, is_applied);
+                return is_applied;
             }
             // The next iteration checks, whether it was notified or timed out.
             let _ = timeout(ask_end.since(node.now()), changed).await;
