--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -207,16 +207,6 @@
         self.attempts.push(json!({ "outcome": "withdrawn" }));
     }
 
-    /// Records that an upstream other than the one that runs the stream failed
-    /// to take it over. The stream stays where it is.
-    pub(crate) fn record_failed_takeover(
-        &mut self,
-        selected: &SelectedUpstream,
-        outcome: AttemptOutcome,
-    ) {
-        self.record_sent_to(&selected.id, outcome);
-    }
-
     /// Records that another upstream has taken over the stream that ran at
     /// `upstream`.
     pub(crate) fn record_takeover(&mut self, upstream: &Arc<str>) {
@@ -259,7 +249,11 @@
 
     /// Records that an attempt at an upstream ended, so that it is not
     /// attempted again.
-    fn record_sent_to(&mut self, upstream: &Arc<str>, outcome: AttemptOutcome) {
+    pub(crate) fn record_sent_to(
+        &mut self,
+        upstream: &Arc<str>,
+        outcome: AttemptOutcome,
+    ) {
         if outcome == AttemptOutcome::NotSent {
             self.unreachable.push(Arc::clone(upstream));
         } else if !self.sent_to.contains(upstream) {
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -63,16 +63,7 @@
         let listed = list_entries(&node).await;
         let own = listed.as_ref().and_then(|listed| listed.own_record(&node));
         if let Some(listed) = &listed {
-            if listed.contains(&key) {
-                node.peers.table.lock().listed_before = Some(listed.before(&key));
-            }
-            let mut domain_entries = listed.domain_entries(&node);
-            // A list without any entry may be of a time before all of them started.
-            if !domain_entries.is_empty() {
-                let own_address = node.options.peer_address;
-                domain_entries.insert(node.options.entry.clone(), own_address);
-                node.start_state.set_domain_entries(domain_entries);
-            }
+            learn_from_list(&node, listed, &key);
         }
         let now = node.now();
         if let Some(own) = &own {
@@ -107,6 +98,21 @@
     }
 }
 
+/// Records who precedes this entry, whose key is `key`, and who shares its failure
+/// domain.
+fn learn_from_list(node: &Node, listed: &EntryList, key: &str) {
+    if listed.contains(key) {
+        node.peers.table.lock().listed_before = Some(listed.before(key));
+    }
+    let mut domain_entries = listed.domain_entries(node);
+    // A list without any entry may be of a time before all of them started.
+    if !domain_entries.is_empty() {
+        let own_address = node.options.peer_address;
+        domain_entries.insert(node.options.entry.clone(), own_address);
+        node.start_state.set_domain_entries(domain_entries);
+    }
+}
+
 /// Returns whether all other entries count this one.
 fn is_settled(node: &Node) -> bool {
     node.workspace_quotas.is_settled.load(Ordering::Relaxed)
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -241,9 +241,9 @@
                 None
             }
             (attempted, Some(kept)) => {
+                // The stream stays where it is.
                 if let Some((selected, result)) = attempted {
-                    let outcome = result.failure();
-                    self.dispatch.record_failed_takeover(&selected, outcome);
+                    self.dispatch.record_sent_to(&selected.id, result.failure());
                 }
                 self.source = Some(kept);
                 None
