front: a request without a response keeps its silent upstream until another one responds

Cause: kept a begun stream at its upstream until another one had accepted, but a request without a response left first and asked then.

Change: attempt_with_takeover asks another upstream beside the silent one, 250 ms at most, for plain requests that may run twice as for streams. A refusal leaves the request where it is. What was attempted stands behind a lock, since one attempt ends while the other looks at it.

--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -16,6 +16,11 @@
 }
 
 impl AttemptOutcome {
+    /// Whether the request may have run.
+    pub const fn may_have_run(self) -> bool {
+        matches!(self, Self::Unknown | Self::Failed)
+    }
+
     /// Value of the outcome in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -62,8 +67,7 @@
     history: AttemptHistory,
     outcome: AttemptOutcome,
 ) -> RetryDecision {
-    let may_have_run = history.may_have_run
-        || matches!(outcome, AttemptOutcome::Unknown | AttemptOutcome::Failed);
+    let may_have_run = history.may_have_run || outcome.may_have_run();
     if matches!(outcome, AttemptOutcome::NotSent) && !may_have_run {
         return RetryDecision::Resend;
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::connection_pool::{SendError, UpstreamConnection};
+use crate::takeover::TakeoverSignal;
 use crate::upstream_address::{address_of, record_unreachable};
 use crate::{ResponseHead, UpstreamRequestHead};
 
@@ -28,8 +29,8 @@
 /// silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without a response after which a request that may run twice is sent to
-/// another upstream, if its upstream has fallen silent for all requests.
+/// Time without a response after which a request may leave its upstream, if that has
+/// fallen silent for all requests.
 const SILENCE_TOLERANCE_MS: u64 = 700;
 
 /// A stream that an upstream has started.
@@ -73,21 +74,19 @@
     /// No response that can be forwarded, with the error response if the
     /// upstream itself sent one.
     Failed(AttemptOutcome, Option<BufferedResponse>),
-    /// The upstream fell silent, and another one runs the request. The retry
-    /// for that was taken from the budget.
-    TakenOver,
 }
 
 impl AttemptResult {
-    /// Returns what an attempt that didn't start a stream means for a stream
-    /// that runs elsewhere. A complete response to a request for a stream is
-    /// an error response.
-    pub(crate) const fn failure(&self) -> AttemptOutcome {
+    /// The result of an attempt that was left while its upstream was silent.
+    pub(crate) const fn left() -> Self {
+        Self::Failed(AttemptOutcome::Unknown, None)
+    }
+
+    /// Returns how the attempt failed; `None` if its result can be forwarded.
+    pub(crate) const fn failure(&self) -> Option<AttemptOutcome> {
         match self {
-            Self::Failed(outcome, _) => *outcome,
-            Self::Stream(_) | Self::Response(_) | Self::TakenOver => {
-                AttemptOutcome::Unknown
-            }
+            Self::Failed(outcome, _) => Some(*outcome),
+            Self::Stream(_) | Self::Response(_) => None,
         }
     }
 }
@@ -97,6 +96,7 @@
 pub(crate) async fn attempt(
     dispatch: &Dispatch,
     selected: &SelectedUpstream,
+    takeover: &TakeoverSignal,
 ) -> AttemptResult {
     let (node, request) = (&dispatch.node, &dispatch.request);
     let Some(address) = address_of(node, &selected.id) else {
@@ -124,7 +124,7 @@
         remaining_ms,
         last_event_id.as_deref(),
     );
-    exchange(dispatch, in_flight, connection, upstream_request).await
+    exchange(dispatch, in_flight, connection, upstream_request, takeover).await
 }
 
 /// Sends the request on an open connection and evaluates the response.
@@ -133,11 +133,18 @@
     mut in_flight: InFlight,
     mut connection: UpstreamConnection,
     upstream_request: Request<Full<Bytes>>,
+    takeover: &TakeoverSignal,
 ) -> AttemptResult {
     let (node, request) = (&dispatch.node, &dispatch.request);
-    match response_head(dispatch, &in_flight, &mut connection, upstream_request).await {
+    let head = response_head(
+        dispatch,
+        &in_flight,
+        &mut connection,
+        upstream_request,
+        takeover,
+    );
+    match head.await {
         HeadResult::Ended => AttemptResult::Failed(AttemptOutcome::Unknown, None),
-        HeadResult::TakenOver => AttemptResult::TakenOver,
         HeadResult::Failed(SendError::NotSent) => {
             AttemptResult::Failed(AttemptOutcome::NotSent, None)
         }
@@ -160,16 +167,16 @@
     /// The request's deadline has passed, or its upstream can't respond any
     /// more.
     Ended,
-    /// Another upstream runs the request.
-    TakenOver,
 }
 
-/// Waits for the head of the response.
+/// Waits for the head of the response. Requests a takeover if the upstream is
+/// silent and another one can run the request.
 async fn response_head(
     dispatch: &Dispatch,
     in_flight: &InFlight,
     connection: &mut UpstreamConnection,
     upstream_request: Request<Full<Bytes>>,
+    takeover: &TakeoverSignal,
 ) -> HeadResult {
     let (node, request) = (&dispatch.node, &dispatch.request);
     let sent_at = node.now();
@@ -184,10 +191,11 @@
             Err(_) => {}
         }
         let is_overdue = node.now().ms_since(sent_at) > SILENCE_TOLERANCE_MS;
-        match dispatch.decide_in_flight(in_flight, is_overdue) {
+        let may_leave = is_overdue && !takeover.is_pending();
+        match dispatch.decide_in_flight(in_flight, may_leave) {
             InFlightDecision::Wait => {}
             InFlightDecision::Ended => return HeadResult::Ended,
-            InFlightDecision::TakeOver => return HeadResult::TakenOver,
+            InFlightDecision::TakeOver => takeover.request(),
         }
     }
 }
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -7,14 +7,16 @@
     decide_retry,
 };
 use hyper::Response;
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::sync::Arc;
 
-use crate::attempt::{AttemptResult, UpstreamStream, attempt};
+use crate::attempt::{AttemptResult, UpstreamStream};
 use crate::response::{BufferedResponse, ResponseBody, error_response};
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::quota::Charge;
+use crate::takeover::attempt_with_takeover;
 use crate::upstream_rate;
 
 /// Time after which a refused caller should come back, if nothing better is
@@ -32,23 +34,37 @@
     Failed(RequestError),
 }
 
+/// The upstreams that were attempted for one request.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptedUpstreams {
+    /// Those that the request was sent to.
+    pub(crate) sent_to: Vec<Arc<str>>,
+    /// Those that could not be connected to.
+    unreachable: Vec<Arc<str>>,
+}
+
+impl AttemptedUpstreams {
+    /// Returns all attempted upstreams.
+    pub(crate) fn all(&self) -> Vec<Arc<str>> {
+        let all = self.sent_to.iter().chain(&self.unreachable);
+        all.cloned().collect()
+    }
+}
+
 /// The dispatch of one request.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
     pub(crate) node: Arc<Node>,
     pub(crate) request: CallerRequest,
-    /// Upstreams that the request was sent to.
-    pub(crate) sent_to: Vec<Arc<str>>,
-    /// Upstreams that could not be connected to.
-    pub(crate) unreachable: Vec<Arc<str>>,
+    /// Upstreams that were attempted. Locked, since an attempt in progress looks
+    /// at it while another one ends.
+    pub(crate) attempted: Mutex<AttemptedUpstreams>,
     /// Whether any attempt so far may have run the request.
     may_have_run: bool,
     /// What the next attempt takes from its upstream's advertised rate.
     pub(crate) rate_charge: Option<Charge>,
     /// Whether an attempt is in progress.
     attempt_in_progress: bool,
-    /// Whether the next retry was already taken from the budget.
-    retry_taken: bool,
     /// The last error response that an upstream itself sent.
     upstream_failure: Option<BufferedResponse>,
     /// Id of the last stream event that was forwarded.
@@ -95,12 +111,10 @@
         Self {
             node,
             request,
-            sent_to: Vec::new(),
-            unreachable: Vec::new(),
+            attempted: Mutex::default(),
             may_have_run: false,
             rate_charge: None,
             attempt_in_progress: false,
-            retry_taken: false,
             upstream_failure: None,
             last_event_id: None,
             attempts: Vec::new(),
@@ -136,13 +150,16 @@
                 Ok(selected) => selected,
                 Err(rejection) => return self.end_rejected(&rejection),
             };
-            match self.attempt_at(&selected).await {
+            let (selected, result) = self.attempt_at(selected).await;
+            match result {
                 AttemptResult::Stream(stream) => return DispatchResult::Stream(stream),
                 AttemptResult::Response(response) => {
                     return DispatchResult::Response(response);
                 }
-                failed => {
-                    if let Some(end) = self.after_attempt(&selected, failed) {
+                AttemptResult::Failed(outcome, upstream_response) => {
+                    if let Some(end) =
+                        self.after_failed_attempt(&selected, outcome, upstream_response)
+                    {
                         return end;
                     }
                 }
@@ -150,37 +167,43 @@
         }
     }
 
-    /// Handles an attempt that brought nothing that can be forwarded. Returns
-    /// the result of the dispatch if no further attempt is allowed.
-    pub(crate) fn after_attempt(
+    /// Attempts the request at one upstream, and at others if it falls silent.
+    /// Returns the upstream and the result of the attempt that ended last.
+    async fn attempt_at(
         &mut self,
-        selected: &SelectedUpstream,
-        failed: AttemptResult,
-    ) -> Option<DispatchResult> {
-        self.retry_taken = matches!(failed, AttemptResult::TakenOver);
-        let outcome = failed.failure();
-        let upstream_response = match failed {
-            AttemptResult::Failed(_, upstream_response) => upstream_response,
-            _ => None,
-        };
-        self.after_failed_attempt(selected, outcome, upstream_response)
-    }
-
-    /// Attempts the request at one upstream.
-    async fn attempt_at(&mut self, selected: &SelectedUpstream) -> AttemptResult {
-        let started_at = self.node.now();
+        selected: SelectedUpstream,
+    ) -> (SelectedUpstream, AttemptResult) {
         self.attempt_in_progress = true;
         self.request.set_charge_used(true);
-        self.set_rate_used(true);
-        let result = attempt(self, selected).await;
+        let charge = self.rate_charge.take();
+        let (ended, last) = attempt_with_takeover(self, selected, charge).await;
         self.attempt_in_progress = false;
-        self.set_rate_used(!matches!(
-            result,
-            AttemptResult::Failed(AttemptOutcome::NotSent, _)
-        ));
-        self.rate_charge = None;
-        self.record_attempt(selected, started_at, &result);
-        result
+        for attempt in ended {
+            self.record_attempt(
+                &attempt.selected,
+                attempt.started_at,
+                attempt.result.as_ref(),
+            );
+            if let Some(AttemptResult::Failed(outcome, upstream_response)) =
+                attempt.result
+            {
+                self.record_failure(outcome, upstream_response);
+            }
+        }
+        self.record_attempt(&last.selected, last.started_at, Some(&last.result));
+        (last.selected, last.result)
+    }
+
+    /// Records an attempt without a response that can be forwarded.
+    fn record_failure(
+        &mut self,
+        outcome: AttemptOutcome,
+        upstream_response: Option<BufferedResponse>,
+    ) {
+        if upstream_response.is_some() {
+            self.upstream_failure = upstream_response;
+        }
+        self.may_have_run |= outcome.may_have_run();
     }
 
     /// Attempts the rest of a stream at an upstream other than the one that
@@ -196,8 +219,7 @@
         let selected = self.alternative_to(running_at).ok()?;
         let node = Arc::clone(&self.node);
         self.rate_charge = upstream_rate::acquire(&node, &selected.id).await.ok()?;
-        let result = self.attempt_at(&selected).await;
-        Some((selected, result))
+        Some(self.attempt_at(selected).await)
     }
 
     /// Records that an attempt was dropped before it ended.
@@ -210,19 +232,10 @@
     /// Records that another upstream has taken over the stream that ran at
     /// `upstream`.
     pub(crate) fn record_takeover(&mut self, upstream: &Arc<str>) {
-        self.record_sent_to(upstream, AttemptOutcome::Unknown);
         self.record_stream_break(upstream);
         self.may_have_run = true;
     }
 
-    /// Sets whether the attempt has used what it took from its upstream's rate.
-    /// It has once the request was sent, whatever came of it.
-    fn set_rate_used(&mut self, is_used: bool) {
-        if let Some(charge) = &mut self.rate_charge {
-            charge.is_used = is_used;
-        }
-    }
-
     /// Handles a stream that broke at an upstream. Returns the result if the
     /// stream can't be resumed.
     pub(crate) fn after_stream_break(
@@ -249,38 +262,35 @@
 
     /// Records that an attempt at an upstream ended, so that it is not
     /// attempted again.
-    pub(crate) fn record_sent_to(
-        &mut self,
-        upstream: &Arc<str>,
-        outcome: AttemptOutcome,
-    ) {
-        if outcome == AttemptOutcome::NotSent {
-            self.unreachable.push(Arc::clone(upstream));
-        } else if !self.sent_to.contains(upstream) {
-            self.sent_to.push(Arc::clone(upstream));
+    pub(crate) fn record_sent_to(&self, upstream: &Arc<str>, outcome: AttemptOutcome) {
+        let mut attempted = self.attempted.lock();
+        let upstreams = if outcome == AttemptOutcome::NotSent {
+            &mut attempted.unreachable
+        } else {
+            &mut attempted.sent_to
+        };
+        if !upstreams.contains(upstream) {
+            upstreams.push(Arc::clone(upstream));
         }
     }
 
     /// Handles an attempt without a response that can be forwarded. Returns the
     /// result of the dispatch if no further attempt is allowed.
-    fn after_failed_attempt(
+    pub(crate) fn after_failed_attempt(
         &mut self,
         selected: &SelectedUpstream,
         outcome: AttemptOutcome,
         upstream_response: Option<BufferedResponse>,
     ) -> Option<DispatchResult> {
-        if upstream_response.is_some() {
-            self.upstream_failure = upstream_response;
-        }
         self.record_sent_to(&selected.id, outcome);
+        let sent_to = self.attempted.lock().sent_to.len();
         let attempted = AttemptHistory {
-            upstreams: u32::try_from(self.sent_to.len()).unwrap_or(u32::MAX),
+            upstreams: u32::try_from(sent_to).unwrap_or(u32::MAX),
             upstreams_max: self.request.route.upstreams_max,
             may_have_run: self.may_have_run,
         };
         let next = decide_retry(self.request.route.kind, attempted, outcome);
-        self.may_have_run |=
-            matches!(outcome, AttemptOutcome::Unknown | AttemptOutcome::Failed);
+        self.record_failure(outcome, upstream_response);
         self.request.set_charge_used(self.may_have_run);
         let now = self.node.now();
         match next {
@@ -289,8 +299,7 @@
             }
             RetryDecision::Resend => None,
             RetryDecision::Retry => {
-                let granted =
-                    std::mem::take(&mut self.retry_taken) || self.take_retry(now);
+                let granted = self.take_retry(now);
                 (!granted).then(|| self.end_without_response(ErrorCode::Overloaded))
             }
             RetryDecision::FailNotRun => {
@@ -370,19 +379,22 @@
         })
     }
 
-    /// Records an attempt in metrics and for the request's log line.
+    /// Records an attempt in metrics and for the request's log line. One without
+    /// a result was withdrawn.
     fn record_attempt(
         &mut self,
         selected: &SelectedUpstream,
         started_at: Instant,
-        result: &AttemptResult,
+        result: Option<&AttemptResult>,
     ) {
-        self.learn_time_factor(selected, started_at, result);
+        if let Some(result) = result {
+            self.learn_time_factor(selected, started_at, result);
+        }
         let outcome = match result {
-            AttemptResult::Stream(_) => "begun",
-            AttemptResult::Response(_) => "whole",
-            AttemptResult::Failed(outcome, _) => outcome.as_str(),
-            AttemptResult::TakenOver => AttemptOutcome::Unknown.as_str(),
+            Some(AttemptResult::Stream(_)) => "begun",
+            Some(AttemptResult::Response(_)) => "whole",
+            Some(AttemptResult::Failed(outcome, _)) => outcome.as_str(),
+            None => "withdrawn",
         };
         let labels = [&*self.request.service, outcome];
         self.node.metrics.attempts.with_label_values(&labels).inc();
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwards streams event by event.
 
 use bytes::{Bytes, BytesMut};
-use direct::{InFlightDecision, SelectedUpstream};
+use direct::{AttemptOutcome, InFlightDecision, SelectedUpstream};
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -15,16 +15,12 @@
 use crate::dispatch::{Dispatch, DispatchResult};
 use crate::events::{Event, EventSplitter};
 use crate::response::{ResponseAborted, ResponseBody};
+use crate::takeover::MAX_OVERLAP;
 
 /// Interval at which a waiting stream checks whether its upstream has fallen
 /// silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time for which a stream is requested from a second upstream while the
-/// first one may still run it. An upstream that refuses a request does so
-/// within milliseconds; after this time, running it twice is a waste.
-const MAX_OVERLAP: Duration = Duration::from_millis(250);
-
 /// Forwards one stream to its caller, from one upstream or several.
 pub(crate) struct StreamForwarder {
     dispatch: Dispatch,
@@ -219,6 +215,9 @@
         let source = self.source.take()?;
         let silent = Arc::clone(&source.in_flight.upstream);
         let fingerprint = self.dispatch.request.fingerprint;
+        // The other attempt may not come back to it.
+        self.dispatch
+            .record_sent_to(&silent, AttemptOutcome::Unknown);
         let mut kept = Some(source);
         let result =
             race_takeover(&mut self.dispatch, &mut kept, &silent, fingerprint).await;
@@ -240,17 +239,15 @@
                 self.source = Some(taken_over);
                 None
             }
-            (attempted, Some(kept)) => {
-                // The stream stays where it is.
-                if let Some((selected, result)) = attempted {
-                    self.dispatch.record_sent_to(&selected.id, result.failure());
-                }
+            (_, Some(kept)) => {
                 self.source = Some(kept);
                 None
             }
             (Some((selected, result)), None) => {
                 self.dispatch.record_takeover(&silent);
-                let end = self.dispatch.after_attempt(&selected, result);
+                // A complete response to a request for a stream is an error.
+                let outcome = result.failure().unwrap_or(AttemptOutcome::Unknown);
+                let end = self.dispatch.after_failed_attempt(&selected, outcome, None);
                 Some(end.map_or(StreamStep::Broken, StreamStep::Failed))
             }
             (None, None) => {
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -139,7 +139,7 @@
             at_engine,
         };
         let late_ms = match admit(&admission) {
-            Err(late_ms) if self.sent_to.is_empty() => late_ms,
+            Err(late_ms) if self.attempted.lock().sent_to.is_empty() => late_ms,
             _ => return Ok(selected),
         };
         self.attempts.push(json!({ "unpicked": "too_late",
@@ -243,8 +243,7 @@
     /// Selects an upstream that was not attempted yet or, if there is none and
     /// the request may run twice, one that was.
     fn select(&self) -> Result<SelectedUpstream, SelectionError> {
-        let attempted = self.sent_to.iter().chain(&self.unreachable);
-        let attempted: Vec<Arc<str>> = attempted.cloned().collect();
+        let attempted = self.attempted.lock().all();
         let alternative = self.select_excluding(&attempted);
         let may_resend = self.request.route.kind.may_rerun()
             && self.attempts.len() < MAX_ATTEMPTS_WITH_RESEND;
@@ -260,8 +259,8 @@
         &self,
         upstream: &Arc<str>,
     ) -> Result<SelectedUpstream, SelectionError> {
-        let attempted = self.sent_to.iter().chain(&self.unreachable);
-        let attempted: Vec<Arc<str>> = attempted.chain([upstream]).cloned().collect();
+        let mut attempted = self.attempted.lock().all();
+        attempted.push(Arc::clone(upstream));
         self.select_excluding(&attempted)
     }
 
