front, direct: only the holder that the lease names is relied on as coordinator

Cause: since any message that says to be of a coordinator kept an entry from reading the lease, and names of unknown entries counted before its own. A foreign system's datagrams, or forged ones, kept the lease from being taken for as long as they came. Found when a test failed beside others with another safeguard taken out: the port of an entry that had ended was taken by the next test. Such names also made each entry's part of the retry budget smaller.

Change: the first three entries read the lease and rely on the messages of the holder that it names; the others on any, since the first three don't. Names count only if the platform's list has them, as does the number of entries for the retry budget; a message of an unknown entry makes the list due, each 8 s at most. MessageRounds holds which rounds include new peers, with a test.

--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -207,7 +207,6 @@
             return LeaseStep::Wait;
         }
         let step = match &self.observed {
-            None if holder_heard => LeaseStep::Wait,
             None => LeaseStep::Read,
             Some(_) if self.must_read => LeaseStep::Read,
             Some(observed) if self.is_own(&observed.record) => {
--- a/crates/direct/src/peer_messages.rs
+++ b/crates/direct/src/peer_messages.rs
@@ -47,6 +47,45 @@
 const MIN_SUSPECTS: usize = 4;
 const SUSPECTS_ACROSS_PEERS: usize = 256;
 
+/// An unreachable peer gets a message only once in this many rounds.
+const UNREACHABLE_ROUND_INTERVAL: u64 = 10;
+
+/// Number of rounds that include peers that are new in the platform's list. The first
+/// message may be lost.
+const NEW_PEER_ROUNDS: u64 = 2;
+
+/// Decides in which rounds of messages unreachable peers get one.
+///
+/// Entries that start at the same time have received nothing of one another, like peers
+/// that are gone. If they waited for the round of those, each would do everything by
+/// itself for ten intervals.
+#[derive(Debug, Default)]
+pub struct MessageRounds {
+    number: u64,
+    /// Number of coming rounds in which all peers get a message.
+    to_all: u64,
+}
+
+impl MessageRounds {
+    /// Records that the platform's list has new peers.
+    pub const fn on_new_peers(&mut self) {
+        self.to_all = NEW_PEER_ROUNDS;
+    }
+
+    /// Starts a round. Returns whether unreachable peers get a message in it.
+    pub const fn start(&mut self) -> bool {
+        self.number += 1;
+        let includes_all = self.to_all > 0;
+        self.to_all = self.to_all.saturating_sub(1);
+        includes_all || self.number.is_multiple_of(UNREACHABLE_ROUND_INTERVAL)
+    }
+
+    /// Number of rounds so far.
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+}
+
 /// Interval between two messages to each of `peers` peers.
 pub fn peer_message_interval_ms(peers: usize) -> u64 {
     let interval_ms = (peers as u64 * 1_000).div_ceil(MESSAGES_PER_S);
--- a/crates/direct/tests/all/control_calls.rs
+++ b/crates/direct/tests/all/control_calls.rs
@@ -2,7 +2,7 @@
 //! shared watch, and the lease at a start and when its holder is lost.
 //!
 //! Both answer the same pattern: something that each entry does for itself when it
-//! hears nothing costs calls in proportion to the entries.
+//! receives nothing costs calls in proportion to the entries.
 
 use crate::support::at;
 use direct::{
@@ -182,16 +182,18 @@
             };
             let holds = lease.token(at(ms)).is_some();
             let silent_ms = heard_at.map(|heard_at| ms - heard_at);
+            let name = holder.map(|holder| format!("{holder:04}"));
+            let holder_heard = name.is_some() && lease.holder() == name.as_deref();
             let candidate = LeaseCandidate {
                 live_before: if ms < 1_500 { 0 } else { live_before },
                 listed_before: (ms > 700).then_some(live_before),
                 up_ms: ms,
-                holder_silent_ms: silent_ms,
+                holder_heard,
+                coordinator_silent_ms: silent_ms,
             };
             live_before += 1;
             if holds || candidate.may_act() {
-                let is_heard = silent_ms.is_some_and(|ms| ms < 1_500);
-                object.perform(lease, ms, is_heard && !holds);
+                object.perform(lease, ms, holder_heard && !holds);
             }
         }
     }
@@ -199,7 +201,7 @@
 }
 
 /// Guards against every entry reading and writing the lease when all start, while its
-/// holder is heard, and when the holder is lost.
+/// holder sends messages, and when the holder is lost.
 #[test]
 fn calls_for_the_lease_do_not_grow_with_the_entries() {
     let (few, lost_few_ms) = lease_calls(30);
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -429,3 +429,20 @@
         }
     }
 }
+
+/// Guards against an entry that takes its old record of the lease for a free one while
+/// the holder's messages arrive: each write would conflict, and each entry would repeat
+/// it every few seconds.
+#[test]
+fn an_entry_that_receives_the_holders_messages_makes_no_call() {
+    let mut object = LeaseObject::default();
+    let mut holder = lease("a", 1);
+    run(&mut holder, &mut object, 0, 1_000);
+    let mut other = lease("b", 1);
+    perform_step(&mut other, &mut object, at(1_000), false);
+    for ms in (1_100..60_000).step_by(100) {
+        perform_step(&mut holder, &mut object, at(ms), false);
+        let step = other.next_step(at(ms), true);
+        assert_eq!(step, LeaseStep::Wait, "at {ms} ms");
+    }
+}
--- a/crates/direct/tests/all/peer_messages.rs
+++ b/crates/direct/tests/all/peer_messages.rs
@@ -1,8 +1,9 @@
 //! Rate and content of messages between entries.
 
 use direct::{
-    HOLDINGS_RESEND_MS, holdings_message_count, peer_message_interval_ms,
-    peer_timeout_ms, suspects_per_message, urgent_message_interval_ms,
+    HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
+    peer_message_interval_ms, peer_timeout_ms, suspects_per_message,
+    urgent_message_interval_ms,
 };
 
 /// A peer counts as silent after 1.5 s. With longer intervals, entries would ignore one
@@ -85,3 +86,19 @@
         assert!((4..=16).contains(&suspects_per_message(peers)));
     }
 }
+
+/// Guards against entries that start at the same time and get no message of one another
+/// for ten intervals, which is 13 s with hundreds of entries.
+#[test]
+fn new_peers_get_a_message_in_the_next_two_rounds() {
+    let mut rounds = MessageRounds::default();
+    let included = |rounds: &mut MessageRounds| -> Vec<bool> {
+        (0..12).map(|_| rounds.start()).collect()
+    };
+    let without = included(&mut rounds);
+    assert_eq!(without.iter().filter(|included| **included).count(), 1);
+    rounds.on_new_peers();
+    let with = included(&mut rounds);
+    assert!(with[0] && with[1] && !with[2], "{with:?}");
+    assert_eq!(rounds.number(), 24);
+}
--- a/crates/direct/tests/all/shared_watch.rs
+++ b/crates/direct/tests/all/shared_watch.rs
@@ -255,7 +255,7 @@
     }
 }
 
-/// Guards against one entry that vouches for its own messages: a forged message and a
+/// Guards against one entry that verifies its own messages: a forged message and a
 /// forged claim come from the same sender.
 #[test]
 fn the_claims_of_one_entry_do_not_verify_a_state() {
@@ -374,7 +374,7 @@
     let mut incomplete = SharedWatch::new();
     incomplete.on_snapshot(at(0), at(0), 10, &objects[..1]);
     for started in [&mut confirmed, &mut incomplete] {
-        assert_eq!(started.claim(), None, "it vouches for nothing yet");
+        assert_eq!(started.claim(), None, "it verifies nothing yet");
         assert_eq!(started.snapshot(), None);
         started.on_watched(at(500), batch(10, 10));
         assert!(!started.needs_list(at(500)));
@@ -386,3 +386,30 @@
     assert!(incomplete.needs_list(at(16_000)));
     assert!(!incomplete.can_skip_own_watch(at(16_000)));
 }
+
+/// Guards against a state that stays verified although an entry that watches by itself
+/// knows another one.
+#[test]
+fn a_claim_that_differs_ends_the_verification() {
+    let (mut leader, mut other, mut follower) = three_entries();
+    let mut differs = SharedWatch::new();
+    differs.on_listed(at(0), 10, &[changed("servers/x", 4, 1)]);
+    for step in 1..200_u64 {
+        let now = at(step * 100);
+        leader.on_watched(now, batch(9 + step, 10 + step));
+        other.on_watched(now, batch(9 + step, 10 + step));
+        differs.on_watched(now, batch(9 + step, 10 + step));
+        follower.receive(now, leader.outgoing());
+        let (before, after) = (at(step * 100 - 50), now);
+        follower.on_claim(before, "leader", before, claim(&leader));
+        follower.on_claim(after, "other", after, claim(&other));
+        // A digest of another state, at a version that the follower knows.
+        let wrong = WatchClaim {
+            version: 9 + step,
+            digest: claim(&differs).digest,
+        };
+        follower.on_claim(after, "third", after, wrong);
+        assert_eq!(follower.resume_version(), 10, "step {step}");
+    }
+    assert!(!follower.can_skip_own_watch(at(20_000)));
+}
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -1,7 +1,7 @@
 //! Sends orders to upstreams, requests their reports, and maintains the lease
 //! that entitles its holder to send orders.
 
-use base::{ObjectVersion, PlatformOp, PlatformResult, Precondition};
+use base::{Instant, ObjectVersion, PlatformOp, PlatformResult, Precondition};
 use bytes::Bytes;
 use direct::{LeaseRecord, LeaseStep, Order, SendOutcome, UpstreamIncarnation};
 use http_body_util::{BodyExt, Full, Limited};
@@ -200,16 +200,26 @@
         return true;
     }
     let up_ms = now.ms_since(node.started_at);
-    !node.shutdown.is_stopping() && node.peers.lease_candidate(now, up_ms).may_act()
+    let candidate = node
+        .peers
+        .lease_candidate(now, up_ms, is_holder_heard(node, now));
+    !node.shutdown.is_stopping() && candidate.may_act()
+}
+
+/// Returns whether messages arrive from the holder that the lease names.
+fn is_holder_heard(node: &Node, now: Instant) -> bool {
+    let lease = node.lease.lock();
+    lease.holder().is_some_and(|holder| {
+        node.peers
+            .is_coordinator_heard_within(now, holder, HOLDER_SILENCE_MS)
+    })
 }
 
 /// Returns the next step to maintain the lease.
 fn lease_step(node: &Node) -> LeaseStep {
     let now = node.now();
-    let holder_alive = node
-        .peers
-        .is_coordinator_heard_within(now, HOLDER_SILENCE_MS);
-    node.lease.lock().next_step(now, holder_alive)
+    let holder_heard = is_holder_heard(node, now);
+    node.lease.lock().next_step(now, holder_heard)
 }
 
 /// Reads the lease from the platform and applies it.
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -23,9 +23,6 @@
 use crate::state::peers::{Peers, UNREACHABLE_AFTER_MS};
 use crate::upstream_rate;
 
-/// An unreachable peer gets a message only once in this many rounds.
-const UNREACHABLE_ROUND_INTERVAL: u64 = 10;
-
 /// Sends this entry's state to other entries periodically, forever.
 pub(crate) async fn announce_periodically(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
@@ -75,8 +72,8 @@
 /// this entry is a leader, forever.
 ///
 /// These messages don't wait for other urgent ones, whose pause grows with the
-/// number of all entries: followers watch by themselves when they hear nothing
-/// new for a little longer than the interval of the leader's watches.
+/// number of all entries: followers watch by themselves when they receive
+/// nothing for a little longer than the interval of the leader's watches.
 pub(crate) async fn announce_watches(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
         let collection = node.shared_watches.observed().await;
@@ -187,12 +184,7 @@
     /// Returns the addresses to send this message to.
     fn addresses_due(&self, now: Instant) -> Vec<SocketAddr> {
         let mut table = self.table.lock();
-        table.message_rounds += 1;
-        let include_unreachable = table.rounds_to_all > 0
-            || table
-                .message_rounds
-                .is_multiple_of(UNREACHABLE_ROUND_INTERVAL);
-        table.rounds_to_all = table.rounds_to_all.saturating_sub(1);
+        let include_unreachable = table.message_rounds.start();
         let live: BTreeSet<SocketAddr> = table
             .peers
             .values()
@@ -212,7 +204,11 @@
     let (sequence, round, periodic_round) = {
         let mut table = node.peers.table.lock();
         table.sequence += 1;
-        (table.sequence, table.message_rounds, table.periodic_rounds)
+        (
+            table.sequence,
+            table.message_rounds.number(),
+            table.periodic_rounds,
+        )
     };
     let (coordinator_token, lease_renewal) = {
         let lease = node.lease.lock();
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -219,7 +219,7 @@
         let is_new = table.peers.insert(message.entry.clone(), state).is_none();
         drop(table);
         if is_new {
-            node.update_entry_count();
+            self.new_peer.notify_one();
         }
         true
     }
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -3,11 +3,12 @@
 use base::{PlatformOp, PlatformResult, Precondition};
 use direct::WatchRole;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::time::{sleep, timeout};
 
 use crate::platform_watch::Collection;
 use crate::shared_watch::role;
@@ -20,8 +21,8 @@
 /// itself or for others.
 const LIST_INTERVAL: Duration = Duration::from_secs(8);
 
-/// Interval at which other entries read the list. An entry that starts finds
-/// them in the list and sends them messages, by which they learn of it.
+/// Longest interval at which other entries read the list. An entry that starts
+/// finds them in the list and sends them messages, after which they read it.
 const FOLLOWER_LIST_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Delay before the list is read again after a failed call, or after this entry
@@ -29,10 +30,6 @@
 /// well.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// Number of message rounds that include addresses that are new in the list. The
-/// first message may be lost.
-const NEW_ADDRESS_ROUNDS: u64 = 2;
-
 /// Time after which all other entries count an entry that is in the list. Most
 /// learn of it within two seconds; those that its messages don't reach read the
 /// list every eight seconds.
@@ -93,17 +90,31 @@
             let is_written = write_record(&node, &key, exists, value).await;
             written_settled = is_written.then_some(record.settled);
         }
-        let interval = list_interval(&node);
-        tokio::time::sleep(list_delay(is_listed, is_settled(&node), interval)).await;
+        wait_for_next_list(&node, is_listed).await;
+    }
+}
+
+/// Waits until the list is due again, given whether it has this entry's current
+/// record. A message of an entry that was not known makes it due, as the number of
+/// entries may have changed.
+async fn wait_for_next_list(node: &Node, is_listed: bool) {
+    let delay = list_delay(is_listed, is_settled(node), list_interval(node));
+    sleep(delay.min(LIST_INTERVAL)).await;
+    if delay > LIST_INTERVAL {
+        // The list is due in either case.
+        let _ = timeout(delay - LIST_INTERVAL, node.peers.new_peer.notified()).await;
     }
 }
 
 /// Records who precedes this entry, whose key is `key`, and who shares its failure
 /// domain.
 fn learn_from_list(node: &Node, listed: &EntryList, key: &str) {
+    let mut table = node.peers.table.lock();
     if listed.contains(key) {
-        node.peers.table.lock().listed_before = Some(listed.before(key));
+        table.listed_before = Some(listed.before(key));
     }
+    table.listed_names = Some(listed.names(node));
+    drop(table);
     let mut domain_entries = listed.domain_entries(node);
     // A list without any entry may be of a time before all of them started.
     if !domain_entries.is_empty() {
@@ -194,6 +205,13 @@
         entries.collect()
     }
 
+    /// Returns the names of all entries.
+    fn names(&self, node: &Node) -> BTreeSet<String> {
+        let prefix = node.options.keys.entry_prefix.as_str();
+        let names = self.keys.iter().filter_map(|key| key.strip_prefix(prefix));
+        names.map(str::to_owned).collect()
+    }
+
     /// Returns whether there is a record at a key.
     fn contains(&self, key: &str) -> bool {
         self.keys.iter().any(|listed| listed == key)
@@ -244,7 +262,8 @@
     node.unreadable
         .retain(ObjectKind::Entry, |key| listed.is_unreadable(key));
     node.peers.set_listed(&listed.records);
-    node.update_entry_count();
+    let entries = u32::try_from(listed.records.len().max(1)).unwrap_or(u32::MAX);
+    node.retry_budget.lock().set_entries(entries);
     Some(listed)
 }
 
@@ -266,7 +285,7 @@
         let mut table = self.table.lock();
         for (_, record) in records {
             if table.addresses.insert(record.peers) {
-                table.rounds_to_all = NEW_ADDRESS_ROUNDS;
+                table.message_rounds.on_new_peers();
             }
         }
         table.listed_entries = records.len().max(1);
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -233,13 +233,6 @@
         matches!(verdict, CrashVerdict::Convicted { .. })
     }
 
-    /// Applies the number of entries that share the retry budget. An entry that
-    /// counts fewer than there are would use more than its part.
-    pub(crate) fn update_entry_count(&self) {
-        let entries = u32::try_from(self.peers.entry_count()).unwrap_or(u32::MAX);
-        self.retry_budget.lock().set_entries(entries);
-    }
-
     /// Returns whether this entry can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let knows_some = self.has_first_upstreams.load(Ordering::Relaxed);
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -2,7 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    DemandEstimate, LeaseCandidate, PeerEntry, has_successor, peer_timeout_ms,
+    DemandEstimate, LeaseCandidate, MessageRounds, PeerEntry, has_successor,
+    peer_timeout_ms,
 };
 use parking_lot::Mutex;
 use quota::select_keeper;
@@ -28,6 +29,8 @@
     pub(crate) own_name: String,
     pub(crate) own_address: SocketAddr,
     pub(crate) table: Mutex<PeerTable>,
+    /// Notified when a message of an entry arrives that was not known.
+    pub(crate) new_peer: Notify,
     /// Notified when a message should be sent right away.
     pub(crate) announce_now: Notify,
     /// The UDP socket for messages, once it is bound.
@@ -42,20 +45,17 @@
     pub(crate) peers: HashMap<String, PeerState>,
     /// Sequence number of the last message sent.
     pub(crate) sequence: u64,
-    /// Number of rounds in which peers were sent messages. `sequence` can't be
-    /// used for this: it counts two messages per round and others in between.
-    pub(crate) message_rounds: u64,
-    /// Number of coming rounds in which all addresses get a message, because some
-    /// of them are new. Peers that have just started at the same time would
-    /// otherwise hear of one another only in the next round for unreachable
-    /// ones.
-    pub(crate) rounds_to_all: u64,
+    /// Rounds in which peers were sent messages. `sequence` can't be used for
+    /// this: it counts two messages per round and others in between.
+    pub(crate) message_rounds: MessageRounds,
     /// Number of periodic rounds, which determine the part of the holdings to
     /// send. Counting the messages about changes in between would leave out
     /// parts for a long time.
     pub(crate) periodic_rounds: u64,
     /// Number of entries in the platform's list.
     pub(crate) listed_entries: usize,
+    /// Names of the entries in the platform's list; `None` before the first one.
+    pub(crate) listed_names: Option<BTreeSet<String>>,
     /// Number of entries in the platform's list that precede this one by name;
     /// `None` as long as the list does not contain this entry.
     pub(crate) listed_before: Option<usize>,
@@ -114,29 +114,53 @@
             own_name: options.entry.clone(),
             own_address: options.peer_address,
             table: Mutex::new(table),
+            new_peer: Notify::new(),
             announce_now: Notify::new(),
             socket: OnceLock::new(),
         }
     }
 
-    /// Returns whether a coordinator was heard from within `ms`.
-    pub(crate) fn is_coordinator_heard_within(&self, now: Instant, ms: u64) -> bool {
-        let heard_at = self.table.lock().coordinator_heard_at;
-        heard_at.is_some_and(|heard_at| now.ms_since(heard_at) < ms)
+    /// Returns whether an entry was heard from within `ms` and said that it is the
+    /// coordinator.
+    pub(crate) fn is_coordinator_heard_within(
+        &self,
+        now: Instant,
+        entry: &str,
+        ms: u64,
+    ) -> bool {
+        let table = self.table.lock();
+        let peer = table.peers.get(entry);
+        peer.is_some_and(|peer| {
+            peer.coordinator_token > 0 && now.ms_since(peer.heard_at) < ms
+        })
     }
 
     /// Returns what this entry, whose process has run for `up_ms`, knows about
-    /// the others that could hold the lease.
-    pub(crate) fn lease_candidate(&self, now: Instant, up_ms: u64) -> LeaseCandidate {
+    /// the others that could hold the lease. `holder_heard` tells whether messages
+    /// arrive from the holder that the lease names.
+    pub(crate) fn lease_candidate(
+        &self,
+        now: Instant,
+        up_ms: u64,
+        holder_heard: bool,
+    ) -> LeaseCandidate {
         let table = self.table.lock();
+        let is_listed = |name: &String| {
+            let names = table.listed_names.as_ref();
+            names.is_none_or(|names| names.contains(name))
+        };
         let before = table.live_peers(now).filter(|(name, peer)| {
-            peer.watch_works && !peer.shutting_down && **name < self.own_name
+            peer.watch_works
+                && !peer.shutting_down
+                && **name < self.own_name
+                && is_listed(name)
         });
         LeaseCandidate {
             live_before: before.count(),
             listed_before: table.listed_before,
             up_ms,
-            holder_silent_ms: table
+            holder_heard,
+            coordinator_silent_ms: table
                 .coordinator_heard_at
                 .map(|heard_at| now.ms_since(heard_at)),
         }
