front: a source of the state is waited for as long as it sends something

Cause: an entry that starts waited 1.2 s for the state, one whose watch was cut off 0.5 s.

Change: a source without a state says so, and sends it when it has it. The wait ends after 1.2 s (0.5 s after a cut) without any message of a source, 3.0 s (1.2 s) in all; the next source is asked only after 0.4 s of silence. Parts are taken from entries of the failure domain only.

Comments in the field's terms.

--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -346,8 +346,8 @@
     /// Handles the claim of another entry that watches by itself, which the platform
     /// confirmed to it at `confirmed_at`.
     ///
-    /// A digest that belongs to a later version than the known one and is the same
-    /// tells that nothing has changed up to that version.
+    /// If the claim is of a later version and the digest is the same, nothing has
+    /// changed up to that version.
     pub fn on_claim(
         &mut self,
         now: Instant,
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -68,7 +68,7 @@
     let mut contact = PlatformContact::new(collection);
     let mut relist_delay = RETRY_DELAY_MIN;
     let mut has_state =
-        start_state::fetch(&node, collection, start_state::START_WAIT).await;
+        start_state::fetch(&node, collection, start_state::START_LIMITS).await;
     loop {
         if !has_state && !list_once(&node, collection, &mut contact).await {
             contact.back_off().await;
@@ -101,8 +101,8 @@
         // A platform that drops its history cuts off all watches at once, and all
         // entries would list.
         if !node.shared_watches.needs_list(node.now(), collection) {
-            let wait = start_state::RESUME_WAIT;
-            has_state = start_state::fetch(&node, collection, wait).await;
+            let limits = start_state::RESUME_LIMITS;
+            has_state = start_state::fetch(&node, collection, limits).await;
         }
     }
 }
@@ -318,7 +318,7 @@
     confirmed_at: Instant,
     objects: &[ChangedObject],
 ) -> bool {
-    if !node.shared_watches.is_news(collection, version) {
+    if !node.shared_watches.is_current(collection, version) {
         return false;
     }
     let listed: Vec<Object> = objects.iter().map(as_object).collect();
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns whether the state at a version is at least as new as the known one.
-    pub(crate) fn is_news(&self, collection: Collection, version: u64) -> bool {
+    pub(crate) fn is_current(&self, collection: Collection, version: u64) -> bool {
         version >= self.watch(collection).lock().known_version()
     }
 
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -21,20 +21,41 @@
 use crate::platform_watch::{Collection, apply_start_state};
 use crate::state::Node;
 
-/// Longest wait for the platform's list of entries, which tells whom to ask. It is empty
-/// when all entries start for the first time.
+/// Longest wait for the platform's list of entries, which determines the entries to
+/// ask. It is empty when all entries start for the first time.
 const LISTED_WAIT: Duration = Duration::from_millis(2_000);
 
-/// Longest wait for the state of an entry that starts, and of one whose watch was cut
-/// off, which serves meanwhile by what it knows.
-pub(crate) const START_WAIT: Duration = Duration::from_millis(1_200);
-pub(crate) const RESUME_WAIT: Duration = Duration::from_millis(500);
+/// How long an entry waits for the state.
+///
+/// The time that a source needs grows with the entries and upstreams: it lists while
+/// others list, and sends the state to its group. So it is waited for as long as it
+/// sends something.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WaitLimits {
+    /// Time without any message of a source.
+    max_silence: Duration,
+    /// Whole time.
+    total: Duration,
+}
+
+/// Limits of an entry that starts.
+pub(crate) const START_LIMITS: WaitLimits = WaitLimits {
+    max_silence: Duration::from_millis(1_200),
+    total: Duration::from_millis(3_000),
+};
 
-/// Interval after which the next entry is asked.
+/// Limits of an entry whose watch was cut off. It serves by what it knows, which must
+/// not get too old.
+pub(crate) const RESUME_LIMITS: WaitLimits = WaitLimits {
+    max_silence: Duration::from_millis(500),
+    total: Duration::from_millis(1_200),
+};
+
+/// Silence of a source after which the next one is asked.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time for which the question of an entry is kept until this one has the state.
-const ASK_KEPT_MS: u64 = 1_500;
+const ASK_KEPT_MS: u64 = 3_000;
 
 /// Age of the state beyond which it is not passed on.
 const STATE_MAX_AGE_MS: u64 = 1_300;
@@ -62,6 +83,8 @@
     count: u32,
     confirmed_at: Instant,
     parts: BTreeMap<u32, Vec<ChangedObject>>,
+    /// When a source last sent anything, parts or that it has no state yet.
+    source_active_at: Instant,
 }
 
 impl StartState {
@@ -71,6 +94,26 @@
         self.listed.notify_waiters();
     }
 
+    /// Returns whether an address is that of an entry of this failure domain in the
+    /// platform's list.
+    fn is_domain_entry(&self, address: SocketAddr) -> bool {
+        let entries = self.domain_entries.lock();
+        let mut addresses = entries.iter().flat_map(BTreeMap::values);
+        addresses.any(|listed| *listed == address)
+    }
+
+    /// Keeps the question of an entry until this one has the state.
+    fn add_waiting(&self, now: Instant, collection: Collection, address: SocketAddr) {
+        let mut waiting = self.waiting[collection as usize].lock();
+        waiting.retain(|(_, waiting)| *waiting != address);
+        waiting.push((now, address));
+    }
+
+    /// Returns when a source last sent anything.
+    fn source_active_at(&self, collection: Collection) -> Instant {
+        self.received[collection as usize].lock().source_active_at
+    }
+
     /// Takes a complete state, with its version and the time of its confirmation.
     fn take_complete(
         &self,
@@ -91,7 +134,7 @@
 pub(crate) async fn fetch(
     node: &Node,
     collection: Collection,
-    max_wait: Duration,
+    limits: WaitLimits,
 ) -> bool {
     let Some(entries) = domain_entries(node).await else {
         return false;
@@ -101,16 +144,21 @@
     if sources.is_empty() {
         return false;
     }
-    node.start_state.received[collection as usize].lock().count = 0;
+    *node.start_state.received[collection as usize].lock() = ReceivedParts::default();
     let asked_at = node.now();
+    let mut active_at = asked_at;
     for source in sources.iter().cycle() {
-        let waited = node.now().since(asked_at);
-        if waited >= max_wait {
+        let now = node.now();
+        if now.since(active_at) >= limits.max_silence
+            || now.since(asked_at) >= limits.total
+        {
             break;
         }
         ask(node, collection, entries[*source]).await;
-        let ask_end = node.now() + ASK_INTERVAL.min(max_wait.saturating_sub(waited));
-        while node.now() < ask_end {
+        let mut silent_since = node.now();
+        while node.now().since(silent_since) < ASK_INTERVAL
+            && node.now().since(asked_at) < limits.total
+        {
             let changed = node.start_state.changed.notified();
             if let Some(state) = node.start_state.take_complete(collection) {
                 let (version, confirmed_at, objects) = state;
@@ -124,8 +172,10 @@
                 log_result(node, collection, source, asked_at, is_applied);
                 return is_applied;
             }
+            active_at = active_at.max(node.start_state.source_active_at(collection));
+            silent_since = silent_since.max(active_at);
             // The next iteration checks, whether it was notified or timed out.
-            let _ = timeout(ask_end.since(node.now()), changed).await;
+            let _ = timeout(ASK_INTERVAL, changed).await;
         }
     }
     log_result(node, collection, sources[0], asked_at, false);
@@ -190,14 +240,15 @@
     if let Some(ask) = &message.state_ask {
         let collection = collection(ask.upstreams);
         if !answer(node, collection, from).await {
-            let mut waiting = node.start_state.waiting[collection as usize].lock();
-            waiting.retain(|(_, address)| *address != from);
-            waiting.push((node.now(), from));
+            node.start_state.add_waiting(node.now(), collection, from);
+            send_part(node, from, no_part_yet(collection)).await;
         }
         return true;
     }
     if let Some(part) = &message.state_part {
-        receive_part(node, part);
+        if node.start_state.is_domain_entry(from) {
+            receive_part(node, part);
+        }
         return true;
     }
     false
@@ -223,7 +274,7 @@
 }
 
 /// Sends the state of a collection. Returns false if this entry doesn't have it, or
-/// has heard nothing of the platform lately.
+/// only an old one.
 async fn answer(node: &Node, collection: Collection, address: SocketAddr) -> bool {
     let Some(state) = node.shared_watches.snapshot(collection) else {
         return false;
@@ -241,24 +292,37 @@
             objects,
             is_partial: false,
         };
-        let message = PeerNews {
-            entry: node.options.entry.clone(),
-            start: node.started_unix_ms,
-            state_part: Some(StatePart {
-                upstreams: collection == Collection::Upstreams,
-                version: state.version,
-                age_ms,
-                number,
-                count,
-                packed: pack_batches(&[batch], usize::MAX),
-            }),
-            ..PeerNews::default()
+        let part = StatePart {
+            upstreams: collection == Collection::Upstreams,
+            version: state.version,
+            age_ms,
+            number,
+            count,
+            packed: pack_batches(&[batch], usize::MAX),
         };
-        send(node, address, &message).await;
+        send_part(node, address, part).await;
     }
     true
 }
 
+/// The answer of an entry that has no state yet and will send it: no part at all.
+fn no_part_yet(collection: Collection) -> StatePart {
+    StatePart {
+        upstreams: collection == Collection::Upstreams,
+        ..StatePart::default()
+    }
+}
+
+async fn send_part(node: &Node, address: SocketAddr, part: StatePart) {
+    let message = PeerNews {
+        entry: node.options.entry.clone(),
+        start: node.started_unix_ms,
+        state_part: Some(part),
+        ..PeerNews::default()
+    };
+    send(node, address, &message).await;
+}
+
 /// Splits objects into parts of bounded size. There is always at least one part.
 fn split(objects: Vec<ChangedObject>) -> Vec<Vec<ChangedObject>> {
     let mut parts = vec![Vec::new()];
@@ -277,17 +341,19 @@
 }
 
 fn receive_part(node: &Node, part: &StatePart) {
+    let collection = collection(part.upstreams);
+    let mut received = node.start_state.received[collection as usize].lock();
+    received.source_active_at = node.now();
     let Some(batch) = unpack_batches(&part.packed).pop() else {
         return;
     };
-    let collection = collection(part.upstreams);
-    let mut received = node.start_state.received[collection as usize].lock();
     if received.version != part.version || received.count != part.count {
         *received = ReceivedParts {
             version: part.version,
             count: part.count,
             confirmed_at: node.now() - Duration::from_millis(part.age_ms),
             parts: BTreeMap::new(),
+            source_active_at: node.now(),
         };
     }
     received.parts.insert(part.number, batch.objects);
--- a/crates/once/src/pending.rs
+++ b/crates/once/src/pending.rs
@@ -47,8 +47,8 @@
 }
 
 impl ClaimEnd {
-    /// Takes the attempt that waits for this end, with the action that tells its
-    /// owner that the wait is over.
+    /// Takes the attempt that waits for this end, as the action with which its wait
+    /// ends.
     pub(crate) fn take_waiter(&mut self) -> Option<ClaimAction> {
         match self {
             Self::Finish { waiter, .. } => {
--- a/crates/role/src/agent/upstream_events.rs
+++ b/crates/role/src/agent/upstream_events.rs
@@ -144,7 +144,7 @@
 
     /// Sends the end of a response that waited for the write that stores it. If
     /// it were sent before, a caller that sends its request again at once would
-    /// be told that its key is in progress.
+    /// get the error that its key is in progress.
     pub(super) fn send_delayed_end(
         &mut self,
         id: AttemptId,
