front: the log says what fills the messages between entries and who said that an upstream left

The log could not tell which part of the periodic message grows, nor who makes an upstream leave.

Change: bytes by part as a metric and in `usage`; `upstream_leaving`, `upstream_gone` and `upstream_restarted` also where another entry, a list or a report said it, with `told_by` and the incarnation; `start_state` says how many objects it took. What entries tell one another about leaving upstreams moves to fleet/leaving.rs, otherwise unchanged.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,6 +1,8 @@
 //! What this entry knows about the upstreams.
 
+mod changes;
 mod incarnations;
+mod leaving;
 mod liveness;
 mod rate;
 mod refusals;
@@ -14,6 +16,7 @@
 use crate::{Config, ResidentModel, UpstreamIncarnation, UpstreamRecord};
 use upstream::{CoordinatorHoldings, HOLDINGS_MAX_AGE_MS, HOLDINGS_VALID_MS};
 
+pub use changes::{ChangeKind, UpstreamChange};
 pub use liveness::Activity;
 pub use rate::{RateLimit, RateNotice};
 pub use upstream::{Upstream, Usage};
@@ -25,11 +28,6 @@
 /// Time for which an upstream that is gone is remembered.
 const FORGET_MS: u64 = 60_000;
 
-/// Time for which entries tell one another that an upstream is leaving. It is longer
-/// than the time in which a leaving upstream may still get requests, and than most
-/// connection losses between entries.
-const LEAVING_RESEND_MS: u64 = 8_000;
-
 /// The latest coordinator that was heard from.
 #[derive(Debug, Default)]
 struct LatestCoordinator {
@@ -57,6 +55,8 @@
     platform_returned_at: Option<Instant>,
     coordinator: LatestCoordinator,
     peer_mentions: PeerMentions,
+    /// Changes since [`Fleet::take_changes`] was last called.
+    changes: Vec<UpstreamChange>,
 }
 
 impl Fleet {
@@ -65,6 +65,12 @@
         Self::default()
     }
 
+    /// Takes the changes that were learned from other entries, from upstreams' reports
+    /// and from complete lists.
+    pub fn take_changes(&mut self) -> Vec<UpstreamChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Records that the platform is reachable again.
     pub const fn platform_returned(&mut self, now: Instant) {
         self.platform_returned_at = Some(now);
@@ -101,7 +107,14 @@
             .cloned()
             .collect();
         for id in missing {
+            let was_listed = self.get(&id).is_some_and(Upstream::is_listed);
             self.remove(now, &id, list_version);
+            let upstream = self
+                .get(&id)
+                .filter(|known| was_listed && !known.is_listed());
+            let change =
+                upstream.map(|known| UpstreamChange::new(known, ChangeKind::Gone));
+            self.changes.extend(change);
         }
     }
 
@@ -200,29 +213,6 @@
         }
     }
 
-    /// Upstreams that are leaving or whose records have vanished, with the version at
-    /// which this was seen and whether the record vanished. Each is returned for
-    /// `LEAVING_RESEND_MS` after it was last active.
-    ///
-    /// Other entries learn this from the platform as well, and after a few seconds of
-    /// resending all of them know it. When these upstreams were sent for as long as
-    /// they are remembered, those of a lost failure domain filled most of each message
-    /// for a minute. An upstream that the platform doesn't list as leaving yet is sent
-    /// until it does, because an entry that starts can't learn of it elsewhere.
-    pub fn leaving_upstreams(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (&Upstream, u64, bool)> {
-        let recent = self.all().filter(move |upstream| {
-            upstream.is_leaving_unlisted
-                || now.ms_since(upstream.last_active_at) < LEAVING_RESEND_MS
-        });
-        recent.filter_map(|upstream| {
-            let (version, vanished) = upstream.leaving_version()?;
-            Some((upstream, version, vanished))
-        })
-    }
-
     /// Forgets upstreams that are gone and have no running request.
     ///
     /// One that is leaving but isn't yet listed as such by the platform is kept.
@@ -239,31 +229,6 @@
         self.update_missing_start_times();
     }
 
-    /// Records that a response of this incarnation announced that it is leaving. The
-    /// platform's record may say so late or never. Returns whether this is new.
-    pub fn note_leaving(&mut self, incarnation: UpstreamIncarnation<'_>) -> bool {
-        self.incarnation_mut(incarnation)
-            .is_some_and(Upstream::mark_leaving)
-    }
-
-    /// Handles another entry's report that an upstream is leaving, or that its record
-    /// had vanished at a version.
-    pub fn peer_reported_leaving(
-        &mut self,
-        incarnation: UpstreamIncarnation<'_>,
-        version: u64,
-        vanished: bool,
-    ) {
-        let Some(upstream) = self.note_incarnation(incarnation) else {
-            return;
-        };
-        if !vanished {
-            upstream.mark_leaving();
-        } else if version >= upstream.version && upstream.vanished_at.is_none() {
-            upstream.gone_version = Some(version);
-        }
-    }
-
     /// Sets another entry's usage of the upstreams. It doesn't use upstreams that
     /// aren't named.
     pub fn set_peer_usage<'a>(
--- a/crates/direct/src/fleet/incarnations.rs
+++ b/crates/direct/src/fleet/incarnations.rs
@@ -1,6 +1,6 @@
 //! Incarnations of upstreams under one name.
 
-use super::{Fleet, Upstream};
+use super::{ChangeKind, Fleet, Upstream, UpstreamChange};
 use crate::{LocalWeights, UpstreamIncarnation, UpstreamRecord};
 
 impl Upstream {
@@ -68,6 +68,8 @@
         let known = self.upstreams.get_mut(incarnation.id)?;
         if incarnation.started_unix_ms > known.record.started_unix_ms {
             *known = known.restarted(incarnation.started_unix_ms);
+            let change = UpstreamChange::new(known, ChangeKind::Restarted);
+            self.changes.push(change);
             self.update_missing_start_times();
         }
         self.incarnation_mut(incarnation)
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -158,6 +158,11 @@
         !self.record.leaving && !self.lacks_start_time && listed
     }
 
+    /// Whether the record of the upstream is in the platform, as far as is known.
+    pub(super) const fn is_listed(&self) -> bool {
+        self.gone_version.is_none()
+    }
+
     /// Records from a source other than the platform that the upstream is leaving.
     /// Returns whether this is new.
     pub(super) fn mark_leaving(&mut self) -> bool {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -87,7 +87,9 @@
     WeightedService,
 };
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
-pub use fleet::{Activity, Fleet, RateLimit, RateNotice, Upstream, Usage};
+pub use fleet::{
+    Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
+};
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use lease_candidates::LeaseCandidate;
 pub use ledger::Ledger;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -54,6 +54,7 @@
 mod stream;
 mod takeover;
 mod upstream_address;
+mod upstream_changes;
 mod upstream_rate;
 mod upstream_selection;
 mod usage_report;
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -18,6 +18,7 @@
 use crate::state::connection_pool::SendError;
 use crate::state::unreadable::ObjectKind;
 use crate::upstream_address::{address_of, record_unreachable};
+use crate::upstream_changes::log_changes;
 use crate::{ControlRequest, response_feedback};
 
 /// Timeout of an order. Upstreams respond within milliseconds or not at all.
@@ -115,6 +116,7 @@
                 started_unix_ms: report.started_unix_ms,
             };
             node.fleet.lock().observe_report(incarnation);
+            log_changes(&node, "report");
             node.coordinator.record_report(node.now(), &id, &report);
         }
         Err(error) => node.report_unreadable(ObjectKind::Report, &id, &body, &error),
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
+use super::message_parts::part_sizes;
 use crate::platform_watch::Collection;
 use crate::quota::can_keep_tokens;
 use crate::shared_watch::{outgoing_batches, outgoing_claim, role};
@@ -162,7 +163,9 @@
     if addresses.peek().is_none() {
         return;
     }
-    let message = build_message(node, audience, trigger).encode_to_vec();
+    let message = build_message(node, audience, trigger);
+    let part_sizes = part_sizes(&message);
+    let message = message.encode_to_vec();
     let mut sent = 0;
     for address in addresses {
         // A datagram to a peer that is gone is lost; the next message is sent
@@ -173,6 +176,9 @@
     let reason = trigger.as_str();
     node.metrics
         .count_peer_messages("sent", reason, sent, message.len());
+    for (part, bytes) in part_sizes {
+        node.metrics.count_peer_part(part, sent, bytes);
+    }
 }
 
 impl Peers {
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -18,6 +18,7 @@
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wanted_adapters::WantedAdapter;
+use crate::upstream_changes::log_changes;
 use crate::upstream_rate;
 
 /// Largest datagram that is accepted.
@@ -111,6 +112,7 @@
     }
     drop(fleet);
     upstream_rate::receive(node, &message.entry, &message.rates);
+    log_changes(node, &message.entry);
     if message.lease_renewal > 0 {
         let record = LeaseRecord {
             holder: message.entry.clone(),
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -16,6 +16,7 @@
 use crate::state::Node;
 use crate::state::metered_platform::outcome_label;
 use crate::state::unreadable::ObjectKind;
+use crate::upstream_changes::log_changes;
 
 /// Shortest and longest delay after a failed call. Each call adds load to a
 /// platform in trouble, but the configuration must be in force within seconds
@@ -399,6 +400,7 @@
     node.unreadable
         .retain(ObjectKind::Report, |id| fleet.get(id).is_some());
     drop(fleet);
+    log_changes(node, "list");
     node.holdings_changed.notify_waiters();
 }
 
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -169,7 +169,8 @@
                     confirmed_at,
                     &objects,
                 );
-                log_result(node, collection, source, asked_at, is_applied);
+                let count = Some(objects.len());
+                log_result(node, collection, source, asked_at, is_applied, count);
                 return is_applied;
             }
             active_at = active_at.max(node.start_state.source_active_at(collection));
@@ -178,7 +179,7 @@
             let _ = timeout(ASK_INTERVAL, changed).await;
         }
     }
-    log_result(node, collection, sources[0], asked_at, false);
+    log_result(node, collection, sources[0], asked_at, false, None);
     false
 }
 
@@ -188,11 +189,12 @@
     source: &str,
     asked_at: Instant,
     received: bool,
+    objects: Option<usize>,
 ) {
     node.log.line(
         "start_state",
         json!({ "followed": collection.as_str(), "asked": source, "received": received,
-            "ms": node.now().ms_since(asked_at) }),
+            "objects": objects, "ms": node.now().ms_since(asked_at) }),
     );
 }
 
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) peer_messages: IntCounterVec,
     /// Bytes of these messages.
     pub(crate) peer_bytes: IntCounterVec,
+    /// Bytes of the parts of sent messages, by part.
+    pub(crate) peer_part_bytes: IntCounterVec,
     /// Objects that can't be decoded, by kind, counted once per change.
     pub(crate) unreadable: IntCounterVec,
     /// Upstreams that began to be avoided, by reason.
@@ -95,6 +97,11 @@
             "Bytes of messages between entries",
             &["direction", "reason"],
         );
+        let peer_part_bytes = counter(
+            "sesame_front_peer_part_bytes_total",
+            "Bytes of the parts of messages sent to other entries",
+            &["part"],
+        );
         let unreadable = counter(
             "sesame_front_unread_total",
             "Objects that could not be read, once for each change",
@@ -157,6 +164,7 @@
             platform_calls,
             peer_messages,
             peer_bytes,
+            peer_part_bytes,
             unreadable,
             avoided,
             suspended_s,
@@ -182,6 +190,14 @@
         self.peer_bytes.with_label_values(&labels).inc_by(bytes);
     }
 
+    /// Counts a part of `bytes` bytes in each of `messages` messages sent to other
+    /// entries.
+    pub(crate) fn count_peer_part(&self, part: &str, messages: u64, bytes: usize) {
+        self.peer_part_bytes
+            .with_label_values(&[part])
+            .inc_by(messages * bytes as u64);
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new()
--- a/crates/front/src/usage_report.rs
+++ b/crates/front/src/usage_report.rs
@@ -25,11 +25,12 @@
     let calls = totals(&metrics.platform_calls, 1);
     let messages = totals(&metrics.peer_messages, 2);
     let bytes = totals(&metrics.peer_bytes, 2);
+    let parts = totals(&metrics.peer_part_bytes, 1);
     node.log.line(
         "usage",
         json!({ "up_s": up_s, "platform_calls": calls,
             "platform_requests": node.platform.requests_sent(),
-            "peer_messages": messages, "peer_bytes": bytes,
+            "peer_messages": messages, "peer_bytes": bytes, "peer_part_bytes": parts,
             "peers": node.peers.entry_count() - 1 }),
     );
 }
