front: the state of the platform's objects is taken from one source and checked by its digest

Cause: a state is sent in parts, which each source divided in the order of its hash table. When the first source was silent for 0.4 s the second was asked as well; parts of the same version and count were combined whoever had sent them.

Change: received_state keeps the parts of each source apart and takes a state only if its objects have the digest that the source stated, which each part carries. Sources sort the objects, so the same state is always divided the same way. A state without a digest, of an entry of an earlier build, is not taken: the entry lists.

Measured: starts::parts_of_two_states_are_not_combined fails on the code before in both of its cases ("d-2 is not used") and passes; the tests of starts and of the shared watch pass.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -114,6 +114,7 @@
     WatchSnapshot,
 };
 pub use start_source::start_sources;
+pub use state_digest::state_digest;
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -101,7 +101,9 @@
     pub version: u64,
     /// When the platform confirmed the state, to this entry or to its leader.
     pub confirmed_at: Instant,
-    /// All objects.
+    /// Digest of the objects.
+    pub digest: u64,
+    /// All objects, sorted by key.
     pub objects: Vec<ChangedObject>,
 }
 
@@ -236,10 +238,14 @@
         if !self.has_state() || self.unverified_since.is_some() {
             return None;
         }
+        let mut objects: Vec<ChangedObject> = self.digest.objects().cloned().collect();
+        // The same state is divided into the same parts each time it is sent.
+        objects.sort_unstable_by(|one, other| one.key.cmp(&other.key));
         Some(WatchSnapshot {
             version: self.known_version,
             confirmed_at: self.received_at.max(self.own_call_at)?,
-            objects: self.digest.objects().cloned().collect(),
+            digest: self.digest.current(),
+            objects,
         })
     }
 
--- a/crates/direct/src/state_digest.rs
+++ b/crates/direct/src/state_digest.rs
@@ -101,6 +101,13 @@
     }
 }
 
+/// Digest of a state that consists of these objects, as in
+/// [`WatchClaim`](crate::WatchClaim).
+pub fn state_digest(objects: &[ChangedObject]) -> u64 {
+    let hashes = objects.iter().map(object_hash);
+    hashes.fold(0, |digest, hash| digest ^ hash)
+}
+
 fn object_hash(object: &ChangedObject) -> u64 {
     let mut bytes = Vec::with_capacity(object.key.len() + 16);
     bytes.extend_from_slice(object.key.as_bytes());
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -41,6 +41,7 @@
 mod protocol;
 mod quota;
 mod readiness;
+mod received_state;
 mod request;
 mod response;
 mod response_feedback;
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::packed_batches::changed_object;
+use crate::received_state::CompleteState;
 use crate::shared_watch::{
     is_covered, wait_for_next_watch, wait_while_covered, watch_platform,
 };
@@ -315,10 +316,13 @@
 pub(crate) fn apply_start_state(
     node: &Node,
     collection: Collection,
-    version: u64,
-    confirmed_at: Instant,
-    objects: &[ChangedObject],
+    state: &CompleteState,
 ) -> bool {
+    let &CompleteState {
+        version,
+        confirmed_at,
+        ref objects,
+    } = state;
     if !node.shared_watches.is_current(collection, version) {
         return false;
     }
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -7,7 +7,7 @@
 
 use base::prelude::*;
 use direct::{ChangedObject, WatchBatch, start_sources};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use prost::Message;
 use schema::peer::{PeerNews, StateAsk, StatePart};
 use serde_json::json;
@@ -17,8 +17,9 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::packed_batches::{pack_batches, unpack_batches};
+use crate::packed_batches::pack_batches;
 use crate::platform_watch::{Collection, apply_start_state};
+use crate::received_state::ReceivedState;
 use crate::state::Node;
 
 /// Longest wait for the platform's list of entries, which determines the entries to
@@ -70,23 +71,13 @@
     /// list, and of this one; `None` as long as the list contains none of them.
     domain_entries: Mutex<Option<BTreeMap<String, SocketAddr>>>,
     listed: Notify,
-    /// Parts that were received of each collection, and their version and number.
-    received: [Mutex<ReceivedParts>; 2],
+    /// What sources sent of each collection.
+    received: [Mutex<ReceivedState>; 2],
     changed: Notify,
     /// Entries that wait for the state until this one has it.
     waiting: [Mutex<Vec<(Instant, SocketAddr)>>; 2],
 }
 
-#[derive(Debug, Default)]
-struct ReceivedParts {
-    version: u64,
-    count: u32,
-    confirmed_at: Instant,
-    parts: BTreeMap<u32, Vec<ChangedObject>>,
-    /// When a source last sent anything, parts or that it has no state yet.
-    source_active_at: Instant,
-}
-
 impl StartState {
     /// Sets the entries of this failure domain, this one among them.
     pub(crate) fn set_domain_entries(&self, entries: BTreeMap<String, SocketAddr>) {
@@ -109,23 +100,8 @@
         waiting.push((now, address));
     }
 
-    /// Returns when a source last sent anything.
-    fn source_active_at(&self, collection: Collection) -> Instant {
-        self.received[collection as usize].lock().source_active_at
-    }
-
-    /// Takes a complete state, with its version and the time of its confirmation.
-    fn take_complete(
-        &self,
-        collection: Collection,
-    ) -> Option<(u64, Instant, Vec<ChangedObject>)> {
-        let mut received = self.received[collection as usize].lock();
-        if received.count == 0 || received.parts.len() < received.count as usize {
-            return None;
-        }
-        let received = std::mem::take(&mut *received);
-        let objects = received.parts.into_values().flatten().collect();
-        Some((received.version, received.confirmed_at, objects))
+    fn received(&self, collection: Collection) -> MutexGuard<'_, ReceivedState> {
+        self.received[collection as usize].lock()
     }
 }
 
@@ -144,7 +120,7 @@
     if sources.is_empty() {
         return false;
     }
-    *node.start_state.received[collection as usize].lock() = ReceivedParts::default();
+    *node.start_state.received(collection) = ReceivedState::default();
     let asked_at = node.now();
     let mut active_at = asked_at;
     for source in sources.iter().cycle() {
@@ -160,20 +136,15 @@
             && node.now().since(asked_at) < limits.total
         {
             let changed = node.start_state.changed.notified();
-            if let Some(state) = node.start_state.take_complete(collection) {
-                let (version, confirmed_at, objects) = state;
-                let is_applied = apply_start_state(
-                    node,
-                    collection,
-                    version,
-                    confirmed_at,
-                    &objects,
-                );
-                let count = Some(objects.len());
+            let state = node.start_state.received(collection).take_complete();
+            if let Some(state) = state {
+                let is_applied = apply_start_state(node, collection, &state);
+                let count = Some(state.objects.len());
                 log_result(node, collection, source, asked_at, is_applied, count);
                 return is_applied;
             }
-            active_at = active_at.max(node.start_state.source_active_at(collection));
+            let source_active_at = node.start_state.received(collection).active_at();
+            active_at = active_at.max(source_active_at);
             silent_since = silent_since.max(active_at);
             // The next iteration checks, whether it was notified or timed out.
             let _ = timeout(ASK_INTERVAL, changed).await;
@@ -249,7 +220,7 @@
     }
     if let Some(part) = &message.state_part {
         if node.start_state.is_domain_entry(from) {
-            receive_part(node, part);
+            receive_part(node, from, part);
         }
         return true;
     }
@@ -285,6 +256,7 @@
     if age_ms > STATE_MAX_AGE_MS {
         return false;
     }
+    let digest = state.digest;
     let parts = split(state.objects);
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
     for (number, objects) in (0..).zip(parts) {
@@ -301,6 +273,7 @@
             number,
             count,
             packed: pack_batches(&[batch], usize::MAX),
+            digest,
         };
         send_part(node, address, part).await;
     }
@@ -342,23 +315,10 @@
     parts
 }
 
-fn receive_part(node: &Node, part: &StatePart) {
+fn receive_part(node: &Node, from: SocketAddr, part: &StatePart) {
     let collection = collection(part.upstreams);
-    let mut received = node.start_state.received[collection as usize].lock();
-    received.source_active_at = node.now();
-    let Some(batch) = unpack_batches(&part.packed).pop() else {
-        return;
-    };
-    if received.version != part.version || received.count != part.count {
-        *received = ReceivedParts {
-            version: part.version,
-            count: part.count,
-            confirmed_at: node.now() - Duration::from_millis(part.age_ms),
-            parts: BTreeMap::new(),
-            source_active_at: node.now(),
-        };
-    }
-    received.parts.insert(part.number, batch.objects);
+    let mut received = node.start_state.received(collection);
+    received.add_part(node.now(), from, part);
     drop(received);
     node.start_state.changed.notify_waiters();
 }
