direct: a report that an upstream's record is missing counts until the own state is as late

Cause: such a report was believed if its version was not before that of the record, whatever the entry knew itself, and stayed until the upstream wrote its record again.

Change: the report is kept apart from what the platform said. It counts only while the state that this entry knows is older than the report, and ends when a state as late as it has the record. Records are applied meanwhile. A report of the record's own version counts as before, since some platforms report a deletion with the version of the last change.

Measured: leaving::an_upstream_listed_later_than_reported_missing_is_used fails on the code before (no request in a second) and passes. The other test over the wire passes on both: there the entry forgot the upstream, which had just been listed, and listed it anew. Four tests of direct use the new function and were not run on the code before.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -55,6 +55,8 @@
     platform_returned_at: Option<Instant>,
     coordinator: LatestCoordinator,
     peer_mentions: PeerMentions,
+    /// Version of the platform up to which the records are known.
+    known_version: u64,
     /// Changes since [`Fleet::take_changes`] was last called.
     changes: Vec<UpstreamChange>,
 }
@@ -148,7 +150,11 @@
         match record.started_unix_ms.cmp(&known.record.started_unix_ms) {
             Ordering::Less => return false,
             Ordering::Greater => {
-                *known = Upstream::new(record, version);
+                *known = Upstream {
+                    reported_gone_version: known.reported_gone_version,
+                    ..Upstream::new(record, version)
+                };
+                known.forget_older_report();
                 return true;
             }
             Ordering::Equal if version < known.version => return false,
@@ -165,6 +171,7 @@
         known.vanished_at = None;
         known.gone_version = None;
         known.is_confirmed_gone = false;
+        known.forget_older_report();
         false
     }
 
@@ -203,6 +210,7 @@
             return;
         }
         upstream.gone_version = Some(version);
+        upstream.reported_gone_version = None;
         upstream.is_leaving_unlisted = false;
         // An upstream whose record was removed while the platform was reachable has
         // left. A later outage doesn't make it usable again.
--- a/crates/direct/src/fleet/incarnations.rs
+++ b/crates/direct/src/fleet/incarnations.rs
@@ -22,6 +22,7 @@
         Self {
             vanished_at: self.vanished_at,
             gone_version: self.gone_version,
+            reported_gone_version: self.reported_gone_version,
             last_active_at: self.last_active_at,
             ..Self::new(record, self.version)
         }
--- a/crates/direct/src/fleet/leaving.rs
+++ b/crates/direct/src/fleet/leaving.rs
@@ -43,24 +43,65 @@
 
     /// Handles another entry's report that an upstream is leaving, or that its record
     /// had vanished at a version.
+    ///
+    /// A record that vanished is reported by all entries that heard of it. If one entry
+    /// were wrong, all would stop using the upstream, so the report counts only until
+    /// this entry knows the platform's state at that version itself.
     pub fn peer_reported_leaving(
         &mut self,
         incarnation: UpstreamIncarnation<'_>,
         version: u64,
         vanished: bool,
     ) {
+        let known_version = self.known_version;
         let Some(upstream) = self.note_incarnation(incarnation) else {
             return;
         };
+        let was_listed = upstream.is_listed();
         let change = if !vanished {
-            let is_new = upstream.mark_leaving();
-            is_new.then(|| UpstreamChange::new(upstream, ChangeKind::Leaving))
-        } else if version >= upstream.version && upstream.vanished_at.is_none() {
-            let is_new = upstream.gone_version.replace(version).is_none();
-            is_new.then(|| UpstreamChange::new(upstream, ChangeKind::Gone))
+            upstream.mark_leaving().then_some(ChangeKind::Leaving)
+        } else if upstream.vanished_at.is_none()
+            && upstream.can_be_gone_at(version, known_version)
+        {
+            upstream.reported_gone_version = Some(version);
+            was_listed.then_some(ChangeKind::Gone)
         } else {
             None
         };
+        let change = change.map(|kind| UpstreamChange::new(upstream, kind));
         self.changes.extend(change);
     }
+
+    /// Records that all changes of the platform's records up to a version were applied.
+    /// Upstreams that other entries reported as gone before and that have a record are
+    /// not gone.
+    pub fn set_known_version(&mut self, version: u64) {
+        self.known_version = self.known_version.max(version);
+        for upstream in self.upstreams.values_mut() {
+            let reported = upstream.reported_gone_version;
+            upstream.reported_gone_version =
+                reported.filter(|reported| upstream.can_be_gone_at(*reported, version));
+        }
+    }
+}
+
+impl Upstream {
+    /// Whether the record may have been found missing at a version, given the version
+    /// up to which the platform's changes are known here.
+    ///
+    /// Some platforms report a deletion with the version of the object's last change.
+    const fn can_be_gone_at(&self, version: u64, known_version: u64) -> bool {
+        let is_last_change = version == self.version;
+        is_last_change || (version > self.version && version > known_version)
+    }
+
+    /// Forgets the report that the record is missing at a version before that of the
+    /// record.
+    pub(super) const fn forget_older_report(&mut self) {
+        if let Some(reported) = self.reported_gone_version
+            && self.version > reported
+        {
+            self.reported_gone_version = None;
+        }
+    }
 }
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -73,6 +73,9 @@
     pub(super) vanished_at: Option<Instant>,
     /// Version at which the record was found missing or unreadable.
     pub(super) gone_version: Option<u64>,
+    /// Version at which another entry found the record missing, while the state that
+    /// this entry knows is older.
+    pub(super) reported_gone_version: Option<u64>,
     /// Whether the record is known to be removed or replaced by another writer, so that
     /// the grace period after a platform outage doesn't apply.
     pub(super) is_confirmed_gone: bool,
@@ -130,6 +133,7 @@
             version,
             vanished_at: None,
             gone_version: None,
+            reported_gone_version: None,
             is_confirmed_gone: false,
             is_leaving_unlisted: false,
             lacks_start_time: false,
@@ -155,12 +159,13 @@
         let in_grace = vanished_ms.is_some_and(|ms| ms < VANISHED_GRACE_MS);
         let listed =
             self.gone_version.is_none() || (in_grace && !self.is_confirmed_gone);
-        !self.record.leaving && !self.lacks_start_time && listed
+        let reported_gone = self.reported_gone_version.is_some();
+        !self.record.leaving && !self.lacks_start_time && listed && !reported_gone
     }
 
     /// Whether the record of the upstream is in the platform, as far as is known.
     pub(super) const fn is_listed(&self) -> bool {
-        self.gone_version.is_none()
+        self.gone_version.is_none() && self.reported_gone_version.is_none()
     }
 
     /// Records from a source other than the platform that the upstream is leaving.
@@ -177,7 +182,8 @@
         if self.record.leaving {
             return Some((self.version, false));
         }
-        self.gone_version.map(|version| (version, true))
+        let gone_version = self.gone_version.max(self.reported_gone_version);
+        gone_version.map(|version| (version, true))
     }
 
     /// Whether the upstream is avoided, so that others are preferred.
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod incarnations;
 mod lease;
+mod leaving;
 mod ledger;
 mod ledger_restarts;
 mod liveness;
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -216,6 +216,7 @@
                 &mut config.1
             }
             Self::Upstreams => {
+                node.fleet.lock().set_known_version(version);
                 fleet = node.fleet_watermark.lock();
                 &mut *fleet
             }
