direct, front: a message between entries names a bounded number of leaving upstreams

What callers saw: when many upstreams leave at once, or are thought to, every message of every entry names all of them. A failure domain that is truly lost (120 of 600 upstreams) would do the same: 284 messages a second of some 5 kB on links of 20 Mbit/s.

Those that the platform doesn't list as leaving yet come first. A quarter of the smallest link at most up to 1,300 peers.

Measured: tests of the bound, of the turns and of what comes first, in direct, without network; the functions are new, so they were not run on the code before. Not played on the fleet yet.

--- a/crates/direct/src/fleet/leaving.rs
+++ b/crates/direct/src/fleet/leaving.rs
@@ -34,6 +34,27 @@
         })
     }
 
+    /// Those of [`Fleet::leaving_upstreams`] to name in one message: `limit` at most,
+    /// chosen in turn by the number of the message.
+    ///
+    /// Those that the platform doesn't list as leaving yet take half of the places or
+    /// more: other entries can't learn of them elsewhere.
+    pub fn leaving_to_announce(
+        &self,
+        now: Instant,
+        message: u64,
+        limit: usize,
+    ) -> Vec<(&Upstream, u64, bool)> {
+        let leaving = self.leaving_upstreams(now);
+        let (unlisted, listed): (Vec<_>, Vec<_>) =
+            leaving.partition(|(upstream, ..)| upstream.is_leaving_unlisted);
+        let listed_places = listed.len().min(limit / 2);
+        let mut announced = in_turn(&unlisted, message, limit - listed_places);
+        let places = limit - announced.len();
+        announced.extend(in_turn(&listed, message, places));
+        announced
+    }
+
     /// Records that a response of this incarnation announced that it is leaving. The
     /// platform's record may say so late or never. Returns whether this is new.
     pub fn note_leaving(&mut self, incarnation: UpstreamIncarnation<'_>) -> bool {
@@ -85,6 +106,14 @@
     }
 }
 
+/// At most `count` of these, beginning where the message before ended.
+fn in_turn<T: Copy>(all: &[T], message: u64, count: usize) -> Vec<T> {
+    let count = count.min(all.len());
+    let first = message.wrapping_mul(count as u64) % all.len().max(1) as u64;
+    let from_first = all.iter().cycle().skip(first as usize);
+    from_first.take(count).copied().collect()
+}
+
 impl Upstream {
     /// Whether the record may have been found missing at a version, given the version
     /// up to which the platform's changes are known here.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -98,7 +98,7 @@
 };
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use peer_messages::{
-    HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
+    HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count, leaving_per_message,
     peer_message_interval_ms, peer_timeout_ms, suspects_per_message,
     urgent_message_interval_ms,
 };
--- a/crates/direct/tests/all/leaving.rs
+++ b/crates/direct/tests/all/leaving.rs
@@ -1,7 +1,8 @@
 //! What entries tell one another about upstreams that leave.
 
 use crate::support::*;
-use direct::Fleet;
+use direct::{Fleet, leaving_per_message, peer_message_interval_ms};
+use std::collections::BTreeSet;
 
 /// Upstreams whose records are of version 5, in a state that is known up to version 20.
 fn fleet(ids: &[&str]) -> Fleet {
@@ -66,3 +67,70 @@
     fleet.apply_update(26, record("1", &["a"]));
     assert!(usable(&fleet, "1"), "its record is back");
 }
+
+/// Names of the upstreams in one message.
+fn announced(fleet: &Fleet, message: u64, limit: usize) -> BTreeSet<String> {
+    let announced = fleet.leaving_to_announce(at(0), message, limit);
+    assert!(announced.len() <= limit);
+    let names = announced
+        .iter()
+        .map(|(upstream, ..)| upstream.record.id.to_string());
+    let names: BTreeSet<String> = names.collect();
+    assert_eq!(names.len(), announced.len(), "one is named twice");
+    names
+}
+
+/// Guards against messages that fill all links when a failure domain is lost: entries
+/// lost one another, and callers were late.
+#[test]
+fn a_message_names_some_of_many_leaving_upstreams_and_all_in_turn() {
+    let names: Vec<String> = (0..300).map(|number| number.to_string()).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut fleet = fleet(&names);
+    fleet.forget_gone(at(0));
+    for name in &names[..200] {
+        fleet.remove(at(0), name, 25);
+    }
+    for limit in [1, 4, 5, 48, 199, 200, 1_000] {
+        let messages = 200_u64.div_ceil(limit as u64);
+        let told = (7..7 + messages).map(|message| announced(&fleet, message, limit));
+        let told: BTreeSet<String> = told.flatten().collect();
+        assert_eq!(told.len(), 200, "limit {limit}");
+    }
+}
+
+/// Guards against requests to an upstream that is leaving by its own word alone, told
+/// late because many others are gone.
+#[test]
+fn what_the_platform_does_not_list_is_named_first() {
+    let names: Vec<String> = (0..300).map(|number| number.to_string()).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut fleet = fleet(&names);
+    fleet.forget_gone(at(0));
+    for name in &names[..200] {
+        fleet.remove(at(0), name, 25);
+    }
+    fleet.note_leaving(incarnation("250"));
+    fleet.note_leaving(incarnation("251"));
+    for message in 0..100 {
+        let named = announced(&fleet, message, 5);
+        assert!(named.contains("250") && named.contains("251"), "{named:?}");
+        assert_eq!(named.len(), 5);
+    }
+}
+
+/// Guards against messages about leaving upstreams that take the link from callers.
+#[test]
+fn leaving_upstreams_take_at_most_a_quarter_of_the_smallest_link() {
+    const SMALLEST_LINK_BYTES_PER_S: usize = 10_000_000 / 8;
+    const UPSTREAM_BYTES: usize = 45;
+    for peers in 1..=1_300 {
+        let interval_ms = peer_message_interval_ms(peers) as usize;
+        let bytes = leaving_per_message(peers) * UPSTREAM_BYTES * peers;
+        let per_s = bytes * 1_000 / interval_ms;
+        assert!(
+            per_s <= SMALLEST_LINK_BYTES_PER_S / 4,
+            "{peers} peers: {per_s}"
+        );
+    }
+}
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    Fleet, ResidentModel, WatchRole, holdings_message_count, peer_message_interval_ms,
-    suspects_per_message, urgent_message_interval_ms,
+    Fleet, ResidentModel, WatchRole, holdings_message_count, leaving_per_message,
+    peer_message_interval_ms, suspects_per_message, urgent_message_interval_ms,
 };
 use prost::Message;
 use schema::peer::{
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::message_parts::part_sizes;
 use crate::platform_watch::Collection;
@@ -223,10 +224,12 @@
     };
     let fleet = node.fleet.lock();
     let uses = uses(&fleet, now);
-    let leaving = leaving(&fleet, now);
+    let peers = node.peers.address_count();
+    // Entries that start together count their messages alike.
+    let turn = sequence.wrapping_add(xxh3_64(node.options.entry.as_bytes()));
+    let leaving = leaving(&fleet, now, turn, leaving_per_message(peers));
     let rates = upstream_rate::to_announce(&fleet, now);
     drop(fleet);
-    let peers = node.peers.address_count();
     let watched = |collection| {
         let is_due = trigger == Trigger::PlatformWatch(collection);
         is_due.then(|| outgoing_batches(node, collection)).flatten()
@@ -270,9 +273,15 @@
     }
 }
 
-/// Returns the upstreams that are leaving or whose records have vanished.
-fn leaving(fleet: &Fleet, now: Instant) -> Vec<LeavingUpstream> {
-    let leaving = fleet.leaving_upstreams(now);
+/// Returns some of the upstreams that are leaving or whose records have vanished, in
+/// turn by the number of the message.
+fn leaving(
+    fleet: &Fleet,
+    now: Instant,
+    message: u64,
+    limit: usize,
+) -> Vec<LeavingUpstream> {
+    let leaving = fleet.leaving_to_announce(now, message, limit).into_iter();
     let leaving = leaving.map(|(upstream, version, vanished)| LeavingUpstream {
         upstream: upstream.record.id.to_string(),
         version,
