direct: an upstream that left right after it was listed is not forgotten at once

What callers saw: nothing that was traced to it.

Cause: the time for which a gone upstream is remembered counts from when it was last active, and that is first set by a check that runs at intervals. An upstream whose record went between its first list and that check counted as inactive since ever: it was forgotten, and other entries were not told. A state of another entry of that time would have added it anew.

Change: an upstream counts as active when a complete list first has it. One that comes by a single record is still only noted at the next check.

Measured: leaving::an_upstream_that_is_gone_right_after_it_was_listed_is_remembered fails before and passes. A first try, in the check itself, broke fleet::leaving_is_announced_until_the_platform lists_it and was dropped.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -101,6 +101,10 @@
         for (version, record) in listed {
             self.apply_record(version, record);
         }
+        let new = self.upstreams.values_mut();
+        for upstream in new.filter(|known| known.last_active_at == Instant::ZERO) {
+            upstream.last_active_at = now;
+        }
         self.update_missing_start_times();
         let missing: Vec<Arc<str>> = self
             .upstreams
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -106,7 +106,7 @@
     pub(super) rate_spent_until: Instant,
     /// Time until which it asked this entry to send no requests.
     pub(super) backed_off_until: Instant,
-    /// When it was last seen to be usable or in use.
+    /// When it was last seen to be usable or in use, or was first in a complete list.
     pub(super) last_active_at: Instant,
     /// Until when it is avoided because a connection attempt failed.
     pub(super) connect_failed_until: Instant,
--- a/crates/direct/tests/all/leaving.rs
+++ b/crates/direct/tests/all/leaving.rs
@@ -134,3 +134,16 @@
         );
     }
 }
+
+/// Guards against a state of another entry that adds an upstream anew, and against others
+/// that are not told: one that left right after it was listed was forgotten at once.
+#[test]
+fn an_upstream_that_is_gone_right_after_it_was_listed_is_remembered() {
+    let mut fleet = fleet(&["1"]);
+    fleet.remove(at(0), "1", 25);
+    fleet.forget_gone(at(100));
+    assert!(fleet.get("1").is_some());
+    assert_eq!(fleet.leaving_upstreams(at(100)).count(), 1);
+    fleet.forget_gone(at(61_000));
+    assert!(fleet.get("1").is_none());
+}
