Process tests: the resend of an order meets a platform that is slow to write

This provokes it: the fake platform delays each write by 300 ms, and ten orders are sent again through the other entry right after their answer.

--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -14,6 +14,8 @@
     pub outage: Outage,
     /// Delay of each request before it takes effect.
     pub delay_ms: u64,
+    /// Delay of each write before it takes effect, in addition.
+    pub write_delay_ms: u64,
     /// Number of following writes that take effect and whose connection is then closed
     /// without a response.
     pub lose_answers: u32,
--- a/crates/fake/src/platform/serve.rs
+++ b/crates/fake/src/platform/serve.rs
@@ -112,6 +112,8 @@
         match *request.method() {
             Method::GET => Ok(self.read(key)),
             Method::PUT => {
+                let delay_ms = self.inner.lock().faults.write_delay_ms;
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                 let value = match http::read_body(request, VALUE_MAX_BYTES).await? {
                     Ok(value) => value,
                     Err(response) => return Ok(response),
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -24,6 +24,9 @@
             path::cold_model_is_loaded(fixture).await?;
             path::keyed_order_runs_once(fixture).await
         }),
+        trial("resend_right_after_the_answer", async |fixture| {
+            path::resend_right_after_the_answer(fixture).await
+        }),
         trial("publish", async |fixture| {
             publish::change_is_in_force_everywhere(fixture).await?;
             publish::invalid_file_changes_nothing(fixture).await?;
--- a/tests/all/processes/path.rs
+++ b/tests/all/processes/path.rs
@@ -1,11 +1,18 @@
 //! The path of a request through an entry, an agent and an upstream.
 
+use fake::platform::Faults;
 use fake::text::{Message, ResponseText, chat_prompt};
 use serde_json::{Value, json};
 
 use super::fleet::MODELS;
 use super::rig::{Fixture, TestResult, check, error_text};
 
+/// Time that the platform takes for each write.
+const WRITE_DELAY_MS: u64 = 300;
+
+/// Number of orders that are sent again.
+const RESENDS: usize = 10;
+
 /// Number of tokens of each answer.
 const TOKENS: u64 = 40;
 
@@ -58,6 +65,29 @@
     fixture.check_invariants().await
 }
 
+/// Guards against telling a caller that sends its order again right after the answer
+/// that its key is in progress: each write to the platform takes a while here.
+pub(super) async fn resend_right_after_the_answer(fixture: &mut Fixture) -> TestResult {
+    let faults = Faults {
+        write_delay_ms: WRITE_DELAY_MS,
+        ..Faults::default()
+    };
+    let control = fixture.deployment.control_addresses().platform;
+    let done = fixture.probe.set_faults(control, &faults).await;
+    check(done, || "the platform's delay is not set".to_owned())?;
+    let (first, second) = (fixture.entry_address(0), fixture.entry_address(1));
+    for number in 0..RESENDS {
+        let key = format!("resend-{number}");
+        let (status, answer) = fixture.post_order(first, &key, "belt").await?;
+        check(status == 200, || format!("{key}: {status} {answer}"))?;
+        let (status, again) = fixture.post_order(second, &key, "belt").await?;
+        check(status == 200 && again == answer, || {
+            format!("{key} resent: {status} {again} for {answer}")
+        })?;
+    }
+    fixture.check_invariants().await
+}
+
 /// Requests a streamed answer and compares it with the text that the fake engine
 /// derives from model and prompt.
 async fn check_streamed_answer(
