role: the end of an order that failed after it ran waits until its claim is stored

What callers saw: an order whose upstream failed or crashed while it ran was told so, and when the caller sent it again at once with the same key it got 409, 2008 key_in_progress with a time to come back, in place of 3005 outcome_unknown: it waited for an answer that never comes.

Change: end_once_stored does both for whole and for failed answers. An attempt of which it is not known whether it ran, or that did not run, is treated as before.

Measured: idempotency_keys::a_resend_right_after_a_failure_is_told_the_outcome (an upstream's 500, and its crash) fails on the code before, "ended before it was stored", and passes.

--- a/crates/role/src/agent/upstream_events.rs
+++ b/crates/role/src/agent/upstream_events.rs
@@ -128,10 +128,25 @@
             upstream_incarnation: attempt.upstream_incarnation,
             ..self.end_frame(now, id, 0, RunStatus::Ran)
         };
-        if !attempt.needs_claim {
+        if attempt.needs_claim {
+            self.end_once_stored(now, id, attempt, answer, end, out);
+        } else {
             self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
-            return;
         }
+    }
+
+    /// Stores the outcome of a request that ran, and sends its end once that is
+    /// written. If the end were sent before, a caller that sends its request again at
+    /// once would get the error that its key is in progress.
+    fn end_once_stored(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        attempt: Attempt,
+        answer: Option<StoredResponse>,
+        end: End,
+        out: &mut Vec<AgentAction>,
+    ) {
         if let Some(entry) = attempt.entry {
             self.delayed_ends.insert(id, (entry, end));
         }
@@ -142,9 +157,7 @@
         self.finish_claim(now, id, answer, out);
     }
 
-    /// Sends the end of a response that waited for the write that stores it. If
-    /// it were sent before, a caller that sends its request again at once would
-    /// get the error that its key is in progress.
+    /// Sends the end of a response that waited for the write that stores it.
     pub(super) fn send_delayed_end(
         &mut self,
         id: AttemptId,
@@ -277,36 +290,25 @@
         self.counters.failed += 1;
         self.record_ended(now, id, ran);
         timeline::attempt_event(EventKind::RequestFailed, id, end.code, out);
-        self.close_claim(now, id, &attempt, ran, out);
         let end = End {
             total_units: attempt.offset,
             upstream_incarnation: attempt.upstream_incarnation,
             ..end
         };
-        self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
-    }
-
-    /// Settles the claim of an attempt that has no complete answer.
-    ///
-    /// For an attempt that ran, the claim records that its outcome is unknown,
-    /// so that a later request with the same key is answered at once. If it is
-    /// not even known whether the attempt ran, the claim stays open.
-    fn close_claim(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        attempt: &Attempt,
-        ran: RunStatus,
-        out: &mut Vec<AgentAction>,
-    ) {
-        if !attempt.needs_claim {
-            return;
-        }
-        match ran {
-            RunStatus::Ran => self.finish_claim(now, id, None, out),
-            RunStatus::Unknown => self.claims.abandon(id),
-            RunStatus::NotRun => self.release_claim(now, id, out),
+        // For an attempt that ran, the claim records that its outcome is unknown, so
+        // that a later request with the same key is answered at once. If it is not
+        // even known whether the attempt ran, the claim stays open.
+        if attempt.needs_claim {
+            match ran {
+                RunStatus::Ran => {
+                    self.end_once_stored(now, id, attempt, None, end, out);
+                    return;
+                }
+                RunStatus::Unknown => self.claims.abandon(id),
+                RunStatus::NotRun => self.release_claim(now, id, out),
+            }
         }
+        self.send(attempt.entry.as_ref(), frame::Body::End(end), out);
     }
 
     /// Ends attempts that are past their deadline, and attempts whose
--- a/crates/role/tests/agent/idempotency_keys.rs
+++ b/crates/role/tests/agent/idempotency_keys.rs
@@ -140,6 +140,40 @@
     assert!(other.end_frame(2).is_some_and(|end| end.replayed));
 }
 
+/// Guards against telling a caller that sends its order again right after it failed that
+/// its key is in progress: the order may not be sent with that key again, and the caller
+/// should know at once.
+#[test]
+fn a_resend_right_after_a_failure_is_told_the_outcome() {
+    let failures = [
+        UpstreamEvent::Failed {
+            attempt: attempt_id(1),
+            ran: RunStatus::Ran,
+            status: 500,
+            broken: false,
+        },
+        UpstreamEvent::Down,
+    ];
+    for failure in failures {
+        let mut platform = Platform::new();
+        let mut agent = TestAgent::beside_service(10, NOW, &mut platform);
+        let mut other = TestAgent::beside_service(11, NOW, &mut platform);
+        send_request(&mut agent, 1, "key");
+        agent.answer_all_calls(&mut platform);
+        agent.upstream_event(UpstreamEvent::Started {
+            attempt: attempt_id(1),
+        });
+        agent.upstream_event(failure);
+        assert!(agent.end_frame(1).is_none(), "ended before it was stored");
+        agent.answer_all_calls(&mut platform);
+        assert!(agent.end_frame(1).is_some_and(|end| end.code > 0));
+        send_request(&mut other, 2, "key");
+        other.answer_all_calls(&mut platform);
+        let end = other.end_frame(2).expect("an end");
+        assert_eq!(end.code, ErrorCode::OutcomeUnknown.number());
+    }
+}
+
 /// Guards against holding a response that is ready for a platform that does not answer.
 #[test]
 fn the_wait_for_the_platform_holds_an_answer_for_a_second_at_most() {
