role, once: the answer of an order with a short deadline waits for its claim too

Cause: the wait was left out as a whole where the deadline lay within its longest time.

Change: the end waits for half of the time to the deadline, 1 s at most as before; Claims::finish takes the time until which it may wait.

Measured: idempotency_keys::an_answer_near_its_deadline_waits_for_half_of_the_time_left fails on the code before in its first case ("ended before it was stored") and passes; the tests of once and role pass.

--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -112,13 +112,14 @@
 
     /// Records that a request ran, with its response. `None` if the response is
     /// unknown: the request is then stored as run without a response.
-    /// [`ClaimAction::Finished`] says when the end of the response may be sent;
-    /// a resend then gets the stored response.
+    /// [`ClaimAction::Finished`] says when the end of the response may be sent,
+    /// at `wait_until` at the latest; a resend then gets the stored response.
     pub fn finish(
         &mut self,
         now: Instant,
         attempt: AttemptId,
         response: Option<StoredResponse>,
+        wait_until: Instant,
         out: &mut Vec<ClaimAction>,
     ) {
         let Some(claim) = self.granted.remove(&attempt) else {
@@ -135,9 +136,9 @@
         let mut end = ClaimEnd::Finish {
             nonce,
             response,
-            waiter: Some((attempt, now.plus_ms(END_WAIT_MAX_MS))),
+            waiter: Some((attempt, wait_until)),
         };
-        if !is_available {
+        if !is_available || wait_until <= now {
             out.extend(end.take_waiter());
         }
         shard.pending_ends.push(end);
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use base::{ObjectVersion, PlatformCall, PlatformOp, PlatformResult, Precondition};
 use once::{
-    ClaimAction, ClaimOutcome, ClaimRequest, Claims, ClaimsOptions, StoredResponse,
+    ClaimAction, ClaimOutcome, ClaimRequest, Claims, ClaimsOptions, END_WAIT_MAX_MS,
+    StoredResponse,
 };
 use prost::Message as _;
 use schema::store::ClaimShard;
@@ -161,8 +162,9 @@
         };
         let mut out = Vec::new();
         let now = Instant::from_ms(ms);
+        let wait_until = now.plus_ms(END_WAIT_MAX_MS);
         self.claims
-            .finish(now, id(attempt), Some(response), &mut out);
+            .finish(now, id(attempt), Some(response), wait_until, &mut out);
         self.collect(out);
     }
 
--- a/crates/role/src/agent/claims.rs
+++ b/crates/role/src/agent/claims.rs
@@ -57,10 +57,11 @@
         now: Instant,
         id: AttemptId,
         answer: Option<StoredResponse>,
+        wait_until: Instant,
         out: &mut Vec<AgentAction>,
     ) {
         self.with_claims(now, out, |claims, actions| {
-            claims.finish(now, id, answer, actions);
+            claims.finish(now, id, answer, wait_until, actions);
         });
     }
 
--- a/crates/role/src/agent/upstream_events.rs
+++ b/crates/role/src/agent/upstream_events.rs
@@ -150,11 +150,10 @@
         if let Some(entry) = attempt.entry {
             self.delayed_ends.insert(id, (entry, end));
         }
-        // Without time for the wait, the caller would lose its response.
-        if attempt.deadline < now.plus_ms(END_WAIT_MAX_MS) {
-            self.send_delayed_end(id, out);
-        }
-        self.finish_claim(now, id, answer, out);
+        // The end must still reach the caller before its deadline.
+        let wait_ms = attempt.deadline.ms_since(now) / 2;
+        let wait_until = now.plus_ms(wait_ms.min(END_WAIT_MAX_MS));
+        self.finish_claim(now, id, answer, wait_until, out);
     }
 
     /// Sends the end of a response that waited for the write that stores it.
--- a/crates/role/tests/agent/idempotency_keys.rs
+++ b/crates/role/tests/agent/idempotency_keys.rs
@@ -174,6 +174,30 @@
     }
 }
 
+/// Guards against telling a caller with a short deadline that the key of its order is in
+/// progress: the ends of such orders were not held at all.
+#[test]
+fn an_answer_near_its_deadline_waits_for_half_of_the_time_left() {
+    for is_stored in [true, false] {
+        let mut platform = Platform::new();
+        let mut agent = TestAgent::beside_service(10, NOW, &mut platform);
+        let mut run = service_run(1, 10, "key");
+        run.remaining_ms = 800;
+        agent.receive_frame(frame::Body::Run(run));
+        agent.answer_all_calls(&mut platform);
+        agent.complete_attempt(1);
+        assert!(agent.end_frame(1).is_none(), "ended before it was stored");
+        if is_stored {
+            agent.answer_all_calls(&mut platform);
+        } else {
+            agent.advance_time(399);
+            assert!(agent.end_frame(1).is_none());
+            agent.advance_time(1);
+        }
+        assert!(agent.end_frame(1).is_some_and(|end| end.code == 0));
+    }
+}
+
 /// Guards against holding a response that is ready for a platform that does not answer.
 #[test]
 fn the_wait_for_the_platform_holds_an_answer_for_a_second_at_most() {
