front, direct: an entry that starts is told at once which upstreams leave

What callers saw: an order or a question sent to an entry in its first tenth of a second could go to an upstream that all other entries know to be leaving, and be lost with it.

Cause: that an upstream leaves may be known to the entries alone, by its answers. A new process sends requests as soon as it knows the records (8 ms after its start) and is told of the leaving with the next periodic messages (120 ms with three entries, up to 1.35 s with hundreds).

Change: a new process sends the entries of its failure domain a message when it has the list of entries, before it lists the upstreams. They answer at once if they know an upstream that leaves and is not listed so. A report of an unknown upstream is kept until the first complete list.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -55,6 +55,11 @@
     platform_returned_at: Option<Instant>,
     coordinator: LatestCoordinator,
     peer_mentions: PeerMentions,
+    /// Upstreams that other entries reported as leaving before their records were known,
+    /// with the start times of their incarnations.
+    early_leaving: HashMap<String, Option<u64>>,
+    /// Whether a complete list was applied.
+    has_complete_list: bool,
     /// Version of the platform up to which the records are known.
     known_version: u64,
     /// Changes since [`Fleet::take_changes`] was last called.
@@ -84,6 +89,7 @@
         for (version, record) in listed {
             self.apply_record(version, record);
         }
+        self.apply_early_reports();
         self.update_missing_start_times();
     }
 
@@ -101,6 +107,9 @@
         for (version, record) in listed {
             self.apply_record(version, record);
         }
+        self.apply_early_reports();
+        self.early_leaving.clear();
+        self.has_complete_list = true;
         let new = self.upstreams.values_mut();
         for upstream in new.filter(|known| known.last_active_at == Instant::ZERO) {
             upstream.last_active_at = now;
--- a/crates/direct/src/fleet/leaving.rs
+++ b/crates/direct/src/fleet/leaving.rs
@@ -10,6 +10,9 @@
 /// connection losses between entries.
 const LEAVING_RESEND_MS: u64 = 8_000;
 
+/// Maximum number of upstreams whose reports are kept before their records are known.
+const MAX_EARLY_REPORTS: usize = 1_000;
+
 impl Fleet {
     /// Upstreams that are leaving or whose records have vanished, with the version at
     /// which this was seen and whether the record vanished. Each is returned for
@@ -75,6 +78,7 @@
         vanished: bool,
     ) {
         let known_version = self.known_version;
+        self.note_early_report(incarnation, vanished);
         let Some(upstream) = self.note_incarnation(incarnation) else {
             return;
         };
@@ -93,6 +97,43 @@
         self.changes.extend(change);
     }
 
+    /// Whether an upstream is leaving and the platform doesn't list it as such yet.
+    pub fn knows_unlisted_leaving(&self) -> bool {
+        self.all().any(|upstream| upstream.is_leaving_unlisted)
+    }
+
+    /// Keeps the report that an upstream is leaving until the first complete list: an
+    /// entry that starts may be told before it knows the upstream.
+    fn note_early_report(
+        &mut self,
+        incarnation: UpstreamIncarnation<'_>,
+        vanished: bool,
+    ) {
+        let is_early = !self.has_complete_list
+            && self.get(incarnation.id).is_none()
+            && self.early_leaving.len() < MAX_EARLY_REPORTS;
+        if is_early && !vanished {
+            let started_unix_ms = incarnation.started_unix_ms;
+            self.early_leaving
+                .insert(incarnation.id.to_owned(), started_unix_ms);
+        }
+    }
+
+    /// Applies the reports that came before the records of their upstreams.
+    pub(super) fn apply_early_reports(&mut self) {
+        for (id, started_unix_ms) in &self.early_leaving {
+            let upstream = self.upstreams.get_mut(id.as_str());
+            let reported = upstream
+                .filter(|known| known.record.started_unix_ms == *started_unix_ms);
+            if let Some(upstream) = reported
+                && upstream.mark_leaving()
+            {
+                let change = UpstreamChange::new(upstream, ChangeKind::Leaving);
+                self.changes.push(change);
+            }
+        }
+    }
+
     /// Records that all changes of the platform's records up to a version were applied.
     /// Upstreams that other entries reported as gone before and that have a record are
     /// not gone.
--- a/crates/direct/tests/all/leaving.rs
+++ b/crates/direct/tests/all/leaving.rs
@@ -1,7 +1,9 @@
 //! What entries tell one another about upstreams that leave.
 
 use crate::support::*;
-use direct::{Fleet, leaving_per_message, peer_message_interval_ms};
+use direct::{
+    Fleet, UpstreamIncarnation, leaving_per_message, peer_message_interval_ms,
+};
 use std::collections::BTreeSet;
 
 /// Upstreams whose records are of version 5, in a state that is known up to version 20.
@@ -147,3 +149,26 @@
     fleet.forget_gone(at(61_000));
     assert!(fleet.get("1").is_none());
 }
+
+/// Guards against requests to a leaving upstream from an entry that was told of it before
+/// it had the list.
+#[test]
+fn a_report_before_the_first_list_counts_for_its_incarnation() {
+    let mut fleet = Fleet::new();
+    for id in ["1", "2"] {
+        let started_unix_ms = Some(100);
+        let reported = UpstreamIncarnation {
+            id,
+            started_unix_ms,
+        };
+        fleet.peer_reported_leaving(reported, 5, false);
+    }
+    assert!(!fleet.knows_unlisted_leaving());
+    let restarted = record_with_start("2", 200, &["a"]);
+    let listed = vec![(5, record_with_start("1", 100, &["a"])), (6, restarted)];
+    fleet.apply_page(listed.clone());
+    assert!(!usable(&fleet, "1") && usable(&fleet, "2"));
+    fleet.apply_list(at(0), 20, listed);
+    assert!(!usable(&fleet, "1") && usable(&fleet, "2"));
+    assert!(fleet.knows_unlisted_leaving());
+}
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -122,7 +122,7 @@
 /// of a message if there are many models, and would be useless to every other
 /// entry.
 #[derive(Debug, Clone, Copy)]
-enum Audience {
+pub(super) enum Audience {
     Entry,
     Coordinator,
 }
@@ -131,7 +131,7 @@
 /// only in periodic messages: they make up most of a message, and changes are
 /// sent many times per second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Trigger {
+pub(super) enum Trigger {
     /// A periodic message, with a part of the upstreams' holdings.
     Periodic,
     /// Something changed, possibly the upstreams' holdings.
@@ -153,7 +153,7 @@
 }
 
 /// Builds one message and sends it to all addresses.
-async fn send_message(
+pub(super) async fn send_message(
     node: &Node,
     socket: &UdpSocket,
     addresses: impl Iterator<Item = SocketAddr>,
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! entries.
 
 mod announce;
+mod introduction;
 mod message_parts;
 mod receive;
 mod register;
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
+use super::introduction;
 use crate::lease_relay::{receive_confirmation, receive_request};
 use crate::quota::{self, Scope};
 use crate::shared_watch;
@@ -41,7 +42,12 @@
                 Some(tokens) if message.entry != node.peers.own_name => {
                     quota::receive(&node, &socket, from, &message, tokens).await;
                 }
-                _ => apply_message(&node, from, message),
+                _ => {
+                    let domain = message.domain.clone();
+                    if apply_message(&node, from, message) == Sender::NewProcess {
+                        introduction::answer(&node, &domain, from).await;
+                    }
+                }
             },
             Err(error) => {
                 let why = error.to_string();
@@ -60,13 +66,25 @@
     workspaces.or(upstreams.map(with_scope(Scope::Upstreams)))
 }
 
+/// The sender of a message, as known before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sender {
+    /// A later message of it was handled already, or it is this entry.
+    Outdated,
+    /// An entry of which no message was received, or only of an earlier process.
+    NewProcess,
+    Known,
+}
+
 /// Applies the sender's state, unless a later message from it was handled
 /// already.
-fn apply_message(node: &Arc<Node>, from: SocketAddr, message: PeerNews) {
-    if message.entry == node.peers.own_name
-        || !node.peers.record_sender(node, from, &message)
-    {
-        return;
+fn apply_message(node: &Arc<Node>, from: SocketAddr, message: PeerNews) -> Sender {
+    if message.entry == node.peers.own_name {
+        return Sender::Outdated;
+    }
+    let sender = node.peers.record_sender(node, from, &message);
+    if sender == Sender::Outdated {
+        return sender;
     }
     shared_watch::receive(node, &message);
     let now = node.now();
@@ -144,6 +162,7 @@
     for suspect in &message.suspects {
         suspects.merge(now, suspect);
     }
+    sender
 }
 
 const fn incarnation(id: &str, started_unix_ms: u64) -> UpstreamIncarnation<'_> {
@@ -171,9 +190,13 @@
 }
 
 impl Peers {
-    /// Records the sender of a message. Returns false if the message is older
-    /// than the last one.
-    fn record_sender(&self, node: &Node, from: SocketAddr, message: &PeerNews) -> bool {
+    /// Records the sender of a message.
+    fn record_sender(
+        &self,
+        node: &Node,
+        from: SocketAddr,
+        message: &PeerNews,
+    ) -> Sender {
         let now = node.now();
         let mut table = self.table.lock();
         table.addresses.insert(from);
@@ -183,8 +206,10 @@
         let known = table.peers.get(&message.entry);
         let newest = known.map(|peer| (peer.started_unix_ms, peer.sequence));
         if newest.is_some_and(|newest| (message.start, message.sequence) <= newest) {
-            return false;
+            return Sender::Outdated;
         }
+        let is_new_process =
+            newest.is_none_or(|(started_unix_ms, _)| started_unix_ms != message.start);
         if known.is_none_or(|peer| peer.reported_lost) {
             node.log.line(
                 "peer_heard",
@@ -223,6 +248,10 @@
         if is_new {
             self.new_peer.notify_one();
         }
-        true
+        if is_new_process {
+            Sender::NewProcess
+        } else {
+            Sender::Known
+        }
     }
 }
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
+use super::introduction::introduce;
 use crate::platform_watch::Collection;
 use crate::shared_watch::role;
 use crate::state::Node;
@@ -56,10 +57,15 @@
     // The `settled` flag of the record that was written last.
     let mut written_settled = None;
     let mut listed_since = None;
+    let mut is_introduced = false;
     loop {
         let listed = list_entries(&node).await;
         let own = listed.as_ref().and_then(|listed| listed.own_record(&node));
         if let Some(listed) = &listed {
+            if !std::mem::replace(&mut is_introduced, true) {
+                let domain_entries = listed.domain_entries(&node);
+                introduce(&node, domain_entries.into_values()).await;
+            }
             learn_from_list(&node, listed, &key);
         }
         let now = node.now();
