direct, front: a message between entries has a bounded number of rates

What callers saw: nothing that was traced to it. The same fault as with leaving upstreams, read in the code: each message named every upstream that advertises a rate, some 45 B each. If the 600 of the fleet did, an entry would send 284 messages a second of 27 kB.

Change: the same bound as for leaving upstreams.

Measured: rate::a_message_has_the_latest_rates_and_the_others_in_turn (new function, not run on the code before); the tests of advertised rates and of leaving upstreams pass.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -6,6 +6,7 @@
 mod liveness;
 mod rate;
 mod refusals;
+mod turns;
 mod upstream;
 
 use base::prelude::*;
--- a/crates/direct/src/fleet/leaving.rs
+++ b/crates/direct/src/fleet/leaving.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use super::turns::in_turn;
 use super::{ChangeKind, Fleet, Upstream, UpstreamChange};
 use crate::UpstreamIncarnation;
 
@@ -147,14 +148,6 @@
     }
 }
 
-/// At most `count` of these, beginning where the message before ended.
-fn in_turn<T: Copy>(all: &[T], message: u64, count: usize) -> Vec<T> {
-    let count = count.min(all.len());
-    let first = message.wrapping_mul(count as u64) % all.len().max(1) as u64;
-    let from_first = all.iter().cycle().skip(first as usize);
-    from_first.take(count).copied().collect()
-}
-
 impl Upstream {
     /// Whether the record may have been found missing at a version, given the version
     /// up to which the platform's changes are known here.
--- a/crates/direct/src/fleet/rate.rs
+++ b/crates/direct/src/fleet/rate.rs
@@ -6,8 +6,10 @@
 //! by the time span in which the response was made, not by when it was received.
 
 use base::prelude::*;
+use std::cmp::Reverse;
 use std::sync::Arc;
 
+use super::turns::in_turn;
 use super::{Fleet, Upstream};
 use crate::UpstreamIncarnation;
 
@@ -155,6 +157,22 @@
         notices.filter(move |(_, notice)| is_current(now, notice))
     }
 
+    /// Those of [`Fleet::rate_notices`] to send in one message: `limit` at most, half of
+    /// them the latest, and the others in turn by the number of the message.
+    pub fn rates_to_announce(
+        &self,
+        now: Instant,
+        message: u64,
+        limit: usize,
+    ) -> Vec<(&Upstream, &RateNotice)> {
+        let mut announced: Vec<_> = self.rate_notices(now).collect();
+        announced.sort_by_key(|(_, notice)| Reverse(notice.answered_at));
+        let newest = limit.div_ceil(2).min(announced.len());
+        let others = announced.split_off(newest);
+        announced.extend(in_turn(&others, message, limit - newest));
+        announced
+    }
+
     /// The limits of all upstreams.
     pub fn rate_limits(&self) -> impl Iterator<Item = RateLimit> {
         self.all().filter_map(Upstream::rate_limit)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -98,9 +98,9 @@
 };
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use peer_messages::{
-    HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count, leaving_per_message,
+    HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
     peer_message_interval_ms, peer_timeout_ms, suspects_per_message,
-    urgent_message_interval_ms,
+    upstreams_per_message, urgent_message_interval_ms,
 };
 pub use prefill::{PRIORITY_LEVELS, PrefillQueue};
 pub use records::{
--- a/crates/direct/src/peer_messages.rs
+++ b/crates/direct/src/peer_messages.rs
@@ -47,11 +47,11 @@
 const MIN_SUSPECTS: usize = 4;
 const SUSPECTS_ACROSS_PEERS: usize = 256;
 
-/// Maximum and minimum number of leaving upstreams in one message, and their number
-/// over the messages to all peers. Each takes some 45 B.
-const MAX_LEAVING: usize = 30;
-const MIN_LEAVING: usize = 4;
-const LEAVING_ACROSS_PEERS: usize = 2_048;
+/// Maximum and minimum number of leaving upstreams in one message, and of those with a
+/// rate limit, and their number over the messages to all peers. Each takes some 45 B.
+const MAX_UPSTREAMS: usize = 30;
+const MIN_UPSTREAMS: usize = 4;
+const UPSTREAMS_ACROSS_PEERS: usize = 2_048;
 
 /// An unreachable peer gets a message only once in this many rounds.
 const UNREACHABLE_ROUND_INTERVAL: u64 = 10;
@@ -126,8 +126,9 @@
     (SUSPECTS_ACROSS_PEERS / peers.max(1)).clamp(MIN_SUSPECTS, MAX_SUSPECTS)
 }
 
-/// Number of leaving upstreams in one message to each of `peers` peers. Each entry gets
-/// as many messages as it has peers, so it is told of all within a few intervals.
-pub fn leaving_per_message(peers: usize) -> usize {
-    (LEAVING_ACROSS_PEERS / peers.max(1)).clamp(MIN_LEAVING, MAX_LEAVING)
+/// Number of leaving upstreams in one message to each of `peers` peers, and of those
+/// with a rate limit. Each entry gets as many messages as it has peers, so it is told of
+/// all within a few intervals.
+pub fn upstreams_per_message(peers: usize) -> usize {
+    (UPSTREAMS_ACROSS_PEERS / peers.max(1)).clamp(MIN_UPSTREAMS, MAX_UPSTREAMS)
 }
--- a/crates/direct/tests/all/leaving.rs
+++ b/crates/direct/tests/all/leaving.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use direct::{
-    Fleet, UpstreamIncarnation, leaving_per_message, peer_message_interval_ms,
+    Fleet, UpstreamIncarnation, peer_message_interval_ms, upstreams_per_message,
 };
 use std::collections::BTreeSet;
 
@@ -128,7 +128,7 @@
     const UPSTREAM_BYTES: usize = 45;
     for peers in 1..=1_300 {
         let interval_ms = peer_message_interval_ms(peers) as usize;
-        let bytes = leaving_per_message(peers) * UPSTREAM_BYTES * peers;
+        let bytes = upstreams_per_message(peers) * UPSTREAM_BYTES * peers;
         let per_s = bytes * 1_000 / interval_ms;
         assert!(
             per_s <= SMALLEST_LINK_BYTES_PER_S / 4,
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -5,6 +5,7 @@
     Fleet, RateNotice, SelectionError, SelectionInput, UpstreamIncarnation,
     select_upstream,
 };
+use std::collections::BTreeSet;
 
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new();
@@ -218,3 +219,30 @@
     let other = fleet.accepts_again_at(at(20), "oracle", Some("b"));
     assert_eq!(other, None);
 }
+
+/// Guards against messages that fill all links when many upstreams advertise a rate.
+#[test]
+fn a_message_has_the_latest_rates_and_the_others_in_turn() {
+    let names: Vec<String> = (0..300).map(|number| number.to_string()).collect();
+    let mut fleet = Fleet::new();
+    let listed = names.iter().map(|id| (1, record(id, &["a"])));
+    fleet.apply_list(at(0), 1, listed.collect());
+    for (ms, id) in (0..200).zip(&names) {
+        fleet.note_rate(incarnation(id), notice(Some(2.0), ms, ms + 10));
+    }
+    let announced = |message, limit| {
+        let rates = fleet.rates_to_announce(at(500), message, limit).into_iter();
+        let names = rates.map(|(upstream, _)| upstream.record.id.to_string());
+        names.collect::<Vec<_>>()
+    };
+    for limit in [4, 5, 30, 200, 1_000] {
+        let mut told = BTreeSet::new();
+        for message in 7..107 {
+            let names = announced(message, limit);
+            assert_eq!(names.len(), limit.min(200));
+            assert!(names.contains(&"199".to_owned()), "the latest is missing");
+            told.extend(names);
+        }
+        assert_eq!(told.len(), 200, "limit {limit}");
+    }
+}
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    Fleet, ResidentModel, WatchRole, holdings_message_count, leaving_per_message,
-    peer_message_interval_ms, suspects_per_message, urgent_message_interval_ms,
+    Fleet, ResidentModel, WatchRole, holdings_message_count, peer_message_interval_ms,
+    suspects_per_message, upstreams_per_message, urgent_message_interval_ms,
 };
 use prost::Message;
 use schema::peer::{
@@ -227,8 +227,9 @@
     let peers = node.peers.address_count();
     // Entries that start together count their messages alike.
     let turn = sequence.wrapping_add(xxh3_64(node.options.entry.as_bytes()));
-    let leaving = leaving(&fleet, now, turn, leaving_per_message(peers));
-    let rates = upstream_rate::to_announce(&fleet, now);
+    let limit = upstreams_per_message(peers);
+    let leaving = leaving(&fleet, now, turn, limit);
+    let rates = upstream_rate::to_announce(&fleet, now, turn, limit);
     drop(fleet);
     let watched = |collection| {
         let is_due = trigger == Trigger::PlatformWatch(collection);
--- a/crates/front/src/upstream_rate.rs
+++ b/crates/front/src/upstream_rate.rs
@@ -86,10 +86,17 @@
     }
 }
 
-/// Returns the rates to announce to other entries.
-pub(crate) fn to_announce(fleet: &Fleet, now: Instant) -> Vec<UpstreamRate> {
+/// Returns some of the rates to announce to other entries, `limit` at most, in turn by
+/// the number of the message.
+pub(crate) fn to_announce(
+    fleet: &Fleet,
+    now: Instant,
+    message: u64,
+    limit: usize,
+) -> Vec<UpstreamRate> {
     let rates = fleet
-        .rate_notices(now)
+        .rates_to_announce(now, message, limit)
+        .into_iter()
         .map(|(upstream, notice)| UpstreamRate {
             upstream: upstream.record.id.to_string(),
             born_ms: upstream.record.started_unix_ms.unwrap_or(0),
