--- a/crates/cap/src/measure/claims.rs
+++ b/crates/cap/src/measure/claims.rs
@@ -5,7 +5,8 @@
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResult};
 use once::{
-    ClaimAction, ClaimRequest, Claims, ClaimsOptions, SHARDS, StoredResponse, shard_of,
+    ClaimAction, ClaimRequest, Claims, ClaimsOptions, END_WAIT_MAX_MS, SHARDS,
+    StoredResponse, shard_of,
 };
 use std::hint::black_box;
 
@@ -76,7 +77,9 @@
             body: vec![b'x'; RESPONSE_BYTES],
         };
         let mut out = Vec::new();
-        self.claims.finish(now, attempt, Some(answer), &mut out);
+        let wait_until = now.plus_ms(END_WAIT_MAX_MS);
+        self.claims
+            .finish(now, attempt, Some(answer), wait_until, &mut out);
         self.run_actions(now, out);
     }
 
