--- a/crates/direct/src/fleet/turns.rs
+++ b/crates/direct/src/fleet/turns.rs
@@ -1,4 +1,4 @@
-//! What to tell in one message of what doesn't fit into each.
+//! Selection of items for a message that has no room for all of them.
 
 /// At most `count` of these, beginning where the message before ended.
 pub(super) fn in_turn<T: Copy>(all: &[T], message: u64, count: usize) -> Vec<T> {
--- a/crates/direct/tests/all/leaving.rs
+++ b/crates/direct/tests/all/leaving.rs
@@ -36,7 +36,7 @@
     assert!(usable(&fleet, "1"));
 }
 
-/// Guards against requests to an upstream that is gone: the platform's own word stays.
+/// Guards against requests to an upstream that is gone: the platform's removal stays.
 #[test]
 fn a_removal_that_was_reported_before_stays_once_it_is_known() {
     let mut fleet = fleet(&["1"]);
@@ -101,7 +101,7 @@
     }
 }
 
-/// Guards against requests to an upstream that is leaving by its own word alone, told
+/// Guards against requests to an upstream that only its own responses report as leaving, sent
 /// late because many others are gone.
 #[test]
 fn what_the_platform_does_not_list_is_named_first() {
--- a/crates/front/src/upstream_changes.rs
+++ b/crates/front/src/upstream_changes.rs
@@ -1,4 +1,4 @@
-//! Logs what other entries, upstreams' reports and lists tell of upstreams.
+//! Logs changes of upstreams from other entries, upstreams' reports and lists.
 
 use direct::{ChangeKind, UpstreamChange};
 use serde_json::json;
