Log: why a watch fails, which records are ignored, and the store's generation

- a watch whose history is gone ended with the same result and the same 'away' as an unreachable store.
It has a result of its own now, HistoryGone ('history_gone'); what follows from it is the same list as before.
- a record that is dropped because a later one is known left no line: 'records_ignored' counts them, by list or watch.
- a complete list that says that an upstream leaves left no line: 'upstream_leaving' with told_by 'list'.
- nothing knew the header by which the store says that it was restored from an older copy: 'platform_generation'.
- a follower did not say why it watches by itself: 'own_watch'.

No decision changes.

--- a/crates/base/src/platform.rs
+++ b/crates/base/src/platform.rs
@@ -87,6 +87,9 @@
     /// The call certainly had no effect: the platform refused it or could not be
     /// reached.
     Unavailable,
+    /// A watch starts at a version after which the platform doesn't know the changes.
+    /// The objects have to be listed.
+    HistoryGone,
     /// No response arrived; a write may or may not have taken effect.
     Unanswered,
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -65,6 +65,8 @@
     known_version: u64,
     /// Changes since [`Fleet::take_changes`] was last called.
     changes: Vec<UpstreamChange>,
+    /// Records that were ignored since [`Fleet::take_ignored_records`] was last called.
+    ignored_records: u64,
 }
 
 impl Fleet {
@@ -79,6 +81,12 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Takes the number of the platform's records that were ignored, because a later
+    /// record of the upstream or its removal at a later version is known.
+    pub const fn take_ignored_records(&mut self) -> u64 {
+        std::mem::replace(&mut self.ignored_records, 0)
+    }
+
     /// Records that the platform is reachable again.
     pub const fn platform_returned(&mut self, now: Instant) {
         self.platform_returned_at = Some(now);
@@ -106,7 +114,7 @@
             .map(|(_, record)| Arc::clone(&record.id))
             .collect();
         for (version, record) in listed {
-            self.apply_record(version, record);
+            self.apply_listed(version, record);
         }
         self.apply_early_reports();
         self.early_leaving.clear();
@@ -147,6 +155,19 @@
         restarted
     }
 
+    /// Applies a record of a complete list, and notes if it says that a known upstream
+    /// is leaving.
+    fn apply_listed(&mut self, version: u64, record: UpstreamRecord) {
+        let id = Arc::clone(&record.id);
+        let was_serving = self.get(&id).is_some_and(|known| !known.record.leaving);
+        self.apply_record(version, record);
+        let leaving = self.get(&id).filter(|known| known.record.leaving);
+        if let Some(leaving) = leaving.filter(|_| was_serving) {
+            let change = UpstreamChange::new(leaving, ChangeKind::Leaving);
+            self.changes.push(change);
+        }
+    }
+
     /// Applies a record and returns whether the upstream has restarted. The incarnation
     /// takes precedence over the version: the last write of an earlier incarnation may
     /// reach the platform after the later one's record, and then has a higher version.
@@ -159,6 +180,7 @@
             return false;
         };
         if known.gone_version.is_some_and(|gone| version <= gone) {
+            self.ignored_records += 1;
             return false;
         }
         match record.started_unix_ms.cmp(&known.record.started_unix_ms) {
@@ -171,7 +193,10 @@
                 known.forget_older_report();
                 return true;
             }
-            Ordering::Equal if version < known.version => return false,
+            Ordering::Equal if version < known.version => {
+                self.ignored_records += 1;
+                return false;
+            }
             Ordering::Equal => {}
         }
         // An upstream that announced that it is leaving never takes work again; only
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -110,8 +110,8 @@
 pub use retry_budget::RetryBudget;
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
-    ChangedObject, ReceivedBatches, SharedWatch, WatchBatch, WatchClaim, WatchRole,
-    WatchSnapshot,
+    ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
+    WatchClaim, WatchRole, WatchSnapshot,
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -64,6 +64,28 @@
     }
 }
 
+/// Why an entry has to watch by itself although another one watches for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnWatchReason {
+    /// Nothing that the platform confirmed to the leader has arrived for too long.
+    Unheard,
+    /// Nothing has verified the known state for too long.
+    Unverified,
+    /// The leader announced changes without their content.
+    Announced,
+}
+
+impl OwnWatchReason {
+    /// Value of the reason in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unheard => "unheard",
+            Self::Unverified => "unverified",
+            Self::Announced => "announced",
+        }
+    }
+}
+
 /// A changed object, as the platform returned it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChangedObject {
@@ -316,8 +338,8 @@
         }
     }
 
-    /// Whether an own watch would return nothing new now.
-    pub fn can_skip_own_watch(&self, now: Instant) -> bool {
+    /// Why an own watch could return something new now; `None` if it would not.
+    pub fn own_watch_reason(&self, now: Instant) -> Option<OwnWatchReason> {
         let is_recent = |at: Option<Instant>, age_max_ms| {
             at.is_some_and(|at| now.ms_since(at) < age_max_ms)
         };
@@ -327,9 +349,18 @@
             Some(since) => Some(since),
             None => self.own_call_at.max(verified_at),
         };
-        is_recent(self.received_at, RECEIVED_MAX_AGE_MS)
-            && is_recent(verified_at, VERIFY_INTERVAL_MS)
-            && !self.needs_own_watch
+        if !is_recent(self.received_at, RECEIVED_MAX_AGE_MS) {
+            Some(OwnWatchReason::Unheard)
+        } else if !is_recent(verified_at, VERIFY_INTERVAL_MS) {
+            Some(OwnWatchReason::Unverified)
+        } else {
+            self.needs_own_watch.then_some(OwnWatchReason::Announced)
+        }
+    }
+
+    /// Whether an own watch would return nothing new now.
+    pub fn can_skip_own_watch(&self, now: Instant) -> bool {
+        self.own_watch_reason(now).is_none()
     }
 
     /// Version after which the next own watch has to start: up to it, all changes were
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -243,6 +243,7 @@
     }
 
     fn note_failure(&mut self, node: &Node, result: &PlatformResult) {
+        node.log_generation();
         if !std::mem::replace(&mut self.is_lost, true) {
             let why = outcome_label(result);
             node.log.line(
@@ -253,6 +254,7 @@
     }
 
     fn note_success(&mut self, node: &Node) {
+        node.log_generation();
         self.delay = RETRY_DELAY_MIN;
         if std::mem::replace(&mut self.is_lost, false) {
             node.fleet.lock().platform_returned(node.now());
@@ -413,6 +415,7 @@
     for object in objects {
         apply_upstream_change(node, object);
     }
+    log_changes(node, "watch");
     if !objects.is_empty() {
         node.holdings_changed.notify_waiters();
         node.coordinator.wake.notify_waiters();
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -4,7 +4,8 @@
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResult};
 use direct::{
-    ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole, WatchSnapshot,
+    ChangedObject, OwnWatchReason, SharedWatch, WatchBatch, WatchClaim, WatchRole,
+    WatchSnapshot,
 };
 use parking_lot::Mutex;
 use schema::peer::{PeerNews, Watched};
@@ -55,6 +56,8 @@
     due: Notify,
     /// The role last logged for each collection.
     roles: Mutex<[Option<WatchRole>; 2]>,
+    /// The reason last logged for which a follower watches by itself.
+    own_watch_reasons: Mutex<[Option<OwnWatchReason>; 2]>,
 }
 
 impl SharedWatches {
@@ -138,9 +141,13 @@
         ObjectVersion(self.watch(collection).lock().resume_version())
     }
 
-    /// Returns whether this entry's own watch would return nothing new now.
-    fn can_skip(&self, now: Instant, collection: Collection) -> bool {
-        self.watch(collection).lock().can_skip_own_watch(now)
+    /// Returns why this entry's own watch could return something new now.
+    fn own_watch_reason(
+        &self,
+        now: Instant,
+        collection: Collection,
+    ) -> Option<OwnWatchReason> {
+        self.watch(collection).lock().own_watch_reason(now)
     }
 
     /// Returns whether other entries may rely on this entry's watches.
@@ -230,8 +237,27 @@
 /// Returns whether another entry watches for this one, so that a watch of its
 /// own would return nothing new.
 pub(crate) fn is_covered(node: &Node, collection: Collection) -> bool {
-    role(node, collection) == WatchRole::Follower
-        && node.shared_watches.can_skip(node.now(), collection)
+    if role(node, collection) != WatchRole::Follower {
+        return false;
+    }
+    let reason = node.shared_watches.own_watch_reason(node.now(), collection);
+    log_own_watch(node, collection, reason);
+    reason.is_none()
+}
+
+/// Logs that a follower begins to watch by itself, and why.
+fn log_own_watch(node: &Node, collection: Collection, reason: Option<OwnWatchReason>) {
+    let mut reasons = node.shared_watches.own_watch_reasons.lock();
+    let before = std::mem::replace(&mut reasons[collection as usize], reason);
+    drop(reasons);
+    if let Some(reason) = reason.filter(|_| before != reason) {
+        let version = node.shared_watches.resume_version(collection);
+        node.log.line(
+            "own_watch",
+            json!({ "followed": collection.as_str(), "why": reason.as_str(),
+                "after": version.0 }),
+        );
+    }
 }
 
 /// Waits as long as another entry watches for this one, whose own call has failed.
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -109,6 +109,10 @@
         .boxed()
     }
 
+    fn generation(&self) -> u64 {
+        self.platform.generation()
+    }
+
     fn requests_sent(&self) -> u64 {
         self.platform.requests_sent()
     }
@@ -118,6 +122,7 @@
 pub(crate) const fn outcome_label(result: &PlatformResult) -> &'static str {
     match result {
         PlatformResult::Unavailable => "away",
+        PlatformResult::HistoryGone => "history_gone",
         PlatformResult::Unanswered => "unanswered",
         PlatformResult::Conflict => "conflict",
         _ => "answered",
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -57,6 +57,8 @@
     pub(crate) protocol: Box<dyn PlatformProtocol>,
     /// The platform's object storage, shared by all entries.
     pub(crate) platform: Box<dyn ObjectApi>,
+    /// Generation of the platform that was logged last.
+    logged_generation: AtomicU64,
     pub(crate) clock: BootClock,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
@@ -143,6 +145,7 @@
                 options.keys.clone(),
                 calls,
             )),
+            logged_generation: AtomicU64::new(0),
             clock: BootClock,
             log,
             metrics,
@@ -265,6 +268,20 @@
         change(demand.entry(Arc::clone(service)).or_default());
     }
 
+    /// Logs a new generation of the platform: it was restored from an older copy.
+    pub(crate) fn log_generation(&self) {
+        let generation = self.platform.generation();
+        let before = self
+            .logged_generation
+            .fetch_max(generation, Ordering::Relaxed);
+        if generation > before {
+            self.log.line(
+                "platform_generation",
+                json!({ "generation": generation, "before": before }),
+            );
+        }
+    }
+
     /// Reports an object that can't be decoded, unless it was reported with the
     /// same content.
     pub(crate) fn report_unreadable(
--- a/crates/plat/src/object_api.rs
+++ b/crates/plat/src/object_api.rs
@@ -54,6 +54,13 @@
         async move { self.call(&PlatformOp::Watch { prefix, after }).await }.boxed()
     }
 
+    /// Highest generation of the platform that an answer named. The generation rises each
+    /// time the platform was restored from an older copy, and is 0 on platforms that
+    /// don't count their restores.
+    fn generation(&self) -> u64 {
+        0
+    }
+
     /// Number of requests sent to the platform so far. An operation may take
     /// several, such as the pages of a list. Implementations that don't count them
     /// return 0.
