Versions are ordered across a restore of the platform

Cause: states were ordered by the bare revision, and the highest one ever seen was kept. A record below it was dropped as an old one. Followers skipped what their leader forwarded below their known version, and counted as covered all the same, since each message renews that. A watch resumed from a revision that the platform didn't have, was refused, and a list followed, again and again.

Change: an ObjectVersion is the generation of the platform and the revision within it, put together where a response is read, so that comparisons anywhere stay monotonic.

Tests that compared bare revisions compare versions. The forged version of a_forged_message_hides_changes_for_a_bounded_time is the last one of its generation, as before; one of a later generation hides nothing beyond the next own watch, which has a test of its own.

--- a/crates/base/src/platform.rs
+++ b/crates/base/src/platform.rs
@@ -1,9 +1,48 @@
 //! Calls of the platform's object API, as state machines issue them.
 
+/// Number of low bits of a version that hold the revision. At a thousand writes a
+/// second they last for 34 years.
+const REVISION_BITS: u32 = 40;
+
 /// Version of an object; the platform increases it with each write.
+///
+/// A platform that was restored from an older copy gives its revisions out again, for
+/// other contents. Each restore begins a new generation, and versions are ordered by the
+/// generation first: of two versions the higher one is the later one, across a restore
+/// as well. On a platform that doesn't count its restores, the version is the revision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ObjectVersion(pub u64);
 
+impl ObjectVersion {
+    /// The version at a revision of a generation. Numbers that don't fit are replaced by
+    /// the highest that does.
+    pub const fn new(generation: u64, revision: u64) -> Self {
+        let generation_max = u64::MAX >> REVISION_BITS;
+        let revision_max = (1 << REVISION_BITS) - 1;
+        let generation = if generation < generation_max {
+            generation
+        } else {
+            generation_max
+        };
+        let revision = if revision < revision_max {
+            revision
+        } else {
+            revision_max
+        };
+        Self((generation << REVISION_BITS) | revision)
+    }
+
+    /// Number of restores of the platform, as it counts them.
+    pub const fn generation(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// The platform's revision within the generation.
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
 /// A call that a state machine asks its driver to make.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlatformCall {
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -15,6 +15,7 @@
 //! with what an entry knows, its own watch would return nothing that it doesn't know. If
 //! they don't, it watches by itself, starting at the last version that was verified.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use std::collections::VecDeque;
 
@@ -91,7 +92,7 @@
 pub struct ChangedObject {
     /// Key of the object.
     pub key: String,
-    /// Version of the change.
+    /// Version of the change, as in [`ObjectVersion`].
     pub version: u64,
     /// Value; empty if the object was deleted.
     pub value: Vec<u8>,
@@ -442,11 +443,34 @@
         self.recent_batches.iter().cloned().collect()
     }
 
+    /// Whether a batch leaves no gap after the known version.
+    ///
+    /// A batch that leads to a later generation of the platform says what differs from
+    /// the state at its first version. What is known beyond that version may have been
+    /// lost when the platform was restored, and the batch doesn't say so.
+    const fn is_followed_by(&self, batch: &WatchBatch) -> bool {
+        if self.is_of_later_generation(batch) {
+            return batch.after_version == self.known_version;
+        }
+        let known = ObjectVersion(self.known_version).generation();
+        let reached = ObjectVersion(batch.to_version).generation();
+        reached == known && batch.after_version <= self.known_version
+    }
+
+    /// Whether a batch leads to a later generation of the platform than is known.
+    const fn is_of_later_generation(&self, batch: &WatchBatch) -> bool {
+        let known = ObjectVersion(self.known_version).generation();
+        ObjectVersion(batch.to_version).generation() > known
+    }
+
     /// Handles a leader's message, whose content the platform confirmed to the leader
     /// at `confirmed_at`. Returns what is new.
     ///
     /// Batches that leave a gap after the known version are ignored. The changes in
     /// between were lost, and this entry's next own watch returns them.
+    ///
+    /// So are batches of a platform generation before the known one: a leader that
+    /// hasn't noticed that the platform was restored watches nothing for others.
     pub fn receive(
         &mut self,
         confirmed_at: Instant,
@@ -455,7 +479,9 @@
         let mut received = ReceivedBatches::default();
         let mut follows = false;
         for batch in batches {
-            follows = batch.after_version <= self.known_version;
+            follows = self.is_followed_by(&batch);
+            // The next own call fails, and the state is listed or asked for.
+            self.needs_own_watch |= !follows && self.is_of_later_generation(&batch);
             if !follows || batch.to_version <= self.known_version {
                 continue;
             }
--- a/crates/direct/tests/all/shared_watch.rs
+++ b/crates/direct/tests/all/shared_watch.rs
@@ -1,6 +1,7 @@
 //! One watch for the entries of a failure domain, and what happens when it fails.
 
 use crate::support::at;
+use base::ObjectVersion;
 use direct::{ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole};
 
 fn changed(key: &str, version: u64, bytes: usize) -> ChangedObject {
@@ -146,7 +147,8 @@
 #[test]
 fn a_forged_message_hides_changes_for_a_bounded_time() {
     let mut shared = listed_at_10();
-    shared.receive(at(100), vec![batch(10, u64::MAX)]);
+    let last = ObjectVersion::new(0, u64::MAX);
+    shared.receive(at(100), vec![batch(10, last.0)]);
     let mut until_ms = 0;
     for ms in (200..60_000).step_by(400) {
         let listed_at_10 = shared.receive(at(ms), vec![batch(12, 13)]);
@@ -159,6 +161,57 @@
     assert!((10_000..16_000).contains(&until_ms), "{until_ms}");
 }
 
+/// A version of the platform after a restore.
+fn restored(revision: u64) -> u64 {
+    ObjectVersion::new(1, revision).0
+}
+
+/// Guards against followers that wait for a later generation of the platform, which a
+/// forged datagram named, and miss the changes of the present one meanwhile.
+#[test]
+fn a_forged_generation_makes_an_entry_watch_by_itself() {
+    let mut shared = listed_at_10();
+    shared.receive(at(100), vec![batch(10, u64::MAX)]);
+    shared.receive(at(200), vec![batch(12, 13)]);
+    assert!(!shared.can_skip_own_watch(at(1_500)));
+    shared.receive(at(1_600), vec![batch(11, u64::MAX - 1)]);
+    assert_eq!(shared.resume_version(), 10);
+}
+
+/// Guards against followers that rely on a leader which hasn't noticed that the platform
+/// was restored, or runs a build that doesn't know of generations.
+#[test]
+fn batches_of_an_earlier_generation_cover_nobody() {
+    let mut shared = SharedWatch::new();
+    shared.on_listed(at(0), restored(5), &[]);
+    let received = shared.receive(at(100), vec![batch(10, 12), batch(12, 13)]);
+    assert_eq!(received.known_version, None);
+    assert!(received.new_batches.is_empty());
+    assert!(!shared.can_skip_own_watch(at(100)));
+}
+
+/// Guards against followers that ignore what is numbered below the revisions of before a
+/// restore, or keep objects that were lost with it.
+#[test]
+fn a_list_after_a_restore_is_applied_to_the_state_it_starts_from_alone() {
+    let mut leader = listed_at_10();
+    let mut same = listed_at_10();
+    let mut ahead = listed_at_10();
+    ahead.receive(at(0), vec![batch(10, 12)]);
+    let listed = [changed("servers/3", restored(3), 1)];
+    leader.on_listed(at(1_000), restored(5), &listed);
+    let received = same.receive(at(1_000), leader.outgoing());
+    assert_eq!(received.known_version, Some(restored(5)));
+    assert_eq!(received.new_batches[0].objects, listed);
+    leader.on_watched(at(1_100), batch(restored(5), restored(6)));
+    let received = same.receive(at(1_100), leader.outgoing());
+    assert_eq!(received.known_version, Some(restored(6)));
+    assert!(same.can_skip_own_watch(at(1_100)));
+    let received = ahead.receive(at(1_000), leader.outgoing());
+    assert_eq!(received.known_version, None);
+    assert!(received.needs_own_watch);
+}
+
 /// The configuration of many routes is larger than a datagram. The change is announced,
 /// and each entry watches for it at once.
 #[test]
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -315,7 +315,7 @@
 }
 
 /// Applies the state that another entry passed on. Returns false if this entry knows
-/// a later one.
+/// a later one, or that the platform was restored since.
 pub(crate) fn apply_start_state(
     node: &Node,
     collection: Collection,
@@ -326,7 +326,8 @@
         confirmed_at,
         ref objects,
     } = state;
-    if !node.shared_watches.is_current(collection, version) {
+    let is_outdated = ObjectVersion(version).generation() < node.platform.generation();
+    if is_outdated || !node.shared_watches.is_current(collection, version) {
         return false;
     }
     let listed: Vec<Object> = objects.iter().map(as_object).collect();
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -5,6 +5,7 @@
 //! [`direct::start_sources`]. The answer comes in parts, each a datagram. An entry that
 //! starts itself answers as soon as it has listed.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use direct::{ChangedObject, WatchBatch, start_sources};
 use parking_lot::{Mutex, MutexGuard};
@@ -191,6 +192,7 @@
         start: node.started_unix_ms,
         state_ask: Some(StateAsk {
             upstreams: collection == Collection::Upstreams,
+            generation: node.platform.generation(),
         }),
         ..PeerNews::default()
     };
@@ -212,7 +214,7 @@
 pub(crate) async fn receive(node: &Node, from: SocketAddr, message: &PeerNews) -> bool {
     if let Some(ask) = &message.state_ask {
         let collection = collection(ask.upstreams);
-        if !answer(node, collection, from).await {
+        if !answer(node, collection, from, ask.generation).await {
             node.start_state.add_waiting(node.now(), collection, from);
             send_part(node, from, no_part_yet(collection)).await;
         }
@@ -241,19 +243,25 @@
         std::mem::take(&mut *node.start_state.waiting[collection as usize].lock());
     for (asked_at, address) in waiting {
         if node.now().ms_since(asked_at) < ASK_KEPT_MS {
-            answer(node, collection, address).await;
+            answer(node, collection, address, 0).await;
         }
     }
 }
 
 /// Sends the state of a collection. Returns false if this entry doesn't have it, or
-/// only an old one.
-async fn answer(node: &Node, collection: Collection, address: SocketAddr) -> bool {
+/// only one that is old or of a generation of the platform before `generation`.
+async fn answer(
+    node: &Node,
+    collection: Collection,
+    address: SocketAddr,
+    generation: u64,
+) -> bool {
     let Some(state) = node.shared_watches.snapshot(collection) else {
         return false;
     };
     let age_ms = node.now().ms_since(state.confirmed_at);
-    if age_ms > STATE_MAX_AGE_MS {
+    let latest = generation.max(node.platform.generation());
+    if age_ms > STATE_MAX_AGE_MS || ObjectVersion(state.version).generation() < latest {
         return false;
     }
     let digest = state.digest;
