direct: the lease outlives a restore of the platform

What callers would see: two entries that send orders to one upstream, by one token or by a lower one after a higher. An upstream that checks tokens refuses those of the new holder, and one that doesn't is made to hold too much.

Cause: the next token was that of the stored record plus one. A platform that was restored from an older copy has lost the latest acquisitions and renewals: it names an earlier holder, whose lease looks free, while another one still holds it, and the same token is given out again.

Change: a record names the generation of the platform in which it was written. One of an earlier generation was restored. It is waited for like a renewal of the moment in which it was first read, whoever it names, and tokens and renewal numbers go on above the version of the object, so above all that were lost. The holder whose own renewal is still valid need not wait: nobody else can hold the lease, so orders go on without a pause. It is not released by who no longer holds it. A write that took effect in a later generation than it was made for counts for nothing.

Evidence: the property test of three entries with restores to copies of up to six seconds ago (late writes, freezes, restarts, releases, announcements) fails if a restored record is treated like any other ('0 2 48750 48750': two holders at one moment).

Not covered: a platform that is restored to a time before the first acquisition of all, seen by a process that starts after it.

--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -1,5 +1,6 @@
 //! The lease, kept in the platform, that makes one entry the coordinator.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +27,11 @@
     /// it released the lease.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub idle_ms: u64,
+    /// Generation of the platform in which the record was written. A record of an
+    /// earlier generation than the platform's was restored, and later ones may be lost.
+    /// `None` if its writer's build doesn't know of generations.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub generation: Option<u64>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "as serde asks for it")]
@@ -51,13 +57,28 @@
             token: version,
             renewal: version,
             idle_ms: 0,
+            generation: Some(ObjectVersion(version).generation()),
         }
     }
 
     /// Whether entries can have written this record in an object of the given version.
     pub const fn is_plausible(&self, version: u64) -> bool {
-        self.token <= version && self.renewal <= version
+        is_reached_at(self.token, version) && is_reached_at(self.renewal, version)
     }
+
+    /// Whether both records are of the same renewal.
+    fn is_same_renewal(&self, other: &Self) -> bool {
+        let renewal = |record: &Self| (record.start, record.token, record.renewal);
+        self.holder == other.holder && renewal(self) == renewal(other)
+    }
+}
+
+/// Whether a token or renewal number can have been given out by an object's writes up to
+/// a version. The numbers of a generation begin after its start, and each is a write.
+const fn is_reached_at(number: u64, version: u64) -> bool {
+    let (number, version) = (ObjectVersion(number), ObjectVersion(version));
+    number.generation() <= version.generation()
+        && number.revision() <= version.revision()
 }
 
 /// Action that the driver of the lease has to perform.
@@ -85,6 +106,12 @@
 /// the renewal, and wait longer. The clock has to run while the machine is suspended;
 /// otherwise a coordinator that resumes still relies on a lease that another entry
 /// holds by then.
+///
+/// A platform that was restored from an older copy has lost the latest renewals, and
+/// perhaps an acquisition. Whoever held the lease then may still send orders. So a
+/// restored record is waited for as long as one that was renewed when it was first read;
+/// only the holder whose lease is still valid need not wait. The next token is above all
+/// that earlier generations can have given out.
 #[derive(Debug)]
 pub struct Lease {
     entry: String,
@@ -97,14 +124,26 @@
     observed: Option<ObservedLease>,
     /// The newest renewal that its holder announced.
     announced: Option<AnnouncedRenewal>,
-    /// Time until which this process may send orders.
-    valid_until: Option<Instant>,
+    /// The last acquisition or renewal of this process that took effect.
+    held: Option<HeldLease>,
     next_at: Instant,
     call_in_flight: bool,
     /// Whether the object may have been overwritten since it was read.
     must_read: bool,
     /// When the lease ended, once it was released. It must not be acquired again.
     released_at: Option<Instant>,
+    /// Latest generation of the platform that is known, once there is any.
+    generation: Option<u64>,
+    /// Whether the platform was restored since this process started.
+    has_seen_restore: bool,
+}
+
+/// A renewal that allows this process to send orders.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    token: u64,
+    /// Time until which the orders may be sent.
+    until: Instant,
 }
 
 /// A renewal that its holder announced, and when it was first received.
@@ -139,19 +178,41 @@
             quiet_ms,
             observed: None,
             announced: None,
-            valid_until: None,
+            held: None,
             next_at: Instant::ZERO,
             call_in_flight: false,
             must_read: false,
             released_at: None,
+            generation: None,
+            has_seen_restore: false,
         }
     }
 
+    /// Records the generation of the platform that an answer came from.
+    pub fn note_generation(&mut self, generation: u64) {
+        self.has_seen_restore |=
+            self.generation.is_some_and(|known| known < generation);
+        self.generation = self.generation.max(Some(generation));
+    }
+
+    /// Whether this entry may acquire the lease again without a wait, as its last renewal
+    /// is still valid. It sends no orders while the platform names another holder.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.held.is_some_and(|held| now < held.until)
+    }
+
+    /// Whether the record is of the holding by which this entry may send orders now. A
+    /// restored record may be of an earlier one.
+    fn is_held(&self, now: Instant, record: &LeaseRecord) -> bool {
+        let held = self.held.filter(|held| now < held.until);
+        self.is_own(record) && held.is_some_and(|held| held.token == record.token)
+    }
+
     /// Fencing token for orders, while this entry may send them.
     pub fn token(&self, now: Instant) -> Option<u64> {
-        let until = self.valid_until?;
         let observed = self.observed.as_ref()?;
-        (now < until && self.is_own(&observed.record)).then_some(observed.record.token)
+        self.is_held(now, &observed.record)
+            .then_some(observed.record.token)
     }
 
     /// Last known holder.
@@ -209,7 +270,11 @@
         let step = match &self.observed {
             None => LeaseStep::Read,
             Some(_) if self.must_read => LeaseStep::Read,
-            Some(observed) if self.is_own(&observed.record) => {
+            Some(observed)
+                if self.is_held(now, &observed.record)
+                    || (self.is_own(&observed.record)
+                        && !self.may_be_outdated(observed)) =>
+            {
                 self.renewal_step(observed)
             }
             // The record that was read is old by now; a write would conflict.
@@ -230,14 +295,15 @@
         self.call_in_flight = false;
         self.must_read = false;
         let Some((version, record)) = found else {
-            // No entry has ever held the lease.
+            // No entry has ever held the lease, unless the platform was restored.
             self.observe(now, 0, LeaseRecord::default());
             self.next_at = now;
             return;
         };
+        self.note_generation(ObjectVersion(version).generation());
         self.observe(now, version, record);
         if let Some(observed) = &self.observed {
-            let free_at = observed.since.plus_ms(self.wait_ms(&observed.record) + 1);
+            let free_at = observed.since.plus_ms(self.wait_ms(observed) + 1);
             let free_at = if self.can_acquire(observed, now) {
                 now
             } else {
@@ -248,10 +314,19 @@
     }
 
     /// Handles a write that took effect with this version and was sent at `sent_at`.
+    ///
+    /// A write that took effect in another generation than its record names was
+    /// conditional on what the platform has lost: the object has to be read.
     pub fn on_written(&mut self, sent_at: Instant, version: u64, record: LeaseRecord) {
+        let generation = ObjectVersion(version).generation();
+        self.note_generation(generation);
+        if record.generation != Some(generation) {
+            self.on_uncertain(sent_at);
+            return;
+        }
         self.call_in_flight = false;
         self.must_read = false;
-        let is_own = self.is_own(&record);
+        let (is_own, token) = (self.is_own(&record), record.token);
         self.observed = Some(ObservedLease {
             record,
             version,
@@ -261,7 +336,10 @@
         // the holder shuts down, and its successor would wait as long as for a holder
         // that fell silent.
         let held = is_own && self.released_at.is_none();
-        self.valid_until = held.then(|| sent_at.plus_ms(self.validity_ms));
+        self.held = held.then(|| HeldLease {
+            token,
+            until: sent_at.plus_ms(self.validity_ms),
+        });
         self.next_at = sent_at.plus_ms(RENEW_INTERVAL_MS);
     }
 
@@ -288,11 +366,7 @@
     pub fn next_renewal(&self, now: Instant) -> Option<(LeaseRecord, u64)> {
         let observed = self.observed.as_ref()?;
         self.token(now)?;
-        let record = LeaseRecord {
-            renewal: observed.record.renewal + 1,
-            ..observed.record.clone()
-        };
-        Some((record, observed.version))
+        Some((self.renewed(observed), observed.version))
     }
 
     /// Releases the lease: returns the record to write, if the lease is this entry's
@@ -303,18 +377,21 @@
     /// time at which they see the release. The record tells them how long the lease had
     /// already ended by then, so they don't wait for that time again.
     pub fn release(&mut self, now: Instant) -> Option<(LeaseRecord, u64)> {
-        let until = self.valid_until.take().unwrap_or(now);
+        let is_held = self.token(now).is_some();
+        let until = self.held.take().map_or(now, |held| held.until);
         let ended_at = *self.released_at.get_or_insert(until.min(now));
         let observed = self.observed.as_ref()?;
-        if !self.is_own(&observed.record) {
+        // A restored record may be of an earlier holding than another entry's.
+        let is_latest =
+            self.is_own(&observed.record) && !self.may_be_outdated(observed);
+        if !is_held && !is_latest {
             return None;
         }
         let record = LeaseRecord {
             holder: String::new(),
             start: 0,
-            renewal: observed.record.renewal + 1,
             idle_ms: now.ms_since(ended_at),
-            ..observed.record.clone()
+            ..self.renewed(observed)
         };
         Some((record, observed.version))
     }
@@ -328,13 +405,37 @@
         if unchanged {
             return;
         }
-        let announced = self.announced.as_ref();
-        let announced = announced.filter(|announced| announced.record == record);
-        self.observed = Some(ObservedLease {
-            since: announced.map_or(now, |announced| announced.first_heard_at.min(now)),
+        let mut observed = ObservedLease {
             record,
             version,
-        });
+            since: now,
+        };
+        let announced = self.announced.as_ref();
+        let announced = announced
+            .filter(|announced| announced.record.is_same_renewal(&observed.record));
+        // Later renewals than a restored one may have been announced and not received.
+        if let Some(announced) = announced
+            && !self.may_be_outdated(&observed)
+        {
+            observed.since = announced.first_heard_at.min(now);
+        }
+        self.observed = Some(observed);
+    }
+
+    /// Whether the platform may have lost later records than this one.
+    ///
+    /// A record without a generation counts as restored only if this process has seen
+    /// that the platform was.
+    const fn may_be_outdated(&self, observed: &ObservedLease) -> bool {
+        if observed.version == 0 {
+            return self.has_seen_restore || self.announced.is_some();
+        }
+        match observed.record.generation {
+            Some(written_in) => {
+                written_in < ObjectVersion(observed.version).generation()
+            }
+            None => self.has_seen_restore,
+        }
     }
 
     /// Whether the record names this process as the holder, rather than another entry
@@ -346,29 +447,58 @@
     /// Whether the lease can be acquired. An earlier process of the same entry has
     /// ended, so its successor need not wait for it.
     fn can_acquire(&self, observed: &ObservedLease, now: Instant) -> bool {
-        let never_held = observed.record.token == 0;
-        never_held
-            || observed.record.holder == self.entry
-            || now.ms_since(observed.since) > self.wait_ms(&observed.record)
+        let needs_no_wait = if self.may_be_outdated(observed) {
+            self.is_valid(now)
+        } else {
+            let never_held = observed.record.token == 0;
+            never_held || observed.record.holder == self.entry
+        };
+        needs_no_wait || now.ms_since(observed.since) > self.wait_ms(observed)
     }
 
     /// Time after which a lease that isn't renewed can be acquired. A released lease
     /// has ended; any other may be valid until its renewal expires.
-    const fn wait_ms(&self, record: &LeaseRecord) -> u64 {
-        if record.holder.is_empty() {
-            self.quiet_ms.saturating_sub(record.idle_ms)
+    const fn wait_ms(&self, observed: &ObservedLease) -> u64 {
+        if observed.record.holder.is_empty() && !self.may_be_outdated(observed) {
+            self.quiet_ms.saturating_sub(observed.record.idle_ms)
         } else {
             self.validity_ms + self.quiet_ms
         }
     }
 
+    /// The last number that a token or renewal may have had, given that of an observed
+    /// record. Numbers of lost records must not be given out again: each was at most the
+    /// version of its object, and the version of a restored object is above.
+    fn last_number(&self, observed: &ObservedLease, number: u64) -> u64 {
+        if !self.may_be_outdated(observed) {
+            return number;
+        }
+        let generation_start = ObjectVersion::new(self.generation_of(observed), 0).0;
+        number.max(observed.version).max(generation_start)
+    }
+
+    /// Generation of the platform in which the next record is written.
+    fn generation_of(&self, observed: &ObservedLease) -> u64 {
+        if observed.version > 0 {
+            ObjectVersion(observed.version).generation()
+        } else {
+            self.generation.unwrap_or_default()
+        }
+    }
+
+    /// The record of the next renewal of an observed lease.
+    fn renewed(&self, observed: &ObservedLease) -> LeaseRecord {
+        LeaseRecord {
+            renewal: self.last_number(observed, observed.record.renewal) + 1,
+            generation: Some(self.generation_of(observed)),
+            ..observed.record.clone()
+        }
+    }
+
     /// The write that renews this entry's lease.
     fn renewal_step(&self, observed: &ObservedLease) -> LeaseStep {
         LeaseStep::Write {
-            record: LeaseRecord {
-                renewal: observed.record.renewal + 1,
-                ..observed.record.clone()
-            },
+            record: self.renewed(observed),
             version: Some(observed.version),
         }
     }
@@ -379,9 +509,9 @@
             record: LeaseRecord {
                 holder: self.entry.clone(),
                 start: self.started_unix_ms,
-                token: observed.record.token + 1,
-                renewal: observed.record.renewal + 1,
+                token: self.last_number(observed, observed.record.token) + 1,
                 idle_ms: 0,
+                ..self.renewed(observed)
             },
             version: (observed.version > 0).then_some(observed.version),
         }
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -2,8 +2,10 @@
 
 use crate::support::{at, cases, engine};
 use arbtest::arbitrary;
+use base::ObjectVersion;
 use base::prelude::*;
 use direct::{EngineSpec, Lease, LeaseRecord, LeaseStep, LoadPlanner};
+use std::collections::VecDeque;
 
 const VALID_MS: u64 = 5_000;
 const QUIET_MS: u64 = 3_000;
@@ -16,17 +18,38 @@
 }
 
 impl LeaseObject {
+    /// Writes the record if the object has the revision. Returns its version, unless the
+    /// precondition is of a time before the platform was restored: the writer can't rely
+    /// on the write then.
     fn write(&mut self, record: &LeaseRecord, version: Option<u64>) -> Option<u64> {
-        let matches = match version {
+        let (now, expected) = (ObjectVersion(self.version), version.map(ObjectVersion));
+        let matches = match expected {
             None => self.record.is_none(),
-            Some(version) => self.record.is_some() && self.version == version,
+            Some(expected) => {
+                self.record.is_some() && now.revision() == expected.revision()
+            }
         };
         if !matches {
             return None;
         }
         self.version += 1;
         self.record = Some(record.clone());
-        Some(self.version)
+        let is_comparable =
+            expected.is_none_or(|at| at.generation() == now.generation());
+        is_comparable.then_some(self.version)
+    }
+
+    /// Replaces the object by an older copy of it.
+    fn restore(&mut self, copy: Self) {
+        let generation = ObjectVersion(self.version).generation() + 1;
+        let revision = ObjectVersion(copy.version).revision();
+        self.version = ObjectVersion::new(generation, revision).0;
+        self.record = copy.record;
+    }
+
+    /// What a read returns.
+    fn found(&self) -> Option<(u64, LeaseRecord)> {
+        self.record.clone().map(|record| (self.version, record))
     }
 }
 
@@ -46,7 +69,7 @@
         start: started_unix_ms,
         token,
         renewal,
-        idle_ms: 0,
+        ..LeaseRecord::default()
     }
 }
 
@@ -293,8 +316,33 @@
 /// may, and tokens only grow.
 #[test]
 fn no_two_entries_send_orders_within_the_quiet_time() {
+    check_random_runs(RandomPlatform { is_restored: false });
+}
+
+/// Guards against two holders, or a token that is given out twice, after the platform
+/// came back from a copy of up to six seconds ago and lost acquisitions and renewals.
+#[test]
+fn no_two_entries_send_orders_within_the_quiet_time_of_a_restored_platform() {
+    check_random_runs(RandomPlatform { is_restored: true });
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RandomPlatform {
+    /// Whether it is restored from older copies of itself.
+    is_restored: bool,
+}
+
+/// Steps of 150 ms for which copies of the lease object are kept.
+const KEPT_COPIES: usize = 40;
+
+/// Step from which on the platform may be restored. Before, the first acquisition could
+/// be lost, which a process that has just started takes for a lease never held.
+const FIRST_RESTORE: u64 = 80;
+
+fn check_random_runs(platform: RandomPlatform) {
     cases(300, |random| {
         let mut object = LeaseObject::default();
+        let mut copies: VecDeque<LeaseObject> = VecDeque::new();
         let mut leases: Vec<Lease> = (0..3)
             .map(|entry| lease(&format!("e{entry}"), entry))
             .collect();
@@ -305,6 +353,17 @@
         let mut announcements: Vec<Announcement> = Vec::new();
         for step in 0..400u64 {
             let ms = step * 150;
+            if platform.is_restored {
+                if step >= FIRST_RESTORE && random.ratio(1, 60)? {
+                    let index = random.int_in_range(0..=copies.len() - 1)?;
+                    object.restore(copies[index].clone());
+                    copies.clear();
+                }
+                copies.push_back(object.clone());
+                if copies.len() > KEPT_COPIES {
+                    copies.pop_front();
+                }
+            }
             announcements.retain(|announcement| {
                 if announcement.at_ms > ms || frozen_until[announcement.to] > ms {
                     return true;
@@ -413,8 +472,8 @@
     match &call.step {
         LeaseStep::Wait => {}
         LeaseStep::Read if call.answered => {
-            let found = object.record.clone().map(|record| (object.version, record));
-            lease.on_read(at(ms), found);
+            lease.note_generation(ObjectVersion(object.version).generation());
+            lease.on_read(at(ms), object.found());
         }
         LeaseStep::Read => lease.on_failed(at(ms)),
         LeaseStep::Write { record, version } => {
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -198,7 +198,7 @@
 /// it only renews a lease that it holds, until it hands it over.
 fn may_maintain_lease(node: &Node) -> bool {
     let now = node.now();
-    if node.lease.lock().token(now).is_some() {
+    if node.lease.lock().is_valid(now) {
         return true;
     }
     let up_ms = now.ms_since(node.started_at);
@@ -231,7 +231,10 @@
     let now = node.now();
     let mut lease = node.lease.lock();
     match result {
-        PlatformResult::Object(None) => lease.on_read(now, None),
+        PlatformResult::Object(None) => {
+            lease.note_generation(node.platform.generation());
+            lease.on_read(now, None);
+        }
         PlatformResult::Object(Some((version, value))) => {
             let record = decode_lease(node, version.0, &value);
             lease.on_read(now, Some((version.0, record)));
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -137,7 +137,7 @@
             start: message.start,
             token: message.giver_token,
             renewal: message.lease_renewal,
-            idle_ms: 0,
+            ..LeaseRecord::default()
         };
         node.lease.lock().on_holder_message(now, record);
     }
--- a/crates/front/src/state/lease_relay.rs
+++ b/crates/front/src/state/lease_relay.rs
@@ -141,6 +141,7 @@
         start: record.start,
         token: record.token,
         renewal: record.renewal,
+        generation: record.generation,
     }
 }
 
@@ -152,5 +153,6 @@
         token: state.token,
         renewal: state.renewal,
         idle_ms: 0,
+        generation: state.generation,
     }
 }
