peers: an entry registers again after the platform was restored

What callers would see: limits that are shared by too few entries, and entries that start and find no one to ask for the state.

Cause: an entry writes its record once. If the platform is restored from a copy of before that, the record is gone, and a list without it counts as an old one.

Change: what was written is remembered with the generation of the platform. A later generation makes the entry read the list anew, some seconds later, as a list may be old, and at another moment than the others.

--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -31,6 +31,13 @@
 /// well.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Delay before the list is read after the platform was restored from an older copy. A
+/// list may be some seconds old.
+const RESTORED_LIST_DELAY: Duration = Duration::from_secs(3);
+
+/// Time over which the entries spread their lists after a restore.
+const RESTORED_LIST_SPREAD_MS: u64 = 2_000;
+
 /// Time after which all other entries count an entry that is in the list. Most
 /// learn of it within two seconds; those that its messages don't reach read the
 /// list every eight seconds.
@@ -54,8 +61,9 @@
 /// others, forever.
 pub(crate) async fn register(node: Arc<Node>) {
     let key = format!("{}{}", node.options.keys.entry_prefix, node.options.entry);
-    // The `settled` flag of the record that was written last.
-    let mut written_settled = None;
+    // The `settled` flag of the record that was written last, and the platform's
+    // generation before that.
+    let mut written = None;
     let mut listed_since = None;
     let mut is_introduced = false;
     loop {
@@ -83,20 +91,22 @@
             domain: node.options.failure_domain.clone(),
         };
         let is_listed = own.as_ref() == Some(&record);
+        // A platform that was restored may have lost the record.
+        let state = Some((record.settled, node.generation()));
         let replaced = listed
             .as_ref()
             .is_some_and(|listed| listed.is_unreadable(&key));
         let exists = listed.as_ref().is_some_and(|listed| listed.contains(&key));
-        if listed.is_some()
-            && !is_listed
-            && (written_settled != Some(record.settled) || replaced)
-        {
+        if listed.is_some() && !is_listed && (written != state || replaced) {
             // An address and a flag always serialize.
             let value = serde_json::to_vec(&record).unwrap_or_default();
             let is_written = write_record(&node, &key, exists, value).await;
-            written_settled = is_written.then_some(record.settled);
+            written = state.filter(|_| is_written);
+        }
+        tokio::select! {
+            () = wait_for_next_list(&node, is_listed) => {}
+            () = node.platform_restored.notified() => wait_after_restore(&node).await,
         }
-        wait_for_next_list(&node, is_listed).await;
     }
 }
 
@@ -112,6 +122,13 @@
     }
 }
 
+/// Waits until the list can be expected to be of the time after a restore of the
+/// platform. All entries read it then, at different moments.
+async fn wait_after_restore(node: &Node) {
+    let spread_ms = node.random() % RESTORED_LIST_SPREAD_MS;
+    sleep(RESTORED_LIST_DELAY + Duration::from_millis(spread_ms)).await;
+}
+
 /// Records who precedes this entry, whose key is `key`, and who shares its failure
 /// domain.
 fn learn_from_list(node: &Node, listed: &EntryList, key: &str) {
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -208,6 +208,7 @@
     /// Records that the platform confirmed at `confirmed_at` that this entry
     /// knows everything up to `version`.
     pub(crate) fn confirm(self, node: &Node, version: u64, confirmed_at: Instant) {
+        node.observe_generation(ObjectVersion(version).generation());
         let mut config;
         let mut fleet;
         let watermark = match self {
@@ -243,7 +244,7 @@
     }
 
     fn note_failure(&mut self, node: &Node, result: &PlatformResult) {
-        node.log_generation();
+        node.observe_generation(node.platform.generation());
         if !std::mem::replace(&mut self.is_lost, true) {
             let why = outcome_label(result);
             node.log.line(
@@ -254,7 +255,7 @@
     }
 
     fn note_success(&mut self, node: &Node) {
-        node.log_generation();
+        node.observe_generation(node.platform.generation());
         self.delay = RETRY_DELAY_MIN;
         if std::mem::replace(&mut self.is_lost, false) {
             node.fleet.lock().platform_returned(node.now());
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -57,8 +57,10 @@
     pub(crate) protocol: Box<dyn PlatformProtocol>,
     /// The platform's object storage, shared by all entries.
     pub(crate) platform: Box<dyn ObjectApi>,
-    /// Generation of the platform that was logged last.
-    logged_generation: AtomicU64,
+    /// Latest known generation of the platform, once there is any.
+    generation: Mutex<Option<u64>>,
+    /// Notified when the platform was restored from an older copy.
+    pub(crate) platform_restored: Notify,
     pub(crate) clock: BootClock,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
@@ -145,7 +147,8 @@
                 options.keys.clone(),
                 calls,
             )),
-            logged_generation: AtomicU64::new(0),
+            generation: Mutex::default(),
+            platform_restored: Notify::new(),
             clock: BootClock,
             log,
             metrics,
@@ -268,13 +271,18 @@
         change(demand.entry(Arc::clone(service)).or_default());
     }
 
-    /// Logs a new generation of the platform: it was restored from an older copy.
-    pub(crate) fn log_generation(&self) {
-        let generation = self.platform.generation();
-        let before = self
-            .logged_generation
-            .fetch_max(generation, Ordering::Relaxed);
-        if generation > before {
+    /// Records a generation of the platform that an own call or another entry named. A
+    /// later one than the known one means that the platform was restored from an older
+    /// copy.
+    pub(crate) fn observe_generation(&self, generation: u64) {
+        let mut known = self.generation.lock();
+        let before = *known;
+        *known = before.max(Some(generation));
+        drop(known);
+        if before < Some(generation) {
+            if before.is_some() {
+                self.platform_restored.notify_waiters();
+            }
             self.log.line(
                 "platform_generation",
                 json!({ "generation": generation, "before": before }),
@@ -282,6 +290,11 @@
         }
     }
 
+    /// Returns the latest known generation of the platform.
+    pub(crate) fn generation(&self) -> Option<u64> {
+        *self.generation.lock()
+    }
+
     /// Reports an object that can't be decoded, unless it was reported with the
     /// same content.
     pub(crate) fn report_unreadable(
