direct: a restored record does not bring back an upstream that left

What callers would see: requests to an upstream whose removal the platform had acknowledged, cut off when it ends.

Cause: a record at a later version than the removal shows that an upstream is alive. All records of a restored platform are at later versions, also of those that had left since the copy was made.

Evidence: a_restored_record_does_not_bring_back_an_upstream_that_left fails without the change.

Change: a record that is listed after a restore, of an upstream that had left before, doesn't count until the upstream writes it, or the platform has had the time to remove it and has not. Records that are missing after a restore may only not have been written again yet: the grace period of an outage applies, for followers too, who hear of it from their leader before they apply its list.

Not covered: an entry that starts within seconds of such a restore.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -26,6 +26,10 @@
 /// while the platform was away.
 const RETURN_GRACE_MS: u64 = 3_000;
 
+/// Time after a restore of the platform in which it has removed the restored records of
+/// upstreams that have ended: more than three heartbeats after its return.
+const RESTORED_REMOVAL_MS: u64 = 6_000;
+
 /// Time for which an upstream that is gone is remembered.
 const FORGET_MS: u64 = 60_000;
 
@@ -54,6 +58,8 @@
     upstreams: BTreeMap<Arc<str>, Upstream>,
     /// When the platform became reachable again.
     platform_returned_at: Option<Instant>,
+    /// When the platform was seen to be restored from an older copy.
+    platform_restored_at: Option<Instant>,
     coordinator: LatestCoordinator,
     peer_mentions: PeerMentions,
     /// Upstreams that other entries reported as leaving before their records were known,
@@ -92,6 +98,14 @@
         self.platform_returned_at = Some(now);
     }
 
+    /// Records that the platform was restored from an older copy. Records that were
+    /// written since that copy are missing until they are written again, and records that
+    /// were removed are back until they are removed again.
+    pub const fn platform_restored(&mut self, now: Instant) {
+        self.platform_restored_at = Some(now);
+        self.platform_returned(now);
+    }
+
     /// Applies a page of the first list. Requests can be sent to these upstreams while
     /// the other pages are on their way.
     pub fn apply_page(&mut self, listed: Vec<(u64, UpstreamRecord)>) {
@@ -183,6 +197,10 @@
             self.ignored_records += 1;
             return false;
         }
+        let is_restart = record.started_unix_ms > known.record.started_unix_ms;
+        if !is_restart && known.is_only_restored(version) {
+            return false;
+        }
         match record.started_unix_ms.cmp(&known.record.started_unix_ms) {
             Ordering::Less => return false,
             Ordering::Greater => {
@@ -208,8 +226,7 @@
         known.record.leaving = leaving;
         known.version = version;
         known.vanished_at = None;
-        known.gone_version = None;
-        known.is_confirmed_gone = false;
+        known.set_listed();
         known.forget_older_report();
         false
     }
@@ -228,6 +245,7 @@
             return true;
         }
         upstream.gone_version = upstream.gone_version.max(Some(version));
+        upstream.restored_version = None;
         upstream.vanished_at = None;
         upstream.is_confirmed_gone = true;
         true
@@ -249,6 +267,7 @@
             return;
         }
         upstream.gone_version = Some(version);
+        upstream.restored_version = None;
         upstream.reported_gone_version = None;
         upstream.is_leaving_unlisted = false;
         // An upstream whose record was removed while the platform was reachable has
@@ -260,11 +279,24 @@
         }
     }
 
+    /// Uses the upstreams again whose restored records are still there.
+    fn keep_restored_records(&mut self) {
+        let all = self.upstreams.values_mut();
+        for upstream in all.filter(|known| known.restored_version.is_some()) {
+            upstream.set_listed();
+        }
+    }
+
     /// Forgets upstreams that are gone and have no running request.
     ///
     /// One that is leaving but isn't yet listed as such by the platform is kept.
     /// Otherwise the next outdated list would add it as a new upstream.
     pub fn forget_gone(&mut self, now: Instant) {
+        let restored_ms = self.platform_restored_at.map(|at| now.ms_since(at));
+        if restored_ms.is_some_and(|ms| ms >= RESTORED_REMOVAL_MS) {
+            self.platform_restored_at = None;
+            self.keep_restored_records();
+        }
         self.upstreams.retain(|_, upstream| {
             upstream.forget_ended_rate_limit(now);
             if upstream.is_usable(now) || upstream.own_usage.running > 0 {
--- a/crates/direct/src/fleet/leaving.rs
+++ b/crates/direct/src/fleet/leaving.rs
@@ -1,5 +1,6 @@
 //! Upstreams that are leaving or gone, as entries tell one another.
 
+use base::ObjectVersion;
 use base::prelude::*;
 
 use super::turns::in_turn;
@@ -149,6 +150,35 @@
 }
 
 impl Upstream {
+    /// Handles a record of an upstream whose record was removed. Returns whether it only
+    /// shows that the platform was restored from a copy of before the removal.
+    ///
+    /// A later record of the same generation was written since the restore, so the
+    /// upstream is alive.
+    pub(super) fn is_only_restored(&mut self, version: u64) -> bool {
+        let generation = |version| ObjectVersion(version).generation();
+        let removed_before = self
+            .gone_version
+            .is_some_and(|gone| generation(gone) < generation(version));
+        if !self.is_confirmed_gone || !removed_before {
+            return false;
+        }
+        let is_rewritten = self.restored_version.is_some_and(|restored| {
+            restored < version && generation(restored) == generation(version)
+        });
+        if !is_rewritten {
+            self.restored_version = Some(version);
+        }
+        !is_rewritten
+    }
+
+    /// Records that the platform has a record of the upstream.
+    pub(super) const fn set_listed(&mut self) {
+        self.gone_version = None;
+        self.restored_version = None;
+        self.is_confirmed_gone = false;
+    }
+
     /// Whether the record may have been found missing at a version, given the version
     /// up to which the platform's changes are known here.
     ///
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -73,6 +73,9 @@
     pub(super) vanished_at: Option<Instant>,
     /// Version at which the record was found missing or unreadable.
     pub(super) gone_version: Option<u64>,
+    /// Version of a record that the platform listed again after it was restored, of an
+    /// upstream that had left before.
+    pub(super) restored_version: Option<u64>,
     /// Version at which another entry found the record missing, while the state that
     /// this entry knows is older.
     pub(super) reported_gone_version: Option<u64>,
@@ -133,6 +136,7 @@
             version,
             vanished_at: None,
             gone_version: None,
+            restored_version: None,
             reported_gone_version: None,
             is_confirmed_gone: false,
             is_leaving_unlisted: false,
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -1,6 +1,7 @@
 //! What an entry knows about upstreams.
 
 use crate::support::{at, incarnation, name, record, resident};
+use base::ObjectVersion;
 use direct::{Fleet, PrefillQueue, Usage};
 
 fn usable(fleet: &Fleet, ms: u64, id: &str) -> bool {
@@ -88,6 +89,77 @@
     assert!(!usable(&fleet, 13_000, "2"), "the record is still missing");
 }
 
+/// A version of the platform after a restore.
+fn restored(revision: u64) -> u64 {
+    ObjectVersion::new(1, revision).0
+}
+
+/// Guards against requests to an upstream that has left, because the platform came back
+/// from a copy that still lists it. It removes the record again within seconds.
+#[test]
+fn a_restored_record_does_not_bring_back_an_upstream_that_left() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.remove(at(10_000), "1", 6);
+    fleet.platform_restored(at(12_000));
+    let listed = || {
+        let upstream = |id| (restored(5), record(id, &["a"]));
+        vec![upstream("1"), upstream("2")]
+    };
+    for ms in [12_100, 13_000, 15_000] {
+        fleet.apply_list(at(ms), restored(7), listed());
+        fleet.forget_gone(at(ms));
+        assert!(!usable(&fleet, ms, "1"), "at {ms} ms");
+        assert!(usable(&fleet, ms, "2"));
+    }
+    fleet.remove(at(16_000), "1", restored(8));
+    fleet.forget_gone(at(30_000));
+    assert!(!usable(&fleet, 30_000, "1"));
+}
+
+/// Guards against an upstream that stays unused because its record expired shortly before
+/// the platform was restored, and the copy has it unchanged.
+#[test]
+fn an_upstream_whose_restored_record_stays_is_used_again() {
+    let mut fleet = fleet(&["1"]);
+    fleet.remove(at(10_000), "1", 6);
+    fleet.platform_restored(at(12_000));
+    fleet.apply_list(
+        at(12_100),
+        restored(7),
+        vec![(restored(5), record("1", &["a"]))],
+    );
+    fleet.forget_gone(at(20_000));
+    assert!(usable(&fleet, 20_000, "1"));
+}
+
+/// Guards against an upstream that stays unused although it writes its record after the
+/// platform was restored.
+#[test]
+fn an_upstream_that_writes_its_record_after_a_restore_is_used_at_once() {
+    let mut fleet = fleet(&["1"]);
+    fleet.remove(at(10_000), "1", 6);
+    fleet.platform_restored(at(12_000));
+    fleet.apply_list(
+        at(12_100),
+        restored(7),
+        vec![(restored(5), record("1", &["a"]))],
+    );
+    fleet.apply_update(restored(8), record("1", &["a"]));
+    assert!(usable(&fleet, 12_200, "1"));
+}
+
+/// Guards against upstreams that are lost because they registered after the copy was made
+/// from which the platform was restored.
+#[test]
+fn an_upstream_missing_after_a_restore_is_used_until_it_can_be_back() {
+    let mut fleet = fleet(&["1"]);
+    fleet.platform_restored(at(12_000));
+    fleet.apply_list(at(12_100), restored(3), Vec::new());
+    assert!(usable(&fleet, 12_200, "1"));
+    fleet.apply_update(restored(4), record("1", &["a"]));
+    assert!(usable(&fleet, 20_000, "1"));
+}
+
 #[test]
 fn holdings_are_valid_until_the_coordinator_falls_silent() {
     let mut fleet = fleet(&["1"]);
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -208,7 +208,6 @@
     /// Records that the platform confirmed at `confirmed_at` that this entry
     /// knows everything up to `version`.
     pub(crate) fn confirm(self, node: &Node, version: u64, confirmed_at: Instant) {
-        node.observe_generation(ObjectVersion(version).generation());
         let mut config;
         let mut fleet;
         let watermark = match self {
@@ -331,6 +330,7 @@
     if is_outdated || !node.shared_watches.is_current(collection, version) {
         return false;
     }
+    node.observe_generation(ObjectVersion(version).generation());
     let listed: Vec<Object> = objects.iter().map(as_object).collect();
     match collection {
         Collection::Config => apply_configs(node, &listed),
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -310,6 +310,9 @@
     let mut shared = node.shared_watches.watch(collection).lock();
     let received = shared.receive(confirmed_at, batches);
     drop(shared);
+    if let Some(version) = received.known_version {
+        node.observe_generation(ObjectVersion(version).generation());
+    }
     for batch in &received.new_batches {
         apply_changes(node, collection, &batch.objects);
     }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -281,6 +281,7 @@
         drop(known);
         if before < Some(generation) {
             if before.is_some() {
+                self.fleet.lock().platform_restored(self.now());
                 self.platform_restored.notify_waiters();
             }
             self.log.line(
