front: a follower does not rely on its leader for a state of before a restore

What callers would see: a leaving upstream in use, or an old configuration, for longer than two seconds, at an entry whose own call has shown that the platform was restored. It waited until it had heard nothing of its leader for 1.3 s, as the leader's last message of before the restore still counted.

Change: a known state of an earlier generation than the platform's is a reason to watch by oneself ('own_watch', why 'restored'); the watch says that its history is gone, and a list or a state from another entry follows.

Test: an_entry_that_saw_a_restore_watches_by_itself (the reason did not exist before).

--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -74,6 +74,8 @@
     Unverified,
     /// The leader announced changes without their content.
     Announced,
+    /// The platform was restored since the known state.
+    Restored,
 }
 
 impl OwnWatchReason {
@@ -83,6 +85,7 @@
             Self::Unheard => "unheard",
             Self::Unverified => "unverified",
             Self::Announced => "announced",
+            Self::Restored => "restored",
         }
     }
 }
@@ -340,7 +343,15 @@
     }
 
     /// Why an own watch could return something new now; `None` if it would not.
-    pub fn own_watch_reason(&self, now: Instant) -> Option<OwnWatchReason> {
+    /// `generation` is the platform's, as far as own calls have shown.
+    pub fn own_watch_reason(
+        &self,
+        now: Instant,
+        generation: u64,
+    ) -> Option<OwnWatchReason> {
+        if ObjectVersion(self.known_version).generation() < generation {
+            return Some(OwnWatchReason::Restored);
+        }
         let is_recent = |at: Option<Instant>, age_max_ms| {
             at.is_some_and(|at| now.ms_since(at) < age_max_ms)
         };
@@ -361,7 +372,7 @@
 
     /// Whether an own watch would return nothing new now.
     pub fn can_skip_own_watch(&self, now: Instant) -> bool {
-        self.own_watch_reason(now).is_none()
+        self.own_watch_reason(now, 0).is_none()
     }
 
     /// Version after which the next own watch has to start: up to it, all changes were
--- a/crates/direct/tests/all/shared_watch.rs
+++ b/crates/direct/tests/all/shared_watch.rs
@@ -2,7 +2,9 @@
 
 use crate::support::at;
 use base::ObjectVersion;
-use direct::{ChangedObject, SharedWatch, WatchBatch, WatchClaim, WatchRole};
+use direct::{
+    ChangedObject, OwnWatchReason, SharedWatch, WatchBatch, WatchClaim, WatchRole,
+};
 
 fn changed(key: &str, version: u64, bytes: usize) -> ChangedObject {
     ChangedObject {
@@ -190,6 +192,17 @@
     assert!(!shared.can_skip_own_watch(at(100)));
 }
 
+/// Guards against a follower that relies on its leader although its own call has shown
+/// that the platform was restored since the state that it knows.
+#[test]
+fn an_entry_that_saw_a_restore_watches_by_itself() {
+    let mut shared = listed_at_10();
+    shared.receive(at(100), vec![batch(10, 12)]);
+    assert_eq!(shared.own_watch_reason(at(200), 0), None);
+    let reason = shared.own_watch_reason(at(200), 1);
+    assert_eq!(reason, Some(OwnWatchReason::Restored));
+}
+
 /// Guards against followers that ignore what is numbered below the revisions of before a
 /// restore, or keep objects that were lost with it.
 #[test]
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -146,8 +146,10 @@
         &self,
         now: Instant,
         collection: Collection,
+        generation: u64,
     ) -> Option<OwnWatchReason> {
-        self.watch(collection).lock().own_watch_reason(now)
+        let watch = self.watch(collection).lock();
+        watch.own_watch_reason(now, generation)
     }
 
     /// Returns whether other entries may rely on this entry's watches.
@@ -240,7 +242,9 @@
     if role(node, collection) != WatchRole::Follower {
         return false;
     }
-    let reason = node.shared_watches.own_watch_reason(node.now(), collection);
+    let generation = node.platform.generation();
+    let watches = &node.shared_watches;
+    let reason = watches.own_watch_reason(node.now(), collection, generation);
     log_own_watch(node, collection, reason);
     reason.is_none()
 }
