--- a/crates/once/tests/claims/agents.rs
+++ b/crates/once/tests/claims/agents.rs
@@ -121,6 +121,29 @@
     );
 }
 
+/// Guards against an order that runs twice because the platform was restored from a copy
+/// without its claim, although an agent that ran it still knows it.
+#[test]
+fn a_key_whose_claim_was_lost_in_a_restore_is_not_granted_again() {
+    let mut platform = Platform::default();
+    let mut one = Agent::new("one");
+    one.request_claim(0, 1, "other", BODY);
+    one.answer_all(0, &mut platform);
+    let copy = platform.objects.clone();
+    one.request_claim(1_000, 2, "key", BODY);
+    one.answer_all(1_000, &mut platform);
+    assert!(one.granted(2));
+    one.finish(1_100, 2, b"done");
+    one.answer_all(1_100, &mut platform);
+    platform.restore(copy);
+    let mut two = Agent::new("two");
+    for (agent, attempt) in [(&mut two, 3), (&mut one, 4)] {
+        agent.request_claim(5_000, attempt, "key", BODY);
+        agent.answer_all(5_000, &mut platform);
+        assert!(!agent.granted(attempt), "attempt {attempt}");
+    }
+}
+
 /// A request is refused after its claim was granted. The refusal says
 /// `not_run`, so the caller resends at once and must not meet its own claim. If
 /// the platform is unavailable, the refusal waits for one second at most.
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -95,6 +95,20 @@
         }
     }
 
+    /// Replaces all objects by an older copy of them. The next version is in a new
+    /// generation.
+    pub fn restore(&mut self, copy: BTreeMap<String, (u64, Vec<u8>)>) {
+        let generation = ObjectVersion(self.last_version).generation() + 1;
+        let restored = copy.into_iter().map(|(key, (version, value))| {
+            let revision = ObjectVersion(version).revision();
+            (key, (ObjectVersion::new(generation, revision).0, value))
+        });
+        self.objects = restored.collect();
+        let versions = self.objects.values().map(|(version, _)| *version);
+        let generation_start = ObjectVersion::new(generation, 0).0;
+        self.last_version = versions.max().unwrap_or(generation_start);
+    }
+
     pub fn deliver_late(&mut self) {
         for op in std::mem::take(&mut self.late_ops) {
             self.apply(&op);
