front: messages name the platform's revision beside its generation

What callers would see while two builds run side by side: leaving upstreams and old addresses in use, at an entry of the earlier build, for as long as its leader is of that build too.

Cause: messages between entries carried versions that hold the generation. A build that doesn't know of generations reads them as revisions far ahead, takes all that its leader forwards afterwards for old, and counts as covered.

Change: a version is sent as its revision, and the generation beside it. An earlier build reads what it understands, and what it sends is of generation 0, which covers nobody. The digest of a state is over revisions and contents, so the two builds agree on it, and what a restore left as it was is no change: a leader's list after a restore is forwarded with what differs alone.

--- a/crates/direct/src/state_digest.rs
+++ b/crates/direct/src/state_digest.rs
@@ -1,6 +1,7 @@
 //! Digest of a collection of platform objects, by which entries find out whether they
 //! know the same state.
 
+use base::ObjectVersion;
 use std::collections::{HashMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -108,10 +109,13 @@
     hashes.fold(0, |digest, hash| digest ^ hash)
 }
 
+/// Hash of an object by its revision and content, whichever generation of the platform
+/// it was read from: what a restore has left as it was is not different after it.
 fn object_hash(object: &ChangedObject) -> u64 {
     let mut bytes = Vec::with_capacity(object.key.len() + 16);
     bytes.extend_from_slice(object.key.as_bytes());
-    bytes.extend_from_slice(&object.version.to_le_bytes());
+    let revision = ObjectVersion(object.version).revision();
+    bytes.extend_from_slice(&revision.to_le_bytes());
     bytes.extend_from_slice(&object.content_hash.to_le_bytes());
     xxh3_64(&bytes)
 }
--- a/crates/direct/tests/all/shared_watch.rs
+++ b/crates/direct/tests/all/shared_watch.rs
@@ -180,6 +180,25 @@
     assert_eq!(shared.resume_version(), 10);
 }
 
+/// Guards against entries that pass the whole state on after a restore that lost nothing.
+#[test]
+fn what_a_restore_left_as_it_was_is_no_change() {
+    let mut leader = SharedWatch::new();
+    leader.on_listed(
+        at(0),
+        10,
+        &[changed("servers/1", 5, 1), changed("servers/2", 9, 1)],
+    );
+    let same = ChangedObject {
+        version: restored(5),
+        ..changed("servers/1", 5, 1)
+    };
+    let newer = changed("servers/2", restored(11), 1);
+    leader.on_listed(at(1_000), restored(12), &[same, newer.clone()]);
+    let outgoing = leader.outgoing();
+    assert_eq!(outgoing[0].objects, [newer]);
+}
+
 /// Guards against followers that rely on a leader which hasn't noticed that the platform
 /// was restored, or runs a build that doesn't know of generations.
 #[test]
--- a/crates/front/src/lease_relay.rs
+++ b/crates/front/src/lease_relay.rs
@@ -38,9 +38,10 @@
     let Some(requested_at) = node.lease_relay.confirm(&record) else {
         return;
     };
+    let version = ObjectVersion::new(confirmation.generation, confirmation.version);
     node.lease
         .lock()
-        .on_written(requested_at, confirmation.version, record.clone());
+        .on_written(requested_at, version.0, record.clone());
     node.log.line(
         "lease_relayed",
         json!({ "token": record.token, "renewal": record.renewal,
@@ -57,14 +58,15 @@
     {
         return;
     }
-    tokio::spawn(write_renewal(Arc::clone(node), record, request.version));
+    let version = ObjectVersion::new(request.generation, request.version);
+    tokio::spawn(write_renewal(Arc::clone(node), record, version));
 }
 
 /// Writes another entry's renewal to the platform and announces the result.
-async fn write_renewal(node: Arc<Node>, record: LeaseRecord, version: u64) {
+async fn write_renewal(node: Arc<Node>, record: LeaseRecord, version: ObjectVersion) {
     let op = PlatformOp::Write {
         key: node.options.keys.lease.clone(),
-        precondition: Precondition::Version(ObjectVersion(version)),
+        precondition: Precondition::Version(version),
         // Strings and numbers always serialize.
         value: serde_json::to_vec(&record).unwrap_or_default(),
     };
--- a/crates/front/src/packed_batches.rs
+++ b/crates/front/src/packed_batches.rs
@@ -3,6 +3,7 @@
 //! The records of upstreams resemble one another, so a batch of them takes a small
 //! part of its size, and what fits into a message lasts for many more upstreams.
 
+use base::ObjectVersion;
 use direct::{ChangedObject, WatchBatch};
 use flate2::Compression;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
@@ -56,13 +57,15 @@
 
 /// Decodes a batch of another entry.
 pub(crate) fn decode_batch(sent: &WatchedBatch) -> WatchBatch {
+    let version = |revision| ObjectVersion::new(sent.generation, revision).0;
     let objects = sent.objects.iter();
     let objects = objects.map(|object| {
-        changed_object(object.key.clone(), object.version, object.value.clone())
+        let value = object.value.clone();
+        changed_object(object.key.clone(), version(object.version), value)
     });
     WatchBatch {
-        after_version: sent.after,
-        to_version: sent.at,
+        after_version: ObjectVersion::new(sent.after_generation, sent.after).0,
+        to_version: version(sent.at),
         objects: objects.collect(),
         is_partial: sent.is_partial,
     }
@@ -72,14 +75,18 @@
     let objects = batch.objects.iter();
     let objects = objects.map(|object| WatchedObject {
         key: object.key.clone(),
-        version: object.version,
+        version: ObjectVersion(object.version).revision(),
         value: object.value.clone(),
     });
+    let after = ObjectVersion(batch.after_version);
+    let at = ObjectVersion(batch.to_version);
     WatchedBatch {
-        after: batch.after_version,
-        at: batch.to_version,
+        after: after.revision(),
+        at: at.revision(),
         objects: objects.collect(),
         is_partial: batch.is_partial,
+        after_generation: after.generation(),
+        generation: at.generation(),
     }
 }
 
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -1,5 +1,6 @@
 //! Sends messages to other entries.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use direct::{
     Fleet, ResidentModel, WatchRole, holdings_message_count, peer_message_interval_ms,
@@ -285,7 +286,8 @@
     let leaving = fleet.leaving_to_announce(now, message, limit).into_iter();
     let leaving = leaving.map(|(upstream, version, vanished)| LeavingUpstream {
         upstream: upstream.record.id.to_string(),
-        version,
+        version: ObjectVersion(version).revision(),
+        generation: ObjectVersion(version).generation(),
         vanished,
         born_ms: upstream.record.started_unix_ms.unwrap_or(0),
     });
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -1,5 +1,6 @@
 //! Receives messages from other entries.
 
+use base::ObjectVersion;
 use direct::{
     Activity, DemandEstimate, LeaseRecord, PrefillQueue, ResidentModel,
     UpstreamIncarnation, Usage,
@@ -114,7 +115,8 @@
     fleet.set_peer_activity(now, &message.entry, activity);
     for leaving in &message.leaving {
         let incarnation = incarnation(&leaving.upstream, leaving.born_ms);
-        fleet.peer_reported_leaving(incarnation, leaving.version, leaving.vanished);
+        let version = ObjectVersion::new(leaving.generation, leaving.version);
+        fleet.peer_reported_leaving(incarnation, version.0, leaving.vanished);
     }
     for holding in &message.holdings {
         let residents = holding.models.iter().map(decode_resident).collect();
--- a/crates/front/src/received_state.rs
+++ b/crates/front/src/received_state.rs
@@ -1,5 +1,6 @@
 //! The state of platform objects as other entries send it, in parts.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use direct::{ChangedObject, state_digest};
 use schema::peer::StatePart;
@@ -21,7 +22,7 @@
 /// The parts that one source has sent of its state at one version.
 #[derive(Debug)]
 struct SourceState {
-    version: u64,
+    version: ObjectVersion,
     digest: u64,
     count: u32,
     confirmed_at: Instant,
@@ -55,7 +56,7 @@
             return;
         };
         let begin = || SourceState {
-            version: part.version,
+            version: version_of(part),
             digest: part.digest,
             count: part.count,
             confirmed_at: now - Duration::from_millis(part.age_ms),
@@ -82,17 +83,22 @@
         let by_key: BTreeMap<String, ChangedObject> = by_key.collect();
         let objects: Vec<ChangedObject> = by_key.into_values().collect();
         (state_digest(&objects) == state.digest).then_some(CompleteState {
-            version: state.version,
+            version: state.version.0,
             confirmed_at: state.confirmed_at,
             objects,
         })
     }
 }
 
+/// The version up to which the state of a part includes all changes.
+const fn version_of(part: &StatePart) -> ObjectVersion {
+    ObjectVersion::new(part.generation, part.version)
+}
+
 impl SourceState {
     /// Returns whether a part belongs to this state.
-    const fn includes(&self, part: &StatePart) -> bool {
-        self.version == part.version
+    fn includes(&self, part: &StatePart) -> bool {
+        self.version == version_of(part)
             && self.digest == part.digest
             && self.count == part.count
     }
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -366,8 +366,10 @@
     }
     let shared = node.shared_watches.watch(collection).lock();
     let (claim, confirmed_at) = (shared.claim()?, shared.confirmed_at()?);
+    let version = ObjectVersion(claim.version);
     Some(schema::peer::WatchClaim {
-        version: claim.version,
+        version: version.revision(),
+        generation: version.generation(),
         digest: claim.digest,
         age_ms: node.now().ms_since(confirmed_at),
     })
@@ -383,7 +385,7 @@
     let now = node.now();
     let confirmed_at = now - Duration::from_millis(claim.age_ms);
     let claim = WatchClaim {
-        version: claim.version,
+        version: ObjectVersion::new(claim.generation, claim.version).0,
         digest: claim.digest,
     };
     let mut shared = node.shared_watches.watch(collection).lock();
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -264,7 +264,7 @@
     if age_ms > STATE_MAX_AGE_MS || ObjectVersion(state.version).generation() < latest {
         return false;
     }
-    let digest = state.digest;
+    let (digest, version) = (state.digest, ObjectVersion(state.version));
     let parts = split(state.objects);
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
     for (number, objects) in (0..).zip(parts) {
@@ -276,7 +276,8 @@
         };
         let part = StatePart {
             upstreams: collection == Collection::Upstreams,
-            version: state.version,
+            version: version.revision(),
+            generation: version.generation(),
             age_ms,
             number,
             count,
--- a/crates/front/src/state/lease_relay.rs
+++ b/crates/front/src/state/lease_relay.rs
@@ -1,5 +1,6 @@
 //! State of lease renewals that one entry writes for another.
 
+use base::ObjectVersion;
 use base::prelude::*;
 use direct::LeaseRecord;
 use parking_lot::Mutex;
@@ -85,7 +86,8 @@
         (now.ms_since(requested.at) < REQUEST_TIMEOUT_MS).then(|| LeaseAsk {
             by: requested.by.clone(),
             state: Some(encode_record(&requested.record)),
-            version: requested.version,
+            version: ObjectVersion(requested.version).revision(),
+            generation: ObjectVersion(requested.version).generation(),
         })
     }
 
@@ -97,7 +99,8 @@
         let version = written.version?;
         (now.ms_since(written.at) < ANNOUNCE_MS).then(|| LeaseTold {
             state: Some(encode_record(&written.record)),
-            version,
+            version: ObjectVersion(version).revision(),
+            generation: ObjectVersion(version).generation(),
         })
     }
 
--- a/crates/front/tests/all/packed_batches.rs
+++ b/crates/front/tests/all/packed_batches.rs
@@ -1,5 +1,6 @@
 //! Changes that a watch returned, compressed for messages to other entries.
 
+use base::ObjectVersion;
 use direct::{ChangedObject, WatchBatch};
 use front::{pack_batches, unpack_batches};
 
@@ -124,3 +125,23 @@
     assert_eq!(one.content_hash, same.content_hash);
     assert_ne!(one.content_hash, other.content_hash);
 }
+
+/// Guards against a list after a restore of the platform whose versions look like those
+/// of before.
+#[test]
+fn a_batch_across_a_restore_keeps_its_generations() {
+    let version = |generation, revision| ObjectVersion::new(generation, revision).0;
+    let object = ChangedObject {
+        version: version(2, 5),
+        ..record(1, 5)
+    };
+    let sent = WatchBatch {
+        after_version: version(1, 40),
+        to_version: version(2, 7),
+        objects: vec![object],
+        is_partial: false,
+    };
+    let unpacked =
+        unpack_batches(&pack_batches(std::slice::from_ref(&sent), usize::MAX));
+    assert_eq!(unpacked, [sent]);
+}
