direct: a missing lease is read once a second, and late restored records count

Found by reading the change as a whole.

- The time by which the platform has removed restored records was forgotten when it was over.
An entry that lists later than that kept those upstreams out of use until they wrote again: an_upstream_in_a_late_list_after_a_restore.

--- a/ci/check.sh
+++ b/ci/check.sh
@@ -26,7 +26,7 @@
 names+='|Tenant-Id|tenant-id|token_routing|uncached_tokens|api_keys|quota_tolerance'
 names+='|Request-Priority|request-priority|route_table|weighted_backends|fencing_token'
 names+='|path_prefix|target_latency_ms|itl_target_ms|kv_capacity|max_adapters'
-names+='|Server-Limit|server-limit|Server-Leaving|server-leaving'
+names+='|Server-Limit|server-limit|Server-Leaving|server-leaving|Store-Era|store-era'
 names+='|SESAMESHORE_BOOT|client_facing|model_load|deletion_pending'
 if git grep -nE "$names" -- '*.rs' '*.proto' ':!platform/'; then
   echo "a wire name of the platform stands outside platform/" >&2
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -294,7 +294,6 @@
     pub fn forget_gone(&mut self, now: Instant) {
         let restored_ms = self.platform_restored_at.map(|at| now.ms_since(at));
         if restored_ms.is_some_and(|ms| ms >= RESTORED_REMOVAL_MS) {
-            self.platform_restored_at = None;
             self.keep_restored_records();
         }
         self.upstreams.retain(|_, upstream| {
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -306,14 +306,14 @@
     pub fn on_read(&mut self, now: Instant, found: Option<(u64, LeaseRecord)>) {
         self.call_in_flight = false;
         self.must_read = false;
-        let Some((version, record)) = found else {
+        match found {
             // No entry has ever held the lease, unless the platform was restored.
-            self.observe(now, 0, LeaseRecord::default());
-            self.next_at = now;
-            return;
-        };
-        self.note_generation(ObjectVersion(version).generation());
-        self.observe(now, version, record);
+            None => self.observe(now, 0, LeaseRecord::default()),
+            Some((version, record)) => {
+                self.note_generation(ObjectVersion(version).generation());
+                self.observe(now, version, record);
+            }
+        }
         if let Some(observed) = &self.observed {
             let free_at = observed.since.plus_ms(self.wait_ms(observed) + 1);
             let free_at = if self.can_acquire(observed, now) {
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -132,6 +132,23 @@
     assert!(usable(&fleet, 20_000, "1"));
 }
 
+/// Guards against an upstream that stays unused because its entry lists the restored
+/// records only when the platform has already had the time to remove them.
+#[test]
+fn an_upstream_in_a_late_list_after_a_restore_is_used_again() {
+    let mut fleet = fleet(&["1"]);
+    fleet.remove(at(10_000), "1", 6);
+    fleet.platform_restored(at(12_000));
+    fleet.forget_gone(at(20_000));
+    fleet.apply_list(
+        at(21_000),
+        restored(7),
+        vec![(restored(5), record("1", &["a"]))],
+    );
+    fleet.forget_gone(at(22_000));
+    assert!(usable(&fleet, 22_000, "1"));
+}
+
 /// Guards against an upstream that stays unused although it writes its record after the
 /// platform was restored.
 #[test]
--- a/crates/direct/tests/all/lease.rs
+++ b/crates/direct/tests/all/lease.rs
@@ -490,6 +490,24 @@
     }
 }
 
+/// Guards against an entry that reads a missing lease at every check while it waits.
+#[test]
+fn a_missing_lease_is_read_once_a_second_at_a_later_start() {
+    let mut waiting = lease("a", 1);
+    waiting.set_later_start();
+    let mut reads = 0;
+    for ms in (0..VALID_MS).step_by(100) {
+        match waiting.next_step(at(ms), false) {
+            LeaseStep::Read => {
+                reads += 1;
+                waiting.on_read(at(ms), None);
+            }
+            step => assert_eq!(step, LeaseStep::Wait),
+        }
+    }
+    assert!(reads <= 6, "{reads}");
+}
+
 /// Guards against an entry that takes its old record of the lease for a free one while
 /// the holder's messages arrive: each write would conflict, and each entry would repeat
 /// it every few seconds.
