--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -15,12 +15,18 @@
 //! with what an entry knows, its own watch would return nothing that it doesn't know. If
 //! they don't, it watches by itself, starting at the last version that was verified.
 
+mod messages;
+mod role;
+
 use base::ObjectVersion;
 use base::prelude::*;
 use std::collections::VecDeque;
 
 use crate::state_digest::StateDigest;
 
+pub use messages::{ChangedObject, WatchBatch, WatchClaim, WatchSnapshot};
+pub use role::{OwnWatchReason, WatchRole};
+
 /// Number of entries in a failure domain from which on they share a watch. With two,
 /// forwarding costs more than the follower saves.
 const MIN_SHARING_ENTRIES: usize = 3;
@@ -43,130 +49,6 @@
 /// message was lost.
 const MAX_BATCHES: usize = 2;
 
-/// Role of an entry in the watch of its failure domain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WatchRole {
-    /// It watches for itself.
-    Independent,
-    /// It watches and forwards what it sees.
-    Leader,
-    /// It receives the leader's messages, and watches by itself if they fail.
-    Follower,
-}
-
-impl WatchRole {
-    /// Value of the role in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Independent => "independent",
-            Self::Leader => "leader",
-            Self::Follower => "follower",
-        }
-    }
-}
-
-/// Why an entry has to watch by itself although another one watches for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OwnWatchReason {
-    /// Nothing that the platform confirmed to the leader has arrived for too long.
-    Unheard,
-    /// Nothing has verified the known state for too long.
-    Unverified,
-    /// The leader announced changes without their content.
-    Announced,
-    /// The platform was restored since the known state.
-    Restored,
-}
-
-impl OwnWatchReason {
-    /// Value of the reason in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Unheard => "unheard",
-            Self::Unverified => "unverified",
-            Self::Announced => "announced",
-            Self::Restored => "restored",
-        }
-    }
-}
-
-/// A changed object, as the platform returned it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ChangedObject {
-    /// Key of the object.
-    pub key: String,
-    /// Version of the change, as in [`ObjectVersion`].
-    pub version: u64,
-    /// Value; empty if the object was deleted.
-    pub value: Vec<u8>,
-    /// Hash of the value. Texts that differ only in form have the same hash.
-    pub content_hash: u64,
-}
-
-impl ChangedObject {
-    /// The deletion of an object.
-    pub const fn deleted(key: String, version: u64) -> Self {
-        Self {
-            key,
-            version,
-            value: Vec::new(),
-            content_hash: 0,
-        }
-    }
-
-    /// Whether the object was deleted.
-    pub const fn is_deleted(&self) -> bool {
-        self.value.is_empty()
-    }
-}
-
-/// The state that an entry passes on to one that starts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WatchSnapshot {
-    /// Version up to which all changes are known.
-    pub version: u64,
-    /// When the platform confirmed the state, to this entry or to its leader.
-    pub confirmed_at: Instant,
-    /// Digest of the objects.
-    pub digest: u64,
-    /// All objects, sorted by key.
-    pub objects: Vec<ChangedObject>,
-}
-
-/// What an entry that watches by itself says about the state that it saw.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WatchClaim {
-    /// Version up to which the entry knows all changes.
-    pub version: u64,
-    /// Digest of the state at that version.
-    pub digest: u64,
-}
-
-/// Result of one watch: all changes after one version up to another.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WatchBatch {
-    /// The batch holds all changes after this version.
-    pub after_version: u64,
-    /// The batch holds all changes up to and including this version.
-    pub to_version: u64,
-    /// The changes in order.
-    pub objects: Vec<ChangedObject>,
-    /// Whether changes were left out. The receiver has to watch for them by itself.
-    pub is_partial: bool,
-}
-
-impl WatchBatch {
-    /// The batch without its changes. Its receiver has to watch for them by itself.
-    pub const fn without_objects(&self) -> Self {
-        Self {
-            after_version: self.after_version,
-            to_version: self.to_version,
-            objects: Vec::new(),
-            is_partial: true,
-        }
-    }
-}
-
 /// A version at which another entry's claim agreed with the known state.
 #[derive(Debug, Clone)]
 struct Verification {
