--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -37,7 +37,7 @@
 
 /// Time for each entry over which all spread their lists after a restore, so that the
 /// platform gets a hundred a second however many entries there are.
-const RESTORED_LIST_SPREAD_MS: u64 = 10;
+const RESTORED_LIST_SPREAD_PER_ENTRY_MS: u64 = 10;
 
 /// Time after which all other entries count an entry that is in the list. Most
 /// learn of it within two seconds; those that its messages don't reach read the
@@ -127,7 +127,7 @@
 /// platform. All entries read it then, at different moments.
 async fn wait_after_restore(node: &Node) {
     let entries = node.peers.address_count().max(1) as u64;
-    let delay_ms = node.random() % (entries * RESTORED_LIST_SPREAD_MS);
+    let delay_ms = node.random() % (entries * RESTORED_LIST_SPREAD_PER_ENTRY_MS);
     sleep(RESTORED_LIST_DELAY + Duration::from_millis(delay_ms)).await;
 }
 
