Log: whether a request resumes a stream, and the upstreams' software versions

The record's version field was read for validity and dropped; it is kept as software_version, since version is that of the weights elsewhere. Nothing is decided by it yet.

--- a/crates/direct/src/records.rs
+++ b/crates/direct/src/records.rs
@@ -36,6 +36,9 @@
     pub started_unix_ms: Option<u64>,
     /// Service that the upstream belongs to.
     pub service: Arc<str>,
+    /// Version of the software that it runs, which is not that of the weights. Versions
+    /// have no order; only equality counts.
+    pub software_version: Arc<str>,
     /// Address that requests and orders are sent to.
     pub address: SocketAddr,
     /// Failure domain.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::state::caller_request::CallerRequest;
 use crate::state::quota::Charge;
 use crate::takeover::attempt_with_takeover;
+use crate::upstream_address::software_version_of;
 use crate::upstream_rate;
 
 /// Time after which a refused caller should come back, if nothing better is
@@ -257,6 +258,7 @@
     fn record_stream_break(&mut self, upstream: &Arc<str>) {
         self.attempts
             .push(json!({ "upstream": &**upstream, "outcome": "broke_off",
+                "software": software_version_of(&self.node, upstream),
                 "after_event": self.last_event_id }));
     }
 
@@ -400,6 +402,7 @@
         self.node.metrics.attempts.with_label_values(&labels).inc();
         self.attempts
             .push(json!({ "upstream": &*selected.id, "outcome": outcome,
+            "software": software_version_of(&self.node, &selected.id),
             "expected_ms": selected.first_answer_ms as u64,
             "ms": self.node.now().ms_since(started_at) }));
     }
@@ -484,6 +487,8 @@
                 "status": status, "ms": ms, "first_ms": self.first_response_ms,
                 "waited_ms": self.waited_ms, "rate_spent": self.rate_limited_count, "tries": self.attempts,
                 "ran": self.may_have_run, "last_event": self.last_event_id,
+                "resumes": self.request.head.began_as,
+                "resumes_after": self.request.head.last_event_id,
                 "setup": self.request.config_version, "fleet_age_ms": fleet_age_ms }),
         );
     }
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -36,6 +36,9 @@
     pub prompt_parts: Vec<(u64, u64)>,
     /// Id of the last stream event that the caller has received.
     pub last_event_id: Option<String>,
+    /// Id of the request whose response brought the first event of the stream that
+    /// this one resumes.
+    pub began_as: Option<String>,
 }
 
 /// The headers that this entry sets on a request to an upstream.
--- a/crates/front/src/upstream_address.rs
+++ b/crates/front/src/upstream_address.rs
@@ -1,6 +1,7 @@
 //! Addresses of upstreams, and upstreams that can't be connected to.
 
 use direct::UpstreamIncarnation;
+use std::sync::Arc;
 
 use crate::state::Node;
 use crate::state::connection_pool::UpstreamAddress;
@@ -15,6 +16,13 @@
     })
 }
 
+/// Returns the version of the software that an upstream runs.
+pub(crate) fn software_version_of(node: &Node, id: &str) -> Option<Arc<str>> {
+    let fleet = node.fleet.lock();
+    let upstream = fleet.get(id)?;
+    Some(Arc::clone(&upstream.record.software_version))
+}
+
 /// Records that an incarnation of an upstream could not be connected to.
 pub(crate) fn record_unreachable(node: &Node, id: &str, started_unix_ms: Option<u64>) {
     let now = node.now();
