Streams go on only at the software version that began them

Cause: the version of an upstream's software was read and dropped, so any holder of the model could run the rest of a stream: within a response that broke, and for a caller that took its stream up at any entry. Nobody but the entry that forwarded the first event could have known where it began.

Change: - A dispatch belongs to a version from its first forwarded event on, and selection knows it (SelectionInput::origin), so that no attempt of it can leave the version. - Before that event is forwarded, three other entries in as many failure domains are told (rendezvous hashing of the stream). Where nobody knows, where two origins are named, or where the upstream has started again with another version, the rest is refused as not run (2016 resume_unavailable). Only where one version alone has served for longer than a stream lasts, and the news is fresh, it goes on without being told. - A split route's stream goes on at the service that began it.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -141,6 +141,8 @@
     QuotaSpent = 2014, "quota_spent", 429;
     /// The remaining quota of the workspace can't be determined.
     QuotaUnknown = 2015, "quota_unknown", 503;
+    /// The software version that began the stream is not known, or can't run the rest.
+    ResumeUnavailable = 2016, "resume_unavailable", 503;
     /// The connection to the upstream was lost with the request in flight.
     UpstreamLost = 3001, "upstream_lost", 502;
     /// The upstream refused the request or violated its protocol.
--- a/crates/direct/benches/entry.rs
+++ b/crates/direct/benches/entry.rs
@@ -129,6 +129,7 @@
             time_factor: 1.0,
             kv_tokens: 1_800,
             excluded: &[],
+            origin: None,
             domain: "domain-1",
             random: number,
         };
@@ -146,7 +147,7 @@
         id: Arc::clone(id),
         started_unix_ms: Some(7),
         service: "engines".into(),
-        software_version: "v1".into(),
+        software_version: Some("v1".into()),
         address: ([127, 0, 0, 1], 1).into(),
         domain: format!("domain-{}", index % 5).into(),
         batch_slots: 64,
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -200,6 +200,28 @@
 }
 
 impl Route {
+    /// Whether requests may go to a service.
+    pub fn has_target(&self, service: &str) -> bool {
+        self.weighted_targets().any(|name| **name == *service)
+    }
+
+    /// The service that all requests go to, if there is only one.
+    pub fn sole_target(&self) -> Option<&Arc<str>> {
+        let mut targets = self.weighted_targets();
+        let first = targets.next()?;
+        targets.all(|other| other == first).then_some(first)
+    }
+
+    /// The services that requests may go to. Without any weight, that is the first.
+    fn weighted_targets(&self) -> impl Iterator<Item = &Arc<str>> {
+        let has_weights = self.targets.iter().any(|target| target.weight > 0);
+        let targets = self.targets.iter().enumerate();
+        let targets = targets.filter(move |(index, target)| {
+            target.weight > 0 || (!has_weights && *index == 0)
+        });
+        targets.map(|(_, target)| &target.service)
+    }
+
     /// The service for a request, by the hash of its id. The same request always goes
     /// to the same service, so its retries stay there.
     pub fn service(&self, request: &str) -> Option<&Arc<str>> {
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -6,6 +6,7 @@
 mod liveness;
 mod rate;
 mod refusals;
+mod software;
 mod turns;
 mod upstream;
 
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 
 use crate::{Config, ResidentModel, UpstreamIncarnation, UpstreamRecord};
+use software::EarlierSoftware;
 use upstream::{CoordinatorHoldings, HOLDINGS_MAX_AGE_MS, HOLDINGS_VALID_MS};
 
 pub use changes::{ChangeKind, UpstreamChange};
@@ -67,6 +69,10 @@
     early_leaving: HashMap<String, Option<u64>>,
     /// Whether a complete list was applied.
     has_complete_list: bool,
+    /// When the first complete list was applied.
+    complete_since: Option<Instant>,
+    /// Versions of the software that upstreams ran until lately.
+    earlier_software: Vec<EarlierSoftware>,
     /// Version of the platform up to which the records are known.
     known_version: u64,
     /// Changes since [`Fleet::take_changes`] was last called.
@@ -133,6 +139,7 @@
         self.apply_early_reports();
         self.early_leaving.clear();
         self.has_complete_list = true;
+        self.complete_since.get_or_insert(now);
         let new = self.upstreams.values_mut();
         for upstream in new.filter(|known| known.last_active_at == Instant::ZERO) {
             upstream.last_active_at = now;
@@ -188,6 +195,7 @@
     /// A record found missing at some version counts for all incarnations before that
     /// version.
     fn apply_record(&mut self, version: u64, record: UpstreamRecord) -> bool {
+        self.note_software_change(&record);
         let Some(known) = self.upstreams.get_mut(&record.id) else {
             let id = Arc::clone(&record.id);
             self.upstreams.insert(id, Upstream::new(record, version));
@@ -304,6 +312,7 @@
             upstream.is_leaving_unlisted
                 || now.ms_since(upstream.last_active_at) < FORGET_MS
         });
+        self.forget_earlier_software(now);
         self.update_missing_start_times();
     }
 
--- a/crates/direct/src/fleet/incarnations.rs
+++ b/crates/direct/src/fleet/incarnations.rs
@@ -1,15 +1,18 @@
 //! Incarnations of upstreams under one name.
 
+use std::sync::Arc;
+
 use super::{ChangeKind, Fleet, Upstream, UpstreamChange};
 use crate::{LocalWeights, UpstreamIncarnation, UpstreamRecord};
 
 impl Upstream {
     /// What is known of an upstream that has restarted and whose new record hasn't been
     /// read yet: its address, service, local weights on disk, and whether its record is
-    /// missing. It holds no models and has no requests.
+    /// missing. Its software may be another version. It holds no models and has no requests.
     fn restarted(&self, started_unix_ms: Option<u64>) -> Self {
         let record = UpstreamRecord {
             started_unix_ms,
+            software_version: None,
             leaving: false,
             gone_in_ms: None,
             residents: Vec::new(),
@@ -66,11 +69,14 @@
         &mut self,
         incarnation: UpstreamIncarnation<'_>,
     ) -> Option<&mut Upstream> {
-        let known = self.upstreams.get_mut(incarnation.id)?;
+        let known = self.upstreams.get(incarnation.id)?;
         if incarnation.started_unix_ms > known.record.started_unix_ms {
-            *known = known.restarted(incarnation.started_unix_ms);
-            let change = UpstreamChange::new(known, ChangeKind::Restarted);
+            let restarted = known.restarted(incarnation.started_unix_ms);
+            self.note_software_change(&restarted.record);
+            let change = UpstreamChange::new(&restarted, ChangeKind::Restarted);
             self.changes.push(change);
+            let id = Arc::clone(&restarted.record.id);
+            self.upstreams.insert(id, restarted);
             self.update_missing_start_times();
         }
         self.incarnation_mut(incarnation)
--- /dev/null
+++ b/crates/direct/src/fleet/software.rs
@@ -0,0 +1,84 @@
+//! Versions of the upstreams' software.
+
+use base::prelude::*;
+use std::sync::Arc;
+
+use super::{FORGET_MS, Fleet};
+use crate::{StreamOrigin, UpstreamRecord};
+
+/// A version that an upstream ran before it started again with another one.
+#[derive(Debug)]
+pub(super) struct EarlierSoftware {
+    service: Arc<str>,
+    version: Arc<str>,
+    /// Until when it is remembered; `None` until the next sweep.
+    until: Option<Instant>,
+}
+
+impl Fleet {
+    /// Whether it is certain that a stream began at the version that `origin` names.
+    ///
+    /// An upstream may start again under its name with another version. Until its new
+    /// record was read, streams that begin there are taken for ones of the old version.
+    pub fn confirms_origin(&self, origin: &StreamOrigin) -> bool {
+        let upstream = self.upstreams.get(&origin.upstream);
+        upstream.is_none_or(|known| known.software() == origin.software)
+    }
+
+    /// Returns where a stream of the service began that can't be older than `age_ms`, if
+    /// all upstreams of the service that were known in this time ran one version.
+    pub fn sole_origin(
+        &self,
+        now: Instant,
+        service: &Arc<str>,
+        age_ms: u64,
+    ) -> Option<StreamOrigin> {
+        let complete_ms = now.ms_since(self.complete_since?);
+        if age_ms > complete_ms || age_ms > FORGET_MS {
+            return None;
+        }
+        let mut upstreams = self.of_service(service);
+        let first = upstreams.next()?;
+        let version = first.record.software_version.as_ref()?;
+        let is_sole = upstreams
+            .all(|other| other.record.software_version.as_ref() == Some(version));
+        let mut earlier = self.earlier_software.iter();
+        let was_sole = earlier
+            .all(|earlier| earlier.service != *service || earlier.version == *version);
+        (is_sole && was_sole).then(|| StreamOrigin {
+            service: Arc::clone(service),
+            software: first.software(),
+            upstream: Arc::clone(&first.record.id),
+        })
+    }
+
+    /// Remembers the version that an upstream runs, if its next record names another.
+    pub(super) fn note_software_change(&mut self, next: &UpstreamRecord) {
+        let Some(known) = self.upstreams.get(&next.id) else {
+            return;
+        };
+        let is_same = known.record.software_version == next.software_version
+            && known.record.service == next.service;
+        let version = known.record.software_version.as_ref();
+        let Some(version) = version.filter(|_| !is_same) else {
+            return;
+        };
+        let earlier = EarlierSoftware {
+            service: Arc::clone(&known.record.service),
+            version: Arc::clone(version),
+            until: None,
+        };
+        self.earlier_software.retain(|other| {
+            other.service != earlier.service || other.version != earlier.version
+        });
+        self.earlier_software.push(earlier);
+    }
+
+    /// Forgets versions that no stream is of any more.
+    pub(super) fn forget_earlier_software(&mut self, now: Instant) {
+        self.earlier_software.retain_mut(|earlier| {
+            let until = *earlier.until.get_or_insert(now.plus_ms(FORGET_MS));
+            now < until
+        });
+    }
+}
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -7,7 +7,10 @@
 use super::liveness::{Activity, Liveness};
 use super::rate::RateNotice;
 use super::refusals::Refusals;
-use crate::{AvoidReason, PrefillQueue, ResidentModel, UpstreamRecord};
+use crate::{
+    AvoidReason, PrefillQueue, ResidentModel, SoftwareVersion, StreamOrigin,
+    UpstreamRecord,
+};
 
 /// Time for which an upstream is still used if its record was found missing just after
 /// the platform was away. Records that expired meanwhile are back within two seconds of
@@ -262,6 +265,19 @@
         })
     }
 
+    /// Version of the software that it runs, if known.
+    pub fn software(&self) -> Option<SoftwareVersion> {
+        let text = self.record.software_version.as_deref();
+        text.map(SoftwareVersion::new)
+    }
+
+    /// Whether a stream may go on here.
+    pub fn can_continue(&self, origin: &StreamOrigin) -> bool {
+        let is_same_version =
+            origin.software.is_some() && self.software() == origin.software;
+        is_same_version && self.record.service == origin.service
+    }
+
     /// Share of recent answers that failed.
     pub const fn failed_share(&self) -> f64 {
         self.failed_share
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,8 @@
 //!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
 //! - [`decide_retry`] decides what follows an attempt that failed, and
 //!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
+//! - [`StreamOrigin`] tells at which software version a stream may go on.
+//!   [`origin_keepers`] chooses the entries that are told of it.
 //! - [`RetryBudget`] bounds the retries of all entries together.
 //! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders.
 //!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
@@ -36,6 +38,8 @@
 //!   arrives.
 //! - A request that may have run is sent again only if its route allows a request to
 //!   run twice.
+//! - A stream goes on only at the software version of the upstream that brought its
+//!   first event. Where that is not known, it does not go on.
 //! - A request in flight is not ended because its upstream is silent, unless another
 //!   upstream can run it.
 //! - Every order names the upstream's order count on which it was decided, so of two
@@ -69,6 +73,7 @@
 mod shared_watch;
 mod start_source;
 mod state_digest;
+mod stream_origin;
 mod successor;
 mod takeover;
 mod time_factors;
@@ -115,6 +120,10 @@
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
+pub use stream_origin::{
+    SoftwareVersion, StreamId, StreamOrigin, StreamOrigins, origin_keepers,
+    origin_keepers_to_ask,
+};
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
--- a/crates/direct/src/records.rs
+++ b/crates/direct/src/records.rs
@@ -37,8 +37,9 @@
     /// Service that the upstream belongs to.
     pub service: Arc<str>,
     /// Version of the software that it runs, which is not that of the weights. Versions
-    /// have no order; only equality counts.
-    pub software_version: Arc<str>,
+    /// have no order; only equality counts. `None` for an incarnation whose record
+    /// hasn't been read.
+    pub software_version: Option<Arc<str>>,
     /// Address that requests and orders are sent to.
     pub address: SocketAddr,
     /// Failure domain.
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::prefix_affinity::PrefixAffinity;
-use crate::{EngineSpec, Fleet, PrefillQueue, Upstream, Usage};
+use crate::{EngineSpec, Fleet, PrefillQueue, StreamOrigin, Upstream, Usage};
 
 /// Delay of the first answer per running request.
 const PER_RUNNING_MS: f64 = 1.0;
@@ -48,6 +48,8 @@
     pub kv_tokens: u64,
     /// Upstreams that the request was already sent to.
     pub excluded: &'a [Arc<str>],
+    /// Where the stream began whose rest is requested; `None` for anything else.
+    pub origin: Option<&'a StreamOrigin>,
     /// Failure domain of this entry.
     pub domain: &'a str,
     /// A random number that breaks ties.
@@ -77,6 +79,8 @@
 pub enum SelectionError {
     /// The service has no usable upstream.
     NoUpstream,
+    /// No upstream runs the software version that began the stream.
+    NoSameVersion,
     /// No upstream holds the model.
     NoModel,
     /// No upstream that holds the model holds the adapter.
@@ -96,6 +100,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoUpstream => "no_upstream",
+            Self::NoSameVersion => "no_same_version",
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
             Self::BackedOff => "backed_off",
@@ -122,6 +127,12 @@
     input: &SelectionInput<'a>,
 ) -> Result<SelectedUpstream, SelectionError> {
     let mut best: Option<(bool, f64, SelectedUpstream)> = None;
+    if input
+        .origin
+        .is_some_and(|origin| !fleet.confirms_origin(origin))
+    {
+        return Err(SelectionError::NoSameVersion);
+    }
     let mut reason = SelectionError::NoUpstream;
     let affinity = PrefixAffinity::for_request(fleet, input);
     for (index, upstream) in fleet.of_service(input.service).enumerate() {
@@ -165,6 +176,12 @@
     affinity: &PrefixAffinity<'_>,
     index: u64,
 ) -> Result<(f64, SelectedUpstream), SelectionError> {
+    if input
+        .origin
+        .is_some_and(|origin| !upstream.can_continue(origin))
+    {
+        return Err(SelectionError::NoSameVersion);
+    }
     if let Some((model, adapter)) = input.model {
         check_holds(upstream, input.now, model, adapter)?;
     }
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod select;
 mod shared_watch;
 mod start_source;
+mod stream_origin;
 mod successor;
 mod support;
 mod takeover;
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -39,6 +39,7 @@
         time_factor: 1.0,
         kv_tokens: 200,
         excluded: &[name("2")],
+        origin: None,
         domain: "east",
         random: 42,
     };
--- a/crates/direct/tests/all/refusals.rs
+++ b/crates/direct/tests/all/refusals.rs
@@ -25,6 +25,7 @@
         time_factor: 1.0,
         kv_tokens: 1_200,
         excluded: &[],
+        origin: None,
         domain: "east",
         random: 42,
     };
--- a/crates/direct/tests/all/select.rs
+++ b/crates/direct/tests/all/select.rs
@@ -30,6 +30,7 @@
         time_factor: 1.0,
         kv_tokens: 1_200,
         excluded,
+        origin: None,
         domain: "east",
         random: 42,
     };
@@ -188,6 +189,7 @@
             time_factor: 1.0,
             kv_tokens: 4_700,
             excluded: &[],
+            origin: None,
             domain,
             random,
         };
--- a/crates/direct/tests/all/support.rs
+++ b/crates/direct/tests/all/support.rs
@@ -44,7 +44,7 @@
         id: name(id),
         started_unix_ms: None,
         service: name("oracle"),
-        software_version: "v1".into(),
+        software_version: Some("v1".into()),
         address: ([127, 0, 0, 1], 1).into(),
         domain: name("east"),
         batch_slots: 8,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -102,7 +102,7 @@
     let Some(address) = address_of(node, &selected.id) else {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     };
-    let in_flight = InFlight::start(node, request, selected, address.started_unix_ms);
+    let in_flight = InFlight::start(node, request, selected, &address);
     let recently_used = !request.route.kind.may_rerun();
     let Ok(connection) = node
         .connections
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -1,11 +1,12 @@
 //! Accounting of the requests that are in flight at upstreams.
 
 use base::prelude::*;
-use direct::{SelectedUpstream, Upstream, UpstreamIncarnation, Usage};
+use direct::{SelectedUpstream, SoftwareVersion, Upstream, UpstreamIncarnation, Usage};
 use std::sync::Arc;
 
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
+use crate::state::connection_pool::UpstreamAddress;
 use crate::{ResponseHead, response_feedback};
 
 /// A request in flight at an upstream. Dropping it ends the accounting.
@@ -15,6 +16,8 @@
     pub(crate) upstream: Arc<str>,
     /// Incarnation of the upstream that the request was sent to.
     started_unix_ms: Option<u64>,
+    /// Version of the software that this incarnation runs, if known.
+    pub(crate) software: Option<SoftwareVersion>,
     /// When the attempt started, before the request was sent.
     started_at: Instant,
     usage: Usage,
@@ -27,13 +30,14 @@
         node: &Arc<Node>,
         request: &CallerRequest,
         selected: &SelectedUpstream,
-        started_unix_ms: Option<u64>,
+        address: &UpstreamAddress,
     ) -> Self {
         let now = node.now();
         let in_flight = Self {
             node: Arc::clone(node),
             upstream: Arc::clone(&selected.id),
-            started_unix_ms,
+            started_unix_ms: address.started_unix_ms,
+            software: address.software,
             started_at: now,
             usage: selected.usage,
             response_started: false,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -53,6 +53,7 @@
 mod state;
 mod state_monitor;
 mod stream;
+mod stream_origins;
 mod takeover;
 mod upstream_address;
 mod upstream_changes;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -272,6 +272,9 @@
         upstreams_claim: outgoing_claim(node, Collection::Upstreams),
         state_ask: None,
         state_part: None,
+        stream_origins: Vec::new(),
+        origin_asks: Vec::new(),
+        origins_unknown: Vec::new(),
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -20,6 +20,7 @@
 use crate::state::Node;
 use crate::state::peers::{PeerState, Peers};
 use crate::state::wanted_adapters::WantedAdapter;
+use crate::stream_origins;
 use crate::upstream_changes::log_changes;
 use crate::upstream_rate;
 
@@ -39,6 +40,7 @@
             .count_peer_messages("received", "any", 1, length);
         match PeerNews::decode(&buffer[..length]) {
             Ok(message) if start_state::receive(&node, from, &message).await => {}
+            Ok(message) if stream_origins::receive(&node, from, &message) => {}
             Ok(message) => match token_message(&message) {
                 Some(tokens) if message.entry != node.peers.own_name => {
                     quota::receive(&node, &socket, from, &message, tokens).await;
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -313,6 +313,10 @@
                 table.message_rounds.on_new_peers();
             }
         }
+        let listed = records.iter().map(|(_, record)| record);
+        table.listed_addresses = listed
+            .map(|record| (record.peers, record.domain.clone()))
+            .collect();
         table.listed_entries = records.len().max(1);
     }
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -22,6 +22,7 @@
 use crate::state::caller_request::CallerRequest;
 use crate::state::shutdown::ShutdownPhase;
 use crate::stream::{forward, start_stream};
+use crate::stream_origins;
 
 /// When a caller should come back to an entry that has no configuration yet.
 const NOT_READY_RETRY_MS: u64 = 300;
@@ -36,7 +37,7 @@
 const MIN_FIRST_EVENT_WAIT_MS: u64 = 2_000;
 
 /// Deadline of requests that state none; the route's timeout may be shorter.
-const DEFAULT_DEADLINE_MS: u64 = 60_000;
+pub(crate) const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
 /// The process exits before it could run the request; another entry can take it
 /// at once.
@@ -156,7 +157,18 @@
         let is_current = node.config_is_fresh();
         if is_current { refusal } else { not_ready }
     })?;
-    let service = route.service(&head.id).cloned().ok_or(not_ready)?;
+    let origin_wait = Duration::from_millis(deadline_ms / 4);
+    let origin = stream_origins::of_request(
+        node,
+        &route,
+        &head,
+        workspace.as_deref(),
+        origin_wait,
+    )
+    .await?;
+    let service = origin.as_ref().map(|origin| &origin.service);
+    let service = service.or_else(|| route.service(&head.id));
+    let service = service.cloned().ok_or(not_ready)?;
     let charge = match &workspace {
         Some(workspace) => charge(node, &head.id, workspace, head.tokens).await?,
         None => None,
@@ -177,6 +189,7 @@
         prompt_parts: prefix_hashes(&head),
         head,
         service,
+        origin,
         service_spec,
         config_version: config.version,
         workspace,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -140,6 +140,7 @@
         node.connections.sweep(|id| fleet.get(id).is_some());
         drop(fleet);
         upstream_rate::expire(&node);
+        node.stream_origins.known.lock().expire(now);
         if let Some(config) = node.config() {
             let is_route =
                 |name: &str| config.routes().any(|route| *route.name == *name);
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -3,7 +3,7 @@
 use access::Workspace;
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{Route, ServiceSpec};
+use direct::{Route, ServiceSpec, StreamOrigin};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use std::sync::Arc;
@@ -22,6 +22,8 @@
     pub(crate) head: RequestHead,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
+    /// Where the stream began whose rest is requested.
+    pub(crate) origin: Option<StreamOrigin>,
     pub(crate) service_spec: Arc<ServiceSpec>,
     pub(crate) config_version: u64,
     /// Workspace of the caller; `None` where callers need no key.
--- a/crates/front/src/state/connection_pool.rs
+++ b/crates/front/src/state/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use direct::SoftwareVersion;
 use futures::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -59,11 +60,12 @@
     max_idle_ms: u64,
 }
 
-/// Address of an incarnation of an upstream.
+/// Address of an incarnation of an upstream, and the software that it runs, if known.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UpstreamAddress {
     pub(crate) started_unix_ms: Option<u64>,
     pub(crate) socket_address: SocketAddr,
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 /// An HTTP connection to an upstream. Dropping it closes it, which also cancels
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) quota_refused: IntCounterVec,
     /// Attempts, by service and outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Streams that callers take up, by how their origin is known.
+    pub(crate) streams_taken_up: IntCounterVec,
     /// Orders, by action and outcome.
     pub(crate) orders: IntCounterVec,
     /// Calls to the platform, by object and outcome.
@@ -77,6 +79,11 @@
             "Tries at upstreams",
             &["service", "outcome"],
         );
+        let streams_taken_up = counter(
+            "sesame_front_streams_taken_up_total",
+            "Streams that callers take up",
+            &["origin"],
+        );
         let orders = counter(
             "sesame_front_orders_total",
             "Orders to upstreams",
@@ -160,6 +167,7 @@
             first_response_s,
             full_response_s,
             attempts,
+            streams_taken_up,
             orders,
             platform_calls,
             peer_messages,
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod peers;
 pub(crate) mod quota;
 pub(crate) mod shutdown;
+pub(crate) mod stream_origins;
 pub(crate) mod unreadable;
 pub(crate) mod wanted_adapters;
 
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -29,6 +29,7 @@
 use super::peers::Peers;
 use super::quota::Quotas;
 use super::shutdown::Shutdown;
+use super::stream_origins::StreamOriginTable;
 use super::unreadable::{ObjectKind, UnreadableObjects, truncated};
 use super::wanted_adapters::WantedAdapters;
 use crate::quota::Scope;
@@ -88,6 +89,8 @@
     /// Rate tokens of upstreams that advertise a rate.
     upstream_quotas: Quotas,
     pub(crate) peers: Peers,
+    /// Where streams began.
+    pub(crate) stream_origins: StreamOriginTable,
     /// Transfers of state to entries that start.
     pub(crate) start_state: StartState,
     /// The platform watches shared within this failure domain.
@@ -171,6 +174,7 @@
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
             peers: Peers::new(&options),
+            stream_origins: StreamOriginTable::default(),
             start_state: StartState::default(),
             shared_watches: SharedWatches::default(),
             lease: Mutex::new(lease),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -7,7 +7,7 @@
 };
 use parking_lot::Mutex;
 use quota::select_keeper;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -54,6 +54,8 @@
     pub(crate) periodic_rounds: u64,
     /// Number of entries in the platform's list.
     pub(crate) listed_entries: usize,
+    /// Addresses of the entries in the platform's list, with their failure domains.
+    pub(crate) listed_addresses: Vec<(SocketAddr, String)>,
     /// Names of the entries in the platform's list; `None` before the first one.
     pub(crate) listed_names: Option<BTreeSet<String>>,
     /// Number of entries in the platform's list that precede this one by name;
@@ -99,6 +101,25 @@
         peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < timeout_ms)
     }
 
+    /// Returns the addresses of the other entries that may run, with their failure
+    /// domains: those that were heard from recently, and those in the platform's list
+    /// that were never heard from.
+    pub(crate) fn possible_entries(
+        &self,
+        now: Instant,
+        own_address: SocketAddr,
+    ) -> impl Iterator<Item = (SocketAddr, &str)> {
+        let heard: HashSet<SocketAddr> =
+            self.peers.values().map(|peer| peer.address).collect();
+        let live = self.live_peers(now).map(|(_, peer)| peer);
+        let live = live.map(|peer| (peer.address, peer.domain.as_str()));
+        let listed = self.listed_addresses.iter();
+        let unheard = listed.filter(move |(address, _)| {
+            *address != own_address && !heard.contains(address)
+        });
+        live.chain(unheard.map(|(address, domain)| (*address, domain.as_str())))
+    }
+
     fn peer_timeout_ms(&self) -> u64 {
         peer_timeout_ms(self.addresses.len())
     }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -271,6 +271,9 @@
             }
         }
         if !bytes.is_empty() {
+            if let Some(source) = &self.source {
+                self.dispatch.bind_to(&source.in_flight);
+            }
             return Some(StreamStep::Events(bytes.freeze()));
         }
         self.gap_found.then_some(StreamStep::Broken)
--- a/crates/front/src/upstream_address.rs
+++ b/crates/front/src/upstream_address.rs
@@ -13,14 +13,14 @@
     fleet.get(id).map(|upstream| UpstreamAddress {
         started_unix_ms: upstream.record.started_unix_ms,
         socket_address: upstream.record.address,
+        software: upstream.software(),
     })
 }
 
 /// Returns the version of the software that an upstream runs.
 pub(crate) fn software_version_of(node: &Node, id: &str) -> Option<Arc<str>> {
     let fleet = node.fleet.lock();
-    let upstream = fleet.get(id)?;
-    Some(Arc::clone(&upstream.record.software_version))
+    fleet.get(id)?.record.software_version.clone()
 }
 
 /// Records that an incarnation of an upstream could not be connected to.
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -173,6 +173,7 @@
             // The upstream may be in a page of the list that is on its way.
             SelectionError::NoAdapter
             | SelectionError::NoUpstream
+            | SelectionError::NoSameVersion
             | SelectionError::NoModel
                 if !self.node.knows_upstreams() =>
             {
@@ -181,7 +182,7 @@
             SelectionError::NoAdapter => {
                 wait_limit.min(started_at.plus_ms(ADAPTER_WAIT_MS))
             }
-            SelectionError::NoUpstream => {
+            SelectionError::NoUpstream | SelectionError::NoSameVersion => {
                 wait_limit.min(started_at.plus_ms(DISCOVERY_WAIT_MS))
             }
             SelectionError::NoModel => match self.ready_at() {
@@ -283,6 +284,7 @@
             time_factor: self.node.time_factor_of(request),
             kv_tokens: request.head.prompt_tokens + output_tokens,
             excluded,
+            origin: self.origin.as_ref(),
             domain: &self.node.options.failure_domain,
             random: self.node.random(),
         };
@@ -355,6 +357,7 @@
         SelectionError::NoModel | SelectionError::NoAdapter => {
             ErrorCode::ModelUnavailable
         }
+        SelectionError::NoSameVersion => ErrorCode::ResumeUnavailable,
         SelectionError::NoUpstream
         | SelectionError::BackedOff
         | SelectionError::RateSpent
