Stream origins: the choice of keepers is a module of its own

No change of behaviour but one: a stream whose version was not known when it began is refused at once, and not after a search for an upstream.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -62,6 +62,7 @@
 mod ledger;
 mod load_planner;
 mod order;
+mod origin_keepers;
 mod peer_messages;
 mod plan;
 mod prefill;
@@ -102,6 +103,7 @@
     LoadPlanner, LoadReason, PlacedModel, PlannedLoad, UpstreamState,
 };
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
+pub use origin_keepers::{origin_keepers, origin_keepers_to_ask};
 pub use peer_messages::{
     HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
     peer_message_interval_ms, peer_timeout_ms, suspects_per_message,
@@ -120,10 +122,7 @@
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
-pub use stream_origin::{
-    SoftwareVersion, StreamId, StreamOrigin, StreamOrigins, origin_keepers,
-    origin_keepers_to_ask,
-};
+pub use stream_origin::{SoftwareVersion, StreamId, StreamOrigin, StreamOrigins};
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -107,7 +107,8 @@
     OldNews,
     /// The same, and several versions have served.
     SeveralVersions,
-    /// Its upstream has started again with another version.
+    /// Its upstream has started again, and runs another version or did so before its
+    /// record was read.
     Restarted,
     /// The service that began it no longer belongs to the route.
     OtherService,
@@ -150,7 +151,7 @@
     if !route.has_target(&origin.service) {
         return Err(UnknownOrigin::OtherService);
     }
-    if !node.fleet.lock().confirms_origin(&origin) {
+    if origin.software.is_none() || !node.fleet.lock().confirms_origin(&origin) {
         return Err(UnknownOrigin::Restarted);
     }
     Ok(origin)
