Claims: those that a restore of the platform lost are written again

Callers could see: a keyed order that ran, was answered, and ran once more when it was sent again after the platform had come back from an older copy.

Cause: the copy lacked the claim. The agent that made it never wrote it again, and another agent found the key free.

Change: shards name the generation in which they were written. Agents remember a claim for 60 s after its last confirmed change and write it again when any answer of the platform names a later generation. Whoever first writes a restored shard notes the time; for 20 s from then a key that the shard doesn't show is refused as not run (4001). The end of a run whose claim is missing waits until that is written again.

The test double now says its generation with each answer, as such a platform does.

Left: claims of an agent that ended in between; platforms that don't count their restores, among them this product's own store protocol.

--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -42,6 +42,8 @@
     pub(crate) shard_by_call: BTreeMap<u64, usize>,
     pub(crate) next_call_id: u64,
     nonce_count: u64,
+    /// Latest known generation of the platform, which rises with each restore.
+    pub(crate) generation: u64,
 }
 
 impl Claims {
@@ -56,6 +58,7 @@
             granted: BTreeMap::new(),
             shard_by_call: BTreeMap::new(),
             nonce_count: 0,
+            generation: 0,
         }
     }
 
@@ -70,6 +73,25 @@
         self.response_max_bytes
     }
 
+    /// Records a generation that an answer of the platform named. A later one than the
+    /// known one means that the platform was restored from an older copy: this agent's
+    /// recent claims are written again.
+    pub fn observe_generation(
+        &mut self,
+        now: Instant,
+        generation: u64,
+        out: &mut Vec<ClaimAction>,
+    ) {
+        if generation <= self.generation {
+            return;
+        }
+        self.generation = generation;
+        for index in 0..self.shards.len() {
+            self.shards[index].on_restore();
+            self.start_next_call(now, index, out);
+        }
+    }
+
     /// Number of granted claims whose requests have not ended.
     pub fn held_count(&self) -> usize {
         self.granted.len()
@@ -208,6 +230,7 @@
             unix_ms: self.options.unix_ms_at_zero.saturating_add(now.as_ms()),
             retention_ms: self.retention_ms,
             response_max_bytes: self.response_max_bytes,
+            generation: self.generation,
         }
     }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -19,6 +19,9 @@
 //! - The end of a response is sent after the claim is stored as done, so a caller
 //!   that sends its request again finds the response. Only a platform that is
 //!   unavailable, or slower than [`END_WAIT_MAX_MS`], is not waited for.
+//! - A platform that was restored from an older copy may lack claims. Until the agents
+//!   have had the time to write them again, no key is claimed that the shard doesn't
+//!   show.
 //! - The platform's content decides. After each read and each write, everything
 //!   that is pending is compared with the shard's content, so that a lost
 //!   response and a received one have the same result.
@@ -27,6 +30,7 @@
 mod outcome;
 mod pending;
 mod platform_calls;
+mod restore;
 mod shard;
 
 pub use claims::{Claims, ClaimsOptions, END_WAIT_MAX_MS};
--- a/crates/once/src/platform_calls.rs
+++ b/crates/once/src/platform_calls.rs
@@ -3,6 +3,7 @@
 use crate::Claims;
 use crate::outcome::{ClaimAction, ClaimOutcome};
 use crate::pending::{ClaimEnd, GrantedClaim, PendingClaim};
+use crate::restore::is_restored;
 use crate::shard::{CallState, Shard, ShardSnapshot, shard_key};
 use base::{
     AttemptId, ErrorCode, Instant, ObjectVersion, PlatformCall, PlatformOp,
@@ -36,7 +37,8 @@
             }
             (CallState::Writing(content), PlatformResult::Written(version)) => {
                 self.shards[index].unanswered_write_expects = None;
-                self.apply_content(index, Some(version), *content, out);
+                self.shards[index].is_restoring = false;
+                self.apply_content(now, index, Some(version), *content, out);
             }
             (CallState::Writing(..), PlatformResult::Conflict) => {
                 self.shards[index].snapshot = None;
@@ -139,29 +141,36 @@
         for pending_claim in &mut shard.pending_claims {
             pending_claim.read_since_request = true;
         }
-        self.apply_content(index, version, content, out);
+        self.apply_content(now, index, version, content, out);
     }
 
     /// Applies the shard's content: grants the claims and completes the ends
     /// that it confirms.
     fn apply_content(
         &mut self,
+        now: Instant,
         index: usize,
         version: Option<ObjectVersion>,
         content: ClaimShard,
         out: &mut Vec<ClaimAction>,
     ) {
+        let is_restored = is_restored(&content, self.generation);
         let shard = &mut self.shards[index];
         shard.backoff_until = None;
         shard.consecutive_failures = 0;
         shard.highest_version = shard.highest_version.max(version);
-        let state_of = |nonce: u64| {
+        let claim_of = |nonce: u64| {
             let mut claims = content.claims.iter();
-            claims.find(|claim| claim.nonce == nonce).map(|c| c.state)
+            claims.find(|claim| claim.nonce == nonce)
         };
+        if !is_restored && shard.recent.are_in(&content) {
+            shard.is_restoring = false;
+        }
         let pending_claims = std::mem::take(&mut shard.pending_claims);
         for pending_claim in pending_claims {
-            if pending_claim.staged && state_of(pending_claim.nonce).is_some() {
+            let own_claim = claim_of(pending_claim.nonce);
+            if let Some(claim) = own_claim.filter(|_| pending_claim.staged) {
+                shard.recent.remember(now, claim);
                 let attempt = pending_claim.request.attempt;
                 let nonce = pending_claim.nonce;
                 self.granted.insert(
@@ -182,12 +191,19 @@
         let no_unanswered_write = shard.unanswered_write_expects.is_none();
         let done = i32::from(ClaimState::Done);
         shard.pending_ends.retain_mut(|end| {
-            let state = state_of(end.nonce());
+            let claim = claim_of(end.nonce());
             let is_complete = match end {
-                ClaimEnd::Finish { .. } => state.is_none_or(|state| state == done),
-                ClaimEnd::Release { .. } => no_unanswered_write && state.is_none(),
+                // A claim that is missing was forgotten, or is written again.
+                ClaimEnd::Finish { .. } => {
+                    claim.map_or(!is_restored, |claim| claim.state == done)
+                }
+                ClaimEnd::Release { .. } => no_unanswered_write && claim.is_none(),
             };
             if is_complete {
+                match claim {
+                    Some(claim) => shard.recent.remember(now, claim),
+                    None => shard.recent.forget(end.nonce()),
+                }
                 out.extend(end.take_waiter());
             }
             !is_complete
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -1,6 +1,8 @@
 //! One shard object of claims, and what is pending for it.
 
 use crate::pending::{ClaimEnd, PendingClaim};
+use crate::platform_calls::release_if_staged;
+use crate::restore::{RecentClaims, mark_restored, restore_remaining_ms};
 use base::{
     AttemptId, ErrorCode, Instant, ObjectVersion, Precondition, RequestError, RunStatus,
 };
@@ -93,9 +95,20 @@
     /// unavailable.
     pub backoff_until: Option<Instant>,
     pub consecutive_failures: u32,
+    /// Claims of this agent that a restore of the platform could lose.
+    pub recent: RecentClaims,
+    /// The platform was restored, and the recent claims may be missing.
+    pub is_restoring: bool,
 }
 
 impl Shard {
+    /// Handles a restore of the platform from an older copy: the shard is read again.
+    pub(crate) fn on_restore(&mut self) {
+        self.snapshot = None;
+        self.highest_version = None;
+        self.is_restoring = !self.recent.is_empty();
+    }
+
     /// Drops the ends of claims that are no longer in the shard, for example
     /// because another agent pruned them. Returns the actions for the attempts
     /// that wait for one.
@@ -126,6 +139,8 @@
     pub retention_ms: u64,
     /// Largest response that is stored.
     pub response_max_bytes: usize,
+    /// Latest known generation of the platform.
+    pub generation: u64,
 }
 
 /// Result of staging.
@@ -140,7 +155,7 @@
 }
 
 impl Shard {
-    pub(crate) const fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             call_state: CallState::Idle,
             snapshot: None,
@@ -150,6 +165,8 @@
             unanswered_write_expects: None,
             backoff_until: None,
             consecutive_failures: 0,
+            recent: RecentClaims::default(),
+            is_restoring: false,
         }
     }
 
@@ -158,7 +175,9 @@
     }
 
     pub(crate) fn has_work(&self) -> bool {
-        !self.pending_claims.is_empty() || !self.pending_ends.is_empty()
+        !self.pending_claims.is_empty()
+            || !self.pending_ends.is_empty()
+            || self.is_restoring
     }
 
     /// Computes the next write from the last known content and everything
@@ -175,6 +194,10 @@
         };
         let mut content = snapshot.content.clone();
         let mut changed = self.unanswered_write_expects.is_some();
+        changed |= mark_restored(&mut content, limits);
+        if self.is_restoring {
+            changed |= self.recent.add_to(&mut content);
+        }
         changed |= stage_ends(&mut content, &self.pending_ends);
         // Prune first, so that a full shard accepts new claims again.
         prune(&mut content, limits, &self.pending_claims);
@@ -198,6 +221,11 @@
                     self.pending_claims.push(pending_claim);
                 }
                 ClaimDecision::AfterWrite => self.pending_claims.push(pending_claim),
+                ClaimDecision::MayBeLost(outcome) => {
+                    release_if_staged(self, &pending_claim);
+                    let attempt = pending_claim.request.attempt;
+                    staged.settled.push((attempt, outcome));
+                }
                 ClaimDecision::Settled(outcome) => {
                     staged
                         .settled
@@ -228,6 +256,9 @@
     AfterWrite,
     /// The request is decided without a write.
     Settled(ClaimOutcome),
+    /// The request is refused, since a claim of its key may have been lost in a restore
+    /// of the platform.
+    MayBeLost(ClaimOutcome),
 }
 
 fn stage_claim(
@@ -256,6 +287,15 @@
         }
         None => {}
     }
+    if let Some(remaining_ms) = restore_remaining_ms(content, limits) {
+        // Its agent may have written it again since.
+        if !pending_claim.read_since_request {
+            return ClaimDecision::ReadFirst;
+        }
+        let refusal = RequestError::not_run(ErrorCode::PlatformAway);
+        let refusal = refusal.retry_after_ms(remaining_ms);
+        return ClaimDecision::MayBeLost(ClaimOutcome::Refused(refusal));
+    }
     let claim = Claim {
         caller: request.caller.as_str().to_owned(),
         key: request.key.clone(),
--- a/crates/once/tests/claims/agents.rs
+++ b/crates/once/tests/claims/agents.rs
@@ -144,6 +144,83 @@
     }
 }
 
+/// Guards against an order that runs twice after the time that agents have to write their
+/// claims again, and against keys that stay refused although their agent has done so.
+#[test]
+fn an_agent_writes_its_claims_again_after_a_restore() {
+    let mut platform = Platform::default();
+    let mut one = Agent::new("one");
+    one.request_claim(0, 1, "other", BODY);
+    one.answer_all(0, &mut platform);
+    let copy = platform.objects.clone();
+    one.request_claim(1_000, 2, "key", BODY);
+    one.request_claim(1_000, 3, "running", BODY);
+    one.answer_all(1_000, &mut platform);
+    one.finish(1_100, 2, b"done");
+    one.answer_all(1_100, &mut platform);
+    platform.restore(copy);
+    let mut two = Agent::new("two");
+    two.request_claim(5_000, 4, "key", BODY);
+    two.answer_all(5_000, &mut platform);
+    let unknown = Some((ErrorCode::PlatformAway, RunStatus::NotRun));
+    assert_eq!(two.refused(4), unknown);
+    // The agent hears of the restore by any answer of the platform.
+    one.hear_generation(6_000, &platform);
+    one.answer_all(6_000, &mut platform);
+    two.request_claim(7_000, 5, "key", BODY);
+    two.request_claim(7_000, 6, "running", BODY);
+    two.answer_all(7_000, &mut platform);
+    assert!(matches!(two.outcome(5), Some(ClaimOutcome::Replay(_))));
+    assert_eq!(
+        two.refused(6),
+        Some((ErrorCode::KeyInProgress, RunStatus::Unknown))
+    );
+    one.finish(8_000, 3, b"done");
+    one.answer_all(8_000, &mut platform);
+    two.request_claim(40_000, 7, "running", BODY);
+    two.answer_all(40_000, &mut platform);
+    assert!(matches!(two.outcome(7), Some(ClaimOutcome::Replay(_))));
+    assert!(one.claims.is_flushed());
+}
+
+/// Guards against new keys that are refused for good after a restore.
+#[test]
+fn a_new_key_is_granted_after_the_time_to_write_claims_again() {
+    let mut platform = Platform::default();
+    let mut one = Agent::new("one");
+    one.request_claim(0, 1, "key", BODY);
+    one.answer_all(0, &mut platform);
+    let copy = platform.objects.clone();
+    platform.restore(copy);
+    for (ms, attempt, granted) in
+        [(5_000, 2, false), (24_999, 3, false), (25_000, 4, true)]
+    {
+        one.request_claim(ms, attempt, "new", BODY);
+        one.answer_all(ms, &mut platform);
+        assert_eq!(one.granted(attempt), granted, "at {ms} ms");
+    }
+    one.request_claim(25_000, 5, "key", BODY);
+    one.answer_all(25_000, &mut platform);
+    assert!(!one.granted(5));
+}
+
+/// Guards against the end of a run that is dropped because its claim is missing in a
+/// restored shard: a resend would be told that the outcome is unknown.
+#[test]
+fn a_run_that_ends_after_a_restore_is_stored() {
+    let mut platform = Platform::default();
+    let mut one = Agent::new("one");
+    one.request_claim(0, 1, "key", BODY);
+    one.answer_all(0, &mut platform);
+    platform.restore(std::collections::BTreeMap::new());
+    one.finish(1_000, 1, b"done");
+    one.answer_all(1_000, &mut platform);
+    let mut two = Agent::new("two");
+    two.request_claim(2_000, 2, "key", BODY);
+    two.answer_all(2_000, &mut platform);
+    assert!(matches!(two.outcome(2), Some(ClaimOutcome::Replay(_))));
+}
+
 /// A request is refused after its claim was granted. The refusal says
 /// `not_run`, so the caller resends at once and must not meet its own claim. If
 /// the platform is unavailable, the refusal waits for one second at most.
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -109,6 +109,11 @@
         self.last_version = versions.max().unwrap_or(generation_start);
     }
 
+    /// The generation that all its answers name.
+    pub fn generation(&self) -> u64 {
+        ObjectVersion(self.last_version).generation()
+    }
+
     pub fn deliver_late(&mut self) {
         for op in std::mem::take(&mut self.late_ops) {
             self.apply(&op);
@@ -222,12 +227,23 @@
         let result = platform.answer(&call);
         let mut out = Vec::new();
         let now = Instant::from_ms(ms);
+        let generation = platform.generation();
+        self.claims.observe_generation(now, generation, &mut out);
         self.claims
             .platform_answered(now, call.id, result, &mut out);
         self.collect(out);
         true
     }
 
+    /// Hears the platform's generation with an answer to another call.
+    pub fn hear_generation(&mut self, ms: u64, platform: &Platform) {
+        let mut out = Vec::new();
+        let now = Instant::from_ms(ms);
+        let generation = platform.generation();
+        self.claims.observe_generation(now, generation, &mut out);
+        self.collect(out);
+    }
+
     pub fn answer_all(&mut self, ms: u64, platform: &mut Platform) {
         for _ in 0..100 {
             if !self.answer_one(ms, platform) {
--- a/crates/role/src/agent/claims.rs
+++ b/crates/role/src/agent/claims.rs
@@ -88,6 +88,18 @@
         });
     }
 
+    /// Writes claims again that a restore of the platform may have lost.
+    pub(super) fn on_platform_generation(
+        &mut self,
+        now: Instant,
+        generation: u64,
+        out: &mut Vec<AgentAction>,
+    ) {
+        self.with_claims(now, out, |claims, actions| {
+            claims.observe_generation(now, generation, actions);
+        });
+    }
+
     pub(super) fn tick_claims(&mut self, now: Instant, out: &mut Vec<AgentAction>) {
         if self.claims.next_deadline().is_some_and(|due| due <= now) {
             self.with_claims(now, out, |claims, actions| claims.tick(now, actions));
--- a/crates/role/src/agent/event.rs
+++ b/crates/role/src/agent/event.rs
@@ -38,6 +38,9 @@
     Upstream(UpstreamEvent),
     /// The platform answered a call, or the call failed.
     PlatformAnswered(PlatformResponse),
+    /// The platform named its generation, which rises each time it was restored from an
+    /// older copy. Sent before the answer that named it.
+    PlatformGeneration(u64),
     /// Result of a `ProbePredecessor` action. If the predecessor's listen
     /// address can be bound, the predecessor is dead: a frozen process still
     /// holds its socket. The driver answers each probe once, and the next probe
--- a/crates/role/src/agent/role.rs
+++ b/crates/role/src/agent/role.rs
@@ -145,6 +145,9 @@
                 body,
             } => self.on_frame(now, &entry, revision, body, out),
             AgentEvent::Upstream(event) => self.on_upstream_event(now, event, out),
+            AgentEvent::PlatformGeneration(generation) => {
+                self.on_platform_generation(now, generation, out);
+            }
             AgentEvent::PlatformAnswered(answer) => {
                 self.on_platform_answer(now, answer, out);
             }
