--- a/crates/entry/src/http/rejection.rs
+++ b/crates/entry/src/http/rejection.rs
@@ -102,6 +102,9 @@
         ErrorCode::QuotaUnknown => {
             "nobody could say whether the workspace has something left"
         }
+        ErrorCode::ResumeUnavailable => {
+            "the software version that began the stream is not known or can't go on"
+        }
         ErrorCode::UpstreamLost => "the upstream died with the request in flight",
         ErrorCode::UpstreamFault => "the upstream refused or broke its protocol",
         ErrorCode::DeadlineWhileRunning => "the deadline passed while the request ran",
