Stream origins: a deadline without end no longer overflows; shorter messages

The time for which an origin is kept was the caller's deadline plus a second: a deadline near the largest number would overflow (a panic in a build with checks, a second in one without), and its stream could not be taken up. The deadline is bounded first.

Messages about origins no longer carry the sender's start and failure domain, which nobody reads.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -12,12 +12,10 @@
 use std::sync::Arc;
 
 use crate::attempt::{AttemptResult, UpstreamStream};
-use crate::in_flight::InFlight;
 use crate::response::{BufferedResponse, ResponseBody, error_response};
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::quota::Charge;
-use crate::stream_origins;
 use crate::takeover::attempt_with_takeover;
 use crate::upstream_address::software_version_of;
 use crate::upstream_rate;
@@ -434,23 +432,6 @@
         }
     }
 
-    /// Records that the first event of a stream from `source` is about to be forwarded.
-    /// From then on, the stream belongs to the software version of that upstream.
-    pub(crate) fn bind_to(&mut self, source: &InFlight) {
-        if self.origin.is_some() {
-            return;
-        }
-        let origin = StreamOrigin {
-            service: Arc::clone(&self.request.service),
-            software: source.software,
-            upstream: Arc::clone(&source.upstream),
-        };
-        if self.request.route.kind.may_rerun() {
-            stream_origins::announce(&self.node, &self.request, &origin);
-        }
-        self.origin = Some(origin);
-    }
-
     /// Records that the first part of the response is sent to the caller now.
     pub(crate) fn record_first_response(&mut self) {
         let ms = self.node.now().ms_since(self.request.arrived_at);
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -20,10 +20,12 @@
 use tokio::time::timeout;
 
 use crate::RequestHead;
-use crate::dispatch::DEFAULT_RETRY_AFTER_MS;
+use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch};
+use crate::in_flight::InFlight;
 use crate::request::DEFAULT_DEADLINE_MS;
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
+use crate::state::peers::Peers;
 
 /// Longest search for the origin of a stream. Entries answer within milliseconds.
 const SEARCH_MAX: Duration = Duration::from_millis(250);
@@ -35,7 +37,7 @@
 /// start apart.
 const KEEP_MARGIN_MS: u64 = 1_000;
 
-/// Longest time for which an origin is kept.
+/// Longest deadline for which an origin is kept.
 const KEEP_MAX_MS: u64 = 120_000;
 
 /// Age of what is known of the upstreams beyond which an upstream of another version may
@@ -136,7 +138,7 @@
     if news_age_ms.is_none_or(|age_ms| age_ms > FLEET_MAX_AGE_MS) {
         return Err(UnknownOrigin::OldNews);
     }
-    let age_max_ms = STREAM_AGE_MAX_TIMEOUTS * route.timeout_ms;
+    let age_max_ms = route.timeout_ms.saturating_mul(STREAM_AGE_MAX_TIMEOUTS);
     let fleet = node.fleet.lock();
     let origin = fleet.sole_origin(now, service, age_max_ms);
     origin.ok_or(UnknownOrigin::SeveralVersions)
@@ -187,11 +189,30 @@
     }
 }
 
+impl Dispatch {
+    /// Records that the first event of a stream from `source` is about to be forwarded.
+    /// From then on, the stream belongs to the software version of that upstream.
+    pub(crate) fn bind_to(&mut self, source: &InFlight) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: Arc::clone(&self.request.service),
+            software: source.software,
+            upstream: Arc::clone(&source.upstream),
+        };
+        if self.request.route.kind.may_rerun() {
+            announce(&self.node, &self.request, &origin);
+        }
+        self.origin = Some(origin);
+    }
+}
+
 /// Remembers where a stream begins whose first event is about to be forwarded, and tells
 /// the entries that keep it.
-pub(crate) fn announce(node: &Node, request: &CallerRequest, origin: &StreamOrigin) {
+fn announce(node: &Node, request: &CallerRequest, origin: &StreamOrigin) {
     let deadline_ms = request.head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let keep_ms = (deadline_ms + KEEP_MARGIN_MS).min(KEEP_MAX_MS);
+    let keep_ms = deadline_ms.min(KEEP_MAX_MS) + KEEP_MARGIN_MS;
     let now = node.now();
     let expires_at = request.arrived_at.plus_ms(keep_ms);
     let workspace = request.workspace.as_ref();
@@ -216,7 +237,8 @@
     }
     let now = node.now();
     for told in message.stream_origins.iter().take(STREAMS_PER_MESSAGE) {
-        let expires_at = now.plus_ms(told.valid_ms.min(KEEP_MAX_MS));
+        let keep_ms = told.valid_ms.min(KEEP_MAX_MS + KEEP_MARGIN_MS);
+        let expires_at = now.plus_ms(keep_ms);
         let mut known = node.stream_origins.known.lock();
         known.insert(StreamId(told.stream), decode(told), expires_at);
     }
@@ -253,8 +275,6 @@
 fn sender(node: &Node) -> PeerNews {
     PeerNews {
         entry: node.options.entry.clone(),
-        start: node.started_unix_ms,
-        domain: node.options.failure_domain.clone(),
         ..PeerNews::default()
     }
 }
@@ -297,7 +317,7 @@
     }
 }
 
-impl crate::state::peers::Peers {
+impl Peers {
     /// Returns the entries that are told where a stream begins.
     fn origin_keepers(&self, now: Instant, id: StreamId) -> Vec<SocketAddr> {
         let table = self.table.lock();
