--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,8 +16,8 @@
 //!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
 //! - [`decide_retry`] decides what follows an attempt that failed, and
 //!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
-//! - [`StreamOrigin`] tells at which software version a stream may go on.
-//!   [`origin_keepers`] chooses the entries that are told of it.
+//! - [`StreamOrigin`] names the software version at which a stream may go on.
+//!   [`origin_keepers`] chooses the entries that keep it.
 //! - [`RetryBudget`] bounds the retries of all entries together.
 //! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders.
 //!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
--- a/crates/direct/src/origin_keepers.rs
+++ b/crates/direct/src/origin_keepers.rs
@@ -1,7 +1,7 @@
 //! Choice of the entries that keep where a stream began.
 //!
-//! The entry that forwards a stream's first event tells a few others, and an entry that
-//! doesn't know a stream asks those that would be told. The choice is by rendezvous
+//! The entry that forwards a stream's first event sends its origin to a few others, and
+//! an entry that doesn't know a stream asks those that would have received it. The choice is by rendezvous
 //! hashing of the stream, so that every entry can compute it, and over failure domains,
 //! so that the loss of one leaves a keeper.
 
@@ -11,7 +11,7 @@
 
 use crate::StreamId;
 
-/// Number of other entries that are told where a stream began, in as many failure
+/// Number of other entries that receive the origin of a stream, in as many failure
 /// domains as there are.
 const KEEPERS: usize = 3;
 
@@ -19,7 +19,7 @@
 /// failure domains rank them alike, but one may be missing.
 const ASKED_DOMAINS: usize = KEEPERS + 1;
 
-/// Returns the entries that are told where a stream began, among the others that
+/// Returns the entries that receive the origin of a stream, among the others that
 /// `entries` lists with their failure domains.
 pub fn origin_keepers<'a>(
     stream: StreamId,
--- a/crates/direct/src/stream_origin.rs
+++ b/crates/direct/src/stream_origin.rs
@@ -3,7 +3,7 @@
 //! Upstreams of several software versions serve side by side. What two of them write
 //! doesn't fit together, and upstreams don't check it, so the rest of a stream must come
 //! from the version that brought its first event. Callers may ask any entry for the
-//! rest; [`origin_keepers`](crate::origin_keepers) tells which entries know it.
+//! rest; [`origin_keepers`](crate::origin_keepers) chooses the entries that know it.
 
 use base::prelude::*;
 use std::collections::{BTreeSet, HashMap};
@@ -69,7 +69,7 @@
     expires_at: Instant,
 }
 
-/// Origins of the streams that this entry forwards, or was told of.
+/// Origins of the streams that this entry forwards, or received from another entry.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     streams: HashMap<StreamId, KnownStream>,
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -1,6 +1,6 @@
 //! Finds out at which software version a stream began that a caller takes up.
 //!
-//! The entry that forwards a stream's first event tells a few others before it does so
+//! The entry that forwards a stream's first event sends its origin to a few others first
 //! (see [`direct::origin_keepers`]), so a caller that lost its entry right after that
 //! event is not ahead of the message. An entry that is asked for the rest of a stream
 //! that it doesn't know asks those entries. Where nobody knows, the rest is refused.
@@ -208,8 +208,8 @@
     }
 }
 
-/// Remembers where a stream begins whose first event is about to be forwarded, and tells
-/// the entries that keep it.
+/// Remembers where a stream begins whose first event is about to be forwarded, and sends
+/// that to the entries that keep it.
 fn announce(node: &Node, request: &CallerRequest, origin: &StreamOrigin) {
     let deadline_ms = request.head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let keep_ms = deadline_ms.min(KEEP_MAX_MS) + KEEP_MARGIN_MS;
@@ -318,7 +318,7 @@
 }
 
 impl Peers {
-    /// Returns the entries that are told where a stream begins.
+    /// Returns the entries that receive the origin of a stream.
     fn origin_keepers(&self, now: Instant, id: StreamId) -> Vec<SocketAddr> {
         let table = self.table.lock();
         let entries = table.possible_entries(now, self.own_address);
--- a/crates/once/src/restore.rs
+++ b/crates/once/src/restore.rs
@@ -14,7 +14,7 @@
 const REMEMBER_MS: u64 = 60_000;
 
 /// Time from the first write after a restore in which agents write their claims again.
-/// They hear of the restore with their next call, within 8 s; the rest covers the
+/// They learn of the restore from their next call, within 8 s; the rest covers the
 /// difference between the wall clocks of two instances.
 const RESTORE_MS: u64 = 20_000;
 
