Platform client: versions name the generation

This commit removes the first cause alone.

Cause: nothing told an entry or an agent that the platform went back. HttpPlatform made versions out of plain numbers, so that a condition read before a restore could hold for other contents after it, and never implemented ObjectApi::generation; what was built for claims acted in the unit tests' double alone. The stand-in couldn't be restored, so no test with processes saw it.

Change: each answer of the object API names the generation, and versions are put together from both, as in platform/. A conditional change or a watch names its generation; the platform refuses it in another one (412, 410). Where a platform doesn't check that, an answer of another generation counts as unanswered. The agent's driver hands generation and answer to the state machine under one lock: in between, another task's answer was handled as of the earlier generation. An entry whose watch is refused lists again; it would have watched nothing any more. A platform that names no generation is used as before.

Evidence: plat's four new tests fail on the previous client and pass now; watchers::a_watch_from_before_a_restore_leads_to_a_list is new with the result that it handles.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -11,7 +11,7 @@
 use schema::link::{self, Answer, Frame, Hello, frame};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 use wire::{SendPermit, WireError};
@@ -36,8 +36,6 @@
     platform: Arc<dyn ObjectApi>,
     recorder: EventRecorder,
     metrics: ProcessMetrics,
-    /// Latest generation of the platform that an answer named.
-    generation: AtomicU64,
     ready: AtomicBool,
     exit: CancellationToken,
     runtime: Handle,
@@ -85,7 +83,6 @@
             platform: environment.platform,
             recorder: environment.recorder,
             metrics: ProcessMetrics::new(),
-            generation: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             exit: CancellationToken::new(),
             runtime: Handle::current(),
@@ -348,24 +345,16 @@
                 () = driver.exit.cancelled() => return,
                 result = driver.platform.call(&call.op) => result,
             };
-            driver.note_generation();
             let id = call.id;
-            driver.handle_event(AgentEvent::PlatformAnswered(PlatformResponse {
-                id,
-                result,
-            }));
+            driver.handle_events(|| {
+                vec![
+                    AgentEvent::PlatformGeneration(driver.platform.generation()),
+                    AgentEvent::PlatformAnswered(PlatformResponse { id, result }),
+                ]
+            });
         });
     }
 
-    /// Passes on the platform's generation if an answer named a later one.
-    fn note_generation(self: &Arc<Self>) {
-        let generation = self.platform.generation();
-        let known = self.generation.fetch_max(generation, Ordering::Relaxed);
-        if known < generation {
-            self.handle_event(AgentEvent::PlatformGeneration(generation));
-        }
-    }
-
     /// Checks in a task whether a predecessor is dead and reports the result to the
     /// state machine.
     fn probe_predecessor(self: &Arc<Self>, address: String) {
--- a/crates/fake/src/platform/mod.rs
+++ b/crates/fake/src/platform/mod.rs
@@ -3,6 +3,9 @@
 //! A single counter assigns the version of every change. Each object keeps the value
 //! before its last change, so that a fault can make a read return it. Deleted keys
 //! are kept, so that watches can report the deletion.
+//!
+//! The objects can be copied, and restored from the copy later: versions then go back
+//! and are given out again, and the generation that every response names rises by one.
 
 mod faults;
 mod objects;
@@ -58,6 +61,10 @@
 #[derive(Debug)]
 struct Inner {
     objects: Objects,
+    /// Copy from which the objects can be restored.
+    copy: Objects,
+    /// Number of restores.
+    generation: u64,
     faults: Faults,
     rng: FaultRng,
     counts: Counts,
@@ -96,6 +103,8 @@
     let platform = Arc::new(Platform {
         inner: Mutex::new(Inner {
             objects: Objects::default(),
+            copy: Objects::default(),
+            generation: 0,
             faults: Faults::default(),
             rng: FaultRng::new(options.seed),
             counts: Counts::default(),
@@ -116,6 +125,16 @@
 handle_methods!(Platform, Faults, Counts);
 
 impl Handle<Platform> {
+    /// Copies all objects for a later [`Self::restore`].
+    pub fn copy_objects(&self) {
+        self.stand_in.copy_objects();
+    }
+
+    /// Replaces all objects by the last copy, or removes them if there is none.
+    pub fn restore(&self) {
+        self.stand_in.restore();
+    }
+
     /// Returns version and value of an object, regardless of faults and uncounted.
     pub fn peek_object(&self, key: &str) -> Option<(u64, Vec<u8>)> {
         let inner = self.stand_in.inner.lock();
--- a/crates/fake/src/platform/objects.rs
+++ b/crates/fake/src/platform/objects.rs
@@ -28,7 +28,7 @@
     ConditionFailed,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct ObjectHistory {
     current: Option<Object>,
     previous: Option<Object>,
@@ -37,7 +37,7 @@
 }
 
 /// All objects by key, including deleted ones.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Objects {
     version_counter: u64,
     histories: BTreeMap<String, ObjectHistory>,
--- a/crates/fake/src/platform/serve.rs
+++ b/crates/fake/src/platform/serve.rs
@@ -16,6 +16,13 @@
 use crate::handle::StandIn;
 use crate::http::{self, Body, ConnectionAborted, ResponseResult};
 
+/// Header of a response with the version of an object.
+const VERSION_HEADER: &str = "x-version";
+
+/// Header of each response with the number of restores, and of a conditional change or a
+/// watch with the generation of the version that it names.
+const GENERATION_HEADER: &str = "x-generation";
+
 /// Maximum time that a watch waits.
 const WAIT_MAX_MS: u64 = 60_000;
 
@@ -52,7 +59,15 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = ResponseResult> + Send>> {
-        Box::pin(async move { self.serve(request).await })
+        Box::pin(async move {
+            let generation = self.generation();
+            let response = self.serve(request).await?;
+            // A restore breaks the connections of the requests in progress.
+            if self.generation() != generation {
+                return Err(ConnectionAborted);
+            }
+            Ok(with_header(response, GENERATION_HEADER, generation))
+        })
     }
 
     fn set_faults(&self, faults: Faults) {
@@ -70,9 +85,39 @@
     fn counts(&self) -> Counts {
         self.inner.lock().counts.clone()
     }
+
+    /// `copy` copies all objects, and `restore` replaces them by the last copy.
+    fn run_command(self: Arc<Self>, name: &str) -> bool {
+        match name {
+            "copy" => self.copy_objects(),
+            "restore" => self.restore(),
+            _ => return false,
+        }
+        true
+    }
 }
 
 impl Platform {
+    pub(super) fn copy_objects(&self) {
+        let mut guard = self.inner.lock();
+        let inner = &mut *guard;
+        inner.copy = inner.objects.clone();
+    }
+
+    pub(super) fn restore(&self) {
+        let mut guard = self.inner.lock();
+        let inner = &mut *guard;
+        inner.objects = inner.copy.clone();
+        inner.generation += 1;
+        // Wakes waiting watches, whose start belongs to the previous generation.
+        self.last_visible_version
+            .send_replace(inner.objects.last_version());
+    }
+
+    fn generation(&self) -> u64 {
+        self.inner.lock().generation
+    }
+
     async fn serve(&self, request: Request<Incoming>) -> ResponseResult {
         let delay_ms = self.inner.lock().faults.delay_ms;
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
@@ -109,6 +154,7 @@
             Ok(condition) => condition,
             Err(response) => return Ok(*response),
         };
+        let expected_generation = http::header_number(&request, GENERATION_HEADER);
         match *request.method() {
             Method::GET => Ok(self.read(key)),
             Method::PUT => {
@@ -118,9 +164,9 @@
                     Ok(value) => value,
                     Err(response) => return Ok(response),
                 };
-                self.change(key, Some(value), condition)
+                self.change(key, Some(value), condition, expected_generation)
             }
-            Method::DELETE => self.change(key, None, condition),
+            Method::DELETE => self.change(key, None, condition, expected_generation),
             _ => Ok(http::text_response(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "no such call",
@@ -141,7 +187,7 @@
         match object {
             Some(object) => {
                 let response = Response::new(http::full_body(object.value.clone()));
-                with_version_header(response, object.version)
+                with_header(response, VERSION_HEADER, object.version)
             }
             None => http::text_response(StatusCode::NOT_FOUND, "no such object"),
         }
@@ -153,6 +199,7 @@
         key: &str,
         value: Option<bytes::Bytes>,
         condition: WriteCondition,
+        expected_generation: Option<u64>,
     ) -> ResponseResult {
         let mut guard = self.inner.lock();
         let inner = &mut *guard;
@@ -169,7 +216,10 @@
             .entry(key_kind.to_owned())
             .or_default() += 1;
         let hide_from_watches = inner.faults.take_missed_change(key);
+        let is_outdated =
+            expected_generation.is_some_and(|expected| expected != inner.generation);
         let result = match value {
+            _ if is_outdated => Err(ChangeError::ConditionFailed),
             Some(value) => {
                 inner
                     .objects
@@ -186,9 +236,11 @@
             return Err(ConnectionAborted);
         }
         Ok(match result {
-            Ok(version) => {
-                with_version_header(http::text_response(StatusCode::OK, ""), version)
-            }
+            Ok(version) => with_header(
+                http::text_response(StatusCode::OK, ""),
+                VERSION_HEADER,
+                version,
+            ),
             Err(ChangeError::NotFound) => {
                 http::text_response(StatusCode::NOT_FOUND, "no such object")
             }
@@ -238,6 +290,11 @@
         ) else {
             return http::text_response(StatusCode::BAD_REQUEST, "not a whole number");
         };
+        let generation = self.generation();
+        let after_generation = http::header_number(request, GENERATION_HEADER);
+        if after_generation.is_some_and(|after| after != generation) {
+            return http::text_response(StatusCode::GONE, "restored since");
+        }
         self.inner.lock().counts.watches += 1;
         let wait = Duration::from_millis(wait_ms.min(WAIT_MAX_MS));
         let deadline = Instant::now() + wait;
@@ -249,7 +306,8 @@
             }
             let list = self.list_changes(prefix, after);
             let unchanged = list.objects.is_empty() && list.deleted.is_empty();
-            if !unchanged || Instant::now() >= deadline {
+            let is_restored = self.generation() != generation;
+            if !unchanged || is_restored || Instant::now() >= deadline {
                 return http::json_response(StatusCode::OK, &list);
             }
             // The loop checks whether there was a change or the time is up.
@@ -274,10 +332,14 @@
     }
 }
 
-fn with_version_header(mut response: Response<Body>, version: u64) -> Response<Body> {
+fn with_header(
+    mut response: Response<Body>,
+    name: &'static str,
+    value: u64,
+) -> Response<Body> {
     response
         .headers_mut()
-        .insert("x-version", HeaderValue::from(version));
+        .insert(name, HeaderValue::from(value));
     response
 }
 
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::ObjectApi;
+use crate::generation::LatestGeneration;
 use crate::request::{self, WATCH_WAIT};
 use crate::response::{self, ObjectApiResponse};
 
@@ -40,6 +41,7 @@
 pub struct HttpPlatform {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    generation: LatestGeneration,
 }
 
 impl HttpPlatform {
@@ -52,11 +54,22 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
-        Self { address, client }
+        Self {
+            address,
+            client,
+            generation: LatestGeneration::default(),
+        }
     }
 
     async fn execute(&self, op: &PlatformOp) -> PlatformResult {
-        let Some(request) = request::build_request(self.address, op) else {
+        let latest = self.generation.get();
+        let generation = self.generation.of_operation(op);
+        if generation < latest
+            && let Some(result) = response::result_in_later_generation(op)
+        {
+            return result;
+        }
+        let Some(request) = request::build_request(self.address, op, generation) else {
             return PlatformResult::Unavailable;
         };
         let timeout_after = match op {
@@ -64,7 +77,7 @@
             _ => CALL_TIMEOUT,
         };
         match timeout(timeout_after, self.exchange(request)).await {
-            Ok(Ok(response)) => response::parse_result(op, &response),
+            Ok(Ok(response)) => self.interpret(op, generation, &response),
             Ok(Err(ExchangeError::NotSent)) => PlatformResult::Unavailable,
             Ok(Err(ExchangeError::Incomplete)) | Err(_) => {
                 response::result_without_response(op)
@@ -72,6 +85,20 @@
         }
     }
 
+    /// The result of an operation of this generation with a complete response.
+    fn interpret(
+        &self,
+        op: &PlatformOp,
+        generation: Option<u64>,
+        response: &ObjectApiResponse,
+    ) -> PlatformResult {
+        // A state that a restore has replaced says nothing about the present one.
+        if !self.generation.observe(response.generation()) {
+            return response::result_without_response(op);
+        }
+        response::parse_result(op, generation, response)
+    }
+
     async fn exchange(
         &self,
         request: Request<Full<Bytes>>,
@@ -106,6 +133,10 @@
     fn call<'a>(&'a self, op: &'a PlatformOp) -> BoxFuture<'a, PlatformResult> {
         self.execute(op).boxed()
     }
+
+    fn generation(&self) -> u64 {
+        self.generation.get().unwrap_or(0)
+    }
 }
 
 impl fmt::Debug for HttpPlatform {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -13,8 +13,12 @@
 //!   [`PlatformResult::Unanswered`](base::PlatformResult::Unanswered): it may have
 //!   taken effect, and its caller has to read the object to find out.
 //! - A read has no effect, so without a complete response it is `Unavailable`.
+//! - [`PlatformResult::Written`](base::PlatformResult::Written) means that a conditional
+//!   change was made to the state on which its caller decided. If the platform was
+//!   restored from an older copy in between, the result is `Conflict` or `Unanswered`.
 
 mod client;
+mod generation;
 
 pub mod http;
 mod object_api;
--- a/crates/plat/src/request.rs
+++ b/crates/plat/src/request.rs
@@ -1,6 +1,6 @@
 //! Conversion of operations to HTTP requests.
 
-use base::{ObjectVersion, PlatformOp, Precondition};
+use base::{PlatformOp, Precondition};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::http::request::Builder;
@@ -9,36 +9,45 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::generation::number_of;
+use crate::response::GENERATION_HEADER;
+
 /// How long the platform may wait for changes before it responds to a watch.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// The HTTP request of an operation; `None` if its path is not a valid URI.
+/// The HTTP request of an operation that belongs to a generation of the platform, if
+/// known; `None` if its path is not a valid URI.
 pub(crate) fn build_request(
     address: SocketAddr,
     op: &PlatformOp,
+    generation: Option<u64>,
 ) -> Option<Request<Full<Bytes>>> {
-    let (method, path) = method_and_path(op);
-    let builder = Request::builder()
+    let (method, path) = method_and_path(op, generation);
+    let mut builder = Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"));
+    if let Some(generation) = generation {
+        builder = builder.header(GENERATION_HEADER, generation);
+    }
     let (builder, body) = match op {
         PlatformOp::Write {
             precondition,
             value,
             ..
         } => (
-            with_precondition(builder, *precondition),
+            with_precondition(builder, *precondition, generation),
             Bytes::copy_from_slice(value),
         ),
-        PlatformOp::Delete { precondition, .. } => {
-            (with_precondition(builder, *precondition), Bytes::new())
-        }
+        PlatformOp::Delete { precondition, .. } => (
+            with_precondition(builder, *precondition, generation),
+            Bytes::new(),
+        ),
         _ => (builder, Bytes::new()),
     };
     builder.body(Full::new(body)).ok()
 }
 
-fn method_and_path(op: &PlatformOp) -> (Method, String) {
+fn method_and_path(op: &PlatformOp, generation: Option<u64>) -> (Method, String) {
     match op {
         PlatformOp::Read { key } => (Method::GET, format!("/objects/{}", encoded(key))),
         PlatformOp::List { prefix } => {
@@ -53,19 +62,24 @@
         PlatformOp::Watch { prefix, after } => {
             let prefix = encoded(prefix);
             let wait_ms = WATCH_WAIT.as_millis();
+            let after = number_of(generation, *after);
             let path =
-                format!("/watch?prefix={prefix}&after={}&wait_ms={wait_ms}", after.0);
+                format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
             (Method::GET, path)
         }
     }
 }
 
-fn with_precondition(builder: Builder, precondition: Precondition) -> Builder {
+fn with_precondition(
+    builder: Builder,
+    precondition: Precondition,
+    generation: Option<u64>,
+) -> Builder {
     match precondition {
         Precondition::Any => builder,
         Precondition::Absent => builder.header(header::IF_NONE_MATCH, "*"),
-        Precondition::Version(ObjectVersion(version)) => {
-            builder.header(header::IF_MATCH, version)
+        Precondition::Version(version) => {
+            builder.header(header::IF_MATCH, number_of(generation, version))
         }
     }
 }
--- a/crates/plat/src/response.rs
+++ b/crates/plat/src/response.rs
@@ -7,6 +7,12 @@
 use hyper::{HeaderMap, StatusCode};
 use serde::Deserialize;
 
+use crate::generation::version_in;
+
+/// Header of each response with the platform's generation, and of a request with the one
+/// to which it belongs.
+pub(crate) const GENERATION_HEADER: &str = "x-generation";
+
 /// Header that carries an object's version.
 const VERSION_HEADER: &str = "x-version";
 
@@ -18,6 +24,20 @@
     pub(crate) body: Bytes,
 }
 
+impl ObjectApiResponse {
+    /// Generation of the platform that responded, if it named any.
+    pub(crate) fn generation(&self) -> Option<u64> {
+        let value = self.headers.get(GENERATION_HEADER)?;
+        value.to_str().ok()?.parse().ok()
+    }
+
+    fn version(&self) -> Option<ObjectVersion> {
+        let value = self.headers.get(VERSION_HEADER)?;
+        let number = value.to_str().ok()?.parse().ok()?;
+        Some(version_in(self.generation(), number))
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct ObjectList {
     version: u64,
@@ -43,17 +63,45 @@
     }
 }
 
-/// The result of an operation with a complete response.
+/// The result of an operation that belongs to a generation before the platform's; `None`
+/// if it doesn't depend on the generation.
+pub(crate) const fn result_in_later_generation(
+    op: &PlatformOp,
+) -> Option<PlatformResult> {
+    match op {
+        PlatformOp::Write {
+            precondition: Precondition::Version(_),
+            ..
+        }
+        | PlatformOp::Delete {
+            precondition: Precondition::Version(_),
+            ..
+        } => Some(PlatformResult::Conflict),
+        PlatformOp::Watch { .. } => Some(PlatformResult::HistoryGone),
+        _ => None,
+    }
+}
+
+/// The result of an operation of this generation with a complete response.
 pub(crate) fn parse_result(
     op: &PlatformOp,
+    generation: Option<u64>,
     response: &ObjectApiResponse,
 ) -> PlatformResult {
+    let is_restored = generation.is_some_and(|generation| {
+        response
+            .generation()
+            .is_some_and(|named| named != generation)
+    });
     let result = match op {
         PlatformOp::Read { .. } => parse_object(response),
+        PlatformOp::Watch { .. } if is_restored => {
+            return PlatformResult::HistoryGone;
+        }
         PlatformOp::List { .. } | PlatformOp::Watch { .. } => parse_objects(response),
-        PlatformOp::Write { .. } => return write_result(response),
+        PlatformOp::Write { .. } => return write_result(response, is_restored),
         PlatformOp::Delete { precondition, .. } => {
-            return delete_result(response, *precondition);
+            return delete_result(response, *precondition, is_restored);
         }
     };
     result.unwrap_or(PlatformResult::Unavailable)
@@ -62,7 +110,7 @@
 fn parse_object(response: &ObjectApiResponse) -> Option<PlatformResult> {
     match response.status {
         StatusCode::OK => {
-            let object = (parse_version(response)?, response.body.to_vec());
+            let object = (response.version()?, response.body.to_vec());
             Some(PlatformResult::Object(Some(object)))
         }
         StatusCode::NOT_FOUND => Some(PlatformResult::Object(None)),
@@ -71,15 +119,19 @@
 }
 
 fn parse_objects(response: &ObjectApiResponse) -> Option<PlatformResult> {
+    if response.status == StatusCode::GONE {
+        return Some(PlatformResult::HistoryGone);
+    }
     if response.status != StatusCode::OK {
         return None;
     }
+    let generation = response.generation();
     let list: ObjectList = serde_json::from_slice(&response.body).ok()?;
-    let list_version = ObjectVersion(list.version);
+    let list_version = version_in(generation, list.version);
     let mut objects = Vec::with_capacity(list.objects.len());
     for item in list.objects {
         let value = STANDARD.decode(&item.value_base64).ok()?;
-        objects.push((item.key, ObjectVersion(item.version), value));
+        objects.push((item.key, version_in(generation, item.version), value));
     }
     for key in list.deleted {
         objects.push((key, list_version, Vec::new()));
@@ -88,11 +140,14 @@
     Some(PlatformResult::Objects(objects, list_version))
 }
 
-fn write_result(response: &ObjectApiResponse) -> PlatformResult {
+fn write_result(response: &ObjectApiResponse, is_restored: bool) -> PlatformResult {
     match response.status {
+        // The condition held for a state that the caller never read.
+        StatusCode::OK if is_restored => PlatformResult::Unanswered,
         // Without a version, the write took effect, but a further write could
         // not be conditional. `Unanswered` makes the caller read the object.
-        StatusCode::OK => parse_version(response)
+        StatusCode::OK => response
+            .version()
             .map_or(PlatformResult::Unanswered, PlatformResult::Written),
         StatusCode::PRECONDITION_FAILED => PlatformResult::Conflict,
         status => error_result(status),
@@ -102,11 +157,13 @@
 fn delete_result(
     response: &ObjectApiResponse,
     precondition: Precondition,
+    is_restored: bool,
 ) -> PlatformResult {
     let no_version = ObjectVersion(0);
     match response.status {
+        StatusCode::OK if is_restored => PlatformResult::Unanswered,
         StatusCode::OK => {
-            PlatformResult::Written(parse_version(response).unwrap_or(no_version))
+            PlatformResult::Written(response.version().unwrap_or(no_version))
         }
         StatusCode::NOT_FOUND if matches!(precondition, Precondition::Version(_)) => {
             PlatformResult::Conflict
@@ -127,8 +184,3 @@
         PlatformResult::Unanswered
     }
 }
-
-fn parse_version(response: &ObjectApiResponse) -> Option<ObjectVersion> {
-    let value = response.headers.get(VERSION_HEADER)?;
-    value.to_str().ok()?.parse().ok().map(ObjectVersion)
-}
--- a/crates/plat/tests/platform.rs
+++ b/crates/plat/tests/platform.rs
@@ -14,6 +14,8 @@
 enum ServerBehavior {
     /// Sends this text and closes the connection.
     Sends(&'static str),
+    /// Sends one of these texts for each request, in order, and closes the connection.
+    SendsInTurn(&'static [&'static str]),
     /// Closes the connection without a response.
     Closes,
     /// Keeps the connection open and does not respond.
@@ -29,12 +31,17 @@
     let (requests, received_requests) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         let mut open_streams = Vec::new();
+        let mut answered = 0;
         while let Ok((mut stream, _)) = listener.accept().await {
             let _ = requests.send(read_request(&mut stream).await);
             match behavior {
                 ServerBehavior::Sends(text) => {
                     let _ = stream.write_all(text.as_bytes()).await;
                 }
+                ServerBehavior::SendsInTurn(texts) => {
+                    let _ = stream.write_all(texts[answered].as_bytes()).await;
+                    answered += 1;
+                }
                 ServerBehavior::Closes => {}
                 ServerBehavior::NeverResponds => open_streams.push(stream),
             }
@@ -274,6 +281,131 @@
     }
 }
 
+/// Responses of a platform at generation 2, and of one that was restored once more.
+const VALUE_AT_2: &str = "HTTP/1.1 200 OK\r\nX-Generation: 2\r\nX-Version: 9\r\n\
+    Content-Length: 2\r\n\r\nhi";
+const WRITTEN_AT_3: &str = "HTTP/1.1 200 OK\r\nX-Generation: 3\r\nX-Version: 4\r\n\
+    Content-Length: 0\r\n\r\n";
+const LISTING_AT_3: &str = "HTTP/1.1 200 OK\r\nX-Generation: 3\r\nConnection: close\r\n\
+    \r\n{\"version\":5,\"objects\":[\
+    {\"key\":\"live/b\",\"version\":4,\"value_base64\":\"aGk=\"}]}";
+const GONE_AT_3: &str =
+    "HTTP/1.1 410 Gone\r\nX-Generation: 3\r\nContent-Length: 0\r\n\r\n";
+
+fn write_if(precondition: Precondition) -> PlatformOp {
+    PlatformOp::Write {
+        key: "claims/007".to_owned(),
+        precondition,
+        value: b"value".to_vec(),
+    }
+}
+
+fn watch_after(after: ObjectVersion) -> PlatformOp {
+    PlatformOp::Watch {
+        prefix: "live/".to_owned(),
+        after,
+    }
+}
+
+/// Guards against a restore of the platform that its clients don't notice, as versions go
+/// back and are given out again.
+#[tokio::test]
+async fn versions_name_the_generation() {
+    let (address, _requests) =
+        server(ServerBehavior::SendsInTurn(&[VALUE_AT_2, LISTING_AT_3])).await;
+    let platform = HttpPlatform::new(address);
+    assert_eq!(platform.generation(), 0);
+    let version = ObjectVersion::new(2, 9);
+    let object = PlatformResult::Object(Some((version, b"hi".to_vec())));
+    assert_eq!(platform.call(&read()).await, object);
+    assert_eq!(platform.generation(), 2);
+    let object = (
+        "live/b".to_owned(),
+        ObjectVersion::new(3, 4),
+        b"hi".to_vec(),
+    );
+    let listed = PlatformResult::Objects(vec![object], ObjectVersion::new(3, 5));
+    assert_eq!(platform.call(&list()).await, listed);
+    assert_eq!(platform.generation(), 3);
+}
+
+/// Guards against changes on a condition that was read before a restore, and against
+/// watches from a version that is given out again.
+#[tokio::test]
+async fn a_restore_in_between_ends_conditional_changes_and_watches() {
+    use PlatformResult::{Conflict, HistoryGone, Unanswered};
+    let at_2 = ObjectVersion::new(2, 9);
+    let unchanged = Precondition::Version(at_2);
+    let cases = [
+        (write_if(unchanged), WRITTEN_AT_3, Unanswered),
+        (write_if(Precondition::Absent), WRITTEN_AT_3, Unanswered),
+        (write_if(unchanged), CONFLICT, Conflict),
+        (delete(unchanged), WRITTEN_AT_3, Unanswered),
+        (watch_after(at_2), LISTING_AT_3, HistoryGone),
+        (watch_after(at_2), GONE_AT_3, HistoryGone),
+    ];
+    for (op, response, expected) in cases {
+        let responses: &'static [&'static str] =
+            Box::leak(Box::new([VALUE_AT_2, response]));
+        let (address, mut requests) =
+            server(ServerBehavior::SendsInTurn(responses)).await;
+        let platform = HttpPlatform::new(address);
+        platform.call(&read()).await;
+        requests.recv().await.unwrap();
+        assert_eq!(platform.call(&op).await, expected, "{op:?}");
+        let request = requests.recv().await.unwrap().to_lowercase();
+        assert!(request.contains("x-generation: 2"), "{op:?}: {request}");
+        let names_version = !matches!(
+            op,
+            PlatformOp::Write {
+                precondition: Precondition::Absent,
+                ..
+            }
+        );
+        let version = ["if-match: 9", "after=9&"];
+        let is_named = version.iter().any(|version| request.contains(version));
+        assert_eq!(is_named, names_version, "{op:?}: {request}");
+    }
+}
+
+/// Guards against sending a change or a watch of a generation that is known to be over.
+#[tokio::test]
+async fn operations_of_an_earlier_generation_are_not_sent() {
+    let (address, mut requests) = server(ServerBehavior::Sends(VALUE_AT_2)).await;
+    let platform = HttpPlatform::new(address);
+    platform.call(&read()).await;
+    requests.recv().await.unwrap();
+    let at_1 = ObjectVersion::new(1, 9);
+    let unchanged = Precondition::Version(at_1);
+    let cases = [
+        (write_if(unchanged), PlatformResult::Conflict),
+        (delete(unchanged), PlatformResult::Conflict),
+        (watch_after(at_1), PlatformResult::HistoryGone),
+    ];
+    for (op, expected) in cases {
+        assert_eq!(platform.call(&op).await, expected, "{op:?}");
+        assert!(requests.try_recv().is_err(), "{op:?} was sent");
+    }
+}
+
+/// Guards against state of before a restore that arrives after it is known.
+#[tokio::test]
+async fn responses_of_an_earlier_generation_are_no_state() {
+    use PlatformResult::{Unanswered, Unavailable};
+    let cases = [
+        (read(), VALUE_AT_2, Unavailable),
+        (write_if(Precondition::Any), VALUE_AT_2, Unanswered),
+    ];
+    for (op, response, expected) in cases {
+        let responses: &'static [&'static str] =
+            Box::leak(Box::new([LISTING_AT_3, response]));
+        let (address, _requests) = server(ServerBehavior::SendsInTurn(responses)).await;
+        let platform = HttpPlatform::new(address);
+        platform.call(&list()).await;
+        assert_eq!(platform.call(&op).await, expected, "{op:?}");
+    }
+}
+
 #[tokio::test]
 async fn requests_to_operators_return_a_response_or_a_code() {
     let cases = [
--- a/crates/role/src/agent/event.rs
+++ b/crates/role/src/agent/event.rs
@@ -38,8 +38,9 @@
     Upstream(UpstreamEvent),
     /// The platform answered a call, or the call failed.
     PlatformAnswered(PlatformResponse),
-    /// The platform named its generation, which rises each time it was restored from an
-    /// older copy. Sent before the answer that named it.
+    /// Latest generation that the platform named, which rises each time it was restored
+    /// from an older copy. Sent before each answer, under the same lock, so that no
+    /// answer is handled as one of an earlier generation.
     PlatformGeneration(u64),
     /// Result of a `ProbePredecessor` action. If the predecessor's listen
     /// address can be bound, the predecessor is dead: a frozen process still
--- a/crates/role/src/entry/control/platform.rs
+++ b/crates/role/src/entry/control/platform.rs
@@ -332,6 +332,17 @@
             (CallKind::InstancesWatch, PlatformResult::Objects(objects, version)) => {
                 self.instances_watch_ended(now, &objects, version);
             }
+            // The platform was restored from an older copy, so the objects are listed
+            // again.
+            (CallKind::ConfigWatch, PlatformResult::HistoryGone) => {
+                self.call(CallKind::ConfigList, &shared.options, out);
+            }
+            (CallKind::MembersWatch, PlatformResult::HistoryGone) => {
+                self.call(CallKind::MembersList, &shared.options, out);
+            }
+            (CallKind::InstancesWatch, PlatformResult::HistoryGone) => {
+                self.call(CallKind::InstancesChangedList, &shared.options, out);
+            }
             (CallKind::Unregister, _) => self.exit(out),
             _ => {}
         }
--- a/crates/role/tests/entry/watchers.rs
+++ b/crates/role/tests/entry/watchers.rs
@@ -102,3 +102,26 @@
     rig.advance(2 * CHECK_MS);
     assert_eq!(open_watches(&rig).len(), 3);
 }
+
+/// Guards against an entry that watches nothing any more after the platform was restored
+/// from a copy that doesn't have the versions from which it watched.
+#[test]
+fn a_watch_from_before_a_restore_leads_to_a_list() {
+    let mut rig = Rig::new();
+    let watches = open_watches(&rig);
+    assert_eq!(watches.len(), 3);
+    rig.clear();
+    for id in watches {
+        rig.handle(EntryEvent::PlatformAnswered(PlatformResponse {
+            id,
+            result: PlatformResult::HistoryGone,
+        }));
+    }
+    let lists = rig.actions.iter().filter(|action| {
+        matches!(action, EntryAction::CallPlatform(call)
+            if matches!(call.op, PlatformOp::List { .. }))
+    });
+    assert_eq!(lists.count(), 3);
+    rig.advance(500);
+    assert_eq!(open_watches(&rig).len(), 3);
+}
