Claims: a grant rests on the agent's own view of a restore

Callers saw: a keyed order that ran, was answered, and ran once more when it was sent again after the platform had come back from an older copy.

Cause: when a claim may be granted rested on what doesn't show that lost claims are back. The agent that made a claim learned of the restore with its next call; an idle one makes none. Others waited 20 s from a time that one agent's wall clock noted and another's read. A write that was confirmed counted, although a restore between its read and its confirmation had put it on a state that nobody read; so did a confirmation that was handled after the restore was known. A claim that was written again wasn't remembered anew; one with its response gave way to any other of its key, and a copy with the claim but without the response kept the response out.

Change: an agent that remembers claims asks for the generation after 2 s without a response. Each agent waits 20 s of its own clock from when it learned of the restore itself. What it then writes marks the shard as complete for its pool, so that agents which start later needn't wait. A write counts only if it was read, sent and confirmed in the latest generation; own claims in restored content are granted only if the content is complete.

Tried and reverted: claims that entries report written at once. Resends were told 3005 for some seconds although the agent was about to write the response again; they are written at the end of the wait now.

--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -5,8 +5,13 @@
 use crate::platform_calls::{
     BACKOFF_MAX_MS, BACKOFF_MIN_MS, refuse_platform_unavailable, release_if_staged,
 };
+use crate::restore::{
+    KnownGeneration, PROBE_INTERVAL_MS, PROBE_KEY, ReportedRun, no_pool,
+};
 use crate::shard::{SHARDS, Shard, StagingLimits, shard_of};
-use base::{AgentId, AttemptId, Incarnation, Instant};
+use base::{
+    AgentId, AttemptId, Incarnation, Instant, PlatformCall, PlatformOp, PoolId,
+};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -42,8 +47,13 @@
     pub(crate) shard_by_call: BTreeMap<u64, usize>,
     pub(crate) next_call_id: u64,
     nonce_count: u64,
-    /// Latest known generation of the platform, which rises with each restore.
-    pub(crate) generation: u64,
+    pool: PoolId,
+    pub(crate) generation: KnownGeneration,
+    /// When the platform is asked for its generation, unless it responds before; `None`
+    /// if this agent has no claim that a restore could lose.
+    probe_at: Option<Instant>,
+    /// The call that asks for it.
+    pub(crate) probe_call: Option<u64>,
 }
 
 impl Claims {
@@ -58,10 +68,20 @@
             granted: BTreeMap::new(),
             shard_by_call: BTreeMap::new(),
             nonce_count: 0,
-            generation: 0,
+            pool: no_pool(),
+            generation: KnownGeneration::new(),
+            probe_at: None,
+            probe_call: None,
         }
     }
 
+    /// Sets the agent's pool. Entries tell an agent of lost claims of its own pool only.
+    #[must_use]
+    pub fn with_pool(mut self, pool: &PoolId) -> Self {
+        self.pool = pool.clone();
+        self
+    }
+
     /// Sets how long claims are kept and the largest response that is stored.
     pub fn configure(&mut self, retention_ms: u32, response_max_bytes: u32) {
         self.retention_ms = u64::from(retention_ms);
@@ -82,16 +102,61 @@
         generation: u64,
         out: &mut Vec<ClaimAction>,
     ) {
-        if generation <= self.generation {
+        if !self.generation.observe(now, generation) {
             return;
         }
-        self.generation = generation;
         for index in 0..self.shards.len() {
-            self.shards[index].on_restore();
+            self.shards[index].on_restore(now);
             self.start_next_call(now, index, out);
         }
     }
 
+    /// Generation of the platform whose restore may have lost claims that this agent
+    /// waits for; `None` if it waits for none.
+    pub fn restored_generation(&self, now: Instant) -> Option<u64> {
+        self.generation.restore_retry_ms(now)?;
+        Some(self.generation.latest())
+    }
+
+    /// Sets whether a connected entry has not told yet which requests it passed on before
+    /// the latest restore.
+    pub const fn set_awaits_entries(&mut self, awaits_entries: bool) {
+        self.generation.awaits_entries = awaits_entries;
+    }
+
+    /// Handles the requests that an entry passed to other agents and whose claims a
+    /// restore may have lost: claims that are missing are written.
+    pub fn add_reported_runs(
+        &mut self,
+        now: Instant,
+        runs: impl IntoIterator<Item = ReportedRun>,
+        out: &mut Vec<ClaimAction>,
+    ) {
+        let unix_ms = self.unix_ms(now);
+        for run in runs {
+            let index = shard_of(&run.caller, &run.key);
+            let claim = run.into_claim(self.next_nonce(), unix_ms);
+            let shard = &mut self.shards[index];
+            shard.recent.report(claim);
+        }
+        self.write_reported_claims(now, out);
+    }
+
+    /// Writes the claims that entries told of and whose agents have not written them in
+    /// the time for it.
+    fn write_reported_claims(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
+        if self.generation.restore_retry_ms(now).is_some() {
+            return;
+        }
+        for index in 0..self.shards.len() {
+            let shard = &mut self.shards[index];
+            if shard.recent.has_reported() && !shard.is_restoring {
+                shard.is_restoring = true;
+                self.start_next_call(now, index, out);
+            }
+        }
+    }
+
     /// Number of granted claims whose requests have not ended.
     pub fn held_count(&self) -> usize {
         self.granted.len()
@@ -184,7 +249,9 @@
             nonce: claim.nonce,
             waiter: Some((attempt, now.plus_ms(END_WAIT_MAX_MS))),
         };
-        self.shards[claim.shard].pending_ends.push(end);
+        let shard = &mut self.shards[claim.shard];
+        shard.recent.forget(claim.nonce);
+        shard.pending_ends.push(end);
         self.start_next_call(now, claim.shard, out);
     }
 
@@ -197,13 +264,19 @@
 
     /// Whether a platform call was made by this state machine.
     pub fn owns_call(&self, call: u64) -> bool {
-        self.shard_by_call.contains_key(&call)
+        self.shard_by_call.contains_key(&call) || self.probe_call == Some(call)
     }
 
     /// Time at which [`Claims::tick`] should be called next.
     pub fn next_deadline(&self) -> Option<Instant> {
         let shards = self.shards.iter().filter(|shard| shard.has_work());
-        shards.filter_map(shard_deadline).min()
+        let probe_at = self.probe_at.filter(|_| self.probe_call.is_none());
+        let mut reporting = self.shards.iter();
+        let reports_at = reporting
+            .any(|shard| shard.recent.has_reported() && !shard.is_restoring)
+            .then(|| self.generation.restore_end());
+        let others = probe_at.into_iter().chain(reports_at.flatten());
+        shards.filter_map(shard_deadline).chain(others).min()
     }
 
     /// Ends waits that have timed out and starts the calls whose backoff is
@@ -216,6 +289,45 @@
             self.expire_waits(now, index, out);
             self.start_next_call(now, index, out);
         }
+        self.write_reported_claims(now, out);
+        self.probe_generation(now, out);
+    }
+
+    /// Defers the question for the platform's generation, as it has just responded.
+    pub(crate) fn defer_probe(&mut self, now: Instant) {
+        let mut shards = self.shards.iter();
+        let has_recent = shards.any(|shard| !shard.recent.is_empty());
+        self.probe_at = has_recent.then(|| now.plus_ms(PROBE_INTERVAL_MS));
+    }
+
+    /// Asks the platform for its generation if it is time to. An agent that makes no
+    /// other call would not learn that its claims were lost.
+    fn probe_generation(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
+        let is_due = self.probe_at.is_some_and(|at| at <= now);
+        if !is_due || self.probe_call.is_some() {
+            return;
+        }
+        for shard in &mut self.shards {
+            shard.recent.expire(now);
+        }
+        self.defer_probe(now);
+        if self.probe_at.is_some() {
+            let id = self.allocate_id();
+            self.probe_call = Some(id);
+            let key = PROBE_KEY.to_owned();
+            let op = PlatformOp::Read { key };
+            out.push(ClaimAction::CallPlatform(PlatformCall { id, op }));
+        }
+    }
+
+    pub(crate) const fn allocate_id(&mut self) -> u64 {
+        let id = self.next_call_id;
+        self.next_call_id += 1;
+        id
+    }
+
+    fn unix_ms(&self, now: Instant) -> u64 {
+        self.options.unix_ms_at_zero.saturating_add(now.as_ms())
     }
 
     fn next_nonce(&mut self) -> u64 {
@@ -227,10 +339,12 @@
 
     pub(crate) fn staging_limits(&self, now: Instant) -> StagingLimits {
         StagingLimits {
-            unix_ms: self.options.unix_ms_at_zero.saturating_add(now.as_ms()),
+            unix_ms: self.unix_ms(now),
             retention_ms: self.retention_ms,
             response_max_bytes: self.response_max_bytes,
-            generation: self.generation,
+            generation: self.generation.latest(),
+            restore_retry_ms: self.generation.restore_retry_ms(now),
+            pool: self.pool.clone(),
         }
     }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -35,4 +35,5 @@
 
 pub use claims::{Claims, ClaimsOptions, END_WAIT_MAX_MS};
 pub use outcome::{ClaimAction, ClaimOutcome, ClaimRequest, StoredResponse};
+pub use restore::ReportedRun;
 pub use shard::{SHARDS, shard_key, shard_of};
--- a/crates/once/src/platform_calls.rs
+++ b/crates/once/src/platform_calls.rs
@@ -3,8 +3,10 @@
 use crate::Claims;
 use crate::outcome::{ClaimAction, ClaimOutcome};
 use crate::pending::{ClaimEnd, GrantedClaim, PendingClaim};
-use crate::restore::is_restored;
-use crate::shard::{CallState, Shard, ShardSnapshot, shard_key};
+use crate::restore::may_lack_claims;
+use crate::shard::{
+    CallState, Shard, ShardSnapshot, WriteInFlight, refuse_may_be_lost, shard_key,
+};
 use base::{
     AttemptId, ErrorCode, Instant, ObjectVersion, PlatformCall, PlatformOp,
     PlatformResult, RequestError,
@@ -26,6 +28,11 @@
         result: PlatformResult,
         out: &mut Vec<ClaimAction>,
     ) {
+        if self.probe_call == Some(call) {
+            self.probe_call = None;
+            self.defer_probe(now);
+            return;
+        }
         let Some(index) = self.shard_by_call.remove(&call) else {
             return;
         };
@@ -35,10 +42,12 @@
             (CallState::Reading, PlatformResult::Object(object)) => {
                 self.on_read(now, index, object, out);
             }
-            (CallState::Writing(content), PlatformResult::Written(version)) => {
+            (CallState::Writing(write), PlatformResult::Written(version))
+                if self.is_current(write.generation)
+                    && self.is_current(version.generation()) =>
+            {
                 self.shards[index].unanswered_write_expects = None;
-                self.shards[index].is_restoring = false;
-                self.apply_content(now, index, Some(version), *content, out);
+                self.apply_content(now, index, Some(version), write.content, out);
             }
             (CallState::Writing(..), PlatformResult::Conflict) => {
                 self.shards[index].snapshot = None;
@@ -50,9 +59,16 @@
             (CallState::Writing(..), _) => self.on_write_unanswered(index),
             (CallState::Idle, _) => {}
         }
+        self.defer_probe(now);
         self.start_next_call(now, index, out);
     }
 
+    /// Whether content of this generation of the platform has not been replaced by a
+    /// restore.
+    const fn is_current(&self, generation: u64) -> bool {
+        generation == self.generation.latest()
+    }
+
     /// Starts the shard's next platform call, unless one is in flight, nothing
     /// is pending or the shard is in backoff.
     pub(crate) fn start_next_call(
@@ -67,7 +83,7 @@
         if !shard.is_idle() || !shard.has_work() || in_backoff {
             return;
         }
-        let staged = shard.stage_next_write(self.options.agent.as_str(), limits);
+        let staged = shard.stage_next_write(self.options.agent.as_str(), &limits);
         for (attempt, outcome) in staged.settled {
             out.push(ClaimAction::Settled { attempt, outcome });
         }
@@ -76,7 +92,9 @@
         } else if let Some(content) = staged.write {
             self.write(index, content, out);
         } else {
-            out.extend(self.shards[index].remove_obsolete_ends());
+            let shard = &mut self.shards[index];
+            shard.end_restoring_if_complete(now, &limits);
+            out.extend(shard.remove_obsolete_ends());
         }
     }
 
@@ -98,13 +116,17 @@
             value: content.encode_to_vec(),
         };
         let id = self.allocate_call_id(index);
-        self.shards[index].call_state = CallState::Writing(Box::new(content));
+        let generation = self.generation.latest();
+        let write = WriteInFlight {
+            content,
+            generation,
+        };
+        self.shards[index].call_state = CallState::Writing(Box::new(write));
         out.push(ClaimAction::CallPlatform(PlatformCall { id, op }));
     }
 
     fn allocate_call_id(&mut self, index: usize) -> u64 {
-        let id = self.next_call_id;
-        self.next_call_id += 1;
+        let id = self.allocate_id();
         self.shard_by_call.insert(id, index);
         id
     }
@@ -120,6 +142,11 @@
             Some((version, value)) => (Some(version), value),
             None => (None, Vec::new()),
         };
+        // A restore has replaced this content.
+        if version.is_some_and(|version| !self.is_current(version.generation())) {
+            self.on_platform_unavailable(now, index, out);
+            return;
+        }
         // A stale read may lack an existing claim. If it were applied, a finish
         // whose write was unanswered would be dropped: the stored response
         // would be lost, and a resend would be told that the outcome is
@@ -154,7 +181,8 @@
         content: ClaimShard,
         out: &mut Vec<ClaimAction>,
     ) {
-        let is_restored = is_restored(&content, self.generation);
+        let limits = self.staging_limits(now);
+        let may_lack_claims = may_lack_claims(&content, &limits);
         let shard = &mut self.shards[index];
         shard.backoff_until = None;
         shard.consecutive_failures = 0;
@@ -163,13 +191,22 @@
             let mut claims = content.claims.iter();
             claims.find(|claim| claim.nonce == nonce)
         };
-        if !is_restored && shard.recent.are_in(&content) {
-            shard.is_restoring = false;
+        if shard.is_restoring {
+            shard.is_restoring = !shard.recent.confirm(now, &content, &limits);
         }
         let pending_claims = std::mem::take(&mut shard.pending_claims);
         for pending_claim in pending_claims {
             let own_claim = claim_of(pending_claim.nonce);
             if let Some(claim) = own_claim.filter(|_| pending_claim.staged) {
+                // It may have been written before a restore, which lost another claim of
+                // the key.
+                if let Some(retry_ms) = may_lack_claims {
+                    let attempt = pending_claim.request.attempt;
+                    let outcome = refuse_may_be_lost(retry_ms);
+                    out.push(ClaimAction::Settled { attempt, outcome });
+                    release_if_staged(shard, &pending_claim);
+                    continue;
+                }
                 shard.recent.remember(now, claim);
                 let attempt = pending_claim.request.attempt;
                 let nonce = pending_claim.nonce;
@@ -195,7 +232,7 @@
             let is_complete = match end {
                 // A claim that is missing was forgotten, or is written again.
                 ClaimEnd::Finish { .. } => {
-                    claim.map_or(!is_restored, |claim| claim.state == done)
+                    claim.map_or(!shard.is_restoring, |claim| claim.state == done)
                 }
                 ClaimEnd::Release { .. } => no_unanswered_write && claim.is_none(),
             };
--- a/crates/once/src/restore.rs
+++ b/crates/once/src/restore.rs
@@ -1,94 +1,309 @@
 //! Claims that a restore of the platform from an older copy may have lost.
 //!
-//! The agent that made a claim remembers it for longer than such a copy is old, and
-//! writes it again. Until all agents have had the time to do so, no new key is claimed
-//! in a shard that may lack claims: the key's request may have run.
+//! A request runs only if the platform has confirmed its claim, but a restore takes back
+//! what the platform confirmed in the seconds before it. Two others still know of a lost
+//! claim: the agent that made it, and the entry that passed the request on. The agent
+//! writes it again, with its response. The entry tells the agents of the pool, in case
+//! that agent ended or doesn't reach the platform.
+//!
+//! Until both have had the time to do so, no agent claims a key that the shard doesn't
+//! show: its request may have run. Each agent measures that time from when it learned of
+//! the restore itself, so it needs no other clock than its own. Once the time has passed,
+//! a shard is marked as complete for the agent's pool when it is next written. Agents
+//! that start later rely on the mark.
 
-use base::Instant;
-use schema::store::{Claim, ClaimShard};
+use base::{Instant, PoolId, RunStatus};
+use prost::Message as _;
+use schema::store::{Claim, ClaimShard, ClaimState, CompleteShard};
 
-use crate::shard::StagingLimits;
+use crate::shard::{SHARD_MAX_BYTES, StagingLimits};
 
 /// Time for which an agent remembers a claim after the platform confirmed its last
 /// change. A platform is restored from a copy that is some seconds old.
 const REMEMBER_MS: u64 = 60_000;
 
-/// Time from the first write after a restore in which agents write their claims again.
-/// They learn of the restore from their next call, within 8 s; the rest covers the
-/// difference between the wall clocks of two instances.
+/// Time from an agent's first sight of a restore in which others write lost claims again.
+/// They learn of the restore within [`PROBE_INTERVAL_MS`] and one call of 3 s; the rest
+/// is for calls that fail and are repeated.
 const RESTORE_MS: u64 = 20_000;
 
-/// The claims of this agent that a restore could lose, in one shard.
+/// Longest such time while a connected entry has not told which requests it passed on.
+const RESTORE_MAX_MS: u64 = 60_000;
+
+/// Bounds of the retry time told to a caller whose key's claim may be lost. Most lost
+/// claims are written again long before the time for it is over.
+const RESTORE_RETRY_MIN_MS: u64 = 1_000;
+const RESTORE_RETRY_MAX_MS: u64 = 5_000;
+
+/// Longest time without a response of the platform after which an agent that remembers
+/// claims asks for its generation.
+pub(crate) const PROBE_INTERVAL_MS: u64 = 2_000;
+
+/// Key of an object that never exists. A read of it is the shortest response that names
+/// the platform's generation.
+pub(crate) const PROBE_KEY: &str = "claims/generation";
+
+/// Latest generation of the platform that this agent knows, and since when.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KnownGeneration {
+    latest: u64,
+    seen_at: Instant,
+    /// A connected entry has not told which requests it passed on before the restore.
+    pub(crate) awaits_entries: bool,
+}
+
+impl KnownGeneration {
+    pub(crate) const fn new() -> Self {
+        Self {
+            latest: 0,
+            seen_at: Instant::ZERO,
+            awaits_entries: false,
+        }
+    }
+
+    pub(crate) const fn latest(&self) -> u64 {
+        self.latest
+    }
+
+    /// Records a generation that the platform named. Returns whether it is a later one.
+    pub(crate) fn observe(&mut self, now: Instant, generation: u64) -> bool {
+        if generation <= self.latest {
+            return false;
+        }
+        self.latest = generation;
+        self.seen_at = now;
+        true
+    }
+
+    /// When the time is over in which others write lost claims again; `None` if no
+    /// restore is known.
+    pub(crate) fn restore_end(&self) -> Option<Instant> {
+        let limit_ms = match self.awaits_entries {
+            true => RESTORE_MAX_MS,
+            false => RESTORE_MS,
+        };
+        (self.latest > 0).then(|| self.seen_at.plus_ms(limit_ms))
+    }
+
+    /// Retry time for a caller whose key's claim may be lost; `None` if claims of other
+    /// agents have been written again.
+    pub(crate) fn restore_retry_ms(&self, now: Instant) -> Option<u64> {
+        let end = self.restore_end().filter(|end| *end > now)?;
+        let remaining_ms = end.ms_since(now);
+        Some(remaining_ms.clamp(RESTORE_RETRY_MIN_MS, RESTORE_RETRY_MAX_MS))
+    }
+}
+
+/// Retry time for a caller whose key this content may lack because of a restore; `None`
+/// if it has all claims that anybody knows.
+pub(crate) fn may_lack_claims(
+    content: &ClaimShard,
+    limits: &StagingLimits,
+) -> Option<u64> {
+    let retry_ms = limits.restore_retry_ms?;
+    let is_complete = content.complete.iter().any(|complete| {
+        complete.pool == limits.pool.as_str()
+            && complete.generation >= limits.generation
+    });
+    (!is_complete).then_some(retry_ms)
+}
+
+/// Marks the content as complete for this agent's pool. The caller has checked that it
+/// is.
+pub(crate) fn mark_complete(content: &mut ClaimShard, limits: &StagingLimits) {
+    if limits.generation == 0 {
+        return;
+    }
+    let (pool, generation) = (limits.pool.as_str(), limits.generation);
+    let mut marks = content.complete.iter_mut();
+    match marks.find(|complete| complete.pool == pool) {
+        Some(complete) => complete.generation = complete.generation.max(generation),
+        None => content.complete.push(CompleteShard {
+            pool: pool.to_owned(),
+            generation,
+        }),
+    }
+}
+
+/// Claims of one shard that a restore could lose, or has lost.
 #[derive(Debug, Default)]
 pub(crate) struct RecentClaims {
-    claims: Vec<(Instant, Claim)>,
+    /// This agent's claims, as the platform last confirmed them, and when.
+    own: Vec<(Instant, Claim)>,
+    /// Claims of other agents that an entry told of, until the shard shows their keys. They
+    /// have no response, so they are written only if their agents have not done so by the
+    /// end of the time for it.
+    reported: Vec<Claim>,
 }
 
 impl RecentClaims {
-    /// Remembers a claim as the platform has confirmed it.
+    /// Remembers a claim of this agent as the platform has confirmed it.
     pub(crate) fn remember(&mut self, now: Instant, claim: &Claim) {
         self.forget(claim.nonce);
-        self.claims
-            .retain(|(at, _)| now.ms_since(*at) < REMEMBER_MS);
-        self.claims.push((now, claim.clone()));
+        self.expire(now);
+        self.own.push((now, claim.clone()));
     }
 
     /// Forgets a claim that was released.
     pub(crate) fn forget(&mut self, nonce: u64) {
-        self.claims.retain(|(_, claim)| claim.nonce != nonce);
+        self.own.retain(|(_, claim)| claim.nonce != nonce);
+    }
+
+    /// Forgets claims that are older than any copy from which a platform is restored.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.own.retain(|(at, _)| now.ms_since(*at) < REMEMBER_MS);
+    }
+
+    /// Adds a claim of another agent that an entry told of, unless this agent knows the
+    /// key by a claim of its own.
+    pub(crate) fn report(&mut self, claim: Claim) {
+        if self.has_own(&claim.caller, &claim.key) {
+            return;
+        }
+        self.reported.retain(|other| !has_same_key(other, &claim));
+        self.reported.push(claim);
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.claims.is_empty()
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.reported.is_empty()
     }
 
-    /// Whether the content has all remembered claims, or others with their keys.
-    pub(crate) fn are_in(&self, content: &ClaimShard) -> bool {
-        self.claims.iter().all(|(_, claim)| has_key(content, claim))
+    pub(crate) const fn has_reported(&self) -> bool {
+        !self.reported.is_empty()
     }
 
-    /// Adds the remembered claims that the content lacks. Returns whether there are any.
-    pub(crate) fn add_to(&self, content: &mut ClaimShard) -> bool {
-        let before = content.claims.len();
-        for (_, claim) in &self.claims {
-            if !has_key(content, claim) {
-                content.claims.push(claim.clone());
+    /// Whether this agent has a claim of its own on this key.
+    pub(crate) fn has_own(&self, caller: &str, key: &str) -> bool {
+        let mut own = self.own.iter();
+        own.any(|(_, claim)| claim.caller == caller && claim.key == key)
+    }
+
+    /// Adds the claims that the content lacks. Returns whether there are any.
+    pub(crate) fn add_to(
+        &self,
+        content: &mut ClaimShard,
+        limits: &StagingLimits,
+    ) -> bool {
+        let mut changed = false;
+        for (claim, is_own) in self.missing_in(content, limits) {
+            if is_own {
+                content.claims.retain(|other| !has_same_key(other, claim));
             }
+            let claim = without_oversized_response(content, claim);
+            content.claims.push(claim);
+            changed = true;
         }
-        content.claims.len() > before
+        changed
+    }
+
+    /// Handles content that the platform has confirmed. Returns whether it has all claims;
+    /// these are then as recent as their confirmation.
+    pub(crate) fn confirm(
+        &mut self,
+        now: Instant,
+        content: &ClaimShard,
+        limits: &StagingLimits,
+    ) -> bool {
+        if !self.missing_in(content, limits).is_empty() {
+            return false;
+        }
+        if limits.restore_retry_ms.is_none() {
+            self.reported.clear();
+        }
+        for (at, _) in &mut self.own {
+            *at = now;
+        }
+        true
+    }
+
+    /// The claims that the content lacks, and whether they are this agent's own.
+    fn missing_in(
+        &self,
+        content: &ClaimShard,
+        limits: &StagingLimits,
+    ) -> Vec<(&Claim, bool)> {
+        let own = self.own.iter().map(|(_, claim)| (claim, true));
+        let reported = self.reported.iter().map(|claim| (claim, false));
+        let reported = reported.filter(|_| limits.restore_retry_ms.is_none());
+        let is_retained = |claim: &Claim| {
+            let end = claim.claimed_unix_ms.saturating_add(limits.retention_ms);
+            end > limits.unix_ms
+        };
+        own.chain(reported)
+            .filter(|(claim, _)| is_retained(claim))
+            .filter(|(claim, is_own)| is_missing(content, claim, *is_own))
+            .collect()
     }
 }
 
-fn has_key(content: &ClaimShard, claim: &Claim) -> bool {
+/// Whether content lacks a claim, or what is known of it. A claim of this agent replaces
+/// another one of its key that has no response: this agent's was granted, so the other
+/// was not.
+fn is_missing(content: &ClaimShard, claim: &Claim, is_own: bool) -> bool {
     let mut claims = content.claims.iter();
-    claims.any(|other| other.caller == claim.caller && other.key == claim.key)
+    let Some(other) = claims.find(|other| has_same_key(other, claim)) else {
+        return true;
+    };
+    let done = i32::from(ClaimState::Done);
+    match other.nonce == claim.nonce {
+        true => claim.state == done && other.state != done,
+        false => is_own && other.status == 0,
+    }
 }
 
-/// Whether the content was restored from a copy and not written since.
-pub(crate) const fn is_restored(content: &ClaimShard, generation: u64) -> bool {
-    content.generation < generation
+fn has_same_key(one: &Claim, other: &Claim) -> bool {
+    one.caller == other.caller && one.key == other.key
 }
 
-/// Marks restored content as seen, which begins the time for agents to write their
-/// claims again. Returns whether it was restored.
-pub(crate) fn mark_restored(content: &mut ClaimShard, limits: StagingLimits) -> bool {
-    let is_restored = is_restored(content, limits.generation);
-    if is_restored {
-        content.generation = limits.generation;
-        content.restored_unix_ms = limits.unix_ms;
+/// The claim with its response if that fits into the shard, else only with its state.
+fn without_oversized_response(content: &ClaimShard, claim: &Claim) -> Claim {
+    if content.encoded_len() + claim.encoded_len() <= SHARD_MAX_BYTES {
+        return claim.clone();
+    }
+    Claim {
+        status: 0,
+        content_type: String::new(),
+        answer: Vec::new(),
+        ..claim.clone()
     }
-    is_restored
 }
 
-/// Returns the time for which the content may still lack claims of other agents.
-pub(crate) fn restore_remaining_ms(
-    content: &ClaimShard,
-    limits: StagingLimits,
-) -> Option<u64> {
-    if content.restored_unix_ms == 0 {
-        return None;
+/// A request with a key that an entry passed to an agent before a restore.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedRun {
+    /// Caller that sent the key.
+    pub caller: String,
+    /// Idempotency key.
+    pub key: String,
+    /// Hash of the request body.
+    pub body_hash: u64,
+    /// Agent to which the request was passed.
+    pub agent: String,
+    /// Whether it ran, as far as the entry knows.
+    pub ran: RunStatus,
+}
+
+impl ReportedRun {
+    /// The claim that the request's agent may have lost, except for its response.
+    pub(crate) fn into_claim(self, nonce: u64, unix_ms: u64) -> Claim {
+        let state = match self.ran {
+            RunStatus::Ran => ClaimState::Done,
+            RunStatus::NotRun | RunStatus::Unknown => ClaimState::Claimed,
+        };
+        Claim {
+            caller: self.caller,
+            key: self.key,
+            body_hash: self.body_hash,
+            nonce,
+            state: state.into(),
+            claimed_unix_ms: unix_ms,
+            agent: self.agent,
+            ..Claim::default()
+        }
     }
-    let end_unix_ms = content.restored_unix_ms.saturating_add(RESTORE_MS);
-    let remaining_ms = end_unix_ms.saturating_sub(limits.unix_ms);
-    (remaining_ms > 0).then_some(remaining_ms)
+}
+
+/// Pool of an agent that has not been given one.
+pub(crate) fn no_pool() -> PoolId {
+    PoolId::new("")
 }
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -2,9 +2,10 @@
 
 use crate::pending::{ClaimEnd, PendingClaim};
 use crate::platform_calls::release_if_staged;
-use crate::restore::{RecentClaims, mark_restored, restore_remaining_ms};
+use crate::restore::{RecentClaims, mark_complete, may_lack_claims};
 use base::{
-    AttemptId, ErrorCode, Instant, ObjectVersion, Precondition, RequestError, RunStatus,
+    AttemptId, ErrorCode, Instant, ObjectVersion, PoolId, Precondition, RequestError,
+    RunStatus,
 };
 use prost::Message as _;
 use schema::store::{Claim, ClaimShard, ClaimState};
@@ -60,8 +61,17 @@
     Idle,
     /// The shard is being read.
     Reading,
-    /// The shard is being written with this content.
-    Writing(Box<ClaimShard>),
+    /// The shard is being written.
+    Writing(Box<WriteInFlight>),
+}
+
+/// A write whose result is not known yet.
+#[derive(Debug)]
+pub(crate) struct WriteInFlight {
+    pub content: ClaimShard,
+    /// Generation of the platform in which the previous content was read. In another one
+    /// the write may replace content that nobody has read.
+    pub generation: u64,
 }
 
 /// Content of a shard as last read or written.
@@ -95,20 +105,32 @@
     /// unavailable.
     pub backoff_until: Option<Instant>,
     pub consecutive_failures: u32,
-    /// Claims of this agent that a restore of the platform could lose.
+    /// Claims that a restore of the platform could lose.
     pub recent: RecentClaims,
-    /// The platform was restored, and the recent claims may be missing.
+    /// Recent claims may be missing in the platform.
     pub is_restoring: bool,
 }
 
 impl Shard {
     /// Handles a restore of the platform from an older copy: the shard is read again.
-    pub(crate) fn on_restore(&mut self) {
+    pub(crate) fn on_restore(&mut self, now: Instant) {
         self.snapshot = None;
         self.highest_version = None;
+        self.recent.expire(now);
         self.is_restoring = !self.recent.is_empty();
     }
 
+    /// Ends the writing of lost claims if the last known content has all of them.
+    pub(crate) fn end_restoring_if_complete(
+        &mut self,
+        now: Instant,
+        limits: &StagingLimits,
+    ) {
+        if let Some(snapshot) = self.snapshot.as_ref().filter(|_| self.is_restoring) {
+            self.is_restoring = !self.recent.confirm(now, &snapshot.content, limits);
+        }
+    }
+
     /// Drops the ends of claims that are no longer in the shard, for example
     /// because another agent pruned them. Returns the actions for the attempts
     /// that wait for one.
@@ -131,7 +153,7 @@
 }
 
 /// Inputs that limit what the next write may contain.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct StagingLimits {
     /// Current wall-clock time, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
@@ -141,6 +163,11 @@
     pub response_max_bytes: usize,
     /// Latest known generation of the platform.
     pub generation: u64,
+    /// Retry time for a caller whose key's claim may be lost; `None` if claims of other
+    /// agents have been written again.
+    pub restore_retry_ms: Option<u64>,
+    /// Pool of this agent.
+    pub pool: PoolId,
 }
 
 /// Result of staging.
@@ -185,7 +212,7 @@
     pub(crate) fn stage_next_write(
         &mut self,
         agent: &str,
-        limits: StagingLimits,
+        limits: &StagingLimits,
     ) -> StagingResult {
         let mut staged = StagingResult::default();
         let Some(snapshot) = &self.snapshot else {
@@ -194,9 +221,10 @@
         };
         let mut content = snapshot.content.clone();
         let mut changed = self.unanswered_write_expects.is_some();
-        changed |= mark_restored(&mut content, limits);
-        if self.is_restoring {
-            changed |= self.recent.add_to(&mut content);
+        let has_due_reports =
+            limits.restore_retry_ms.is_none() && self.recent.has_reported();
+        if self.is_restoring || has_due_reports || self.lost_a_requested_claim() {
+            changed |= self.recent.add_to(&mut content, limits);
         }
         changed |= stage_ends(&mut content, &self.pending_ends);
         // Prune first, so that a full shard accepts new claims again.
@@ -221,10 +249,10 @@
                     self.pending_claims.push(pending_claim);
                 }
                 ClaimDecision::AfterWrite => self.pending_claims.push(pending_claim),
-                ClaimDecision::MayBeLost(outcome) => {
+                ClaimDecision::MayBeLost(retry_ms) => {
                     release_if_staged(self, &pending_claim);
                     let attempt = pending_claim.request.attempt;
-                    staged.settled.push((attempt, outcome));
+                    staged.settled.push((attempt, refuse_may_be_lost(retry_ms)));
                 }
                 ClaimDecision::Settled(outcome) => {
                     staged
@@ -239,11 +267,22 @@
         for position in &claimed {
             self.pending_claims[*position].staged = true;
         }
+        if !claimed.is_empty() {
+            mark_complete(&mut content, limits);
+        }
         if changed || !claimed.is_empty() {
             staged.write = Some(content);
         }
         staged
     }
+
+    /// Whether the shard lacks a claim of this agent whose key is requested again.
+    fn lost_a_requested_claim(&self) -> bool {
+        self.pending_claims.iter().any(|pending_claim| {
+            let request = &pending_claim.request;
+            self.recent.has_own(request.caller.as_str(), &request.key)
+        })
+    }
 }
 
 /// Decision on a request for a claim.
@@ -256,9 +295,9 @@
     AfterWrite,
     /// The request is decided without a write.
     Settled(ClaimOutcome),
-    /// The request is refused, since a claim of its key may have been lost in a restore
-    /// of the platform.
-    MayBeLost(ClaimOutcome),
+    /// A claim of the key may have been lost in a restore of the platform. The caller is
+    /// told this retry time in milliseconds.
+    MayBeLost(u64),
 }
 
 fn stage_claim(
@@ -266,7 +305,7 @@
     existing_count: usize,
     pending_claim: &PendingClaim,
     agent: &str,
-    limits: StagingLimits,
+    limits: &StagingLimits,
 ) -> ClaimDecision {
     let request = &pending_claim.request;
     let existing = content.claims.iter().position(|claim| {
@@ -287,14 +326,12 @@
         }
         None => {}
     }
-    if let Some(remaining_ms) = restore_remaining_ms(content, limits) {
+    if let Some(retry_ms) = may_lack_claims(content, limits) {
         // Its agent may have written it again since.
         if !pending_claim.read_since_request {
             return ClaimDecision::ReadFirst;
         }
-        let refusal = RequestError::not_run(ErrorCode::PlatformAway);
-        let refusal = refusal.retry_after_ms(remaining_ms);
-        return ClaimDecision::MayBeLost(ClaimOutcome::Refused(refusal));
+        return ClaimDecision::MayBeLost(retry_ms);
     }
     let claim = Claim {
         caller: request.caller.as_str().to_owned(),
@@ -315,23 +352,33 @@
     ClaimDecision::Claimed
 }
 
+/// Refuses a request whose key may have been claimed before a restore of the platform.
+pub(crate) const fn refuse_may_be_lost(retry_ms: u64) -> ClaimOutcome {
+    let refusal = RequestError::not_run(ErrorCode::PlatformAway);
+    ClaimOutcome::Refused(refusal.retry_after_ms(retry_ms))
+}
+
 /// Decides on a request whose key is already claimed.
 fn decide_existing_claim(
     claim: &Claim,
     pending_claim: &PendingClaim,
-    limits: StagingLimits,
+    limits: &StagingLimits,
 ) -> ClaimDecision {
     let differs_in_body = claim.body_hash != pending_claim.request.body_hash;
     let done = claim.state == i32::from(ClaimState::Done);
-    if done && !differs_in_body {
+    let has_response = claim.status != 0;
+    if done && has_response && !differs_in_body {
         return ClaimDecision::Settled(stored_outcome(claim));
     }
-    // The claim in an older snapshot may have been released or finished since.
+    // The claim in an older snapshot may have been released or finished since, or been
+    // given its response.
     if !pending_claim.read_since_request {
         return ClaimDecision::ReadFirst;
     }
     let refusal = if differs_in_body {
         RequestError::not_run(ErrorCode::KeyReused)
+    } else if done {
+        return ClaimDecision::Settled(stored_outcome(claim));
     } else if is_abandoned(claim, pending_claim, limits) {
         RequestError {
             code: ErrorCode::OutcomeUnknown,
@@ -351,7 +398,7 @@
 fn is_abandoned(
     claim: &Claim,
     pending_claim: &PendingClaim,
-    limits: StagingLimits,
+    limits: &StagingLimits,
 ) -> bool {
     let claim_timeout_ms =
         u64::from(pending_claim.request.timeout_ms) + ABANDONED_MARGIN_MS;
@@ -376,7 +423,7 @@
 }
 
 /// Size of the shard after all running requests have stored their responses.
-fn planned_bytes(content: &ClaimShard, added: &Claim, limits: StagingLimits) -> usize {
+fn planned_bytes(content: &ClaimShard, added: &Claim, limits: &StagingLimits) -> usize {
     let running = content
         .claims
         .iter()
@@ -433,7 +480,7 @@
 /// Drops claims past their retention, except those that are being requested now.
 fn prune(
     content: &mut ClaimShard,
-    limits: StagingLimits,
+    limits: &StagingLimits,
     pending_claims: &[PendingClaim],
 ) {
     let keep = |claim: &Claim| {
--- a/crates/once/tests/claims/main.rs
+++ b/crates/once/tests/claims/main.rs
@@ -2,6 +2,7 @@
 //! responses, and serves a second agent at the same time.
 
 mod agents;
+mod restores;
 mod shards;
 mod test_doubles;
 mod writes;
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -4,7 +4,7 @@
 use base::{ObjectVersion, PlatformCall, PlatformOp, PlatformResult, Precondition};
 use once::{
     ClaimAction, ClaimOutcome, ClaimRequest, Claims, ClaimsOptions, END_WAIT_MAX_MS,
-    StoredResponse,
+    ReportedRun, StoredResponse,
 };
 use prost::Message as _;
 use schema::store::ClaimShard;
@@ -144,11 +144,16 @@
 
 impl Agent {
     pub fn new(name: &str) -> Self {
+        Self::with_clock(name, 1_000_000)
+    }
+
+    /// An agent whose wall clock shows this time at the origin of `Instant`.
+    pub fn with_clock(name: &str, unix_ms_at_zero: u64) -> Self {
         let claims = Claims::new(ClaimsOptions {
             agent: AgentId::new(name),
             incarnation: Incarnation(5),
             first_call_id: 100,
-            unix_ms_at_zero: 1_000_000,
+            unix_ms_at_zero,
         });
         Self {
             claims,
@@ -225,14 +230,24 @@
         }
         let call = self.calls.remove(0);
         let result = platform.answer(&call);
+        self.deliver(ms, call.id, result, platform);
+        true
+    }
+
+    /// Delivers the result of a call that the platform handled before.
+    pub fn deliver(
+        &mut self,
+        ms: u64,
+        call: u64,
+        result: PlatformResult,
+        platform: &Platform,
+    ) {
         let mut out = Vec::new();
         let now = Instant::from_ms(ms);
         let generation = platform.generation();
         self.claims.observe_generation(now, generation, &mut out);
-        self.claims
-            .platform_answered(now, call.id, result, &mut out);
+        self.claims.platform_answered(now, call, result, &mut out);
         self.collect(out);
-        true
     }
 
     /// Hears the platform's generation with an answer to another call.
@@ -244,6 +259,14 @@
         self.collect(out);
     }
 
+    /// Hears from an entry that it passed a request to an agent.
+    pub fn report(&mut self, ms: u64, run: ReportedRun) {
+        let mut out = Vec::new();
+        let now = Instant::from_ms(ms);
+        self.claims.add_reported_runs(now, [run], &mut out);
+        self.collect(out);
+    }
+
     pub fn answer_all(&mut self, ms: u64, platform: &mut Platform) {
         for _ in 0..100 {
             if !self.answer_one(ms, platform) {
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -10,6 +10,7 @@
 mod outage;
 mod path;
 mod publish;
+mod restored;
 mod rig;
 mod stop;
 
@@ -27,6 +28,9 @@
         trial("resend_right_after_the_answer", async |fixture| {
             path::resend_right_after_the_answer(fixture).await
         }),
+        trial("orders_run_once_across_a_restore", async |fixture| {
+            restored::orders_run_once_across_a_restore(fixture).await
+        }),
         trial("publish", async |fixture| {
             publish::change_is_in_force_everywhere(fixture).await?;
             publish::invalid_file_changes_nothing(fixture).await?;
