Claims: a key that a restore may have lost isn't told not to have run

Callers saw: 4001 with "ran": "not_run" for an order that had run, when they sent it again after a restore of the platform. docs/http.md reads not_run as "was not run and never will be", so a caller may give the order up, or send it with another key.

Cause: the refusal spoke of this attempt alone. Refusals of a key that is claimed (2008, 3005) speak of the key: unknown.

Change: unknown here too, with the retry time as before. The caller sends the order again with its key.

The check of agents::an_agent_writes_its_claims_again_after_a_restore named NotRun for an order that it had run 4 s before, so it was wrong; it names Unknown now, and is as strict. The other tests that name not_run have orders that didn't run, in an outage.

Evidence: once: 28 passed; with the previous source that test and five of once::restores fail on NotRun.

--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -353,9 +353,13 @@
 }
 
 /// Refuses a request whose key may have been claimed before a restore of the platform.
+/// This attempt is not run, but an earlier one with the same key may have been.
 pub(crate) const fn refuse_may_be_lost(retry_ms: u64) -> ClaimOutcome {
-    let refusal = RequestError::not_run(ErrorCode::PlatformAway);
-    ClaimOutcome::Refused(refusal.retry_after_ms(retry_ms))
+    ClaimOutcome::Refused(RequestError {
+        code: ErrorCode::PlatformAway,
+        ran: RunStatus::Unknown,
+        retry_after_ms: Some(retry_ms),
+    })
 }
 
 /// Decides on a request whose key is already claimed.
