Claims: entries know which keyed requests they passed on

Callers saw: a keyed order that ran twice after a restore of the platform, when the agent that ran it had ended, was frozen or didn't reach the platform for over 20 s.

Cause: nobody but that agent knew of the lost claim. The others took its silence for a key that is free.

Change: an entry logs the keyed requests that it passed to agents and that ran or may have, for a minute, and sends a copy to another entry, in another failure domain if there is one. A heartbeat says that its agent waits for lost claims; each entry then tells what it has of the agent's pool. What the shard still lacks at the end of the wait is written as a claim without a response, which that of a living agent replaces. While a connected entry hasn't told, the wait is 60 s at most. Requests that were refused, or that the upstream refused, are not told.

Entries also say for how long they have known the generation, so an agent that starts long after a restore waits for nothing.

--- a/crates/cap/src/measure/messages.rs
+++ b/crates/cap/src/measure/messages.rs
@@ -129,6 +129,7 @@
         target_sequence: 90_000,
         link_address: "10.120.130.140:20001".to_owned(),
         operator_address: "10.120.130.140:20002".to_owned(),
+        restored_generation: 0,
     }
 }
 
--- a/crates/live/src/entries.rs
+++ b/crates/live/src/entries.rs
@@ -102,6 +102,11 @@
             .retain(|_, entry| now.ms_since(entry.last_heard_at) < forget_ms);
     }
 
+    /// What is known of an entry.
+    pub fn get(&self, id: &EntryId) -> Option<&EntryInfo> {
+        self.entries.get(id)
+    }
+
     /// All entries, ordered by name.
     pub fn all(&self) -> impl Iterator<Item = &EntryInfo> {
         self.entries.values()
--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -5,13 +5,9 @@
 use crate::platform_calls::{
     BACKOFF_MAX_MS, BACKOFF_MIN_MS, refuse_platform_unavailable, release_if_staged,
 };
-use crate::restore::{
-    KnownGeneration, PROBE_INTERVAL_MS, PROBE_KEY, ReportedRun, no_pool,
-};
+use crate::restore::{KnownGeneration, PROBE_INTERVAL_MS, PROBE_KEY, ReportedRun};
 use crate::shard::{SHARDS, Shard, StagingLimits, shard_of};
-use base::{
-    AgentId, AttemptId, Incarnation, Instant, PlatformCall, PlatformOp, PoolId,
-};
+use base::{AgentId, AttemptId, Incarnation, Instant, PlatformCall, PlatformOp};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -47,7 +43,6 @@
     pub(crate) shard_by_call: BTreeMap<u64, usize>,
     pub(crate) next_call_id: u64,
     nonce_count: u64,
-    pool: PoolId,
     pub(crate) generation: KnownGeneration,
     /// When the platform is asked for its generation, unless it responds before; `None`
     /// if this agent has no claim that a restore could lose.
@@ -68,20 +63,12 @@
             granted: BTreeMap::new(),
             shard_by_call: BTreeMap::new(),
             nonce_count: 0,
-            pool: no_pool(),
             generation: KnownGeneration::new(),
             probe_at: None,
             probe_call: None,
         }
     }
 
-    /// Sets the agent's pool. Entries tell an agent of lost claims of its own pool only.
-    #[must_use]
-    pub fn with_pool(mut self, pool: &PoolId) -> Self {
-        self.pool = pool.clone();
-        self
-    }
-
     /// Sets how long claims are kept and the largest response that is stored.
     pub fn configure(&mut self, retention_ms: u32, response_max_bytes: u32) {
         self.retention_ms = u64::from(retention_ms);
@@ -118,6 +105,12 @@
         Some(self.generation.latest())
     }
 
+    /// Records for how long an entry has known the latest generation. An agent that starts
+    /// long after a restore waits for no claims.
+    pub fn observe_known_for(&mut self, now: Instant, known_ms: u64) {
+        self.generation.observe_known_for(now, known_ms);
+    }
+
     /// Sets whether a connected entry has not told yet which requests it passed on before
     /// the latest restore.
     pub const fn set_awaits_entries(&mut self, awaits_entries: bool) {
@@ -342,9 +335,7 @@
             unix_ms: self.unix_ms(now),
             retention_ms: self.retention_ms,
             response_max_bytes: self.response_max_bytes,
-            generation: self.generation.latest(),
             restore_retry_ms: self.generation.restore_retry_ms(now),
-            pool: self.pool.clone(),
         }
     }
 
--- a/crates/once/src/platform_calls.rs
+++ b/crates/once/src/platform_calls.rs
@@ -3,7 +3,6 @@
 use crate::Claims;
 use crate::outcome::{ClaimAction, ClaimOutcome};
 use crate::pending::{ClaimEnd, GrantedClaim, PendingClaim};
-use crate::restore::may_lack_claims;
 use crate::shard::{
     CallState, Shard, ShardSnapshot, WriteInFlight, refuse_may_be_lost, shard_key,
 };
@@ -83,7 +82,7 @@
         if !shard.is_idle() || !shard.has_work() || in_backoff {
             return;
         }
-        let staged = shard.stage_next_write(self.options.agent.as_str(), &limits);
+        let staged = shard.stage_next_write(self.options.agent.as_str(), limits);
         for (attempt, outcome) in staged.settled {
             out.push(ClaimAction::Settled { attempt, outcome });
         }
@@ -93,7 +92,7 @@
             self.write(index, content, out);
         } else {
             let shard = &mut self.shards[index];
-            shard.end_restoring_if_complete(now, &limits);
+            shard.end_restoring_if_complete(now, limits);
             out.extend(shard.remove_obsolete_ends());
         }
     }
@@ -182,7 +181,6 @@
         out: &mut Vec<ClaimAction>,
     ) {
         let limits = self.staging_limits(now);
-        let may_lack_claims = may_lack_claims(&content, &limits);
         let shard = &mut self.shards[index];
         shard.backoff_until = None;
         shard.consecutive_failures = 0;
@@ -192,7 +190,7 @@
             claims.find(|claim| claim.nonce == nonce)
         };
         if shard.is_restoring {
-            shard.is_restoring = !shard.recent.confirm(now, &content, &limits);
+            shard.is_restoring = !shard.recent.confirm(now, &content, limits);
         }
         let pending_claims = std::mem::take(&mut shard.pending_claims);
         for pending_claim in pending_claims {
@@ -200,7 +198,7 @@
             if let Some(claim) = own_claim.filter(|_| pending_claim.staged) {
                 // It may have been written before a restore, which lost another claim of
                 // the key.
-                if let Some(retry_ms) = may_lack_claims {
+                if let Some(retry_ms) = limits.restore_retry_ms {
                     let attempt = pending_claim.request.attempt;
                     let outcome = refuse_may_be_lost(retry_ms);
                     out.push(ClaimAction::Settled { attempt, outcome });
--- a/crates/once/src/restore.rs
+++ b/crates/once/src/restore.rs
@@ -7,14 +7,12 @@
 //! that agent ended or doesn't reach the platform.
 //!
 //! Until both have had the time to do so, no agent claims a key that the shard doesn't
-//! show: its request may have run. Each agent measures that time from when it learned of
-//! the restore itself, so it needs no other clock than its own. Once the time has passed,
-//! a shard is marked as complete for the agent's pool when it is next written. Agents
-//! that start later rely on the mark.
+//! show: its request may have run. Each agent measures that time by its own clock, from
+//! when it learned of the restore or from when an entry says that it knew of it.
 
-use base::{Instant, PoolId, RunStatus};
+use base::{Instant, RunStatus};
 use prost::Message as _;
-use schema::store::{Claim, ClaimShard, ClaimState, CompleteShard};
+use schema::store::{Claim, ClaimShard, ClaimState};
 
 use crate::shard::{SHARD_MAX_BYTES, StagingLimits};
 
@@ -22,7 +20,7 @@
 /// change. A platform is restored from a copy that is some seconds old.
 const REMEMBER_MS: u64 = 60_000;
 
-/// Time from an agent's first sight of a restore in which others write lost claims again.
+/// Time from when a restore is known in which others write lost claims again.
 /// They learn of the restore within [`PROBE_INTERVAL_MS`] and one call of 3 s; the rest
 /// is for calls that fail and are repeated.
 const RESTORE_MS: u64 = 20_000;
@@ -48,6 +46,8 @@
 pub(crate) struct KnownGeneration {
     latest: u64,
     seen_at: Instant,
+    /// Time for which an entry had known it by then.
+    known_before_ms: u64,
     /// A connected entry has not told which requests it passed on before the restore.
     pub(crate) awaits_entries: bool,
 }
@@ -57,6 +57,7 @@
         Self {
             latest: 0,
             seen_at: Instant::ZERO,
+            known_before_ms: 0,
             awaits_entries: false,
         }
     }
@@ -72,9 +73,16 @@
         }
         self.latest = generation;
         self.seen_at = now;
+        self.known_before_ms = 0;
         true
     }
 
+    /// Records that an entry has known the latest generation for some time.
+    pub(crate) fn observe_known_for(&mut self, now: Instant, known_ms: u64) {
+        let known_before_ms = known_ms.saturating_sub(now.ms_since(self.seen_at));
+        self.known_before_ms = self.known_before_ms.max(known_before_ms);
+    }
+
     /// When the time is over in which others write lost claims again; `None` if no
     /// restore is known.
     pub(crate) fn restore_end(&self) -> Option<Instant> {
@@ -82,7 +90,8 @@
             true => RESTORE_MAX_MS,
             false => RESTORE_MS,
         };
-        (self.latest > 0).then(|| self.seen_at.plus_ms(limit_ms))
+        let remaining_ms = limit_ms.saturating_sub(self.known_before_ms);
+        (self.latest > 0).then(|| self.seen_at.plus_ms(remaining_ms))
     }
 
     /// Retry time for a caller whose key's claim may be lost; `None` if claims of other
@@ -94,37 +103,6 @@
     }
 }
 
-/// Retry time for a caller whose key this content may lack because of a restore; `None`
-/// if it has all claims that anybody knows.
-pub(crate) fn may_lack_claims(
-    content: &ClaimShard,
-    limits: &StagingLimits,
-) -> Option<u64> {
-    let retry_ms = limits.restore_retry_ms?;
-    let is_complete = content.complete.iter().any(|complete| {
-        complete.pool == limits.pool.as_str()
-            && complete.generation >= limits.generation
-    });
-    (!is_complete).then_some(retry_ms)
-}
-
-/// Marks the content as complete for this agent's pool. The caller has checked that it
-/// is.
-pub(crate) fn mark_complete(content: &mut ClaimShard, limits: &StagingLimits) {
-    if limits.generation == 0 {
-        return;
-    }
-    let (pool, generation) = (limits.pool.as_str(), limits.generation);
-    let mut marks = content.complete.iter_mut();
-    match marks.find(|complete| complete.pool == pool) {
-        Some(complete) => complete.generation = complete.generation.max(generation),
-        None => content.complete.push(CompleteShard {
-            pool: pool.to_owned(),
-            generation,
-        }),
-    }
-}
-
 /// Claims of one shard that a restore could lose, or has lost.
 #[derive(Debug, Default)]
 pub(crate) struct RecentClaims {
@@ -182,7 +160,7 @@
     pub(crate) fn add_to(
         &self,
         content: &mut ClaimShard,
-        limits: &StagingLimits,
+        limits: StagingLimits,
     ) -> bool {
         let mut changed = false;
         for (claim, is_own) in self.missing_in(content, limits) {
@@ -202,7 +180,7 @@
         &mut self,
         now: Instant,
         content: &ClaimShard,
-        limits: &StagingLimits,
+        limits: StagingLimits,
     ) -> bool {
         if !self.missing_in(content, limits).is_empty() {
             return false;
@@ -220,7 +198,7 @@
     fn missing_in(
         &self,
         content: &ClaimShard,
-        limits: &StagingLimits,
+        limits: StagingLimits,
     ) -> Vec<(&Claim, bool)> {
         let own = self.own.iter().map(|(_, claim)| (claim, true));
         let reported = self.reported.iter().map(|claim| (claim, false));
@@ -302,8 +280,3 @@
         }
     }
 }
-
-/// Pool of an agent that has not been given one.
-pub(crate) fn no_pool() -> PoolId {
-    PoolId::new("")
-}
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -2,10 +2,9 @@
 
 use crate::pending::{ClaimEnd, PendingClaim};
 use crate::platform_calls::release_if_staged;
-use crate::restore::{RecentClaims, mark_complete, may_lack_claims};
+use crate::restore::RecentClaims;
 use base::{
-    AttemptId, ErrorCode, Instant, ObjectVersion, PoolId, Precondition, RequestError,
-    RunStatus,
+    AttemptId, ErrorCode, Instant, ObjectVersion, Precondition, RequestError, RunStatus,
 };
 use prost::Message as _;
 use schema::store::{Claim, ClaimShard, ClaimState};
@@ -124,7 +123,7 @@
     pub(crate) fn end_restoring_if_complete(
         &mut self,
         now: Instant,
-        limits: &StagingLimits,
+        limits: StagingLimits,
     ) {
         if let Some(snapshot) = self.snapshot.as_ref().filter(|_| self.is_restoring) {
             self.is_restoring = !self.recent.confirm(now, &snapshot.content, limits);
@@ -153,7 +152,7 @@
 }
 
 /// Inputs that limit what the next write may contain.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct StagingLimits {
     /// Current wall-clock time, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
@@ -161,13 +160,9 @@
     pub retention_ms: u64,
     /// Largest response that is stored.
     pub response_max_bytes: usize,
-    /// Latest known generation of the platform.
-    pub generation: u64,
     /// Retry time for a caller whose key's claim may be lost; `None` if claims of other
     /// agents have been written again.
     pub restore_retry_ms: Option<u64>,
-    /// Pool of this agent.
-    pub pool: PoolId,
 }
 
 /// Result of staging.
@@ -212,7 +207,7 @@
     pub(crate) fn stage_next_write(
         &mut self,
         agent: &str,
-        limits: &StagingLimits,
+        limits: StagingLimits,
     ) -> StagingResult {
         let mut staged = StagingResult::default();
         let Some(snapshot) = &self.snapshot else {
@@ -267,9 +262,6 @@
         for position in &claimed {
             self.pending_claims[*position].staged = true;
         }
-        if !claimed.is_empty() {
-            mark_complete(&mut content, limits);
-        }
         if changed || !claimed.is_empty() {
             staged.write = Some(content);
         }
@@ -305,7 +297,7 @@
     existing_count: usize,
     pending_claim: &PendingClaim,
     agent: &str,
-    limits: &StagingLimits,
+    limits: StagingLimits,
 ) -> ClaimDecision {
     let request = &pending_claim.request;
     let existing = content.claims.iter().position(|claim| {
@@ -326,7 +318,7 @@
         }
         None => {}
     }
-    if let Some(retry_ms) = may_lack_claims(content, limits) {
+    if let Some(retry_ms) = limits.restore_retry_ms {
         // Its agent may have written it again since.
         if !pending_claim.read_since_request {
             return ClaimDecision::ReadFirst;
@@ -366,7 +358,7 @@
 fn decide_existing_claim(
     claim: &Claim,
     pending_claim: &PendingClaim,
-    limits: &StagingLimits,
+    limits: StagingLimits,
 ) -> ClaimDecision {
     let differs_in_body = claim.body_hash != pending_claim.request.body_hash;
     let done = claim.state == i32::from(ClaimState::Done);
@@ -402,7 +394,7 @@
 fn is_abandoned(
     claim: &Claim,
     pending_claim: &PendingClaim,
-    limits: &StagingLimits,
+    limits: StagingLimits,
 ) -> bool {
     let claim_timeout_ms =
         u64::from(pending_claim.request.timeout_ms) + ABANDONED_MARGIN_MS;
@@ -427,7 +419,7 @@
 }
 
 /// Size of the shard after all running requests have stored their responses.
-fn planned_bytes(content: &ClaimShard, added: &Claim, limits: &StagingLimits) -> usize {
+fn planned_bytes(content: &ClaimShard, added: &Claim, limits: StagingLimits) -> usize {
     let running = content
         .claims
         .iter()
@@ -484,7 +476,7 @@
 /// Drops claims past their retention, except those that are being requested now.
 fn prune(
     content: &mut ClaimShard,
-    limits: &StagingLimits,
+    limits: StagingLimits,
     pending_claims: &[PendingClaim],
 ) {
     let keep = |claim: &Claim| {
--- a/crates/role/src/agent/attempt_lifecycle.rs
+++ b/crates/role/src/agent/attempt_lifecycle.rs
@@ -207,6 +207,7 @@
         out: &mut Vec<AgentAction>,
     ) {
         self.connected_entries.remove(entry);
+        self.update_awaited_entries();
         let is_from_entry = |attempt: &Attempt| attempt.entry.as_ref() == Some(entry);
         for id in self.attempts.ids_matching(is_from_entry) {
             self.detach(now, id, out);
--- a/crates/role/src/agent/claims.rs
+++ b/crates/role/src/agent/claims.rs
@@ -14,7 +14,7 @@
 impl AgentRole {
     /// Calls the claims' state machine (crate `once`) and carries out the
     /// actions that it returns.
-    fn with_claims(
+    pub(super) fn with_claims(
         &mut self,
         now: Instant,
         out: &mut Vec<AgentAction>,
@@ -88,18 +88,6 @@
         });
     }
 
-    /// Writes claims again that a restore of the platform may have lost.
-    pub(super) fn on_platform_generation(
-        &mut self,
-        now: Instant,
-        generation: u64,
-        out: &mut Vec<AgentAction>,
-    ) {
-        self.with_claims(now, out, |claims, actions| {
-            claims.observe_generation(now, generation, actions);
-        });
-    }
-
     pub(super) fn tick_claims(&mut self, now: Instant, out: &mut Vec<AgentAction>) {
         if self.claims.next_deadline().is_some_and(|due| due <= now) {
             self.with_claims(now, out, |claims, actions| claims.tick(now, actions));
--- a/crates/role/src/agent/heartbeat.rs
+++ b/crates/role/src/agent/heartbeat.rs
@@ -22,6 +22,8 @@
     epoch: u64,
     /// An exclusive run occupies the upstream or waits for it.
     exclusive: bool,
+    /// Generation of the platform whose lost claims the agent waits for.
+    restored_generation: Option<u64>,
 }
 
 /// Schedule of the heartbeats and the state that the last one carried.
@@ -61,7 +63,7 @@
         now: Instant,
         out: &mut Vec<AgentAction>,
     ) {
-        let advertised = self.state_to_advertise();
+        let advertised = self.state_to_advertise(now);
         let changed = advertised != self.heartbeat_state.advertised;
         if !changed && now < self.heartbeat_state.next_at {
             return;
@@ -123,11 +125,12 @@
             link_address: self.options.link_address.clone(),
             operator_address: self.options.operator_address.clone(),
             residents,
+            restored_generation: self.claims.restored_generation(now).unwrap_or(0),
         }
     }
 
     fn build_residents(&mut self, now: Instant) -> Vec<Resident> {
-        let advertised = self.state_to_advertise().residents;
+        let advertised = self.residents_to_advertise();
         let state_since = &mut self.heartbeat_state.state_since;
         state_since.retain(|placement, _| advertised.contains_key(placement));
         let residents = advertised
@@ -150,13 +153,14 @@
         residents.collect()
     }
 
-    fn state_to_advertise(&self) -> AdvertisedState {
+    fn state_to_advertise(&self, now: Instant) -> AdvertisedState {
         AdvertisedState {
             residents: self.residents_to_advertise(),
             upstream_up: self.upstream.is_up(),
             leaving: self.drain.is_some(),
             epoch: self.record.epoch().0,
             exclusive: self.attempts.any_exclusive(),
+            restored_generation: self.claims.restored_generation(now),
         }
     }
 
--- a/crates/role/src/agent/mod.rs
+++ b/crates/role/src/agent/mod.rs
@@ -38,6 +38,7 @@
 mod platform_client;
 mod probe;
 mod registration;
+mod restored_claims;
 mod role;
 mod status;
 mod targets;
--- a/crates/role/src/agent/role.rs
+++ b/crates/role/src/agent/role.rs
@@ -11,6 +11,7 @@
 use super::platform_client::PlatformClient;
 use super::probe::PredecessorProbe;
 use super::registration::{self, Registration};
+use super::restored_claims::EntryReports;
 use super::targets::Targets;
 use super::timeline;
 use super::upstream::Upstream;
@@ -53,6 +54,7 @@
     pub(super) predecessor_probe: PredecessorProbe,
     pub(super) ledger: Ledger,
     pub(super) claims: Claims,
+    pub(super) entry_reports: EntryReports,
     pub(super) attempts: Attempts,
     /// Ends of responses that wait for the write that stores them.
     pub(super) delayed_ends: BTreeMap<AttemptId, (EntryId, End)>,
@@ -103,6 +105,7 @@
                 first_call_id: FIRST_CLAIM_CALL_ID,
                 unix_ms_at_zero: options.unix_ms_at_zero,
             }),
+            entry_reports: EntryReports::default(),
             attempts: Attempts::default(),
             delayed_ends: BTreeMap::new(),
             revoked: AttemptHistory::default(),
@@ -296,6 +299,7 @@
         out: &mut Vec<AgentAction>,
     ) {
         self.connected_entries.insert(entry.clone());
+        self.update_awaited_entries();
         if !self.record.is_fenced() {
             let heartbeat = self.build_heartbeat(now);
             let body = frame::Body::Heartbeat(heartbeat);
@@ -333,6 +337,9 @@
             frame::Body::ConfigChanges(changes) => {
                 self.on_config_changes(&changes, out);
             }
+            frame::Body::KeyedRuns(runs) => {
+                self.on_keyed_runs(now, entry, runs, out);
+            }
             frame::Body::Hello(_) | frame::Body::Goodbye(_) => {}
             _ => self.counters.frames_dropped += 1,
         }
--- a/crates/role/src/entry/control/frames.rs
+++ b/crates/role/src/entry/control/frames.rs
@@ -25,6 +25,7 @@
             (frame::Body::Heartbeat(heartbeat), Peer::Agent(id))
                 if heartbeat.agent == id.as_str() =>
             {
+                self.tell_keyed_runs(now, &heartbeat, shared, out);
                 self.heartbeat_received(
                     now,
                     heartbeat,
@@ -38,6 +39,9 @@
             {
                 self.receive_gossip(now, gossip, shared, out, effects);
             }
+            (frame::Body::KeyedRuns(runs), Peer::Entry(_)) => {
+                Self::keyed_runs_received(now, runs, shared);
+            }
             (frame::Body::ConfigAsk(ask), _) => self.send_config(peer, ask, out),
             (frame::Body::ConfigChanges(changes), _) => {
                 self.config_requested_at = None;
--- /dev/null
+++ b/crates/role/src/entry/control/keyed_runs.rs
@@ -0,0 +1,89 @@
+//! Tells agents that wait for lost claims which requests this entry knows of.
+
+use base::prelude::*;
+use live::rendezvous_rank;
+use schema::link::{Heartbeat, KeyedRuns, frame};
+
+use super::super::EntryAction;
+use super::super::shared::Shared;
+use super::Control;
+use crate::Peer;
+
+/// What an agent has been told.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ToldRuns {
+    incarnation: u64,
+    generation: u64,
+    /// Sequence number in the log of the last request.
+    last_sequence: u64,
+}
+
+impl Control {
+    /// Tells an agent, if its heartbeat says that it waits for lost claims, of the
+    /// requests that it has not been told of. The first response may have none, but tells
+    /// the agent that there are none.
+    pub(super) fn tell_keyed_runs(
+        &mut self,
+        now: Instant,
+        heartbeat: &Heartbeat,
+        shared: &Shared,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let agent = AgentId::new(&heartbeat.agent);
+        let generation = heartbeat.restored_generation;
+        if generation == 0 {
+            self.told_runs.remove(&agent);
+            return;
+        }
+        let incarnation = heartbeat.incarnation;
+        let told = self.told_runs.get(&agent).filter(|told| {
+            told.incarnation == incarnation && told.generation == generation
+        });
+        let sequence = told.map_or(0, |told| told.last_sequence);
+        let is_first = told.is_none();
+        let mut log = shared.keyed_runs.lock();
+        let (runs, last_sequence) = log.changes_after(now, &heartbeat.pool, sequence);
+        drop(log);
+        if is_first || !runs.is_empty() {
+            out.push(EntryAction::SendFrame {
+                peer: Peer::Agent(agent.clone()),
+                body: frame::Body::KeyedRuns(KeyedRuns {
+                    generation,
+                    runs,
+                    known_ms: self.platform.known_for_ms(now, generation),
+                }),
+            });
+        }
+        let told = ToldRuns {
+            incarnation,
+            generation,
+            last_sequence,
+        };
+        self.told_runs.insert(agent, told);
+    }
+
+    /// Logs the requests that another entry passed to agents.
+    pub(super) fn keyed_runs_received(now: Instant, runs: KeyedRuns, shared: &Shared) {
+        let mut log = shared.keyed_runs.lock();
+        for run in runs.runs {
+            log.record(now, run);
+        }
+    }
+
+    /// The entry that keeps a copy of this entry's log: among those with a link, a live one
+    /// in another failure domain if there is any.
+    pub(crate) fn backup_entry(&self, now: Instant) -> Option<&EntryId> {
+        let linked = self.links.keys().filter_map(|peer| match peer {
+            Peer::Entry(entry) => Some(entry),
+            Peer::Agent(_) => None,
+        });
+        linked.max_by_key(|entry| {
+            let known = self.entries.get(entry).filter(|known| !known.leaving);
+            let is_alive = known.is_some() && self.entries.is_alive(now, entry);
+            let is_elsewhere =
+                known.is_some_and(|known| known.failure_domain != self.failure_domain);
+            let rank = rendezvous_rank(self.own_id.as_str(), entry.as_str());
+            (is_alive, is_elsewhere, rank)
+        })
+    }
+}
--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -12,6 +12,7 @@
 mod freeze;
 mod gossip;
 mod instances;
+mod keyed_runs;
 mod links;
 mod placements;
 mod plan;
@@ -36,6 +37,7 @@
 pub(crate) use forecast::predicted_return_ms;
 use freeze::Freeze;
 use gossip::GossipState;
+use keyed_runs::ToldRuns;
 pub(crate) use placements::reason_text;
 pub(crate) use plan::PlanJob;
 use plan::Planning;
@@ -116,6 +118,8 @@
     /// Watches that are currently left to other entries, with a timer set for each
     /// to check again.
     deferred_watches: BTreeSet<platform::CallKind>,
+    /// Agents that wait for lost claims.
+    told_runs: BTreeMap<AgentId, ToldRuns>,
     unix_ms_at_zero: u64,
     started_at: Instant,
     members: MemberAddresses,
@@ -150,6 +154,7 @@
             failure_domain: options.failure_domain.clone(),
             instances_version: ObjectVersion(0),
             deferred_watches: BTreeSet::new(),
+            told_runs: BTreeMap::new(),
             unix_ms_at_zero: options.unix_ms_at_zero,
             started_at: now,
             members: MemberAddresses::new(),
--- a/crates/role/src/entry/control/platform.rs
+++ b/crates/role/src/entry/control/platform.rs
@@ -70,6 +70,9 @@
     /// The last call failed or got no answer.
     unavailable: bool,
     config_version: ObjectVersion,
+    /// Latest generation of the platform in a version that it named, and since when it
+    /// is known.
+    generation: (u64, Instant),
     /// Number of polls made for the next revision.
     polls: u32,
     /// Revision requested by the poll in flight. The answer does not name it, and by
@@ -85,6 +88,7 @@
             failures: BTreeMap::new(),
             unavailable: false,
             config_version: ObjectVersion(0),
+            generation: (0, Instant::ZERO),
             polls: 0,
             polled_revision: Revision(0),
         }
@@ -94,6 +98,29 @@
         !self.unavailable
     }
 
+    /// Time for which a generation of the platform has been known; 0 if it is not the
+    /// latest known one.
+    pub(super) fn known_for_ms(&self, now: Instant, generation: u64) -> u64 {
+        let (latest, since) = self.generation;
+        if latest == generation {
+            now.ms_since(since)
+        } else {
+            0
+        }
+    }
+
+    fn note_generation(&mut self, now: Instant, result: &PlatformResult) {
+        let version = match result {
+            PlatformResult::Object(Some((version, _)))
+            | PlatformResult::Objects(_, version)
+            | PlatformResult::Written(version) => *version,
+            _ => return,
+        };
+        if version.generation() > self.generation.0 {
+            self.generation = (version.generation(), now);
+        }
+    }
+
     pub(super) fn is_unregistering(&self) -> bool {
         self.pending
             .values()
@@ -237,6 +264,7 @@
             result => {
                 self.mark_platform_up(out);
                 self.platform.failures.remove(&call);
+                self.platform.note_generation(now, &result);
                 self.apply_result(now, call, result, shared, out, effects);
             }
         }
--- /dev/null
+++ b/crates/role/src/entry/keyed_runs.rs
@@ -0,0 +1,70 @@
+//! Log of the non-idempotent requests with an idempotency key that were passed to agents
+//! and may have run.
+//!
+//! A restore of the platform from an older copy may lose the claim of such a request.
+//! Usually its agent writes the claim again. This log is for the case that the agent has
+//! ended or doesn't reach the platform: the agents of the pool are told what is in it,
+//! so that none of them runs the request a second time.
+
+use base::prelude::*;
+use schema::link::KeyedRun;
+use std::collections::BTreeMap;
+
+/// Time for which a request is kept after its last change. A platform is restored from a
+/// copy that is some seconds old.
+const REMEMBER_MS: u64 = 60_000;
+
+/// Largest number of requests kept, those with the latest changes. They take some 10 MB.
+const RUNS_MAX: usize = 65_536;
+
+/// The requests of the last minute, in the order of their last changes.
+#[derive(Debug, Default)]
+pub(crate) struct KeyedRunLog {
+    last_sequence: u64,
+    runs: BTreeMap<u64, (Instant, KeyedRun)>,
+    sequence_by_key: BTreeMap<(String, String), u64>,
+}
+
+impl KeyedRunLog {
+    /// Replaces what is known of a request. One that was not run is not kept.
+    pub(crate) fn record(&mut self, now: Instant, run: KeyedRun) {
+        self.expire(now);
+        let key = (run.caller.clone(), run.key.clone());
+        if let Some(sequence) = self.sequence_by_key.remove(&key) {
+            self.runs.remove(&sequence);
+        }
+        if RunStatus::from_number(run.ran) == RunStatus::NotRun {
+            return;
+        }
+        self.last_sequence += 1;
+        self.sequence_by_key.insert(key, self.last_sequence);
+        self.runs.insert(self.last_sequence, (now, run));
+    }
+
+    /// The requests of a pool that changed after the one with this sequence number, and
+    /// the sequence number of the last one.
+    pub(crate) fn changes_after(
+        &mut self,
+        now: Instant,
+        pool: &str,
+        sequence: u64,
+    ) -> (Vec<KeyedRun>, u64) {
+        self.expire(now);
+        let changed = self.runs.range(sequence + 1..);
+        let of_pool = changed.filter(|(_, (_, run))| run.pool == pool);
+        let runs = of_pool.map(|(_, (_, run))| run.clone()).collect();
+        (runs, self.last_sequence)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((_, (at, run))) = self.runs.first_key_value() {
+            let is_kept = now.ms_since(*at) < REMEMBER_MS && self.runs.len() < RUNS_MAX;
+            if is_kept {
+                return;
+            }
+            let key = (run.caller.clone(), run.key.clone());
+            self.sequence_by_key.remove(&key);
+            self.runs.pop_first();
+        }
+    }
+}
--- a/crates/role/src/entry/mod.rs
+++ b/crates/role/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod event;
 mod follow_up;
+mod keyed_runs;
 mod options;
 mod outcome_counts;
 mod report;
--- a/crates/role/src/entry/requests/answers.rs
+++ b/crates/role/src/entry/requests/answers.rs
@@ -11,6 +11,7 @@
 use super::super::timeline::TimelineEvent;
 use super::Requests;
 use super::failures::{Failure, RetryCharge};
+use super::keyed_runs;
 
 /// Backoff before a request that was refused is dispatched again.
 const REFUSAL_BACKOFF_MS: u64 = 100;
@@ -126,6 +127,7 @@
             .peer(agent)
             .record(ctx.out);
         }
+        keyed_runs::log_started(ctx, request);
     }
 
     /// Handles `Refused`: the agent's admission control refused the attempt, which has
--- a/crates/role/src/entry/requests/end.rs
+++ b/crates/role/src/entry/requests/end.rs
@@ -10,6 +10,7 @@
 use super::super::timeline::TimelineEvent;
 use super::Requests;
 use super::dispatch::Dispatched;
+use super::keyed_runs;
 use super::state::{Attempt, Request, State};
 use super::upstream_outcome::record_outcome;
 
@@ -139,7 +140,9 @@
         };
         // An attempt with answer parts did run, whatever the agent reports.
         let reported = reported.filter(|_| !attempt.answered);
-        request.history.add(reported.unwrap_or(observed));
+        let ran = reported.unwrap_or(observed);
+        request.history.add(ran);
+        keyed_runs::log_ended(ctx, request, &attempt, reported, ran);
         if attempt.exclusive
             && let Resource::Model(model) = &request.resolved.resource
         {
--- a/crates/role/src/entry/requests/mod.rs
+++ b/crates/role/src/entry/requests/mod.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod end;
 mod failures;
+mod keyed_runs;
 mod send;
 mod state;
 mod timers;
--- a/crates/role/src/entry/shared.rs
+++ b/crates/role/src/entry/shared.rs
@@ -12,6 +12,7 @@
 use super::circuit_breakers::CircuitBreakers;
 use super::control::Control;
 use super::counters::Counts;
+use super::keyed_runs::KeyedRunLog;
 use super::outcome_counts::OutcomeCounts;
 use super::resolve::Resource;
 use super::wait_queue::WaitQueue;
@@ -32,6 +33,7 @@
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) breakers: Mutex<CircuitBreakers>,
     pub(crate) outcomes: Mutex<OutcomeCounts>,
+    pub(crate) keyed_runs: Mutex<KeyedRunLog>,
 }
 
 impl Shared {
@@ -45,6 +47,7 @@
             suspects: Mutex::new(SuspectRequests::new(VERDICT_DEFAULT_MS)),
             breakers: Mutex::new(CircuitBreakers::default()),
             outcomes: Mutex::new(OutcomeCounts::default()),
+            keyed_runs: Mutex::new(KeyedRunLog::default()),
         }
     }
 }
--- a/crates/role/tests/agent.rs
+++ b/crates/role/tests/agent.rs
@@ -21,3 +21,5 @@
 mod random;
 #[path = "agent/replaced.rs"]
 mod replaced;
+#[path = "agent/restored_claims.rs"]
+mod restored_claims;
--- /dev/null
+++ b/crates/role/tests/entry/keyed_runs.rs
@@ -0,0 +1,207 @@
+//! What agents that wait for lost claims are told of keyed requests.
+
+use crate::rig::{Rig, entry_peer, heartbeat};
+use base::prelude::*;
+use base::{ObjectVersion, PlatformOp, PlatformResponse, PlatformResult};
+use role::Peer;
+use role::entry::{EntryAction, EntryEvent};
+use schema::link::{Gossip, KeyedRun, KeyedRuns, frame};
+
+/// An entry with two agents of a service whose requests are claimed, and one of a model.
+fn rig() -> Rig {
+    let mut rig = Rig::new();
+    rig.agent_in("s1", "desk", "d1", &[]);
+    rig.agent_in("s2", "desk", "d1", &[]);
+    rig.agent("g1", &["m1"]);
+    rig
+}
+
+/// Sends a heartbeat of an agent that waits for claims lost before this generation.
+/// Returns what the agent is told; `None` if it is sent nothing.
+fn ask(rig: &mut Rig, agent: &str, generation: u64) -> Option<KeyedRuns> {
+    rig.clear();
+    let state = rig.agents.get_mut(agent).expect("a known agent");
+    state.sequence += 1;
+    let mut body = heartbeat(agent, state);
+    body.restored_generation = generation;
+    rig.frame(agent, frame::Body::Heartbeat(body));
+    let mut told = rig.sent_frames(|peer, body| match (peer, body) {
+        (Peer::Agent(id), frame::Body::KeyedRuns(runs)) if id.as_str() == agent => {
+            assert_eq!(runs.generation, generation);
+            Some(runs.clone())
+        }
+        _ => None,
+    });
+    assert!(told.len() <= 1, "told more than once");
+    told.pop()
+}
+
+fn known_runs(told: Option<KeyedRuns>) -> Vec<(String, RunStatus)> {
+    let runs = told.expect("the agent is told").runs.into_iter();
+    runs.map(|run| (run.key, RunStatus::from_number(run.ran)))
+        .collect()
+}
+
+fn link_entry(rig: &mut Rig, id: &str, domain: &str) {
+    let peer = entry_peer(id);
+    rig.handle(EntryEvent::LinkUp {
+        peer: peer.clone(),
+        incarnation: Incarnation(9),
+    });
+    let body = frame::Body::Gossip(Gossip {
+        entry: id.to_owned(),
+        incarnation: 9,
+        sequence: 1,
+        failure_domain: domain.to_owned(),
+        ..Gossip::default()
+    });
+    rig.handle(EntryEvent::Frame {
+        peer,
+        revision: Revision(0),
+        body,
+    });
+}
+
+/// Requests that another entry was sent a copy of, with what is known of them.
+fn copies_sent_to(rig: &Rig, entry: &str) -> Vec<KeyedRun> {
+    let sent = rig.sent_frames(|peer, body| match (peer, body) {
+        (Peer::Entry(id), frame::Body::KeyedRuns(runs)) if id.as_str() == entry => {
+            Some(runs.runs.clone())
+        }
+        _ => None,
+    });
+    sent.into_iter().flatten().collect()
+}
+
+/// Guards against a key that is granted again because nobody tells the agents of its pool
+/// that it ran; against telling the same over and over; and against telling other pools.
+#[test]
+fn agents_of_the_pool_are_told_of_a_request() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    let unknown = vec![("k1".to_owned(), RunStatus::Unknown)];
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)), unknown);
+    rig.end(&run, 2);
+    let ran = vec![("k1".to_owned(), RunStatus::Ran)];
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)), ran);
+    assert_eq!(ask(&mut rig, "s1", 1), None, "told again");
+    assert_eq!(known_runs(ask(&mut rig, "s2", 1)), ran);
+    assert_eq!(known_runs(ask(&mut rig, "g1", 1)), []);
+    assert_eq!(ask(&mut rig, "s1", 0), None, "it waits for nothing");
+    assert_eq!(known_runs(ask(&mut rig, "s1", 2)), ran, "a second restore");
+}
+
+/// Guards against a restarted agent that is not told what its predecessor was told.
+#[test]
+fn a_restarted_agent_is_told_again() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.end(&run, 2);
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
+    let agent = rig.agents.get_mut("s1").expect("a known agent");
+    (agent.incarnation, agent.sequence) = (2, 0);
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
+}
+
+/// Guards against a key that stays claimed although its request was not run.
+#[test]
+fn requests_that_were_not_run_are_not_told() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    rig.refuse(&rig.run(request), ErrorCode::GateFull);
+    assert_eq!(known_runs(ask(&mut rig, "s2", 1)), []);
+    rig.advance(500);
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.fail(&run, ErrorCode::UpstreamFault, RunStatus::NotRun);
+    let told = ask(&mut rig, "s1", 1);
+    assert_eq!(known_runs(told), []);
+}
+
+/// Guards against a key that is granted again because its agent was lost before it could
+/// report that it had passed the request on.
+#[test]
+fn an_attempt_without_an_outcome_may_have_run() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.link_down(&run.agent);
+    let other = if run.agent == "s1" { "s2" } else { "s1" };
+    let told = known_runs(ask(&mut rig, other, 1));
+    assert_eq!(told, [("k1".to_owned(), RunStatus::Unknown)]);
+}
+
+/// Guards against a key that is granted again because its agent and its entry were lost
+/// together, as with their failure domain.
+#[test]
+fn another_entry_keeps_a_copy() {
+    let mut rig = rig();
+    link_entry(&mut rig, "near", "d1");
+    link_entry(&mut rig, "far", "d2");
+    rig.clear();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.end(&run, 2);
+    let copies = copies_sent_to(&rig, "far");
+    let known: Vec<_> = copies.iter().map(|run| run.ran).collect();
+    let (unknown, ran) = (RunStatus::Unknown.number(), RunStatus::Ran.number());
+    assert_eq!(known, [unknown, ran]);
+    assert!(copies_sent_to(&rig, "near").is_empty());
+
+    let mut keeper = self::rig();
+    for run in copies {
+        let runs = KeyedRuns {
+            runs: vec![run],
+            ..KeyedRuns::default()
+        };
+        keeper.handle(EntryEvent::Frame {
+            peer: entry_peer("e9"),
+            revision: Revision(0),
+            body: frame::Body::KeyedRuns(runs),
+        });
+    }
+    let told = known_runs(ask(&mut keeper, "s1", 1));
+    assert_eq!(told, [("k1".to_owned(), RunStatus::Ran)]);
+}
+
+/// Guards against a log that grows without bound.
+#[test]
+fn requests_are_told_for_a_minute() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.end(&run, 2);
+    rig.advance(59_000);
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
+    rig.advance(1_000);
+    assert_eq!(known_runs(ask(&mut rig, "s2", 1)).len(), 0);
+}
+
+/// Guards against an agent that waits for lost claims long after a restore, because it
+/// starts only now.
+#[test]
+fn agents_are_told_for_how_long_the_generation_is_known() {
+    let mut rig = rig();
+    let watch = rig.actions.iter().find_map(|action| match action {
+        EntryAction::CallPlatform(call) => {
+            matches!(call.op, PlatformOp::Watch { .. }).then_some(call.id)
+        }
+        _ => None,
+    });
+    let restored = PlatformResult::Objects(Vec::new(), ObjectVersion::new(1, 1));
+    rig.handle(EntryEvent::PlatformAnswered(PlatformResponse {
+        id: watch.expect("an open watch"),
+        result: restored,
+    }));
+    rig.advance(3_000);
+    let known_ms = |told: Option<KeyedRuns>| told.map(|told| told.known_ms);
+    assert_eq!(known_ms(ask(&mut rig, "s1", 1)), Some(3_000));
+    assert_eq!(known_ms(ask(&mut rig, "s1", 2)), Some(0), "not known here");
+}
--- a/crates/role/tests/entry/main.rs
+++ b/crates/role/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod failing;
 mod forecast;
 mod freeze;
+mod keyed_runs;
 mod missed_changes;
 mod outcome_counts;
 mod random;
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -31,6 +31,25 @@
         trial("orders_run_once_across_a_restore", async |fixture| {
             restored::orders_run_once_across_a_restore(fixture).await
         }),
+        trial(
+            "orders_run_once_if_their_agents_are_killed",
+            async |fixture| {
+                restored::orders_run_once_if_their_agents_are_killed(fixture).await
+            },
+        ),
+        trial(
+            "orders_run_once_if_their_agents_and_entry_are_killed",
+            async |fixture| {
+                restored::orders_run_once_if_their_agents_and_entry_are_killed(fixture)
+                    .await
+            },
+        ),
+        trial(
+            "orders_run_once_if_their_agent_is_frozen",
+            async |fixture| {
+                restored::orders_run_once_if_their_agent_is_frozen(fixture).await
+            },
+        ),
         trial("publish", async |fixture| {
             publish::change_is_in_force_everywhere(fixture).await?;
             publish::invalid_file_changes_nothing(fixture).await?;
--- a/tests/all/processes/restored.rs
+++ b/tests/all/processes/restored.rs
@@ -3,14 +3,30 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
 
-use super::rig::{Fixture, TestResult, check, error_text};
+use super::rig::{Fixture, TestResult, WAIT_TIMEOUT, check, error_text};
 
 /// Number of orders whose claims are lost.
 const ORDERS: usize = 10;
 
+/// Agents of the service that takes the orders.
+const AGENTS: [&str; 2] = ["deskapp-01", "deskapp-02"];
+
+/// Time for which lost orders are sent again. It is longer than agents wait for lost
+/// claims before they grant new keys.
+const RESEND_DURATION: Duration = Duration::from_secs(30);
+
+/// Pause between two rounds in which all orders are sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Error code for an order of which no stored answer is known.
+const OUTCOME_UNKNOWN: u64 = 3_005;
+
 /// Guards against orders that run twice because the platform lost their claims in a
 /// restore: each is sent again through the other entry and gets the stored answer.
 pub(super) async fn orders_run_once_across_a_restore(
@@ -27,6 +43,65 @@
     check_new_order_runs(fixture).await
 }
 
+/// Guards against orders that run twice because the agents that ran them were killed
+/// before they could write their claims again.
+pub(super) async fn orders_run_once_if_their_agents_are_killed(
+    fixture: &mut Fixture,
+) -> TestResult {
+    check_killed(fixture, &AGENTS).await
+}
+
+/// Guards against orders that run twice because the agents that ran them and the entry
+/// that passed them on were killed together.
+pub(super) async fn orders_run_once_if_their_agents_and_entry_are_killed(
+    fixture: &mut Fixture,
+) -> TestResult {
+    check_killed(fixture, &["entry-1", AGENTS[0], AGENTS[1]]).await
+}
+
+/// Guards against orders that run twice because the agent that ran them was frozen for
+/// longer than others wait for its claims. Once it goes on, its answers are stored again.
+pub(super) async fn orders_run_once_if_their_agent_is_frozen(
+    fixture: &mut Fixture,
+) -> TestResult {
+    run_command(fixture, "copy").await?;
+    let answers = run_orders(fixture).await?;
+    signal(fixture, AGENTS[0], Signal::SIGSTOP)?;
+    run_command(fixture, "restore").await?;
+    resend_all(fixture, &answers).await?;
+    check_none_ran_twice(fixture).await?;
+    check_new_order_runs(fixture).await?;
+    signal(fixture, AGENTS[0], Signal::SIGCONT)?;
+    for (key, answer) in &answers {
+        let again = wait_for_answer(fixture, key).await?;
+        check(again == *answer, || format!("{key}: {again} for {answer}"))?;
+    }
+    check_none_ran_twice(fixture).await
+}
+
+/// Kills processes before a restore of the platform and starts them again after it. No
+/// answer can be known then, but the orders must not run again.
+async fn check_killed(fixture: &mut Fixture, processes: &[&str]) -> TestResult {
+    run_command(fixture, "copy").await?;
+    let answers = run_orders(fixture).await?;
+    for id in processes {
+        signal(fixture, id, Signal::SIGKILL)?;
+        let exited = fixture.deployment.wait_exited(id, WAIT_TIMEOUT).await;
+        exited.map_err(error_text)?;
+    }
+    run_command(fixture, "restore").await?;
+    for id in processes {
+        fixture.deployment.restart(id).map_err(error_text)?;
+    }
+    fixture.deployment.wait_ready().await.map_err(error_text)?;
+    let codes = resend_all(fixture, &answers).await?;
+    check_none_ran_twice(fixture).await?;
+    check(codes.values().all(|code| *code == OUTCOME_UNKNOWN), || {
+        format!("last error codes: {codes:?}")
+    })?;
+    check_new_order_runs(fixture).await
+}
+
 /// Runs orders through the first entry; returns their keys and answers.
 async fn run_orders(fixture: &Fixture) -> TestResult<BTreeMap<String, Value>> {
     let mut answers = BTreeMap::new();
@@ -40,6 +115,29 @@
     Ok(answers)
 }
 
+/// Sends all orders again and again through the second entry for some time. Returns the
+/// last error code of each, 0 for an answer.
+async fn resend_all(
+    fixture: &Fixture,
+    orders: &BTreeMap<String, Value>,
+) -> TestResult<BTreeMap<String, u64>> {
+    let mut codes = BTreeMap::new();
+    let end = Instant::now() + RESEND_DURATION;
+    while Instant::now() < end {
+        for key in orders.keys() {
+            let entry = fixture.entry_address(1);
+            let (status, answer) = fixture.post_order(entry, key, "belt").await?;
+            let error = &answer["error"];
+            check(error["ran"] != "not_run", || {
+                format!("{key} ran, but its resend says otherwise: {status} {answer}")
+            })?;
+            codes.insert(key.clone(), error["code"].as_u64().unwrap_or(0));
+        }
+        tokio::time::sleep(RESEND_PAUSE).await;
+    }
+    Ok(codes)
+}
+
 /// Sends an order again until it gets an answer.
 async fn wait_for_answer(fixture: &Fixture, key: &str) -> TestResult<Value> {
     fixture
@@ -65,6 +163,10 @@
     })
 }
 
+fn signal(fixture: &Fixture, id: &str, signal: Signal) -> TestResult {
+    fixture.deployment.signal(id, signal).map_err(error_text)
+}
+
 /// Runs a command of the fake platform.
 async fn run_command(fixture: &Fixture, name: &str) -> TestResult {
     let control = fixture.deployment.control_addresses().platform;
