Claims: an earlier run counts even if the platform shows no claim of it

Cause: nothing but the shard was asked. The entry that passed the order on, the one with the copy, and the agent that ran it knew better.

Change: before a request with a key an entry reports an earlier run of that key to the agent, if that run's agent is known to have claimed the key. Where the shard lacks the claim, it is written and the request refused as 3005. A run that may not have been claimed isn't reported: its key may have been released. An agent replays a response of its own from memory. A key that is known to have run is refused as unknown while the platform is unavailable, and so is any while lost claims are waited for.

An attempt without a known claim no longer replaces what the log has of an earlier one.

In once::restores three tests are new; role's keyed_runs:: has two more.

Not covered: a resend through a third entry, on a platform that names no generation.

--- a/crates/fake/src/demo/deployment/mod.rs
+++ b/crates/fake/src/demo/deployment/mod.rs
@@ -115,6 +115,11 @@
         self.engine_addresses.clone()
     }
 
+    /// Returns the platform's API listener.
+    pub const fn platform_address(&self) -> SocketAddr {
+        self.platform
+    }
+
     /// Returns the operator listeners, by the id of the process in its settings.
     pub const fn operator_addresses(&self) -> &BTreeMap<String, SocketAddr> {
         &self.operator_addresses
--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -6,7 +6,7 @@
     BACKOFF_MAX_MS, BACKOFF_MIN_MS, refuse_platform_unavailable, release_if_staged,
 };
 use crate::restore::{KnownGeneration, PROBE_INTERVAL_MS, PROBE_KEY, ReportedRun};
-use crate::shard::{SHARDS, Shard, StagingLimits, shard_of};
+use crate::shard::{SHARDS, Shard, StagingLimits, shard_of, stored_outcome};
 use base::{AgentId, AttemptId, Incarnation, Instant, PlatformCall, PlatformOp};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -111,8 +111,8 @@
         self.generation.observe_known_for(now, known_ms);
     }
 
-    /// Sets whether a connected entry has not told yet which requests it passed on before
-    /// the latest restore.
+    /// Sets whether a connected entry has not reported yet which requests it passed on
+    /// before the latest restore.
     pub const fn set_awaits_entries(&mut self, awaits_entries: bool) {
         self.generation.awaits_entries = awaits_entries;
     }
@@ -135,7 +135,7 @@
         self.write_reported_claims(now, out);
     }
 
-    /// Writes the claims that entries told of and whose agents have not written them in
+    /// Writes the claims that entries reported and that their agents have not written in
     /// the time for it.
     fn write_reported_claims(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
         if self.generation.restore_retry_ms(now).is_some() {
@@ -170,6 +170,12 @@
         out: &mut Vec<ClaimAction>,
     ) {
         let index = shard_of(request.caller.as_str(), &request.key);
+        if let Some(claim) = self.shards[index].recent.own_response(&request) {
+            let outcome = stored_outcome(claim);
+            let attempt = request.attempt;
+            out.push(ClaimAction::Settled { attempt, outcome });
+            return;
+        }
         let pending_claim = PendingClaim {
             nonce: self.next_nonce(),
             request,
@@ -177,12 +183,13 @@
             read_since_request: false,
             expires_at: now.plus_ms(CLAIM_WAIT_MAX_MS),
         };
+        let limits = self.staging_limits(now);
         let shard = &mut self.shards[index];
         if let Some(until) = shard.backoff_until.filter(|until| *until > now) {
             let retry_ms = until.ms_since(now).max(BACKOFF_MIN_MS);
+            let request = &pending_claim.request;
             out.push(refuse_platform_unavailable(
-                pending_claim.request.attempt,
-                retry_ms,
+                shard, request, retry_ms, limits,
             ));
             return;
         }
@@ -340,6 +347,7 @@
     }
 
     fn expire_waits(&mut self, now: Instant, index: usize, out: &mut Vec<ClaimAction>) {
+        let limits = self.staging_limits(now);
         let shard = &mut self.shards[index];
         let pending_claims = std::mem::take(&mut shard.pending_claims);
         for pending_claim in pending_claims {
@@ -347,9 +355,9 @@
                 shard.pending_claims.push(pending_claim);
                 continue;
             }
+            let (request, retry_ms) = (&pending_claim.request, BACKOFF_MAX_MS);
             out.push(refuse_platform_unavailable(
-                pending_claim.request.attempt,
-                BACKOFF_MAX_MS,
+                shard, request, retry_ms, limits,
             ));
             release_if_staged(shard, &pending_claim);
         }
--- a/crates/once/src/platform_calls.rs
+++ b/crates/once/src/platform_calls.rs
@@ -1,14 +1,15 @@
 //! Platform calls, and the state changes that their results cause.
 
 use crate::Claims;
-use crate::outcome::{ClaimAction, ClaimOutcome};
+use crate::outcome::{ClaimAction, ClaimOutcome, ClaimRequest};
 use crate::pending::{ClaimEnd, GrantedClaim, PendingClaim};
 use crate::shard::{
-    CallState, Shard, ShardSnapshot, WriteInFlight, refuse_may_be_lost, shard_key,
+    CallState, Shard, ShardSnapshot, StagingLimits, WriteInFlight, refuse_may_be_lost,
+    shard_key,
 };
 use base::{
-    AttemptId, ErrorCode, Instant, ObjectVersion, PlatformCall, PlatformOp,
-    PlatformResult, RequestError,
+    ErrorCode, Instant, ObjectVersion, PlatformCall, PlatformOp, PlatformResult,
+    RequestError,
 };
 use prost::Message as _;
 use schema::store::{ClaimShard, ClaimState};
@@ -265,6 +266,7 @@
         index: usize,
         out: &mut Vec<ClaimAction>,
     ) {
+        let limits = self.staging_limits(now);
         let shard = &mut self.shards[index];
         let backoff_ms =
             (BACKOFF_MIN_MS << shard.consecutive_failures.min(8)).min(BACKOFF_MAX_MS);
@@ -276,9 +278,9 @@
                 shard.pending_claims.push(pending_claim);
                 continue;
             }
+            let request = &pending_claim.request;
             out.push(refuse_platform_unavailable(
-                pending_claim.request.attempt,
-                backoff_ms,
+                shard, request, backoff_ms, limits,
             ));
             release_if_staged(shard, &pending_claim);
         }
@@ -302,12 +304,22 @@
     }
 }
 
+/// Refuses a request because the platform is unavailable. This attempt is not run, but an
+/// earlier one with the same key may have been.
 pub(crate) fn refuse_platform_unavailable(
-    attempt: AttemptId,
+    shard: &Shard,
+    request: &ClaimRequest,
     retry_ms: u64,
+    limits: StagingLimits,
 ) -> ClaimAction {
-    let refusal =
-        RequestError::not_run(ErrorCode::PlatformAway).retry_after_ms(retry_ms);
-    let outcome = ClaimOutcome::Refused(refusal);
+    let may_have_run = limits.restore_retry_ms.is_some()
+        || shard.recent.has_key(request.caller.as_str(), &request.key);
+    let outcome = match may_have_run {
+        true => refuse_may_be_lost(retry_ms),
+        false => ClaimOutcome::Refused(
+            RequestError::not_run(ErrorCode::PlatformAway).retry_after_ms(retry_ms),
+        ),
+    };
+    let attempt = request.attempt;
     ClaimAction::Settled { attempt, outcome }
 }
--- a/crates/once/src/restore.rs
+++ b/crates/once/src/restore.rs
@@ -3,8 +3,8 @@
 //! A request runs only if the platform has confirmed its claim, but a restore takes back
 //! what the platform confirmed in the seconds before it. Two others still know of a lost
 //! claim: the agent that made it, and the entry that passed the request on. The agent
-//! writes it again, with its response. The entry tells the agents of the pool, in case
-//! that agent ended or doesn't reach the platform.
+//! writes it again, with its response. The entry reports it to the agents of the pool,
+//! in case that agent ended or doesn't reach the platform.
 //!
 //! Until both have had the time to do so, no agent claims a key that the shard doesn't
 //! show: its request may have run. Each agent measures that time by its own clock, from
@@ -14,6 +14,7 @@
 use prost::Message as _;
 use schema::store::{Claim, ClaimShard, ClaimState};
 
+use crate::ClaimRequest;
 use crate::shard::{SHARD_MAX_BYTES, StagingLimits};
 
 /// Time for which an agent remembers a claim after the platform confirmed its last
@@ -25,7 +26,7 @@
 /// is for calls that fail and are repeated.
 const RESTORE_MS: u64 = 20_000;
 
-/// Longest such time while a connected entry has not told which requests it passed on.
+/// Longest such time while a connected entry has not reported its requests.
 const RESTORE_MAX_MS: u64 = 60_000;
 
 /// Bounds of the retry time told to a caller whose key's claim may be lost. Most lost
@@ -48,7 +49,7 @@
     seen_at: Instant,
     /// Time for which an entry had known it by then.
     known_before_ms: u64,
-    /// A connected entry has not told which requests it passed on before the restore.
+    /// A connected entry has not reported its requests of before the restore.
     pub(crate) awaits_entries: bool,
 }
 
@@ -108,7 +109,7 @@
 pub(crate) struct RecentClaims {
     /// This agent's claims, as the platform last confirmed them, and when.
     own: Vec<(Instant, Claim)>,
-    /// Claims of other agents that an entry told of, until the shard shows their keys. They
+    /// Claims of other agents that an entry reported, until the shard shows their keys. They
     /// have no response, so they are written only if their agents have not done so by the
     /// end of the time for it.
     reported: Vec<Claim>,
@@ -132,8 +133,8 @@
         self.own.retain(|(at, _)| now.ms_since(*at) < REMEMBER_MS);
     }
 
-    /// Adds a claim of another agent that an entry told of, unless this agent knows the
-    /// key by a claim of its own.
+    /// Adds a claim of another agent that an entry reported, unless this agent has a claim
+    /// of its own on the key.
     pub(crate) fn report(&mut self, claim: Claim) {
         if self.has_own(&claim.caller, &claim.key) {
             return;
@@ -156,6 +157,25 @@
         own.any(|(_, claim)| claim.caller == caller && claim.key == key)
     }
 
+    /// Whether a request with this key may have run, as far as this agent knows.
+    pub(crate) fn has_key(&self, caller: &str, key: &str) -> bool {
+        let mut reported = self.reported.iter();
+        self.has_own(caller, key)
+            || reported.any(|claim| claim.caller == caller && claim.key == key)
+    }
+
+    /// This agent's claim on a request's key, if the platform has confirmed it with the
+    /// response to the same request.
+    pub(crate) fn own_response(&self, request: &ClaimRequest) -> Option<&Claim> {
+        let mut own = self.own.iter().map(|(_, claim)| claim);
+        own.find(|claim| {
+            claim.caller == request.caller.as_str()
+                && claim.key == request.key
+                && claim.body_hash == request.body_hash
+                && claim.status != 0
+        })
+    }
+
     /// Adds the claims that the content lacks. Returns whether there are any.
     pub(crate) fn add_to(
         &self,
@@ -246,7 +266,7 @@
     }
 }
 
-/// A request with a key that an entry passed to an agent before a restore.
+/// A request with a key that an entry passed to an agent, as it reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportedRun {
     /// Caller that sent the key.
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -403,7 +403,7 @@
 
 /// Outcome of a request that has run: its stored response, or a refusal that
 /// says only that it ran if the response was too large to store.
-fn stored_outcome(claim: &Claim) -> ClaimOutcome {
+pub(crate) fn stored_outcome(claim: &Claim) -> ClaimOutcome {
     let Some(status) = u16::try_from(claim.status).ok().filter(|s| *s != 0) else {
         return ClaimOutcome::Refused(RequestError {
             code: ErrorCode::OutcomeUnknown,
--- a/crates/once/tests/claims/restores.rs
+++ b/crates/once/tests/claims/restores.rs
@@ -1,6 +1,6 @@
 //! Orders of events around a restore of the platform.
 
-use crate::test_doubles::{Agent, BODY, Platform};
+use crate::test_doubles::{Agent, BODY, Platform, PlatformBehavior};
 use base::prelude::*;
 use once::{ClaimOutcome, ReportedRun};
 use std::collections::BTreeMap;
@@ -37,10 +37,10 @@
     Restored { platform, one }
 }
 
-/// Other keys whose claims are in the same shard as those of "key".
-fn sibling_keys(count: usize) -> Vec<String> {
-    let shard = once::shard_of("desk", "key");
-    let keys = (0..).map(|number| format!("sibling-{number}"));
+/// Other keys whose claims are in the same shard as those of a key.
+fn sibling_keys(key: &str, count: usize) -> Vec<String> {
+    let shard = once::shard_of("desk", key);
+    let keys = (0..).map(|number| format!("{key}-sibling-{number}"));
     let siblings = keys.filter(|key| once::shard_of("desk", key) == shard);
     siblings.take(count).collect()
 }
@@ -262,7 +262,7 @@
     one.hear_generation(50_000, &platform);
     one.answer_all(50_000, &mut platform);
     // A claim in the same shard makes the agent forget those that are too old.
-    one.request_claim(72_000, 3, &sibling_keys(1)[0], BODY);
+    one.request_claim(72_000, 3, &sibling_keys("key", 1)[0], BODY);
     one.answer_all(72_000, &mut platform);
     assert!(one.granted(3));
     platform.restore(copy);
@@ -275,26 +275,86 @@
 }
 
 /// Guards against an order that runs twice at the agent that ran it, when a platform lost
-/// its claim without naming another generation.
+/// its claim without naming another generation, and against a refusal that says that the
+/// order was not run.
 #[test]
 fn an_agent_does_not_grant_a_key_that_it_ran_itself() {
     let mut platform = Platform::default();
     let mut one = Agent::new("one");
-    one.request_claim(0, 1, "key", BODY);
-    one.answer_all(0, &mut platform);
+    for (attempt, key) in [(1, "key"), (2, "running")] {
+        one.request_claim(0, attempt, key, BODY);
+        one.answer_all(0, &mut platform);
+    }
     one.finish(100, 1, b"done");
     one.answer_all(100, &mut platform);
     platform.objects.clear();
-    // Two writes of the shard hide that it was lost.
-    let siblings = sibling_keys(2);
+    // Two writes of each shard hide that it was lost.
     let mut two = Agent::new("two");
-    for (agent, attempt) in [(&mut two, 2), (&mut one, 3)] {
-        let key = &siblings[usize::from(attempt == 3)];
-        agent.request_claim(1_000, attempt, key, BODY);
-        agent.answer_all(1_000, &mut platform);
-        assert!(agent.granted(attempt), "attempt {attempt}");
+    for (number, key) in ["key", "running"].into_iter().enumerate() {
+        let siblings = sibling_keys(key, 2);
+        let attempt = 10 + 2 * number as u64;
+        two.request_claim(1_000, attempt, &siblings[0], BODY);
+        two.answer_all(1_000, &mut platform);
+        one.request_claim(1_000, attempt + 1, &siblings[1], BODY);
+        one.answer_all(1_000, &mut platform);
+        assert!(two.granted(attempt) && one.granted(attempt + 1));
     }
     one.request_claim(2_000, 4, "key", BODY);
+    one.request_claim(2_000, 5, "running", BODY);
     one.answer_all(2_000, &mut platform);
     assert!(matches!(one.outcome(4), Some(ClaimOutcome::Replay(_))));
+    let in_progress = Some((ErrorCode::KeyInProgress, RunStatus::Unknown));
+    assert_eq!(one.refused(5), in_progress);
+}
+
+/// Guards against an order that runs twice because the platform lost its claim without
+/// naming another generation. An entry tells of it just before the resend.
+#[test]
+fn a_key_reported_without_a_restore_is_not_granted() {
+    let mut platform = Platform::default();
+    let mut two = Agent::new("two");
+    two.report(1_000, reported("key", RunStatus::Ran));
+    two.request_claim(1_000, 1, "key", BODY);
+    two.answer_all(1_000, &mut platform);
+    let ran = Some((ErrorCode::OutcomeUnknown, RunStatus::Ran));
+    assert_eq!(two.refused(1), ran);
+    assert!(two.claims.is_flushed());
+}
+
+/// Guards against a response that a caller doesn't get because an entry told of the run
+/// whose claim the platform shows.
+#[test]
+fn a_report_does_not_replace_a_claim() {
+    let mut platform = Platform::default();
+    let mut two = Agent::new("two");
+    two.request_claim(0, 1, &sibling_keys("key", 1)[0], BODY);
+    two.answer_all(0, &mut platform);
+    let mut one = Agent::new("one");
+    one.request_claim(0, 2, "key", BODY);
+    one.answer_all(0, &mut platform);
+    one.finish(100, 2, b"done");
+    one.answer_all(100, &mut platform);
+    two.report(1_000, reported("key", RunStatus::Ran));
+    two.request_claim(1_000, 3, "key", BODY);
+    two.answer_all(1_000, &mut platform);
+    assert!(matches!(two.outcome(3), Some(ClaimOutcome::Replay(_))));
+    assert!(two.claims.is_flushed());
+}
+
+/// Guards against a refusal that says that an order was not run, when it ran and the
+/// platform can't be asked for its claim.
+#[test]
+fn a_run_that_is_known_is_not_denied_while_the_platform_is_unavailable() {
+    let mut platform = Platform::default();
+    let mut two = Agent::new("two");
+    platform.behaviors.push_back(PlatformBehavior::Unavailable);
+    two.report(1_000, reported("key", RunStatus::Ran));
+    two.request_claim(1_000, 1, "key", BODY);
+    two.request_claim(1_000, 2, &sibling_keys("key", 1)[0], BODY);
+    two.answer_one(1_000, &mut platform);
+    assert_eq!(two.refused(1), MAY_BE_LOST);
+    let not_run = Some((ErrorCode::PlatformAway, RunStatus::NotRun));
+    assert_eq!(two.refused(2), not_run);
+    two.request_claim(1_100, 3, "key", BODY);
+    assert_eq!(two.refused(3), MAY_BE_LOST);
 }
--- a/crates/role/src/agent/restored_claims.rs
+++ b/crates/role/src/agent/restored_claims.rs
@@ -1,4 +1,4 @@
-//! Claims that a restore of the platform may have lost, of which entries tell.
+//! Claims that a restore of the platform may have lost, as entries report them.
 
 use base::prelude::*;
 use once::ReportedRun;
@@ -8,7 +8,7 @@
 
 use super::{AgentAction, AgentRole, timeline};
 
-/// Entries that have told since the latest restore which requests they passed on.
+/// Entries that have reported their requests since the latest restore.
 #[derive(Debug, Default)]
 pub(super) struct EntryReports {
     generation: u64,
@@ -46,13 +46,19 @@
         frame: KeyedRuns,
         out: &mut Vec<AgentAction>,
     ) {
-        if frame.generation != self.entry_reports.generation {
-            self.counters.frames_dropped += 1;
-            return;
+        match frame.generation {
+            // An earlier run of a request that follows.
+            0 => {}
+            generation if generation == self.entry_reports.generation => {
+                self.entry_reports.entries.insert(entry.clone());
+                self.update_awaited_entries();
+                self.claims.observe_known_for(now, frame.known_ms);
+            }
+            _ => {
+                self.counters.frames_dropped += 1;
+                return;
+            }
         }
-        self.entry_reports.entries.insert(entry.clone());
-        self.update_awaited_entries();
-        self.claims.observe_known_for(now, frame.known_ms);
         let runs = frame.runs.into_iter().map(decode_run);
         self.with_claims(now, out, |claims, actions| {
             claims.add_reported_runs(now, runs, actions);
@@ -60,10 +66,10 @@
     }
 
     /// Updates whether the claims wait for an entry, after a change of the links or of
-    /// what entries have told.
+    /// what entries have reported.
     pub(super) fn update_awaited_entries(&mut self) {
-        let told = &self.entry_reports.entries;
-        let awaits_entries = !self.connected_entries.is_subset(told);
+        let reported = &self.entry_reports.entries;
+        let awaits_entries = !self.connected_entries.is_subset(reported);
         self.claims.set_awaits_entries(awaits_entries);
     }
 }
--- a/crates/role/src/entry/control/frames.rs
+++ b/crates/role/src/entry/control/frames.rs
@@ -25,7 +25,7 @@
             (frame::Body::Heartbeat(heartbeat), Peer::Agent(id))
                 if heartbeat.agent == id.as_str() =>
             {
-                self.tell_keyed_runs(now, &heartbeat, shared, out);
+                self.report_keyed_runs(now, &heartbeat, shared, out);
                 self.heartbeat_received(
                     now,
                     heartbeat,
--- a/crates/role/src/entry/control/keyed_runs.rs
+++ b/crates/role/src/entry/control/keyed_runs.rs
@@ -1,4 +1,4 @@
-//! Tells agents that wait for lost claims which requests this entry knows of.
+//! Reports the keyed requests that this entry knows of to agents that wait for lost claims.
 
 use base::prelude::*;
 use live::rendezvous_rank;
@@ -9,9 +9,9 @@
 use super::Control;
 use crate::Peer;
 
-/// What an agent has been told.
+/// What was reported to an agent.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ToldRuns {
+pub(crate) struct RunsReported {
     incarnation: u64,
     generation: u64,
     /// Sequence number in the log of the last request.
@@ -19,10 +19,9 @@
 }
 
 impl Control {
-    /// Tells an agent, if its heartbeat says that it waits for lost claims, of the
-    /// requests that it has not been told of. The first response may have none, but tells
-    /// the agent that there are none.
-    pub(super) fn tell_keyed_runs(
+    /// Reports requests to an agent, if its heartbeat says that it waits for lost claims.
+    /// The first report is sent even without requests, since the agent waits for it.
+    pub(super) fn report_keyed_runs(
         &mut self,
         now: Instant,
         heartbeat: &Heartbeat,
@@ -32,15 +31,15 @@
         let agent = AgentId::new(&heartbeat.agent);
         let generation = heartbeat.restored_generation;
         if generation == 0 {
-            self.told_runs.remove(&agent);
+            self.reported_runs.remove(&agent);
             return;
         }
         let incarnation = heartbeat.incarnation;
-        let told = self.told_runs.get(&agent).filter(|told| {
-            told.incarnation == incarnation && told.generation == generation
+        let reported = self.reported_runs.get(&agent).filter(|reported| {
+            reported.incarnation == incarnation && reported.generation == generation
         });
-        let sequence = told.map_or(0, |told| told.last_sequence);
-        let is_first = told.is_none();
+        let sequence = reported.map_or(0, |reported| reported.last_sequence);
+        let is_first = reported.is_none();
         let mut log = shared.keyed_runs.lock();
         let (runs, last_sequence) = log.changes_after(now, &heartbeat.pool, sequence);
         drop(log);
@@ -54,12 +53,12 @@
                 }),
             });
         }
-        let told = ToldRuns {
+        let reported = RunsReported {
             incarnation,
             generation,
             last_sequence,
         };
-        self.told_runs.insert(agent, told);
+        self.reported_runs.insert(agent, reported);
     }
 
     /// Logs the requests that another entry passed to agents.
--- a/crates/role/src/entry/control/links.rs
+++ b/crates/role/src/entry/control/links.rs
@@ -190,7 +190,7 @@
                 return;
             }
             AgentChange::Removed(id) => {
-                self.told_runs.remove(id);
+                self.reported_runs.remove(id);
                 self.members.remove(MemberKind::Agent, id.as_str());
                 let peer = Peer::Agent(id.clone());
                 out.push(EntryAction::Disconnect { peer });
--- a/crates/role/src/entry/control/mod.rs
+++ b/crates/role/src/entry/control/mod.rs
@@ -37,7 +37,7 @@
 pub(crate) use forecast::predicted_return_ms;
 use freeze::Freeze;
 use gossip::GossipState;
-use keyed_runs::ToldRuns;
+use keyed_runs::RunsReported;
 pub(crate) use placements::reason_text;
 pub(crate) use plan::PlanJob;
 use plan::Planning;
@@ -119,7 +119,7 @@
     /// to check again.
     deferred_watches: BTreeSet<platform::CallKind>,
     /// Agents that wait for lost claims.
-    told_runs: BTreeMap<AgentId, ToldRuns>,
+    reported_runs: BTreeMap<AgentId, RunsReported>,
     unix_ms_at_zero: u64,
     started_at: Instant,
     members: MemberAddresses,
@@ -154,7 +154,7 @@
             failure_domain: options.failure_domain.clone(),
             instances_version: ObjectVersion(0),
             deferred_watches: BTreeSet::new(),
-            told_runs: BTreeMap::new(),
+            reported_runs: BTreeMap::new(),
             unix_ms_at_zero: options.unix_ms_at_zero,
             started_at: now,
             members: MemberAddresses::new(),
--- a/crates/role/src/entry/keyed_runs.rs
+++ b/crates/role/src/entry/keyed_runs.rs
@@ -3,7 +3,7 @@
 //!
 //! A restore of the platform from an older copy may lose the claim of such a request.
 //! Usually its agent writes the claim again. This log is for the case that the agent has
-//! ended or doesn't reach the platform: the agents of the pool are told what is in it,
+//! ended or doesn't reach the platform: the log is reported to the agents of the pool,
 //! so that none of them runs the request a second time.
 
 use base::prelude::*;
@@ -26,8 +26,12 @@
 }
 
 impl KeyedRunLog {
-    /// Replaces what is known of a request. One that was not run is not kept.
+    /// Replaces what is known of a request. One that was not run is not kept. An attempt
+    /// without a known claim says nothing of an earlier one that had claimed the key.
     pub(crate) fn record(&mut self, now: Instant, run: KeyedRun) {
+        if !run.claimed && self.claimed(now, &run.caller, &run.key).is_some() {
+            return;
+        }
         self.expire(now);
         let key = (run.caller.clone(), run.key.clone());
         if let Some(sequence) = self.sequence_by_key.remove(&key) {
@@ -56,6 +60,19 @@
         (runs, self.last_sequence)
     }
 
+    /// What is known of a request whose claim the platform has to show.
+    pub(crate) fn claimed(
+        &mut self,
+        now: Instant,
+        caller: &str,
+        key: &str,
+    ) -> Option<KeyedRun> {
+        self.expire(now);
+        let key = (caller.to_owned(), key.to_owned());
+        let (_, run) = self.runs.get(self.sequence_by_key.get(&key)?)?;
+        run.claimed.then(|| run.clone())
+    }
+
     fn expire(&mut self, now: Instant) {
         while let Some((_, (at, run))) = self.runs.first_key_value() {
             let is_kept = now.ms_since(*at) < REMEMBER_MS && self.runs.len() < RUNS_MAX;
--- a/crates/role/src/entry/requests/keyed_runs.rs
+++ b/crates/role/src/entry/requests/keyed_runs.rs
@@ -9,6 +9,24 @@
 use super::state::{Attempt, Request};
 use crate::Peer;
 
+/// Reports an earlier run with the same key to an agent, before it gets a request. If the
+/// platform doesn't show that run's claim, it has lost it.
+pub(super) fn report_earlier_run(
+    ctx: &mut Ctx<'_>,
+    request: &Request,
+    agent: &AgentId,
+) {
+    let Some(key) = claimed_key(request) else {
+        return;
+    };
+    let mut log = ctx.shared.keyed_runs.lock();
+    let earlier = log.claimed(ctx.now, request.caller.as_str(), key);
+    drop(log);
+    if let Some(run) = earlier {
+        send_run(ctx, Peer::Agent(agent.clone()), run);
+    }
+}
+
 /// Logs that the attempt in flight was passed to its upstream.
 pub(super) fn log_started(ctx: &mut Ctx<'_>, request: &Request) {
     if let Some(attempt) = request.attempt() {
@@ -33,8 +51,7 @@
 
 /// Logs what is known of an attempt, unless its request needs no claim.
 fn log(ctx: &mut Ctx<'_>, request: &Request, attempt: &Attempt, ran: RunStatus) {
-    let key = request.incoming.idempotency_key.as_deref();
-    let Some(key) = key.filter(|_| !request.resolved.idempotent) else {
+    let Some(key) = claimed_key(request) else {
         return;
     };
     let service = request.resolved.resource.as_str();
@@ -49,17 +66,26 @@
         agent: attempt.agent.to_string(),
         ran: ran.number(),
         pool: spec.pool.to_string(),
+        claimed: attempt.started,
     };
     // This entry and the agent may be lost together.
     if let Some(entry) = ctx.control.backup_entry(ctx.now) {
-        let runs = KeyedRuns {
-            runs: vec![run.clone()],
-            ..KeyedRuns::default()
-        };
-        ctx.out.push(EntryAction::SendFrame {
-            peer: Peer::Entry(entry.clone()),
-            body: frame::Body::KeyedRuns(runs),
-        });
+        let peer = Peer::Entry(entry.clone());
+        send_run(ctx, peer, run.clone());
     }
     ctx.shared.keyed_runs.lock().record(ctx.now, run);
 }
+
+fn send_run(ctx: &mut Ctx<'_>, peer: Peer, run: KeyedRun) {
+    let body = frame::Body::KeyedRuns(KeyedRuns {
+        runs: vec![run],
+        ..KeyedRuns::default()
+    });
+    ctx.out.push(EntryAction::SendFrame { peer, body });
+}
+
+/// The key that the request's agent claims, if it has to.
+fn claimed_key(request: &Request) -> Option<&str> {
+    let key = request.incoming.idempotency_key.as_deref();
+    key.filter(|_| !request.resolved.idempotent)
+}
--- a/crates/role/src/entry/requests/send.rs
+++ b/crates/role/src/entry/requests/send.rs
@@ -11,6 +11,7 @@
 use super::super::timeline::TimelineEvent;
 use super::Requests;
 use super::dispatch::Dispatched;
+use super::keyed_runs;
 use super::state::{Attempt, Request, State};
 use super::timers::Timer;
 
@@ -76,6 +77,7 @@
             false => START_WAIT_MS,
         };
         record_sent(ctx, request, route);
+        keyed_runs::report_earlier_run(ctx, request, &route.agent);
         let run = run_frame(ctx, request, &attempt);
         request.state = State::Running(attempt);
         request.attempts_sent += 1;
--- a/crates/role/tests/agent/restored_claims.rs
+++ b/crates/role/tests/agent/restored_claims.rs
@@ -9,7 +9,7 @@
 const NOW: Instant = Instant::from_ms(1_000);
 
 /// Time after a restore in which lost claims are written again, and the longest such time
-/// while an entry has not told of its requests.
+/// while an entry has not reported its requests.
 const RESTORE_MS: u64 = 20_000;
 const RESTORE_MAX_MS: u64 = 60_000;
 
@@ -39,11 +39,11 @@
     })
 }
 
-fn tell(agent: &mut TestAgent, generation: u64, keys: &[&str]) {
-    tell_known_for(agent, generation, keys, 0);
+fn report(agent: &mut TestAgent, generation: u64, keys: &[&str]) {
+    report_known_for(agent, generation, keys, 0);
 }
 
-fn tell_known_for(
+fn report_known_for(
     agent: &mut TestAgent,
     generation: u64,
     keys: &[&str],
@@ -58,6 +58,7 @@
         agent: "two".to_owned(),
         ran: RunStatus::Ran.number(),
         pool: "desk".to_owned(),
+        claimed: true,
     });
     agent.receive_frame(frame::Body::KeyedRuns(KeyedRuns {
         generation,
@@ -80,7 +81,7 @@
     assert_eq!(end.ran, RunStatus::Unknown.number());
     assert!(end.retry_after_ms > 0);
 
-    tell(&mut agent, 1, &["lost"]);
+    report(&mut agent, 1, &["lost"]);
     agent.advance_time(RESTORE_MS);
     agent.answer_all_calls(&mut platform);
     send_request(&mut agent, 2, "lost");
@@ -94,13 +95,13 @@
     assert_eq!(restored_generation(&agent), Some(0));
 }
 
-/// Guards against keys that are granted before an entry has told, by a frame of an earlier
-/// restore or by none, and against an entry that never tells.
+/// Guards against keys that are granted before an entry has reported, by a frame of an earlier
+/// restore or by none, and against an entry that never does.
 #[test]
 fn an_entry_that_has_not_told_is_waited_for() {
     let mut platform = Platform::new();
     let mut agent = restored_agent(&mut platform);
-    tell(&mut agent, 0, &[]);
+    report(&mut agent, 0, &[]);
     agent.advance_time(RESTORE_MS + 1_000);
     send_request(&mut agent, 1, "new");
     agent.answer_all_calls(&mut platform);
@@ -119,7 +120,7 @@
     agent.link_down(ENTRY);
     agent.advance_time(RESTORE_MS);
     agent.link_up(ENTRY);
-    tell(&mut agent, 1, &[]);
+    report(&mut agent, 1, &[]);
     send_request(&mut agent, 1, "new");
     agent.answer_all_calls(&mut platform);
     assert!(agent.started(1));
@@ -130,7 +131,7 @@
 fn an_agent_that_starts_long_after_a_restore_waits_for_nothing() {
     let mut platform = Platform::new();
     let mut agent = restored_agent(&mut platform);
-    tell_known_for(&mut agent, 1, &["lost"], 2 * RESTORE_MS);
+    report_known_for(&mut agent, 1, &["lost"], 2 * RESTORE_MS);
     send_request(&mut agent, 1, "lost");
     send_request(&mut agent, 2, "new");
     agent.answer_all_calls(&mut platform);
--- a/crates/role/tests/entry/keyed_runs.rs
+++ b/crates/role/tests/entry/keyed_runs.rs
@@ -1,6 +1,6 @@
-//! What agents that wait for lost claims are told of keyed requests.
+//! Reports of keyed requests to agents that wait for lost claims.
 
-use crate::rig::{Rig, entry_peer, heartbeat};
+use crate::rig::{Rig, agent_peer, entry_peer, heartbeat};
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResponse, PlatformResult};
 use role::Peer;
@@ -17,7 +17,7 @@
 }
 
 /// Sends a heartbeat of an agent that waits for claims lost before this generation.
-/// Returns what the agent is told; `None` if it is sent nothing.
+/// Returns the report; `None` if the agent is sent none.
 fn ask(rig: &mut Rig, agent: &str, generation: u64) -> Option<KeyedRuns> {
     rig.clear();
     let state = rig.agents.get_mut(agent).expect("a known agent");
@@ -25,19 +25,19 @@
     let mut body = heartbeat(agent, state);
     body.restored_generation = generation;
     rig.frame(agent, frame::Body::Heartbeat(body));
-    let mut told = rig.sent_frames(|peer, body| match (peer, body) {
+    let mut reported = rig.sent_frames(|peer, body| match (peer, body) {
         (Peer::Agent(id), frame::Body::KeyedRuns(runs)) if id.as_str() == agent => {
             assert_eq!(runs.generation, generation);
             Some(runs.clone())
         }
         _ => None,
     });
-    assert!(told.len() <= 1, "told more than once");
-    told.pop()
+    assert!(reported.len() <= 1, "reported more than once");
+    reported.pop()
 }
 
-fn known_runs(told: Option<KeyedRuns>) -> Vec<(String, RunStatus)> {
-    let runs = told.expect("the agent is told").runs.into_iter();
+fn known_runs(reported: Option<KeyedRuns>) -> Vec<(String, RunStatus)> {
+    let runs = reported.expect("the agent is reported").runs.into_iter();
     runs.map(|run| (run.key, RunStatus::from_number(run.ran)))
         .collect()
 }
@@ -73,8 +73,8 @@
     sent.into_iter().flatten().collect()
 }
 
-/// Guards against a key that is granted again because nobody tells the agents of its pool
-/// that it ran; against telling the same over and over; and against telling other pools.
+/// Guards against a key that is granted again because its run is not reported to the agents
+/// of its pool; against repeated reports; and against reports to other pools.
 #[test]
 fn agents_of_the_pool_are_told_of_a_request() {
     let mut rig = rig();
@@ -86,14 +86,14 @@
     rig.end(&run, 2);
     let ran = vec![("k1".to_owned(), RunStatus::Ran)];
     assert_eq!(known_runs(ask(&mut rig, "s1", 1)), ran);
-    assert_eq!(ask(&mut rig, "s1", 1), None, "told again");
+    assert_eq!(ask(&mut rig, "s1", 1), None, "reported again");
     assert_eq!(known_runs(ask(&mut rig, "s2", 1)), ran);
     assert_eq!(known_runs(ask(&mut rig, "g1", 1)), []);
     assert_eq!(ask(&mut rig, "s1", 0), None, "it waits for nothing");
     assert_eq!(known_runs(ask(&mut rig, "s1", 2)), ran, "a second restore");
 }
 
-/// Guards against a restarted agent that is not told what its predecessor was told.
+/// Guards against a restarted agent that lacks the report to its predecessor.
 #[test]
 fn a_restarted_agent_is_told_again() {
     let mut rig = rig();
@@ -119,8 +119,8 @@
     let run = rig.run(request);
     rig.started(&run);
     rig.fail(&run, ErrorCode::UpstreamFault, RunStatus::NotRun);
-    let told = ask(&mut rig, "s1", 1);
-    assert_eq!(known_runs(told), []);
+    let reported = ask(&mut rig, "s1", 1);
+    assert_eq!(known_runs(reported), []);
 }
 
 /// Guards against a key that is granted again because its agent was lost before it could
@@ -132,8 +132,8 @@
     let run = rig.run(request);
     rig.link_down(&run.agent);
     let other = if run.agent == "s1" { "s2" } else { "s1" };
-    let told = known_runs(ask(&mut rig, other, 1));
-    assert_eq!(told, [("k1".to_owned(), RunStatus::Unknown)]);
+    let reported = known_runs(ask(&mut rig, other, 1));
+    assert_eq!(reported, [("k1".to_owned(), RunStatus::Unknown)]);
 }
 
 /// Guards against a key that is granted again because its agent and its entry were lost
@@ -166,8 +166,8 @@
             body: frame::Body::KeyedRuns(runs),
         });
     }
-    let told = known_runs(ask(&mut keeper, "s1", 1));
-    assert_eq!(told, [("k1".to_owned(), RunStatus::Ran)]);
+    let reported = known_runs(ask(&mut keeper, "s1", 1));
+    assert_eq!(reported, [("k1".to_owned(), RunStatus::Ran)]);
 }
 
 /// Guards against a log that grows without bound.
@@ -201,7 +201,60 @@
         result: restored,
     }));
     rig.advance(3_000);
-    let known_ms = |told: Option<KeyedRuns>| told.map(|told| told.known_ms);
+    let known_ms =
+        |reported: Option<KeyedRuns>| reported.map(|reported| reported.known_ms);
     assert_eq!(known_ms(ask(&mut rig, "s1", 1)), Some(3_000));
     assert_eq!(known_ms(ask(&mut rig, "s1", 2)), Some(0), "not known here");
 }
+
+/// Guards against a key that is granted again because the platform lost its claim: the
+/// earlier run is reported to the agent that gets the resend. A run whose agent is not known
+/// to have claimed the key is not reported, as the key may be free.
+#[test]
+fn an_agent_is_told_of_an_earlier_run_before_the_resend() {
+    for started in [true, false] {
+        let mut rig = rig();
+        let request = rig.request_orders();
+        let run = rig.run(request);
+        if started {
+            rig.started(&run);
+        }
+        rig.link_down(&run.agent);
+        rig.advance(500);
+        rig.clear();
+        let resend = rig.request_orders();
+        let agent = rig.run(resend).agent;
+        let reported = rig.actions.iter().position(|action| match action {
+            EntryAction::SendFrame { peer, body } => {
+                let is_told = matches!(body, frame::Body::KeyedRuns(runs)
+                    if runs.generation == 0 && runs.runs[0].key == "k1");
+                is_told && *peer == agent_peer(&agent)
+            }
+            _ => false,
+        });
+        let sent = rig.actions.iter().position(|action| {
+            matches!(action, EntryAction::SendRun { request, .. } if *request == resend)
+        });
+        assert_eq!(reported.is_some(), started);
+        assert!(
+            reported.is_none_or(|reported| Some(reported) < sent),
+            "reported too late"
+        );
+    }
+}
+
+/// Guards against a run that is forgotten because a later attempt with its key was lost.
+#[test]
+fn a_lost_resend_does_not_hide_an_earlier_run() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.end(&run, 2);
+    let resend = rig.request_orders();
+    let agent = rig.run(resend).agent;
+    rig.link_down(&agent);
+    let other = if agent == "s1" { "s2" } else { "s1" };
+    let reported = known_runs(ask(&mut rig, other, 1));
+    assert_eq!(reported, [("k1".to_owned(), RunStatus::Ran)]);
+}
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -50,6 +50,12 @@
                 restored::orders_run_once_if_their_agent_is_frozen(fixture).await
             },
         ),
+        trial(
+            "orders_run_once_if_their_claims_are_deleted",
+            async |fixture| {
+                restored::orders_run_once_if_their_claims_are_deleted(fixture).await
+            },
+        ),
         trial("publish", async |fixture| {
             publish::change_is_in_force_everywhere(fixture).await?;
             publish::invalid_file_changes_nothing(fixture).await?;
--- a/tests/all/processes/restored.rs
+++ b/tests/all/processes/restored.rs
@@ -21,6 +21,9 @@
 /// claims before they grant new keys.
 const RESEND_DURATION: Duration = Duration::from_secs(30);
 
+/// Time for which they are sent again where nothing makes agents wait.
+const RESEND_SHORT_DURATION: Duration = Duration::from_secs(5);
+
 /// Pause between two rounds in which all orders are sent again.
 const RESEND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,6 +62,17 @@
     check_killed(fixture, &["entry-1", AGENTS[0], AGENTS[1]]).await
 }
 
+/// Guards against orders that run twice because the platform lost their claims and names
+/// no restore.
+pub(super) async fn orders_run_once_if_their_claims_are_deleted(
+    fixture: &mut Fixture,
+) -> TestResult {
+    let answers = run_orders(fixture).await?;
+    delete_claims(fixture).await?;
+    resend_all(fixture, &answers, RESEND_SHORT_DURATION).await?;
+    check_none_ran_twice(fixture).await
+}
+
 /// Guards against orders that run twice because the agent that ran them was frozen for
 /// longer than others wait for its claims. Once it goes on, its answers are stored again.
 pub(super) async fn orders_run_once_if_their_agent_is_frozen(
@@ -68,7 +82,7 @@
     let answers = run_orders(fixture).await?;
     signal(fixture, AGENTS[0], Signal::SIGSTOP)?;
     run_command(fixture, "restore").await?;
-    resend_all(fixture, &answers).await?;
+    resend_all(fixture, &answers, RESEND_DURATION).await?;
     check_none_ran_twice(fixture).await?;
     check_new_order_runs(fixture).await?;
     signal(fixture, AGENTS[0], Signal::SIGCONT)?;
@@ -94,7 +108,7 @@
         fixture.deployment.restart(id).map_err(error_text)?;
     }
     fixture.deployment.wait_ready().await.map_err(error_text)?;
-    let codes = resend_all(fixture, &answers).await?;
+    let codes = resend_all(fixture, &answers, RESEND_DURATION).await?;
     check_none_ran_twice(fixture).await?;
     check(codes.values().all(|code| *code == OUTCOME_UNKNOWN), || {
         format!("last error codes: {codes:?}")
@@ -120,9 +134,10 @@
 async fn resend_all(
     fixture: &Fixture,
     orders: &BTreeMap<String, Value>,
+    duration: Duration,
 ) -> TestResult<BTreeMap<String, u64>> {
     let mut codes = BTreeMap::new();
-    let end = Instant::now() + RESEND_DURATION;
+    let end = Instant::now() + duration;
     while Instant::now() < end {
         for key in orders.keys() {
             let entry = fixture.entry_address(1);
@@ -167,6 +182,26 @@
     fixture.deployment.signal(id, signal).map_err(error_text)
 }
 
+/// Deletes all claims through the platform's API.
+async fn delete_claims(fixture: &Fixture) -> TestResult {
+    let platform = fixture.deployment.platform_address();
+    let list = fixture.probe.get(platform, "/objects?prefix=claims/").await;
+    let (_, list) = list.ok_or("the platform does not respond")?;
+    let list: Value = serde_json::from_str(&list).map_err(error_text)?;
+    let objects = list["objects"].as_array().ok_or("no list of objects")?;
+    check(!objects.is_empty(), || "there are no claims".to_owned())?;
+    for object in objects {
+        let key = object["key"].as_str().unwrap_or_default();
+        let request = Request::delete(format!("http://{platform}/objects/{key}"));
+        let request = request.body(Full::new(Bytes::new())).map_err(error_text)?;
+        let answer = fixture.probe.send(request).await;
+        check(matches!(answer, Some((200, _))), || {
+            format!("{key} is not deleted: {answer:?}")
+        })?;
+    }
+    Ok(())
+}
+
 /// Runs a command of the fake platform.
 async fn run_command(fixture: &Fixture, name: &str) -> TestResult {
     let control = fixture.deployment.control_addresses().platform;
