Claims: a report of keyed requests fits into frames and queues

Callers could see: a keyed order that runs twice after a restore, on an entry that passed on so many of them that its report is larger than a frame (2 MiB) or than the send queue of a link (4 MiB).

Cause: a report was one frame of up to 65,536 requests.

Change: at most 8,192 are logged, 3 MB with keys of 256 bytes (reckoned), and a report takes frames of 1,024. Only the last one names the generation, by which the agent knows that the report is complete.

Names of tests say report, as the code does.

--- a/crates/role/src/agent/restored_claims.rs
+++ b/crates/role/src/agent/restored_claims.rs
@@ -47,7 +47,7 @@
         out: &mut Vec<AgentAction>,
     ) {
         match frame.generation {
-            // An earlier run of a request that follows.
+            // An earlier run of a request that follows, or a part of a report.
             0 => {}
             generation if generation == self.entry_reports.generation => {
                 self.entry_reports.entries.insert(entry.clone());
--- a/crates/role/src/entry/control/keyed_runs.rs
+++ b/crates/role/src/entry/control/keyed_runs.rs
@@ -2,13 +2,16 @@
 
 use base::prelude::*;
 use live::rendezvous_rank;
-use schema::link::{Heartbeat, KeyedRuns, frame};
+use schema::link::{Heartbeat, KeyedRun, KeyedRuns, frame};
 
 use super::super::EntryAction;
 use super::super::shared::Shared;
 use super::Control;
 use crate::Peer;
 
+/// Largest number of requests in one frame, far below the maximum size of a frame.
+const RUNS_PER_FRAME: usize = 1_024;
+
 /// What was reported to an agent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RunsReported {
@@ -44,14 +47,8 @@
         let (runs, last_sequence) = log.changes_after(now, &heartbeat.pool, sequence);
         drop(log);
         if is_first || !runs.is_empty() {
-            out.push(EntryAction::SendFrame {
-                peer: Peer::Agent(agent.clone()),
-                body: frame::Body::KeyedRuns(KeyedRuns {
-                    generation,
-                    runs,
-                    known_ms: self.platform.known_for_ms(now, generation),
-                }),
-            });
+            let known_ms = self.platform.known_for_ms(now, generation);
+            send_report(&agent, generation, known_ms, &runs, out);
         }
         let reported = RunsReported {
             incarnation,
@@ -86,3 +83,28 @@
         })
     }
 }
+
+/// Sends a report in as many frames as it takes. Only the last one names the generation,
+/// which tells the agent that the report is complete.
+fn send_report(
+    agent: &AgentId,
+    generation: u64,
+    known_ms: u64,
+    runs: &[KeyedRun],
+    out: &mut Vec<EntryAction>,
+) {
+    let (before, last) = runs.split_at(runs.len() - runs.len() % RUNS_PER_FRAME);
+    let before = before.chunks(RUNS_PER_FRAME).map(|runs| KeyedRuns {
+        runs: runs.to_vec(),
+        ..KeyedRuns::default()
+    });
+    let last = KeyedRuns {
+        generation,
+        runs: last.to_vec(),
+        known_ms,
+    };
+    out.extend(before.chain([last]).map(|report| EntryAction::SendFrame {
+        peer: Peer::Agent(agent.clone()),
+        body: frame::Body::KeyedRuns(report),
+    }));
+}
--- a/crates/role/src/entry/keyed_runs.rs
+++ b/crates/role/src/entry/keyed_runs.rs
@@ -14,8 +14,9 @@
 /// copy that is some seconds old.
 const REMEMBER_MS: u64 = 60_000;
 
-/// Largest number of requests kept, those with the latest changes. They take some 10 MB.
-const RUNS_MAX: usize = 65_536;
+/// Largest number of requests kept, those with the latest changes. At this number a report
+/// of all of them fits into the send queue of a link.
+const RUNS_MAX: usize = 8_192;
 
 /// The requests of the last minute, in the order of their last changes.
 #[derive(Debug, Default)]
@@ -32,7 +33,7 @@
         if !run.claimed && self.claimed(now, &run.caller, &run.key).is_some() {
             return;
         }
-        self.expire(now);
+        self.expire(now, RUNS_MAX - 1);
         let key = (run.caller.clone(), run.key.clone());
         if let Some(sequence) = self.sequence_by_key.remove(&key) {
             self.runs.remove(&sequence);
@@ -53,7 +54,7 @@
         pool: &str,
         sequence: u64,
     ) -> (Vec<KeyedRun>, u64) {
-        self.expire(now);
+        self.expire(now, RUNS_MAX);
         let changed = self.runs.range(sequence + 1..);
         let of_pool = changed.filter(|(_, (_, run))| run.pool == pool);
         let runs = of_pool.map(|(_, (_, run))| run.clone()).collect();
@@ -67,15 +68,16 @@
         caller: &str,
         key: &str,
     ) -> Option<KeyedRun> {
-        self.expire(now);
+        self.expire(now, RUNS_MAX);
         let key = (caller.to_owned(), key.to_owned());
         let (_, run) = self.runs.get(self.sequence_by_key.get(&key)?)?;
         run.claimed.then(|| run.clone())
     }
 
-    fn expire(&mut self, now: Instant) {
+    /// Removes requests that are too old, and the oldest if there are more than `max`.
+    fn expire(&mut self, now: Instant, max: usize) {
         while let Some((_, (at, run))) = self.runs.first_key_value() {
-            let is_kept = now.ms_since(*at) < REMEMBER_MS && self.runs.len() < RUNS_MAX;
+            let is_kept = now.ms_since(*at) < REMEMBER_MS && self.runs.len() <= max;
             if is_kept {
                 return;
             }
--- a/crates/role/tests/agent/restored_claims.rs
+++ b/crates/role/tests/agent/restored_claims.rs
@@ -70,7 +70,7 @@
 /// Guards against an agent that doesn't say that it waits for claims, against a refusal
 /// that says that the order was not run, and against keys that stay refused.
 #[test]
-fn keys_are_granted_once_the_entries_have_told_and_the_time_is_over() {
+fn keys_are_granted_once_the_entries_have_reported_and_the_time_is_over() {
     let mut platform = Platform::new();
     let mut agent = restored_agent(&mut platform);
     assert_eq!(restored_generation(&agent), Some(1), "said at once");
@@ -98,7 +98,7 @@
 /// Guards against keys that are granted before an entry has reported, by a frame of an earlier
 /// restore or by none, and against an entry that never does.
 #[test]
-fn an_entry_that_has_not_told_is_waited_for() {
+fn an_entry_that_has_not_reported_is_waited_for() {
     let mut platform = Platform::new();
     let mut agent = restored_agent(&mut platform);
     report(&mut agent, 0, &[]);
--- a/crates/role/tests/entry/keyed_runs.rs
+++ b/crates/role/tests/entry/keyed_runs.rs
@@ -76,7 +76,7 @@
 /// Guards against a key that is granted again because its run is not reported to the agents
 /// of its pool; against repeated reports; and against reports to other pools.
 #[test]
-fn agents_of_the_pool_are_told_of_a_request() {
+fn a_request_is_reported_to_the_agents_of_its_pool() {
     let mut rig = rig();
     let request = rig.request_orders();
     let run = rig.run(request);
@@ -95,7 +95,7 @@
 
 /// Guards against a restarted agent that lacks the report to its predecessor.
 #[test]
-fn a_restarted_agent_is_told_again() {
+fn a_restarted_agent_gets_the_report_again() {
     let mut rig = rig();
     let request = rig.request_orders();
     let run = rig.run(request);
@@ -109,7 +109,7 @@
 
 /// Guards against a key that stays claimed although its request was not run.
 #[test]
-fn requests_that_were_not_run_are_not_told() {
+fn requests_that_were_not_run_are_not_reported() {
     let mut rig = rig();
     let request = rig.request_orders();
     rig.refuse(&rig.run(request), ErrorCode::GateFull);
@@ -172,7 +172,7 @@
 
 /// Guards against a log that grows without bound.
 #[test]
-fn requests_are_told_for_a_minute() {
+fn requests_are_reported_for_a_minute() {
     let mut rig = rig();
     let request = rig.request_orders();
     let run = rig.run(request);
@@ -187,7 +187,7 @@
 /// Guards against an agent that waits for lost claims long after a restore, because it
 /// starts only now.
 #[test]
-fn agents_are_told_for_how_long_the_generation_is_known() {
+fn a_report_says_for_how_long_the_generation_is_known() {
     let mut rig = rig();
     let watch = rig.actions.iter().find_map(|action| match action {
         EntryAction::CallPlatform(call) => {
@@ -211,7 +211,7 @@
 /// earlier run is reported to the agent that gets the resend. A run whose agent is not known
 /// to have claimed the key is not reported, as the key may be free.
 #[test]
-fn an_agent_is_told_of_an_earlier_run_before_the_resend() {
+fn an_earlier_run_is_reported_before_the_resend() {
     for started in [true, false] {
         let mut rig = rig();
         let request = rig.request_orders();
@@ -226,9 +226,9 @@
         let agent = rig.run(resend).agent;
         let reported = rig.actions.iter().position(|action| match action {
             EntryAction::SendFrame { peer, body } => {
-                let is_told = matches!(body, frame::Body::KeyedRuns(runs)
+                let is_report = matches!(body, frame::Body::KeyedRuns(runs)
                     if runs.generation == 0 && runs.runs[0].key == "k1");
-                is_told && *peer == agent_peer(&agent)
+                is_report && *peer == agent_peer(&agent)
             }
             _ => false,
         });
@@ -258,3 +258,42 @@
     let reported = known_runs(ask(&mut rig, other, 1));
     assert_eq!(reported, [("k1".to_owned(), RunStatus::Ran)]);
 }
+
+/// Guards against a report that is larger than a frame may be, and against one that counts
+/// as complete before its last frame.
+#[test]
+fn a_large_report_is_sent_in_several_frames() {
+    const RUNS: usize = 20_000;
+    const KEPT: usize = 8_192;
+    let mut rig = rig();
+    let runs = (0..RUNS).map(|number| KeyedRun {
+        caller: "c1".to_owned(),
+        key: format!("key-{number}"),
+        pool: "desk".to_owned(),
+        ran: RunStatus::Ran.number(),
+        ..KeyedRun::default()
+    });
+    let body = frame::Body::KeyedRuns(KeyedRuns {
+        runs: runs.collect(),
+        ..KeyedRuns::default()
+    });
+    rig.handle(EntryEvent::Frame {
+        peer: entry_peer("e9"),
+        revision: Revision(0),
+        body,
+    });
+    rig.clear();
+    let mut body = heartbeat("s1", &rig.agents["s1"]);
+    (body.sequence, body.restored_generation) = (100, 1);
+    rig.frame("s1", frame::Body::Heartbeat(body));
+    let frames = rig.sent_frames(|peer, body| match body {
+        frame::Body::KeyedRuns(runs) if *peer == agent_peer("s1") => Some(runs.clone()),
+        _ => None,
+    });
+    let (last, before) = frames.split_last().expect("a report");
+    assert_eq!(last.generation, 1);
+    assert!(before.iter().all(|frame| frame.generation == 0));
+    assert!(frames.iter().all(|frame| frame.runs.len() <= 1_024));
+    let reported: usize = frames.iter().map(|frame| frame.runs.len()).sum();
+    assert_eq!(reported, KEPT);
+}
