Claims: only a run that has ended is reported before a resend

Callers could see: 3005 with ran: ran for an order that its upstream had refused as not run, when they sent it again at once through the entry with the copy: the copy still had it as running, and the agent wrote its claim. And, after a restore, a key that is granted because the link broke while the entry's report was under way, or 60 s of refusals.

Cause: a start was taken for a claim that stays. What was sent on a link that broke counted as delivered.

Change: only an attempt that has ended says that its claim has to be in the shard. The report is sent anew after the link to an agent broke.

--- a/crates/role/src/entry/control/links.rs
+++ b/crates/role/src/entry/control/links.rs
@@ -109,6 +109,8 @@
             .peer(peer)
             .record(out);
         if let Peer::Agent(id) = peer {
+            // Frames of the report may be lost.
+            self.reported_runs.remove(id);
             self.directory.link_down(id);
             effects.gone_agents.insert(id.clone(), GoneReason::LinkDown);
             self.check_liveness(now, out, effects);
--- a/crates/role/src/entry/requests/keyed_runs.rs
+++ b/crates/role/src/entry/requests/keyed_runs.rs
@@ -9,6 +9,13 @@
 use super::state::{Attempt, Request};
 use crate::Peer;
 
+/// Progress of a logged attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Running,
+    Ended,
+}
+
 /// Reports an earlier run with the same key to an agent, before it gets a request. If the
 /// platform doesn't show that run's claim, it has lost it.
 pub(super) fn report_earlier_run(
@@ -30,7 +37,7 @@
 /// Logs that the attempt in flight was passed to its upstream.
 pub(super) fn log_started(ctx: &mut Ctx<'_>, request: &Request) {
     if let Some(attempt) = request.attempt() {
-        log(ctx, request, attempt, RunStatus::Unknown);
+        log(ctx, request, attempt, RunStatus::Unknown, Phase::Running);
     }
 }
 
@@ -45,12 +52,18 @@
 ) {
     let is_lost = reported.is_none() || attempt.revoked_at.is_some();
     if attempt.started || (is_lost && ran != RunStatus::NotRun) {
-        log(ctx, request, attempt, ran);
+        log(ctx, request, attempt, ran, Phase::Ended);
     }
 }
 
 /// Logs what is known of an attempt, unless its request needs no claim.
-fn log(ctx: &mut Ctx<'_>, request: &Request, attempt: &Attempt, ran: RunStatus) {
+fn log(
+    ctx: &mut Ctx<'_>,
+    request: &Request,
+    attempt: &Attempt,
+    ran: RunStatus,
+    phase: Phase,
+) {
     let Some(key) = claimed_key(request) else {
         return;
     };
@@ -66,7 +79,8 @@
         agent: attempt.agent.to_string(),
         ran: ran.number(),
         pool: spec.pool.to_string(),
-        claimed: attempt.started,
+        // A running one may still turn out not to run, and its key be released.
+        claimed: attempt.started && phase == Phase::Ended,
     };
     // This entry and the agent may be lost together.
     if let Some(entry) = ctx.control.backup_entry(ctx.now) {
--- a/crates/role/tests/entry/keyed_runs.rs
+++ b/crates/role/tests/entry/keyed_runs.rs
@@ -1,6 +1,6 @@
 //! Reports of keyed requests to agents that wait for lost claims.
 
-use crate::rig::{Rig, agent_peer, entry_peer, heartbeat};
+use crate::rig::{Rig, SentRun, agent_peer, entry_peer, heartbeat};
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResponse, PlatformResult};
 use role::Peer;
@@ -107,6 +107,20 @@
     assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
 }
 
+/// Guards against a report whose frames were lost with the link.
+#[test]
+fn an_agent_whose_link_broke_gets_the_report_again() {
+    let mut rig = rig();
+    let request = rig.request_orders();
+    let run = rig.run(request);
+    rig.started(&run);
+    rig.end(&run, 2);
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
+    rig.link_down("s1");
+    rig.link_up("s1");
+    assert_eq!(known_runs(ask(&mut rig, "s1", 1)).len(), 1);
+}
+
 /// Guards against a key that stays claimed although its request was not run.
 #[test]
 fn requests_that_were_not_run_are_not_reported() {
@@ -208,23 +222,44 @@
 }
 
 /// Guards against a key that is granted again because the platform lost its claim: the
-/// earlier run is reported to the agent that gets the resend. A run whose agent is not known
-/// to have claimed the key is not reported, as the key may be free.
+/// earlier run is reported to the agent that gets the resend. A run that may turn out not to
+/// run, or whose agent is not known to have claimed the key, is not reported: the key may be
+/// free.
 #[test]
 fn an_earlier_run_is_reported_before_the_resend() {
-    for started in [true, false] {
+    type Outcome = fn(&mut Rig, &SentRun);
+    let outcomes: [(&str, Outcome, bool); 5] = [
+        (
+            "ended",
+            |rig, run| (rig.started(run), rig.end(run, 2)).1,
+            true,
+        ),
+        (
+            "lost after its start",
+            |rig, run| (rig.started(run), rig.link_down(&run.agent)).1,
+            true,
+        ),
+        ("running", |rig, run| rig.started(run), false),
+        (
+            "refused by its upstream",
+            |rig, run| {
+                rig.started(run);
+                rig.fail(run, ErrorCode::UpstreamFault, RunStatus::NotRun);
+            },
+            false,
+        ),
+        ("lost", |rig, run| rig.link_down(&run.agent), false),
+    ];
+    for (name, bring_about, is_reported) in outcomes {
         let mut rig = rig();
         let request = rig.request_orders();
         let run = rig.run(request);
-        if started {
-            rig.started(&run);
-        }
-        rig.link_down(&run.agent);
+        bring_about(&mut rig, &run);
         rig.advance(500);
         rig.clear();
         let resend = rig.request_orders();
         let agent = rig.run(resend).agent;
-        let reported = rig.actions.iter().position(|action| match action {
+        let report = rig.actions.iter().position(|action| match action {
             EntryAction::SendFrame { peer, body } => {
                 let is_report = matches!(body, frame::Body::KeyedRuns(runs)
                     if runs.generation == 0 && runs.runs[0].key == "k1");
@@ -235,11 +270,8 @@
         let sent = rig.actions.iter().position(|action| {
             matches!(action, EntryAction::SendRun { request, .. } if *request == resend)
         });
-        assert_eq!(reported.is_some(), started);
-        assert!(
-            reported.is_none_or(|reported| Some(reported) < sent),
-            "reported too late"
-        );
+        assert_eq!(report.is_some(), is_reported, "{name}");
+        assert!(report.is_none_or(|at| Some(at) < sent), "{name}: too late");
     }
 }
 
