--- a/crates/once/src/restore.rs
+++ b/crates/once/src/restore.rs
@@ -29,8 +29,8 @@
 /// Longest such time while a connected entry has not reported its requests.
 const RESTORE_MAX_MS: u64 = 60_000;
 
-/// Bounds of the retry time told to a caller whose key's claim may be lost. Most lost
-/// claims are written again long before the time for it is over.
+/// Bounds of the retry time in a refusal of a key whose claim may be lost. Most lost claims
+/// are written again long before [`RESTORE_MS`] is over.
 const RESTORE_RETRY_MIN_MS: u64 = 1_000;
 const RESTORE_RETRY_MAX_MS: u64 = 5_000;
 
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -287,8 +287,8 @@
     AfterWrite,
     /// The request is decided without a write.
     Settled(ClaimOutcome),
-    /// A claim of the key may have been lost in a restore of the platform. The caller is
-    /// told this retry time in milliseconds.
+    /// A claim of the key may have been lost in a restore of the platform. The refusal
+    /// has this retry time in milliseconds.
     MayBeLost(u64),
 }
 
--- a/crates/once/tests/claims/restores.rs
+++ b/crates/once/tests/claims/restores.rs
@@ -97,6 +97,25 @@
     assert!(matches!(two.outcome(4), Some(ClaimOutcome::Replay(_))));
 }
 
+/// Guards against a key that is granted on content of the shard from before a restore.
+#[test]
+fn content_read_before_a_restore_grants_nothing() {
+    let mut platform = Platform::default();
+    let mut two = Agent::new("two");
+    two.request_claim(0, 1, &sibling_keys("key", 1)[0], BODY);
+    two.answer_all(0, &mut platform);
+    let copy = platform.objects.clone();
+    let mut one = Agent::new("one");
+    one.request_claim(1_000, 2, "key", BODY);
+    one.answer_all(1_000, &mut platform);
+    one.finish(1_100, 2, b"done");
+    one.answer_all(1_100, &mut platform);
+    platform.restore(copy);
+    two.request_claim(2_000, 3, "key", BODY);
+    two.answer_all(2_000, &mut platform);
+    assert_eq!(two.refused(3), MAY_BE_LOST);
+}
+
 /// Guards against a key that is granted by a confirmation of before a restore, which the
 /// agent handles after it has learned of the restore.
 #[test]
@@ -206,7 +225,7 @@
 }
 
 /// Guards against a stored response that gives way to a claim without one, which another
-/// agent wrote because an entry told it of the request.
+/// agent wrote because an entry reported the request.
 #[test]
 fn a_stored_response_replaces_a_reported_claim() {
     let Restored {
@@ -308,7 +327,7 @@
 }
 
 /// Guards against an order that runs twice because the platform lost its claim without
-/// naming another generation. An entry tells of it just before the resend.
+/// naming another generation. An entry reports it just before the resend.
 #[test]
 fn a_key_reported_without_a_restore_is_not_granted() {
     let mut platform = Platform::default();
@@ -321,7 +340,7 @@
     assert!(two.claims.is_flushed());
 }
 
-/// Guards against a response that a caller doesn't get because an entry told of the run
+/// Guards against a response that a caller doesn't get because an entry reported the run
 /// whose claim the platform shows.
 #[test]
 fn a_report_does_not_replace_a_claim() {
--- a/crates/once/tests/claims/test_doubles.rs
+++ b/crates/once/tests/claims/test_doubles.rs
@@ -259,7 +259,7 @@
         self.collect(out);
     }
 
-    /// Hears from an entry that it passed a request to an agent.
+    /// Handles an entry's report that it passed a request to an agent.
     pub fn report(&mut self, ms: u64, run: ReportedRun) {
         let mut out = Vec::new();
         let now = Instant::from_ms(ms);
--- a/crates/role/src/entry/control/keyed_runs.rs
+++ b/crates/role/src/entry/control/keyed_runs.rs
@@ -85,7 +85,7 @@
 }
 
 /// Sends a report in as many frames as it takes. Only the last one names the generation,
-/// which tells the agent that the report is complete.
+/// by which the agent knows that the report is complete.
 fn send_report(
     agent: &AgentId,
     generation: u64,
