Entries log the prompt's parts of requests that were in flight at a crash

The crash check takes what it needs from the request in flight; the fingerprint is no longer handed through the takeover of streams.

No decision changed.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -57,10 +57,9 @@
     }
 
     /// Records that the stream broke, and checks whether the upstream crashed.
-    pub(crate) fn broken(self, fingerprint: u64) {
+    pub(crate) fn broken(self) {
         self.in_flight.record_result(false);
-        let node = Arc::clone(&self.in_flight.node);
-        check_for_crash(&node, fingerprint, self.in_flight.incarnation());
+        check_for_crash(&self.in_flight);
     }
 }
 
@@ -150,7 +149,7 @@
         }
         HeadResult::Failed(SendError::Broken) => {
             in_flight.record_result(false);
-            check_for_crash(node, request.fingerprint, in_flight.incarnation());
+            check_for_crash(&in_flight);
             AttemptResult::Failed(AttemptOutcome::Unknown, None)
         }
         HeadResult::Received(response) => {
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::state::Node;
+use crate::in_flight::InFlight;
 use crate::upstream_address::address_of;
 
 /// Time from a broken connection until the upstream is checked. A crashing
@@ -19,13 +19,14 @@
 /// A lost response or a cut stream breaks the connection in the same way. If
 /// two of those counted as crashes, a harmless request, and all that have the
 /// same fingerprint, would be kept from every upstream for a minute.
-pub(crate) fn check_for_crash(
-    node: &Arc<Node>,
-    fingerprint: u64,
-    incarnation: UpstreamIncarnation<'_>,
-) {
-    let (node, started_unix_ms) = (Arc::clone(node), incarnation.started_unix_ms);
-    let upstream: Arc<str> = incarnation.id.into();
+pub(crate) fn check_for_crash(in_flight: &InFlight) {
+    let node = Arc::clone(&in_flight.node);
+    let upstream = Arc::clone(&in_flight.upstream);
+    let UpstreamIncarnation {
+        started_unix_ms, ..
+    } = in_flight.incarnation();
+    let (fingerprint, answering) = (in_flight.fingerprint, in_flight.is_answering());
+    let parts = Arc::clone(&in_flight.shared_parts);
     tokio::spawn(async move {
         tokio::time::sleep(CRASH_CHECK_DELAY).await;
         if let Some(address) = address_of(&node, &upstream)
@@ -38,6 +39,8 @@
         node.log.line(
             "upstream_crashed",
             serde_json::json!({ "upstream": &*upstream,
+                "started_unix_ms": started_unix_ms, "answering": answering,
+                "parts": part_names(&parts),
                 "fingerprint": format!("{fingerprint:016x}") }),
         );
         let source = crash_source(&upstream, started_unix_ms);
@@ -47,6 +50,11 @@
     });
 }
 
+/// Returns the parts of a prompt as callers name them.
+fn part_names(parts: &[u64]) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
+}
+
 /// Returns the name that a crash is counted under. Crashes of two upstreams
 /// convict a request, and two incarnations of one upstream count as two:
 /// otherwise the request would go on to crash each incarnation of the same
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -22,8 +22,19 @@
     started_at: Instant,
     usage: Usage,
     response_started: bool,
+    /// How often complete events of a stream were received.
+    event_batches: u32,
+    /// Hash of path and body of the request.
+    pub(crate) fingerprint: u64,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) shared_parts: Arc<[u64]>,
 }
 
+/// Number of times that events of a stream were received, from which on the upstream
+/// counts as answering. One that crashes as it begins an answer may still have sent an
+/// event.
+const ANSWERING_FROM_BATCHES: u32 = 2;
+
 impl InFlight {
     /// Starts the accounting of a request that is about to be sent.
     pub(crate) fn start(
@@ -41,6 +52,9 @@
             started_at: now,
             usage: selected.usage,
             response_started: false,
+            event_batches: 0,
+            fingerprint: request.fingerprint,
+            shared_parts: Arc::clone(&request.shared_parts),
         };
         in_flight.with_upstream(|upstream| {
             upstream.request_sent(now, &selected.usage);
@@ -98,6 +112,16 @@
         self.response_started = true;
     }
 
+    /// Records that complete events of a stream were received.
+    pub(crate) const fn record_events(&mut self) {
+        self.event_batches = self.event_batches.saturating_add(1);
+    }
+
+    /// Returns whether the upstream has begun the answer and survived that.
+    pub(crate) const fn is_answering(&self) -> bool {
+        self.event_batches >= ANSWERING_FROM_BATCHES
+    }
+
     /// Returns whether the upstream has fallen silent for all requests of this
     /// entry.
     ///
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -186,6 +186,7 @@
         first_response_by: deadline
             .min(arrived_at.plus_ms(first_event_timeout_ms(&route))),
         fingerprint: fingerprint(&parts.uri, &body),
+        shared_parts: shared_parts(&head),
         prompt_parts: prefix_hashes(&head),
         head,
         service,
@@ -262,6 +263,13 @@
     hash.digest()
 }
 
+/// Returns the parts of the prompt that other requests may share.
+fn shared_parts(head: &RequestHead) -> Arc<[u64]> {
+    let parts = head.prompt_parts.split_last();
+    let parts = parts.map_or(&[][..], |(_, shared)| shared);
+    parts.iter().map(|(part, _)| *part).collect()
+}
+
 /// Returns for each prompt part a hash of all parts up to and including it, for
 /// the model and adapter. An upstream can reuse a cached part only after the
 /// parts before it.
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -38,6 +38,9 @@
     /// Hash of path and body. It identifies a request that crashes upstreams
     /// when it is sent again.
     pub(crate) fingerprint: u64,
+    /// The prompt's parts that other requests may share: all but the last, which is the
+    /// caller's own.
+    pub(crate) shared_parts: Arc<[u64]>,
     /// Parts of the prompt: hash of all parts up to and including this one, and
     /// its number of tokens.
     pub(crate) prompt_parts: Vec<(u64, u64)>,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -214,13 +214,11 @@
     async fn take_over(&mut self) -> Option<StreamStep> {
         let source = self.source.take()?;
         let silent = Arc::clone(&source.in_flight.upstream);
-        let fingerprint = self.dispatch.request.fingerprint;
         // The other attempt may not come back to it.
         self.dispatch
             .record_sent_to(&silent, AttemptOutcome::Unknown);
         let mut kept = Some(source);
-        let result =
-            race_takeover(&mut self.dispatch, &mut kept, &silent, fingerprint).await;
+        let result = race_takeover(&mut self.dispatch, &mut kept, &silent).await;
         let attempted = match result {
             TakeoverResult::Resumed(frame) => {
                 self.dispatch.withdraw_attempt();
@@ -232,7 +230,7 @@
         match (attempted, kept) {
             (Some((_, AttemptResult::Stream(taken_over))), kept) => {
                 if let Some(kept) = kept {
-                    kept.broken(fingerprint);
+                    kept.broken();
                 }
                 self.dispatch.record_takeover(&silent);
                 self.splitter = EventSplitter::default();
@@ -271,7 +269,8 @@
             }
         }
         if !bytes.is_empty() {
-            if let Some(source) = &self.source {
+            if let Some(source) = &mut self.source {
+                source.in_flight.record_events();
                 self.dispatch.bind_to(&source.in_flight);
             }
             return Some(StreamStep::Events(bytes.freeze()));
@@ -302,7 +301,7 @@
         let broken_source = self.source.take();
         let upstream = broken_source.map(|source| {
             let id = Arc::clone(&source.in_flight.upstream);
-            source.broken(self.dispatch.request.fingerprint);
+            source.broken();
             id
         });
         if let Some(end) = upstream.and_then(|id| self.dispatch.after_stream_break(&id))
@@ -326,7 +325,6 @@
     dispatch: &mut Dispatch,
     kept: &mut Option<Box<UpstreamStream>>,
     silent: &Arc<str>,
-    fingerprint: u64,
 ) -> TakeoverResult {
     let attempt = dispatch.attempt_elsewhere(silent);
     tokio::pin!(attempt);
@@ -343,7 +341,7 @@
         }
     }
     if let Some(source) = kept.take() {
-        source.broken(fingerprint);
+        source.broken();
     }
     TakeoverResult::Attempted(attempt.await)
 }
