Requests that share a part of their prompts stop crashing upstreams

Cause: the verdict on a crash was about whole requests, by a hash of path and body. The requests had one part of their prompts in common and were never alike, so no fingerprint was there at two crashes, and nothing was ever refused. The unit in which the cause was looked for was larger than the cause.

Change, in route::SuspectParts, without network: a crash counts against each part (the last one is the caller's own) of the requests that had not begun to be answered; an answer that begins, and goes on, speaks for its parts. Both are sets of hashes that entries merge. A part is refused after two crashes under different requests, if there are three for each answer. Popular parts have answers all the time, so crashes of other causes don't count against them. A crash under a part that is refused already accuses no other part. Parts that always came together are told apart by a request with only some of them. A refused part is probed after a minute by four entries at most, one request at a time, and refused for twice as long if it crashes an upstream again.

At the entry: asked before each selection and after it, for takeovers of silent upstreams (which asked for no verdict at all, of fingerprints neither), and while a request waits for its answer to begin. A request on whose parts no answer is known waits up to 150 ms for the crash check before another upstream gets it. Messages carry as many records as those of suspects, and a quarter of that for what is repeated; refused ones are repeated by all, so an entry that has just started learns of them. The refusal is 2017, 503, not run, and names the part; log and metric tell what spoke for and against it.

Tried and changed: two crashes of one request were enough at first. The first request, sent again, then convicted all parts that it had, the popular first part with them.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -143,6 +143,9 @@
     QuotaUnknown = 2015, "quota_unknown", 503;
     /// The software version that began the stream is not known, or can't run the rest.
     ResumeUnavailable = 2016, "resume_unavailable", 503;
+    /// Requests that share a part of the prompt crashed upstreams, and the part is
+    /// refused for some time.
+    PromptPartCrashedUpstreams = 2017, "prompt_part_crashed_upstreams", 503;
     /// The connection to the upstream was lost with the request in flight.
     UpstreamLost = 3001, "upstream_lost", 502;
     /// The upstream refused the request or violated its protocol.
--- a/crates/entry/src/http/rejection.rs
+++ b/crates/entry/src/http/rejection.rs
@@ -105,6 +105,9 @@
         ErrorCode::ResumeUnavailable => {
             "the software version that began the stream is not known or can't go on"
         }
+        ErrorCode::PromptPartCrashedUpstreams => {
+            "requests that share a part of the prompt crashed upstreams"
+        }
         ErrorCode::UpstreamLost => "the upstream died with the request in flight",
         ErrorCode::UpstreamFault => "the upstream refused or broke its protocol",
         ErrorCode::DeadlineWhileRunning => "the deadline passed while the request ran",
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -8,9 +8,10 @@
 use hyper::{Request, Response, StatusCode, Version};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::crash::check_for_crash;
+use crate::crash::{await_if_doubtful, check_for_crash};
 use crate::dispatch::Dispatch;
 use crate::headers::strip_hop_by_hop;
 use crate::in_flight::InFlight;
@@ -47,8 +48,9 @@
 impl UpstreamStream {
     /// Records that the stream was read to its end, and keeps the connection
     /// for reuse.
-    pub(crate) fn finished(self) {
+    pub(crate) fn finished(mut self) {
         self.in_flight.record_result(true);
+        self.in_flight.record_answer();
         let node = Arc::clone(&self.in_flight.node);
         let upstream = Arc::clone(&self.in_flight.upstream);
         drop(self.in_flight);
@@ -57,9 +59,9 @@
     }
 
     /// Records that the stream broke, and checks whether the upstream crashed.
-    pub(crate) fn broken(self) {
+    pub(crate) fn broken(self) -> JoinHandle<()> {
         self.in_flight.record_result(false);
-        check_for_crash(&self.in_flight);
+        check_for_crash(&self.in_flight)
     }
 }
 
@@ -149,7 +151,7 @@
         }
         HeadResult::Failed(SendError::Broken) => {
             in_flight.record_result(false);
-            check_for_crash(&in_flight);
+            await_if_doubtful(dispatch, check_for_crash(&in_flight)).await;
             AttemptResult::Failed(AttemptOutcome::Unknown, None)
         }
         HeadResult::Received(response) => {
@@ -203,7 +205,7 @@
 async fn evaluate_response(
     node: &Arc<Node>,
     request: &CallerRequest,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     connection: UpstreamConnection,
     response: Response<Incoming>,
 ) -> AttemptResult {
@@ -252,6 +254,9 @@
         );
     };
     in_flight.record_result(!parts.status.is_server_error());
+    if success {
+        in_flight.record_answer();
+    }
     node.connections
         .keep(&in_flight.upstream, connection, head.keep_alive_s);
     let response = BufferedResponse {
--- a/crates/front/src/crash.rs
+++ b/crates/front/src/crash.rs
@@ -4,14 +4,21 @@
 use direct::UpstreamIncarnation;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
+use crate::dispatch::Dispatch;
 use crate::in_flight::InFlight;
+use crate::suspect_parts::part_names;
 use crate::upstream_address::address_of;
 
 /// Time from a broken connection until the upstream is checked. A crashing
 /// process takes a moment to exit.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
 
+/// Longest time for which a request waits for the result of a crash check.
+const CRASH_CHECK_MAX: Duration = Duration::from_millis(150);
+
 /// Checks whether an upstream that broke a request's connection has crashed. If
 /// it can't be connected to either, it has, and the request is recorded as a
 /// suspect: one that may have caused the crash.
@@ -19,7 +26,7 @@
 /// A lost response or a cut stream breaks the connection in the same way. If
 /// two of those counted as crashes, a harmless request, and all that have the
 /// same fingerprint, would be kept from every upstream for a minute.
-pub(crate) fn check_for_crash(in_flight: &InFlight) {
+pub(crate) fn check_for_crash(in_flight: &InFlight) -> JoinHandle<()> {
     let node = Arc::clone(&in_flight.node);
     let upstream = Arc::clone(&in_flight.upstream);
     let UpstreamIncarnation {
@@ -43,16 +50,26 @@
                 "parts": part_names(&parts),
                 "fingerprint": format!("{fingerprint:016x}") }),
         );
+        if !answering {
+            let incarnation = UpstreamIncarnation {
+                id: &upstream,
+                started_unix_ms,
+            };
+            node.record_part_crash(&parts, fingerprint, incarnation);
+        }
         let source = crash_source(&upstream, started_unix_ms);
         let mut suspects = node.suspects.lock();
         let started_ms = started_unix_ms.unwrap_or(0);
         suspects.record_crash(node.now(), &[fingerprint], &source, started_ms, false);
-    });
+    })
 }
 
-/// Returns the parts of a prompt as callers name them.
-fn part_names(parts: &[u64]) -> Vec<String> {
-    parts.iter().map(|part| format!("{part:x}")).collect()
+/// Waits for the result of a crash check if the request itself may be the cause. Sent to
+/// another upstream before, it could crash that one as well.
+pub(crate) async fn await_if_doubtful(dispatch: &Dispatch, check: JoinHandle<()>) {
+    if dispatch.may_crash_upstreams() {
+        let _ = timeout(CRASH_CHECK_MAX, check).await;
+    }
 }
 
 /// Returns the name that a crash is counted under. Crashes of two upstreams
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -8,11 +8,14 @@
 };
 use hyper::Response;
 use parking_lot::Mutex;
+use route::{PromptPart, RefusedPart};
 use serde_json::{Value, json};
 use std::sync::Arc;
 
 use crate::attempt::{AttemptResult, UpstreamStream};
-use crate::response::{BufferedResponse, ResponseBody, error_response};
+use crate::response::{
+    BufferedResponse, ResponseBody, error_response, error_response_for_part,
+};
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::quota::Charge;
@@ -80,6 +83,10 @@
     pub(crate) waited_ms: u64,
     /// How often an upstream was passed over because its rate was used up.
     pub(crate) rate_limited_count: u32,
+    /// Part of the prompt that the request probes.
+    pub(crate) probe: Option<PromptPart>,
+    /// Part of the prompt for which the request was refused.
+    pub(crate) refused_for: Option<RefusedPart>,
     first_response_ms: Option<u64>,
     end_recorded: bool,
 }
@@ -128,6 +135,8 @@
             attempts: Vec::new(),
             waited_ms: 0,
             rate_limited_count: 0,
+            probe: None,
+            refused_for: None,
             first_response_ms: None,
             end_recorded: false,
         }
@@ -154,10 +163,18 @@
             if self.node.is_convicted(self.request.fingerprint) {
                 return self.end_without_response(ErrorCode::RequestCrashedUpstreams);
             }
+            if let Some(refused) = self.admit_parts() {
+                return self.end_refused(refused);
+            }
             let selected = match self.next_upstream().await {
                 Ok(selected) => selected,
                 Err(rejection) => return self.end_rejected(&rejection),
             };
+            // The selection may have waited for seconds.
+            if let Some(refused) = self.refused_part() {
+                self.rate_charge = None;
+                return self.end_refused(refused);
+            }
             let (selected, result) = self.attempt_at(selected).await;
             match result {
                 AttemptResult::Stream(stream) => return DispatchResult::Stream(stream),
@@ -202,6 +219,11 @@
         (last.selected, last.result)
     }
 
+    /// Returns whether any attempt so far may have run the request.
+    pub(crate) const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Records an attempt without a response that can be forwarded.
     fn record_failure(
         &mut self,
@@ -360,7 +382,7 @@
     }
 
     /// Returns the result of a request that got no usable response.
-    fn end_without_response(&mut self, code: ErrorCode) -> DispatchResult {
+    pub(crate) fn end_without_response(&mut self, code: ErrorCode) -> DispatchResult {
         if let Some(upstream_failure) = self.upstream_failure.take() {
             return DispatchResult::Response(upstream_failure);
         }
@@ -455,7 +477,12 @@
             }
             DispatchResult::Failed(error) => {
                 self.record_end(error.code.name(), error.code.http_status());
-                error_response(&*self.node.protocol, &self.request.head.id, &error)
+                error_response_for_part(
+                    &*self.node.protocol,
+                    &self.request.head.id,
+                    &error,
+                    self.refused_for.as_ref().map(|refused| refused.part.part),
+                )
             }
             DispatchResult::Stream(_) => {
                 let error = RequestError::not_run(ErrorCode::Overloaded);
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use direct::{SelectedUpstream, SoftwareVersion, Upstream, UpstreamIncarnation, Usage};
+use route::PromptPart;
 use std::sync::Arc;
 
 use crate::state::Node;
@@ -27,7 +28,11 @@
     /// Hash of path and body of the request.
     pub(crate) fingerprint: u64,
     /// The parts of its prompt that other requests may share.
-    pub(crate) shared_parts: Arc<[u64]>,
+    pub(crate) shared_parts: Arc<[PromptPart]>,
+    /// Id of the request.
+    request_id: String,
+    /// Whether the answer was recorded as evidence about these parts.
+    answer_recorded: bool,
 }
 
 /// Number of times that events of a stream were received, from which on the upstream
@@ -55,6 +60,8 @@
             event_batches: 0,
             fingerprint: request.fingerprint,
             shared_parts: Arc::clone(&request.shared_parts),
+            request_id: request.head.id.clone(),
+            answer_recorded: false,
         };
         in_flight.with_upstream(|upstream| {
             upstream.request_sent(now, &selected.usage);
@@ -113,8 +120,20 @@
     }
 
     /// Records that complete events of a stream were received.
-    pub(crate) const fn record_events(&mut self) {
+    pub(crate) fn record_events(&mut self) {
         self.event_batches = self.event_batches.saturating_add(1);
+        if self.is_answering() {
+            self.record_answer();
+        }
+    }
+
+    /// Records that the upstream has begun the answer, or sent all of it, and survived
+    /// that.
+    pub(crate) fn record_answer(&mut self) {
+        if !std::mem::replace(&mut self.answer_recorded, true) {
+            self.node
+                .record_part_answer(&self.shared_parts, &self.request_id);
+        }
     }
 
     /// Returns whether the upstream has begun the answer and survived that.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -54,6 +54,7 @@
 mod state_monitor;
 mod stream;
 mod stream_origins;
+mod suspect_parts;
 mod takeover;
 mod upstream_address;
 mod upstream_changes;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -275,6 +275,11 @@
         stream_origins: Vec::new(),
         origin_asks: Vec::new(),
         origins_unknown: Vec::new(),
+        suspect_parts: node.suspect_parts.lock().export_batch(
+            now,
+            round,
+            suspects_per_message(peers),
+        ),
     }
 }
 
--- a/crates/front/src/peers/message_parts.rs
+++ b/crates/front/src/peers/message_parts.rs
@@ -6,7 +6,7 @@
 
 /// Returns the name and the encoded size in bytes of each part of a message that can be
 /// large.
-pub(super) fn part_sizes(message: &PeerNews) -> [(&'static str, usize); 8] {
+pub(super) fn part_sizes(message: &PeerNews) -> [(&'static str, usize); 9] {
     let watched = message.setup.iter().chain(&message.upstreams);
     [
         ("uses", encoded_bytes(&message.uses)),
@@ -15,6 +15,7 @@
         ("leaving", encoded_bytes(&message.leaving)),
         ("holdings", encoded_bytes(&message.holdings)),
         ("suspects", encoded_bytes(&message.suspects)),
+        ("suspect_parts", encoded_bytes(&message.suspect_parts)),
         ("rates", encoded_bytes(&message.rates)),
         ("platform_watch", encoded_bytes(watched)),
     ]
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -166,6 +166,8 @@
     for suspect in &message.suspects {
         suspects.merge(now, suspect);
     }
+    drop(suspects);
+    node.merge_suspect_parts(&message.entry, &message.suspect_parts);
     sender
 }
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -23,6 +23,7 @@
 use crate::state::shutdown::ShutdownPhase;
 use crate::stream::{forward, start_stream};
 use crate::stream_origins;
+use crate::suspect_parts::shared_parts;
 
 /// When a caller should come back to an entry that has no configuration yet.
 const NOT_READY_RETRY_MS: u64 = 300;
@@ -186,7 +187,7 @@
         first_response_by: deadline
             .min(arrived_at.plus_ms(first_event_timeout_ms(&route))),
         fingerprint: fingerprint(&parts.uri, &body),
-        shared_parts: shared_parts(&head),
+        shared_parts: shared_parts(&head, &service),
         prompt_parts: prefix_hashes(&head),
         head,
         service,
@@ -263,13 +264,6 @@
     hash.digest()
 }
 
-/// Returns the parts of the prompt that other requests may share.
-fn shared_parts(head: &RequestHead) -> Arc<[u64]> {
-    let parts = head.prompt_parts.split_last();
-    let parts = parts.map_or(&[][..], |(_, shared)| shared);
-    parts.iter().map(|(part, _)| *part).collect()
-}
-
 /// Returns for each prompt part a hash of all parts up to and including it, for
 /// the model and adapter. An upstream can reuse a cached part only after the
 /// parts before it.
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -49,6 +49,9 @@
     code: u32,
     name: &'a str,
     ran: &'a str,
+    /// The part of the prompt for which the request is refused, as the caller names it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    prompt_part: Option<String>,
 }
 
 /// Returns the response to a request that ended with an error of this entry.
@@ -56,11 +59,23 @@
     protocol: &dyn PlatformProtocol,
     id: &str,
     error: &RequestError,
+) -> Response<ResponseBody> {
+    error_response_for_part(protocol, id, error, None)
+}
+
+/// Returns the response to a request that ended with an error of this entry, because of
+/// a part of its prompt if one is given.
+pub(crate) fn error_response_for_part(
+    protocol: &dyn PlatformProtocol,
+    id: &str,
+    error: &RequestError,
+    prompt_part: Option<u64>,
 ) -> Response<ResponseBody> {
     let body = ErrorBody {
         code: error.code.number(),
         name: error.code.name(),
         ran: error.ran.as_str(),
+        prompt_part: prompt_part.map(|part| format!("{part:x}")),
     };
     // A struct of numbers and strings always serializes.
     let body = serde_json::to_vec(&body).unwrap_or_default();
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -6,6 +6,7 @@
 use direct::{Route, ServiceSpec, StreamOrigin};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
+use route::PromptPart;
 use std::sync::Arc;
 
 use super::quota::Charge;
@@ -40,7 +41,7 @@
     pub(crate) fingerprint: u64,
     /// The prompt's parts that other requests may share: all but the last, which is the
     /// caller's own.
-    pub(crate) shared_parts: Arc<[u64]>,
+    pub(crate) shared_parts: Arc<[PromptPart]>,
     /// Parts of the prompt: hash of all parts up to and including this one, and
     /// its number of tokens.
     pub(crate) prompt_parts: Vec<(u64, u64)>,
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) quota_refused: IntCounterVec,
     /// Attempts, by service and outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Verdicts on parts of prompts, by service and verdict.
+    pub(crate) part_verdicts: IntCounterVec,
     /// Streams that callers take up, by how their origin is known.
     pub(crate) streams_taken_up: IntCounterVec,
     /// Orders, by action and outcome.
@@ -79,6 +81,11 @@
             "Tries at upstreams",
             &["service", "outcome"],
         );
+        let part_verdicts = counter(
+            "sesame_front_prompt_part_verdicts_total",
+            "Parts of prompts that are refused or released",
+            &["service", "verdict"],
+        );
         let streams_taken_up = counter(
             "sesame_front_streams_taken_up_total",
             "Streams that callers take up",
@@ -167,6 +174,7 @@
             first_response_s,
             full_response_s,
             attempts,
+            part_verdicts,
             streams_taken_up,
             orders,
             platform_calls,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -9,7 +9,7 @@
 use plat::ObjectApi;
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
-use route::{CrashVerdict, SuspectRequests};
+use route::{CrashVerdict, SuspectParts, SuspectRequests};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Display;
@@ -83,6 +83,7 @@
     pub(crate) time_factors: Mutex<ModelTimeFactors>,
     pub(crate) mean_prefill_times: Mutex<MeanPrefillTimes>,
     pub(crate) suspects: Mutex<SuspectRequests>,
+    pub(crate) suspect_parts: Mutex<SuspectParts>,
     pub(crate) wanted_adapters: WantedAdapters,
     /// Quota tokens of workspaces.
     pub(crate) workspace_quotas: Quotas,
@@ -170,6 +171,7 @@
             time_factors: Mutex::default(),
             mean_prefill_times: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
+            suspect_parts: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::attempt::{AttemptResult, UpstreamStream};
+use crate::crash::await_if_doubtful;
 use crate::dispatch::{Dispatch, DispatchResult};
 use crate::events::{Event, EventSplitter};
 use crate::response::{ResponseAborted, ResponseBody};
@@ -299,14 +300,16 @@
         self.splitter = EventSplitter::default();
         self.gap_found = false;
         let broken_source = self.source.take();
-        let upstream = broken_source.map(|source| {
-            let id = Arc::clone(&source.in_flight.upstream);
-            source.broken();
-            id
-        });
-        if let Some(end) = upstream.and_then(|id| self.dispatch.after_stream_break(&id))
-        {
-            return Err(end);
+        if let Some(source) = broken_source {
+            let upstream = Arc::clone(&source.in_flight.upstream);
+            let was_answering = source.in_flight.is_answering();
+            let check = source.broken();
+            if !was_answering {
+                await_if_doubtful(&self.dispatch, check).await;
+            }
+            if let Some(end) = self.dispatch.after_stream_break(&upstream) {
+                return Err(end);
+            }
         }
         match self.dispatch.run_until_response().await {
             DispatchResult::Stream(source) => {
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -215,14 +215,17 @@
 }
 
 impl Dispatch {
-    /// Decides whether a request that waits for its upstream stays there.
-    /// `is_overdue` tells whether the request itself has waited long enough for
+    /// Decides whether a request that waits for its upstream stays there. One that may
+    /// crash the upstream as soon as its answer begins doesn't. `is_overdue` tells whether the request itself has waited long enough for
     /// the upstream's silence to count.
     pub(crate) fn decide_in_flight(
         &self,
         in_flight: &InFlight,
         is_overdue: bool,
     ) -> InFlightDecision {
+        if !in_flight.is_answering() && self.refused_part().is_some() {
+            return InFlightDecision::Ended;
+        }
         let upstream_silent = is_overdue && in_flight.is_silent();
         if upstream_silent {
             log_avoidance_if_changed(&self.node, &in_flight.upstream);
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -255,11 +255,17 @@
     }
 
     /// Selects an upstream that was not attempted yet and is not the one that
-    /// runs the request.
+    /// runs the request. There is none for a request that may crash it.
     pub(crate) fn alternative_to(
         &self,
         upstream: &Arc<str>,
     ) -> Result<SelectedUpstream, SelectionError> {
+        if self.node.is_convicted(self.request.fingerprint)
+            || self.refused_part().is_some()
+            || self.probe.is_some()
+        {
+            return Err(SelectionError::NoUpstream);
+        }
         let mut attempted = self.attempted.lock().all();
         attempted.push(Arc::clone(upstream));
         self.select_excluding(&attempted)
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,18 +17,22 @@
 //!   load of one caller.
 //! - [`AdaptiveConcurrencyLimit`] learns how many requests an upstream can run at
 //!   once without slowing down.
-//! - [`SuspectRequests`] bounds how many upstreams one request may crash.
+//! - [`SuspectRequests`] bounds how many upstreams one request may crash, and
+//!   [`SuspectParts`] how many the requests that share a part of their prompts may.
 //! - [`CircuitBreaker`] stops requests to a failing upstream, with one entry that
 //!   probes it for the whole fleet.
 
 mod adaptive_limit;
 mod admission;
+mod answered_parts;
 mod caller_limits;
 mod choose;
 mod circuit_breaker;
 mod crash_record;
+mod part_record;
 mod rendezvous;
 mod retry_budget;
+mod suspect_parts;
 mod suspects;
 
 pub use adaptive_limit::AdaptiveConcurrencyLimit;
@@ -38,6 +42,12 @@
     ChosenHolder, Holder, RouteReason, RoutingInput, choose_holder, has_capacity,
 };
 pub use circuit_breaker::{BreakerState, CircuitBreaker, Permission};
-pub use rendezvous::{exclusive_run_owner, probing_entry, rendezvous_weight};
+pub use part_record::{PartChange, PartCrash};
+pub use rendezvous::{
+    exclusive_run_owner, is_part_probing_entry, probing_entry, rendezvous_weight,
+};
 pub use retry_budget::RetryBudget;
+pub use suspect_parts::{
+    PartEvidence, PartVerdict, PromptPart, RefusedPart, SuspectParts,
+};
 pub use suspects::{CrashVerdict, EXCLUSIVE_RUN_RETRY_MS, SuspectRequests};
--- /dev/null
+++ b/crates/route/src/part_record.rs
@@ -0,0 +1,264 @@
+//! Evidence for and against one part of prompts, and the verdict that follows.
+
+use base::prelude::*;
+use schema::peer::SuspectPart;
+
+/// Number of crashes from which on a part may be refused. At one, a request may have
+/// been a bystander.
+const CRASHES_TO_REFUSE: usize = 2;
+
+/// Number of different requests that must have been there. The crashes of one request
+/// that was sent again don't tell which of its parts is the cause.
+const REQUESTS_TO_REFUSE: usize = 2;
+
+/// Number of crashes for each answer from which on a part is refused. A part that crashes most
+/// upstreams, but not each, is refused as well.
+const CRASHES_PER_ANSWER: usize = 3;
+
+/// Maximum number of crashes kept.
+const CRASHES_MAX: usize = 8;
+
+/// Maximum number of answers kept: as many as outweigh [`CRASHES_MAX`] crashes.
+pub(crate) const ANSWERS_MAX: usize = CRASHES_MAX.div_ceil(CRASHES_PER_ANSWER);
+
+/// Time for which crashes count against a part that is not refused. It isn't extended by
+/// further crashes, so that a part on which answers began long ago can't keep them.
+const SUSPICION_MS: u64 = 60_000;
+
+/// Time for which a part is refused the first time. It doubles with each time.
+const REFUSAL_MS: u64 = 60_000;
+
+/// Number of times that the refusal doubles.
+const DOUBLINGS_MAX: u32 = 6;
+
+/// Time after a refusal and its probing for which one crash is enough to refuse the part
+/// again.
+const MEMORY_MS: u64 = 1_800_000;
+
+/// Time after which another probe may start if the result of the last is not known.
+const PROBE_INTERVAL_MS: u64 = 10_000;
+
+/// How far a refused part has come on its way to being released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PartStage {
+    /// No request with it runs.
+    Refused,
+    /// A few entries run single requests with it.
+    ProbedByFew,
+    /// Each entry runs single requests with it.
+    ProbedByAll,
+}
+
+/// What new evidence changed about a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartChange {
+    /// The evidence was known, or the part was not under suspicion.
+    Nothing,
+    /// The evidence is new and doesn't change the verdict.
+    Evidence,
+    /// The part is refused from now on.
+    Refused,
+    /// The part is no longer refused.
+    Released,
+}
+
+/// A crash of an upstream that had not begun to answer a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PartCrash {
+    /// Hash that identifies the upstream's incarnation.
+    pub incarnation: u64,
+    /// Fingerprint of the request: the same if a caller sends it again.
+    pub request: u64,
+}
+
+/// Evidence about one part.
+#[derive(Debug)]
+pub(crate) struct PartRecord {
+    /// Hashes of the incarnations that crashed, at most [`CRASHES_MAX`].
+    pub(crate) crashes: Vec<u64>,
+    /// Fingerprints of the requests that were there, at most [`CRASHES_MAX`].
+    pub(crate) requests: Vec<u64>,
+    /// Hashes of requests whose answers began, at most [`ANSWERS_MAX`].
+    pub(crate) answers: Vec<u64>,
+    /// How often the part was refused.
+    pub(crate) refusals: u32,
+    /// When the record is forgotten.
+    pub(crate) expires_at: Instant,
+    /// When this entry last learned something new.
+    pub(crate) changed_at: Instant,
+    /// Whether some of the evidence is this entry's own.
+    pub(crate) observed_here: bool,
+    /// When the probe in progress started.
+    pub(crate) probe_started_at: Option<Instant>,
+}
+
+impl PartRecord {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            crashes: Vec::new(),
+            requests: Vec::new(),
+            answers: Vec::new(),
+            refusals: 0,
+            expires_at: now.plus_ms(SUSPICION_MS),
+            changed_at: now,
+            observed_here: false,
+            probe_started_at: None,
+        }
+    }
+
+    /// Whether so many answers outweigh all crashes that a record can hold.
+    pub(crate) const fn is_exonerated_by(answers: &[u64]) -> bool {
+        answers.len() >= ANSWERS_MAX
+    }
+
+    /// Whether no further crash can lead to a refusal.
+    pub(crate) const fn is_exonerated(&self) -> bool {
+        Self::is_exonerated_by(self.answers.as_slice())
+    }
+
+    /// Whether requests with the part are refused, apart from probes.
+    pub(crate) const fn is_refused(&self) -> bool {
+        self.may_be_refused()
+            && self.crashes.len() >= CRASHES_PER_ANSWER * self.answers.len()
+    }
+
+    /// Whether there are enough crashes for a refusal, whatever the answers.
+    pub(crate) const fn may_be_refused(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_REFUSE
+            && self.requests.len() >= REQUESTS_TO_REFUSE
+    }
+
+    /// Order in which records are sent to other entries.
+    pub(crate) const fn urgency(&self) -> (bool, bool, usize) {
+        (self.is_refused(), self.observed_here, self.crashes.len())
+    }
+
+    /// Adds a crash that this entry observed; returns whether it was new.
+    pub(crate) fn add_crash(&mut self, now: Instant, crash: &PartCrash) -> bool {
+        let was_refused = self.is_refused();
+        let is_probed = was_refused && self.probe_started_at.is_some();
+        let is_new_crash = insert(&mut self.crashes, crash.incarnation, CRASHES_MAX);
+        let is_new_request = insert(&mut self.requests, crash.request, CRASHES_MAX);
+        if !is_new_crash && !is_new_request && !is_probed {
+            return false;
+        }
+        self.probe_started_at = None;
+        self.changed_at = now;
+        if self.is_refused() && (!was_refused || is_probed) {
+            self.refuse(now, self.refusals + 1);
+        }
+        true
+    }
+
+    /// Returns what new evidence changed. A part that is released is not kept longer than
+    /// one that was never refused.
+    pub(crate) fn settle(&mut self, now: Instant, was_refused: bool) -> PartChange {
+        match (was_refused, self.is_refused()) {
+            (false, true) => PartChange::Refused,
+            (true, false) => {
+                self.expires_at = self.expires_at.min(now.plus_ms(SUSPICION_MS));
+                PartChange::Released
+            }
+            _ => PartChange::Evidence,
+        }
+    }
+
+    /// Adds answers; returns whether any was new.
+    pub(crate) fn add_answers(&mut self, answers: &[u64]) -> bool {
+        let mut added = false;
+        for answer in answers {
+            added |= insert(&mut self.answers, *answer, ANSWERS_MAX);
+        }
+        added
+    }
+
+    /// Merges another entry's record; returns whether anything changed.
+    pub(crate) fn merge(&mut self, now: Instant, from: &SuspectPart) -> bool {
+        let was_refused = self.is_refused();
+        let mut changed = self.add_answers(&from.answers);
+        for crash in &from.crashes {
+            changed |= insert(&mut self.crashes, *crash, CRASHES_MAX);
+        }
+        for request in &from.requests {
+            changed |= insert(&mut self.requests, *request, CRASHES_MAX);
+        }
+        if from.refusals > self.refusals {
+            self.probe_started_at = None;
+            self.refusals = from.refusals;
+            let lifetime_ms = lifetime_ms(self.refusals);
+            self.expires_at = now.plus_ms(from.remaining_ms.min(lifetime_ms));
+            return true;
+        }
+        if self.is_refused() && !was_refused {
+            self.refuse(now, (self.refusals + 1).max(from.refusals));
+        }
+        changed
+    }
+
+    /// Reserves a probe, if one may start now. `is_explained` tells whether another part
+    /// may be the cause of all crashes.
+    pub(crate) fn try_start_probe(
+        &mut self,
+        now: Instant,
+        is_explained: bool,
+        is_probing_entry: impl FnOnce() -> bool,
+    ) -> bool {
+        let may_probe = match self.stage(now) {
+            PartStage::Refused => is_explained && is_probing_entry(),
+            PartStage::ProbedByFew => is_probing_entry(),
+            PartStage::ProbedByAll => true,
+        };
+        let is_free = self
+            .probe_started_at
+            .is_none_or(|at| now.ms_since(at) >= PROBE_INTERVAL_MS);
+        if may_probe && is_free {
+            self.probe_started_at = Some(now);
+        }
+        may_probe && is_free
+    }
+
+    /// Time after which a request with the part may run.
+    pub(crate) fn retry_after_ms(&self, now: Instant) -> u64 {
+        let remaining_ms = self.expires_at.ms_since(now);
+        let probed_ms = refusal_ms(self.refusals) + MEMORY_MS;
+        remaining_ms
+            .saturating_sub(probed_ms)
+            .max(PROBE_INTERVAL_MS)
+    }
+
+    fn stage(&self, now: Instant) -> PartStage {
+        let remaining_ms = self.expires_at.ms_since(now);
+        if remaining_ms > refusal_ms(self.refusals) + MEMORY_MS {
+            PartStage::Refused
+        } else if remaining_ms > MEMORY_MS {
+            PartStage::ProbedByFew
+        } else {
+            PartStage::ProbedByAll
+        }
+    }
+
+    fn refuse(&mut self, now: Instant, refusals: u32) {
+        self.refusals = refusals;
+        self.expires_at = now.plus_ms(lifetime_ms(refusals));
+    }
+}
+
+/// Time for which a part is refused without a probe. A few entries probe it for the same
+/// time after that.
+fn refusal_ms(refusals: u32) -> u64 {
+    REFUSAL_MS << refusals.saturating_sub(1).min(DOUBLINGS_MAX)
+}
+
+/// Time from a refusal until the record is forgotten.
+fn lifetime_ms(refusals: u32) -> u64 {
+    2 * refusal_ms(refusals) + MEMORY_MS
+}
+
+/// Inserts a hash into a bounded set; returns whether it was new.
+fn insert(set: &mut Vec<u64>, hash: u64, max: usize) -> bool {
+    let is_new = set.len() < max && !set.contains(&hash);
+    if is_new {
+        set.push(hash);
+    }
+    is_new
+}
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -6,6 +6,8 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::suspect_parts::PromptPart;
+
 /// Weight of `name` for `key`; the highest weight wins.
 pub fn rendezvous_weight(key: u64, name: &str) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), key)
@@ -38,8 +40,26 @@
     )
 }
 
-/// Different seeds keep the two uses independent if a model and an agent have the
-/// same name.
+/// Number of entries that probe a refused part of prompts before all others do. Each may
+/// crash an upstream, and only requests that reach one of them can release the part.
+const PART_PROBING_ENTRIES: usize = 4;
+
+/// Whether `entry` is one of those that probe a part of prompts before all others do.
+pub fn is_part_probing_entry<'a>(
+    part: &PromptPart,
+    entry: &EntryId,
+    others: impl IntoIterator<Item = &'a EntryId>,
+) -> bool {
+    let service = xxh3_64_with_seed(part.service.as_bytes(), PROBE_SEED);
+    let key = xxh3_64_with_seed(&part.part.to_le_bytes(), service);
+    let rank = |entry: &'a EntryId| (rendezvous_weight(key, entry.as_str()), entry);
+    let own = (rendezvous_weight(key, entry.as_str()), entry);
+    let before = others.into_iter().map(rank).filter(|other| *other > own);
+    before.count() < PART_PROBING_ENTRIES
+}
+
+/// Different seeds keep the uses independent if a model and an agent have the same
+/// name.
 const EXCLUSIVE_RUN_SEED: u64 = 0x0061_6c6f_6e65;
 const PROBE_SEED: u64 = 0x0070_726f_6265;
 
--- a/crates/route/tests/all/main.rs
+++ b/crates/route/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod budgets;
 mod choice;
 mod circuit_breaker;
+mod suspect_parts;
 mod suspects;
