A stream whose connection ends before its first event is not complete

Callers saw 200 and an empty stream, ended as if it were whole, where an upstream closed its connection before the first event of an answer with neither a length nor chunks.

Cause: the end of such an answer is the end of its connection, and an empty body without a part of an event counted as its whole. That is also how a crash as an answer begins may look, without any error that would count against the request's parts.

Evidence: unframed::a_stream_without_any_event_is_not_complete got 200 for 502 before the change. The other moments were right and are now held by tests: a stream that ends with its connection is whole; one that is closed inside an event, or reset anywhere, is resumed elsewhere without a missing or repeated event or ends the caller's connection without the last chunk; a whole response that is reset is not passed on.

Change: where a response has neither a length nor chunks and the caller has no event yet, an end before the first event is a break. With chunks, an empty stream stays whole.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::crash::{await_if_doubtful, check_for_crash};
 use crate::dispatch::Dispatch;
-use crate::headers::strip_hop_by_hop;
+use crate::headers::{ends_with_connection, strip_hop_by_hop};
 use crate::in_flight::InFlight;
 use crate::response::BufferedResponse;
 use crate::state::Node;
@@ -41,6 +41,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
     pub(crate) in_flight: InFlight,
+    /// Whether its end is the end of the connection.
+    pub(crate) ends_with_connection: bool,
     connection: UpstreamConnection,
     keep_alive_s: Option<u64>,
 }
@@ -213,6 +215,7 @@
     let head = node
         .protocol
         .parse_response_head(parts.status, &parts.headers);
+    let ends_with_connection = ends_with_connection(&parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     if head.id.as_ref().is_some_and(|id| *id != request.head.id) {
         // A late response to an earlier request on this connection. Dropping
@@ -238,6 +241,7 @@
             headers: parts.headers,
             body,
             in_flight,
+            ends_with_connection,
             connection,
             keep_alive_s: head.keep_alive_s,
         }));
--- a/crates/front/src/headers.rs
+++ b/crates/front/src/headers.rs
@@ -47,6 +47,12 @@
     lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)
 }
 
+/// Returns whether a response has neither a length nor chunks, so that its body ends with
+/// the connection. Nothing then tells a complete body from one that was cut off cleanly.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Asks the peer to close the connection after this message.
 pub(crate) fn set_connection_close(headers: &mut HeaderMap) {
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Returns whether complete events of a stream were received.
+    pub(crate) const fn has_events(&self) -> bool {
+        self.event_batches > 0
+    }
+
     /// Returns whether the upstream has begun the answer and survived that.
     pub(crate) const fn is_answering(&self) -> bool {
         self.event_batches >= ANSWERING_FROM_BATCHES
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -183,7 +183,7 @@
     /// ended, if it did.
     fn handle_frame(&mut self, frame: BodyFrame) -> Option<StreamStep> {
         let frame = match frame {
-            None if self.splitter.has_partial_event() => {
+            None if self.splitter.has_partial_event() || self.ended_before_answer() => {
                 return Some(StreamStep::Broken);
             }
             None => return Some(StreamStep::Complete),
@@ -198,6 +198,16 @@
         (!is_valid).then_some(StreamStep::Broken)
     }
 
+    /// Returns whether the upstream closed the connection, as the end of the response,
+    /// before it had sent anything. That is how a crash as the answer begins may look.
+    fn ended_before_answer(&self) -> bool {
+        let source = self.source.as_ref();
+        let is_empty = source.is_some_and(|source| {
+            source.ends_with_connection && !source.in_flight.has_events()
+        });
+        is_empty && self.dispatch.last_event_id.is_none()
+    }
+
     /// Checks whether the stream should leave its upstream, which has sent
     /// nothing for a while.
     async fn check_upstream(&mut self) -> Option<StreamStep> {
