An entry accepts the new connections that it has processor time for

Callers of an entry that a balancer hands most new connections got 502 and 504, or nothing before their deadline, while other entries had time: the entry read whatever came.

Cause: nothing bound what an entry takes in. Each step of each request waits for a step of all others, so with three times the load that it can serve it serves all of it late.

Change: direct::IntakeLimit, without network, goes by how late the process's timers are, ten times a second. Twice in a row over 120 ms with 32 requests in progress, and the share of new connections that is accepted falls in proportion; it grows again by a tenth. A closed one costs its caller little, as any entry may get the request next. A process that was suspended is late once; one that is busy with something else has few requests in progress: neither refuses any.

Not tried: links that are too narrow for the load, which this does not see.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -57,6 +57,7 @@
 mod demand_shift;
 mod fleet;
 mod forecast;
+mod intake;
 mod lease;
 mod lease_candidates;
 mod ledger;
@@ -96,6 +97,7 @@
 pub use fleet::{
     Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
 };
+pub use intake::{INTAKE_INTERVAL_MS, IntakeLimit};
 pub use lease::{Lease, LeaseRecord, LeaseStep};
 pub use lease_candidates::LeaseCandidate;
 pub use ledger::Ledger;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod fleet;
 mod incarnations;
+mod intake;
 mod lease;
 mod leaving;
 mod ledger;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -31,6 +31,7 @@
 mod framing;
 mod headers;
 mod in_flight;
+mod intake;
 mod lease_relay;
 mod log;
 mod options;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -44,7 +44,11 @@
             () = node.shutdown.stop_accepting.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(&node, stream),
+            Ok((stream, _)) if node.intake_limit.lock().accepts() => {
+                spawn_connection(&node, stream);
+            }
+            // Closed unread: the caller may send the request to another entry.
+            Ok(_) => node.metrics.connections_refused.inc(),
             // No file descriptors are left; open connections have to end first.
             Err(error) => {
                 let why = error.to_string();
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use crate::coordinator::coordinate;
+use crate::intake::limit_intake;
 use crate::orders::maintain_lease;
 use crate::peers;
 use crate::platform_watch::{Collection, watch_collection};
@@ -96,6 +97,7 @@
     tokio::spawn(coordinate(shared()));
     tokio::spawn(sweep(shared()));
     tokio::spawn(monitor_state(shared()));
+    tokio::spawn(limit_intake(shared()));
     tokio::spawn(report_usage(shared()));
     let flushed_log = node.log.clone();
     tokio::spawn(async move { flushed_log.flush_periodically().await });
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds. The deployments' target
@@ -49,6 +49,8 @@
     /// Responses after the termination signal, by the shutdown phase in which
     /// the request arrived and by status.
     pub(crate) shutdown_responses: IntCounterVec,
+    /// New connections that were closed unread for lack of processor time.
+    pub(crate) connections_refused: IntCounter,
     /// Requests in progress.
     pub(crate) in_progress: IntGauge,
     /// Dropped log lines.
@@ -165,6 +167,14 @@
                 .expect("each metric is registered once");
             gauge
         };
+        let connections_refused = IntCounter::new(
+            "sesame_front_connections_refused_total",
+            "New connections closed unread for lack of processor time",
+        )
+        .expect("metric names are valid literals");
+        registry
+            .register(Box::new(connections_refused.clone()))
+            .expect("each metric is registered once");
         let in_progress = gauge("sesame_front_in_progress", "Requests in progress");
         let log_dropped = gauge("sesame_front_log_dropped", "Log lines dropped");
         Self {
@@ -185,6 +195,7 @@
             avoided,
             suspended_s,
             shutdown_responses,
+            connections_refused,
             in_progress,
             log_dropped,
         }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    AvoidanceTracker, Config, DemandTracker, Fleet, Lease, MeanPrefillTimes,
-    ModelTimeFactors, RetryBudget, Watermark,
+    AvoidanceTracker, Config, DemandTracker, Fleet, IntakeLimit, Lease,
+    MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
 };
 use parking_lot::Mutex;
 use plat::ObjectApi;
@@ -84,6 +84,8 @@
     pub(crate) mean_prefill_times: Mutex<MeanPrefillTimes>,
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) suspect_parts: Mutex<SuspectParts>,
+    /// Which new connections of callers are accepted.
+    pub(crate) intake_limit: Mutex<IntakeLimit>,
     pub(crate) wanted_adapters: WantedAdapters,
     /// Quota tokens of workspaces.
     pub(crate) workspace_quotas: Quotas,
@@ -172,6 +174,7 @@
             mean_prefill_times: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
+            intake_limit: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
