Tests: moments of prompts with a crashing part

Over the entries' own sockets: two such parts in one service; five crashes at the same moment that five entries see one each; servers that come back under their ids; an entry that starts later; popular parts beside crashes of other causes, with answers before and without any; a request that waits at a server when its part is refused; what a refusal says. Without a network: five crashes, each seen by one of 4, 384 or 768 entries, are known to others within 6 s beside eight suspects of every entry and one message in ten lost, in messages that stay within a twentieth of a link of 10 Mbit/s; answers seen elsewhere release a popular part.

--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod events;
 mod log;
 mod packed_batches;
+mod suspect_parts;
