Refused parts of prompts outlast the end of all entries

Cause: an entry that starts learns of a refusal from others, and there were none.

Change: one object of the platform for each refused part, written by at most four entries when it is refused or refused again, deleted when it is released or has expired, read once by an entry that starts after others ran (a stale list will do).

Evidence: crash_parts::moments::a_part_stays_refused_when_all_entries_are_killed, with two programs killed and started again; without the read at the start the first request after it got 502 for 503.

A probe that crashes an upstream counts as a new refusal in logs and metrics.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,6 +43,7 @@
 mod quota;
 mod readiness;
 mod received_state;
+mod refused_parts;
 mod request;
 mod response;
 mod response_feedback;
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -70,4 +70,6 @@
     pub lease: String,
     /// Key prefix of the entries' records.
     pub entry_prefix: String,
+    /// Key prefix of the refused parts of prompts.
+    pub refused_part_prefix: String,
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -17,6 +17,7 @@
 use crate::peers;
 use crate::platform_watch::{Collection, watch_collection};
 use crate::quota::{Scope, feed_keepers};
+use crate::refused_parts::keep_refused_parts;
 use crate::shutdown::shut_down;
 use crate::state::Node;
 use crate::state_monitor::monitor_state;
@@ -98,6 +99,7 @@
     tokio::spawn(sweep(shared()));
     tokio::spawn(monitor_state(shared()));
     tokio::spawn(limit_intake(shared()));
+    tokio::spawn(keep_refused_parts(shared()));
     tokio::spawn(report_usage(shared()));
     let flushed_log = node.log.clone();
     tokio::spawn(async move { flushed_log.flush_periodically().await });
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -47,6 +47,8 @@
             "entries"
         } else if key.starts_with(&keys.upstream_prefix) {
             "upstreams"
+        } else if key.starts_with(&keys.refused_part_prefix) {
+            "prompt_parts"
         } else {
             "setup"
         }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -33,6 +33,7 @@
 use super::unreadable::{ObjectKind, UnreadableObjects, truncated};
 use super::wanted_adapters::WantedAdapters;
 use crate::quota::Scope;
+use crate::refused_parts::ChangedParts;
 use crate::shared_watch::SharedWatches;
 use crate::start_state::StartState;
 use crate::{BootClock, Log, Options, PlatformProtocol};
@@ -84,6 +85,8 @@
     pub(crate) mean_prefill_times: Mutex<MeanPrefillTimes>,
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) suspect_parts: Mutex<SuspectParts>,
+    /// Parts whose objects in the platform are to be written.
+    pub(crate) changed_parts: ChangedParts,
     /// Which new connections of callers are accepted.
     pub(crate) intake_limit: Mutex<IntakeLimit>,
     pub(crate) wanted_adapters: WantedAdapters,
@@ -174,6 +177,7 @@
             mean_prefill_times: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
+            changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
--- a/crates/front/src/state/unreadable.rs
+++ b/crates/front/src/state/unreadable.rs
@@ -28,6 +28,8 @@
     Entry,
     /// An upstream's report.
     Report,
+    /// A refused part of prompts.
+    RefusedPart,
 }
 
 impl ObjectKind {
@@ -39,6 +41,7 @@
             Self::Lease => "lease",
             Self::Entry => "entry",
             Self::Report => "report",
+            Self::RefusedPart => "prompt_part",
         }
     }
 }
--- a/crates/front/src/suspect_parts.rs
+++ b/crates/front/src/suspect_parts.rs
@@ -16,6 +16,7 @@
 
 use crate::RequestHead;
 use crate::dispatch::{Dispatch, DispatchResult};
+use crate::refused_parts::PLATFORM;
 use crate::state::Node;
 
 /// Largest number of parts read from one message.
@@ -109,6 +110,10 @@
             PartChange::Refused => "refused",
             PartChange::Released => "released",
         };
+        // The others would write the same.
+        if source != PLATFORM && self.probes_part_first(part) {
+            self.changed_parts.add(part);
+        }
         self.metrics
             .part_verdicts
             .with_label_values(&[&*part.service, change])
--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -71,6 +71,13 @@
     pub request: u64,
 }
 
+/// The verdict on a part at some time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PartVerdictState {
+    is_refused: bool,
+    refusals: u32,
+}
+
 /// Evidence about one part.
 #[derive(Debug)]
 pub(crate) struct PartRecord {
@@ -150,10 +157,15 @@
         true
     }
 
-    /// Returns what new evidence changed. A part that is released is not kept longer than
-    /// one that was never refused.
-    pub(crate) fn settle(&mut self, now: Instant, was_refused: bool) -> PartChange {
-        match (was_refused, self.is_refused()) {
+    /// Returns what new evidence changed, given the verdict before. A part that is released
+    /// is not kept longer than one that was never refused.
+    pub(crate) fn settle(
+        &mut self,
+        now: Instant,
+        before: PartVerdictState,
+    ) -> PartChange {
+        match (before.is_refused, self.is_refused()) {
+            (_, true) if self.refusals > before.refusals => PartChange::Refused,
             (false, true) => PartChange::Refused,
             (true, false) => {
                 self.expires_at = self.expires_at.min(now.plus_ms(SUSPICION_MS));
@@ -163,6 +175,14 @@
         }
     }
 
+    /// Returns the verdict, to be compared after new evidence.
+    pub(crate) const fn verdict_state(&self) -> PartVerdictState {
+        PartVerdictState {
+            is_refused: self.is_refused(),
+            refusals: self.refusals,
+        }
+    }
+
     /// Adds answers; returns whether any was new.
     pub(crate) fn add_answers(&mut self, answers: &[u64]) -> bool {
         let mut added = false;
--- a/crates/route/src/suspect_parts.rs
+++ b/crates/route/src/suspect_parts.rs
@@ -253,7 +253,7 @@
         }
         let own_answers = self.answered.answers(now, part);
         let record = self.record_mut(now, part);
-        let was_refused = record.is_refused();
+        let before = record.verdict_state();
         let merged = record.merge(now, from);
         let added = record.add_answers(&own_answers);
         if !added && !merged {
@@ -262,7 +262,7 @@
         record.changed_at = now;
         // Answers matter to others once there is a verdict to correct.
         record.observed_here |= added && record.may_be_refused();
-        record.settle(now, was_refused)
+        record.settle(now, before)
     }
 
     /// Returns the evidence for one of many messages: up to `max` parts that changed
@@ -305,6 +305,17 @@
             .collect()
     }
 
+    /// Returns what is to be kept of a part while it is refused.
+    pub fn refused_message(
+        &self,
+        now: Instant,
+        part: &PromptPart,
+    ) -> Option<SuspectPart> {
+        let record = self.live_record(now, part)?;
+        let is_refused = record.is_refused();
+        is_refused.then(|| to_message(now, part, record))
+    }
+
     /// Returns the evidence about a part.
     pub fn evidence(&self, part: &PromptPart) -> PartEvidence {
         let record = self.records.get(part);
@@ -339,13 +350,13 @@
             self.make_room();
         }
         let record = self.record_mut(now, part);
-        let was_refused = record.is_refused();
+        let before = record.verdict_state();
         record.observed_here = true;
         record.add_answers(&answers);
         if !record.add_crash(now, crash) {
             return PartChange::Nothing;
         }
-        record.settle(now, was_refused)
+        record.settle(now, before)
     }
 
     fn record_answer_on(
@@ -358,14 +369,14 @@
         let Some(record) = self.records.get_mut(part) else {
             return PartChange::Nothing;
         };
-        let was_refused = record.is_refused();
+        let before = record.verdict_state();
         record.probe_started_at = None;
         if !record.add_answers(&[request]) {
             return PartChange::Nothing;
         }
         record.observed_here = true;
         record.changed_at = now;
-        record.settle(now, was_refused)
+        record.settle(now, before)
     }
 
     fn live_record(&self, now: Instant, part: &PromptPart) -> Option<&PartRecord> {
