The rest of a stream that has begun isn't refused for its prompt's parts

Callers would see a stream broken off midway: its upstream crashed under another request, and a part that both had was refused meanwhile, so no other upstream got the rest.

Cause: the verdict was asked for whatever the request itself had shown. A request whose answer went on past its beginning crashes nothing by it.

Evidence: crash_parts::moments::a_stream_that_has_begun_goes_on_although_its_part_is_refused fails with the line taken out that remembers the answer, and passes with it.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -85,6 +85,9 @@
     pub(crate) rate_limited_count: u32,
     /// Part of the prompt that the request probes.
     pub(crate) probe: Option<PromptPart>,
+    /// Whether an upstream has begun the answer and survived that, so that no part of the
+    /// prompt crashes upstreams.
+    pub(crate) is_sound: bool,
     /// Part of the prompt for which the request was refused.
     pub(crate) refused_for: Option<RefusedPart>,
     first_response_ms: Option<u64>,
@@ -136,6 +139,7 @@
             waited_ms: 0,
             rate_limited_count: 0,
             probe: None,
+            is_sound: false,
             refused_for: None,
             first_response_ms: None,
             end_recorded: false,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -282,6 +282,7 @@
         if !bytes.is_empty() {
             if let Some(source) = &mut self.source {
                 source.in_flight.record_events();
+                self.dispatch.is_sound |= source.in_flight.is_answering();
                 self.dispatch.bind_to(&source.in_flight);
             }
             return Some(StreamStep::Events(bytes.freeze()));
--- a/crates/front/src/suspect_parts.rs
+++ b/crates/front/src/suspect_parts.rs
@@ -141,7 +141,7 @@
     /// Returns the part of the prompt for which the request must not be sent to an
     /// upstream now. A request that was not sent yet may become the probe of that part.
     pub(crate) fn admit_parts(&mut self) -> Option<RefusedPart> {
-        if self.probe.is_some() || self.may_have_run() {
+        if self.probe.is_some() || self.is_sound || self.may_have_run() {
             return self.refused_part();
         }
         let parts = &self.request.shared_parts;
@@ -169,10 +169,10 @@
     }
 
     /// Returns the part of the prompt for which the request must not be sent to another
-    /// upstream.
+    /// upstream. There is none for the rest of a stream that has begun.
     pub(crate) fn refused_part(&self) -> Option<RefusedPart> {
         let parts = &self.request.shared_parts;
-        if parts.is_empty() {
+        if parts.is_empty() || self.is_sound {
             return None;
         }
         let suspects = self.node.suspect_parts.lock();
@@ -187,7 +187,7 @@
             let suspects = self.node.suspect_parts.lock();
             suspects.is_doubtful(self.node.now(), parts)
         };
-        !parts.is_empty() && (self.probe.is_some() || is_doubtful())
+        !parts.is_empty() && !self.is_sound && (self.probe.is_some() || is_doubtful())
     }
 
     /// Ends a request whose prompt has a refused part.
