--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -22,8 +22,12 @@
 pub(crate) const ANSWERS_MAX: usize = CRASHES_MAX.div_ceil(CRASHES_PER_ANSWER);
 
 /// Time for which crashes count against a part that is not refused. It isn't extended by
-/// further crashes, so that a part on which answers began long ago can't keep them.
-const SUSPICION_MS: u64 = 60_000;
+/// further crashes.
+const SUSPICION_MS: u64 = 600_000;
+
+/// The same from the first answer on. Answers of long ago then don't outweigh the crashes
+/// of a part that has become bad.
+const ANSWERED_SUSPICION_MS: u64 = 60_000;
 
 /// Time for which a part is refused the first time. It doubles with each time.
 const REFUSAL_MS: u64 = 60_000;
@@ -168,10 +172,22 @@
             (_, true) if self.refusals > before.refusals => PartChange::Refused,
             (false, true) => PartChange::Refused,
             (true, false) => {
-                self.expires_at = self.expires_at.min(now.plus_ms(SUSPICION_MS));
+                self.limit_suspicion(now);
                 PartChange::Released
             }
-            _ => PartChange::Evidence,
+            (false, false) => {
+                self.limit_suspicion(now);
+                PartChange::Evidence
+            }
+            (true, true) => PartChange::Evidence,
+        }
+    }
+
+    /// Forgets a part that isn't refused soon after its first answer.
+    fn limit_suspicion(&mut self, now: Instant) {
+        if !self.answers.is_empty() {
+            let expires_at = now.plus_ms(ANSWERED_SUSPICION_MS);
+            self.expires_at = self.expires_at.min(expires_at);
         }
     }
 
--- a/crates/route/tests/all/suspect_parts.rs
+++ b/crates/route/tests/all/suspect_parts.rs
@@ -107,6 +107,34 @@
     assert!(is_refused(&suspects, later, &[1]));
 }
 
+/// Guards against a part whose requests are so far apart that each crash is forgotten
+/// before the next, and against one that is held innocent for answers before it became
+/// bad.
+#[test]
+fn crashes_far_apart_count_and_earlier_answers_do_not() {
+    let mut suspects = SuspectParts::default();
+    for number in 0..3 {
+        crash(
+            &mut suspects,
+            Instant::from_ms(1_000 + 4 * MINUTE_MS * number),
+            &[9],
+            number,
+        );
+    }
+    let now = Instant::from_ms(1_000 + 8 * MINUTE_MS);
+    assert!(is_refused(&suspects, now, &[9]));
+    let mut suspects = SuspectParts::default();
+    for number in 0..3 {
+        suspects.record_answer(Instant::from_ms(1_000), &parts(&[1]), number);
+        crash(&mut suspects, Instant::from_ms(2_000), &[1], number);
+    }
+    assert!(!is_refused(&suspects, Instant::from_ms(3_000), &[1]));
+    let later = Instant::from_ms(2 * MINUTE_MS);
+    crash(&mut suspects, later, &[1], 10);
+    crash(&mut suspects, later, &[1], 11);
+    assert!(is_refused(&suspects, later, &[1]));
+}
+
 /// Guards against the refusal of a request's other parts for crashes of which the cause
 /// is known.
 #[test]
