--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -216,8 +216,9 @@
 
 impl Dispatch {
     /// Decides whether a request that waits for its upstream stays there. One that may
-    /// crash the upstream as soon as its answer begins doesn't. `is_overdue` tells whether the request itself has waited long enough for
-    /// the upstream's silence to count.
+    /// crash the upstream as soon as its answer begins doesn't. `is_overdue` tells
+    /// whether the request itself has waited long enough for the upstream's silence to
+    /// count.
     pub(crate) fn decide_in_flight(
         &self,
         in_flight: &InFlight,
--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -11,8 +11,8 @@
 /// that was sent again don't tell which of its parts is the cause.
 const REQUESTS_TO_REFUSE: usize = 2;
 
-/// Number of crashes for each answer from which on a part is refused. A part that crashes most
-/// upstreams, but not each, is refused as well.
+/// Number of crashes for each answer from which on a part is refused. A part that crashes
+/// most upstreams, but not each, is refused as well.
 const CRASHES_PER_ANSWER: usize = 3;
 
 /// Maximum number of crashes kept.
@@ -75,7 +75,7 @@
     pub request: u64,
 }
 
-/// The verdict on a part at some time.
+/// The verdict on a part at some time, to tell what new evidence changed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PartVerdictState {
     is_refused: bool,
