Count bytes by kind and by failure domain

Cause: bytes between failure domains were known only as a total from outside, so nothing told which kind of transfer to reduce. Change: sesame_front_transfer_bytes_total{kind, scope} and the field transfer_bytes of the usage line: requests to upstreams, their responses, platform objects, and each kind of message between entries, the latter counted by its sender alone. The platform counts as 'other', since an entry can't tell where its server is.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::connection_pool::{SendError, UpstreamConnection};
+use crate::state::transfer::{TransferKind, header_bytes};
 use crate::takeover::TakeoverSignal;
 use crate::upstream_address::{address_of, record_unreachable};
 use crate::{ResponseHead, UpstreamRequestHead};
@@ -183,6 +184,8 @@
 ) -> HeadResult {
     let (node, request) = (&dispatch.node, &dispatch.request);
     let sent_at = node.now();
+    let request_bytes = header_bytes(upstream_request.headers()) + request.body.len();
+    in_flight.count_transfer(TransferKind::UpstreamRequest, request_bytes);
     let sending = connection.send(upstream_request);
     tokio::pin!(sending);
     loop {
@@ -212,6 +215,8 @@
     response: Response<Incoming>,
 ) -> AttemptResult {
     let (mut parts, body) = response.into_parts();
+    let head_bytes = header_bytes(&parts.headers);
+    in_flight.count_transfer(TransferKind::UpstreamResponse, head_bytes);
     let head = node
         .protocol
         .parse_response_head(parts.status, &parts.headers);
@@ -296,7 +301,11 @@
     loop {
         let check_after = CHECK_INTERVAL.min(remaining(node, request));
         match timeout(check_after, &mut read).await {
-            Ok(collected) => return Some(collected.ok()?.to_bytes()),
+            Ok(collected) => {
+                let body = collected.ok()?.to_bytes();
+                in_flight.count_transfer(TransferKind::UpstreamResponse, body.len());
+                return Some(body);
+            }
             Err(_) if request.is_expired(node.clock) || in_flight.is_superseded() => {
                 return None;
             }
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -8,6 +8,7 @@
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::connection_pool::UpstreamAddress;
+use crate::state::transfer::{TransferKind, TransferScope};
 use crate::{ResponseHead, response_feedback};
 
 /// A request in flight at an upstream. Dropping it ends the accounting.
@@ -33,6 +34,8 @@
     request_id: String,
     /// Whether the answer was recorded as evidence about these parts.
     answer_recorded: bool,
+    /// Whether the upstream is in the failure domain of this entry.
+    scope: TransferScope,
 }
 
 /// Number of times that events of a stream were received, from which on the upstream
@@ -49,7 +52,7 @@
         address: &UpstreamAddress,
     ) -> Self {
         let now = node.now();
-        let in_flight = Self {
+        let mut in_flight = Self {
             node: Arc::clone(node),
             upstream: Arc::clone(&selected.id),
             started_unix_ms: address.started_unix_ms,
@@ -62,11 +65,16 @@
             shared_parts: Arc::clone(&request.shared_parts),
             request_id: request.head.id.clone(),
             answer_recorded: false,
+            scope: TransferScope::Other,
         };
+        let mut scope = TransferScope::Other;
         in_flight.with_upstream(|upstream| {
             upstream.request_sent(now, &selected.usage);
             upstream.remember_prompt_parts(now, &request.prompt_parts);
+            let own_domain = &node.options.failure_domain;
+            scope = TransferScope::between(own_domain, &upstream.record.domain);
         });
+        in_flight.scope = scope;
         in_flight
     }
 
@@ -107,6 +115,11 @@
         self.node.fleet.lock().is_superseded(self.incarnation())
     }
 
+    /// Counts bytes to or from the upstream.
+    pub(crate) fn count_transfer(&self, kind: TransferKind, bytes: usize) {
+        self.node.metrics.count_transfer(kind, self.scope, bytes);
+    }
+
     /// Records that a part of the response was received.
     pub(crate) fn record_bytes(&mut self) {
         let now = self.node.now();
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -168,18 +168,17 @@
     let message = build_message(node, audience, trigger);
     let part_sizes = part_sizes(&message);
     let message = message.encode_to_vec();
-    let mut sent = 0;
-    for address in addresses {
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    for address in &addresses {
         // A datagram to a peer that is gone is lost; the next message is sent
         // anyway.
-        let _ = socket.send_to(&message, address).await;
-        sent += 1;
+        let _ = socket.send_to(&message, *address).await;
     }
     let reason = trigger.as_str();
-    node.metrics
-        .count_peer_messages("sent", reason, sent, message.len());
+    let sent = node.peers.scopes(addresses);
+    node.metrics.count_sent(reason, &sent, message.len());
     for (part, bytes) in part_sizes {
-        node.metrics.count_peer_part(part, sent, bytes);
+        node.metrics.count_peer_part(part, sent.total(), bytes);
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -206,6 +206,9 @@
         let now = node.now();
         let mut table = self.table.lock();
         table.addresses.insert(from);
+        if table.domains.get(&from) != Some(&message.domain) {
+            table.domains.insert(from, message.domain.clone());
+        }
         if message.giver_token > 0 {
             table.coordinator_heard_at = Some(now);
         }
--- a/crates/front/src/peers/register.rs
+++ b/crates/front/src/peers/register.rs
@@ -313,6 +313,9 @@
                 table.message_rounds.on_new_peers();
             }
         }
+        for (_, record) in records {
+            table.domains.insert(record.peers, record.domain.clone());
+        }
         let listed = records.iter().map(|(_, record)| record);
         table.listed_addresses = listed
             .map(|record| (record.peers, record.domain.clone()))
--- a/crates/front/src/quota/mod.rs
+++ b/crates/front/src/quota/mod.rs
@@ -74,7 +74,7 @@
     let message = build_message(node, scope, tokens).encode_to_vec();
     if let Some(socket) = node.peers.socket.get() {
         node.metrics
-            .count_peer_messages("sent", "tokens", 1, message.len());
+            .count_sent("tokens", &node.peers.scopes([address]), message.len());
         // Lost tokens are sent again or count as used.
         let _ = socket.send_to(&message, address).await;
     }
--- a/crates/front/src/start_state.rs
+++ b/crates/front/src/start_state.rs
@@ -202,8 +202,11 @@
 async fn send(node: &Node, address: SocketAddr, message: &PeerNews) {
     let bytes = message.encode_to_vec();
     if let Some(socket) = node.peers.socket.get() {
-        node.metrics
-            .count_peer_messages("sent", "start_state", 1, bytes.len());
+        node.metrics.count_sent(
+            "start_state",
+            &node.peers.scopes([address]),
+            bytes.len(),
+        );
         // A lost message is asked for again.
         let _ = socket.send_to(&bytes, address).await;
     }
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -7,6 +7,7 @@
 use prometheus::IntCounterVec;
 use std::time::Duration;
 
+use super::transfer::{TransferKind, TransferScope};
 use crate::StoreKeys;
 
 /// The platform's object API, with all calls counted by object, operation and
@@ -16,6 +17,7 @@
     platform: Box<dyn ObjectApi>,
     keys: StoreKeys,
     calls: IntCounterVec,
+    transfer_bytes: IntCounterVec,
 }
 
 impl MeteredPlatform {
@@ -23,11 +25,13 @@
         platform: Box<dyn ObjectApi>,
         keys: StoreKeys,
         calls: IntCounterVec,
+        transfer_bytes: IntCounterVec,
     ) -> Self {
         Self {
             platform,
             keys,
             calls,
+            transfer_bytes,
         }
     }
 
@@ -35,6 +39,19 @@
         let call = format!("{} {operation}", self.object_name(key));
         let labels = [call.as_str(), outcome_label(result)];
         self.calls.with_label_values(&labels).inc();
+        self.count_bytes(result_bytes(result));
+    }
+
+    /// Counts bytes of objects. An entry can't tell in which failure domain the
+    /// platform's server is.
+    fn count_bytes(&self, bytes: usize) {
+        let labels = [
+            TransferKind::Platform.as_str(),
+            TransferScope::Other.as_str(),
+        ];
+        self.transfer_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes as u64);
     }
 
     /// Returns the name of an object or a collection in metrics, by its key or
@@ -58,6 +75,9 @@
 impl ObjectApi for MeteredPlatform {
     fn call<'a>(&'a self, op: &'a PlatformOp) -> BoxFuture<'a, PlatformResult> {
         async move {
+            if let PlatformOp::Write { key, value, .. } = op {
+                self.count_bytes(key.len() + value.len());
+            }
             let result = self.platform.call(op).await;
             let (key, operation) = match op {
                 PlatformOp::Read { key } => (key, "read"),
@@ -120,6 +140,20 @@
     }
 }
 
+/// Returns the bytes of the objects in a result, without the platform's own framing.
+fn result_bytes(result: &PlatformResult) -> usize {
+    match result {
+        PlatformResult::Object(Some((_, value))) => value.len(),
+        PlatformResult::Objects(objects, _) => {
+            let sizes = objects
+                .iter()
+                .map(|(key, _, value)| key.len() + value.len());
+            sizes.sum()
+        }
+        _ => 0,
+    }
+}
+
 /// Returns the name of an outcome in logs and metrics.
 pub(crate) const fn outcome_label(result: &PlatformResult) -> &'static str {
     match result {
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -5,6 +5,8 @@
     Registry, TextEncoder,
 };
 
+use super::transfer::{SentMessages, TransferKind, TransferScope};
+
 /// Upper bounds of the latency buckets, in seconds. The deployments' target
 /// latencies are between 0.1 and 8 s.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -40,6 +42,8 @@
     pub(crate) peer_bytes: IntCounterVec,
     /// Bytes of the parts of sent messages, by part.
     pub(crate) peer_part_bytes: IntCounterVec,
+    /// Bytes sent and received, by kind and scope.
+    pub(crate) transfer_bytes: IntCounterVec,
     /// Objects that can't be decoded, by kind, counted once per change.
     pub(crate) unreadable: IntCounterVec,
     /// Upstreams that began to be avoided, by reason.
@@ -118,6 +122,11 @@
             "Bytes of the parts of messages sent to other entries",
             &["part"],
         );
+        let transfer_bytes = counter(
+            "sesame_front_transfer_bytes_total",
+            "Bytes to and from other processes, by whether they are in this failure domain",
+            &["kind", "scope"],
+        );
         let unreadable = counter(
             "sesame_front_unread_total",
             "Objects that could not be read, once for each change",
@@ -191,6 +200,7 @@
             peer_messages,
             peer_bytes,
             peer_part_bytes,
+            transfer_bytes,
             unreadable,
             avoided,
             suspended_s,
@@ -201,6 +211,35 @@
         }
     }
 
+    /// Counts bytes to or from an upstream or the platform.
+    pub(crate) fn count_transfer(
+        &self,
+        kind: TransferKind,
+        scope: TransferScope,
+        bytes: usize,
+    ) {
+        self.transfer_bytes
+            .with_label_values(&[kind.as_str(), scope.as_str()])
+            .inc_by(bytes as u64);
+    }
+
+    /// Counts messages of `bytes` bytes each that were sent to entries of this failure
+    /// domain and of others. Only the sender counts them, so that the sum over all
+    /// entries has each once.
+    pub(crate) fn count_sent(&self, reason: &str, sent: &SentMessages, bytes: usize) {
+        self.count_peer_messages("sent", reason, sent.total(), bytes);
+        let kind = format!("peer_{reason}");
+        let scopes = [
+            (TransferScope::Domain, sent.in_domain),
+            (TransferScope::Other, sent.elsewhere),
+        ];
+        for (scope, messages) in scopes {
+            self.transfer_bytes
+                .with_label_values(&[kind.as_str(), scope.as_str()])
+                .inc_by(messages * bytes as u64);
+        }
+    }
+
     /// Counts messages between entries of `bytes` bytes each.
     pub(crate) fn count_peer_messages(
         &self,
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod quota;
 pub(crate) mod shutdown;
 pub(crate) mod stream_origins;
+pub(crate) mod transfer;
 pub(crate) mod unreadable;
 pub(crate) mod wanted_adapters;
 
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -152,12 +152,14 @@
         );
         let metrics = Metrics::new();
         let calls = metrics.platform_calls.clone();
+        let transfer_bytes = metrics.transfer_bytes.clone();
         Self {
             protocol,
             platform: Box::new(MeteredPlatform::new(
                 platform,
                 options.keys.clone(),
                 calls,
+                transfer_bytes,
             )),
             generation: Mutex::default(),
             platform_restored: Notify::new(),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -14,6 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use super::transfer::{SentMessages, TransferScope};
 use crate::Options;
 
 /// Silence after which another entry takes over the watches of a failure domain.
@@ -28,6 +29,7 @@
 pub(crate) struct Peers {
     pub(crate) own_name: String,
     pub(crate) own_address: SocketAddr,
+    own_domain: String,
     pub(crate) table: Mutex<PeerTable>,
     /// Notified when a message of an entry arrives that was not known.
     pub(crate) new_peer: Notify,
@@ -61,6 +63,9 @@
     /// Number of entries in the platform's list that precede this one by name;
     /// `None` as long as the list does not contain this entry.
     pub(crate) listed_before: Option<usize>,
+    /// Failure domains of the entries at addresses from which messages came or that
+    /// are in the platform's list.
+    pub(crate) domains: HashMap<SocketAddr, String>,
     /// When a message of a coordinator was last received.
     pub(crate) coordinator_heard_at: Option<Instant>,
 }
@@ -134,6 +139,7 @@
         Self {
             own_name: options.entry.clone(),
             own_address: options.peer_address,
+            own_domain: options.failure_domain.clone(),
             table: Mutex::new(table),
             new_peer: Notify::new(),
             announce_now: Notify::new(),
@@ -289,6 +295,20 @@
         peers.map(|(_, peer)| peer.address).collect()
     }
 
+    /// Counts the addresses of messages by the failure domains of the entries there.
+    pub(crate) fn scopes(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+    ) -> SentMessages {
+        let table = self.table.lock();
+        let mut sent = SentMessages::default();
+        for address in addresses {
+            let domain = table.domains.get(&address).map_or("", String::as_str);
+            sent.add(TransferScope::between(&self.own_domain, domain));
+        }
+        sent
+    }
+
     /// Adds the other entries' demand for a service's models.
     pub(crate) fn add_demand(
         &self,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::dispatch::{Dispatch, DispatchResult};
 use crate::events::{Event, EventSplitter};
 use crate::response::{ResponseAborted, ResponseBody};
+use crate::state::transfer::TransferKind;
 use crate::takeover::MAX_OVERLAP;
 
 /// Interval at which a waiting stream checks whether its upstream has fallen
@@ -190,10 +191,13 @@
             Some(Err(_)) => return Some(StreamStep::Broken),
             Some(Ok(frame)) => frame,
         };
+        let data = frame.into_data().unwrap_or_default();
         if let Some(source) = &mut self.source {
             source.in_flight.record_bytes();
+            source
+                .in_flight
+                .count_transfer(TransferKind::UpstreamResponse, data.len());
         }
-        let data = frame.into_data().unwrap_or_default();
         let is_valid = self.splitter.push(&data).is_ok();
         (!is_valid).then_some(StreamStep::Broken)
     }
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -289,9 +289,9 @@
     for address in addresses {
         let _ = socket.try_send_to(&message, *address);
     }
-    let count = addresses.len() as u64;
+    let sent = node.peers.scopes(addresses.iter().copied());
     node.metrics
-        .count_peer_messages("sent", "stream_origin", count, message.len());
+        .count_sent("stream_origin", &sent, message.len());
 }
 
 fn encode(
--- a/crates/front/src/usage_report.rs
+++ b/crates/front/src/usage_report.rs
@@ -26,11 +26,13 @@
     let messages = totals(&metrics.peer_messages, 2);
     let bytes = totals(&metrics.peer_bytes, 2);
     let parts = totals(&metrics.peer_part_bytes, 1);
+    let transfers = totals(&metrics.transfer_bytes, 2);
     node.log.line(
         "usage",
         json!({ "up_s": up_s, "platform_calls": calls,
             "platform_requests": node.platform.requests_sent(),
             "peer_messages": messages, "peer_bytes": bytes, "peer_part_bytes": parts,
+            "transfer_bytes": transfers,
             "peers": node.peers.entry_count() - 1 }),
     );
 }
