Send suspects, suspect parts and leaving upstreams when they change

Change: the entry that observes a crash sends it in its next three messages. Messages hold a digest of the suspects and of the refused parts; a peer whose digest differs in four messages in a row gets the records in turn, twice a second from each entry. New processes and peers that were cut off get them in each message for 3 s. What has no digest (evidence about parts that aren't refused, leaving upstreams, whose resend time runs from each entry's own last activity) is repeated once a second. Builds that name no format get all as before. The decision is direct::message_detail.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -62,6 +62,7 @@
 mod lease_candidates;
 mod ledger;
 mod load_planner;
+mod message_detail;
 mod order;
 mod origin_keepers;
 mod peer_messages;
@@ -104,6 +105,10 @@
 pub use load_planner::{
     LoadPlanner, LoadReason, PlacedModel, PlannedLoad, UpstreamState,
 };
+pub use message_detail::{
+    MessageDetail, PEER_FORMAT, PendingChanges, Receiver, digest_settle_ms,
+    is_repeat_round, message_detail, rotation_number,
+};
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use origin_keepers::{origin_keepers, origin_keepers_to_ask};
 pub use peer_messages::{
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod ledger_restarts;
 mod liveness;
 mod load_planner;
+mod message_detail;
 mod peer_messages;
 mod prefill;
 mod rate;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -3,20 +3,23 @@
 use base::ObjectVersion;
 use base::prelude::*;
 use direct::{
-    Fleet, ResidentModel, WatchRole, holdings_message_count, peer_message_interval_ms,
-    suspects_per_message, upstreams_per_message, urgent_message_interval_ms,
+    Fleet, MessageDetail, PEER_FORMAT, ResidentModel, Upstream, WatchRole,
+    digest_settle_ms, holdings_message_count, is_repeat_round,
+    peer_message_interval_ms, rotation_number, suspects_per_message,
+    upstreams_per_message, urgent_message_interval_ms,
 };
 use prost::Message;
+use schema::link::Suspect;
 use schema::peer::{
     AdapterWant, ComingModel, HeldModel, Holding, LeavingUpstream, ModelDemand,
-    PeerNews, UpstreamUse,
+    PeerNews, SuspectPart, UpstreamUse,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::message_parts::part_sizes;
 use crate::platform_watch::Collection;
@@ -50,14 +53,8 @@
             () = node.wanted_adapters.unannounced.notified() => {
                 let coordinator = node.peers.coordinator_address(node.now());
                 let addresses = coordinator.into_iter();
-                send_message(
-                    &node,
-                    &socket,
-                    addresses,
-                    Audience::Coordinator,
-                    Trigger::Change,
-                )
-                .await;
+                let contents = Contents::part_of_round(Audience::Coordinator, MessageDetail::Changes);
+                send_message(&node, &socket, addresses, &contents, Trigger::Change).await;
             }
             () = node.coordinator.holdings_changed.notified() => {
                 announce_to_all(&node, &socket, Trigger::Change).await;
@@ -85,7 +82,7 @@
                 .peers
                 .addresses_in_domain(node.now(), &node.options.failure_domain);
             let trigger = Trigger::PlatformWatch(collection);
-            announce_to(&node, &socket, addresses, trigger).await;
+            announce_to(&node, &socket, addresses, trigger, &Changes::default()).await;
         }
     }
 }
@@ -93,7 +90,11 @@
 /// Sends a message to all entries that are due for one.
 async fn announce_to_all(node: &Node, socket: &UdpSocket, trigger: Trigger) {
     let addresses = node.peers.addresses_due(node.now());
-    announce_to(node, socket, addresses, trigger).await;
+    if trigger == Trigger::Periodic {
+        update_digests(node);
+    }
+    let changes = Changes::take(node, trigger);
+    announce_to(node, socket, addresses, trigger, &changes).await;
 }
 
 /// Sends a message to peers, with the parts that only the coordinator needs
@@ -103,20 +104,121 @@
     socket: &UdpSocket,
     addresses: Vec<SocketAddr>,
     trigger: Trigger,
+    changes: &Changes,
 ) {
-    let coordinator = node.peers.coordinator_address(node.now());
-    let (coordinators, others): (Vec<_>, Vec<_>) = addresses
-        .into_iter()
-        .partition(|address| Some(*address) == coordinator);
-    send_message(node, socket, others.into_iter(), Audience::Entry, trigger).await;
-    send_message(
-        node,
-        socket,
-        coordinators.into_iter(),
-        Audience::Coordinator,
-        trigger,
-    )
-    .await;
+    let now = node.now();
+    let coordinator = node.peers.coordinator_address(now);
+    let is_periodic = trigger == Trigger::Periodic;
+    let by_detail = node.peers.by_detail(now, addresses, is_periodic);
+    for (detail, addresses) in by_detail {
+        let (coordinators, others): (Vec<_>, Vec<_>) = addresses
+            .into_iter()
+            .partition(|address| Some(*address) == coordinator);
+        for (audience, addresses) in [
+            (Audience::Entry, others),
+            (Audience::Coordinator, coordinators),
+        ] {
+            let contents = Contents {
+                audience,
+                detail,
+                changes,
+            };
+            send_message(node, socket, addresses.into_iter(), &contents, trigger).await;
+        }
+    }
+}
+
+/// Computes the digests that this entry's messages hold until the next round.
+fn update_digests(node: &Node) {
+    let now = node.now();
+    let settle_ms = digest_settle_ms(node.peers.address_count());
+    let suspects = node.suspects.lock().digest(now, settle_ms);
+    let parts = node.suspect_parts.lock().digest(now, settle_ms);
+    node.peers.table.lock().own_digests = vec![suspects, parts];
+}
+
+/// What a message holds.
+#[derive(Debug)]
+pub(super) struct Contents<'a> {
+    audience: Audience,
+    detail: MessageDetail,
+    changes: &'a Changes,
+}
+
+impl Contents<'static> {
+    /// Contents of a message that not all entries get. What changed is sent with a
+    /// message to all.
+    pub(super) const fn part_of_round(
+        audience: Audience,
+        detail: MessageDetail,
+    ) -> Self {
+        const NONE: &Changes = &Changes::none();
+        Self {
+            audience,
+            detail,
+            changes: NONE,
+        }
+    }
+}
+
+/// What changed lately, for the peers that know the rest.
+#[derive(Debug, Default)]
+struct Changes {
+    suspects: Vec<Suspect>,
+    suspect_parts: Vec<SuspectPart>,
+    leaving: Vec<LeavingUpstream>,
+}
+
+impl Changes {
+    const fn none() -> Self {
+        Self {
+            suspects: Vec::new(),
+            suspect_parts: Vec::new(),
+            leaving: Vec::new(),
+        }
+    }
+
+    /// Takes what a message to all entries is to hold, and counts that it is sent.
+    fn take(node: &Node, trigger: Trigger) -> Self {
+        let now = node.now();
+        let peers = node.peers.address_count();
+        let (suspects_max, leaving_max) =
+            (suspects_per_message(peers), upstreams_per_message(peers));
+        let round = node.peers.table.lock().periodic_rounds;
+        let offset = xxh3_64(node.options.entry.as_bytes());
+        let is_repeat =
+            trigger == Trigger::Periodic && is_repeat_round(round, offset, peers);
+        let mut parts = node.suspect_parts.lock();
+        let mut suspect_parts = parts.export_changes(now, suspects_max);
+        if is_repeat {
+            suspect_parts.extend(parts.export_observed(now, round, suspects_max));
+        }
+        drop(parts);
+        let fleet = node.fleet.lock();
+        let leaving = if is_repeat {
+            leaving(&fleet, now, round, leaving_max)
+        } else {
+            let all: Vec<_> = fleet.leaving_upstreams(now).collect();
+            let keys: Vec<u64> = all.iter().map(leaving_key).collect();
+            let mut table = node.peers.table.lock();
+            let due = table.leaving_changes.take(&keys, leaving_max);
+            due.into_iter()
+                .map(|position| leaving_message(all[position]))
+                .collect()
+        };
+        drop(fleet);
+        Self {
+            suspects: node.suspects.lock().export_changes(now, suspects_max),
+            suspect_parts,
+            leaving,
+        }
+    }
+}
+
+/// Identifies what is known about a leaving upstream.
+fn leaving_key((upstream, _, vanished): &(&Upstream, u64, bool)) -> u64 {
+    let seed = upstream.record.started_unix_ms.unwrap_or(0) * 2 + u64::from(*vanished);
+    xxh3_64_with_seed(upstream.record.id.as_bytes(), seed)
 }
 
 /// The recipients of a message. What only the coordinator needs makes up most
@@ -158,14 +260,14 @@
     node: &Node,
     socket: &UdpSocket,
     addresses: impl Iterator<Item = SocketAddr>,
-    audience: Audience,
+    contents: &Contents<'_>,
     trigger: Trigger,
 ) {
     let mut addresses = addresses.peekable();
     if addresses.peek().is_none() {
         return;
     }
-    let message = build_message(node, audience, trigger);
+    let message = build_message(node, contents, trigger);
     let part_sizes = part_sizes(&message);
     let message = message.encode_to_vec();
     let addresses: Vec<SocketAddr> = addresses.collect();
@@ -206,15 +308,16 @@
     }
 }
 
-fn build_message(node: &Node, audience: Audience, trigger: Trigger) -> PeerNews {
+fn build_message(node: &Node, contents: &Contents<'_>, trigger: Trigger) -> PeerNews {
     let now = node.now();
-    let (sequence, round, periodic_round) = {
+    let (sequence, round, periodic_round, digests) = {
         let mut table = node.peers.table.lock();
         table.sequence += 1;
         (
             table.sequence,
             table.message_rounds.number(),
             table.periodic_rounds,
+            table.own_digests.clone(),
         )
     };
     let (coordinator_token, lease_renewal) = {
@@ -226,16 +329,32 @@
     let uses = uses(&fleet, now);
     let peers = node.peers.address_count();
     // Entries that start together count their messages alike.
-    let turn = sequence.wrapping_add(xxh3_64(node.options.entry.as_bytes()));
+    let own_hash = xxh3_64(node.options.entry.as_bytes());
+    let turn = sequence.wrapping_add(own_hash);
     let limit = upstreams_per_message(peers);
-    let leaving = leaving(&fleet, now, turn, limit);
+    let has_records = contents.detail != MessageDetail::Changes;
+    let leaving = if has_records {
+        leaving(&fleet, now, turn, limit)
+    } else {
+        contents.changes.leaving.clone()
+    };
     let rates = upstream_rate::to_announce(&fleet, now, turn, limit);
     drop(fleet);
     let watched = |collection| {
         let is_due = trigger == Trigger::PlatformWatch(collection);
         is_due.then(|| outgoing_batches(node, collection)).flatten()
     };
-    let (demands, wants) = match audience {
+    let (suspects, suspect_parts) = if has_records {
+        let round = match contents.detail {
+            MessageDetail::OlderFormat => round,
+            _ => rotation_number(periodic_round, own_hash, peers),
+        };
+        records(node, now, round)
+    } else {
+        let changes = contents.changes;
+        (changes.suspects.clone(), changes.suspect_parts.clone())
+    };
+    let (demands, wants) = match contents.audience {
         Audience::Coordinator => (demands(node, now), wants(node, now)),
         Audience::Entry => (Vec::new(), Vec::new()),
     };
@@ -250,11 +369,7 @@
         leaving,
         giver_token: coordinator_token,
         holdings: holdings(node, trigger, periodic_round, coordinator_token),
-        suspects: node.suspects.lock().export_batch(
-            now,
-            round,
-            suspects_per_message(peers),
-        ),
+        suspects,
         lease_ask: node.lease_relay.renewal_request(now),
         lease_told: node.lease_relay.renewal_confirmation(now),
         domain: node.options.failure_domain.clone(),
@@ -274,14 +389,20 @@
         stream_origins: Vec::new(),
         origin_asks: Vec::new(),
         origins_unknown: Vec::new(),
-        suspect_parts: node.suspect_parts.lock().export_batch(
-            now,
-            round,
-            suspects_per_message(peers),
-        ),
+        suspect_parts,
+        format: PEER_FORMAT,
+        digests,
     }
 }
 
+/// Returns recent suspects and parts of prompts, and some of the others in turn.
+fn records(node: &Node, now: Instant, round: u64) -> (Vec<Suspect>, Vec<SuspectPart>) {
+    let max = suspects_per_message(node.peers.address_count());
+    let suspects = node.suspects.lock().export_batch(now, round, max);
+    let suspect_parts = node.suspect_parts.lock().export_batch(now, round, max);
+    (suspects, suspect_parts)
+}
+
 /// Returns some of the upstreams that are leaving or whose records have vanished, in
 /// turn by the number of the message.
 fn leaving(
@@ -291,14 +412,19 @@
     limit: usize,
 ) -> Vec<LeavingUpstream> {
     let leaving = fleet.leaving_to_announce(now, message, limit).into_iter();
-    let leaving = leaving.map(|(upstream, version, vanished)| LeavingUpstream {
+    leaving.map(leaving_message).collect()
+}
+
+fn leaving_message(
+    (upstream, version, vanished): (&Upstream, u64, bool),
+) -> LeavingUpstream {
+    LeavingUpstream {
         upstream: upstream.record.id.to_string(),
         version: ObjectVersion(version).revision(),
         generation: ObjectVersion(version).generation(),
         vanished,
         born_ms: upstream.record.started_unix_ms.unwrap_or(0),
-    });
-    leaving.collect()
+    }
 }
 
 /// Returns this entry's usage of upstreams, and what it hears from them.
--- a/crates/front/src/peers/introduction.rs
+++ b/crates/front/src/peers/introduction.rs
@@ -5,9 +5,10 @@
 //! entries, whose next periodic message takes up to 1.35 s. So the new process sends
 //! them a message first, and they answer at once if they know of such an upstream.
 
+use direct::MessageDetail;
 use std::net::SocketAddr;
 
-use super::announce::{Audience, Trigger, send_message};
+use super::announce::{Audience, Contents, Trigger, send_message};
 use crate::state::Node;
 
 /// Sends a message to the other entries of this failure domain.
@@ -31,6 +32,8 @@
 
 async fn send(node: &Node, addresses: impl Iterator<Item = SocketAddr>) {
     if let Some(socket) = node.peers.socket.get() {
-        send_message(node, socket, addresses, Audience::Entry, Trigger::Change).await;
+        let detail = MessageDetail::OlderFormat;
+        let contents = Contents::part_of_round(Audience::Entry, detail);
+        send_message(node, socket, addresses, &contents, Trigger::Change).await;
     }
 }
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -217,8 +217,6 @@
         if newest.is_some_and(|newest| (message.start, message.sequence) <= newest) {
             return Sender::Outdated;
         }
-        let is_new_process =
-            newest.is_none_or(|(started_unix_ms, _)| started_unix_ms != message.start);
         if known.is_none_or(|peer| peer.reported_lost) {
             node.log.line(
                 "peer_heard",
@@ -239,6 +237,15 @@
                 estimate,
             )
         });
+        let is_new_process =
+            newest.is_none_or(|(started_unix_ms, _)| started_unix_ms != message.start);
+        let timeout_ms = table.peer_timeout_ms();
+        let before = known.filter(|peer| {
+            // One that was cut off may lack as much as one that starts.
+            !is_new_process && now.ms_since(peer.heard_at) < timeout_ms
+        });
+        let differs = message.digests != table.own_digests;
+        let different_messages = before.map_or(0, |peer| peer.different_messages);
         let state = PeerState {
             address: from,
             started_unix_ms: message.start,
@@ -250,6 +257,13 @@
             watch_works: message.watches,
             keeps_tokens: message.keeps_tokens,
             shutting_down: message.stopping,
+            first_heard_at: before.map_or(now, |peer| peer.first_heard_at),
+            format: message.format,
+            different_messages: if differs {
+                different_messages.saturating_add(1)
+            } else {
+                0
+            },
             demand: estimates.collect(),
         };
         let is_new = table.peers.insert(message.entry.clone(), state).is_none();
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    DemandEstimate, LeaseCandidate, MessageRounds, PeerEntry, has_successor,
-    peer_timeout_ms,
+    DemandEstimate, LeaseCandidate, MessageDetail, MessageRounds, PeerEntry,
+    PendingChanges, Receiver, has_successor, message_detail, peer_timeout_ms,
 };
 use parking_lot::Mutex;
 use quota::select_keeper;
@@ -13,6 +13,7 @@
 use std::sync::OnceLock;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::transfer::{SentMessages, TransferScope};
 use crate::Options;
@@ -66,6 +67,10 @@
     /// Failure domains of the entries at addresses from which messages came or that
     /// are in the platform's list.
     pub(crate) domains: HashMap<SocketAddr, String>,
+    /// Digests of this entry as of its latest message.
+    pub(crate) own_digests: Vec<u32>,
+    /// Leaving upstreams that are still to be sent.
+    pub(crate) leaving_changes: PendingChanges,
     /// When a message of a coordinator was last received.
     pub(crate) coordinator_heard_at: Option<Instant>,
 }
@@ -89,6 +94,12 @@
     pub(crate) keeps_tokens: bool,
     /// Whether it is shutting down.
     pub(crate) shutting_down: bool,
+    /// When the first message of its process was received.
+    pub(crate) first_heard_at: Instant,
+    /// Format of its messages.
+    pub(crate) format: u32,
+    /// Number of its latest messages, in a row, with other digests than this entry's.
+    pub(crate) different_messages: u32,
     /// Demand that it measured, by service and model.
     pub(crate) demand: Vec<(Arc<str>, Arc<str>, DemandEstimate)>,
 }
@@ -125,7 +136,7 @@
         live.chain(unheard.map(|(address, domain)| (*address, domain.as_str())))
     }
 
-    fn peer_timeout_ms(&self) -> u64 {
+    pub(crate) fn peer_timeout_ms(&self) -> u64 {
         peer_timeout_ms(self.addresses.len())
     }
 }
@@ -259,6 +270,40 @@
         live.any(|(entry, peer)| incarnation_name(entry, peer.started_unix_ms) == name)
     }
 
+    /// Divides the addresses of a round of messages by what these hold.
+    pub(crate) fn by_detail(
+        &self,
+        now: Instant,
+        addresses: Vec<SocketAddr>,
+        is_periodic: bool,
+    ) -> BTreeMap<MessageDetail, Vec<SocketAddr>> {
+        let table = self.table.lock();
+        let (round, peers) = (table.periodic_rounds, table.addresses.len());
+        let own_hash = xxh3_64(self.own_name.as_bytes());
+        let receivers = table.peers.iter().map(|(name, peer)| {
+            let receiver = Receiver {
+                format: Some(peer.format),
+                heard_for_ms: now.ms_since(peer.first_heard_at),
+                // Messages about changes follow one another closely.
+                different_messages: if is_periodic {
+                    peer.different_messages
+                } else {
+                    0
+                },
+                pair: own_hash.wrapping_add(xxh3_64(name.as_bytes())),
+            };
+            (peer.address, message_detail(&receiver, round, peers))
+        });
+        let details: HashMap<SocketAddr, MessageDetail> = receivers.collect();
+        let mut divided: BTreeMap<MessageDetail, Vec<SocketAddr>> = BTreeMap::new();
+        for address in addresses {
+            let unheard = MessageDetail::OlderFormat;
+            let detail = details.get(&address).copied().unwrap_or(unheard);
+            divided.entry(detail).or_default().push(address);
+        }
+        divided
+    }
+
     /// Returns the number of entries that may exist, including this one: those
     /// in the platform's list or, if more, those that were ever heard from.
     pub(crate) fn entry_count(&self) -> usize {
--- a/crates/route/src/crash_record.rs
+++ b/crates/route/src/crash_record.rs
@@ -2,6 +2,9 @@
 
 use base::prelude::*;
 use schema::link::CrashWitness;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::record_digest::{mixed, set_hash};
 
 /// Maximum number of crashes kept per fingerprint.
 pub(crate) const CRASHES_MAX: usize = 8;
@@ -20,6 +23,9 @@
     pub(crate) expires_at: Instant,
     /// When this entry last learned of a new crash.
     pub(crate) learned_at: Instant,
+    /// Number of messages in which a crash that this entry observed is still to be
+    /// sent to others.
+    pub(crate) pending_messages: u8,
     /// Model of this entry's last exclusive run of the request; empty if none.
     pub(crate) model: String,
     /// Name of this entry while it runs the request exclusively; empty otherwise.
@@ -34,6 +40,7 @@
             convicted: false,
             expires_at,
             learned_at: now,
+            pending_messages: 0,
             model: String::new(),
             running_at: String::new(),
         }
@@ -44,6 +51,17 @@
         &self.crashes[self.cleared..]
     }
 
+    /// Hash of what entries should agree on.
+    pub(crate) fn hash(&self, fingerprint: u64) -> u64 {
+        if self.convicted {
+            return mixed(&[fingerprint]);
+        }
+        let crashes = self.crashes.iter().map(|crash| {
+            xxh3_64_with_seed(crash.agent.as_bytes(), crash.upstream_incarnation)
+        });
+        mixed(&[fingerprint, set_hash(crashes, CRASHES_MAX)])
+    }
+
     /// Whether the request has neither a crash that counts nor a conviction.
     pub(crate) fn is_clear(&self) -> bool {
         !self.convicted && self.counted_crashes().is_empty()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -30,6 +30,7 @@
 mod circuit_breaker;
 mod crash_record;
 mod part_record;
+mod record_digest;
 mod rendezvous;
 mod retry_budget;
 mod suspect_parts;
--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -2,6 +2,9 @@
 
 use base::prelude::*;
 use schema::peer::SuspectPart;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::record_digest::{CHANGE_MESSAGES, mixed, set_hash};
 
 /// Number of crashes from which on a part may be refused. At one, a request may have
 /// been a bystander.
@@ -99,6 +102,8 @@
     pub(crate) changed_at: Instant,
     /// Whether some of the evidence is this entry's own.
     pub(crate) observed_here: bool,
+    /// Number of messages in which evidence of this entry is still to be sent to others.
+    pub(crate) pending_messages: u8,
     /// When the probe in progress started.
     pub(crate) probe_started_at: Option<Instant>,
 }
@@ -113,10 +118,27 @@
             expires_at: now.plus_ms(SUSPICION_MS),
             changed_at: now,
             observed_here: false,
+            pending_messages: 0,
             probe_started_at: None,
         }
     }
 
+    /// Records that this entry learned something by itself that others need.
+    pub(crate) const fn mark_observed(&mut self) {
+        self.observed_here = true;
+        self.pending_messages = CHANGE_MESSAGES;
+    }
+
+    /// Hash of what entries should agree on while the part is refused.
+    pub(crate) fn hash(&self, service: &str, part: u64) -> u64 {
+        let crashes = set_hash(self.crashes.iter().copied(), CRASHES_MAX);
+        let requests = set_hash(self.requests.iter().copied(), CRASHES_MAX);
+        let answers = set_hash(self.answers.iter().copied(), ANSWERS_MAX);
+        let refusals = u64::from(self.refusals);
+        let service = xxh3_64(service.as_bytes());
+        mixed(&[service, part, refusals, crashes, requests, answers])
+    }
+
     /// Whether so many answers outweigh all crashes that a record can hold.
     pub(crate) const fn is_exonerated_by(answers: &[u64]) -> bool {
         answers.len() >= ANSWERS_MAX
--- a/crates/route/src/suspect_parts.rs
+++ b/crates/route/src/suspect_parts.rs
@@ -7,6 +7,7 @@
 
 use crate::answered_parts::AnsweredParts;
 use crate::part_record::{PartChange, PartCrash, PartRecord};
+use crate::record_digest::{digest, take_pending};
 
 /// Maximum number of parts under suspicion. Beyond it, other entries' suspicions are
 /// ignored, and one of this entry replaces the one with the least evidence against it.
@@ -261,7 +262,9 @@
         }
         record.changed_at = now;
         // Answers matter to others once there is a verdict to correct.
-        record.observed_here |= added && record.may_be_refused();
+        if added && record.may_be_refused() {
+            record.mark_observed();
+        }
         record.settle(now, before)
     }
 
@@ -305,6 +308,53 @@
             .collect()
     }
 
+    /// Returns up to `max` parts with evidence of this entry that is still to be sent,
+    /// each in the next three messages. Other entries' evidence is not passed on.
+    pub fn export_changes(&mut self, now: Instant, max: usize) -> Vec<SuspectPart> {
+        let records = self.records.iter_mut();
+        let unexpired = records.filter(|(_, record)| record.expires_at > now);
+        let changed =
+            take_pending(unexpired, max, |record| &mut record.pending_messages);
+        changed
+            .into_iter()
+            .map(|(part, record)| to_message(now, part, record))
+            .collect()
+    }
+
+    /// Returns up to `max` of the parts that are not refused and that this entry has
+    /// evidence about, in rotation by `round`. Digests don't include these.
+    pub fn export_observed(
+        &self,
+        now: Instant,
+        round: u64,
+        max: usize,
+    ) -> Vec<SuspectPart> {
+        let records = self.records.iter().filter(|(_, record)| {
+            now < record.expires_at
+                && record.observed_here
+                && !record.is_refused()
+                && !record.is_exonerated()
+        });
+        let mut observed: Vec<_> = records.collect();
+        let first = (round as usize).wrapping_mul(max) % observed.len().max(1);
+        observed.rotate_left(first);
+        let repeated = observed.into_iter().take(max);
+        repeated
+            .map(|(part, record)| to_message(now, part, record))
+            .collect()
+    }
+
+    /// Returns a digest of the refused parts, which all entries should know. Those that
+    /// changed within `settle_ms` and those that expire soon are left out.
+    pub fn digest(&self, now: Instant, settle_ms: u64) -> u32 {
+        let settled = self.records.iter().filter(|(_, record)| {
+            record.is_refused()
+                && now.ms_since(record.changed_at) >= settle_ms
+                && record.expires_at.ms_since(now) >= MERGE_REMAINING_MIN_MS
+        });
+        digest(settled.map(|(part, record)| record.hash(&part.service, part.part)))
+    }
+
     /// Returns what is to be kept of a part while it is refused.
     pub fn refused_message(
         &self,
@@ -356,6 +406,7 @@
         if !record.add_crash(now, crash) {
             return PartChange::Nothing;
         }
+        record.mark_observed();
         record.settle(now, before)
     }
 
@@ -374,7 +425,7 @@
         if !record.add_answers(&[request]) {
             return PartChange::Nothing;
         }
-        record.observed_here = true;
+        record.mark_observed();
         record.changed_at = now;
         record.settle(now, before)
     }
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use crate::crash_record::{CRASHES_MAX, CrashRecord, same_crash};
+use crate::record_digest::{CHANGE_MESSAGES, digest, take_pending};
 use crate::rendezvous::exclusive_run_owner;
 
 /// Maximum number of fingerprints kept. Beyond it, the record that expires first is
@@ -274,6 +275,34 @@
             .collect()
     }
 
+    /// Returns up to `max` records with a crash that this entry observed and that is
+    /// still to be sent, each in the next three messages. What other entries sent is not
+    /// passed on: they send it to all, and [`Self::digest`] shows what is missing.
+    pub fn export_changes(&mut self, now: Instant, max: usize) -> Vec<Suspect> {
+        let records = self.records.iter_mut();
+        let unexpired = records.filter(|(_, record)| record.expires_at > now);
+        let changed =
+            take_pending(unexpired, max, |record| &mut record.pending_messages);
+        changed
+            .into_iter()
+            .map(|(fingerprint, record)| to_message(now, *fingerprint, record))
+            .collect()
+    }
+
+    /// Returns a digest of the records that other entries should have as well.
+    ///
+    /// It leaves out remaining times, and the records that others may not have yet or no
+    /// longer accept: those that changed within `settle_ms`, those that expire soon, and
+    /// those of requests that are clear.
+    pub fn digest(&self, now: Instant, settle_ms: u64) -> u32 {
+        let settled = self.records.iter().filter(|(_, record)| {
+            now.ms_since(record.learned_at) >= settle_ms
+                && record.expires_at.ms_since(now) >= MERGE_REMAINING_MIN_MS
+                && !record.is_clear()
+        });
+        digest(settled.map(|(fingerprint, record)| record.hash(*fingerprint)))
+    }
+
     fn unexpired(
         &self,
         now: Instant,
@@ -304,6 +333,7 @@
             record.update_verdict();
             record.expires_at = expires_at;
             record.learned_at = now;
+            record.pending_messages = CHANGE_MESSAGES;
         }
         self.note_expiry(expires_at);
     }
--- a/crates/route/tests/all/suspect_parts.rs
+++ b/crates/route/tests/all/suspect_parts.rs
@@ -314,3 +314,39 @@
         assert_eq!(probing.count(), count.min(4));
     }
 }
+
+/// Guards against evidence that others never get although it is sent only when it is new:
+/// the observer sends it three times, receivers don't pass it on, and the digests of two
+/// entries agree exactly when both refuse the same part on the same evidence.
+#[test]
+fn changes_are_sent_by_their_observer_and_digests_show_what_is_missing() {
+    const SETTLE_MS: u64 = 300;
+    let now = Instant::ZERO.plus_ms(1_000);
+    let later = now.plus_ms(SETTLE_MS);
+    let (mut first, mut second) = (SuspectParts::default(), SuspectParts::default());
+    crash(&mut first, now, &[7], 1);
+    crash(&mut first, now, &[7], 2);
+    assert!(is_refused(&first, now, &[7]));
+    assert_eq!(
+        first.digest(now, SETTLE_MS),
+        0,
+        "it isn't known elsewhere yet"
+    );
+    assert_ne!(
+        first.digest(later, SETTLE_MS),
+        second.digest(later, SETTLE_MS)
+    );
+    for _ in 0..3 {
+        let changes = first.export_changes(now, 16);
+        assert_eq!(changes.len(), 1);
+        second.merge(now, &changes[0]);
+    }
+    assert!(first.export_changes(now, 16).is_empty());
+    assert!(second.export_changes(now, 16).is_empty());
+    assert!(is_refused(&second, now, &[7]));
+    assert_eq!(
+        first.digest(later, SETTLE_MS),
+        second.digest(later, SETTLE_MS)
+    );
+    assert_ne!(first.digest(later, SETTLE_MS), 0);
+}
