Send uses of upstreams as columns of small numbers

Change: PeerNews.packed_uses names upstreams by a 32-bit hash of their incarnation, in packed columns with tokens in units of 64 and times in units of 16 ms. A new incarnation is named in full for 3 s, since others learn of it from these messages; so are two incarnations with the same hash. Peers that start, lack records or run older builds get uses in full. Tests of direct (packed_uses) and of platform (peers, silent_upstreams, full_upstreams, restarts, leaving) pass.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -65,6 +65,7 @@
 mod message_detail;
 mod order;
 mod origin_keepers;
+mod packed_uses;
 mod peer_messages;
 mod plan;
 mod prefill;
@@ -111,6 +112,7 @@
 };
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use origin_keepers::{origin_keepers, origin_keepers_to_ask};
+pub use packed_uses::IncarnationIndex;
 pub use peer_messages::{
     HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
     peer_message_interval_ms, peer_timeout_ms, suspects_per_message,
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod liveness;
 mod load_planner;
 mod message_detail;
+mod packed_uses;
 mod peer_messages;
 mod prefill;
 mod rate;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -92,6 +92,8 @@
     let addresses = node.peers.addresses_due(node.now());
     if trigger == Trigger::Periodic {
         update_digests(node);
+        let fleet = node.fleet.lock();
+        node.peers.incarnations.lock().update(node.now(), &fleet);
     }
     let changes = Changes::take(node, trigger);
     announce_to(node, socket, addresses, trigger, &changes).await;
@@ -326,7 +328,17 @@
         (lease.token(now).unwrap_or(0), renewal)
     };
     let fleet = node.fleet.lock();
-    let uses = uses(&fleet, now);
+    let mut uses = uses(&fleet, now);
+    let packed_uses = (contents.detail == MessageDetail::Changes).then(|| {
+        let (packed, others) = node
+            .peers
+            .incarnations
+            .lock()
+            .pack(now, std::mem::take(&mut uses));
+        uses = others;
+        packed
+    });
+    let packed_uses = packed_uses.filter(|packed| !packed.upstreams.is_empty());
     let peers = node.peers.address_count();
     // Entries that start together count their messages alike.
     let own_hash = xxh3_64(node.options.entry.as_bytes());
@@ -392,6 +404,7 @@
         suspect_parts,
         format: PEER_FORMAT,
         digests,
+        packed_uses,
     }
 }
 
--- a/crates/front/src/peers/message_parts.rs
+++ b/crates/front/src/peers/message_parts.rs
@@ -9,7 +9,10 @@
 pub(super) fn part_sizes(message: &PeerNews) -> [(&'static str, usize); 9] {
     let watched = message.setup.iter().chain(&message.upstreams);
     [
-        ("uses", encoded_bytes(&message.uses)),
+        (
+            "uses",
+            encoded_bytes(&message.uses) + encoded_bytes(&message.packed_uses),
+        ),
         ("demands", encoded_bytes(&message.demands)),
         ("wants", encoded_bytes(&message.wants)),
         ("leaving", encoded_bytes(&message.leaving)),
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -81,7 +81,7 @@
 
 /// Applies the sender's state, unless a later message from it was handled
 /// already.
-fn apply_message(node: &Arc<Node>, from: SocketAddr, message: PeerNews) -> Sender {
+fn apply_message(node: &Arc<Node>, from: SocketAddr, mut message: PeerNews) -> Sender {
     if message.entry == node.peers.own_name {
         return Sender::Outdated;
     }
@@ -90,6 +90,10 @@
         return sender;
     }
     shared_watch::receive(node, &message);
+    if let Some(packed) = message.packed_uses.take() {
+        let uses = node.peers.incarnations.lock().unpack(&packed);
+        message.uses.extend(uses);
+    }
     let now = node.now();
     let uses = message.uses.iter().map(|upstream_use| {
         let usage = Usage {
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -2,8 +2,9 @@
 
 use base::prelude::*;
 use direct::{
-    DemandEstimate, LeaseCandidate, MessageDetail, MessageRounds, PeerEntry,
-    PendingChanges, Receiver, has_successor, message_detail, peer_timeout_ms,
+    DemandEstimate, IncarnationIndex, LeaseCandidate, MessageDetail, MessageRounds,
+    PeerEntry, PendingChanges, Receiver, has_successor, message_detail,
+    peer_timeout_ms,
 };
 use parking_lot::Mutex;
 use quota::select_keeper;
@@ -32,6 +33,8 @@
     pub(crate) own_address: SocketAddr,
     own_domain: String,
     pub(crate) table: Mutex<PeerTable>,
+    /// Upstreams' incarnations by the hashes in messages, as of the latest round.
+    pub(crate) incarnations: Mutex<IncarnationIndex>,
     /// Notified when a message of an entry arrives that was not known.
     pub(crate) new_peer: Notify,
     /// Notified when a message should be sent right away.
@@ -152,6 +155,7 @@
             own_address: options.peer_address,
             own_domain: options.failure_domain.clone(),
             table: Mutex::new(table),
+            incarnations: Mutex::default(),
             new_peer: Notify::new(),
             announce_now: Notify::new(),
             socket: OnceLock::new(),
