Relay periodic messages to other failure domains

Change: the message goes to one entry of a domain, which sends it to the others there and confirms that. The relay is another entry in each round, chosen by rendezvous hash of the sender and the round. Without a confirmation within three quarters of the interval (300 ms at most), or from a relay that reaches fewer entries than the sender knows, the sender sends the message to all of the domain itself in the same round; an entry that misses two in a row is not chosen for 5 s. Messages about changes, to the coordinator, to peers that lack records and to older builds stay direct. Result: tests of direct::relay: one message per round and domain crosses without faults, and with a dead relay no round is missed; with one message in ten lost, no entry misses more than six rounds in 5,000. Test of platform with three entries in two domains passes.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -71,6 +71,7 @@
 mod prefill;
 mod prefix_affinity;
 mod records;
+mod relay;
 mod retry;
 mod retry_budget;
 mod select;
@@ -122,6 +123,7 @@
 pub use records::{
     LocalWeights, ResidentModel, UpstreamIncarnation, UpstreamRecord, UpstreamReport,
 };
+pub use relay::{RELAY_FORMAT, Relays, confirmation_timeout_ms};
 pub use retry::{AttemptHistory, AttemptOutcome, RetryDecision, decide_retry};
 pub use retry_budget::RetryBudget;
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -5,11 +5,14 @@
 
 use std::collections::BTreeMap;
 
-use crate::peer_message_interval_ms;
+use crate::{RELAY_FORMAT, peer_message_interval_ms};
 
-/// Format of the messages of this build: changes with digests, and uses as columns.
-/// Builds that don't name a format need the whole state in each message.
-pub const PEER_FORMAT: u32 = 1;
+/// Format of the messages of this build.
+pub const PEER_FORMAT: u32 = RELAY_FORMAT;
+
+/// Format from which on messages hold changes with digests, and uses as columns. Builds
+/// that don't name a format need the whole state in each message.
+const CHANGES_FORMAT: u32 = 1;
 
 /// Number of messages in which a change is sent. One message in ten may be lost.
 const CHANGE_MESSAGES: u8 = 3;
@@ -63,7 +66,7 @@
 
 /// Decides what the message of a round holds for one of `peers` peers.
 pub fn message_detail(receiver: &Receiver, round: u64, peers: usize) -> MessageDetail {
-    if receiver.format.is_none_or(|format| format < PEER_FORMAT) {
+    if receiver.format.is_none_or(|format| format < CHANGES_FORMAT) {
         return MessageDetail::OlderFormat;
     }
     let turns = rounds_in(REPAIR_INTERVAL_MS, peers);
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod prefill;
 mod rate;
 mod refusals;
+mod relay;
 mod retry;
 mod retry_budget;
 mod select;
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use direct::{
     Fleet, MessageDetail, PEER_FORMAT, ResidentModel, Upstream, WatchRole,
-    digest_settle_ms, holdings_message_count, is_repeat_round,
+    confirmation_timeout_ms, digest_settle_ms, holdings_message_count, is_repeat_round,
     peer_message_interval_ms, rotation_number, suspects_per_message,
     upstreams_per_message, urgent_message_interval_ms,
 };
@@ -12,7 +12,7 @@
 use schema::link::Suspect;
 use schema::peer::{
     AdapterWant, ComingModel, HeldModel, Holding, LeavingUpstream, ModelDemand,
-    PeerNews, SuspectPart, UpstreamUse,
+    PeerNews, RelayStep, SuspectPart, UpstreamUse,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,6 +22,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::message_parts::part_sizes;
+use super::relay::{self, RelayedMessage};
 use crate::platform_watch::Collection;
 use crate::quota::can_keep_tokens;
 use crate::shared_watch::{outgoing_batches, outgoing_claim, role};
@@ -33,9 +34,14 @@
 pub(crate) async fn announce_periodically(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
         let interval_ms = peer_message_interval_ms(node.peers.address_count());
-        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        let timeout_ms = confirmation_timeout_ms(node.peers.address_count());
+        let interval = Duration::from_millis(interval_ms);
+        let timeout = Duration::from_millis(timeout_ms);
+        tokio::time::sleep(interval.saturating_sub(timeout)).await;
         node.peers.table.lock().periodic_rounds += 1;
         announce_to_all(&node, &socket, Trigger::Periodic).await;
+        tokio::time::sleep(timeout).await;
+        relay::send_unconfirmed(&node, &socket).await;
     }
 }
 
@@ -125,7 +131,13 @@
                 detail,
                 changes,
             };
-            send_message(node, socket, addresses.into_iter(), &contents, trigger).await;
+            let is_relayed = is_periodic && contents.may_be_passed_on();
+            let (direct, relayed) = if is_relayed {
+                relay::plan(node, now, addresses)
+            } else {
+                (addresses, Vec::new())
+            };
+            send_messages(node, socket, &direct, &relayed, &contents, trigger).await;
         }
     }
 }
@@ -147,6 +159,15 @@
     changes: &'a Changes,
 }
 
+impl Contents<'_> {
+    /// Whether a message with these contents is of use to all entries of a failure
+    /// domain.
+    const fn may_be_passed_on(&self) -> bool {
+        matches!(self.audience, Audience::Entry)
+            && matches!(self.detail, MessageDetail::Changes)
+    }
+}
+
 impl Contents<'static> {
     /// Contents of a message that not all entries get. What changed is sent with a
     /// message to all.
@@ -265,21 +286,35 @@
     contents: &Contents<'_>,
     trigger: Trigger,
 ) {
-    let mut addresses = addresses.peekable();
-    if addresses.peek().is_none() {
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    send_messages(node, socket, &addresses, &[], contents, trigger).await;
+}
+
+/// Builds one message and sends it to all addresses and to relays.
+async fn send_messages(
+    node: &Node,
+    socket: &UdpSocket,
+    addresses: &[SocketAddr],
+    relayed: &[RelayedMessage],
+    contents: &Contents<'_>,
+    trigger: Trigger,
+) {
+    if addresses.is_empty() && relayed.is_empty() {
         return;
     }
     let message = build_message(node, contents, trigger);
     let part_sizes = part_sizes(&message);
+    let sequence = message.sequence;
     let message = message.encode_to_vec();
-    let addresses: Vec<SocketAddr> = addresses.collect();
-    for address in &addresses {
+    relay::send(node, socket, sequence, &message, relayed).await;
+    for address in addresses {
         // A datagram to a peer that is gone is lost; the next message is sent
         // anyway.
         let _ = socket.send_to(&message, *address).await;
     }
     let reason = trigger.as_str();
-    let sent = node.peers.scopes(addresses);
+    let relays = relayed.iter().map(|to| to.address);
+    let sent = node.peers.scopes(addresses.iter().copied().chain(relays));
     node.metrics.count_sent(reason, &sent, message.len());
     for (part, bytes) in part_sizes {
         node.metrics.count_peer_part(part, sent.total(), bytes);
@@ -405,6 +440,9 @@
         format: PEER_FORMAT,
         digests,
         packed_uses,
+        relay: RelayStep::None.into(),
+        relayed_from: String::new(),
+        relay_confirmation: None,
     }
 }
 
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -11,7 +11,9 @@
 mod message_parts;
 mod receive;
 mod register;
+mod relay;
 
 pub(crate) use announce::{announce_changes, announce_periodically, announce_watches};
 pub(crate) use receive::receive;
 pub(crate) use register::register;
+pub(crate) use relay::PeerRelays;
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -6,13 +6,13 @@
     UpstreamIncarnation, Usage,
 };
 use prost::Message;
-use schema::peer::{HeldModel, PeerNews, Tokens};
+use schema::peer::{HeldModel, PeerNews, RelayStep, Tokens};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use super::introduction;
+use super::{introduction, relay};
 use crate::lease_relay::{receive_confirmation, receive_request};
 use crate::quota::{self, Scope};
 use crate::shared_watch;
@@ -41,15 +41,14 @@
         match PeerNews::decode(&buffer[..length]) {
             Ok(message) if start_state::receive(&node, from, &message).await => {}
             Ok(message) if stream_origins::receive(&node, from, &message) => {}
+            Ok(message) if relay::receive_confirmation(&node, &message) => {}
             Ok(message) => match token_message(&message) {
                 Some(tokens) if message.entry != node.peers.own_name => {
                     quota::receive(&node, &socket, from, &message, tokens).await;
                 }
                 _ => {
-                    let domain = message.domain.clone();
-                    if apply_message(&node, from, message) == Sender::NewProcess {
-                        introduction::answer(&node, &domain, from).await;
-                    }
+                    let bytes = &buffer[..length];
+                    receive_state(&node, &socket, from, message, bytes).await;
                 }
             },
             Err(error) => {
@@ -61,6 +60,28 @@
     }
 }
 
+/// Handles the state of another entry, which may be passed on.
+async fn receive_state(
+    node: &Arc<Node>,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    message: PeerNews,
+    bytes: &[u8],
+) {
+    let Some(sender_address) = relay::sender_address(&message, from) else {
+        return;
+    };
+    let domain = message.domain.clone();
+    let (sequence, step) = (message.sequence, message.relay());
+    let sender = apply_message(node, sender_address, message);
+    if sender != Sender::Outdated && step == RelayStep::Requested {
+        relay::pass_on(node, socket, from, (sequence, bytes)).await;
+    }
+    if sender == Sender::NewProcess {
+        introduction::answer(node, &domain, sender_address).await;
+    }
+}
+
 /// Returns the tokens that a message carries, if any.
 fn token_message(message: &PeerNews) -> Option<(Scope, &Tokens)> {
     let with_scope = |scope| move |tokens| (scope, tokens);
@@ -268,7 +289,13 @@
             } else {
                 0
             },
-            demand: estimates.collect(),
+            // The sender tells its demand only to the coordinator, and directly.
+            demand: match message.relay() {
+                RelayStep::Done => {
+                    before.map_or_else(Vec::new, |peer| peer.demand.clone())
+                }
+                _ => estimates.collect(),
+            },
         };
         let is_new = table.peers.insert(message.entry.clone(), state).is_none();
         drop(table);
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -18,6 +18,7 @@
 
 use super::transfer::{SentMessages, TransferScope};
 use crate::Options;
+use crate::peers::PeerRelays;
 
 /// Silence after which another entry takes over the watches of a failure domain.
 /// Their leader sends a message each 0.8 s.
@@ -31,10 +32,12 @@
 pub(crate) struct Peers {
     pub(crate) own_name: String,
     pub(crate) own_address: SocketAddr,
-    own_domain: String,
+    pub(crate) own_domain: String,
     pub(crate) table: Mutex<PeerTable>,
     /// Upstreams' incarnations by the hashes in messages, as of the latest round.
     pub(crate) incarnations: Mutex<IncarnationIndex>,
+    /// Entries that pass this entry's messages on.
+    pub(crate) relays: Mutex<PeerRelays>,
     /// Notified when a message of an entry arrives that was not known.
     pub(crate) new_peer: Notify,
     /// Notified when a message should be sent right away.
@@ -114,7 +117,10 @@
 
 impl PeerTable {
     /// Returns the entries that were heard from recently, by name.
-    fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerState)> {
+    pub(crate) fn live_peers(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&String, &PeerState)> {
         let timeout_ms = self.peer_timeout_ms();
         let peers = self.peers.iter();
         peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < timeout_ms)
@@ -156,6 +162,7 @@
             own_domain: options.failure_domain.clone(),
             table: Mutex::new(table),
             incarnations: Mutex::default(),
+            relays: Mutex::default(),
             new_peer: Notify::new(),
             announce_now: Notify::new(),
             socket: OnceLock::new(),
