Tell answers and refused parts in time; steady digests under bursts

Reading the code showed three ways in which beliefs could be older than before: an entry that knows answers to a part no longer told them to one that refuses it, since merged records aren't passed on; a newly refused part could wait behind others in a burst; a leaving upstream that is gone at a later version was not announced as changed. Digests differed for the whole burst because records that wait to be sent were in the observer's digest only, and urgent messages counted as further differences. Change: an entry with answers that a received record lacks sends them; refused parts and convicted requests go first; the version is part of a leaving upstream's key; digests leave out what wasn't sent yet and count from the first message; a difference counts by time. Result: tests of route (suspect_parts, suspects), direct (message_detail, relay) and platform (peers, crash_parts, leaving, restarts: 38) pass.

--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -21,9 +21,9 @@
 /// take as long to be known: it learns the records in this time.
 const STARTED_MS: u64 = 3_000;
 
-/// Number of messages in a row with another digest from which on a peer counts as
-/// lacking something. Changes on their way make digests differ for one or two messages.
-const DIFFERENT_MESSAGES: u32 = 4;
+/// Number of message intervals with other digests from which on a peer counts as lacking
+/// something. Changes on their way make digests differ for one or two intervals.
+const DIFFERENT_INTERVALS: u64 = 4;
 
 /// Interval at which one entry sends the records in turn to a peer that lacks something.
 /// All other entries do so too, at different times.
@@ -57,9 +57,8 @@
     pub format: Option<u32>,
     /// Time since the first message of its process.
     pub heard_for_ms: u64,
-    /// Number of its latest messages, in a row, with other digests than those of this
-    /// entry.
-    pub different_messages: u32,
+    /// Time since its messages have other digests than those of this entry.
+    pub different_for_ms: u64,
     /// A number that differs between pairs of entries.
     pub pair: u64,
 }
@@ -71,7 +70,8 @@
     }
     let turns = rounds_in(REPAIR_INTERVAL_MS, peers);
     let is_turn = round.wrapping_add(receiver.pair).is_multiple_of(turns);
-    let lacks_something = receiver.different_messages >= DIFFERENT_MESSAGES;
+    let different_ms = DIFFERENT_INTERVALS * peer_message_interval_ms(peers);
+    let lacks_something = receiver.different_for_ms >= different_ms;
     if receiver.heard_for_ms < STARTED_MS || lacks_something && is_turn {
         MessageDetail::Records
     } else {
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -239,8 +239,10 @@
 }
 
 /// Identifies what is known about a leaving upstream.
-fn leaving_key((upstream, _, vanished): &(&Upstream, u64, bool)) -> u64 {
-    let seed = upstream.record.started_unix_ms.unwrap_or(0) * 2 + u64::from(*vanished);
+fn leaving_key((upstream, version, vanished): &(&Upstream, u64, bool)) -> u64 {
+    let started_unix_ms = upstream.record.started_unix_ms.unwrap_or(0);
+    let seed =
+        started_unix_ms.rotate_left(20) ^ version.rotate_left(1) ^ u64::from(*vanished);
     xxh3_64_with_seed(upstream.record.id.as_bytes(), seed)
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -270,7 +270,7 @@
             !is_new_process && now.ms_since(peer.heard_at) < timeout_ms
         });
         let differs = message.digests != table.own_digests;
-        let different_messages = before.map_or(0, |peer| peer.different_messages);
+        let different_since = before.and_then(|peer| peer.different_since);
         let state = PeerState {
             address: from,
             started_unix_ms: message.start,
@@ -284,11 +284,7 @@
             shutting_down: message.stopping,
             first_heard_at: before.map_or(now, |peer| peer.first_heard_at),
             format: message.format,
-            different_messages: if differs {
-                different_messages.saturating_add(1)
-            } else {
-                0
-            },
+            different_since: differs.then(|| different_since.unwrap_or(now)),
             // The sender tells its demand only to the coordinator, and directly.
             demand: match message.relay() {
                 RelayStep::Done => {
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -104,8 +104,8 @@
     pub(crate) first_heard_at: Instant,
     /// Format of its messages.
     pub(crate) format: u32,
-    /// Number of its latest messages, in a row, with other digests than this entry's.
-    pub(crate) different_messages: u32,
+    /// Since when its messages have other digests than this entry's.
+    pub(crate) different_since: Option<Instant>,
     /// Demand that it measured, by service and model.
     pub(crate) demand: Vec<(Arc<str>, Arc<str>, DemandEstimate)>,
 }
@@ -296,10 +296,9 @@
                 format: Some(peer.format),
                 heard_for_ms: now.ms_since(peer.first_heard_at),
                 // Messages about changes follow one another closely.
-                different_messages: if is_periodic {
-                    peer.different_messages
-                } else {
-                    0
+                different_for_ms: match peer.different_since {
+                    Some(since) if is_periodic => now.ms_since(since),
+                    _ => 0,
                 },
                 pair: own_hash.wrapping_add(xxh3_64(name.as_bytes())),
             };
--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -4,7 +4,7 @@
 use schema::peer::SuspectPart;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::record_digest::{CHANGE_MESSAGES, mixed, set_hash};
+use crate::record_digest::{PendingChange, mixed, set_hash};
 
 /// Number of crashes from which on a part may be refused. At one, a request may have
 /// been a bystander.
@@ -102,8 +102,8 @@
     pub(crate) changed_at: Instant,
     /// Whether some of the evidence is this entry's own.
     pub(crate) observed_here: bool,
-    /// Number of messages in which evidence of this entry is still to be sent to others.
-    pub(crate) pending_messages: u8,
+    /// Whether evidence of this entry is still to be sent to others.
+    pub(crate) pending: PendingChange,
     /// When the probe in progress started.
     pub(crate) probe_started_at: Option<Instant>,
 }
@@ -118,7 +118,7 @@
             expires_at: now.plus_ms(SUSPICION_MS),
             changed_at: now,
             observed_here: false,
-            pending_messages: 0,
+            pending: PendingChange::default(),
             probe_started_at: None,
         }
     }
@@ -126,7 +126,13 @@
     /// Records that this entry learned something by itself that others need.
     pub(crate) const fn mark_observed(&mut self) {
         self.observed_here = true;
-        self.pending_messages = CHANGE_MESSAGES;
+        self.pending.mark();
+    }
+
+    /// Whether another entry's record lacks one of these answers and may need it.
+    pub(crate) fn lacks_answers(from: &SuspectPart, answers: &[u64]) -> bool {
+        !Self::is_exonerated_by(&from.answers)
+            && answers.iter().any(|answer| !from.answers.contains(answer))
     }
 
     /// Hash of what entries should agree on while the part is refused.
--- a/crates/route/src/record_digest.rs
+++ b/crates/route/src/record_digest.rs
@@ -1,10 +1,11 @@
 //! Digests of records that entries should have in common.
 
+use base::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of messages in which a change is sent. One message in ten may be lost, so
 /// that all three are lost for one receiver in a thousand; digests repair that.
-pub(crate) const CHANGE_MESSAGES: u8 = 3;
+const CHANGE_MESSAGES: u8 = 3;
 
 /// Returns a hash of a set that doesn't depend on its order. A set that reached its
 /// maximum size may hold different members at other entries, so it counts as one value.
@@ -27,24 +28,63 @@
     (combined >> 32) as u32
 }
 
-/// Returns those of the records whose change is still to be sent, up to `max` and those
-/// that were sent least first, and counts that they are sent. `pending` returns the
-/// number of messages in which a record is still to be sent.
+/// Whether a change is still to be sent to other entries.
+#[derive(Debug, Default)]
+pub(crate) struct PendingChange {
+    /// Number of messages in which it is still to be sent.
+    messages: u8,
+    /// When it was first sent.
+    sent_at: Option<Instant>,
+}
+
+impl PendingChange {
+    /// Records a change.
+    pub(crate) const fn mark(&mut self) {
+        self.messages = CHANGE_MESSAGES;
+        self.sent_at = None;
+    }
+
+    /// Whether other entries should know a record that this entry learned at `learned_at`:
+    /// it was sent at least `settle_ms` ago. In a burst of changes, some wait for several
+    /// messages.
+    pub(crate) fn is_settled(
+        &self,
+        now: Instant,
+        learned_at: Instant,
+        settle_ms: u64,
+    ) -> bool {
+        let is_unsent = self.messages == CHANGE_MESSAGES;
+        let since = self.sent_at.unwrap_or(learned_at).max(learned_at);
+        !is_unsent && now.ms_since(since) >= settle_ms
+    }
+
+    const fn count_sent(&mut self, now: Instant) {
+        self.messages = self.messages.saturating_sub(1);
+        if self.sent_at.is_none() {
+            self.sent_at = Some(now);
+        }
+    }
+}
+
+/// Returns those of the records whose change is still to be sent, up to `max`, and counts
+/// that they are sent. The most urgent come first, and of these the ones sent least.
 pub(crate) fn take_pending<'a, K, V>(
+    now: Instant,
     records: impl Iterator<Item = (&'a K, &'a mut V)>,
     max: usize,
-    mut pending: impl FnMut(&mut V) -> &mut u8,
+    mut pending: impl FnMut(&mut V) -> &mut PendingChange,
+    is_urgent: impl Fn(&V) -> bool,
 ) -> Vec<(&'a K, &'a V)> {
-    let mut due: Vec<(&K, &mut V, u8)> = records
+    let mut due: Vec<((bool, u8), &K, &mut V)> = records
         .filter_map(|(key, record)| {
-            let left = *pending(record);
-            (left > 0).then_some((key, record, left))
+            let messages = pending(record).messages;
+            (messages > 0).then(|| ((is_urgent(record), messages), key, record))
         })
         .collect();
-    due.sort_by_key(|(_, _, left)| std::cmp::Reverse(*left));
+    due.sort_by_key(|(order, ..)| std::cmp::Reverse(*order));
     due.truncate(max);
-    let taken = due.into_iter().map(|(key, record, left)| {
-        *pending(record) = left - 1;
+    let taken = due.into_iter().map(|(_, key, record)| {
+        pending(record).count_sent(now);
         (key, &*record)
     });
     taken.collect()
--- a/crates/route/src/suspect_parts.rs
+++ b/crates/route/src/suspect_parts.rs
@@ -257,6 +257,10 @@
         let before = record.verdict_state();
         let merged = record.merge(now, from);
         let added = record.add_answers(&own_answers);
+        // The sender may refuse the part only because it doesn't know these answers.
+        if PartRecord::lacks_answers(from, &own_answers) {
+            record.pending.mark();
+        }
         if !added && !merged {
             return PartChange::Nothing;
         }
@@ -313,8 +317,13 @@
     pub fn export_changes(&mut self, now: Instant, max: usize) -> Vec<SuspectPart> {
         let records = self.records.iter_mut();
         let unexpired = records.filter(|(_, record)| record.expires_at > now);
-        let changed =
-            take_pending(unexpired, max, |record| &mut record.pending_messages);
+        let changed = take_pending(
+            now,
+            unexpired,
+            max,
+            |record| &mut record.pending,
+            PartRecord::is_refused,
+        );
         changed
             .into_iter()
             .map(|(part, record)| to_message(now, part, record))
@@ -349,7 +358,7 @@
     pub fn digest(&self, now: Instant, settle_ms: u64) -> u32 {
         let settled = self.records.iter().filter(|(_, record)| {
             record.is_refused()
-                && now.ms_since(record.changed_at) >= settle_ms
+                && record.pending.is_settled(now, record.changed_at, settle_ms)
                 && record.expires_at.ms_since(now) >= MERGE_REMAINING_MIN_MS
         });
         digest(settled.map(|(part, record)| record.hash(&part.service, part.part)))
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use crate::crash_record::{CRASHES_MAX, CrashRecord, same_crash};
-use crate::record_digest::{CHANGE_MESSAGES, digest, take_pending};
+use crate::record_digest::{digest, take_pending};
 use crate::rendezvous::exclusive_run_owner;
 
 /// Maximum number of fingerprints kept. Beyond it, the record that expires first is
@@ -281,8 +281,13 @@
     pub fn export_changes(&mut self, now: Instant, max: usize) -> Vec<Suspect> {
         let records = self.records.iter_mut();
         let unexpired = records.filter(|(_, record)| record.expires_at > now);
-        let changed =
-            take_pending(unexpired, max, |record| &mut record.pending_messages);
+        let changed = take_pending(
+            now,
+            unexpired,
+            max,
+            |record| &mut record.pending,
+            |record| record.convicted,
+        );
         changed
             .into_iter()
             .map(|(fingerprint, record)| to_message(now, *fingerprint, record))
@@ -296,7 +301,7 @@
     /// those of requests that are clear.
     pub fn digest(&self, now: Instant, settle_ms: u64) -> u32 {
         let settled = self.records.iter().filter(|(_, record)| {
-            now.ms_since(record.learned_at) >= settle_ms
+            record.pending.is_settled(now, record.learned_at, settle_ms)
                 && record.expires_at.ms_since(now) >= MERGE_REMAINING_MIN_MS
                 && !record.is_clear()
         });
@@ -333,7 +338,7 @@
             record.update_verdict();
             record.expires_at = expires_at;
             record.learned_at = now;
-            record.pending_messages = CHANGE_MESSAGES;
+            record.pending.mark();
         }
         self.note_expiry(expires_at);
     }
