Longest pause of each stream in the request line and a histogram

Late answers of deployment C could not be told apart by cause: the log said when a stream's first event came and when it ended, not whether a pause between two events was too long. The entry now keeps the longest pause of each stream as its caller gets it, logs it as longest_pause_ms and observes sesame_front_stream_longest_pause_seconds by service.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use crate::attempt::{AttemptResult, UpstreamStream};
+use crate::pauses::StreamPauses;
 use crate::response::{
     BufferedResponse, ResponseBody, error_response, error_response_for_part,
 };
@@ -91,6 +92,8 @@
     /// Part of the prompt for which the request was refused.
     pub(crate) refused_for: Option<RefusedPart>,
     first_response_ms: Option<u64>,
+    /// Pauses between the parts of a stream that were forwarded.
+    pauses: StreamPauses,
     end_recorded: bool,
 }
 
@@ -142,6 +145,7 @@
             is_sound: false,
             refused_for: None,
             first_response_ms: None,
+            pauses: StreamPauses::default(),
             end_recorded: false,
         }
     }
@@ -471,6 +475,12 @@
         }
     }
 
+    /// Records that complete events of a stream are forwarded to the caller now.
+    pub(crate) fn record_events_forwarded(&mut self) {
+        self.pauses.record(self.node.now());
+        self.record_first_response();
+    }
+
     /// Converts the result into the response to the caller.
     pub(crate) fn finish(&mut self, end: DispatchResult) -> Response<ResponseBody> {
         match end {
@@ -510,6 +520,13 @@
             .inc();
         let histogram = node.metrics.full_response_s.with_label_values(&[route]);
         histogram.observe(ms as f64 / 1_000.0);
+        let longest_pause_ms = self.pauses.longest_ms();
+        if let Some(pause_ms) = longest_pause_ms {
+            let histogram = &node.metrics.longest_pause_s;
+            histogram
+                .with_label_values(&[&*self.request.service])
+                .observe(pause_ms as f64 / 1_000.0);
+        }
         let fleet_age_ms = node.fleet_watermark.lock().age_ms(node.now());
         let model = self.request.head.model.as_ref();
         let model = model.map(|(model, adapter)| match adapter {
@@ -523,6 +540,7 @@
             json!({ "id": self.request.head.id, "route": route, "workspace": workspace,
                 "service": &*self.request.service, "model": model, "outcome": outcome,
                 "status": status, "ms": ms, "first_ms": self.first_response_ms,
+                "longest_pause_ms": longest_pause_ms,
                 "waited_ms": self.waited_ms, "rate_spent": self.rate_limited_count, "tries": self.attempts,
                 "ran": self.may_have_run, "last_event": self.last_event_id,
                 "resumes": self.request.head.began_as,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -37,6 +37,7 @@
 mod options;
 mod orders;
 mod packed_batches;
+mod pauses;
 mod peers;
 mod platform_watch;
 mod protocol;
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -11,6 +11,10 @@
     0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Upper bounds of the buckets of pauses in streams, in seconds. Routes allow pauses of a
+/// few hundred milliseconds.
+const PAUSE_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.2, 2.0, 4.0];
+
 /// All metrics of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -21,6 +25,8 @@
     pub(crate) first_response_s: HistogramVec,
     /// Time to the end of the response, by route.
     pub(crate) full_response_s: HistogramVec,
+    /// Longest pause between two parts of a stream, by service.
+    pub(crate) longest_pause_s: HistogramVec,
     /// Requests refused because of their workspace's quota, by workspace and
     /// reason.
     pub(crate) quota_refused: IntCounterVec,
@@ -141,10 +147,9 @@
         registry
             .register(Box::new(suspended_s.clone()))
             .expect("each metric is registered once");
-        let histogram = |name: &str, help: &str| {
-            let options =
-                HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = HistogramVec::new(options, &["route"])
+        let histogram = |name: &str, help: &str, label: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = HistogramVec::new(options, &[label])
                 .expect("metric names and labels are valid literals");
             registry
                 .register(Box::new(histogram.clone()))
@@ -154,10 +159,20 @@
         let first_response_s = histogram(
             "sesame_front_first_answer_seconds",
             "Time to the first part of an answer",
+            "route",
+            &LATENCY_BUCKETS_S,
         );
         let full_response_s = histogram(
             "sesame_front_whole_answer_seconds",
             "Time to the end of an answer",
+            "route",
+            &LATENCY_BUCKETS_S,
+        );
+        let longest_pause_s = histogram(
+            "sesame_front_stream_longest_pause_seconds",
+            "Longest pause between two parts of a stream",
+            "service",
+            &PAUSE_BUCKETS_S,
         );
         let gauge = |name: &str, help: &str| {
             let gauge =
@@ -183,6 +198,7 @@
             quota_refused,
             first_response_s,
             full_response_s,
+            longest_pause_s,
             attempts,
             part_verdicts,
             streams_taken_up,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -132,7 +132,7 @@
         loop {
             match self.step().await {
                 StreamStep::Events(bytes) => {
-                    self.dispatch.record_first_response();
+                    self.dispatch.record_events_forwarded();
                     return Ok(Some(bytes));
                 }
                 StreamStep::Complete => {
