Tokens per event of an engine's streams, and the shortest pause of a service

A step of an engine makes one token for each stream, so the time between two events depends on how many tokens an event holds.

--- a/crates/direct/benches/entry.rs
+++ b/crates/direct/benches/entry.rs
@@ -174,6 +174,7 @@
         weights_max_mb: 230_000.0,
         adapters_max: 8,
         store_loads_per_s: 13.0,
+        tokens_per_event: 1,
         models: models.collect(),
     }
 }
--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -54,6 +54,7 @@
         weights_max_mb: 230_000.0,
         adapters_max: 8,
         store_loads_per_s: 13.0,
+        tokens_per_event: 1,
         models: names
             .iter()
             .map(|name| (Arc::clone(name), spec.clone()))
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -14,6 +14,9 @@
     routes: Vec<Arc<Route>>,
     /// Services by name.
     pub services: BTreeMap<Arc<str>, Arc<ServiceSpec>>,
+    /// The shortest maximum pause of the routes to each service whose answers are
+    /// streams.
+    pauses_max_ms: BTreeMap<Arc<str>, u64>,
     /// Limits on what callers send.
     pub limits: Limits,
     /// Workspaces and their keys; `None` if callers need no key.
@@ -101,6 +104,9 @@
     pub adapters_max: u32,
     /// Loads from the weight store per second over all upstreams.
     pub store_loads_per_s: f64,
+    /// Tokens in one event of a stream, and so engine steps between two events. At
+    /// least 1.
+    pub tokens_per_event: u32,
     /// Models by name.
     pub models: BTreeMap<Arc<str>, ModelSpec>,
 }
@@ -159,8 +165,10 @@
             let longest = b.prefix.len().cmp(&a.prefix.len());
             a.host.cmp(&b.host).then(longest)
         });
+        let pauses_max_ms = shortest_pauses_ms(&routes);
         Self {
             version,
+            pauses_max_ms,
             routes: routes.into_iter().map(Arc::new).collect(),
             services,
             limits,
@@ -193,6 +201,12 @@
         self.services.contains_key(service) || targets.any(|named| named == service)
     }
 
+    /// The shortest maximum pause between two events that a route to the service
+    /// declares. All streams of an engine pause together.
+    pub fn pause_max_ms(&self, service: &str) -> Option<u64> {
+        self.pauses_max_ms.get(service).copied()
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.iter()
@@ -240,6 +254,23 @@
     }
 }
 
+/// The shortest declared pause of the streams of each service.
+fn shortest_pauses_ms(routes: &[Route]) -> BTreeMap<Arc<str>, u64> {
+    let mut shortest = BTreeMap::new();
+    let with_pause = routes
+        .iter()
+        .filter(|route| route.kind.is_stream() && route.pause_max_ms > 0);
+    for route in with_pause {
+        for service in route.weighted_targets() {
+            let pause_ms = shortest
+                .entry(Arc::clone(service))
+                .or_insert(route.pause_max_ms);
+            *pause_ms = route.pause_max_ms.min(*pause_ms);
+        }
+    }
+    shortest
+}
+
 /// The host of a `Host` header without the port, which plays no part in matching.
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/direct/tests/all/config.rs
+++ b/crates/direct/tests/all/config.rs
@@ -74,3 +74,23 @@
     assert!((50..150).contains(&counts["small"]), "{counts:?}");
     assert!(!counts.contains_key("none"));
 }
+
+/// All streams of an engine pause together, so the route that allows the shortest pause
+/// counts for the service. Routes that declare none or aren't streams don't count.
+#[test]
+fn the_shortest_pause_of_the_streams_of_a_service_counts() {
+    let with_pause = |name: &str, kind: RouteKind, pause_max_ms: u64| Route {
+        kind,
+        pause_max_ms,
+        ..route(name, "x.example", &format!("/{name}/"), &[("one", 1)])
+    };
+    let routes = vec![
+        with_pause("a", RouteKind::Stream, 400),
+        with_pause("b", RouteKind::ResumableStream, 300),
+        with_pause("c", RouteKind::Stream, 0),
+        with_pause("d", RouteKind::Idempotent, 100),
+    ];
+    let config = Config::new(1, routes, BTreeMap::new(), Limits::default());
+    assert_eq!(config.pause_max_ms("one"), Some(300));
+    assert_eq!(config.pause_max_ms("two"), None);
+}
--- a/crates/direct/tests/all/support.rs
+++ b/crates/direct/tests/all/support.rs
@@ -32,6 +32,7 @@
         weights_max_mb: 215.0,
         adapters_max: 2,
         store_loads_per_s: 2.0,
+        tokens_per_event: 1,
         models: models
             .iter()
             .map(|model| (name(model), spec.clone()))
