Selection by the learned speed of each engine

Engines of deployment C differ by more than two in speed, and nothing declares it: slow engines got as many prompts as fast ones and answered late. Each entry now learns the speed of an incarnation from the times between the events of its streams (direct::pace: a low quantile over 5 s, so that slowdowns of 0.6 s don't count), combines it with the median of what other entries report (UpstreamUse.pace_percent) and multiplies the expected time to the first answer by it. Factors within 15 % of the mean count as 1.0, so equal engines are selected as before.

Admission still judges by the shortest expected time at equal speeds, so that nothing more is refused. The prefill allowance and PauseAtRisk are decided in direct but not used by the entry yet.

Not measured on a deployment yet.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,6 +4,7 @@
 mod incarnations;
 mod leaving;
 mod liveness;
+mod paces;
 mod rate;
 mod refusals;
 mod software;
@@ -75,6 +76,8 @@
     earlier_software: Vec<EarlierSoftware>,
     /// Version of the platform up to which the records are known.
     known_version: u64,
+    /// When the mean pace of each service was computed.
+    paces_refreshed_at: BTreeMap<Arc<str>, Instant>,
     /// Changes since [`Fleet::take_changes`] was last called.
     changes: Vec<UpstreamChange>,
     /// Records that were ignored since [`Fleet::take_ignored_records`] was last called.
--- /dev/null
+++ b/crates/direct/src/fleet/paces.rs
@@ -0,0 +1,112 @@
+//! Speeds of the engines of each service.
+
+use base::prelude::*;
+use std::sync::Arc;
+
+use super::{Fleet, Upstream};
+use crate::pace::{REFRESH_MS, ServicePace};
+use crate::{EngineSpec, UpstreamIncarnation};
+
+impl Upstream {
+    /// Time that the engine takes relative to the mean of its service: 1 if it is
+    /// unknown, and higher if the engine is slower.
+    pub fn pace_factor(&self, now: Instant) -> f64 {
+        self.pace.factor(now)
+    }
+
+    /// This entry's share in the pace factor, for messages to other entries.
+    pub fn own_pace_factor(&self, now: Instant) -> Option<f64> {
+        self.pace.own_factor(now)
+    }
+
+    /// Prompt tokens, scaled to a time factor of 1, that the engine may have to prefill
+    /// so that its running streams keep the pause. `u64::MAX` if there is no limit.
+    pub fn prefill_allowance(
+        &self,
+        now: Instant,
+        pause_max_ms: u64,
+        engine: &EngineSpec,
+    ) -> u64 {
+        self.pace.prefill_allowance(now, pause_max_ms, engine)
+    }
+
+    /// Whether `added` more prompt tokens might make the pauses of running streams too
+    /// long, where `unread` wait for prefill already.
+    ///
+    /// An engine that has nothing to prefill accepts one prompt that it can prefill in
+    /// time unless it slows down, and one without running streams accepts any.
+    pub(crate) fn risks_pause(
+        &self,
+        now: Instant,
+        pause_max_ms: u64,
+        engine: &EngineSpec,
+        unread: u64,
+        added: u64,
+    ) -> bool {
+        let allowance = self.prefill_allowance(now, pause_max_ms, engine);
+        if unread.saturating_add(added) <= allowance
+            || self.liveness.answering_at_all_entries(now) == 0
+        {
+            return false;
+        }
+        let limit = self
+            .pace
+            .prefill_limit_without_slowdown(now, pause_max_ms, engine);
+        unread > 0 || added > limit
+    }
+}
+
+impl Fleet {
+    /// Records the time between two events of a stream, unless the upstream has
+    /// restarted since.
+    pub fn record_event(
+        &mut self,
+        now: Instant,
+        incarnation: UpstreamIncarnation<'_>,
+        event_ms: f64,
+    ) {
+        let Some(upstream) = self.incarnation_mut(incarnation) else {
+            return;
+        };
+        let usage = upstream.usage(now);
+        let unread_tokens = usage.prefill.total_tokens();
+        upstream
+            .pace
+            .record(now, event_ms, usage.running, unread_tokens);
+        let service = Arc::clone(&upstream.record.service);
+        self.refresh_service_pace(now, &service);
+    }
+
+    /// Sets another entry's pace factor of an upstream, in percent. The entry is named
+    /// by a hash of its name.
+    pub fn set_peer_pace(
+        &mut self,
+        now: Instant,
+        peer: u64,
+        incarnation: UpstreamIncarnation<'_>,
+        pace_percent: u32,
+    ) {
+        if let Some(upstream) = self.incarnation_mut(incarnation) {
+            upstream
+                .pace
+                .set_peer(now, peer, f64::from(pace_percent) / 100.0);
+        }
+    }
+
+    /// Computes the mean pace of a service, if that wasn't done lately.
+    fn refresh_service_pace(&mut self, now: Instant, service: &Arc<str>) {
+        let refreshed_at = self.paces_refreshed_at.get(service);
+        if refreshed_at.is_some_and(|at| now.ms_since(*at) < REFRESH_MS) {
+            return;
+        }
+        self.paces_refreshed_at.insert(Arc::clone(service), now);
+        let event_ms = self
+            .of_service(service)
+            .filter_map(|upstream| upstream.pace.event_ms(now));
+        let pace = ServicePace::from_engines(now, event_ms.collect());
+        let upstreams = self.upstreams.values_mut();
+        for upstream in upstreams.filter(|known| known.record.service == *service) {
+            upstream.pace.set_service(pace);
+        }
+    }
+}
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::liveness::{Activity, Liveness};
 use super::rate::RateNotice;
 use super::refusals::Refusals;
+use crate::pace::Pace;
 use crate::{
     AvoidReason, PrefillQueue, ResidentModel, SoftwareVersion, StreamOrigin,
     UpstreamRecord,
@@ -118,6 +119,8 @@
     pub(super) connect_failed_until: Instant,
     /// Share of recent answers that failed, from 0 to 1.
     pub(super) failed_share: f64,
+    /// Its speed.
+    pub(super) pace: Pace,
 }
 
 /// What an upstream holds according to the coordinator.
@@ -157,6 +160,7 @@
             last_active_at: Instant::ZERO,
             connect_failed_until: Instant::ZERO,
             failed_share: 0.0,
+            pace: Pace::default(),
         }
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`Fleet`] is what this entry knows about the upstreams.
 //! - [`AvoidanceTracker`] reports when an upstream starts or stops being avoided.
 //! - [`select_upstream`] chooses an upstream for one request.
+//!   It takes into account how fast each upstream is, as learned from streams.
 //! - [`admit`] decides whether the request joins the queue of that upstream.
 //!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
 //! - [`decide_retry`] decides what follows an attempt that failed, and
@@ -64,6 +65,7 @@
 mod load_planner;
 mod order;
 mod origin_keepers;
+mod pace;
 mod peer_messages;
 mod plan;
 mod prefill;
@@ -117,7 +119,9 @@
 };
 pub use retry::{AttemptHistory, AttemptOutcome, RetryDecision, decide_retry};
 pub use retry_budget::RetryBudget;
-pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
+pub use select::{
+    PauseLimit, SelectedUpstream, SelectionError, SelectionInput, select_upstream,
+};
 pub use shared_watch::{
     ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
     WatchClaim, WatchRole, WatchSnapshot,
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Tokens of all priorities.
+    pub fn total_tokens(&self) -> u64 {
+        self.tokens
+            .iter()
+            .fold(0, |sum, tokens| sum.saturating_add(*tokens))
+    }
+
     /// Time to prefill all prompts.
     pub fn prefill_ms(&self) -> f64 {
         ms(self.tokens.iter().sum())
@@ -90,6 +97,16 @@
     }
 }
 
+/// Time to prefill tokens at a time factor of 1.
+pub(crate) fn prefill_ms(tokens: u64) -> f64 {
+    ms(tokens)
+}
+
+/// Number of tokens that are prefilled within a time at a time factor of 1.
+pub(crate) fn prefill_tokens(ms: f64) -> u64 {
+    (ms * PROMPT_TOKENS_PER_MS) as u64
+}
+
 fn ms(tokens: u64) -> f64 {
     tokens as f64 / PROMPT_TOKENS_PER_MS
 }
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -20,6 +20,14 @@
 /// Cost of a failed answer: the time until the request is sent again.
 const FAILURE_MS: f64 = 1_500.0;
 
+/// Cost of a prompt that might make the pauses of running streams too long. About one in
+/// five meets a short slowdown, and a late answer is as bad as a failed one.
+const PAUSE_RISK_MS: f64 = 0.2 * FAILURE_MS;
+
+/// Share of the time to spare by which an answer may come later to keep the pauses of
+/// other streams. The expected time is exceeded often.
+const SPARE_SHARE: f64 = 0.5;
+
 /// Share of the KV cache that running requests may fill. Above it, engines preempt
 /// requests in the middle of their answers.
 const USABLE_CACHE_SHARE: f64 = 0.92;
@@ -52,10 +60,22 @@
     pub origin: Option<&'a StreamOrigin>,
     /// Failure domain of this entry.
     pub domain: &'a str,
+    /// What keeps the pauses of the upstream's running streams; `None` if they don't
+    /// count.
+    pub pause: Option<PauseLimit>,
     /// A random number that breaks ties.
     pub random: u64,
 }
 
+/// Limit on the pauses of the streams that run at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PauseLimit {
+    /// Maximum pause between two events.
+    pub pause_max_ms: u64,
+    /// Time by which the first answer may come later without missing its target.
+    pub spare_ms: u64,
+}
+
 /// A selected upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SelectedUpstream {
@@ -72,6 +92,12 @@
     pub own_prefill_ms: f64,
     /// Prompt tokens that the upstream has to prefill, as far as this entry knows.
     pub prefill_tokens: u64,
+    /// Time that the upstream takes relative to the mean of its service. The expected
+    /// times include it.
+    pub pace_factor: f64,
+    /// Expected time to the first answer as it would be if all upstreams were equally
+    /// fast and pauses didn't count: the shortest one of all upstreams.
+    pub equal_pace_ms: f64,
 }
 
 /// Why no upstream was selected. The variants are declared in the order of the checks.
@@ -93,6 +119,9 @@
     RateSpent,
     /// All upstreams that could run the request are full.
     Full,
+    /// At all upstreams that are worth the wait, the prompt might make the pauses of
+    /// running streams too long.
+    PauseAtRisk,
 }
 
 impl SelectionError {
@@ -106,6 +135,7 @@
             Self::BackedOff => "backed_off",
             Self::RateSpent => "rate_spent",
             Self::Full => "full",
+            Self::PauseAtRisk => "pause_at_risk",
         }
     }
 }
@@ -126,7 +156,7 @@
     fleet: &'a Fleet,
     input: &SelectionInput<'a>,
 ) -> Result<SelectedUpstream, SelectionError> {
-    let mut best: Option<(bool, f64, SelectedUpstream)> = None;
+    let mut best: Option<(bool, Candidate)> = None;
     if input
         .origin
         .is_some_and(|origin| !fleet.confirms_origin(origin))
@@ -134,6 +164,7 @@
         return Err(SelectionError::NoSameVersion);
     }
     let mut reason = SelectionError::NoUpstream;
+    let mut equal_pace = EqualPace::default();
     let affinity = PrefixAffinity::for_request(fleet, input);
     for (index, upstream) in fleet.of_service(input.service).enumerate() {
         if !upstream.is_usable(input.now)
@@ -143,18 +174,38 @@
         }
         match score_candidate(upstream, input, &affinity, index as u64) {
             Err(error) => reason = reason.of_later_check(error),
-            Ok((score, selected)) => {
+            Ok(candidate) => {
                 let is_avoided = upstream.is_avoided(input.now);
-                let better = best.as_ref().is_none_or(|(other, best_score, _)| {
-                    (is_avoided, score) < (*other, *best_score)
+                equal_pace.add(is_avoided, &candidate);
+                let better = best.as_ref().is_none_or(|(other, best)| {
+                    (is_avoided, candidate.score) < (*other, best.score)
                 });
                 if better {
-                    best = Some((is_avoided, score, selected));
+                    best = Some((is_avoided, candidate));
                 }
             }
         }
     }
-    best.map(|(_, _, selected)| selected).ok_or(reason)
+    match best {
+        Some((_, candidate)) if candidate.risks_pause => {
+            Err(SelectionError::PauseAtRisk)
+        }
+        Some((is_avoided, candidate)) => Ok(SelectedUpstream {
+            equal_pace_ms: equal_pace.shortest_ms(is_avoided, &candidate),
+            ..candidate.selected
+        }),
+        None => Err(reason),
+    }
+}
+
+/// An upstream that can run the request.
+#[derive(Debug)]
+struct Candidate {
+    /// Lower is better.
+    score: f64,
+    /// Whether the request might make the pauses of running streams too long.
+    risks_pause: bool,
+    selected: SelectedUpstream,
 }
 
 impl SelectionError {
@@ -168,14 +219,42 @@
     }
 }
 
-/// Scores an upstream for a request, lower being better, or returns why it can't run
-/// the request.
+/// The shortest times to the first answer if all upstreams were equally fast.
+#[derive(Debug, Default)]
+struct EqualPace {
+    /// Of those that aren't avoided, and of those that are.
+    shortest_ms: [Option<f64>; 2],
+    /// Whether speeds or pauses may have changed the selection.
+    is_affected: bool,
+}
+
+impl EqualPace {
+    fn add(&mut self, is_avoided: bool, candidate: &Candidate) {
+        let selected = &candidate.selected;
+        let has_equal_pace =
+            selected.equal_pace_ms.total_cmp(&selected.first_answer_ms);
+        self.is_affected |= candidate.risks_pause || has_equal_pace.is_ne();
+        let shortest_ms = &mut self.shortest_ms[usize::from(is_avoided)];
+        let own_ms = selected.equal_pace_ms;
+        *shortest_ms = Some(shortest_ms.map_or(own_ms, |other| other.min(own_ms)));
+    }
+
+    /// The shortest time, or that of the best upstream if it is the best one anyway.
+    fn shortest_ms(&self, is_avoided: bool, best: &Candidate) -> f64 {
+        let shortest_ms = self.shortest_ms[usize::from(is_avoided)];
+        shortest_ms
+            .filter(|_| self.is_affected)
+            .unwrap_or(best.selected.equal_pace_ms)
+    }
+}
+
+/// Scores an upstream for a request, or returns why it can't run the request.
 fn score_candidate(
     upstream: &Upstream,
     input: &SelectionInput<'_>,
     affinity: &PrefixAffinity<'_>,
     index: u64,
-) -> Result<(f64, SelectedUpstream), SelectionError> {
+) -> Result<Candidate, SelectionError> {
     if input
         .origin
         .is_some_and(|origin| !upstream.can_continue(origin))
@@ -196,11 +275,14 @@
         Some((model, _)) => model_need(upstream, input, model, &usage)?,
         None => RequestNeed::default(),
     };
-    let wait_ms = if input.model.is_some() {
-        engine_wait_ms(&usage, &added, input.priority)
+    let (wait_ms, pace_factor) = if input.model.is_some() {
+        let pace_factor = upstream.pace_factor(input.now);
+        let wait_ms = engine_wait_ms(&usage, &added, input.priority) * pace_factor;
+        (wait_ms, pace_factor)
     } else {
-        service_wait_ms(upstream, &usage)
+        (service_wait_ms(upstream, &usage), 1.0)
     };
+    let pause_cost_ms = pause_cost_ms(upstream, input, &usage, &added);
     let noise = jitter(input.random, index);
     let domain_ms = if *upstream.record.domain == *input.domain {
         0.0
@@ -212,18 +294,41 @@
     let score = (wait_ms - saving_ms).max(0.0) * (1.0 + 0.1 * noise)
         + noise
         + domain_ms
+        + pause_cost_ms.unwrap_or(0.0)
         + failure_penalty_ms(upstream);
     let is_unqueued = input.model.is_some() && usage.prefill.is_empty();
     let selected = SelectedUpstream {
         id: Arc::clone(&upstream.record.id),
         usage: added,
         unqueued_prefill_ms: is_unqueued
-            .then(|| added.prefill.prefill_ms() / input.time_factor),
+            .then(|| added.prefill.prefill_ms() / input.time_factor * pace_factor),
         first_answer_ms: wait_ms,
-        own_prefill_ms: added.prefill.prefill_ms(),
+        own_prefill_ms: added.prefill.prefill_ms() * pace_factor,
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
+        pace_factor,
+        equal_pace_ms: wait_ms / pace_factor,
     };
-    Ok((score, selected))
+    Ok(Candidate {
+        score,
+        risks_pause: pause_cost_ms.is_some(),
+        selected,
+    })
+}
+
+/// Cost of sending the request to an upstream if it might make the pauses of running
+/// streams too long.
+fn pause_cost_ms(
+    upstream: &Upstream,
+    input: &SelectionInput<'_>,
+    usage: &Usage,
+    added: &Usage,
+) -> Option<f64> {
+    let (limit, engine) = (input.pause?, input.engine?);
+    let (unread, added) = (usage.prefill.total_tokens(), added.prefill.total_tokens());
+    let at_risk =
+        upstream.risks_pause(input.now, limit.pause_max_ms, engine, unread, added);
+    let cost_ms = PAUSE_RISK_MS.min(limit.spare_ms as f64 * SPARE_SHARE);
+    at_risk.then_some(cost_ms)
 }
 
 fn check_holds(
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod ledger_restarts;
 mod liveness;
 mod load_planner;
+mod pace;
 mod peer_messages;
 mod prefill;
 mod rate;
--- /dev/null
+++ b/crates/direct/tests/all/pace.rs
@@ -0,0 +1,286 @@
+//! Speeds of engines, learned from their streams.
+
+use crate::support::{at, engine, incarnation, name, record, record_with_start};
+use direct::{
+    EngineSpec, Fleet, PauseLimit, PrefillQueue, SelectionError, SelectionInput,
+    UpstreamIncarnation, Usage, select_upstream,
+};
+
+/// Engines of one service, all of which hold model `a`.
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new();
+    let listed = ids.iter().map(|id| (1, record(id, &["a"])));
+    fleet.apply_list(at(0), 1, listed.collect());
+    fleet
+}
+
+/// Streams of each engine send an event every so many milliseconds, from one time to
+/// another.
+fn stream(fleet: &mut Fleet, from_ms: u64, to_ms: u64, engines: &[(&str, u64)]) {
+    for ms in from_ms..to_ms {
+        for (id, event_ms) in engines {
+            if ms.is_multiple_of(*event_ms) {
+                fleet.record_event(at(ms), incarnation(id), *event_ms as f64);
+            }
+        }
+    }
+}
+
+fn factor(fleet: &Fleet, ms: u64, id: &str) -> f64 {
+    fleet.get(id).expect("known").pace_factor(at(ms))
+}
+
+fn three_tokens_per_event() -> EngineSpec {
+    EngineSpec {
+        batch_slots: 64,
+        cache_capacity_tokens: 117_504,
+        tokens_per_event: 3,
+        ..engine(&["a"])
+    }
+}
+
+/// Two fast engines and a slow one, whose speeds are known from 2 s on.
+fn uneven_fleet() -> Fleet {
+    let mut fleet = fleet(&["1", "2", "3"]);
+    stream(&mut fleet, 0, 2_500, &[("1", 17), ("2", 17), ("3", 42)]);
+    fleet
+}
+
+#[test]
+fn slow_engines_are_told_from_fast_ones() {
+    let fleet = uneven_fleet();
+    assert!((0.6..0.8).contains(&factor(&fleet, 2_500, "1")));
+    assert!((1.5..1.9).contains(&factor(&fleet, 2_500, "3")));
+}
+
+/// Errors of measurement make no difference between engines that are equally fast, and
+/// those without a limit stay without one.
+#[test]
+fn nearly_equal_engines_count_as_equal() {
+    let mut fleet = fleet(&["1", "2", "3"]);
+    stream(&mut fleet, 0, 3_000, &[("1", 24), ("2", 25), ("3", 27)]);
+    for id in ["1", "2", "3"] {
+        assert!((factor(&fleet, 3_000, id) - 1.0).abs() < f64::EPSILON);
+        let upstream = fleet.get(id).expect("known");
+        let engine = three_tokens_per_event();
+        let allowance = upstream.prefill_allowance(at(3_000), 400, &engine);
+        assert_eq!(allowance, u64::MAX);
+    }
+}
+
+/// A slowdown of 600 ms is over before it could be acted on. If it counted, the engine
+/// would be avoided for seconds after it.
+#[test]
+fn a_short_slowdown_is_not_learned() {
+    let mut fleet = uneven_fleet();
+    stream(&mut fleet, 2_500, 3_100, &[("1", 42), ("2", 17), ("3", 42)]);
+    for ms in [2_600, 2_800, 3_100] {
+        assert!((0.6..0.8).contains(&factor(&fleet, ms, "1")), "{ms}");
+    }
+}
+
+/// An engine that is first seen during a slowdown isn't judged by it alone.
+#[test]
+fn an_engine_is_not_judged_by_its_first_half_second() {
+    let mut fleet = fleet(&["1", "2", "3", "4"]);
+    stream(&mut fleet, 0, 2_000, &[("1", 17), ("2", 17), ("3", 17)]);
+    stream(&mut fleet, 2_000, 2_600, &[("4", 42)]);
+    assert!((factor(&fleet, 2_600, "4") - 1.0).abs() < f64::EPSILON);
+}
+
+/// An engine that becomes slow for good is known as slow within seconds.
+#[test]
+fn a_lasting_slowdown_is_learned() {
+    let mut fleet = fleet(&["1", "2", "3", "4"]);
+    let equal = [("1", 17), ("2", 17), ("3", 17), ("4", 17)];
+    stream(&mut fleet, 0, 4_000, &equal);
+    assert!((factor(&fleet, 4_000, "4") - 1.0).abs() < f64::EPSILON);
+    let slower = [("1", 17), ("2", 17), ("3", 17), ("4", 42)];
+    stream(&mut fleet, 4_000, 9_500, &slower);
+    assert!(factor(&fleet, 9_500, "4") > 1.5);
+}
+
+/// Without streams nothing is known of the present speed, and an engine that nothing
+/// is sent to could never show that it is fast again.
+#[test]
+fn a_speed_is_forgotten_without_streams() {
+    let fleet = uneven_fleet();
+    assert!((factor(&fleet, 13_000, "3") - 1.0).abs() < f64::EPSILON);
+    let upstream = fleet.get("3").expect("known");
+    let allowance =
+        upstream.prefill_allowance(at(13_000), 400, &three_tokens_per_event());
+    assert_eq!(allowance, u64::MAX);
+}
+
+/// The engine of a new process may run on another machine.
+#[test]
+fn a_speed_is_lost_with_the_incarnation() {
+    let mut fleet = Fleet::new();
+    let ids = ["1", "2", "3"];
+    let listed = ids.iter().map(|id| (1, record_with_start(id, 10, &["a"])));
+    fleet.apply_list(at(0), 1, listed.collect());
+    let started = |id, start| UpstreamIncarnation {
+        id,
+        started_unix_ms: Some(start),
+    };
+    for ms in 0..2_500 {
+        for (id, event_ms) in [("1", 17), ("2", 17), ("3", 42)] {
+            if ms % event_ms == 0 {
+                fleet.record_event(at(ms), started(id, 10), event_ms as f64);
+            }
+        }
+    }
+    assert!(factor(&fleet, 2_500, "3") > 1.5);
+    fleet.apply_update(2, record_with_start("3", 20, &["a"]));
+    assert!((factor(&fleet, 2_500, "3") - 1.0).abs() < f64::EPSILON);
+    // A late event, or a late message, of the earlier incarnation changes nothing.
+    fleet.record_event(at(2_501), started("3", 10), 42.0);
+    fleet.set_peer_pace(at(2_501), 1, started("3", 10), 170);
+    assert!((factor(&fleet, 2_501, "3") - 1.0).abs() < f64::EPSILON);
+}
+
+/// An entry that has just started has no streams, and uses what others have learned.
+#[test]
+fn an_entry_without_streams_uses_the_values_of_others() {
+    let mut fleet = fleet(&["1", "2"]);
+    for peer in 0..3 {
+        fleet.set_peer_pace(at(0), peer, incarnation("1"), 170);
+    }
+    assert!((factor(&fleet, 100, "1") - 1.7).abs() < 0.01);
+    assert!((factor(&fleet, 100, "2") - 1.0).abs() < f64::EPSILON);
+    // The others stop.
+    assert!((factor(&fleet, 11_000, "1") - 1.0).abs() < f64::EPSILON);
+}
+
+/// A message of a broken entry must not move the load of all others.
+#[test]
+fn wrong_values_of_one_entry_change_little() {
+    let mut fleet = uneven_fleet();
+    for value in [0, 19, 501, u32::MAX] {
+        fleet.set_peer_pace(at(2_500), 9, incarnation("1"), value);
+    }
+    let own = factor(&fleet, 2_500, "1");
+    for peer in 0..3 {
+        fleet.set_peer_pace(at(2_500), peer, incarnation("1"), 68);
+    }
+    fleet.set_peer_pace(at(2_500), 9, incarnation("1"), 500);
+    assert!((factor(&fleet, 2_500, "1") - own).abs() < 0.05);
+    // More entries than are kept take no more memory, and the median stays.
+    for peer in 100..1_000 {
+        fleet.set_peer_pace(at(2_500), peer, incarnation("1"), 68);
+    }
+    assert!((factor(&fleet, 2_500, "1") - own).abs() < 0.05);
+}
+
+fn add_usage(fleet: &mut Fleet, id: &str, tokens: u64, streams: u32) {
+    let upstream = fleet.get_mut(id).expect("known");
+    let stream = Usage {
+        running: 1,
+        ..Usage::default()
+    };
+    for _ in 0..streams {
+        upstream.request_sent(at(2_490), &stream);
+        upstream.first_answer_received(&PrefillQueue::EMPTY);
+    }
+    let unread = Usage {
+        running: 1,
+        prefill: PrefillQueue::single(0, tokens),
+        kv_tokens: tokens,
+    };
+    if tokens > 0 {
+        upstream.request_sent(at(2_490), &unread);
+    }
+}
+
+fn selected(
+    fleet: &Fleet,
+    prompt_tokens: u64,
+    pause: Option<PauseLimit>,
+) -> Result<String, SelectionError> {
+    let engine = three_tokens_per_event();
+    let input = SelectionInput {
+        now: at(2_500),
+        service: "oracle",
+        engine: Some(&engine),
+        model: Some(("a", None)),
+        prompt_parts: &[],
+        priority: 0,
+        prompt_tokens,
+        time_factor: 1.0,
+        kv_tokens: prompt_tokens,
+        excluded: &[name("2")],
+        origin: None,
+        domain: "east",
+        pause,
+        random: 42,
+    };
+    select_upstream(fleet, &input).map(|selected| selected.id.to_string())
+}
+
+const PAUSE: Option<PauseLimit> = Some(PauseLimit {
+    pause_max_ms: 400,
+    spare_ms: 600,
+});
+
+/// Load is sent in proportion to speed: a fast engine with a short queue answers before
+/// a slow one without any.
+#[test]
+fn a_fast_engine_is_preferred_until_its_queue_is_longer() {
+    let mut fleet = uneven_fleet();
+    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("1"));
+    add_usage(&mut fleet, "1", 1_500, 0);
+    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("1"));
+    add_usage(&mut fleet, "1", 3_000, 0);
+    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("3"));
+}
+
+/// A slow engine has a smaller allowance, and both have one that keeps the pause of
+/// 400 ms also at 2.5 times the usual time.
+#[test]
+fn the_allowance_follows_from_speed_and_pause() {
+    let fleet = uneven_fleet();
+    let engine = three_tokens_per_event();
+    let allowance = |id: &str, pause_ms: u64| {
+        let upstream = fleet.get(id).expect("known");
+        upstream.prefill_allowance(at(2_500), pause_ms, &engine)
+    };
+    assert!((3_500..5_000).contains(&allowance("1", 400)));
+    assert!((900..1_600).contains(&allowance("3", 400)));
+    assert!(allowance("3", 300) < allowance("3", 400));
+    // Even with a chunk in each step, no pause is longer than this.
+    assert_eq!(allowance("3", 2_000), u64::MAX);
+    let one_token = EngineSpec {
+        tokens_per_event: 1,
+        ..three_tokens_per_event()
+    };
+    let fast = fleet.get("1").expect("known");
+    assert_eq!(fast.prefill_allowance(at(2_500), 400, &one_token), u64::MAX);
+}
+
+/// Prompts that arrive together at an engine with streams would make their pauses too
+/// long, so the next one goes elsewhere, and nowhere if all engines have enough to
+/// prefill.
+#[test]
+fn an_engine_with_streams_gets_no_more_prompts_than_its_allowance() {
+    let mut fleet = uneven_fleet();
+    add_usage(&mut fleet, "1", 4_000, 2);
+    add_usage(&mut fleet, "3", 1_400, 0);
+    // The slow engine has no streams that could pause.
+    assert_eq!(selected(&fleet, 1_400, PAUSE).as_deref(), Ok("3"));
+    add_usage(&mut fleet, "3", 0, 1);
+    assert_eq!(
+        selected(&fleet, 1_400, PAUSE),
+        Err(SelectionError::PauseAtRisk)
+    );
+    assert!(selected(&fleet, 1_400, None).is_ok());
+}
+
+/// Long prompts would never be served if each exceeded the allowance of every engine.
+#[test]
+fn an_engine_with_nothing_to_prefill_accepts_a_long_prompt() {
+    let mut fleet = uneven_fleet();
+    assert_eq!(selected(&fleet, 50_000, PAUSE).as_deref(), Ok("1"));
+    add_usage(&mut fleet, "1", 0, 2);
+    add_usage(&mut fleet, "3", 0, 2);
+    assert_eq!(selected(&fleet, 7_000, PAUSE).as_deref(), Ok("1"));
+}
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -287,6 +287,8 @@
             first_answer_ms: 0.0,
             own_prefill_ms: 0.0,
             prefill_tokens: 0,
+            pace_factor: 1.0,
+            equal_pace_ms: 0.0,
         };
         self.record_stream_break(upstream);
         self.after_failed_attempt(&selected, AttemptOutcome::Unknown, None)
@@ -441,6 +443,7 @@
             .push(json!({ "upstream": &*selected.id, "outcome": outcome,
             "software": software_version_of(&self.node, &selected.id),
             "expected_ms": selected.first_answer_ms as u64,
+            "pace_percent": (selected.pace_factor * 100.0) as u64,
             "ms": self.node.now().ms_since(started_at) }));
     }
 
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -25,6 +25,8 @@
     response_started: bool,
     /// How often complete events of a stream were received.
     event_batches: u32,
+    /// When they were last received.
+    last_events_at: Option<Instant>,
     /// Hash of path and body of the request.
     pub(crate) fingerprint: u64,
     /// The parts of its prompt that other requests may share.
@@ -58,6 +60,7 @@
             usage: selected.usage,
             response_started: false,
             event_batches: 0,
+            last_events_at: None,
             fingerprint: request.fingerprint,
             shared_parts: Arc::clone(&request.shared_parts),
             request_id: request.head.id.clone(),
@@ -119,8 +122,14 @@
         self.response_started = true;
     }
 
-    /// Records that complete events of a stream were received.
-    pub(crate) fn record_events(&mut self) {
+    /// Records that `events` complete events of a stream were received at once.
+    pub(crate) fn record_events(&mut self, events: u32) {
+        let now = self.node.now();
+        if let Some(last) = self.last_events_at.replace(now) {
+            let event_ms = now.since(last).as_secs_f64() * 1_000.0 / f64::from(events);
+            let mut fleet = self.node.fleet.lock();
+            fleet.record_event(now, self.incarnation(), event_ms);
+        }
         self.event_batches = self.event_batches.saturating_add(1);
         if self.is_answering() {
             self.record_answer();
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -317,6 +317,9 @@
             born_ms: upstream.record.started_unix_ms.unwrap_or(0),
             begun: activity.answering,
             silent_ms: activity.silent_ms,
+            pace_percent: upstream
+                .own_pace_factor(now)
+                .map(|factor| (factor * 100.0) as u32),
         }
     });
     uses.collect()
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::introduction;
 use crate::lease_relay::{receive_confirmation, receive_request};
@@ -115,6 +116,13 @@
         )
     });
     fleet.set_peer_activity(now, &message.entry, activity);
+    let peer = xxh3_64(message.entry.as_bytes());
+    for upstream_use in &message.uses {
+        if let Some(pace_percent) = upstream_use.pace_percent {
+            let incarnation = incarnation(&upstream_use.upstream, upstream_use.born_ms);
+            fleet.set_peer_pace(now, peer, incarnation, pace_percent);
+        }
+    }
     for leaving in &message.leaving {
         let incarnation = incarnation(&leaving.upstream, leaving.born_ms);
         let version = ObjectVersion::new(leaving.generation, leaving.version);
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -269,10 +269,12 @@
     /// Takes all complete events from the buffer, joined together.
     fn take_events(&mut self) -> Option<StreamStep> {
         let mut bytes = BytesMut::new();
+        let mut events = 0;
         while !self.gap_found {
             let Some(event) = self.splitter.next_event() else {
                 break;
             };
+            events += 1;
             match self.event_position(&event) {
                 EventPosition::Next => bytes.extend_from_slice(&event.bytes),
                 EventPosition::Duplicate => {}
@@ -281,7 +283,7 @@
         }
         if !bytes.is_empty() {
             if let Some(source) = &mut self.source {
-                source.in_flight.record_events();
+                source.in_flight.record_events(events);
                 self.dispatch.is_sound |= source.in_flight.is_answering();
                 self.dispatch.bind_to(&source.in_flight);
             }
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -122,9 +122,17 @@
                 demand.record_sent(prompt, uncached);
             });
         }
+        // A request isn't refused because an upstream is known to be slow: without that
+        // knowledge it would have been sent.
+        let first_answer_ms = selected.first_answer_ms.min(selected.equal_pace_ms);
+        let own_equal_pace_ms = selected.own_prefill_ms / selected.pace_factor;
+        let own_prefill_ms = selected
+            .own_prefill_ms
+            .min(own_equal_pace_ms)
+            .min(first_answer_ms);
         let mean_prefill_ms = if at_engine {
             let mut mean_prefill_times = self.node.mean_prefill_times.lock();
-            mean_prefill_times.observe(&request.route.name, selected.own_prefill_ms)
+            mean_prefill_times.observe(&request.route.name, own_equal_pace_ms)
         } else {
             0.0
         };
@@ -133,8 +141,8 @@
             arrived_at: request.arrived_at,
             latency_target_ms: request.route.latency_target_ms,
             first_answer_deadline: request.first_response_by,
-            queue_ms: (selected.first_answer_ms - selected.own_prefill_ms) as u64,
-            prefill_ms: selected.own_prefill_ms as u64,
+            queue_ms: (first_answer_ms - own_prefill_ms) as u64,
+            prefill_ms: own_prefill_ms as u64,
             mean_prefill_ms: mean_prefill_ms as u64,
             at_engine,
         };
@@ -163,7 +171,7 @@
             .arrived_at
             .plus_ms(total_ms * MAX_WAIT_PERCENT / 100);
         match reason {
-            SelectionError::Full => wait_limit,
+            SelectionError::Full | SelectionError::PauseAtRisk => wait_limit,
             SelectionError::BackedOff | SelectionError::RateSpent => {
                 match self.available_again_at() {
                     Some(at) if at < wait_limit => wait_limit,
@@ -292,6 +300,7 @@
             excluded,
             origin: self.origin.as_ref(),
             domain: &self.node.options.failure_domain,
+            pause: None,
             random: self.node.random(),
         };
         select_upstream(&self.node.fleet.lock(), &input)
@@ -367,6 +376,7 @@
         SelectionError::NoUpstream
         | SelectionError::BackedOff
         | SelectionError::RateSpent
-        | SelectionError::Full => ErrorCode::Overloaded,
+        | SelectionError::Full
+        | SelectionError::PauseAtRisk => ErrorCode::Overloaded,
     }
 }
