--- a/crates/direct/benches/entry.rs
+++ b/crates/direct/benches/entry.rs
@@ -131,6 +131,7 @@
             excluded: &[],
             origin: None,
             domain: "domain-1",
+            pause: None,
             random: number,
         };
         std::hint::black_box(select_upstream(&self.fleet, &input)).expect("it is held");
@@ -174,6 +175,7 @@
         weights_max_mb: 230_000.0,
         adapters_max: 8,
         store_loads_per_s: 13.0,
+        tokens_per_event: 1,
         models: models.collect(),
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`Fleet`] is what this entry knows about the upstreams.
 //! - [`AvoidanceTracker`] reports when an upstream starts or stops being avoided.
 //! - [`select_upstream`] chooses an upstream for one request.
+//!   It takes into account how fast each upstream is, as learned from streams.
 //! - [`admit`] decides whether the request joins the queue of that upstream.
 //!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
 //! - [`decide_retry`] decides what follows an attempt that failed, and
@@ -65,6 +66,7 @@
 mod message_detail;
 mod order;
 mod origin_keepers;
+mod pace;
 mod packed_uses;
 mod peer_messages;
 mod plan;
@@ -126,7 +128,9 @@
 pub use relay::{RELAY_FORMAT, Relays, confirmation_timeout_ms};
 pub use retry::{AttemptHistory, AttemptOutcome, RetryDecision, decide_retry};
 pub use retry_budget::RetryBudget;
-pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
+pub use select::{
+    PauseLimit, SelectedUpstream, SelectionError, SelectionInput, select_upstream,
+};
 pub use shared_watch::{
     ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
     WatchClaim, WatchRole, WatchSnapshot,
--- a/crates/direct/src/packed_uses.rs
+++ b/crates/direct/src/packed_uses.rs
@@ -99,6 +99,9 @@
                 others.push(upstream_use);
             }
         }
+        if packed.pace_percents.iter().all(|percent| *percent == 0) {
+            packed.pace_percents.clear();
+        }
         (packed, others)
     }
 
@@ -121,6 +124,8 @@
                     silent_ms: u64::from(value(&packed.silent_units, position))
                         * SILENT_UNIT_MS,
                     reading_tokens: vec![0; PRIORITY_LEVELS],
+                    pace_percent: Some(value(&packed.pace_percents, position))
+                        .filter(|percent| *percent > 0),
                 })
             })
             .collect();
@@ -147,6 +152,8 @@
     packed.kept_units.push(units(upstream_use.kept_tokens));
     let silent_units = upstream_use.silent_ms / SILENT_UNIT_MS;
     packed.silent_units.push(saturated(silent_units));
+    let pace_percent = upstream_use.pace_percent.unwrap_or(0);
+    packed.pace_percents.push(pace_percent);
     for (level, reading) in upstream_use.reading_tokens.iter().enumerate() {
         let place = position * PLACES_PER_UPSTREAM + level;
         if *reading > 0 {
--- a/crates/direct/tests/all/packed_uses.rs
+++ b/crates/direct/tests/all/packed_uses.rs
@@ -35,6 +35,7 @@
         kept_tokens: 20_000,
         silent_ms: 83,
         reading_tokens: vec![2_400, 0, 64],
+        pace_percent: None,
     }
 }
 
@@ -42,7 +43,11 @@
 #[test]
 fn uses_are_the_same_after_unpacking() {
     let fleet = fleet(700);
-    let uses = vec![upstream_use("1", 500), upstream_use("3", 0)];
+    let slow = UpstreamUse {
+        pace_percent: Some(170),
+        ..upstream_use("3", 0)
+    };
+    let uses = vec![upstream_use("1", 500), slow];
     let (packed, others) = index(&fleet).pack(at(LATER_MS), uses.clone());
     assert!(others.is_empty());
     let unpacked = index(&fleet).unpack(&packed);
@@ -54,6 +59,7 @@
         assert_eq!(unpacked.silent_ms, 80);
         assert_eq!(unpacked.kept_tokens, 20_032);
         assert_eq!(unpacked.reading_tokens, [2_432, 0, 64]);
+        assert_eq!(unpacked.pace_percent, sent.pace_percent);
     }
 }
 
