Prompts avoid the streams of slow engines where engines are uneven

A prompt that an engine prefills makes all its streams pause, and on a slow engine a long one makes them pause for longer than their routes allow. Where the engines of a service are uneven in speed, selection adds a cost for each stream that runs at an upstream, by how much of the shortest declared pause the request's own prompt takes there, up to half of the time that the request has to spare. Nothing waits and nothing is refused for it.

--- a/crates/direct/src/fleet/paces.rs
+++ b/crates/direct/src/fleet/paces.rs
@@ -19,40 +19,21 @@
         self.pace.own_factor(now)
     }
 
-    /// Prompt tokens, scaled to a time factor of 1, that the engine may have to prefill
-    /// so that its running streams keep the pause. `u64::MAX` if there is no limit.
-    pub fn prefill_allowance(
-        &self,
-        now: Instant,
-        pause_max_ms: u64,
-        engine: &EngineSpec,
-    ) -> u64 {
-        self.pace.prefill_allowance(now, pause_max_ms, engine)
+    /// Number of requests of all entries that have received their first answer.
+    pub(crate) fn stream_count(&self, now: Instant) -> u32 {
+        self.liveness.answering_at_all_entries(now)
     }
 
-    /// Whether `added` more prompt tokens might make the pauses of running streams too
-    /// long, where `unread` wait for prefill already.
-    ///
-    /// An engine that has nothing to prefill accepts one prompt that it can prefill in
-    /// time unless it slows down, and one without running streams accepts any.
-    pub(crate) fn risks_pause(
+    /// Expected pause between two events of the running streams while a prompt of this
+    /// many tokens, scaled to a time factor of 1, is prefilled. `None` if the engines of
+    /// the service are about equally fast, or their speed isn't known.
+    pub fn pause_ms(
         &self,
         now: Instant,
-        pause_max_ms: u64,
         engine: &EngineSpec,
-        unread: u64,
-        added: u64,
-    ) -> bool {
-        let allowance = self.prefill_allowance(now, pause_max_ms, engine);
-        if unread.saturating_add(added) <= allowance
-            || self.liveness.answering_at_all_entries(now) == 0
-        {
-            return false;
-        }
-        let limit = self
-            .pace
-            .prefill_limit_without_slowdown(now, pause_max_ms, engine);
-        unread > 0 || added > limit
+        prefill_tokens: u64,
+    ) -> Option<f64> {
+        self.pace.pause_ms(now, engine, prefill_tokens)
     }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -89,7 +89,7 @@
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, PlannedAdapterLoad,
     UpstreamAdapterState,
 };
-pub use admission::{AdmissionInput, MeanPrefillTimes, admit};
+pub use admission::{AdmissionInput, MeanPrefillTimes, admit, usable_target_ms};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
 pub use config::{
     Config, EngineSpec, Limits, ModelSpec, Route, RouteKind, ServiceSpec,
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -7,12 +7,7 @@
 use std::collections::VecDeque;
 
 use crate::EngineSpec;
-use crate::prefill::{prefill_ms, prefill_tokens};
-
-/// Factor by which an engine may slow down for a moment. It is over before other
-/// entries hear of it, so what is sent to an engine must be bearable at this speed.
-/// Short slowdowns by 2.5 were seen on 15 of 100 engines at a time.
-const SLOWDOWN_FACTOR: f64 = 2.5;
+use crate::prefill::prefill_ms;
 
 /// Prompt tokens that an engine prefills in one step, at a time factor of 1. Engines
 /// split longer prompts into chunks of this size, and running streams get a token after
@@ -58,8 +53,8 @@
 /// Ratio of the times of the slowest and the fastest tenth of the engines from which the
 /// engines of a service count as uneven.
 ///
-/// With equal engines, all reach their allowances at the same time. A request that waits
-/// then begins later and no pause is avoided.
+/// With equal engines, a prompt makes pauses equally long at each of them, so there is no
+/// better one.
 const UNEVEN_RATIO: f64 = 1.5;
 
 /// Accepted factors. Values outside come from errors of measurement.
@@ -276,50 +271,17 @@
         (factors.get(count / 2).copied().unwrap_or(1.0), count)
     }
 
-    /// Prompt tokens at a time factor of 1 that the engine may have to prefill, so that
-    /// its running streams keep the pause also if it slows down.
-    ///
-    /// It is unlimited where the engines of the service are about equally fast, where
-    /// their speed isn't known, and where a pause can't get too long: an event holds
-    /// `tokens_per_event` steps, and a step at most one chunk.
-    pub(crate) fn prefill_allowance(
-        &self,
-        now: Instant,
-        pause_max_ms: u64,
-        engine: &EngineSpec,
-    ) -> u64 {
-        let is_uneven = self.service(now).is_some_and(|service| service.is_uneven);
-        if !is_uneven {
-            return u64::MAX;
-        }
-        self.prefill_limit(now, pause_max_ms, engine, SLOWDOWN_FACTOR)
-    }
-
-    /// As [`Self::prefill_allowance`], if the engine doesn't slow down.
-    pub(crate) fn prefill_limit_without_slowdown(
+    /// Expected time between two events while a prompt is prefilled. An event takes
+    /// `tokens_per_event` steps, and each step prefills at most one chunk.
+    pub(crate) fn pause_ms(
         &self,
         now: Instant,
-        pause_max_ms: u64,
         engine: &EngineSpec,
-    ) -> u64 {
-        self.prefill_limit(now, pause_max_ms, engine, 1.0)
-    }
-
-    fn prefill_limit(
-        &self,
-        now: Instant,
-        pause_max_ms: u64,
-        engine: &EngineSpec,
-        slowdown: f64,
-    ) -> u64 {
-        let Some(service) = self.service(now) else {
-            return u64::MAX;
-        };
-        let event_max_ms = pause_max_ms as f64 / (self.factor(now) * slowdown);
-        let steps = f64::from(engine.tokens_per_event.max(1));
-        if service.event_ms + steps * prefill_ms(CHUNK_TOKENS) <= event_max_ms {
-            return u64::MAX;
-        }
-        prefill_tokens(event_max_ms - service.event_ms)
+        prefill_tokens: u64,
+    ) -> Option<f64> {
+        let service = self.service(now).filter(|service| service.is_uneven)?;
+        let tokens_max = u64::from(engine.tokens_per_event.max(1)) * CHUNK_TOKENS;
+        let prefill_ms = prefill_ms(prefill_tokens.min(tokens_max));
+        Some((service.event_ms + prefill_ms) * self.factor(now))
     }
 }
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -102,11 +102,6 @@
     ms(tokens)
 }
 
-/// Number of tokens that are prefilled within a time at a time factor of 1.
-pub(crate) fn prefill_tokens(ms: f64) -> u64 {
-    (ms * PROMPT_TOKENS_PER_MS) as u64
-}
-
 fn ms(tokens: u64) -> f64 {
     tokens as f64 / PROMPT_TOKENS_PER_MS
 }
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -20,9 +20,14 @@
 /// Cost of a failed answer: the time until the request is sent again.
 const FAILURE_MS: f64 = 1_500.0;
 
-/// Cost of a prompt that might make the pauses of running streams too long. About one in
-/// five meets a short slowdown, and a late answer is as bad as a failed one.
-const PAUSE_RISK_MS: f64 = 0.2 * FAILURE_MS;
+/// Cost, for each running stream, of a prompt that makes its pause as long as allowed.
+/// With 100 ms or 500 ms, more pauses were too long, or more first answers late.
+const PAUSE_COST_PER_STREAM_MS: f64 = 200.0;
+
+/// Share of the maximum pause from which a longer one costs something. The rest is for
+/// short slowdowns and for prompts that other entries send at the same time. With 0.3,
+/// a tenth more pauses were too long.
+const FREE_PAUSE_SHARE: f64 = 0.2;
 
 /// Share of the time to spare by which an answer may come later to keep the pauses of
 /// other streams. The expected time is exceeded often.
@@ -119,9 +124,6 @@
     RateSpent,
     /// All upstreams that could run the request are full.
     Full,
-    /// At all upstreams that are worth the wait, the prompt might make the pauses of
-    /// running streams too long.
-    PauseAtRisk,
 }
 
 impl SelectionError {
@@ -135,7 +137,6 @@
             Self::BackedOff => "backed_off",
             Self::RateSpent => "rate_spent",
             Self::Full => "full",
-            Self::PauseAtRisk => "pause_at_risk",
         }
     }
 }
@@ -187,9 +188,6 @@
         }
     }
     match best {
-        Some((_, candidate)) if candidate.risks_pause => {
-            Err(SelectionError::PauseAtRisk)
-        }
         Some((is_avoided, candidate)) => Ok(SelectedUpstream {
             equal_pace_ms: equal_pace.shortest_ms(is_avoided, &candidate),
             ..candidate.selected
@@ -203,8 +201,8 @@
 struct Candidate {
     /// Lower is better.
     score: f64,
-    /// Whether the request might make the pauses of running streams too long.
-    risks_pause: bool,
+    /// Cost of making the pauses of running streams longer.
+    pause_cost_ms: f64,
     selected: SelectedUpstream,
 }
 
@@ -233,7 +231,7 @@
         let selected = &candidate.selected;
         let has_equal_pace =
             selected.equal_pace_ms.total_cmp(&selected.first_answer_ms);
-        self.is_affected |= candidate.risks_pause || has_equal_pace.is_ne();
+        self.is_affected |= candidate.pause_cost_ms > 0.0 || has_equal_pace.is_ne();
         let shortest_ms = &mut self.shortest_ms[usize::from(is_avoided)];
         let own_ms = selected.equal_pace_ms;
         *shortest_ms = Some(shortest_ms.map_or(own_ms, |other| other.min(own_ms)));
@@ -282,7 +280,7 @@
     } else {
         (service_wait_ms(upstream, &usage), 1.0)
     };
-    let pause_cost_ms = pause_cost_ms(upstream, input, &usage, &added);
+    let pause_cost_ms = pause_cost_ms(upstream, input, &added);
     let noise = jitter(input.random, index);
     let domain_ms = if *upstream.record.domain == *input.domain {
         0.0
@@ -294,7 +292,7 @@
     let score = (wait_ms - saving_ms).max(0.0) * (1.0 + 0.1 * noise)
         + noise
         + domain_ms
-        + pause_cost_ms.unwrap_or(0.0)
+        + pause_cost_ms
         + failure_penalty_ms(upstream);
     let is_unqueued = input.model.is_some() && usage.prefill.is_empty();
     let selected = SelectedUpstream {
@@ -310,25 +308,35 @@
     };
     Ok(Candidate {
         score,
-        risks_pause: pause_cost_ms.is_some(),
+        pause_cost_ms,
         selected,
     })
 }
 
-/// Cost of sending the request to an upstream if it might make the pauses of running
-/// streams too long.
+/// Cost of making the pauses of the upstream's running streams longer, by the request's
+/// own prompt.
+///
+/// Prompts of other entries don't count: most of those that are known here have been
+/// prefilled since, and the others aren't known yet.
 fn pause_cost_ms(
     upstream: &Upstream,
     input: &SelectionInput<'_>,
-    usage: &Usage,
     added: &Usage,
-) -> Option<f64> {
-    let (limit, engine) = (input.pause?, input.engine?);
-    let (unread, added) = (usage.prefill.total_tokens(), added.prefill.total_tokens());
-    let at_risk =
-        upstream.risks_pause(input.now, limit.pause_max_ms, engine, unread, added);
-    let cost_ms = PAUSE_RISK_MS.min(limit.spare_ms as f64 * SPARE_SHARE);
-    at_risk.then_some(cost_ms)
+) -> f64 {
+    let (Some(limit), Some(engine)) = (input.pause, input.engine) else {
+        return 0.0;
+    };
+    let prefill_tokens = added.prefill.total_tokens();
+    let pause_ms = upstream.pause_ms(input.now, engine, prefill_tokens);
+    let share = pause_ms.unwrap_or(0.0) / limit.pause_max_ms.max(1) as f64;
+    let excess =
+        ((share - FREE_PAUSE_SHARE) / (1.0 - FREE_PAUSE_SHARE)).clamp(0.0, 1.0);
+    if excess <= 0.0 {
+        return 0.0;
+    }
+    let streams = f64::from(upstream.stream_count(input.now));
+    let cost_ms = excess * streams * PAUSE_COST_PER_STREAM_MS;
+    cost_ms.min(limit.spare_ms as f64 * SPARE_SHARE)
 }
 
 fn check_holds(
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod liveness;
 mod load_planner;
 mod pace;
+mod pace_load;
 mod peer_messages;
 mod prefill;
 mod rate;
