--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -273,13 +273,13 @@
         Some((model, _)) => model_need(upstream, input, model, &usage)?,
         None => RequestNeed::default(),
     };
-    let (wait_ms, pace_factor) = if input.model.is_some() {
+    let (equal_pace_ms, pace_factor) = if input.model.is_some() {
         let pace_factor = upstream.pace_factor(input.now);
-        let wait_ms = engine_wait_ms(&usage, &added, input.priority) * pace_factor;
-        (wait_ms, pace_factor)
+        (engine_wait_ms(&usage, &added, input.priority), pace_factor)
     } else {
         (service_wait_ms(upstream, &usage), 1.0)
     };
+    let wait_ms = equal_pace_ms * pace_factor;
     let pause_cost_ms = pause_cost_ms(upstream, input, &added);
     let noise = jitter(input.random, index);
     let domain_ms = if *upstream.record.domain == *input.domain {
@@ -304,7 +304,7 @@
         own_prefill_ms: added.prefill.prefill_ms() * pace_factor,
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
         pace_factor,
-        equal_pace_ms: wait_ms / pace_factor,
+        equal_pace_ms,
     };
     Ok(Candidate {
         score,
