--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod message_detail;
 mod pace;
 mod packed_uses;
+mod pace_load;
 mod peer_messages;
 mod prefill;
 mod rate;
