--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -129,10 +129,10 @@
         self.pending.mark();
     }
 
-    /// Whether another entry's record lacks one of these answers and may need it.
-    pub(crate) fn lacks_answers(from: &SuspectPart, answers: &[u64]) -> bool {
-        !Self::is_exonerated_by(&from.answers)
-            && answers.iter().any(|answer| !from.answers.contains(answer))
+    /// Whether another entry's record lacks one of the answers and may need it.
+    pub(crate) fn has_more_answers(&self, from: &SuspectPart) -> bool {
+        let is_missing = |answer| !from.answers.contains(answer);
+        !Self::is_exonerated_by(&from.answers) && self.answers.iter().any(is_missing)
     }
 
     /// Hash of what entries should agree on while the part is refused.
--- a/crates/route/src/suspect_parts.rs
+++ b/crates/route/src/suspect_parts.rs
@@ -258,7 +258,7 @@
         let merged = record.merge(now, from);
         let added = record.add_answers(&own_answers);
         // The sender may refuse the part only because it doesn't know these answers.
-        if PartRecord::lacks_answers(from, &own_answers) {
+        if record.has_more_answers(from) {
             record.pending.mark();
         }
         if !added && !merged {
