--- a/crates/direct/tests/all/message_detail.rs
+++ b/crates/direct/tests/all/message_detail.rs
@@ -7,7 +7,7 @@
     is_repeat_round, message_detail, peer_message_interval_ms, rotation_number,
     suspects_per_message,
 };
-use route::{CrashVerdict, SuspectRequests};
+use route::{CrashVerdict, PartCrash, PromptPart, SuspectParts, SuspectRequests};
 
 /// Time for which a suspect is remembered.
 const VERDICT_MS: u64 = 60_000;
@@ -270,3 +270,71 @@
     assert!(changes.take(&[], 4).is_empty());
     assert_eq!(changes.take(&items[..1], 4), [0], "it came back");
 }
+
+/// Guards against entries that never agree on which parts of prompts are refused, so that
+/// each would send all its records to the others for good: one knows answers that another
+/// one lacks, or the crashes of a part were seen by different entries.
+#[test]
+fn entries_agree_on_refused_parts_after_crashes_and_answers() {
+    const ENTRIES: usize = 12;
+    const SETTLE_MS: u64 = 300;
+    for seed in 1..=20_u64 {
+        let mut random = seed;
+        let mut draw = move |bound: u64| {
+            random = random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            (random >> 33) % bound
+        };
+        let mut entries: Vec<SuspectParts> = Vec::new();
+        entries.resize_with(ENTRIES, SuspectParts::default);
+        let mut different = 0;
+        for round in 0..150_u64 {
+            let now = Instant::ZERO.plus_ms(LONG_MS + round * 100);
+            for entry in &mut entries {
+                let part = PromptPart {
+                    service: "s".into(),
+                    part: draw(20),
+                };
+                let crash = PartCrash {
+                    incarnation: draw(1_000),
+                    request: draw(1_000),
+                };
+                match draw(10) {
+                    0 if round < 100 => {
+                        entry.record_crash(now, &[part], &crash);
+                    }
+                    1 if round < 100 => {
+                        entry.record_answer(now, &[part], draw(1_000));
+                    }
+                    _ => {}
+                }
+            }
+            let repairs = different > 0;
+            let digests: Vec<u32> = entries
+                .iter()
+                .map(|entry| entry.digest(now, SETTLE_MS))
+                .collect();
+            let is_different = digests.iter().any(|digest| *digest != digests[0]);
+            different = if is_different { different + 1 } else { 0 };
+            for sender in 0..ENTRIES {
+                let mut sent = entries[sender].export_changes(now, 16);
+                if repairs {
+                    sent.extend(entries[sender].export_batch(now, round, 16));
+                }
+                for receiver in (0..ENTRIES).filter(|receiver| *receiver != sender) {
+                    if draw(10) > 0 {
+                        for part in &sent {
+                            entries[receiver].merge(now, part);
+                        }
+                    }
+                }
+            }
+        }
+        assert!(different < 20, "seed {seed}: {different} rounds");
+        let now = Instant::ZERO.plus_ms(LONG_MS + 150 * 100);
+        let digests = entries.iter().map(|entry| entry.digest(now, SETTLE_MS));
+        let digests: std::collections::BTreeSet<u32> = digests.collect();
+        assert_eq!(digests.len(), 1, "seed {seed}");
+    }
+}
