Ask for uses in full when packed ones name unknown upstreams

Cause: a receiver that doesn't know an incarnation, or knows another start time for it, ignored its packed uses for as long as that lasts; a full use would have counted or told it of the incarnation. Change: such a receiver sets needs_full_uses in its messages for 2 s, and gets uses in full from all.

--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -59,6 +59,8 @@
     pub heard_for_ms: u64,
     /// Time since its messages have other digests than those of this entry.
     pub different_for_ms: u64,
+    /// Whether it could not tell which upstreams packed uses named.
+    pub needs_full_uses: bool,
     /// A number that differs between pairs of entries.
     pub pair: u64,
 }
@@ -72,7 +74,8 @@
     let is_turn = round.wrapping_add(receiver.pair).is_multiple_of(turns);
     let different_ms = DIFFERENT_INTERVALS * peer_message_interval_ms(peers);
     let lacks_something = receiver.different_for_ms >= different_ms;
-    if receiver.heard_for_ms < STARTED_MS || lacks_something && is_turn {
+    let is_new = receiver.heard_for_ms < STARTED_MS;
+    if is_new || receiver.needs_full_uses || lacks_something && is_turn {
         MessageDetail::Records
     } else {
         MessageDetail::Changes
--- a/crates/direct/tests/all/message_detail.rs
+++ b/crates/direct/tests/all/message_detail.rs
@@ -91,6 +91,7 @@
                     heard_for_ms: self.now.ms_since(self.entries[receiver].started_at),
                     different_for_ms: self.entries[sender].different[receiver]
                         .map_or(0, |since| self.now.ms_since(since)),
+                    needs_full_uses: false,
                     pair: (sender + receiver) as u64,
                 };
                 let detail = message_detail(&known, self.round, peers);
@@ -230,6 +231,7 @@
         format: Some(0),
         heard_for_ms: LONG_MS,
         different_for_ms: 0,
+        needs_full_uses: false,
         pair: 0,
     };
     let detail = |receiver: &Receiver| message_detail(receiver, 1, 22);
@@ -244,6 +246,11 @@
         ..receiver
     };
     assert_eq!(detail(&known), MessageDetail::Changes);
+    let lacks_upstream = Receiver {
+        needs_full_uses: true,
+        ..known
+    };
+    assert_eq!(detail(&lacks_upstream), MessageDetail::Records);
 }
 
 /// What no digest covers is repeated each second, however long the messages' interval.
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -30,6 +30,10 @@
 use crate::state::peers::{Peers, UNREACHABLE_AFTER_MS};
 use crate::upstream_rate;
 
+/// Time for which other entries are asked for uses in full after packed ones named an
+/// upstream that is not known here. It spans a message in large fleets.
+const UNKNOWN_USE_MS: u64 = 2_000;
+
 /// Sends this entry's state to other entries periodically, forever.
 pub(crate) async fn announce_periodically(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
@@ -349,7 +353,7 @@
 
 fn build_message(node: &Node, contents: &Contents<'_>, trigger: Trigger) -> PeerNews {
     let now = node.now();
-    let (sequence, round, periodic_round, digests) = {
+    let (sequence, round, periodic_round, digests, unknown_use_at) = {
         let mut table = node.peers.table.lock();
         table.sequence += 1;
         (
@@ -357,6 +361,7 @@
             table.message_rounds.number(),
             table.periodic_rounds,
             table.own_digests.clone(),
+            table.unknown_use_at,
         )
     };
     let (coordinator_token, lease_renewal) = {
@@ -445,6 +450,8 @@
         relay: RelayStep::None.into(),
         relayed_from: String::new(),
         relay_confirmation: None,
+        needs_full_uses: unknown_use_at
+            .is_some_and(|at| now.ms_since(at) < UNKNOWN_USE_MS),
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -113,6 +113,9 @@
     shared_watch::receive(node, &message);
     if let Some(packed) = message.packed_uses.take() {
         let uses = node.peers.incarnations.lock().unpack(&packed);
+        if uses.len() < packed.upstreams.len() {
+            node.peers.table.lock().unknown_use_at = Some(node.now());
+        }
         message.uses.extend(uses);
     }
     let now = node.now();
@@ -284,6 +287,7 @@
             shutting_down: message.stopping,
             first_heard_at: before.map_or(now, |peer| peer.first_heard_at),
             format: message.format,
+            needs_full_uses: message.needs_full_uses,
             different_since: differs.then(|| different_since.unwrap_or(now)),
             // The sender tells its demand only to the coordinator, and directly.
             demand: match message.relay() {
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -75,6 +75,8 @@
     pub(crate) domains: HashMap<SocketAddr, String>,
     /// Digests of this entry as of its latest message.
     pub(crate) own_digests: Vec<u32>,
+    /// When packed uses last named an upstream that is not known here.
+    pub(crate) unknown_use_at: Option<Instant>,
     /// Leaving upstreams that are still to be sent.
     pub(crate) leaving_changes: PendingChanges,
     /// When a message of a coordinator was last received.
@@ -106,6 +108,8 @@
     pub(crate) format: u32,
     /// Since when its messages have other digests than this entry's.
     pub(crate) different_since: Option<Instant>,
+    /// Whether it needs uses of upstreams in full.
+    pub(crate) needs_full_uses: bool,
     /// Demand that it measured, by service and model.
     pub(crate) demand: Vec<(Arc<str>, Arc<str>, DemandEstimate)>,
 }
@@ -300,6 +304,7 @@
                     Some(since) if is_periodic => now.ms_since(since),
                     _ => 0,
                 },
+                needs_full_uses: peer.needs_full_uses,
                 pair: own_hash.wrapping_add(xxh3_64(name.as_bytes())),
             };
             (peer.address, message_detail(&receiver, round, peers))
