Planner: the expected wait of unloads once per state of the plan

Change: it is computed by model whenever the planned state changes. The benchmark measures both kinds of plans.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -5,7 +5,8 @@
 
 use base::prelude::*;
 use direct::{
-    DemandEstimate, EngineSpec, LoadPlanner, ModelSpec, PlacedModel, UpstreamState,
+    CapacityPressure, DemandEstimate, DemandPressure, EngineSpec, LoadPlanner,
+    ModelSpec, PlacedModel, UpstreamState,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,8 +18,8 @@
     [(21, 12), (39, 18), (88, 54), (170, 78), (340, 286)];
 
 fn main() {
-    println!("| models | upstreams | moves | a plan, ms |");
-    println!("|---|---|---|---|");
+    println!("| models | upstreams | copies | moves | a plan, ms |");
+    println!("|---|---|---|---|---|");
     for (models, upstreams) in SIZES {
         let names: Vec<Arc<str>> = (0..models)
             .map(|index| format!("model-{index:03}").into())
@@ -26,16 +27,45 @@
         let engine = engine(&names);
         let upstream_states = upstream_states(&names, upstreams);
         let demand = demand(&names);
-        let started_at = std::time::Instant::now();
-        let mut planned = 0;
-        for _ in 0..PLANS {
-            let mut planner = LoadPlanner::new(6_000);
-            planned = planner
-                .plan(Instant::from_ms(60_000), &engine, &upstream_states, &demand)
-                .len();
+        let calm = CapacityPressure::default();
+        for (copies, pressure) in
+            [("at least cost", calm), ("in time", pressure(&names))]
+        {
+            let started_at = std::time::Instant::now();
+            let mut planned = 0;
+            for _ in 0..PLANS {
+                let mut planner = LoadPlanner::new(6_000);
+                let now = Instant::from_ms(60_000);
+                let plan = planner.plan_under_pressure(
+                    now,
+                    &engine,
+                    &upstream_states,
+                    &demand,
+                    &pressure,
+                );
+                planned = plan.len();
+            }
+            let ms = started_at.elapsed().as_secs_f64() * 1_000.0 / f64::from(PLANS);
+            println!("| {models} | {upstreams} | {copies} | {planned} | {ms:.2} |");
         }
-        let ms = started_at.elapsed().as_secs_f64() * 1_000.0 / f64::from(PLANS);
-        println!("| {models} | {upstreams} | {planned} | {ms:.2} |");
+    }
+}
+
+/// Pressure where every other model has patient callers and the busiest tenth is
+/// refused.
+fn pressure(names: &[Arc<str>]) -> CapacityPressure {
+    let models = names.iter().enumerate().map(|(index, name)| {
+        let pressure = DemandPressure {
+            refused_ms_per_s: if index < names.len() / 10 { 500.0 } else { 0.0 },
+            shortest_target_ms: if index % 2 == 0 { 500 } else { 8_000 },
+            longest_run_ms: 500,
+        };
+        (Arc::clone(name), pressure)
+    });
+    CapacityPressure {
+        targets_differ: true,
+        models: models.collect(),
+        ..CapacityPressure::default()
     }
 }
 
--- a/crates/direct/src/plan/mod.rs
+++ b/crates/direct/src/plan/mod.rs
@@ -403,26 +403,21 @@
         }
     }
 
-    /// Relief of a move as far as the copy serves in time, after `drain_ms` for the
-    /// unload and the time of its load.
-    fn relief_in_time(&self, candidate: CandidateMove, drain_ms: f64) -> f64 {
+    /// Relief of a move as far as the copy serves in time, after the unload and the load.
+    fn relief_in_time(&self, candidate: CandidateMove) -> f64 {
         let relief = self.relief(candidate);
         let spec = self.model_facts[candidate.model].spec;
         match (&self.timely, spec) {
             (Some(timely), Some(spec)) if relief > 0.0 => {
+                let drain_ms = candidate.victim.map(|victim| timely.drain_ms(victim));
                 let load_ms = self.load_ms(candidate.model, spec, candidate.to);
-                relief * timely.share_in_time(drain_ms + load_ms, candidate.to)
+                let ready_ms = drain_ms.unwrap_or(0.0) + load_ms;
+                relief * timely.share_in_time(ready_ms, candidate.to)
             }
             _ => relief,
         }
     }
 
-    /// Expected time that the unload of a copy waits for running requests.
-    fn drain_ms(&self, victim: usize, share: f64) -> f64 {
-        let timely = self.timely.as_ref();
-        timely.map_or(0.0, |timely| timely.drain_ms(victim, share))
-    }
-
     /// Cost of evicting the last copy of a model.
     fn last_copy_loss(&self, victim: usize) -> f64 {
         let Some(timely) = &self.timely else {
@@ -460,7 +455,7 @@
                 to,
                 victim: None,
             };
-            return Some((None, self.relief_in_time(without_eviction, 0.0)));
+            return Some((None, self.relief_in_time(without_eviction)));
         }
         if !evict {
             return None;
@@ -485,8 +480,7 @@
             let share = self.weighted_sum(|forecast| {
                 per_copy_load(forecast.retained[held.model], copies)
             });
-            let drain_ms = self.drain_ms(held.model, share);
-            let mut relief = self.relief_in_time(replacement, drain_ms);
+            let mut relief = self.relief_in_time(replacement);
             relief -= share * UNLOAD_COST;
             if copies == 1 {
                 relief -= self.last_copy_loss(held.model);
@@ -557,6 +551,16 @@
                 .collect();
             forecast.update(loads, models);
         }
+        if let Some(timely) = &mut self.timely {
+            let forecasts = &self.forecasts;
+            timely.update_drains((0..models.len()).map(|model| {
+                let copies = models.copy_count(model);
+                let shares = forecasts.iter().map(|forecast| {
+                    forecast.weight * per_copy_load(forecast.retained[model], copies)
+                });
+                shares.sum()
+            }));
+        }
     }
 
     fn has_copy_in_domain(&self, model: usize, domain: &Arc<str>) -> bool {
--- a/crates/direct/src/plan/timely.rs
+++ b/crates/direct/src/plan/timely.rs
@@ -44,6 +44,8 @@
     /// By upstream, whether it left an order without an answer.
     unanswering: Vec<bool>,
     request_ms: f64,
+    /// By model, the expected time that the unload of a copy waits for running requests.
+    drains_ms: Vec<f64>,
     pub(super) any_refused: bool,
 }
 
@@ -89,6 +91,7 @@
             } else {
                 DEFAULT_REQUEST_MS
             },
+            drains_ms: Vec::new(),
             any_refused: pressure.has_refusals(),
         }
     }
@@ -125,12 +128,21 @@
         ms as f64
     }
 
-    /// Expected time until the requests of a copy that has `share` of an upstream's
-    /// time have ended: the longest run, by the probability that any is running.
-    pub(super) fn drain_ms(&self, model: usize, share: f64) -> f64 {
-        let run_ms = self.models[model].run_ms as f64;
-        let running = share / self.request_ms * run_ms;
-        run_ms * (1.0 - (-running).exp())
+    /// Sets the expected times that unloads wait, by the share of an upstream's time that
+    /// each copy of a model has: the longest run, by the probability that any request is
+    /// running.
+    pub(super) fn update_drains(&mut self, shares: impl Iterator<Item = f64>) {
+        let drains = self.models.iter().zip(shares).map(|(tolerance, share)| {
+            let run_ms = tolerance.run_ms as f64;
+            let running = share / self.request_ms * run_ms;
+            run_ms * (1.0 - (-running).exp())
+        });
+        self.drains_ms = drains.collect();
+    }
+
+    /// Expected time that the unload of a copy waits for running requests.
+    pub(super) fn drain_ms(&self, model: usize) -> f64 {
+        self.drains_ms[model]
     }
 
     /// Share of its relief that a copy brings if it serves after `ready_ms`.
