--- a/crates/direct/src/plan/spare.rs
+++ b/crates/direct/src/plan/spare.rs
@@ -8,6 +8,12 @@
 /// loaded. The others stay free for orders that are needed now.
 const MAX_BUSY_PERCENT: usize = 40;
 
+/// Share of the upstreams, in percent, that hold an urgent model or have its weights on
+/// disk when no spare copy of it is loaded. The busiest model of the test load needs as
+/// many. Without the bound, spare copies would be loaded for as long as demand lasts,
+/// and upstreams accept no adapter orders meanwhile.
+const ENOUGH_REACH_PERCENT: usize = 15;
+
 /// Load, as a share of one upstream's time, up to which each copy of a model may be
 /// left when one makes room for a spare copy of another model.
 const MAX_LOAD_LEFT: f64 = 0.25;
@@ -49,7 +55,9 @@
         let mut urgent: Vec<(usize, usize)> =
             urgent.map(|model| (self.reach(model), model)).collect();
         urgent.sort_unstable();
-        urgent.into_iter().find_map(|(_, model)| {
+        let enough = (self.upstreams.len() * ENOUGH_REACH_PERCENT / 100).max(1);
+        let mut few = urgent.into_iter().filter(|(reach, _)| *reach < enough);
+        few.find_map(|(_, model)| {
             let placement = self.spare_placement(model)?;
             Some((model, placement))
         })
--- a/crates/direct/tests/all/capacity_pressure.rs
+++ b/crates/direct/tests/all/capacity_pressure.rs
@@ -4,8 +4,8 @@
 use crate::timely_copies::engine;
 use direct::{
     Arrival, CapacityPressure, Config, DemandEstimate, DemandPressure, DemandTracker,
-    Limits, LoadPlanner, MoveObstacle, PlacedModel, PlannedLoad, Route, RouteKind,
-    UpstreamState, WeightedService, targets_differ_widely,
+    Limits, LoadPlanner, LoadReason, MoveObstacle, PlacedModel, PlannedLoad, Route,
+    RouteKind, UpstreamState, WeightedService, targets_differ_widely,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -152,6 +152,27 @@
     assert_eq!((&*planned[0].upstream, planned[0].from_store), ("2", false));
 }
 
+/// Guards against spare copies without end: with an urgent model on the disk of enough
+/// upstreams, no further copy is loaded.
+#[test]
+fn spare_copies_end_when_enough_upstreams_have_the_weights() {
+    let ids: Vec<String> = (10..30).map(|id| id.to_string()).collect();
+    let upstreams = ids.iter().map(|id| upstream(id, &["m70", "m71"]));
+    let mut upstreams: Vec<UpstreamState> = upstreams.collect();
+    upstreams[0] = upstream("10", &["m01", "m71"]);
+    let demand = [("m01", 200.0, pressure(0.0, 500))];
+    let spare = |upstreams: &[UpstreamState]| {
+        let planned = last_plan(upstreams, &demand, &wide(), 0);
+        assert!(planned.iter().all(|load| load.reason == LoadReason::Spare));
+        planned.len()
+    };
+    assert_eq!(spare(&upstreams), 2);
+    for upstream in &mut upstreams[1..3] {
+        upstream.local_weights.push(name("m01"));
+    }
+    assert_eq!(spare(&upstreams), 0);
+}
+
 /// Guards against other plans where no callers are patient beside others: only refusals
 /// for half a second, while some model is held that nobody requests, change them.
 #[test]
