--- a/crates/direct/src/load_planner.rs
+++ b/crates/direct/src/load_planner.rs
@@ -205,8 +205,8 @@
             .pressure_watch
             .observe(now, pressure, upstreams, demand);
         let forecasts = if in_time {
-            // Without this, models were unloaded for loads that then waited up to 6 s
-            // for the weight store.
+            // A model would be unloaded for a load that the weight store doesn't allow
+            // yet, and its place would serve nobody meanwhile.
             store_loads_left =
                 store_loads_left.saturating_sub(pressure.reserved_store_loads);
             vec![timely_forecast(demand, pressure)]
