Planner: overloaded and crowded models get their copies, spare ones wait

Change: models count as not requested after a second of demand, then 9 to 14 s after their last request; spare copies leave 3 s of the store's rate; a model with patient callers keeps its last copy while more than half an upstream's time of them is refused, and gets one at once; a copy of an overloaded model counts for the refused work that it serves; a last copy with patient callers costs 0.7 instead of 1.0.

--- a/crates/direct/src/capacity_pressure.rs
+++ b/crates/direct/src/capacity_pressure.rs
@@ -11,6 +11,11 @@
 /// finishes.
 const REFUSED_FOR_MS: u64 = 500;
 
+/// Time for which demand is observed before a model without any counts as not requested.
+/// In the first plan of a day most models have had no request yet, and their last copies
+/// were given up. With 1.5 s, fewer copies were ready for the first shift.
+const DEMAND_KNOWN_AFTER_MS: u64 = 1_000;
+
 /// Input to a plan besides the demand.
 #[derive(Debug, Clone, Default)]
 pub struct CapacityPressure {
@@ -38,6 +43,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PressureWatch {
     since: Option<Instant>,
+    demand_since: Option<Instant>,
 }
 
 impl PressureWatch {
@@ -49,6 +55,9 @@
         upstreams: &[UpstreamState],
         demand: &BTreeMap<Arc<str>, DemandEstimate>,
     ) -> bool {
+        if !demand.is_empty() {
+            self.demand_since.get_or_insert(now);
+        }
         if pressure.has_refusals() && holds_unrequested(upstreams, demand) {
             self.since.get_or_insert(now);
         } else {
@@ -57,6 +66,12 @@
         let refused_for = self.since.map_or(0, |since| now.ms_since(since));
         pressure.targets_differ || refused_for >= REFUSED_FOR_MS
     }
+
+    /// Whether demand was observed for long enough to know which models have none.
+    pub(crate) fn demand_is_known(&self, now: Instant) -> bool {
+        let since = self.demand_since;
+        since.is_some_and(|since| now.ms_since(since) >= DEMAND_KNOWN_AFTER_MS)
+    }
 }
 
 /// Whether an upstream holds a model that no caller requests.
--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -33,6 +33,10 @@
 /// request with a relaxed latency target and for 30 s after a long one.
 const WANTED_MS_PER_S: f64 = 0.1;
 
+/// Recent demand above which a model counts as requested, in milliseconds of engine time
+/// per second. A model stays above it for 9 to 14 s after its last request.
+const REQUESTED_MS_PER_S: f64 = 0.01;
+
 /// Prompt tokens and generated tokens that take one millisecond of engine time at a
 /// time factor of 1. A generated token shares its step with all running requests.
 const PROMPT_TOKENS_PER_MS: f64 = 20.0;
@@ -111,6 +115,12 @@
         self.waiting > 0 || self.sustained_ms_per_s > WANTED_MS_PER_S
     }
 
+    /// Whether the model was requested in the last 9 to 14 s, depending on its demand
+    /// before.
+    pub(crate) fn is_requested(&self) -> bool {
+        self.waiting > 0 || self.recent_ms_per_s > REQUESTED_MS_PER_S
+    }
+
     /// Demand that can be relied on when a load started now finishes.
     pub fn expected_ms_per_s(&self) -> f64 {
         let known = self.request_ms > 0.0;
--- a/crates/direct/src/plan/mod.rs
+++ b/crates/direct/src/plan/mod.rs
@@ -48,9 +48,9 @@
 const UNREQUESTED_COPY_LOSS: f64 = 0.05;
 
 /// The same for a model with patient callers where copies are made in time. It comes
-/// back from disk while they wait. In trials of the test load, 1 served 0.61 of the
-/// urgent and 0.74 of the patient requests in time, 2 served 0.59 and 0.78.
-const PATIENT_COPY_LOSS: f64 = 1.0;
+/// back from disk while they wait. In trials of the test load, 0.7 served 0.63 of the
+/// urgent and 0.79 of the patient requests in time, 1.0 served 0.61 and 0.85.
+const PATIENT_COPY_LOSS: f64 = 0.7;
 
 /// Additional cost of a load from the weight store for patient callers where copies are
 /// made in time. Their models were loaded before, so other upstreams have the weights
@@ -62,6 +62,11 @@
 /// without demand, or one of several copies with little load.
 const PATIENT_MIN_RELIEF: f64 = -0.3;
 
+/// Work, as a share of one upstream's time, from which on a model with patient callers
+/// and no holder is loaded without waiting. More callers than the rest of its upstream
+/// serves would be refused.
+const MIN_CROWDED_WORK: f64 = 0.5;
+
 /// Time after which a model with demand and no holder is overdue where copies are made
 /// in time. Models with patient callers lose their places earlier there, and a load
 /// within this time still leaves more than half of a target of 8 s.
@@ -103,11 +108,18 @@
     /// which it is overdue.
     overdue_ms: u64,
     guaranteed_residence_ms: u64,
+    /// Whether copies have to be made in time. Demand that has left is then forgotten
+    /// sooner: the last copy of a busy model would hold its place for 46 s.
+    in_time: bool,
 }
 
 impl ModelFacts<'_> {
     fn is_wanted(&self) -> bool {
-        self.demand.is_some_and(DemandEstimate::is_wanted)
+        if self.in_time {
+            self.demand.is_some_and(DemandEstimate::is_requested)
+        } else {
+            self.demand.is_some_and(DemandEstimate::is_wanted)
+        }
     }
 
     fn is_awaited(&self) -> bool {
@@ -160,6 +172,8 @@
     pub(crate) forecasts: &'a [DemandForecast],
     /// Set where copies have to be made in time.
     pub(crate) pressure: Option<&'a CapacityPressure>,
+    /// Whether demand was observed for long enough to know which models have none.
+    pub(crate) demand_is_known: bool,
 }
 
 impl<'a> PlanBuilder<'a> {
@@ -190,7 +204,13 @@
                 .collect();
             let request_ms = input.demand.values().map(|demand| demand.request_ms);
             let request_ms = request_ms.fold(0.0, f64::max);
-            TimelyFacts::new(pressure, &mut models, &names, request_ms)
+            TimelyFacts::new(
+                pressure,
+                &mut models,
+                &names,
+                request_ms,
+                input.demand_is_known,
+            )
         });
         let facts = models.names().iter().map(|name| ModelFacts {
             spec: engine.models.get(name),
@@ -199,6 +219,7 @@
                 .unserved
                 .overdue_ms(now, name, overdue_after_ms(input)),
             guaranteed_residence_ms: guaranteed_residence_ms(engine, name),
+            in_time: input.pressure.is_some(),
         });
         let facts = facts.collect();
         let forecasts = input.forecasts.iter();
@@ -257,6 +278,16 @@
         refused || self.model_facts[model].is_awaited()
     }
 
+    /// Work, as a share of one upstream's time, of a model whose requests are refused.
+    fn awaited_work(&self, model: usize) -> f64 {
+        let timely = self.timely.as_ref();
+        if timely.is_some_and(|timely| timely.is_refused(model)) {
+            self.weighted_sum(|forecast| forecast.expected[model])
+        } else {
+            0.0
+        }
+    }
+
     /// Whether copies are made in time and the model's callers aren't patient.
     fn is_urgent(&self, model: usize) -> bool {
         let timely = self.timely.as_ref();
@@ -269,7 +300,8 @@
         let patient = self.timely.is_some() && !self.is_urgent(model);
         let overdue = self.model_facts[model].overdue_ms > 0;
         let cheap = placement.relief > PATIENT_MIN_RELIEF && !placement.from_store;
-        !patient || overdue || cheap
+        let crowded = self.awaited_work(model) > MIN_CROWDED_WORK;
+        !patient || overdue || cheap || crowded
     }
 
     /// Adds copies of models whose holders are too busy.
@@ -405,7 +437,7 @@
 
     /// Relief of a move as far as the copy serves in time, after the unload and the load.
     fn relief_in_time(&self, candidate: CandidateMove) -> f64 {
-        let relief = self.relief(candidate);
+        let relief = self.relief(candidate) + self.overload_relief(candidate.model);
         let spec = self.model_facts[candidate.model].spec;
         match (&self.timely, spec) {
             (Some(timely), Some(spec)) if relief > 0.0 => {
@@ -418,12 +450,26 @@
         }
     }
 
+    /// Additional relief of one more copy of a model whose copies are overloaded: the
+    /// refused work that it serves, at most an upstream's time.
+    fn overload_relief(&self, model: usize) -> f64 {
+        let excess = self.awaited_work(model) - self.models.copy_count(model) as f64;
+        excess.clamp(0.0, 1.0)
+    }
+
+    /// Whether copies are made in time and the model is known to have no demand.
+    fn is_unrequested(&self, model: usize) -> bool {
+        let timely = self.timely.as_ref();
+        timely.is_some_and(|timely| timely.demand_is_known)
+            && !self.model_facts[model].is_wanted()
+    }
+
     /// Cost of evicting the last copy of a model.
     fn last_copy_loss(&self, victim: usize) -> f64 {
         let Some(timely) = &self.timely else {
             return LAST_COPY_LOSS;
         };
-        if !self.model_facts[victim].is_wanted() {
+        if self.is_unrequested(victim) {
             UNREQUESTED_COPY_LOSS
         } else if timely.is_patient(victim) {
             PATIENT_COPY_LOSS
@@ -435,8 +481,8 @@
     /// Whether a model was loaded too recently to be evicted. Where copies are made in
     /// time, a model that nobody requests may go at once.
     fn is_recent(&self, held: &HeldModel) -> bool {
-        let may_go = self.timely.is_some() && !self.model_facts[held.model].is_wanted();
-        !may_go && self.now.ms_since(held.since) < MIN_RESIDENCE_MS
+        !self.is_unrequested(held.model)
+            && self.now.ms_since(held.since) < MIN_RESIDENCE_MS
     }
 
     /// Finds room on an upstream: returns the index of the model to evict, if any, and
@@ -581,8 +627,9 @@
             return !(overdue && residence_over);
         };
         // Patient callers wait for their turn behind urgent ones, never before them.
-        let gives_way =
-            timely.is_patient_beside(held.model, newcomer) && self.is_awaited(newcomer);
+        let gives_way = timely.is_patient_beside(held.model, newcomer)
+            && self.is_awaited(newcomer)
+            && self.awaited_work(held.model) <= MIN_CROWDED_WORK;
         let goes_first = timely.is_patient_beside(newcomer, held.model);
         !(residence_over && (gives_way || overdue) && !goes_first)
     }
--- a/crates/direct/src/plan/spare.rs
+++ b/crates/direct/src/plan/spare.rs
@@ -4,6 +4,10 @@
 use super::{CopyPlacement, MAX_PLANNED_LOADS, PlanBuilder};
 use crate::LoadReason;
 
+/// Time for which the weight store's rate is left for loads that are needed now. Spare
+/// copies at the begin of the day used it up, and copies of overloaded models waited.
+const RESERVED_STORE_S: f64 = 3.0;
+
 /// Share of the upstreams, in percent, that may carry out orders when a spare copy is
 /// loaded. The others stay free for orders that are needed now.
 const MAX_BUSY_PERCENT: usize = 40;
@@ -32,11 +36,14 @@
     /// spare copy, the copy serves at once, and where it was replaced meanwhile, it is
     /// loaded from disk.
     pub(super) fn load_spare_copies(&mut self) {
+        let reserved = self.engine.store_loads_per_s * RESERVED_STORE_S;
         let busy = self.upstreams.iter().filter(|upstream| !upstream.idle);
         let busy = busy.count();
         let max_busy = self.upstreams.len() * MAX_BUSY_PERCENT / 100;
         for _ in busy..max_busy {
-            if self.planned.len() >= MAX_PLANNED_LOADS || self.store_loads_left == 0 {
+            if self.planned.len() >= MAX_PLANNED_LOADS
+                || self.store_loads_left as f64 <= reserved
+            {
                 return;
             }
             let Some((model, placement)) = self.best_spare_copy() else {
@@ -74,7 +81,10 @@
 
     fn spare_placement(&self, model: usize) -> Option<CopyPlacement> {
         let spec = self.model_facts[model].spec?;
-        if spec.store_load_ms < spec.disk_load_ms * MIN_STORE_DISK_RATIO {
+        let timely = self.timely.as_ref()?;
+        if !timely.demand_is_known
+            || spec.store_load_ms < spec.disk_load_ms * MIN_STORE_DISK_RATIO
+        {
             return None;
         }
         let size_mb = spec.weights_mb;
@@ -113,7 +123,7 @@
     /// Load of each remaining copy of `victim` without one of them, or `None` if it has
     /// no copy to give away for one more of `model`.
     fn load_left(&self, victim: usize, model: usize) -> Option<f64> {
-        if !self.model_facts[victim].is_wanted() {
+        if self.is_unrequested(victim) {
             return Some(0.0);
         }
         let copies = self.models.copy_count(victim);
--- a/crates/direct/src/plan/timely.rs
+++ b/crates/direct/src/plan/timely.rs
@@ -47,6 +47,8 @@
     /// By model, the expected time that the unload of a copy waits for running requests.
     drains_ms: Vec<f64>,
     pub(super) any_refused: bool,
+    /// Whether demand was observed for long enough to know which models have none.
+    pub(super) demand_is_known: bool,
 }
 
 impl TimelyFacts {
@@ -55,6 +57,7 @@
         models: &mut ModelIndex,
         upstreams: &[&Arc<str>],
         request_ms: f64,
+        demand_is_known: bool,
     ) -> Self {
         let in_memory = upstreams.iter().map(|upstream| {
             let mut set = IndexSet::default();
@@ -93,6 +96,7 @@
             },
             drains_ms: Vec::new(),
             any_refused: pressure.has_refusals(),
+            demand_is_known,
         }
     }
 
