--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,7 +24,8 @@
 //!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
 //!   lease over. [`Ledger`] tracks the orders to one upstream and what it therefore
 //!   holds. [`LoadPlanner`] decides which models are loaded where, and
-//!   [`AdapterPlanner`] which adapters.
+//!   [`AdapterPlanner`] which adapters. [`CapacityPressure`] tells a plan that copies
+//!   have to be made in time.
 //! - [`SharedWatch`] lets one entry watch the platform for its whole failure domain, and
 //!   compares the result with that of the others. [`start_sources`] tells from where an
 //!   entry that starts gets its first state.
@@ -53,8 +54,10 @@
 mod adapters;
 mod admission;
 mod avoidance;
+mod capacity_pressure;
 mod config;
 mod demand;
+mod demand_pressure;
 mod demand_shift;
 mod fleet;
 mod forecast;
@@ -64,6 +67,7 @@
 mod ledger;
 mod load_planner;
 mod message_detail;
+mod move_delay;
 mod order;
 mod origin_keepers;
 mod pace;
@@ -83,6 +87,7 @@
 mod stream_origin;
 mod successor;
 mod takeover;
+mod target_spread;
 mod time_factors;
 mod unanswered;
 mod unserved;
@@ -94,11 +99,13 @@
 };
 pub use admission::{AdmissionInput, MeanPrefillTimes, admit, usable_target_ms};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
+pub use capacity_pressure::CapacityPressure;
 pub use config::{
     Config, EngineSpec, Limits, ModelSpec, Route, RouteKind, ServiceSpec,
     WeightedService,
 };
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
+pub use demand_pressure::DemandPressure;
 pub use fleet::{
     Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
 };
@@ -113,6 +120,7 @@
     MessageDetail, PEER_FORMAT, PendingChanges, Receiver, digest_settle_ms,
     is_repeat_round, message_detail, rotation_number,
 };
+pub use move_delay::{MoveDelay, MoveObstacle};
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use origin_keepers::{origin_keepers, origin_keepers_to_ask};
 pub use packed_uses::IncarnationIndex;
@@ -142,6 +150,7 @@
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
 };
+pub use target_spread::{PATIENT_TARGET_RATIO, targets_differ_widely};
 pub use time_factors::ModelTimeFactors;
 pub use unanswered::UnansweredOrders;
 pub use watermark::Watermark;
