--- a/crates/direct/benches/entry.rs
+++ b/crates/direct/benches/entry.rs
@@ -131,7 +131,6 @@
             excluded: &[],
             origin: None,
             domain: "domain-1",
-            pause: None,
             random: number,
         };
         std::hint::black_box(select_upstream(&self.fleet, &input)).expect("it is held");
--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -43,11 +43,6 @@
     pub at_engine: bool,
 }
 
-/// Time within which the first answer must be expected for it to be in time.
-pub const fn usable_target_ms(latency_target_ms: u64) -> u64 {
-    latency_target_ms * USABLE_TARGET_PERCENT / 100
-}
-
 /// Decides whether a request is sent. If not, returns the number of milliseconds by
 /// which it would be too late.
 ///
@@ -73,7 +68,7 @@
     if first_answer_ms > until_deadline_ms {
         return Err(first_answer_ms - until_deadline_ms);
     }
-    let usable_ms = usable_target_ms(admission.latency_target_ms);
+    let usable_ms = admission.latency_target_ms * USABLE_TARGET_PERCENT / 100;
     let target_at = admission.arrived_at.plus_ms(usable_ms);
     if !admission.at_engine || admission.now >= target_at {
         return Ok(());
--- a/crates/direct/src/fleet/liveness.rs
+++ b/crates/direct/src/fleet/liveness.rs
@@ -75,16 +75,6 @@
         self.answering = self.answering.saturating_sub(requests);
     }
 
-    /// Number of requests of all entries that have received their first answer.
-    pub(super) fn answering_at_all_entries(&self, now: Instant) -> u32 {
-        let reports = self
-            .peer_reports
-            .values()
-            .filter(|report| now.ms_since(report.received_at) < PEER_REPORT_MAX_AGE_MS);
-        let peers = reports.map(|report| report.activity.answering);
-        peers.fold(self.answering, u32::saturating_add)
-    }
-
     /// What this entry hears from the upstream, for messages to other entries.
     pub(super) fn activity(&self, now: Instant) -> Activity {
         Activity {
--- a/crates/direct/src/fleet/paces.rs
+++ b/crates/direct/src/fleet/paces.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{Fleet, Upstream};
+use crate::UpstreamIncarnation;
 use crate::pace::{REFRESH_MS, ServicePace};
-use crate::{EngineSpec, UpstreamIncarnation};
 
 impl Upstream {
     /// Time that the engine takes relative to the mean of its service: 1 if it is
@@ -18,23 +18,6 @@
     pub fn own_pace_factor(&self, now: Instant) -> Option<f64> {
         self.pace.own_factor(now)
     }
-
-    /// Number of requests of all entries that have received their first answer.
-    pub(crate) fn stream_count(&self, now: Instant) -> u32 {
-        self.liveness.answering_at_all_entries(now)
-    }
-
-    /// Expected pause between two events of the running streams while a prompt of this
-    /// many tokens, scaled to a time factor of 1, is prefilled. `None` if the engines of
-    /// the service are about equally fast, or their speed isn't known.
-    pub fn pause_ms(
-        &self,
-        now: Instant,
-        engine: &EngineSpec,
-        prefill_tokens: u64,
-    ) -> Option<f64> {
-        self.pace.pause_ms(now, engine, prefill_tokens)
-    }
 }
 
 impl Fleet {
@@ -49,6 +32,10 @@
         let Some(upstream) = self.incarnation_mut(incarnation) else {
             return;
         };
+        if !upstream.pace.accepts_sample(now) {
+            return;
+        }
+        // This sums over all entries, so it is only computed for events that count.
         let usage = upstream.usage(now);
         let unread_tokens = usage.prefill.total_tokens();
         upstream
@@ -81,10 +68,11 @@
             return;
         }
         self.paces_refreshed_at.insert(Arc::clone(service), now);
-        let event_ms = self
+        let event_ms: Vec<f64> = self
             .of_service(service)
-            .filter_map(|upstream| upstream.pace.event_ms(now));
-        let pace = ServicePace::from_engines(now, event_ms.collect());
+            .filter_map(|upstream| upstream.pace.event_ms(now))
+            .collect();
+        let pace = ServicePace::from_engines(now, &event_ms);
         let upstreams = self.upstreams.values_mut();
         for upstream in upstreams.filter(|known| known.record.service == *service) {
             upstream.pace.set_service(pace);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -89,7 +89,7 @@
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, PlannedAdapterLoad,
     UpstreamAdapterState,
 };
-pub use admission::{AdmissionInput, MeanPrefillTimes, admit, usable_target_ms};
+pub use admission::{AdmissionInput, MeanPrefillTimes, admit};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
 pub use config::{
     Config, EngineSpec, Limits, ModelSpec, Route, RouteKind, ServiceSpec,
@@ -119,9 +119,7 @@
 };
 pub use retry::{AttemptHistory, AttemptOutcome, RetryDecision, decide_retry};
 pub use retry_budget::RetryBudget;
-pub use select::{
-    PauseLimit, SelectedUpstream, SelectionError, SelectionInput, select_upstream,
-};
+pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
     ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
     WatchClaim, WatchRole, WatchSnapshot,
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -6,14 +6,6 @@
 use base::prelude::*;
 use std::collections::VecDeque;
 
-use crate::EngineSpec;
-use crate::prefill::prefill_ms;
-
-/// Prompt tokens that an engine prefills in one step, at a time factor of 1. Engines
-/// split longer prompts into chunks of this size, and running streams get a token after
-/// each.
-const CHUNK_TOKENS: u64 = 2_048;
-
 /// Time over which samples are collected: several times as long as a short slowdown,
 /// and short enough to notice within seconds that an engine has become slower.
 const WINDOW_MS: u64 = 5_000;
@@ -50,13 +42,6 @@
 /// measurement: such engines count as equal.
 const DEAD_BAND: f64 = 1.15;
 
-/// Ratio of the times of the slowest and the fastest tenth of the engines from which the
-/// engines of a service count as uneven.
-///
-/// With equal engines, a prompt makes pauses equally long at each of them, so there is no
-/// better one.
-const UNEVEN_RATIO: f64 = 1.5;
-
 /// Accepted factors. Values outside come from errors of measurement.
 const MIN_FACTOR: f64 = 0.2;
 const MAX_FACTOR: f64 = 5.0;
@@ -75,24 +60,15 @@
     at: Instant,
     /// Mean over the engines, for a step without prefill.
     event_ms: f64,
-    is_uneven: bool,
 }
 
 impl ServicePace {
     /// Computes the pace of a service from the times of its engines; `None` if too few
     /// are known.
-    pub(crate) fn from_engines(now: Instant, mut event_ms: Vec<f64>) -> Option<Self> {
-        if event_ms.len() < MIN_ENGINES {
-            return None;
-        }
-        event_ms.sort_by(f64::total_cmp);
-        let tenth = event_ms.len() / 10;
-        let (fastest, slowest) =
-            (event_ms[tenth], event_ms[event_ms.len() - 1 - tenth]);
-        Some(Self {
+    pub(crate) fn from_engines(now: Instant, event_ms: &[f64]) -> Option<Self> {
+        (event_ms.len() >= MIN_ENGINES).then(|| Self {
             at: now,
             event_ms: event_ms.iter().sum::<f64>() / event_ms.len() as f64,
-            is_uneven: slowest > fastest * UNEVEN_RATIO,
         })
     }
 }
@@ -128,6 +104,11 @@
 }
 
 impl Pace {
+    /// Whether another sample is collected now.
+    pub(crate) const fn accepts_sample(&self, now: Instant) -> bool {
+        now.as_ms() / SLOT_MS != self.slot || self.samples_in_slot < SAMPLES_PER_SLOT
+    }
+
     /// Records the time between two events of a stream, while `running` requests ran and
     /// `unread_tokens` prompt tokens waited for prefill.
     pub(crate) fn record(
@@ -137,14 +118,14 @@
         running: u32,
         unread_tokens: u64,
     ) {
+        if !self.accepts_sample(now) {
+            return;
+        }
         let slot = now.as_ms() / SLOT_MS;
         if slot != self.slot {
             self.slot = slot;
             self.samples_in_slot = 0;
         }
-        if self.samples_in_slot >= SAMPLES_PER_SLOT {
-            return;
-        }
         self.samples_in_slot += 1;
         while let Some(oldest) = self.samples.front()
             && now.ms_since(oldest.at) > WINDOW_MS
@@ -270,18 +251,4 @@
         factors.sort_unstable_by(f64::total_cmp);
         (factors.get(count / 2).copied().unwrap_or(1.0), count)
     }
-
-    /// Expected time between two events while a prompt is prefilled. An event takes
-    /// `tokens_per_event` steps, and each step prefills at most one chunk.
-    pub(crate) fn pause_ms(
-        &self,
-        now: Instant,
-        engine: &EngineSpec,
-        prefill_tokens: u64,
-    ) -> Option<f64> {
-        let service = self.service(now).filter(|service| service.is_uneven)?;
-        let tokens_max = u64::from(engine.tokens_per_event.max(1)) * CHUNK_TOKENS;
-        let prefill_ms = prefill_ms(prefill_tokens.min(tokens_max));
-        Some((service.event_ms + prefill_ms) * self.factor(now))
-    }
 }
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -97,11 +97,6 @@
     }
 }
 
-/// Time to prefill tokens at a time factor of 1.
-pub(crate) fn prefill_ms(tokens: u64) -> f64 {
-    ms(tokens)
-}
-
 fn ms(tokens: u64) -> f64 {
     tokens as f64 / PROMPT_TOKENS_PER_MS
 }
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -20,19 +20,6 @@
 /// Cost of a failed answer: the time until the request is sent again.
 const FAILURE_MS: f64 = 1_500.0;
 
-/// Cost, for each running stream, of a prompt that makes its pause as long as allowed.
-/// With 100 ms or 500 ms, more pauses were too long, or more first answers late.
-const PAUSE_COST_PER_STREAM_MS: f64 = 200.0;
-
-/// Share of the maximum pause from which a longer one costs something. The rest is for
-/// short slowdowns and for prompts that other entries send at the same time. With 0.3,
-/// a tenth more pauses were too long.
-const FREE_PAUSE_SHARE: f64 = 0.2;
-
-/// Share of the time to spare by which an answer may come later to keep the pauses of
-/// other streams. The expected time is exceeded often.
-const SPARE_SHARE: f64 = 0.5;
-
 /// Share of the KV cache that running requests may fill. Above it, engines preempt
 /// requests in the middle of their answers.
 const USABLE_CACHE_SHARE: f64 = 0.92;
@@ -65,22 +52,10 @@
     pub origin: Option<&'a StreamOrigin>,
     /// Failure domain of this entry.
     pub domain: &'a str,
-    /// What keeps the pauses of the upstream's running streams; `None` if they don't
-    /// count.
-    pub pause: Option<PauseLimit>,
     /// A random number that breaks ties.
     pub random: u64,
 }
 
-/// Limit on the pauses of the streams that run at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PauseLimit {
-    /// Maximum pause between two events.
-    pub pause_max_ms: u64,
-    /// Time by which the first answer may come later without missing its target.
-    pub spare_ms: u64,
-}
-
 /// A selected upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SelectedUpstream {
@@ -101,7 +76,7 @@
     /// times include it.
     pub pace_factor: f64,
     /// Expected time to the first answer as it would be if all upstreams were equally
-    /// fast and pauses didn't count: the shortest one of all upstreams.
+    /// fast: the shortest one of all upstreams.
     pub equal_pace_ms: f64,
 }
 
@@ -201,8 +176,6 @@
 struct Candidate {
     /// Lower is better.
     score: f64,
-    /// Cost of making the pauses of running streams longer.
-    pause_cost_ms: f64,
     selected: SelectedUpstream,
 }
 
@@ -222,16 +195,15 @@
 struct EqualPace {
     /// Of those that aren't avoided, and of those that are.
     shortest_ms: [Option<f64>; 2],
-    /// Whether speeds or pauses may have changed the selection.
+    /// Whether speeds may have changed the selection.
     is_affected: bool,
 }
 
 impl EqualPace {
     fn add(&mut self, is_avoided: bool, candidate: &Candidate) {
         let selected = &candidate.selected;
-        let has_equal_pace =
-            selected.equal_pace_ms.total_cmp(&selected.first_answer_ms);
-        self.is_affected |= candidate.pause_cost_ms > 0.0 || has_equal_pace.is_ne();
+        let equal_pace = selected.equal_pace_ms.total_cmp(&selected.first_answer_ms);
+        self.is_affected |= equal_pace.is_ne();
         let shortest_ms = &mut self.shortest_ms[usize::from(is_avoided)];
         let own_ms = selected.equal_pace_ms;
         *shortest_ms = Some(shortest_ms.map_or(own_ms, |other| other.min(own_ms)));
@@ -280,7 +252,6 @@
         (service_wait_ms(upstream, &usage), 1.0)
     };
     let wait_ms = equal_pace_ms * pace_factor;
-    let pause_cost_ms = pause_cost_ms(upstream, input, &added);
     let noise = jitter(input.random, index);
     let domain_ms = if *upstream.record.domain == *input.domain {
         0.0
@@ -292,7 +263,6 @@
     let score = (wait_ms - saving_ms).max(0.0) * (1.0 + 0.1 * noise)
         + noise
         + domain_ms
-        + pause_cost_ms
         + failure_penalty_ms(upstream);
     let is_unqueued = input.model.is_some() && usage.prefill.is_empty();
     let selected = SelectedUpstream {
@@ -306,37 +276,7 @@
         pace_factor,
         equal_pace_ms,
     };
-    Ok(Candidate {
-        score,
-        pause_cost_ms,
-        selected,
-    })
-}
-
-/// Cost of making the pauses of the upstream's running streams longer, by the request's
-/// own prompt.
-///
-/// Prompts of other entries don't count: most of those that are known here have been
-/// prefilled since, and the others aren't known yet.
-fn pause_cost_ms(
-    upstream: &Upstream,
-    input: &SelectionInput<'_>,
-    added: &Usage,
-) -> f64 {
-    let (Some(limit), Some(engine)) = (input.pause, input.engine) else {
-        return 0.0;
-    };
-    let prefill_tokens = added.prefill.total_tokens();
-    let pause_ms = upstream.pause_ms(input.now, engine, prefill_tokens);
-    let share = pause_ms.unwrap_or(0.0) / limit.pause_max_ms.max(1) as f64;
-    let excess =
-        ((share - FREE_PAUSE_SHARE) / (1.0 - FREE_PAUSE_SHARE)).clamp(0.0, 1.0);
-    if excess <= 0.0 {
-        return 0.0;
-    }
-    let streams = f64::from(upstream.stream_count(input.now));
-    let cost_ms = excess * streams * PAUSE_COST_PER_STREAM_MS;
-    cost_ms.min(limit.spare_ms as f64 * SPARE_SHARE)
+    Ok(Candidate { score, selected })
 }
 
 fn check_holds(
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{at, engine, incarnation, name, record, record_with_start};
 use direct::{
-    EngineSpec, Fleet, PauseLimit, PrefillQueue, SelectionError, SelectionInput,
+    EngineSpec, Fleet, PrefillQueue, SelectionError, SelectionInput,
     UpstreamIncarnation, Usage, select_upstream,
 };
 
@@ -60,9 +60,6 @@
     stream(&mut fleet, 0, 3_000, &[("1", 24), ("2", 25), ("3", 27)]);
     for id in ["1", "2", "3"] {
         assert!((factor(&fleet, 3_000, id) - 1.0).abs() < f64::EPSILON);
-        let upstream = fleet.get(id).expect("known");
-        let engine = three_tokens_per_event();
-        assert_eq!(upstream.pause_ms(at(3_000), &engine, 2_000), None);
     }
 }
 
@@ -104,9 +101,6 @@
 fn a_speed_is_forgotten_without_streams() {
     let fleet = uneven_fleet();
     assert!((factor(&fleet, 13_000, "3") - 1.0).abs() < f64::EPSILON);
-    let upstream = fleet.get("3").expect("known");
-    let pause_ms = upstream.pause_ms(at(13_000), &three_tokens_per_event(), 2_000);
-    assert_eq!(pause_ms, None);
 }
 
 /// The engine of a new process may run on another machine.
@@ -189,11 +183,7 @@
     }
 }
 
-fn selected(
-    fleet: &Fleet,
-    prompt_tokens: u64,
-    pause: Option<PauseLimit>,
-) -> Result<String, SelectionError> {
+fn selected(fleet: &Fleet, prompt_tokens: u64) -> Result<String, SelectionError> {
     let engine = three_tokens_per_event();
     let input = SelectionInput {
         now: at(2_500),
@@ -208,84 +198,30 @@
         excluded: &[name("2")],
         origin: None,
         domain: "east",
-        pause,
         random: 42,
     };
     select_upstream(fleet, &input).map(|selected| selected.id.to_string())
 }
 
-const PAUSE: Option<PauseLimit> = Some(PauseLimit {
-    pause_max_ms: 400,
-    spare_ms: 600,
-});
-
 /// Load is sent in proportion to speed: a fast engine with a short queue answers before
 /// a slow one without any.
 #[test]
 fn a_fast_engine_is_preferred_until_its_queue_is_longer() {
     let mut fleet = uneven_fleet();
-    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("1"));
+    assert_eq!(selected(&fleet, 1_500).as_deref(), Ok("1"));
     add_usage(&mut fleet, "1", 1_500, 0);
-    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("1"));
+    assert_eq!(selected(&fleet, 1_500).as_deref(), Ok("1"));
     add_usage(&mut fleet, "1", 3_000, 0);
-    assert_eq!(selected(&fleet, 1_500, None).as_deref(), Ok("3"));
-}
-
-/// The pause depends on the engine's speed, and a prompt of any length delays an event by
-/// no more than the chunks of its steps.
-#[test]
-fn the_pause_that_a_prompt_makes_follows_from_the_speed() {
-    let fleet = uneven_fleet();
-    let pause_ms = |id: &str, tokens: u64, tokens_per_event: u32| {
-        let engine = EngineSpec {
-            tokens_per_event,
-            ..three_tokens_per_event()
-        };
-        let upstream = fleet.get(id).expect("known");
-        let pause_ms = upstream.pause_ms(at(2_500), &engine, tokens);
-        pause_ms.expect("the engines are uneven")
-    };
-    assert!((70.0..90.0).contains(&pause_ms("1", 1_800, 3)));
-    assert!((170.0..210.0).contains(&pause_ms("3", 1_800, 3)));
-    assert!(pause_ms("3", 6_000, 3) > 400.0);
-    let longest_ms = pause_ms("3", 6_144, 3);
-    assert!((pause_ms("3", 100_000, 3) - longest_ms).abs() < f64::EPSILON);
-    assert!(pause_ms("3", 100_000, 1) < longest_ms / 2.0);
-}
-
-/// A prompt that would make the pauses of a slow engine's streams too long goes to a fast
-/// engine although its queue is longer, but not if its own answer came too late there.
-#[test]
-fn a_long_prompt_stays_away_from_the_streams_of_a_slow_engine() {
-    let mut fleet = uneven_fleet();
-    add_usage(&mut fleet, "1", 9_000, 0);
-    assert_eq!(selected(&fleet, 3_000, PAUSE).as_deref(), Ok("3"));
-    add_usage(&mut fleet, "3", 0, 4);
-    assert_eq!(selected(&fleet, 3_000, PAUSE).as_deref(), Ok("1"));
-    assert_eq!(selected(&fleet, 3_000, None).as_deref(), Ok("3"));
-    let no_time = PauseLimit {
-        pause_max_ms: 400,
-        spare_ms: 0,
-    };
-    assert_eq!(selected(&fleet, 3_000, Some(no_time)).as_deref(), Ok("3"));
-}
-
-/// A prompt of any length is still sent if there is only one engine for it.
-#[test]
-fn no_prompt_is_refused_for_the_sake_of_pauses() {
-    let mut fleet = uneven_fleet();
-    fleet.get_mut("1").expect("known").record.leaving = true;
-    add_usage(&mut fleet, "3", 0, 20);
-    assert_eq!(selected(&fleet, 50_000, PAUSE).as_deref(), Ok("3"));
+    assert_eq!(selected(&fleet, 1_500).as_deref(), Ok("3"));
 }
 
 /// Admission judges by the time at equal speeds. If it were longer than the time that is
 /// expected without any knowledge of speeds, requests would be refused that are served
 /// without it.
 #[test]
-fn known_speeds_and_pauses_refuse_nothing() {
+fn known_speeds_refuse_nothing() {
     let engine = three_tokens_per_event();
-    let input = |pause, random| SelectionInput {
+    let input = |random| SelectionInput {
         now: at(2_500),
         service: "oracle",
         engine: Some(&engine),
@@ -298,7 +234,6 @@
         excluded: &[],
         origin: None,
         domain: "east",
-        pause,
         random,
     };
     for number in 0..200u64 {
@@ -309,14 +244,11 @@
                 add_usage(known, id, tokens, (number % 5) as u32);
             }
         }
-        let expected = select_upstream(&without, &input(None, number)).expect("free");
-        for pause in [None, PAUSE] {
-            let selected =
-                select_upstream(&with_speeds, &input(pause, number)).expect("free");
-            assert!(
-                selected.equal_pace_ms <= expected.first_answer_ms,
-                "{number}"
-            );
-        }
+        let expected = select_upstream(&without, &input(number)).expect("free");
+        let selected = select_upstream(&with_speeds, &input(number)).expect("free");
+        assert!(
+            selected.equal_pace_ms <= expected.first_answer_ms,
+            "{number}"
+        );
     }
 }
--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -1,13 +1,11 @@
 //! Load on engines of uneven speed that slow down for moments: how many answers are in
-//! time if all engines count as equally fast, with learned speeds, and if prompts also
-//! avoid the streams of slow engines.
+//! time if all engines count as equally fast, and with learned speeds.
 
 use crate::support::{at, engine, incarnation, name, record};
 use base::prelude::*;
 use direct::{
-    Activity, AdmissionInput, EngineSpec, Fleet, ModelTimeFactors, PauseLimit,
-    SelectedUpstream, SelectionError, SelectionInput, Usage, admit, select_upstream,
-    usable_target_ms,
+    Activity, AdmissionInput, EngineSpec, Fleet, ModelTimeFactors, SelectedUpstream,
+    SelectionError, SelectionInput, Usage, admit, select_upstream,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -32,7 +30,6 @@
 enum Method {
     EqualSpeeds,
     LearnedSpeeds,
-    PauseCosts,
 }
 
 struct Kind {
@@ -258,7 +255,6 @@
         &mut self,
         ms: u64,
         index: usize,
-        pause: Option<PauseLimit>,
     ) -> Result<SelectedUpstream, SelectionError> {
         let request = &self.requests[index];
         let entry = &self.entries[request.entry];
@@ -276,7 +272,6 @@
             excluded: &[],
             origin: None,
             domain: "east",
-            pause,
             random: self.ties.next(),
         };
         select_upstream(&entry.fleet, &input)
@@ -284,13 +279,7 @@
 
     /// Selects an upstream, and sends the request there if it is admitted.
     fn dispatch(&mut self, ms: u64, index: usize) {
-        let kind = &KINDS[self.requests[index].kind];
-        let usable_ms = usable_target_ms(kind.target_ms);
-        let pause = (self.method == Method::PauseCosts).then_some(PauseLimit {
-            pause_max_ms: PAUSE_MAX_MS,
-            spare_ms: usable_ms,
-        });
-        match self.select(ms, index, pause) {
+        match self.select(ms, index) {
             Ok(selected) if self.admit(ms, index, &selected) => {
                 self.send(ms, index, &selected);
             }
@@ -511,14 +500,10 @@
     let factors = [0.7, 0.7, 1.7];
     let equal = outcome(Method::EqualSpeeds, factors);
     let learned = outcome(Method::LearnedSpeeds, factors);
-    let costs = outcome(Method::PauseCosts, factors);
     assert!(learned.late_pause * 10 < equal.late_pause * 9);
-    assert!(costs.late_pause < learned.late_pause);
-    for method in [&learned, &costs] {
-        assert!(method.in_time > equal.in_time);
-        assert!(method.late_first < equal.late_first);
-        assert!(method.refused <= equal.refused + equal.total() / 1_000);
-    }
+    assert!(learned.in_time > equal.in_time);
+    assert!(learned.late_first < equal.late_first);
+    assert!(learned.refused <= equal.refused + equal.total() / 1_000);
 }
 
 /// With equal engines, what is learned changes nothing beyond chance.
@@ -526,6 +511,6 @@
 fn equal_engines_serve_as_before() {
     let factors = [1.0; 3];
     let equal = outcome(Method::EqualSpeeds, factors);
-    let costs = outcome(Method::PauseCosts, factors);
-    assert!(costs.in_time.abs_diff(equal.in_time) * 50 < equal.total());
+    let learned = outcome(Method::LearnedSpeeds, factors);
+    assert!(learned.in_time.abs_diff(equal.in_time) * 50 < equal.total());
 }
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -41,7 +41,6 @@
         excluded: &[name("2")],
         origin: None,
         domain: "east",
-        pause: None,
         random: 42,
     };
     select_upstream(fleet, &input).map(|selected| selected.id.to_string())
--- a/crates/direct/tests/all/refusals.rs
+++ b/crates/direct/tests/all/refusals.rs
@@ -27,7 +27,6 @@
         excluded: &[],
         origin: None,
         domain: "east",
-        pause: None,
         random: 42,
     };
     select_upstream(fleet, &input).map(|selected| selected.id.to_string())
--- a/crates/direct/tests/all/select.rs
+++ b/crates/direct/tests/all/select.rs
@@ -32,7 +32,6 @@
         excluded,
         origin: None,
         domain: "east",
-        pause: None,
         random: 42,
     };
     select_upstream(fleet, &input).map(|selected| selected.id.to_string())
@@ -192,7 +191,6 @@
             excluded: &[],
             origin: None,
             domain,
-            pause: None,
             random,
         };
         select_upstream(fleet, &input)
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -49,7 +49,6 @@
         excluded: &[],
         origin: Some(origin),
         domain: "east",
-        pause: None,
         random: 1,
     };
     select_upstream(fleet, &input).map(|selected| selected.id.to_string())
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -3,8 +3,8 @@
 
 use base::prelude::*;
 use direct::{
-    AdmissionInput, PauseLimit, SelectedUpstream, SelectionError, SelectionInput,
-    admit, select_upstream, usable_target_ms,
+    AdmissionInput, SelectedUpstream, SelectionError, SelectionInput, admit,
+    select_upstream,
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -300,26 +300,11 @@
             excluded,
             origin: self.origin.as_ref(),
             domain: &self.node.options.failure_domain,
-            pause: self.pause_limit(),
             random: self.node.random(),
         };
         select_upstream(&self.node.fleet.lock(), &input)
     }
 
-    /// Returns the limit on the pauses of the streams that run at the upstreams of the
-    /// request's service, if a route to it declares one.
-    fn pause_limit(&self) -> Option<PauseLimit> {
-        let request = &self.request;
-        request.service_spec.engine.as_ref()?;
-        let pause_max_ms = self.node.config()?.pause_max_ms(&request.service)?;
-        let usable_ms = usable_target_ms(request.route.latency_target_ms);
-        let usable_until = request.arrived_at.plus_ms(usable_ms);
-        Some(PauseLimit {
-            pause_max_ms,
-            spare_ms: usable_until.ms_since(self.node.now()),
-        })
-    }
-
     /// Marks the request's adapter as wanted if its absence is what the request
     /// waits for.
     fn request_adapter(&self, reason: SelectionError) {
