Pass messages on without waiting for a full link

Cause: a relay waited for room in its socket while it passed a message on, in the task that receives messages, so a full link of a small entry could delay what it hears from others. Change: what finds no room isn't sent, and the confirmation counts what was sent, so the sender sends the message itself.

--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -75,7 +75,7 @@
     let (sequence, step) = (message.sequence, message.relay());
     let sender = apply_message(node, sender_address, message);
     if sender != Sender::Outdated && step == RelayStep::Requested {
-        relay::pass_on(node, socket, from, (sequence, bytes)).await;
+        relay::pass_on(node, socket, from, (sequence, bytes));
     }
     if sender == Sender::NewProcess {
         introduction::answer(node, &domain, sender_address).await;
--- a/crates/front/src/peers/relay.rs
+++ b/crates/front/src/peers/relay.rs
@@ -139,24 +139,24 @@
     }
 }
 
-/// Passes a message on, which is not older than others of its sender, if the sender asks
-/// for that, and confirms it.
-pub(super) async fn pass_on(
+/// Passes a message on, as its sender asks, and confirms to how many it was sent.
+///
+/// It doesn't wait for a full link, which would delay the messages that this entry
+/// receives. The sender then sends the message itself.
+pub(super) fn pass_on(
     node: &Node,
     socket: &UdpSocket,
     from: SocketAddr,
     (sequence, bytes): (u64, &[u8]),
 ) {
-    let receivers = node.peers.relay_receivers(node.now());
+    let mut receivers = node.peers.relay_receivers(node.now());
     let done = PeerNews {
         relay: RelayStep::Done.into(),
         relayed_from: from.to_string(),
         ..PeerNews::default()
     };
     let message = append(bytes, &done);
-    for receiver in &receivers {
-        let _ = socket.send_to(&message, *receiver).await;
-    }
+    receivers.retain(|receiver| socket.try_send_to(&message, *receiver).is_ok());
     let confirmation = PeerNews {
         entry: node.options.entry.clone(),
         relay_confirmation: Some(RelayConfirmation {
@@ -166,7 +166,8 @@
         ..PeerNews::default()
     };
     let confirmation = confirmation.encode_to_vec();
-    let _ = socket.send_to(&confirmation, from).await;
+    // Without a confirmation, the sender sends the message itself.
+    let _ = socket.try_send_to(&confirmation, from);
     let metrics = &node.metrics;
     let sent = node.peers.scopes(receivers);
     metrics.count_sent("relay", &sent, message.len());
