Learned speeds count only where a service's engines are uneven

Where engines are equal, busy ones seem to be slower, as more of their steps prefill prompts, and each entry knows few of them. Factors now count, and are sent to other entries, only where the slowest tenth of the engines takes 1.5 times as long as the fastest tenth.

Admission could still refuse a request because a fast engine was selected: the share of the queue was the rest after a shorter own prefill. It now judges by the shortest queue of all upstreams at equal speeds as well.

Not measured on a deployment.

--- a/crates/direct/src/fleet/paces.rs
+++ b/crates/direct/src/fleet/paces.rs
@@ -68,11 +68,10 @@
             return;
         }
         self.paces_refreshed_at.insert(Arc::clone(service), now);
-        let event_ms: Vec<f64> = self
+        let event_ms = self
             .of_service(service)
-            .filter_map(|upstream| upstream.pace.event_ms(now))
-            .collect();
-        let pace = ServicePace::from_engines(now, &event_ms);
+            .filter_map(|upstream| upstream.pace.event_ms(now));
+        let pace = ServicePace::from_engines(now, event_ms.collect());
         let upstreams = self.upstreams.values_mut();
         for upstream in upstreams.filter(|known| known.record.service == *service) {
             upstream.pace.set_service(pace);
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -42,6 +42,12 @@
 /// measurement: such engines count as equal.
 const DEAD_BAND: f64 = 1.15;
 
+/// Ratio of the times of the slowest and the fastest tenth of the engines from which the
+/// engines of a service count as uneven. Below it, all count as equally fast: where
+/// engines are equal, busy ones only seem to be slower, because more of their steps
+/// prefill prompts.
+const UNEVEN_RATIO: f64 = 1.5;
+
 /// Accepted factors. Values outside come from errors of measurement.
 const MIN_FACTOR: f64 = 0.2;
 const MAX_FACTOR: f64 = 5.0;
@@ -60,15 +66,24 @@
     at: Instant,
     /// Mean over the engines, for a step without prefill.
     event_ms: f64,
+    is_uneven: bool,
 }
 
 impl ServicePace {
     /// Computes the pace of a service from the times of its engines; `None` if too few
     /// are known.
-    pub(crate) fn from_engines(now: Instant, event_ms: &[f64]) -> Option<Self> {
-        (event_ms.len() >= MIN_ENGINES).then(|| Self {
+    pub(crate) fn from_engines(now: Instant, mut event_ms: Vec<f64>) -> Option<Self> {
+        if event_ms.len() < MIN_ENGINES {
+            return None;
+        }
+        event_ms.sort_by(f64::total_cmp);
+        let tenth = event_ms.len() / 10;
+        let (fastest, slowest) =
+            (event_ms[tenth], event_ms[event_ms.len() - 1 - tenth]);
+        Some(Self {
             at: now,
             event_ms: event_ms.iter().sum::<f64>() / event_ms.len() as f64,
+            is_uneven: slowest > fastest * UNEVEN_RATIO,
         })
     }
 }
@@ -206,9 +221,11 @@
         }
     }
 
-    /// The factor by this entry's streams.
+    /// The factor by this entry's streams; `None` also where the engines of the service
+    /// are about equally fast.
     pub(crate) fn own_factor(&self, now: Instant) -> Option<f64> {
-        let mean_ms = self.service(now)?.event_ms;
+        let service = self.service(now).filter(|service| service.is_uneven)?;
+        let mean_ms = service.event_ms;
         let factor = self.event_ms(now)? / mean_ms;
         factor
             .is_finite()
@@ -217,6 +234,9 @@
 
     /// Time that this engine takes relative to the mean of its service; 1 if unknown.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
+        if self.service(now).is_some_and(|service| !service.is_uneven) {
+            return 1.0;
+        }
         let own = self.own_factor(now);
         let own_weight = own.map_or(0.0, |_| self.samples.len() as f64);
         let (peers, peer_count) = self.peer_median(now);
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -78,6 +78,8 @@
     /// Expected time to the first answer as it would be if all upstreams were equally
     /// fast: the shortest one of all upstreams.
     pub equal_pace_ms: f64,
+    /// In the same way, the shortest time behind other prompts.
+    pub equal_pace_queue_ms: f64,
 }
 
 /// Why no upstream was selected. The variants are declared in the order of the checks.
@@ -163,10 +165,9 @@
         }
     }
     match best {
-        Some((is_avoided, candidate)) => Ok(SelectedUpstream {
-            equal_pace_ms: equal_pace.shortest_ms(is_avoided, &candidate),
-            ..candidate.selected
-        }),
+        Some((is_avoided, candidate)) => {
+            Ok(equal_pace.apply(is_avoided, candidate.selected))
+        }
         None => Err(reason),
     }
 }
@@ -190,11 +191,12 @@
     }
 }
 
-/// The shortest times to the first answer if all upstreams were equally fast.
+/// The shortest times to the first answer, and in the queue, if all upstreams were
+/// equally fast.
 #[derive(Debug, Default)]
 struct EqualPace {
     /// Of those that aren't avoided, and of those that are.
-    shortest_ms: [Option<f64>; 2],
+    shortest: [Option<(f64, f64)>; 2],
     /// Whether speeds may have changed the selection.
     is_affected: bool,
 }
@@ -204,17 +206,25 @@
         let selected = &candidate.selected;
         let equal_pace = selected.equal_pace_ms.total_cmp(&selected.first_answer_ms);
         self.is_affected |= equal_pace.is_ne();
-        let shortest_ms = &mut self.shortest_ms[usize::from(is_avoided)];
-        let own_ms = selected.equal_pace_ms;
-        *shortest_ms = Some(shortest_ms.map_or(own_ms, |other| other.min(own_ms)));
+        let own = (selected.equal_pace_ms, selected.equal_pace_queue_ms);
+        let shortest = &mut self.shortest[usize::from(is_avoided)];
+        *shortest = Some(shortest.map_or(own, |(first_ms, queue_ms)| {
+            (first_ms.min(own.0), queue_ms.min(own.1))
+        }));
     }
 
-    /// The shortest time, or that of the best upstream if it is the best one anyway.
-    fn shortest_ms(&self, is_avoided: bool, best: &Candidate) -> f64 {
-        let shortest_ms = self.shortest_ms[usize::from(is_avoided)];
-        shortest_ms
-            .filter(|_| self.is_affected)
-            .unwrap_or(best.selected.equal_pace_ms)
+    /// Replaces the times of the best upstream by the shortest ones, unless it would have
+    /// been selected anyway.
+    fn apply(&self, is_avoided: bool, best: SelectedUpstream) -> SelectedUpstream {
+        let shortest = self.shortest[usize::from(is_avoided)];
+        match shortest.filter(|_| self.is_affected) {
+            Some((equal_pace_ms, equal_pace_queue_ms)) => SelectedUpstream {
+                equal_pace_ms,
+                equal_pace_queue_ms,
+                ..best
+            },
+            None => best,
+        }
     }
 }
 
@@ -275,6 +285,7 @@
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
         pace_factor,
         equal_pace_ms,
+        equal_pace_queue_ms: equal_pace_ms - added.prefill.prefill_ms(),
     };
     Ok(Candidate { score, selected })
 }
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -250,5 +250,7 @@
             selected.equal_pace_ms <= expected.first_answer_ms,
             "{number}"
         );
+        let queue_ms = expected.first_answer_ms - expected.own_prefill_ms;
+        assert!(selected.equal_pace_queue_ms <= queue_ms, "{number}");
     }
 }
--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -290,8 +290,8 @@
     fn admit(&self, ms: u64, index: usize, selected: &SelectedUpstream) -> bool {
         let request = &self.requests[index];
         let first_ms = selected.first_answer_ms.min(selected.equal_pace_ms);
-        let own_ms = (selected.own_prefill_ms / selected.pace_factor)
-            .min(selected.own_prefill_ms)
+        let queue_ms = (selected.first_answer_ms - selected.own_prefill_ms)
+            .min(selected.equal_pace_queue_ms)
             .min(first_ms);
         let target_ms = KINDS[request.kind].target_ms;
         let admission = AdmissionInput {
@@ -299,8 +299,8 @@
             arrived_at: at(request.arrived_ms),
             latency_target_ms: target_ms,
             first_answer_deadline: at(request.arrived_ms + 4 * target_ms),
-            queue_ms: (first_ms - own_ms) as u64,
-            prefill_ms: own_ms as u64,
+            queue_ms: queue_ms as u64,
+            prefill_ms: (first_ms - queue_ms) as u64,
             mean_prefill_ms: 70,
             at_engine: true,
         };
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -289,6 +289,7 @@
             prefill_tokens: 0,
             pace_factor: 1.0,
             equal_pace_ms: 0.0,
+            equal_pace_queue_ms: 0.0,
         };
         self.record_stream_break(upstream);
         self.after_failed_attempt(&selected, AttemptOutcome::Unknown, None)
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -126,9 +126,8 @@
         // knowledge it would have been sent.
         let first_answer_ms = selected.first_answer_ms.min(selected.equal_pace_ms);
         let own_equal_pace_ms = selected.own_prefill_ms / selected.pace_factor;
-        let own_prefill_ms = selected
-            .own_prefill_ms
-            .min(own_equal_pace_ms)
+        let queue_ms = (selected.first_answer_ms - selected.own_prefill_ms)
+            .min(selected.equal_pace_queue_ms)
             .min(first_answer_ms);
         let mean_prefill_ms = if at_engine {
             let mut mean_prefill_times = self.node.mean_prefill_times.lock();
@@ -141,8 +140,8 @@
             arrived_at: request.arrived_at,
             latency_target_ms: request.route.latency_target_ms,
             first_answer_deadline: request.first_response_by,
-            queue_ms: (first_answer_ms - own_prefill_ms) as u64,
-            prefill_ms: own_prefill_ms as u64,
+            queue_ms: queue_ms as u64,
+            prefill_ms: (first_answer_ms - queue_ms) as u64,
             mean_prefill_ms: mean_prefill_ms as u64,
             at_engine,
         };
