Quota: shares of workspaces in scarce upstreams

FairShares ranks requests by start tags, weighted by the rates of the quotas, and tells which workspace is over its share: it sends clearly more for its weight than the others and is served more, while requests of others are refused. Entries report costs to one another each second; values are bounded and a report counts once.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -29,9 +29,14 @@
 //!   to a keeper (see [`TokenPools::take`]).
 //! - A process starts without tokens. It refills its share once all others count it.
 //!
+//! Workspaces that are within their quotas may still ask for more than the upstreams of
+//! a service can run. [`FairShares`] then says whose requests go first.
+//!
 //! Everything in this crate is deterministic: time is an argument, and nothing does
 //! I/O.
 
+mod fair_share;
+mod fair_shares;
 mod feed_interval;
 mod keeper;
 mod rate_limit;
@@ -39,6 +44,9 @@
 mod token_pool;
 mod token_pools;
 
+pub use fair_shares::{
+    FairShares, ServiceReport, ShareReport, WorkspaceReport, share_hash,
+};
 pub use feed_interval::{FEEDER_TIMEOUT_INTERVALS, feed_interval_ms};
 pub use keeper::select_keeper;
 pub use rate_limit::{Allowance, RateLimit, RequestCost};
