Front: refuse workspaces over their share first where engines are short

When two workspaces sent far more than usual, all workspaces lost requests, as a request was admitted whoever sent it. Requests behind a short queue and requests without a quota are admitted as before.

New: the metric sesame_front_over_share_refused_total, over_share in the request line, and the part service_shares of the messages' bytes.

Tested over loopback: at one entry, and with the load at another one, the workspace that sent twenty times as much gets 503 where the other gets 200; without quotas or without workspaces both get 200.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -127,6 +127,7 @@
         remaining_ms,
         last_event_id.as_deref(),
     );
+    node.fair_shares.charge(node.now(), request);
     exchange(dispatch, in_flight, connection, upstream_request, takeover).await
 }
 
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -90,6 +90,8 @@
     pub(crate) is_sound: bool,
     /// Part of the prompt for which the request was refused.
     pub(crate) refused_for: Option<RefusedPart>,
+    /// Whether its workspace was over its share when an upstream was selected.
+    pub(crate) over_share: bool,
     first_response_ms: Option<u64>,
     end_recorded: bool,
 }
@@ -141,6 +143,7 @@
             probe: None,
             is_sound: false,
             refused_for: None,
+            over_share: false,
             first_response_ms: None,
             end_recorded: false,
         }
@@ -523,7 +526,8 @@
             json!({ "id": self.request.head.id, "route": route, "workspace": workspace,
                 "service": &*self.request.service, "model": model, "outcome": outcome,
                 "status": status, "ms": ms, "first_ms": self.first_response_ms,
-                "waited_ms": self.waited_ms, "rate_spent": self.rate_limited_count, "tries": self.attempts,
+                "waited_ms": self.waited_ms, "rate_spent": self.rate_limited_count,
+                "over_share": self.over_share, "tries": self.attempts,
                 "ran": self.may_have_run, "last_event": self.last_event_id,
                 "resumes": self.request.head.began_as,
                 "resumes_after": self.request.head.last_event_id,
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -240,6 +240,10 @@
         Audience::Coordinator => (demands(node, now), wants(node, now)),
         Audience::Entry => (Vec::new(), Vec::new()),
     };
+    let (service_shares, shares_number) = match trigger {
+        Trigger::Periodic => node.fair_shares.report(now, periodic_round),
+        Trigger::Change | Trigger::PlatformWatch(_) => (Vec::new(), 0),
+    };
     PeerNews {
         entry: node.options.entry.clone(),
         start: node.started_unix_ms,
@@ -280,6 +284,8 @@
             round,
             suspects_per_message(peers),
         ),
+        service_shares,
+        shares_number,
     }
 }
 
--- a/crates/front/src/peers/message_parts.rs
+++ b/crates/front/src/peers/message_parts.rs
@@ -6,7 +6,7 @@
 
 /// Returns the name and the encoded size in bytes of each part of a message that can be
 /// large.
-pub(super) fn part_sizes(message: &PeerNews) -> [(&'static str, usize); 9] {
+pub(super) fn part_sizes(message: &PeerNews) -> [(&'static str, usize); 10] {
     let watched = message.setup.iter().chain(&message.upstreams);
     [
         ("uses", encoded_bytes(&message.uses)),
@@ -17,6 +17,7 @@
         ("suspects", encoded_bytes(&message.suspects)),
         ("suspect_parts", encoded_bytes(&message.suspect_parts)),
         ("rates", encoded_bytes(&message.rates)),
+        ("service_shares", encoded_bytes(&message.service_shares)),
         ("platform_watch", encoded_bytes(watched)),
     ]
 }
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -91,6 +91,7 @@
     }
     shared_watch::receive(node, &message);
     let now = node.now();
+    node.fair_shares.receive(now, &message);
     let uses = message.uses.iter().map(|upstream_use| {
         let usage = Usage {
             running: upstream_use.running,
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -300,6 +300,7 @@
     let (version, routes) = (config.version, config.routes().count());
     node.workspace_quotas
         .set_workspace_limits(node.now(), &config);
+    node.fair_shares.configure(&config);
     current.0 = Some(Arc::new(config));
     drop(current);
     node.config_adopted.notify_waiters();
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -24,6 +24,8 @@
     /// Requests refused because of their workspace's quota, by workspace and
     /// reason.
     pub(crate) quota_refused: IntCounterVec,
+    /// Requests refused because their workspace is over its share, by service.
+    pub(crate) over_share_refused: IntCounterVec,
     /// Attempts, by service and outcome.
     pub(crate) attempts: IntCounterVec,
     /// Verdicts on parts of prompts, by service and verdict.
@@ -78,6 +80,11 @@
             "Requests refused for their workspace's quota",
             &["workspace", "why"],
         );
+        let over_share_refused = counter(
+            "sesame_front_over_share_refused_total",
+            "Requests refused because their workspace is over its share of a scarce service",
+            &["service"],
+        );
         let attempts = counter(
             "sesame_front_tries_total",
             "Tries at upstreams",
@@ -181,6 +188,7 @@
             registry,
             requests_ended,
             quota_refused,
+            over_share_refused,
             first_response_s,
             full_response_s,
             attempts,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -23,6 +23,7 @@
 use super::caller_request::CallerRequest;
 use super::connection_pool::ConnectionPool;
 use super::coordinator::Coordinator;
+use super::fair_shares::FairShareRegistry;
 use super::lease_relay::LeaseRelay;
 use super::metered_platform::MeteredPlatform;
 use super::metrics::Metrics;
@@ -90,6 +91,8 @@
     /// Which new connections of callers are accepted.
     pub(crate) intake_limit: Mutex<IntakeLimit>,
     pub(crate) wanted_adapters: WantedAdapters,
+    /// Shares of workspaces in scarce upstreams.
+    pub(crate) fair_shares: FairShareRegistry,
     /// Quota tokens of workspaces.
     pub(crate) workspace_quotas: Quotas,
     /// Rate tokens of upstreams that advertise a rate.
@@ -180,6 +183,7 @@
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
+            fair_shares: FairShareRegistry::default(),
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
             peers: Peers::new(&options),
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -40,6 +40,11 @@
 /// waits.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Share of the target latency, in percent, within which the answer to a request must
+/// be expected if its workspace is over its share. The queue is then short enough for
+/// the others to be admitted.
+const OVER_SHARE_TARGET_PERCENT: u64 = 50;
+
 /// Number of attempts after which a request is no longer sent to an upstream
 /// that it was sent to before. It is worth asking again an upstream that
 /// refuses every other request; one that is full would keep refusing until the
@@ -80,6 +85,9 @@
             }
             if now >= wait_until {
                 self.attempts.push(json!({ "unpicked": reason.as_str() }));
+                if reason == SelectionError::Full {
+                    node.fair_shares.record_refused(now, &self.request);
+                }
                 return Err(self.rejection(reason));
             }
             if model_wait.is_none() {
@@ -138,11 +146,21 @@
             mean_prefill_ms: mean_prefill_ms as u64,
             at_engine,
         };
-        let late_ms = match admit(&admission) {
-            Err(late_ms) if self.attempted.lock().sent_to.is_empty() => late_ms,
-            _ => return Ok(selected),
+        if !self.attempted.lock().sent_to.is_empty() {
+            return Ok(selected);
+        }
+        let (reason, late_ms) = match admit(&admission) {
+            Err(late_ms) => {
+                let fair_shares = &self.node.fair_shares;
+                fair_shares.record_refused(admission.now, request);
+                ("too_late", late_ms)
+            }
+            Ok(()) => match self.admit_within_share(admission) {
+                Err(late_ms) => ("over_share", late_ms),
+                Ok(()) => return Ok(selected),
+            },
         };
-        self.attempts.push(json!({ "unpicked": "too_late",
+        self.attempts.push(json!({ "unpicked": reason,
             "queue_ms": admission.queue_ms, "reading_ms": admission.prefill_ms,
             "mean_reading_ms": admission.mean_prefill_ms, "late_ms": late_ms }));
         Err(Rejection {
@@ -151,6 +169,31 @@
         })
     }
 
+    /// Refuses a request of a workspace over its share while the queue is so long that
+    /// requests of others may be refused as well. Returns the number of milliseconds by
+    /// which it would be too late for such a workspace.
+    fn admit_within_share(&mut self, admission: AdmissionInput) -> Result<(), u64> {
+        let node = &self.node;
+        self.over_share = admission.at_engine && node.is_over_share(&self.request);
+        if !self.over_share {
+            return Ok(());
+        }
+        let latency_target_ms =
+            admission.latency_target_ms * OVER_SHARE_TARGET_PERCENT / 100;
+        let admitted = admit(&AdmissionInput {
+            latency_target_ms,
+            ..admission
+        });
+        if admitted.is_err() {
+            let service = [&*self.request.service];
+            let refused = &node.metrics.over_share_refused;
+            refused.with_label_values(&service).inc();
+            node.fair_shares
+                .record_held_back(admission.now, &self.request);
+        }
+        admitted
+    }
+
     /// Returns until when to wait for an upstream.
     ///
     /// A caller that is refused right away can come back at a better time; one
