--- a/crates/quota/tests/all/fair_shares.rs
+++ b/crates/quota/tests/all/fair_shares.rs
@@ -43,7 +43,7 @@
     StartTime,
 }
 
-/// Quotas in tokens a second. The usual load is 350 requests a second, of which the
+/// Quotas in tokens a second. The usual load is 310 requests a second, of which the
 /// smallest workspaces send two each.
 fn rates() -> Vec<f64> {
     let small = (0..11).map(|index| 8_400.0 + 3_000.0 * f64::from(index));
