Quota: keep the sum of the weights of active workspaces

Each workspace in a peer's report summed up the weights of all workspaces. With 1,000 workspaces and 300 peers this would be ten million additions a second.

--- a/crates/quota/src/fair_share.rs
+++ b/crates/quota/src/fair_share.rs
@@ -75,6 +75,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct FairShare {
     workspaces: BTreeMap<Arc<str>, WorkspaceShare>,
+    /// Sum of their weights. It is kept, as each peer's report would sum them up for each
+    /// workspace that it names.
+    weight: f64,
     virtual_time_s: f64,
     /// Until when the decay was applied.
     decayed_until: Instant,
@@ -245,10 +248,8 @@
             let start_s = share.finish_s.max(virtual_time_s);
             share.finish_s = start_s + cost / share.weight;
         }
-        let active = self.workspaces.values().filter(|share| share.sent() > 0.0);
-        let weight: f64 = active.map(|share| share.weight).sum();
-        if weight > 0.0 {
-            self.virtual_time_s += cost / weight;
+        if self.weight > 0.0 {
+            self.virtual_time_s += cost / self.weight;
         }
     }
 
@@ -311,6 +312,11 @@
             share.weight = weight.unwrap_or(share.weight);
             weight.is_some()
         });
+        self.sum_weights();
+    }
+
+    fn sum_weights(&mut self) {
+        self.weight = self.workspaces.values().map(|share| share.weight).sum();
     }
 
     fn workspace(
@@ -320,9 +326,13 @@
         weight: f64,
     ) -> &mut WorkspaceShare {
         self.decay(now);
+        let total_weight = &mut self.weight;
         self.workspaces
             .entry(Arc::clone(workspace))
-            .or_insert_with(|| WorkspaceShare::new(weight))
+            .or_insert_with(|| {
+                *total_weight += weight;
+                WorkspaceShare::new(weight)
+            })
     }
 
     /// Applies the decay since the last call, and removes workspaces about which there
@@ -354,5 +364,6 @@
             }
             share.sent() > 0.0 || !share.unreported.is_zero()
         });
+        self.sum_weights();
     }
 }
