--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -412,6 +412,10 @@
         Audience::Coordinator => (demands(node, now), wants(node, now)),
         Audience::Entry => (Vec::new(), Vec::new()),
     };
+    let (service_shares, shares_number) = match trigger {
+        Trigger::Periodic => node.fair_shares.report(now, periodic_round),
+        Trigger::Change | Trigger::PlatformWatch(_) => (Vec::new(), 0),
+    };
     PeerNews {
         entry: node.options.entry.clone(),
         start: node.started_unix_ms,
@@ -452,6 +456,8 @@
         relay_confirmation: None,
         needs_full_uses: unknown_use_at
             .is_some_and(|at| now.ms_since(at) < UNKNOWN_USE_MS),
+        service_shares,
+        shares_number,
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -120,6 +120,7 @@
         message.uses.extend(uses);
     }
     let now = node.now();
+    node.fair_shares.receive(now, &message);
     let uses = message.uses.iter().map(|upstream_use| {
         let usage = Usage {
             running: upstream_use.running,
