The expected time to the first event is corrected by what was observed

Each entry now learns a factor by service, priority and bucket of the expected time.

The factor is by priority as well: with one factor for all, urgent requests expected after 500 to 700 ms would begin after 1.5 times the corrected time.

Admission uses it only where Config::urgent_target_ms is set. The metric sesame_front_first_event_error_ratio and predicted_ms in tries exist everywhere.

--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -5,6 +5,11 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Ratio of two targets of one service from which on requests of the longer one wait for
+/// those of the shorter one. The longer target then holds several of the queues that
+/// make a request of the shorter one late, so waiting costs its callers nothing.
+const PATIENT_TARGET_RATIO: u64 = 12;
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct Config {
@@ -12,6 +17,9 @@
     pub version: u64,
     /// Routes, sorted by host and with the longest prefix first; see [`Config::new`].
     routes: Vec<Arc<Route>>,
+    /// Shortest target latency of each service whose requests wait in order; see
+    /// [`Config::urgent_target_ms`].
+    urgent_targets: BTreeMap<Arc<str>, u64>,
     /// Services by name.
     pub services: BTreeMap<Arc<str>, Arc<ServiceSpec>>,
     /// Limits on what callers send.
@@ -159,9 +167,17 @@
             let longest = b.prefix.len().cmp(&a.prefix.len());
             a.host.cmp(&b.host).then(longest)
         });
+        let urgent_targets = services
+            .iter()
+            .filter(|(_, spec)| spec.engine.is_some())
+            .filter_map(|(name, _)| {
+                Some((Arc::clone(name), urgent_target_ms(&routes, name)?))
+            })
+            .collect();
         Self {
             version,
             routes: routes.into_iter().map(Arc::new).collect(),
+            urgent_targets,
             services,
             limits,
             directory: None,
@@ -193,6 +209,16 @@
         self.services.contains_key(service) || targets.any(|named| named == service)
     }
 
+    /// The shortest target latency of a service whose requests wait for capacity in the
+    /// order of urgency; `None` if they don't.
+    ///
+    /// They do where a more urgent route has a target that is a twelfth of a less urgent
+    /// one's, or less, and the upstreams are engines. Where all routes are about equally
+    /// urgent, there is no order that serves more callers in time than arrival does.
+    pub fn urgent_target_ms(&self, service: &str) -> Option<u64> {
+        self.urgent_targets.get(service).copied()
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.iter()
@@ -240,6 +266,29 @@
     }
 }
 
+/// Whether a target latency is so much longer than the shortest one of its service that
+/// its requests wait until an engine has little left to prefill.
+pub const fn is_patient(latency_target_ms: u64, urgent_target_ms: u64) -> bool {
+    latency_target_ms >= urgent_target_ms.saturating_mul(PATIENT_TARGET_RATIO)
+}
+
+/// The shortest target latency of a service if some route is patient beside it.
+fn urgent_target_ms(routes: &[Route], service: &str) -> Option<u64> {
+    let of_service: Vec<_> = routes
+        .iter()
+        .filter(|route| route.latency_target_ms > 0 && route.has_target(service))
+        .collect();
+    let shortest = of_service
+        .iter()
+        .min_by_key(|route| route.latency_target_ms)?;
+    let target_ms = shortest.latency_target_ms;
+    let has_patient = of_service.iter().any(|route| {
+        is_patient(route.latency_target_ms, target_ms)
+            && route.priority > shortest.priority
+    });
+    has_patient.then_some(target_ms)
+}
+
 /// The host of a `Host` header without the port, which plays no part in matching.
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -55,6 +55,7 @@
 mod config;
 mod demand;
 mod demand_shift;
+mod estimate_correction;
 mod fleet;
 mod forecast;
 mod intake;
@@ -91,9 +92,10 @@
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
 pub use config::{
     Config, EngineSpec, Limits, ModelSpec, Route, RouteKind, ServiceSpec,
-    WeightedService,
+    WeightedService, is_patient,
 };
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
+pub use estimate_correction::EstimateCorrections;
 pub use fleet::{
     Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
 };
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -68,6 +68,8 @@
     pub unqueued_prefill_ms: Option<f64>,
     /// Expected time to the first answer.
     pub first_answer_ms: f64,
+    /// The same after the correction that was learned from earlier answers.
+    pub predicted_ms: f64,
     /// Part of `first_answer_ms` that the request's own prefill takes.
     pub own_prefill_ms: f64,
     /// Prompt tokens that the upstream has to prefill, as far as this entry knows.
@@ -220,6 +222,7 @@
         unqueued_prefill_ms: is_unqueued
             .then(|| added.prefill.prefill_ms() / input.time_factor),
         first_answer_ms: wait_ms,
+        predicted_ms: wait_ms,
         own_prefill_ms: added.prefill.prefill_ms(),
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
     };
--- a/crates/direct/tests/all/config.rs
+++ b/crates/direct/tests/all/config.rs
@@ -1,6 +1,8 @@
 //! Selection of a route and of a service.
 
-use direct::{Config, Limits, Route, RouteKind, WeightedService};
+use direct::{
+    Config, EngineSpec, Limits, Route, RouteKind, ServiceSpec, WeightedService,
+};
 use std::collections::BTreeMap;
 
 fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u64)]) -> Route {
@@ -74,3 +76,35 @@
     assert!((50..150).contains(&counts["small"]), "{counts:?}");
     assert!(!counts.contains_key("none"));
 }
+
+/// Routes of one service, each with its priority and target, on engines or not.
+fn urgent_target_ms(routes: &[(u32, u64)], on_engines: bool) -> Option<u64> {
+    let routes = routes.iter().map(|(priority, latency_target_ms)| Route {
+        priority: *priority,
+        latency_target_ms: *latency_target_ms,
+        ..route("any", "x.example", "/a/", &[("one", 1)])
+    });
+    let spec = ServiceSpec {
+        engine: on_engines.then(EngineSpec::default),
+    };
+    let services = BTreeMap::from([("one".into(), spec.into())]);
+    let config = Config::new(1, routes.collect(), services, Limits::default());
+    config.urgent_target_ms("one")
+}
+
+/// Only a service with routes of very different urgency is to order its requests; all
+/// others must be served as before. A target of zero means that none is set.
+#[test]
+fn requests_wait_in_order_only_beside_a_patient_route() {
+    let urgent = &[(1, 1_500), (2, 8_000), (0, 500)];
+    assert_eq!(urgent_target_ms(urgent, true), Some(500));
+    assert_eq!(urgent_target_ms(urgent, false), None);
+    assert_eq!(urgent_target_ms(&[(0, 500), (0, 8_000)], true), None);
+    assert_eq!(urgent_target_ms(&[(1, 500), (0, 8_000)], true), None);
+    assert_eq!(urgent_target_ms(&[(0, 500), (1, 5_999)], true), None);
+    assert_eq!(urgent_target_ms(&[(0, 0), (1, 8_000)], true), None);
+    assert_eq!(
+        urgent_target_ms(&[(0, 1_500), (1, 600), (1, 2_500)], true),
+        None
+    );
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod control_calls;
 mod demand;
+mod estimate_correction;
 mod fleet;
 mod incarnations;
 mod intake;
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -281,6 +281,7 @@
             usage: direct::Usage::default(),
             unqueued_prefill_ms: None,
             first_answer_ms: 0.0,
+            predicted_ms: 0.0,
             own_prefill_ms: 0.0,
             prefill_tokens: 0,
         };
@@ -437,6 +438,7 @@
             .push(json!({ "upstream": &*selected.id, "outcome": outcome,
             "software": software_version_of(&self.node, &selected.id),
             "expected_ms": selected.first_answer_ms as u64,
+            "predicted_ms": selected.predicted_ms as u64,
             "ms": self.node.now().ms_since(started_at) }));
     }
 
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -23,6 +23,8 @@
     started_at: Instant,
     usage: Usage,
     response_started: bool,
+    /// What was expected of the first event; `None` if the upstream is not an engine.
+    expectation: Option<FirstEventExpectation>,
     /// How often complete events of a stream were received.
     event_batches: u32,
     /// Hash of path and body of the request.
@@ -35,6 +37,17 @@
     answer_recorded: bool,
 }
 
+/// When the first event of a stream was expected, counted from the start of the attempt.
+#[derive(Debug)]
+struct FirstEventExpectation {
+    service: Arc<str>,
+    priority: u32,
+    /// Expected time before the learned correction.
+    expected_ms: f64,
+    /// Expected time after the learned correction.
+    predicted_ms: f64,
+}
+
 /// Number of times that events of a stream were received, from which on the upstream
 /// counts as answering. One that crashes as it begins an answer may still have sent an
 /// event.
@@ -57,6 +70,12 @@
             started_at: now,
             usage: selected.usage,
             response_started: false,
+            expectation: request.head.model.as_ref().map(|_| FirstEventExpectation {
+                service: Arc::clone(&request.service),
+                priority: request.priority(),
+                expected_ms: selected.first_answer_ms,
+                predicted_ms: selected.predicted_ms,
+            }),
             event_batches: 0,
             fingerprint: request.fingerprint,
             shared_parts: Arc::clone(&request.shared_parts),
@@ -122,11 +141,33 @@
     /// Records that complete events of a stream were received.
     pub(crate) fn record_events(&mut self) {
         self.event_batches = self.event_batches.saturating_add(1);
+        self.learn_from_first_event();
         if self.is_answering() {
             self.record_answer();
         }
     }
 
+    /// Compares the time to the first event with what was expected.
+    fn learn_from_first_event(&mut self) {
+        let Some(expectation) = self.expectation.take() else {
+            return;
+        };
+        let took = self.node.now().since(self.started_at);
+        let observed_ms = took.as_secs_f64() * 1_000.0;
+        let service = &expectation.service;
+        self.node.estimate_corrections.lock().observe(
+            service,
+            expectation.priority,
+            expectation.expected_ms,
+            observed_ms,
+        );
+        if expectation.predicted_ms > 0.0 {
+            let ratio = observed_ms / expectation.predicted_ms;
+            let histogram = &self.node.metrics.first_event_error_ratio;
+            histogram.with_label_values(&[&**service]).observe(ratio);
+        }
+    }
+
     /// Records that the upstream has begun the answer, or sent all of it, and survived
     /// that.
     pub(crate) fn record_answer(&mut self) {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -190,6 +190,7 @@
         shared_parts: shared_parts(&head, &service),
         prompt_parts: prefix_hashes(&head),
         head,
+        urgent_target_ms: config.urgent_target_ms(&service),
         service,
         origin,
         service_spec,
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -26,6 +26,9 @@
     /// Where the stream began whose rest is requested.
     pub(crate) origin: Option<StreamOrigin>,
     pub(crate) service_spec: Arc<ServiceSpec>,
+    /// Shortest target latency of the service if its requests wait for capacity in the
+    /// order of urgency.
+    pub(crate) urgent_target_ms: Option<u64>,
     pub(crate) config_version: u64,
     /// Workspace of the caller; `None` where callers need no key.
     pub(crate) workspace: Option<Arc<Workspace>>,
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -11,10 +11,15 @@
     0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Upper bounds of the buckets of observed / predicted time.
+const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0];
+
 /// All metrics of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    /// Observed / predicted time to the first event of a stream, by service.
+    pub(crate) first_event_error_ratio: HistogramVec,
     /// Finished requests, by route and outcome.
     pub(crate) requests_ended: IntCounterVec,
     /// Time to the first part of the response, by route.
@@ -141,10 +146,9 @@
         registry
             .register(Box::new(suspended_s.clone()))
             .expect("each metric is registered once");
-        let histogram = |name: &str, help: &str| {
-            let options =
-                HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = HistogramVec::new(options, &["route"])
+        let histogram = |name: &str, help: &str, labels: &[&str], buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = HistogramVec::new(options, labels)
                 .expect("metric names and labels are valid literals");
             registry
                 .register(Box::new(histogram.clone()))
@@ -154,10 +158,20 @@
         let first_response_s = histogram(
             "sesame_front_first_answer_seconds",
             "Time to the first part of an answer",
+            &["route"],
+            &LATENCY_BUCKETS_S,
         );
         let full_response_s = histogram(
             "sesame_front_whole_answer_seconds",
             "Time to the end of an answer",
+            &["route"],
+            &LATENCY_BUCKETS_S,
+        );
+        let first_event_error_ratio = histogram(
+            "sesame_front_first_event_error_ratio",
+            "Observed time to the first event of a stream, relative to the predicted one",
+            &["service"],
+            &RATIO_BUCKETS,
         );
         let gauge = |name: &str, help: &str| {
             let gauge =
@@ -179,6 +193,7 @@
         let log_dropped = gauge("sesame_front_log_dropped", "Log lines dropped");
         Self {
             registry,
+            first_event_error_ratio,
             requests_ended,
             quota_refused,
             first_response_s,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    AvoidanceTracker, Config, DemandTracker, Fleet, IntakeLimit, Lease,
-    MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
+    AvoidanceTracker, Config, DemandTracker, EstimateCorrections, Fleet, IntakeLimit,
+    Lease, MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
 };
 use parking_lot::Mutex;
 use plat::ObjectApi;
@@ -83,6 +83,7 @@
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) time_factors: Mutex<ModelTimeFactors>,
     pub(crate) mean_prefill_times: Mutex<MeanPrefillTimes>,
+    pub(crate) estimate_corrections: Mutex<EstimateCorrections>,
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) suspect_parts: Mutex<SuspectParts>,
     /// Parts whose objects in the platform are to be written.
@@ -175,6 +176,7 @@
             retry_budget: Mutex::new(retry_budget),
             time_factors: Mutex::default(),
             mean_prefill_times: Mutex::default(),
+            estimate_corrections: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
             changed_parts: ChangedParts::default(),
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -128,14 +128,23 @@
         } else {
             0.0
         };
+        // Without an order of urgency, requests are admitted as they were before the
+        // estimate was corrected.
+        let correction = match request.urgent_target_ms {
+            Some(_) if selected.first_answer_ms > 0.0 => {
+                selected.predicted_ms / selected.first_answer_ms
+            }
+            _ => 1.0,
+        };
+        let queue_ms = selected.first_answer_ms - selected.own_prefill_ms;
         let admission = AdmissionInput {
             now: self.node.now(),
             arrived_at: request.arrived_at,
             latency_target_ms: request.route.latency_target_ms,
             first_answer_deadline: request.first_response_by,
-            queue_ms: (selected.first_answer_ms - selected.own_prefill_ms) as u64,
-            prefill_ms: selected.own_prefill_ms as u64,
-            mean_prefill_ms: mean_prefill_ms as u64,
+            queue_ms: (queue_ms * correction) as u64,
+            prefill_ms: (selected.own_prefill_ms * correction) as u64,
+            mean_prefill_ms: (mean_prefill_ms * correction) as u64,
             at_engine,
         };
         let late_ms = match admit(&admission) {
@@ -294,7 +303,14 @@
             domain: &self.node.options.failure_domain,
             random: self.node.random(),
         };
-        select_upstream(&self.node.fleet.lock(), &input)
+        let mut selected = select_upstream(&self.node.fleet.lock(), &input)?;
+        if model.is_some() {
+            let expected_ms = selected.first_answer_ms;
+            let corrections = self.node.estimate_corrections.lock();
+            selected.predicted_ms *=
+                corrections.factor(&request.service, request.priority(), expected_ms);
+        }
+        Ok(selected)
     }
 
     /// Marks the request's adapter as wanted if its absence is what the request
