--- a/crates/direct/benches/entry.rs
+++ b/crates/direct/benches/entry.rs
@@ -125,6 +125,7 @@
             model: Some((model, None)),
             prompt_parts: &[(7, 500), (number, 900)],
             priority: 1,
+            is_ordered: false,
             prompt_tokens: 1_400,
             time_factor: 1.0,
             kv_tokens: 1_800,
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -15,6 +15,12 @@
 /// within 270 ms.
 const LESS_URGENT_SHARE: f64 = 0.25;
 
+/// Longest delay of a more urgent prompt by less urgent ones where few of those are at
+/// the engine: the rest of the chunk that it prefills, of up to 2,048 tokens at 25.8 per
+/// ms. With a share of all less urgent prompts, urgent requests were refused behind
+/// backlogs of seconds that engines let them pass.
+const CHUNK_MS: f64 = 80.0;
+
 /// Prompt tokens of requests without a first answer, by priority. Tokens are scaled to
 /// the number that takes the same time at a time factor of 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -76,8 +82,20 @@
 
     /// Time for which a request of this priority waits behind the queue.
     pub fn wait_ms(&self, priority: u32) -> f64 {
-        let (ahead, behind) = self.tokens.split_at(index(priority) + 1);
-        ms(ahead.iter().sum()) + ms(behind.iter().sum()) * LESS_URGENT_SHARE
+        let (ahead_ms, less_urgent_ms) = self.split_ms(priority);
+        ahead_ms + less_urgent_ms * LESS_URGENT_SHARE
+    }
+
+    /// The same where less urgent prompts delay a request by one chunk at most.
+    pub fn wait_behind_chunk_ms(&self, priority: u32) -> f64 {
+        let (ahead_ms, less_urgent_ms) = self.split_ms(priority);
+        ahead_ms + (less_urgent_ms * LESS_URGENT_SHARE).min(CHUNK_MS)
+    }
+
+    /// Time to prefill the prompts of this priority and above, and that for the others.
+    fn split_ms(&self, priority: u32) -> (f64, f64) {
+        let (ahead, less_urgent) = self.tokens.split_at(index(priority) + 1);
+        (ms(ahead.iter().sum()), ms(less_urgent.iter().sum()))
     }
 }
 
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -40,6 +40,9 @@
     pub prompt_parts: &'a [(u64, u64)],
     /// Priority of the request; 0 is the most urgent.
     pub priority: u32,
+    /// Whether the service's requests wait at the entries in the order of urgency, so
+    /// that less urgent prompts delay others by one chunk at most.
+    pub is_ordered: bool,
     /// Number of prompt tokens.
     pub prompt_tokens: u64,
     /// Time factor of the model.
@@ -199,7 +202,7 @@
         None => RequestNeed::default(),
     };
     let wait_ms = if input.model.is_some() {
-        engine_wait_ms(&usage, &added, input.priority)
+        engine_wait_ms(&usage, &added, input)
     } else {
         service_wait_ms(upstream, &usage)
     };
@@ -307,8 +310,12 @@
 }
 
 /// Expected time to the first answer of an engine.
-fn engine_wait_ms(usage: &Usage, added: &Usage, priority: u32) -> f64 {
-    let ahead_ms = usage.prefill.wait_ms(priority);
+fn engine_wait_ms(usage: &Usage, added: &Usage, input: &SelectionInput<'_>) -> f64 {
+    let ahead_ms = if input.is_ordered {
+        usage.prefill.wait_behind_chunk_ms(input.priority)
+    } else {
+        usage.prefill.wait_ms(input.priority)
+    };
     ahead_ms + added.prefill.prefill_ms() + f64::from(usage.running) * PER_RUNNING_MS
 }
 
--- a/crates/direct/tests/all/prefill.rs
+++ b/crates/direct/tests/all/prefill.rs
@@ -14,6 +14,19 @@
     assert!((queue.wait_ms(7) - 500.0).abs() < 0.1);
 }
 
+/// Urgent requests were refused behind less urgent backlogs of seconds, of which they
+/// wait for no more than the chunk in progress.
+#[test]
+fn less_urgent_prompts_delay_an_ordered_request_by_one_chunk() {
+    let mut queue = PrefillQueue::single(2, 60_000);
+    queue.add(&PrefillQueue::single(0, 2_000));
+    assert!((queue.wait_behind_chunk_ms(0) - 180.0).abs() < 0.1);
+    assert!((queue.wait_behind_chunk_ms(2) - 3_100.0).abs() < 0.1);
+    assert!(
+        (PrefillQueue::single(1, 2_000).wait_behind_chunk_ms(0) - 25.0).abs() < 0.1
+    );
+}
+
 #[test]
 fn removing_more_than_the_queue_holds_empties_it() {
     let mut queue = PrefillQueue::single(9, 100);
--- a/crates/direct/tests/all/rate.rs
+++ b/crates/direct/tests/all/rate.rs
@@ -35,6 +35,7 @@
         model: Some(("a", None)),
         prompt_parts: &[],
         priority: 0,
+        is_ordered: false,
         prompt_tokens: 100,
         time_factor: 1.0,
         kv_tokens: 200,
--- a/crates/direct/tests/all/refusals.rs
+++ b/crates/direct/tests/all/refusals.rs
@@ -21,6 +21,7 @@
         model: Some((model, None)),
         prompt_parts: &[],
         priority: 0,
+        is_ordered: false,
         prompt_tokens: 1_000,
         time_factor: 1.0,
         kv_tokens: 1_200,
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -43,6 +43,7 @@
         model: Some(("a", None)),
         prompt_parts: &[],
         priority: 1,
+        is_ordered: false,
         prompt_tokens: 10,
         time_factor: 1.0,
         kv_tokens: 20,
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -295,6 +295,7 @@
             model: model.map(|(model, adapter)| (&**model, adapter.as_deref())),
             prompt_parts: &request.prompt_parts,
             priority: request.priority(),
+            is_ordered: request.urgent_target_ms.is_some(),
             prompt_tokens: request.head.prompt_tokens,
             time_factor: self.node.time_factor_of(request),
             kv_tokens: request.head.prompt_tokens + output_tokens,
