A queue of requests that wait at an entry, as pure code

WaitQueue decides which requests of a service wait at the entry, in which order they try a place, who is woken and who is refused with which time to come back. It isn't wired yet.

--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -68,13 +68,12 @@
     if first_answer_ms > until_deadline_ms {
         return Err(first_answer_ms - until_deadline_ms);
     }
-    let usable_ms = admission.latency_target_ms * USABLE_TARGET_PERCENT / 100;
+    let usable_ms = usable_ms(admission.latency_target_ms);
     let target_at = admission.arrived_at.plus_ms(usable_ms);
     if !admission.at_engine || admission.now >= target_at {
         return Ok(());
     }
-    let prefill_max_ms = usable_ms * (100 - MIN_QUEUE_PERCENT) / 100;
-    let mean_ms = admission.mean_prefill_ms.min(prefill_max_ms);
+    let mean_ms = admission.mean_prefill_ms.min(prefill_max_ms(usable_ms));
     let expected_ms = admission.queue_ms + mean_ms;
     let remaining_ms = target_at.ms_since(admission.now);
     if expected_ms <= remaining_ms {
@@ -84,6 +83,28 @@
     }
 }
 
+/// Latest time at which a request with this prefill time is admitted, as in time, to an
+/// engine where no other prompt waits.
+pub(crate) fn in_time_until(
+    arrived_at: Instant,
+    latency_target_ms: u64,
+    prefill_ms: u64,
+) -> Instant {
+    let usable_ms = usable_ms(latency_target_ms);
+    let prefill_ms = prefill_ms.min(prefill_max_ms(usable_ms));
+    arrived_at.plus_ms(usable_ms - prefill_ms)
+}
+
+/// Time after its arrival within which a request's first answer must be expected.
+const fn usable_ms(latency_target_ms: u64) -> u64 {
+    latency_target_ms * USABLE_TARGET_PERCENT / 100
+}
+
+/// Part of the usable time that the prompt's own prefill may count.
+const fn prefill_max_ms(usable_ms: u64) -> u64 {
+    usable_ms * (100 - MIN_QUEUE_PERCENT) / 100
+}
+
 /// Mean time to prefill a prompt, by route.
 #[derive(Debug, Default)]
 pub struct MeanPrefillTimes {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,7 +13,9 @@
 //! - [`AvoidanceTracker`] reports when an upstream starts or stops being avoided.
 //! - [`select_upstream`] chooses an upstream for one request.
 //! - [`admit`] decides whether the request joins the queue of that upstream.
-//!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes.
+//!   [`ModelTimeFactors`] and [`PrefillQueue`] estimate how long the queue takes, and
+//!   [`EstimateCorrections`] corrects that. [`WaitQueue`] decides which requests wait at
+//!   the entry instead.
 //! - [`decide_retry`] decides what follows an attempt that failed, and
 //!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
 //! - [`StreamOrigin`] names the software version at which a stream may go on.
@@ -82,6 +84,7 @@
 mod time_factors;
 mod unanswered;
 mod unserved;
+mod wait_queue;
 mod watermark;
 
 pub use adapters::{
@@ -133,4 +136,7 @@
 };
 pub use time_factors::ModelTimeFactors;
 pub use unanswered::UnansweredOrders;
+pub use wait_queue::{
+    Place, PlaceDecision, WaitOrder, WaitQueue, WaiterId, WaitingRequest,
+};
 pub use watermark::Watermark;
--- /dev/null
+++ b/crates/direct/src/wait_queue.rs
@@ -0,0 +1,492 @@
+//! Requests of one service that wait at this entry for a place at an engine.
+//!
+//! A request that waits at the entry delays nobody. One that waits at an engine is
+//! counted in front of all that come later, also of more urgent ones: their engines
+//! finish a chunk of it first, and their entries hear of it up to 300 ms late. So only
+//! requests that begin in time if they are sent now join an engine's queue. All others
+//! wait here, in the order of [`WaitingRequest`]'s rank, until an engine has little left
+//! to prefill.
+
+use base::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::admission::{AdmissionInput, admit, in_time_until};
+use crate::is_patient;
+
+/// Prefill time that an engine may have left when it gets a patient request: one chunk in
+/// progress and one that keeps the engine busy until entries hear of it.
+const PATIENT_UNREAD_MS: u64 = 160;
+
+/// The same for a late request: the chunk in progress, as its answer is worth little and must not
+/// make another one late.
+const LATE_UNREAD_MS: u64 = 80;
+
+/// Maximum number of requests that wait. At 12 checks per second each and a few
+/// microseconds per check, they take less than a hundredth of a core.
+const WAITERS_MAX: usize = 64;
+
+/// Maximum size of the bodies of waiting requests. The smallest entries have 120 MB.
+const WAITING_MAX_BYTES: usize = 8 << 20;
+
+/// Share of the remaining time, in percent, for which a request waits. A caller that is
+/// refused then can come back.
+const MAX_WAIT_PERCENT: u64 = 50;
+
+/// Latest starts that differ by less are similar: estimates are not more accurate.
+const SIMILAR_START_MS: u64 = 100;
+
+/// Interval between two checks of a request that may still be in time.
+const PRESSING_CHECK_MS: u64 = 40;
+
+/// Interval between two checks of other requests. Usage by other entries is known with
+/// about this delay.
+const CHECK_MS: u64 = 150;
+
+/// Time per entry over which entries spread what they send to a place that has become
+/// free: half the prefill time of a prompt, as about half of the entries have a request
+/// for it.
+const SPREAD_PER_ENTRY_MS: u64 = 35;
+
+/// Maximum time over which they spread it. With more entries, few of them have a request
+/// for the same engine.
+const SPREAD_MAX_MS: u64 = 800;
+
+/// Number of requests that are woken when an engine has less left to prefill. Its next
+/// answer wakes others.
+const WAKE_MAX: usize = 2;
+
+/// Minimum time after which a refused caller should come back.
+const MIN_RETRY_AFTER_MS: u64 = 250;
+
+/// A request that waits or may have to.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingRequest {
+    /// When the request arrived.
+    pub arrived_at: Instant,
+    /// When it began to wait for a place. It may have waited for its model before.
+    pub since: Instant,
+    /// Priority; 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which the answer earns its full value.
+    pub latency_target_ms: u64,
+    /// Shortest target latency of the service's routes.
+    pub urgent_target_ms: u64,
+    /// Latest time at which the first part of the answer is of any use.
+    pub first_answer_deadline: Instant,
+    /// Time that an engine takes to prefill the prompt.
+    pub engine_ms: u64,
+    /// Rank of the caller among those of one priority and a similar latest start; lower
+    /// goes first.
+    pub share_rank: u64,
+    /// Size of the body.
+    pub body_bytes: usize,
+}
+
+/// The place at the engine that selection found best for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// The engine.
+    pub upstream: &'a Arc<str>,
+    /// Expected time for which the prompt waits behind others there.
+    pub queue_ms: u64,
+    /// Expected time to prefill the prompt.
+    pub prefill_ms: u64,
+    /// Mean time to prefill a prompt of the route.
+    pub mean_prefill_ms: u64,
+    /// Time to prefill all prompts that are there, whatever their priority.
+    pub unread_ms: u64,
+}
+
+/// What a request does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceDecision {
+    /// It is sent to the place.
+    Take,
+    /// It waits, and checks again after this time unless it is woken earlier.
+    Wait(u64),
+    /// It is refused, and its caller should come back after this time.
+    Refuse(u64),
+}
+
+/// Order in which the requests of one priority wait.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum WaitOrder {
+    /// By the latest time at which they can begin and be in time.
+    #[default]
+    LatestStart,
+    /// By arrival. For comparison: it serves fewer requests in time where routes of one
+    /// priority differ in target or prompts in length.
+    Arrival,
+}
+
+/// Identifies a waiting request within its queue.
+pub type WaiterId = u64;
+
+/// The requests of one service that wait at this entry.
+#[derive(Debug, Default)]
+pub struct WaitQueue {
+    order: WaitOrder,
+    waiters: BTreeMap<WaiterId, Waiter>,
+    next_id: WaiterId,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    request: WaitingRequest,
+    /// The engine that was best for it at its last check.
+    upstream: Option<Arc<str>>,
+    /// When it may take the place that it found free, so that not all entries take it at
+    /// once.
+    take_at: Option<Instant>,
+    /// Whether it is to leave because the queue is full of requests before it.
+    is_displaced: bool,
+}
+
+/// Position in the queue; lower is earlier.
+type Rank = (bool, u32, bool, u64, u64, u64);
+
+impl WaitingRequest {
+    /// Whether it belongs to a route that waits for the service's urgent ones.
+    const fn is_patient(&self) -> bool {
+        is_patient(self.latency_target_ms, self.urgent_target_ms)
+    }
+
+    /// Latest time at which it can be sent to an idle engine and be in time.
+    fn latest_start(&self) -> Instant {
+        in_time_until(self.arrived_at, self.latency_target_ms, self.engine_ms)
+    }
+
+    /// Whether it can no longer be in time. It is then sent as one of the least urgent.
+    pub fn is_late(&self, now: Instant) -> bool {
+        now >= self.latest_start()
+    }
+
+    /// When it is refused if it found no place.
+    ///
+    /// A patient request leaves its caller enough time to come back and be in time. For
+    /// others there isn't enough, so they wait on, behind all that can be in time.
+    fn give_up_at(&self) -> Instant {
+        let target_at = self.arrived_at.plus_ms(self.latency_target_ms);
+        let end = if self.is_patient() && self.since < target_at {
+            target_at.min(self.first_answer_deadline)
+        } else {
+            self.first_answer_deadline
+        };
+        let wait_ms = end.ms_since(self.since) * MAX_WAIT_PERCENT / 100;
+        self.since.plus_ms(wait_ms)
+    }
+
+    /// Position among the waiting requests.
+    ///
+    /// First come those that are in time only if they are sent within the shortest
+    /// target, then all others. Within both, a more urgent priority goes first, then
+    /// what can be in time, then the earliest latest start. So a late request delays
+    /// neither its own priority's timely ones nor any that are about to become late, and
+    /// a less urgent one that can wait longer doesn't pass it.
+    fn rank(&self, now: Instant, order: WaitOrder, id: WaiterId) -> Rank {
+        let latest_start = self.latest_start();
+        let is_late = now >= latest_start;
+        let slack_ms = latest_start.ms_since(now);
+        let is_pressing = !is_late && slack_ms <= self.urgent_target_ms;
+        let (start, share) = match order {
+            WaitOrder::LatestStart => {
+                let start_ms = latest_start.ms_since(Instant::ZERO);
+                (start_ms / SIMILAR_START_MS, self.share_rank)
+            }
+            WaitOrder::Arrival => (self.arrived_at.ms_since(Instant::ZERO), 0),
+        };
+        (!is_pressing, self.priority, is_late, start, share, id)
+    }
+
+    /// Whether it can take a place regardless of those that wait: it is in time, and not
+    /// patient.
+    fn joins_engine_queue(&self, now: Instant, place: &Place<'_>) -> bool {
+        !self.is_patient()
+            && !self.is_late(now)
+            && admit(&self.admission(now, place)).is_ok()
+    }
+
+    /// Whether the place is free for a request that is patient or late.
+    fn finds_free(&self, now: Instant, place: &Place<'_>) -> bool {
+        let answer_at = now.plus_ms(place.queue_ms + place.prefill_ms);
+        place.unread_ms <= self.unread_max_ms(now)
+            && answer_at <= self.first_answer_deadline
+    }
+
+    /// Prefill time that its engine may have left if it is patient or late.
+    fn unread_max_ms(&self, now: Instant) -> u64 {
+        if self.is_late(now) {
+            LATE_UNREAD_MS
+        } else {
+            PATIENT_UNREAD_MS
+        }
+    }
+
+    fn admission(&self, now: Instant, place: &Place<'_>) -> AdmissionInput {
+        AdmissionInput {
+            now,
+            arrived_at: self.arrived_at,
+            latency_target_ms: self.latency_target_ms,
+            first_answer_deadline: self.first_answer_deadline,
+            queue_ms: place.queue_ms,
+            prefill_ms: place.prefill_ms,
+            mean_prefill_ms: place.mean_prefill_ms,
+            at_engine: true,
+        }
+    }
+}
+
+impl WaitQueue {
+    /// Creates an empty queue.
+    pub fn new(order: WaitOrder) -> Self {
+        Self {
+            order,
+            ..Self::default()
+        }
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Decides whether a request that has not waited takes a place at once. One that
+    /// waited for something else, as others did, is to join the queue instead.
+    pub fn takes_at_once(
+        &self,
+        now: Instant,
+        request: &WaitingRequest,
+        place: &Place<'_>,
+    ) -> bool {
+        request.joins_engine_queue(now, place)
+            || (request.since == request.arrived_at
+                && request.finds_free(now, place)
+                && self.is_first(now, request, self.next_id, place.upstream))
+    }
+
+    /// Adds a request. If the queue is full, the last in order has to leave.
+    ///
+    /// # Errors
+    ///
+    /// The request itself would be the last; its caller should come back after the
+    /// returned time.
+    pub fn join(
+        &mut self,
+        now: Instant,
+        request: WaitingRequest,
+        random: u64,
+    ) -> Result<WaiterId, u64> {
+        let id = self.next_id;
+        let rank = request.rank(now, self.order, id);
+        while self.is_full_for(&request) {
+            let staying = self.waiters.iter().filter(|(_, other)| !other.is_displaced);
+            let last = staying
+                .map(|(id, other)| (other.request.rank(now, self.order, *id), *id))
+                .max();
+            match last {
+                Some((last_rank, last_id)) if last_rank > rank => {
+                    if let Some(last) = self.waiters.get_mut(&last_id) {
+                        last.is_displaced = true;
+                    }
+                }
+                _ => return Err(retry_after_ms(0, random)),
+            }
+        }
+        self.next_id += 1;
+        let waiter = Waiter {
+            request,
+            upstream: None,
+            take_at: None,
+            is_displaced: false,
+        };
+        self.waiters.insert(id, waiter);
+        Ok(id)
+    }
+
+    /// Removes a request, which was sent or refused or whose caller left.
+    pub fn leave(&mut self, id: WaiterId) {
+        self.waiters.remove(&id);
+    }
+
+    /// Decides what a waiting request does about the place that selection found;
+    /// `None` if there is none. `entries` is the number of entries that send requests to
+    /// the same engines.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        id: WaiterId,
+        place: Option<&Place<'_>>,
+        entries: u64,
+        random: u64,
+    ) -> PlaceDecision {
+        let Some(waiter) = self.waiters.get_mut(&id) else {
+            return PlaceDecision::Refuse(retry_after_ms(0, random));
+        };
+        let request = waiter.request;
+        waiter.upstream = place.map(|place| Arc::clone(place.upstream));
+        let is_displaced = waiter.is_displaced;
+        if let Some(place) = place.filter(|_| !is_displaced)
+            && (request.joins_engine_queue(now, place)
+                || self.takes_free_place(now, id, place, entries, random))
+        {
+            return PlaceDecision::Take;
+        }
+        let free_after_ms = place.map_or(0, |place| self.free_after_ms(now, id, place));
+        let left_ms = request.give_up_at().ms_since(now);
+        if is_displaced || left_ms == 0 || free_after_ms > left_ms {
+            return PlaceDecision::Refuse(retry_after_ms(free_after_ms, random));
+        }
+        PlaceDecision::Wait(self.check_after_ms(now, id, random))
+    }
+
+    /// The requests that should check again at once, as an engine has less left to
+    /// prefill, and all that have to leave.
+    pub fn to_wake(&self, now: Instant, upstream: &str) -> Vec<WaiterId> {
+        let mut waiting: Vec<_> = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| waiter.take_at.is_none())
+            .filter(|(_, waiter)| {
+                let wanted = waiter.upstream.as_deref();
+                wanted.is_none_or(|wanted| wanted == upstream)
+            })
+            .map(|(id, waiter)| (waiter.request.rank(now, self.order, *id), *id))
+            .collect();
+        waiting.sort_unstable();
+        waiting
+            .into_iter()
+            .map(|(_, id)| id)
+            .take(WAKE_MAX)
+            .collect()
+    }
+
+    /// The requests that have to leave because the queue is full.
+    pub fn displaced(&self) -> impl Iterator<Item = WaiterId> {
+        let displaced = self.waiters.iter().filter(|(_, other)| other.is_displaced);
+        displaced.map(|(id, _)| *id)
+    }
+
+    /// Whether a patient or late request takes the place now. It does if no request
+    /// before it waits for the same engine, and after a random time, so that the entries
+    /// don't all send to an engine before they hear of one another.
+    fn takes_free_place(
+        &mut self,
+        now: Instant,
+        id: WaiterId,
+        place: &Place<'_>,
+        entries: u64,
+        random: u64,
+    ) -> bool {
+        let Some(request) = self.waiters.get(&id).map(|waiter| waiter.request) else {
+            return false;
+        };
+        let is_free = request.finds_free(now, place)
+            && self.is_first(now, &request, id, place.upstream);
+        let Some(waiter) = self.waiters.get_mut(&id) else {
+            return false;
+        };
+        if !is_free {
+            waiter.take_at = None;
+            return false;
+        }
+        let left_ms = request.give_up_at().ms_since(now);
+        let spread_ms = (entries.saturating_sub(1) * SPREAD_PER_ENTRY_MS)
+            .min(SPREAD_MAX_MS)
+            .min(left_ms / 2);
+        let take_at = *waiter
+            .take_at
+            .get_or_insert_with(|| now.plus_ms(random % (spread_ms + 1)));
+        now >= take_at
+    }
+
+    /// Whether no other request that waits for an engine is before this one.
+    fn is_first(
+        &self,
+        now: Instant,
+        request: &WaitingRequest,
+        id: WaiterId,
+        upstream: &Arc<str>,
+    ) -> bool {
+        let mut rivals = self.rivals_before(now, request, id, upstream);
+        rivals.next().is_none()
+    }
+
+    /// The requests that wait for the same engine and go before this one.
+    fn rivals_before(
+        &self,
+        now: Instant,
+        request: &WaitingRequest,
+        id: WaiterId,
+        upstream: &Arc<str>,
+    ) -> impl Iterator<Item = &WaitingRequest> {
+        let rank = request.rank(now, self.order, id);
+        let rivals = self.waiters.iter().filter(move |(other_id, other)| {
+            **other_id != id
+                && !other.is_displaced
+                && other.upstream.as_ref() == Some(upstream)
+                && other.request.rank(now, self.order, **other_id) < rank
+        });
+        rivals.map(|(_, rival)| &rival.request)
+    }
+
+    /// Minimum time until a place at the engine is free for a request: until the engine
+    /// has little left to prefill, and has prefilled what waits before the request here.
+    fn free_after_ms(&self, now: Instant, id: WaiterId, place: &Place<'_>) -> u64 {
+        let Some(waiter) = self.waiters.get(&id) else {
+            return 0;
+        };
+        let rivals_ms: u64 = self
+            .rivals_before(now, &waiter.request, id, place.upstream)
+            .map(|rival| rival.engine_ms)
+            .sum();
+        let unread_max_ms = waiter.request.unread_max_ms(now);
+        (place.unread_ms + rivals_ms).saturating_sub(unread_max_ms)
+    }
+
+    fn is_full_for(&self, request: &WaitingRequest) -> bool {
+        let staying = self.waiters.values().filter(|other| !other.is_displaced);
+        let (mut count, mut bytes) = (1, request.body_bytes);
+        for other in staying {
+            count += 1;
+            bytes += other.request.body_bytes;
+        }
+        count > WAITERS_MAX || bytes > WAITING_MAX_BYTES
+    }
+
+    /// Time until the next check, with a random part so that entries don't check at the
+    /// same moment.
+    fn check_after_ms(&self, now: Instant, id: WaiterId, random: u64) -> u64 {
+        let Some(waiter) = self.waiters.get(&id) else {
+            return 0;
+        };
+        if let Some(take_at) = waiter.take_at {
+            return take_at.ms_since(now).max(1);
+        }
+        let request = &waiter.request;
+        let interval_ms = if request.is_late(now) || request.is_patient() {
+            CHECK_MS
+        } else {
+            PRESSING_CHECK_MS
+        };
+        let spread_ms = interval_ms / 2 + random % interval_ms;
+        let left_ms = request.give_up_at().ms_since(now);
+        spread_ms.min(left_ms).max(1)
+    }
+}
+
+/// When a refused caller should come back: when its engine is expected to be free,
+/// spread over half as long again, so that callers don't all return at once.
+const fn retry_after_ms(expected_ms: u64, random: u64) -> u64 {
+    let expected_ms = if expected_ms > MIN_RETRY_AFTER_MS {
+        expected_ms
+    } else {
+        MIN_RETRY_AFTER_MS
+    };
+    expected_ms + random % (expected_ms / 2 + 1)
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod successor;
 mod support;
 mod takeover;
+mod wait_queue;
