Requests wait at the entry where urgent ones are short of engines

Where Config::urgent_target_ms is set, a request for a model that no engine can serve in time now waits in the entry's queue instead of being refused at once or, if it is patient, instead of queueing at the engine. One that can no longer be in time is sent as one of the least urgent, to an engine with little left to prefill, so that it delays none that can. Callers that leave are removed by a Drop guard; from the moment at which connections are closed on a stop, waiting requests are refused as not run.

Metrics sesame_front_waiting_requests and sesame_front_wait_seconds. Elsewhere requests are admitted as before.

--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -77,6 +77,19 @@
     pub own_prefill_ms: f64,
     /// Prompt tokens that the upstream has to prefill, as far as this entry knows.
     pub prefill_tokens: u64,
+    /// Time to prefill all prompts that are at the upstream, whatever their priority.
+    pub unread_ms: f64,
+}
+
+impl SelectedUpstream {
+    /// Factor of the correction that was learned from earlier answers.
+    pub fn correction(&self) -> f64 {
+        if self.first_answer_ms > 0.0 {
+            self.predicted_ms / self.first_answer_ms
+        } else {
+            1.0
+        }
+    }
 }
 
 /// Why no upstream was selected. The variants are declared in the order of the checks.
@@ -101,6 +114,11 @@
 }
 
 impl SelectionError {
+    /// Whether an upstream could run the request if it had less to do.
+    pub const fn is_lack_of_capacity(self) -> bool {
+        matches!(self, Self::Full)
+    }
+
     /// Value of the reason in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -228,6 +246,7 @@
         predicted_ms: wait_ms,
         own_prefill_ms: added.prefill.prefill_ms(),
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
+        unread_ms: usage.prefill.prefill_ms(),
     };
     Ok((score, selected))
 }
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -284,6 +284,7 @@
             predicted_ms: 0.0,
             own_prefill_ms: 0.0,
             prefill_tokens: 0,
+            unread_ms: 0.0,
         };
         self.record_stream_break(upstream);
         self.after_failed_attempt(&selected, AttemptOutcome::Unknown, None)
--- /dev/null
+++ b/crates/front/src/entry_wait.rs
@@ -0,0 +1,262 @@
+//! Waits at this entry for a place at an engine, where the service's requests are
+//! ordered by urgency. [`direct::WaitQueue`] decides.
+
+use base::prelude::*;
+use direct::{
+    Place, PlaceDecision, PrefillQueue, SelectedUpstream, WaiterId, WaitingRequest,
+};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::dispatch::{Dispatch, Rejection};
+use crate::state::Node;
+use crate::state::caller_request::CallerRequest;
+
+/// A request in the queue of its service. Dropping it removes the request, also when
+/// its caller has left.
+#[derive(Debug)]
+pub(crate) struct EntryWait {
+    node: Arc<Node>,
+    service: Arc<str>,
+    id: WaiterId,
+    woken: Arc<Notify>,
+    since: Instant,
+    outcome: &'static str,
+}
+
+impl EntryWait {
+    /// Adds a request to the queue of its service.
+    ///
+    /// # Errors
+    ///
+    /// The queue is full; the caller should come back after the returned time.
+    fn join(
+        node: &Arc<Node>,
+        service: &Arc<str>,
+        request: WaitingRequest,
+    ) -> Result<Self, u64> {
+        let now = node.now();
+        let (id, woken) =
+            node.entry_queues
+                .join(now, service, request, node.random())?;
+        node.metrics
+            .waiting_requests
+            .with_label_values(&[&**service])
+            .inc();
+        Ok(Self {
+            node: Arc::clone(node),
+            service: Arc::clone(service),
+            id,
+            woken,
+            since: now,
+            outcome: "caller_gone",
+        })
+    }
+}
+
+impl Drop for EntryWait {
+    fn drop(&mut self) {
+        self.node.entry_queues.leave(&self.service, self.id);
+        let metrics = &self.node.metrics;
+        let service = &*self.service;
+        metrics.waiting_requests.with_label_values(&[service]).dec();
+        let waited = self.node.now().since(self.since);
+        metrics
+            .wait_s
+            .with_label_values(&[service, self.outcome])
+            .observe(waited.as_secs_f64());
+    }
+}
+
+/// What a request does that found a place, or none.
+#[derive(Debug)]
+pub(crate) enum EntryDecision {
+    Take,
+    Wait(Duration),
+    Refuse(Rejection),
+}
+
+impl Dispatch {
+    /// Returns whether the request waits in the order of urgency. One that was sent to
+    /// an upstream before doesn't wait again.
+    pub(crate) fn is_ordered(&self) -> bool {
+        self.request.urgent_target_ms.is_some()
+            && self.request.head.model.is_some()
+            && self.attempted.lock().sent_to.is_empty()
+    }
+
+    /// Decides what the request does about the place that selection found; `None` if
+    /// all engines that could run it are full. If it has to wait, it joins the queue.
+    pub(crate) fn decide_place(
+        &mut self,
+        wait: &mut Option<EntryWait>,
+        selected: Option<&mut SelectedUpstream>,
+        mean_prefill_ms: f64,
+    ) -> EntryDecision {
+        let node = Arc::clone(&self.node);
+        let now = node.now();
+        let waiting = self.waiting_request(now, selected.as_deref());
+        let id = selected.as_ref().map(|selected| Arc::clone(&selected.id));
+        let place = selected
+            .as_deref()
+            .zip(id.as_ref())
+            .map(|(selected, id)| place(selected, id, mean_prefill_ms));
+        let service = &self.request.service;
+        let decision = match (&*wait, &place) {
+            (None, Some(place))
+                if node
+                    .entry_queues
+                    .takes_at_once(now, service, &waiting, place) =>
+            {
+                PlaceDecision::Take
+            }
+            (None, _) => match EntryWait::join(&node, service, waiting) {
+                Ok(joined) => {
+                    let decision = joined.decide(place.as_ref());
+                    *wait = Some(joined);
+                    decision
+                }
+                Err(retry_after_ms) => PlaceDecision::Refuse(retry_after_ms),
+            },
+            (Some(joined), _) => joined.decide(place.as_ref()),
+        };
+        match decision {
+            PlaceDecision::Take => {
+                if let Some(wait) = wait {
+                    wait.outcome = "sent";
+                }
+                if waiting.is_late(now) {
+                    self.request.is_late = true;
+                }
+                if let Some(selected) = selected {
+                    let priority = self.request.priority();
+                    selected.usage.prefill =
+                        selected.usage.prefill.with_priority(priority);
+                }
+                EntryDecision::Take
+            }
+            PlaceDecision::Wait(_)
+                if node.shutdown.close_connections.is_cancelled() =>
+            {
+                self.refuse_place(wait, None, ErrorCode::Leaving, 0)
+            }
+            PlaceDecision::Wait(after_ms) => {
+                EntryDecision::Wait(Duration::from_millis(after_ms))
+            }
+            PlaceDecision::Refuse(retry_after_ms) => self.refuse_place(
+                wait,
+                place.as_ref(),
+                ErrorCode::Overloaded,
+                retry_after_ms,
+            ),
+        }
+    }
+
+    /// Waits until the request is to look for a place again, at most for this time.
+    pub(crate) async fn wait_for_place(&self, wait: &EntryWait, at_most: Duration) {
+        tokio::select! {
+            () = wait.woken.notified() => {}
+            () = sleep(at_most) => {}
+            () = self.node.shutdown.close_connections.cancelled() => {}
+        }
+    }
+
+    fn refuse_place(
+        &mut self,
+        wait: &mut Option<EntryWait>,
+        place: Option<&Place<'_>>,
+        code: ErrorCode,
+        retry_after_ms: u64,
+    ) -> EntryDecision {
+        if let Some(wait) = wait {
+            wait.outcome = "refused";
+        }
+        self.attempts.push(match place {
+            Some(place) => json!({ "unpicked": "too_late",
+                "queue_ms": place.queue_ms, "reading_ms": place.prefill_ms,
+                "mean_reading_ms": place.mean_prefill_ms,
+                "unread_ms": place.unread_ms, "late_ms": retry_after_ms }),
+            None if code == ErrorCode::Leaving => json!({ "unpicked": "stopping" }),
+            None => json!({ "unpicked": "full" }),
+        });
+        EntryDecision::Refuse(Rejection {
+            code,
+            retry_after_ms,
+        })
+    }
+
+    fn waiting_request(
+        &self,
+        now: Instant,
+        selected: Option<&SelectedUpstream>,
+    ) -> WaitingRequest {
+        let request = &self.request;
+        let engine_ms = match selected {
+            Some(selected) => selected.own_prefill_ms * selected.correction(),
+            None => {
+                let tokens = request.head.prompt_tokens as f64;
+                let tokens = tokens * self.node.time_factor_of(request);
+                PrefillQueue::single(request.priority(), tokens as u64).prefill_ms()
+            }
+        };
+        let since = if self.waited_ms == 0 {
+            request.arrived_at
+        } else {
+            now
+        };
+        WaitingRequest {
+            arrived_at: request.arrived_at,
+            since,
+            priority: request.priority(),
+            latency_target_ms: request.route.latency_target_ms,
+            urgent_target_ms: request
+                .urgent_target_ms
+                .unwrap_or(request.route.latency_target_ms),
+            first_answer_deadline: request.first_response_by,
+            engine_ms: engine_ms as u64,
+            share_rank: share_rank(&self.node, request),
+            body_bytes: request.body.len(),
+        }
+    }
+}
+
+impl EntryWait {
+    fn decide(&self, place: Option<&Place<'_>>) -> PlaceDecision {
+        let node = &self.node;
+        let entries = node.peers.entry_count() as u64;
+        node.entry_queues.decide(
+            node.now(),
+            &self.service,
+            self.id,
+            place,
+            entries,
+            node.random(),
+        )
+    }
+}
+
+/// Rank of a request's workspace among waiting requests of one priority; lower goes
+/// first. All are equal until workspaces have shares.
+const fn share_rank(_node: &Node, _request: &CallerRequest) -> u64 {
+    0
+}
+
+/// The place at a selected engine, by the corrected estimate.
+fn place<'a>(
+    selected: &SelectedUpstream,
+    id: &'a Arc<str>,
+    mean_prefill_ms: f64,
+) -> Place<'a> {
+    let correction = selected.correction();
+    let queue_ms = selected.first_answer_ms - selected.own_prefill_ms;
+    Place {
+        upstream: id,
+        queue_ms: (queue_ms * correction) as u64,
+        prefill_ms: (selected.own_prefill_ms * correction) as u64,
+        mean_prefill_ms: (mean_prefill_ms * correction) as u64,
+        unread_ms: (selected.unread_ms * correction) as u64,
+    }
+}
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -135,7 +135,9 @@
                 upstream.first_answer_received(&self.usage.prefill);
             }
         });
-        self.response_started = true;
+        if !std::mem::replace(&mut self.response_started, true) {
+            self.node.entry_queues.wake(now, &self.upstream);
+        }
     }
 
     /// Records that complete events of a stream were received.
@@ -246,5 +248,7 @@
             upstream.requests_ended(self.usage.running, self.usage.kv_tokens);
         });
         self.node.capacity_freed.notify_waiters();
+        let now = self.node.now();
+        self.node.entry_queues.wake(now, &self.upstream);
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,6 +27,7 @@
 mod coordinator;
 mod crash;
 mod dispatch;
+mod entry_wait;
 mod events;
 mod framing;
 mod headers;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -194,6 +194,7 @@
         service,
         origin,
         service_spec,
+        is_late: false,
         config_version: config.version,
         workspace,
         charge,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -151,6 +151,7 @@
             node.mean_prefill_times.lock().retain(is_route);
             let is_service = |name: &str| config.knows_service(name);
             node.estimate_corrections.lock().retain(is_service);
+            node.entry_queues.retain(is_service);
         }
     }
 }
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds. The deployments' target
@@ -20,6 +20,10 @@
     registry: Registry,
     /// Observed / predicted time to the first event of a stream, by service.
     pub(crate) first_event_error_ratio: HistogramVec,
+    /// Requests that wait for a place at an engine, by service.
+    pub(crate) waiting_requests: IntGaugeVec,
+    /// How long they waited, by service and outcome.
+    pub(crate) wait_s: HistogramVec,
     /// Finished requests, by route and outcome.
     pub(crate) requests_ended: IntCounterVec,
     /// Time to the first part of the response, by route.
@@ -173,6 +177,23 @@
             &["service"],
             &RATIO_BUCKETS,
         );
+        let wait_s = histogram(
+            "sesame_front_wait_seconds",
+            "Time for which requests waited for a place at an engine",
+            &["service", "outcome"],
+            &LATENCY_BUCKETS_S,
+        );
+        let waiting_requests = IntGaugeVec::new(
+            Opts::new(
+                "sesame_front_waiting_requests",
+                "Requests that wait for a place at an engine",
+            ),
+            &["service"],
+        )
+        .expect("metric names and labels are valid literals");
+        registry
+            .register(Box::new(waiting_requests.clone()))
+            .expect("each metric is registered once");
         let gauge = |name: &str, help: &str| {
             let gauge =
                 IntGauge::new(name, help).expect("metric names are valid literals");
@@ -194,6 +215,8 @@
         Self {
             registry,
             first_event_error_ratio,
+            waiting_requests,
+            wait_s,
             requests_ended,
             quota_refused,
             first_response_s,
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod caller_request;
 pub(crate) mod connection_pool;
 pub(crate) mod coordinator;
+pub(crate) mod entry_queues;
 pub(crate) mod lease_relay;
 pub(crate) mod managed_upstream;
 pub(crate) mod metered_platform;
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -23,6 +23,7 @@
 use super::caller_request::CallerRequest;
 use super::connection_pool::ConnectionPool;
 use super::coordinator::Coordinator;
+use super::entry_queues::EntryQueues;
 use super::lease_relay::LeaseRelay;
 use super::metered_platform::MeteredPlatform;
 use super::metrics::Metrics;
@@ -91,6 +92,8 @@
     /// Which new connections of callers are accepted.
     pub(crate) intake_limit: Mutex<IntakeLimit>,
     pub(crate) wanted_adapters: WantedAdapters,
+    /// Requests that wait for a place at an engine.
+    pub(crate) entry_queues: EntryQueues,
     /// Quota tokens of workspaces.
     pub(crate) workspace_quotas: Quotas,
     /// Rate tokens of upstreams that advertise a rate.
@@ -182,6 +185,7 @@
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
+            entry_queues: EntryQueues::default(),
             workspace_quotas: Quotas::new(deployment.quota_overdraft),
             upstream_quotas: Quotas::new(0.0),
             peers: Peers::new(&options),
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch, Rejection};
+use crate::entry_wait::{EntryDecision, EntryWait};
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::wanted_adapters::WantedAdapter;
@@ -53,16 +54,39 @@
         &mut self,
     ) -> Result<SelectedUpstream, Rejection> {
         let mut model_wait: Option<ModelWait> = None;
+        let mut entry_wait: Option<EntryWait> = None;
+        let mut mean_prefill_ms = None;
         let node = Arc::clone(&self.node);
         let started_at = node.now();
         loop {
             let holdings_changed = node.holdings_changed.notified();
             let capacity_freed = node.capacity_freed.notified();
-            let reason = match self.select() {
+            let mut selection = self.select();
+            if self.is_ordered() && waits_for_place(&selection) {
+                if let Ok(selected) = &selection {
+                    mean_prefill_ms.get_or_insert_with(|| self.record_prompt(selected));
+                }
+                let mean_ms = mean_prefill_ms.unwrap_or(0.0);
+                match self.decide_place(
+                    &mut entry_wait,
+                    selection.as_mut().ok(),
+                    mean_ms,
+                ) {
+                    EntryDecision::Take => {}
+                    EntryDecision::Wait(at_most) => {
+                        self.wait_in_queue(entry_wait.as_ref(), at_most).await;
+                        continue;
+                    }
+                    EntryDecision::Refuse(rejection) => return Err(rejection),
+                }
+            }
+            let reason = match selection {
                 Ok(selected) => match upstream_rate::acquire(&node, &selected.id).await
                 {
                     Ok(charge) => {
-                        let selected = self.admit_in_time(selected)?;
+                        if !self.is_ordered() {
+                            self.admit_in_time(&selected)?;
+                        }
                         self.rate_charge = charge;
                         return Ok(selected);
                     }
@@ -88,7 +112,7 @@
             self.request_adapter(reason);
             let check_after = CHECK_INTERVAL.min(wait_until.since(now));
             // The next selection decides, whether it was woken up or timed out.
-            let _ = if reason == SelectionError::Full {
+            let _ = if reason.is_lack_of_capacity() {
                 timeout(check_after, capacity_freed).await
             } else {
                 timeout(check_after, holdings_changed).await
@@ -109,47 +133,23 @@
     /// Refuses a request whose response would come too late, as it would only
     /// delay others. A request that was already sent to an upstream is no
     /// longer refused.
-    fn admit_in_time(
-        &mut self,
-        selected: SelectedUpstream,
-    ) -> Result<SelectedUpstream, Rejection> {
+    fn admit_in_time(&mut self, selected: &SelectedUpstream) -> Result<(), Rejection> {
+        let mean_prefill_ms = self.record_prompt(selected);
         let request = &self.request;
-        let at_engine = request.head.model.is_some();
-        if at_engine {
-            let (prompt, uncached) =
-                (request.head.prompt_tokens, selected.prefill_tokens);
-            self.node.update_demand(&request.service, |demand| {
-                demand.record_sent(prompt, uncached);
-            });
-        }
-        let mean_prefill_ms = if at_engine {
-            let mut mean_prefill_times = self.node.mean_prefill_times.lock();
-            mean_prefill_times.observe(&request.route.name, selected.own_prefill_ms)
-        } else {
-            0.0
-        };
-        // Without an order of urgency, requests are admitted as they were before the
-        // estimate was corrected.
-        let correction = match request.urgent_target_ms {
-            Some(_) if selected.first_answer_ms > 0.0 => {
-                selected.predicted_ms / selected.first_answer_ms
-            }
-            _ => 1.0,
-        };
         let queue_ms = selected.first_answer_ms - selected.own_prefill_ms;
         let admission = AdmissionInput {
             now: self.node.now(),
             arrived_at: request.arrived_at,
             latency_target_ms: request.route.latency_target_ms,
             first_answer_deadline: request.first_response_by,
-            queue_ms: (queue_ms * correction) as u64,
-            prefill_ms: (selected.own_prefill_ms * correction) as u64,
-            mean_prefill_ms: (mean_prefill_ms * correction) as u64,
-            at_engine,
+            queue_ms: queue_ms as u64,
+            prefill_ms: selected.own_prefill_ms as u64,
+            mean_prefill_ms: mean_prefill_ms as u64,
+            at_engine: request.head.model.is_some(),
         };
         let late_ms = match admit(&admission) {
             Err(late_ms) if self.attempted.lock().sent_to.is_empty() => late_ms,
-            _ => return Ok(selected),
+            _ => return Ok(()),
         };
         self.attempts.push(json!({ "unpicked": "too_late",
             "queue_ms": admission.queue_ms, "reading_ms": admission.prefill_ms,
@@ -160,6 +160,30 @@
         })
     }
 
+    /// Records the prompt of a request for which an engine was selected. Returns the
+    /// mean time to prefill a prompt of the route; 0 for a plain service.
+    fn record_prompt(&self, selected: &SelectedUpstream) -> f64 {
+        let request = &self.request;
+        if request.head.model.is_none() {
+            return 0.0;
+        }
+        let (prompt, uncached) = (request.head.prompt_tokens, selected.prefill_tokens);
+        self.node.update_demand(&request.service, |demand| {
+            demand.record_sent(prompt, uncached);
+        });
+        let mut mean_prefill_times = self.node.mean_prefill_times.lock();
+        mean_prefill_times.observe(&request.route.name, selected.own_prefill_ms)
+    }
+
+    /// Waits in the queue of the service until the next check.
+    async fn wait_in_queue(&mut self, wait: Option<&EntryWait>, at_most: Duration) {
+        let began_at = self.node.now();
+        if let Some(wait) = wait {
+            self.wait_for_place(wait, at_most).await;
+        }
+        self.waited_ms += self.node.now().ms_since(began_at);
+    }
+
     /// Returns until when to wait for an upstream.
     ///
     /// A caller that is refused right away can come back at a better time; one
@@ -375,6 +399,15 @@
     }
 }
 
+/// Whether a request takes a place, or waits for one in the order of urgency. It waits
+/// for a model or adapter, and for upstreams that asked for a pause, in other ways.
+fn waits_for_place(selection: &Result<SelectedUpstream, SelectionError>) -> bool {
+    selection
+        .as_ref()
+        .err()
+        .is_none_or(|reason| reason.is_lack_of_capacity())
+}
+
 const fn refusal_code(reason: SelectionError) -> ErrorCode {
     match reason {
         SelectionError::NoModel | SelectionError::NoAdapter => {
