--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -329,6 +329,7 @@
             return PlaceDecision::Refuse(retry_after_ms(0, random));
         };
         let request = waiter.request;
+        let is_first_place = waiter.upstream.is_none();
         waiter.upstream = place.map(|place| Arc::clone(place.upstream));
         let is_displaced = waiter.is_displaced;
         if let Some(place) = place.filter(|_| !is_displaced)
@@ -339,7 +340,10 @@
         }
         let free_after_ms = place.map_or(0, |place| self.free_after_ms(now, id, place));
         let left_ms = request.give_up_at().ms_since(now);
-        if is_displaced || left_ms == 0 || free_after_ms > left_ms {
+        // Prompts count in full until they are answered, so the estimate doesn't shrink as
+        // time passes. It is compared once.
+        let is_hopeless = is_first_place && free_after_ms > left_ms;
+        if is_displaced || left_ms == 0 || is_hopeless {
             return PlaceDecision::Refuse(retry_after_ms(free_after_ms, random));
         }
         PlaceDecision::Wait(self.check_after_ms(now, id, random))
--- a/crates/direct/tests/all/wait_queue.rs
+++ b/crates/direct/tests/all/wait_queue.rs
@@ -116,6 +116,7 @@
             queue.decide(at(until_ms), id, None, 1, 0),
             PlaceDecision::Refuse(250)
         );
+        let id = queue.join(at(0), request, 0).expect("a place");
         let endless = place(&engine, 9_000);
         let refused = queue.decide(at(0), id, Some(&endless), 1, 0);
         assert_eq!(refused, PlaceDecision::Refuse(8_840));
