--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -81,6 +81,8 @@
     pub(crate) attempts: Vec<Value>,
     /// Total time for which the request waited for an upstream.
     pub(crate) waited_ms: u64,
+    /// When the wait in progress began, which isn't part of that time.
+    pub(crate) wait_began_at: Option<Instant>,
     /// How often an upstream was passed over because its rate was used up.
     pub(crate) rate_limited_count: u32,
     /// Part of the prompt that the request probes.
@@ -137,6 +139,7 @@
             last_event_id,
             attempts: Vec::new(),
             waited_ms: 0,
+            wait_began_at: None,
             rate_limited_count: 0,
             probe: None,
             is_sound: false,
@@ -506,6 +509,7 @@
         }
         let node = &self.node;
         let ms = node.now().ms_since(self.request.arrived_at);
+        let last_wait_ms = self.wait_began_at.map_or(0, |at| node.now().ms_since(at));
         let route = &*self.request.route.name;
         node.metrics
             .requests_ended
@@ -526,7 +530,7 @@
             json!({ "id": self.request.head.id, "route": route, "workspace": workspace,
                 "service": &*self.request.service, "model": model, "outcome": outcome,
                 "status": status, "ms": ms, "first_ms": self.first_response_ms,
-                "waited_ms": self.waited_ms, "rate_spent": self.rate_limited_count, "tries": self.attempts,
+                "waited_ms": self.waited_ms + last_wait_ms, "rate_spent": self.rate_limited_count, "tries": self.attempts,
                 "ran": self.may_have_run, "last_event": self.last_event_id,
                 "resumes": self.request.head.began_as,
                 "resumes_after": self.request.head.last_event_id,
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -179,9 +179,11 @@
     /// Waits in the queue of the service until the next check.
     async fn wait_in_queue(&mut self, wait: Option<&EntryWait>, at_most: Duration) {
         let began_at = self.node.now();
+        self.wait_began_at = Some(began_at);
         if let Some(wait) = wait {
             self.wait_for_place(wait, at_most).await;
         }
+        self.wait_began_at = None;
         self.waited_ms += self.node.now().ms_since(began_at);
     }
 
