Patient requests join an engine's queue after a quarter of their target

Late urgent requests kept patient ones from free places for up to 1.6 s, and were sent as one of the least urgent to engines that did not get to them before their callers left.

Now requests that can't be in time go last in the order, keep their priority, take a place only at an engine with 40 ms or less left to prefill, and wait for twice their target at most unless a copy of their model is being loaded. A patient request that found no free place within a quarter of its target joins an engine's queue where it is in time.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -137,6 +137,6 @@
 pub use time_factors::ModelTimeFactors;
 pub use unanswered::UnansweredOrders;
 pub use wait_queue::{
-    Place, PlaceDecision, WaitOrder, WaitQueue, WaiterId, WaitingRequest,
+    Place, PlaceDecision, WaitCheck, WaitOrder, WaitQueue, WaiterId, WaitingRequest,
 };
 pub use watermark::Watermark;
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -61,14 +61,6 @@
         *self == Self::EMPTY
     }
 
-    /// The same prompts, all of this priority.
-    #[must_use]
-    pub fn with_priority(&self, priority: u32) -> Self {
-        let tokens = self.tokens.iter();
-        let sum = tokens.fold(0, |sum: u64, tokens| sum.saturating_add(*tokens));
-        Self::single(priority, sum)
-    }
-
     /// Adds the prompts of another queue.
     pub fn add(&mut self, other: &Self) {
         for (own, other) in self.tokens.iter_mut().zip(other.tokens) {
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -18,9 +18,21 @@
 /// progress and one that keeps the engine busy until entries hear of it.
 const PATIENT_UNREAD_MS: u64 = 160;
 
-/// The same for a late request: the chunk in progress, as its answer is worth little and must not
-/// make another one late.
-const LATE_UNREAD_MS: u64 = 80;
+/// The same for a late request: less than a short prompt, as its answer is worth little
+/// and must not make another one late.
+const LATE_UNREAD_MS: u64 = 40;
+
+/// Share of a patient request's target, in percent, for which it waits for an engine with
+/// little left to prefill. Afterwards it joins the queue of an engine where it is in time:
+/// engines prefill urgent prompts before it, so that it delays them by one chunk at most.
+const PATIENT_WAIT_PERCENT: u64 = 25;
+
+/// Multiple of its target for which a request waits. One that waited longer was nearly
+/// always refused, and its caller came back too late.
+const MAX_WAIT_TARGETS: u64 = 2;
+
+/// Time that a request needs after its model is ready on another engine.
+const MIN_RUN_MS: u64 = 200;
 
 /// Maximum number of requests that wait. At 12 checks per second each and a few
 /// microseconds per check, they take less than a hundredth of a core.
@@ -98,6 +110,19 @@
     pub unread_ms: u64,
 }
 
+/// What a waiting request finds when it checks.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitCheck<'a> {
+    /// The place that selection found best; `None` if all engines are full.
+    pub place: Option<Place<'a>>,
+    /// When its model is expected to be ready on another engine, if it is being loaded.
+    pub ready_at: Option<Instant>,
+    /// Number of entries that send requests to the same engines.
+    pub entries: u64,
+    /// A random number.
+    pub random: u64,
+}
+
 /// What a request does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlaceDecision {
@@ -144,7 +169,7 @@
 }
 
 /// Position in the queue; lower is earlier.
-type Rank = (bool, u32, bool, u64, u64, u64);
+type Rank = (bool, bool, u32, u64, u64, u64);
 
 impl WaitingRequest {
     /// Whether it belongs to a route that waits for the service's urgent ones.
@@ -157,16 +182,18 @@
         in_time_until(self.arrived_at, self.latency_target_ms, self.engine_ms)
     }
 
-    /// Whether it can no longer be in time. It is then sent as one of the least urgent.
-    pub fn is_late(&self, now: Instant) -> bool {
+    /// Whether it can no longer be in time.
+    fn is_late(&self, now: Instant) -> bool {
         now >= self.latest_start()
     }
 
-    /// When it is refused if it found no place.
+    /// When it is refused if it found no place. `ready_at` is when its model is expected
+    /// to be ready on another engine.
     ///
     /// A patient request leaves its caller enough time to come back and be in time. For
-    /// others there isn't enough, so they wait on, behind all that can be in time.
-    fn give_up_at(&self) -> Instant {
+    /// others there isn't enough, so they wait on for a short time, behind all that can
+    /// be in time. A request whose model will be ready soon waits for that.
+    fn give_up_at(&self, ready_at: Option<Instant>) -> Instant {
         let target_at = self.arrived_at.plus_ms(self.latency_target_ms);
         let end = if self.is_patient() && self.since < target_at {
             target_at.min(self.first_answer_deadline)
@@ -174,16 +201,29 @@
             self.first_answer_deadline
         };
         let wait_ms = end.ms_since(self.since) * MAX_WAIT_PERCENT / 100;
-        self.since.plus_ms(wait_ms)
+        let wait_max_ms = self.latency_target_ms * MAX_WAIT_TARGETS;
+        let give_up_at = self.since.plus_ms(wait_ms.min(wait_max_ms));
+        match ready_at {
+            // A copy that is ready too late serves nobody.
+            Some(ready_at)
+                if ready_at.plus_ms(MIN_RUN_MS) < self.first_answer_deadline =>
+            {
+                let ready_until = ready_at.plus_ms(SPREAD_MAX_MS);
+                let latest =
+                    self.first_answer_deadline - Duration::from_millis(MIN_RUN_MS);
+                give_up_at.max(ready_until.min(latest))
+            }
+            _ => give_up_at,
+        }
     }
 
     /// Position among the waiting requests.
     ///
     /// First come those that are in time only if they are sent within the shortest
-    /// target, then all others. Within both, a more urgent priority goes first, then
-    /// what can be in time, then the earliest latest start. So a late request delays
-    /// neither its own priority's timely ones nor any that are about to become late, and
-    /// a less urgent one that can wait longer doesn't pass it.
+    /// target, then others that can be in time, and last those that can't. Within each, a
+    /// more urgent priority goes first, and then the earliest latest start. So a late
+    /// request delays none that can be in time, and none that can wait longer passes a
+    /// more urgent one.
     fn rank(&self, now: Instant, order: WaitOrder, id: WaiterId) -> Rank {
         let latest_start = self.latest_start();
         let is_late = now >= latest_start;
@@ -196,13 +236,18 @@
             }
             WaitOrder::Arrival => (self.arrived_at.ms_since(Instant::ZERO), 0),
         };
-        (!is_pressing, self.priority, is_late, start, share, id)
+        (is_late, !is_pressing, self.priority, start, share, id)
     }
 
-    /// Whether it can take a place regardless of those that wait: it is in time, and not
-    /// patient.
+    /// Whether it can take a place regardless of those that wait: it is in time, and
+    /// waited long enough if it is patient.
     fn joins_engine_queue(&self, now: Instant, place: &Place<'_>) -> bool {
-        !self.is_patient()
+        let wait_ms = if self.is_patient() {
+            self.latency_target_ms * PATIENT_WAIT_PERCENT / 100
+        } else {
+            0
+        };
+        now >= self.since.plus_ms(wait_ms)
             && !self.is_late(now)
             && admit(&self.admission(now, place)).is_ok()
     }
@@ -315,39 +360,44 @@
         self.waiters.remove(&id);
     }
 
-    /// Decides what a waiting request does about the place that selection found;
-    /// `None` if there is none. `entries` is the number of entries that send requests to
-    /// the same engines.
+    /// Decides what a waiting request does.
     pub fn decide(
         &mut self,
         now: Instant,
         id: WaiterId,
-        place: Option<&Place<'_>>,
-        entries: u64,
-        random: u64,
+        check: &WaitCheck<'_>,
     ) -> PlaceDecision {
         let Some(waiter) = self.waiters.get_mut(&id) else {
-            return PlaceDecision::Refuse(retry_after_ms(0, random));
+            return PlaceDecision::Refuse(retry_after_ms(0, check.random));
         };
         let request = waiter.request;
+        let place = check.place.as_ref();
         let is_first_place = waiter.upstream.is_none();
         waiter.upstream = place.map(|place| Arc::clone(place.upstream));
         let is_displaced = waiter.is_displaced;
+        let left_ms = request.give_up_at(check.ready_at).ms_since(now);
         if let Some(place) = place.filter(|_| !is_displaced)
             && (request.joins_engine_queue(now, place)
-                || self.takes_free_place(now, id, place, entries, random))
+                || self.takes_free_place(now, id, place, check, left_ms))
         {
             return PlaceDecision::Take;
         }
         let free_after_ms = place.map_or(0, |place| self.free_after_ms(now, id, place));
-        let left_ms = request.give_up_at().ms_since(now);
         // Prompts count in full until they are answered, so the estimate doesn't shrink as
         // time passes. It is compared once.
-        let is_hopeless = is_first_place && free_after_ms > left_ms;
+        let is_hopeless = is_first_place
+            && place.is_some_and(|place| {
+                if request.is_patient() {
+                    admit(&request.admission(now, place)).is_err()
+                } else {
+                    free_after_ms > left_ms
+                }
+            });
         if is_displaced || left_ms == 0 || is_hopeless {
-            return PlaceDecision::Refuse(retry_after_ms(free_after_ms, random));
+            return PlaceDecision::Refuse(retry_after_ms(free_after_ms, check.random));
         }
-        PlaceDecision::Wait(self.check_after_ms(now, id, random))
+        let check_after_ms = self.check_after_ms(now, id, check.random);
+        PlaceDecision::Wait(check_after_ms.min(left_ms))
     }
 
     /// The requests that should check again at once, as an engine has less left to
@@ -385,8 +435,8 @@
         now: Instant,
         id: WaiterId,
         place: &Place<'_>,
-        entries: u64,
-        random: u64,
+        check: &WaitCheck<'_>,
+        left_ms: u64,
     ) -> bool {
         let Some(request) = self.waiters.get(&id).map(|waiter| waiter.request) else {
             return false;
@@ -400,13 +450,12 @@
             waiter.take_at = None;
             return false;
         }
-        let left_ms = request.give_up_at().ms_since(now);
-        let spread_ms = (entries.saturating_sub(1) * SPREAD_PER_ENTRY_MS)
+        let spread_ms = (check.entries.saturating_sub(1) * SPREAD_PER_ENTRY_MS)
             .min(SPREAD_MAX_MS)
             .min(left_ms / 2);
         let take_at = *waiter
             .take_at
-            .get_or_insert_with(|| now.plus_ms(random % (spread_ms + 1)));
+            .get_or_insert_with(|| now.plus_ms(check.random % (spread_ms + 1)));
         now >= take_at
     }
 
@@ -479,9 +528,7 @@
         } else {
             PRESSING_CHECK_MS
         };
-        let spread_ms = interval_ms / 2 + random % interval_ms;
-        let left_ms = request.give_up_at().ms_since(now);
-        spread_ms.min(left_ms).max(1)
+        interval_ms / 2 + random % interval_ms
     }
 }
 
--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -3,7 +3,8 @@
 
 use base::prelude::*;
 use direct::{
-    Place, PlaceDecision, PrefillQueue, SelectedUpstream, WaiterId, WaitingRequest,
+    Place, PlaceDecision, PrefillQueue, SelectedUpstream, WaitCheck, WaiterId,
+    WaitingRequest,
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -93,17 +94,17 @@
     pub(crate) fn decide_place(
         &mut self,
         wait: &mut Option<EntryWait>,
-        selected: Option<&mut SelectedUpstream>,
+        selected: Option<&SelectedUpstream>,
         mean_prefill_ms: f64,
     ) -> EntryDecision {
         let node = Arc::clone(&self.node);
         let now = node.now();
-        let waiting = self.waiting_request(now, selected.as_deref());
+        let waiting = self.waiting_request(now, selected);
         let id = selected.as_ref().map(|selected| Arc::clone(&selected.id));
         let place = selected
-            .as_deref()
             .zip(id.as_ref())
             .map(|(selected, id)| place(selected, id, mean_prefill_ms));
+        let ready_at = self.ready_at();
         let service = &self.request.service;
         let decision = match (&*wait, &place) {
             (None, Some(place))
@@ -115,27 +116,19 @@
             }
             (None, _) => match EntryWait::join(&node, service, waiting) {
                 Ok(joined) => {
-                    let decision = joined.decide(place.as_ref());
+                    let decision = joined.decide(place, ready_at);
                     *wait = Some(joined);
                     decision
                 }
                 Err(retry_after_ms) => PlaceDecision::Refuse(retry_after_ms),
             },
-            (Some(joined), _) => joined.decide(place.as_ref()),
+            (Some(joined), _) => joined.decide(place, ready_at),
         };
         match decision {
             PlaceDecision::Take => {
                 if let Some(wait) = wait {
                     wait.outcome = "sent";
                 }
-                if waiting.is_late(now) {
-                    self.request.is_late = true;
-                }
-                if let Some(selected) = selected {
-                    let priority = self.request.priority();
-                    selected.usage.prefill =
-                        selected.usage.prefill.with_priority(priority);
-                }
                 EntryDecision::Take
             }
             PlaceDecision::Wait(_)
@@ -224,17 +217,20 @@
 }
 
 impl EntryWait {
-    fn decide(&self, place: Option<&Place<'_>>) -> PlaceDecision {
+    fn decide(
+        &self,
+        place: Option<Place<'_>>,
+        ready_at: Option<Instant>,
+    ) -> PlaceDecision {
         let node = &self.node;
-        let entries = node.peers.entry_count() as u64;
-        node.entry_queues.decide(
-            node.now(),
-            &self.service,
-            self.id,
+        let check = WaitCheck {
             place,
-            entries,
-            node.random(),
-        )
+            ready_at,
+            entries: node.peers.entry_count() as u64,
+            random: node.random(),
+        };
+        node.entry_queues
+            .decide(node.now(), &self.service, self.id, &check)
     }
 }
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -194,7 +194,6 @@
         service,
         origin,
         service_spec,
-        is_late: false,
         config_version: config.version,
         workspace,
         charge,
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -3,7 +3,7 @@
 use access::Workspace;
 use base::prelude::*;
 use bytes::Bytes;
-use direct::{PRIORITY_LEVELS, Route, ServiceSpec, StreamOrigin};
+use direct::{Route, ServiceSpec, StreamOrigin};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use route::PromptPart;
@@ -12,10 +12,6 @@
 use super::quota::Charge;
 use crate::{BootClock, RequestHead};
 
-/// Priority of late requests where urgent ones are scarce: the lowest that engines'
-/// queues tell apart.
-const LATE_PRIORITY: u32 = PRIORITY_LEVELS as u32 - 1;
-
 /// A caller's request with everything that determines how it is handled.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -33,8 +29,6 @@
     /// Shortest target latency of the service if its requests wait for capacity in the
     /// order of urgency.
     pub(crate) urgent_target_ms: Option<u64>,
-    /// Whether it was sent although its answer is late, as one of the least urgent.
-    pub(crate) is_late: bool,
     pub(crate) config_version: u64,
     /// Workspace of the caller; `None` where callers need no key.
     pub(crate) workspace: Option<Arc<Workspace>>,
@@ -73,17 +67,11 @@
     }
 
     /// Priority; 0 is the highest. That of the workspace overrides that of the
-    /// route. A request that waited until it was late has the lowest, so that it delays
-    /// none that can be in time.
+    /// route.
     pub(crate) fn priority(&self) -> u32 {
         let own = self.workspace.as_ref();
         let own = own.and_then(|workspace| workspace.priority);
-        let priority = own.unwrap_or(self.route.priority);
-        if self.is_late {
-            priority.max(LATE_PRIORITY)
-        } else {
-            priority
-        }
+        own.unwrap_or(self.route.priority)
     }
 
     /// Time until the deadline.
--- a/crates/front/src/state/entry_queues.rs
+++ b/crates/front/src/state/entry_queues.rs
@@ -1,7 +1,7 @@
 //! Requests that wait at this entry for a place at an engine, by service.
 
 use base::prelude::*;
-use direct::{Place, PlaceDecision, WaitQueue, WaiterId, WaitingRequest};
+use direct::{Place, PlaceDecision, WaitCheck, WaitQueue, WaiterId, WaitingRequest};
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -78,15 +78,11 @@
         now: Instant,
         service: &str,
         id: WaiterId,
-        place: Option<&Place<'_>>,
-        entries: u64,
-        random: u64,
+        check: &WaitCheck<'_>,
     ) -> PlaceDecision {
         let mut queues = self.by_service.lock();
         match queues.get_mut(service) {
-            Some(service_queue) => {
-                service_queue.queue.decide(now, id, place, entries, random)
-            }
+            Some(service_queue) => service_queue.queue.decide(now, id, check),
             None => PlaceDecision::Refuse(0),
         }
     }
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -61,7 +61,7 @@
         loop {
             let holdings_changed = node.holdings_changed.notified();
             let capacity_freed = node.capacity_freed.notified();
-            let mut selection = self.select();
+            let selection = self.select();
             if self.is_ordered() && waits_for_place(&selection) {
                 if let Ok(selected) = &selection {
                     mean_prefill_ms.get_or_insert_with(|| self.record_prompt(selected));
@@ -69,7 +69,7 @@
                 let mean_ms = mean_prefill_ms.unwrap_or(0.0);
                 match self.decide_place(
                     &mut entry_wait,
-                    selection.as_mut().ok(),
+                    selection.as_ref().ok(),
                     mean_ms,
                 ) {
                     EntryDecision::Take => {}
@@ -232,7 +232,7 @@
 
     /// Returns when the request's model is expected to be ready on some
     /// upstream, if it is being loaded.
-    fn ready_at(&self) -> Option<Instant> {
+    pub(crate) fn ready_at(&self) -> Option<Instant> {
         let (model, _) = self.request.head.model.as_ref()?;
         let fleet = self.node.fleet.lock();
         fleet.model_ready_at(self.node.now(), &self.request.service, model)
