--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -3,9 +3,9 @@
 //! A request that waits at the entry delays nobody. One that waits at an engine is
 //! counted in front of all that come later, also of more urgent ones: their engines
 //! finish a chunk of it first, and their entries hear of it up to 300 ms late. So only
-//! requests that begin in time if they are sent now join an engine's queue. All others
-//! wait here, in the order of [`WaitingRequest`]'s rank, until an engine has little left
-//! to prefill.
+//! requests that begin in time if they are sent now, and can't wait longer, join an
+//! engine's queue. All others wait here, those that can be in time and are more urgent
+//! first, until an engine has little left to prefill.
 
 use base::prelude::*;
 use std::collections::BTreeMap;
@@ -27,15 +27,15 @@
 /// engines prefill urgent prompts before it, so that it delays them by one chunk at most.
 const PATIENT_WAIT_PERCENT: u64 = 25;
 
-/// Multiple of its target for which a request waits. One that waited longer was nearly
-/// always refused, and its caller came back too late.
+/// Multiple of its target for which a request waits at most. With 3.2 times a target of
+/// 500 ms, about 1,100 of 7,200 requests of a heavy day were held and then refused.
 const MAX_WAIT_TARGETS: u64 = 2;
 
 /// Time that a request needs after its model is ready on another engine.
 const MIN_RUN_MS: u64 = 200;
 
-/// Maximum number of requests that wait. At 12 checks per second each and a few
-/// microseconds per check, they take less than a hundredth of a core.
+/// Maximum number of requests that wait. Each selects an engine up to 25 times per
+/// second, and the smallest entries have 0.068 of a core.
 const WAITERS_MAX: usize = 64;
 
 /// Maximum size of the bodies of waiting requests. The smallest entries have 120 MB.
@@ -140,8 +140,7 @@
     /// By the latest time at which they can begin and be in time.
     #[default]
     LatestStart,
-    /// By arrival. For comparison: it serves fewer requests in time where routes of one
-    /// priority differ in target or prompts in length.
+    /// By arrival. For comparison in tests.
     Arrival,
 }
 
--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -82,10 +82,12 @@
 
 impl Dispatch {
     /// Returns whether the request waits in the order of urgency. One that was sent to
-    /// an upstream before doesn't wait again.
+    /// an upstream before doesn't wait again, and one without a target has no place in
+    /// the order.
     pub(crate) fn is_ordered(&self) -> bool {
         self.request.urgent_target_ms.is_some()
             && self.request.head.model.is_some()
+            && self.request.route.latency_target_ms > 0
             && self.attempted.lock().sent_to.is_empty()
     }
 
