Patient backlogs don't keep late urgent requests waiting; times to come back

Since patient requests join engines' queues after a quarter of their target, their backlog counted as unread before late urgent requests, which engines prefill first anyway. An urgent request behind it was then refused at once as hopeless, with a time to come back of seconds. Only prompts that the request must not delay count now. Retry-After is a fifth of the remaining time at most before the spread, as callers honour a third.

--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -92,6 +92,13 @@
         ahead_ms + (less_urgent_ms * LESS_URGENT_SHARE).min(CHUNK_MS)
     }
 
+    /// Time to prefill the prompts that a request of this priority must not delay: all but
+    /// those of the least urgent priority, and those too for a request of that.
+    pub fn unread_ms(&self, priority: u32) -> f64 {
+        let least_urgent = PRIORITY_LEVELS as u32 - 1;
+        self.split_ms(priority.max(least_urgent - 1)).0
+    }
+
     /// Time to prefill the prompts of this priority and above, and that for the others.
     fn split_ms(&self, priority: u32) -> (f64, f64) {
         let (ahead, less_urgent) = self.tokens.split_at(index(priority) + 1);
--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -77,7 +77,8 @@
     pub own_prefill_ms: f64,
     /// Prompt tokens that the upstream has to prefill, as far as this entry knows.
     pub prefill_tokens: u64,
-    /// Time to prefill all prompts that are at the upstream, whatever their priority.
+    /// Time to prefill the prompts at the upstream that the request must not delay; see
+    /// [`PrefillQueue::unread_ms`].
     pub unread_ms: f64,
 }
 
@@ -246,7 +247,7 @@
         predicted_ms: wait_ms,
         own_prefill_ms: added.prefill.prefill_ms(),
         prefill_tokens: input.prompt_tokens.saturating_sub(cached_tokens),
-        unread_ms: usage.prefill.prefill_ms(),
+        unread_ms: usage.prefill.unread_ms(input.priority),
     };
     Ok((score, selected))
 }
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -68,6 +68,10 @@
 /// answer wakes others.
 const WAKE_MAX: usize = 2;
 
+/// Maximum share of its remaining time, in percent, after which a refused caller should
+/// come back, before the spread. Callers wait for a third of that time at most.
+const MAX_RETRY_PERCENT: u64 = 20;
+
 /// Minimum time after which a refused caller should come back.
 const MIN_RETRY_AFTER_MS: u64 = 250;
 
@@ -106,7 +110,8 @@
     pub prefill_ms: u64,
     /// Mean time to prefill a prompt of the route.
     pub mean_prefill_ms: u64,
-    /// Time to prefill all prompts that are there, whatever their priority.
+    /// Time to prefill the prompts there that the request must not delay. Those of the
+    /// least urgent priority wait for all others anyway.
     pub unread_ms: u64,
 }
 
@@ -251,6 +256,16 @@
             && admit(&self.admission(now, place)).is_ok()
     }
 
+    /// When its caller should come back if it is refused: when its engine is expected to
+    /// be free, within the time that the caller would wait, and spread over half as long
+    /// again, so that callers don't all return at once.
+    fn retry_after_ms(&self, now: Instant, free_after_ms: u64, random: u64) -> u64 {
+        let left_ms = self.first_answer_deadline.ms_since(now);
+        let retry_max_ms = left_ms * MAX_RETRY_PERCENT / 100;
+        let retry_ms = free_after_ms.min(retry_max_ms).max(MIN_RETRY_AFTER_MS);
+        retry_ms + random % (retry_ms / 2 + 1)
+    }
+
     /// Whether the place is free for a request that is patient or late.
     fn finds_free(&self, now: Instant, place: &Place<'_>) -> bool {
         let answer_at = now.plus_ms(place.queue_ms + place.prefill_ms);
@@ -340,7 +355,7 @@
                         last.is_displaced = true;
                     }
                 }
-                _ => return Err(retry_after_ms(0, random)),
+                _ => return Err(request.retry_after_ms(now, 0, random)),
             }
         }
         self.next_id += 1;
@@ -367,7 +382,7 @@
         check: &WaitCheck<'_>,
     ) -> PlaceDecision {
         let Some(waiter) = self.waiters.get_mut(&id) else {
-            return PlaceDecision::Refuse(retry_after_ms(0, check.random));
+            return PlaceDecision::Refuse(MIN_RETRY_AFTER_MS);
         };
         let request = waiter.request;
         let place = check.place.as_ref();
@@ -393,7 +408,9 @@
                 }
             });
         if is_displaced || left_ms == 0 || is_hopeless {
-            return PlaceDecision::Refuse(retry_after_ms(free_after_ms, check.random));
+            let retry_after_ms =
+                request.retry_after_ms(now, free_after_ms, check.random);
+            return PlaceDecision::Refuse(retry_after_ms);
         }
         let check_after_ms = self.check_after_ms(now, id, check.random);
         PlaceDecision::Wait(check_after_ms.min(left_ms))
@@ -530,14 +547,3 @@
         interval_ms / 2 + random % interval_ms
     }
 }
-
-/// When a refused caller should come back: when its engine is expected to be free,
-/// spread over half as long again, so that callers don't all return at once.
-const fn retry_after_ms(expected_ms: u64, random: u64) -> u64 {
-    let expected_ms = if expected_ms > MIN_RETRY_AFTER_MS {
-        expected_ms
-    } else {
-        MIN_RETRY_AFTER_MS
-    };
-    expected_ms + random % (expected_ms / 2 + 1)
-}
--- a/crates/direct/tests/all/prefill.rs
+++ b/crates/direct/tests/all/prefill.rs
@@ -27,6 +27,17 @@
     );
 }
 
+/// A patient backlog, which waits for all others anyway, must not keep a late urgent
+/// request from being sent.
+#[test]
+fn the_least_urgent_prompts_are_unread_only_for_their_own_priority() {
+    let mut queue = PrefillQueue::single(2, 60_000);
+    queue.add(&PrefillQueue::single(1, 2_000));
+    assert!((queue.unread_ms(0) - 100.0).abs() < 0.1);
+    assert!((queue.unread_ms(1) - 100.0).abs() < 0.1);
+    assert!((queue.unread_ms(2) - 3_100.0).abs() < 0.1);
+}
+
 #[test]
 fn removing_more_than_the_queue_holds_empties_it() {
     let mut queue = PrefillQueue::single(9, 100);
