Only requests that can be in time wait at the entry

A request that is too late by more than the time that it may still wait, half of its target, is now refused at once, as before the queue. A patient request waits while its engine has more than 160 ms left to prefill, for a quarter of its target at most, and is then admitted as before.

--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -18,22 +18,11 @@
 /// progress and one that keeps the engine busy until entries hear of it.
 const PATIENT_UNREAD_MS: u64 = 160;
 
-/// The same for a late request: less than a short prompt, as its answer is worth little
-/// and must not make another one late.
-const LATE_UNREAD_MS: u64 = 40;
-
 /// Share of a patient request's target, in percent, for which it waits for an engine with
 /// little left to prefill. Afterwards it joins the queue of an engine where it is in time:
 /// engines prefill urgent prompts before it, so that it delays them by one chunk at most.
 const PATIENT_WAIT_PERCENT: u64 = 25;
 
-/// Multiple of its target for which a request waits at most. With 3.2 times a target of
-/// 500 ms, about 1,100 of 7,200 requests of a heavy day were held and then refused.
-const MAX_WAIT_TARGETS: u64 = 2;
-
-/// Time that a request needs after its model is ready on another engine.
-const MIN_RUN_MS: u64 = 200;
-
 /// Maximum number of requests that wait. Each selects an engine up to 25 times per
 /// second, and the smallest entries have 0.068 of a core.
 const WAITERS_MAX: usize = 64;
@@ -41,17 +30,17 @@
 /// Maximum size of the bodies of waiting requests. The smallest entries have 120 MB.
 const WAITING_MAX_BYTES: usize = 8 << 20;
 
-/// Share of the remaining time, in percent, for which a request waits. A caller that is
-/// refused then can come back.
+/// Share of the time to its target, in percent, for which a request waits. A caller that
+/// is refused then can come back.
 const MAX_WAIT_PERCENT: u64 = 50;
 
 /// Latest starts that differ by less are similar: estimates are not more accurate.
 const SIMILAR_START_MS: u64 = 100;
 
-/// Interval between two checks of a request that may still be in time.
+/// Interval between two checks of a request that isn't patient.
 const PRESSING_CHECK_MS: u64 = 40;
 
-/// Interval between two checks of other requests. Usage by other entries is known with
+/// Interval between two checks of a patient request. Usage by other entries is known with
 /// about this delay.
 const CHECK_MS: u64 = 150;
 
@@ -120,8 +109,6 @@
 pub struct WaitCheck<'a> {
     /// The place that selection found best; `None` if all engines are full.
     pub place: Option<Place<'a>>,
-    /// When its model is expected to be ready on another engine, if it is being loaded.
-    pub ready_at: Option<Instant>,
     /// Number of entries that send requests to the same engines.
     pub entries: u64,
     /// A random number.
@@ -173,7 +160,7 @@
 }
 
 /// Position in the queue; lower is earlier.
-type Rank = (bool, bool, u32, u64, u64, u64);
+type Rank = (bool, u32, u64, u64, u64);
 
 impl WaitingRequest {
     /// Whether it belongs to a route that waits for the service's urgent ones.
@@ -186,53 +173,22 @@
         in_time_until(self.arrived_at, self.latency_target_ms, self.engine_ms)
     }
 
-    /// Whether it can no longer be in time.
-    fn is_late(&self, now: Instant) -> bool {
-        now >= self.latest_start()
-    }
-
-    /// When it is refused if it found no place. `ready_at` is when its model is expected
-    /// to be ready on another engine.
-    ///
-    /// A patient request leaves its caller enough time to come back and be in time. For
-    /// others there isn't enough, so they wait on for a short time, behind all that can
-    /// be in time. A request whose model will be ready soon waits for that.
-    fn give_up_at(&self, ready_at: Option<Instant>) -> Instant {
+    /// When it is refused if it found no place.
+    fn give_up_at(&self) -> Instant {
         let target_at = self.arrived_at.plus_ms(self.latency_target_ms);
-        let end = if self.is_patient() && self.since < target_at {
-            target_at.min(self.first_answer_deadline)
-        } else {
-            self.first_answer_deadline
-        };
+        let end = target_at.min(self.first_answer_deadline);
         let wait_ms = end.ms_since(self.since) * MAX_WAIT_PERCENT / 100;
-        let wait_max_ms = self.latency_target_ms * MAX_WAIT_TARGETS;
-        let give_up_at = self.since.plus_ms(wait_ms.min(wait_max_ms));
-        match ready_at {
-            // A copy that is ready too late serves nobody.
-            Some(ready_at)
-                if ready_at.plus_ms(MIN_RUN_MS) < self.first_answer_deadline =>
-            {
-                let ready_until = ready_at.plus_ms(SPREAD_MAX_MS);
-                let latest =
-                    self.first_answer_deadline - Duration::from_millis(MIN_RUN_MS);
-                give_up_at.max(ready_until.min(latest))
-            }
-            _ => give_up_at,
-        }
+        self.since.plus_ms(wait_ms)
     }
 
     /// Position among the waiting requests.
     ///
     /// First come those that are in time only if they are sent within the shortest
-    /// target, then others that can be in time, and last those that can't. Within each, a
-    /// more urgent priority goes first, and then the earliest latest start. So a late
-    /// request delays none that can be in time, and none that can wait longer passes a
-    /// more urgent one.
+    /// target, then the others. Within each, a more urgent priority goes first, and then
+    /// the earliest latest start. So none that can wait longer passes a more urgent one.
     fn rank(&self, now: Instant, order: WaitOrder, id: WaiterId) -> Rank {
         let latest_start = self.latest_start();
-        let is_late = now >= latest_start;
-        let slack_ms = latest_start.ms_since(now);
-        let is_pressing = !is_late && slack_ms <= self.urgent_target_ms;
+        let is_pressing = latest_start.ms_since(now) <= self.urgent_target_ms;
         let (start, share) = match order {
             WaitOrder::LatestStart => {
                 let start_ms = latest_start.ms_since(Instant::ZERO);
@@ -240,46 +196,40 @@
             }
             WaitOrder::Arrival => (self.arrived_at.ms_since(Instant::ZERO), 0),
         };
-        (is_late, !is_pressing, self.priority, start, share, id)
+        (!is_pressing, self.priority, start, share, id)
     }
 
-    /// Whether it can take a place regardless of those that wait: it is in time, and
-    /// waited long enough if it is patient.
+    /// Whether it can take a place regardless of those that wait: it is admitted there,
+    /// and waited long enough if it is patient.
     fn joins_engine_queue(&self, now: Instant, place: &Place<'_>) -> bool {
         let wait_ms = if self.is_patient() {
             self.latency_target_ms * PATIENT_WAIT_PERCENT / 100
         } else {
             0
         };
-        now >= self.since.plus_ms(wait_ms)
-            && !self.is_late(now)
-            && admit(&self.admission(now, place)).is_ok()
+        now >= self.since.plus_ms(wait_ms) && self.late_ms(now, place) == 0
+    }
+
+    /// By how much it would be too late at the place.
+    fn late_ms(&self, now: Instant, place: &Place<'_>) -> u64 {
+        admit(&self.admission(now, place)).err().unwrap_or(0)
     }
 
-    /// When its caller should come back if it is refused: when its engine is expected to
-    /// be free, within the time that the caller would wait, and spread over half as long
+    /// When its caller should come back if it is refused: when it would no
+    /// longer be too late, within the time that the caller would wait, and spread over half as long
     /// again, so that callers don't all return at once.
-    fn retry_after_ms(&self, now: Instant, free_after_ms: u64, random: u64) -> u64 {
+    fn retry_after_ms(&self, now: Instant, late_ms: u64, random: u64) -> u64 {
         let left_ms = self.first_answer_deadline.ms_since(now);
         let retry_max_ms = left_ms * MAX_RETRY_PERCENT / 100;
-        let retry_ms = free_after_ms.min(retry_max_ms).max(MIN_RETRY_AFTER_MS);
+        let retry_ms = late_ms.min(retry_max_ms).max(MIN_RETRY_AFTER_MS);
         retry_ms + random % (retry_ms / 2 + 1)
     }
 
-    /// Whether the place is free for a request that is patient or late.
+    /// Whether the place is free for a patient request.
     fn finds_free(&self, now: Instant, place: &Place<'_>) -> bool {
-        let answer_at = now.plus_ms(place.queue_ms + place.prefill_ms);
-        place.unread_ms <= self.unread_max_ms(now)
-            && answer_at <= self.first_answer_deadline
-    }
-
-    /// Prefill time that its engine may have left if it is patient or late.
-    fn unread_max_ms(&self, now: Instant) -> u64 {
-        if self.is_late(now) {
-            LATE_UNREAD_MS
-        } else {
-            PATIENT_UNREAD_MS
-        }
+        self.is_patient()
+            && place.unread_ms <= PATIENT_UNREAD_MS
+            && self.late_ms(now, place) == 0
     }
 
     fn admission(&self, now: Instant, place: &Place<'_>) -> AdmissionInput {
@@ -316,8 +266,7 @@
         self.waiters.is_empty()
     }
 
-    /// Decides whether a request that has not waited takes a place at once. One that
-    /// waited for something else, as others did, is to join the queue instead.
+    /// Decides whether a request that has not waited here takes a place at once.
     pub fn takes_at_once(
         &self,
         now: Instant,
@@ -325,8 +274,7 @@
         place: &Place<'_>,
     ) -> bool {
         request.joins_engine_queue(now, place)
-            || (request.since == request.arrived_at
-                && request.finds_free(now, place)
+            || (request.finds_free(now, place)
                 && self.is_first(now, request, self.next_id, place.upstream))
     }
 
@@ -386,30 +334,20 @@
         };
         let request = waiter.request;
         let place = check.place.as_ref();
-        let is_first_place = waiter.upstream.is_none();
         waiter.upstream = place.map(|place| Arc::clone(place.upstream));
         let is_displaced = waiter.is_displaced;
-        let left_ms = request.give_up_at(check.ready_at).ms_since(now);
+        let left_ms = request.give_up_at().ms_since(now);
         if let Some(place) = place.filter(|_| !is_displaced)
             && (request.joins_engine_queue(now, place)
                 || self.takes_free_place(now, id, place, check, left_ms))
         {
             return PlaceDecision::Take;
         }
-        let free_after_ms = place.map_or(0, |place| self.free_after_ms(now, id, place));
-        // Prompts count in full until they are answered, so the estimate doesn't shrink as
-        // time passes. It is compared once.
-        let is_hopeless = is_first_place
-            && place.is_some_and(|place| {
-                if request.is_patient() {
-                    admit(&request.admission(now, place)).is_err()
-                } else {
-                    free_after_ms > left_ms
-                }
-            });
-        if is_displaced || left_ms == 0 || is_hopeless {
-            let retry_after_ms =
-                request.retry_after_ms(now, free_after_ms, check.random);
+        let late_ms = place.map_or(0, |place| request.late_ms(now, place));
+        // The time left shrinks as fast as the queue, so waiting only helps if the engine
+        // is ahead of the estimate, or another one has a shorter queue.
+        if is_displaced || late_ms >= left_ms {
+            let retry_after_ms = request.retry_after_ms(now, late_ms, check.random);
             return PlaceDecision::Refuse(retry_after_ms);
         }
         let check_after_ms = self.check_after_ms(now, id, check.random);
@@ -443,9 +381,9 @@
         displaced.map(|(id, _)| *id)
     }
 
-    /// Whether a patient or late request takes the place now. It does if no request
-    /// before it waits for the same engine, and after a random time, so that the entries
-    /// don't all send to an engine before they hear of one another.
+    /// Whether a patient request takes the place now. It does if no request before it
+    /// waits for the same engine, and after a random time, so that the entries don't all
+    /// send to an engine before they hear of one another.
     fn takes_free_place(
         &mut self,
         now: Instant,
@@ -475,7 +413,7 @@
         now >= take_at
     }
 
-    /// Whether no other request that waits for an engine is before this one.
+    /// Whether no other request that waits for the engine is before this one.
     fn is_first(
         &self,
         now: Instant,
@@ -483,40 +421,13 @@
         id: WaiterId,
         upstream: &Arc<str>,
     ) -> bool {
-        let mut rivals = self.rivals_before(now, request, id, upstream);
-        rivals.next().is_none()
-    }
-
-    /// The requests that wait for the same engine and go before this one.
-    fn rivals_before(
-        &self,
-        now: Instant,
-        request: &WaitingRequest,
-        id: WaiterId,
-        upstream: &Arc<str>,
-    ) -> impl Iterator<Item = &WaitingRequest> {
         let rank = request.rank(now, self.order, id);
-        let rivals = self.waiters.iter().filter(move |(other_id, other)| {
-            **other_id != id
+        !self.waiters.iter().any(|(other_id, other)| {
+            *other_id != id
                 && !other.is_displaced
                 && other.upstream.as_ref() == Some(upstream)
-                && other.request.rank(now, self.order, **other_id) < rank
-        });
-        rivals.map(|(_, rival)| &rival.request)
-    }
-
-    /// Minimum time until a place at the engine is free for a request: until the engine
-    /// has little left to prefill, and has prefilled what waits before the request here.
-    fn free_after_ms(&self, now: Instant, id: WaiterId, place: &Place<'_>) -> u64 {
-        let Some(waiter) = self.waiters.get(&id) else {
-            return 0;
-        };
-        let rivals_ms: u64 = self
-            .rivals_before(now, &waiter.request, id, place.upstream)
-            .map(|rival| rival.engine_ms)
-            .sum();
-        let unread_max_ms = waiter.request.unread_max_ms(now);
-        (place.unread_ms + rivals_ms).saturating_sub(unread_max_ms)
+                && other.request.rank(now, self.order, *other_id) < rank
+        })
     }
 
     fn is_full_for(&self, request: &WaitingRequest) -> bool {
@@ -539,7 +450,7 @@
             return take_at.ms_since(now).max(1);
         }
         let request = &waiter.request;
-        let interval_ms = if request.is_late(now) || request.is_patient() {
+        let interval_ms = if request.is_patient() {
             CHECK_MS
         } else {
             PRESSING_CHECK_MS
--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -106,7 +106,6 @@
         let place = selected
             .zip(id.as_ref())
             .map(|(selected, id)| place(selected, id, mean_prefill_ms));
-        let ready_at = self.ready_at();
         let service = &self.request.service;
         let decision = match (&*wait, &place) {
             (None, Some(place))
@@ -118,13 +117,13 @@
             }
             (None, _) => match EntryWait::join(&node, service, waiting) {
                 Ok(joined) => {
-                    let decision = joined.decide(place, ready_at);
+                    let decision = joined.decide(place);
                     *wait = Some(joined);
                     decision
                 }
                 Err(retry_after_ms) => PlaceDecision::Refuse(retry_after_ms),
             },
-            (Some(joined), _) => joined.decide(place, ready_at),
+            (Some(joined), _) => joined.decide(place),
         };
         match decision {
             PlaceDecision::Take => {
@@ -219,15 +218,10 @@
 }
 
 impl EntryWait {
-    fn decide(
-        &self,
-        place: Option<Place<'_>>,
-        ready_at: Option<Instant>,
-    ) -> PlaceDecision {
+    fn decide(&self, place: Option<Place<'_>>) -> PlaceDecision {
         let node = &self.node;
         let check = WaitCheck {
             place,
-            ready_at,
             entries: node.peers.entry_count() as u64,
             random: node.random(),
         };
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -232,7 +232,7 @@
 
     /// Returns when the request's model is expected to be ready on some
     /// upstream, if it is being loaded.
-    pub(crate) fn ready_at(&self) -> Option<Instant> {
+    fn ready_at(&self) -> Option<Instant> {
         let (model, _) = self.request.head.model.as_ref()?;
         let fleet = self.node.fleet.lock();
         fleet.model_ready_at(self.node.now(), &self.request.service, model)
