--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -5,10 +5,7 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Ratio of two targets of one service from which on requests of the longer one wait for
-/// those of the shorter one. The longer target then holds several of the queues that
-/// make a request of the shorter one late, so waiting costs its callers nothing.
-const PATIENT_TARGET_RATIO: u64 = 12;
+use crate::target_spread::is_patient;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
@@ -297,12 +294,6 @@
     shortest
 }
 
-/// Whether a target latency is so much longer than the shortest one of its service that
-/// its requests wait until an engine has little left to prefill.
-pub const fn is_patient(latency_target_ms: u64, urgent_target_ms: u64) -> bool {
-    latency_target_ms >= urgent_target_ms.saturating_mul(PATIENT_TARGET_RATIO)
-}
-
 /// The shortest target latency of a service if some route is patient beside it.
 fn urgent_target_ms(routes: &[Route], service: &str) -> Option<u64> {
     let of_service: Vec<_> = routes
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -106,7 +106,7 @@
 pub use capacity_pressure::CapacityPressure;
 pub use config::{
     Config, EngineSpec, Limits, ModelSpec, Route, RouteKind, ServiceSpec,
-    WeightedService, is_patient,
+    WeightedService,
 };
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
 pub use demand_pressure::DemandPressure;
@@ -153,7 +153,7 @@
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
 };
-pub use target_spread::{PATIENT_TARGET_RATIO, targets_differ_widely};
+pub use target_spread::{is_patient, targets_differ_widely};
 pub use time_factors::ModelTimeFactors;
 pub use unanswered::UnansweredOrders;
 pub use wait_queue::{
--- a/crates/direct/src/plan/timely.rs
+++ b/crates/direct/src/plan/timely.rs
@@ -4,7 +4,7 @@
 
 use super::index_set::IndexSet;
 use super::model_index::ModelIndex;
-use crate::target_spread::PATIENT_TARGET_RATIO;
+use crate::target_spread::is_patient;
 use crate::{CapacityPressure, ModelSpec};
 
 /// Time for which a copy is of use, counted from the decision. It brings its relief for
@@ -160,8 +160,3 @@
         (1.0 - ready_ms / COPY_IN_USE_MS).max(MIN_SHARE)
     }
 }
-
-/// Whether callers with a target of `target_ms` wait for those with `other_ms`.
-const fn is_patient(target_ms: u64, other_ms: u64) -> bool {
-    other_ms > 0 && target_ms >= other_ms.saturating_mul(PATIENT_TARGET_RATIO)
-}
