Findings of the review: order of requests over their share, changes that relays lose

- A workspace over its share had half of its target, and so looked more urgent and was no longer patient.
The shorter target now only bounds what is admitted, and the rank of its workspace is that of the moment.
- A request whose place was gone before its random time was over checked each millisecond.
One that couldn't fit made others leave.
One that waited for its model was refused before it could join.
One that waits for something else leaves the queue.
- A relayed message with changes was dropped if a direct one overtook it: it is sent directly.
Repeats chose the same items each time.
Changes were limited as if each entry passed them on, and were missing in messages with records.
- A route without a target made the models of all others patient.
A new coordinator waits for the demand of all entries.
A patient model gets its turn after 20 s.

--- a/crates/direct/src/capacity_pressure.rs
+++ b/crates/direct/src/capacity_pressure.rs
@@ -30,6 +30,8 @@
     pub unanswering: BTreeSet<Arc<str>>,
     /// Loads from the weight store that are decided and wait for an unload.
     pub reserved_store_loads: usize,
+    /// Time within which all entries report their demand to a new coordinator.
+    pub demand_reported_after_ms: u64,
 }
 
 impl CapacityPressure {
@@ -68,9 +70,15 @@
     }
 
     /// Whether demand was observed for long enough to know which models have none.
-    pub(crate) fn demand_is_known(&self, now: Instant) -> bool {
+    pub(crate) fn demand_is_known(
+        &self,
+        now: Instant,
+        pressure: &CapacityPressure,
+    ) -> bool {
+        let known_after_ms =
+            DEMAND_KNOWN_AFTER_MS.max(pressure.demand_reported_after_ms);
         let since = self.demand_since;
-        since.is_some_and(|since| now.ms_since(since) >= DEMAND_KNOWN_AFTER_MS)
+        since.is_some_and(|since| now.ms_since(since) >= known_after_ms)
     }
 }
 
--- a/crates/direct/src/demand_pressure.rs
+++ b/crates/direct/src/demand_pressure.rs
@@ -77,7 +77,10 @@
 
 impl Extremes {
     fn include(&mut self, target_ms: u64, run_ms: u64) {
-        if self.shortest_target_ms == 0 || target_ms < self.shortest_target_ms {
+        let is_known = target_ms > 0;
+        let is_shorter =
+            self.shortest_target_ms == 0 || target_ms < self.shortest_target_ms;
+        if is_known && is_shorter {
             self.shortest_target_ms = target_ms;
         }
         self.longest_run_ms = self.longest_run_ms.max(run_ms);
@@ -87,8 +90,7 @@
 impl PressureTracker {
     pub(crate) fn record_arrival(&mut self, arrival: &Arrival) {
         let run_ms = arrival.answer_tokens.saturating_mul(RUN_MS_PER_TOKEN);
-        self.window
-            .include(arrival.latency_target_ms.max(1), run_ms);
+        self.window.include(arrival.latency_target_ms, run_ms);
     }
 
     pub(crate) fn record_refused(&mut self, work_ms: f64) {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -123,7 +123,7 @@
 };
 pub use message_detail::{
     MessageDetail, PEER_FORMAT, PendingChanges, Receiver, digest_settle_ms,
-    is_repeat_round, message_detail, rotation_number,
+    is_repeat_round, message_detail, repeat_number, rotation_number,
 };
 pub use move_delay::{MoveDelay, MoveObstacle};
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
--- a/crates/direct/src/load_planner.rs
+++ b/crates/direct/src/load_planner.rs
@@ -218,7 +218,7 @@
             unserved: &self.unserved,
             forecasts: &forecasts,
             pressure: in_time.then_some(pressure),
-            demand_is_known: self.pressure_watch.demand_is_known(now),
+            demand_is_known: self.pressure_watch.demand_is_known(now, pressure),
         };
         let mut builder =
             PlanBuilder::new(now, engine, upstreams, &input, store_loads_left);
--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -100,6 +100,12 @@
     round.wrapping_add(offset).is_multiple_of(turns)
 }
 
+/// Number of the repeat in a round, by which its items are chosen in turn. By the number of
+/// the round itself, the same items could be chosen each time.
+pub fn repeat_number(round: u64, peers: usize) -> u64 {
+    round / rounds_in(REPEAT_INTERVAL_MS, peers)
+}
+
 /// Age from which on a changed record is part of the digests of entries with `peers`
 /// peers.
 pub fn digest_settle_ms(peers: usize) -> u64 {
--- a/crates/direct/src/plan/mod.rs
+++ b/crates/direct/src/plan/mod.rs
@@ -40,6 +40,11 @@
 /// Time for which a loaded model is not evicted.
 const MIN_RESIDENCE_MS: u64 = 3_000;
 
+/// Time beyond which a model with demand and no holder no longer waits for its turn
+/// behind models with urgent callers. Without a bound, patient callers would never be
+/// served where as many models have urgent ones as there is room for.
+const MAX_TURN_WAIT_MS: u64 = 20_000;
+
 /// Cost of evicting the last copy of a model without demand, in the unit of relief.
 const LAST_COPY_LOSS: f64 = 0.5;
 
@@ -630,7 +635,8 @@
         let gives_way = timely.is_patient_beside(held.model, newcomer)
             && self.is_awaited(newcomer)
             && self.awaited_work(held.model) <= MIN_CROWDED_WORK;
-        let goes_first = timely.is_patient_beside(newcomer, held.model);
+        let goes_first = timely.is_patient_beside(newcomer, held.model)
+            && self.model_facts[newcomer].overdue_ms < MAX_TURN_WAIT_MS;
         !(residence_over && (gives_way || overdue) && !goes_first)
     }
 }
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -75,6 +75,9 @@
     pub priority: u32,
     /// Time within which the answer earns its full value.
     pub latency_target_ms: u64,
+    /// Time within which it must be expected to be admitted; shorter than the target if
+    /// its workspace is over its share. It has no effect on the order.
+    pub admitted_target_ms: u64,
     /// Shortest target latency of the service's routes.
     pub urgent_target_ms: u64,
     /// Latest time at which the first part of the answer is of any use.
@@ -111,6 +114,8 @@
     pub place: Option<Place<'a>>,
     /// Number of entries that send requests to the same engines.
     pub entries: u64,
+    /// Rank of its workspace now, as in [`WaitingRequest::share_rank`].
+    pub share_rank: u64,
     /// A random number.
     pub random: u64,
 }
@@ -207,12 +212,24 @@
         } else {
             0
         };
-        now >= self.since.plus_ms(wait_ms) && self.late_ms(now, place) == 0
+        let joins_at = self.since.plus_ms(wait_ms).min(self.give_up_at());
+        now >= joins_at && self.late_ms(now, place) == 0
+    }
+
+    /// Whether it would be too late at the place, whatever the share of its workspace.
+    pub fn is_too_late(&self, now: Instant, place: &Place<'_>) -> bool {
+        admit(&self.admission(now, place)).is_err()
     }
 
     /// By how much it would be too late at the place.
     fn late_ms(&self, now: Instant, place: &Place<'_>) -> u64 {
-        admit(&self.admission(now, place)).err().unwrap_or(0)
+        let admission = self.admission(now, place);
+        let within_share = AdmissionInput {
+            latency_target_ms: self.admitted_target_ms,
+            ..admission
+        };
+        let admitted = admit(&admission).and_then(|()| admit(&within_share));
+        admitted.err().unwrap_or(0)
     }
 
     /// When its caller should come back if it is refused: when it would no
@@ -291,19 +308,12 @@
         random: u64,
     ) -> Result<WaiterId, u64> {
         let id = self.next_id;
-        let rank = request.rank(now, self.order, id);
-        while self.is_full_for(&request) {
-            let staying = self.waiters.iter().filter(|(_, other)| !other.is_displaced);
-            let last = staying
-                .map(|(id, other)| (other.request.rank(now, self.order, *id), *id))
-                .max();
-            match last {
-                Some((last_rank, last_id)) if last_rank > rank => {
-                    if let Some(last) = self.waiters.get_mut(&last_id) {
-                        last.is_displaced = true;
-                    }
-                }
-                _ => return Err(request.retry_after_ms(now, 0, random)),
+        let Some(displaced) = self.displaced_by(now, &request, id) else {
+            return Err(request.retry_after_ms(now, 0, random));
+        };
+        for id in displaced {
+            if let Some(waiter) = self.waiters.get_mut(&id) {
+                waiter.is_displaced = true;
             }
         }
         self.next_id += 1;
@@ -334,7 +344,12 @@
         };
         let request = waiter.request;
         let place = check.place.as_ref();
-        waiter.upstream = place.map(|place| Arc::clone(place.upstream));
+        let upstream = place.map(|place| Arc::clone(place.upstream));
+        if waiter.upstream != upstream {
+            waiter.take_at = None;
+        }
+        waiter.upstream = upstream;
+        waiter.request.share_rank = check.share_rank;
         let is_displaced = waiter.is_displaced;
         let left_ms = request.give_up_at().ms_since(now);
         if let Some(place) = place.filter(|_| !is_displaced)
@@ -355,12 +370,12 @@
     }
 
     /// The requests that should check again at once, as an engine has less left to
-    /// prefill, and all that have to leave.
+    /// prefill.
     pub fn to_wake(&self, now: Instant, upstream: &str) -> Vec<WaiterId> {
         let mut waiting: Vec<_> = self
             .waiters
             .iter()
-            .filter(|(_, waiter)| waiter.take_at.is_none())
+            .filter(|(_, waiter)| waiter.take_at.is_none() && !waiter.is_displaced)
             .filter(|(_, waiter)| {
                 let wanted = waiter.upstream.as_deref();
                 wanted.is_none_or(|wanted| wanted == upstream)
@@ -430,14 +445,36 @@
         })
     }
 
-    fn is_full_for(&self, request: &WaitingRequest) -> bool {
-        let staying = self.waiters.values().filter(|other| !other.is_displaced);
-        let (mut count, mut bytes) = (1, request.body_bytes);
-        for other in staying {
-            count += 1;
-            bytes += other.request.body_bytes;
+    /// The requests after a new one that have to leave so that it fits; `None` if it
+    /// doesn't fit even then.
+    fn displaced_by(
+        &self,
+        now: Instant,
+        request: &WaitingRequest,
+        id: WaiterId,
+    ) -> Option<Vec<WaiterId>> {
+        let rank = request.rank(now, self.order, id);
+        let staying = self.waiters.iter().filter(|(_, other)| !other.is_displaced);
+        let mut staying: Vec<_> = staying
+            .map(|(id, other)| {
+                let other = &other.request;
+                (other.rank(now, self.order, *id), *id, other.body_bytes)
+            })
+            .collect();
+        staying.sort_unstable();
+        let mut bytes: usize = staying.iter().map(|(.., bytes)| bytes).sum();
+        let mut displaced = Vec::new();
+        while staying.len() + 1 > WAITERS_MAX
+            || bytes + request.body_bytes > WAITING_MAX_BYTES
+        {
+            let (last_rank, last_id, last_bytes) = staying.pop()?;
+            if last_rank < rank {
+                return None;
+            }
+            bytes -= last_bytes;
+            displaced.push(last_id);
         }
-        count > WAITERS_MAX || bytes > WAITING_MAX_BYTES
+        Some(displaced)
     }
 
     /// Time until the next check, with a random part so that entries don't check at the
--- a/crates/front/src/coordinator/mod.rs
+++ b/crates/front/src/coordinator/mod.rs
@@ -7,7 +7,8 @@
 use base::prelude::*;
 use direct::{
     CapacityPressure, Config, DemandEstimate, DemandPressure, EngineSpec, LoadPlanner,
-    MoveObstacle, OrderAction, PlannedLoad, UpstreamState, targets_differ_widely,
+    MoveObstacle, OrderAction, PlannedLoad, UpstreamState, peer_message_interval_ms,
+    targets_differ_widely,
 };
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -29,6 +30,10 @@
 /// out an order.
 const REPORT_INTERVAL_MS: u64 = 200;
 
+/// Number of message intervals within which all entries report their demand to a new
+/// coordinator: they hear of it, then report, and one message may be lost.
+const DEMAND_REPORTS: u64 = 3;
+
 /// Time for which a load waits for the unload that precedes it.
 const PENDING_LOAD_TIMEOUT_MS: u64 = 10_000;
 
@@ -207,6 +212,8 @@
             let pressure = CapacityPressure {
                 targets_differ: targets_differ_widely(config, &service),
                 models: pressures,
+                demand_reported_after_ms: DEMAND_REPORTS
+                    * peer_message_interval_ms(node.peers.address_count()),
                 ..self.load_conditions(&service)
             };
             let Some(planner) = self.planners.get_mut(&service) else {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -30,7 +30,11 @@
 
 /// Reasons, as logged for the last attempt, for which more copies of the model would
 /// have served a refused request.
-const CAPACITY_REFUSALS: [&str; 4] = ["too_late", "full", "no_model", "over_share"];
+const CAPACITY_REFUSALS: [&str; 5] =
+    ["too_late", "full", "queue_full", "no_model", OVER_SHARE];
+
+/// Reason, as logged, for refusing a request of a workspace over its share.
+pub(crate) const OVER_SHARE: &str = "over_share";
 
 /// How the dispatch of a request ended.
 pub(crate) enum DispatchResult {
--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use crate::dispatch::{Dispatch, Rejection};
+use crate::dispatch::{Dispatch, OVER_SHARE, Rejection};
 use crate::state::Node;
 
 /// A request in the queue of its service. Dropping it removes the request, also when
@@ -57,6 +57,13 @@
     }
 }
 
+impl EntryWait {
+    /// Removes the request from the queue, with the outcome for the metric.
+    pub(crate) fn end(mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
 impl Drop for EntryWait {
     fn drop(&mut self) {
         self.node.entry_queues.leave(&self.service, self.id);
@@ -109,6 +116,14 @@
             .zip(id.as_ref())
             .map(|(selected, id)| place(selected, id, mean_prefill_ms));
         let service = &self.request.service;
+        let share_rank = waiting.share_rank;
+        let mut reason = match &place {
+            None => "full",
+            Some(place) if self.over_share && !waiting.is_too_late(now, place) => {
+                OVER_SHARE
+            }
+            Some(_) => "too_late",
+        };
         let decision = match (&*wait, &place) {
             (None, Some(place))
                 if node
@@ -119,35 +134,45 @@
             }
             (None, _) => match EntryWait::join(&node, service, waiting) {
                 Ok(joined) => {
-                    let decision = joined.decide(place);
+                    let decision = joined.decide(place, share_rank);
                     *wait = Some(joined);
                     decision
                 }
-                Err(retry_after_ms) => PlaceDecision::Refuse(retry_after_ms),
+                Err(retry_after_ms) => {
+                    reason = "queue_full";
+                    PlaceDecision::Refuse(retry_after_ms)
+                }
             },
-            (Some(joined), _) => joined.decide(place),
+            (Some(joined), _) => joined.decide(place, share_rank),
         };
         match decision {
             PlaceDecision::Take => {
-                if let Some(wait) = wait {
-                    wait.outcome = "sent";
+                if let Some(wait) = wait.take() {
+                    wait.end("sent");
                 }
                 EntryDecision::Take
             }
             PlaceDecision::Wait(_)
                 if node.shutdown.close_connections.is_cancelled() =>
             {
-                self.refuse_place(wait, None, ErrorCode::Leaving, 0)
+                if let Some(wait) = wait.take() {
+                    wait.end("refused");
+                }
+                self.attempts.push(json!({ "unpicked": "stopping" }));
+                EntryDecision::Refuse(Rejection {
+                    code: ErrorCode::Leaving,
+                    retry_after_ms: 0,
+                })
             }
             PlaceDecision::Wait(after_ms) => {
                 EntryDecision::Wait(Duration::from_millis(after_ms))
             }
-            PlaceDecision::Refuse(retry_after_ms) => self.refuse_place(
-                wait,
-                place.as_ref(),
-                ErrorCode::Overloaded,
-                retry_after_ms,
-            ),
+            PlaceDecision::Refuse(retry_after_ms) => {
+                if let Some(wait) = wait.take() {
+                    wait.end("refused");
+                }
+                self.refuse_place(place.as_ref(), reason, retry_after_ms)
+            }
         }
     }
 
@@ -162,29 +187,20 @@
 
     fn refuse_place(
         &mut self,
-        wait: &mut Option<EntryWait>,
         place: Option<&Place<'_>>,
-        code: ErrorCode,
+        reason: &'static str,
         retry_after_ms: u64,
     ) -> EntryDecision {
-        if let Some(wait) = wait {
-            wait.outcome = "refused";
-        }
-        let reason = if code == ErrorCode::Overloaded {
-            self.record_short_of_engines()
-        } else {
-            "stopping"
-        };
+        self.record_short_of_engines(reason == OVER_SHARE);
         self.attempts.push(match place {
             Some(place) => json!({ "unpicked": reason,
                 "queue_ms": place.queue_ms, "reading_ms": place.prefill_ms,
                 "mean_reading_ms": place.mean_prefill_ms,
-                "unread_ms": place.unread_ms, "late_ms": retry_after_ms }),
-            None if code == ErrorCode::Leaving => json!({ "unpicked": reason }),
-            None => json!({ "unpicked": "full" }),
+                "unread_ms": place.unread_ms, "retry_after_ms": retry_after_ms }),
+            None => json!({ "unpicked": reason, "retry_after_ms": retry_after_ms }),
         });
         EntryDecision::Refuse(Rejection {
-            code,
+            code: ErrorCode::Overloaded,
             retry_after_ms,
         })
     }
@@ -212,7 +228,8 @@
             arrived_at: request.arrived_at,
             since,
             priority: request.priority(),
-            latency_target_ms: self.usable_target_ms(),
+            latency_target_ms: request.route.latency_target_ms,
+            admitted_target_ms: self.usable_target_ms(),
             urgent_target_ms: request
                 .urgent_target_ms
                 .unwrap_or(request.route.latency_target_ms),
@@ -225,10 +242,13 @@
 }
 
 impl EntryWait {
-    fn decide(&self, place: Option<Place<'_>>) -> PlaceDecision {
+    /// Decides by the place that was found. `share_rank` is that of the workspace now: it
+    /// changes with each request that is sent.
+    fn decide(&self, place: Option<Place<'_>>, share_rank: u64) -> PlaceDecision {
         let node = &self.node;
         let check = WaitCheck {
             place,
+            share_rank,
             entries: node.peers.entry_count() as u64,
             random: node.random(),
         };
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -5,7 +5,7 @@
 use direct::{
     Fleet, MessageDetail, PEER_FORMAT, ResidentModel, Upstream, WatchRole,
     confirmation_timeout_ms, digest_settle_ms, holdings_message_count, is_repeat_round,
-    peer_message_interval_ms, rotation_number, suspects_per_message,
+    peer_message_interval_ms, repeat_number, rotation_number, suspects_per_message,
     upstreams_per_message, urgent_message_interval_ms,
 };
 use prost::Message;
@@ -34,6 +34,10 @@
 /// upstream that is not known here. It spans a message in large fleets.
 const UNKNOWN_USE_MS: u64 = 2_000;
 
+/// Minimum number of changed suspects, and of parts, that a message may hold. Each takes
+/// some 40 B.
+const MIN_CHANGES: usize = 16;
+
 /// Sends this entry's state to other entries periodically, forever.
 pub(crate) async fn announce_periodically(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
@@ -166,9 +170,13 @@
 impl Contents<'_> {
     /// Whether a message with these contents is of use to all entries of a failure
     /// domain.
-    const fn may_be_passed_on(&self) -> bool {
+    ///
+    /// One with changes is not passed on: a later direct message may overtake it, and it
+    /// would then be dropped with them.
+    fn may_be_passed_on(&self) -> bool {
         matches!(self.audience, Audience::Entry)
             && matches!(self.detail, MessageDetail::Changes)
+            && self.changes.is_empty()
     }
 }
 
@@ -205,12 +213,19 @@
         }
     }
 
+    const fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+            && self.suspect_parts.is_empty()
+            && self.leaving.is_empty()
+    }
+
     /// Takes what a message to all entries is to hold, and counts that it is sent.
     fn take(node: &Node, trigger: Trigger) -> Self {
         let now = node.now();
         let peers = node.peers.address_count();
-        let (suspects_max, leaving_max) =
-            (suspects_per_message(peers), upstreams_per_message(peers));
+        // Only the observer of a change sends it, so its number isn't divided by the peers.
+        let suspects_max = suspects_per_message(peers).max(MIN_CHANGES);
+        let leaving_max = upstreams_per_message(peers);
         let round = node.peers.table.lock().periodic_rounds;
         let offset = xxh3_64(node.options.entry.as_bytes());
         let is_repeat =
@@ -218,12 +233,13 @@
         let mut parts = node.suspect_parts.lock();
         let mut suspect_parts = parts.export_changes(now, suspects_max);
         if is_repeat {
-            suspect_parts.extend(parts.export_observed(now, round, suspects_max));
+            let turn = repeat_number(round, peers);
+            suspect_parts.extend(parts.export_observed(now, turn, suspects_max));
         }
         drop(parts);
         let fleet = node.fleet.lock();
         let leaving = if is_repeat {
-            leaving(&fleet, now, round, leaving_max)
+            leaving(&fleet, now, repeat_number(round, peers), leaving_max)
         } else {
             let all: Vec<_> = fleet.leaving_upstreams(now).collect();
             let keys: Vec<u64> = all.iter().map(leaving_key).collect();
@@ -329,7 +345,7 @@
 
 impl Peers {
     /// Returns the number of addresses at which entries may run.
-    pub(super) fn address_count(&self) -> usize {
+    pub(crate) fn address_count(&self) -> usize {
         self.table.lock().addresses.len()
     }
 
@@ -403,7 +419,11 @@
             MessageDetail::OlderFormat => round,
             _ => rotation_number(periodic_round, own_hash, peers),
         };
-        records(node, now, round)
+        let (mut suspects, mut suspect_parts) = records(node, now, round);
+        // Records are chosen in turn, and what changed now may not be among them.
+        suspects.extend(contents.changes.suspects.iter().cloned());
+        suspect_parts.extend(contents.changes.suspect_parts.iter().cloned());
+        (suspects, suspect_parts)
     } else {
         let changes = contents.changes;
         (changes.suspects.clone(), changes.suspect_parts.clone())
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch, Rejection};
+use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch, OVER_SHARE, Rejection};
 use crate::entry_wait::{EntryDecision, EntryWait};
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
@@ -102,6 +102,10 @@
                 },
                 Err(reason) => reason,
             };
+            // It waits for something else than a place at an engine from here on.
+            if let Some(wait) = entry_wait.take() {
+                wait.end("no_engine");
+            }
             let now = self.node.now();
             let mut wait_until = self.wait_until(started_at, reason);
             if let Some(stop_at) = node.shutdown.final_response_at() {
@@ -165,16 +169,13 @@
             return Ok(());
         }
         let (reason, late_ms) = match admit(&admission) {
-            Err(late_ms) => {
-                let fair_shares = &self.node.fair_shares;
-                fair_shares.record_refused(admission.now, request);
-                ("too_late", late_ms)
-            }
+            Err(late_ms) => ("too_late", late_ms),
             Ok(()) => match self.admit_within_share(admission) {
-                Err(late_ms) => ("over_share", late_ms),
+                Err(late_ms) => (OVER_SHARE, late_ms),
                 Ok(()) => return Ok(()),
             },
         };
+        self.record_short_of_engines(reason == OVER_SHARE);
         self.attempts.push(json!({ "unpicked": reason,
             "queue_ms": admission.queue_ms, "reading_ms": admission.prefill_ms,
             "mean_reading_ms": admission.mean_prefill_ms, "late_ms": late_ms }));
@@ -193,14 +194,10 @@
         if !self.over_share {
             return Ok(());
         }
-        let admitted = admit(&AdmissionInput {
+        admit(&AdmissionInput {
             latency_target_ms: self.usable_target_ms(),
             ..admission
-        });
-        if admitted.is_err() {
-            self.record_short_of_engines();
-        }
-        admitted
+        })
     }
 
     /// Returns the time within which the first answer must be expected. It is shorter for
@@ -214,19 +211,18 @@
         self.request.route.latency_target_ms * percent / 100
     }
 
-    /// Records that the request is refused because engines are short. Returns the reason
-    /// for the log: the workspace's share, or the queue.
-    pub(crate) fn record_short_of_engines(&self) -> &'static str {
+    /// Records that the request is refused because engines are short: because its
+    /// workspace is over its share, or for lack of capacity whatever its share.
+    pub(crate) fn record_short_of_engines(&self, for_share: bool) {
         let (node, request) = (&self.node, &self.request);
-        if !self.over_share {
+        if !for_share {
             node.fair_shares.record_refused(node.now(), request);
-            return "too_late";
+            return;
         }
         let service = [&*request.service];
         let refused = &node.metrics.over_share_refused;
         refused.with_label_values(&service).inc();
         node.fair_shares.record_held_back(node.now(), request);
-        "over_share"
     }
 
     /// Records the prompt of a request for which an engine was selected. Returns the
