--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -477,13 +477,15 @@
         };
         let labels = [&*self.request.service, outcome];
         self.node.metrics.attempts.with_label_values(&labels).inc();
-        self.attempts
-            .push(json!({ "upstream": &*selected.id, "outcome": outcome,
+        let mut attempt = json!({ "upstream": &*selected.id, "outcome": outcome,
             "software": software_version_of(&self.node, &selected.id),
             "expected_ms": selected.first_answer_ms as u64,
-            "pace_percent": (selected.pace_factor * 100.0) as u64,
-            "predicted_ms": selected.predicted_ms as u64,
-            "ms": self.node.now().ms_since(started_at) }));
+            "ms": self.node.now().ms_since(started_at) });
+        if self.request.head.model.is_some() {
+            attempt["pace_percent"] = json!((selected.pace_factor * 100.0) as u64);
+            attempt["predicted_ms"] = json!(selected.predicted_ms as u64);
+        }
+        self.attempts.push(attempt);
     }
 
     /// Updates the model's time factor from the time to the start of a stream
@@ -578,19 +580,25 @@
         });
         let workspace = self.request.workspace.as_ref();
         let workspace = workspace.map(|workspace| &*workspace.name);
-        node.log.line(
-            "request",
-            json!({ "id": self.request.head.id, "route": route, "workspace": workspace,
-                "service": &*self.request.service, "model": model, "outcome": outcome,
-                "status": status, "ms": ms, "first_ms": self.first_response_ms,
-                "longest_pause_ms": longest_pause_ms,
-                "waited_ms": self.waited_ms + last_wait_ms, "rate_spent": self.rate_limited_count,
-                "over_share": self.over_share, "tries": self.attempts,
-                "ran": self.may_have_run, "last_event": self.last_event_id,
-                "resumes": self.request.head.began_as,
-                "resumes_after": self.request.head.last_event_id,
-                "setup": self.request.config_version, "fleet_age_ms": fleet_age_ms }),
-        );
+        let mut line = json!({ "id": self.request.head.id, "route": route,
+            "workspace": workspace, "service": &*self.request.service, "model": model,
+            "outcome": outcome, "status": status, "ms": ms,
+            "first_ms": self.first_response_ms,
+            "waited_ms": self.waited_ms + last_wait_ms,
+            "rate_spent": self.rate_limited_count, "tries": self.attempts,
+            "ran": self.may_have_run, "last_event": self.last_event_id,
+            "resumes": self.request.head.began_as,
+            "resumes_after": self.request.head.last_event_id,
+            "setup": self.request.config_version, "fleet_age_ms": fleet_age_ms });
+        // Left out where they tell nothing, as the bytes of a line limit how many lines are
+        // kept in a burst.
+        if let Some(pause_ms) = longest_pause_ms {
+            line["longest_pause_ms"] = json!(pause_ms);
+        }
+        if self.over_share {
+            line["over_share"] = json!(true);
+        }
+        node.log.line("request", line);
     }
 }
 
