--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -23,8 +23,8 @@
 /// chosen. With one message in ten lost, one in five is not confirmed.
 const MISSED_MAX: u32 = 2;
 
-/// Time for which such an entry is not chosen. One with little
-/// processor time is slow for longer than a few rounds.
+/// Time for which such an entry is not chosen. One with little processor time is
+/// slow for longer than a few rounds.
 const UNCONFIRMED_MS: u64 = 5_000;
 
 /// Time after which failures to confirm are forgotten.
@@ -81,13 +81,13 @@
             return None;
         }
         let seed = xxh3_64_with_seed(sender.as_bytes(), round);
-        let prompt = candidates.filter(|name| {
+        let responsive = candidates.filter(|name| {
             let missed = self.unconfirmed.get(*name);
             missed.is_none_or(|(count, at)| {
                 *count < MISSED_MAX || now.ms_since(*at) >= UNCONFIRMED_MS
             })
         });
-        prompt.max_by_key(|name| xxh3_64_with_seed(name.as_bytes(), seed))
+        responsive.max_by_key(|name| xxh3_64_with_seed(name.as_bytes(), seed))
     }
 
     /// Records that a message was sent to its relay, which should reach `recipients`
--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -40,7 +40,7 @@
     mean_events: u64,
 }
 
-/// The kinds of requests of deployment C, for this number of engines.
+/// Kinds of requests, two of them urgent, for this number of engines.
 const KINDS: [Kind; 3] = [
     Kind {
         per_s: 15,
--- a/crates/direct/tests/all/wait_queue.rs
+++ b/crates/direct/tests/all/wait_queue.rs
@@ -296,7 +296,7 @@
     }
 }
 
-/// T's load on some engines for 20 s.
+/// Urgent and patient requests on some engines for 20 s.
 struct Play {
     now: u64,
     entries: u64,
