--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -40,7 +40,7 @@
     mean_events: u64,
 }
 
-/// Kinds of requests, two of them urgent, for this number of engines.
+/// Kinds of requests, with their rates for this number of engines.
 const KINDS: [Kind; 3] = [
     Kind {
         per_s: 15,
