--- a/crates/direct/src/capacity_pressure.rs
+++ b/crates/direct/src/capacity_pressure.rs
@@ -4,13 +4,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::{DemandEstimate, DemandPressure, UpstreamState};
+use crate::{DemandEstimate, DemandPressure, EngineSpec, UpstreamState};
 
 /// Time for which requests are refused before copies are made in time in a service
 /// whose callers are equally patient. A shorter lack of capacity is over before a load
 /// finishes.
 const REFUSED_FOR_MS: u64 = 500;
 
+/// Duration of a load up to which refusals alone call for copies in time. With loads of 2 s
+/// and more, the copies made for a few refusals took the places of models that were asked
+/// for before the loads were over.
+const SHORT_LOAD_MS: u64 = 1_500;
+
 /// Time for which demand is observed before a model without any counts as not requested.
 /// In the first plan of a day most models have had no request yet, and their last copies
 /// were given up. With 1.5 s, fewer copies were ready for the first shift.
@@ -53,6 +58,7 @@
     pub(crate) fn observe(
         &mut self,
         now: Instant,
+        engine: &EngineSpec,
         pressure: &CapacityPressure,
         upstreams: &[UpstreamState],
         demand: &BTreeMap<Arc<str>, DemandEstimate>,
@@ -60,7 +66,8 @@
         if !demand.is_empty() {
             self.demand_since.get_or_insert(now);
         }
-        if pressure.has_refusals() && holds_unrequested(upstreams, demand) {
+        let calls_for_copies = loads_are_short(engine) && pressure.has_refusals();
+        if calls_for_copies && holds_unrequested(upstreams, demand) {
             self.since.get_or_insert(now);
         } else {
             self.since = None;
@@ -82,6 +89,12 @@
     }
 }
 
+/// Whether all models are loaded from the weight store within [`SHORT_LOAD_MS`].
+fn loads_are_short(engine: &EngineSpec) -> bool {
+    let mut models = engine.models.values();
+    models.all(|model| model.store_load_ms <= SHORT_LOAD_MS)
+}
+
 /// Whether an upstream holds a model that no caller requests.
 fn holds_unrequested(
     upstreams: &[UpstreamState],
--- a/crates/direct/src/load_planner.rs
+++ b/crates/direct/src/load_planner.rs
@@ -203,7 +203,7 @@
         self.delays.observe(now, demand, &pressure.models);
         let in_time = self
             .pressure_watch
-            .observe(now, pressure, upstreams, demand);
+            .observe(now, engine, pressure, upstreams, demand);
         let forecasts = if in_time {
             // A model would be unloaded for a load that the weight store doesn't allow
             // yet, and its place would serve nobody meanwhile.
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -42,7 +42,12 @@
 /// measurement: such engines count as equal.
 const DEAD_BAND: f64 = 1.15;
 
-/// Ratio of the times of the slowest and the fastest tenth of the engines from which the
+/// Share of the engines, as a divisor of their number, that is left out at each end when the
+/// slowest and the fastest are compared. A few engines of equal speed look slow while they
+/// prefill long prompts.
+const OUTLIERS_DIVISOR: usize = 6;
+
+/// Ratio of the times of the slowest and the fastest of the other engines from which the
 /// engines of a service count as uneven. Below it, all count as equally fast: where
 /// engines are equal, busy ones only seem to be slower, because more of their steps
 /// prefill prompts.
@@ -77,9 +82,9 @@
             return None;
         }
         event_ms.sort_by(f64::total_cmp);
-        let tenth = event_ms.len() / 10;
+        let left_out = event_ms.len() / OUTLIERS_DIVISOR;
         let (fastest, slowest) =
-            (event_ms[tenth], event_ms[event_ms.len() - 1 - tenth]);
+            (event_ms[left_out], event_ms[event_ms.len() - 1 - left_out]);
         Some(Self {
             at: now,
             event_ms: event_ms.iter().sum::<f64>() / event_ms.len() as f64,
--- a/crates/direct/tests/all/capacity_pressure.rs
+++ b/crates/direct/tests/all/capacity_pressure.rs
@@ -4,8 +4,9 @@
 use crate::timely_copies::engine;
 use direct::{
     Arrival, CapacityPressure, Config, DemandEstimate, DemandPressure, DemandTracker,
-    Limits, LoadPlanner, LoadReason, MoveObstacle, PlacedModel, PlannedLoad, Route,
-    RouteKind, UpstreamState, WeightedService, targets_differ_widely,
+    EngineSpec, Limits, LoadPlanner, LoadReason, MoveObstacle, PlacedModel,
+    PlannedLoad, Route, RouteKind, UpstreamState, WeightedService,
+    targets_differ_widely,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -45,6 +46,16 @@
     demand: &[Demand],
     conditions: &CapacityPressure,
     until_ms: u64,
+) -> Vec<PlannedLoad> {
+    last_plan_on(&engine(), upstreams, demand, conditions, until_ms)
+}
+
+fn last_plan_on(
+    engine: &EngineSpec,
+    upstreams: &[UpstreamState],
+    demand: &[Demand],
+    conditions: &CapacityPressure,
+    until_ms: u64,
 ) -> Vec<PlannedLoad> {
     let estimate = |ms_per_s: f64| DemandEstimate {
         recent_ms_per_s: ms_per_s,
@@ -71,9 +82,13 @@
     let mut planned = Vec::new();
     for ms in (8_000..=10_000 + until_ms).step_by(100) {
         let pressure = if ms < 10_000 { &calm } else { &conditions };
-        let (now, engine) = (at(ms), engine());
-        planned =
-            planner.plan_under_pressure(now, &engine, upstreams, &estimates, pressure);
+        planned = planner.plan_under_pressure(
+            at(ms),
+            engine,
+            upstreams,
+            &estimates,
+            pressure,
+        );
     }
     planned
 }
@@ -226,7 +241,8 @@
 }
 
 /// Guards against other plans where no callers are patient beside others: only refusals
-/// for half a second, while some model is held that nobody requests, change them.
+/// for half a second, while some model is held that nobody requests, change them, and only
+/// where loads are short.
 #[test]
 fn without_lasting_refusals_plans_are_as_before() {
     let moves = |planned: &[PlannedLoad]| -> Vec<(Arc<str>, Arc<str>)> {
@@ -274,8 +290,15 @@
         ("m02", 20.0, pressure(0.0, 1_000)),
         ("m03", 20.0, pressure(0.0, 1_000)),
     ];
-    let at_once = last_plan(&upstreams, &demand, &CapacityPressure::default(), 400);
-    let lasting = last_plan(&upstreams, &demand, &CapacityPressure::default(), 500);
+    let mut short_loads = engine();
+    for model in short_loads.models.values_mut() {
+        model.store_load_ms = 1_200;
+    }
+    let refused = CapacityPressure::default();
+    let [at_once, lasting] = [400, 500].map(|until_ms| {
+        last_plan_on(&short_loads, &upstreams, &demand, &refused, until_ms)
+    });
+    assert!(last_plan(&upstreams, &demand, &refused, 500).is_empty());
     assert!(
         at_once.is_empty() && lasting.len() == 1,
         "{at_once:?} {lasting:?}"
