--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -53,13 +53,13 @@
 /// What is known about the receiver of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Receiver {
-    /// Format of its messages; `None` if it was not heard yet.
+    /// Format of its messages; `None` before the first one.
     pub format: Option<u32>,
     /// Time since the first message of its process.
     pub heard_for_ms: u64,
     /// Time since its messages have other digests than those of this entry.
     pub different_for_ms: u64,
-    /// Whether it could not tell which upstreams packed uses named.
+    /// Whether it received packed uses of upstreams that it doesn't know.
     pub needs_full_uses: bool,
     /// A number that differs between pairs of entries.
     pub pair: u64,
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that waits at the entry delays nobody. One that waits at an engine is
 //! counted in front of all that come later, also of more urgent ones: their engines
-//! finish a chunk of it first, and their entries hear of it up to 300 ms late. So only
+//! finish a chunk of it first, and their entries learn of it up to 300 ms late. So only
 //! requests that begin in time if they are sent now, and can't wait longer, join an
 //! engine's queue. All others wait here, those that can be in time and are more urgent
 //! first, until an engine has little left to prefill.
@@ -15,7 +15,7 @@
 use crate::is_patient;
 
 /// Prefill time that an engine may have left when it gets a patient request: one chunk in
-/// progress and one that keeps the engine busy until entries hear of it.
+/// progress and one that keeps the engine busy until other entries know that it has little left.
 const PATIENT_UNREAD_MS: u64 = 160;
 
 /// Share of a patient request's target, in percent, for which it waits for an engine with
@@ -398,7 +398,7 @@
 
     /// Whether a patient request takes the place now. It does if no request before it
     /// waits for the same engine, and after a random time, so that the entries don't all
-    /// send to an engine before they hear of one another.
+    /// send to an engine before they know of one another's requests.
     fn takes_free_place(
         &mut self,
         now: Instant,
--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -23,7 +23,7 @@
 const SLOWDOWN_MS: u64 = 600;
 const SLOWDOWN_PERCENT: u64 = 15;
 
-/// Engine, usage, activity and pace factor, as one entry tells others.
+/// Engine, usage, activity and pace factor, as an entry reports them to others.
 type Use = (usize, Usage, Activity, Option<f64>);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/direct/tests/all/packed_uses.rs
+++ b/crates/direct/tests/all/packed_uses.rs
@@ -64,7 +64,7 @@
 }
 
 /// Guards against entries that don't learn of an upstream's restart from other entries,
-/// as a hash can't tell them: a new incarnation is named in full for a while.
+/// because they can't resolve its hash: a new incarnation is named in full for a while.
 #[test]
 fn new_incarnations_are_named_in_full() {
     let mut index = index(&fleet(700));
--- a/crates/direct/tests/all/relay.rs
+++ b/crates/direct/tests/all/relay.rs
@@ -107,7 +107,7 @@
     assert!((1..=25).contains(&outcome.direct_rounds), "{outcome:?}");
 }
 
-/// A relay that has lost one of its domain's entries, which the sender still hears, must
+/// A relay that has lost one of its domain's entries, from which the sender still receives messages, must
 /// not keep messages from that one.
 #[test]
 fn an_entry_that_its_domain_does_not_reach_gets_direct_messages() {
--- a/crates/direct/tests/all/wait_queue.rs
+++ b/crates/direct/tests/all/wait_queue.rs
@@ -120,7 +120,7 @@
 }
 
 /// No caller is held for more than half of its target. One that can't be in time is
-/// refused at once, and told to come back while its caller still would.
+/// refused at once, with a time to come back within which its caller still would.
 #[test]
 fn waiting_ends_early_with_a_time_to_come_back() {
     let engine = name("e-1");
@@ -155,7 +155,7 @@
     assert!(!queue.takes_at_once(at(1_000), &late, &place(&engine, 2_200)));
 }
 
-/// If callers were told the same time, they would all come back at once.
+/// If refused callers got the same time, they would all come back at once.
 #[test]
 fn refused_callers_come_back_at_different_times() {
     let mut queue = WaitQueue::default();
@@ -503,7 +503,7 @@
     }
 }
 
-/// Each entry sees a part of the load and hears of the others' part late. Waiting must
+/// Each entry sees a part of the load and learns of the other parts late. Waiting must
 /// not cost urgent requests anything at any number of entries, nor starve patient ones
 /// where the engines have time for all.
 #[test]
--- a/crates/front/src/coordinator/mod.rs
+++ b/crates/front/src/coordinator/mod.rs
@@ -31,7 +31,7 @@
 const REPORT_INTERVAL_MS: u64 = 200;
 
 /// Number of message intervals within which all entries report their demand to a new
-/// coordinator: they hear of it, then report, and one message may be lost.
+/// coordinator: one to learn of it, one to report, and one for a lost message.
 const DEMAND_REPORTS: u64 = 3;
 
 /// Time for which a load waits for the unload that precedes it.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -590,8 +590,8 @@
             "resumes": self.request.head.began_as,
             "resumes_after": self.request.head.last_event_id,
             "setup": self.request.config_version, "fleet_age_ms": fleet_age_ms });
-        // Left out where they tell nothing, as the bytes of a line limit how many lines are
-        // kept in a burst.
+        // Left out at their default values: longer lines mean that fewer are kept in a
+        // burst.
         if let Some(pause_ms) = longest_pause_ms {
             line["longest_pause_ms"] = json!(pause_ms);
         }
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -304,7 +304,7 @@
             format: message.format,
             needs_full_uses: message.needs_full_uses,
             different_since: differs.then(|| different_since.unwrap_or(now)),
-            // The sender tells its demand only to the coordinator, and directly.
+            // Demand is sent to the coordinator only, and never relayed.
             demand: match message.relay() {
                 RelayStep::Done => {
                     before.map_or_else(Vec::new, |peer| peer.demand.clone())
--- a/crates/front/src/state/fair_shares.rs
+++ b/crates/front/src/state/fair_shares.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Returns what the messages of a round tell peers, with the number of the report.
+    /// Returns the report for the messages of a round, with its number.
     pub(crate) fn report(&self, now: Instant, round: u64) -> (Vec<ServiceShares>, u64) {
         let mut shares = self.shares.lock();
         shares
@@ -63,7 +63,7 @@
             })
     }
 
-    /// Counts what a peer told.
+    /// Applies the report of a peer.
     pub(crate) fn receive(&self, now: Instant, message: &PeerNews) {
         if message.shares_number == 0 {
             return;
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -42,8 +42,8 @@
         self.count_bytes(result_bytes(result));
     }
 
-    /// Counts bytes of objects. An entry can't tell in which failure domain the
-    /// platform's server is.
+    /// Counts bytes of objects. An entry doesn't know in which failure domain
+    /// the platform's server is.
     fn count_bytes(&self, bytes: usize) {
         let labels = [
             TransferKind::Platform.as_str(),
--- a/crates/quota/src/fair_share.rs
+++ b/crates/quota/src/fair_share.rs
@@ -24,8 +24,8 @@
 /// Time constant of the mean cost of a request.
 const MEAN_DECAY_MS: u64 = 30_000;
 
-/// Requests that must be known of to tell what a request costs, and so how much costs
-/// differ by chance.
+/// Number of requests from which on the mean cost of a request is known, and with it by
+/// how much costs differ by chance.
 const REQUESTS_MIN: f64 = 20.0;
 
 /// Mean square of a request's cost over the square of its mean. Most prompts are short
@@ -257,8 +257,8 @@
     /// served more, while requests of others were refused.
     ///
     /// It is compared with the others and not with the mean over all: the mean follows
-    /// a workspace that takes most of the capacity. What it sent tells a larger load
-    /// from noise within a second, as what it is served grows only by what the others
+    /// a workspace that takes most of the capacity. A larger load shows in what it sent
+    /// within a second, as what it is served grows only by what the others
     /// lose.
     pub(crate) fn is_over_share(&mut self, now: Instant, workspace: &str) -> bool {
         self.decay(now);
@@ -294,8 +294,8 @@
             && exceeds(own.served, others.served, SERVED_MARGIN)
     }
 
-    /// Returns the costs that peers were not told and the number of requests sent to
-    /// upstreams, and counts them as told.
+    /// Returns the costs that were not reported to peers and the number of requests sent
+    /// to upstreams, and counts them as reported.
     pub(crate) fn take_unreported(&mut self) -> (Vec<(Arc<str>, Costs)>, u64) {
         let unreported = self.workspaces.iter_mut().map(|(name, share)| {
             (Arc::clone(name), std::mem::take(&mut share.unreported))
--- a/crates/quota/src/fair_shares.rs
+++ b/crates/quota/src/fair_shares.rs
@@ -19,7 +19,7 @@
 const REPORTED_COST_MAX_S: f64 = 4.0;
 
 /// Time after which a peer without new reports is forgotten. A restarted peer has a
-/// later start time and is heard at once.
+/// later start time, so its reports count at once.
 const PEER_RETENTION_MS: u64 = 30_000;
 
 /// Most peers whose reports are told apart. Reports of others are dropped.
