--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,8 +26,8 @@
 //!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
 //!   lease over. [`Ledger`] tracks the orders to one upstream and what it therefore
 //!   holds. [`LoadPlanner`] decides which models are loaded where, and
-//!   [`AdapterPlanner`] which adapters. [`CapacityPressure`] is what calls
-//!   for copies in time.
+//!   [`AdapterPlanner`] which adapters. [`CapacityPressure`] is
+//!   what calls for copies in time.
 //! - [`SharedWatch`] lets one entry watch the platform for its whole failure domain, and
 //!   compares the result with that of the others. [`start_sources`] tells from where an
 //!   entry that starts gets its first state.
@@ -122,7 +122,7 @@
     LoadPlanner, LoadReason, PlacedModel, PlannedLoad, UpstreamState,
 };
 pub use message_detail::{
-    MessageDetail, PEER_FORMAT, PendingChanges, Receiver, digest_settle_ms,
+    ItemRepeats, MessageDetail, PEER_FORMAT, Receiver, digest_settle_ms,
     is_repeat_round, message_detail, repeat_number, rotation_number,
 };
 pub use move_delay::{MoveDelay, MoveObstacle};
--- a/crates/direct/src/message_detail.rs
+++ b/crates/direct/src/message_detail.rs
@@ -119,12 +119,12 @@
 
 /// Counts for each item of a small set in how many messages it is still to be sent.
 #[derive(Debug, Default)]
-pub struct PendingChanges {
+pub struct ItemRepeats {
     /// Number of messages, by the key of each current item.
     pending: BTreeMap<u64, u8>,
 }
 
-impl PendingChanges {
+impl ItemRepeats {
     /// Returns the positions of up to `limit` of the current items that are new or were
     /// sent in fewer than three messages, and counts that they are sent.
     pub fn take(&mut self, items: &[u64], limit: usize) -> Vec<usize> {
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -15,7 +15,8 @@
 use crate::is_patient;
 
 /// Prefill time that an engine may have left when it gets a patient request: one chunk in
-/// progress and one that keeps the engine busy until other entries know that it has little left.
+/// progress and one that keeps the engine busy until other entries know that it has
+/// little left.
 const PATIENT_UNREAD_MS: u64 = 160;
 
 /// Share of a patient request's target, in percent, for which it waits for an engine with
--- a/crates/direct/tests/all/message_detail.rs
+++ b/crates/direct/tests/all/message_detail.rs
@@ -3,7 +3,7 @@
 use base::AgentId;
 use base::Instant;
 use direct::{
-    MessageDetail, PEER_FORMAT, PendingChanges, Receiver, digest_settle_ms,
+    ItemRepeats, MessageDetail, PEER_FORMAT, Receiver, digest_settle_ms,
     is_repeat_round, message_detail, peer_message_interval_ms, rotation_number,
     suspects_per_message,
 };
@@ -265,7 +265,7 @@
 /// A change is sent in three messages. If more change than fit, none is left out.
 #[test]
 fn each_change_is_sent_three_times() {
-    let mut changes = PendingChanges::default();
+    let mut changes = ItemRepeats::default();
     let items: Vec<u64> = (0..10).collect();
     let mut sent = vec![0; items.len()];
     for _ in 0..10 {
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -141,7 +141,7 @@
             };
             let is_relayed = is_periodic && contents.may_be_passed_on();
             let (direct, relayed) = if is_relayed {
-                relay::plan(node, now, addresses)
+                relay::assign_relays(node, now, addresses)
             } else {
                 (addresses, Vec::new())
             };
--- a/crates/front/src/peers/relay.rs
+++ b/crates/front/src/peers/relay.rs
@@ -1,5 +1,6 @@
 //! Passes periodic messages of other failure domains on to the entries of this one.
 
+use base::Instant;
 use direct::{RELAY_FORMAT, Relays};
 use prost::Message;
 use schema::peer::{PeerNews, RelayConfirmation, RelayStep};
@@ -8,24 +9,23 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-use base::Instant;
-
 use crate::state::Node;
 use crate::state::peers::Peers;
 
 /// A message to an entry that passes it on.
 #[derive(Debug)]
 pub(super) struct RelayedMessage {
-    /// Name and address of the relay.
+    /// Name of the relay.
     pub(super) relay: String,
+    /// Its address.
     pub(super) address: SocketAddr,
-    /// The others that it should reach.
+    /// The others of its failure domain, to which it passes the message on.
     others: Vec<SocketAddr>,
 }
 
 /// Divides the receivers of a periodic message into those that get it directly and those
 /// that a relay of their failure domain passes it on to.
-pub(super) fn plan(
+pub(super) fn assign_relays(
     node: &Node,
     now: Instant,
     receivers: Vec<SocketAddr>,
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use direct::{
-    DemandEstimate, DemandPressure, IncarnationIndex, LeaseCandidate, MessageDetail,
-    MessageRounds, PeerEntry, PendingChanges, Receiver, has_successor, message_detail,
+    DemandEstimate, DemandPressure, IncarnationIndex, ItemRepeats, LeaseCandidate,
+    MessageDetail, MessageRounds, PeerEntry, Receiver, has_successor, message_detail,
     peer_timeout_ms,
 };
 use parking_lot::Mutex;
@@ -78,7 +78,7 @@
     /// When packed uses last named an upstream that is not known here.
     pub(crate) unknown_use_at: Option<Instant>,
     /// Leaving upstreams that are still to be sent.
-    pub(crate) leaving_changes: PendingChanges,
+    pub(crate) leaving_changes: ItemRepeats,
     /// When a message of a coordinator was last received.
     pub(crate) coordinator_heard_at: Option<Instant>,
 }
--- a/crates/quota/src/fair_share.rs
+++ b/crates/quota/src/fair_share.rs
@@ -74,7 +74,7 @@
 /// send requests.
 #[derive(Debug, Default)]
 pub(crate) struct FairShare {
-    workspaces: BTreeMap<Arc<str>, WorkspaceShare>,
+    workspaces: BTreeMap<Arc<str>, WorkspaceUse>,
     /// Sum of their weights. It is kept, as each peer's report would sum them up for each
     /// workspace that it names.
     weight: f64,
@@ -87,9 +87,9 @@
     unreported_requests: u64,
 }
 
-/// One workspace.
+/// What one workspace uses of the service.
 #[derive(Debug)]
-struct WorkspaceShare {
+struct WorkspaceUse {
     weight: f64,
     /// Virtual time at which its last request finishes, in seconds of its rate.
     finish_s: f64,
@@ -140,7 +140,7 @@
     are_refused: bool,
 }
 
-impl WorkspaceShare {
+impl WorkspaceUse {
     const fn new(weight: f64) -> Self {
         Self {
             weight,
@@ -257,9 +257,8 @@
     /// served more, while requests of others were refused.
     ///
     /// It is compared with the others and not with the mean over all: the mean follows
-    /// a workspace that takes most of the capacity. A larger load shows in what it sent
-    /// within a second, as what it is served grows only by what the others
-    /// lose.
+    /// a workspace that takes most of the capacity. A larger load shows within a second
+    /// in what it sent; what it is served grows only by what the others lose.
     pub(crate) fn is_over_share(&mut self, now: Instant, workspace: &str) -> bool {
         self.decay(now);
         let Some(own) = self.workspaces.get(workspace) else {
@@ -324,14 +323,14 @@
         now: Instant,
         workspace: &Arc<str>,
         weight: f64,
-    ) -> &mut WorkspaceShare {
+    ) -> &mut WorkspaceUse {
         self.decay(now);
         let total_weight = &mut self.weight;
         self.workspaces
             .entry(Arc::clone(workspace))
             .or_insert_with(|| {
                 *total_weight += weight;
-                WorkspaceShare::new(weight)
+                WorkspaceUse::new(weight)
             })
     }
 
--- a/crates/route/src/crash_record.rs
+++ b/crates/route/src/crash_record.rs
@@ -4,7 +4,7 @@
 use schema::link::CrashWitness;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::record_digest::{PendingChange, mixed, set_hash};
+use crate::record_digest::{ChangeRepeats, mixed, set_hash};
 
 /// Maximum number of crashes kept per fingerprint.
 pub(crate) const CRASHES_MAX: usize = 8;
@@ -24,7 +24,7 @@
     /// When this entry last learned of a new crash.
     pub(crate) learned_at: Instant,
     /// Whether a crash that this entry observed is still to be sent to others.
-    pub(crate) pending: PendingChange,
+    pub(crate) pending: ChangeRepeats,
     /// Model of this entry's last exclusive run of the request; empty if none.
     pub(crate) model: String,
     /// Name of this entry while it runs the request exclusively; empty otherwise.
@@ -39,7 +39,7 @@
             convicted: false,
             expires_at,
             learned_at: now,
-            pending: PendingChange::default(),
+            pending: ChangeRepeats::default(),
             model: String::new(),
             running_at: String::new(),
         }
--- a/crates/route/src/part_record.rs
+++ b/crates/route/src/part_record.rs
@@ -4,7 +4,7 @@
 use schema::peer::SuspectPart;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::record_digest::{PendingChange, mixed, set_hash};
+use crate::record_digest::{ChangeRepeats, mixed, set_hash};
 
 /// Number of crashes from which on a part may be refused. At one, a request may have
 /// been a bystander.
@@ -103,7 +103,7 @@
     /// Whether some of the evidence is this entry's own.
     pub(crate) observed_here: bool,
     /// Whether evidence of this entry is still to be sent to others.
-    pub(crate) pending: PendingChange,
+    pub(crate) pending: ChangeRepeats,
     /// When the probe in progress started.
     pub(crate) probe_started_at: Option<Instant>,
 }
@@ -118,7 +118,7 @@
             expires_at: now.plus_ms(SUSPICION_MS),
             changed_at: now,
             observed_here: false,
-            pending: PendingChange::default(),
+            pending: ChangeRepeats::default(),
             probe_started_at: None,
         }
     }
--- a/crates/route/src/record_digest.rs
+++ b/crates/route/src/record_digest.rs
@@ -30,14 +30,14 @@
 
 /// Whether a change is still to be sent to other entries.
 #[derive(Debug, Default)]
-pub(crate) struct PendingChange {
+pub(crate) struct ChangeRepeats {
     /// Number of messages in which it is still to be sent.
     messages: u8,
     /// When it was first sent.
     sent_at: Option<Instant>,
 }
 
-impl PendingChange {
+impl ChangeRepeats {
     /// Records a change.
     pub(crate) const fn mark(&mut self) {
         self.messages = CHANGE_MESSAGES;
@@ -72,7 +72,7 @@
     now: Instant,
     records: impl Iterator<Item = (&'a K, &'a mut V)>,
     max: usize,
-    mut pending: impl FnMut(&mut V) -> &mut PendingChange,
+    mut pending: impl FnMut(&mut V) -> &mut ChangeRepeats,
     is_urgent: impl Fn(&V) -> bool,
 ) -> Vec<(&'a K, &'a V)> {
     let mut due: Vec<((bool, u8), &K, &mut V)> = records
