Each request that was taken has its line, and each closed connection a reason

Change: the tasks of callers' connections end before the process does, and each request that is dropped then has its line, with what was forwarded and the upstream that had it (`process_ended`). One that is dropped before its dispatch has a line too (`unfinished`). `connections_ended` counts connections by reason and phase, and one that cut off a request is logged (`connection_cut`). `setup_in_force` tells how long the configuration took to read and how many requests were in progress; a request's line names the configuration at its end if that is another one. `stopped` tells by how much the time was exceeded.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -78,8 +78,12 @@
     may_have_run: bool,
     /// What the next attempt takes from its upstream's advertised rate.
     pub(crate) rate_charge: Option<Charge>,
-    /// Whether an attempt is in progress.
-    attempt_in_progress: bool,
+    /// Upstream of the attempt in progress.
+    attempt_at: Option<Arc<str>>,
+    /// Whether an upstream has started a stream.
+    stream_started: bool,
+    /// Status of the response whose head was handed to the HTTP library.
+    pub(crate) response_status: Option<u16>,
     /// The last error response that an upstream itself sent.
     upstream_failure: Option<BufferedResponse>,
     /// Where the stream began. Set before its first event is forwarded, it determines
@@ -152,7 +156,9 @@
             attempted: Mutex::default(),
             may_have_run: false,
             rate_charge: None,
-            attempt_in_progress: false,
+            attempt_at: None,
+            stream_started: false,
+            response_status: None,
             upstream_failure: None,
             last_event_id,
             attempts: Vec::new(),
@@ -225,11 +231,12 @@
         &mut self,
         selected: SelectedUpstream,
     ) -> (SelectedUpstream, AttemptResult) {
-        self.attempt_in_progress = true;
+        self.attempt_at = Some(Arc::clone(&selected.id));
         self.request.set_charge_used(true);
         let charge = self.rate_charge.take();
         let (ended, last) = attempt_with_takeover(self, selected, charge).await;
-        self.attempt_in_progress = false;
+        self.attempt_at = None;
+        self.stream_started |= matches!(last.result, AttemptResult::Stream(_));
         for attempt in ended {
             self.record_attempt(
                 &attempt.selected,
@@ -281,7 +288,7 @@
 
     /// Records that an attempt was dropped before it ended.
     pub(crate) fn withdraw_attempt(&mut self) {
-        self.attempt_in_progress = false;
+        self.attempt_at = None;
         self.rate_charge = None;
         self.attempts.push(json!({ "outcome": "withdrawn" }));
     }
@@ -413,7 +420,7 @@
     /// connection were closed, the caller would get no reply and would not know
     /// whether it may send the request again.
     fn end_for_shutdown(&mut self) -> DispatchResult {
-        self.may_have_run |= self.attempt_in_progress;
+        self.may_have_run |= self.attempt_at.is_some();
         self.end_without_response(ErrorCode::Leaving)
     }
 
@@ -488,6 +495,6 @@
 impl Drop for Dispatch {
     fn drop(&mut self) {
         self.node.metrics.in_progress.dec();
-        self.record_end("caller_gone", 0);
+        self.record_unfinished();
     }
 }
--- a/crates/front/src/dispatch/record.rs
+++ b/crates/front/src/dispatch/record.rs
@@ -8,6 +8,28 @@
 use crate::attempt::AttemptResult;
 use crate::upstream_address::software_version_of;
 
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// No upstream has it.
+    Waiting,
+    /// An upstream has it, and nothing of the response was forwarded.
+    Sent,
+    /// A part of the response was forwarded.
+    Answering,
+}
+
+impl Progress {
+    /// Returns the name used in metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Sent => "sent",
+            Self::Answering => "answering",
+        }
+    }
+}
+
 impl Dispatch {
     /// Records an attempt in metrics and for the request's log line. One without
     /// a result was withdrawn.
@@ -76,6 +98,36 @@
         self.record_first_response();
     }
 
+    /// Logs and counts a request whose connection ended before its response, unless
+    /// its end was recorded.
+    pub(super) fn record_unfinished(&mut self) {
+        if self.end_recorded {
+            return;
+        }
+        let progress = self.progress();
+        if let Some(upstream) = self.attempt_at.take() {
+            self.attempts
+                .push(json!({ "upstream": &*upstream, "outcome": "unfinished" }));
+        }
+        self.may_have_run |= progress != Progress::Waiting;
+        let outcome = self.node.unfinished_outcome();
+        let labels = [&*self.request.route.name, outcome, progress.as_str()];
+        let unfinished = &self.node.metrics.requests_unfinished;
+        unfinished.with_label_values(&labels).inc();
+        self.record_end(outcome, self.response_status.unwrap_or(0));
+    }
+
+    /// Returns how far the request has come.
+    const fn progress(&self) -> Progress {
+        if self.first_response_ms.is_some() {
+            Progress::Answering
+        } else if self.attempt_at.is_some() || self.stream_started {
+            Progress::Sent
+        } else {
+            Progress::Waiting
+        }
+    }
+
     /// Logs and counts the end of the request. Only the first call has an
     /// effect.
     pub(crate) fn record_end(&mut self, outcome: &str, status: u16) {
@@ -125,6 +177,11 @@
         if self.over_share {
             line["over_share"] = json!(true);
         }
+        let config = node.config().map(|config| config.version);
+        if let Some(version) = config.filter(|now| *now != self.request.config_version)
+        {
+            line["setup_at_end"] = json!(version);
+        }
         node.log.line("request", line);
     }
 }
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -63,7 +63,7 @@
 
 /// The phase of the current request on a connection.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-enum RequestPhase {
+pub(crate) enum RequestPhase {
     /// The caller has connected and sent nothing yet.
     #[default]
     AwaitingFirst,
@@ -79,6 +79,16 @@
     const fn expects_head(self) -> bool {
         matches!(self, Self::AwaitingFirst | Self::ReadingHead)
     }
+
+    /// Returns the name used in metrics and log lines.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::AwaitingFirst => "awaiting_first",
+            Self::ReadingHead => "reading_head",
+            Self::Responding => "responding",
+            Self::Idle => "idle",
+        }
+    }
 }
 
 /// Observed state of a connection's requests. Clones share the state.
@@ -124,10 +134,15 @@
         self.wait_for(|phase| !phase.expects_head()).await;
     }
 
+    /// Returns the phase of the current request.
+    pub(crate) fn phase(&self) -> RequestPhase {
+        *self.0.phase.borrow()
+    }
+
     /// Returns whether a request head is expected: that of the connection's
     /// first request, or one that has been received in part.
     pub(crate) fn expects_head(&self) -> bool {
-        self.0.phase.borrow().expects_head()
+        self.phase().expects_head()
     }
 
     async fn wait_for(&self, holds: impl Fn(RequestPhase) -> bool) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,6 +24,7 @@
 mod attempt;
 mod clock;
 mod connection;
+mod connection_end;
 mod coordinator;
 mod crash;
 mod dispatch;
@@ -59,6 +60,7 @@
 mod stream;
 mod stream_origins;
 mod suspect_parts;
+mod taken_request;
 mod takeover;
 mod upstream_address;
 mod upstream_changes;
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -277,10 +277,11 @@
         if *key != node.options.keys.config || value.is_empty() {
             continue;
         }
+        let began_at = node.now();
         match node.protocol.parse_config(value) {
             Ok(config) => {
                 node.unreadable.forget(ObjectKind::Config, key);
-                adopt_config(node, config);
+                adopt_config(node, config, began_at);
             }
             // The previous configuration stays in force.
             Err(error) => {
@@ -290,8 +291,9 @@
     }
 }
 
-/// Puts a configuration into force unless the current one is as new.
-fn adopt_config(node: &Node, config: direct::Config) {
+/// Puts a configuration into force unless the current one is as new. `began_at` is when
+/// its decoding began.
+fn adopt_config(node: &Node, config: direct::Config, began_at: Instant) {
     let mut current = node.config.lock();
     let before = current.0.as_ref().map_or(0, |config| config.version);
     if current.0.is_some() && config.version <= before {
@@ -306,7 +308,10 @@
     node.config_adopted.notify_waiters();
     node.log.line(
         "setup_in_force",
-        json!({ "version": version, "before": before, "routes": routes }),
+        json!({ "version": version, "before": before, "routes": routes,
+            "ms": node.now().ms_since(began_at),
+            "in_progress": node.metrics.in_progress.get(),
+            "stopping": node.shutdown.is_stopping() }),
     );
     let prefix = &node.options.keys.upstream_prefix;
     for upstream in node.fleet.lock().all() {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -24,6 +24,7 @@
 use crate::stream::{forward, start_stream};
 use crate::stream_origins;
 use crate::suspect_parts::shared_parts;
+use crate::taken_request::TakenRequest;
 
 /// When a caller should come back to an entry that has no configuration yet.
 const NOT_READY_RETRY_MS: u64 = 300;
@@ -57,6 +58,7 @@
     let (parts, body) = request.into_parts();
     let head = node.protocol.parse_request_head(&parts.headers);
     let id = head.id.clone();
+    let taken = TakenRequest::new(&node, &id);
     if phase == ShutdownPhase::Ended {
         node.log
             .line("taken_after_end", json!({ "id": id.clone() }));
@@ -71,6 +73,7 @@
             () = respond_now.cancelled() => Err(SHUTTING_DOWN),
         }
     };
+    taken.logged_elsewhere();
     let mut response = match built {
         Ok(request) => dispatch_request(Arc::clone(&node), request).await,
         Err(refusal) => {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::connection::configure_caller_socket;
+use crate::connection_end::{ConnectionEnd, ConnectionGuard};
 use crate::framing::{ObservedStream, RequestFraming};
 use crate::request::serve;
 use crate::response::{ResponseAborted, ResponseBody};
@@ -83,14 +84,30 @@
         .spawn(serve_connection(Arc::clone(node), stream));
 }
 
-/// Serves one connection until it is closed.
+/// Serves one connection until it is closed, or the process exits.
 async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
     configure_caller_socket(&stream);
+    let framing = RequestFraming::default();
+    let mut guard = ConnectionGuard::new(Arc::clone(&node), framing.clone());
+    let mut serving = pin!(serve_requests(&node, stream, &framing));
+    let end = tokio::select! {
+        biased;
+        end = serving.as_mut() => end,
+        () = node.shutdown.finished.cancelled() => ConnectionEnd::Exit,
+    };
+    guard.record(end);
+}
+
+/// Serves the requests of a connection until it is closed. Returns why it ended.
+async fn serve_requests(
+    node: &Arc<Node>,
+    stream: TcpStream,
+    framing: &RequestFraming,
+) -> ConnectionEnd {
     let limits = node.config().map(|config| config.limits.clone());
     let limits = limits.unwrap_or_default();
-    let framing = RequestFraming::default();
     let service = {
-        let (node, framing) = (Arc::clone(&node), framing.clone());
+        let (node, framing) = (Arc::clone(node), framing.clone());
         service_fn(move |request| {
             handle_request(Arc::clone(&node), framing.clone(), request)
         })
@@ -109,26 +126,29 @@
             service,
         );
     let mut connection = pin!(connection);
-    // The result of the connection doesn't matter; the futures of its requests
-    // are dropped with it.
     tokio::select! {
         biased;
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => {
+            return ConnectionEnd::of(&result, framing.phase());
+        }
         () = node.shutdown.close_connections.cancelled() => {}
     }
     let head_timeout = Duration::from_millis(limits.head_timeout_ms);
     tokio::select! {
         biased;
-        _ = connection.as_mut() => return,
-        () = wait_for_head(&framing, head_timeout) => {}
+        result = connection.as_mut() => {
+            return ConnectionEnd::of(&result, framing.phase());
+        }
+        () = wait_for_head(framing, head_timeout) => {}
     }
     if framing.expects_head() {
         // A graceful shutdown would wait for the head as long as for an idle
         // connection.
-        return;
+        return ConnectionEnd::Stopping;
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let result = connection.await;
+    ConnectionEnd::of(&result, framing.phase())
 }
 
 /// Waits until no request head is expected on a connection that is to be
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -40,6 +40,10 @@
 /// calls to the platform.
 const LEASE_HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest wait for the tasks of connections that are cut off by the exit. They
+/// end as soon as they are scheduled.
+const CUT_OFF_WAIT: Duration = Duration::from_millis(50);
+
 /// Time for the last log lines to be written.
 const LOG_FLUSH_WAIT: Duration = Duration::from_millis(50);
 
@@ -76,8 +80,11 @@
         handover,
     )
     .await;
+    let remaining = remaining_work(node);
     node.shutdown.finished.cancel();
-    log_step(node, "stopped");
+    // The tasks of the connections end now and log the requests that they cut off.
+    wait_for_connections(node, node.now() + CUT_OFF_WAIT).await;
+    node.log.line("stopped", remaining);
     node.log.flush();
     tokio::time::sleep(LOG_FLUSH_WAIT).await;
 }
@@ -90,7 +97,13 @@
 
 /// Logs a step of the shutdown and what is still in progress.
 fn log_step(node: &Node, step: &str) {
-    let remaining: Value = json!({ "in_progress": node.metrics.in_progress.get(),
-        "connections": node.caller_connections.len() });
-    node.log.line(step, remaining);
+    node.log.line(step, remaining_work(node));
+}
+
+/// Returns what is still in progress, for the log, and by how much the process is late
+/// to exit.
+fn remaining_work(node: &Node) -> Value {
+    let late_ms = node.shutdown.late_ms(node.now());
+    json!({ "in_progress": node.metrics.in_progress.get(),
+        "connections": node.caller_connections.len(), "late_ms": late_ms })
 }
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -71,6 +71,11 @@
     pub(crate) shutdown_responses: IntCounterVec,
     /// New connections that were closed unread for lack of processor time.
     pub(crate) connections_refused: IntCounter,
+    /// Callers' connections that ended, by reason and phase of their last request.
+    pub(crate) connections_ended: IntCounterVec,
+    /// Requests whose connection ended before the end of their response, by route,
+    /// outcome and progress.
+    pub(crate) requests_unfinished: IntCounterVec,
     /// Requests in progress.
     pub(crate) in_progress: IntGauge,
     /// Dropped log lines.
@@ -163,6 +168,16 @@
             "Answers after the signal to stop",
             &["phase", "status"],
         );
+        let connections_ended = counter(
+            "sesame_front_connections_ended_total",
+            "Callers' connections that ended, by reason and phase of the last request",
+            &["why", "phase"],
+        );
+        let requests_unfinished = counter(
+            "sesame_front_requests_unfinished_total",
+            "Requests whose connection ended before their response did",
+            &["route", "outcome", "progress"],
+        );
         let suspended_s = Counter::new(
             "sesame_front_suspended_seconds_total",
             "Time for which the process did not run",
@@ -264,6 +279,8 @@
             suspended_s,
             shutdown_responses,
             connections_refused,
+            connections_ended,
+            requests_unfinished,
             in_progress,
             log_dropped,
         }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -267,6 +267,15 @@
         matches!(verdict, CrashVerdict::Convicted { .. })
     }
 
+    /// Returns the outcome of a request whose connection ended before its response.
+    pub(crate) fn unfinished_outcome(&self) -> &'static str {
+        if self.shutdown.finished.is_cancelled() {
+            "process_ended"
+        } else {
+            "caller_gone"
+        }
+    }
+
     /// Returns whether this entry can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let knows_some = self.has_first_upstreams.load(Ordering::Relaxed);
--- a/crates/front/src/state/shutdown.rs
+++ b/crates/front/src/state/shutdown.rs
@@ -102,6 +102,12 @@
             .map(|(_, end_at)| end_at - Duration::from_millis(FINAL_RESPONSE_MARGIN_MS))
     }
 
+    /// Returns how long ago the process was to exit; 0 before that.
+    pub(crate) fn late_ms(&self, now: Instant) -> u64 {
+        let stopping = self.stopping.lock();
+        stopping.map_or(0, |(_, end_at)| now.ms_since(end_at))
+    }
+
     /// Returns whether a request comes too late to finish before the process
     /// exits.
     pub(crate) fn is_too_late(&self, now: Instant, stream: bool) -> bool {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -91,9 +91,10 @@
 /// upstream's response.
 pub(crate) fn forward(
     first: Option<Bytes>,
-    forwarder: StreamForwarder,
+    mut forwarder: StreamForwarder,
 ) -> Response<ResponseBody> {
     let (status, headers) = (forwarder.status, forwarder.headers.clone());
+    forwarder.dispatch.response_status = Some(status.as_u16());
     let frames = unfold((first, Some(forwarder)), |(first, forwarder)| async {
         let mut forwarder = forwarder?;
         if let Some(bytes) = first {
