front: a silent upstream is kept until another one has responded

Callers saw: a stream broke off in the middle, or a request that may run twice got 502, though its upstream was sound: it had sent nothing for a second and went on.

Cause: after 700 ms of silence another upstream was asked, and 250 ms later the silent one was closed, whether or not the other had responded. If that one was as silent and refused late, had the request in its queue and refused, broke off, or could not be connected to (that takes 300 ms), the attempts of the route were used up and nothing had the request any more. The class: work is ended on a suspicion before anything else has taken it.

Change: the silent upstream is left only when another one has responded with something that can be forwarded. All attempts of a request race; one that fails leaves the others, and the request fails with its last attempt. A stream that has begun is kept the same way, and one that has nothing forwarded still gets its final response at the end of the process.

Ruled out: a longer overlap (any bound is shorter than some queue), and a longer silence before another upstream is asked (a dead one is then found later). Running at two upstreams until one responds costs a prompt at the second one; MAX_OVERLAP saved that.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -182,7 +182,7 @@
             return self.end_for_shutdown();
         }
         let respond_now = self.node.shutdown.respond_now.clone();
-        let response_started = self.first_response_ms.is_some();
+        let response_started = self.has_response();
         tokio::select! {
             biased;
             end = self.run_attempts() => end,
@@ -424,11 +424,15 @@
         self.end_without_response(ErrorCode::Leaving)
     }
 
+    /// Returns whether a part of the response was forwarded.
+    pub(crate) const fn has_response(&self) -> bool {
+        self.first_response_ms.is_some()
+    }
+
     /// Returns whether the process is about to exit and no part of the response
     /// was forwarded.
     pub(crate) fn must_end_for_shutdown(&self) -> bool {
-        self.first_response_ms.is_none()
-            && self.node.shutdown.respond_now.is_cancelled()
+        !self.has_response() && self.node.shutdown.respond_now.is_cancelled()
     }
 
     /// Ends a request whose stream was running when its deadline passed or the
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::attempt::{AttemptResult, UpstreamStream};
 use crate::crash::await_if_doubtful;
@@ -17,7 +17,6 @@
 use crate::events::{Event, EventSplitter};
 use crate::response::{ResponseAborted, ResponseBody};
 use crate::state::transfer::TransferKind;
-use crate::takeover::MAX_OVERLAP;
 
 /// Interval at which a waiting stream checks whether its upstream has fallen
 /// silent.
@@ -339,32 +338,43 @@
     }
 }
 
-/// Attempts the rest of a stream at another upstream until the attempt ends or
-/// the silent upstream sends something. The silent one is closed, and `kept`
-/// becomes `None`, after [`MAX_OVERLAP`] or when its connection breaks.
+/// Attempts the rest of a stream at another upstream until the attempt ends, the
+/// silent upstream sends something, or the caller is to get a final response. `kept`
+/// becomes `None` if the connection to the silent one breaks.
 async fn race_takeover(
     dispatch: &mut Dispatch,
     kept: &mut Option<Box<UpstreamStream>>,
     silent: &Arc<str>,
 ) -> TakeoverResult {
+    let respond_now = dispatch.node.shutdown.respond_now.clone();
+    let has_response = dispatch.has_response();
     let attempt = dispatch.attempt_elsewhere(silent);
     tokio::pin!(attempt);
-    if let Some(source) = kept.as_mut() {
+    loop {
         tokio::select! {
             biased;
-            frame = source.body.frame() => {
+            frame = next_frame(kept) => {
                 if !matches!(frame, Some(Err(_))) {
                     return TakeoverResult::Resumed(frame);
                 }
             }
             attempted = &mut attempt => return TakeoverResult::Attempted(attempted),
-            () = sleep(MAX_OVERLAP) => {}
+            () = respond_now.cancelled(), if !has_response => {
+                return TakeoverResult::Attempted(None);
+            }
+        }
+        if let Some(source) = kept.take() {
+            source.broken();
         }
     }
-    if let Some(source) = kept.take() {
-        source.broken();
+}
+
+/// Waits for the next part of a response, forever if there is none.
+async fn next_frame(source: &mut Option<Box<UpstreamStream>>) -> BodyFrame {
+    match source {
+        Some(source) => source.body.frame().await,
+        None => std::future::pending().await,
     }
-    TakeoverResult::Attempted(attempt.await)
 }
 
 enum EventPosition {
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -1,8 +1,9 @@
 //! Takes over a request from an upstream that has fallen silent.
 //!
-//! The silent upstream is kept until another one has responded, so that one that
-//! refuses the request does not end it. [`direct::decide_in_flight`] decides when
-//! another upstream is asked at all.
+//! Silence is a suspicion: a sound upstream may send nothing for a second and go on. So
+//! the silent upstream is kept until another one has responded, however long that takes.
+//! If it were closed earlier, one that refuses the request late, or is as silent, would
+//! end it. [`direct::decide_in_flight`] decides when another upstream is asked at all.
 
 use base::prelude::*;
 use direct::{
@@ -10,12 +11,10 @@
     TakeoverResources, decide_in_flight,
 };
 use futures::FutureExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, select_all};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::sleep;
 
 use crate::attempt::{AttemptResult, attempt};
 use crate::dispatch::Dispatch;
@@ -24,11 +23,6 @@
 use crate::state_monitor::log_avoidance_if_changed;
 use crate::upstream_rate;
 
-/// Longest time for which a request is with a second upstream while the first one
-/// may still run it. An upstream that refuses a request does so within
-/// milliseconds; after this time, running it twice is a waste.
-pub(crate) const MAX_OVERLAP: Duration = Duration::from_millis(250);
-
 /// Signals the dispatch that another upstream should run a request. The retry for that
 /// was taken from the budget.
 #[derive(Debug, Default)]
@@ -146,14 +140,20 @@
     }
 }
 
-/// What happened first while two upstreams have a request.
+/// What happened first to the attempts of a request.
 enum RaceStep {
-    /// The attempt at the silent upstream ended.
-    Silent(AttemptResult),
-    /// The attempt at the other upstream ended.
-    Other(AttemptResult),
-    /// Neither ended in time.
-    OverlapOver,
+    /// The attempt at this position ended.
+    Ended(usize, AttemptResult),
+    /// The upstream of the newest attempt is silent.
+    Silent,
+}
+
+/// The attempts of a request that are in progress, oldest first. There is at least one;
+/// the upstreams of all but the newest are silent.
+struct AttemptRace<'a> {
+    dispatch: &'a Dispatch,
+    running: Vec<RunningAttempt<'a>>,
+    ended: Vec<EndedAttempt<Option<AttemptResult>>>,
 }
 
 /// Attempts a request at one upstream, and at others for as long as it stays silent.
@@ -166,51 +166,96 @@
     Vec<EndedAttempt<Option<AttemptResult>>>,
     EndedAttempt<AttemptResult>,
 ) {
-    let mut ended = Vec::new();
-    let mut current = RunningAttempt::start(dispatch, selected, charge);
+    let mut race = AttemptRace {
+        dispatch,
+        running: vec![RunningAttempt::start(dispatch, selected, charge)],
+        ended: Vec::new(),
+    };
     loop {
-        let signal = Arc::clone(&current.signal);
+        match race.next_step().await {
+            RaceStep::Silent => race.start_elsewhere().await,
+            RaceStep::Ended(position, result) => {
+                let is_last = race.running.len() == 1;
+                if is_last || result.failure().is_none() {
+                    return race.finish(position, result);
+                }
+                race.remove_failed(position, result);
+            }
+        }
+    }
+}
+
+impl<'a> AttemptRace<'a> {
+    /// Waits until an attempt ends or another upstream is to be asked.
+    async fn next_step(&mut self) -> RaceStep {
+        let newest = self.running.last();
+        let signal = newest.map(|newest| Arc::clone(&newest.signal));
+        let results = self.running.iter_mut().map(|attempt| &mut attempt.result);
         tokio::select! {
             biased;
-            result = &mut current.result => {
-                return (ended, current.end(dispatch, result));
+            (result, position, _) = select_all(results) => {
+                RaceStep::Ended(position, result)
             }
-            () = signal.requested.notified() => {}
+            () = requested(signal.as_deref()) => RaceStep::Silent,
         }
-        let running_at = Arc::clone(&current.selected.id);
-        let other = RunningAttempt::start_elsewhere(dispatch, &running_at).await;
-        let Some(mut other) = other else {
-            signal.reset();
-            continue;
-        };
-        let step = tokio::select! {
-            biased;
-            result = &mut current.result => RaceStep::Silent(result),
-            result = &mut other.result => RaceStep::Other(result),
-            () = sleep(MAX_OVERLAP) => RaceStep::OverlapOver,
+    }
+
+    /// Starts an attempt beside those in progress, if another upstream may be used now.
+    async fn start_elsewhere(&mut self) {
+        let newest = self.running.last();
+        let newest = newest.map(|newest| {
+            (Arc::clone(&newest.selected.id), Arc::clone(&newest.signal))
+        });
+        let Some((silent, signal)) = newest else {
+            return;
         };
-        match step {
-            RaceStep::Silent(result) if result.failure().is_none() => {
-                ended.push(other.withdraw());
-                return (ended, current.end(dispatch, result));
-            }
-            RaceStep::Silent(result) => {
-                ended.push(current.end(dispatch, result).earlier());
-                current = other;
-            }
-            RaceStep::Other(result) if result.failure().is_none() => {
-                ended.push(current.end(dispatch, AttemptResult::left()).earlier());
-                return (ended, other.end(dispatch, result));
-            }
-            RaceStep::Other(result) => {
-                ended.push(other.end(dispatch, result).earlier());
-                signal.reset();
-            }
-            RaceStep::OverlapOver => {
-                ended.push(current.end(dispatch, AttemptResult::left()).earlier());
-                current = other;
-            }
+        // The other attempt may not come back to it.
+        self.dispatch
+            .record_sent_to(&silent, AttemptOutcome::Unknown);
+        match RunningAttempt::start_elsewhere(self.dispatch, &silent).await {
+            Some(other) => self.running.push(other),
+            None => signal.reset(),
+        }
+    }
+
+    /// Removes an attempt that failed while others are in progress.
+    fn remove_failed(&mut self, position: usize, result: AttemptResult) {
+        let failed = self.running.remove(position);
+        self.ended.push(failed.end(self.dispatch, result).earlier());
+        if let Some(newest) = self.running.last() {
+            newest.signal.reset();
+        }
+    }
+
+    /// Ends the race with the result of one attempt. The upstreams that were asked before
+    /// it are left; the attempts after it are withdrawn.
+    fn finish(
+        mut self,
+        position: usize,
+        result: AttemptResult,
+    ) -> (
+        Vec<EndedAttempt<Option<AttemptResult>>>,
+        EndedAttempt<AttemptResult>,
+    ) {
+        let later = self.running.split_off(position + 1);
+        let last = self.running.split_off(position);
+        for silent in self.running {
+            let left = silent.end(self.dispatch, AttemptResult::left());
+            self.ended.push(left.earlier());
         }
+        self.ended
+            .extend(later.into_iter().map(RunningAttempt::withdraw));
+        let last = last.into_iter().next();
+        let last = last.expect("the position is that of a running attempt");
+        (self.ended, last.end(self.dispatch, result))
+    }
+}
+
+/// Waits until an attempt requests that another upstream is asked.
+async fn requested(signal: Option<&TakeoverSignal>) {
+    match signal {
+        Some(signal) => signal.requested.notified().await,
+        None => std::future::pending().await,
     }
 }
 
