front: timeouts of callers' connections follow the configuration in force

Callers saw: a connection that had rested for less than the idle timeout in force was closed, and a request whose head began just before the end of the idle timeout was cut off in its middle, without an answer.

Cause: a connection took its timeouts when it was accepted, and the defaults if its entry had no configuration yet, for as long as it was used. The HTTP library has one timeout for idle time and head together, counted from the end of the request before.

Change: `caller_timeouts` decides by the limits in force, and again as a configuration comes into force; a head has its own time from its first byte. An idle connection is closed gracefully, so that a response that is still being sent is not cut off.

Left: the limit on the size of a head is still that of the connection's beginning.

--- a/crates/front/src/connection_end.rs
+++ b/crates/front/src/connection_end.rs
@@ -26,18 +26,22 @@
 }
 
 impl ConnectionEnd {
-    /// Returns the reason for which the HTTP library ended a connection in this phase.
-    pub(crate) fn of(result: &hyper::Result<()>, phase: RequestPhase) -> Self {
+    /// Returns the reason for which the HTTP library ended a connection.
+    pub(crate) const fn of(result: &hyper::Result<()>) -> Self {
         match result {
             Ok(()) => Self::Closed,
-            Err(error) if error.is_timeout() && phase == RequestPhase::ReadingHead => {
-                Self::HeadTimeout
-            }
-            Err(error) if error.is_timeout() => Self::Idle,
             Err(_) => Self::Error,
         }
     }
 
+    /// Returns the reason for closing a connection whose time in this phase is up.
+    pub(crate) const fn timed_out_in(phase: RequestPhase) -> Self {
+        match phase {
+            RequestPhase::ReadingHead => Self::HeadTimeout,
+            _ => Self::Idle,
+        }
+    }
+
     /// Returns the name used in metrics and log lines.
     const fn as_str(self) -> &'static str {
         match self {
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -17,6 +17,7 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Number of bytes kept of the start of a line: the longer of the two header
 /// names and its colon.
@@ -91,6 +92,26 @@
     }
 }
 
+/// A phase and when it began.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PhaseStart {
+    pub(crate) phase: RequestPhase,
+    pub(crate) since: Instant,
+}
+
+impl PhaseStart {
+    fn now(phase: RequestPhase) -> Self {
+        let since = Instant::now();
+        Self { phase, since }
+    }
+}
+
+impl Default for PhaseStart {
+    fn default() -> Self {
+        Self::now(RequestPhase::default())
+    }
+}
+
 /// Observed state of a connection's requests. Clones share the state.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RequestFraming(Arc<FramingState>);
@@ -98,13 +119,13 @@
 #[derive(Debug, Default)]
 struct FramingState {
     head: Mutex<HeadScanner>,
-    phase: watch::Sender<RequestPhase>,
+    phase: watch::Sender<PhaseStart>,
 }
 
 impl RequestFraming {
     /// Notes that a complete head was read and its request is being handled.
     pub(crate) fn response_started(&self) {
-        self.0.phase.send_replace(RequestPhase::Responding);
+        self.begin(RequestPhase::Responding);
     }
 
     /// Returns whether the last head had both a length and a transfer encoding.
@@ -120,7 +141,7 @@
 
     /// Notes that the whole response was handed to the HTTP library.
     pub(crate) fn response_finished(&self) {
-        self.0.phase.send_replace(RequestPhase::Idle);
+        self.begin(RequestPhase::Idle);
     }
 
     /// Waits until the caller has sent the first byte of its first request.
@@ -136,9 +157,18 @@
 
     /// Returns the phase of the current request.
     pub(crate) fn phase(&self) -> RequestPhase {
+        self.phase_start().phase
+    }
+
+    /// Returns the phase of the current request, and when it began.
+    pub(crate) fn phase_start(&self) -> PhaseStart {
         *self.0.phase.borrow()
     }
 
+    fn begin(&self, phase: RequestPhase) {
+        self.0.phase.send_replace(PhaseStart::now(phase));
+    }
+
     /// Returns whether a request head is expected: that of the connection's
     /// first request, or one that has been received in part.
     pub(crate) fn expects_head(&self) -> bool {
@@ -148,17 +178,19 @@
     async fn wait_for(&self, holds: impl Fn(RequestPhase) -> bool) {
         let mut phase = self.0.phase.subscribe();
         // The sender lives as long as `self`.
-        let _ = phase.wait_for(|phase| holds(*phase)).await;
+        let _ = phase.wait_for(|start| holds(start.phase)).await;
     }
 
     fn read(&self, bytes: &[u8]) {
         self.0.head.lock().read(bytes);
         if !bytes.is_empty() {
-            self.0.phase.send_if_modified(|phase| {
-                let starts_request =
-                    matches!(phase, RequestPhase::AwaitingFirst | RequestPhase::Idle);
+            self.0.phase.send_if_modified(|start| {
+                let starts_request = matches!(
+                    start.phase,
+                    RequestPhase::AwaitingFirst | RequestPhase::Idle
+                );
                 if starts_request {
-                    *phase = RequestPhase::ReadingHead;
+                    *start = PhaseStart::now(RequestPhase::ReadingHead);
                 }
                 starts_request
             });
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 //!   request needs is held across an await.
 
 mod attempt;
+mod caller_timeouts;
 mod clock;
 mod connection;
 mod connection_end;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -5,7 +5,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::caller_timeouts::timed_out;
 use crate::connection::configure_caller_socket;
 use crate::connection_end::{ConnectionEnd, ConnectionGuard};
 use crate::framing::{ObservedStream, RequestFraming};
@@ -104,51 +105,48 @@
     stream: TcpStream,
     framing: &RequestFraming,
 ) -> ConnectionEnd {
-    let limits = node.config().map(|config| config.limits.clone());
-    let limits = limits.unwrap_or_default();
     let service = {
         let (node, framing) = (Arc::clone(node), framing.clone());
         service_fn(move |request| {
             handle_request(Arc::clone(&node), framing.clone(), request)
         })
     };
-    // The HTTP library measures the time for a head from the end of the
-    // previous request, so this must cover idle connections as well.
-    let idle =
-        Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(limits.head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
+        .max_buf_size(node.limits().head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
         .serve_connection(
             TokioIo::new(ObservedStream::new(stream, framing.clone())),
             service,
         );
     let mut connection = pin!(connection);
-    tokio::select! {
+    let end = tokio::select! {
         biased;
         result = connection.as_mut() => {
-            return ConnectionEnd::of(&result, framing.phase());
+            return ConnectionEnd::of(&result);
         }
-        () = node.shutdown.close_connections.cancelled() => {}
-    }
-    let head_timeout = Duration::from_millis(limits.head_timeout_ms);
-    tokio::select! {
-        biased;
-        result = connection.as_mut() => {
-            return ConnectionEnd::of(&result, framing.phase());
+        () = node.shutdown.close_connections.cancelled() => ConnectionEnd::Stopping,
+        phase = timed_out(node, framing) => ConnectionEnd::timed_out_in(phase),
+    };
+    if end == ConnectionEnd::Stopping {
+        let head_timeout = Duration::from_millis(node.limits().head_timeout_ms);
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => {
+                return ConnectionEnd::of(&result);
+            }
+            () = wait_for_head(framing, head_timeout) => {}
         }
-        () = wait_for_head(framing, head_timeout) => {}
     }
     if framing.expects_head() {
-        // A graceful shutdown would wait for the head as long as for an idle
-        // connection.
-        return ConnectionEnd::Stopping;
+        // A graceful shutdown would wait for the head.
+        return end;
     }
     connection.as_mut().graceful_shutdown();
-    let result = connection.await;
-    ConnectionEnd::of(&result, framing.phase())
+    match connection.await {
+        Ok(()) => end,
+        Err(_) => ConnectionEnd::Error,
+    }
 }
 
 /// Waits until no request head is expected on a connection that is to be
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use direct::{
     AvoidanceTracker, Config, DemandTracker, EstimateCorrections, Fleet, IntakeLimit,
-    Lease, MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
+    Lease, Limits, MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
 };
 use parking_lot::Mutex;
 use plat::ObjectApi;
@@ -223,6 +223,14 @@
         self.config.lock().0.clone()
     }
 
+    /// Returns the limits in force on what callers send.
+    pub(crate) fn limits(&self) -> Limits {
+        let config = self.config();
+        config
+            .map(|config| config.limits.clone())
+            .unwrap_or_default()
+    }
+
     /// Returns the configuration in force. A process that has just started waits
     /// for its first one, `max_wait` at most: it arrives within a second, and a
     /// caller that is refused may have no retry left.
