front: a connection opened under a lower limit on heads is closed after its response

Callers would see: a proper request with a head over the earlier limit is refused with 431 on a connection that was open before the limit was raised, for as long as it is used.

Cause: the HTTP library takes the size of its buffer when a connection begins. The same class as the timeouts of connections: a limit that is read once.

Change: a response on such a connection announces its close, so that the caller opens a new one. Nothing in progress is cut off.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -18,6 +18,7 @@
 use crate::connection::configure_caller_socket;
 use crate::connection_end::{ConnectionEnd, ConnectionGuard};
 use crate::framing::{ObservedStream, RequestFraming};
+use crate::headers::set_connection_close;
 use crate::request::serve;
 use crate::response::{ResponseAborted, ResponseBody};
 use crate::state::Node;
@@ -105,16 +106,18 @@
     stream: TcpStream,
     framing: &RequestFraming,
 ) -> ConnectionEnd {
+    let head_max_bytes = node.limits().head_max_bytes;
     let service = {
         let (node, framing) = (Arc::clone(node), framing.clone());
         service_fn(move |request| {
-            handle_request(Arc::clone(&node), framing.clone(), request)
+            let node = Arc::clone(&node);
+            handle_request(node, framing.clone(), head_max_bytes, request)
         })
     };
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(node.limits().head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
+        .max_buf_size(head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
         .serve_connection(
             TokioIo::new(ObservedStream::new(stream, framing.clone())),
             service,
@@ -161,16 +164,23 @@
     }
 }
 
-/// Handles one request and tracks the phase of its connection.
+/// Handles one request and tracks the phase of its connection, whose buffer fits heads of
+/// up to `head_max_bytes`.
 async fn handle_request(
     node: Arc<Node>,
     framing: RequestFraming,
+    head_max_bytes: usize,
     request: Request<Incoming>,
 ) -> Result<Response<GuardedBody>, Infallible> {
     framing.response_started();
     let guard = ResponseGuard(framing.clone());
-    let response = serve(node, request, framing.has_ambiguous_length()).await;
+    let ambiguous_length = framing.has_ambiguous_length();
+    let mut response = serve(Arc::clone(&node), request, ambiguous_length).await;
     framing.reset_head();
+    if node.limits().head_max_bytes > head_max_bytes {
+        // The buffer can't grow; a longer head would be refused.
+        set_connection_close(response.headers_mut());
+    }
     Ok(response.map(|body| GuardedBody {
         body,
         _guard: guard,
