A learned speed ages from when it was computed

Cause: a speed was kept while its engine had any sample in the last 10 s. An engine known as slow gets few requests, and their short answers give too few samples to compute a new speed but kept the old one alive without end, so an engine that had recovered stayed slow for the entry.

Change: the value keeps the time at which it was computed and is ignored 10 s after that.

--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -10,7 +10,7 @@
 /// and short enough to notice within seconds that an engine has become slower.
 const WINDOW_MS: u64 = 5_000;
 
-/// Age of the newest sample, or of another entry's value, from which it is ignored.
+/// Age of a computed speed, or of another entry's value, from which it is ignored.
 const MAX_AGE_MS: u64 = 10_000;
 
 /// Samples that are collected in each slot of this duration. Otherwise, a stream of many
@@ -117,8 +117,8 @@
     samples: VecDeque<Sample>,
     slot: u64,
     samples_in_slot: u32,
-    /// Low quantile of the samples.
-    event_ms: Option<f64>,
+    /// Low quantile of the samples, and when it was computed.
+    event_ms: Option<(Instant, f64)>,
     service: Option<ServicePace>,
     peers: Vec<PeerFactor>,
 }
@@ -157,11 +157,11 @@
             event_ms: event_ms / (1.0 + f64::from(running) * PER_RUNNING_SHARE),
             without_prefill: unread_tokens == 0,
         });
-        self.update_event_ms();
+        self.update_event_ms(now);
     }
 
     /// Updates the quantile, from the samples without prefill if there are enough.
-    fn update_event_ms(&mut self) {
+    fn update_event_ms(&mut self, now: Instant) {
         let span_ms = match (self.samples.front(), self.samples.back()) {
             (Some(oldest), Some(newest)) => newest.at.ms_since(oldest.at),
             _ => 0,
@@ -183,15 +183,14 @@
             let rank = event_ms.len() / QUANTILE_DIVISOR;
             let (_, quantile, _) =
                 event_ms.select_nth_unstable_by(rank, f64::total_cmp);
-            self.event_ms = Some(*quantile);
+            self.event_ms = Some((now, *quantile));
         }
     }
 
     /// Time between two events, by this entry's streams.
     pub(crate) fn event_ms(&self, now: Instant) -> Option<f64> {
-        let newest = self.samples.back()?;
-        let is_current = now.ms_since(newest.at) < MAX_AGE_MS;
-        self.event_ms.filter(|_| is_current)
+        let (computed_at, event_ms) = self.event_ms?;
+        (now.ms_since(computed_at) < MAX_AGE_MS).then_some(event_ms)
     }
 
     /// Sets the pace of the engine's service.
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -103,6 +103,19 @@
     assert!((factor(&fleet, 13_000, "3") - 1.0).abs() < f64::EPSILON);
 }
 
+/// An engine that is known as slow gets only short answers now and then. They must not
+/// keep an old speed alive, or it would stay slow for the entry after it has recovered.
+#[test]
+fn a_speed_that_too_few_events_confirm_is_forgotten() {
+    let mut fleet = uneven_fleet();
+    for from_ms in (9_000..39_000).step_by(6_000) {
+        stream(&mut fleet, from_ms, from_ms + 300, &[("3", 17)]);
+        let others = [("1", 17), ("2", 17)];
+        stream(&mut fleet, from_ms, from_ms + 6_000, &others);
+    }
+    assert!((factor(&fleet, 39_000, "3") - 1.0).abs() < f64::EPSILON);
+}
+
 /// The engine of a new process may run on another machine.
 #[test]
 fn a_speed_is_lost_with_the_incarnation() {
