Speeds from other entries where the own engines are equal

Cause: an entry whose own engines were equally fast took every engine of the service as equally fast, also one that it had never used and that all others reported as slow.

Change: only engines whose speed this entry knows count as equal. Of others it uses what other entries report.

--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -238,7 +238,8 @@
 
     /// Time that this engine takes relative to the mean of its service; 1 if unknown.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
-        if self.service(now).is_some_and(|service| !service.is_uneven) {
+        let is_even = self.service(now).is_some_and(|service| !service.is_uneven);
+        if is_even && self.event_ms(now).is_some() {
             return 1.0;
         }
         let own = self.own_factor(now);
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -156,6 +156,21 @@
     assert!((factor(&fleet, 11_000, "1") - 1.0).abs() < f64::EPSILON);
 }
 
+/// Guards against an entry that knows only fast engines and therefore takes one that it
+/// never used for as fast.
+#[test]
+fn an_engine_is_known_from_others_where_the_own_ones_are_equal() {
+    let mut fleet = fleet(&["1", "2", "3", "4"]);
+    stream(&mut fleet, 0, 3_000, &[("1", 17), ("2", 17), ("3", 17)]);
+    for peer in 0..3 {
+        fleet.set_peer_pace(at(3_000), peer, incarnation("4"), 170);
+        fleet.set_peer_pace(at(3_000), peer, incarnation("1"), 170);
+    }
+    assert!((factor(&fleet, 3_000, "4") - 1.7).abs() < 0.01);
+    // Its own streams say more of an engine that it uses.
+    assert!((factor(&fleet, 3_000, "1") - 1.0).abs() < f64::EPSILON);
+}
+
 /// A message of a broken entry must not move the load of all others.
 #[test]
 fn wrong_values_of_one_entry_change_little() {
