The median of an even number of reported speeds is between the middle two

Cause: the higher of the two middle values counted as the median, so an engine looked slow to an entry as soon as half of the others said so; of two others, always the higher one was believed.

Change: the mean of the two middle values.

--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -274,6 +274,11 @@
         }
         let factors = &mut factors[..count];
         factors.sort_unstable_by(f64::total_cmp);
-        (factors.get(count / 2).copied().unwrap_or(1.0), count)
+        let median = match factors {
+            [] => 1.0,
+            factors if count % 2 == 1 => factors[count / 2],
+            factors => f64::midpoint(factors[count / 2 - 1], factors[count / 2]),
+        };
+        (median, count)
     }
 }
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -156,6 +156,19 @@
     assert!((factor(&fleet, 11_000, "1") - 1.0).abs() < f64::EPSILON);
 }
 
+/// Guards against the higher of the two middle values as the median, by which an engine
+/// looks slow to an entry as soon as half of the others say so.
+#[test]
+fn the_median_of_an_even_number_of_values_is_between_them() {
+    let mut fleet = fleet(&["1"]);
+    for (peer, percent) in [(1, 60), (2, 70), (3, 150), (4, 200)] {
+        fleet.set_peer_pace(at(0), peer, incarnation("1"), percent);
+    }
+    assert!((factor(&fleet, 0, "1") - 1.0).abs() < f64::EPSILON);
+    fleet.set_peer_pace(at(0), 2, incarnation("1"), 130);
+    assert!((factor(&fleet, 0, "1") - 1.4).abs() < 0.01);
+}
+
 /// Guards against an entry that knows only fast engines and therefore takes one that it
 /// never used for as fast.
 #[test]
