Speeds that only one or two other entries report are bounded

Cause: an entry without own samples believed a single other entry, so one broken entry could make an engine look five times as slow to entries that had just started, and to all entries of a deployment of two or three.

Change: of fewer than three other entries, values are bounded to 0.5 and 2. Values within are used as they are, so in a deployment of two or three entries speeds are still shared; an engine slower than twice the mean counts as twice as slow until the entry has own samples.

--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -61,6 +61,15 @@
 /// more.
 const MAX_PEERS: usize = 16;
 
+/// Number of other entries from which on their values are used as they are. Of fewer, one
+/// wrong value moves the median.
+const MIN_PEERS: usize = 3;
+
+/// Maximum factor, and the inverse of the minimum one, that fewer other entries are
+/// believed. A lower bound hides engines that are slow in truth; with a higher one, a
+/// single wrong value keeps requests away from an engine.
+const MAX_UNCONFIRMED_FACTOR: f64 = 2.0;
+
 /// Weight of another entry's value relative to one sample of this entry.
 const PEER_WEIGHT: f64 = 4.0;
 
@@ -259,8 +268,8 @@
         }
     }
 
-    /// Median of other entries' current factors, and their number. One entry with a
-    /// wrong value doesn't change it much.
+    /// Median of other entries' current factors, and their number. Of three or more, one
+    /// wrong value doesn't change it much; fewer are bounded.
     fn peer_median(&self, now: Instant) -> (f64, usize) {
         let mut factors = [0.0; MAX_PEERS];
         let mut count = 0;
@@ -273,6 +282,12 @@
             count += 1;
         }
         let factors = &mut factors[..count];
+        if count < MIN_PEERS {
+            for factor in &mut *factors {
+                *factor =
+                    factor.clamp(1.0 / MAX_UNCONFIRMED_FACTOR, MAX_UNCONFIRMED_FACTOR);
+            }
+        }
         factors.sort_unstable_by(f64::total_cmp);
         let median = match factors {
             [] => 1.0,
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -169,6 +169,23 @@
     assert!((factor(&fleet, 0, "1") - 1.4).abs() < 0.01);
 }
 
+/// Guards against an entry without own samples that believes one broken entry, and
+/// against a deployment of two or three entries whose values count for nothing.
+#[test]
+fn one_or_two_values_of_others_are_bounded() {
+    let mut fleet = fleet(&["1", "2"]);
+    fleet.set_peer_pace(at(0), 1, incarnation("1"), 170);
+    assert!((factor(&fleet, 0, "1") - 1.7).abs() < 0.01);
+    fleet.set_peer_pace(at(0), 1, incarnation("1"), 500);
+    assert!((factor(&fleet, 0, "1") - 2.0).abs() < 0.01);
+    fleet.set_peer_pace(at(0), 2, incarnation("1"), 68);
+    assert!(factor(&fleet, 0, "1") < 1.5);
+    fleet.set_peer_pace(at(0), 3, incarnation("1"), 68);
+    assert!((factor(&fleet, 0, "1") - 0.68).abs() < 0.01);
+    fleet.set_peer_pace(at(0), 1, incarnation("2"), 20);
+    assert!((factor(&fleet, 0, "2") - 0.5).abs() < 0.01);
+}
+
 /// Guards against an entry that knows only fast engines and therefore takes one that it
 /// never used for as fast.
 #[test]
