Events that waited to be read count with the time of their wait

Cause: each read of events gave a sample. Where the caller reads slowly or the entry lacks processor time, events wait and are then read within microseconds, so most samples were near zero, and the low quantile made the engine look several times as fast.

Change: `direct::EventSampler` ends a sample after at least 100 ms and only where events had been read as they came. Events that waited before the first sample don't count. The events after the last sample of a stream don't count either, as before a gap; a stream shorter than a sample gives none.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -62,6 +62,7 @@
 mod demand_pressure;
 mod demand_shift;
 mod estimate_correction;
+mod event_sampler;
 mod fleet;
 mod forecast;
 mod intake;
@@ -111,6 +112,7 @@
 pub use demand::{Arrival, DemandEstimate, DemandTracker};
 pub use demand_pressure::DemandPressure;
 pub use estimate_correction::EstimateCorrections;
+pub use event_sampler::EventSampler;
 pub use fleet::{
     Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
 };
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{at, engine, incarnation, name, record, record_with_start};
 use direct::{
-    EngineSpec, Fleet, PrefillQueue, SelectionError, SelectionInput,
+    EngineSpec, EventSampler, Fleet, PrefillQueue, SelectionError, SelectionInput,
     UpstreamIncarnation, Usage, select_upstream,
 };
 
@@ -116,6 +116,56 @@
     assert!((factor(&fleet, 39_000, "3") - 1.0).abs() < f64::EPSILON);
 }
 
+/// Reads one event of a stream every so many milliseconds, and returns the samples.
+fn samples(sampler: &mut EventSampler, read_ms: &[u64]) -> Vec<f64> {
+    let read = read_ms.iter().filter_map(|ms| sampler.record(at(*ms), 1));
+    read.collect()
+}
+
+/// A caller that reads late delays the events of its stream, which are then read one
+/// after the other. Guards against times near zero, by which an engine looks several
+/// times as fast.
+#[test]
+fn events_that_waited_count_with_the_time_of_their_wait() {
+    let mut sampler = EventSampler::default();
+    // An event is sent every 40 ms. Nothing is read for 800 ms.
+    let mut read_ms: Vec<u64> = (0..=200).step_by(40).collect();
+    read_ms.extend([1_000; 20]);
+    read_ms.extend((1_040..=1_400).step_by(40));
+    let samples = samples(&mut sampler, &read_ms);
+    assert!(samples.len() >= 4, "{samples:?}");
+    for event_ms in samples {
+        assert!((event_ms - 40.0).abs() < 0.1, "{event_ms}");
+    }
+}
+
+/// Guards against events that waited before the first sample, whose times aren't known.
+#[test]
+fn events_that_waited_at_the_begin_do_not_count() {
+    let mut sampler = EventSampler::default();
+    let mut read_ms = vec![500; 12];
+    read_ms.extend((540..=800).step_by(40));
+    let samples = samples(&mut sampler, &read_ms);
+    assert!((samples[0] - 40.0).abs() < 0.1, "{samples:?}");
+}
+
+/// Guards against a stalled engine that spoils the samples of the time after it, and
+/// against events that are lost from one sample to the next.
+#[test]
+fn a_stalled_engine_gives_one_long_sample() {
+    let mut sampler = EventSampler::default();
+    let mut read_ms: Vec<u64> = (0..=136).step_by(17).collect();
+    read_ms.extend((936..=1_300).step_by(17));
+    let samples = samples(&mut sampler, &read_ms);
+    let long = samples.iter().filter(|event_ms| **event_ms > 18.0);
+    assert_eq!(long.count(), 1, "{samples:?}");
+    assert!(samples.len() >= 4, "{samples:?}");
+    // Several events that are read at once count all.
+    let mut sampler = EventSampler::default();
+    let sample = (0..=5).find_map(|read| sampler.record(at(read * 51), 3));
+    assert!(sample.is_some_and(|event_ms| (event_ms - 17.0).abs() < 0.1));
+}
+
 /// The engine of a new process may run on another machine.
 #[test]
 fn a_speed_is_lost_with_the_incarnation() {
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -1,7 +1,10 @@
 //! Accounting of the requests that are in flight at upstreams.
 
 use base::prelude::*;
-use direct::{SelectedUpstream, SoftwareVersion, Upstream, UpstreamIncarnation, Usage};
+use direct::{
+    EventSampler, SelectedUpstream, SoftwareVersion, Upstream, UpstreamIncarnation,
+    Usage,
+};
 use route::PromptPart;
 use std::sync::Arc;
 
@@ -28,8 +31,7 @@
     expectation: Option<FirstEventExpectation>,
     /// How often complete events of a stream were received.
     event_batches: u32,
-    /// When they were last received.
-    last_events_at: Option<Instant>,
+    event_sampler: EventSampler,
     /// Hash of path and body of the request.
     pub(crate) fingerprint: u64,
     /// The parts of its prompt that other requests may share.
@@ -82,7 +84,7 @@
                 predicted_ms: selected.predicted_ms,
             }),
             event_batches: 0,
-            last_events_at: None,
+            event_sampler: EventSampler::default(),
             fingerprint: request.fingerprint,
             shared_parts: Arc::clone(&request.shared_parts),
             request_id: request.head.id.clone(),
@@ -159,8 +161,7 @@
     /// Records that `events` complete events of a stream were received at once.
     pub(crate) fn record_events(&mut self, events: u32) {
         let now = self.node.now();
-        if let Some(last) = self.last_events_at.replace(now) {
-            let event_ms = now.since(last).as_secs_f64() * 1_000.0 / f64::from(events);
+        if let Some(event_ms) = self.event_sampler.record(now, events) {
             let mut fleet = self.node.fleet.lock();
             fleet.record_event(now, self.incarnation(), event_ms);
         }
