Requests that wait at the entry aren't refused for a learned speed

Cause: where requests wait in the order of urgency, the place at an engine was judged by its learned speed alone. Requests were refused, and patient ones waited, that would have been sent without any knowledge of speeds.

Change: `SelectedUpstream::place` uses the times by which admission without an order judges (`admission_times_ms`): at most those at equal speeds and at most those at the learned speed. A patient request judges what an engine has left to prefill by the lower of the two as well.

A trial with the time left always at equal speeds failed both as well: patient requests waited for a fast engine where they had been sent before.

In `known_speeds_refuse_nothing` only the construction of the loads moved to a function; its loads and assertions are the same.

--- a/crates/direct/src/select.rs
+++ b/crates/direct/src/select.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::prefix_affinity::PrefixAffinity;
-use crate::{EngineSpec, Fleet, PrefillQueue, StreamOrigin, Upstream, Usage};
+use crate::{EngineSpec, Fleet, Place, PrefillQueue, StreamOrigin, Upstream, Usage};
 
 /// Delay of the first answer per running request.
 const PER_RUNNING_MS: f64 = 1.0;
@@ -91,6 +91,31 @@
 }
 
 impl SelectedUpstream {
+    /// Expected times in the queue and to prefill the prompt by which the request is
+    /// admitted. They are at most those at equal speeds: a request isn't refused because
+    /// an upstream is known to be slow, as it would have been sent without that.
+    pub fn admission_times_ms(&self) -> (f64, f64) {
+        let first_answer_ms = self.first_answer_ms.min(self.equal_pace_ms);
+        let queue_ms = (self.first_answer_ms - self.own_prefill_ms)
+            .min(self.equal_pace_queue_ms)
+            .min(first_answer_ms);
+        (queue_ms, first_answer_ms - queue_ms)
+    }
+
+    /// The place at the upstream, by the corrected times of admission.
+    pub fn place(&self, mean_prefill_ms: f64) -> Place<'_> {
+        let correction = self.correction();
+        let (queue_ms, prefill_ms) = self.admission_times_ms();
+        let unread_ms = self.unread_ms.min(self.unread_ms / self.pace_factor);
+        Place {
+            upstream: &self.id,
+            queue_ms: (queue_ms * correction) as u64,
+            prefill_ms: (prefill_ms * correction) as u64,
+            mean_prefill_ms: (mean_prefill_ms * correction) as u64,
+            unread_ms: (unread_ms * correction) as u64,
+        }
+    }
+
     /// Factor of the correction that was learned from earlier answers.
     pub fn correction(&self) -> f64 {
         if self.first_answer_ms > 0.0 {
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -2,8 +2,10 @@
 
 use crate::support::{at, engine, incarnation, name, record, record_with_start};
 use direct::{
-    EngineSpec, EventSampler, Fleet, PrefillQueue, SelectionError, SelectionInput,
-    UpstreamIncarnation, Usage, select_upstream,
+    AdmissionInput, EngineSpec, EventSampler, Fleet, Place, PlaceDecision,
+    PrefillQueue, SelectedUpstream, SelectionError, SelectionInput,
+    UpstreamIncarnation, Usage, WaitCheck, WaitQueue, WaitingRequest, admit,
+    select_upstream,
 };
 
 /// Engines of one service, all of which hold model `a`.
@@ -324,13 +326,15 @@
     assert_eq!(selected(&fleet, 1_500).as_deref(), Ok("3"));
 }
 
-/// Admission judges by the time at equal speeds. If it were longer than the time that is
-/// expected without any knowledge of speeds, requests would be refused that are served
-/// without it.
-#[test]
-fn known_speeds_refuse_nothing() {
+/// Selects an upstream with known speeds and without, for fleets with these prompt
+/// tokens to prefill.
+fn selected_with_and_without(
+    tokens: [u64; 3],
+    streams: u32,
+    random: u64,
+) -> [SelectedUpstream; 2] {
     let engine = three_tokens_per_event();
-    let input = |random| SelectionInput {
+    let input = SelectionInput {
         is_ordered: false,
         now: at(2_500),
         service: "oracle",
@@ -346,16 +350,27 @@
         domain: "east",
         random,
     };
-    for number in 0..200u64 {
-        let (mut with_speeds, mut without) = (uneven_fleet(), fleet(&["1", "2", "3"]));
-        for (index, id) in ["1", "2", "3"].iter().enumerate() {
-            let tokens = number * 7_919 * (index as u64 + 1) % 9_001;
-            for known in [&mut with_speeds, &mut without] {
-                add_usage(known, id, tokens, (number % 5) as u32);
-            }
+    [uneven_fleet(), fleet(&["1", "2", "3"])].map(|mut fleet| {
+        for (id, tokens) in ["1", "2", "3"].iter().zip(tokens) {
+            add_usage(&mut fleet, id, tokens, streams);
         }
-        let expected = select_upstream(&without, &input(number)).expect("free");
-        let selected = select_upstream(&with_speeds, &input(number)).expect("free");
+        select_upstream(&fleet, &input).expect("free")
+    })
+}
+
+/// The same for one of many loads.
+fn selected_at_load(number: u64) -> [SelectedUpstream; 2] {
+    let tokens = [1, 2, 3].map(|index| number * 7_919 * index % 9_001);
+    selected_with_and_without(tokens, (number % 5) as u32, number)
+}
+
+/// Admission judges by the time at equal speeds. If it were longer than the time that is
+/// expected without any knowledge of speeds, requests would be refused that are served
+/// without it.
+#[test]
+fn known_speeds_refuse_nothing() {
+    for number in 0..200u64 {
+        let [selected, expected] = selected_at_load(number);
         assert!(
             selected.equal_pace_ms <= expected.first_answer_ms,
             "{number}"
@@ -364,3 +379,105 @@
         assert!(selected.equal_pace_queue_ms <= queue_ms, "{number}");
     }
 }
+
+/// The place by the times at the learned speed alone.
+fn place_at_learned_speed(selected: &SelectedUpstream) -> Place<'_> {
+    Place {
+        upstream: &selected.id,
+        queue_ms: (selected.first_answer_ms - selected.own_prefill_ms) as u64,
+        prefill_ms: selected.own_prefill_ms as u64,
+        mean_prefill_ms: 100,
+        unread_ms: selected.unread_ms as u64,
+    }
+}
+
+/// Whether a request that arrived 200 ms ago is refused at the place without an order and
+/// in the order of urgency, and whether a patient one has to wait.
+fn refusals(target_ms: u64, place: &Place<'_>) -> [bool; 3] {
+    let (arrived_at, now) = (at(2_300), at(2_500));
+    let deadline = arrived_at.plus_ms(4 * target_ms);
+    let admission = AdmissionInput {
+        now,
+        arrived_at,
+        latency_target_ms: target_ms,
+        first_answer_deadline: deadline,
+        queue_ms: place.queue_ms,
+        prefill_ms: place.prefill_ms,
+        mean_prefill_ms: place.mean_prefill_ms,
+        is_corrected: false,
+        at_engine: true,
+    };
+    let request = WaitingRequest {
+        arrived_at,
+        since: arrived_at,
+        priority: 0,
+        latency_target_ms: target_ms,
+        admitted_target_ms: target_ms,
+        urgent_target_ms: target_ms,
+        first_answer_deadline: deadline,
+        engine_ms: 100,
+        share_rank: 0,
+        body_bytes: 0,
+    };
+    let patient = WaitingRequest {
+        latency_target_ms: 40 * target_ms,
+        admitted_target_ms: 40 * target_ms,
+        first_answer_deadline: arrived_at.plus_ms(160 * target_ms),
+        ..request
+    };
+    let check = WaitCheck {
+        place: Some(*place),
+        entries: 1,
+        share_rank: 0,
+        random: 0,
+    };
+    let mut queue = WaitQueue::default();
+    let must_wait = !queue.takes_at_once(now, &patient, place);
+    let id = queue.join(now, request, 0).expect("the queue is empty");
+    let decision = queue.decide(now, id, &check);
+    let is_refused = matches!(decision, PlaceDecision::Refuse(_));
+    [admit(&admission).is_err(), is_refused, must_wait]
+}
+
+/// Guards against requests that are refused, or patient ones that have to wait, only
+/// because an engine is known to be slow or fast.
+#[test]
+fn known_speeds_refuse_no_request_that_is_sent_without_them() {
+    let mut refused_less = [0; 2];
+    for (number, target_ms) in (0..200).flat_map(|number| {
+        (400..2_000)
+            .step_by(100)
+            .map(move |target_ms| (number, target_ms))
+    }) {
+        let [selected, equal] = selected_at_load(number);
+        let refused = refusals(target_ms, &selected.place(100.0));
+        let without = refusals(target_ms, &place_at_learned_speed(&equal));
+        let by_speed = refusals(target_ms, &place_at_learned_speed(&selected));
+        for (kind, count) in refused_less.iter_mut().enumerate() {
+            assert!(
+                refused[kind] <= by_speed[kind],
+                "{number} {target_ms} {kind}"
+            );
+            *count += usize::from(refused[kind] < by_speed[kind]);
+        }
+        assert!(refused[2] <= by_speed[2], "{number} {target_ms}");
+        // Which engine has little left to prefill depends on the one that is selected.
+        assert!(refused[0] <= without[0], "{number} {target_ms}");
+        assert!(refused[1] <= without[1], "{number} {target_ms}");
+    }
+    assert!(refused_less.iter().all(|count| *count > 0));
+}
+
+/// Guards against patient requests that wait for an engine with little left to prefill
+/// because it is known as slow, and against others that wait because it is fast.
+#[test]
+fn a_patient_request_takes_a_place_that_is_free_at_either_speed() {
+    let [slow, _] = selected_with_and_without([12_000, 12_000, 2_400], 0, 42);
+    assert_eq!(&*slow.id, "3");
+    let [fast, _] = selected_with_and_without([4_000, 12_000, 12_000], 0, 42);
+    assert_eq!(&*fast.id, "1");
+    for selected in [slow, fast] {
+        let [.., must_wait] = refusals(1_000, &selected.place(100.0));
+        assert!(!must_wait, "{}", selected.id);
+    }
+}
--- a/crates/direct/tests/all/pace_load.rs
+++ b/crates/direct/tests/all/pace_load.rs
@@ -290,10 +290,7 @@
 
     fn admit(&self, ms: u64, index: usize, selected: &SelectedUpstream) -> bool {
         let request = &self.requests[index];
-        let first_ms = selected.first_answer_ms.min(selected.equal_pace_ms);
-        let queue_ms = (selected.first_answer_ms - selected.own_prefill_ms)
-            .min(selected.equal_pace_queue_ms)
-            .min(first_ms);
+        let (queue_ms, prefill_ms) = selected.admission_times_ms();
         let target_ms = KINDS[request.kind].target_ms;
         let admission = AdmissionInput {
             is_corrected: false,
@@ -302,7 +299,7 @@
             latency_target_ms: target_ms,
             first_answer_deadline: at(request.arrived_ms + 4 * target_ms),
             queue_ms: queue_ms as u64,
-            prefill_ms: (first_ms - queue_ms) as u64,
+            prefill_ms: prefill_ms as u64,
             mean_prefill_ms: 70,
             at_engine: true,
         };
--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -111,10 +111,7 @@
             self.over_share = node.is_over_share(&self.request);
         }
         let waiting = self.waiting_request(now, selected);
-        let id = selected.as_ref().map(|selected| Arc::clone(&selected.id));
-        let place = selected
-            .zip(id.as_ref())
-            .map(|(selected, id)| place(selected, id, mean_prefill_ms));
+        let place = selected.map(|selected| selected.place(mean_prefill_ms));
         let service = &self.request.service;
         let share_rank = waiting.share_rank;
         let mut reason = match &place {
@@ -256,20 +253,3 @@
             .decide(node.now(), &self.service, self.id, &check)
     }
 }
-
-/// The place at a selected engine, by the corrected estimate.
-fn place<'a>(
-    selected: &SelectedUpstream,
-    id: &'a Arc<str>,
-    mean_prefill_ms: f64,
-) -> Place<'a> {
-    let correction = selected.correction();
-    let queue_ms = selected.first_answer_ms - selected.own_prefill_ms;
-    Place {
-        upstream: id,
-        queue_ms: (queue_ms * correction) as u64,
-        prefill_ms: (selected.own_prefill_ms * correction) as u64,
-        mean_prefill_ms: (mean_prefill_ms * correction) as u64,
-        unread_ms: (selected.unread_ms * correction) as u64,
-    }
-}
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -148,19 +148,14 @@
     fn admit_in_time(&mut self, selected: &SelectedUpstream) -> Result<(), Rejection> {
         let mean_prefill_ms = self.record_prompt(selected);
         let request = &self.request;
-        // A request isn't refused because an upstream is known to be slow: without that
-        // knowledge it would have been sent.
-        let first_answer_ms = selected.first_answer_ms.min(selected.equal_pace_ms);
-        let queue_ms = (selected.first_answer_ms - selected.own_prefill_ms)
-            .min(selected.equal_pace_queue_ms)
-            .min(first_answer_ms);
+        let (queue_ms, prefill_ms) = selected.admission_times_ms();
         let admission = AdmissionInput {
             now: self.node.now(),
             arrived_at: request.arrived_at,
             latency_target_ms: request.route.latency_target_ms,
             first_answer_deadline: request.first_response_by,
             queue_ms: queue_ms as u64,
-            prefill_ms: (first_answer_ms - queue_ms) as u64,
+            prefill_ms: prefill_ms as u64,
             mean_prefill_ms: mean_prefill_ms as u64,
             is_corrected: false,
             at_engine: request.head.model.is_some(),
