Tests of wrong and late speeds show the failure that they guard against

`a_speed_is_lost_with_the_incarnation` recorded one late event, too few to learn a speed from, so it passed also where late events of an earlier incarnation count. It now records 60 of them.

`wrong_values_of_one_entry_change_little` took the speed to compare with after the wrong values were set. It now takes it before, and compares after each value.

--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -189,8 +189,11 @@
     assert!(factor(&fleet, 2_500, "3") > 1.5);
     fleet.apply_update(2, record_with_start("3", 20, &["a"]));
     assert!((factor(&fleet, 2_500, "3") - 1.0).abs() < f64::EPSILON);
-    // A late event, or a late message, of the earlier incarnation changes nothing.
-    fleet.record_event(at(2_501), started("3", 10), 42.0);
+    // Late events, or a late message, of the earlier incarnation change nothing.
+    for ms in (2_501..5_000).step_by(42) {
+        fleet.record_event(at(ms), started("3", 10), 42.0);
+    }
+    assert!((factor(&fleet, 5_000, "3") - 1.0).abs() < f64::EPSILON);
     fleet.set_peer_pace(at(2_501), 1, started("3", 10), 170);
     assert!((factor(&fleet, 2_501, "3") - 1.0).abs() < f64::EPSILON);
 }
@@ -257,16 +260,20 @@
 #[test]
 fn wrong_values_of_one_entry_change_little() {
     let mut fleet = uneven_fleet();
+    let own = factor(&fleet, 2_500, "1");
     for value in [0, 19, 501, u32::MAX] {
         fleet.set_peer_pace(at(2_500), 9, incarnation("1"), value);
+        assert!(
+            (factor(&fleet, 2_500, "1") - own).abs() < f64::EPSILON,
+            "{value}"
+        );
     }
-    let own = factor(&fleet, 2_500, "1");
     for peer in 0..3 {
         fleet.set_peer_pace(at(2_500), peer, incarnation("1"), 68);
     }
     fleet.set_peer_pace(at(2_500), 9, incarnation("1"), 500);
     assert!((factor(&fleet, 2_500, "1") - own).abs() < 0.05);
-    // More entries than are kept take no more memory, and the median stays.
+    // More entries than are kept change nothing.
     for peer in 100..1_000 {
         fleet.set_peer_pace(at(2_500), peer, incarnation("1"), 68);
     }
