Constants say what fails below and above

Cause: comments of constants told how a value was chosen, in trials of one test load, or gave one deployment's own figures as reasons.

Change: each says in a sentence or two what fails with less and with more.

--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -9,13 +9,13 @@
 
 /// Share of the target latency, in percent, within which the first answer must be
 /// expected. The estimate leaves out the engine steps between prompts, so the real
-/// answer comes later. With the whole target, or with half of it, fewer requests were
-/// served in time.
+/// answer comes later. With the whole target, requests are admitted that are late; with
+/// much less, requests are refused that would be in time.
 const USABLE_TARGET_PERCENT: u64 = 75;
 
-/// The same where the estimate is corrected by what was observed. Of urgent requests that
-/// were expected, before the correction, after 450 to 500 ms of their target of 500 ms,
-/// three quarters were in time, and of those expected later less than half.
+/// The same where the estimate is corrected by what was observed. With the whole target,
+/// more than half of the requests that are expected at its end are late; with less,
+/// requests are refused that would be in time.
 const CORRECTED_TARGET_PERCENT: u64 = 90;
 
 /// Minimum share of the usable time, in percent, that is left for queueing however long
--- a/crates/direct/src/estimate_correction.rs
+++ b/crates/direct/src/estimate_correction.rs
@@ -17,8 +17,8 @@
 /// Number of buckets.
 const BUCKETS: usize = BUCKET_BOUNDS_MS.len() + 1;
 
-/// Bounds of a factor. Medians of single buckets were between 0.5 and 1.2; what lies
-/// further away is a stalled engine and not an error of the estimate.
+/// Bounds of a factor. Errors of the estimate stay within them; what lies further away
+/// comes from a stalled engine, after which requests would be refused for nothing.
 const MIN_FACTOR: f64 = 0.4;
 const MAX_FACTOR: f64 = 1.5;
 
--- a/crates/direct/src/forecast.rs
+++ b/crates/direct/src/forecast.rs
@@ -25,18 +25,18 @@
 const BUSY_MIN: usize = 2;
 const BUSY_MAX: usize = 9;
 
-/// Share of the refused requests that callers send again. Each caller comes back once.
+/// Share of the refused requests that were refused before: a caller that comes back once
+/// is counted twice. Without it, refusals themselves look like rising demand.
 const RETRIED_SHARE: f64 = 0.5;
 
 /// Expected further rise of demand that is refused, as a share of its rise above the
-/// sustained demand. The recent demand of a model follows a shift within 1.2 s. In
-/// trials of the test load, 2 served 0.63 of the urgent requests in time and 1 served
-/// 0.61.
+/// sustained demand. The recent demand follows a shift with a delay: with less, copies
+/// are made for the demand of a moment ago, and with more for demand that doesn't come.
 const REFUSED_TREND: f64 = 2.0;
 
 /// Share of the sustained demand for which copies are retained where copies are made in
-/// time. Held for the whole of it, copies kept their places for 4 s after demand had
-/// left for other models.
+/// time. With the whole of it, copies keep their places for seconds after demand has left
+/// for other models; with none, they lose them in a short pause.
 const TIMELY_RETAINED_SHARE: f64 = 0.3;
 
 /// One possible development of demand, with its weight.
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -28,8 +28,8 @@
 /// The others include prefill steps, short slowdowns, and delays of this entry.
 const QUANTILE_DIVISOR: usize = 4;
 
-/// Relative duration of an engine step for each running request. Of 8.2 ms, a request
-/// adds 0.018 ms.
+/// Relative increase of the duration of an engine step by each running request. Without
+/// it, engines with many requests look slow; a larger one makes them look fast.
 const PER_RUNNING_SHARE: f64 = 0.0022;
 
 /// Interval at which the mean of a service is computed.
--- a/crates/direct/src/plan/mod.rs
+++ b/crates/direct/src/plan/mod.rs
@@ -56,8 +56,9 @@
 const PATIENT_STORE_COST: f64 = 2.0;
 
 /// Time after which a model with demand and no holder is overdue where copies are made
-/// in time. Models with patient callers lose their places earlier there, and a load
-/// within this time still leaves more than half of a target of 8 s.
+/// in time, where models with patient callers lose their places earlier. A longer time
+/// makes the answers of patient callers late; after a shorter one, models lose their
+/// places as soon as they are in use.
 const TIMELY_OVERDUE_AFTER_MS: u64 = 3_000;
 
 /// Advantage, in the unit of relief, of a failure domain that holds no other copy.
@@ -97,7 +98,7 @@
     overdue_ms: u64,
     guaranteed_residence_ms: u64,
     /// Whether copies have to be made in time. Demand that has left is then forgotten
-    /// sooner: the last copy of a busy model would hold its place for 46 s.
+    /// sooner: the last copy of a busy model would hold its place for tens of seconds.
     in_time: bool,
 }
 
--- a/crates/direct/src/plan/spare.rs
+++ b/crates/direct/src/plan/spare.rs
@@ -4,8 +4,9 @@
 use super::{CopyPlacement, MAX_PLANNED_LOADS, PlanBuilder};
 use crate::LoadReason;
 
-/// Time for which the weight store's rate is left for loads that are needed now. Spare
-/// copies at the begin of the day used it up, and copies of overloaded models waited.
+/// Time for which the weight store's rate is left for loads that are needed now. Otherwise
+/// spare copies use it up where few models are on disk, and copies of overloaded models
+/// wait.
 const RESERVED_STORE_S: f64 = 3.0;
 
 /// Share of the upstreams, in percent, that may carry out orders when a spare copy is
@@ -13,9 +14,9 @@
 const MAX_BUSY_PERCENT: usize = 40;
 
 /// Share of the upstreams, in percent, that hold an urgent model or have its weights on
-/// disk when no spare copy of it is loaded. The busiest model of the test load needs as
-/// many. Without the bound, spare copies would be loaded for as long as demand lasts,
-/// and upstreams accept no adapter orders meanwhile.
+/// disk when no spare copy of it is loaded. With fewer, a model that becomes the busiest
+/// has to come from the weight store. Without the bound, spare copies would be loaded for
+/// as long as demand lasts, and upstreams accept no adapter orders meanwhile.
 const ENOUGH_REACH_PERCENT: usize = 15;
 
 /// Load, as a share of one upstream's time, up to which each copy of a model may be
--- a/crates/direct/src/plan/timely.rs
+++ b/crates/direct/src/plan/timely.rs
@@ -8,9 +8,9 @@
 use crate::{CapacityPressure, ModelSpec};
 
 /// Time for which a copy is of use, counted from the decision. It brings its relief for
-/// what is left of this time once it serves. Demand shifts every 7 to 8 s, and after
-/// that the weights remain on disk. In trials of the test load, a tenth of the models
-/// waited 3.6 s or more for a decision with 8 s, and 2.3 s with 12 s.
+/// what is left of this time once it serves. With less, loads that take seconds bring too
+/// little to be decided soon; with more, a copy whose load outlasts its demand looks as
+/// good as one that serves at once.
 const COPY_IN_USE_MS: f64 = 12_000.0;
 
 /// Least share of its relief that a copy counts however long it takes.
--- a/crates/direct/src/plan/urgency.rs
+++ b/crates/direct/src/plan/urgency.rs
@@ -9,9 +9,9 @@
 /// time. It keeps the place only against models that are no more requested.
 const UNREQUESTED_COPY_LOSS: f64 = 0.05;
 
-/// The same for a model with patient callers where copies are made in time. It comes
-/// back from disk while they wait. In trials of the test load, 0.7 served 0.63 of the
-/// urgent and 0.79 of the patient requests in time, 1.0 served 0.61 and 0.85.
+/// The same for a model with patient callers where copies are made in time. It comes back
+/// from disk while they wait. With a higher cost, models with urgent callers find no
+/// place; with a lower one, those with patient callers are loaded again and again.
 const PATIENT_COPY_LOSS: f64 = 0.7;
 
 /// Least relief, without the cost of the load, for which a model with patient callers
--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -25,10 +25,12 @@
 const PATIENT_WAIT_PERCENT: u64 = 25;
 
 /// Maximum number of requests that wait. Each selects an engine up to 25 times per
-/// second, and the smallest entries have 0.068 of a core.
+/// second: more would take processor time from the requests that are being answered.
+/// With fewer, requests are refused that an engine would have had time for.
 const WAITERS_MAX: usize = 64;
 
-/// Maximum size of the bodies of waiting requests. The smallest entries have 120 MB.
+/// Maximum size of the bodies of waiting requests. They take memory for as long as they
+/// wait, and an entry may have little; with less, a few long prompts displace all others.
 const WAITING_MAX_BYTES: usize = 8 << 20;
 
 /// Share of the time to its target, in percent, for which a request waits. A caller that
