--- a/crates/direct/src/plan/mod.rs
+++ b/crates/direct/src/plan/mod.rs
@@ -3,6 +3,7 @@
 mod index_set;
 mod model_index;
 mod obstacle;
+mod placement;
 mod relief;
 mod spare;
 mod timely;
@@ -20,25 +21,11 @@
 };
 use index_set::IndexSet;
 use model_index::ModelIndex;
+use placement::CopyPlacement;
 use relief::{CandidateMove, ForecastLoads, per_copy_load};
 use timely::TimelyFacts;
 use urgency::MIN_CROWDED_WORK;
 
-/// Cost of a load, in the unit of relief. Relief is the reduction of the sum of squared
-/// upstream loads; the squares reflect that waiting times grow faster than the load
-/// that requests meet. A load occupies the upstream's memory while it lasts and demand
-/// shifts meanwhile, so a longer load must bring more relief.
-const MOVE_COST: f64 = 0.12;
-const MOVE_COST_PER_S: f64 = 0.08;
-
-/// Cost of an unload per unit of upstream time that the model used there. The unload
-/// waits for running requests, and requests that arrive meanwhile have to go to other
-/// upstreams.
-const UNLOAD_COST: f64 = 1.0;
-
-/// Additional cost of a load from the weight store, besides its duration.
-const STORE_COST: f64 = 0.03;
-
 /// Time for which a loaded model is not evicted.
 const MIN_RESIDENCE_MS: u64 = 3_000;
 
@@ -50,23 +37,12 @@
 /// Cost of evicting the last copy of a model without demand, in the unit of relief.
 const LAST_COPY_LOSS: f64 = 0.5;
 
-/// Additional cost of a load from the weight store for patient callers where copies are
-/// made in time. Their models were loaded before, so other upstreams have the weights
-/// on disk, and the rate of the store is left for urgent ones.
-const PATIENT_STORE_COST: f64 = 2.0;
-
 /// Time after which a model with demand and no holder is overdue where copies are made
 /// in time, where models with patient callers lose their places earlier. A longer time
 /// makes the answers of patient callers late; after a shorter one, models lose their
 /// places as soon as they are in use.
 const TIMELY_OVERDUE_AFTER_MS: u64 = 3_000;
 
-/// Advantage, in the unit of relief, of a failure domain that holds no other copy.
-const SPREAD_BONUS: f64 = 0.01;
-
-/// Work, as a share of one upstream's time, below which a model gets no extra copy.
-const MIN_WORK: f64 = 0.02;
-
 /// Maximum number of loads in one plan.
 const MAX_PLANNED_LOADS: usize = 8;
 
@@ -136,20 +112,6 @@
     since: Instant,
 }
 
-/// A candidate upstream for one more copy of a model.
-#[derive(Debug)]
-struct CopyPlacement {
-    /// Index of the upstream.
-    upstream: usize,
-    /// Index, among the upstream's models, of the model to evict.
-    victim: Option<usize>,
-    from_store: bool,
-    /// Relief minus the cost of the eviction.
-    relief: f64,
-    /// `relief` minus the cost of the load.
-    net_relief: f64,
-}
-
 /// Demand as input to a plan.
 #[derive(Debug)]
 pub(crate) struct DemandInput<'a> {
@@ -299,139 +261,6 @@
         }
     }
 
-    /// The model and upstream for which one more copy brings the highest net relief, if
-    /// any is positive.
-    fn best_extra_copy(&self) -> Option<(usize, CopyPlacement)> {
-        let mut best: Option<(usize, CopyPlacement)> = None;
-        for model in 0..self.models.len() {
-            let work = self.weighted_sum(|forecast| forecast.expected[model]);
-            if self.models.copy_count(model) == 0 || work < MIN_WORK {
-                continue;
-            }
-            let Some(placement) = self.best_placement(model, true) else {
-                continue;
-            };
-            let best_relief = best.as_ref().map_or(0.0, |(_, best)| best.net_relief);
-            if placement.net_relief > best_relief {
-                best = Some((model, placement));
-            }
-        }
-        best
-    }
-
-    /// Finds the best upstream for one more copy of a model. With `evict`, upstreams
-    /// where another model has to be unloaded are considered as well.
-    fn best_placement(&self, model: usize, evict: bool) -> Option<CopyPlacement> {
-        let spec = self.model_facts[model].spec?;
-        let mut best: Option<CopyPlacement> = None;
-        for (index, upstream) in self.upstreams.iter().enumerate() {
-            if !upstream.idle || upstream.holds(model) {
-                continue;
-            }
-            let from_store = !upstream.local_weights.contains(model);
-            if from_store && self.store_loads_left == 0 {
-                continue;
-            }
-            let found = self.find_room(model, index, spec.weights_mb, evict);
-            let Some((victim, relief)) = found else {
-                continue;
-            };
-            let net_relief = relief - self.move_cost(model, spec, index);
-            if best
-                .as_ref()
-                .is_none_or(|placement| net_relief > placement.net_relief)
-            {
-                best = Some(CopyPlacement {
-                    upstream: index,
-                    victim,
-                    from_store,
-                    relief,
-                    net_relief,
-                });
-            }
-        }
-        best
-    }
-
-    /// Cost of loading a model on an upstream, in the unit of relief.
-    fn move_cost(&self, model: usize, spec: &ModelSpec, to: usize) -> f64 {
-        let upstream = &self.upstreams[to];
-        let from_store = !upstream.local_weights.contains(model);
-        let load_ms = self.load_ms(model, spec, to);
-        let mut cost = MOVE_COST;
-        if self.timely.is_none() {
-            // Otherwise, the duration is counted in what the copy brings.
-            cost += MOVE_COST_PER_S * load_ms / 1_000.0;
-        }
-        if from_store {
-            cost += STORE_COST;
-            if self
-                .timely
-                .as_ref()
-                .is_some_and(|timely| timely.is_patient(model))
-            {
-                cost += PATIENT_STORE_COST;
-            }
-        }
-        if !self.has_copy_in_domain(model, &upstream.state.domain) {
-            cost -= SPREAD_BONUS;
-        }
-        cost
-    }
-
-    /// Finds room on an upstream: returns the index of the model to evict, if any, and
-    /// the relief of the move minus the cost of the eviction.
-    fn find_room(
-        &self,
-        model: usize,
-        to: usize,
-        size_mb: f64,
-        evict: bool,
-    ) -> Option<(Option<usize>, f64)> {
-        let upstream = &self.upstreams[to];
-        if upstream.free_mb >= size_mb {
-            let without_eviction = CandidateMove {
-                model,
-                to,
-                victim: None,
-            };
-            return Some((None, self.relief_in_time(without_eviction)));
-        }
-        if !evict {
-            return None;
-        }
-        let mut best: Option<(usize, f64)> = None;
-        for (victim, held) in upstream.models.iter().enumerate() {
-            if self.is_recent(held)
-                || held.unloading
-                || upstream.free_mb + held.size_mb < size_mb
-            {
-                continue;
-            }
-            if self.is_protected(held, model) {
-                continue;
-            }
-            let replacement = CandidateMove {
-                model,
-                to,
-                victim: Some(held.model),
-            };
-            let copies = self.models.copy_count(held.model);
-            let share = self.weighted_sum(|forecast| {
-                per_copy_load(forecast.retained[held.model], copies)
-            });
-            let mut relief = self.relief_in_time(replacement);
-            relief -= share * UNLOAD_COST;
-            if copies == 1 {
-                relief -= self.last_copy_loss(held.model);
-            }
-            if best.is_none_or(|(_, best_relief)| relief > best_relief) {
-                best = Some((victim, relief));
-            }
-        }
-        best.map(|(victim, relief)| (Some(victim), relief))
-    }
-
     /// Relief of a move, weighted over all forecasts.
     fn relief(&self, candidate: CandidateMove) -> f64 {
         self.weighted_sum(|forecast| forecast.relief(candidate, &self.models))
