Entries spread what they send by the observed time of a prompt

Cause: the random time after which entries send to a free place was 35 ms per entry, half the prefill time of a prompt of one deployment. Where prompts are short, engines stayed idle for longer than a prompt takes; where they are long, entries filled a place at once.

Change: half of the mean prefill time of the route's prompts, which admission observes, per entry.

Not measured on a deployment.

--- a/crates/direct/src/wait_queue.rs
+++ b/crates/direct/src/wait_queue.rs
@@ -47,10 +47,9 @@
 /// about this delay.
 const CHECK_MS: u64 = 150;
 
-/// Time per entry over which entries spread what they send to a place that has become
-/// free: half the prefill time of a prompt, as about half of the entries have a request
-/// for it.
-const SPREAD_PER_ENTRY_MS: u64 = 35;
+/// Time per entry over which entries spread what they send to a free place, in percent of
+/// the mean prefill time. With less, they fill it at once; with more, it stays idle.
+const SPREAD_PER_ENTRY_PERCENT: u64 = 50;
 
 /// Maximum time over which they spread it. With more entries, few of them have a request
 /// for the same engine.
@@ -235,8 +234,8 @@
         admitted.err().unwrap_or(0)
     }
 
-    /// When its caller should come back if it is refused: when it would no
-    /// longer be too late, within the time that the caller would wait, and spread over half as long
+    /// When its caller should come back if it is refused: when it would no longer be too
+    /// late, within the time that the caller would wait, and spread over half as long
     /// again, so that callers don't all return at once.
     fn retry_after_ms(&self, now: Instant, late_ms: u64, random: u64) -> u64 {
         let left_ms = self.first_answer_deadline.ms_since(now);
@@ -422,7 +421,8 @@
             waiter.take_at = None;
             return false;
         }
-        let spread_ms = (check.entries.saturating_sub(1) * SPREAD_PER_ENTRY_MS)
+        let per_entry_ms = place.mean_prefill_ms * SPREAD_PER_ENTRY_PERCENT / 100;
+        let spread_ms = (check.entries.saturating_sub(1) * per_entry_ms)
             .min(SPREAD_MAX_MS)
             .min(left_ms / 2);
         let take_at = *waiter
--- a/crates/direct/tests/all/wait_queue.rs
+++ b/crates/direct/tests/all/wait_queue.rs
@@ -229,6 +229,37 @@
     assert!(!over_share(urgent(0)).is_too_late(at(0), &busy));
 }
 
+/// Guards against entries that leave an engine idle where prompts are short, and fill it
+/// at once where they are long.
+#[test]
+fn entries_spread_by_the_time_of_a_prompt() {
+    let engine = name("e-1");
+    for (mean_prefill_ms, spread_ms) in [(10, 15), (70, 105), (200, 300)] {
+        let idle = Place {
+            mean_prefill_ms,
+            ..place(&engine, 0)
+        };
+        let check_with = |random| WaitCheck {
+            entries: 4,
+            ..check(Some(idle), random)
+        };
+        let mut queue = WaitQueue::default();
+        let id = queue.join(at(0), patient(0), 0).expect("a place");
+        for ms in [0, spread_ms - 1] {
+            let decision = queue.decide(at(ms), id, &check_with(spread_ms));
+            assert!(is_wait(decision), "{mean_prefill_ms} {ms}");
+        }
+        let decision = queue.decide(at(spread_ms), id, &check_with(spread_ms));
+        assert_eq!(decision, PlaceDecision::Take, "{mean_prefill_ms}");
+        // None sends later.
+        let mut queue = WaitQueue::default();
+        let id = queue.join(at(0), patient(0), 0).expect("a place");
+        queue.decide(at(0), id, &check_with(100));
+        let decision = queue.decide(at(spread_ms), id, &check_with(100));
+        assert_eq!(decision, PlaceDecision::Take, "{mean_prefill_ms}");
+    }
+}
+
 /// Guards against a loop without pauses: a request whose place is gone before its random
 /// time is over must wait for the next check.
 #[test]
