--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -10,7 +10,7 @@
 /// and short enough to notice within seconds that an engine has become slower.
 const WINDOW_MS: u64 = 5_000;
 
-/// Age of the newest sample, or of another entry's value, from which it is ignored.
+/// Age of a computed speed, or of another entry's value, from which it is ignored.
 const MAX_AGE_MS: u64 = 10_000;
 
 /// Samples that are collected in each slot of this duration. Otherwise, a stream of many
@@ -28,8 +28,8 @@
 /// The others include prefill steps, short slowdowns, and delays of this entry.
 const QUANTILE_DIVISOR: usize = 4;
 
-/// Relative duration of an engine step for each running request. Of 8.2 ms, a request
-/// adds 0.018 ms.
+/// Relative increase of the duration of an engine step by each running request. Without
+/// it, engines with many requests look slow; a larger one makes them look fast.
 const PER_RUNNING_SHARE: f64 = 0.0022;
 
 /// Interval at which the mean of a service is computed.
@@ -61,6 +61,15 @@
 /// more.
 const MAX_PEERS: usize = 16;
 
+/// Number of other entries from which on their values are used as they are. Of fewer, one
+/// wrong value moves the median.
+const MIN_PEERS: usize = 3;
+
+/// Maximum factor, and the inverse of the minimum one, that fewer other entries are
+/// believed. A lower bound hides engines that are slow in truth; with a higher one, a
+/// single wrong value keeps requests away from an engine.
+const MAX_UNCONFIRMED_FACTOR: f64 = 2.0;
+
 /// Weight of another entry's value relative to one sample of this entry.
 const PEER_WEIGHT: f64 = 4.0;
 
@@ -117,8 +126,8 @@
     samples: VecDeque<Sample>,
     slot: u64,
     samples_in_slot: u32,
-    /// Low quantile of the samples.
-    event_ms: Option<f64>,
+    /// Low quantile of the samples, and when it was computed.
+    event_ms: Option<(Instant, f64)>,
     service: Option<ServicePace>,
     peers: Vec<PeerFactor>,
 }
@@ -157,11 +166,11 @@
             event_ms: event_ms / (1.0 + f64::from(running) * PER_RUNNING_SHARE),
             without_prefill: unread_tokens == 0,
         });
-        self.update_event_ms();
+        self.update_event_ms(now);
     }
 
     /// Updates the quantile, from the samples without prefill if there are enough.
-    fn update_event_ms(&mut self) {
+    fn update_event_ms(&mut self, now: Instant) {
         let span_ms = match (self.samples.front(), self.samples.back()) {
             (Some(oldest), Some(newest)) => newest.at.ms_since(oldest.at),
             _ => 0,
@@ -183,15 +192,14 @@
             let rank = event_ms.len() / QUANTILE_DIVISOR;
             let (_, quantile, _) =
                 event_ms.select_nth_unstable_by(rank, f64::total_cmp);
-            self.event_ms = Some(*quantile);
+            self.event_ms = Some((now, *quantile));
         }
     }
 
     /// Time between two events, by this entry's streams.
     pub(crate) fn event_ms(&self, now: Instant) -> Option<f64> {
-        let newest = self.samples.back()?;
-        let is_current = now.ms_since(newest.at) < MAX_AGE_MS;
-        self.event_ms.filter(|_| is_current)
+        let (computed_at, event_ms) = self.event_ms?;
+        (now.ms_since(computed_at) < MAX_AGE_MS).then_some(event_ms)
     }
 
     /// Sets the pace of the engine's service.
@@ -239,7 +247,8 @@
 
     /// Time that this engine takes relative to the mean of its service; 1 if unknown.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
-        if self.service(now).is_some_and(|service| !service.is_uneven) {
+        let is_even = self.service(now).is_some_and(|service| !service.is_uneven);
+        if is_even && self.event_ms(now).is_some() {
             return 1.0;
         }
         let own = self.own_factor(now);
@@ -259,8 +268,8 @@
         }
     }
 
-    /// Median of other entries' current factors, and their number. One entry with a
-    /// wrong value doesn't change it much.
+    /// Median of other entries' current factors, and their number. Of three or more, one
+    /// wrong value doesn't change it much; fewer are bounded.
     fn peer_median(&self, now: Instant) -> (f64, usize) {
         let mut factors = [0.0; MAX_PEERS];
         let mut count = 0;
@@ -273,7 +282,18 @@
             count += 1;
         }
         let factors = &mut factors[..count];
+        if count < MIN_PEERS {
+            for factor in &mut *factors {
+                *factor =
+                    factor.clamp(1.0 / MAX_UNCONFIRMED_FACTOR, MAX_UNCONFIRMED_FACTOR);
+            }
+        }
         factors.sort_unstable_by(f64::total_cmp);
-        (factors.get(count / 2).copied().unwrap_or(1.0), count)
+        let median = match factors {
+            [] => 1.0,
+            factors if count % 2 == 1 => factors[count / 2],
+            factors => f64::midpoint(factors[count / 2 - 1], factors[count / 2]),
+        };
+        (median, count)
     }
 }
