Decisions about streams at an entry that shuts down

Each had been taken up to 2.7 s after the signal, whatever it needed, and ran until the last moment.

The crate has three new decisions, without a runtime: how long the streams of a route last (a high quantile of those that ended lately, scaled by the tokens they ask for, at most 32 streams a route), whether a stream may begin at an entry that shuts down, and when one that still runs is handed over to its caller. No stream begins later than before, and none ends before the last sixth of the grace. Nothing asks them yet.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,9 @@
 //!   [`decide_in_flight`] whether a request leaves an upstream that is silent.
 //! - [`StreamOrigin`] names the software version at which a stream may go on.
 //!   [`origin_keepers`] chooses the entries that keep it.
+//! - [`StreamStart`] decides whether a stream may begin at an entry that shuts down, with
+//!   the duration that [`StreamDurations`] expects, and [`RunningStream`] when one that
+//!   still runs is handed over to its caller.
 //! - [`RetryBudget`] bounds the retries of all entries together.
 //! - [`Lease`] elects the coordinator, the one entry that sends load and unload orders.
 //!   [`LeaseCandidate`] decides which entries try to become it, and [`has_successor`] tells whether a coordinator that shuts down should hand the
@@ -46,6 +49,8 @@
 //!   first event. Where that is not known, it does not go on.
 //! - A request in flight is not ended because its upstream is silent, unless another
 //!   upstream can run it.
+//! - An entry that shuts down ends a stream early only in the last sixth of its time, and
+//!   only if the caller can resume it.
 //! - Every order names the upstream's order count on which it was decided, so of two
 //!   orders decided on the same state at most one is carried out. What that order adds
 //!   was checked against the same state, so no upstream is ordered to hold more than
@@ -87,7 +92,10 @@
 mod shared_watch;
 mod start_source;
 mod state_digest;
+mod stream_durations;
+mod stream_handover;
 mod stream_origin;
+mod stream_start;
 mod successor;
 mod takeover;
 mod target_spread;
@@ -148,7 +156,10 @@
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
+pub use stream_durations::{StreamDurations, StreamTiming};
+pub use stream_handover::{RunningStream, handover_start_ms};
 pub use stream_origin::{SoftwareVersion, StreamId, StreamOrigin, StreamOrigins};
+pub use stream_start::{PeerCount, PeerReadiness, StreamStart};
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
