A stream that can't end before the exit is left to another entry

Callers saw: a stream was begun by an entry that had been told to stop and was cut 7.5 s after the signal, after 4.4 to 6 s of work, though another entry had time for all of it.

Cause: a stream was taken until 2.7 s after the signal, whatever it needed.

Change: an entry observes how long its streams take and refuses one that would still run at its exit, at once and not run, with 0 ms to come back. It does so only where enough other entries are ready. They now say so in their messages (`ready`, optional: builds that don't say it count as ready once they keep tokens), and an entry tells the others at once that it stops. Without knowledge of the duration the bound of 2.7 s holds, and no stream begins later than before.

Test before, on: shutdown::streams::a_stream_that_cannot_end_is_left_to_another_entry failed: `left: 200, right: 503`, and the engine ran the stream. After: shutdown::streams, 4 passed. The other three tests passed before, too.

--- a/crates/front/src/dispatch/record.rs
+++ b/crates/front/src/dispatch/record.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Returns when the first part of the response was sent to the caller, from the
+    /// request's arrival.
+    pub(crate) const fn first_response_ms(&self) -> Option<u64> {
+        self.first_response_ms
+    }
+
     /// Records that complete events of a stream are forwarded to the caller now.
     pub(crate) fn record_events_forwarded(&mut self) {
         self.pauses.record(self.node.now());
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -60,6 +60,7 @@
 mod state_monitor;
 mod stream;
 mod stream_origins;
+mod stream_shutdown;
 mod suspect_parts;
 mod taken_request;
 mod takeover;
--- a/crates/front/src/peers/message.rs
+++ b/crates/front/src/peers/message.rs
@@ -141,6 +141,7 @@
             .is_some_and(|at| now.ms_since(at) < UNKNOWN_USE_MS),
         service_shares,
         shares_number,
+        ready: Some(node.is_ready()),
     }
 }
 
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -300,6 +300,7 @@
             watch_works: message.watches,
             keeps_tokens: message.keeps_tokens,
             shutting_down: message.stopping,
+            is_ready: message.ready.unwrap_or(message.keeps_tokens),
             first_heard_at: before.map_or(now, |peer| peer.first_heard_at),
             format: message.format,
             needs_full_uses: message.needs_full_uses,
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -23,6 +23,7 @@
 use crate::state::shutdown::ShutdownPhase;
 use crate::stream::{forward, start_stream};
 use crate::stream_origins;
+use crate::stream_shutdown::may_begin_stream;
 use crate::suspect_parts::shared_parts;
 use crate::taken_request::TakenRequest;
 
@@ -151,10 +152,9 @@
             not_ready
         });
     };
-    if node
-        .shutdown
-        .is_too_late(node.now(), route.kind.is_stream())
-    {
+    let is_refused_stream =
+        route.kind.is_stream() && !may_begin_stream(node, &route, &head, deadline_ms);
+    if is_refused_stream || node.shutdown.is_too_late(node.now()) {
         return Err(SHUTTING_DOWN);
     }
     let workspace = authenticate(&config, &route, &head).map_err(|refusal| {
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -54,6 +54,8 @@
     let grace = Duration::from_millis(node.options.deployment.shutdown_ms);
     let end_at = signalled_at + grace.saturating_sub(EXIT_MARGIN);
     node.shutdown.begin(signalled_at, end_at);
+    // Other entries count this one as ready until they are told.
+    node.peers.announce_now.notify_one();
     log_step(node, "stopping");
     let lease_node = Arc::clone(node);
     let handover = tokio::spawn(async move { hand_over_lease(&lease_node).await });
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -149,6 +149,7 @@
             let is_route =
                 |name: &str| config.routes().any(|route| *route.name == *name);
             node.mean_prefill_times.lock().retain(is_route);
+            node.stream_durations.lock().sweep(now, is_route);
             let is_service = |name: &str| config.knows_service(name);
             node.estimate_corrections.lock().retain(is_service);
             node.entry_queues.retain(is_service);
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use direct::{
     AvoidanceTracker, Config, DemandTracker, EstimateCorrections, Fleet, IntakeLimit,
-    Lease, Limits, MeanPrefillTimes, ModelTimeFactors, RetryBudget, Watermark,
+    Lease, Limits, MeanPrefillTimes, ModelTimeFactors, RetryBudget, StreamDurations,
+    Watermark,
 };
 use parking_lot::Mutex;
 use plat::ObjectApi;
@@ -85,6 +86,8 @@
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) time_factors: Mutex<ModelTimeFactors>,
     pub(crate) mean_prefill_times: Mutex<MeanPrefillTimes>,
+    /// How long streams last.
+    pub(crate) stream_durations: Mutex<StreamDurations>,
     pub(crate) estimate_corrections: Mutex<EstimateCorrections>,
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) suspect_parts: Mutex<SuspectParts>,
@@ -184,6 +187,7 @@
             retry_budget: Mutex::new(retry_budget),
             time_factors: Mutex::default(),
             mean_prefill_times: Mutex::default(),
+            stream_durations: Mutex::default(),
             estimate_corrections: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use direct::{
     DemandEstimate, DemandPressure, IncarnationIndex, ItemRepeats, LeaseCandidate,
-    MessageDetail, MessageRounds, PeerEntry, Receiver, has_successor, message_detail,
-    peer_timeout_ms,
+    MessageDetail, MessageRounds, PeerEntry, PeerReadiness, Receiver, has_successor,
+    message_detail, peer_timeout_ms,
 };
 use parking_lot::Mutex;
 use quota::select_keeper;
@@ -102,6 +102,8 @@
     pub(crate) keeps_tokens: bool,
     /// Whether it is shutting down.
     pub(crate) shutting_down: bool,
+    /// Whether it is ready for callers.
+    pub(crate) is_ready: bool,
     /// When the first message of its process was received.
     pub(crate) first_heard_at: Instant,
     /// Format of its messages.
@@ -350,6 +352,35 @@
         has_successor(started_unix_ms, &others)
     }
 
+    /// Counts the other entries, and those that are ready for callers. One that has fallen
+    /// silent isn't, and counts as long as it is in the platform's list.
+    pub(crate) fn readiness(&self, now: Instant) -> PeerReadiness {
+        let table = self.table.lock();
+        let live = table.live_peers(now).map(|(_, peer)| peer);
+        let live = live.map(|peer| {
+            let is_ready = peer.is_ready && !peer.shutting_down;
+            (peer.address, (peer.domain.as_str(), is_ready))
+        });
+        let listed = table.listed_addresses.iter();
+        let listed =
+            listed.map(|(address, domain)| (*address, (domain.as_str(), false)));
+        // What an entry says replaces that it is listed.
+        let mut entries: HashMap<SocketAddr, (&str, bool)> = listed.collect();
+        entries.extend(live);
+        entries.remove(&self.own_address);
+        let mut readiness = PeerReadiness::default();
+        for (domain, is_ready) in entries.into_values() {
+            let count = if domain == self.own_domain {
+                &mut readiness.in_domain
+            } else {
+                &mut readiness.elsewhere
+            };
+            count.total += 1;
+            count.ready += usize::from(is_ready);
+        }
+        readiness
+    }
+
     /// Returns the addresses of the entries of a failure domain that were heard
     /// from recently.
     pub(crate) fn addresses_in_domain(
--- a/crates/front/src/state/shutdown.rs
+++ b/crates/front/src/state/shutdown.rs
@@ -4,12 +4,8 @@
 use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 
-/// Time after the termination signal until which new streams are accepted.
-/// Callers reach this entry until the load balancer has checked twice; a stream
-/// that starts later could be cut off by the exit.
-const STREAM_ACCEPT_MS: u64 = 2_700;
-
-/// Time before the exit until which other requests are accepted.
+/// Time before the exit until which requests are accepted. Streams have an earlier bound
+/// besides.
 const REQUEST_MARGIN_MS: u64 = 2_500;
 
 /// Time before the exit at which requests without a response get one, whatever
@@ -71,6 +67,11 @@
         *self.stopping.lock() = Some((now, end_at));
     }
 
+    /// Returns when the termination signal came and when the process exits, once it came.
+    pub(crate) fn times(&self) -> Option<(Instant, Instant)> {
+        *self.stopping.lock()
+    }
+
     /// Returns the progress of the shutdown.
     pub(crate) fn phase(&self) -> ShutdownPhase {
         if !self.is_stopping() {
@@ -110,10 +111,8 @@
 
     /// Returns whether a request comes too late to finish before the process
     /// exits.
-    pub(crate) fn is_too_late(&self, now: Instant, stream: bool) -> bool {
-        self.stopping.lock().is_some_and(|(signalled_at, end_at)| {
-            let late_stream = stream && now.ms_since(signalled_at) > STREAM_ACCEPT_MS;
-            late_stream || now.plus_ms(REQUEST_MARGIN_MS) > end_at
-        })
+    pub(crate) fn is_too_late(&self, now: Instant) -> bool {
+        self.times()
+            .is_some_and(|(_, end_at)| now.plus_ms(REQUEST_MARGIN_MS) > end_at)
     }
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -141,6 +141,7 @@
                     if let Some(source) = self.source.take() {
                         source.finished();
                     }
+                    self.dispatch.record_stream_duration();
                     self.dispatch.record_end("answered", self.status.as_u16());
                     return Ok(None);
                 }
