Streams that still run near the exit are handed over to their callers

Callers saw: a stream that still ran 7.5 s after its entry's signal was cut at the last moment, all of them at once, and its line said `process_ended`.

A stream that can't be resumed runs until it ends or the process must, and so does each one where no other entry is ready.

Test before, on: of shutdown::streams, a_stream_near_the_end_is_handed_over_and_goes_on_elsewhere and a_killed_entry_takes_up_no_streams failed: `left: Some("process_ended"), right: Some("handed_over")`. After: 7 of 7 passed.

--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -12,6 +12,9 @@
 //!    accepted, and those accepted last are served.
 //! 4. Ended.
 //!
+//! Streams that still run near the end are handed over to callers that can resume them
+//! (see `stream_shutdown`). The others run until the exit.
+//!
 //! Exiting as soon as no request was *in progress* cut off requests: one that
 //! was half received, one that arrived between the check and the exit, and a
 //! response that was not sent yet. So the shutdown waits for connections, which
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -352,6 +352,13 @@
         has_successor(started_unix_ms, &others)
     }
 
+    /// Returns whether another entry was heard from recently that is ready for callers.
+    pub(crate) fn has_ready_peer(&self, now: Instant) -> bool {
+        let table = self.table.lock();
+        let mut live = table.live_peers(now);
+        live.any(|(_, peer)| peer.is_ready && !peer.shutting_down)
+    }
+
     /// Counts the other entries, and those that are ready for callers. One that has fallen
     /// silent isn't, and counts as long as it is in the platform's list.
     pub(crate) fn readiness(&self, now: Instant) -> PeerReadiness {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -46,6 +46,9 @@
     /// The request's deadline has passed, or the process is about to exit and
     /// no part of the response was forwarded.
     OutOfTime,
+    /// The process is about to exit, and the caller can resume the stream at another
+    /// entry.
+    HandOver,
     /// The stream broke, and no other upstream may take it over.
     Failed(DispatchResult),
 }
@@ -151,6 +154,10 @@
                     self.source = None;
                     return Err(self.dispatch.end_running_stream());
                 }
+                StreamStep::HandOver => {
+                    self.source = None;
+                    return Err(self.dispatch.end_handed_over(self.status.as_u16()));
+                }
             }
         }
     }
@@ -170,6 +177,9 @@
             if remaining_ms == 0 || self.dispatch.must_end_for_shutdown() {
                 return StreamStep::OutOfTime;
             }
+            if self.dispatch.must_hand_over() {
+                return StreamStep::HandOver;
+            }
             let check_after = CHECK_INTERVAL.min(Duration::from_millis(remaining_ms));
             let step = match timeout(check_after, source.body.frame()).await {
                 Ok(frame) => self.handle_frame(frame),
--- a/crates/front/src/stream_shutdown.rs
+++ b/crates/front/src/stream_shutdown.rs
@@ -1,11 +1,18 @@
-//! Which streams begin at an entry that shuts down.
+//! Streams at an entry that shuts down: which of them begin, and when those that still run
+//! are handed over to their callers.
 
-use direct::{Route, RouteKind, StreamStart, StreamTiming};
+use direct::{
+    Route, RouteKind, RunningStream, StreamStart, StreamTiming, handover_start_ms,
+};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::RequestHead;
-use crate::dispatch::Dispatch;
+use crate::dispatch::{Dispatch, DispatchResult};
 use crate::state::Node;
 
+/// Outcome of a stream that its caller has to resume at another entry.
+const HANDED_OVER: &str = "handed_over";
+
 /// Returns whether a stream may begin now. It always may unless this entry shuts down.
 pub(crate) fn may_begin_stream(
     node: &Node,
@@ -59,4 +66,49 @@
         let mut durations = self.node.stream_durations.lock();
         durations.observe(now, &request.route.name, timing);
     }
+
+    /// Returns whether the stream is to end now, between two events, so that its caller
+    /// resumes it at another entry.
+    pub(crate) fn must_hand_over(&self) -> bool {
+        let Some((signalled_at, exit_at)) = self.node.shutdown.times() else {
+            return false;
+        };
+        let now = self.node.now();
+        let now_ms = now.ms_since(signalled_at);
+        let grace_ms = self.node.options.deployment.shutdown_ms;
+        if now_ms < handover_start_ms(grace_ms) {
+            return false;
+        }
+        let request = &self.request;
+        let expected_ms = expected_ms(&self.node, &request.route, &request.head);
+        let running = RunningStream {
+            grace_ms,
+            exit_ms: exit_at.ms_since(signalled_at),
+            arrived_ms: request.arrived_at.ms_since(signalled_at),
+            expected_end_ms: expected_ms
+                .map(|ms| request.arrived_at.plus_ms(ms).ms_since(signalled_at)),
+            is_resumable: self.can_be_resumed(),
+            is_peer_ready: self.node.peers.has_ready_peer(now),
+            spread: xxh3_64(request.head.id.as_bytes()),
+        };
+        let handover_ms = running.handover_ms();
+        handover_ms.is_some_and(|handover_ms| now_ms >= handover_ms)
+    }
+
+    /// Returns whether the caller can have the rest of its stream from another entry. It
+    /// has to name the last event, and the software version that began the stream has to
+    /// be known.
+    fn can_be_resumed(&self) -> bool {
+        let origin = self.origin.as_ref();
+        self.request.route.kind == RouteKind::ResumableStream
+            && self.first_response_ms().is_some()
+            && self.last_event_id.is_some()
+            && origin.is_some_and(|origin| origin.software.is_some())
+    }
+
+    /// Ends a stream that is handed over to its caller.
+    pub(crate) fn end_handed_over(&mut self, status: u16) -> DispatchResult {
+        self.record_end(HANDED_OVER, status);
+        self.end_running_stream()
+    }
 }
