--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -12,6 +12,9 @@
 //!    accepted, and those accepted last are served.
 //! 4. Ended.
 //!
+//! Streams that still run near the end are handed over to callers that can resume them
+//! (see `stream_shutdown`). The others run until the exit.
+//!
 //! Exiting as soon as no request was *in progress* cut off requests: one that
 //! was half received, one that arrived between the check and the exit, and a
 //! response that was not sent yet. So the shutdown waits for connections, which
@@ -54,6 +57,8 @@
     let grace = Duration::from_millis(node.options.deployment.shutdown_ms);
     let end_at = signalled_at + grace.saturating_sub(EXIT_MARGIN);
     node.shutdown.begin(signalled_at, end_at);
+    // Other entries count this one as ready until they are told.
+    node.peers.announce_now.notify_one();
     log_step(node, "stopping");
     let lease_node = Arc::clone(node);
     let handover = tokio::spawn(async move { hand_over_lease(&lease_node).await });
