Times of messages from peers by what they are

Pure renames: heard_at is last_message_at, coordinator_heard_at is coordinator_message_at, is_coordinator_heard_within is has_coordinator_message_within, Fleet::coordinator_heard is Fleet::record_coordinator_message, and NEWS_MS of a test is USAGE_DELAY_MS. Fields of messages, logs and metrics keep their names.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -398,7 +398,7 @@
     /// The coordinator sends changes at once and the holdings of all upstreams in turn,
     /// which takes seconds with many entries. The holdings sent by an earlier
     /// coordinator become invalid.
-    pub fn coordinator_heard(&mut self, now: Instant, token: u64) {
+    pub fn record_coordinator_message(&mut self, now: Instant, token: u64) {
         if token < self.coordinator.token {
             return;
         }
--- a/crates/direct/tests/all/fleet.rs
+++ b/crates/direct/tests/all/fleet.rs
@@ -209,7 +209,7 @@
         let upstream = fleet.get("1").expect("it is known");
         upstream.holds(at(ms), model, None)
     };
-    fleet.coordinator_heard(at(0), 4);
+    fleet.record_coordinator_message(at(0), 4);
     fleet.set_coordinator_holdings(
         at(0),
         incarnation("1"),
@@ -217,14 +217,14 @@
         Vec::new(),
     );
     for ms in (300..6_000).step_by(300) {
-        fleet.coordinator_heard(at(ms), 4);
+        fleet.record_coordinator_message(at(ms), 4);
         assert!(holds(&fleet, ms + 1_200, "b"), "{ms}");
     }
     // Once another coordinator was heard, its predecessor's messages are ignored, and
     // the predecessor's holdings expire.
     for ms in (6_000..7_500).step_by(300) {
-        fleet.coordinator_heard(at(ms), 5);
-        fleet.coordinator_heard(at(ms), 4);
+        fleet.record_coordinator_message(at(ms), 5);
+        fleet.record_coordinator_message(at(ms), 4);
     }
     assert!(holds(&fleet, 7_500, "a") && !holds(&fleet, 7_500, "b"));
     // An earlier coordinator that keeps sending doesn't keep the later one's holdings
@@ -236,22 +236,22 @@
         Vec::new(),
     );
     for ms in (7_600..9_400).step_by(300) {
-        fleet.coordinator_heard(at(ms), 4);
+        fleet.record_coordinator_message(at(ms), 4);
     }
     assert!(holds(&fleet, 9_400, "a") && !holds(&fleet, 9_400, "c"));
-    fleet.coordinator_heard(at(7_500), 5);
+    fleet.record_coordinator_message(at(7_500), 5);
     fleet.set_coordinator_holdings(
         at(7_500),
         incarnation("1"),
         vec![resident("c", &[])],
         Vec::new(),
     );
-    fleet.coordinator_heard(at(9_000), 5);
+    fleet.record_coordinator_message(at(9_000), 5);
     assert!(holds(&fleet, 10_400, "c"));
     // The coordinator sends the holdings of other upstreams and not of this one: it no
     // longer knows it.
     for ms in (9_000..21_000).step_by(300) {
-        fleet.coordinator_heard(at(ms), 5);
+        fleet.record_coordinator_message(at(ms), 5);
     }
     assert!(holds(&fleet, 21_100, "a"));
 }
--- a/crates/direct/tests/all/wait_queue_load.rs
+++ b/crates/direct/tests/all/wait_queue_load.rs
@@ -7,7 +7,7 @@
 };
 
 /// Delay with which entries know what others have sent.
-const NEWS_MS: u64 = 200;
+const USAGE_DELAY_MS: u64 = 200;
 
 /// Engines, each with some of the models. A scarce model is on the first two only.
 const ENGINES: usize = 12;
@@ -122,7 +122,9 @@
                     }
                 }
             }
-            engine.retain(|prompt| prompt.done_ms.is_none_or(|at| at + NEWS_MS > now));
+            engine.retain(|prompt| {
+                prompt.done_ms.is_none_or(|at| at + USAGE_DELAY_MS > now)
+            });
         }
     }
 
@@ -166,7 +168,11 @@
     fn known_ms(&self, engine: usize, entry: u64, priority: u32) -> (u64, u64) {
         let (mut ahead_ms, mut unread_ms, mut total_ms) = (0, 0, 0);
         for prompt in &self.engines[engine] {
-            let delay_ms = if prompt.entry == entry { 0 } else { NEWS_MS };
+            let delay_ms = if prompt.entry == entry {
+                0
+            } else {
+                USAGE_DELAY_MS
+            };
             let is_sent = prompt.sent_ms + delay_ms <= self.now;
             let is_done = prompt.done_ms.is_some_and(|at| at + delay_ms <= self.now);
             if is_sent && !is_done {
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -213,7 +213,7 @@
     let lease = node.lease.lock();
     lease.holder().is_some_and(|holder| {
         node.peers
-            .is_coordinator_heard_within(now, holder, HOLDER_SILENCE_MS)
+            .has_coordinator_message_within(now, holder, HOLDER_SILENCE_MS)
     })
 }
 
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -197,7 +197,7 @@
         let live: BTreeSet<SocketAddr> = table
             .peers
             .values()
-            .filter(|peer| now.ms_since(peer.heard_at) < UNREACHABLE_AFTER_MS)
+            .filter(|peer| now.ms_since(peer.last_message_at) < UNREACHABLE_AFTER_MS)
             .map(|peer| peer.address)
             .collect();
         let addresses = table.addresses.iter().copied();
--- a/crates/front/src/peers/message.rs
+++ b/crates/front/src/peers/message.rs
@@ -177,7 +177,7 @@
     }
 }
 
-/// Returns this entry's usage of upstreams, and what it hears from them.
+/// Returns this entry's usage of upstreams, and their activity towards it.
 fn uses(fleet: &Fleet, now: Instant) -> Vec<UpstreamUse> {
     let used = fleet
         .all()
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -167,7 +167,7 @@
         fleet.set_coordinator_holdings(now, incarnation, residents, loading.collect());
     }
     if message.giver_token > 0 {
-        fleet.coordinator_heard(now, message.giver_token);
+        fleet.record_coordinator_message(now, message.giver_token);
     }
     drop(fleet);
     upstream_rate::receive(node, &message.entry, &message.rates);
@@ -247,7 +247,7 @@
             table.domains.insert(from, message.domain.clone());
         }
         if message.giver_token > 0 {
-            table.coordinator_heard_at = Some(now);
+            table.coordinator_message_at = Some(now);
         }
         let known = table.peers.get(&message.entry);
         let newest = known.map(|peer| (peer.started_unix_ms, peer.sequence));
@@ -285,7 +285,7 @@
         let timeout_ms = table.peer_timeout_ms();
         let before = known.filter(|peer| {
             // One that was cut off may lack as much as one that starts.
-            !is_new_process && now.ms_since(peer.heard_at) < timeout_ms
+            !is_new_process && now.ms_since(peer.last_message_at) < timeout_ms
         });
         let differs = message.digests != table.own_digests;
         let different_since = before.and_then(|peer| peer.different_since);
@@ -293,7 +293,7 @@
             address: from,
             started_unix_ms: message.start,
             sequence: message.sequence,
-            heard_at: now,
+            last_message_at: now,
             reported_lost: false,
             coordinator_token: message.giver_token,
             domain: message.domain.clone(),
--- a/crates/front/src/state/peers.rs
+++ b/crates/front/src/state/peers.rs
@@ -80,7 +80,7 @@
     /// Leaving upstreams that are still to be sent.
     pub(crate) leaving_changes: ItemRepeats,
     /// When a message of a coordinator was last received.
-    pub(crate) coordinator_heard_at: Option<Instant>,
+    pub(crate) coordinator_message_at: Option<Instant>,
 }
 
 /// One other entry.
@@ -90,7 +90,8 @@
     pub(crate) started_unix_ms: u64,
     /// Sequence number of its last message.
     pub(crate) sequence: u64,
-    pub(crate) heard_at: Instant,
+    /// When its last message was received.
+    pub(crate) last_message_at: Instant,
     /// Whether its silence was logged.
     pub(crate) reported_lost: bool,
     /// Fencing token of its lease; 0 unless it is the coordinator.
@@ -138,7 +139,7 @@
     ) -> impl Iterator<Item = (&String, &PeerState)> {
         let timeout_ms = self.peer_timeout_ms();
         let peers = self.peers.iter();
-        peers.filter(move |(_, peer)| now.ms_since(peer.heard_at) < timeout_ms)
+        peers.filter(move |(_, peer)| now.ms_since(peer.last_message_at) < timeout_ms)
     }
 
     /// Returns the addresses of the other entries that may run, with their failure
@@ -184,9 +185,9 @@
         }
     }
 
-    /// Returns whether an entry was heard from within `ms` and said that it is the
-    /// coordinator.
-    pub(crate) fn is_coordinator_heard_within(
+    /// Returns whether the last message of an entry was received within `ms` and said
+    /// that it is the coordinator.
+    pub(crate) fn has_coordinator_message_within(
         &self,
         now: Instant,
         entry: &str,
@@ -195,7 +196,7 @@
         let table = self.table.lock();
         let peer = table.peers.get(entry);
         peer.is_some_and(|peer| {
-            peer.coordinator_token > 0 && now.ms_since(peer.heard_at) < ms
+            peer.coordinator_token > 0 && now.ms_since(peer.last_message_at) < ms
         })
     }
 
@@ -225,8 +226,8 @@
             up_ms,
             holder_heard,
             coordinator_silent_ms: table
-                .coordinator_heard_at
-                .map(|heard_at| now.ms_since(heard_at)),
+                .coordinator_message_at
+                .map(|last_message_at| now.ms_since(last_message_at)),
         }
     }
 
@@ -236,12 +237,12 @@
         let mut table = self.table.lock();
         let timeout_ms = table.peer_timeout_ms();
         let silent = table.peers.iter_mut().filter(|(_, peer)| {
-            !peer.reported_lost && now.ms_since(peer.heard_at) >= timeout_ms
+            !peer.reported_lost && now.ms_since(peer.last_message_at) >= timeout_ms
         });
         silent
             .map(|(name, peer)| {
                 peer.reported_lost = true;
-                (name.clone(), now.ms_since(peer.heard_at))
+                (name.clone(), now.ms_since(peer.last_message_at))
             })
             .collect()
     }
@@ -261,7 +262,7 @@
         let table = self.table.lock();
         let watchers = table
             .live_peers(now)
-            .filter(|(_, peer)| now.ms_since(peer.heard_at) < LEADER_TIMEOUT_MS)
+            .filter(|(_, peer)| now.ms_since(peer.last_message_at) < LEADER_TIMEOUT_MS)
             .filter(|(_, peer)| peer.watch_works && peer.domain == domain);
         watchers.map(|(name, _)| name.clone()).collect()
     }
