Shares: a workspace over its share is recognized beside a larger one

Cause: a workspace was compared with all others together. The larger of the two lifts what the others of the smaller one send for their weights, and the rest of its excess stays within the margins for noise. The interval of the reports, suspected before, is not the cause: with one entry and steady loads the smaller one is not over its share after 6 s either.

Evidence, without the change: fair_shares::a_workspace_is_over_its_share_beside_a_larger_one_that_is panicked: assertion `left == right` failed: 12, left: false

Workspaces that clearly send too much by the same margins no longer count among the others. The margins and the messages are unchanged, so noise is told from load as before.

--- a/crates/quota/src/fair_share.rs
+++ b/crates/quota/src/fair_share.rs
@@ -32,6 +32,11 @@
 /// and a few are several times as long.
 const COST_DISPERSION: f64 = 2.0;
 
+/// Most rounds in which workspaces that send clearly more than the others are found. Each
+/// takes the time of one look at all workspaces, and few differ in load so much that
+/// another round finds more.
+const EXCESS_ROUNDS_MAX: usize = 4;
+
 /// Time for which a refusal for lack of capacity counts as scarcity. At hundreds of
 /// entries, the reports of peers renew it each second or two.
 const SCARCITY_MS: u64 = 3_000;
@@ -131,13 +136,29 @@
     OverShare,
 }
 
-/// Sums over the other workspaces that send requests.
-#[derive(Debug, Default)]
-struct Others {
+/// Sums over workspaces that send requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct Loads {
     weight: f64,
     served: f64,
     sent: f64,
-    are_refused: bool,
+}
+
+impl Loads {
+    fn add(&mut self, share: &WorkspaceUse) {
+        self.weight += share.weight;
+        self.served += share.served;
+        self.sent += share.sent();
+    }
+
+    /// The sums without a workspace that they include.
+    fn without(&self, share: &WorkspaceUse) -> Self {
+        Self {
+            weight: self.weight - share.weight,
+            served: self.served - share.served,
+            sent: self.sent - share.sent(),
+        }
+    }
 }
 
 impl WorkspaceUse {
@@ -253,44 +274,100 @@
         }
     }
 
-    /// Whether a workspace sent clearly more for its weight than all the others and was
-    /// served more, while requests of others were refused.
+    /// Whether a workspace sent clearly more for its weight than the others and was served
+    /// more, while requests of others were refused.
     ///
     /// It is compared with the others and not with the mean over all: the mean follows
-    /// a workspace that takes most of the capacity. A larger load shows within a second
-    /// in what it sent; what it is served grows only by what the others lose.
+    /// a workspace that takes most of the capacity. For the same reason, others that send
+    /// too much themselves don't count. A larger load shows within a second in what it
+    /// sent; what it is served grows only by what the others lose.
     pub(crate) fn is_over_share(&mut self, now: Instant, workspace: &str) -> bool {
         self.decay(now);
         let Some(own) = self.workspaces.get(workspace) else {
             return false;
         };
-        let mut others = Others::default();
-        for (name, share) in &self.workspaces {
-            if **name != *workspace && share.sent() > 0.0 {
-                others.weight += share.weight;
-                others.served += share.served;
-                others.sent += share.sent();
-                others.are_refused |= is_recent(now, share.refused_at);
-            }
-        }
-        if others.weight <= 0.0 || self.requests < REQUESTS_MIN {
+        if self.requests < REQUESTS_MIN {
             return false;
         }
+        let others = self.usual_loads_beside(workspace);
         // Refusing its requests keeps the queue short for the others. It isn't let back
         // in as soon as no one else is refused.
-        let is_scarce = others.are_refused || is_recent(now, own.held_back_at);
-        let ratio = own.weight / others.weight;
-        let exceeds = |cost: f64, cost_of_others: f64, margin: Margin| {
-            let share = cost_of_others * ratio;
-            let request_cost = self.cost / self.requests;
-            let variance = share * request_cost * COST_DISPERSION * (1.0 + ratio);
-            let noise =
-                margin.deviations * variance.sqrt() + margin.requests * request_cost;
-            cost > margin.ratio * share + noise
-        };
+        let is_scarce =
+            self.is_another_refused(now, workspace) || is_recent(now, own.held_back_at);
         is_scarce
-            && exceeds(own.sent(), others.sent, SENT_MARGIN)
-            && exceeds(own.served, others.served, SERVED_MARGIN)
+            && self.exceeds(own.weight, (own.sent(), others.sent), &others, SENT_MARGIN)
+            && self.exceeds(
+                own.weight,
+                (own.served, others.served),
+                &others,
+                SERVED_MARGIN,
+            )
+    }
+
+    /// Whether a request of another workspace was refused for lack of capacity.
+    fn is_another_refused(&self, now: Instant, workspace: &str) -> bool {
+        let mut others = self.workspaces.iter();
+        others.any(|(name, share)| {
+            **name != *workspace && is_recent(now, share.refused_at)
+        })
+    }
+
+    /// Sums over the workspaces other than this one that don't send clearly more than the
+    /// rest.
+    ///
+    /// Those that send most are left out first: as long as they count, they make smaller
+    /// excesses look usual.
+    fn usual_loads_beside(&self, workspace: &str) -> Loads {
+        let mut usual = Loads::default();
+        let mut counted: Vec<(&str, &WorkspaceUse)> = Vec::new();
+        let senders = self
+            .workspaces
+            .iter()
+            .filter(|(_, share)| share.sent() > 0.0);
+        for (name, share) in senders {
+            usual.add(share);
+            counted.push((name, share));
+        }
+        for _ in 0..EXCESS_ROUNDS_MAX {
+            let before = counted.len();
+            let of_round = usual;
+            counted.retain(|(_, share)| {
+                let others = of_round.without(share);
+                let costs = (share.sent(), others.sent);
+                let is_excessive =
+                    self.exceeds(share.weight, costs, &others, SENT_MARGIN);
+                if is_excessive {
+                    usual = usual.without(share);
+                }
+                !is_excessive
+            });
+            if counted.len() == before {
+                break;
+            }
+        }
+        let own = counted.iter().find(|(name, _)| *name == workspace);
+        own.map_or(usual, |(_, share)| usual.without(share))
+    }
+
+    /// Whether the cost of a workspace with this weight exceeds its share of the cost of
+    /// the others by a margin.
+    fn exceeds(
+        &self,
+        weight: f64,
+        (cost, cost_of_others): (f64, f64),
+        others: &Loads,
+        margin: Margin,
+    ) -> bool {
+        if others.weight <= 0.0 {
+            return false;
+        }
+        let ratio = weight / others.weight;
+        let share = cost_of_others * ratio;
+        let request_cost = self.cost / self.requests;
+        let variance = share * request_cost * COST_DISPERSION * (1.0 + ratio);
+        let noise =
+            margin.deviations * variance.sqrt() + margin.requests * request_cost;
+        cost > margin.ratio * share + noise
     }
 
     /// Returns the costs that were not reported to peers and the number of requests sent
--- a/crates/quota/tests/all/fair_shares.rs
+++ b/crates/quota/tests/all/fair_shares.rs
@@ -247,6 +247,28 @@
     check_kept(300);
 }
 
+/// Guards against a workspace that takes more than its share unnoticed, because a larger
+/// one does so as well and lifts what the others send on average. Both send 1.8 times
+/// their usual load: their quotas admit no more.
+#[test]
+fn a_workspace_is_over_its_share_beside_a_larger_one_that_is() {
+    let mut shares = configured();
+    for ms in (0..6_000).step_by(50) {
+        let now = Instant::from_ms(ms);
+        for (index, rate) in rates().into_iter().enumerate() {
+            let is_hot = HOT.contains(&index);
+            let load = if is_hot { 1.0 } else { USUAL_LOAD };
+            shares.charge(now, SERVICE, &workspace(index), rate * load / 20.0);
+        }
+        shares.record_refused(now, SERVICE, &workspace(15), 100.0);
+    }
+    let now = Instant::from_ms(6_000);
+    for index in 0..16 {
+        let is_over = shares.is_over_share(now, SERVICE, &workspace(index));
+        assert_eq!(is_over, HOT.contains(&index), "{index}");
+    }
+}
+
 /// A report of one workspace's costs in seconds of its rate.
 fn report_on(number: u64, index: usize, served_s: f64, refused_s: f64) -> ShareReport {
     let cost = |seconds: f64| (rates()[index] * seconds) as u64;
