Shared watch: larger changes are passed on in three datagrams

Callers of three entries of four got 404 on a new route up to 1.8 s after the leader served it, while the followers read a configuration of 0.6 MB from the platform, each by itself.

Cause: a leader passed on 48 kB compressed at most, what one datagram holds, and announced the rest; the configuration takes 83 kB. Followers were told within 0.1 s and began their watches at once, so no delay is left out; the time went into reading and decoding the same text three times over.

Up to 144 kB now go out in parts, within the same share of the leader's link. Parts are told apart by a hash of the whole, and a lost one is made up for by the next message or, after 1.3 s, by an own watch, as any lost message. Older builds can't unpack a part and watch by themselves after 1.3 s.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -65,6 +65,7 @@
 mod upstream_rate;
 mod upstream_selection;
 mod usage_report;
+mod watched_parts;
 
 pub use clock::BootClock;
 pub use connection::connect;
@@ -77,3 +78,4 @@
     ResponseHead, UpstreamRequestHead,
 };
 pub use start::{EntryServer, StartError, start};
+pub use watched_parts::{WatchedParts, split_watched};
--- a/crates/front/src/peers/announce.rs
+++ b/crates/front/src/peers/announce.rs
@@ -2,10 +2,11 @@
 
 use base::prelude::*;
 use direct::{
-    MessageDetail, WatchRole, confirmation_timeout_ms, digest_settle_ms,
-    peer_message_interval_ms, urgent_message_interval_ms,
+    MessageDetail, confirmation_timeout_ms, digest_settle_ms, peer_message_interval_ms,
+    urgent_message_interval_ms,
 };
 use prost::Message;
+use schema::peer::{PeerNews, Watched};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +17,8 @@
 use super::message::build_message;
 use super::message_parts::part_sizes;
 use super::relay::{self, RelayedMessage};
-use crate::shared_watch::role;
+use crate::platform_watch::Collection;
+use crate::shared_watch::outgoing_parts;
 use crate::state::Node;
 use crate::state::peers::{Peers, UNREACHABLE_AFTER_MS};
 
@@ -73,16 +75,61 @@
 pub(crate) async fn announce_watches(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
         let collection = node.shared_watches.observed().await;
-        if role(&node, collection) == WatchRole::Leader {
-            let addresses = node
-                .peers
-                .addresses_in_domain(node.now(), &node.options.failure_domain);
-            let trigger = Trigger::PlatformWatch(collection);
-            announce_to(&node, &socket, addresses, trigger, &Changes::default()).await;
+        let mut parts = outgoing_parts(&node, collection).into_iter();
+        let Some(first) = parts.next() else { continue };
+        let addresses = node
+            .peers
+            .addresses_in_domain(node.now(), &node.options.failure_domain);
+        let changes = Changes {
+            watched: Some((collection, first)),
+            ..Changes::default()
+        };
+        let trigger = Trigger::PlatformWatch(collection);
+        announce_to(&node, &socket, addresses.clone(), trigger, &changes).await;
+        for part in parts {
+            let message = watched_part(&node, collection, part);
+            send_to_all(&node, &socket, &addresses, &message, trigger).await;
         }
     }
 }
 
+/// Builds the message with a part after the first of what a watch observed.
+fn watched_part(node: &Node, collection: Collection, part: Watched) -> PeerNews {
+    let (setup, upstreams) = match collection {
+        Collection::Config => (Some(part), None),
+        Collection::Upstreams => (None, Some(part)),
+    };
+    PeerNews {
+        entry: node.options.entry.clone(),
+        start: node.started_unix_ms,
+        domain: node.options.failure_domain.clone(),
+        setup,
+        upstreams,
+        ..PeerNews::default()
+    }
+}
+
+/// Sends a message to all addresses.
+async fn send_to_all(
+    node: &Node,
+    socket: &UdpSocket,
+    addresses: &[SocketAddr],
+    message: &PeerNews,
+    trigger: Trigger,
+) {
+    let bytes = message.encode_to_vec();
+    for address in addresses {
+        // A lost message is made up for by the next one.
+        let _ = socket.send_to(&bytes, *address).await;
+    }
+    let sent = node.peers.scopes(addresses.iter().copied());
+    node.metrics
+        .count_sent(trigger.as_str(), &sent, bytes.len());
+    for (part, bytes) in part_sizes(message) {
+        node.metrics.count_peer_part(part, sent.total(), bytes);
+    }
+}
+
 /// Sends a message to all entries that are due for one.
 async fn announce_to_all(node: &Node, socket: &UdpSocket, trigger: Trigger) {
     let addresses = node.peers.addresses_due(node.now());
--- a/crates/front/src/peers/contents.rs
+++ b/crates/front/src/peers/contents.rs
@@ -5,7 +5,7 @@
     upstreams_per_message,
 };
 use schema::link::Suspect;
-use schema::peer::{LeavingUpstream, SuspectPart};
+use schema::peer::{LeavingUpstream, SuspectPart, Watched};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::message::{leaving, leaving_message};
@@ -59,6 +59,8 @@
     pub(super) suspects: Vec<Suspect>,
     pub(super) suspect_parts: Vec<SuspectPart>,
     pub(super) leaving: Vec<LeavingUpstream>,
+    /// What this entry's watch of a collection observed, or the first part of it.
+    pub(super) watched: Option<(Collection, Watched)>,
 }
 
 impl Changes {
@@ -67,6 +69,7 @@
             suspects: Vec::new(),
             suspect_parts: Vec::new(),
             leaving: Vec::new(),
+            watched: None,
         }
     }
 
@@ -74,6 +77,7 @@
         self.suspects.is_empty()
             && self.suspect_parts.is_empty()
             && self.leaving.is_empty()
+            && self.watched.is_none()
     }
 
     /// Takes what a message to all entries is to hold, and counts that it is sent.
@@ -111,6 +115,7 @@
             suspects: node.suspects.lock().export_changes(now, suspects_max),
             suspect_parts,
             leaving,
+            watched: None,
         }
     }
 }
--- a/crates/front/src/peers/message.rs
+++ b/crates/front/src/peers/message.rs
@@ -17,7 +17,7 @@
 use super::contents::{Audience, Contents, Trigger};
 use crate::platform_watch::Collection;
 use crate::quota::can_keep_tokens;
-use crate::shared_watch::{outgoing_batches, outgoing_claim};
+use crate::shared_watch::outgoing_claim;
 use crate::state::Node;
 use crate::upstream_rate;
 
@@ -74,8 +74,8 @@
     let rates = upstream_rate::to_announce(&fleet, now, turn, limit);
     drop(fleet);
     let watched = |collection| {
-        let is_due = trigger == Trigger::PlatformWatch(collection);
-        is_due.then(|| outgoing_batches(node, collection)).flatten()
+        let (observed, watched) = contents.changes.watched.as_ref()?;
+        (*observed == collection).then(|| watched.clone())
     };
     let (suspects, suspect_parts) = if has_records {
         let round = match contents.detail {
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -43,6 +43,7 @@
             Ok(message) if start_state::receive(&node, from, &message).await => {}
             Ok(message) if stream_origins::receive(&node, from, &message) => {}
             Ok(message) if relay::receive_confirmation(&node, &message) => {}
+            Ok(message) if shared_watch::receive_part(&node, &message) => {}
             Ok(message) => match token_message(&message) {
                 Some(tokens) if message.entry != node.peers.own_name => {
                     quota::receive(&node, &socket, from, &message, tokens).await;
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -17,6 +17,7 @@
 use crate::packed_batches::{decode_batch, pack_batches, unpack_batches};
 use crate::platform_watch::{Collection, apply_changes};
 use crate::state::Node;
+use crate::watched_parts::{PART_MAX_BYTES, WatchedParts, split_watched};
 
 /// Time after which the platform ends the leader's watch even without a change.
 /// Each response shows the followers that the platform is reachable; after 1.3
@@ -36,9 +37,10 @@
 /// themselves.
 const FORWARDING_LINK_SHARE: f64 = 0.5;
 
-/// Largest and smallest limit of the changes in one message. A datagram holds
-/// 64 kB.
-const MAX_PACKED_BYTES: usize = 48 << 10;
+/// Largest and smallest limit of the changes that are passed on at once. More than the
+/// largest, in three datagrams, wouldn't fit into the receive buffer of a socket, 208 kB
+/// by default, and parts would be lost while a follower is busy.
+const MAX_PACKED_BYTES: usize = 3 * PART_MAX_BYTES;
 const MIN_PACKED_BYTES: usize = 2 << 10;
 
 /// Longest interval between two checks whether a watch of this entry's own is
@@ -56,6 +58,8 @@
     due: Notify,
     /// The role last logged for each collection.
     roles: Mutex<[Option<WatchRole>; 2]>,
+    /// The parts of larger changes that the leader has sent of each collection.
+    received_parts: [Mutex<WatchedParts>; 2],
     /// The reason last logged for which a follower watches by itself.
     own_watch_reasons: Mutex<[Option<OwnWatchReason>; 2]>,
 }
@@ -290,6 +294,22 @@
             receive_claim(node, collection, &message.entry, claim);
         }
     }
+    receive_forwarded(node, message);
+}
+
+/// Handles a message with a part after the first of larger changes. Returns false for any
+/// other message.
+pub(crate) fn receive_part(node: &Node, message: &PeerNews) -> bool {
+    let mut watched = message.setup.iter().chain(&message.upstreams);
+    let is_later_part = watched.any(|watched| watched.number > 0);
+    if is_later_part {
+        receive_forwarded(node, message);
+    }
+    is_later_part
+}
+
+/// Applies what the leader of this failure domain passed on.
+fn receive_forwarded(node: &Node, message: &PeerNews) {
     if message.domain != node.options.failure_domain {
         return;
     }
@@ -298,8 +318,11 @@
         (Collection::Upstreams, &message.upstreams),
     ];
     for (collection, watched) in kinds {
-        if let Some(watched) = watched {
-            receive_watched(node, collection, watched);
+        let Some(watched) = watched else { continue };
+        let received = &node.shared_watches.received_parts[collection as usize];
+        let whole = received.lock().add(watched);
+        if let Some(whole) = whole {
+            receive_watched(node, collection, &whole);
         }
     }
 }
@@ -328,23 +351,28 @@
     }
 }
 
-/// Returns what this entry's watches observed, if it is the leader.
-pub(crate) fn outgoing_batches(node: &Node, collection: Collection) -> Option<Watched> {
+/// Returns what this entry's watches observed, in parts that each fit into a message;
+/// none if it isn't the leader.
+pub(crate) fn outgoing_parts(node: &Node, collection: Collection) -> Vec<Watched> {
     if role(node, collection) != WatchRole::Leader {
-        return None;
+        return Vec::new();
     }
+    outgoing(node, collection).map_or_else(Vec::new, split_watched)
+}
+
+fn outgoing(node: &Node, collection: Collection) -> Option<Watched> {
     let shared = node.shared_watches.watch(collection).lock();
     let (batches, confirmed_at) = (shared.outgoing(), shared.confirmed_at()?);
     drop(shared);
+    let packed = pack_batches(&batches, max_packed_bytes(node));
     Some(Watched {
         age_ms: node.now().ms_since(confirmed_at),
-        batches: Vec::new(),
-        packed: pack_batches(&batches, max_packed_bytes(node)),
+        packed,
+        ..Watched::default()
     })
 }
 
-/// Returns the largest size of the changes in one message, which is sent to each
-/// entry of this failure domain.
+/// Returns the largest size of the changes that are passed on at once, to each entry of this failure domain.
 fn max_packed_bytes(node: &Node) -> usize {
     let domain = &node.options.failure_domain;
     let followers = node.peers.addresses_in_domain(node.now(), domain).len();
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod log;
 mod packed_batches;
 mod suspect_parts;
+mod watched_parts;
