--- a/crates/front/src/packed_batches.rs
+++ b/crates/front/src/packed_batches.rs
@@ -107,8 +107,20 @@
 /// Returns a hash of the names and values in a JSON text. It does not depend on white
 /// space or on the order of fields, in which the platform's responses may differ.
 fn content_hash(text: &[u8]) -> u64 {
-    let tokens = text.split(|byte| b"{}[]:, \t\r\n".contains(byte));
+    let is_separator = const { separators() };
+    let tokens = text.split(|byte| is_separator[usize::from(*byte)]);
     tokens
         .filter(|token| !token.is_empty())
         .fold(0, |hash: u64, token| hash.wrapping_add(xxh3_64(token)))
 }
+
+/// Whether each byte separates the names and values in a JSON text.
+const fn separators() -> [bool; 256] {
+    let mut separators = [false; 256];
+    let mut rest: &[u8] = b"{}[]:, \t\r\n";
+    while let [byte, after @ ..] = rest {
+        separators[*byte as usize] = true;
+        rest = after;
+    }
+    separators
+}
