Selection: a request looks again when a pause has just ended

A caller with a deadline of 20 s got 503 in place of 200 once beside load, although its only upstream accepts a request every two seconds.

Cause: a request that finds all rates used up looks a second time, when the first upstream accepts more. If the pause ends between the two looks, the second one finds none, which counted as no upstream to wait for. Pauses that upstreams ask for by Retry-After had the same fault.

A request whose upstream no longer pauses now looks again. The decision is direct::wait_end_for_pause, so that its test needs no timing.

--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -142,3 +142,20 @@
         self.by_route.retain(|route, _| is_named(route));
     }
 }
+
+/// Until when a request waits for an upstream that asked for a pause, or whose rate was
+/// used up, when the request looked for one. `accepts_again_at` is when the first such
+/// upstream accepts requests again; `None` if none pauses any more.
+///
+/// A pause may end between the two looks. The request then looks again; refused, it would
+/// lose a place that is free.
+pub fn wait_end_for_pause(
+    accepts_again_at: Option<Instant>,
+    started_at: Instant,
+    wait_limit: Instant,
+) -> Instant {
+    match accepts_again_at {
+        Some(at) if at >= wait_limit => started_at,
+        _ => wait_limit,
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -101,7 +101,7 @@
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, PlannedAdapterLoad,
     UpstreamAdapterState,
 };
-pub use admission::{AdmissionInput, MeanPrefillTimes, admit};
+pub use admission::{AdmissionInput, MeanPrefillTimes, admit, wait_end_for_pause};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
 pub use capacity_pressure::CapacityPressure;
 pub use config::{
--- a/crates/direct/tests/all/admission.rs
+++ b/crates/direct/tests/all/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests to a queue.
 
 use crate::support::{at, name};
-use direct::{AdmissionInput, MeanPrefillTimes, admit};
+use direct::{AdmissionInput, MeanPrefillTimes, admit, wait_end_for_pause};
 
 fn admission(now_ms: u64, queue_ms: u64) -> AdmissionInput {
     AdmissionInput {
@@ -161,3 +161,17 @@
     let mean_ms = means.observe(&name("a"), 500.0);
     assert!((499.0..501.0).contains(&mean_ms), "{mean_ms}");
 }
+
+/// Guards against a request that is refused as the only upstream ends its pause, between
+/// the look for an upstream and the look at its pause.
+#[test]
+fn a_request_looks_again_when_a_pause_has_just_ended() {
+    let wait_end = |accepts_again_at| {
+        let accepts_again_at: Option<u64> = accepts_again_at;
+        wait_end_for_pause(accepts_again_at.map(at), at(100), at(1_000))
+    };
+    assert_eq!(wait_end(None), at(1_000));
+    assert_eq!(wait_end(Some(999)), at(1_000));
+    assert_eq!(wait_end(Some(1_000)), at(100));
+    assert_eq!(wait_end(Some(5_000)), at(100));
+}
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use direct::{
     AdmissionInput, SelectedUpstream, SelectionError, SelectionInput, admit,
-    select_upstream,
+    select_upstream, wait_end_for_pause,
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -266,10 +266,7 @@
         match reason {
             SelectionError::Full => wait_limit,
             SelectionError::BackedOff | SelectionError::RateSpent => {
-                match self.available_again_at() {
-                    Some(at) if at < wait_limit => wait_limit,
-                    _ => started_at,
-                }
+                wait_end_for_pause(self.available_again_at(), started_at, wait_limit)
             }
             // The upstream may be in a page of the list that is on its way.
             SelectionError::NoAdapter
