Platform watch: an outage alone leads to no list

When the platform came back from an outage of 2 s and longer, all entries of a failure domain listed everything at once, in the moment in which it was most in demand. Callers saw nothing.

Cause: any watch that failed made an entry ask the first of its group for the state, 1.2 s at most, and then list until a list succeeded. The wait began when the platform went away, when nobody had a state to send, and ran out before it was back. News of the first list that comes too late, suspected before, is not the cause.

A watch without an answer is now tried again from the same version. After the return it goes on, or says that the history is gone; only then do entries ask one another. Where watches alone fail, one other call that is answered tells, and the state is asked for or listed as before. The decision is direct::WatchFailures, tested without a network.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -143,8 +143,8 @@
 pub use retry_budget::RetryBudget;
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
-    ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
-    WatchClaim, WatchRole, WatchSnapshot,
+    AfterFailure, ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch,
+    WatchBatch, WatchClaim, WatchFailures, WatchRole, WatchSnapshot,
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
--- a/crates/direct/src/shared_watch.rs
+++ b/crates/direct/src/shared_watch.rs
@@ -15,6 +15,7 @@
 //! with what an entry knows, its own watch would return nothing that it doesn't know. If
 //! they don't, it watches by itself, starting at the last version that was verified.
 
+mod failures;
 mod messages;
 mod role;
 
@@ -24,6 +25,7 @@
 
 use crate::state_digest::StateDigest;
 
+pub use failures::{AfterFailure, WatchFailures};
 pub use messages::{ChangedObject, WatchBatch, WatchClaim, WatchSnapshot};
 pub use role::{OwnWatchReason, WatchRole};
 
@@ -165,7 +167,7 @@
     }
 
     /// Whether any state is known.
-    const fn has_state(&self) -> bool {
+    pub const fn has_state(&self) -> bool {
         self.own_call_at.is_some() || self.unverified_since.is_some()
     }
 
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -37,3 +37,4 @@
 mod takeover;
 mod timely_copies;
 mod wait_queue;
+mod watch_failures;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -40,6 +40,7 @@
 mod packed_batches;
 mod pauses;
 mod peers;
+mod platform_contact;
 mod platform_watch;
 mod protocol;
 mod quota;
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -2,29 +2,23 @@
 
 use base::prelude::*;
 use base::{ObjectVersion, PlatformOp, PlatformResult};
-use direct::{ChangedObject, WatchBatch};
+use direct::{AfterFailure, ChangedObject, WatchBatch, WatchFailures};
 use serde_json::json;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::packed_batches::changed_object;
+use crate::platform_contact::{PlatformContact, RETRY_DELAY_MIN};
 use crate::received_state::CompleteState;
 use crate::shared_watch::{
     is_covered, wait_for_next_watch, wait_while_covered, watch_platform,
 };
 use crate::start_state;
 use crate::state::Node;
-use crate::state::metered_platform::outcome_label;
 use crate::state::unreadable::ObjectKind;
 use crate::upstream_changes::log_changes;
 
-/// Shortest and longest delay after a failed call. Each call adds load to a
-/// platform in trouble, but the configuration must be in force within seconds
-/// of its recovery.
-const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
-
 /// Longest delay between two lists while lists succeed and watches fail, as on
 /// a platform that drops its history immediately. Without a delay, each entry
 /// listed some hundred times per second; with this one, the configuration is
@@ -64,8 +58,8 @@
 
 /// Keeps one collection up to date forever: lists it, then watches for changes.
 ///
-/// Any failure of a watch, including one whose history the platform has
-/// dropped, leads to a new list, which needs no history.
+/// A watch whose history the platform has dropped, and several without an answer,
+/// lead to a new list, which needs no history.
 pub(crate) async fn watch_collection(node: Arc<Node>, collection: Collection) {
     let mut contact = PlatformContact::new(collection);
     let mut relist_delay = RETRY_DELAY_MIN;
@@ -75,23 +69,40 @@
         if !has_state && !list_once(&node, collection, &mut contact).await {
             contact.back_off().await;
             wait_while_covered(&node, collection).await;
+            // What is known is watched on from; the platform may have it still.
+            has_state = node.shared_watches.has_state(collection);
             continue;
         }
         start_state::answer_waiting(&node, collection).await;
         has_state = false;
         let mut has_watched = false;
+        let mut failures = WatchFailures::new();
         while !node.shared_watches.needs_list(node.now(), collection) {
             let started_at = node.now();
             let after = node.shared_watches.resume_version(collection);
-            if watch_once(&node, collection, after, &mut contact).await {
-                has_watched = true;
-                wait_for_next_watch(&node, collection, started_at).await;
-            } else if is_covered(&node, collection) {
+            let next = match watch_once(&node, collection, after, &mut contact).await {
+                WatchOutcome::Answered => {
+                    has_watched = true;
+                    failures.on_answered();
+                    wait_for_next_watch(&node, collection, started_at).await;
+                    continue;
+                }
+                WatchOutcome::HistoryGone => AfterFailure::Resync,
+                WatchOutcome::Unanswered => failures.on_unanswered(),
+            };
+            if is_covered(&node, collection) {
                 // The platform refuses only this entry. What it misses meanwhile
                 // comes from the leader.
                 wait_while_covered(&node, collection).await;
-            } else {
-                break;
+                continue;
+            }
+            match next {
+                AfterFailure::Watch => contact.back_off().await,
+                AfterFailure::Probe => {
+                    failures.on_probed(is_answering(&node).await);
+                    contact.back_off().await;
+                }
+                AfterFailure::Resync => break,
             }
         }
         relist_delay = if has_watched {
@@ -150,21 +161,38 @@
     changed_object(key, version.0, value)
 }
 
-/// Waits for changes after a version and applies them. Returns whether the call
-/// succeeded.
+/// Returns whether the platform answers the read of a small object.
+async fn is_answering(node: &Node) -> bool {
+    let key = node.options.keys.lease.clone();
+    let result = node.platform.call(&PlatformOp::Read { key }).await;
+    matches!(result, PlatformResult::Object(_))
+}
+
+/// Result of a watch of this entry's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WatchOutcome {
+    Answered,
+    HistoryGone,
+    Unanswered,
+}
+
+/// Waits for changes after a version and applies them.
 async fn watch_once(
     node: &Node,
     collection: Collection,
     after: ObjectVersion,
     contact: &mut PlatformContact,
-) -> bool {
+) -> WatchOutcome {
     let prefix = collection.prefix(node);
     let watch = PlatformOp::Watch { prefix, after };
-    let result = watch_platform(node, collection, &watch).await;
+    let result = watch_platform(node, collection, &watch, contact.is_lost()).await;
     let PlatformResult::Objects(objects, to_version) = result else {
         node.shared_watches.record_failure(collection);
         contact.note_failure(node, &result);
-        return false;
+        return match result {
+            PlatformResult::HistoryGone => WatchOutcome::HistoryGone,
+            _ => WatchOutcome::Unanswered,
+        };
     };
     contact.note_success(node);
     let objects = objects.into_iter().map(as_changed);
@@ -178,7 +206,7 @@
     node.shared_watches
         .record_watch(node.now(), collection, batch);
     collection.confirm(node, to_version.0, node.now());
-    true
+    WatchOutcome::Answered
 }
 
 impl Collection {
@@ -226,51 +254,6 @@
     }
 }
 
-/// Whether the platform responds; each change is logged once.
-struct PlatformContact {
-    collection: Collection,
-    is_lost: bool,
-    delay: Duration,
-}
-
-impl PlatformContact {
-    const fn new(collection: Collection) -> Self {
-        Self {
-            collection,
-            is_lost: false,
-            delay: RETRY_DELAY_MIN,
-        }
-    }
-
-    fn note_failure(&mut self, node: &Node, result: &PlatformResult) {
-        node.observe_generation(node.platform.generation());
-        if !std::mem::replace(&mut self.is_lost, true) {
-            let why = outcome_label(result);
-            node.log.line(
-                "platform_lost",
-                json!({ "followed": self.collection.as_str(), "why": why }),
-            );
-        }
-    }
-
-    fn note_success(&mut self, node: &Node) {
-        node.observe_generation(node.platform.generation());
-        self.delay = RETRY_DELAY_MIN;
-        if std::mem::replace(&mut self.is_lost, false) {
-            node.fleet.lock().platform_returned(node.now());
-            node.log.line(
-                "platform_regained",
-                json!({ "followed": self.collection.as_str() }),
-            );
-        }
-    }
-
-    async fn back_off(&mut self) {
-        tokio::time::sleep(self.delay).await;
-        self.delay = (self.delay * 2).min(RETRY_DELAY_MAX);
-    }
-}
-
 /// Puts the newest configuration among the objects into force.
 fn apply_configs(node: &Node, objects: &[Object]) {
     for (key, _, value) in objects {
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -19,10 +19,10 @@
 use crate::state::Node;
 use crate::watched_parts::{PART_MAX_BYTES, WatchedParts, split_watched};
 
-/// Time after which the platform ends the leader's watch even without a change.
+/// Time after which the platform ends a leader's watch even without a change.
 /// Each response shows the followers that the platform is reachable; after 1.3
 /// s without one they start a watch of their own.
-const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
+const SHORT_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval between the starts of two watches of the leader. Each watch is a
 /// call; changes in between arrive with the next one.
@@ -126,6 +126,11 @@
         self.watch(collection).lock().snapshot()
     }
 
+    /// Returns whether any state of a collection is known.
+    pub(crate) fn has_state(&self, collection: Collection) -> bool {
+        self.watch(collection).lock().has_state()
+    }
+
     /// Returns whether the state has to be listed from the platform.
     pub(crate) fn needs_list(&self, now: Instant, collection: Collection) -> bool {
         self.watch(collection).lock().needs_list(now)
@@ -196,20 +201,22 @@
     }
 }
 
-/// Executes a watch. For a leader it has a short timeout.
+/// Executes a watch. It has a short timeout for a leader, and after a call that failed:
+/// the platform may return while a call that it doesn't answer is waited for.
 pub(crate) async fn watch_platform(
     node: &Node,
     collection: Collection,
     op: &PlatformOp,
+    after_failure: bool,
 ) -> PlatformResult {
     match op {
         PlatformOp::Watch { prefix, after }
-            if role(node, collection) == WatchRole::Leader =>
+            if after_failure || role(node, collection) == WatchRole::Leader =>
         {
             let watch = node.platform.watch_with_timeout(
                 prefix.clone(),
                 *after,
-                LEADER_WATCH_TIMEOUT,
+                SHORT_WATCH_TIMEOUT,
             );
             watch.await
         }
