--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -110,7 +110,7 @@
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, PlannedAdapterLoad,
     UpstreamAdapterState,
 };
-pub use admission::{AdmissionInput, MeanPrefillTimes, admit};
+pub use admission::{AdmissionInput, MeanPrefillTimes, admit, wait_end_for_pause};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
 pub use capacity_pressure::CapacityPressure;
 pub use config::{
@@ -153,8 +153,8 @@
 pub use retry_budget::RetryBudget;
 pub use select::{SelectedUpstream, SelectionError, SelectionInput, select_upstream};
 pub use shared_watch::{
-    ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch, WatchBatch,
-    WatchClaim, WatchRole, WatchSnapshot,
+    AfterFailure, ChangedObject, OwnWatchReason, ReceivedBatches, SharedWatch,
+    WatchBatch, WatchClaim, WatchFailures, WatchRole, WatchSnapshot,
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -41,3 +41,4 @@
 mod timely_copies;
 mod wait_queue;
 mod wait_queue_load;
+mod watch_failures;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -42,6 +42,7 @@
 mod packed_batches;
 mod pauses;
 mod peers;
+mod platform_contact;
 mod platform_watch;
 mod protocol;
 mod quota;
@@ -69,6 +70,7 @@
 mod upstream_rate;
 mod upstream_selection;
 mod usage_report;
+mod watched_parts;
 
 pub use clock::BootClock;
 pub use connection::connect;
@@ -81,3 +83,4 @@
     ResponseHead, UpstreamRequestHead,
 };
 pub use start::{EntryServer, StartError, start};
+pub use watched_parts::{WatchedParts, split_watched};
--- a/crates/front/src/shared_watch.rs
+++ b/crates/front/src/shared_watch.rs
@@ -17,11 +17,12 @@
 use crate::packed_batches::{decode_batch, pack_batches, unpack_batches};
 use crate::platform_watch::{Collection, apply_changes};
 use crate::state::Node;
+use crate::watched_parts::{PART_MAX_BYTES, WatchedParts, split_watched};
 
-/// Time after which the platform ends the leader's watch even without a change.
+/// Time after which the platform ends a leader's watch even without a change.
 /// Each response shows the followers that the platform is reachable; after 1.3
 /// s without one they start a watch of their own.
-const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
+const SHORT_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval between the starts of two watches of the leader. Each watch is a
 /// call; changes in between arrive with the next one.
@@ -36,9 +37,10 @@
 /// themselves.
 const FORWARDING_LINK_SHARE: f64 = 0.5;
 
-/// Largest and smallest limit of the changes in one message. A datagram holds
-/// 64 kB.
-const MAX_PACKED_BYTES: usize = 48 << 10;
+/// Largest and smallest limit of the changes that are passed on at once. More than the
+/// largest, in three datagrams, wouldn't fit into the receive buffer of a socket, 208 kB
+/// by default, and parts would be lost while a follower is busy.
+const MAX_PACKED_BYTES: usize = 3 * PART_MAX_BYTES;
 const MIN_PACKED_BYTES: usize = 2 << 10;
 
 /// Longest interval between two checks whether a watch of this entry's own is
@@ -56,6 +58,8 @@
     due: Notify,
     /// The role last logged for each collection.
     roles: Mutex<[Option<WatchRole>; 2]>,
+    /// The parts of larger changes that the leader has sent of each collection.
+    received_parts: [Mutex<WatchedParts>; 2],
     /// The reason last logged for which a follower watches by itself.
     own_watch_reasons: Mutex<[Option<OwnWatchReason>; 2]>,
 }
@@ -122,6 +126,11 @@
         self.watch(collection).lock().snapshot()
     }
 
+    /// Returns whether any state of a collection is known.
+    pub(crate) fn has_state(&self, collection: Collection) -> bool {
+        self.watch(collection).lock().has_state()
+    }
+
     /// Returns whether the state has to be listed from the platform.
     pub(crate) fn needs_list(&self, now: Instant, collection: Collection) -> bool {
         self.watch(collection).lock().needs_list(now)
@@ -192,20 +201,22 @@
     }
 }
 
-/// Executes a watch. For a leader it has a short timeout.
+/// Executes a watch. It has a short timeout for a leader, and after a call that failed:
+/// the platform may return while a call that it doesn't answer is waited for.
 pub(crate) async fn watch_platform(
     node: &Node,
     collection: Collection,
     op: &PlatformOp,
+    after_failure: bool,
 ) -> PlatformResult {
     match op {
         PlatformOp::Watch { prefix, after }
-            if role(node, collection) == WatchRole::Leader =>
+            if after_failure || role(node, collection) == WatchRole::Leader =>
         {
             let watch = node.platform.watch_with_timeout(
                 prefix.clone(),
                 *after,
-                LEADER_WATCH_TIMEOUT,
+                SHORT_WATCH_TIMEOUT,
             );
             watch.await
         }
@@ -290,6 +301,22 @@
             receive_claim(node, collection, &message.entry, claim);
         }
     }
+    receive_forwarded(node, message);
+}
+
+/// Handles a message with a part after the first of larger changes. Returns false for any
+/// other message.
+pub(crate) fn receive_part(node: &Node, message: &PeerNews) -> bool {
+    let mut watched = message.setup.iter().chain(&message.upstreams);
+    let is_later_part = watched.any(|watched| watched.number > 0);
+    if is_later_part {
+        receive_forwarded(node, message);
+    }
+    is_later_part
+}
+
+/// Applies what the leader of this failure domain passed on.
+fn receive_forwarded(node: &Node, message: &PeerNews) {
     if message.domain != node.options.failure_domain {
         return;
     }
@@ -298,8 +325,11 @@
         (Collection::Upstreams, &message.upstreams),
     ];
     for (collection, watched) in kinds {
-        if let Some(watched) = watched {
-            receive_watched(node, collection, watched);
+        let Some(watched) = watched else { continue };
+        let received = &node.shared_watches.received_parts[collection as usize];
+        let whole = received.lock().add(watched);
+        if let Some(whole) = whole {
+            receive_watched(node, collection, &whole);
         }
     }
 }
@@ -328,23 +358,28 @@
     }
 }
 
-/// Returns what this entry's watches observed, if it is the leader.
-pub(crate) fn outgoing_batches(node: &Node, collection: Collection) -> Option<Watched> {
+/// Returns what this entry's watches observed, in parts that each fit into a message;
+/// none if it isn't the leader.
+pub(crate) fn outgoing_parts(node: &Node, collection: Collection) -> Vec<Watched> {
     if role(node, collection) != WatchRole::Leader {
-        return None;
+        return Vec::new();
     }
+    outgoing(node, collection).map_or_else(Vec::new, split_watched)
+}
+
+fn outgoing(node: &Node, collection: Collection) -> Option<Watched> {
     let shared = node.shared_watches.watch(collection).lock();
     let (batches, confirmed_at) = (shared.outgoing(), shared.confirmed_at()?);
     drop(shared);
+    let packed = pack_batches(&batches, max_packed_bytes(node));
     Some(Watched {
         age_ms: node.now().ms_since(confirmed_at),
-        batches: Vec::new(),
-        packed: pack_batches(&batches, max_packed_bytes(node)),
+        packed,
+        ..Watched::default()
     })
 }
 
-/// Returns the largest size of the changes in one message, which is sent to each
-/// entry of this failure domain.
+/// Returns the largest size of the changes that are passed on at once, to each entry of this failure domain.
 fn max_packed_bytes(node: &Node) -> usize {
     let domain = &node.options.failure_domain;
     let followers = node.peers.addresses_in_domain(node.now(), domain).len();
