front: requests that arrived are read before their connection is closed

Callers saw: a request on an open connection was answered with a reset, after its entry had been suspended, as a shorter idle timeout came into force, or as the entry closed its connections at a stop.

Cause: when the process goes on after a suspension, or after a configuration was read, timers and notifications fire before the runtime has looked at the sockets. A connection with a whole request in its receive buffer still counted as idle and was closed.

Change: a connection is closed only if its phase is still the same 20 ms later. The wait for the end of a phase is no loop any more (with a head timeout of 0 each response in progress took a turn a millisecond), and no timeout is shorter than 100 ms. Sums that overflowed on odd but valid values (route priority, token counts, maximum size of a head) saturate; each ended a request, or each connection, by a panic in builds with overflow checks.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -352,7 +352,11 @@
 /// Returns the value of the urgency header, from 0 to 9, for the request's
 /// priority. Engines admit the most urgent requests first.
 fn urgency(request: &CallerRequest) -> u32 {
-    (request.priority() * 2 + 1).min(9)
+    request
+        .priority()
+        .saturating_mul(2)
+        .saturating_add(1)
+        .min(9)
 }
 
 fn remaining(node: &Node, request: &CallerRequest) -> Duration {
--- a/crates/front/src/caller_timeouts.rs
+++ b/crates/front/src/caller_timeouts.rs
@@ -5,32 +5,59 @@
 //! that the entry closes by the old one, for as long as these connections are used.
 
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::framing::{PhaseStart, RequestFraming, RequestPhase};
 use crate::state::Node;
 
+/// Shortest timeout. With none, a head that arrives in two packets is cut off.
+const MIN_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time within which the runtime looks at all sockets. One turn of it is too short: in
+/// that, not every socket that is ready is read.
+const SOCKETS_READ_AFTER: Duration = Duration::from_millis(20);
+
 /// Waits until a connection has been idle for too long, or the head of a request has
 /// taken too long. Returns the phase in which it was.
 pub(crate) async fn timed_out(node: &Node, framing: &RequestFraming) -> RequestPhase {
+    let mut confirming = None;
     loop {
         let config_adopted = node.config_adopted.notified();
         let timeouts = CallerTimeouts::in_force(node);
         let start = framing.phase_start();
         let deadline = timeouts.deadline(start);
         if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-            return start.phase;
+            if confirming == Some(start.since) {
+                return start.phase;
+            }
+            confirming = Some(start.since);
+            let_arrived_requests_be_read().await;
+            continue;
         }
-        // A head that begins meanwhile has its own timeout from then on.
-        let check_at = Instant::now() + timeouts.head;
-        let check_at = deadline.map_or(check_at, |deadline| deadline.min(check_at));
         tokio::select! {
-            () = sleep_until(check_at) => {}
+            () = sleep_to(deadline) => {}
+            () = framing.phase_changed(start) => {}
             () = config_adopted => {}
         }
     }
 }
 
+/// Waits until the runtime has read what the operating system holds ready.
+///
+/// After the process was suspended, or its thread was busy, timers fire before the sockets
+/// are looked at. A connection on which a request has arrived would be closed as idle.
+pub(crate) async fn let_arrived_requests_be_read() {
+    sleep(SOCKETS_READ_AFTER).await;
+}
+
+/// Sleeps until a deadline, forever if there is none.
+async fn sleep_to(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The timeouts of a configuration.
 #[derive(Debug, Clone, Copy)]
 struct CallerTimeouts {
@@ -41,7 +68,7 @@
 impl CallerTimeouts {
     fn in_force(node: &Node) -> Self {
         let limits = node.limits();
-        let head = Duration::from_millis(limits.head_timeout_ms);
+        let head = Duration::from_millis(limits.head_timeout_ms).max(MIN_TIMEOUT);
         Self {
             idle: Duration::from_millis(limits.idle_timeout_ms).max(head),
             head,
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -175,6 +175,15 @@
         self.phase().expects_head()
     }
 
+    /// Waits until another phase than this one has begun.
+    pub(crate) async fn phase_changed(&self, from: PhaseStart) {
+        let mut phase = self.0.phase.subscribe();
+        // The sender lives as long as `self`.
+        let _ = phase
+            .wait_for(|start| start.phase != from.phase || start.since != from.since)
+            .await;
+    }
+
     async fn wait_for(&self, holds: impl Fn(RequestPhase) -> bool) {
         let mut phase = self.0.phase.subscribe();
         // The sender lives as long as `self`.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::caller_timeouts::timed_out;
+use crate::caller_timeouts::{let_arrived_requests_be_read, timed_out};
 use crate::connection::configure_caller_socket;
 use crate::connection_end::{ConnectionEnd, ConnectionGuard};
 use crate::framing::{ObservedStream, RequestFraming};
@@ -117,7 +117,7 @@
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
+        .max_buf_size(head_max_bytes.saturating_add(HEAD_BUFFER_MARGIN_BYTES))
         .serve_connection(
             TokioIo::new(ObservedStream::new(stream, framing.clone())),
             service,
@@ -138,7 +138,10 @@
             result = connection.as_mut() => {
                 return ConnectionEnd::of(&result);
             }
-            () = wait_for_head(framing, head_timeout) => {}
+            () = async {
+                wait_for_head(framing, head_timeout).await;
+                let_arrived_requests_be_read().await;
+            } => {}
         }
     }
     if framing.expects_head() {
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -382,7 +382,7 @@
             is_ordered: request.urgent_target_ms.is_some(),
             prompt_tokens: request.head.prompt_tokens,
             time_factor: self.node.time_factor_of(request),
-            kv_tokens: request.head.prompt_tokens + output_tokens,
+            kv_tokens: request.head.prompt_tokens.saturating_add(output_tokens),
             excluded,
             origin: self.origin.as_ref(),
             domain: &self.node.options.failure_domain,
