A stream that may end before the exit is not handed over

Cause: streams that were expected to end in time were handed over as well, in the last quarter of the window.

Change: a stream is handed over only if even a short one of its route, one in ten, would not end before the exit, or if nothing is known of its route.

--- a/crates/direct/src/stream_durations.rs
+++ b/crates/direct/src/stream_durations.rs
@@ -20,6 +20,10 @@
 /// half of those that are expected to end before a process exits would be cut off.
 const QUANTILE_PERCENT: usize = 90;
 
+/// Share of streams that end within the shortest duration, in percent. At 0, one stream
+/// that was unusually short lets none count as unable to end.
+const SHORTEST_PERCENT: usize = 10;
+
 /// How long one stream took.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamTiming {
@@ -97,6 +101,26 @@
         now: Instant,
         route: &str,
         output_tokens: u64,
+    ) -> Option<u64> {
+        self.quantile_ms(now, route, output_tokens, QUANTILE_PERCENT)
+    }
+
+    /// Returns the time before which nearly none of them ends.
+    pub fn shortest_ms(
+        &self,
+        now: Instant,
+        route: &str,
+        output_tokens: u64,
+    ) -> Option<u64> {
+        self.quantile_ms(now, route, output_tokens, SHORTEST_PERCENT)
+    }
+
+    fn quantile_ms(
+        &self,
+        now: Instant,
+        route: &str,
+        output_tokens: u64,
+        percent: usize,
     ) -> Option<u64> {
         let streams = self.by_route.get(route)?.iter();
         let recent =
@@ -108,7 +132,7 @@
             return None;
         }
         durations_ms.sort_unstable();
-        let rank = (durations_ms.len() * QUANTILE_PERCENT).div_ceil(100);
+        let rank = (durations_ms.len() * percent).div_ceil(100);
         durations_ms.get(rank - 1).copied()
     }
 
--- a/crates/direct/src/stream_handover.rs
+++ b/crates/direct/src/stream_handover.rs
@@ -13,11 +13,7 @@
 /// sent before the exit.
 const END_MARGIN_MS: u64 = 250;
 
-/// Part of the window for streams that are not expected to end before the exit. The rest
-/// is for the others, which are left alone longest.
-const UNEXPECTED_PART: (u64, u64) = (3, 4);
-
-/// Number of moments over which streams are spread within their part of the window.
+/// Number of moments over which streams are spread within the window.
 const SPREAD_STEPS: u64 = 1_024;
 
 /// A stream in progress at an entry that is shutting down. Times count from the
@@ -30,8 +26,8 @@
     pub exit_ms: u64,
     /// When the request arrived; 0 if before the signal.
     pub arrived_ms: u64,
-    /// When the stream is expected to end, if that is known.
-    pub expected_end_ms: Option<u64>,
+    /// When the stream may end at the earliest, if that is known.
+    pub earliest_end_ms: Option<u64>,
     /// Whether its caller can have the rest from another entry: the route allows that, and
     /// the caller can name the last event that it got.
     pub is_resumable: bool,
@@ -45,29 +41,22 @@
     /// When the stream is to end so that its caller resumes it at another entry; `None` if
     /// it runs until it ends or the process exits.
     ///
-    /// Streams end at different moments, so that their callers don't come back at once.
+    /// One that may end before the exit is left alone: ending it early would lose what it
+    /// brings until then, and gain nothing. Streams end at different moments, so that their
+    /// callers don't come back at once.
     pub fn handover_ms(&self) -> Option<u64> {
+        let may_end_in_time = self.earliest_end_ms.is_some_and(|ms| ms < self.exit_ms);
         let may_be_handed_over = self.is_resumable
             && self.is_peer_ready
-            && self.arrived_ms <= LATEST_ARRIVAL_MS;
+            && self.arrived_ms <= LATEST_ARRIVAL_MS
+            && !may_end_in_time;
         let start_ms = handover_start_ms(self.grace_ms);
         let end_ms = self.exit_ms.saturating_sub(END_MARGIN_MS);
         if !may_be_handed_over || start_ms >= end_ms {
             return None;
         }
-        let (numerator, denominator) = UNEXPECTED_PART;
-        let middle_ms = start_ms + (end_ms - start_ms) * numerator / denominator;
-        // One that has outlasted its expected end may run for any time.
-        let ends_in_time = self
-            .expected_end_ms
-            .is_some_and(|ms| start_ms < ms && ms < self.exit_ms);
-        let (from_ms, until_ms) = if ends_in_time {
-            (middle_ms, end_ms)
-        } else {
-            (start_ms, middle_ms)
-        };
         let step = self.spread % SPREAD_STEPS;
-        Some(from_ms + (until_ms - from_ms) * step / SPREAD_STEPS)
+        Some(start_ms + (end_ms - start_ms) * step / SPREAD_STEPS)
     }
 }
 
--- a/crates/direct/tests/all/stream_durations.rs
+++ b/crates/direct/tests/all/stream_durations.rs
@@ -88,3 +88,12 @@
     durations.sweep(at(100), |route| route != "ask");
     assert_eq!(durations.expected_ms(at(100), "ask", 100), None);
 }
+
+/// One stream in thirty is short. By the shortest of all, every stream would count as one
+/// that may end before the exit, and none would be handed over.
+#[test]
+fn a_single_short_stream_does_not_count_as_the_shortest() {
+    let streams = (0..30).map(|number| if number == 7 { 10 } else { 6_000 });
+    let shortest_ms = durations(streams).shortest_ms(at(100), "ask", 100);
+    assert_eq!(shortest_ms, Some(FIRST_EVENT_MS + 6_000));
+}
--- a/crates/front/src/stream_shutdown.rs
+++ b/crates/front/src/stream_shutdown.rs
@@ -41,6 +41,12 @@
     durations.expected_ms(node.now(), &route.name, output_tokens(head))
 }
 
+/// Returns the time before which a stream hardly ends, if that is known.
+fn shortest_ms(node: &Node, route: &Route, head: &RequestHead) -> Option<u64> {
+    let durations = node.stream_durations.lock();
+    durations.shortest_ms(node.now(), &route.name, output_tokens(head))
+}
+
 /// Returns the number of output tokens that a request asks for.
 fn output_tokens(head: &RequestHead) -> u64 {
     head.output_tokens_hint.unwrap_or(head.output_tokens_max)
@@ -80,12 +86,12 @@
             return false;
         }
         let request = &self.request;
-        let expected_ms = expected_ms(&self.node, &request.route, &request.head);
+        let shortest_ms = shortest_ms(&self.node, &request.route, &request.head);
         let running = RunningStream {
             grace_ms,
             exit_ms: exit_at.ms_since(signalled_at),
             arrived_ms: request.arrived_at.ms_since(signalled_at),
-            expected_end_ms: expected_ms
+            earliest_end_ms: shortest_ms
                 .map(|ms| request.arrived_at.plus_ms(ms).ms_since(signalled_at)),
             is_resumable: self.can_be_resumed(),
             is_peer_ready: self.node.peers.has_ready_peer(now),
