front: the head of a stream ends nothing that runs elsewhere

Callers saw: a stream broke off, or got 502 or nothing until its deadline, though its first upstream had only been silent for a second. The other one had sent the head of a stream and then broken off, or nothing more.

Cause: the head counted as a response, so the silent upstream was closed at that moment; a head is nothing that a caller could be sent.

Change: an attempt whose upstream has sent a head stays in the race until its first bytes; the first upstream goes on if it sends something before.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use direct::{AttemptOutcome, InFlightDecision, SelectedUpstream};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode, Version};
 use std::sync::Arc;
@@ -40,7 +40,9 @@
 pub(crate) struct UpstreamStream {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
+    body: Incoming,
+    /// The first part of the body, if it was read to see whether the answer has begun.
+    first: Option<Frame<Bytes>>,
     pub(crate) in_flight: InFlight,
     /// Whether its end is the end of the connection.
     pub(crate) ends_with_connection: bool,
@@ -48,7 +50,27 @@
     keep_alive_s: Option<u64>,
 }
 
+/// A part of an upstream's response body; `None` at its end.
+pub(crate) type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 impl UpstreamStream {
+    /// Returns the next part of the body.
+    pub(crate) async fn frame(&mut self) -> BodyFrame {
+        match self.first.take() {
+            Some(first) => Some(Ok(first)),
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Waits for the first part of the body. Returns whether there is one: an upstream
+    /// that has only sent the head may still break off or fall silent.
+    pub(crate) async fn has_begun(&mut self) -> bool {
+        if self.first.is_none() {
+            self.first = self.body.frame().await.and_then(Result::ok);
+        }
+        self.first.is_some()
+    }
+
     /// Records that the stream was read to its end, and keeps the connection
     /// for reuse.
     pub(crate) fn finished(mut self) {
@@ -246,6 +268,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            first: None,
             in_flight,
             ends_with_connection,
             connection,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -9,9 +9,9 @@
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::attempt::{AttemptResult, UpstreamStream};
+use crate::attempt::{AttemptResult, BodyFrame, UpstreamStream};
 use crate::crash::await_if_doubtful;
 use crate::dispatch::{Dispatch, DispatchResult};
 use crate::events::{Event, EventSplitter};
@@ -53,9 +53,6 @@
     Failed(DispatchResult),
 }
 
-/// A part of an upstream's response body; `None` at its end.
-type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 /// What happened first while a second upstream was requested to take over.
 enum TakeoverResult {
     /// The first upstream sent something.
@@ -181,7 +178,7 @@
                 return StreamStep::HandOver;
             }
             let check_after = CHECK_INTERVAL.min(Duration::from_millis(remaining_ms));
-            let step = match timeout(check_after, source.body.frame()).await {
+            let step = match timeout(check_after, source.frame()).await {
                 Ok(frame) => self.handle_frame(frame),
                 Err(_) => self.check_upstream().await,
             };
@@ -359,8 +356,21 @@
 ) -> TakeoverResult {
     let respond_now = dispatch.node.shutdown.respond_now.clone();
     let has_response = dispatch.has_response();
-    let attempt = dispatch.attempt_elsewhere(silent);
-    tokio::pin!(attempt);
+    let remaining_ms = dispatch.request.remaining_ms(dispatch.node.clock);
+    let attempt = async {
+        let (selected, result) = dispatch.attempt_elsewhere(silent).await?;
+        let AttemptResult::Stream(mut stream) = result else {
+            return Some((selected, result));
+        };
+        if stream.has_begun().await {
+            return Some((selected, AttemptResult::Stream(stream)));
+        }
+        // The result of the crash check doesn't matter here.
+        drop(stream.broken());
+        Some((selected, AttemptResult::left()))
+    };
+    let time_limit = sleep(Duration::from_millis(remaining_ms));
+    tokio::pin!(attempt, time_limit);
     loop {
         tokio::select! {
             biased;
@@ -370,6 +380,7 @@
                 }
             }
             attempted = &mut attempt => return TakeoverResult::Attempted(attempted),
+            () = &mut time_limit => return TakeoverResult::Attempted(None),
             () = respond_now.cancelled(), if !has_response => {
                 return TakeoverResult::Attempted(None);
             }
@@ -383,7 +394,7 @@
 /// Waits for the next part of a response, forever if there is none.
 async fn next_frame(source: &mut Option<Box<UpstreamStream>>) -> BodyFrame {
     match source {
-        Some(source) => source.body.frame().await,
+        Some(source) => source.frame().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -14,9 +14,11 @@
 use futures::future::{BoxFuture, select_all};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
-use crate::attempt::{AttemptResult, attempt};
+use crate::attempt::{AttemptResult, UpstreamStream, attempt};
 use crate::dispatch::Dispatch;
 use crate::in_flight::InFlight;
 use crate::state::quota::Charge;
@@ -57,6 +59,8 @@
     /// What it takes from its upstream's advertised rate.
     charge: Option<Charge>,
     result: BoxFuture<'a, AttemptResult>,
+    /// Whether its upstream has sent the head of a stream.
+    has_stream: bool,
 }
 
 /// An attempt that has ended, with its result; or one that ended before it, of which
@@ -98,6 +102,7 @@
             charge,
             result: async move { attempt(dispatch, &upstream, &attempt_signal).await }
                 .boxed(),
+            has_stream: false,
         }
     }
 
@@ -174,6 +179,11 @@
     loop {
         match race.next_step().await {
             RaceStep::Silent => race.start_elsewhere().await,
+            RaceStep::Ended(position, AttemptResult::Stream(stream))
+                if race.running.len() > 1 && !race.running[position].has_stream =>
+            {
+                race.await_first_event(position, stream);
+            }
             RaceStep::Ended(position, result) => {
                 let is_last = race.running.len() == 1;
                 if is_last || result.failure().is_none() {
@@ -218,6 +228,25 @@
         }
     }
 
+    /// Keeps an attempt whose upstream has sent the head of a stream in the race until
+    /// that has begun. The head alone is nothing that a caller could be sent.
+    fn await_first_event(&mut self, position: usize, mut stream: Box<UpstreamStream>) {
+        let dispatch = self.dispatch;
+        let remaining_ms = dispatch.request.remaining_ms(dispatch.node.clock);
+        let time_limit = Duration::from_millis(remaining_ms);
+        let attempt = &mut self.running[position];
+        attempt.has_stream = true;
+        attempt.result = async move {
+            if matches!(timeout(time_limit, stream.has_begun()).await, Ok(true)) {
+                return AttemptResult::Stream(stream);
+            }
+            // The result of the crash check doesn't matter here.
+            drop(stream.broken());
+            AttemptResult::left()
+        }
+        .boxed();
+    }
+
     /// Removes an attempt that failed while others are in progress.
     fn remove_failed(&mut self, position: usize, result: AttemptResult) {
         let failed = self.running.remove(position);
