A stream goes on only once the version at which it began is certain

Callers got texts of two software versions joined. An upstream that starts again under its name with another version is taken for one of its earlier version until its record is read. A stream that began there counted as one of the earlier version, so its rest came from elsewhere at that version; and a stream of the earlier version went on at that upstream.

A connection leads to one incarnation. So the origin of a stream is certain once its upstream, asked after the connection was opened, states the start in its record, or once news of 3 s after the opening names no other version; an outage or a restore starts these 3 s anew. What is certain as the first event is forwarded is sent as confirmed. Otherwise the start and the age of the connection are sent with it, and the upstream is asked only if the stream is taken up or breaks: no message more for a stream. The upstream that goes on with a stream is judged in the same way before its first event is forwarded. Builds that don't say whether an origin is certain count as if the connection had been opened on receipt.

Ruled out: another open connection to the upstream as a proof, as the end of a connection may be lost with a machine.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -7,6 +7,7 @@
 mod paces;
 mod rate;
 mod refusals;
+mod settled;
 mod software;
 mod turns;
 mod upstream;
@@ -17,6 +18,7 @@
 use std::sync::Arc;
 
 use crate::{Config, ResidentModel, UpstreamIncarnation, UpstreamRecord};
+use settled::SettledRecords;
 use software::EarlierSoftware;
 use upstream::{CoordinatorHoldings, HOLDINGS_MAX_AGE_MS, HOLDINGS_VALID_MS};
 
@@ -74,6 +76,7 @@
     complete_since: Option<Instant>,
     /// Versions of the software that upstreams ran until lately.
     earlier_software: Vec<EarlierSoftware>,
+    settled_records: SettledRecords,
     /// Version of the platform up to which the records are known.
     known_version: u64,
     /// When the mean pace of each service was computed.
@@ -103,14 +106,15 @@
     }
 
     /// Records that the platform is reachable again.
-    pub const fn platform_returned(&mut self, now: Instant) {
+    pub fn platform_returned(&mut self, now: Instant) {
         self.platform_returned_at = Some(now);
+        self.settled_records.interrupted(now);
     }
 
     /// Records that the platform was restored from an older copy. Records that were
     /// written since that copy are missing until they are written again, and records that
     /// were removed are back until they are removed again.
-    pub const fn platform_restored(&mut self, now: Instant) {
+    pub fn platform_restored(&mut self, now: Instant) {
         self.platform_restored_at = Some(now);
         self.platform_returned(now);
     }
--- a/crates/direct/src/fleet/software.rs
+++ b/crates/direct/src/fleet/software.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{FORGET_MS, Fleet};
-use crate::{StreamOrigin, UpstreamRecord};
+use crate::{OriginProof, StreamOrigin, UpstreamRecord};
 
 /// A version that an upstream ran before it started again with another one.
 #[derive(Debug)]
@@ -16,15 +16,6 @@
 }
 
 impl Fleet {
-    /// Whether it is certain that a stream began at the version that `origin` names.
-    ///
-    /// An upstream may start again under its name with another version. Until its new
-    /// record was read, streams that begin there are taken for ones of the old version.
-    pub fn confirms_origin(&self, origin: &StreamOrigin) -> bool {
-        let upstream = self.upstreams.get(&origin.upstream);
-        upstream.is_none_or(|known| known.software() == origin.software)
-    }
-
     /// Returns where a stream of the service began that can't be older than `age_ms`, if
     /// all upstreams of the service that were known in this time ran one version.
     pub fn sole_origin(
@@ -49,6 +40,7 @@
             service: Arc::clone(service),
             software: first.software(),
             upstream: Arc::clone(&first.record.id),
+            proof: OriginProof::Confirmed,
         })
     }
 
--- a/crates/direct/src/fleet/upstream.rs
+++ b/crates/direct/src/fleet/upstream.rs
@@ -113,6 +113,8 @@
     pub(super) rate_spent_until: Instant,
     /// Time until which it asked this entry to send no requests.
     pub(super) backed_off_until: Instant,
+    /// When it was last asked for its incarnation, of the times at which it stated this one.
+    pub(super) stated_at: Option<Instant>,
     /// When it was last seen to be usable or in use, or was first in a complete list.
     pub(super) last_active_at: Instant,
     /// Until when it is avoided because a connection attempt failed.
@@ -157,6 +159,7 @@
             rate_notice: None,
             rate_spent_until: Instant::ZERO,
             backed_off_until: Instant::ZERO,
+            stated_at: None,
             last_active_at: Instant::ZERO,
             connect_failed_until: Instant::ZERO,
             failed_share: 0.0,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -148,7 +148,9 @@
 };
 pub use start_source::start_sources;
 pub use state_digest::state_digest;
-pub use stream_origin::{SoftwareVersion, StreamId, StreamOrigin, StreamOrigins};
+pub use stream_origin::{
+    OriginProof, SoftwareVersion, StreamId, StreamOrigin, StreamOrigins,
+};
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
     InFlightDecision, InFlightRequest, TakeoverResources, decide_in_flight,
--- a/crates/direct/src/stream_origin.rs
+++ b/crates/direct/src/stream_origin.rs
@@ -52,6 +52,23 @@
     pub software: Option<SoftwareVersion>,
     /// Upstream that brought the first event.
     pub upstream: Arc<str>,
+    /// What the version was concluded from.
+    pub proof: OriginProof,
+}
+
+/// What the software version of a stream's upstream was concluded from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginProof {
+    /// It is certain.
+    Confirmed,
+    /// The record of the upstream, which may have started again since it was written. See
+    /// [`Fleet::confirms_origin`](crate::Fleet::confirms_origin).
+    Recorded {
+        /// Incarnation in the record.
+        started_unix_ms: Option<u64>,
+        /// When the connection to the upstream was open.
+        connected_at: Instant,
+    },
 }
 
 impl StreamOrigin {
@@ -89,12 +106,12 @@
             self.limit_count();
             return;
         };
-        if known
-            .origin
-            .as_ref()
-            .is_some_and(|first| !first.allows_same(&origin))
-        {
-            known.origin = None;
+        match &mut known.origin {
+            Some(first) if !first.allows_same(&origin) => known.origin = None,
+            Some(first) if origin.proof == OriginProof::Confirmed => {
+                first.proof = OriginProof::Confirmed;
+            }
+            _ => {}
         }
         if expires_at > known.expires_at {
             self.by_expiry.remove(&(known.expires_at, id));
@@ -110,6 +127,17 @@
         (now < known.expires_at).then_some((origin, known.expires_at))
     }
 
+    /// Records which origins are certain, in the opinion of `is_certain`. What confirms
+    /// one may be replaced later, as when its upstream starts again.
+    pub fn confirm(&mut self, is_certain: impl Fn(&StreamOrigin) -> bool) {
+        let origins = self.streams.values_mut();
+        for origin in origins.filter_map(|known| known.origin.as_mut()) {
+            if origin.proof != OriginProof::Confirmed && is_certain(origin) {
+                origin.proof = OriginProof::Confirmed;
+            }
+        }
+    }
+
     /// Forgets the streams that nobody can ask for any more.
     pub fn expire(&mut self, now: Instant) {
         while let Some((expires_at, _)) = self.by_expiry.first()
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{at, cases, name, record, record_with_start};
 use direct::{
-    Fleet, SelectionError, SelectionInput, SoftwareVersion, StreamId, StreamOrigin,
-    StreamOrigins, UpstreamIncarnation, UpstreamRecord, origin_keepers,
+    Fleet, OriginProof, SelectionError, SelectionInput, SoftwareVersion, StreamId,
+    StreamOrigin, StreamOrigins, UpstreamIncarnation, UpstreamRecord, origin_keepers,
     origin_keepers_to_ask, select_upstream,
 };
 use std::collections::BTreeSet;
@@ -16,9 +16,30 @@
         service: name(service),
         software: Some(SoftwareVersion::new(version)),
         upstream: name("1"),
+        proof: OriginProof::Confirmed,
     }
 }
 
+/// An origin at an incarnation of upstream 1, which was connected to at 10 s.
+fn recorded(version: &str, started_unix_ms: Option<u64>) -> StreamOrigin {
+    StreamOrigin {
+        proof: OriginProof::Recorded {
+            started_unix_ms,
+            connected_at: at(10_000),
+        },
+        ..origin("oracle", version)
+    }
+}
+
+/// A fleet of two upstreams with start times, with news since 0 s.
+fn started_fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    let listed = ["1", "2"].map(|id| (5, record_with_start(id, 100, &["a"])));
+    fleet.apply_list(at(0), 5, listed.into());
+    fleet.records_read(at(0));
+    fleet
+}
+
 fn versioned(id: &str, version: &str) -> UpstreamRecord {
     UpstreamRecord {
         software_version: Some(version.into()),
@@ -84,10 +105,9 @@
 /// version, or the other way round: those that begin before its new record is read.
 #[test]
 fn an_upstream_with_a_new_version_leaves_its_streams_in_doubt() {
-    let mut fleet = Fleet::new();
-    let listed = ["1", "2"].map(|id| (5, record_with_start(id, 100, &["a"])));
-    fleet.apply_list(at(0), 5, listed.into());
-    let began = origin("oracle", "v1");
+    let mut fleet = started_fleet();
+    fleet.records_read(at(13_000));
+    let began = recorded("v1", None);
     assert!(fleet.confirms_origin(&began));
     fleet.observe_report(UpstreamIncarnation {
         id: "1",
@@ -107,6 +127,160 @@
     assert_eq!(selected(&fleet, &began), doubt);
 }
 
+/// Guards against a stream that counts as one of its upstream's earlier version, since it
+/// began after the upstream had started again and before its new record was read.
+#[test]
+fn news_confirms_a_version_once_a_later_record_would_be_known() {
+    let mut fleet = started_fleet();
+    let began = recorded("v1", Some(100));
+    fleet.records_read(at(12_999));
+    assert!(
+        !fleet.confirms_origin(&began),
+        "its record may be on its way"
+    );
+    assert!(!fleet.refutes_origin(&began));
+    let doubt = Err(SelectionError::NoSameVersion);
+    assert_eq!(selected(&fleet, &began), doubt);
+    fleet.records_read(at(13_000));
+    assert!(fleet.confirms_origin(&began));
+    assert!(selected(&fleet, &began).is_ok());
+    // What was read before stays true after later news of an earlier time.
+    fleet.records_read(at(11_000));
+    assert!(fleet.confirms_origin(&began));
+    let next = UpstreamRecord {
+        software_version: Some("v2".into()),
+        ..record_with_start("1", 200, &["a"])
+    };
+    fleet.apply_update(6, next);
+    assert!(!fleet.confirms_origin(&began));
+    assert!(fleet.refutes_origin(&began));
+}
+
+/// Guards against refusing the streams of an upstream that is replaced by one of the same
+/// version, and against the next one but one, of which nothing is known yet.
+#[test]
+fn a_later_incarnation_of_the_same_version_confirms_a_stream_once_it_is_settled() {
+    let mut fleet = started_fleet();
+    let began = recorded("v1", Some(100));
+    fleet.apply_update(6, record_with_start("1", 300, &["a"]));
+    fleet.records_read(at(12_999));
+    assert!(!fleet.confirms_origin(&began));
+    assert!(!fleet.refutes_origin(&began));
+    let stated = |started_unix_ms| UpstreamIncarnation {
+        id: "1",
+        started_unix_ms: Some(started_unix_ms),
+    };
+    fleet.incarnation_stated(at(10_000), stated(300));
+    assert!(fleet.confirms_origin(&began));
+    fleet.observe_report(stated(400));
+    fleet.records_read(at(20_000));
+    assert!(!fleet.confirms_origin(&began), "its version is not known");
+    assert!(!fleet.refutes_origin(&began));
+}
+
+/// Guards against waiting for news where the upstream itself can tell, and against an
+/// answer of its earlier incarnation that is taken for one of the later.
+#[test]
+fn an_upstream_confirms_the_streams_that_began_before_it_was_asked() {
+    let stated = |started_unix_ms| UpstreamIncarnation {
+        id: "1",
+        started_unix_ms,
+    };
+    let mut fleet = started_fleet();
+    let began = recorded("v1", Some(100));
+    fleet.incarnation_stated(at(9_999), stated(Some(100)));
+    assert!(!fleet.confirms_origin(&began), "it may have ended since");
+    fleet.incarnation_stated(at(10_001), stated(None));
+    fleet.incarnation_stated(at(10_001), stated(Some(200)));
+    assert!(!fleet.confirms_origin(&began));
+    fleet.incarnation_stated(at(10_000), stated(Some(100)));
+    assert!(fleet.confirms_origin(&began));
+    fleet.incarnation_stated(at(9_000), stated(Some(100)));
+    assert!(
+        fleet.confirms_origin(&began),
+        "a late answer changes nothing"
+    );
+    fleet.apply_update(6, record_with_start("1", 200, &["a"]));
+    let next = recorded("v1", Some(200));
+    assert!(
+        !fleet.confirms_origin(&next),
+        "it was the earlier one's answer"
+    );
+}
+
+/// Guards against news from a platform that upstreams could not write to, or that lost
+/// what they wrote.
+#[test]
+fn news_after_an_outage_or_a_restore_confirms_later() {
+    let began = recorded("v1", Some(100));
+    let outage: [fn(&mut Fleet); 2] = [
+        |fleet| fleet.platform_returned(at(12_000)),
+        |fleet| fleet.platform_restored(at(12_000)),
+    ];
+    for interrupt in outage {
+        let mut fleet = started_fleet();
+        fleet.records_read(at(11_900));
+        interrupt(&mut fleet);
+        let before = StreamOrigin {
+            proof: OriginProof::Recorded {
+                started_unix_ms: Some(100),
+                connected_at: at(8_900),
+            },
+            ..began.clone()
+        };
+        assert!(fleet.confirms_origin(&before));
+        fleet.records_read(at(14_999));
+        assert!(!fleet.confirms_origin(&began));
+        fleet.records_read(at(15_000));
+        assert!(fleet.confirms_origin(&began));
+    }
+}
+
+/// Guards against a stream that is refused since this entry's records are behind those of
+/// the entry at which it began.
+#[test]
+fn an_origin_with_a_later_record_than_the_known_one_is_not_refuted() {
+    let mut fleet = started_fleet();
+    let began = recorded("v2", Some(200));
+    assert!(!fleet.refutes_origin(&began));
+    assert!(!fleet.confirms_origin(&began));
+    fleet.observe_report(UpstreamIncarnation {
+        id: "1",
+        started_unix_ms: Some(200),
+    });
+    fleet.records_read(at(20_000));
+    assert!(!fleet.refutes_origin(&began));
+    assert!(!fleet.confirms_origin(&began), "its version is not known");
+    let next = UpstreamRecord {
+        software_version: Some("v2".into()),
+        ..record_with_start("1", 200, &["a"])
+    };
+    fleet.apply_update(6, next);
+    assert!(fleet.confirms_origin(&began));
+}
+
+/// Guards against a confirmed stream that is lost as its upstream starts again later.
+#[test]
+fn what_was_confirmed_stays_so() {
+    let mut origins = StreamOrigins::default();
+    let began = recorded("v1", Some(100));
+    origins.insert(STREAM, began.clone(), at(90_000));
+    origins.confirm(|_| false);
+    let known = |origins: &StreamOrigins| {
+        let (origin, _) = origins.get(at(0), STREAM).expect("it is known");
+        origin.proof
+    };
+    assert_eq!(known(&origins), began.proof);
+    origins.insert(STREAM, origin("oracle", "v1"), at(90_000));
+    assert_eq!(known(&origins), OriginProof::Confirmed);
+    origins.insert(STREAM, began.clone(), at(90_000));
+    assert_eq!(known(&origins), OriginProof::Confirmed);
+    let mut origins = StreamOrigins::default();
+    origins.insert(STREAM, began, at(90_000));
+    origins.confirm(|_| true);
+    assert_eq!(known(&origins), OriginProof::Confirmed);
+}
+
 #[test]
 fn a_sole_version_is_certain_after_a_streams_longest_time() {
     let service = name("oracle");
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -106,7 +106,7 @@
     let Some(address) = address_of(node, &selected.id) else {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     };
-    let in_flight = InFlight::start(node, request, selected, &address);
+    let mut in_flight = InFlight::start(node, request, selected, &address);
     let recently_used = !request.route.kind.may_rerun();
     let Ok(connection) = node
         .connections
@@ -116,6 +116,7 @@
         record_unreachable(node, &selected.id, address.started_unix_ms);
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     };
+    in_flight.connected_at = connection.opened_at();
     let remaining_ms = request.remaining_ms(node.clock);
     if request.is_expired(node.clock) {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
@@ -160,11 +161,28 @@
         }
         HeadResult::Received(response) => {
             in_flight.record_bytes();
-            evaluate_response(node, request, in_flight, connection, response).await
+            let result =
+                evaluate_response(node, request, in_flight, connection, response).await;
+            without_other_version(dispatch, result).await
         }
     }
 }
 
+/// Fails an attempt that would go on with a stream at an upstream of another version.
+async fn without_other_version(
+    dispatch: &Dispatch,
+    result: AttemptResult,
+) -> AttemptResult {
+    match result {
+        AttemptResult::Stream(stream)
+            if !dispatch.may_continue_at(&stream.in_flight).await =>
+        {
+            AttemptResult::Failed(AttemptOutcome::Unknown, None)
+        }
+        other => other,
+    }
+}
+
 /// How waiting for the head of a response ended.
 enum HeadResult {
     Received(Response<Incoming>),
--- a/crates/front/src/in_flight.rs
+++ b/crates/front/src/in_flight.rs
@@ -22,6 +22,8 @@
     pub(crate) software: Option<SoftwareVersion>,
     /// When the attempt started, before the request was sent.
     started_at: Instant,
+    /// When the connection was open on which the request is sent.
+    pub(crate) connected_at: Instant,
     usage: Usage,
     response_started: bool,
     /// What was expected of the first event; `None` if the upstream is not an engine.
@@ -73,6 +75,7 @@
             started_unix_ms: address.started_unix_ms,
             software: address.software,
             started_at: now,
+            connected_at: now,
             usage: selected.usage,
             response_started: false,
             expectation: request.head.model.as_ref().map(|_| FirstEventExpectation {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -37,6 +37,7 @@
 mod log;
 mod options;
 mod orders;
+mod origin_proof;
 mod packed_batches;
 mod pauses;
 mod peers;
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -3,7 +3,9 @@
 
 use base::{Instant, ObjectVersion, PlatformOp, PlatformResult, Precondition};
 use bytes::Bytes;
-use direct::{LeaseRecord, LeaseStep, Order, SendOutcome, UpstreamIncarnation};
+use direct::{
+    LeaseRecord, LeaseStep, Order, SendOutcome, UpstreamIncarnation, UpstreamReport,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -93,8 +95,17 @@
 pub(crate) async fn request_report(node: Arc<Node>, id: Arc<str>) {
     let known_started_ms =
         address_of(&node, &id).and_then(|address| address.started_unix_ms);
-    let request = node.protocol.report_request(&id);
-    let response = call_upstream(&node, &id, request, REPORT_TIMEOUT, || true).await;
+    if let Some(mut report) = fetch_report(&node, &id).await {
+        report.started_unix_ms = report.started_unix_ms.or(known_started_ms);
+        node.coordinator.record_report(node.now(), &id, &report);
+    }
+}
+
+/// Requests an upstream's report and records the incarnation that it states.
+pub(crate) async fn fetch_report(node: &Node, id: &Arc<str>) -> Option<UpstreamReport> {
+    let asked_at = node.now();
+    let request = node.protocol.report_request(id);
+    let response = call_upstream(node, id, request, REPORT_TIMEOUT, || true).await;
     let body = match response {
         Ok((StatusCode::OK, body)) => body,
         other => {
@@ -102,24 +113,29 @@
             let outcome = format!("{status:?}");
             node.log.line(
                 "report_missing",
-                json!({ "upstream": &*id, "outcome": outcome }),
+                json!({ "upstream": &**id, "outcome": outcome }),
             );
-            return;
+            return None;
         }
     };
     match node.protocol.parse_report(&body) {
-        Ok(mut report) => {
-            node.unreadable.forget(ObjectKind::Report, &id);
-            report.started_unix_ms = report.started_unix_ms.or(known_started_ms);
+        Ok(report) => {
+            node.unreadable.forget(ObjectKind::Report, id);
             let incarnation = UpstreamIncarnation {
-                id: &id,
+                id,
                 started_unix_ms: report.started_unix_ms,
             };
-            node.fleet.lock().observe_report(incarnation);
-            log_changes(&node, "report");
-            node.coordinator.record_report(node.now(), &id, &report);
+            let mut fleet = node.fleet.lock();
+            fleet.observe_report(incarnation);
+            fleet.incarnation_stated(asked_at, incarnation);
+            drop(fleet);
+            log_changes(node, "report");
+            Some(report)
+        }
+        Err(error) => {
+            node.report_unreadable(ObjectKind::Report, id, &body, &error);
+            None
         }
-        Err(error) => node.report_unreadable(ObjectKind::Report, &id, &body, &error),
     }
 }
 
--- a/crates/front/src/platform_watch.rs
+++ b/crates/front/src/platform_watch.rs
@@ -216,7 +216,10 @@
                 &mut config.1
             }
             Self::Upstreams => {
-                node.fleet.lock().set_known_version(version);
+                let mut known = node.fleet.lock();
+                known.set_known_version(version);
+                known.records_read(confirmed_at);
+                drop(known);
                 fleet = node.fleet_watermark.lock();
                 &mut *fleet
             }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -22,7 +22,9 @@
 use crate::state::Node;
 use crate::state_monitor::monitor_state;
 use crate::usage_report::report_usage;
-use crate::{Log, Options, PlatformProtocol, readiness, server, upstream_rate};
+use crate::{
+    Log, Options, PlatformProtocol, readiness, server, stream_origins, upstream_rate,
+};
 
 /// Interval at which expired state is removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -144,7 +146,7 @@
         node.connections.sweep(|id| fleet.get(id).is_some());
         drop(fleet);
         upstream_rate::expire(&node);
-        node.stream_origins.known.lock().expire(now);
+        stream_origins::sweep(&node, now);
         if let Some(config) = node.config() {
             let is_route =
                 |name: &str| config.routes().any(|route| *route.name == *name);
--- a/crates/front/src/state/connection_pool.rs
+++ b/crates/front/src/state/connection_pool.rs
@@ -74,6 +74,8 @@
 pub(crate) struct UpstreamConnection {
     /// Incarnation of the upstream at the other end.
     started_unix_ms: Option<u64>,
+    /// When it was open.
+    opened_at: Instant,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -85,8 +87,9 @@
 }
 
 impl UpstreamConnection {
-    async fn open(address: UpstreamAddress) -> Option<Self> {
+    async fn open(clock: BootClock, address: UpstreamAddress) -> Option<Self> {
         let stream = connect(address.socket_address).await.ok()?;
+        let opened_at = clock.now();
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -96,11 +99,17 @@
         let task = tokio::spawn(driver.map(|_| ())).abort_handle();
         Some(Self {
             started_unix_ms: address.started_unix_ms,
+            opened_at,
             sender,
             task,
         })
     }
 
+    /// Returns when the connection was open.
+    pub(crate) const fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -137,7 +146,7 @@
         {
             return Ok(connection);
         }
-        UpstreamConnection::open(address)
+        UpstreamConnection::open(self.clock, address)
             .await
             .ok_or(SendError::NotSent)
     }
--- a/crates/front/src/state/stream_origins.rs
+++ b/crates/front/src/state/stream_origins.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 
+use crate::origin_proof::IncarnationQuestions;
+
 /// Origins of streams, and the searches for others.
 #[derive(Debug, Default)]
 pub(crate) struct StreamOriginTable {
@@ -14,6 +16,8 @@
     searches: Mutex<HashMap<StreamId, Search>>,
     /// Notified when an entry has answered.
     pub(crate) answered: Notify,
+    /// Questions to the upstreams of streams.
+    pub(crate) questions: IncarnationQuestions,
 }
 
 /// A search for the origin of one stream.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -216,6 +216,9 @@
     /// nothing for a while.
     async fn check_upstream(&mut self) -> Option<StreamStep> {
         let source = self.source.as_ref()?;
+        if source.in_flight.is_silent() {
+            self.dispatch.begin_to_confirm_origin();
+        }
         match self.dispatch.decide_in_flight(&source.in_flight, true) {
             InFlightDecision::Wait => None,
             InFlightDecision::Ended => Some(StreamStep::Broken),
@@ -328,6 +331,7 @@
                 return Err(end);
             }
         }
+        self.dispatch.confirm_origin().await;
         match self.dispatch.run_until_response().await {
             DispatchResult::Stream(source) => {
                 self.source = Some(source);
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -8,7 +8,7 @@
 use access::Workspace;
 use base::prelude::*;
 use direct::{
-    Route, SoftwareVersion, StreamId, StreamOrigin, origin_keepers,
+    OriginProof, Route, SoftwareVersion, StreamId, StreamOrigin, origin_keepers,
     origin_keepers_to_ask,
 };
 use prost::Message;
@@ -22,10 +22,12 @@
 use crate::RequestHead;
 use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch};
 use crate::in_flight::InFlight;
+use crate::origin_proof::{self, Doubt, origin_at};
 use crate::request::DEFAULT_DEADLINE_MS;
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
 use crate::state::peers::Peers;
+use crate::upstream_address::address_of;
 
 /// Longest search for the origin of a stream. Entries answer within milliseconds.
 const SEARCH_MAX: Duration = Duration::from_millis(250);
@@ -33,6 +35,11 @@
 /// Interval at which entries that have not answered are asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Longest wait of a caller until it is certain at which version its stream began. An
+/// upstream that is alive states that within milliseconds; otherwise the caller can come
+/// back later.
+const CONFIRMATION_MAX: Duration = Duration::from_millis(1_000);
+
 /// Time for which an origin is kept after its caller's deadline, as the two clocks
 /// start apart.
 const KEEP_MARGIN_MS: u64 = 1_000;
@@ -85,7 +92,10 @@
         "sole_version"
     };
     let origin = told.map_or_else(|| sole_origin(node, route), Ok);
-    let origin = origin.and_then(|origin| confirm(node, route, origin));
+    let origin = match origin {
+        Ok(origin) => confirm(node, route, origin, max_wait).await,
+        Err(reason) => Err(reason),
+    };
     let outcome = match &origin {
         Ok(_) => source,
         Err(reason) => reason.as_str(),
@@ -112,6 +122,8 @@
     /// Its upstream has started again, and runs another version or did so before its
     /// record was read.
     Restarted,
+    /// Its upstream may have started again before, with another version.
+    Unconfirmed,
     /// The service that began it no longer belongs to the route.
     OtherService,
 }
@@ -124,6 +136,7 @@
             Self::OldNews => "old_news",
             Self::SeveralVersions => "several_versions",
             Self::Restarted => "restarted",
+            Self::Unconfirmed => "unconfirmed",
             Self::OtherService => "other_service",
         }
     }
@@ -145,18 +158,24 @@
 }
 
 /// Returns the origin unless it is in doubt, or its service has left the route.
-fn confirm(
+async fn confirm(
     node: &Node,
     route: &Route,
-    origin: StreamOrigin,
+    mut origin: StreamOrigin,
+    max_wait: Duration,
 ) -> Result<StreamOrigin, UnknownOrigin> {
     if !route.has_target(&origin.service) {
         return Err(UnknownOrigin::OtherService);
     }
-    if origin.software.is_none() || !node.fleet.lock().confirms_origin(&origin) {
+    if origin.software.is_none() {
         return Err(UnknownOrigin::Restarted);
     }
-    Ok(origin)
+    let max_wait = max_wait.min(CONFIRMATION_MAX);
+    let confirmed = origin_proof::confirm(node, &mut origin, max_wait).await;
+    confirmed.map(|()| origin).map_err(|doubt| match doubt {
+        Doubt::Unconfirmed => UnknownOrigin::Unconfirmed,
+        Doubt::Restarted => UnknownOrigin::Restarted,
+    })
 }
 
 /// Returns where a stream began, asking other entries if this one doesn't know.
@@ -196,11 +215,7 @@
         if self.origin.is_some() {
             return;
         }
-        let origin = StreamOrigin {
-            service: Arc::clone(&self.request.service),
-            software: source.software,
-            upstream: Arc::clone(&source.upstream),
-        };
+        let origin = origin_at(source, &self.request.service);
         if self.request.route.kind.may_rerun() {
             announce(&self.node, &self.request, &origin);
         }
@@ -239,8 +254,9 @@
     for told in message.stream_origins.iter().take(STREAMS_PER_MESSAGE) {
         let keep_ms = told.valid_ms.min(KEEP_MAX_MS + KEEP_MARGIN_MS);
         let expires_at = now.plus_ms(keep_ms);
+        let origin = decode(node, now, told);
         let mut known = node.stream_origins.known.lock();
-        known.insert(StreamId(told.stream), decode(told), expires_at);
+        known.insert(StreamId(told.stream), origin, expires_at);
     }
     for stream in message.origins_unknown.iter().take(STREAMS_PER_MESSAGE) {
         node.stream_origins.unknown_at(StreamId(*stream), from);
@@ -300,23 +316,55 @@
     origin: &StreamOrigin,
     expires_at: Instant,
 ) -> OriginMessage {
+    let (born_ms, connected_ms_ago) = match origin.proof {
+        OriginProof::Confirmed => (None, 0),
+        OriginProof::Recorded {
+            started_unix_ms,
+            connected_at,
+        } => (started_unix_ms, now.ms_since(connected_at)),
+    };
     OriginMessage {
         stream: id.0,
         service: origin.service.to_string(),
         software: origin.software.map(|version| version.0),
         upstream: origin.upstream.to_string(),
         valid_ms: expires_at.ms_since(now),
+        is_confirmed: origin.proof == OriginProof::Confirmed,
+        born_ms,
+        connected_ms_ago,
     }
 }
 
-fn decode(told: &OriginMessage) -> StreamOrigin {
+/// Builds that don't say whether the version is certain count as if the connection had
+/// been opened now, at the incarnation that this entry knows.
+fn decode(node: &Node, now: Instant, told: &OriginMessage) -> StreamOrigin {
+    let proof = if told.is_confirmed {
+        OriginProof::Confirmed
+    } else {
+        let known = address_of(node, &told.upstream);
+        let known = known.and_then(|address| address.started_unix_ms);
+        OriginProof::Recorded {
+            started_unix_ms: told.born_ms.or(known),
+            connected_at: now - Duration::from_millis(told.connected_ms_ago),
+        }
+    };
     StreamOrigin {
         service: Arc::from(told.service.as_str()),
         software: told.software.map(SoftwareVersion),
         upstream: Arc::from(told.upstream.as_str()),
+        proof,
     }
 }
 
+/// Forgets the streams that nobody can ask for any more, and keeps in mind which origins
+/// are certain now.
+pub(crate) fn sweep(node: &Node, now: Instant) {
+    let mut known = node.stream_origins.known.lock();
+    known.expire(now);
+    let fleet = node.fleet.lock();
+    known.confirm(|origin| fleet.confirms_origin(origin));
+}
+
 impl Peers {
     /// Returns the entries that receive the origin of a stream.
     fn origin_keepers(&self, now: Instant, id: StreamId) -> Vec<SocketAddr> {
