--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -160,7 +160,9 @@
 pub use state_digest::state_digest;
 pub use stream_durations::{StreamDurations, StreamTiming};
 pub use stream_handover::{RunningStream, handover_start_ms};
-pub use stream_origin::{SoftwareVersion, StreamId, StreamOrigin, StreamOrigins};
+pub use stream_origin::{
+    OriginProof, SoftwareVersion, StreamId, StreamOrigin, StreamOrigins,
+};
 pub use stream_start::{PeerCount, PeerReadiness, StreamStart};
 pub use successor::{PeerEntry, has_successor};
 pub use takeover::{
