--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches a request: attempts it at one upstream after another until one
 //! responds or no further attempt is allowed.
 
+mod attempted;
 mod record;
 
 use base::prelude::*;
@@ -25,6 +26,7 @@
 use crate::takeover::attempt_with_takeover;
 use crate::upstream_address::software_version_of;
 use crate::upstream_rate;
+use attempted::AttemptedUpstreams;
 
 /// Time after which a refused caller should come back, if nothing better is
 /// known.
@@ -49,23 +51,6 @@
     Failed(RequestError),
 }
 
-/// The upstreams that were attempted for one request.
-#[derive(Debug, Default)]
-pub(crate) struct AttemptedUpstreams {
-    /// Those that the request was sent to.
-    pub(crate) sent_to: Vec<Arc<str>>,
-    /// Those that could not be connected to.
-    unreachable: Vec<Arc<str>>,
-}
-
-impl AttemptedUpstreams {
-    /// Returns all attempted upstreams.
-    pub(crate) fn all(&self) -> Vec<Arc<str>> {
-        let all = self.sent_to.iter().chain(&self.unreachable);
-        all.cloned().collect()
-    }
-}
-
 /// The dispatch of one request.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -267,15 +267,13 @@
         EndedAttempt<AttemptResult>,
     ) {
         let later = self.running.split_off(position + 1);
-        let last = self.running.split_off(position);
+        let last = self.running.remove(position);
         for silent in self.running {
             let left = silent.end(self.dispatch, AttemptResult::left());
             self.ended.push(left.earlier());
         }
         self.ended
             .extend(later.into_iter().map(RunningAttempt::withdraw));
-        let last = last.into_iter().next();
-        let last = last.expect("the position is that of a running attempt");
         (self.ended, last.end(self.dispatch, result))
     }
 }
