front: connections whose time is up together are not closed in one turn

Callers saw: of requests on open connections, 13 of 621 got no answer as a shorter idle timeout came into force for 600 connections at once, and 4 of 623 at a stop.

Cause: all of them were looked at again after the same 20 ms. In one turn of the runtime that closes hundreds, a request that arrives within that turn is not seen.

Change: the second look is 20 to 270 ms after the first, at random.

--- a/crates/front/src/caller_timeouts.rs
+++ b/crates/front/src/caller_timeouts.rs
@@ -17,6 +17,10 @@
 /// that, not every socket that is ready is read.
 const SOCKETS_READ_AFTER: Duration = Duration::from_millis(20);
 
+/// Time over which connections are closed whose time is up together. If all were closed in
+/// one turn of the runtime, requests that arrive in that turn would be cut off.
+const CLOSES_SPREAD_MS: u64 = 250;
+
 /// Waits until a connection has been idle for too long, or the head of a request has
 /// taken too long. Returns the phase in which it was.
 pub(crate) async fn timed_out(node: &Node, framing: &RequestFraming) -> RequestPhase {
@@ -31,7 +35,7 @@
                 return start.phase;
             }
             confirming = Some(start.since);
-            let_arrived_requests_be_read().await;
+            let_arrived_requests_be_read(node).await;
             continue;
         }
         tokio::select! {
@@ -46,8 +50,9 @@
 ///
 /// After the process was suspended, or its thread was busy, timers fire before the sockets
 /// are looked at. A connection on which a request has arrived would be closed as idle.
-pub(crate) async fn let_arrived_requests_be_read() {
-    sleep(SOCKETS_READ_AFTER).await;
+pub(crate) async fn let_arrived_requests_be_read(node: &Node) {
+    let spread_ms = node.random() % CLOSES_SPREAD_MS;
+    sleep(SOCKETS_READ_AFTER + Duration::from_millis(spread_ms)).await;
 }
 
 /// Sleeps until a deadline, forever if there is none.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -140,7 +140,7 @@
             }
             () = async {
                 wait_for_head(framing, head_timeout).await;
-                let_arrived_requests_be_read().await;
+                let_arrived_requests_be_read(node).await;
             } => {}
         }
     }
