front: an upstream whose attempt is withdrawn counts among those that had the request

Cause: an attempt beside a silent upstream may now wait in a queue for longer than before, and run, before the silent one goes on and it is withdrawn. A withdrawn attempt was not recorded, so that a later break of the stream led to one upstream more.

Change: attempts that are dropped before they ended, or withdrawn, are recorded as sent.

--- a/crates/front/src/takeover.rs
+++ b/crates/front/src/takeover.rs
@@ -268,13 +268,28 @@
     ) {
         let later = self.running.split_off(position + 1);
         let last = self.running.remove(position);
-        for silent in self.running {
+        for silent in std::mem::take(&mut self.running) {
             let left = silent.end(self.dispatch, AttemptResult::left());
             self.ended.push(left.earlier());
         }
-        self.ended
-            .extend(later.into_iter().map(RunningAttempt::withdraw));
-        (self.ended, last.end(self.dispatch, result))
+        for withdrawn in later {
+            self.dispatch
+                .record_sent_to(&withdrawn.selected.id, AttemptOutcome::Unknown);
+            self.ended.push(withdrawn.withdraw());
+        }
+        let ended = std::mem::take(&mut self.ended);
+        (ended, last.end(self.dispatch, result))
+    }
+}
+
+impl Drop for AttemptRace<'_> {
+    /// Records the upstreams of attempts that are dropped before they ended: they may have
+    /// run the request, and count among those that it may be sent to.
+    fn drop(&mut self) {
+        for attempt in &self.running {
+            self.dispatch
+                .record_sent_to(&attempt.selected.id, AttemptOutcome::Unknown);
+        }
     }
 }
 
