Review: streams that callers take up are lost on new connections (LOST)

Seen: one of two entries is killed. The streams that ran through it are taken up at the other entry, at once. The servers run them, but the entry holds back what they send for about three seconds and answers 502, or the callers give up.

Suspected cause: where servers name no start time, may_continue_at (crates/front/src/origin_proof.rs) lets the rest of a stream come only from a connection that is three seconds old.

--- a/review/stand/src/lib.rs
+++ b/review/stand/src/lib.rs
@@ -533,6 +533,12 @@
         Some(Self(BufReader::new(stream)))
     }
 
+    /// Sets the longest wait for the next bytes.
+    pub fn set_gap(&self, gap: Duration) {
+        let gap = gap.max(Duration::from_millis(1));
+        let _ = self.0.get_ref().set_read_timeout(Some(gap));
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> bool {
         self.0.get_mut().write_all(bytes).is_ok()
     }
