--- a/review/stand/src/bin/extra.rs
+++ b/review/stand/src/bin/extra.rs
@@ -73,7 +73,7 @@
         store.put(&format!("servers/{id}"), Some(&spec));
         servers.push(server);
     }
-    let entry = Entry::start(&setup.root, &setup.folder, "client_facing_1", setup.ip(1), store.address);
+    let entry = Entry::start(&setup.root, &setup.folder, &format!("{}-1", name("class")), setup.ip(1), store.address);
     if !entry.wait_until_ready() {
         record.line("the entry did not become ready");
         drop(entry);
--- a/review/stand/src/bin/resume.rs
+++ b/review/stand/src/bin/resume.rs
@@ -193,7 +193,7 @@
     let mut entries: Vec<Entry> = [1_u8, 2]
         .iter()
         .map(|number| {
-            let node = format!("client_facing_{number}");
+            let node = format!("{}-{number}", name("class"));
             Entry::start(&setup.root, &setup.folder, &node, setup.ip(20 + number), store.address)
         })
         .collect();
@@ -231,7 +231,7 @@
         .collect();
     sleep(KILL_AFTER);
     if setup.has_trouble {
-        record.line("entry client_facing_1 is killed");
+        record.line("the first entry is killed");
         killed.store(1, Ordering::Relaxed);
         drop(entries.remove(0));
     }
