--- a/review/stand/src/bin/reborn.rs
+++ b/review/stand/src/bin/reborn.rs
@@ -46,6 +46,8 @@
     version: AtomicU64,
     born: AtomicU64,
     open: Mutex<Vec<TcpStream>>,
+    /// Streams that it writes now.
+    running: AtomicU64,
     record: Record,
     store: Store,
 }
@@ -103,15 +105,17 @@
             request.id(),
             name("signature")
         ));
+        self.running.fetch_add(1, Ordering::SeqCst);
         for number in after + 1..=EVENTS {
             sleep(PAUSE);
             let event = format!("id: {number}\ndata: piece {number} of version {version}\n\n");
             is_open = is_open && write(format!("{:x}\r\n{event}\r\n", event.len()));
             if !is_open {
-                return false;
+                break;
             }
         }
-        write("0\r\n\r\n".to_owned())
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        is_open && write("0\r\n\r\n".to_owned())
     }
 
     fn crash(&self) {
@@ -237,6 +241,7 @@
                 version: AtomicU64::new(1),
                 born: AtomicU64::new(unix_ms()),
                 open: Mutex::default(),
+                running: AtomicU64::new(0),
                 record: record.clone(),
                 store: store.clone(),
             });
@@ -305,16 +310,18 @@
         .collect();
     sleep(CUT_AT);
     if setup.has_trouble {
-        let node = &nodes[0];
-        record.line("server i-1 is cut off from the store, and crashes");
+        // One that has nothing to do at the moment.
+        let idle = nodes.iter().find(|node| node.running.load(Ordering::SeqCst) == 0);
+        let node = idle.expect("two callers leave three servers idle");
+        record.line(&format!("server {} is cut off from the store, and crashes", node.id));
         node.is_cut.store(true, Ordering::SeqCst);
         node.crash();
         sleep(DOWN);
         node.start_again(2);
-        record.line("server i-1 has started again, with version 2");
+        record.line(&format!("server {} has started again, with version 2", node.id));
         sleep(CUT - DOWN);
         node.is_cut.store(false, Ordering::SeqCst);
-        record.line("server i-1 reaches the store again");
+        record.line(&format!("server {} reaches the store again", node.id));
     }
     for caller in callers {
         let _ = caller.join();
