--- a/review/stand/src/bin/extra.rs
+++ b/review/stand/src/bin/extra.rs
@@ -98,12 +98,11 @@
                             None => return,
                         },
                     };
+                    record.line(&format!("client sends {id}"));
                     client.send(&request("POST", "/order/1", &id, 4_000, "one cylinder"));
                     let answer = client.answer();
                     let status = answer.as_ref().map_or(0, |answer| answer.status());
-                    if status != 200 {
-                        record.line(&format!("client gets {status} for {id}"));
-                    }
+                    record.line(&format!("client gets {status} for {id}"));
                     let closes = answer.is_none_or(|answer| answer.header("connection") == Some("close"));
                     if closes {
                         connection = None;
--- a/review/stand/src/bin/reborn.rs
+++ b/review/stand/src/bin/reborn.rs
@@ -195,7 +195,7 @@
     }
 }
 
-fn ask(address: SocketAddr, id: &str, left: Duration, resumes: Option<(&str, u64)>) -> Message {
+fn ask(record: &Record, address: SocketAddr, id: &str, left: Duration, resumes: Option<(&str, u64)>) -> Message {
     let resumes = resumes.map_or(String::new(), |(first, last)| {
         format!("{}: {last}\r\n{}: {first}\r\n", name("last"), name("resumes"))
     });
@@ -210,8 +210,12 @@
         return Message::default();
     };
     client.set_gap(GAP.min(left));
+    record.line(&format!("client sends {id}"));
     client.send(request.as_bytes());
-    client.answer().unwrap_or_default()
+    let answer = client.answer().unwrap_or_default();
+    let (status, whole) = (answer.status(), answer.complete);
+    record.line(&format!("client gets {status} for {id}, whole: {whole}"));
+    answer
 }
 
 #[derive(Default, Debug)]
@@ -276,14 +280,14 @@
                     }
                     let began_at = Instant::now();
                     let id = format!("s-{number}-{round}");
-                    let answer = ask(address, &id, DEADLINE, None);
+                    let answer = ask(&record, address, &id, DEADLINE, None);
                     let (mut versions, last) = pieces(&answer, 0);
                     let mut is_whole = answer.complete && last == EVENTS;
                     let mut taken_up = None;
                     if last > 0 && !is_whole {
                         let left = DEADLINE.saturating_sub(began_at.elapsed());
                         let again = format!("{id}-again");
-                        let rest = ask(address, &again, left, Some((&id, last)));
+                        let rest = ask(&record, address, &again, left, Some((&id, last)));
                         let (more, end) = pieces(&rest, last);
                         is_whole = rest.complete && end == EVENTS;
                         record.line(&format!(
--- a/review/stand/src/bin/resume.rs
+++ b/review/stand/src/bin/resume.rs
@@ -96,8 +96,12 @@
             return Message::default();
         };
         client.set_gap(GAP.min(left));
+        self.record.line(&format!("client sends {id}"));
         client.send(request.as_bytes());
-        client.answer().unwrap_or_default()
+        let answer = client.answer().unwrap_or_default();
+        let (status, whole) = (answer.status(), answer.complete);
+        self.record.line(&format!("client gets {status} for {id}, whole: {whole}"));
+        answer
     }
 
     /// Asks for one stream; if it breaks off, takes it up once at the other entry.
