--- a/review/stand/src/bin/extra.rs
+++ b/review/stand/src/bin/extra.rs
@@ -1,4 +1,4 @@
-//! A faulty server sends additional bytes after 2 in 100 of its complete answers, late:
+//! For five seconds, a faulty server sends additional bytes after 3 in 100 of its complete answers, late:
 //! when the next request has come on the connection. The bytes are the answer of a server
 //! that sheds, as `fleetbench wire` shows it. They name no request.
 
@@ -10,15 +10,22 @@
 use std::time::{Duration, Instant};
 
 /// How long the clients send.
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(20);
 
-/// Additional bytes follow one answer in this many of the faulty server: 2 in 100.
-const EXTRA_EACH: usize = 50;
+/// When, from the start of traffic, the server is faulty, and for how long.
+const FAULTY_AT: Duration = Duration::from_secs(5);
+const FAULTY: Duration = Duration::from_secs(5);
+
+/// Additional bytes follow one answer in this many of the faulty server: under 3 in 100.
+const EXTRA_EACH: usize = 34;
 
 #[derive(Default)]
 struct Seen {
     /// How often each request ran.
     ran: BTreeMap<String, Vec<String>>,
+    /// When traffic started.
+    begin: Option<Instant>,
+    /// Answers of the faulty server while it is faulty.
     answers: usize,
     extras: usize,
 }
@@ -61,8 +68,10 @@
                 let answer = exchange.success();
                 if is_faulty {
                     let mut seen = seen.lock().unwrap();
-                    seen.answers += 1;
-                    if has_trouble && extra.is_empty() && seen.answers % EXTRA_EACH == 0 {
+                    let since = seen.begin.map_or(Duration::ZERO, |begin| begin.elapsed());
+                    let faulty = (FAULTY_AT..FAULTY_AT + FAULTY).contains(&since);
+                    seen.answers += usize::from(faulty);
+                    if has_trouble && faulty && extra.is_empty() && seen.answers % EXTRA_EACH == 0 {
                         *exchange.late = additional_bytes();
                     }
                 }
@@ -81,9 +90,10 @@
     }
     sleep(Duration::from_millis(500));
     let begin = Instant::now();
+    seen.lock().unwrap().begin = Some(begin);
     let answers: Arc<Mutex<BTreeMap<String, u16>>> = Arc::default();
     let number = Arc::new(AtomicUsize::new(0));
-    let clients: Vec<_> = (0..4)
+    let clients: Vec<_> = (0..5)
         .map(|_| {
             let (answers, record, number) = (Arc::clone(&answers), record.clone(), Arc::clone(&number));
             let address = entry.callers;
@@ -127,7 +137,7 @@
         .collect();
     let served = answers.values().filter(|status| **status == 200).count();
     record.line(&format!(
-        "{} requests, {served} served; the faulty server gave {} answers and {} times additional bytes",
+        "{} requests, {served} served; in the five seconds the faulty server gave {} answers and {} times additional bytes",
         answers.len(),
         seen.answers,
         seen.extras
--- a/review/stand/src/bin/resume.rs
+++ b/review/stand/src/bin/resume.rs
@@ -237,7 +237,11 @@
     if setup.has_trouble {
         record.line("the first entry is killed");
         killed.store(1, Ordering::Relaxed);
-        drop(entries.remove(0));
+        entries[0].kill();
+        // The platform starts it again after a short delay; nobody is sent to it.
+        sleep(Duration::from_secs(1));
+        entries[0].start_again(&setup.root, &setup.folder, &format!("{}-1", name("class")));
+        record.line("the first entry has been started again");
     }
     for caller in callers {
         let _ = caller.join();
