Review case 4: sound requests are refused with the part that crashes servers

Seen: prompts with two shared parts and a third that crashes servers come after a minute without such prompts. Three servers crash; from then on 0 of 44 sound requests with the two parts begin, all get 503 at once, and 44 of 44 with other parts begin.

Suspected cause: SuspectParts refuses all three parts together, and admit lets no request with two refused parts probe one, so nothing releases them before the record is forgotten.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of the deploy file and review/build-2.sh first" >&2
   exit 2
 }
-exec timeout --signal=TERM 115 review/stand-2/target/release/stand-2 taken-up review/4
+exec timeout --signal=TERM 115 review/stand-2/target/release/stand-2 part review/4
--- a/review/stand-2/src/case_taken_up.rs
+++ b/review/stand-2/src/case_taken_up.rs
@@ -17,6 +17,9 @@
 const EVENTS: u64 = 86;
 
 const DEADLINE_MS: u64 = 15_000;
+
+/// The part of the prompt that all streams share.
+const SHARED: &str = "5c1e07a2:1150";
 const WAVES: u64 = 4;
 const FIRST_WAVE_MS: u64 = 4_000;
 const WAVE_INTERVAL_MS: u64 = 9_000;
@@ -58,7 +61,7 @@
     let record = lab.record.clone();
     let (at_killed, is_new) = flags;
     move || {
-        let request = Ask { id: id.clone(), events: EVENTS, goes_on: None, deadline_ms: DEADLINE_MS };
+        let request = Ask { id: id.clone(), events: EVENTS, goes_on: None, deadline_ms: DEADLINE_MS, shared: SHARED.to_owned() };
         let first = ask(front, &request, &record);
         let mut second = None;
         if let Some(last) = first.last_event
--- a/review/stand-2/src/case_two_runs.rs
+++ b/review/stand-2/src/case_two_runs.rs
@@ -20,6 +20,9 @@
 
 const EVENTS: u64 = 12;
 const DEADLINE_MS: u64 = 15_000;
+
+/// The part of the prompt that all streams share.
+const SHARED: &str = "5c1e07a2:1150";
 const WAVES: usize = 2;
 const INTERVAL_MS: u64 = 20_000;
 
@@ -35,7 +38,7 @@
         for (index, front) in fronts.iter().enumerate() {
             let (front, record, sender) = (*front, lab.record.clone(), sender.clone());
             let id = format!("7be1{wave:04x}{index:08x}");
-            let request = Ask { id, events: EVENTS, goes_on: None, deadline_ms: DEADLINE_MS };
+            let request = Ask { id, events: EVENTS, goes_on: None, deadline_ms: DEADLINE_MS, shared: SHARED.to_owned() };
             thread::spawn(move || sender.send(ask(front, &request, &record)));
         }
         thread::sleep(Duration::from_millis(1_000));
--- a/review/stand-2/src/client.rs
+++ b/review/stand-2/src/client.rs
@@ -25,6 +25,16 @@
     /// The last event that the client has, and the id of the try that brought its first.
     pub goes_on: Option<(u64, String)>,
     pub deadline_ms: u64,
+    /// The shared parts of its prompt. Its own part follows.
+    pub shared: String,
+}
+
+impl Ask {
+    /// The parts of the prompt; the last one is the request's own.
+    fn parts(&self) -> String {
+        let own = self.id.bytes().fold(7_u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte));
+        format!("{},{own:x}:310", self.shared)
+    }
 }
 
 pub fn ask(front: SocketAddr, ask: &Ask, record: &Record) -> Try {
@@ -49,7 +59,7 @@
     stream.set_read_timeout(Some(Duration::from_millis(ask.deadline_ms)))?;
     let mut head = format!(
         "POST /summary/visit HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\n{}: {}\r\n{}: m0\r\n\
-         {}: 1460,{}\r\n{}: 5c1e07a2:350,{:x}:1110\r\nContent-Length: 4\r\n",
+         {}: 1460,{}\r\n{}: {}\r\nContent-Length: {}\r\n",
         name("id"),
         ask.id,
         name("deadline"),
@@ -58,7 +68,8 @@
         name("tokens"),
         ask.events * 2,
         name("parts"),
-        ask.id.bytes().fold(7_u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte)),
+        ask.parts(),
+        ask.id.len(),
     );
     if let Some((last, began)) = &ask.goes_on {
         head += &format!("{}: {last}\r\n", name("last"));
@@ -67,7 +78,7 @@
             head += &format!("{}: {began}\r\n", name("resumes"));
         }
     }
-    stream.write_all(format!("{head}\r\nbody").as_bytes())?;
+    stream.write_all(format!("{head}\r\n{}", ask.id).as_bytes())?;
     let mut reader = Reader::new(stream);
     let answer = http::read_head(&mut reader)?;
     result.status = answer.status();
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the review on loopback: `stand-2 CASE FOLDER`. `TROUBLE=0` leaves the
 //! disruption out. Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
 
+mod case_part;
 mod case_taken_up;
 mod case_two_runs;
 mod client;
@@ -35,6 +36,8 @@
     pub fronts: Vec<Front>,
     pub trouble: bool,
     folder: PathBuf,
+    /// Number of servers that were started.
+    started: usize,
 }
 
 /// The zones of the small deployment.
@@ -74,6 +77,7 @@
             Front::new(&folder, &name, ZONES[zone], *ip, store.address, &ips[..3])
         });
         let fronts = fronts.collect();
+        let servers_started = servers.len();
         let mut lab = Self {
             record,
             store,
@@ -81,6 +85,7 @@
             fronts,
             trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
             folder,
+            started: servers_started,
         };
         for front in &mut lab.fronts {
             front.start(true)?;
@@ -92,6 +97,34 @@
         self.fronts.iter().all(Front::wait_ready)
     }
 
+    /// Replaces servers that have crashed by new ones, with new ids, after `after_ms`. The
+    /// entries of the old ones lapse.
+    pub fn replace_crashed(&mut self, after_ms: u64, bad_part: Option<&str>) {
+        for index in 0..self.servers.len() {
+            if !self.servers[index].has_crashed() {
+                continue;
+            }
+            let number = self.started;
+            self.started += 1;
+            let old = self.servers[index].clone();
+            let id = format!("i-{:08x}", 0x5e1f_0000_u32 + number as u32 * 7919);
+            let zone = ZONES[index % ZONES.len()];
+            let started = Server::start(old.address.ip(), (&id, zone, "v1"), old.pace_ms, true, &self.record);
+            let Ok(new) = started else { continue };
+            *new.bad_part.lock().expect("no holder panics") = bad_part.map(str::to_owned);
+            let (store, record, entry) = (self.store.clone(), self.record.clone(), new.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(std::time::Duration::from_millis(after_ms));
+                store.put("servers", &entry.id, Some(&entry.entry()));
+                record.note(format!("server {} is back as {}", old.id, entry.id));
+                // Three heartbeats without a word.
+                std::thread::sleep(std::time::Duration::from_millis(3_600_u64.saturating_sub(after_ms)));
+                store.put("servers", &old.id, None);
+            });
+            self.servers[index] = new;
+        }
+    }
+
     pub fn sleep_until(&self, ms: u64) {
         let left = ms.saturating_sub(self.record.now_ms());
         std::thread::sleep(std::time::Duration::from_millis(left));
@@ -110,6 +143,7 @@
 fn play(case: &str, folder: &Path) -> Result<Verdict, String> {
     let started = match case {
         "taken-up" => Lab::start(6, 6, case_taken_up::PACE_MS),
+        "part" => Lab::start(8, 8, case_part::PACE_MS),
         "two-runs" => Lab::start(18, 2, case_two_runs::PACE_MS),
         other => return Err(format!("unknown case {other}")),
     };
@@ -119,6 +153,7 @@
     }
     lab.record.note("all entries are ready");
     let verdict = match case {
+        "part" => case_part::play(&mut lab),
         "taken-up" => case_taken_up::play(&mut lab),
         _ => case_two_runs::play(&mut lab),
     };
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -4,7 +4,7 @@
 use crate::names::{self, fill, name};
 use crate::record::Record;
 use crate::store::field;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -31,11 +31,15 @@
     record: Record,
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Time for an event, in milliseconds.
-    pace_ms: u64,
+    pub pace_ms: u64,
     /// How many times as long the server takes.
     pub slowness: Arc<AtomicU64>,
     orders: Arc<AtomicU64>,
     holds_model: bool,
+    /// A part of prompts on which the server crashes.
+    pub bad_part: Arc<Mutex<Option<String>>>,
+    /// Open connections, and whether the server has crashed.
+    open: Arc<Mutex<(Vec<TcpStream>, bool)>>,
 }
 
 impl Server {
@@ -58,15 +62,51 @@
             slowness: Arc::new(AtomicU64::new(1)),
             orders: Arc::default(),
             holds_model,
+            bad_part: Arc::default(),
+            open: Arc::default(),
         };
         let serving = server.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let server = serving.clone();
+        listener.set_nonblocking(true)?;
+        std::thread::spawn(move || serving.accept(&listener));
+        Ok(server)
+    }
+
+    /// Accepts connections until the server crashes, which closes the listener.
+    fn accept(&self, listener: &TcpListener) {
+        while !self.has_crashed() {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let kept = stream.set_nonblocking(false).and_then(|()| stream.try_clone());
+            if let Ok(kept) = kept {
+                self.open.lock().expect("no holder panics").0.push(kept);
+                let server = self.clone();
                 std::thread::spawn(move || server.connection(stream));
             }
-        });
-        Ok(server)
+        }
+    }
+
+    pub fn has_crashed(&self) -> bool {
+        self.open.lock().expect("no holder panics").1
+    }
+
+    /// Ends the server: it accepts nothing, and its connections end.
+    fn crash(&self) {
+        self.open.lock().expect("no holder panics").1 = true;
+        std::thread::sleep(Duration::from_millis(10));
+        let connections = std::mem::take(&mut self.open.lock().expect("no holder panics").0);
+        for connection in connections {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Whether the prompt has the part on which the server crashes.
+    fn is_bad(&self, request: &Message) -> bool {
+        let bad_part = self.bad_part.lock().expect("no holder panics").clone();
+        let parts = request.header(name("parts")).unwrap_or_default();
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        bad_part.is_some_and(|bad| ids.any(|id| id == bad))
     }
 
     /// What the server writes of itself into the store.
@@ -145,6 +185,12 @@
         std::thread::sleep(Duration::from_millis(PREFILL_MS));
         let run = self.begin(&id, after);
         let written = std::io::Write::write_all(out, head.as_bytes());
+        if self.is_bad(request) {
+            self.record.note(format!("server {} crashes as it answers {id}", self.id));
+            self.crash();
+            self.end(run, &id, false);
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
         let written = written.and_then(|()| self.events(out, &id, after, events));
         let whole = written.is_ok();
         self.end(run, &id, whole);
