Review case 6: a rolling restart of two entries loses the streams that it hands over

Seen: the two entries of a zone get SIGTERM 5 s apart and are started again, with no fault beside it. The streams of the second are taken up at the first, started 4 s before, ready and in touch: servers run them, the entry passes nothing on for 4 s and answers 502.

--- a/review/stand-2/src/front.rs
+++ b/review/stand-2/src/front.rs
@@ -8,6 +8,12 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 pub struct Front {
     pub name: String,
     pub ip: IpAddr,
@@ -71,12 +77,22 @@
     }
 
     fn is_ready(&self) -> io::Result<bool> {
-        let mut stream = crate::http::connect(SocketAddr::new(self.ip, 8141))?;
-        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-        stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text)?;
-        Ok(text.starts_with("HTTP/1.1 200"))
+        is_ready(self.ip)
+    }
+
+    /// Asks the process to end, as the platform does.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            // SAFETY: the call only sends a signal to a process that was started here and
+            // has not been waited for.
+            unsafe { kill(child.id().cast_signed(), SIGTERM) };
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().map(|child| matches!(child.try_wait(), Ok(Some(_))));
+        ended.unwrap_or(true)
     }
 
     pub fn kill(&mut self) {
@@ -92,3 +108,13 @@
         self.kill();
     }
 }
+
+/// What the platform asks each second.
+pub fn is_ready(ip: IpAddr) -> io::Result<bool> {
+    let mut stream = crate::http::connect(SocketAddr::new(ip, 8141))?;
+    stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+    stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text.starts_with("HTTP/1.1 200"))
+}
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -2,6 +2,7 @@
 //! disruption out. Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
 
 mod case_part;
+mod case_rolled;
 mod case_taken_up;
 mod case_two_runs;
 mod client;
@@ -44,7 +45,7 @@
 pub const ZONES: [&str; 3] = ["spanish-town", "newport-west", "halfway-tree"];
 
 /// Zones of its four entries.
-const FRONT_ZONES: [usize; 4] = [0, 0, 1, 2];
+pub const FRONT_ZONES: [usize; 4] = [0, 0, 1, 2];
 
 impl Lab {
     /// Starts a store, `servers` servers of which the first `holders` hold the model, and
@@ -144,6 +145,7 @@
     let started = match case {
         "taken-up" => Lab::start(6, 6, case_taken_up::PACE_MS),
         "part" => Lab::start(8, 8, case_part::PACE_MS),
+        "rolled" => Lab::start(6, 6, case_rolled::PACE_MS),
         "two-runs" => Lab::start(18, 2, case_two_runs::PACE_MS),
         other => return Err(format!("unknown case {other}")),
     };
@@ -154,6 +156,7 @@
     lab.record.note("all entries are ready");
     let verdict = match case {
         "part" => case_part::play(&mut lab),
+        "rolled" => case_rolled::play(&mut lab),
         "taken-up" => case_taken_up::play(&mut lab),
         _ => case_two_runs::play(&mut lab),
     };
