--- a/review/stand-2/src/case_part.rs
+++ b/review/stand-2/src/case_part.rs
@@ -22,8 +22,8 @@
 
 /// When the sound requests come first, and again; when those with the bad part come.
 const FIRST_MS: (u64, u64) = (6_000, 11_000);
-const BAD_MS: (u64, u64) = (72_000, 104_000);
-const AGAIN_MS: (u64, u64) = (82_000, 104_000);
+const BAD_MS: (u64, u64) = (68_000, 92_000);
+const AGAIN_MS: (u64, u64) = (76_000, 92_000);
 
 const SOUND_INTERVAL_MS: u64 = 160;
 const AGAIN_INTERVAL_MS: u64 = 500;
@@ -55,7 +55,7 @@
     Flow { kind: Kind::Sound, shared: SOUND, span: FIRST_MS, interval_ms: SOUND_INTERVAL_MS },
     Flow { kind: Kind::Sound, shared: SOUND, span: AGAIN_MS, interval_ms: AGAIN_INTERVAL_MS },
     Flow { kind: Kind::Bad, shared: BAD, span: BAD_MS, interval_ms: BAD_INTERVAL_MS },
-    Flow { kind: Kind::Other, shared: OTHER, span: (6_000, 104_000), interval_ms: OTHER_INTERVAL_MS },
+    Flow { kind: Kind::Other, shared: OTHER, span: (6_000, 92_000), interval_ms: OTHER_INTERVAL_MS },
 ];
 
 /// How much longer the requests come than the case needs (`LONGER_MS`).
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -50,8 +50,7 @@
 impl Lab {
     /// Starts a store, `servers` servers of which the first `holders` hold the model, and
     /// four entries.
-    fn start(servers: usize, holders: usize, pace_ms: u64) -> std::io::Result<Self> {
-        let record = Record::start();
+    fn start(record: Record, servers: usize, holders: usize, pace_ms: u64) -> std::io::Result<Self> {
         let process = std::process::id();
         let ip = |host: u8| {
             let (high, low) = ((process >> 8) as u8, process as u8);
@@ -142,15 +141,22 @@
 }
 
 fn play(case: &str, folder: &Path) -> Result<Verdict, String> {
+    let record = Record::start(&folder.join("record.txt")).map_err(|error| error.to_string())?;
+    record.note(format!("case {case}"));
+    let noted = record.clone();
     let started = match case {
-        "taken-up" => Lab::start(6, 6, case_taken_up::PACE_MS),
-        "part" => Lab::start(8, 8, case_part::PACE_MS),
-        "rolled" => Lab::start(6, 6, case_rolled::PACE_MS),
-        "two-runs" => Lab::start(18, 2, case_two_runs::PACE_MS),
+        "taken-up" => Lab::start(record, 18, 18, case_taken_up::PACE_MS),
+        "part" => Lab::start(record, 18, 18, case_part::PACE_MS),
+        "rolled" => Lab::start(record, 18, 18, case_rolled::PACE_MS),
+        "two-runs" => Lab::start(record, 18, 2, case_two_runs::PACE_MS),
         other => return Err(format!("unknown case {other}")),
     };
-    let mut lab = started.map_err(|error| error.to_string())?;
+    let mut lab = started.map_err(|error| {
+        noted.note(format!("the play could not start: {error}"));
+        error.to_string()
+    })?;
     if !lab.wait_ready() {
+        noted.note("an entry did not become ready");
         return Ok(Verdict::NotRun("an entry did not become ready".to_owned()));
     }
     lab.record.note("all entries are ready");
@@ -160,10 +166,12 @@
         "taken-up" => case_taken_up::play(&mut lab),
         _ => case_two_runs::play(&mut lab),
     };
-    let record = lab.record.clone();
     drop(lab);
-    let path = folder.join("record.txt");
-    std::fs::write(path, record.text()).map_err(|error| error.to_string())?;
+    noted.note(match &verdict {
+        Verdict::Held => "the rule held".to_owned(),
+        Verdict::Broken => "the rule was broken".to_owned(),
+        Verdict::NotRun(why) => format!("the case could not run: {why}"),
+    });
     Ok(verdict)
 }
 
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -75,7 +75,7 @@
     fn accept(&self, listener: &TcpListener) {
         while !self.has_crashed() {
             let Ok((stream, _)) = listener.accept() else {
-                std::thread::sleep(Duration::from_millis(1));
+                std::thread::sleep(Duration::from_millis(2));
                 continue;
             };
             let kept = stream.set_nonblocking(false).and_then(|()| stream.try_clone());
