--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -25,6 +25,7 @@
 pub use changes::{ChangeKind, UpstreamChange};
 pub use liveness::Activity;
 pub use rate::{RateLimit, RateNotice};
+pub use software::NoSoleVersion;
 pub use upstream::{Upstream, Usage};
 
 /// Time after the platform's return in which a missing record may only have expired
--- a/crates/direct/src/fleet/software.rs
+++ b/crates/direct/src/fleet/software.rs
@@ -15,19 +15,39 @@
     until: Option<Instant>,
 }
 
+/// Why no version is known to have been the only one of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSoleVersion {
+    /// The upstreams have not been known for as long as a stream may last.
+    ShortHistory,
+    /// Several versions have served, or the version of an upstream is unknown.
+    SeveralVersions,
+}
+
 impl Fleet {
     /// Returns where a stream of the service began that can't be older than `age_ms`, if
     /// all upstreams of the service that were known in this time ran one version.
+    ///
+    /// # Errors
+    ///
+    /// It isn't known that they did.
     pub fn sole_origin(
         &self,
         now: Instant,
         service: &Arc<str>,
         age_ms: u64,
-    ) -> Option<StreamOrigin> {
-        let complete_ms = now.ms_since(self.complete_since?);
-        if age_ms > complete_ms || age_ms > FORGET_MS {
-            return None;
+    ) -> Result<StreamOrigin, NoSoleVersion> {
+        let since = self.complete_since.ok_or(NoSoleVersion::ShortHistory)?;
+        if age_ms > now.ms_since(since) || age_ms > FORGET_MS {
+            return Err(NoSoleVersion::ShortHistory);
         }
+        self.sole_version(service)
+            .ok_or(NoSoleVersion::SeveralVersions)
+    }
+
+    /// Returns the origin of the streams of a service, if all its upstreams that are
+    /// remembered ran one version.
+    fn sole_version(&self, service: &Arc<str>) -> Option<StreamOrigin> {
         let mut upstreams = self.of_service(service);
         let first = upstreams.next()?;
         let version = first.record.software_version.as_ref()?;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -123,7 +123,8 @@
 pub use estimate_correction::EstimateCorrections;
 pub use event_sampler::EventSampler;
 pub use fleet::{
-    Activity, ChangeKind, Fleet, RateLimit, RateNotice, Upstream, UpstreamChange, Usage,
+    Activity, ChangeKind, Fleet, NoSoleVersion, RateLimit, RateNotice, Upstream,
+    UpstreamChange, Usage,
 };
 pub use intake::{INTAKE_INTERVAL_MS, IntakeLimit};
 pub use lease::{Lease, LeaseRecord, LeaseStep};
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -2,9 +2,9 @@
 
 use crate::support::{at, cases, name, record, record_with_start};
 use direct::{
-    Fleet, OriginProof, SelectionError, SelectionInput, SoftwareVersion, StreamId,
-    StreamOrigin, StreamOrigins, UpstreamIncarnation, UpstreamRecord, origin_keepers,
-    origin_keepers_to_ask, select_upstream,
+    Fleet, NoSoleVersion, OriginProof, SelectionError, SelectionInput, SoftwareVersion,
+    StreamId, StreamOrigin, StreamOrigins, UpstreamIncarnation, UpstreamRecord,
+    origin_keepers, origin_keepers_to_ask, select_upstream,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -285,21 +285,23 @@
 fn a_sole_version_is_certain_after_a_streams_longest_time() {
     let service = name("oracle");
     let mut both = fleet(&[("1", "v1"), ("2", "v1")]);
-    assert_eq!(both.sole_origin(at(900), &service, 1_000), None);
+    let short = Err(NoSoleVersion::ShortHistory);
+    assert_eq!(both.sole_origin(at(900), &service, 1_000), short);
     let sole = both.sole_origin(at(1_000), &service, 1_000);
-    assert_eq!(sole, Some(origin("oracle", "v1")));
-    assert_eq!(both.sole_origin(at(90_000), &service, 80_000), None);
+    assert_eq!(sole, Ok(origin("oracle", "v1")));
+    assert_eq!(both.sole_origin(at(90_000), &service, 80_000), short);
     // One that has left since counts, and one that runs another version now.
     both.apply_update(6, versioned("3", "v2"));
     both.remove(at(1_100), "3", 7);
-    assert_eq!(both.sole_origin(at(1_200), &service, 1_000), None);
+    let several = Err(NoSoleVersion::SeveralVersions);
+    assert_eq!(both.sole_origin(at(1_200), &service, 1_000), several);
     let mut changed = fleet(&[("1", "v1")]);
     changed.apply_update(6, versioned("1", "v2"));
-    assert_eq!(changed.sole_origin(at(1_200), &service, 1_000), None);
+    assert_eq!(changed.sole_origin(at(1_200), &service, 1_000), several);
     changed.forget_gone(at(1_200));
-    assert_eq!(changed.sole_origin(at(9_000), &service, 1_000), None);
+    assert_eq!(changed.sole_origin(at(9_000), &service, 1_000), several);
     changed.forget_gone(at(61_300));
-    assert!(changed.sole_origin(at(61_300), &service, 1_000).is_some());
+    assert!(changed.sole_origin(at(61_300), &service, 1_000).is_ok());
 }
 
 #[test]
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -388,10 +388,9 @@
     /// Counts a request that is refused for lack of capacity, for the placement of its
     /// model.
     fn count_refused_demand(&self) {
-        let reason = self.attempts.last();
-        let reason = reason.and_then(|attempt| attempt["unpicked"].as_str());
-        let for_capacity =
-            reason.is_some_and(|reason| CAPACITY_REFUSALS.contains(&reason));
+        let for_capacity = self
+            .unselected_reason()
+            .is_some_and(|reason| CAPACITY_REFUSALS.contains(&reason));
         if let Some((model, _)) = &self.request.head.model
             && for_capacity
         {
--- a/crates/front/src/dispatch/record.rs
+++ b/crates/front/src/dispatch/record.rs
@@ -123,6 +123,11 @@
         self.record_end(outcome, self.response_status.unwrap_or(0));
     }
 
+    /// Returns why no upstream was selected last, if that is how the attempts ended.
+    pub(super) fn unselected_reason(&self) -> Option<&str> {
+        self.attempts.last()?["unpicked"].as_str()
+    }
+
     /// Returns how far the request has come.
     const fn progress(&self) -> Progress {
         if self.first_response_ms.is_some() {
@@ -148,6 +153,11 @@
             .requests_ended
             .with_label_values(&[route, outcome])
             .inc();
+        if self.request.origin.is_some() {
+            let outcome = self.unselected_reason().unwrap_or(outcome);
+            let ended = &node.metrics.resumptions_ended;
+            ended.with_label_values(&[outcome]).inc();
+        }
         let histogram = node.metrics.full_response_s.with_label_values(&[route]);
         histogram.observe(ms as f64 / 1_000.0);
         let longest_pause_ms = self.pauses.longest_ms();
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) responses_too_large: IntCounterVec,
     /// Streams that callers take up, by how their origin is known.
     pub(crate) streams_taken_up: IntCounterVec,
+    /// Requests for the rest of a stream whose origin is known, by how they ended.
+    pub(crate) resumptions_ended: IntCounterVec,
     /// Orders, by action and outcome.
     pub(crate) orders: IntCounterVec,
     /// Calls to the platform, by object and outcome.
@@ -138,6 +140,11 @@
             "Streams that callers take up",
             &["origin"],
         );
+        let resumptions_ended = counter(
+            "sesame_front_resumptions_ended_total",
+            "Requests for the rest of a stream whose origin is known",
+            &["outcome"],
+        );
         let orders = counter(
             "sesame_front_orders_total",
             "Orders to upstreams",
@@ -285,6 +292,7 @@
             part_refusals,
             responses_too_large,
             streams_taken_up,
+            resumptions_ended,
             orders,
             platform_calls,
             peer_messages,
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -8,8 +8,8 @@
 use access::Workspace;
 use base::prelude::*;
 use direct::{
-    OriginProof, Route, SoftwareVersion, StreamId, StreamOrigin, origin_keepers,
-    origin_keepers_to_ask,
+    NoSoleVersion, OriginProof, Route, SoftwareVersion, StreamId, StreamOrigin,
+    origin_keepers, origin_keepers_to_ask,
 };
 use prost::Message;
 use schema::peer::{PeerNews, StreamOrigin as OriginMessage};
@@ -117,6 +117,9 @@
     SeveralServices,
     /// The same, and another version may serve without this entry knowing.
     OldNews,
+    /// The same, and this entry has not known the upstreams for as long as a stream may
+    /// last.
+    ShortHistory,
     /// The same, and several versions have served.
     SeveralVersions,
     /// Its upstream has started again, and runs another version or did so before its
@@ -134,6 +137,7 @@
         match self {
             Self::SeveralServices => "several_services",
             Self::OldNews => "old_news",
+            Self::ShortHistory => "short_history",
             Self::SeveralVersions => "several_versions",
             Self::Restarted => "restarted",
             Self::Unconfirmed => "unconfirmed",
@@ -154,7 +158,10 @@
     let age_max_ms = route.timeout_ms.saturating_mul(STREAM_AGE_MAX_TIMEOUTS);
     let fleet = node.fleet.lock();
     let origin = fleet.sole_origin(now, service, age_max_ms);
-    origin.ok_or(UnknownOrigin::SeveralVersions)
+    origin.map_err(|reason| match reason {
+        NoSoleVersion::ShortHistory => UnknownOrigin::ShortHistory,
+        NoSoleVersion::SeveralVersions => UnknownOrigin::SeveralVersions,
+    })
 }
 
 /// Returns the origin unless it is in doubt, or its service has left the route.
