Record in the platform where streams began

After a kill of all entries callers got 503 (2016) for every stream that they took up: the keepers of its origin were entries, and what they knew ended with them. Four more tests: two kills, the old version just gone, restores, the platform away.

--- a/crates/direct/src/fleet/software.rs
+++ b/crates/direct/src/fleet/software.rs
@@ -1,6 +1,7 @@
 //! Versions of the upstreams' software.
 
 use base::prelude::*;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{FORGET_MS, Fleet};
@@ -45,6 +46,18 @@
             .ok_or(NoSoleVersion::SeveralVersions)
     }
 
+    /// Whether the upstreams of a service that are remembered ran several versions.
+    pub fn has_several_versions(&self) -> bool {
+        let mut versions: BTreeMap<&str, &Arc<str>> = BTreeMap::new();
+        let mut earlier = self.earlier_software.iter();
+        let mut is_other =
+            |service, version| *versions.entry(service).or_insert(version) != version;
+        self.upstreams.values().any(|known| {
+            let version = known.record.software_version.as_ref();
+            version.is_some_and(|version| is_other(&known.record.service, version))
+        }) || earlier.any(|earlier| is_other(&earlier.service, &earlier.version))
+    }
+
     /// Returns the origin of the streams of a service, if all its upstreams that are
     /// remembered ran one version.
     fn sole_version(&self, service: &Arc<str>) -> Option<StreamOrigin> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -79,6 +79,7 @@
 mod move_delay;
 mod order;
 mod origin_keepers;
+mod origin_segments;
 mod pace;
 mod packed_uses;
 mod peer_messages;
@@ -140,6 +141,7 @@
 pub use move_delay::{MoveDelay, MoveObstacle};
 pub use order::{Order, OrderAction, OrderAnswer, SendOutcome};
 pub use origin_keepers::{origin_keepers, origin_keepers_to_ask};
+pub use origin_segments::{OriginSegment, OriginSegments, origin_write_interval_ms};
 pub use packed_uses::IncarnationIndex;
 pub use peer_messages::{
     HOLDINGS_RESEND_MS, MessageRounds, holdings_message_count,
--- a/crates/direct/src/stream_origin.rs
+++ b/crates/direct/src/stream_origin.rs
@@ -50,7 +50,8 @@
     /// Version of the upstream's software; `None` if it was not known when the stream
     /// began. Such a stream can't be resumed.
     pub software: Option<SoftwareVersion>,
-    /// Upstream that brought the first event.
+    /// Upstream that brought the first event; empty if only its version was recorded, as
+    /// nothing remains to be asked.
     pub upstream: Arc<str>,
     /// What the version was concluded from.
     pub proof: OriginProof,
@@ -147,6 +148,11 @@
         }
     }
 
+    /// The remembered streams.
+    pub fn ids(&self) -> impl Iterator<Item = StreamId> {
+        self.streams.keys().copied()
+    }
+
     /// Number of remembered streams.
     pub fn len(&self) -> usize {
         self.streams.len()
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod liveness;
 mod load_planner;
 mod message_detail;
+mod origin_segments;
 mod pace;
 mod pace_load;
 mod packed_uses;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -41,6 +41,7 @@
 mod options;
 mod orders;
 mod origin_proof;
+mod origin_records;
 mod packed_batches;
 mod pauses;
 mod peers;
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -55,6 +55,8 @@
     /// Time without contact to the platform after which its last known state no
     /// longer counts as current.
     pub platform_freshness_ms: u64,
+    /// Writes a second that the platform accepts from all entries together.
+    pub platform_writes_per_s: f64,
 }
 
 /// Keys of the platform objects that this process reads and writes.
@@ -72,4 +74,6 @@
     pub entry_prefix: String,
     /// Key prefix of the refused parts of prompts.
     pub refused_part_prefix: String,
+    /// Key prefix of the records of where streams began.
+    pub stream_origin_prefix: String,
 }
--- a/crates/front/src/refused_parts.rs
+++ b/crates/front/src/refused_parts.rs
@@ -171,7 +171,7 @@
     format!("{}{name:016x}", node.options.keys.refused_part_prefix)
 }
 
-fn unix_now_ms() -> u64 {
+pub(crate) fn unix_now_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, |now| now.as_millis() as u64)
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -14,6 +14,7 @@
 use crate::coordinator::coordinate;
 use crate::intake::limit_intake;
 use crate::orders::maintain_lease;
+use crate::origin_records::record_origins;
 use crate::peers;
 use crate::platform_watch::{Collection, watch_collection};
 use crate::quota::{Scope, feed_keepers};
@@ -102,6 +103,7 @@
     tokio::spawn(monitor_state(shared()));
     tokio::spawn(limit_intake(shared()));
     tokio::spawn(keep_refused_parts(shared()));
+    tokio::spawn(record_origins(shared()));
     tokio::spawn(report_usage(shared()));
     let flushed_log = node.log.clone();
     tokio::spawn(async move { flushed_log.flush_periodically().await });
--- a/crates/front/src/state/metered_platform.rs
+++ b/crates/front/src/state/metered_platform.rs
@@ -66,6 +66,8 @@
             "upstreams"
         } else if key.starts_with(&keys.refused_part_prefix) {
             "prompt_parts"
+        } else if key.starts_with(&keys.stream_origin_prefix) {
+            "stream_origins"
         } else {
             "setup"
         }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -36,6 +36,7 @@
 use super::unreadable::{ObjectKind, UnreadableObjects, truncated};
 use super::wanted_adapters::WantedAdapters;
 use crate::crash::incarnation_hash_of;
+use crate::origin_records::OriginRecords;
 use crate::quota::Scope;
 use crate::refused_parts::ChangedParts;
 use crate::shared_watch::SharedWatches;
@@ -113,6 +114,8 @@
     pub(crate) peers: Peers,
     /// Where streams began.
     pub(crate) stream_origins: StreamOriginTable,
+    /// Records in the platform of where streams began.
+    pub(crate) origin_records: OriginRecords,
     /// Transfers of state to entries that start.
     pub(crate) start_state: StartState,
     /// The platform watches shared within this failure domain.
@@ -207,6 +210,7 @@
             upstream_quotas: Quotas::new(0.0),
             peers: Peers::new(&options),
             stream_origins: StreamOriginTable::default(),
+            origin_records: OriginRecords::default(),
             start_state: StartState::default(),
             shared_watches: SharedWatches::default(),
             lease: Mutex::new(lease),
--- a/crates/front/src/state/unreadable.rs
+++ b/crates/front/src/state/unreadable.rs
@@ -30,6 +30,8 @@
     Report,
     /// A refused part of prompts.
     RefusedPart,
+    /// A record of where streams began.
+    StreamOrigins,
 }
 
 impl ObjectKind {
@@ -42,6 +44,7 @@
             Self::Entry => "entry",
             Self::Report => "report",
             Self::RefusedPart => "prompt_part",
+            Self::StreamOrigins => "stream_origins",
         }
     }
 }
--- a/crates/front/src/stream_origins.rs
+++ b/crates/front/src/stream_origins.rs
@@ -3,7 +3,8 @@
 //! The entry that forwards a stream's first event sends its origin to a few others first
 //! (see [`direct::origin_keepers`]), so a caller that lost its entry right after that
 //! event is not ahead of the message. An entry that is asked for the rest of a stream
-//! that it doesn't know asks those entries. Where nobody knows, the rest is refused.
+//! that it doesn't know asks those entries, and then reads the platform's records (see
+//! [`origin_records`]). Where nobody knows, the rest is refused.
 
 use access::Workspace;
 use base::prelude::*;
@@ -23,6 +24,7 @@
 use crate::dispatch::{DEFAULT_RETRY_AFTER_MS, Dispatch};
 use crate::in_flight::InFlight;
 use crate::origin_proof::{self, Doubt, origin_at};
+use crate::origin_records;
 use crate::request::DEFAULT_DEADLINE_MS;
 use crate::state::Node;
 use crate::state::caller_request::CallerRequest;
@@ -40,6 +42,10 @@
 /// back later.
 const CONFIRMATION_MAX: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for the records of where streams began. The platform answers within
+/// milliseconds.
+const RECORDS_WAIT_MAX: Duration = Duration::from_millis(1_000);
+
 /// Time for which an origin is kept after its caller's deadline, as the two clocks
 /// start apart.
 const KEEP_MARGIN_MS: u64 = 1_000;
@@ -79,25 +85,18 @@
     if !route.kind.is_stream() || !takes_up {
         return Ok(None);
     }
-    let told = match &head.began_as {
-        Some(request) => {
-            let workspace = workspace.map(|workspace| &*workspace.name);
-            find(node, StreamId::new(workspace, request), max_wait).await
-        }
-        None => None,
-    };
-    let source = if told.is_some() {
-        "told"
-    } else {
-        "sole_version"
-    };
-    let origin = told.map_or_else(|| sole_origin(node, route), Ok);
-    let origin = match origin {
-        Ok(origin) => confirm(node, route, origin, max_wait).await,
+    let stream = head.began_as.as_ref().map(|request| {
+        let workspace = workspace.map(|workspace| &*workspace.name);
+        StreamId::new(workspace, request)
+    });
+    let origin = match known_origin(node, route, stream, max_wait).await {
+        Ok((origin, source)) => confirm(node, route, origin, max_wait)
+            .await
+            .map(|origin| (origin, source)),
         Err(reason) => Err(reason),
     };
     let outcome = match &origin {
-        Ok(_) => source,
+        Ok((_, source)) => source,
         Err(reason) => reason.as_str(),
     };
     let counter = &node.metrics.streams_taken_up;
@@ -107,7 +106,35 @@
         json!({ "id": head.id, "resumes": head.began_as, "route": &*route.name,
             "origin": outcome }),
     );
-    origin.map(Some).map_err(|_| REFUSAL)
+    origin.map(|(origin, _)| Some(origin)).map_err(|_| REFUSAL)
+}
+
+/// Returns where a stream began, and by which source that is known. `stream` is `None` if
+/// the caller doesn't name the request that began it.
+async fn known_origin(
+    node: &Node,
+    route: &Route,
+    stream: Option<StreamId>,
+    max_wait: Duration,
+) -> Result<(StreamOrigin, &'static str), UnknownOrigin> {
+    if let Some(id) = stream
+        && let Some(origin) = find(node, id, max_wait).await
+    {
+        return Ok((origin, "told"));
+    }
+    let reason = match sole_origin(node, route) {
+        Ok(origin) => return Ok((origin, "sole_version")),
+        Err(reason) => reason,
+    };
+    let id = stream.ok_or(reason)?;
+    // Without an answer in time, what earlier reads brought is all that is known.
+    let _ = timeout(
+        max_wait.min(RECORDS_WAIT_MAX),
+        origin_records::refresh(node),
+    )
+    .await;
+    let recorded = node.stream_origins.get(node.now(), id);
+    recorded.map(|origin| (origin, "recorded")).ok_or(reason)
 }
 
 /// Why a stream that is taken up can't go on.
@@ -247,6 +274,8 @@
     send(node, &message, &node.peers.origin_keepers(now, id));
     let mut known = node.stream_origins.known.lock();
     known.insert(id, origin.clone(), expires_at);
+    drop(known);
+    node.origin_records.add(id);
 }
 
 /// Handles a message about the origins of streams. Returns false for any other message.
