Take the name of an upstream whose starts have names of their own for its version

The entry supposed that the upstream may have started again under its name. Where records state no start, each start has a name of its own, and the request names the one that it is for, so the answer itself is the proof. Where they state one, nothing changes.

--- a/crates/direct/src/fleet/settled.rs
+++ b/crates/direct/src/fleet/settled.rs
@@ -65,10 +65,11 @@
     ///
     /// An upstream may start again under its name with another version. Until its new
     /// record was read, streams that begin there are taken for ones of the old version.
-    /// A connection leads to one incarnation. It is not later than that of the record if the
-    /// upstream states that one after the connection was opened, or if a later one would
-    /// have a record by now. So a stream began at the version that both its record and a
-    /// settled one name.
+    /// That can't be where each start has a name of its own: the stream is the answer to a
+    /// request for that name. Elsewhere, a connection leads to one incarnation. It is not
+    /// later than that of the record if the upstream states that one after the connection
+    /// was opened, or if a later one would have a record by now. So a stream began at the
+    /// version that both its record and a settled one name.
     pub fn confirms_origin(&self, origin: &StreamOrigin) -> bool {
         let OriginProof::Recorded {
             started_unix_ms,
@@ -80,6 +81,9 @@
         let Some(known) = self.upstreams.get(&origin.upstream) else {
             return false;
         };
+        if started_unix_ms.is_none() && known.record.started_unix_ms.is_none() {
+            return known.software() == origin.software;
+        }
         let is_stated = known.stated_at.is_some_and(|at| at >= connected_at);
         let is_settled = is_stated || self.settled_records.includes(connected_at);
         let is_behind = known.record.started_unix_ms < started_unix_ms;
--- a/crates/direct/src/records.rs
+++ b/crates/direct/src/records.rs
@@ -31,8 +31,9 @@
 pub struct UpstreamRecord {
     /// Name. An upstream may restart under the same name.
     pub id: Arc<str>,
-    /// Start time of the incarnation, in milliseconds since the Unix epoch, if
-    /// upstreams provide it.
+    /// Start time of the incarnation, in milliseconds since the Unix epoch. `None` if
+    /// upstreams don't provide it; then each start has a name of its own, and an upstream
+    /// doesn't run a request for another name.
     pub started_unix_ms: Option<u64>,
     /// Service that the upstream belongs to.
     pub service: Arc<str>,
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -127,6 +127,24 @@
     assert_eq!(selected(&fleet, &began), doubt);
 }
 
+/// Guards against doubt where there is none: an upstream whose starts have names of their
+/// own answers no request for another name.
+#[test]
+fn the_name_of_one_start_confirms_its_streams_at_once() {
+    let fleet = fleet(&[("1", "v1"), ("2", "v1")]);
+    assert!(fleet.confirms_origin(&recorded("v1", None)));
+    let contradicted = recorded("v2", None);
+    assert!(!fleet.confirms_origin(&contradicted));
+    assert!(fleet.refutes_origin(&contradicted));
+    let unknown = StreamOrigin {
+        upstream: name("9"),
+        ..recorded("v1", None)
+    };
+    assert!(!fleet.confirms_origin(&unknown));
+    // Its record may be on its way, or come from another writer.
+    assert!(!fleet.confirms_origin(&recorded("v1", Some(100))));
+}
+
 /// Guards against a stream that counts as one of its upstream's earlier version, since it
 /// began after the upstream had started again and before its new record was read.
 #[test]
