Don't refuse the rest of a stream for its latency target

Admission asked whether the first event can still come within the target of a new request, which says nothing of a stream that has begun; a refusal loses what the caller has. Such a request is admitted while its first event is of use to the caller, and doesn't wait in the order of urgency, like one that was sent to an upstream before. the_rest_of_a_stream_is_not_refused_for_its_latency_target failed before with 503.

--- a/crates/front/src/entry_wait.rs
+++ b/crates/front/src/entry_wait.rs
@@ -88,12 +88,13 @@
 
 impl Dispatch {
     /// Returns whether the request waits in the order of urgency. One that was sent to
-    /// an upstream before doesn't wait again, and one without a target has no place in
-    /// the order.
+    /// an upstream before, or whose stream was, doesn't wait again, and one without a
+    /// target has no place in the order.
     pub(crate) fn is_ordered(&self) -> bool {
         self.request.urgent_target_ms.is_some()
             && self.request.head.model.is_some()
             && self.request.route.latency_target_ms > 0
+            && self.request.origin.is_none()
             && self.attempted.lock().sent_to.is_empty()
     }
 
--- a/crates/front/src/state/caller_request.rs
+++ b/crates/front/src/state/caller_request.rs
@@ -74,6 +74,15 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Time from the arrival within which the first part of the response must be expected.
+    /// The rest of a stream that has begun is of use for as long as its caller waits.
+    pub(crate) fn first_response_target_ms(&self) -> u64 {
+        match self.origin {
+            Some(_) => self.first_response_by.ms_since(self.arrived_at),
+            None => self.route.latency_target_ms,
+        }
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining_ms(&self, clock: BootClock) -> u64 {
         self.deadline.ms_since(clock.now())
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -152,7 +152,7 @@
         let admission = AdmissionInput {
             now: self.node.now(),
             arrived_at: request.arrived_at,
-            latency_target_ms: request.route.latency_target_ms,
+            latency_target_ms: request.first_response_target_ms(),
             first_answer_deadline: request.first_response_by,
             queue_ms: queue_ms as u64,
             prefill_ms: prefill_ms as u64,
@@ -203,7 +203,7 @@
         } else {
             100
         };
-        self.request.route.latency_target_ms * percent / 100
+        self.request.first_response_target_ms() * percent / 100
     }
 
     /// Records that the request is refused because engines are short: because its
