Load an adapter at the version that began a stream

The entry asked for the adapter, and the coordinator, for which any upstream will do, saw that one has it.

--- a/crates/direct/src/adapters.rs
+++ b/crates/direct/src/adapters.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::{DemandEstimate, EngineSpec};
+use crate::{DemandEstimate, EngineSpec, SoftwareVersion};
 
 /// Time for which an adapter stays before it makes room for another one. If more
 /// adapters are requested than there are slots, they take turns. This time is as long
@@ -43,6 +43,8 @@
     pub free_mb: f64,
     /// Number of running requests.
     pub running: u32,
+    /// Version of the upstream's software, if known.
+    pub software: Option<SoftwareVersion>,
     /// Models that serve requests there, with their adapters and the time since when
     /// each adapter has been there.
     pub models: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Instant>>,
@@ -67,6 +69,23 @@
     }
 }
 
+/// An adapter that requests wait for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestedAdapter {
+    /// The adapter.
+    pub name: AdapterName,
+    /// Version of the software that the upstream must run: the requests are for the rest
+    /// of streams that began there. `None` if any will do.
+    pub software: Option<SoftwareVersion>,
+}
+
+impl RequestedAdapter {
+    /// Whether an upstream of this version serves the requests.
+    pub fn fits(&self, software: Option<SoftwareVersion>) -> bool {
+        self.software.is_none() || self.software == software
+    }
+}
+
 /// An adapter load that the planner has decided on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannedAdapterLoad {
@@ -128,15 +147,18 @@
     /// among equals the one on the upstream with the fewest running requests.
     pub fn load_requested(
         &mut self,
-        requested: &AdapterName,
+        requested: &RequestedAdapter,
     ) -> Option<PlannedAdapterLoad> {
+        let name = &requested.name;
         let upstreams = self.upstreams.iter().enumerate();
         let available = upstreams.filter(|(index, upstream)| {
-            upstream.accepts_orders && !self.assigned[*index]
+            upstream.accepts_orders
+                && !self.assigned[*index]
+                && requested.fits(upstream.software)
         });
         let candidates = available.filter_map(|(index, upstream)| {
-            let held = upstream.models.get(&requested.model)?;
-            if held.contains_key(&requested.adapter) {
+            let held = upstream.models.get(&name.model)?;
+            if held.contains_key(&name.adapter) {
                 return None;
             }
             let (loss, unload) = self.find_slot(upstream)?;
@@ -146,7 +168,7 @@
         let (_, _, index, unload) = best?;
         let choice = PlannedAdapterLoad {
             upstream: Arc::clone(&self.upstreams[index].upstream),
-            load: requested.clone(),
+            load: name.clone(),
             unload,
         };
         self.record_choice(index, &choice);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -110,7 +110,7 @@
 
 pub use adapters::{
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, PlannedAdapterLoad,
-    UpstreamAdapterState,
+    RequestedAdapter, UpstreamAdapterState,
 };
 pub use admission::{AdmissionInput, MeanPrefillTimes, admit, wait_end_for_pause};
 pub use avoidance::{AvoidReason, AvoidanceChange, AvoidanceTracker};
--- a/crates/direct/src/stream_origin.rs
+++ b/crates/direct/src/stream_origin.rs
@@ -31,8 +31,8 @@
 }
 
 /// Identifies a version of an upstream's software within its service. Versions are
-/// opaque text without an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// opaque text; the order of these hashes has no meaning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SoftwareVersion(pub u64);
 
 impl SoftwareVersion {
--- a/crates/direct/tests/all/adapters.rs
+++ b/crates/direct/tests/all/adapters.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use direct::{
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, DemandEstimate, EngineSpec,
-    PlannedAdapterLoad, UpstreamAdapterState,
+    PlannedAdapterLoad, RequestedAdapter, SoftwareVersion, UpstreamAdapterState,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,6 +40,7 @@
         free_slots,
         free_mb: 5.0,
         running: 0,
+        software: None,
         models: models
             .iter()
             .map(|(model, adapters)| (name(model), held(adapters)))
@@ -47,6 +48,13 @@
     }
 }
 
+fn any_version(name: &AdapterName) -> RequestedAdapter {
+    RequestedAdapter {
+        name: name.clone(),
+        software: None,
+    }
+}
+
 fn demand(of: &[(&str, f64)]) -> BTreeMap<Arc<str>, DemandEstimate> {
     let estimate = |ms: f64| DemandEstimate {
         recent_ms_per_s: ms,
@@ -160,7 +168,7 @@
     ];
     let requested = adapter("a", "x1");
     let choice = AdapterPlanner::new(at(NOW_MS), &engine, &full, &demand)
-        .load_requested(&requested);
+        .load_requested(&any_version(&requested));
     let choice = choice.expect("one can be unloaded");
     assert_eq!(
         (&*choice.upstream, choice.unload),
@@ -168,14 +176,14 @@
     );
     let early =
         AdapterPlanner::new(at(ADAPTER_MIN_RESIDENCE_MS - 1), &engine, &full, &demand)
-            .load_requested(&requested);
+            .load_requested(&any_version(&requested));
     assert_eq!(early, None, "their minimum residence is not over");
     let free = [
         full[0].clone(),
         upstream("2", 1, &[("a", &[]), ("b", &["x0"])]),
     ];
     let choice = AdapterPlanner::new(at(NOW_MS), &engine, &free, &demand)
-        .load_requested(&requested);
+        .load_requested(&any_version(&requested));
     assert_eq!(choice.expect("a slot is free").unload, None);
 }
 
@@ -191,16 +199,48 @@
     let demand = demand(&[]);
     let mut planner = AdapterPlanner::new(at(NOW_MS), &engine, &upstreams, &demand);
     let first = planner
-        .load_requested(&adapter("a", "x0"))
+        .load_requested(&any_version(&adapter("a", "x0")))
         .expect("a slot is free");
     let second = planner
-        .load_requested(&adapter("a", "x1"))
+        .load_requested(&any_version(&adapter("a", "x1")))
         .expect("a slot is free");
     assert_ne!(first.upstream, second.upstream);
-    assert_eq!(planner.load_requested(&adapter("a", "x2")), None);
+    assert_eq!(
+        planner.load_requested(&any_version(&adapter("a", "x2"))),
+        None
+    );
     assert_eq!(planner.prefetch(), []);
 }
 
+/// Guards against streams that are refused since another version's upstream holds their
+/// adapter, or is ordered to load it.
+#[test]
+fn an_adapter_for_a_stream_is_loaded_at_the_version_that_began_it() {
+    let engine = with_adapters(4);
+    let [v1, v2] = ["v1", "v2"].map(SoftwareVersion::new);
+    let mut upstreams = [
+        upstream("1", 2, &[("a", &["x0"])]),
+        upstream("2", 1, &[("a", &[])]),
+    ];
+    upstreams[0].software = Some(v1);
+    upstreams[0].running = 3;
+    upstreams[1].software = Some(v2);
+    let demand = demand(&[]);
+    let mut planner = AdapterPlanner::new(at(NOW_MS), &engine, &upstreams, &demand);
+    let requested = |adapter_name: &str, software| RequestedAdapter {
+        name: adapter("a", adapter_name),
+        software: Some(software),
+    };
+    assert!(!requested("x0", v2).fits(upstreams[0].software));
+    assert!(!requested("x0", v2).fits(None));
+    let choice = planner.load_requested(&requested("x0", v2));
+    assert_eq!(&*choice.expect("a slot is free").upstream, "2");
+    let choice = planner.load_requested(&requested("x1", v1));
+    assert_eq!(&*choice.expect("a slot is free").upstream, "1");
+    let none = planner.load_requested(&requested("x1", SoftwareVersion::new("v3")));
+    assert_eq!(none, None);
+}
+
 /// Memory that the next model needs isn't given to adapters that no request waits for.
 #[test]
 fn prefetching_leaves_enough_memory_for_a_model() {
--- a/crates/front/src/coordinator/adapters.rs
+++ b/crates/front/src/coordinator/adapters.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use direct::{
     AdapterName, AdapterPlanner, Config, EngineSpec, PlannedAdapterLoad,
-    UpstreamAdapterState,
+    RequestedAdapter, Upstream, UpstreamAdapterState,
 };
 use std::sync::Arc;
 
@@ -47,7 +47,7 @@
         let services: Vec<Arc<str>> = self.planners.keys().cloned().collect();
         let mut orders = Vec::new();
         for service in services {
-            let wanted = self.missing_adapters(&service);
+            let wanted = self.missing_adapters(node, &service);
             if wanted.is_empty() && !prefetch_due {
                 continue;
             }
@@ -59,7 +59,7 @@
             let mut planner = AdapterPlanner::new(now, engine, &planner_input, &demand);
             let mut planned: Vec<PlannedAdapterLoad> = wanted
                 .iter()
-                .filter_map(|name| planner.load_requested(name))
+                .filter_map(|requested| planner.load_requested(requested))
                 .collect();
             if prefetch_due {
                 planned.extend(planner.prefetch());
@@ -73,23 +73,26 @@
 
     /// Returns the adapters of a service that requests wait for and that are
     /// not being loaded.
-    fn missing_adapters(&self, service: &str) -> Vec<AdapterName> {
+    fn missing_adapters(&self, node: &Node, service: &str) -> Vec<RequestedAdapter> {
         let wanted_adapters = self
             .wanted_adapters
             .keys()
             .filter(|wanted| &*wanted.service == service);
-        let missing = wanted_adapters.filter(|wanted| !self.is_adapter_ordered(wanted));
-        missing
-            .map(|wanted| AdapterName::new(&wanted.model, &wanted.adapter))
-            .collect()
+        let requested = wanted_adapters.map(WantedAdapter::requested);
+        let missing =
+            requested.filter(|requested| !self.is_adapter_ordered(node, requested));
+        missing.collect()
     }
 
-    /// Returns whether any upstream holds the adapter, loads it or was just
-    /// ordered to.
-    fn is_adapter_ordered(&self, wanted: &WantedAdapter) -> bool {
-        let mut managed_upstreams = self.upstreams.values();
-        managed_upstreams
-            .any(|managed| managed.ledger.has_adapter(&wanted.model, &wanted.adapter))
+    /// Returns whether any upstream that serves the requests holds the adapter, loads it
+    /// or was just ordered to.
+    fn is_adapter_ordered(&self, node: &Node, requested: &RequestedAdapter) -> bool {
+        let AdapterName { model, adapter } = &requested.name;
+        let fleet = node.fleet.lock();
+        self.upstreams.iter().any(|(id, managed)| {
+            managed.ledger.has_adapter(model, adapter)
+                && requested.fits(fleet.get(id).and_then(Upstream::software))
+        })
     }
 
     fn adapter_planner_input(
@@ -107,7 +110,8 @@
         let planner_input = managed_upstreams.map(|(id, managed)| {
             let upstream = fleet.get(id);
             let running = upstream.map_or(0, |upstream| upstream.usage(now).running);
-            managed.adapter_state(id, engine, running)
+            let software = upstream.and_then(Upstream::software);
+            managed.adapter_state(id, engine, running, software)
         });
         planner_input.collect()
     }
--- a/crates/front/src/peers/message.rs
+++ b/crates/front/src/peers/message.rs
@@ -228,6 +228,7 @@
         service: wanted.service.to_string(),
         model: wanted.model.to_string(),
         adapter: wanted.adapter.to_string(),
+        software: wanted.software.map(|version| version.0),
     });
     wants.collect()
 }
--- a/crates/front/src/peers/receive.rs
+++ b/crates/front/src/peers/receive.rs
@@ -3,7 +3,7 @@
 use base::ObjectVersion;
 use direct::{
     Activity, DemandEstimate, DemandPressure, LeaseRecord, PrefillQueue, ResidentModel,
-    UpstreamIncarnation, Usage,
+    SoftwareVersion, UpstreamIncarnation, Usage,
 };
 use prost::Message;
 use schema::peer::{HeldModel, PeerNews, RelayStep, Tokens};
@@ -191,6 +191,7 @@
             service: wanted.service.into(),
             model: wanted.model.into(),
             adapter: wanted.adapter.into(),
+            software: wanted.software.map(SoftwareVersion),
         };
         node.coordinator.request_adapter(now, wanted);
     }
--- a/crates/front/src/state/managed_upstream.rs
+++ b/crates/front/src/state/managed_upstream.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use direct::{
     Config, EngineSpec, Ledger, OrderAction, OrderAnswer, PlacedModel,
-    PlannedAdapterLoad, ResidentModel, SendOutcome, UnansweredOrders, Upstream,
-    UpstreamAdapterState, UpstreamIncarnation, UpstreamReport,
+    PlannedAdapterLoad, ResidentModel, SendOutcome, SoftwareVersion, UnansweredOrders,
+    Upstream, UpstreamAdapterState, UpstreamIncarnation, UpstreamReport,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -239,6 +239,7 @@
         id: &Arc<str>,
         engine: &EngineSpec,
         running: u32,
+        software: Option<SoftwareVersion>,
     ) -> UpstreamAdapterState {
         let accepts_orders = self.accepts_orders();
         UpstreamAdapterState {
@@ -254,6 +255,7 @@
                 .saturating_sub(self.ledger.adapter_count()),
             free_mb: engine.weights_max_mb - self.ledger.used_mb(engine),
             running,
+            software,
             models: self.ledger.adapters_held(),
         }
     }
--- a/crates/front/src/state/wanted_adapters.rs
+++ b/crates/front/src/state/wanted_adapters.rs
@@ -1,6 +1,7 @@
 //! Adapters that requests wait for.
 
 use base::prelude::*;
+use direct::{AdapterName, RequestedAdapter, SoftwareVersion};
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -16,6 +17,17 @@
     pub(crate) service: Arc<str>,
     pub(crate) model: Arc<str>,
     pub(crate) adapter: Arc<str>,
+    /// Version of the software that the upstream must run; `None` if any will do.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+impl WantedAdapter {
+    pub(crate) fn requested(&self) -> RequestedAdapter {
+        RequestedAdapter {
+            name: AdapterName::new(&self.model, &self.adapter),
+            software: self.software,
+        }
+    }
 }
 
 /// Adapters that requests wait for at this entry and, on the coordinator, at
--- a/crates/front/src/upstream_selection.rs
+++ b/crates/front/src/upstream_selection.rs
@@ -410,6 +410,7 @@
                 service: Arc::clone(&self.request.service),
                 model: Arc::clone(model),
                 adapter: Arc::clone(adapter),
+                software: self.origin.as_ref().and_then(|origin| origin.software),
             };
             self.node.wanted_adapters.add(self.node.now(), wanted);
         }
