Accept connections at an entry with few requests in progress

After a stall of the process an entry went on closing new connections unread for up to 3 s, with nothing in progress: observe looked at the requests when it lowered the share, and no more when it kept it low. A caller with one retry, or an unsafe method, may end there.

--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -45,6 +45,9 @@
     overloaded: u32,
     /// Accepted connections that are due; less than one.
     due: f64,
+    /// Number of connections that are accepted whatever the share, until the next
+    /// observation: with them, no more requests than [`REQUESTS_MIN`] are in progress.
+    room: u64,
 }
 
 impl Default for IntakeLimit {
@@ -53,6 +56,7 @@
             share: 1.0,
             overloaded: 0,
             due: 0.0,
+            room: 0,
         }
     }
 }
@@ -63,6 +67,7 @@
     /// ceases to be all.
     pub fn observe(&mut self, delay_ms: u64, requests: u64) -> Option<f64> {
         let was_limited = self.share < 1.0;
+        self.room = REQUESTS_MIN.saturating_sub(requests);
         if delay_ms >= OVERLOADED_DELAY_MS && requests >= REQUESTS_MIN {
             self.overloaded = self.overloaded.saturating_add(1);
             if self.overloaded >= OVERLOADED_OBSERVATIONS {
@@ -81,6 +86,10 @@
 
     /// Decides whether a new connection is accepted.
     pub fn accepts(&mut self) -> bool {
+        if self.share < 1.0 && self.room > 0 {
+            self.room -= 1;
+            return true;
+        }
         self.due += self.share;
         let accepts = self.due >= 1.0;
         if accepts {
--- a/crates/direct/tests/all/intake.rs
+++ b/crates/direct/tests/all/intake.rs
@@ -148,3 +148,22 @@
     assert!(until_unlimited.is_some_and(|observations| observations <= 50));
     assert!((0..100).all(|_| limit.accepts()));
 }
+
+/// Guards against a connection that is closed unread by an entry with nothing to do, for
+/// an earlier lack of processor time.
+#[test]
+fn an_entry_with_few_requests_accepts_connections_whatever_was_before() {
+    let mut limit = IntakeLimit::default();
+    for _ in 0..6 {
+        limit.observe(365, 40);
+    }
+    assert!((0..20).filter(|_| limit.accepts()).count() <= 1);
+    limit.observe(0, 0);
+    assert!((0..20).all(|_| limit.accepts()), "none is in progress");
+    limit.observe(0, 20);
+    let accepted = (0..100).filter(|_| limit.accepts()).count();
+    assert!((12..30).contains(&accepted), "{accepted} beside 20");
+    limit.observe(0, 40);
+    let accepted = (0..100).filter(|_| limit.accepts()).count();
+    assert!(accepted <= 10, "{accepted} beside 40");
+}
