Know a sole version only since the last gap in the news

A list names the upstreams that are there, not those that came and went since the news before it. The time counts from a list that brings later records now. a_sole_version_is_in_doubt_after_a_gap_in_the_news failed before.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -73,7 +73,8 @@
     early_leaving: HashMap<String, Option<u64>>,
     /// Whether a complete list was applied.
     has_complete_list: bool,
-    /// When the first complete list was applied.
+    /// Since when all records are known that were written. A list doesn't name upstreams
+    /// that came and went since the news before it.
     complete_since: Option<Instant>,
     /// Versions of the software that upstreams ran until lately.
     earlier_software: Vec<EarlierSoftware>,
@@ -147,7 +148,9 @@
         self.apply_early_reports();
         self.early_leaving.clear();
         self.has_complete_list = true;
-        self.complete_since.get_or_insert(now);
+        if self.complete_since.is_none() || list_version > self.known_version {
+            self.complete_since = Some(now);
+        }
         let new = self.upstreams.values_mut();
         for upstream in new.filter(|known| known.last_active_at == Instant::ZERO) {
             upstream.last_active_at = now;
--- a/crates/direct/tests/all/stream_origin.rs
+++ b/crates/direct/tests/all/stream_origin.rs
@@ -299,6 +299,22 @@
     assert_eq!(known(&origins), OriginProof::Confirmed);
 }
 
+/// Guards against a version that came and went while this entry read no news, and whose
+/// streams would go on at the only one that it knows.
+#[test]
+fn a_sole_version_is_in_doubt_after_a_gap_in_the_news() {
+    let service = name("oracle");
+    let mut fleet = fleet(&[("1", "v1")]);
+    assert!(fleet.sole_origin(at(9_000), &service, 1_000).is_ok());
+    fleet.set_known_version(8);
+    fleet.apply_list(at(9_500), 8, vec![(5, versioned("1", "v1"))]);
+    assert!(fleet.sole_origin(at(9_500), &service, 1_000).is_ok());
+    fleet.apply_list(at(10_000), 12, vec![(5, versioned("1", "v1"))]);
+    let short = Err(NoSoleVersion::ShortHistory);
+    assert_eq!(fleet.sole_origin(at(10_900), &service, 1_000), short);
+    assert!(fleet.sole_origin(at(11_000), &service, 1_000).is_ok());
+}
+
 #[test]
 fn a_sole_version_is_certain_after_a_streams_longest_time() {
     let service = name("oracle");
