Don't count an adapter as held while its unload waits for its requests

An upstream refuses new requests for an adapter from the moment at which it accepts the unload, and unloads it once the running ones have ended. The ledger went on counting it as held: entries sent requests there (refused three times each), and nobody ordered it elsewhere. Its adapter is tracked as being unloaded now, until a report no longer lists it.

With the mark taken out, an_adapter_whose_unload_waits_for_its_requests_is_not_served fails.

--- a/crates/direct/src/adapters.rs
+++ b/crates/direct/src/adapters.rs
@@ -6,7 +6,7 @@
 //! than adapters, so nearly every adapter can be held somewhere in advance.
 
 use base::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::{DemandEstimate, EngineSpec, SoftwareVersion};
@@ -43,6 +43,8 @@
     pub free_mb: f64,
     /// Number of running requests.
     pub running: u32,
+    /// Adapters among these that are being unloaded. They serve no new request.
+    pub unloading: BTreeSet<AdapterName>,
     /// Version of the upstream's software, if known.
     pub software: Option<SoftwareVersion>,
     /// Models that serve requests there, with their adapters and the time since when
@@ -51,7 +53,7 @@
 }
 
 /// An adapter, identified by its model and name.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AdapterName {
     /// Name of the model.
     pub model: Arc<str>,
@@ -121,10 +123,13 @@
         demand: &BTreeMap<Arc<str>, DemandEstimate>,
     ) -> Self {
         let mut copies = HashMap::new();
-        for (model, adapters) in upstreams.iter().flat_map(|upstream| &upstream.models)
-        {
-            for adapter in adapters.keys() {
-                let name = AdapterName::new(model, adapter);
+        for upstream in upstreams {
+            let held = upstream.models.iter().flat_map(|(model, adapters)| {
+                adapters
+                    .keys()
+                    .map(move |adapter| AdapterName::new(model, adapter))
+            });
+            for name in held.filter(|name| !upstream.unloading.contains(name)) {
                 *copies.entry(name).or_default() += 1;
             }
         }
@@ -245,10 +250,13 @@
             let removable = held.iter().filter(|(_, since)| {
                 self.now.ms_since(**since) >= ADAPTER_MIN_RESIDENCE_MS
             });
-            removable.map(move |(adapter, since)| {
-                let name = AdapterName::new(model, adapter);
+            let removable = removable
+                .map(|(adapter, since)| (AdapterName::new(model, adapter), *since));
+            let removable =
+                removable.filter(|(name, _)| !upstream.unloading.contains(name));
+            removable.map(move |(name, since)| {
                 let other_copies = self.copy_count(&name).saturating_sub(1);
-                (self.copy_value(model, other_copies), *since, name)
+                (self.copy_value(model, other_copies), since, name)
             })
         });
         let least = all.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
--- a/crates/direct/src/ledger.rs
+++ b/crates/direct/src/ledger.rs
@@ -2,12 +2,12 @@
 
 use base::prelude::*;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::{
-    EngineSpec, Order, OrderAction, OrderAnswer, ResidentModel, SendOutcome,
-    UnansweredOrders, UpstreamReport,
+    AdapterName, EngineSpec, Order, OrderAction, OrderAnswer, ResidentModel,
+    SendOutcome, UnansweredOrders, UpstreamReport,
 };
 
 /// Time after an accepted adapter order after which the adapter is assumed to be
@@ -15,6 +15,10 @@
 /// is refused without running.
 const ADAPTER_READY_MS: u64 = 40;
 
+/// Time for which an adapter counts as being unloaded while the upstream still lists it.
+/// The unload waits for the requests that use it.
+const ADAPTER_UNLOAD_MAX_MS: u64 = 60_000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Loading,
@@ -35,6 +39,9 @@
 struct TrackedAdapter {
     ready_at: Instant,
     since: Instant,
+    /// When its unload was accepted. It still takes its place until the requests that use
+    /// it have ended, and the upstream refuses new ones.
+    unloading_since: Option<Instant>,
 }
 
 /// What one incarnation of an upstream holds and may come to hold, as known to the
@@ -155,6 +162,7 @@
                 let loading = known.copied().unwrap_or(TrackedAdapter {
                     ready_at: now.plus_ms(ADAPTER_READY_MS),
                     since: now,
+                    unloading_since: None,
                 });
                 held.adapters.insert(Arc::clone(adapter), loading);
             }
@@ -200,7 +208,9 @@
                 adapters: held
                     .adapters
                     .iter()
-                    .filter(|(_, adapter)| adapter.ready_at <= now)
+                    .filter(|(_, adapter)| {
+                        adapter.ready_at <= now && adapter.unloading_since.is_none()
+                    })
                     .map(|(name, _)| Arc::clone(name))
                     .collect(),
             })
@@ -253,8 +263,31 @@
         held.is_some_and(|held| held.adapters.contains_key(adapter))
     }
 
-    /// Adapters held or loading for each model that can serve, with the time since
-    /// when.
+    /// Whether requests for the adapter are served, or will be: it is held, loading or
+    /// just ordered, and not being unloaded.
+    pub fn serves_adapter(&self, model: &str, adapter: &str) -> bool {
+        let held = self.held.get(model);
+        let tracked = held.and_then(|held| held.adapters.get(adapter));
+        let is_unloading =
+            tracked.is_some_and(|tracked| tracked.unloading_since.is_some());
+        self.has_adapter(model, adapter) && !is_unloading
+    }
+
+    /// Adapters that are being unloaded.
+    pub fn adapters_unloading(&self) -> BTreeSet<AdapterName> {
+        let held = self.held.iter();
+        let adapters = held.flat_map(|(model, held)| {
+            let unloading = held
+                .adapters
+                .iter()
+                .filter(|(_, adapter)| adapter.unloading_since.is_some());
+            unloading.map(move |(adapter, _)| AdapterName::new(model, adapter))
+        });
+        adapters.collect()
+    }
+
+    /// Adapters held, loading or being unloaded for each model that can serve, with the
+    /// time since when they are there.
     pub fn adapters_held(&self) -> BTreeMap<Arc<str>, BTreeMap<Arc<str>, Instant>> {
         let loaded = self
             .held
@@ -418,6 +451,7 @@
                     let loading = TrackedAdapter {
                         ready_at: now.plus_ms(ADAPTER_READY_MS),
                         since: now,
+                        unloading_since: None,
                     };
                     held.adapters.insert(Arc::clone(adapter), loading);
                 }
@@ -431,7 +465,15 @@
             }
             // The unload waits for a request that uses the adapter. A report tells when
             // the adapter is gone.
-            OrderAction::UnloadAdapter(..) => self.known = false,
+            OrderAction::UnloadAdapter(model, adapter) => {
+                self.known = false;
+                let held = self.held.get_mut(model);
+                if let Some(unloading) =
+                    held.and_then(|held| held.adapters.get_mut(adapter))
+                {
+                    unloading.unloading_since = Some(now);
+                }
+            }
         }
     }
 
@@ -447,6 +489,9 @@
             let adapter = TrackedAdapter {
                 ready_at: now.min(known.map_or(now, |known| known.ready_at)),
                 since: known.map_or(now, |known| known.since),
+                unloading_since: known
+                    .and_then(|known| known.unloading_since)
+                    .filter(|at| now.ms_since(*at) < ADAPTER_UNLOAD_MAX_MS),
             };
             (Arc::clone(name), adapter)
         });
--- a/crates/direct/tests/all/adapters.rs
+++ b/crates/direct/tests/all/adapters.rs
@@ -6,7 +6,7 @@
     ADAPTER_MIN_RESIDENCE_MS, AdapterName, AdapterPlanner, DemandEstimate, EngineSpec,
     PlannedAdapterLoad, RequestedAdapter, SoftwareVersion, UpstreamAdapterState,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Time at which the minimum residence of all adapters in these tests is over.
@@ -40,6 +40,7 @@
         free_slots,
         free_mb: 5.0,
         running: 0,
+        unloading: BTreeSet::new(),
         software: None,
         models: models
             .iter()
@@ -241,6 +242,26 @@
     assert_eq!(none, None);
 }
 
+/// Guards against an adapter that nobody can use, since its only copy is being unloaded
+/// and counts as one.
+#[test]
+fn an_adapter_that_is_being_unloaded_is_loaded_elsewhere() {
+    let engine = with_adapters(2);
+    let mut upstreams = [
+        upstream("1", 0, &[("a", &["x0"])]),
+        upstream("2", 1, &[("a", &[])]),
+    ];
+    upstreams[0].unloading.insert(adapter("a", "x0"));
+    upstreams[1].running = 9;
+    let demand = demand(&[("a", 900.0)]);
+    let mut planner = AdapterPlanner::new(at(NOW_MS), &engine, &upstreams, &demand);
+    let choice = planner.load_requested(&any_version(&adapter("a", "x0")));
+    assert_eq!(&*choice.expect("a slot is free").upstream, "2");
+    // It can't be unloaded once more to make room.
+    let choice = planner.load_requested(&any_version(&adapter("a", "x1")));
+    assert_eq!(choice, None);
+}
+
 /// Memory that the next model needs isn't given to adapters that no request waits for.
 #[test]
 fn prefetching_leaves_enough_memory_for_a_model() {
--- a/crates/direct/tests/all/ledger.rs
+++ b/crates/direct/tests/all/ledger.rs
@@ -66,6 +66,60 @@
     assert!(!ledger.has_adapter("a", "x"));
 }
 
+/// Guards against requests for an adapter that are sent to the upstream which is unloading
+/// it, and refused there, while no other is ordered to load it.
+#[test]
+fn an_adapter_whose_unload_waits_for_its_requests_is_not_served() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    let mut listed = report(0, false, &["a"]);
+    listed.residents[0].adapters = vec![name("x"), name("y")];
+    ledger.apply_report(at(0), &listed);
+    let action = OrderAction::UnloadAdapter(name("a"), name("x"));
+    let unload = ledger.issue_order(&engine, action).expect("it is held");
+    assert!(ledger.serves_adapter("a", "x"));
+    ledger.apply_outcome(at(1), &unload, ACCEPTED);
+    listed.orders_accepted = 1;
+    for now in [2, 59_000] {
+        ledger.apply_report(at(now), &listed);
+        assert!(ledger.has_adapter("a", "x") && !ledger.serves_adapter("a", "x"));
+        assert!(ledger.serves_adapter("a", "y"));
+        assert_eq!(ledger.servable(at(now))[0].adapters, [name("y")]);
+        assert_eq!(
+            ledger.adapter_count(),
+            2,
+            "it takes its place until it is gone"
+        );
+    }
+    let mut gone = ledger;
+    listed.residents[0].adapters = vec![name("y")];
+    gone.apply_report(at(60_000), &listed);
+    assert!(!gone.has_adapter("a", "x"));
+    let action = OrderAction::LoadAdapter(name("a"), name("x"));
+    let load = gone
+        .issue_order(&engine, action)
+        .expect("its place is free");
+    gone.apply_outcome(at(60_001), &load, ACCEPTED);
+    assert!(gone.serves_adapter("a", "x"));
+}
+
+/// Guards against an adapter that is never used again, since an upstream accepted its
+/// unload and did not carry it out.
+#[test]
+fn an_adapter_that_stays_after_its_unload_is_served_again() {
+    let engine = engine(&MODELS);
+    let mut ledger = Ledger::new();
+    let mut listed = report(0, false, &["a"]);
+    listed.residents[0].adapters = vec![name("x")];
+    ledger.apply_report(at(0), &listed);
+    let action = OrderAction::UnloadAdapter(name("a"), name("x"));
+    let unload = ledger.issue_order(&engine, action).expect("it is held");
+    ledger.apply_outcome(at(1), &unload, ACCEPTED);
+    listed.orders_accepted = 1;
+    ledger.apply_report(at(60_001), &listed);
+    assert!(ledger.serves_adapter("a", "x"));
+}
+
 /// The report was made before the order that was just accepted. If it were applied, the
 /// loading model would be forgotten and its memory assigned twice.
 #[test]
--- a/crates/front/src/coordinator/adapters.rs
+++ b/crates/front/src/coordinator/adapters.rs
@@ -90,7 +90,7 @@
         let AdapterName { model, adapter } = &requested.name;
         let fleet = node.fleet.lock();
         self.upstreams.iter().any(|(id, managed)| {
-            managed.ledger.has_adapter(model, adapter)
+            managed.ledger.serves_adapter(model, adapter)
                 && requested.fits(fleet.get(id).and_then(Upstream::software))
         })
     }
--- a/crates/front/src/state/managed_upstream.rs
+++ b/crates/front/src/state/managed_upstream.rs
@@ -255,6 +255,7 @@
                 .saturating_sub(self.ledger.adapter_count()),
             free_mb: engine.weights_max_mb - self.ledger.used_mb(engine),
             running,
+            unloading: self.ledger.adapters_unloading(),
             software,
             models: self.ledger.adapters_held(),
         }
