--- a/crates/direct/src/fleet/software.rs
+++ b/crates/direct/src/fleet/software.rs
@@ -46,7 +46,7 @@
             .ok_or(NoSoleVersion::SeveralVersions)
     }
 
-    /// Whether the upstreams of a service that are remembered ran several versions.
+    /// Whether the upstreams of some service that are remembered ran several versions.
     pub fn has_several_versions(&self) -> bool {
         let mut versions: BTreeMap<&str, &Arc<str>> = BTreeMap::new();
         let mut earlier = self.earlier_software.iter();
