Record where streams began each five seconds while one version serves

Each write is a call that the platform charges for. While several versions serve, the interval stays a quarter of a second, and that they do is looked at as often: with the longer interval slept through, streams_go_on_after_all_entries_were_ killed_twice failed, since entries that start know no version yet. It and the others of rejoined_streams and stream_versions pass.

--- a/crates/direct/src/origin_segments.rs
+++ b/crates/direct/src/origin_segments.rs
@@ -26,8 +26,10 @@
 /// Interval between two writes of an entry while several software versions serve.
 const SEVERAL_VERSIONS_INTERVAL_MS: u64 = 250;
 
-/// The same while one version serves.
-const SOLE_VERSION_INTERVAL_MS: u64 = 1_000;
+/// The same while one version serves. Each write is a call that the platform charges for;
+/// a sole version needs no records once an entry has known it for as long as a stream
+/// lasts.
+const SOLE_VERSION_INTERVAL_MS: u64 = 5_000;
 
 /// Part of the writes that the platform accepts from all entries together which is used
 /// for these records.
--- a/crates/front/src/origin_records.rs
+++ b/crates/front/src/origin_records.rs
@@ -60,8 +60,16 @@
 pub(crate) async fn record_origins(node: Arc<Node>) {
     let mut knows_slots = node.options.is_first_start;
     let mut generation = node.platform.generation();
+    let mut written_at = None;
     loop {
-        sleep(Duration::from_millis(interval_ms(&node))).await;
+        // Another version may begin to serve at any moment.
+        sleep(Duration::from_millis(interval_ms(&node, true))).await;
+        let now = node.now();
+        let several_versions = node.fleet.lock().has_several_versions();
+        let interval_ms = interval_ms(&node, several_versions);
+        if written_at.is_some_and(|at| now.ms_since(at) < interval_ms) {
+            continue;
+        }
         if generation < node.platform.generation() {
             generation = node.platform.generation();
             let known = node.stream_origins.known.lock();
@@ -74,12 +82,12 @@
         knows_slots = knows_slots || read(&node).await;
         if knows_slots {
             write(&node).await;
+            written_at = Some(now);
         }
     }
 }
 
-fn interval_ms(node: &Node) -> u64 {
-    let several_versions = node.fleet.lock().has_several_versions();
+fn interval_ms(node: &Node, several_versions: bool) -> u64 {
     let writes_per_s = node.options.deployment.platform_writes_per_s;
     origin_write_interval_ms(several_versions, node.peers.entry_count(), writes_per_s)
 }
