Add a crate that bounds what callers make a process hold

Limits on single requests bound nothing where callers choose how many there are. The crate derives a budget from the machine (its memory, its descriptors), and holds bodies, connections and what is drained of refused callers to it. Which bodies get memory and which give way is decided without I/O and with a clock that the caller passes. Error 1011 (408) is new, for bodies that don't come in time.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -110,6 +110,8 @@
     KeyMissing = 1009, "key_missing", 400;
     /// The deadline header can't be parsed, or the deadline has passed.
     BadDeadline = 1010, "bad_deadline", 400;
+    /// The request's body did not arrive in time.
+    BodyTimeout = 1011, "body_timeout", 408;
     /// The request's latency target or deadline can't be met under the current
     /// load.
     Overloaded = 2001, "overloaded", 503;
--- a/crates/entry/src/http/rejection.rs
+++ b/crates/entry/src/http/rejection.rs
@@ -81,6 +81,7 @@
         ErrorCode::UnknownPath => "no such path or method",
         ErrorCode::KeyMissing => "this call needs an idempotency-key header",
         ErrorCode::BadDeadline => "x-deadline-ms can't be read or has passed",
+        ErrorCode::BodyTimeout => "the body did not come in time",
         ErrorCode::Overloaded => "the expectation can't be met under the present load",
         ErrorCode::QueueFull => "too many requests are waiting",
         ErrorCode::CallerLimit => "the caller has too many requests in progress",
--- /dev/null
+++ b/crates/inbound/src/connection_table.rs
@@ -0,0 +1,107 @@
+//! Bounds the number of connections of a listener.
+
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+use crate::Activity;
+
+/// Number of connections beyond the limit that may be giving way at a time.
+const CLOSING_MAX: usize = 32;
+
+/// All connections are in use, or are giving way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableFull;
+
+/// A connection that gives way, by what it waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Eviction {
+    /// Name of what it waited for, for metrics.
+    pub phase: &'static str,
+}
+
+/// The connections of a listener.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    max: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    connections: HashMap<u64, Activity>,
+    next_id: u64,
+}
+
+impl ConnectionTable {
+    /// A table of at most `max` connections.
+    pub fn new(max: usize) -> Arc<Self> {
+        Arc::new(Self {
+            max,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Admits a new connection. If the table is full, the connection that has rested
+    /// longest gives way; its owner closes it on [`Activity::evicted`].
+    ///
+    /// # Errors
+    ///
+    /// No connection rests, or too many are still giving way.
+    pub fn admit(
+        self: &Arc<Self>,
+    ) -> Result<(ConnectionPermit, Option<Eviction>), TableFull> {
+        let mut state = self.state.lock();
+        let evicted = state.connections.len() >= self.max;
+        let eviction = evicted.then(|| self.evict_one(&state)).transpose()?;
+        let id = state.next_id;
+        state.next_id += 1;
+        let activity = Activity::default();
+        state.connections.insert(id, activity.clone());
+        let permit = ConnectionPermit {
+            table: Arc::clone(self),
+            id,
+            activity,
+        };
+        Ok((permit, eviction))
+    }
+
+    fn evict_one(&self, state: &State) -> Result<Eviction, TableFull> {
+        if state.connections.len() >= self.max + CLOSING_MAX {
+            return Err(TableFull);
+        }
+        let now = Instant::now();
+        let open = state.connections.values();
+        let resting = open
+            .filter(|activity| !activity.is_evicted())
+            .filter_map(|activity| Some((activity.may_give_way(now)?, activity)));
+        let longest = resting.max_by_key(|((_, rested), _)| *rested);
+        let ((rest, _), activity) = longest.ok_or(TableFull)?;
+        activity.evict();
+        Ok(Eviction {
+            phase: rest.as_str(),
+        })
+    }
+}
+
+/// The place of a connection in its table; dropping it frees the place.
+#[derive(Debug)]
+pub struct ConnectionPermit {
+    table: Arc<ConnectionTable>,
+    id: u64,
+    activity: Activity,
+}
+
+impl ConnectionPermit {
+    /// Activity of the connection, which its owner has to keep up to date.
+    pub const fn activity(&self) -> &Activity {
+        &self.activity
+    }
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.table.state.lock().connections.remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/inbound/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the bounds on what callers make a process hold.
+
+mod body_ledger;
+mod budget;
+mod connection_table;
+mod read_body;
