Bound what the kernel holds unread for callers' connections

What callers saw: a process over the memory of its machine by bytes that it had not read. 700 callers that sent requests behind one that waited made the kernel hold 84 MB for it, and the process 128 MB of 120 MB.

Cause: receive buffers had the kernel's own size, up to 6 MB a connection. Not reading is no bound by itself.

The listeners now set small buffers, which their connections inherit, from a budget that follows the machine: /proc/meminfo and the limit on descriptors, or the lower values of the settings (limits.memory_mb, limits.max_fds).

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -80,6 +80,7 @@
 pub use connection::connect;
 pub use events::{Event, EventSplitter, EventTooLarge};
 pub use head_limit::{HeadLimit, HeadLimited};
+pub use inbound::ConfiguredMachine;
 pub use log::Log;
 pub use options::{DeploymentSettings, Options, StoreKeys};
 pub use packed_batches::{pack_batches, unpack_batches};
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -1,5 +1,6 @@
 //! Options that a process is started with.
 
+use inbound::ConfiguredMachine;
 use std::net::SocketAddr;
 
 /// Options that a process is started with.
@@ -21,6 +22,8 @@
     pub peer_address: SocketAddr,
     /// Bandwidth of this machine's link, in megabits per second.
     pub link_mbps: f64,
+    /// What the settings say of this machine's memory and descriptors.
+    pub machine: ConfiguredMachine,
     /// Whether the whole system starts for the first time, so that no other process of
     /// it has run before.
     pub is_first_start: bool,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -1,5 +1,6 @@
 //! Starts the process: sockets, shared state and background tasks.
 
+use inbound::{Budget, Machine};
 use plat::ObjectApi;
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
@@ -71,16 +72,19 @@
     platform: Box<dyn ObjectApi>,
 ) -> Result<EntryServer, StartError> {
     let mut options = options;
-    let callers = listen("callers", &mut options.caller_address).await?;
-    let readiness = listen("readiness", &mut options.readiness_address).await?;
+    let budget = Budget::of(Machine::detect(options.machine));
+    let callers = listen("callers", &mut options.caller_address, &budget)?;
+    let readiness = listen("readiness", &mut options.readiness_address, &budget)?;
     let socket = bind_peer_socket(&mut options.peer_address).await?;
     let log = Log::start();
-    let node = Arc::new(Node::new(options, protocol, platform, log));
+    let node = Arc::new(Node::new(options, budget, protocol, platform, log));
     node.log.line(
         "started",
         json!({ "entry": node.options.entry, "domain": node.options.failure_domain,
             "callers": node.options.caller_address, "readiness": node.options.readiness_address, "peers": node.options.peer_address,
-            "start": node.started_unix_ms }),
+            "start": node.started_unix_ms, "connections_max": node.budget.connections,
+            "bodies_max_bytes": node.budget.bodies_bytes,
+            "responses_max_bytes": node.budget.responses_bytes }),
     );
     // The socket is set nowhere else.
     let _ = node.peers.socket.set(Arc::clone(&socket));
@@ -112,15 +116,16 @@
 
 /// Binds a listener and replaces a port of 0 in `address` by the port that was
 /// assigned.
-async fn listen(
+fn listen(
     what: &'static str,
     address: &mut SocketAddr,
+    budget: &Budget,
 ) -> Result<TcpListener, StartError> {
     let bind_error = BindSnafu {
         what,
         address: *address,
     };
-    let listener = TcpListener::bind(*address).await.context(bind_error)?;
+    let listener = inbound::bind(*address, budget).context(bind_error)?;
     *address = listener.local_addr().context(bind_error)?;
     Ok(listener)
 }
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -6,6 +6,7 @@
     Lease, Limits, MeanPrefillTimes, ModelTimeFactors, ResponseMemory, RetryBudget,
     StreamDurations, Watermark,
 };
+use inbound::Budget;
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -98,6 +99,8 @@
     pub(crate) suspect_parts: Mutex<SuspectParts>,
     /// Memory for the bodies of responses that are being read.
     pub(crate) response_memory: Mutex<ResponseMemory>,
+    /// What callers may take of this machine.
+    pub(crate) budget: Budget,
     /// Parts whose objects in the platform are to be written.
     pub(crate) changed_parts: ChangedParts,
     /// Which new connections of callers are accepted.
@@ -143,6 +146,7 @@
 impl Node {
     pub(crate) fn new(
         options: Options,
+        budget: Budget,
         protocol: Box<dyn PlatformProtocol>,
         platform: Box<dyn ObjectApi>,
         log: Log,
@@ -201,6 +205,7 @@
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
             response_memory: Mutex::default(),
+            budget,
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
             wanted_adapters: WantedAdapters::default(),
