Count the body of a response until its caller has got it

What callers saw: a process over its memory by responses that nobody read. 60 callers that asked for 7 MiB each, one after the other, and didn't read made it hold 454 MB of 120 MB.

Cause: the bound on the bodies of responses counted them while they were read from the upstream, and released them when they were handed to the HTTP library, which keeps them for as long as the caller reads nothing. The bound was 32 MiB on each machine, however small.

The bytes now hold their memory until the last reference to them is dropped, and the bound is a part of the machine's memory.

--- a/crates/direct/src/response_memory.rs
+++ b/crates/direct/src/response_memory.rs
@@ -1,22 +1,40 @@
 //! Memory for the bodies of responses that are read before they are forwarded.
 
-/// Memory that bodies in progress may take together before each is held to its share.
+/// Memory that bodies may take together on a machine with plenty of it, in bytes.
 const SHARED_BYTES: usize = 32 << 20;
 
-/// Bodies that are being read. One of a few may be large; the more there are at once, and
+/// Bodies that are being read, or that their callers haven't got yet. One of a few may be large; the more there are at once, and
 /// the more they take, the less each may have. So a single upstream that sends without
 /// end can't take the memory of the others, nor can many at once fill it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ResponseMemory {
+    /// Memory that bodies may take together before each is held to its share.
+    shared_bytes: usize,
     bodies: usize,
     used_bytes: usize,
 }
 
+impl Default for ResponseMemory {
+    fn default() -> Self {
+        Self::new(SHARED_BYTES)
+    }
+}
+
 /// A body would take more memory than it may have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyTooLarge;
 
 impl ResponseMemory {
+    /// Memory without bodies, which each is held to its share of once they take
+    /// `shared_bytes` together.
+    pub const fn new(shared_bytes: usize) -> Self {
+        Self {
+            shared_bytes,
+            bodies: 0,
+            used_bytes: 0,
+        }
+    }
+
     /// Counts a body that begins.
     pub const fn begin(&mut self) {
         self.bodies += 1;
@@ -32,8 +50,9 @@
         held_bytes: usize,
         further_bytes: usize,
     ) -> Result<(), BodyTooLarge> {
-        let is_within_shared = self.used_bytes + further_bytes <= SHARED_BYTES;
-        let share_bytes = SHARED_BYTES / if self.bodies > 0 { self.bodies } else { 1 };
+        let is_within_shared = self.used_bytes + further_bytes <= self.shared_bytes;
+        let share_bytes =
+            self.shared_bytes / if self.bodies > 0 { self.bodies } else { 1 };
         if !is_within_shared && held_bytes + further_bytes > share_bytes {
             return Err(BodyTooLarge);
         }
--- a/crates/front/src/response_body.rs
+++ b/crates/front/src/response_body.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -81,20 +82,20 @@
     GivenUp,
 }
 
-/// A body that is being read, and the memory that it takes.
-struct BodyBuffer<'a> {
-    memory: &'a Mutex<ResponseMemory>,
+/// A body that is being read or held, and the memory that it takes.
+struct BodyBuffer {
+    memory: Arc<Mutex<ResponseMemory>>,
     bytes: BytesMut,
     held_bytes: usize,
     parts: usize,
     max_bytes: usize,
 }
 
-impl<'a> BodyBuffer<'a> {
-    fn new(memory: &'a Mutex<ResponseMemory>, max_bytes: usize) -> Self {
+impl BodyBuffer {
+    fn new(memory: &Arc<Mutex<ResponseMemory>>, max_bytes: usize) -> Self {
         memory.lock().begin();
         Self {
-            memory,
+            memory: Arc::clone(memory),
             bytes: BytesMut::new(),
             held_bytes: 0,
             parts: 0,
@@ -115,13 +116,20 @@
     }
 }
 
-impl Drop for BodyBuffer<'_> {
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for BodyBuffer {
     fn drop(&mut self) {
         self.memory.lock().end(self.held_bytes);
     }
 }
 
-/// Reads a body to its end.
+/// Reads a body to its end. The bytes hold their memory until the last reference to them
+/// is dropped, which is when they are written to the caller.
 ///
 /// # Errors
 ///
@@ -157,7 +165,7 @@
         let remaining = Duration::from_millis(request.remaining_ms(node.clock));
         let frame = match timeout(CHECK_INTERVAL.min(remaining), body.frame()).await {
             Ok(Some(frame)) => frame.map_err(|_| BodyError::Broken)?,
-            Ok(None) => return Ok(std::mem::take(&mut buffer.bytes).freeze()),
+            Ok(None) => return Ok(Bytes::from_owner(buffer)),
             Err(_) if in_flight.is_superseded() => return Err(BodyError::GivenUp),
             Err(_) => continue,
         };
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -97,8 +97,8 @@
     pub(crate) estimate_corrections: Mutex<EstimateCorrections>,
     pub(crate) suspects: Mutex<SuspectRequests>,
     pub(crate) suspect_parts: Mutex<SuspectParts>,
-    /// Memory for the bodies of responses that are being read.
-    pub(crate) response_memory: Mutex<ResponseMemory>,
+    /// Memory for the bodies of responses, until callers have got them.
+    pub(crate) response_memory: Arc<Mutex<ResponseMemory>>,
     /// What callers may take of this machine.
     pub(crate) budget: Budget,
     /// Parts whose objects in the platform are to be written.
@@ -173,6 +173,7 @@
             options.entry.as_bytes(),
             started_unix_ms,
         );
+        let response_memory = ResponseMemory::new(budget.responses_bytes);
         let metrics = Metrics::new();
         let calls = metrics.platform_calls.clone();
         let transfer_bytes = metrics.transfer_bytes.clone();
@@ -204,7 +205,7 @@
             estimate_corrections: Mutex::default(),
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
-            response_memory: Mutex::default(),
+            response_memory: Arc::new(Mutex::new(response_memory)),
             budget,
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
