Bound the bodies of all requests together, and end those that don't come

What callers saw: a process that ran out of memory. 60 bodies of 4 MiB, one byte short or without a server that answers them, made it hold 265 to 435 MB of 120 MB; a caller that stopped in the middle held its body for as long as it liked.

Cause: each body had a limit, and the number of bodies had none. Nothing ended a body that no longer came. Bodies were kept in the pieces they came in, so that a chunk of one byte kept a handle and the read buffer, and were copied once more at their end. They were read before the route and the key were looked at. What was refused before its end lost its refusal, since the connection was closed with unread bytes.

These are parts of one change, as the reading of a body is one function: bytes count while they are held, in blocks of two sizes; memory is a part of the machine's, of which large bodies leave a quarter to small ones; bodies that make no progress give way, whole ones never; a body ends with its idle time (408), half a second after its request's time (408), or when no memory is left (503 with Retry-After), each with not_run. A request without a route or with a wrong key is refused before its body is read, and what its caller still sends is read and dropped, 8 MiB and 2 s at most. One log line tells when memory becomes short and one when it is regained.

--- a/crates/front/src/caller_timeouts.rs
+++ b/crates/front/src/caller_timeouts.rs
@@ -46,6 +46,11 @@
     }
 }
 
+/// Returns how long a body may bring nothing, by the limits in force.
+pub(crate) fn body_idle_timeout(node: &Node) -> Duration {
+    CallerTimeouts::in_force(node).idle
+}
+
 /// Waits until the runtime has read what the operating system holds ready.
 ///
 /// After the process was suspended, or its thread was busy, timers fire before the sockets
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -10,10 +10,12 @@
 //! bytes after the chunks would then be taken for the next request, while a
 //! proxy that used the length took them for the body.
 
+use inbound::Activity;
 use parking_lot::Mutex;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
@@ -120,9 +122,28 @@
 struct FramingState {
     head: Mutex<HeadScanner>,
     phase: watch::Sender<PhaseStart>,
+    activity: Activity,
+    /// Whether a request was refused with a part of its body unread.
+    body_unread: AtomicBool,
 }
 
 impl RequestFraming {
+    /// Returns the activity of the connection.
+    pub(crate) fn activity(&self) -> &Activity {
+        &self.0.activity
+    }
+
+    /// Notes that a part of a request's body is left unread. The connection can't be used
+    /// again.
+    pub(crate) fn leave_body_unread(&self) {
+        self.0.body_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a part of a body was left unread.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.0.body_unread.load(Ordering::Relaxed)
+    }
+
     /// Notes that a complete head was read and its request is being handled.
     pub(crate) fn response_started(&self) {
         self.begin(RequestPhase::Responding);
@@ -218,6 +239,11 @@
     pub(crate) const fn new(stream: S, framing: RequestFraming) -> Self {
         Self { stream, framing }
     }
+
+    /// Returns the stream itself.
+    pub(crate) fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for ObservedStream<S> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -38,6 +38,7 @@
 mod intake;
 mod lease_relay;
 mod log;
+mod memory_pressure;
 mod options;
 mod orders;
 mod origin_proof;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -4,17 +4,19 @@
 use base::prelude::*;
 use bytes::Bytes;
 use direct::{Config, Route};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode, Uri};
+use inbound::{BodyError, BodyLimits, discard};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::RequestHead;
+use crate::caller_timeouts::body_idle_timeout;
 use crate::dispatch::{Dispatch, DispatchResult};
+use crate::framing::RequestFraming;
 use crate::headers::{has_ambiguous_framing, set_connection_close, strip_hop_by_hop};
 use crate::quota::charge;
 use crate::response::{ResponseBody, error_response};
@@ -42,6 +44,14 @@
 /// Deadline of requests that state none; the route's timeout may be shorter.
 pub(crate) const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// Time after the deadline of a request for which its body is still read. A request that
+/// is late by less is refused like one that was whole before.
+const LATE_BODY_MS: u64 = 500;
+
+/// When a caller should come back whose body got no memory, or came too slowly: by then
+/// bodies that rest have given way.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// The process exits before it could run the request; another entry can take it
 /// at once.
 const SHUTTING_DOWN: RequestError =
@@ -52,7 +62,7 @@
 pub(crate) async fn serve(
     node: Arc<Node>,
     request: Request<Incoming>,
-    ambiguous_length: bool,
+    framing: &RequestFraming,
 ) -> Response<ResponseBody> {
     let arrived_at = node.now();
     let phase = node.shutdown.phase();
@@ -64,13 +74,16 @@
         node.log
             .line("taken_after_end", json!({ "id": id.clone() }));
     }
-    let built = if ambiguous_length || has_ambiguous_framing(&parts.headers) {
+    let is_ambiguous =
+        framing.has_ambiguous_length() || has_ambiguous_framing(&parts.headers);
+    let built = if is_ambiguous {
+        framing.leave_body_unread();
         Err(RequestError::not_run(ErrorCode::BadRequest))
     } else {
         let respond_now = node.shutdown.respond_now.clone();
         tokio::select! {
             biased;
-            built = build_request(&node, arrived_at, parts, body, head) => built,
+            built = build_request(&node, arrived_at, parts, body, head, framing) => built,
             () = respond_now.cancelled() => Err(SHUTTING_DOWN),
         }
     };
@@ -125,23 +138,28 @@
     parts: hyper::http::request::Parts,
     body: Incoming,
     head: RequestHead,
+    framing: &RequestFraming,
 ) -> Result<CallerRequest, RequestError> {
-    // A refusal that leaves part of the body unread resets the connection, and
-    // the caller may never read the reason. So the body is read first, and
-    // everything that depends on the current time is checked afterwards.
-    let body_max_bytes = node.config().unwrap_or_default().limits.body_max_bytes;
-    let body = read_body(body, body_max_bytes).await?;
+    let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let body_timeout_ms = match check_head(node, &parts, &head) {
+        Ok(route_timeout_ms) => deadline_ms.min(route_timeout_ms),
+        Err(refusal) => {
+            if !discard(body).await {
+                framing.leave_body_unread();
+            }
+            return Err(refusal);
+        }
+    };
+    // What the head shows may change while the body comes, and is checked again.
+    let body = read_body(node, body, body_timeout_ms, framing).await?;
     let not_ready =
         RequestError::not_run(ErrorCode::NotReady).retry_after_ms(NOT_READY_RETRY_MS);
-    let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let config_wait_ms = (deadline_ms / 4).min(CONFIG_WAIT_MAX_MS);
     let config = node
         .first_config(Duration::from_millis(config_wait_ms))
         .await
         .ok_or(not_ready)?;
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let route = config.route(host, parts.uri.path()).cloned();
+    let route = config.route(host_of(&parts), parts.uri.path()).cloned();
     let Some(route) = route else {
         // A route that a possibly outdated configuration doesn't contain may
         // exist by now.
@@ -245,17 +263,76 @@
     scaled_ms.max(MIN_FIRST_EVENT_WAIT_MS)
 }
 
-/// Reads a request's body up to the size limit.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, RequestError> {
-    let too_large = RequestError::not_run(ErrorCode::BodyTooLarge);
-    // A body that is announced as too large is refused without reading it.
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large);
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large),
-        Err(_) => Err(RequestError::not_run(ErrorCode::BadRequest)),
+/// Checks what can be known without the body. Returns the route's timeout.
+///
+/// # Errors
+///
+/// The request is refused whatever its body.
+fn check_head(
+    node: &Node,
+    parts: &hyper::http::request::Parts,
+    head: &RequestHead,
+) -> Result<u64, RequestError> {
+    let Some(config) = node.config().filter(|_| node.config_is_fresh()) else {
+        return Ok(DEFAULT_DEADLINE_MS);
+    };
+    let Some(route) = config.route(host_of(parts), parts.uri.path()) else {
+        return Err(RequestError::not_run(ErrorCode::UnknownPath));
+    };
+    authenticate(&config, route, head)?;
+    Ok(route.timeout_ms)
+}
+
+fn host_of(parts: &hyper::http::request::Parts) -> &str {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
+/// Reads a request's body within the limits in force and the memory that is left.
+async fn read_body(
+    node: &Node,
+    body: Incoming,
+    timeout_ms: u64,
+    framing: &RequestFraming,
+) -> Result<Bytes, RequestError> {
+    let until = tokio::time::Instant::now()
+        + Duration::from_millis(timeout_ms.saturating_add(LATE_BODY_MS));
+    let limits = || BodyLimits {
+        max_bytes: node.limits().body_max_bytes,
+        idle: body_idle_timeout(node),
+        until,
+    };
+    let resting = framing.activity().rest_in_body();
+    let read = inbound::read_body(
+        body,
+        &node.body_memory,
+        framing.activity(),
+        || node.now(),
+        limits,
+    );
+    let result = read.await;
+    drop(resting);
+    result.map_err(|error| {
+        framing.leave_body_unread();
+        let reason = error.as_str();
+        node.metrics.bodies_ended.with_label_values(&[reason]).inc();
+        refusal_of(error)
+    })
+}
+
+/// Returns the refusal of a request whose body was not read to its end.
+const fn refusal_of(error: BodyError) -> RequestError {
+    match error {
+        BodyError::TooLarge => RequestError::not_run(ErrorCode::BodyTooLarge),
+        BodyError::NoMemory | BodyError::Evicted => {
+            RequestError::not_run(ErrorCode::Overloaded)
+                .retry_after_ms(NO_MEMORY_RETRY_MS)
+        }
+        BodyError::Idle | BodyError::Deadline => {
+            RequestError::not_run(ErrorCode::BodyTimeout)
+                .retry_after_ms(NO_MEMORY_RETRY_MS)
+        }
+        BodyError::Broken => RequestError::not_run(ErrorCode::BadRequest),
     }
 }
 
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use inbound::drain;
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -39,6 +40,9 @@
 /// has begun gets the configured time.
 const HEAD_START_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A caller's connection as the HTTP library sees it.
+type CallerIo = TokioIo<ObservedStream<TcpStream>>;
+
 /// Accepts callers' connections until the shutdown stops that.
 pub(crate) async fn accept(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -114,7 +118,7 @@
             handle_request(node, framing.clone(), head_max_bytes, request)
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
         .max_buf_size(head_max_bytes.saturating_add(HEAD_BUFFER_MARGIN_BYTES))
@@ -122,12 +126,30 @@
             TokioIo::new(ObservedStream::new(stream, framing.clone())),
             service,
         );
-    let mut connection = pin!(connection);
+    let (end, result) = serve_until_end(node, framing, &mut connection).await;
+    let was_refused = match &result {
+        Some(Err(error)) => error.is_parse() || error.is_parse_too_large(),
+        _ => framing.has_unread_body(),
+    };
+    if was_refused {
+        drain(connection.into_parts().io.into_inner().into_inner()).await;
+    }
+    end
+}
+
+/// Polls a connection until it ends or is to be closed. Returns why, and the result of
+/// the HTTP library if it came to an end itself.
+async fn serve_until_end<S>(
+    node: &Node,
+    framing: &RequestFraming,
+    connection: &mut http1::Connection<CallerIo, S>,
+) -> (ConnectionEnd, Option<hyper::Result<()>>)
+where
+    S: HttpService<Incoming, ResBody = GuardedBody, Error = Infallible>,
+{
     let end = tokio::select! {
         biased;
-        result = connection.as_mut() => {
-            return ConnectionEnd::of(&result);
-        }
+        result = &mut *connection => return ended(result),
         () = node.shutdown.close_connections.cancelled() => ConnectionEnd::Stopping,
         phase = timed_out(node, framing) => ConnectionEnd::timed_out_in(phase),
     };
@@ -135,9 +157,7 @@
         let head_timeout = Duration::from_millis(node.limits().head_timeout_ms);
         tokio::select! {
             biased;
-            result = connection.as_mut() => {
-                return ConnectionEnd::of(&result);
-            }
+            result = &mut *connection => return ended(result),
             () = async {
                 wait_for_head(framing, head_timeout).await;
                 let_arrived_requests_be_read(node).await;
@@ -146,15 +166,19 @@
     }
     if framing.expects_head() {
         // A graceful shutdown would wait for the head.
-        return end;
+        return (end, None);
     }
-    connection.as_mut().graceful_shutdown();
+    Pin::new(&mut *connection).graceful_shutdown();
     match connection.await {
-        Ok(()) => end,
-        Err(_) => ConnectionEnd::Error,
+        Ok(()) => (end, Some(Ok(()))),
+        Err(error) => (ConnectionEnd::Error, Some(Err(error))),
     }
 }
 
+fn ended(result: hyper::Result<()>) -> (ConnectionEnd, Option<hyper::Result<()>>) {
+    (ConnectionEnd::of(&result), Some(result))
+}
+
 /// Waits until no request head is expected on a connection that is to be
 /// closed, or its time is up.
 async fn wait_for_head(framing: &RequestFraming, head_timeout: Duration) {
@@ -177,11 +201,11 @@
 ) -> Result<Response<GuardedBody>, Infallible> {
     framing.response_started();
     let guard = ResponseGuard(framing.clone());
-    let ambiguous_length = framing.has_ambiguous_length();
-    let mut response = serve(Arc::clone(&node), request, ambiguous_length).await;
+    let mut response = serve(Arc::clone(&node), request, &framing).await;
     framing.reset_head();
-    if node.limits().head_max_bytes > head_max_bytes {
-        // The buffer can't grow; a longer head would be refused.
+    // The buffer can't grow; a longer head would be refused.
+    let is_buffer_small = node.limits().head_max_bytes > head_max_bytes;
+    if is_buffer_small || framing.has_unread_body() {
         set_connection_close(response.headers_mut());
     }
     Ok(response.map(|body| GuardedBody {
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -78,6 +78,12 @@
     pub(crate) shutdown_responses: IntCounterVec,
     /// New connections that were closed unread for lack of processor time.
     pub(crate) connections_refused: IntCounter,
+    /// Bodies of requests that were not read to their end, by reason.
+    pub(crate) bodies_ended: IntCounterVec,
+    /// Memory that the bodies of requests take, and may take, in bytes.
+    pub(crate) body_memory_bytes: IntGauge,
+    /// See `body_memory_bytes`.
+    pub(crate) body_memory_max_bytes: IntGauge,
     /// Callers' connections that ended, by reason and phase of their last request.
     pub(crate) connections_ended: IntCounterVec,
     /// Requests whose connection ended before the end of their response, by route,
@@ -275,6 +281,19 @@
             .register(Box::new(connections_refused.clone()))
             .expect("each metric is registered once");
         let in_progress = gauge("sesame_front_in_progress", "Requests in progress");
+        let bodies_ended = counter(
+            "sesame_front_bodies_ended_total",
+            "Bodies of requests that were not read to their end",
+            &["reason"],
+        );
+        let body_memory_bytes = gauge(
+            "sesame_front_body_memory_bytes",
+            "Memory that the bodies of requests take",
+        );
+        let body_memory_max_bytes = gauge(
+            "sesame_front_body_memory_max_bytes",
+            "Memory that the bodies of requests may take",
+        );
         let log_dropped = gauge("sesame_front_log_dropped", "Log lines dropped");
         Self {
             registry,
@@ -304,6 +323,9 @@
             suspended_s,
             shutdown_responses,
             connections_refused,
+            bodies_ended,
+            body_memory_bytes,
+            body_memory_max_bytes,
             connections_ended,
             requests_unfinished,
             in_progress,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -6,7 +6,7 @@
     Lease, Limits, MeanPrefillTimes, ModelTimeFactors, ResponseMemory, RetryBudget,
     StreamDurations, Watermark,
 };
-use inbound::Budget;
+use inbound::{BodyMemory, Budget};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -101,6 +101,8 @@
     pub(crate) response_memory: Arc<Mutex<ResponseMemory>>,
     /// What callers may take of this machine.
     pub(crate) budget: Budget,
+    /// Memory for the bodies of requests.
+    pub(crate) body_memory: Arc<BodyMemory>,
     /// Parts whose objects in the platform are to be written.
     pub(crate) changed_parts: ChangedParts,
     /// Which new connections of callers are accepted.
@@ -206,6 +208,7 @@
             suspects: Mutex::new(SuspectRequests::new(CRASH_VERDICT_MS)),
             suspect_parts: Mutex::default(),
             response_memory: Arc::new(Mutex::new(response_memory)),
+            body_memory: BodyMemory::new(budget.bodies_bytes, budget.bodies_max_bytes),
             budget,
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
