Let the connection that rested longest give way to a new one

What callers saw: connections that rest take all descriptors. 600 of them took 586 to 617 of 400; neither new callers nor upstreams can be connected then. The listeners for readiness and metrics had no bound either.

Cause: the number of connections was bounded by the operating system alone, which refuses the next one, whoever holds the others.

Callers' connections are bounded by the machine's memory and by a part of its descriptors that leaves as many for upstreams. When all places are taken, the connection that has rested longest gives way: one that waits for a request, a head, the rest of a body without progress for a second, or for a caller that hasn't read for five seconds. A request in progress never does. The listeners for readiness and metrics keep 32 connections each by the same rule.

--- a/crates/front/src/connection_end.rs
+++ b/crates/front/src/connection_end.rs
@@ -15,6 +15,8 @@
     Idle,
     /// The head of a request was not complete within the timeout.
     HeadTimeout,
+    /// It rested, and gave way to a new one.
+    Evicted,
     /// The entry is stopping, and no complete request had arrived on it.
     Stopping,
     /// The process exits.
@@ -48,6 +50,7 @@
             Self::Closed => "closed",
             Self::Idle => "idle",
             Self::HeadTimeout => "head_timeout",
+            Self::Evicted => "evicted",
             Self::Stopping => "stopping",
             Self::Exit => "exit",
             Self::Error => "error",
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -128,6 +128,14 @@
 }
 
 impl RequestFraming {
+    /// The state of a connection with this activity, which follows the phase.
+    pub(crate) fn new(activity: Activity) -> Self {
+        Self(Arc::new(FramingState {
+            activity,
+            ..FramingState::default()
+        }))
+    }
+
     /// Returns the activity of the connection.
     pub(crate) fn activity(&self) -> &Activity {
         &self.0.activity
@@ -187,6 +195,10 @@
     }
 
     fn begin(&self, phase: RequestPhase) {
+        match phase {
+            RequestPhase::Idle => self.0.activity.rest_idle(),
+            _ => self.0.activity.busy(),
+        }
         self.0.phase.send_replace(PhaseStart::now(phase));
     }
 
@@ -220,6 +232,7 @@
                     RequestPhase::AwaitingFirst | RequestPhase::Idle
                 );
                 if starts_request {
+                    self.0.activity.rest_in_head();
                     *start = PhaseStart::now(RequestPhase::ReadingHead);
                 }
                 starts_request
@@ -244,6 +257,16 @@
     pub(crate) fn into_inner(self) -> S {
         self.stream
     }
+
+    /// Notes whether a write waits for the caller to read.
+    fn record_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if result.is_pending() {
+            self.framing.activity().rest_in_write();
+        } else {
+            self.framing.activity().record_write();
+        }
+        result
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for ObservedStream<S> {
@@ -265,7 +288,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_write(result)
     }
 
     fn poll_write_vectored(
@@ -273,7 +297,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/front/src/readiness.rs
+++ b/crates/front/src/readiness.rs
@@ -7,10 +7,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use inbound::{ConnectionPermit, ConnectionTable};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::connection::configure_caller_socket;
 use crate::state::Node;
@@ -21,6 +22,10 @@
 /// Idle timeout of a connection. The load balancer checks once a second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum number of connections of a listener: balancers and collectors of metrics are
+/// few, and each keeps one or two.
+const CONNECTIONS_MAX: usize = 32;
+
 /// Serves metrics at the additional address forever, if one is configured.
 ///
 /// If that address is taken, the entry runs without this listener: metrics are
@@ -48,25 +53,41 @@
 
 /// Serves the readiness check and metrics on a listener, forever.
 pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let table = ConnectionTable::new(CONNECTIONS_MAX);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        configure_caller_socket(&stream);
-        let node = Arc::clone(&node);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = respond(&node, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            // The client has disconnected.
-            let _ = connection.await;
-        });
+        let Ok((permit, _)) = table.admit() else {
+            node.metrics.connections_refused.inc();
+            continue;
+        };
+        tokio::spawn(serve_connection(Arc::clone(&node), stream, permit));
+    }
+}
+
+/// Serves a connection until it is closed, or gives way to a new one.
+async fn serve_connection(
+    node: Arc<Node>,
+    stream: TcpStream,
+    permit: ConnectionPermit,
+) {
+    configure_caller_socket(&stream);
+    let activity = permit.activity().clone();
+    let service = service_fn(move |request| {
+        let response = respond(&node, &request);
+        activity.rest_idle();
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // The client has disconnected.
+        _ = connection => {}
+        () = permit.activity().evicted() => {}
     }
 }
 
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -6,14 +6,14 @@
 use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use inbound::drain;
+use inbound::{ConnectionPermit, drain};
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::caller_timeouts::{let_arrived_requests_be_read, timed_out};
 use crate::connection::configure_caller_socket;
@@ -34,6 +34,10 @@
 /// Pause after the operating system failed to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time in which a connection that gives way has to send its last response, if no request
+/// is in progress on it.
+const EVICTED_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time that a new connection has to start its request once connections are
 /// being closed. Callers send it right after connecting, and give up on an
 /// entry that has not read their request after a second. A request head that
@@ -52,7 +56,7 @@
         };
         match accepted {
             Ok((stream, _)) if node.intake_limit.lock().accepts() => {
-                spawn_connection(&node, stream);
+                admit(&node, stream).await;
             }
             // Closed unread: the caller may send the request to another entry.
             Ok(_) => node.metrics.connections_refused.inc(),
@@ -80,20 +84,45 @@
     while let Ok((stream, _)) = listener.accept() {
         let stream = stream.set_nonblocking(true).map(|()| stream);
         if let Ok(stream) = stream.and_then(TcpStream::from_std) {
-            spawn_connection(node, stream);
+            try_admit(node, stream);
         }
     }
 }
 
-fn spawn_connection(node: &Arc<Node>, stream: TcpStream) {
+/// Serves a connection if there is a place for it. Those that give way may need a moment
+/// to close.
+async fn admit(node: &Arc<Node>, stream: TcpStream) {
+    if let Some(stream) = try_admit(node, stream) {
+        tokio::task::yield_now().await;
+        if try_admit(node, stream).is_some() {
+            // Closed unread: the caller may send the request to another entry.
+            node.metrics.connections_refused.inc();
+        }
+    }
+}
+
+/// Serves a connection, or returns it if there is no place for it.
+fn try_admit(node: &Arc<Node>, stream: TcpStream) -> Option<TcpStream> {
+    let Ok((permit, eviction)) = node.caller_table.admit() else {
+        return Some(stream);
+    };
+    if let Some(eviction) = eviction {
+        let evicted = &node.metrics.connections_evicted;
+        evicted.with_label_values(&[eviction.phase]).inc();
+    }
     node.caller_connections
-        .spawn(serve_connection(Arc::clone(node), stream));
+        .spawn(serve_connection(Arc::clone(node), stream, permit));
+    None
 }
 
 /// Serves one connection until it is closed, or the process exits.
-async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
+async fn serve_connection(
+    node: Arc<Node>,
+    stream: TcpStream,
+    permit: ConnectionPermit,
+) {
     configure_caller_socket(&stream);
-    let framing = RequestFraming::default();
+    let framing = RequestFraming::new(permit.activity().clone());
     let mut guard = ConnectionGuard::new(Arc::clone(&node), framing.clone());
     let mut serving = pin!(serve_requests(&node, stream, &framing));
     let end = tokio::select! {
@@ -132,7 +161,12 @@
         _ => framing.has_unread_body(),
     };
     if was_refused {
-        drain(connection.into_parts().io.into_inner().into_inner()).await;
+        framing.activity().rest_idle();
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        tokio::select! {
+            () = drain(stream) => {}
+            () = framing.activity().evicted() => {}
+        }
     }
     end
 }
@@ -151,6 +185,7 @@
         biased;
         result = &mut *connection => return ended(result),
         () = node.shutdown.close_connections.cancelled() => ConnectionEnd::Stopping,
+        () = framing.activity().evicted() => ConnectionEnd::Evicted,
         phase = timed_out(node, framing) => ConnectionEnd::timed_out_in(phase),
     };
     if end == ConnectionEnd::Stopping {
@@ -169,12 +204,27 @@
         return (end, None);
     }
     Pin::new(&mut *connection).graceful_shutdown();
-    match connection.await {
+    let result = tokio::select! {
+        result = connection => result,
+        () = stays_at_rest(framing), if end == ConnectionEnd::Evicted => Ok(()),
+    };
+    match result {
         Ok(()) => (end, Some(Ok(()))),
         Err(error) => (ConnectionEnd::Error, Some(Err(error))),
     }
 }
 
+/// Waits until a connection that gives way is found to wait for a caller that doesn't read.
+/// A body that gives way is refused, and a request that has just begun is served.
+async fn stays_at_rest(framing: &RequestFraming) {
+    loop {
+        sleep(EVICTED_TIMEOUT).await;
+        if framing.activity().may_be_closed() {
+            return;
+        }
+    }
+}
+
 fn ended(result: hyper::Result<()>) -> (ConnectionEnd, Option<hyper::Result<()>>) {
     (ConnectionEnd::of(&result), Some(result))
 }
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -78,6 +78,8 @@
     pub(crate) shutdown_responses: IntCounterVec,
     /// New connections that were closed unread for lack of processor time.
     pub(crate) connections_refused: IntCounter,
+    /// Callers' connections that gave way to new ones, by what they waited for.
+    pub(crate) connections_evicted: IntCounterVec,
     /// Bodies of requests that were not read to their end, by reason.
     pub(crate) bodies_ended: IntCounterVec,
     /// Memory that the bodies of requests take, and may take, in bytes.
@@ -281,6 +283,11 @@
             .register(Box::new(connections_refused.clone()))
             .expect("each metric is registered once");
         let in_progress = gauge("sesame_front_in_progress", "Requests in progress");
+        let connections_evicted = counter(
+            "sesame_front_connections_evicted_total",
+            "Callers' connections that gave way to new ones",
+            &["phase"],
+        );
         let bodies_ended = counter(
             "sesame_front_bodies_ended_total",
             "Bodies of requests that were not read to their end",
@@ -323,6 +330,7 @@
             suspended_s,
             shutdown_responses,
             connections_refused,
+            connections_evicted,
             bodies_ended,
             body_memory_bytes,
             body_memory_max_bytes,
--- a/crates/front/src/state/node.rs
+++ b/crates/front/src/state/node.rs
@@ -6,7 +6,7 @@
     Lease, Limits, MeanPrefillTimes, ModelTimeFactors, ResponseMemory, RetryBudget,
     StreamDurations, Watermark,
 };
-use inbound::{BodyMemory, Budget};
+use inbound::{BodyMemory, Budget, ConnectionTable};
 use parking_lot::Mutex;
 use plat::ObjectApi;
 use rand_core::Rng;
@@ -103,6 +103,8 @@
     pub(crate) budget: Budget,
     /// Memory for the bodies of requests.
     pub(crate) body_memory: Arc<BodyMemory>,
+    /// Connections of callers.
+    pub(crate) caller_table: Arc<ConnectionTable>,
     /// Parts whose objects in the platform are to be written.
     pub(crate) changed_parts: ChangedParts,
     /// Which new connections of callers are accepted.
@@ -209,6 +211,7 @@
             suspect_parts: Mutex::default(),
             response_memory: Arc::new(Mutex::new(response_memory)),
             body_memory: BodyMemory::new(budget.bodies_bytes, budget.bodies_max_bytes),
+            caller_table: ConnectionTable::new(budget.connections),
             budget,
             changed_parts: ChangedParts::default(),
             intake_limit: Mutex::default(),
