--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -15,7 +15,6 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
@@ -123,8 +122,6 @@
     head: Mutex<HeadScanner>,
     phase: watch::Sender<PhaseStart>,
     activity: Activity,
-    /// Whether a request was refused with a part of its body unread.
-    body_unread: AtomicBool,
 }
 
 impl RequestFraming {
@@ -141,17 +138,6 @@
         &self.0.activity
     }
 
-    /// Notes that a part of a request's body is left unread. The connection can't be used
-    /// again.
-    pub(crate) fn leave_body_unread(&self) {
-        self.0.body_unread.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether a part of a body was left unread.
-    pub(crate) fn has_unread_body(&self) -> bool {
-        self.0.body_unread.load(Ordering::Relaxed)
-    }
-
     /// Notes that a complete head was read and its request is being handled.
     pub(crate) fn response_started(&self) {
         self.begin(RequestPhase::Responding);
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::memory_pressure::PressureLog;
+use crate::memory_pressure::report_memory;
 use crate::state::Node;
 
 /// Minimum interval between two log lines about refused connections.
@@ -15,7 +15,6 @@
 /// Observes the delay of timers and the memory for bodies, forever.
 pub(crate) async fn limit_intake(node: Arc<Node>) {
     let mut refused = RefusedConnections::default();
-    let mut pressure = PressureLog::default();
     loop {
         let began = node.now();
         tokio::time::sleep(Duration::from_millis(INTAKE_INTERVAL_MS)).await;
@@ -23,7 +22,7 @@
         let delay_ms = slept_ms.saturating_sub(INTAKE_INTERVAL_MS);
         observe_delay(&node, delay_ms);
         refused.log(&node, delay_ms);
-        pressure.update(&node);
+        report_memory(&node);
     }
 }
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -77,7 +77,7 @@
     let is_ambiguous =
         framing.has_ambiguous_length() || has_ambiguous_framing(&parts.headers);
     let built = if is_ambiguous {
-        framing.leave_body_unread();
+        framing.activity().leave_body_unread();
         Err(RequestError::not_run(ErrorCode::BadRequest))
     } else {
         let respond_now = node.shutdown.respond_now.clone();
@@ -145,7 +145,7 @@
         Ok(route_timeout_ms) => deadline_ms.min(route_timeout_ms),
         Err(refusal) => {
             if !discard(body).await {
-                framing.leave_body_unread();
+                framing.activity().leave_body_unread();
             }
             return Err(refusal);
         }
@@ -313,7 +313,7 @@
     let result = read.await;
     drop(resting);
     result.map_err(|error| {
-        framing.leave_body_unread();
+        framing.activity().leave_body_unread();
         let reason = error.as_str();
         node.metrics.bodies_ended.with_label_values(&[reason]).inc();
         refusal_of(error)
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -13,7 +13,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::caller_timeouts::{let_arrived_requests_be_read, timed_out};
 use crate::connection::configure_caller_socket;
@@ -34,10 +34,6 @@
 /// Pause after the operating system failed to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time in which a connection that gives way has to send its last response, if no request
-/// is in progress on it.
-const EVICTED_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time that a new connection has to start its request once connections are
 /// being closed. Callers send it right after connecting, and give up on an
 /// entry that has not read their request after a second. A request head that
@@ -158,7 +154,7 @@
     let (end, result) = serve_until_end(node, framing, &mut connection).await;
     let was_refused = match &result {
         Some(Err(error)) => error.is_parse() || error.is_parse_too_large(),
-        _ => framing.has_unread_body(),
+        _ => framing.activity().has_unread_body(),
     };
     if was_refused {
         framing.activity().rest_idle();
@@ -206,7 +202,7 @@
     Pin::new(&mut *connection).graceful_shutdown();
     let result = tokio::select! {
         result = connection => result,
-        () = stays_at_rest(framing), if end == ConnectionEnd::Evicted => Ok(()),
+        () = framing.activity().must_close(), if end == ConnectionEnd::Evicted => Ok(()),
     };
     match result {
         Ok(()) => (end, Some(Ok(()))),
@@ -214,17 +210,6 @@
     }
 }
 
-/// Waits until a connection that gives way is found to wait for a caller that doesn't read.
-/// A body that gives way is refused, and a request that has just begun is served.
-async fn stays_at_rest(framing: &RequestFraming) {
-    loop {
-        sleep(EVICTED_TIMEOUT).await;
-        if framing.activity().may_be_closed() {
-            return;
-        }
-    }
-}
-
 fn ended(result: hyper::Result<()>) -> (ConnectionEnd, Option<hyper::Result<()>>) {
     (ConnectionEnd::of(&result), Some(result))
 }
@@ -255,7 +240,7 @@
     framing.reset_head();
     // The buffer can't grow; a longer head would be refused.
     let is_buffer_small = node.limits().head_max_bytes > head_max_bytes;
-    if is_buffer_small || framing.has_unread_body() {
+    if is_buffer_small || framing.activity().has_unread_body() {
         set_connection_close(response.headers_mut());
     }
     Ok(response.map(|body| GuardedBody {
--- a/crates/inbound/src/activity.rs
+++ b/crates/inbound/src/activity.rs
@@ -2,13 +2,17 @@
 
 use parking_lot::Mutex;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Bytes of a body that count as progress.
 const PROGRESS_BYTES: usize = 4 << 10;
 
+/// Time in which a connection that gives way has to send its last response.
+const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Rest {
@@ -58,6 +62,8 @@
 #[derive(Debug, Clone)]
 pub struct Activity {
     state: Arc<Mutex<State>>,
+    /// Whether a request was refused with a part of its body unread.
+    body_unread: Arc<AtomicBool>,
     evicted: CancellationToken,
 }
 
@@ -71,6 +77,7 @@
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            body_unread: Arc::default(),
             evicted: CancellationToken::new(),
         }
     }
@@ -115,6 +122,23 @@
         self.state.lock().resting = None;
     }
 
+    /// A request is being handled until the guard is dropped. Then the connection waits
+    /// for the next one.
+    pub fn respond(&self) -> IdleGuard {
+        self.busy();
+        IdleGuard(self.clone())
+    }
+
+    /// A part of a request's body is left unread: the connection can't be used again.
+    pub fn leave_body_unread(&self) {
+        self.body_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a part of a body was left unread.
+    pub fn has_unread_body(&self) -> bool {
+        self.body_unread.load(Ordering::Relaxed)
+    }
+
     /// Counts bytes of a body.
     pub(crate) fn record_read(&self, bytes: usize) {
         let mut state = self.state.lock();
@@ -136,9 +160,26 @@
         (rested >= rest.min()).then_some((rest, rested))
     }
 
-    /// Returns whether the connection has rested for long enough to be closed.
-    pub fn may_be_closed(&self) -> bool {
-        self.may_give_way(Instant::now()).is_some()
+    /// Waits until the connection has to give way and its owner must not wait for it any
+    /// longer: it waits for a head, or still rests after it could have sent the refusal of
+    /// a body. A request that has just begun is served.
+    pub async fn must_close(&self) {
+        self.evicted().await;
+        loop {
+            if self.rests_in(Some(Rest::Head)) {
+                return;
+            }
+            sleep(LAST_RESPONSE_TIMEOUT).await;
+            if self.rests_in(None) {
+                return;
+            }
+        }
+    }
+
+    /// Whether it has rested for long enough to give way, for this reason or any.
+    fn rests_in(&self, reason: Option<Rest>) -> bool {
+        let resting = self.may_give_way(Instant::now());
+        resting.is_some_and(|(rest, _)| reason.is_none_or(|reason| rest == reason))
     }
 
     /// Waits until the connection has to give way.
@@ -155,6 +196,16 @@
     }
 }
 
+/// Marks a connection as waiting for its next request when dropped.
+#[derive(Debug)]
+pub struct IdleGuard(Activity);
+
+impl Drop for IdleGuard {
+    fn drop(&mut self) {
+        self.0.rest_idle();
+    }
+}
+
 /// Marks a connection as in use when dropped.
 #[derive(Debug)]
 pub struct BusyGuard(Activity);
--- a/crates/inbound/src/body_memory.rs
+++ b/crates/inbound/src/body_memory.rs
@@ -27,6 +27,8 @@
     /// Cancelled when the body gives way.
     evictions: HashMap<BodyId, CancellationToken>,
     is_short: bool,
+    /// What [`BodyMemory::pressure_change`] returned last.
+    reported_short: bool,
     refused: u64,
     evicted: u64,
 }
@@ -55,6 +57,7 @@
                 ledger: BodyLedger::new(capacity_bytes),
                 evictions: HashMap::new(),
                 is_short: false,
+                reported_short: false,
                 refused: 0,
                 evicted: 0,
             }),
@@ -91,23 +94,35 @@
 
     /// Returns whether memory is short.
     pub fn pressure(&self) -> MemoryPressure {
+        self.state.lock().pressure()
+    }
+
+    /// Returns whether memory is short if that has changed since the last call, so that
+    /// the log has one line for each shortage.
+    pub fn pressure_change(&self) -> Option<MemoryPressure> {
         let mut state = self.state.lock();
-        let used_bytes = state.ledger.used_bytes();
-        let capacity_bytes = state.ledger.capacity_bytes();
+        let pressure = state.pressure();
+        let before = std::mem::replace(&mut state.reported_short, pressure.is_short);
+        (before != pressure.is_short).then_some(pressure)
+    }
+}
+
+impl State {
+    fn pressure(&mut self) -> MemoryPressure {
+        let used_bytes = self.ledger.used_bytes();
+        let capacity_bytes = self.ledger.capacity_bytes();
         if used_bytes <= capacity_bytes / 100 * REGAINED_PERCENT {
-            state.is_short = false;
+            self.is_short = false;
         }
         MemoryPressure {
-            is_short: state.is_short,
+            is_short: self.is_short,
             used_bytes,
             capacity_bytes,
-            refused: state.refused,
-            evicted: state.evicted,
+            refused: self.refused,
+            evicted: self.evicted,
         }
     }
-}
 
-impl State {
     fn reserve(
         &mut self,
         now: Instant,
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -31,7 +31,7 @@
 mod machine;
 mod read_body;
 
-pub use activity::{Activity, BusyGuard};
+pub use activity::{Activity, BusyGuard, IdleGuard};
 pub use body_ledger::{BodyId, BodyLedger, LedgerFull, NO_PROGRESS_MS};
 pub use body_memory::{BodyMemory, BodyReservation, MemoryPressure};
 pub use budget::Budget;
@@ -39,4 +39,4 @@
 pub use drain::{discard, drain};
 pub use listener::bind;
 pub use machine::{ConfiguredMachine, Machine};
-pub use read_body::{BodyError, BodyLimits, read_body};
+pub use read_body::{BodyError, BodyLimits, hold, read_body};
--- a/crates/inbound/src/read_body.rs
+++ b/crates/inbound/src/read_body.rs
@@ -131,6 +131,28 @@
     }
 }
 
+/// Holds bytes that were made of a body. They hold their memory until the last reference
+/// to them is dropped.
+///
+/// # Errors
+///
+/// There is no memory for them now.
+pub fn hold(
+    bytes: Vec<u8>,
+    memory: &Arc<BodyMemory>,
+    now: Instant,
+) -> Result<Bytes, BodyError> {
+    let mut reservation = memory.begin(now);
+    reservation
+        .grow(now, 0, bytes.len(), bytes.len())
+        .map_err(|_| BodyError::NoMemory)?;
+    reservation.complete(bytes.len());
+    Ok(Bytes::from_owner(WholeBody {
+        bytes,
+        _reservation: reservation,
+    }))
+}
+
 impl BodyLimits {
     /// Returns when a body is to be checked whose last part came at this time. The limits
     /// in force may have changed by then.
