--- a/crates/conf/src/rules/process.rs
+++ b/crates/conf/src/rules/process.rs
@@ -13,6 +13,9 @@
 const REQUEST_SHARDS: Range = range(1, 256);
 const WORKER_THREADS: Range = range(1, 256);
 const TIMELINE_EVENTS: Range = range(1, 1_000_000);
+/// Limits below which an entry could serve hardly any caller.
+const MEMORY_MIB: Range = range(64, 1 << 20);
+const DESCRIPTORS_MAX: Range = range(64, 1 << 20);
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug"];
 
 /// What the process does with an address.
@@ -52,6 +55,16 @@
         let message = format!("{shards} is not a power of two");
         sink.report(ErrorCode::OutOfRange, &root.key("request_shards"), message);
     }
+    let memory = settings.memory_mib;
+    bounds::check_optional_range(&root, "memory_mib", memory, MEMORY_MIB, sink);
+    let descriptors = settings.descriptors_max;
+    bounds::check_optional_range(
+        &root,
+        "descriptors_max",
+        descriptors,
+        DESCRIPTORS_MAX,
+        sink,
+    );
     let threads = settings.worker_threads;
     check_runtime(threads, &settings.log_level, settings.timeline_events, sink);
 }
--- a/crates/entry/src/active_requests.rs
+++ b/crates/entry/src/active_requests.rs
@@ -1,61 +1,30 @@
-//! The table of requests in progress, and the memory that their bodies may use.
+//! The table of requests in progress.
 
 use base::RequestId;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::response_queue::ResponseQueue;
 
 /// Number of shards of the table; each has its own lock.
 const SHARDS: usize = 16;
 
-/// Limit on the memory of all request bodies together, in KiB. Each body has its
-/// own limit, but the number of callers has none: many callers that send large
-/// bodies slowly could otherwise exhaust the instance's memory before the state
-/// machine sees any of their requests.
-const BODY_MEMORY_MAX_KIB: usize = 256 << 10;
-
-/// Memory reserved for one request body; dropping it releases the reservation.
-#[derive(Debug)]
-pub(crate) struct BodyMemory {
-    permit: OwnedSemaphorePermit,
-}
-
-impl BodyMemory {
-    /// Releases what the received body of `bytes` did not need.
-    pub(crate) fn shrink_to(&mut self, bytes: usize) {
-        let unused = self.permit.num_permits().saturating_sub(ceil_kib(bytes));
-        drop(self.permit.split(unused));
-    }
-}
-
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
     /// Body for the upstream, kept until the request ends since a retry sends
-    /// it again.
+    /// it again. It holds its memory until it is dropped.
     pub(crate) body: Bytes,
-    /// Reservation of the body's memory, released when the request is dropped.
-    _body_memory: BodyMemory,
     /// Queue of the response's parts.
     pub(crate) queue: ResponseQueue,
 }
 
 impl ActiveRequest {
     /// A request that has received no part of its answer.
-    pub(crate) const fn new(
-        body: Bytes,
-        body_memory: BodyMemory,
-        queue: ResponseQueue,
-    ) -> Self {
-        Self {
-            body,
-            _body_memory: body_memory,
-            queue,
-        }
+    pub(crate) const fn new(body: Bytes, queue: ResponseQueue) -> Self {
+        Self { body, queue }
     }
 }
 
@@ -67,7 +36,6 @@
 #[derive(Debug)]
 pub(crate) struct ActiveRequests {
     shards: [Mutex<HashMap<RequestId, Arc<ActiveRequest>>>; SHARDS],
-    body_memory: Arc<Semaphore>,
 }
 
 impl ActiveRequests {
@@ -75,17 +43,9 @@
     pub(crate) fn new() -> Self {
         Self {
             shards: std::array::from_fn(|_| Mutex::new(HashMap::new())),
-            body_memory: Arc::new(Semaphore::new(BODY_MEMORY_MAX_KIB)),
         }
     }
 
-    /// Reserves memory for a body of at most `bytes`; `None` if too little is left.
-    pub(crate) fn reserve_body_memory(&self, bytes: usize) -> Option<BodyMemory> {
-        let kib = u32::try_from(ceil_kib(bytes)).ok()?;
-        let permit = self.body_memory.clone().try_acquire_many_owned(kib).ok()?;
-        Some(BodyMemory { permit })
-    }
-
     /// Adds a request to the table.
     pub(crate) fn insert(&self, request: RequestId, active: Arc<ActiveRequest>) {
         self.shard(request).lock().insert(request, active);
@@ -127,7 +87,3 @@
         &self.shards[index.expect("a remainder of 16 fits")]
     }
 }
-
-const fn ceil_kib(bytes: usize) -> usize {
-    bytes.div_ceil(1_024)
-}
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -4,6 +4,7 @@
 use base::prelude::*;
 use base::{PlatformCall, PlatformResponse};
 use conf::Config;
+use inbound::{BodyMemory, Budget};
 use line::EventRecorder;
 use oper::{Clock, DeadlineTimer};
 use parking_lot::Mutex;
@@ -32,6 +33,8 @@
     role: EntryRole,
     clock: Clock,
     active_requests: ActiveRequests,
+    budget: Budget,
+    body_memory: Arc<BodyMemory>,
     links: Links,
     timer: DeadlineTimer,
     platform: Arc<dyn ObjectApi>,
@@ -51,6 +54,7 @@
         clock: Clock,
         platform: Arc<dyn ObjectApi>,
         recorder: EventRecorder,
+        budget: Budget,
     ) -> Arc<Self> {
         let mut actions = Vec::new();
         let role = EntryRole::new(options.clone(), clock.now(), &mut actions);
@@ -61,6 +65,8 @@
             role,
             clock,
             active_requests: ActiveRequests::new(),
+            body_memory: BodyMemory::new(budget.bodies_bytes, budget.bodies_max_bytes),
+            budget,
             timer: DeadlineTimer::new(),
             platform,
             recorder,
@@ -93,6 +99,21 @@
         &self.role
     }
 
+    /// What callers may take of the machine.
+    pub(crate) const fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
+    /// Memory for the bodies of requests.
+    pub(crate) const fn body_memory(&self) -> &Arc<BodyMemory> {
+        &self.body_memory
+    }
+
+    /// The current time.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Requests in progress.
     pub(crate) const fn active_requests(&self) -> &ActiveRequests {
         &self.active_requests
--- a/crates/entry/src/http/engine_request.rs
+++ b/crates/entry/src/http/engine_request.rs
@@ -1,6 +1,5 @@
 //! Parsing of request bodies for engines, in the format of the OpenAI API.
 
-use bytes::Bytes;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use std::borrow::Cow;
@@ -30,7 +29,24 @@
     /// Hash of the prompt's start and the model.
     pub(crate) prefix_hash: u64,
     /// Body to send to the engine.
-    pub(crate) body: Bytes,
+    pub(crate) body: EngineBody,
+}
+
+/// Body to send to an engine.
+#[derive(Debug)]
+pub(crate) enum EngineBody {
+    /// The one that the caller sent.
+    Unchanged,
+    /// A copy with changes.
+    Changed(Vec<u8>),
+}
+
+impl EngineRequest {
+    /// Returns the body, and the rest of the request.
+    pub(crate) fn split_body(mut self) -> (EngineBody, Self) {
+        let body = std::mem::replace(&mut self.body, EngineBody::Unchanged);
+        (body, self)
+    }
 }
 
 /// The fields that are parsed. All others are passed on to the engine unread.
@@ -70,7 +86,7 @@
 /// answers.
 pub(crate) fn parse_engine_request(
     engine: EngineApi,
-    body: &Bytes,
+    body: &[u8],
 ) -> Result<EngineRequest, Rejection> {
     let fields: BodyFields<'_> = serde_json::from_slice(body)
         .map_err(|_| Rejection::bad_request("the body is not such a JSON object"))?;
@@ -128,9 +144,9 @@
 ///
 /// The engine always streams, so that the number of tokens received so far is
 /// known when an upstream is lost.
-fn with_streaming(body: &Bytes, stream: Option<&RawValue>) -> Bytes {
+fn with_streaming(body: &[u8], stream: Option<&RawValue>) -> EngineBody {
     match stream.map(RawValue::get) {
-        Some("true") => body.clone(),
+        Some("true") => EngineBody::Unchanged,
         Some(value) => {
             let start = value.as_ptr() as usize - body.as_ptr() as usize;
             replace_range(body, start, start + value.len(), b"true")
@@ -144,8 +160,8 @@
     }
 }
 
-fn replace_range(body: &[u8], from: usize, to: usize, with: &[u8]) -> Bytes {
-    Bytes::from([&body[..from], with, &body[to..]].concat())
+fn replace_range(body: &[u8], from: usize, to: usize, with: &[u8]) -> EngineBody {
+    EngineBody::Changed([&body[..from], with, &body[to..]].concat())
 }
 
 fn saturating_u32(count: u64) -> u32 {
--- a/crates/entry/src/http/handler.rs
+++ b/crates/entry/src/http/handler.rs
@@ -2,18 +2,22 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use inbound::{Activity, BodyError, BodyLimits, discard};
 use role::entry::{EntryEvent, IncomingRequest, RequestedResource};
+use schema::settings::Limits;
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::future::poll_fn;
 use std::sync::Arc;
 
 use super::buffered::{buffered_engine_response, service_response};
-use super::engine_request::{EngineRequest, parse_engine_request, request_hash};
+use super::engine_request::{
+    EngineBody, EngineRequest, parse_engine_request, request_hash,
+};
 use super::error::{
     failure_response, json_response, rejection_response, set_request_id,
 };
@@ -24,21 +28,25 @@
 };
 use super::response_body::{ResponseBody, StreamBody};
 use super::sse::{CompletionInfo, SseWriter};
-use crate::active_requests::{ActiveRequest, BodyMemory};
+use crate::active_requests::ActiveRequest;
 use crate::driver::Driver;
 use crate::response_queue::{ResponseQueue, Unit};
 
-/// Longest time that a caller may take to send its body. A caller that stops in
-/// the middle would otherwise hold the body's memory forever.
+/// Longest time that a caller may take to send its body, if its deadline is not earlier,
+/// and longest time in which no part of it comes. A caller that stops in the middle would
+/// otherwise hold the body's memory forever.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Handles one request.
 pub(crate) async fn handle(
     driver: Arc<Driver>,
     request: Request<Incoming>,
+    activity: &Activity,
 ) -> Response<ResponseBody> {
     let request_id = driver.role().next_request_id();
-    match respond(&driver, request_id, request).await {
+    let (parts, body) = request.into_parts();
+    match respond(&driver, request_id, parts, body, activity).await {
         Ok(response) => response,
         Err(rejection) => {
             driver.metrics().rejected_requests.inc();
@@ -51,17 +59,25 @@
 async fn respond(
     driver: &Arc<Driver>,
     request_id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: Incoming,
+    activity: &Activity,
 ) -> Result<Response<ResponseBody>, Rejection> {
     let limits = driver.limits();
-    let (parts, body) = request.into_parts();
-    let endpoint = parse_endpoint(&parts.method, &parts.uri)?;
-    let head = parse_headers(&parts.headers, limits.header_max_bytes as usize)?;
+    let (endpoint, head) = match parse_head(driver, &parts, &limits) {
+        Ok(parsed) => parsed,
+        Err(rejection) => {
+            if !discard(body).await {
+                activity.leave_body_unread();
+            }
+            return Err(rejection);
+        }
+    };
     if endpoint == Endpoint::Models {
         return list_models(driver, request_id, &head);
     }
-    let max_bytes = limits.body_max_bytes as usize;
-    let (body, memory) = read_body(driver, body, max_bytes).await?;
+    let read = read_body(driver, body, head.deadline_ms, activity).await;
+    let body = read.inspect_err(|_| activity.leave_body_unread())?;
     driver.metrics().received_bytes.inc_by(body.len() as u64);
     let method = parts.method.as_str();
     let max_parts = limits.answer_window_frames as usize;
@@ -79,8 +95,9 @@
                 hash,
             );
             let queue = ResponseQueue::new(Unit::Token, max_parts);
-            let active = ActiveRequest::new(engine_request.body.clone(), memory, queue);
-            let guard = submit(driver, active, incoming);
+            let (engine_body, engine_request) = engine_request.split_body();
+            let body = hold(driver, engine_body, body)?;
+            let guard = submit(driver, ActiveRequest::new(body, queue), incoming);
             Ok(engine_response(driver, guard, engine, engine_request).await)
         }
         Endpoint::Service { name, path } => {
@@ -90,43 +107,100 @@
                 request_id, head, resource, method, path, hash,
             );
             let queue = ResponseQueue::new(Unit::Byte, max_parts);
-            let guard =
-                submit(driver, ActiveRequest::new(body, memory, queue), incoming);
+            let guard = submit(driver, ActiveRequest::new(body, queue), incoming);
             Ok(service_response(guard).await)
         }
         Endpoint::Models => Err(Rejection::new(ErrorCode::UnknownPath)),
     }
 }
 
-/// Reads a body of at most `max_bytes`, and reserves memory for it.
+/// Parses the head of a request, and checks what can be known without its body.
+fn parse_head<'a>(
+    driver: &Driver,
+    parts: &'a Parts,
+    limits: &Limits,
+) -> Result<(Endpoint<'a>, RequestHead), Rejection> {
+    let endpoint = parse_endpoint(&parts.method, &parts.uri)?;
+    let head = parse_headers(&parts.headers, limits.header_max_bytes as usize)?;
+    check_key(driver, &head)?;
+    Ok((endpoint, head))
+}
+
+/// Refuses a caller whose key the configuration doesn't contain, before its body is read.
+fn check_key(driver: &Driver, head: &RequestHead) -> Result<(), Rejection> {
+    let Some(config) = driver.role().config() else {
+        return Ok(());
+    };
+    let known = config.caller(&head.credential).map(|_| ());
+    known.ok_or(Rejection::new(ErrorCode::UnknownCaller))
+}
+
+/// Reads a body within the limits in force and the memory that is left.
 async fn read_body(
     driver: &Driver,
     body: Incoming,
-    max_bytes: usize,
-) -> Result<(Bytes, BodyMemory), Rejection> {
-    let too_large = Rejection::new(ErrorCode::BodyTooLarge);
-    let announced = body.size_hint();
-    // A body whose announced length exceeds the limit is rejected unread.
-    if announced.lower() > max_bytes as u64 {
-        return Err(too_large);
-    }
-    let memory_bytes = announced
-        .upper()
-        .map_or(max_bytes, |upper| upper.min(max_bytes as u64) as usize);
-    let mut memory = driver
-        .active_requests()
-        .reserve_body_memory(memory_bytes)
-        .ok_or(Rejection::new(ErrorCode::Overloaded))?;
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(collected)) => {
-            let body = collected.to_bytes();
-            memory.shrink_to(body.len());
-            Ok((body, memory))
+    deadline_ms: Option<u64>,
+    activity: &Activity,
+) -> Result<Bytes, Rejection> {
+    let deadline = Duration::from_millis(deadline_ms.unwrap_or(u64::MAX));
+    let until = tokio::time::Instant::now() + deadline.min(BODY_TIMEOUT);
+    let limits = || BodyLimits {
+        max_bytes: driver.limits().body_max_bytes as usize,
+        idle: BODY_IDLE_TIMEOUT,
+        until,
+    };
+    let clock = || driver.now();
+    let _resting = activity.rest_in_body();
+    let read =
+        inbound::read_body(body, driver.body_memory(), activity, clock, limits).await;
+    log_pressure(driver);
+    read.map_err(|error| rejection_of(driver, error))
+}
+
+/// Logs when memory for bodies becomes short, and when it no longer is.
+fn log_pressure(driver: &Driver) {
+    let Some(pressure) = driver.body_memory().pressure_change() else {
+        return;
+    };
+    let state = if pressure.is_short {
+        "short"
+    } else {
+        "regained"
+    };
+    log::warn!(
+        "{}: memory for request bodies is {state}: {} of {} bytes in use, {} bodies \
+         refused and {} evicted since the start",
+        driver.id(),
+        pressure.used_bytes,
+        pressure.capacity_bytes,
+        pressure.refused,
+        pressure.evicted
+    );
+}
+
+/// Holds the body for the engine, which may have been changed.
+fn hold(driver: &Driver, body: EngineBody, whole: Bytes) -> Result<Bytes, Rejection> {
+    match body {
+        EngineBody::Unchanged => Ok(whole),
+        EngineBody::Changed(bytes) => {
+            inbound::hold(bytes, driver.body_memory(), driver.now())
+                .map_err(|error| rejection_of(driver, error))
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large),
-        Ok(Err(_)) => Err(Rejection::bad_request("the body broke off")),
-        Err(_) => Err(Rejection::bad_request("the body did not come in time")),
+    }
+}
+
+/// Counts a body that could not be held, and returns the rejection of its request.
+fn rejection_of(driver: &Driver, error: BodyError) -> Rejection {
+    let ended = &driver.metrics().bodies_ended;
+    ended.with_label_values(&[error.as_str()]).inc();
+    match error {
+        BodyError::TooLarge => Rejection::new(ErrorCode::BodyTooLarge),
+        BodyError::NoMemory | BodyError::Evicted => Rejection {
+            code: ErrorCode::Overloaded,
+            message: Some("there is no memory for the body now"),
+        },
+        BodyError::Idle | BodyError::Deadline => Rejection::new(ErrorCode::BodyTimeout),
+        BodyError::Broken => Rejection::bad_request("the body broke off"),
     }
 }
 
--- a/crates/entry/src/http/response_body.rs
+++ b/crates/entry/src/http/response_body.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
+use inbound::IdleGuard;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -60,6 +61,44 @@
     }
 }
 
+/// A body with the guard of its connection's activity. The HTTP library drops it once it
+/// has read all of it.
+#[derive(Debug)]
+pub(crate) struct GuardedBody {
+    body: ResponseBody,
+    _idle_guard: IdleGuard,
+}
+
+impl GuardedBody {
+    /// The body of a response whose connection is in use until it ends.
+    pub(crate) const fn new(body: ResponseBody, idle_guard: IdleGuard) -> Self {
+        Self {
+            body,
+            _idle_guard: idle_guard,
+        }
+    }
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A response sent as server-sent events.
 ///
 /// hyper drops the body when the caller's connection ends; the guard in it then
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -1,17 +1,20 @@
 //! The listener for callers.
 
 use base::prelude::Duration;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use inbound::{ConnectionPermit, ConnectionTable, drain};
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
 use super::handler::handle;
+use super::response_body::GuardedBody;
 use super::write_timeout::WriteTimeout;
 use crate::driver::Driver;
 
@@ -33,10 +36,14 @@
 /// Delay after the operating system could not accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for connections that give way to close.
+const EVICTION_DELAY: Duration = Duration::from_millis(1);
+
 /// Serves callers over HTTP/1.1.
 #[derive(Debug)]
 pub(crate) struct CallerServer {
     driver: Arc<Driver>,
+    table: Arc<ConnectionTable>,
     connections: TaskTracker,
     shutdown: CancellationToken,
     /// Closes all open connections when the server is dropped, so that none
@@ -48,6 +55,7 @@
     /// A server without connections.
     pub(crate) fn new(driver: Arc<Driver>) -> Self {
         Self {
+            table: ConnectionTable::new(driver.budget().connections),
             driver,
             connections: TaskTracker::new(),
             shutdown: CancellationToken::new(),
@@ -69,7 +77,7 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.spawn_connection(stream),
+                Ok((stream, _)) => self.admit(stream).await,
                 // Out of descriptors: open connections have to end first.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -89,7 +97,7 @@
         while let Ok((stream, _)) = listener.accept() {
             let stream = stream.set_nonblocking(true).map(|()| stream);
             if let Ok(stream) = stream.and_then(TcpStream::from_std) {
-                self.spawn_connection(stream);
+                self.try_admit(stream);
             }
         }
     }
@@ -101,7 +109,32 @@
         let _ = tokio::time::timeout(wait, self.connections.wait()).await;
     }
 
-    fn spawn_connection(&self, stream: TcpStream) {
+    /// Serves a connection if there is a place for it. Those that give way may need a
+    /// moment to close.
+    async fn admit(&self, stream: TcpStream) {
+        if let Some(stream) = self.try_admit(stream) {
+            tokio::time::sleep(EVICTION_DELAY).await;
+            if self.try_admit(stream).is_some() {
+                // Closed unread: the caller may send the request to another entry.
+                self.driver.metrics().refused_connections.inc();
+            }
+        }
+    }
+
+    /// Serves a connection, or returns it if there is no place for it.
+    fn try_admit(&self, stream: TcpStream) -> Option<TcpStream> {
+        let Ok((permit, eviction)) = self.table.admit() else {
+            return Some(stream);
+        };
+        if let Some(eviction) = eviction {
+            let evicted = &self.driver.metrics().evicted_connections;
+            evicted.with_label_values(&[eviction.phase]).inc();
+        }
+        self.spawn_connection(stream, permit);
+        None
+    }
+
+    fn spawn_connection(&self, stream: TcpStream, permit: ConnectionPermit) {
         // With Nagle's algorithm, the kernel would delay each token until the
         // previous one is acknowledged.
         let _ = stream.set_nodelay(true);
@@ -111,7 +144,8 @@
         self.connections.spawn(async move {
             tokio::select! {
                 () = abort.cancelled() => {}
-                () = serve_connection(driver, shutdown, stream) => {}
+                () = serve_connection(driver, shutdown, stream, &permit) => {}
+                () = permit.activity().must_close() => {}
             }
         });
     }
@@ -138,26 +172,54 @@
     driver: Arc<Driver>,
     shutdown: CancellationToken,
     stream: TcpStream,
+    permit: &ConnectionPermit,
 ) {
     let _open_connection = OpenConnection::new(Arc::clone(&driver));
     let header_max_bytes = driver.limits().header_max_bytes as usize;
-    let service = service_fn(move |request| {
+    let activity = permit.activity();
+    let service = service_fn(|request| {
         let driver = Arc::clone(&driver);
-        async move { Ok::<_, Infallible>(handle(driver, request).await) }
+        async move {
+            let idle_guard = activity.respond();
+            let mut response = handle(driver, request, activity).await;
+            if activity.has_unread_body() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            let response = response.map(|body| GuardedBody::new(body, idle_guard));
+            Ok::<_, Infallible>(response)
+        }
     });
     let io = TokioIo::new(WriteTimeout::new(stream, STALL_TIMEOUT));
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_headers(HEADERS_MAX)
         .max_buf_size(header_max_bytes + HEAD_MARGIN_BYTES)
         .serve_connection(io, service);
-    let mut connection = pin!(connection);
-    // An error means that the caller disconnected; the guards of its requests have
-    // informed the state machine.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = shutdown.cancelled() => connection.as_mut().graceful_shutdown(),
+    // An error means that the caller disconnected, or that its head can't be read; the
+    // guards of its requests have informed the state machine.
+    let ending = async {
+        tokio::select! {
+            () = shutdown.cancelled() => {}
+            () = activity.evicted() => {}
+        }
+    };
+    let ended = tokio::select! {
+        result = &mut connection => Some(result),
+        () = ending => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let was_unreadable =
+        result.is_err_and(|error| error.is_parse() || error.is_parse_too_large());
+    if was_unreadable || activity.has_unread_body() {
+        activity.rest_idle();
+        drain(connection.into_parts().io.into_inner()).await;
     }
-    let _ = connection.await;
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -23,8 +23,14 @@
     pub(crate) received_bytes: Counter,
     /// Bytes of answers queued for callers.
     pub(crate) delivered_bytes: Counter,
+    /// Bodies of requests that were not read to their end, by reason.
+    pub(crate) bodies_ended: IntCounterVec,
+    /// Callers' connections that gave way to new ones, by what they waited for.
+    pub(crate) evicted_connections: IntCounterVec,
     /// Open connections of callers.
     pub(crate) connections: IntGauge,
+    /// Connections of callers that were closed unread, as none gave way.
+    pub(crate) refused_connections: Counter,
     /// Connections of callers accepted since the start.
     pub(crate) accepted_connections: Counter,
     /// Frames that could not be queued on a link.
@@ -49,6 +55,14 @@
                 .expect("each name is registered once");
             counter
         };
+        let labelled = |name, help, label| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])
+                .expect("the names are valid");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each name is registered once");
+            counter
+        };
         let connections =
             IntGauge::new("sesame_entry_connections", "Open connections of callers.")
                 .expect("the name is valid");
@@ -68,7 +82,21 @@
                 "sesame_entry_delivered_bytes_total",
                 "Bytes of answers delivered towards callers.",
             ),
+            bodies_ended: labelled(
+                "sesame_entry_bodies_ended_total",
+                "Bodies of requests that were not read to their end.",
+                "reason",
+            ),
+            evicted_connections: labelled(
+                "sesame_entry_evicted_connections_total",
+                "Connections of callers that gave way to new ones.",
+                "phase",
+            ),
             connections,
+            refused_connections: counter(
+                "sesame_entry_refused_connections_total",
+                "Connections of callers that were closed unread, as none gave way.",
+            ),
             accepted_connections: counter(
                 "sesame_entry_accepted_connections_total",
                 "Connections of callers.",
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -1,6 +1,7 @@
 //! Startup and shutdown of the process.
 
 use base::prelude::*;
+use inbound::{Budget, ConfiguredMachine, Machine};
 use line::EventRecorder;
 use oper::Clock;
 use oper::{BindLinkListenerSnafu, BindListenerSnafu, StartError, parse_address};
@@ -117,7 +118,8 @@
     settings: EntrySettings,
     platform: Arc<dyn ObjectApi>,
 ) -> Result<EntryHandle, StartError> {
-    let callers = bind_listener("caller_listen", &settings.caller_listen).await?;
+    let budget = budget(&settings);
+    let callers = bind_caller_listener(&settings.caller_listen, &budget)?;
     let operators = bind_listener("operator_listen", &settings.operator_listen).await?;
     let links = parse_address("link_listen", &settings.link_listen)?;
     let links = Listener::bind(links, wire::DEFAULT_FRAME_MAX_BYTES)
@@ -130,7 +132,7 @@
     let clock = Clock::start();
     let options = entry_options(&settings, &clock, link_address, operator_address);
     let recorder = EventRecorder::new(&settings.id, settings.timeline_events as usize);
-    let driver = Driver::new(options, clock, platform, recorder);
+    let driver = Driver::new(options, clock, platform, recorder, budget);
     driver.start();
     log::info!("{}: serves callers on {caller_address}", settings.id);
     let listeners = Listeners {
@@ -212,6 +214,24 @@
     Incarnation((clock.unix_us_at_zero() << ID_HASH_BITS) | id_hash)
 }
 
+/// What callers may take of the machine, which the settings may narrow.
+fn budget(settings: &EntrySettings) -> Budget {
+    let given = |value: u32| (value != 0).then(|| u64::from(value));
+    Budget::of(Machine::detect(ConfiguredMachine {
+        memory_bytes: given(settings.memory_mib).map(|mib| mib << 20),
+        descriptors: given(settings.descriptors_max),
+    }))
+}
+
+fn bind_caller_listener(
+    text: &str,
+    budget: &Budget,
+) -> Result<TcpListener, StartError> {
+    let key = "caller_listen";
+    let address = parse_address(key, text)?;
+    inbound::bind(address, budget).context(BindListenerSnafu { key })
+}
+
 async fn bind_listener(
     key: &'static str,
     text: &str,
--- a/crates/entry/tests/cases/limits.rs
+++ b/crates/entry/tests/cases/limits.rs
@@ -1,12 +1,14 @@
 //! Limits on what callers send, and on how slowly they read.
 
 use crate::support::caller::{KEY, fetch, post, send, send_raw};
-use crate::support::harness::{Harness, metric};
+use crate::support::harness::{Harness, metric, settings};
 use base::ErrorCode;
+use schema::settings::EntrySettings;
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 const BODY_MAX_BYTES: usize = 4_096;
 const HEADER_MAX_BYTES: usize = 2_048;
@@ -123,55 +125,90 @@
     );
 }
 
-/// Callers announce large bodies and send nothing, which reserves all memory for
-/// bodies. A further caller is refused with a retry time, and is served once the
+/// Guards against a process that holds the body of every request in progress: once there
+/// is no memory for another, its caller is refused with a retry time, and is served once
 /// others have disconnected.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_for_all_request_bodies_is_limited() {
-    const LARGE_BYTES: usize = 64 << 20;
-    let harness = Harness::with_limits(json!({
-        "body_max_bytes": LARGE_BYTES,
-        "frame_max_bytes": LARGE_BYTES + (1 << 20),
-    }))
-    .await;
+    const BODY_BYTES: usize = 900_000;
+    let settings = EntrySettings {
+        memory_mib: 64,
+        ..settings()
+    };
+    let harness = Harness::with_settings(settings, json!({})).await;
+    let address = harness.entry.caller_address;
+    let request = || post("/svc/orders/x", &"x".repeat(BODY_BYTES));
+    let mut running = Vec::new();
+    let refused = loop {
+        let (response, connection) = send(address, request()).await;
+        tokio::select! {
+            attempt = harness.service.next_attempt() => {
+                assert_eq!(attempt.run.body.len(), BODY_BYTES);
+                running.push(connection);
+            }
+            response = response => break response.expect("the task runs"),
+        }
+        assert!(running.len() * BODY_BYTES < 64 << 20, "no body is refused");
+    };
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["retry-after"], "1");
+
+    for connection in running {
+        connection.abort();
+    }
+    let served = async {
+        loop {
+            let (_response, _connection) = send(address, request()).await;
+            let attempt = harness.service.next_attempt();
+            if timeout(Duration::from_secs(1), attempt).await.is_ok() {
+                break;
+            }
+        }
+    };
+    timeout(Duration::from_secs(20), served)
+        .await
+        .expect("the memory is released");
+}
+
+/// Guards against callers that announce large bodies, send nothing, and take the memory
+/// of those that do send.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_are_only_announced_take_no_memory() {
+    const ANNOUNCED_BYTES: usize = 1 << 20;
+    const BODY_BYTES: usize = 900_000;
+    let harness = Harness::start().await;
     let address = harness.entry.caller_address;
     let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n\
-         content-length: {LARGE_BYTES}\r\n\r\n"
+        "POST /svc/orders/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         x-profile: orders\r\ncontent-length: {ANNOUNCED_BYTES}\r\n\r\n"
     );
-    let mut waiting = Vec::new();
-    for _ in 0..4 {
+    let mut announcing = Vec::new();
+    for _ in 0..300 {
         let mut stream = TcpStream::connect(address)
             .await
             .expect("the entry listens");
-        stream
-            .write_all(head.as_bytes())
-            .await
-            .expect("the entry reads");
-        // The entry asks for the body once it has reserved memory for it.
-        let mut interim = [0; 12];
-        stream
-            .read_exact(&mut interim)
-            .await
-            .expect("the entry responds");
-        assert_eq!(&interim, b"HTTP/1.1 100");
-        waiting.push(stream);
+        let _ = stream.write_all(head.as_bytes()).await;
+        announcing.push(stream);
     }
-    let prompt = r#"{"prompt":1,"model":"nothing"}"#;
-    let response = fetch(address, post("/v1/completions", prompt)).await;
-    assert_eq!(response.code(), u64::from(ErrorCode::Overloaded.number()));
-    assert_eq!(response.header("retry-after"), Some("1"));
+    let request = post("/svc/orders/x", &"x".repeat(BODY_BYTES));
+    let (_response, _connection) = send(address, request).await;
+    let attempt = harness.service.next_attempt().await;
+    assert_eq!(attempt.run.body.len(), BODY_BYTES);
+}
 
-    drop(waiting);
-    let served = async {
-        while fetch(address, post("/v1/completions", prompt)).await.code()
-            != u64::from(ErrorCode::UnknownModel.number())
-        {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let patience = Duration::from_secs(20);
-    tokio::time::timeout(patience, served)
+/// Guards against reading the body of a caller that is refused whatever it sends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_without_a_key_is_refused_before_its_body() {
+    let harness = Harness::start().await;
+    let mut stream = TcpStream::connect(harness.entry.caller_address)
         .await
-        .expect("the memory is released");
+        .expect("the entry listens");
+    let head =
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+    let mut first = [0; 13];
+    let read =
+        tokio::time::timeout(Duration::from_secs(10), stream.read_exact(&mut first));
+    read.await.expect("a response").expect("a status line");
+    assert_eq!(&first, b"HTTP/1.1 401 ");
 }
--- a/crates/entry/tests/support/harness.rs
+++ b/crates/entry/tests/support/harness.rs
@@ -32,6 +32,10 @@
     }
 
     pub(crate) async fn with_limits(limits: Value) -> Self {
+        Self::with_settings(settings(), limits).await
+    }
+
+    pub(crate) async fn with_settings(settings: EntrySettings, limits: Value) -> Self {
         let engine = TestAgent::start(AgentConfig {
             id: "engine-1",
             pool: "engines",
@@ -49,7 +53,7 @@
         put_member(&platform, "shop-1", "shops", &service);
         let document = config_document(&limits).to_string().into_bytes();
         platform.put("config/000000000001", document);
-        let entry = start_entry(&platform).await;
+        let entry = start_entry_with(settings, &platform).await;
         let harness = Self {
             entry,
             engine,
