Let probes wait for a place instead of closing their connections

A probe that came while all places were taken by connections of the last quarter of a second was closed unread: silent_connections_do_not_block_probes failed since operators' connections give way to new ones. The readiness listener keeps 64 connections, as that of operators does.

--- a/crates/front/src/readiness.rs
+++ b/crates/front/src/readiness.rs
@@ -24,7 +24,7 @@
 
 /// Maximum number of connections of a listener: balancers and collectors of metrics are
 /// few, and each keeps one or two.
-const CONNECTIONS_MAX: usize = 32;
+const CONNECTIONS_MAX: usize = 64;
 
 /// Serves metrics at the additional address forever, if one is configured.
 ///
@@ -59,10 +59,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let Ok((permit, _)) = table.admit() else {
-            node.metrics.connections_refused.inc();
-            continue;
-        };
+        let permit = table.admit_when_free().await;
         tokio::spawn(serve_connection(Arc::clone(&node), stream, permit));
     }
 }
--- a/crates/inbound/src/connection_table.rs
+++ b/crates/inbound/src/connection_table.rs
@@ -3,13 +3,17 @@
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 use crate::Activity;
 
 /// Number of connections beyond the limit that may be giving way at a time.
 const CLOSING_MAX: usize = 32;
 
+/// Interval at which a place is looked for.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// All connections are in use, or are giving way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TableFull;
@@ -67,6 +71,17 @@
         Ok((permit, eviction))
     }
 
+    /// As [`Self::admit`], and waits for a place. Meanwhile others wait in the listener's
+    /// backlog, so this is for listeners whose requests take no time.
+    pub async fn admit_when_free(self: &Arc<Self>) -> ConnectionPermit {
+        loop {
+            match self.admit() {
+                Ok((permit, _)) => return permit,
+                Err(TableFull) => sleep(RETRY_INTERVAL).await,
+            }
+        }
+    }
+
     fn evict_one(&self, state: &State) -> Result<Eviction, TableFull> {
         if state.connections.len() >= self.max + CLOSING_MAX {
             return Err(TableFull);
--- a/crates/oper/src/server.rs
+++ b/crates/oper/src/server.rs
@@ -36,10 +36,8 @@
         while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, _)) => {
-                // Otherwise it is closed unread: probes and operators ask again.
-                if let Ok((permit, _)) = table.admit() {
-                    connections.spawn(serve_connection(stream, api.clone(), permit));
-                }
+                let permit = table.admit_when_free().await;
+                connections.spawn(serve_connection(stream, api.clone(), permit));
             }
             Err(error) => {
                 log::warn!(
