Bound what links take before their handshake

A client of a link listener could make an agent hold a frame of the largest size on each of 128 connections without saying who it is, and an entry on as many as it has descriptors: the entry's listener had no bound at all.

The first frame is limited to 1 KiB, since names have 64 characters, and an entry has 128 connections without a handshake at most; agents had that already. a_large_frame_before_the_handshake_is_rejected failed before.

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::runtime::Handle;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio_util::sync::CancellationToken;
 use wire::{EstablishedLink, Link, LinkReceiver, LinkSender, Listener, WireError};
@@ -26,6 +27,10 @@
 /// delay.
 const STABLE_LINK_DURATION: Duration = Duration::from_secs(5);
 
+/// Maximum number of accepted connections without a handshake. Clients that connect and
+/// send nothing could otherwise take all descriptors.
+const HANDSHAKES_MAX: usize = 128;
+
 /// Delay after the operating system could not accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -246,6 +251,7 @@
 
 /// Accepts links of other entries until the process has drained.
 pub(crate) async fn accept_inbound(handler: Arc<dyn LinkHandler>, listener: Listener) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
     loop {
         let accepted = tokio::select! {
             () = handler.exit().cancelled() => return,
@@ -253,9 +259,12 @@
         };
         match accepted {
             Ok(link) => {
-                handler
-                    .runtime()
-                    .spawn(read_inbound(Arc::clone(&handler), link));
+                // Otherwise it is closed: an entry dials again.
+                if let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() {
+                    let handler = Arc::clone(&handler);
+                    let runtime = handler.runtime().clone();
+                    runtime.spawn(read_inbound(handler, link, permit));
+                }
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -263,12 +272,17 @@
 }
 
 /// Reads the frames that another entry sends on a link that it dialed.
-async fn read_inbound(handler: Arc<dyn LinkHandler>, link: Link) {
+async fn read_inbound(
+    handler: Arc<dyn LinkHandler>,
+    link: Link,
+    handshake: OwnedSemaphorePermit,
+) {
     let link = link.with_frame_max_bytes(handler.frame_max_bytes());
     let Ok(link) = link.handshake(handler.hello()).await else {
         handler.metrics().bad_frames.inc();
         return;
     };
+    drop(handshake);
     handler.recorder().observe(link.clock_us);
     let Some(peer @ Peer::Entry(_)) = peer_from_hello(&link.hello) else {
         handler.metrics().bad_frames.inc();
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -10,6 +10,10 @@
 /// hold the connection's file descriptor forever.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum size of the peer's `Hello`: names have 64 characters at most. Clients could
+/// otherwise make the process hold a frame of the largest size on each connection.
+const HELLO_MAX_BYTES: u32 = 1_024;
+
 /// A link whose two ends have exchanged `Hello` frames.
 #[derive(Debug)]
 pub struct EstablishedLink {
@@ -31,15 +35,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if the peer sends another frame first or nothing within five seconds, or
-    /// if the link closes.
+    /// Fails if the peer sends another frame first, one over 1 KiB, or nothing within five
+    /// seconds, or if the link closes.
     pub async fn handshake(self, hello: Frame) -> Result<EstablishedLink, WireError> {
+        let frame_max_bytes = self.frame_max_bytes();
         let (sender, mut receiver) = self.split();
+        receiver.set_frame_max_bytes(HELLO_MAX_BYTES.min(frame_max_bytes));
         sender.send(hello).await?;
         let frame = timeout(HANDSHAKE_TIMEOUT, receiver.recv())
             .await
             .map_err(|_| WireError::HandshakeFailed)??
             .ok_or(WireError::Closed)?;
+        receiver.set_frame_max_bytes(frame_max_bytes);
         let Some(frame::Body::Hello(hello)) = frame.body else {
             return Err(WireError::HandshakeFailed);
         };
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -61,6 +61,11 @@
         self.peer
     }
 
+    /// Returns the maximum frame size, in bytes.
+    pub(crate) const fn frame_max_bytes(&self) -> u32 {
+        self.frame_max_bytes
+    }
+
     /// Sets the maximum frame size, in bytes. It may differ from the listener's if a
     /// configuration has come into force since the listener was bound.
     #[must_use]
--- a/crates/wire/src/receiver.rs
+++ b/crates/wire/src/receiver.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Sets the maximum frame size, in bytes, from the next frame on.
+    pub(crate) fn set_frame_max_bytes(&mut self, frame_max_bytes: u32) {
+        let max = usize::try_from(frame_max_bytes).unwrap_or(usize::MAX);
+        self.frames.decoder_mut().set_max_frame_length(max);
+        self.frame_max_bytes = frame_max_bytes;
+    }
+
     /// Waits for the next frame; returns `None` once the peer has closed the link
     /// between two frames or this process has closed it.
     ///
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -306,6 +306,19 @@
     }
 }
 
+/// Guards against clients that make a process hold a frame of the largest size each,
+/// before they have said who they are.
+#[tokio::test]
+async fn a_large_frame_before_the_handshake_is_rejected() {
+    let (near, far) = link_pair().await;
+    let (sender, _receiver) = near.split();
+    let large = hello(&"x".repeat(FRAME_MAX_BYTES as usize / 2), 0);
+    sender.send(large).await.unwrap();
+    let error = far.handshake(hello("far", 0)).await;
+    let error = error.expect_err("the frame is too large");
+    assert!(matches!(error, WireError::FrameTooLarge { .. }), "{error}");
+}
+
 #[tokio::test]
 async fn unusable_addresses_give_error_codes() {
     // No other test listens on this loopback address, so the port stays free after
