Keep callers from writing the log full

Callers choose the ids of their requests, up to the size of a head, and cause a line for each request that is refused or given up: 2,000 lines a second of 16 KB, in the place of all others.

Ids are cut off after 128 bytes, and lines that callers cause alone (refused, unfinished, connection_cut) take a tenth of the lines of a second; the others count as dropped. Both tests are new; the first would fail before by its bound, the second has no counterpart in the old interface.

--- a/crates/front/src/connection_end.rs
+++ b/crates/front/src/connection_end.rs
@@ -95,7 +95,7 @@
             matches!(phase, RequestPhase::ReadingHead | RequestPhase::Responding);
         let is_expected = end == ConnectionEnd::Closed || !has_request;
         if end == ConnectionEnd::Panicked || !is_expected {
-            self.node.log.line(
+            self.node.log.caller_line(
                 "connection_cut",
                 json!({ "why": end.as_str(), "phase": phase.as_str(),
                     "stopping": self.node.shutdown.is_stopping() }),
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -21,6 +21,14 @@
 /// otherwise cost more than serving them.
 const MAX_LINES_PER_SECOND: u32 = 2_000;
 
+/// Largest number of lines per second about requests and connections that are refused or
+/// given up. Callers that send nothing else could otherwise displace all other lines.
+const MAX_CALLER_LINES_PER_SECOND: u32 = 200;
+
+/// Largest length of a request's id in a line. Callers choose it, and it may be as long as
+/// a head.
+const MAX_ID_BYTES: usize = 128;
+
 /// Largest size of one write, unless a single line is longer: the size up to
 /// which a pipe writes atomically (`PIPE_BUF` on Linux). Log collectors may
 /// split larger writes; a reader then sees half a line and misses the lines
@@ -38,12 +46,20 @@
     writer: SyncSender<Vec<u8>>,
 }
 
+/// Who decides how many lines of a kind there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LineCause {
+    Process,
+    Caller,
+}
+
 #[derive(Debug, Default)]
 struct LogBuffer {
     bytes: Vec<u8>,
     dropped: u64,
     second: u64,
     lines: u32,
+    caller_lines: u32,
 }
 
 impl fmt::Debug for Log {
@@ -86,6 +102,16 @@
 
     /// Adds a line with the name of an event and its fields.
     pub fn line(&self, event: &str, fields: Value) {
+        self.add(event, fields, LineCause::Process);
+    }
+
+    /// As [`Self::line`], for lines of which callers can cause as many as they like. Only
+    /// some of them are written each second; the others count as dropped.
+    pub fn caller_line(&self, event: &str, fields: Value) {
+        self.add(event, fields, LineCause::Caller);
+    }
+
+    fn add(&self, event: &str, fields: Value, cause: LineCause) {
         let mut line = Map::new();
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let ms = now.map_or(0, |now| now.as_millis() as u64);
@@ -94,8 +120,11 @@
         if let Value::Object(fields) = fields {
             line.extend(fields);
         }
+        if let Some(Value::String(id)) = line.get_mut("id") {
+            id.truncate(id.floor_char_boundary(MAX_ID_BYTES));
+        }
         let mut buffer = self.buffer.lock();
-        if !buffer.admit(ms / 1_000) {
+        if !buffer.admit(ms / 1_000, cause) {
             return;
         }
         // Writing to memory can't fail, and all maps have string keys.
@@ -159,15 +188,20 @@
 
 impl LogBuffer {
     /// Returns whether another line is accepted, and counts it.
-    fn admit(&mut self, second: u64) -> bool {
+    fn admit(&mut self, second: u64, cause: LineCause) -> bool {
         if second != self.second {
             self.second = second;
             self.lines = 0;
+            self.caller_lines = 0;
         }
-        let admitted =
-            self.lines < MAX_LINES_PER_SECOND && self.bytes.len() < MAX_BUFFERED_BYTES;
+        let has_share = cause == LineCause::Process
+            || self.caller_lines < MAX_CALLER_LINES_PER_SECOND;
+        let admitted = has_share
+            && self.lines < MAX_LINES_PER_SECOND
+            && self.bytes.len() < MAX_BUFFERED_BYTES;
         if admitted {
             self.lines += 1;
+            self.caller_lines += u32::from(cause == LineCause::Caller);
         } else {
             self.dropped += 1;
         }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -91,7 +91,7 @@
     let mut response = match built {
         Ok(request) => dispatch_request(Arc::clone(&node), request).await,
         Err(refusal) => {
-            node.log.line(
+            node.log.caller_line(
                 "refused",
                 json!({ "id": id, "code": refusal.code.number(), "why": refusal.code.name(),
                     "setup": node.config().map(|config| config.version) }),
--- a/crates/front/src/taken_request.rs
+++ b/crates/front/src/taken_request.rs
@@ -42,7 +42,7 @@
         let ended = &self.node.metrics.requests_ended;
         ended.with_label_values(&labels).inc();
         let setup = self.node.config().map(|config| config.version);
-        self.node.log.line(
+        self.node.log.caller_line(
             "unfinished",
             json!({ "id": self.id, "outcome": outcome, "setup": setup }),
         );
--- a/crates/front/tests/all/log.rs
+++ b/crates/front/tests/all/log.rs
@@ -130,6 +130,43 @@
     }
 }
 
+/// Guards against callers that write the log full with ids as long as a head may be.
+#[test]
+fn a_long_id_is_cut_off() {
+    let writes = RecordingWriter::default();
+    let log = Log::with_writer(writes.clone());
+    log.line(
+        "refused",
+        json!({ "id": "\u{e9}".repeat(8_000), "code": 1_008 }),
+    );
+    log.flush();
+    let written = || writes.0.lock().expect("no test panicked").concat();
+    while !written().ends_with(b"\n") {
+        std::thread::yield_now();
+    }
+    let line = String::from_utf8(written()).expect("UTF-8");
+    assert!(line.len() < 400, "{} bytes", line.len());
+    assert!(line.contains("1008"), "{line}");
+}
+
+/// Guards against callers whose requests are refused, and whose lines take the place of
+/// all others.
+#[test]
+fn lines_that_callers_cause_leave_room_for_others() {
+    let log = Log::with_writer(std::io::sink());
+    for _ in 0..20_000 {
+        log.caller_line("refused", json!({ "id": "x" }));
+        log.flush();
+    }
+    let before = log.dropped();
+    assert!(before > 15_000, "{before}");
+    for _ in 0..500 {
+        log.line("request", json!({ "id": "x" }));
+        log.flush();
+    }
+    assert_eq!(log.dropped(), before);
+}
+
 /// Standard output is closed and nothing reads the log anymore.
 #[test]
 fn unwritable_lines_are_counted_as_dropped() {
