--- a/crates/conf/src/rules/process.rs
+++ b/crates/conf/src/rules/process.rs
@@ -55,16 +55,16 @@
         let message = format!("{shards} is not a power of two");
         sink.report(ErrorCode::OutOfRange, &root.key("request_shards"), message);
     }
-    let memory = settings.memory_mib;
-    bounds::check_optional_range(&root, "memory_mib", memory, MEMORY_MIB, sink);
-    let descriptors = settings.descriptors_max;
-    bounds::check_optional_range(
-        &root,
-        "descriptors_max",
-        descriptors,
-        DESCRIPTORS_MAX,
-        sink,
-    );
+    let limits = [
+        ("memory_mib", settings.memory_mib, MEMORY_MIB),
+        ("descriptors_max", settings.descriptors_max, DESCRIPTORS_MAX),
+    ];
+    for (key, value, range) in limits {
+        // Zero leaves it to the machine, also where it is written.
+        if value != 0 {
+            bounds::check_optional_range(&root, key, value, range, sink);
+        }
+    }
     let threads = settings.worker_threads;
     check_runtime(threads, &settings.log_level, settings.timeline_events, sink);
 }
--- a/crates/conf/tests/check.rs
+++ b/crates/conf/tests/check.rs
@@ -162,6 +162,16 @@
     assert_eq!(agent.timeline_events, 20_000);
 }
 
+/// Guards against refusing settings that a program writes in full: zero stands for a limit
+/// that is left to the machine.
+#[test]
+fn limits_of_zero_are_left_to_the_machine() {
+    let text =
+        ENTRY.replace(r#""id""#, r#""memory_mib": 0, "descriptors_max": 0, "id""#);
+    let entry = check_entry_settings(&text).expect("valid settings");
+    assert_eq!((entry.memory_mib, entry.descriptors_max), (0, 0));
+}
+
 #[test]
 fn each_fleet_error_is_reported_once() {
     use ErrorCode::*;
@@ -242,6 +252,8 @@
         case(r#""id""#, r#""request_shards": 12, "id""#, OutOfRange, "request_shards"),
         case(r#""id""#, r#""worker_threads": 0, "id""#, OutOfRange, "worker_threads"),
         case(r#""id""#, r#""log_level": "loud", "id""#, OutOfRange, "log_level"),
+        case(r#""id""#, r#""memory_mib": 63, "id""#, OutOfRange, "memory_mib"),
+        case(r#""id""#, r#""descriptors_max": 63, "id""#, OutOfRange, "descriptors_max"),
         case(r#""id""#, r#""upstream": "127.0.0.1:1", "id""#, UnknownKey, "upstream"),
     ];
     check_cases(ENTRY, &cases, check_entry_settings);
