--- a/crates/entry/tests/cases/limits.rs
+++ b/crates/entry/tests/cases/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on what callers send, and on how slowly they read.
 
-use crate::support::caller::{KEY, fetch, post, send, send_raw};
+use crate::support::caller::{KEY, PartialResponse, fetch, post, send, send_raw};
 use crate::support::harness::{Harness, metric, settings};
 use base::ErrorCode;
 use schema::settings::EntrySettings;
@@ -146,12 +146,17 @@
                 assert_eq!(attempt.run.body.len(), BODY_BYTES);
                 running.push(connection);
             }
-            response = response => break response.expect("the task runs"),
+            response = response => {
+                let response = response.expect("the task runs");
+                break PartialResponse::new(response, connection).read_rest().await;
+            }
         }
         assert!(running.len() * BODY_BYTES < 64 << 20, "no body is refused");
     };
-    assert_eq!(refused.status(), 503);
-    assert_eq!(refused.headers()["retry-after"], "1");
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.code(), u64::from(ErrorCode::Overloaded.number()));
+    assert_eq!(refused.json()["error"]["ran"], "not_run");
+    assert_eq!(refused.header("retry-after"), Some("1"));
 
     for connection in running {
         connection.abort();
@@ -180,14 +185,25 @@
     let address = harness.entry.caller_address;
     let head = format!(
         "POST /svc/orders/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
-         x-profile: orders\r\ncontent-length: {ANNOUNCED_BYTES}\r\n\r\n"
+         x-profile: orders\r\nexpect: 100-continue\r\n\
+         content-length: {ANNOUNCED_BYTES}\r\n\r\n"
     );
     let mut announcing = Vec::new();
     for _ in 0..300 {
         let mut stream = TcpStream::connect(address)
             .await
             .expect("the entry listens");
-        let _ = stream.write_all(head.as_bytes()).await;
+        stream
+            .write_all(head.as_bytes())
+            .await
+            .expect("the entry reads");
+        // The entry asks for each body, as it takes memory only when it comes.
+        let mut interim = [0; 12];
+        stream
+            .read_exact(&mut interim)
+            .await
+            .expect("the entry responds");
+        assert_eq!(&interim, b"HTTP/1.1 100");
         announcing.push(stream);
     }
     let request = post("/svc/orders/x", &"x".repeat(BODY_BYTES));
--- a/crates/entry/tests/support/caller.rs
+++ b/crates/entry/tests/support/caller.rs
@@ -48,6 +48,16 @@
 }
 
 impl PartialResponse {
+    pub(crate) const fn new(
+        response: Response<Incoming>,
+        connection: AbortHandle,
+    ) -> Self {
+        Self {
+            response,
+            connection,
+        }
+    }
+
     /// Reads until `text` has been received, and returns all that was read.
     pub(crate) async fn read_until(&mut self, text: &str) -> String {
         let mut read = String::new();
