Name the reason of each new limit in metrics and logs

What operators saw: `refused` with 2001 or 1011 and not why the body was not read; a table of connections that was full counted with the lack of processor time; nothing of connections that gave way at probes' listeners, of links closed before their handshake, or of refused callers that were cut off while they still sent.

`refused` names the end of the body; connections_full and connections_regained frame a full table with what gave way and what was refused; evictions count by listener, drains by outcome, links by sesame_entry_refused_links_total. The line at the start of sesame-entry has its budget.

A rule had two constants (4 KiB a second is progress) and two structs one name; both have one now, and the pause after which callers come back is named for bodies, as it isn't only for memory.

--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -123,7 +123,9 @@
 
     /// Serves a connection, or returns it if there is no place for it.
     fn try_admit(&self, stream: TcpStream) -> Option<TcpStream> {
-        let Ok((permit, eviction)) = self.table.admit() else {
+        let admitted = self.table.admit();
+        self.log_use();
+        let Ok((permit, eviction)) = admitted else {
             return Some(stream);
         };
         if let Some(eviction) = eviction {
@@ -134,6 +136,27 @@
         None
     }
 
+    /// Logs when all places are taken, and when half of them are free again.
+    fn log_use(&self) {
+        let Some(places) = self.table.use_change() else {
+            return;
+        };
+        let state = if places.is_full {
+            "taken"
+        } else {
+            "free again"
+        };
+        log::warn!(
+            "{}: places of callers' connections are {state}: {} of {} in use, {} \
+             connections evicted and {} refused since the start",
+            self.driver.id(),
+            places.open,
+            places.max,
+            places.evicted,
+            places.refused
+        );
+    }
+
     fn spawn_connection(&self, stream: TcpStream, permit: ConnectionPermit) {
         // With Nagle's algorithm, the kernel would delay each token until the
         // previous one is acknowledged.
@@ -176,6 +199,7 @@
 ) {
     let _open_connection = OpenConnection::new(Arc::clone(&driver));
     let header_max_bytes = driver.limits().header_max_bytes as usize;
+    let drains = driver.metrics().drains.clone();
     let activity = permit.activity();
     let service = service_fn(|request| {
         let driver = Arc::clone(&driver);
@@ -220,6 +244,8 @@
         result.is_err_and(|error| error.is_parse() || error.is_parse_too_large());
     if was_unreadable || activity.has_unread_body() {
         activity.rest_idle();
-        drain(connection.into_parts().io.into_inner()).await;
+        let is_closed = drain(connection.into_parts().io.into_inner()).await;
+        let outcome = if is_closed { "closed" } else { "cut" };
+        drains.with_label_values(&[outcome]).inc();
     }
 }
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -259,12 +259,14 @@
         };
         match accepted {
             Ok(link) => {
-                // Otherwise it is closed: an entry dials again.
-                if let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() {
-                    let handler = Arc::clone(&handler);
-                    let runtime = handler.runtime().clone();
-                    runtime.spawn(read_inbound(handler, link, permit));
-                }
+                let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else {
+                    // It is closed: an entry dials again.
+                    handler.metrics().refused_links.inc();
+                    continue;
+                };
+                let handler = Arc::clone(&handler);
+                let runtime = handler.runtime().clone();
+                runtime.spawn(read_inbound(handler, link, permit));
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -29,6 +29,10 @@
     pub(crate) evicted_connections: IntCounterVec,
     /// Open connections of callers.
     pub(crate) connections: IntGauge,
+    /// Links that were closed as too many had no handshake yet.
+    pub(crate) refused_links: Counter,
+    /// Connections that were read after a refusal, by outcome.
+    pub(crate) drains: IntCounterVec,
     /// Connections of callers that were closed unread, as none gave way.
     pub(crate) refused_connections: Counter,
     /// Connections of callers accepted since the start.
@@ -93,6 +97,15 @@
                 "phase",
             ),
             connections,
+            refused_links: counter(
+                "sesame_entry_refused_links_total",
+                "Links closed as too many had no handshake yet.",
+            ),
+            drains: labelled(
+                "sesame_entry_drains_total",
+                "Connections that were read after a refusal.",
+                "outcome",
+            ),
             refused_connections: counter(
                 "sesame_entry_refused_connections_total",
                 "Connections of callers that were closed unread, as none gave way.",
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -134,6 +134,12 @@
     let recorder = EventRecorder::new(&settings.id, settings.timeline_events as usize);
     let driver = Driver::new(options, clock, platform, recorder, budget);
     driver.start();
+    log::info!(
+        "{}: up to {} connections, {} bytes of request bodies",
+        settings.id,
+        budget.connections,
+        budget.bodies_bytes
+    );
     log::info!("{}: serves callers on {caller_address}", settings.id);
     let listeners = Listeners {
         callers,
--- a/crates/entry/tests/cases/links.rs
+++ b/crates/entry/tests/cases/links.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -144,3 +145,26 @@
             .expect("the port is free");
     }
 }
+
+/// Guards against clients that connect to the link listener, send nothing, and take all
+/// descriptors: those beyond a bound are closed and counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_without_a_handshake_are_bounded() {
+    const CLIENTS: usize = 300;
+    const HANDSHAKES_MAX: f64 = 128.0;
+    let harness = Harness::start().await;
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        let client = TcpStream::connect(harness.entry.link_address).await;
+        clients.push(client.expect("the entry listens"));
+    }
+    let refused = async {
+        let name = "sesame_entry_refused_links_total";
+        while metric(&harness.entry, name).await < CLIENTS as f64 - HANDSHAKES_MAX {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, refused)
+        .await
+        .expect("the others are closed");
+}
--- a/crates/front/src/memory_pressure.rs
+++ b/crates/front/src/caller_pressure.rs
@@ -1,4 +1,5 @@
-//! Metrics of the memory for request bodies, and log lines when it becomes short.
+//! Metrics and log lines of what callers take: when memory for request bodies becomes
+//! short, and when all places of connections are taken.
 
 use serde_json::json;
 
@@ -29,3 +30,20 @@
             "in_progress": metrics.in_progress.get() }),
     );
 }
+
+/// Logs when all places of callers' connections are taken, and when half of them are free
+/// again, with what that led to since the start.
+pub(crate) fn report_connections(node: &Node) {
+    let Some(places) = node.caller_table.use_change() else {
+        return;
+    };
+    let event = match places.is_full {
+        true => "connections_full",
+        false => "connections_regained",
+    };
+    node.log.line(
+        event,
+        json!({ "open": places.open, "max": places.max, "evicted": places.evicted,
+            "refused": places.refused, "in_progress": node.metrics.in_progress.get() }),
+    );
+}
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::memory_pressure::report_memory;
+use crate::caller_pressure::{report_connections, report_memory};
 use crate::state::Node;
 
 /// Minimum interval between two log lines about refused connections.
 const REFUSED_LOG_INTERVAL_MS: u64 = 1_000;
 
-/// Observes the delay of timers and the memory for bodies, forever.
+/// Observes the delay of timers and what callers take, forever.
 pub(crate) async fn limit_intake(node: Arc<Node>) {
     let mut refused = RefusedConnections::default();
     loop {
@@ -23,6 +23,7 @@
         observe_delay(&node, delay_ms);
         refused.log(&node, delay_ms);
         report_memory(&node);
+        report_connections(&node);
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 //!   request needs is held across an await.
 
 mod attempt;
+mod caller_pressure;
 mod caller_timeouts;
 mod clock;
 mod connection;
@@ -38,7 +39,6 @@
 mod intake;
 mod lease_relay;
 mod log;
-mod memory_pressure;
 mod options;
 mod orders;
 mod origin_proof;
--- a/crates/front/src/readiness.rs
+++ b/crates/front/src/readiness.rs
@@ -59,7 +59,10 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let permit = table.admit_when_free().await;
+        let (permit, eviction) = table.admit_when_free().await;
+        if let Some(eviction) = eviction {
+            node.metrics.record_eviction("probes", eviction);
+        }
         tokio::spawn(serve_connection(Arc::clone(&node), stream, permit));
     }
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -50,13 +50,27 @@
 
 /// When a caller should come back whose body got no memory, or came too slowly: by then
 /// bodies that rest have given way.
-const NO_MEMORY_RETRY_MS: u64 = 1_000;
+const BODY_RETRY_MS: u64 = 1_000;
 
 /// The process exits before it could run the request; another entry can take it
 /// at once.
 const SHUTTING_DOWN: RequestError =
     RequestError::not_run(ErrorCode::Leaving).retry_after_ms(0);
 
+/// Why a request is refused before its dispatch.
+#[derive(Debug)]
+struct Refusal {
+    error: RequestError,
+    /// Why its body was not read to its end, if that is the reason.
+    body: Option<BodyError>,
+}
+
+impl From<RequestError> for Refusal {
+    fn from(error: RequestError) -> Self {
+        Self { error, body: None }
+    }
+}
+
 /// Handles one request. A request with ambiguous framing is refused, and the
 /// bytes that follow it on its connection are not read.
 pub(crate) async fn serve(
@@ -78,27 +92,28 @@
         framing.has_ambiguous_length() || has_ambiguous_framing(&parts.headers);
     let built = if is_ambiguous {
         framing.activity().leave_body_unread();
-        Err(RequestError::not_run(ErrorCode::BadRequest))
+        Err(Refusal::from(RequestError::not_run(ErrorCode::BadRequest)))
     } else {
         let respond_now = node.shutdown.respond_now.clone();
         tokio::select! {
             biased;
             built = build_request(&node, arrived_at, parts, body, head, framing) => built,
-            () = respond_now.cancelled() => Err(SHUTTING_DOWN),
+            () = respond_now.cancelled() => Err(SHUTTING_DOWN.into()),
         }
     };
     taken.logged_elsewhere();
     let mut response = match built {
         Ok(request) => dispatch_request(Arc::clone(&node), request).await,
-        Err(refusal) => {
+        Err(Refusal { error, body }) => {
             node.log.caller_line(
                 "refused",
-                json!({ "id": id, "code": refusal.code.number(), "why": refusal.code.name(),
+                json!({ "id": id, "code": error.code.number(), "why": error.code.name(),
+                    "body": body.map(BodyError::as_str),
                     "setup": node.config().map(|config| config.version) }),
             );
-            let route = ["", refusal.code.name()];
+            let route = ["", error.code.name()];
             node.metrics.requests_ended.with_label_values(&route).inc();
-            error_response(&*node.protocol, &id, &refusal)
+            error_response(&*node.protocol, &id, &error)
         }
     };
     if phase > ShutdownPhase::Serving {
@@ -139,7 +154,7 @@
     body: Incoming,
     head: RequestHead,
     framing: &RequestFraming,
-) -> Result<CallerRequest, RequestError> {
+) -> Result<CallerRequest, Refusal> {
     let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let body_timeout_ms = match check_head(node, &parts, &head) {
         Ok(route_timeout_ms) => deadline_ms.min(route_timeout_ms),
@@ -147,7 +162,7 @@
             if !discard(body).await {
                 framing.activity().leave_body_unread();
             }
-            return Err(refusal);
+            return Err(refusal.into());
         }
     };
     // What the head shows may change while the body comes, and is checked again.
@@ -164,16 +179,17 @@
         // A route that a possibly outdated configuration doesn't contain may
         // exist by now.
         let is_current = node.config_is_fresh();
-        return Err(if is_current {
+        let refusal = if is_current {
             RequestError::not_run(ErrorCode::UnknownPath)
         } else {
             not_ready
-        });
+        };
+        return Err(refusal.into());
     };
     let is_refused_stream =
         route.kind.is_stream() && !may_begin_stream(node, &route, &head, deadline_ms);
     if is_refused_stream || node.shutdown.is_too_late(node.now()) {
-        return Err(SHUTTING_DOWN);
+        return Err(SHUTTING_DOWN.into());
     }
     let workspace = authenticate(&config, &route, &head).map_err(|refusal| {
         let is_current = node.config_is_fresh();
@@ -294,7 +310,7 @@
     body: Incoming,
     timeout_ms: u64,
     framing: &RequestFraming,
-) -> Result<Bytes, RequestError> {
+) -> Result<Bytes, Refusal> {
     let until = tokio::time::Instant::now()
         + Duration::from_millis(timeout_ms.saturating_add(LATE_BODY_MS));
     let limits = || BodyLimits {
@@ -316,7 +332,10 @@
         framing.activity().leave_body_unread();
         let reason = error.as_str();
         node.metrics.bodies_ended.with_label_values(&[reason]).inc();
-        refusal_of(error)
+        Refusal {
+            error: refusal_of(error),
+            body: Some(error),
+        }
     })
 }
 
@@ -325,12 +344,10 @@
     match error {
         BodyError::TooLarge => RequestError::not_run(ErrorCode::BodyTooLarge),
         BodyError::NoMemory | BodyError::Evicted => {
-            RequestError::not_run(ErrorCode::Overloaded)
-                .retry_after_ms(NO_MEMORY_RETRY_MS)
+            RequestError::not_run(ErrorCode::Overloaded).retry_after_ms(BODY_RETRY_MS)
         }
         BodyError::Idle | BodyError::Deadline => {
-            RequestError::not_run(ErrorCode::BodyTimeout)
-                .retry_after_ms(NO_MEMORY_RETRY_MS)
+            RequestError::not_run(ErrorCode::BodyTimeout).retry_after_ms(BODY_RETRY_MS)
         }
         BodyError::Broken => RequestError::not_run(ErrorCode::BadRequest),
     }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -92,7 +92,7 @@
         tokio::task::yield_now().await;
         if try_admit(node, stream).is_some() {
             // Closed unread: the caller may send the request to another entry.
-            node.metrics.connections_refused.inc();
+            node.metrics.connections_full.inc();
         }
     }
 }
@@ -103,8 +103,7 @@
         return Some(stream);
     };
     if let Some(eviction) = eviction {
-        let evicted = &node.metrics.connections_evicted;
-        evicted.with_label_values(&[eviction.phase]).inc();
+        node.metrics.record_eviction("callers", eviction);
     }
     node.caller_connections
         .spawn(serve_connection(Arc::clone(node), stream, permit));
@@ -159,10 +158,12 @@
     if was_refused {
         framing.activity().rest_idle();
         let stream = connection.into_parts().io.into_inner().into_inner();
-        tokio::select! {
-            () = drain(stream) => {}
-            () = framing.activity().evicted() => {}
-        }
+        let is_closed = tokio::select! {
+            is_closed = drain(stream) => is_closed,
+            () = framing.activity().evicted() => false,
+        };
+        let outcome = if is_closed { "closed" } else { "cut" };
+        node.metrics.drains.with_label_values(&[outcome]).inc();
     }
     end
 }
--- a/crates/front/src/state/metrics.rs
+++ b/crates/front/src/state/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms.
 
+use inbound::Eviction;
 use prometheus::{
     Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -78,7 +79,11 @@
     pub(crate) shutdown_responses: IntCounterVec,
     /// New connections that were closed unread for lack of processor time.
     pub(crate) connections_refused: IntCounter,
-    /// Callers' connections that gave way to new ones, by what they waited for.
+    /// Callers' connections that were closed unread as none gave way.
+    pub(crate) connections_full: IntCounter,
+    /// Connections that were read after a refusal, by outcome.
+    pub(crate) drains: IntCounterVec,
+    /// Connections that gave way to new ones, by listener and by what they waited for.
     pub(crate) connections_evicted: IntCounterVec,
     /// Bodies of requests that were not read to their end, by reason.
     pub(crate) bodies_ended: IntCounterVec,
@@ -274,19 +279,32 @@
                 .expect("each metric is registered once");
             gauge
         };
-        let connections_refused = IntCounter::new(
+        let plain_counter = |name: &str, help: &str| {
+            let counter =
+                IntCounter::new(name, help).expect("metric names are valid literals");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each metric is registered once");
+            counter
+        };
+        let connections_refused = plain_counter(
             "sesame_front_connections_refused_total",
             "New connections closed unread for lack of processor time",
-        )
-        .expect("metric names are valid literals");
-        registry
-            .register(Box::new(connections_refused.clone()))
-            .expect("each metric is registered once");
+        );
+        let connections_full = plain_counter(
+            "sesame_front_connections_full_total",
+            "New connections closed unread as all places were taken and none gave way",
+        );
         let in_progress = gauge("sesame_front_in_progress", "Requests in progress");
         let connections_evicted = counter(
             "sesame_front_connections_evicted_total",
-            "Callers' connections that gave way to new ones",
-            &["phase"],
+            "Connections that gave way to new ones",
+            &["listener", "phase"],
+        );
+        let drains = counter(
+            "sesame_front_drains_total",
+            "Connections that were read after a refusal",
+            &["outcome"],
         );
         let bodies_ended = counter(
             "sesame_front_bodies_ended_total",
@@ -331,6 +349,8 @@
             shutdown_responses,
             connections_refused,
             connections_evicted,
+            connections_full,
+            drains,
             bodies_ended,
             body_memory_bytes,
             body_memory_max_bytes,
@@ -394,6 +414,12 @@
             .inc_by(messages * bytes as u64);
     }
 
+    /// Counts a connection of a listener that gave way.
+    pub(crate) fn record_eviction(&self, listener: &str, eviction: Eviction) {
+        let labels = [listener, eviction.phase];
+        self.connections_evicted.with_label_values(&labels).inc();
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new()
--- a/crates/inbound/src/activity.rs
+++ b/crates/inbound/src/activity.rs
@@ -7,8 +7,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-/// Bytes of a body that count as progress.
-const PROGRESS_BYTES: usize = 4 << 10;
+use crate::body_ledger::{NO_PROGRESS_MS, PROGRESS_BYTES};
 
 /// Time in which a connection that gives way has to send its last response.
 const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,7 +33,7 @@
         match self {
             Self::Idle => Duration::ZERO,
             Self::Head => Duration::from_millis(250),
-            Self::Body => Duration::from_secs(1),
+            Self::Body => Duration::from_millis(NO_PROGRESS_MS),
             Self::Write => Duration::from_secs(5),
         }
     }
--- a/crates/inbound/src/body_ledger.rs
+++ b/crates/inbound/src/body_ledger.rs
@@ -8,7 +8,7 @@
 
 /// Bytes in that time that count as progress. A caller that sends a byte now and then
 /// would otherwise hold its memory like one that sends as fast as it can.
-const PROGRESS_BYTES: usize = 4 << 10;
+pub(crate) const PROGRESS_BYTES: usize = 4 << 10;
 
 /// Sizes from which on bodies don't get the last part of the memory, and that part in
 /// percent. Small bodies are nearly all of what ordinary callers send, and are served
@@ -28,7 +28,7 @@
 
 /// A body that is held, whole or in part.
 #[derive(Debug)]
-struct HeldBody {
+struct LedgerEntry {
     held_bytes: usize,
     /// Whether a part of it is still missing.
     is_incomplete: bool,
@@ -37,7 +37,7 @@
     progress_bytes: usize,
 }
 
-impl HeldBody {
+impl LedgerEntry {
     /// Whether it has made no progress for long enough to give way.
     fn rests(&self, now: Instant) -> bool {
         self.is_incomplete && now.ms_since(self.progress_since) >= NO_PROGRESS_MS
@@ -49,7 +49,7 @@
 pub struct BodyLedger {
     capacity_bytes: usize,
     used_bytes: usize,
-    bodies: HashMap<BodyId, HeldBody>,
+    bodies: HashMap<BodyId, LedgerEntry>,
     next_id: u64,
 }
 
@@ -88,7 +88,7 @@
     pub fn begin(&mut self, now: Instant) -> BodyId {
         let id = BodyId(self.next_id);
         self.next_id += 1;
-        let body = HeldBody {
+        let body = LedgerEntry {
             held_bytes: 0,
             is_incomplete: true,
             progress_since: now,
--- a/crates/inbound/src/connection_table.rs
+++ b/crates/inbound/src/connection_table.rs
@@ -25,6 +25,22 @@
     pub phase: &'static str,
 }
 
+/// Whether the places of a table are all taken, and what that led to since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableUse {
+    /// Whether a connection gave way or found no place since half of the places were last
+    /// free.
+    pub is_full: bool,
+    /// Number of connections, and of places.
+    pub open: usize,
+    /// See `open`.
+    pub max: usize,
+    /// Number of connections that gave way.
+    pub evicted: u64,
+    /// Number of times that a connection found no place.
+    pub refused: u64,
+}
+
 /// The connections of a listener.
 #[derive(Debug)]
 pub struct ConnectionTable {
@@ -36,6 +52,11 @@
 struct State {
     connections: HashMap<u64, Activity>,
     next_id: u64,
+    is_full: bool,
+    /// What [`ConnectionTable::use_change`] returned last.
+    reported_full: bool,
+    evicted: u64,
+    refused: u64,
 }
 
 impl ConnectionTable {
@@ -57,8 +78,11 @@
         self: &Arc<Self>,
     ) -> Result<(ConnectionPermit, Option<Eviction>), TableFull> {
         let mut state = self.state.lock();
-        let evicted = state.connections.len() >= self.max;
-        let eviction = evicted.then(|| self.evict_one(&state)).transpose()?;
+        let eviction = if state.connections.len() >= self.max {
+            Some(self.evict_one(&mut state)?)
+        } else {
+            None
+        };
         let id = state.next_id;
         state.next_id += 1;
         let activity = Activity::default();
@@ -73,16 +97,48 @@
 
     /// As [`Self::admit`], and waits for a place. Meanwhile others wait in the listener's
     /// backlog, so this is for listeners whose requests take no time.
-    pub async fn admit_when_free(self: &Arc<Self>) -> ConnectionPermit {
+    pub async fn admit_when_free(
+        self: &Arc<Self>,
+    ) -> (ConnectionPermit, Option<Eviction>) {
         loop {
             match self.admit() {
-                Ok((permit, _)) => return permit,
+                Ok(admitted) => return admitted,
                 Err(TableFull) => sleep(RETRY_INTERVAL).await,
             }
         }
     }
 
-    fn evict_one(&self, state: &State) -> Result<Eviction, TableFull> {
+    /// Returns the use of the table if it has become full or no longer is since the last
+    /// call, so that the log has one line for each time.
+    pub fn use_change(&self) -> Option<TableUse> {
+        let mut state = self.state.lock();
+        let open = state.connections.len();
+        if open <= self.max / 2 {
+            state.is_full = false;
+        }
+        let is_full = state.is_full;
+        let before = std::mem::replace(&mut state.reported_full, is_full);
+        (before != is_full).then_some(TableUse {
+            is_full,
+            open,
+            max: self.max,
+            evicted: state.evicted,
+            refused: state.refused,
+        })
+    }
+
+    fn evict_one(&self, state: &mut State) -> Result<Eviction, TableFull> {
+        state.is_full = true;
+        let eviction = self.evict_longest_resting(state);
+        match eviction {
+            Ok(_) => state.evicted += 1,
+            Err(TableFull) => state.refused += 1,
+        }
+        eviction
+    }
+
+    /// Makes the connection give way that has rested longest.
+    fn evict_longest_resting(&self, state: &State) -> Result<Eviction, TableFull> {
         if state.connections.len() >= self.max + CLOSING_MAX {
             return Err(TableFull);
         }
--- a/crates/inbound/src/drain.rs
+++ b/crates/inbound/src/drain.rs
@@ -50,8 +50,8 @@
 }
 
 /// Ends the writing side of a connection whose response has been sent, and reads until the
-/// caller closes it or has sent more than it may.
-pub async fn drain(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+/// caller closes it or has sent more than it may. Returns whether the caller closed it.
+pub async fn drain(mut stream: impl AsyncRead + AsyncWrite + Unpin) -> bool {
     let reading = async {
         // An error means that the caller is gone, which the read finds too.
         let _ = stream.shutdown().await;
@@ -59,11 +59,12 @@
         let mut read_bytes = 0;
         while read_bytes < DRAINED_MAX_BYTES {
             match stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
+                Ok(0) | Err(_) => return true,
                 Ok(bytes) => read_bytes += bytes,
             }
         }
+        false
     };
     // Whatever is unread then is lost.
-    let _ = timeout(DRAIN_TIMEOUT, reading).await;
+    timeout(DRAIN_TIMEOUT, reading).await.unwrap_or(false)
 }
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -35,7 +35,9 @@
 pub use body_ledger::{BodyId, BodyLedger, LedgerFull, NO_PROGRESS_MS};
 pub use body_memory::{BodyMemory, BodyReservation, MemoryPressure};
 pub use budget::Budget;
-pub use connection_table::{ConnectionPermit, ConnectionTable, Eviction, TableFull};
+pub use connection_table::{
+    ConnectionPermit, ConnectionTable, Eviction, TableFull, TableUse,
+};
 pub use drain::{discard, drain};
 pub use listener::bind;
 pub use machine::{ConfiguredMachine, Machine};
--- a/crates/inbound/src/read_body.rs
+++ b/crates/inbound/src/read_body.rs
@@ -87,7 +87,7 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let mut held = HeldBody::new(memory.begin(clock()), announced.exact());
+    let mut held = PartialBody::new(memory.begin(clock()), announced.exact());
     let mut body = pin!(body);
     let mut last_part_at = tokio::time::Instant::now();
     let mut confirming = None;
@@ -182,7 +182,7 @@
 }
 
 /// The part of a body that has come.
-struct HeldBody {
+struct PartialBody {
     reservation: BodyReservation,
     segments: Segments,
     /// Its whole size, if announced.
@@ -192,7 +192,7 @@
     uncounted_bytes: usize,
 }
 
-impl HeldBody {
+impl PartialBody {
     fn new(reservation: BodyReservation, announced_bytes: Option<u64>) -> Self {
         Self {
             reservation,
--- a/crates/oper/src/server.rs
+++ b/crates/oper/src/server.rs
@@ -36,7 +36,14 @@
         while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, _)) => {
-                let permit = table.admit_when_free().await;
+                let (permit, eviction) = table.admit_when_free().await;
+                if let Some(eviction) = eviction {
+                    log::debug!(
+                        "a connection on the operators' listener that waited for {} \
+                         gave way",
+                        eviction.phase
+                    );
+                }
                 connections.spawn(serve_connection(stream, api.clone(), permit));
             }
             Err(error) => {
