--- a/crates/inbound/tests/all/main.rs
+++ b/crates/inbound/tests/all/main.rs
@@ -3,4 +3,6 @@
 mod body_ledger;
 mod budget;
 mod connection_table;
+mod drain;
+mod listener;
 mod read_body;
